workspace: lay out the crates, shared types and messages

The frame of processes decides the areas: one crate each, thin binaries, pure state machines apart from adapters. Messages are generated from proto files and committed; a test compares them with a fresh run.

--- /dev/null
+++ b/crates/conf/src/value.rs
@@ -0,0 +1,202 @@
+//! The types that a key can have, each with the form it is written in.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use base::prelude::CallerName;
+use base::prelude::Class;
+use base::prelude::DomainName;
+use base::prelude::HostName;
+use base::prelude::InstanceId;
+use base::prelude::RegionName;
+use base::prelude::ServiceName;
+
+/// A type that a key's text can be read as.
+pub trait Value: Sized {
+    /// The allowed form, for people.
+    const FORM: &'static str;
+
+    /// Reads `text`, `None` when it has another form.
+    fn read(text: &str) -> Option<Self>;
+}
+
+impl Value for SocketAddr {
+    const FORM: &'static str = "IP:port, such as 127.0.0.1:7000";
+
+    fn read(text: &str) -> Option<Self> {
+        text.parse().ok()
+    }
+}
+
+impl Value for IpAddr {
+    const FORM: &'static str = "IP number, such as 127.0.0.1";
+
+    fn read(text: &str) -> Option<Self> {
+        text.parse().ok()
+    }
+}
+
+impl Value for u32 {
+    const FORM: &'static str = "whole number";
+
+    fn read(text: &str) -> Option<Self> {
+        text.parse().ok()
+    }
+}
+
+impl Value for u64 {
+    const FORM: &'static str = "whole number";
+
+    fn read(text: &str) -> Option<Self> {
+        text.parse().ok()
+    }
+}
+
+impl Value for bool {
+    const FORM: &'static str = "yes or no";
+
+    fn read(text: &str) -> Option<Self> {
+        match text {
+            "yes" => Some(true),
+            "no" => Some(false),
+            _ => None,
+        }
+    }
+}
+
+impl Value for Duration {
+    const FORM: &'static str = "whole number with unit ms, s or min, such as 250ms";
+
+    fn read(text: &str) -> Option<Self> {
+        let split = text.find(|c: char| !c.is_ascii_digit())?;
+        let (count, unit) = text.split_at(split);
+        let count: u64 = count.parse().ok()?;
+        match unit {
+            "ms" => Some(Self::from_millis(count)),
+            "s" => Some(Self::from_secs(count)),
+            "min" => Some(Self::from_secs(count.checked_mul(60)?)),
+            _ => None,
+        }
+    }
+}
+
+/// A size in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Bytes(pub u64);
+
+impl Value for Bytes {
+    const FORM: &'static str = "whole number with unit B, KiB or MiB, such as 64KiB";
+
+    fn read(text: &str) -> Option<Self> {
+        let split = text.find(|c: char| !c.is_ascii_digit())?;
+        let (count, unit) = text.split_at(split);
+        let count: u64 = count.parse().ok()?;
+        let factor = match unit {
+            "B" => 1,
+            "KiB" => 1024,
+            "MiB" => 1024 * 1024,
+            _ => return None,
+        };
+        count.checked_mul(factor).map(Bytes)
+    }
+}
+
+/// Events a second, kept in thousandths.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rate(pub u32);
+
+impl Value for Rate {
+    const FORM: &'static str = "number a second with at most three decimals, such as 2.5/s";
+
+    fn read(text: &str) -> Option<Self> {
+        let number = text.strip_suffix("/s")?;
+        let (whole, part) = number.split_once('.').unwrap_or((number, "0"));
+        if part.is_empty() || part.len() > 3 || !part.bytes().all(|b| b.is_ascii_digit()) {
+            return None;
+        }
+        let whole: u32 = whole.parse().ok()?;
+        let part: u32 = format!("{part:0<3}").parse().ok()?;
+        whole.checked_mul(1000)?.checked_add(part).map(Rate)
+    }
+}
+
+/// A share in whole percent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Percent(pub u32);
+
+impl Value for Percent {
+    const FORM: &'static str = "0% to 100%";
+
+    fn read(text: &str) -> Option<Self> {
+        let count = text.strip_suffix('%')?.parse().ok()?;
+        (count <= 100).then_some(Self(count))
+    }
+}
+
+impl Value for PathBuf {
+    const FORM: &'static str = "path of a folder or file";
+
+    fn read(text: &str) -> Option<Self> {
+        (!text.is_empty()).then(|| Self::from(text))
+    }
+}
+
+impl Value for Class {
+    const FORM: &'static str = "urgent, once, durable or deferred";
+
+    fn read(text: &str) -> Option<Self> {
+        text.parse().ok()
+    }
+}
+
+impl Value for log_level::Level {
+    const FORM: &'static str = "error, warning, info or debug";
+
+    fn read(text: &str) -> Option<Self> {
+        text.parse().ok()
+    }
+}
+
+/// The level of the log, named as in settings.
+pub mod log_level {
+    use strum::Display;
+    use strum::EnumString;
+
+    /// Least level that is written.
+    #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display, EnumString)]
+    #[strum(serialize_all = "kebab-case")]
+    pub enum Level {
+        /// Failures only.
+        Error,
+        /// Failures and what may become one.
+        Warning,
+        /// Decisions too.
+        #[default]
+        Info,
+        /// All.
+        Debug,
+    }
+}
+
+macro_rules! name_values {
+    ($($name:ident,)*) => {$(
+        impl Value for $name {
+            const FORM: &'static str = "1 to 128 letters, digits, '-', '_', '.' or ':'";
+
+            fn read(text: &str) -> Option<Self> {
+                Self::new(text).ok()
+            }
+        }
+    )*};
+}
+
+name_values! {
+    CallerName,
+    DomainName,
+    HostName,
+    InstanceId,
+    RegionName,
+    ServiceName,
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,7 @@
+//! Logs as logfmt lines and metrics over UDP, for the daemons.
+//!
+//! Both are bounded and never hold a request up: a full log queue drops lines
+//! and reports how many, and metrics without a sink cost nothing.
+
+pub mod log;
+pub mod metrics;
--- /dev/null
+++ b/crates/telemetry/src/metrics.rs
@@ -0,0 +1,64 @@
+//! Counters, gauges and timers in the statsd format.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+
+use cadence::NopMetricSink;
+use cadence::QueuingMetricSink;
+use cadence::StatsdClient;
+use cadence::UdpMetricSink;
+use quick_error::quick_error;
+
+/// First part of every metric's name.
+pub const PREFIX: &str = "rwr";
+/// Metrics that may wait for the sender; more are dropped.
+pub const QUEUE: usize = 16_384;
+
+quick_error! {
+    /// Why no metrics can be sent.
+    #[derive(Debug)]
+    pub enum MetricsError {
+        /// The local UDP socket.
+        Socket(err: io::Error) {
+            from()
+            source(err)
+            display("metrics socket: {err}")
+        }
+        /// The sink's address.
+        Sink(err: cadence::MetricError) {
+            from()
+            source(err)
+            display("metrics sink: {err}")
+        }
+    }
+}
+
+/// A client that sends to `sink`, or nowhere when there is none.
+///
+/// # Errors
+///
+/// Fails when the local socket can't be had.
+pub fn start(sink: Option<SocketAddr>, host: &str) -> Result<StatsdClient, MetricsError> {
+    let Some(sink) = sink else {
+        return Ok(silent());
+    };
+    let local = if sink.is_ipv4() {
+        "0.0.0.0:0"
+    } else {
+        "[::]:0"
+    };
+    let socket = UdpSocket::bind(local)?;
+    socket.set_nonblocking(true)?;
+    let sink = UdpMetricSink::from(sink, socket)?;
+    let queue = QueuingMetricSink::with_capacity(sink, QUEUE);
+    Ok(StatsdClient::builder(PREFIX, queue)
+        .with_tag("host", host)
+        .build())
+}
+
+/// A client that sends nothing.
+#[must_use]
+pub fn silent() -> StatsdClient {
+    StatsdClient::from_sink(PREFIX, NopMetricSink)
+}
--- /dev/null
+++ b/crates/wire/src/api.rs
@@ -0,0 +1,67 @@
+//! The `tarpc` services between the system's own processes.
+
+// The macro's clients and enums carry no documentation of their own.
+#![allow(missing_docs)]
+
+use crate::catalogue::Change;
+use crate::catalogue::ChangeReply;
+use crate::catalogue::History;
+use crate::control::Follow;
+use crate::control::FollowReply;
+use crate::control::HistoryQuery;
+use crate::control::Membership;
+use crate::control::MembershipReply;
+use crate::control::Status;
+use crate::directory::Exchange;
+use crate::directory::HostsReply;
+use crate::directory::InstancesReply;
+use crate::directory::Sync;
+use crate::directory::SyncReply;
+use crate::gateway::DrainReply;
+use crate::gateway::Explain;
+use crate::gateway::ExplainReply;
+use crate::ledger::Claim;
+use crate::ledger::ClaimReply;
+use crate::ledger::Settle;
+use crate::ledger::SettleReply;
+
+/// Served by each control replica to directories, gateways and operators.
+#[tarpc::service]
+pub trait ControlApi {
+    /// Proposes a catalogue change; any replica passes it to the leader.
+    async fn propose(change: Change) -> ChangeReply;
+    /// Waits for a newer catalogue, or confirms that there is none.
+    async fn follow(ask: Follow) -> FollowReply;
+    /// Accepted changes, oldest first.
+    async fn history(query: HistoryQuery) -> History;
+    /// The replica's view of itself and its group.
+    async fn status() -> Status;
+    /// Adds or removes one replica.
+    async fn change_membership(change: Membership) -> MembershipReply;
+    /// Claims the right to run a keyed request.
+    async fn claim(claim: Claim) -> ClaimReply;
+    /// Records what became of a claimed request.
+    async fn settle(settle: Settle) -> SettleReply;
+}
+
+/// Served by each directory to gateways, other directories and operators.
+#[tarpc::service]
+pub trait DirectoryApi {
+    /// A gateway's heartbeat and poll in one.
+    async fn sync(ask: Sync) -> SyncReply;
+    /// Push and pull between two directories.
+    async fn exchange(push: Exchange) -> Exchange;
+    /// The hosts as this directory knows them.
+    async fn hosts() -> HostsReply;
+    /// The instances as this directory knows them.
+    async fn instances() -> InstancesReply;
+}
+
+/// Served by each gateway to operators.
+#[tarpc::service]
+pub trait GatewayApi {
+    /// Why calls of a service go where they go.
+    async fn explain(ask: Explain) -> ExplainReply;
+    /// Starts a graceful stop.
+    async fn drain() -> DrainReply;
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,37 @@
+//! What the system's own processes say to each other: typed messages,
+//! `tarpc` services, and TCP links with bounded frames and deadlines.
+//!
+//! The messages are generated from `proto/` by the crate `gen`.
+
+pub mod api;
+pub mod link;
+
+/// Catalogue messages.
+#[allow(missing_docs, clippy::pedantic)]
+pub mod catalogue {
+    include!("generated/rwr.catalogue.rs");
+}
+
+/// Ledger messages.
+#[allow(missing_docs, clippy::pedantic)]
+pub mod ledger {
+    include!("generated/rwr.ledger.rs");
+}
+
+/// Control messages.
+#[allow(missing_docs, clippy::pedantic)]
+pub mod control {
+    include!("generated/rwr.control.rs");
+}
+
+/// Directory messages.
+#[allow(missing_docs, clippy::pedantic)]
+pub mod directory {
+    include!("generated/rwr.directory.rs");
+}
+
+/// Gateway messages.
+#[allow(missing_docs, clippy::pedantic)]
+pub mod gateway {
+    include!("generated/rwr.gateway.rs");
+}
