--- a/crates/consensus/src/action.rs
+++ b/crates/consensus/src/action.rs
@@ -111,6 +111,10 @@
         ChangeOpen {
             display("another change of the group is open")
         }
+        /// A later change took this one back before it was done.
+        Withdrawn {
+            display("a later change took this one back")
+        }
         /// No voter of that region's majority has been heard; certain not to be done.
         RegionDown(region: RegionName) {
             display("region {region} has no majority in reach")
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -20,10 +20,15 @@
 
 pub mod action;
 pub mod config;
+mod disk;
 pub mod entry;
 pub mod event;
+mod leader;
+mod log;
 pub mod message;
 pub mod node;
+mod progress;
+pub mod quorum;
 pub mod settings;
 pub mod stored;
 
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -1,5 +1,16 @@
 //! One replica of the log.
 
+mod change;
+mod election;
+mod follow;
+mod lead;
+mod read;
+mod replicate;
+mod transfer;
+
+use std::collections::BTreeSet;
+use std::mem;
+
 use base::prelude::*;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -10,14 +21,27 @@
 use strum::IntoStaticStr;
 
 use crate::action::Action;
+use crate::action::Fault;
+use crate::action::Rejection;
+use crate::action::WriteNumber;
 use crate::config::Config;
+use crate::disk::Disk;
 use crate::entry::Index;
 use crate::entry::ReplicaId;
 use crate::entry::Term;
 use crate::event::Event;
+use crate::event::Ticket;
+use crate::leader::Leader;
+use crate::log::Log;
+use crate::message::Body;
+use crate::message::Message;
 use crate::settings::Settings;
+use crate::stored::HardState;
 use crate::stored::Stored;
 
+use self::follow::Incoming;
+use self::read::Asks;
+
 /// What a replica does in its group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -55,75 +79,282 @@
     pub log_bytes: usize,
     /// The last snapshot's index.
     pub snapshot: Index,
-    /// The group.
+    /// The group in force: the last one in the log, committed or not.
     pub config: Config,
     /// Whether the node has stopped for good.
     pub stopped: bool,
 }
 
+#[derive(Debug)]
+enum State {
+    Follower { leader: Option<ReplicaId> },
+    PreCandidate { votes: BTreeSet<ReplicaId> },
+    Candidate { votes: BTreeSet<ReplicaId> },
+    Leader(Box<Leader>),
+}
+
 /// One replica: events and the time go in, actions come out.
 #[derive(Debug)]
 pub struct Node {
+    id: ReplicaId,
     settings: Settings,
-    stored: Stored,
     rng: StdRng,
-    deadline: Moment,
+    hard: HardState,
+    state: State,
+    log: Log,
+    disk: Disk,
+    commit: Index,
+    applied: Index,
+    /// When a replica that doesn't lead campaigns.
+    timeout: Moment,
+    /// When a leader's message last came.
+    heard: Option<Moment>,
+    /// The leader as last told to the adapter.
+    announced: (Term, Option<ReplicaId>),
+    asks: Asks,
+    incoming: Option<Incoming>,
+    stopped: bool,
+    now: Moment,
+    out: Vec<Action>,
 }
 
 impl Node {
-    /// A replica that starts from what its disk holds.
+    /// A replica that starts from what its disk holds, its state applied up to the snapshot.
+    ///
+    /// The seed must differ at each start, also of the same replica.
     #[must_use]
     pub fn new(settings: Settings, stored: Stored, seed: u64, now: Moment) -> Self {
+        let (log, overruled) = Log::open(stored.snapshot, stored.entries);
+        let mut disk = Disk::new(log.last().index);
+        if let Some(index) = overruled {
+            disk.drop_from(index);
+        }
+        let base = log.snapshot().position.index;
         let mut node = Self {
+            id: stored.id,
             settings,
-            stored,
             rng: StdRng::seed_from_u64(seed),
-            deadline: now,
+            hard: stored.hard,
+            state: State::Follower { leader: None },
+            log,
+            disk,
+            commit: base,
+            applied: base,
+            timeout: now,
+            heard: None,
+            announced: (Term::default(), None),
+            asks: Asks::default(),
+            incoming: None,
+            stopped: false,
+            now,
+            out: Vec::new(),
         };
-        node.draw_deadline(now);
+        node.adopt_log_term();
+        node.draw_timeout();
         node
     }
 
+    /// Entries may be on disk whose term came in a write that a crash cut short.
+    fn adopt_log_term(&mut self) {
+        let term = self.log.last().term;
+        if term > self.hard.term {
+            self.hard = HardState { term, vote: None };
+            self.disk.mark_hard();
+        }
+    }
+
     /// Takes one event and pushes what is to be done onto `actions`, in order.
+    ///
+    /// A moment before the last one counts as the last one.
     pub fn step(&mut self, now: Moment, event: Event, actions: &mut Vec<Action>) {
-        let _ = (event, actions);
-        self.draw_deadline(now);
+        self.now = self.now.max(now);
+        mem::swap(&mut self.out, actions);
+        if self.stopped {
+            self.refuse_stopped(&event);
+        } else {
+            self.run(event);
+        }
+        mem::swap(&mut self.out, actions);
     }
 
-    fn draw_deadline(&mut self, now: Moment) {
-        let factor = 1.0 + self.rng.random::<f64>();
-        self.deadline = now + self.settings.election.mul_f64(factor);
+    /// A leader's time is looked at first, so that one that slept steps down before it acts.
+    fn run(&mut self, event: Event) {
+        self.tick_leader();
+        self.handle(event);
+        self.tick_follower();
+        self.advance();
+        self.maintain();
+        self.flush();
+        self.replicate();
+        self.pump_reads();
+        self.announce();
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Tick => {}
+            Event::Message(message) => self.receive(message),
+            Event::Propose { ticket, data } => self.propose(ticket, data),
+            Event::Read { ticket } => self.read(ticket),
+            Event::Change { ticket, change } => self.change(ticket, change),
+            Event::Transfer => self.start_transfer(),
+            Event::Persisted { number } => self.persisted(number),
+            Event::PersistFailed => self.stop(Fault::PersistFailed),
+            Event::Compact { index, data } => self.compact(index, data),
+        }
     }
 
     /// When the node wants the next [`Event::Tick`].
     #[must_use]
     pub fn deadline(&self) -> Moment {
-        self.deadline
+        let timer = match &self.state {
+            State::Leader(leader) => leader.beat,
+            _ => self.timeout,
+        };
+        self.asks
+            .deadline(&self.settings)
+            .map_or(timer, |ask| ask.min(timer))
     }
 
     /// The replica's view of itself and its group.
     #[must_use]
     pub fn status(&self) -> Status {
         Status {
-            id: self.stored.id,
-            role: Role::Follower,
-            term: self.stored.hard.term,
-            leader: None,
-            commit: Index::default(),
-            applied: Index::default(),
-            first: Index(1),
-            last: Index::default(),
-            log_bytes: 0,
-            snapshot: Index::default(),
-            config: self.stored.snapshot.config.clone(),
-            stopped: false,
+            id: self.id,
+            role: self.role(),
+            term: self.hard.term,
+            leader: self.leader_id(),
+            commit: self.commit,
+            applied: self.applied,
+            first: self.log.first(),
+            last: self.log.last().index,
+            log_bytes: self.log.bytes(),
+            snapshot: self.log.snapshot().position.index,
+            config: self.log.config().clone(),
+            stopped: self.stopped,
         }
     }
 
     /// How many entries a follower lacks, as the leader knows; none elsewhere.
     #[must_use]
     pub fn behind(&self, id: ReplicaId) -> Option<u64> {
-        let _ = id;
-        None
+        let State::Leader(leader) = &self.state else {
+            return None;
+        };
+        let peer = leader.peers.get(&id)?;
+        Some(self.log.last().index.after(peer.matched))
+    }
+
+    /// What the replica does.
+    #[must_use]
+    pub fn role(&self) -> Role {
+        match self.state {
+            State::Follower { .. } => Role::Follower,
+            State::PreCandidate { .. } => Role::PreCandidate,
+            State::Candidate { .. } => Role::Candidate,
+            State::Leader(_) => Role::Leader,
+        }
+    }
+
+    fn leader_id(&self) -> Option<ReplicaId> {
+        match self.state {
+            State::Follower { leader } => leader,
+            State::Leader(_) => Some(self.id),
+            State::PreCandidate { .. } | State::Candidate { .. } => None,
+        }
+    }
+
+    fn draw_timeout(&mut self) {
+        let factor = 1.0 + self.rng.random::<f64>();
+        self.timeout = self.now + self.settings.election.mul_f64(factor);
+    }
+
+    fn message(&self, to: ReplicaId, body: Body) -> Message {
+        Message {
+            from: self.id,
+            to,
+            term: self.hard.term,
+            body,
+        }
+    }
+
+    /// Sends what claims nothing about the disk.
+    fn send(&mut self, to: ReplicaId, body: Body) {
+        let message = self.message(to, body);
+        self.out.push(Action::Send(message));
+    }
+
+    /// Sends once the term, the vote, and the entries up to `index` are synced.
+    fn send_synced(&mut self, to: ReplicaId, body: Body, index: Index) {
+        let message = self.message(to, body);
+        if let Some(message) = self.disk.hold(message, index) {
+            self.out.push(Action::Send(message));
+        }
+    }
+
+    fn reject(&mut self, ticket: Ticket, reason: Rejection) {
+        self.out.push(Action::Rejected { ticket, reason });
+    }
+
+    fn persisted(&mut self, number: WriteNumber) {
+        let synced = self.disk.synced(number);
+        if let Some(snapshot) = synced.install {
+            self.applied = snapshot.position.index;
+            self.disk.raise(self.applied);
+            self.out.push(Action::Install(snapshot));
+        }
+        let sends = synced.messages.into_iter().map(Action::Send);
+        self.out.extend(sends);
+        self.count_own_vote();
+    }
+
+    /// Hands committed and synced entries to the adapter, then answers what waited for them.
+    fn apply(&mut self) {
+        let to = self.commit.min(self.disk.durable());
+        if to <= self.applied {
+            return;
+        }
+        let entries = self.log.slice(self.applied.next(), to, usize::MAX);
+        self.applied = to;
+        self.out.push(Action::Commit(entries));
+        self.finish_tickets();
+    }
+
+    fn flush(&mut self) {
+        if self.stopped {
+            return;
+        }
+        if let Some(write) = self.disk.flush(&self.log, self.hard) {
+            self.out.push(Action::Persist(write));
+        }
+    }
+
+    fn announce(&mut self) {
+        let (term, leader) = self.announced;
+        let current = (self.hard.term, self.leader_id());
+        let same_term = term == current.0 || current.1.is_none();
+        if leader == current.1 && same_term {
+            return;
+        }
+        self.announced = current;
+        let (term, leader) = current;
+        self.out.push(Action::LeaderChanged { term, leader });
+    }
+
+    fn stop(&mut self, fault: Fault) {
+        self.become_follower(self.hard.term, None);
+        self.disk.forget();
+        self.asks.reject_all(&Rejection::Stopped, &mut self.out);
+        self.stopped = true;
+        self.out.push(Action::Stop(fault));
+    }
+
+    fn refuse_stopped(&mut self, event: &Event) {
+        if let Event::Propose { ticket, .. }
+        | Event::Read { ticket }
+        | Event::Change { ticket, .. } = event
+        {
+            self.reject(*ticket, Rejection::Stopped);
+        }
     }
 }
--- /dev/null
+++ b/crates/consensus/src/node/transfer.rs
@@ -0,0 +1,72 @@
+//! Handing leadership over before a graceful stop.
+
+use crate::action::Rejection;
+use crate::entry::ReplicaId;
+use crate::leader::Transfer;
+use crate::message::Body;
+
+use super::Node;
+use super::State;
+
+impl Node {
+    /// Picks the voter that is furthest, and takes no proposal until it leads or time is up.
+    pub(super) fn start_transfer(&mut self) {
+        let Some(to) = self.successor() else {
+            return;
+        };
+        let until = self.now + self.settings.election;
+        if let State::Leader(leader) = &mut self.state
+            && leader.transfer.is_none()
+        {
+            leader.transfer = Some(Transfer {
+                to,
+                until,
+                asked: false,
+            });
+        }
+    }
+
+    fn successor(&self) -> Option<ReplicaId> {
+        let State::Leader(leader) = &self.state else {
+            return None;
+        };
+        let config = self.log.config();
+        let peers = leader.peers.iter();
+        peers
+            .filter(|(id, _)| config.is_voter(**id) && self.is_active(**id))
+            .max_by_key(|(_, peer)| peer.matched)
+            .map(|(id, _)| *id)
+    }
+
+    /// Asks the chosen voter to campaign once it has the whole log.
+    pub(super) fn continue_transfer(&mut self) {
+        let last = self.log.last().index;
+        let State::Leader(leader) = &mut self.state else {
+            return;
+        };
+        let Some(transfer) = &mut leader.transfer else {
+            return;
+        };
+        let to = transfer.to;
+        let complete = leader.peers.get(&to).is_some_and(|p| p.matched == last);
+        if complete && !transfer.asked {
+            transfer.asked = true;
+            self.send(to, Body::CampaignNow);
+        }
+    }
+
+    pub(super) fn receive_campaign_now(&mut self, from: ReplicaId) {
+        if self.leader_id() == Some(from) && self.log.config().is_voter(self.id) {
+            self.campaign(true);
+        }
+    }
+
+    /// The reason why a leader takes no change while it hands over.
+    pub(super) fn check_transfer(&self) -> Result<(), Rejection> {
+        match &self.state {
+            State::Leader(leader) if leader.transfer.is_some() => Err(Rejection::Transferring),
+            State::Leader(_) => Ok(()),
+            _ => Err(Rejection::NotLeader(self.leader_id())),
+        }
+    }
+}
--- a/crates/consensus/src/settings.rs
+++ b/crates/consensus/src/settings.rs
@@ -21,8 +21,8 @@
     pub open_bytes: usize,
     /// Reads that a replica holds open; those beyond are rejected.
     pub open_reads: usize,
-    /// Entries kept in memory in front of the snapshot, for followers that are slow.
-    pub keep: u64,
+    /// Entries kept in memory in front of the snapshot for followers that are slow, in bytes.
+    pub keep_bytes: usize,
     /// How far behind the commit index a learner may be to become a voter, in entries.
     pub promote_gap: u64,
 }
@@ -37,7 +37,7 @@
             chunk_bytes: 256 * 1024,
             open_bytes: 4 * 1024 * 1024,
             open_reads: 4096,
-            keep: 1024,
+            keep_bytes: 1024 * 1024,
             promote_gap: 64,
         }
     }
