--- a/crates/consensus/src/action.rs
+++ b/crates/consensus/src/action.rs
@@ -111,9 +111,9 @@
         ChangeOpen {
             display("another change of the group is open")
         }
-        /// A later change took this one back before it was done.
+        /// A later change came before this one was done; ask again to learn where it stands.
         Withdrawn {
-            display("a later change took this one back")
+            display("a later change came before this one was done")
         }
         /// No voter of that region's majority has been heard; certain not to be done.
         RegionDown(region: RegionName) {
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -245,6 +245,12 @@
         Some(self.log.last().index.after(peer.matched))
     }
 
+    /// The term of an entry in memory, synced or not.
+    #[must_use]
+    pub fn term_at(&self, index: Index) -> Option<Term> {
+        self.log.term(index)
+    }
+
     /// What the replica does.
     #[must_use]
     pub fn role(&self) -> Role {
--- a/crates/consensus/src/node/change.rs
+++ b/crates/consensus/src/node/change.rs
@@ -40,11 +40,8 @@
     /// The group after the change, none where the log has it already.
     fn check_change(&mut self, change: &Change) -> Result<Option<Config>, Rejection> {
         self.check_transfer()?;
-        if !self.is_ready() {
-            return Err(Rejection::NotReady);
-        }
-        if self.is_change_open(change) || self.log.config_index() > self.commit {
-            return Err(Rejection::ChangeOpen);
+        if !matches!(change, Change::Evict(_)) {
+            self.check_order(change)?;
         }
         match change {
             Change::Add(member) => self.check_add(member),
@@ -54,6 +51,21 @@
         }
     }
 
+    /// Changes of the voters wait for each other, and for an entry committed in the leader's term.
+    ///
+    /// An eviction waits for neither: it leaves the voters alone, so majorities
+    /// intersect as before, and a leader that lacks a region can commit nothing
+    /// before it.
+    fn check_order(&self, change: &Change) -> Result<(), Rejection> {
+        if !self.is_ready() {
+            return Err(Rejection::NotReady);
+        }
+        if self.is_change_open(change) || self.log.config_index() > self.commit {
+            return Err(Rejection::ChangeOpen);
+        }
+        Ok(())
+    }
+
     /// Whether someone waits for another change; an addition under way may be taken back.
     fn is_change_open(&self, change: &Change) -> bool {
         let State::Leader(leader) = &self.state else {
@@ -96,7 +108,7 @@
         }
         next.voters.remove(&id);
         next.learners.remove(&id);
-        if !quorum::elects(&next, |voter| self.is_active(voter)) {
+        if !quorum::accepts(&next, |voter| self.is_active(voter)) {
             return Err(Rejection::QuorumLost);
         }
         Ok(Some(next))
--- /dev/null
+++ b/crates/consensus/tests/test_replicas/cluster.rs
@@ -0,0 +1,411 @@
+//! Replicas on plain values: a bag of messages, disks that lose what isn't synced, one clock.
+
+pub mod disk;
+pub mod oracle;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use base::prelude::*;
+use bytes::Bytes;
+use consensus::Acceptance;
+use consensus::Action;
+use consensus::Change;
+use consensus::Config;
+use consensus::Event;
+use consensus::Index;
+use consensus::Member;
+use consensus::Message;
+use consensus::Node;
+use consensus::Rejection;
+use consensus::ReplicaId;
+use consensus::Role;
+use consensus::Settings;
+use consensus::Status;
+use consensus::Stored;
+use consensus::Ticket;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use self::disk::Disk;
+use self::oracle::Oracle;
+
+/// One replica with its disk.
+pub struct Host {
+    pub node: Option<Node>,
+    pub disk: Disk,
+    /// Frozen: neither steps nor ticks until it wakes.
+    pub paused: bool,
+    /// Nothing reaches it and nothing leaves it, silently.
+    pub cut: bool,
+    pub applied: Index,
+}
+
+/// What a ticket came to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Done(Index),
+    Rejected(Rejection),
+}
+
+pub struct Cluster {
+    pub hosts: BTreeMap<ReplicaId, Host>,
+    pub bag: Vec<Message>,
+    pub oracle: Oracle,
+    pub outcomes: BTreeMap<Ticket, Outcome>,
+    pub rng: StdRng,
+    pub now: Moment,
+    pub sent: usize,
+    settings: Settings,
+    tickets: u64,
+}
+
+pub fn settings() -> Settings {
+    Settings {
+        chunk_bytes: 40,
+        keep_bytes: 500,
+        batch_bytes: 400,
+        window: 3,
+        ..Settings::default()
+    }
+}
+
+/// Replicas are spread over two regions, the even ones in the second.
+pub fn member(id: u64) -> Member {
+    let region = if id.is_multiple_of(2) { "east" } else { "west" };
+    Member {
+        id: ReplicaId(id),
+        address: ([127, 0, 0, 1], u16::try_from(id).expect("small")).into(),
+        domain: DomainName::new(&format!("d{}", id % 4)).expect("a name"),
+        region: RegionName::new(region).expect("a name"),
+    }
+}
+
+impl Cluster {
+    pub fn new(voters: u64, acceptance: Acceptance, seed: u64) -> Self {
+        let config = Config::of_voters((1..=voters).map(member), acceptance);
+        let mut cluster = Self {
+            hosts: BTreeMap::new(),
+            bag: Vec::new(),
+            oracle: Oracle::default(),
+            outcomes: BTreeMap::new(),
+            rng: StdRng::seed_from_u64(seed),
+            now: Moment::from_millis(1),
+            sent: 0,
+            settings: settings(),
+            tickets: 0,
+        };
+        for id in config.voters.keys() {
+            cluster.add_host(Stored::founding(*id, config.clone()));
+        }
+        cluster
+    }
+
+    /// A replica with an empty disk.
+    pub fn add_empty(&mut self, id: u64) {
+        self.add_host(Stored::empty(ReplicaId(id)));
+    }
+
+    fn add_host(&mut self, stored: Stored) {
+        let id = stored.id;
+        let host = Host {
+            node: None,
+            disk: Disk::new(stored),
+            paused: false,
+            cut: false,
+            applied: Index::default(),
+        };
+        self.hosts.insert(id, host);
+        self.start(id);
+    }
+
+    pub fn host(&mut self, id: ReplicaId) -> &mut Host {
+        self.hosts.get_mut(&id).expect("a host")
+    }
+
+    pub fn node(&self, id: u64) -> &Node {
+        let host = &self.hosts[&ReplicaId(id)];
+        host.node.as_ref().expect("a running node")
+    }
+
+    pub fn start(&mut self, id: ReplicaId) {
+        let seed = self.rng.random();
+        let now = self.now;
+        let settings = self.settings.clone();
+        let host = self.host(id);
+        if host.node.is_none() {
+            let stored = host.disk.stored.clone();
+            host.applied = stored.snapshot.position.index;
+            host.node = Some(Node::new(settings, stored, seed, now));
+        }
+    }
+
+    /// The process dies; a part of the pending write may be on disk.
+    pub fn crash(&mut self, id: ReplicaId) {
+        let parts = self.rng.random_range(0..8);
+        let host = self.host(id);
+        host.disk.crash(parts);
+        host.node = None;
+        host.paused = false;
+    }
+
+    pub fn step(&mut self, id: ReplicaId, event: Event) {
+        let now = self.now;
+        let Some(host) = self.hosts.get_mut(&id) else {
+            return;
+        };
+        let Some(node) = host.node.as_mut().filter(|_| !host.paused) else {
+            return;
+        };
+        let mut actions = Vec::new();
+        let led = node.role() == Role::Leader;
+        node.step(now, event, &mut actions);
+        if !led && node.role() == Role::Leader {
+            self.oracle.leads(node, &host.disk);
+        }
+        for action in actions {
+            self.carry_out(id, action);
+        }
+    }
+
+    fn carry_out(&mut self, id: ReplicaId, action: Action) {
+        let host = self.hosts.get_mut(&id).expect("a host");
+        match action {
+            Action::Persist(write) => {
+                self.oracle.writes(&write, |index| host.disk.term(index));
+                assert!(host.disk.pending.replace(write).is_none());
+            }
+            Action::Send(message) => {
+                self.oracle.sends(&message, &host.disk);
+                self.sent += 1;
+                if !host.cut {
+                    self.bag.push(message);
+                }
+            }
+            Action::Install(snapshot) => {
+                let index = snapshot.position.index;
+                assert!(index > host.applied);
+                host.applied = index;
+                assert_eq!(snapshot.data, self.oracle.snapshot(index));
+            }
+            Action::Commit(entries) => {
+                for entry in entries {
+                    assert_eq!(entry.index, host.applied.next());
+                    assert!(host.disk.holds(entry.index), "applied before sync");
+                    host.applied = entry.index;
+                    self.oracle.applies(&entry);
+                }
+            }
+            Action::Committed { ticket, index } => {
+                self.oracle.commits(ticket, index);
+                self.outcomes.insert(ticket, Outcome::Done(index));
+            }
+            Action::ReadReady { ticket, index } => {
+                self.oracle.reads_at(ticket, index, host.applied);
+                self.outcomes.insert(ticket, Outcome::Done(index));
+            }
+            Action::Rejected { ticket, reason } => {
+                self.oracle.answers(ticket);
+                self.outcomes.insert(ticket, Outcome::Rejected(reason));
+            }
+            Action::LeaderChanged { .. } => {}
+            Action::Stop(fault) => panic!("replica {id} stopped: {fault}"),
+        }
+    }
+
+    fn ticket(&mut self) -> Ticket {
+        self.tickets += 1;
+        Ticket(self.tickets)
+    }
+
+    pub fn propose(&mut self, id: ReplicaId) -> Ticket {
+        let ticket = self.ticket();
+        let data = Bytes::from(format!("proposal {}", ticket.0));
+        self.oracle.proposes(ticket, data.clone());
+        self.step(id, Event::Propose { ticket, data });
+        ticket
+    }
+
+    pub fn read(&mut self, id: ReplicaId) -> Ticket {
+        let ticket = self.ticket();
+        self.oracle.reads(ticket);
+        self.step(id, Event::Read { ticket });
+        ticket
+    }
+
+    pub fn change(&mut self, id: ReplicaId, change: Change) -> Ticket {
+        let ticket = self.ticket();
+        self.step(id, Event::Change { ticket, change });
+        ticket
+    }
+
+    pub fn compact(&mut self, id: ReplicaId) {
+        let index = self.host(id).applied;
+        let data = self.oracle.snapshot(index);
+        self.step(id, Event::Compact { index, data });
+    }
+
+    pub fn sync(&mut self, id: ReplicaId) {
+        let host = self.host(id);
+        if host.paused {
+            return;
+        }
+        if let Some(write) = host.disk.sync() {
+            let number = write.number;
+            self.step(id, Event::Persisted { number });
+        }
+    }
+
+    /// Delivers the message at `at`, which is taken from the bag; it waits for a frozen receiver.
+    pub fn deliver(&mut self, at: usize) {
+        let waits = |id| self.hosts.get(&id).is_some_and(|h: &Host| h.paused);
+        if waits(self.bag[at].to) {
+            return;
+        }
+        let message = self.bag.swap_remove(at);
+        let to = message.to;
+        let open = |id| self.hosts.get(&id).is_some_and(|h: &Host| !h.cut);
+        if open(message.from) && open(to) {
+            self.step(to, Event::Message(message));
+        }
+    }
+
+    pub fn ids(&self) -> Vec<ReplicaId> {
+        self.hosts.keys().copied().collect()
+    }
+
+    /// Moves the clock; every timer that is due runs.
+    pub fn advance(&mut self, span: Duration) {
+        self.now = self.now + span;
+        for id in self.ids() {
+            let node = self.hosts[&id].node.as_ref();
+            if node.is_some_and(|n| n.deadline() <= self.now) {
+                self.step(id, Event::Tick);
+            }
+        }
+    }
+
+    /// Runs without faults for `span`, a millisecond a message.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.advance(Duration::from_millis(1));
+            for message in std::mem::take(&mut self.bag) {
+                self.bag.push(message);
+                self.deliver(self.bag.len() - 1);
+            }
+            for id in self.ids() {
+                self.sync(id);
+            }
+        }
+    }
+
+    /// The replica and its disk are gone for good.
+    pub fn lose(&mut self, id: ReplicaId) {
+        self.hosts.remove(&id);
+    }
+
+    /// Runs until the ticket is answered.
+    #[track_caller]
+    pub fn outcome(&mut self, ticket: Ticket) -> Outcome {
+        self.run_until(Duration::from_secs(20), |c| {
+            c.outcomes.contains_key(&ticket)
+        });
+        self.outcomes[&ticket].clone()
+    }
+
+    /// Runs until the ticket is done.
+    #[track_caller]
+    pub fn done(&mut self, ticket: Ticket) -> Index {
+        match self.outcome(ticket) {
+            Outcome::Done(index) => index,
+            Outcome::Rejected(reason) => panic!("{ticket:?} rejected: {reason}"),
+        }
+    }
+
+    /// Runs until `done` holds; panics where that takes more than `span`.
+    #[track_caller]
+    pub fn run_until(&mut self, span: Duration, done: impl Fn(&Self) -> bool) {
+        let end = self.now + span;
+        while !done(self) {
+            assert!(
+                self.now < end,
+                "not done within {span:?}: {}",
+                self.statuses()
+            );
+            self.run(Duration::from_millis(1));
+        }
+    }
+
+    /// One line a replica, for a failure's report.
+    fn statuses(&self) -> String {
+        let nodes = self.hosts.values().filter_map(|h| h.node.as_ref());
+        let line = |s: Status| {
+            let voters: Vec<u64> = s.config.voters.keys().map(|id| id.0).collect();
+            let learners: Vec<u64> = s.config.learners.keys().map(|id| id.0).collect();
+            format!(
+                "\n{} {} term={} commit={} applied={} first={} last={} voters={voters:?} learners={learners:?}",
+                s.id, s.role, s.term, s.commit, s.applied, s.first, s.last
+            )
+        };
+        nodes.map(Node::status).map(line).collect()
+    }
+
+    /// The running leader of the latest term.
+    pub fn leader(&self) -> Option<ReplicaId> {
+        let nodes = self.hosts.values().filter_map(|h| h.node.as_ref());
+        nodes
+            .filter(|n| n.role() == Role::Leader)
+            .map(Node::status)
+            .max_by_key(|s| s.term)
+            .map(|s| s.id)
+    }
+
+    /// Runs until a leader has applied an entry of its term.
+    #[track_caller]
+    pub fn elect(&mut self) -> ReplicaId {
+        self.run_until(Duration::from_secs(20), |c| {
+            c.leader().is_some_and(|id| {
+                let node = c.node(id.0);
+                node.term_at(node.status().applied) == Some(node.status().term)
+            })
+        });
+        self.leader().expect("a leader")
+    }
+
+    /// Ends every fault and checks that the group works again and agrees.
+    pub fn settle(&mut self) {
+        for id in self.ids() {
+            let host = self.host(id);
+            (host.paused, host.cut) = (false, false);
+            self.start(id);
+        }
+        self.elect();
+        let index = self.commit_one();
+        let leader = self.elect();
+        let config = self.node(leader.0).status().config;
+        let members: BTreeSet<ReplicaId> = config.members().map(|m| m.id).collect();
+        self.run_until(Duration::from_secs(20), |c| {
+            let mut hosts = c.hosts.iter().filter(|(id, _)| members.contains(id));
+            hosts.all(|(_, host)| host.applied >= index)
+        });
+    }
+
+    /// Proposes until one entry is committed.
+    pub fn commit_one(&mut self) -> Index {
+        for _ in 0..20 {
+            let leader = self.elect();
+            let ticket = self.propose(leader);
+            self.run_until(Duration::from_secs(20), |c| {
+                c.outcomes.contains_key(&ticket)
+            });
+            if let Outcome::Done(index) = self.outcomes[&ticket] {
+                return index;
+            }
+            self.run(self.settings.election);
+        }
+        panic!("nothing is committed");
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/test_replicas/main.rs
@@ -0,0 +1,6 @@
+//! Whole groups of replicas on plain values: random schedules, and tables of faults.
+
+mod cluster;
+mod test_faults;
+mod test_groups;
+mod test_schedules;
