--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -111,6 +111,8 @@
     heard: Option<Moment>,
     /// The leader as last told to the adapter.
     announced: (Term, Option<ReplicaId>),
+    /// Something that counts towards the commit index has changed since it was counted.
+    recount: bool,
     asks: Asks,
     incoming: Option<Incoming>,
     stopped: bool,
@@ -143,6 +145,7 @@
             timeout: now,
             heard: None,
             announced: (Term::default(), None),
+            recount: false,
             asks: Asks::default(),
             incoming: None,
             stopped: false,
@@ -245,6 +248,12 @@
         Some(self.log.last().index.after(peer.matched))
     }
 
+    /// The replica's term.
+    #[must_use]
+    pub fn term(&self) -> Term {
+        self.hard.term
+    }
+
     /// The term of an entry in memory, synced or not.
     #[must_use]
     pub fn term_at(&self, index: Index) -> Option<Term> {
@@ -304,6 +313,7 @@
 
     fn persisted(&mut self, number: WriteNumber) {
         let synced = self.disk.synced(number);
+        self.recount = true;
         if let Some(snapshot) = synced.install {
             self.applied = snapshot.position.index;
             self.disk.raise(self.applied);
--- a/crates/consensus/src/node/change.rs
+++ b/crates/consensus/src/node/change.rs
@@ -140,18 +140,16 @@
 
     /// Makes a voter of a learner that has caught up, by an entry of its own.
     fn promote_learner(&mut self) {
-        if self.check_transfer().is_err() || !self.is_ready() {
+        let mut learners = self.log.config().learners.values();
+        let Some(member) = learners.find(|m| self.has_caught_up(m.id)) else {
             return;
-        }
-        if self.log.config_index() > self.commit {
+        };
+        let settled = self.is_ready() && self.log.config_index() <= self.commit;
+        if !settled || self.check_transfer().is_err() {
             return;
         }
-        let mut next = self.log.config().clone();
-        let learners = next.learners.values();
-        let Some(member) = learners.into_iter().find(|m| self.has_caught_up(m.id)) else {
-            return;
-        };
         let member = member.clone();
+        let mut next = self.log.config().clone();
         next.learners.remove(&member.id);
         next.voters.insert(member.id, member);
         self.append_config(next);
--- a/crates/consensus/src/node/follow.rs
+++ b/crates/consensus/src/node/follow.rs
@@ -121,7 +121,10 @@
         };
         peer.heard = self.now;
         match *body {
-            Body::Accepted { matched } => peer.accept(matched, self.now),
+            Body::Accepted { matched } => {
+                peer.accept(matched, self.now);
+                self.recount = true;
+            }
             Body::Refused { previous, hint } => peer.refuse(previous, hint),
             Body::HeartbeatReply { round } => peer.round = peer.round.max(round),
             Body::ChunkReply { position, received } => peer.received(position, received),
--- a/crates/consensus/src/node/lead.rs
+++ b/crates/consensus/src/node/lead.rs
@@ -92,6 +92,7 @@
     /// Appends a group, which is in force from now on.
     pub(super) fn append_config(&mut self, config: Config) -> Index {
         let index = self.append(Payload::Config(config));
+        self.recount = true;
         if let State::Leader(leader) = &mut self.state {
             leader.follow(self.id, self.log.config(), index, self.now);
         }
@@ -132,7 +133,9 @@
         if self.stopped {
             return;
         }
-        if let State::Leader(leader) = &self.state {
+        if let State::Leader(leader) = &self.state
+            && std::mem::take(&mut self.recount)
+        {
             let matched = |id| self.matched(leader, id);
             let accepted = quorum::accepted(self.log.config(), matched);
             self.advance_to(accepted);
