--- a/crates/consensus/tests/test_replicas/test_faults.rs
+++ b/crates/consensus/tests/test_replicas/test_faults.rs
@@ -2,14 +2,20 @@
 
 use std::time::Duration;
 
+use consensus::Acceptance;
 use consensus::Body;
+use consensus::Entry;
 use consensus::Event;
 use consensus::Index;
 use consensus::Message;
+use consensus::Node;
+use consensus::Payload;
 use consensus::Position;
 use consensus::Rejection;
+use consensus::ReplicaId;
 use consensus::Role;
 use consensus::Term;
+use consensus::WriteNumber;
 
 use crate::cluster::Cluster;
 use crate::cluster::Outcome;
@@ -164,3 +170,42 @@
         assert_eq!(cluster.node(voter.0).term(), expected);
     }
 }
+
+/// A majority that has an older term's entry doesn't commit it; one that has the own term's does.
+#[test]
+fn test_faults_older_term_commits_only_with_the_own() {
+    let cluster = Cluster::new(3, Acceptance::Majority, 1);
+    let mut stored = cluster.hosts[&ReplicaId(1)].disk.stored.clone();
+    stored.hard.term = Term(3);
+    stored.entries = vec![Entry {
+        term: Term(2),
+        index: Index(1),
+        payload: Payload::Noop,
+    }];
+    let mut node = Node::new(settings(), stored, 1, cluster.now);
+    let reply = |body| {
+        Event::Message(Message {
+            from: ReplicaId(2),
+            to: ReplicaId(1),
+            term: Term(4),
+            body,
+        })
+    };
+    let synced = |number| Event::Persisted {
+        number: WriteNumber(number),
+    };
+    let events = [
+        (Event::Tick, Index(0)),
+        (reply(Body::PreVoteReply { granted: true }), Index(0)),
+        (synced(1), Index(0)),
+        (reply(Body::VoteReply { granted: true }), Index(0)),
+        (synced(2), Index(0)),
+        (reply(Body::Accepted { matched: Index(1) }), Index(0)),
+        (reply(Body::Accepted { matched: Index(2) }), Index(2)),
+    ];
+    for (event, commit) in events {
+        node.step(cluster.now + LONG, event.clone(), &mut Vec::new());
+        assert_eq!(node.status().commit, commit, "{event:?}");
+    }
+    assert_eq!(node.role(), Role::Leader);
+}
