--- a/crates/gen/src/lib.rs
+++ b/crates/gen/src/lib.rs
@@ -10,12 +10,13 @@
 use quick_error::quick_error;
 
 /// The protocol files, in order of dependency.
-const PROTOS: [&str; 5] = [
+const PROTOS: [&str; 6] = [
     "catalogue.proto",
     "ledger.proto",
     "control.proto",
     "directory.proto",
     "gateway.proto",
+    "store.proto",
 ];
 
 quick_error! {
--- /dev/null
+++ b/crates/store/tests/test_store.rs
@@ -0,0 +1,401 @@
+//! What a data folder keeps, cuts and refuses under faults.
+
+use quickcheck::TestResult;
+use quickcheck::quickcheck;
+use store::Disk;
+use store::Folder;
+use store::MemoryDisk;
+use store::Options;
+use store::Recovered;
+use store::Store;
+use store::StoreError;
+use store::error::Damage;
+use store::error::Operation;
+use store::memory::Fault;
+use wire::store::Batch;
+use wire::store::Entry;
+use wire::store::HardState;
+use wire::store::Snapshot;
+
+const FIRST: &str = "log-00000000000000000001";
+const SMALL: Options = Options { segment_bytes: 256 };
+
+fn entry(index: u64, term: u64) -> Entry {
+    Entry {
+        index,
+        term,
+        kind: 1,
+        data: format!("entry {index} of term {term}").into(),
+    }
+}
+
+fn batch(term: u64, entries: impl IntoIterator<Item = u64>) -> Batch {
+    Batch {
+        state: Some(HardState { term, vote: 7 }),
+        truncate: 0,
+        entries: entries.into_iter().map(|i| entry(i, term)).collect(),
+    }
+}
+
+fn snapshot(index: u64, term: u64) -> Snapshot {
+    Snapshot {
+        index,
+        term,
+        config: "group".into(),
+        data: format!("state at {index}").into(),
+    }
+}
+
+fn open(disk: &MemoryDisk, options: Options) -> Result<(Store, Recovered), StoreError> {
+    Store::open(Box::new(disk.clone()), options, 42)
+}
+
+/// A folder that holds entries 1 to `count`, one a batch.
+fn filled(count: u64, options: Options) -> (MemoryDisk, Store) {
+    let disk = MemoryDisk::default();
+    let (mut store, _) = open(&disk, options).expect("opens");
+    for index in 1..=count {
+        store.append(&batch(1, [index])).expect("appends");
+    }
+    (disk, store)
+}
+
+fn indices(found: &Recovered) -> Vec<u64> {
+    found.entries.iter().map(|e| e.index).collect()
+}
+
+#[test]
+fn test_store_crash_keeps_what_was_synced() {
+    let (disk, store) = filled(5, SMALL);
+    drop(store);
+    disk.crash();
+    let (_, found) = open(&disk, SMALL).expect("opens");
+    assert_eq!(found.id, 42);
+    assert_eq!(found.state, HardState { term: 1, vote: 7 });
+    assert_eq!(indices(&found), [1, 2, 3, 4, 5]);
+}
+
+#[test]
+fn test_store_identity_stays_and_is_minted_once() {
+    let disk = MemoryDisk::default();
+    open(&disk, SMALL).expect("opens");
+    disk.crash();
+    let (_, found) = Store::open(Box::new(disk), SMALL, 43).expect("opens");
+    assert_eq!(found.id, 42);
+}
+
+/// A write fails: the error, and how many entries a restart may find.
+struct WriteCase {
+    name: &'static str,
+    fault: Fault,
+    full: bool,
+    torn: usize,
+}
+
+#[test]
+fn test_store_failed_write_stops_and_is_never_acknowledged() {
+    let cases = [
+        WriteCase {
+            name: "full disk",
+            fault: Fault::Full(20),
+            full: true,
+            torn: 20,
+        },
+        WriteCase {
+            name: "no room at all",
+            fault: Fault::Full(0),
+            full: true,
+            torn: 0,
+        },
+        WriteCase {
+            name: "failed sync, bytes lost",
+            fault: Fault::Sync(0),
+            full: false,
+            torn: 0,
+        },
+        WriteCase {
+            name: "failed sync, bytes torn",
+            fault: Fault::Sync(0),
+            full: false,
+            torn: 30,
+        },
+    ];
+    for case in cases {
+        let (disk, mut store) = filled(3, Options::default());
+        disk.arm(case.fault);
+        let err = store.append(&batch(2, [4])).expect_err(case.name);
+        match err {
+            StoreError::Full(_) => assert!(case.full, "{}", case.name),
+            StoreError::Io(Operation::Sync, ..) => assert!(!case.full, "{}", case.name),
+            other => panic!("{}: {other}", case.name),
+        }
+        let again = store.append(&batch(2, [4])).expect_err(case.name);
+        assert!(matches!(again, StoreError::Stopped), "{}", case.name);
+        let saved = store.save(&snapshot(3, 1)).expect_err(case.name);
+        assert!(matches!(saved, StoreError::Stopped), "{}", case.name);
+        disk.arm(Fault::Torn(case.torn));
+        disk.crash();
+        let (mut store, found) = open(&disk, Options::default()).expect(case.name);
+        assert_eq!(indices(&found), [1, 2, 3], "{}", case.name);
+        assert_eq!(found.state.term, 1, "{}", case.name);
+        store.append(&batch(3, [4])).expect(case.name);
+    }
+}
+
+#[test]
+fn test_store_sync_that_failed_before_a_restart_is_repeated() {
+    let (disk, mut store) = filled(3, Options::default());
+    disk.arm(Fault::Sync(0));
+    store.append(&batch(2, [4])).expect_err("sync fails");
+    drop(store);
+    // The process restarts without a crash of the machine: the system still
+    // shows the bytes that it couldn't sync.
+    disk.arm(Fault::Sync(100));
+    let (_, found) = open(&disk, Options::default()).expect("opens");
+    disk.crash();
+    let (_, later) = open(&disk, Options::default()).expect("opens");
+    assert_eq!(indices(&found), indices(&later));
+}
+
+/// One damaged byte: where, and what opening says; `None` when it is a torn tail.
+struct FlipCase {
+    name: &'static str,
+    file: &'static str,
+    offset: i64,
+    damage: Option<Damage>,
+    left: u64,
+}
+
+#[test]
+fn test_store_damage_stops_and_a_torn_tail_is_cut() {
+    let cases = [
+        FlipCase {
+            name: "first frame's magic",
+            file: FIRST,
+            offset: 0,
+            damage: Some(Damage::Frame),
+            left: 0,
+        },
+        FlipCase {
+            name: "first frame's length",
+            file: FIRST,
+            offset: 5,
+            damage: Some(Damage::Frame),
+            left: 0,
+        },
+        FlipCase {
+            name: "first frame's payload",
+            file: FIRST,
+            offset: 20,
+            damage: Some(Damage::Frame),
+            left: 0,
+        },
+        FlipCase {
+            name: "last frame's payload, its mark on disk",
+            file: FIRST,
+            offset: -14,
+            damage: Some(Damage::Frame),
+            left: 0,
+        },
+        FlipCase {
+            name: "the mark alone",
+            file: FIRST,
+            offset: -1,
+            damage: None,
+            left: 3,
+        },
+        FlipCase {
+            name: "identity",
+            file: "identity",
+            offset: -1,
+            damage: Some(Damage::Identity),
+            left: 0,
+        },
+    ];
+    for case in cases {
+        let (disk, store) = filled(3, Options::default());
+        drop(store);
+        disk.flip(case.file, case.offset);
+        match (open(&disk, Options::default()), case.damage) {
+            (Err(StoreError::Damaged(file, _, found)), Some(damage)) => {
+                assert_eq!(file, case.file, "{}", case.name);
+                assert_eq!(found, damage, "{}", case.name);
+            }
+            (Ok((_, found)), None) => {
+                assert_eq!(found.entries.len() as u64, case.left, "{}", case.name);
+            }
+            (Ok(_), Some(damage)) => panic!("{}: opened in spite of {damage}", case.name),
+            (Err(err), _) => panic!("{}: {err}", case.name),
+        }
+    }
+}
+
+#[test]
+fn test_store_missing_files_are_damage() {
+    for (name, file, damage) in [
+        (
+            "segment between two",
+            "log-00000000000000000002",
+            Damage::Segment,
+        ),
+        ("oldest segment", FIRST, Damage::Gap),
+        ("identity beside a log", "identity", Damage::Identity),
+    ] {
+        let (mut disk, store) = filled(30, SMALL);
+        drop(store);
+        disk.remove(file).expect(name);
+        match open(&disk, SMALL) {
+            Err(StoreError::Damaged(_, _, found)) => assert_eq!(found, damage, "{name}"),
+            Err(err) => panic!("{name}: {err}"),
+            Ok(_) => panic!("{name}: opened"),
+        }
+    }
+}
+
+#[test]
+fn test_store_snapshot_replaces_the_log_before_it() {
+    let (disk, mut store) = filled(30, SMALL);
+    let before = store.log_bytes();
+    store.save(&snapshot(20, 1)).expect("saves");
+    assert!(store.log_bytes() < before);
+    store.append(&batch(1, [31])).expect("appends");
+    store.save(&snapshot(31, 1)).expect("saves");
+    store.append(&batch(2, [32])).expect("appends");
+    drop(store);
+    disk.crash();
+    let (_, found) = open(&disk, SMALL).expect("opens");
+    assert_eq!(found.snapshot, Some(snapshot(31, 1)));
+    assert_eq!(indices(&found), [32]);
+    assert_eq!(found.state.term, 2);
+    let names = disk.list().expect("lists");
+    assert_eq!(
+        names.iter().filter(|n| n.starts_with("snapshot")).count(),
+        1
+    );
+}
+
+#[test]
+fn test_store_half_written_snapshot_is_removed() {
+    for (name, fault) in [
+        ("no room", Fault::Full(10)),
+        ("failed sync", Fault::Sync(0)),
+        ("name not synced", Fault::Sync(1)),
+    ] {
+        let (disk, mut store) = filled(3, SMALL);
+        store.save(&snapshot(1, 1)).expect(name);
+        disk.arm(fault);
+        store.save(&snapshot(3, 1)).expect_err(name);
+        disk.arm(Fault::Torn(10));
+        disk.crash();
+        let (_, found) = open(&disk, SMALL).expect(name);
+        assert_eq!(found.snapshot, Some(snapshot(1, 1)), "{name}");
+        assert_eq!(indices(&found), [2, 3], "{name}");
+        let names = disk.list().expect(name);
+        assert!(!names.iter().any(|n| n.contains(".tmp")), "{name}");
+    }
+}
+
+#[test]
+fn test_store_damaged_snapshot_stops() {
+    let (disk, mut store) = filled(3, SMALL);
+    store.save(&snapshot(3, 1)).expect("saves");
+    drop(store);
+    disk.flip("snapshot-00000000000000000003", -1);
+    let err = open(&disk, SMALL).err().expect("refuses");
+    assert!(matches!(err, StoreError::Damaged(_, 0, Damage::Snapshot)));
+}
+
+#[test]
+fn test_store_leader_snapshot_overrules_the_log() {
+    let (disk, mut store) = filled(5, SMALL);
+    store.save(&snapshot(4, 3)).expect("saves");
+    drop(store);
+    disk.crash();
+    let (mut store, found) = open(&disk, SMALL).expect("opens");
+    assert!(found.entries.is_empty());
+    store.save(&snapshot(100, 3)).expect("saves");
+    store.append(&batch(3, [101])).expect("appends");
+    drop(store);
+    let (_, found) = open(&disk, SMALL).expect("opens");
+    assert_eq!(indices(&found), [101]);
+}
+
+#[test]
+fn test_store_entries_out_of_order_are_refused() {
+    let (_, mut store) = filled(3, SMALL);
+    let err = store.append(&batch(1, [5])).expect_err("refuses");
+    assert!(matches!(err, StoreError::Order(5, 3)));
+}
+
+#[test]
+fn test_store_real_folder_is_used_by_one_process() {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("store-real");
+    let _ = std::fs::remove_dir_all(&path);
+    let disk = Folder::open(&path).expect("opens");
+    let second = Folder::open(&path).expect_err("held");
+    assert!(matches!(second, StoreError::Locked(_)));
+    let (mut store, _) = Store::open(Box::new(disk), SMALL, 9).expect("opens");
+    for index in 1..=20 {
+        store.append(&batch(1, [index])).expect("appends");
+    }
+    store.save(&snapshot(15, 1)).expect("saves");
+    drop(store);
+    let disk = Folder::open(&path).expect("opens again");
+    let (_, found) = Store::open(Box::new(disk), SMALL, 10).expect("opens");
+    assert_eq!(found.id, 9);
+    assert_eq!(indices(&found), [16, 17, 18, 19, 20]);
+}
+
+quickcheck! {
+    /// Any schedule of writes, snapshots and crashes with torn tails leaves
+    /// what was acknowledged, and nothing that was never written.
+    fn test_store_any_schedule_keeps_what_was_acknowledged(steps: Vec<(u8, u8)>) -> TestResult {
+        let disk = MemoryDisk::default();
+        let (mut store, _) = open(&disk, SMALL).expect("opens");
+        let mut model: Vec<Entry> = Vec::new();
+        let mut floor = 0_u64;
+        for (term, (kind, size)) in (1_u64..).zip(steps) {
+            let last = floor + model.len() as u64;
+            match kind % 6 {
+                0..=2 => {
+                    let back = u64::from(size % 4).min(model.len() as u64);
+                    let first = last + 1 - back;
+                    let more = batch(term, first..=first + u64::from(size / 64));
+                    store.append(&more).expect("appends");
+                    model.truncate(model.len() - usize::try_from(back).expect("small"));
+                    model.extend(more.entries);
+                }
+                3 if !model.is_empty() => {
+                    let keep = usize::from(size) % model.len();
+                    let end = model[model.len() - 1 - keep].clone();
+                    store.save(&snapshot(end.index, end.term)).expect("saves");
+                    floor = end.index;
+                    model.drain(..model.len() - keep);
+                }
+                4 => {
+                    disk.arm(Fault::Full(u64::from(size)));
+                    let failed = store.append(&batch(term, [last + 1])).is_err();
+                    if !failed {
+                        model.push(entry(last + 1, term));
+                    }
+                    disk.arm(Fault::Torn(usize::from(size) / 2));
+                }
+                _ => disk.arm(Fault::Torn(usize::from(size))),
+            }
+            if kind % 6 > 3 {
+                disk.crash();
+                let (opened, found) = open(&disk, SMALL).expect("opens");
+                store = opened;
+                // A write that wasn't acknowledged may have become whole.
+                let extra = found.entries.len() > model.len();
+                if extra {
+                    model.push(entry(last + 1, term));
+                }
+                if found.entries != model {
+                    return TestResult::error(format!("{:?} {:?}", found.entries, model));
+                }
+            }
+        }
+        TestResult::passed()
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -35,3 +35,9 @@
 pub mod gateway {
     include!("generated/rwr.gateway.rs");
 }
+
+/// Records of a replica's data folder.
+#[allow(missing_docs, clippy::pedantic)]
+pub mod store {
+    include!("generated/rwr.store.rs");
+}
