--- a/crates/conf/src/fault.rs
+++ b/crates/conf/src/fault.rs
@@ -20,6 +20,8 @@
     Form(String),
     /// It contradicts another key, named here.
     Contradicts(&'static str),
+    /// It breaks a rule of the file's own kind, told here.
+    Rule(String),
 }
 
 /// One fault, with where it is and what would be allowed.
@@ -47,6 +49,7 @@
             Problem::Twice => write!(f, "stands twice")?,
             Problem::Form(found) => write!(f, "{found:?} has the wrong form")?,
             Problem::Contradicts(other) => write!(f, "contradicts {other}")?,
+            Problem::Rule(rule) => write!(f, "{rule}")?,
         }
         if self.form.is_empty() {
             return Ok(());
--- a/crates/conf/src/reader.rs
+++ b/crates/conf/src/reader.rs
@@ -18,13 +18,14 @@
 
 /// A settings file that is being read.
 ///
-/// Invariant: every key asked for is in `asked`, so that [`Reader::finish`]
-/// reports exactly the others as unknown.
+/// Invariant: every key asked for is in `asked` and its section in `known`, so
+/// that [`Reader::finish`] reports exactly the others as unknown.
 #[derive(Debug)]
 pub struct Reader {
     file: String,
     sections: BTreeMap<String, Section>,
     asked: BTreeSet<(String, String)>,
+    known: BTreeSet<String>,
     faults: Vec<Fault>,
 }
 
@@ -59,6 +60,7 @@
             file: file.into(),
             sections: BTreeMap::new(),
             asked: BTreeSet::new(),
+            known: BTreeSet::new(),
             faults: Vec::new(),
         };
         for (name, properties) in &ini {
@@ -97,6 +99,11 @@
         self.sections.contains_key(section)
     }
 
+    /// Takes the section as known, also when none of its keys is asked for.
+    pub fn know(&mut self, section: &str) {
+        self.known.insert(section.into());
+    }
+
     /// A key that must be there; `None` after a noted fault.
     pub fn required<T: Value>(&mut self, section: &str, key: &str) -> Option<T> {
         if self.text(section, key).is_none() {
@@ -161,10 +168,9 @@
     }
 
     fn note_unknown(&mut self) {
-        let known: BTreeSet<String> = self.asked.iter().map(|(s, _)| s.clone()).collect();
         let sections = std::mem::take(&mut self.sections);
         for (name, section) in sections {
-            if !known.contains(&name) {
+            if !self.known.contains(&name) {
                 self.fault(&name, "", Problem::UnknownSection, "");
                 continue;
             }
@@ -177,6 +183,7 @@
     }
 
     fn text(&mut self, section: &str, key: &str) -> Option<String> {
+        self.know(section);
         self.asked.insert((section.into(), key.into()));
         self.sections.get(section)?.get(key).cloned()
     }
--- a/crates/conf/src/value.rs
+++ b/crates/conf/src/value.rs
@@ -1,5 +1,6 @@
 //! The types that a key can have, each with the form it is written in.
 
+use std::fmt;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -13,6 +14,9 @@
 use base::prelude::RegionName;
 use base::prelude::ServiceName;
 
+const KIBI: u64 = 1024;
+const MEBI: u64 = KIBI * KIBI;
+
 /// A type that a key's text can be read as.
 pub trait Value: Sized {
     /// The allowed form, for people.
@@ -82,6 +86,18 @@
     }
 }
 
+/// Writes `span` as it is read, cut to whole milliseconds.
+#[must_use]
+pub fn duration_text(span: Duration) -> String {
+    let millis = span.as_millis();
+    match (millis % 60_000, millis % 1_000) {
+        _ if millis == 0 => "0ms".into(),
+        (0, _) => format!("{}min", millis / 60_000),
+        (_, 0) => format!("{}s", millis / 1_000),
+        _ => format!("{millis}ms"),
+    }
+}
+
 /// A size in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Bytes(pub u64);
@@ -95,14 +111,25 @@
         let count: u64 = count.parse().ok()?;
         let factor = match unit {
             "B" => 1,
-            "KiB" => 1024,
-            "MiB" => 1024 * 1024,
+            "KiB" => KIBI,
+            "MiB" => MEBI,
             _ => return None,
         };
         count.checked_mul(factor).map(Bytes)
     }
 }
 
+impl fmt::Display for Bytes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            0 => write!(f, "0B"),
+            count if count % MEBI == 0 => write!(f, "{}MiB", count / MEBI),
+            count if count % KIBI == 0 => write!(f, "{}KiB", count / KIBI),
+            count => write!(f, "{count}B"),
+        }
+    }
+}
+
 /// Events a second, kept in thousandths.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rate(pub u32);
@@ -122,6 +149,16 @@
     }
 }
 
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let part = format!("{:03}", self.0 % 1000);
+        match part.trim_end_matches('0') {
+            "" => write!(f, "{}/s", self.0 / 1000),
+            part => write!(f, "{}.{part}/s", self.0 / 1000),
+        }
+    }
+}
+
 /// A share in whole percent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Percent(pub u32);
@@ -135,6 +172,24 @@
     }
 }
 
+impl fmt::Display for Percent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}%", self.0)
+    }
+}
+
+/// Text that may be anything but empty.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Text(pub String);
+
+impl Value for Text {
+    const FORM: &'static str = "text";
+
+    fn read(text: &str) -> Option<Self> {
+        (!text.is_empty()).then(|| Self(text.into()))
+    }
+}
+
 impl Value for PathBuf {
     const FORM: &'static str = "path of a folder or file";
 
