--- a/crates/gen/src/lib.rs
+++ b/crates/gen/src/lib.rs
@@ -10,13 +10,14 @@
 use quick_error::quick_error;
 
 /// The protocol files, in order of dependency.
-const PROTOS: [&str; 6] = [
+const PROTOS: [&str; 7] = [
     "catalogue.proto",
     "ledger.proto",
     "control.proto",
     "directory.proto",
     "gateway.proto",
     "store.proto",
+    "replica.proto",
 ];
 
 quick_error! {
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -24,6 +24,13 @@
 use crate::ledger::ClaimReply;
 use crate::ledger::Settle;
 use crate::ledger::SettleReply;
+use crate::replica::Ask;
+use crate::replica::AskReply;
+use crate::replica::Envelope;
+use crate::replica::Found;
+use crate::replica::FoundReply;
+use crate::replica::Hello;
+use crate::replica::HelloReply;
 
 /// Served by each control replica to directories, gateways and operators.
 #[tarpc::service]
@@ -44,6 +51,19 @@
     async fn settle(settle: Settle) -> SettleReply;
 }
 
+/// Served by each control replica to the others.
+#[tarpc::service]
+pub trait ReplicaApi {
+    /// Takes messages of the replicated log; answers come as messages of their own.
+    async fn step(envelope: Envelope);
+    /// Says who is here.
+    async fn hello(ask: Hello) -> HelloReply;
+    /// Takes the founding group when there is no log yet.
+    async fn found(ask: Found) -> FoundReply;
+    /// Does a request as the leader.
+    async fn ask(ask: Ask) -> AskReply;
+}
+
 /// Served by each directory to gateways, other directories and operators.
 #[tarpc::service]
 pub trait DirectoryApi {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -41,3 +41,9 @@
 pub mod store {
     include!("generated/rwr.store.rs");
 }
+
+/// Messages between control replicas.
+#[allow(missing_docs, clippy::pedantic)]
+pub mod replica {
+    include!("generated/rwr.replica.rs");
+}
