--- /dev/null
+++ b/crates/ledger/tests/test_ledger.rs
@@ -0,0 +1,318 @@
+//! Each rule of the ledger, as tables of commands and replies.
+
+mod helpers;
+
+use helpers::START_MS;
+use helpers::answer;
+use helpers::claim;
+use helpers::settle;
+use helpers::timed_key;
+use helpers::word;
+use ledger::Bounds;
+use ledger::Counts;
+use ledger::Key;
+use ledger::Ledger;
+use ledger::Reply;
+use ledger::RestoreError;
+use wire::ledger::Answer;
+use wire::ledger::Command;
+use wire::ledger::Expire;
+use wire::ledger::Settled;
+use wire::ledger::command;
+
+struct Step {
+    after_ms: u64,
+    command: Command,
+    expect: &'static str,
+}
+
+fn step(after_ms: u64, command: Command, expect: &'static str) -> Step {
+    Step {
+        after_ms,
+        command,
+        expect,
+    }
+}
+
+fn run(name: &str, ledger: &mut Ledger, steps: &[Step]) {
+    for (index, step) in steps.iter().enumerate() {
+        let reply = ledger.apply(START_MS + step.after_ms, &step.command);
+        assert_eq!(word(&reply), step.expect, "{name}, step {index}");
+    }
+}
+
+#[test]
+fn test_ledger_claims() {
+    use Settled::Done;
+    use Settled::NotRun;
+    let cases = [
+        (
+            "a resent claim gets the same grant while it holds",
+            vec![
+                step(0, claim("k", "a", 1), "granted"),
+                step(1, claim("k", "a", 1), "granted"),
+                step(1, claim("k", "b", 1), "in-flight"),
+            ],
+        ),
+        (
+            "the answer is replayed to every later claim",
+            vec![
+                step(0, claim("k", "a", 1), "granted"),
+                step(1, settle("k", "a", Done, Some(answer(b"ok"))), "recorded"),
+                step(2, settle("k", "a", Done, Some(answer(b"ok"))), "recorded"),
+                step(3, claim("k", "a", 1), "done:ok"),
+                step(3, claim("k", "b", 1), "done:ok"),
+            ],
+        ),
+        (
+            "another request under the same key",
+            vec![
+                step(0, claim("k", "a", 1), "granted"),
+                step(1, claim("k", "b", 2), "mismatch"),
+                step(1, settle("k", "a", NotRun, None), "recorded"),
+                step(2, claim("k", "c", 2), "mismatch"),
+            ],
+        ),
+        (
+            "not run may be claimed again, though not by the spent claim",
+            vec![
+                step(0, claim("k", "a", 1), "granted"),
+                step(1, settle("k", "a", NotRun, None), "recorded"),
+                step(2, claim("k", "a", 1), "REFUSAL_SPENT"),
+                step(2, claim("k", "b", 1), "granted"),
+            ],
+        ),
+    ];
+    for (name, steps) in cases {
+        run(name, &mut Ledger::new(Bounds::default()), &steps);
+    }
+}
+
+#[test]
+fn test_ledger_late_commands() {
+    use Settled::Done;
+    use Settled::NotRun;
+    use Settled::Unknown;
+    let cases = [
+        (
+            "a late settlement of an older claim touches nothing",
+            vec![
+                step(0, claim("k", "a", 1), "granted"),
+                step(1, settle("k", "a", NotRun, None), "recorded"),
+                step(2, claim("k", "b", 1), "granted"),
+                step(3, settle("k", "a", NotRun, None), "dropped"),
+                step(3, settle("k", "a", Done, Some(answer(b"x"))), "dropped"),
+                step(4, claim("k", "c", 1), "in-flight"),
+            ],
+        ),
+        (
+            "a hold that runs out is unknown for good",
+            vec![
+                step(0, claim("k", "a", 1), "granted"),
+                step(1_000, claim("k", "b", 1), "unknown"),
+                step(1_001, settle("k", "a", NotRun, None), "dropped"),
+                step(1_002, settle("k", "a", Done, Some(answer(b"x"))), "dropped"),
+                step(1_003, claim("k", "a", 1), "unknown"),
+            ],
+        ),
+        (
+            "unknown is terminal",
+            vec![
+                step(0, claim("k", "a", 1), "granted"),
+                step(1, settle("k", "a", Unknown, None), "recorded"),
+                step(2, settle("k", "a", NotRun, None), "dropped"),
+                step(2, claim("k", "b", 1), "unknown"),
+            ],
+        ),
+        (
+            "a claim that was given up before the log had it",
+            vec![
+                step(0, settle("k", "a", NotRun, None), "recorded"),
+                step(1, claim("k", "a", 1), "REFUSAL_SPENT"),
+                step(1, claim("k", "b", 1), "granted"),
+            ],
+        ),
+        (
+            "a settlement without a claim",
+            vec![
+                step(0, settle("k", "a", Done, Some(answer(b"x"))), "dropped"),
+                step(0, settle("k", "a", Settled::Unspecified, None), "dropped"),
+                step(1, claim("k", "a", 1), "granted"),
+            ],
+        ),
+        (
+            "time that goes back moves nothing",
+            vec![
+                step(500, claim("k", "a", 1), "granted"),
+                step(0, claim("k", "b", 1), "in-flight"),
+                step(1_499, claim("k", "b", 1), "in-flight"),
+                step(1_500, claim("k", "b", 1), "unknown"),
+            ],
+        ),
+        (
+            "names and ids out of form",
+            vec![
+                step(0, claim("", "a", 1), "REFUSAL_FORM"),
+                step(0, claim("k k", "a", 1), "REFUSAL_FORM"),
+                step(0, claim("k", "", 1), "REFUSAL_FORM"),
+                step(0, claim("k", &"x".repeat(33), 1), "REFUSAL_FORM"),
+                step(0, settle("", "a", NotRun, None), "dropped"),
+                step(0, settle("k", "", NotRun, None), "dropped"),
+            ],
+        ),
+    ];
+    for (name, steps) in cases {
+        run(name, &mut Ledger::new(Bounds::default()), &steps);
+    }
+}
+
+#[test]
+fn test_ledger_windows() {
+    let bounds = Bounds::default();
+    let window = bounds.window_ms;
+    let timed = timed_key(START_MS);
+    let early = timed_key(START_MS + bounds.early_ms + 1);
+    let cases = [
+        (
+            "a timed key is refused after its window, whatever became of it",
+            vec![
+                step(window, claim(&timed, "a", 1), "granted"),
+                step(window, settle(&timed, "a", Settled::Done, None), "recorded"),
+                step(window, claim(&timed, "b", 1), "done:omitted"),
+                step(window + 1, claim(&timed, "b", 1), "REFUSAL_EXPIRED"),
+                step(window * 9, claim(&timed, "a", 1), "REFUSAL_EXPIRED"),
+                step(0, claim(&timed, "a", 1), "REFUSAL_EXPIRED"),
+            ],
+        ),
+        (
+            "a claim in flight at the end of the window is still settled",
+            vec![
+                step(window, claim(&timed, "a", 1), "granted"),
+                step(
+                    window + 9,
+                    settle(&timed, "a", Settled::Done, None),
+                    "recorded",
+                ),
+            ],
+        ),
+        (
+            "a key from ahead of time",
+            vec![
+                step(0, claim(&early, "a", 1), "REFUSAL_EARLY"),
+                step(1, claim(&early, "a", 1), "granted"),
+            ],
+        ),
+        (
+            "an untimed key's record ends a window after its settlement",
+            vec![
+                step(0, claim("k", "a", 1), "granted"),
+                step(9, settle("k", "a", Settled::Unknown, None), "recorded"),
+                step(9 + window, claim("k", "b", 1), "unknown"),
+                step(10 + window, claim("k", "b", 1), "granted"),
+            ],
+        ),
+    ];
+    for (name, steps) in cases {
+        run(name, &mut Ledger::new(bounds), &steps);
+    }
+    let mut strict = Ledger::new(Bounds {
+        untimed: false,
+        ..bounds
+    });
+    let steps = [
+        step(0, claim("k", "a", 1), "REFUSAL_UNTIMED"),
+        step(0, claim(&timed, "a", 1), "granted"),
+    ];
+    run("only timed keys", &mut strict, &steps);
+}
+
+#[test]
+fn test_ledger_bounds() {
+    let bounds = Bounds {
+        records: 3,
+        service: 2,
+        answers: 40,
+        body: 16,
+        ..Bounds::default()
+    };
+    let mut ledger = Ledger::new(bounds);
+    let long = answer(b"seventeen bytes!!");
+    let forged = Answer {
+        digest: 1,
+        ..answer(b"forged")
+    };
+    let steps = [
+        step(0, claim("k1", "a", 1), "granted"),
+        step(0, claim("k2", "a", 1), "granted"),
+        step(0, claim("k3", "a", 1), "full"),
+        step(0, settle("k3", "a", Settled::NotRun, None), "dropped"),
+        step(0, settle("k1", "a", Settled::Done, Some(long)), "recorded"),
+        step(0, claim("k1", "b", 1), "done:omitted"),
+        step(
+            0,
+            settle("k2", "a", Settled::Done, Some(forged)),
+            "recorded",
+        ),
+        step(0, claim("k2", "b", 1), "done:omitted"),
+        step(bounds.window_ms + 1, claim("k3", "a", 1), "granted"),
+        step(bounds.window_ms + 1, claim("k4", "a", 1), "granted"),
+        step(
+            bounds.window_ms + 1,
+            settle("k3", "a", Settled::Done, Some(answer(b"12345678"))),
+            "recorded",
+        ),
+        step(
+            bounds.window_ms + 1,
+            settle("k4", "a", Settled::Done, Some(answer(b"12345678"))),
+            "recorded",
+        ),
+        step(bounds.window_ms + 1, claim("k3", "b", 1), "done:12345678"),
+        step(bounds.window_ms + 1, claim("k4", "b", 1), "done:omitted"),
+    ];
+    run("bounds", &mut ledger, &steps);
+    let expect = Counts {
+        records: 2,
+        in_flight: 0,
+        answers: 24,
+    };
+    assert_eq!(ledger.counts(), expect);
+    let expire = Command {
+        kind: Some(command::Kind::Expire(Expire {})),
+    };
+    let due = ledger.next_due_ms().expect("records are due");
+    assert_eq!(ledger.apply(due, &expire), Reply::Expire);
+    assert_eq!(ledger.counts(), Counts::default());
+    assert_eq!(ledger.next_due_ms(), None);
+}
+
+#[test]
+fn test_ledger_restore_faults() {
+    let mut ledger = Ledger::new(Bounds::default());
+    ledger.apply(START_MS, &claim("k", "a", 1));
+    let whole = ledger.snapshot();
+    let mut nameless = whole.clone();
+    nameless.records[0].key.clear();
+    let mut nowhere = whole.clone();
+    nowhere.records[0].standing = 0;
+    let mut twice = whole.clone();
+    twice.records.push(whole.records[0].clone());
+    let cases = [
+        (nameless, RestoreError::Key(0)),
+        (nowhere, RestoreError::Standing(0)),
+        (twice, RestoreError::Twice(1)),
+    ];
+    for (snapshot, expect) in cases {
+        let found = Ledger::restore(Bounds::default(), &snapshot).map(|l| l.counts());
+        assert_eq!(found, Err(expect));
+    }
+}
+
+#[test]
+fn test_ledger_key_parts() {
+    let key = |request: &str| Key::read("grants", "c", request).and_then(|k| k.minted_ms());
+    assert_eq!(key(&timed_key(START_MS)), Some(START_MS));
+    assert_eq!(key("018bcfe5-6800-4000-8000-000000000001"), None);
+    assert_eq!(key("018bcfe5-6800-7000-c000-000000000001"), None);
+    assert_eq!(key("grant-17"), None);
+    assert_eq!(Key::read("grants", "", "k"), None);
+}
