control: three replicas accept a change that all of them follow

The driver task owns the pure log and the applied state; a thread owns the data folder; peers and clients are tarpc adapters with bounded queues.

The group founds itself: identities are minted with the folders, the replica with the least initial address asks all others, and forms the group only when all answer without a log.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,32 @@
-//! placeholder
+//! A control replica: the catalogue and the at-most-once ledger, replicated.
+//!
+//! One task owns the replicated log and the applied state ([`driver`]), one
+//! thread the data folder ([`writer`]). Other replicas are reached through
+//! bounded queues ([`peers`]); directories, gateways and operators through
+//! [`control`]. How a group comes to be on its very first start stands in
+//! [`founding`].
+
+pub mod asker;
+pub mod control;
+pub mod convert;
+pub mod driver;
+pub mod founding;
+pub mod group;
+pub mod input;
+pub mod link;
+pub mod machine;
+pub mod peers;
+pub mod replica;
+pub mod serve;
+pub mod server;
+pub mod settings;
+pub mod switch;
+pub mod tickets;
+pub mod writer;
+
+pub use server::Bound;
+pub use server::Control;
+pub use server::ControlError;
+pub use server::bind;
+pub use server::start;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/control/src/machine.rs
@@ -0,0 +1,149 @@
+//! What the log drives: the catalogue and the ledger, applied in one order.
+
+use bytes::Bytes;
+use catalogue::State as Book;
+use catalogue::state::RestoreError as BookError;
+use ledger::Bounds;
+use ledger::Ledger;
+use ledger::Reply;
+use ledger::RestoreError as LedgerError;
+use prost::Message;
+use quick_error::quick_error;
+use wire::catalogue::Change;
+use wire::catalogue::ChangeReply;
+use wire::ledger::ClaimReply;
+use wire::ledger::SettleReply;
+use wire::replica::Command;
+use wire::replica::State;
+use wire::replica::command::Kind;
+
+quick_error! {
+    /// Why what the log holds can't be applied; the replica then stops.
+    #[derive(Debug)]
+    pub enum MachineError {
+        /// Bytes aren't a message.
+        Decode(err: prost::DecodeError) {
+            from()
+            source(err)
+            display("log entry: {err}")
+        }
+        /// The snapshot's catalogue.
+        Book(err: BookError) {
+            from()
+            source(err)
+            display("snapshot of the catalogue: {err}")
+        }
+        /// The snapshot's ledger.
+        Ledger(err: LedgerError) {
+            from()
+            source(err)
+            display("snapshot of the ledger: {err}")
+        }
+        /// A command of a kind that this version doesn't know.
+        Kind {
+            display("log entry: a command of unknown kind")
+        }
+    }
+}
+
+/// What a command led to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Of a change.
+    Change {
+        /// The change's id.
+        id: String,
+        /// What its operator is told.
+        reply: ChangeReply,
+    },
+    /// Of a claim.
+    Claim(ClaimReply),
+    /// Of a settlement.
+    Settle(SettleReply),
+    /// Of the passing of time.
+    Expire,
+}
+
+/// The applied state.
+#[derive(Clone, Debug)]
+pub struct Machine {
+    book: Book,
+    ledger: Ledger,
+}
+
+impl Default for Machine {
+    fn default() -> Self {
+        Self {
+            book: Book::default(),
+            ledger: Ledger::new(Bounds::default()),
+        }
+    }
+}
+
+impl Machine {
+    /// Reads what [`Machine::snapshot`] gave; nothing is the empty state.
+    ///
+    /// # Errors
+    ///
+    /// Fails on bytes that no state writes.
+    pub fn restore(data: &Bytes) -> Result<Self, MachineError> {
+        if data.is_empty() {
+            return Ok(Self::default());
+        }
+        let state = State::decode(data.clone())?;
+        let book = state.catalogue.unwrap_or_default();
+        let ledger = state.ledger.unwrap_or_default();
+        Ok(Self {
+            book: Book::restore(catalogue::history::Window::default(), &book)?,
+            ledger: Ledger::restore(Bounds::default(), &ledger)?,
+        })
+    }
+
+    /// The whole state; equal states give equal bytes.
+    #[must_use]
+    pub fn snapshot(&self) -> Bytes {
+        let state = State {
+            catalogue: Some(self.book.snapshot()),
+            ledger: Some(self.ledger.snapshot()),
+        };
+        state.encode_to_vec().into()
+    }
+
+    /// Applies one command of the log.
+    ///
+    /// # Errors
+    ///
+    /// Fails on what no leader of this version proposes.
+    pub fn apply(&mut self, data: &Bytes) -> Result<Output, MachineError> {
+        let command = Command::decode(data.clone())?;
+        match command.kind.ok_or(MachineError::Kind)? {
+            Kind::Change(change) => Ok(Output::Change {
+                reply: self.book.apply(&change),
+                id: change.id,
+            }),
+            Kind::Ledger(inner) => Ok(match self.ledger.apply(command.now_ms, &inner) {
+                Reply::Claim(reply) => Output::Claim(reply),
+                Reply::Settle(reply) => Output::Settle(reply),
+                Reply::Expire => Output::Expire,
+            }),
+        }
+    }
+
+    /// The answer to a change that needs no log entry.
+    #[must_use]
+    pub fn known(&self, change: &Change) -> Option<ChangeReply> {
+        self.book.known(change)
+    }
+
+    /// The catalogue with its history.
+    #[must_use]
+    pub fn book(&self) -> &Book {
+        &self.book
+    }
+
+    /// The ledger.
+    #[must_use]
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+}
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -216,7 +216,7 @@
     fn check_order(&self, batch: &Batch) -> Result<u64, StoreError> {
         let mut last = self.last;
         if batch.truncate > 0 {
-            last = last.min(batch.truncate - 1);
+            last = last.min(batch.truncate - 1).max(self.floor());
         }
         for entry in &batch.entries {
             if entry.index > last + 1 || entry.index <= self.floor() {
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -117,6 +117,11 @@
             .await
             .map_err(|_| LinkError::Timeout(self.address))?
             .map_err(|err| LinkError::Connect(self.address, err))?;
+        // Small frames must not wait for the ones before to be acknowledged.
+        channel
+            .get_ref()
+            .set_nodelay(true)
+            .map_err(|err| LinkError::Connect(self.address, err))?;
         let client = (self.make)(channel);
         *self.slot() = Some(client.clone());
         Ok(client)
