--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -20,12 +20,22 @@
 use wire::catalogue::Class;
 use wire::catalogue::Edit;
 use wire::catalogue::Entry;
+use wire::catalogue::HistoryItem;
 use wire::catalogue::Limits;
 use wire::catalogue::change_reply;
 use wire::catalogue::edit;
 use wire::control::Follow;
 use wire::control::FollowReply;
+use wire::control::HistoryQuery;
+use wire::control::Membership;
 use wire::control::Status;
+use wire::control::membership;
+use wire::control::membership_reply;
+use wire::ledger::Answer;
+use wire::ledger::Claim;
+use wire::ledger::Settle;
+use wire::ledger::Settled;
+use wire::ledger::claim_reply;
 use wire::link::Channel;
 use wire::link::Link;
 use wire::link::LinkError;
@@ -46,7 +56,17 @@
 
 /// A started group with the settings to start each replica again.
 pub async fn start(name: &str, count: usize) -> (Vec<Settings>, Vec<Control>) {
+    start_with(name, count, |_| {}).await
+}
+
+/// A started group with settings that were changed first.
+pub async fn start_with(
+    name: &str,
+    count: usize,
+    change: impl Fn(&mut Settings),
+) -> (Vec<Settings>, Vec<Control>) {
     let mut settings = group::local(&folder(name), count).expect("settings");
+    settings.iter_mut().for_each(change);
     let replicas = group::start(&mut settings, &telemetry::log::silent())
         .await
         .expect("starts");
@@ -125,6 +145,92 @@
             .expect("the version is reached")
     }
 
+    /// One claim.
+    pub async fn claim(&self, claim: &Claim) -> Result<claim_reply::Kind, LinkError> {
+        let api = self.api().await?;
+        let result = api.claim(within(PATIENCE), claim.clone()).await;
+        let reply = self.link.judge(result)?;
+        Ok(reply.kind.expect("a reply has a kind"))
+    }
+
+    /// Claims until a quorum answers.
+    pub async fn claim_surely(&self, claim: &Claim) -> claim_reply::Kind {
+        let tries = async {
+            loop {
+                match self.claim(claim).await {
+                    Ok(claim_reply::Kind::Unreachable(_)) | Err(_) => {
+                        tokio::time::sleep(PAUSE).await;
+                    }
+                    Ok(kind) => return kind,
+                }
+            }
+        };
+        tokio::time::timeout(PATIENCE, tries)
+            .await
+            .expect("a certain answer")
+    }
+
+    /// Settles until a quorum answers that it is recorded.
+    pub async fn settle_surely(&self, settle: &Settle) {
+        let tries = async {
+            loop {
+                let api = self.api().await;
+                if let Ok(api) = api {
+                    let result = api.settle(within(PATIENCE), settle.clone()).await;
+                    if self.link.judge(result).is_ok_and(|r| r.recorded) {
+                        return;
+                    }
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, tries)
+            .await
+            .expect("recorded");
+    }
+
+    /// One change of the group.
+    pub async fn change_group(
+        &self,
+        kind: membership::Kind,
+    ) -> Result<membership_reply::Kind, LinkError> {
+        let api = self.api().await?;
+        let ask = Membership { kind: Some(kind) };
+        let result = api.change_membership(within(PATIENCE), ask).await;
+        let reply = self.link.judge(result)?;
+        Ok(reply.kind.expect("a reply has a kind"))
+    }
+
+    /// Asks for a change of the group until it is done.
+    pub async fn change_group_surely(&self, kind: membership::Kind) {
+        let tries = async {
+            loop {
+                let reply = self.change_group(kind.clone()).await;
+                if matches!(reply, Ok(membership_reply::Kind::Done(_))) {
+                    return;
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, tries).await.expect("done");
+    }
+
+    /// All accepted changes.
+    pub async fn history(&self) -> Vec<HistoryItem> {
+        let mut items: Vec<HistoryItem> = Vec::new();
+        loop {
+            let from = items.last().map_or(0, |item| item.version + 1);
+            let query = HistoryQuery { from, most: 256 };
+            let api = self.api().await.expect("connects");
+            let result = api.history(within(PATIENCE), query).await;
+            let page = self.link.judge(result).expect("history").items;
+            if page.is_empty() {
+                return items;
+            }
+            items.extend(page);
+        }
+    }
+
     /// The replica's view of itself.
     pub async fn status(&self) -> Result<Status, LinkError> {
         let api = self.api().await?;
@@ -138,6 +244,64 @@
     ControlApiClient::new(tarpc::client::Config::default(), channel).spawn()
 }
 
+/// A claim of `key`, told apart by `number`.
+pub fn claim(key: &str, number: u8, hold_ms: u32) -> Claim {
+    Claim {
+        service: "grants".into(),
+        caller: "site-7".into(),
+        key: key.into(),
+        digest: 7,
+        claim_id: vec![number; 16].into(),
+        hold_ms,
+    }
+}
+
+/// The settlement of a claim as done, with `body` as the answer.
+pub fn done(claim: &Claim, body: &'static [u8]) -> Settle {
+    Settle {
+        service: claim.service.clone(),
+        caller: claim.caller.clone(),
+        key: claim.key.clone(),
+        claim_id: claim.claim_id.clone(),
+        settled: Settled::Done.into(),
+        answer: Some(Answer {
+            status: 200,
+            content_type: "text/plain".into(),
+            body: body.into(),
+            digest: ledger::record::digest(body),
+            omitted: false,
+        }),
+    }
+}
+
+/// Which of the replicas leads, once one does and the others agree.
+pub async fn leader(clients: &[Client]) -> usize {
+    let tries = async {
+        loop {
+            if let Some(found) = find_leader(clients).await {
+                return found;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, tries)
+        .await
+        .expect("a leader")
+}
+
+async fn find_leader(clients: &[Client]) -> Option<usize> {
+    let mut ids = Vec::new();
+    let mut leaders = Vec::new();
+    for client in clients {
+        let status = client.status().await.ok()?;
+        ids.push(status.id);
+        leaders.push(status.leader);
+    }
+    let first = leaders[0];
+    let agreed = leaders.iter().all(|l| *l == first);
+    ids.iter().position(|id| agreed && *id == first)
+}
+
 /// Clients of all replicas.
 pub fn clients(replicas: &[Control]) -> Vec<Client> {
     replicas.iter().map(|r| Client::new(r.rpc())).collect()
--- /dev/null
+++ b/crates/control/tests/test_restart.rs
@@ -0,0 +1,74 @@
+//! All replicas are killed at once and started again.
+
+mod common;
+
+use common::Client;
+use common::accepted;
+use common::change;
+use common::claim;
+use common::done;
+use common::folder;
+use common::process::Process;
+use common::process::plan;
+use wire::ledger::claim_reply::Kind;
+
+const CHANGES: u64 = 500;
+
+/// Names long enough that the changes pass the size of a snapshot.
+fn service(base: u64) -> String {
+    format!("service-{:0100}", base % 50)
+}
+
+#[tokio::test]
+async fn test_restart_of_all_after_many_changes_keeps_catalogue_and_ledger() {
+    let plans = plan(&folder("restart-all"), 3);
+    // Small enough that the changes pass several snapshots.
+    for plan in &plans {
+        let mut text = std::fs::read_to_string(&plan.config).expect("settings");
+        text.push_str("\n[store]\nsegment = 64KiB\nsnapshot = 64KiB\n");
+        std::fs::write(&plan.config, text).expect("settings");
+    }
+    let clients: Vec<Client> = plans.iter().map(|p| Client::new(p.rpc)).collect();
+    let processes = Process::start_all(&plans);
+    for base in 0..CHANGES {
+        let next = change(&format!("c-{base}"), base, &service(base));
+        let kind = clients[0].propose_surely(&next).await;
+        assert_eq!(accepted(&kind), base + 1);
+    }
+    let settled = claim("done", 1, 60_000);
+    assert!(matches!(
+        clients[0].claim_surely(&settled).await,
+        Kind::Granted(_)
+    ));
+    clients[1]
+        .settle_surely(&done(&settled, b"granted: block 7"))
+        .await;
+    let open = claim("open", 2, 600_000);
+    assert!(matches!(
+        clients[2].claim_surely(&open).await,
+        Kind::Granted(_)
+    ));
+    let before = clients[0].reaches(CHANGES).await.catalogue;
+    let status = clients[0].status().await.expect("answers");
+    assert!(status.first_index > 1, "no snapshot was taken");
+
+    processes.into_iter().for_each(Process::kill);
+    let _processes = Process::start_all(&plans);
+    for (number, client) in (10..).zip(&clients) {
+        let after = client.reaches(CHANGES).await.catalogue;
+        assert_eq!(after, before);
+        let again = claim("done", number, 60_000);
+        let Kind::Done(found) = client.claim_surely(&again).await else {
+            panic!("the answer was lost");
+        };
+        assert_eq!(&*found.answer.expect("kept").body, b"granted: block 7");
+        let again = claim("open", number, 60_000);
+        let reply = client.claim_surely(&again).await;
+        assert!(matches!(reply, Kind::InFlight(_)), "{reply:?}");
+        // The holder's own resend still has it.
+        let reply = client.claim_surely(&open).await;
+        assert!(matches!(reply, Kind::Granted(_)), "{reply:?}");
+        let first = change("c-0", 0, &service(0));
+        assert_eq!(accepted(&client.propose_surely(&first).await), 1);
+    }
+}
