--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -164,16 +164,29 @@
         task
     }
 
-    /// Runs until told to stop or a failure stops it.
+    /// Runs until told to stop or a failure stops it; the data folder is free then.
     ///
     /// # Errors
     ///
     /// Fails when the disk or the log does; nothing is acknowledged after that.
     pub async fn run(
         mut self,
-        mut inbox: mpsc::Receiver<Input>,
+        inbox: mpsc::Receiver<Input>,
         end: CancellationToken,
     ) -> Result<(), DriverError> {
+        end.run_until_cancelled(self.serve(inbox)).await;
+        let log = self.parts.log;
+        drop(self.parts.writer);
+        let mut reports = self.parts.reports;
+        // The thread's end of the queue closes after its folder was released.
+        while reports.recv().await.is_some() {}
+        self.failure.map_or(Ok(()), |err| {
+            error!(log, "stopped"; "error" => %err);
+            Err(err)
+        })
+    }
+
+    async fn serve(&mut self, mut inbox: mpsc::Receiver<Input>) {
         self.act();
         while self.failure.is_none() {
             let wake = self
@@ -181,10 +194,9 @@
                 .instant(self.node.deadline().min(self.next_expiry));
             tokio::select! {
                 biased;
-                () = end.cancelled() => return Ok(()),
                 Some(report) = self.parts.reports.recv() => self.written(report),
                 input = inbox.recv() => {
-                    let Some(input) = input else { return Ok(()) };
+                    let Some(input) = input else { return };
                     self.take(input);
                     self.take_more(&mut inbox);
                 }
@@ -193,10 +205,6 @@
             self.pass_time();
             self.act();
         }
-        self.failure.map_or(Ok(()), |err| {
-            error!(self.parts.log, "stopped"; "error" => %err);
-            Err(err)
-        })
     }
 
     fn take_more(&mut self, inbox: &mut mpsc::Receiver<Input>) {
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -29,6 +29,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinError;
 use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 use tokio_util::task::TaskTracker;
@@ -249,12 +250,13 @@
         let ends = Ends::default();
         let open = TaskTracker::new();
         let server = self.control_server(&driver, view, &ends);
-        tokio::spawn(serve::accept(bound.rpc, ends.clone(), {
+        let mut accepts = JoinSet::new();
+        accepts.spawn(serve::accept(bound.rpc, ends.clone(), {
             let open = open.clone();
             move |channel| serve_control(channel, server.clone(), open.clone())
         }));
         let server = self.replica_server(&driver);
-        tokio::spawn(serve::accept(bound.replica, ends.clone(), move |channel| {
+        accepts.spawn(serve::accept(bound.replica, ends.clone(), move |channel| {
             serve_replica(channel, server.clone())
         }));
         info!(self.log, "ready"; "id" => recovered.id, "address" => %rpc, "replica" => %replica);
@@ -267,6 +269,7 @@
             ends,
             end,
             open,
+            accepts,
             task,
             founding: AbortOnDropHandle::new(founding),
             settings: self.settings,
@@ -434,6 +437,7 @@
     ends: Ends,
     end: CancellationToken,
     open: TaskTracker,
+    accepts: JoinSet<()>,
     task: JoinHandle<Result<(), DriverError>>,
     founding: AbortOnDropHandle<()>,
     settings: Settings,
@@ -472,26 +476,25 @@
     /// Fails with what stopped it.
     pub async fn ended(&mut self) -> Result<(), ControlError> {
         let result = (&mut self.task).await;
-        self.close();
+        self.close().await;
         result?.map_err(ControlError::from)
     }
 
     /// Hands leadership over, answers what is open, and stops.
-    pub async fn stop(self) {
+    pub async fn stop(mut self) {
         self.ends.accept.cancel();
         let limit = self.settings.timing.stop;
         let _ = tokio::time::timeout(limit, self.hand_over()).await;
         self.open.close();
         let _ = tokio::time::timeout(limit, self.open.wait()).await;
-        self.close();
-        let _ = self.task.await;
+        self.kill().await;
         info!(self.log, "stopped"; "id" => self.id);
     }
 
     /// Stops at once, as a crash would, but for what the disk does.
-    pub async fn kill(self) {
-        self.close();
-        let _ = self.task.await;
+    pub async fn kill(&mut self) {
+        self.close().await;
+        let _ = (&mut self.task).await;
     }
 
     /// Asks again and again, as the chosen successor may be stopping, too.
@@ -506,10 +509,22 @@
         }
     }
 
-    fn close(&self) {
+    /// Ends everything, and waits until the ports are free again.
+    async fn close(&mut self) {
+        self.cancel();
+        while self.accepts.join_next().await.is_some() {}
+    }
+
+    fn cancel(&self) {
         self.ends.accept.cancel();
         self.ends.serve.cancel();
         self.end.cancel();
         self.founding.abort();
     }
 }
+
+impl Drop for Control {
+    fn drop(&mut self) {
+        self.cancel();
+    }
+}
--- a/crates/control/tests/test_cut.rs
+++ b/crates/control/tests/test_cut.rs
@@ -72,7 +72,7 @@
         panic!("{truth:?}");
     };
     assert_eq!(conflict.winner, "c-2");
-    for replica in replicas {
+    for mut replica in replicas {
         replica.kill().await;
     }
 }
--- /dev/null
+++ b/crates/control/tests/test_founding.rs
@@ -0,0 +1,130 @@
+//! How a group comes to be, and that it never does twice.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use common::Client;
+use common::PAUSE;
+use common::change;
+use common::clients;
+use common::folder;
+use common::restart;
+use common::start;
+use control::Settings;
+use control::bind;
+use control::group;
+use control::link;
+use control::switch::Switch;
+use wire::control::Replica;
+use wire::replica::Found;
+use wire::replica::Group;
+
+/// Long enough for many rounds of questions.
+const ROUNDS: Duration = Duration::from_millis(800);
+
+#[tokio::test]
+async fn test_founding_emptied_founder_founds_no_second_group() {
+    let (settings, mut replicas) = start("founding-emptied", 3).await;
+    let clients = clients(&replicas);
+    clients[0].propose_surely(&change("c-1", 0, "status")).await;
+    let address = |s: &Settings| s.replica.address.to_string();
+    let least = (0..3)
+        .min_by_key(|i| address(&settings[*i]))
+        .expect("three");
+    let mut old = replicas.remove(least);
+    let old_id = old.id();
+    old.kill().await;
+    std::fs::remove_dir_all(&settings[least].data).expect("removes");
+    let emptied = restart(&settings[least]).await;
+    assert_ne!(emptied.id(), old_id);
+    tokio::time::sleep(ROUNDS).await;
+    let status = Client::new(emptied.rpc()).status().await;
+    let status = status.expect("answers");
+    assert_eq!(status.id, emptied.id());
+    assert!(status.replicas.is_empty());
+    assert_eq!(status.term, 0);
+}
+
+#[tokio::test]
+async fn test_founding_waits_for_every_initial_replica() {
+    let mut settings = group::local(&folder("founding-waits"), 3).expect("settings");
+    let mut bound = Vec::new();
+    for one in &settings {
+        bound.push(bind(one).await.expect("binds"));
+    }
+    let initial: Vec<SocketAddr> = bound.iter().map(control::Bound::replica).collect();
+    for (one, bound) in settings.iter_mut().zip(&bound) {
+        one.rpc = bound.rpc();
+        one.replica.listen = bound.replica();
+        one.replica.address = bound.replica();
+        one.replica.initial.clone_from(&initial);
+    }
+    drop(bound);
+    let first = restart(&settings[0]).await;
+    let second = restart(&settings[1]).await;
+    tokio::time::sleep(ROUNDS).await;
+    for one in &settings[..2] {
+        let status = Client::new(one.rpc).status().await.expect("answers");
+        assert!(status.replicas.is_empty(), "founded without the third");
+    }
+    let third = restart(&settings[2]).await;
+    for replica in [&first, &second, &third] {
+        let client = Client::new(replica.rpc());
+        client.reaches(0).await;
+        let status = client.status().await.expect("answers");
+        assert_eq!(status.replicas.len(), 3);
+    }
+}
+
+#[tokio::test]
+async fn test_founding_refuses_a_group_that_is_not_its_own() {
+    let (settings, replicas) = start("founding-refuses", 3).await;
+    let clients = clients(&replicas);
+    clients[0].reaches(0).await;
+    let replica = |id: u64, address: &SocketAddr| Replica {
+        id,
+        address: address.to_string(),
+        domain: "a".into(),
+        region: "local".into(),
+        voter: true,
+    };
+    let own = &settings[0].replica.address;
+    let all: Vec<Replica> = settings
+        .iter()
+        .zip(&replicas)
+        .map(|(s, r)| replica(r.id(), &s.replica.address))
+        .collect();
+    let cases = [
+        ("another's id", replicas[1].id(), all.clone()),
+        (
+            "other addresses",
+            replicas[0].id(),
+            vec![replica(replicas[0].id(), own)],
+        ),
+        ("a group already", replicas[0].id(), all),
+    ];
+    for (name, to, members) in cases {
+        let ask = Found {
+            to,
+            group: Some(Group {
+                replicas: members,
+                acceptance: 1,
+                evicted: vec![],
+            }),
+        };
+        let link = link::replica(*own);
+        let taken = link::found(&link, &Switch::default(), ask, common::PATIENCE).await;
+        assert!(!taken.expect("answers"), "{name}");
+    }
+    // The founded group is as it was.
+    loop {
+        let status = clients[0].status().await.expect("answers");
+        if status.leader != 0 {
+            assert_eq!(status.replicas.len(), 3);
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/control/tests/test_ledger.rs
@@ -0,0 +1,104 @@
+//! Claims and settlements through several replicas.
+
+mod common;
+
+use std::time::Duration;
+
+use common::PATIENCE;
+use common::PAUSE;
+use common::claim;
+use common::clients;
+use common::done;
+use common::leader;
+use common::start;
+use wire::ledger::Refusal;
+use wire::ledger::claim_reply::Kind;
+
+#[tokio::test]
+async fn test_ledger_one_of_many_claims_is_granted_across_a_leader_kill() {
+    let (_, mut replicas) = start("ledger-kill", 3).await;
+    let mut clients = clients(&replicas);
+    let led = leader(&clients).await;
+    let first = claim("block-7", 1, 60_000);
+    assert!(matches!(
+        clients[0].claim_surely(&first).await,
+        Kind::Granted(_)
+    ));
+    for (number, client) in (2..).zip(&clients) {
+        let other = client.claim_surely(&claim("block-7", number, 60_000)).await;
+        assert!(matches!(other, Kind::InFlight(_)), "{other:?}");
+    }
+    replicas.remove(led).kill().await;
+    clients.remove(led);
+    for (number, client) in (5..).zip(&clients) {
+        let other = client.claim_surely(&claim("block-7", number, 60_000)).await;
+        assert!(matches!(other, Kind::InFlight(_)), "{other:?}");
+        // The answer to the first claim was lost: its resend still has it.
+        let again = client.claim_surely(&first).await;
+        assert!(matches!(again, Kind::Granted(_)), "{again:?}");
+    }
+    clients[0].settle_surely(&done(&first, b"granted")).await;
+    // A resent settlement is recorded, too.
+    clients[1].settle_surely(&done(&first, b"granted")).await;
+    for (number, client) in (8..).zip(&clients) {
+        let Kind::Done(found) = client.claim_surely(&claim("block-7", number, 60_000)).await else {
+            panic!("not done");
+        };
+        assert_eq!(&*found.answer.expect("kept").body, b"granted");
+    }
+}
+
+#[tokio::test]
+async fn test_ledger_hold_runs_out_to_unknown_on_all_replicas() {
+    let (_, replicas) = start("ledger-hold", 3).await;
+    let clients = clients(&replicas);
+    let first = claim("block-8", 1, 200);
+    assert!(matches!(
+        clients[0].claim_surely(&first).await,
+        Kind::Granted(_)
+    ));
+    let expiry = async {
+        loop {
+            // The holder's own resend must learn it, too.
+            match clients[1].claim_surely(&first).await {
+                Kind::Granted(_) => tokio::time::sleep(PAUSE).await,
+                other => return other,
+            }
+        }
+    };
+    let found = tokio::time::timeout(PATIENCE, expiry).await.expect("ends");
+    assert!(matches!(found, Kind::Unknown(_)), "{found:?}");
+    for client in &clients {
+        let other = client.claim_surely(&claim("block-8", 2, 60_000)).await;
+        assert!(matches!(other, Kind::Unknown(_)), "{other:?}");
+    }
+}
+
+#[tokio::test]
+async fn test_ledger_without_a_quorum_grants_nothing() {
+    let (_, mut replicas) = common::start_with("ledger-quorum", 3, |s| {
+        s.timing.ask = Duration::from_secs(1);
+    })
+    .await;
+    let clients = clients(&replicas);
+    leader(&clients).await;
+    replicas.remove(2).kill().await;
+    replicas.remove(1).kill().await;
+    let reply = clients[0].claim(&claim("block-9", 1, 60_000)).await;
+    assert!(matches!(reply, Ok(Kind::Unreachable(_))), "{reply:?}");
+}
+
+#[tokio::test]
+async fn test_ledger_malformed_claims_are_refused() {
+    let (_, replicas) = start("ledger-form", 1).await;
+    let client = &clients(&replicas)[0];
+    let long = "k".repeat(1_000);
+    for key in ["", "two words", &long] {
+        let reply = client.claim_surely(&claim(key, 1, 60_000)).await;
+        let Kind::Refused(refused) = reply else {
+            panic!("{key}: {reply:?}");
+        };
+        assert_eq!(refused.refusal(), Refusal::Form);
+    }
+    assert_eq!(client.status().await.expect("answers").ledger_keys, 0);
+}
