--- a/crates/control/tests/test_faults.rs
+++ b/crates/control/tests/test_faults.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::Client;
+use common::PATIENCE;
 use common::accepted;
 use common::change;
 use common::clients;
@@ -21,6 +22,8 @@
 use store::memory::Fault;
 use wire::catalogue::change_reply::Kind;
 
+/// More changes than the disk has room for.
+const MOST: u64 = 5_000;
 const FIRST: &str = "log-00000000000000000001";
 
 async fn start_on(settings: &mut Settings, disk: &MemoryDisk) -> Result<Control, ControlError> {
@@ -40,6 +43,13 @@
     settings
 }
 
+/// What the replica stopped with.
+async fn ended(replica: &mut Control) -> ControlError {
+    let end = tokio::time::timeout(PATIENCE, replica.ended()).await;
+    end.expect("it stops by itself")
+        .expect_err("with a failure")
+}
+
 /// How a write fails, and what stays of it after the crash.
 struct Case {
     name: &'static str,
@@ -82,7 +92,7 @@
         let reply = client.propose(&change("c-2", 1, "grants")).await;
         let acknowledged = matches!(reply, Ok(Kind::Accepted(_)));
         assert!(!acknowledged, "{}: acknowledged", case.name);
-        let err = replica.ended().await.expect_err(case.name);
+        let err = ended(&mut replica).await;
         match err {
             ControlError::Driver(DriverError::Store(StoreError::Full(_))) => assert!(case.full),
             ControlError::Driver(DriverError::Store(StoreError::Io(Operation::Sync, ..))) => {
@@ -113,14 +123,14 @@
     // The log has room for what leads to the snapshot, but not for the snapshot.
     disk.arm(Fault::Full(100_000));
     let mut version = 0;
-    loop {
+    while version < MOST {
         let next = change(&format!("c-{version}"), version, &service(version));
         match client.propose(&next).await {
             Ok(Kind::Accepted(done)) => version = done.version,
             _ => break,
         }
     }
-    let err = replica.ended().await.expect_err("no room");
+    let err = ended(&mut replica).await;
     let ControlError::Driver(DriverError::Store(StoreError::Full(file))) = err else {
         panic!("{err}");
     };
@@ -187,7 +197,7 @@
     let reply = clients[(led + 1) % 3].propose_surely(&second).await;
     assert_eq!(accepted(&reply), 2);
     let mut failed = replicas.remove(led);
-    failed.ended().await.expect_err("it stopped");
+    ended(&mut failed).await;
     disks[led].crash();
     let bound = bind(&settings[led]).await.expect("binds again");
     let log = telemetry::log::silent();
--- a/crates/control/tests/test_restart.rs
+++ b/crates/control/tests/test_restart.rs
@@ -30,11 +30,7 @@
     }
     let clients: Vec<Client> = plans.iter().map(|p| Client::new(p.rpc)).collect();
     let processes = Process::start_all(&plans);
-    for base in 0..CHANGES {
-        let next = change(&format!("c-{base}"), base, &service(base));
-        let kind = clients[0].propose_surely(&next).await;
-        assert_eq!(accepted(&kind), base + 1);
-    }
+    // They come first, so that only a snapshot holds them in the end.
     let settled = claim("done", 1, 60_000);
     assert!(matches!(
         clients[0].claim_surely(&settled).await,
@@ -48,6 +44,11 @@
         clients[2].claim_surely(&open).await,
         Kind::Granted(_)
     ));
+    for base in 0..CHANGES {
+        let next = change(&format!("c-{base}"), base, &service(base));
+        let kind = clients[0].propose_surely(&next).await;
+        assert_eq!(accepted(&kind), base + 1);
+    }
     let before = clients[0].reaches(CHANGES).await.catalogue;
     let status = clients[0].status().await.expect("answers");
     assert!(status.first_index > 1, "no snapshot was taken");
