--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod api;
 pub mod link;
+pub mod peer;
 
 /// Catalogue messages.
 #[allow(missing_docs, clippy::pedantic)]
