--- /dev/null
+++ b/crates/cli/tests/test_commands.rs
@@ -0,0 +1,395 @@
+//! What each command shows, for people and for programs, and its exit code.
+
+mod fakes;
+
+use cli::Exit;
+use fakes::Fake;
+use fakes::listen;
+use fakes::nobody;
+use fakes::rwrctl;
+use fakes::write;
+use futures::StreamExt;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use wire::catalogue::Change;
+use wire::catalogue::Edit;
+use wire::catalogue::edit::Kind;
+use wire::control::MembershipDone;
+use wire::control::MembershipPending;
+use wire::control::MembershipRefused;
+use wire::control::Replica;
+use wire::control::Role;
+use wire::control::Status;
+use wire::control::membership_reply;
+use wire::directory::Host;
+use wire::directory::HostPhase;
+use wire::directory::Instance;
+use wire::directory::InstanceChange;
+use wire::directory::Phase;
+use wire::gateway::Candidate;
+
+const FILE: &str = "\
+[service grants]
+owner = Ferrovie Alpine
+class = once
+concurrency = 42
+queue = 84
+deadline = 2s
+body = 64KiB
+retries = 10%
+probes = 2/s
+
+[gateway milano-1]
+";
+
+/// A system of one host with one service, one instance and one replica.
+fn filled() -> Fake {
+    let fake = Fake::default();
+    let wanted = catalogue::file::parse("c", FILE).expect("a good file");
+    let mut world = fake.world();
+    let edits = catalogue::diff::edits(&world.state.catalogue(), &wanted);
+    world.state.apply(&Change {
+        id: "a-1".into(),
+        base: 0,
+        author: "anna".into(),
+        edits,
+    });
+    world.hosts.hosts = vec![Host {
+        host: "milano-1".into(),
+        domain: "milano".into(),
+        gateway: "127.0.0.1:8080".into(),
+        phase: HostPhase::Serving.into(),
+        version: 1,
+        age_ms: 40,
+        ..Host::default()
+    }];
+    world.instances.instances = vec![InstanceChange {
+        instance: Some(Instance {
+            service: "grants".into(),
+            id: "g-1".into(),
+            address: "127.0.0.1:9000".into(),
+            domain: "milano".into(),
+            slots: 6,
+            connections: 250,
+            phase: Phase::Draining.into(),
+            incarnation: 5,
+            sequence: 9,
+        }),
+        gone: false,
+    }];
+    world.explain.version = 1;
+    world.explain.in_flight = 2;
+    world.explain.candidates = vec![Candidate {
+        instance: "g-1".into(),
+        health: "slow".into(),
+        in_flight: 2,
+        latency_us: 1_500,
+        age_ms: 12,
+        chosen_millis: 250,
+        reason: "least load".into(),
+    }];
+    world.status = Status {
+        id: 7,
+        role: Role::Leader.into(),
+        term: 3,
+        leader: 7,
+        commit: 11,
+        applied: 11,
+        version: 1,
+        first_index: 1,
+        replicas: vec![Replica {
+            id: 7,
+            address: "127.0.0.1:7000".into(),
+            domain: "milano".into(),
+            region: "north-west".into(),
+            voter: true,
+        }],
+        ledger_keys: 4,
+    };
+    drop(world);
+    fake
+}
+
+#[tokio::test]
+async fn test_commands_show() {
+    let fake = filled();
+    let (control, directory) = (listen!(ControlApi, fake), listen!(DirectoryApi, fake));
+    let gateway = listen!(GatewayApi, fake);
+    let dead = nobody();
+    let same = write("show.ini", FILE);
+    let more = write(
+        "show-more.ini",
+        &FILE.replace("84", "85").replace("milano-1", "milano-2"),
+    );
+    let (same, more) = (same.display(), more.display());
+    let refused = format!("connect to {dead}: Connection refused (os error 111)");
+    let cases = [
+        (format!("plan {same}"), "version 1: nothing to change\n".into(), "item=plan base=1 differences=0\n".into()),
+        (
+            format!("plan {more}"),
+            "against version 1, 3 differences:\n\
+             EFFECT  NAME      FIELD    FROM  TO\n\
+             change  grants    queue    84    85\n\
+             add     milano-2  gateway  -     -\n\
+             remove  milano-1  gateway  -     -\n".into(),
+            "item=plan base=1 differences=3\n\
+             item=difference effect=change name=grants field=queue from=84 to=85\n\
+             item=difference effect=add name=milano-2 field=gateway from=\"\" to=\"\"\n\
+             item=difference effect=remove name=milano-1 field=gateway from=\"\" to=\"\"\n".into(),
+        ),
+        (
+            "show".into(),
+            "version 1, 1 services, 1 gateways\n\
+             SERVICE  OWNER            CLASS  CONCURRENCY  QUEUE  DEADLINE  BODY   RETRIES  PROBES\n\
+             grants   Ferrovie Alpine  once   42           84     2s        64KiB  10%      2/s\n\
+             GATEWAY\n\
+             milano-1\n".into(),
+            "item=catalogue version=1 services=1 gateways=1\n\
+             item=service service=grants owner=\"Ferrovie Alpine\" class=once concurrency=42 queue=84 deadline=2s body=64KiB retries=10% probes=2/s\n\
+             item=gateway gateway=milano-1\n".into(),
+        ),
+        ("show --ini".into(), FILE.into(), FILE.into()),
+        (
+            "history".into(),
+            "VERSION  ID   AUTHOR  EDITS\n1        a-1  anna    put grants, add gateway milano-1\n".into(),
+            "item=change version=1 id=a-1 author=anna edits=\"put grants, add gateway milano-1\"\n".into(),
+        ),
+        (
+            "hosts".into(),
+            "HOST      DOMAIN  GATEWAY         PHASE    VERSION  AGE-MS\nmilano-1  milano  127.0.0.1:8080  serving  1        40\n".into(),
+            "item=host host=milano-1 domain=milano gateway=127.0.0.1:8080 phase=serving version=1 age-ms=40\n".into(),
+        ),
+        (
+            "upstreams grants".into(),
+            "SERVICE  ID   ADDRESS         DOMAIN  SLOTS  CONNECTIONS  PHASE     INCARNATION\n\
+             grants   g-1  127.0.0.1:9000  milano  6      250          draining  5\n".into(),
+            "item=upstream service=grants id=g-1 address=127.0.0.1:9000 domain=milano slots=6 connections=250 phase=draining incarnation=5\n".into(),
+        ),
+        ("upstreams none".into(), "SERVICE  ID  ADDRESS  DOMAIN  SLOTS  CONNECTIONS  PHASE  INCARNATION\n".into(), String::new()),
+        (
+            "explain grants".into(),
+            "grants: version 1, fenced no, 0 queued, 2 in flight\n\
+             INSTANCE  HEALTH  IN-FLIGHT  LATENCY-US  AGE-MS  CHOSEN-MILLIS  REASON\n\
+             g-1       slow    2          1500        12      250            least load\n".into(),
+            "item=gateway service=grants version=1 fenced=no queued=0 in-flight=2\n\
+             item=candidate instance=g-1 health=slow in-flight=2 latency-us=1500 age-ms=12 chosen-millis=250 reason=\"least load\"\n".into(),
+        ),
+        (
+            "drain".into(),
+            format!("{gateway} stops; 3 calls in flight finish first\n"),
+            format!("item=drain gateway={gateway} in-flight=3\n"),
+        ),
+        (
+            format!("replica list --control {control},{dead}"),
+            String::new(),
+            format!(
+                "item=status asked={control} id=7 role=leader term=3 leader=7 commit=11 applied=11 version=1 keys=4 error=\"\"\n\
+                 item=status asked={dead} id=\"\" role=\"\" term=\"\" leader=\"\" commit=\"\" applied=\"\" version=\"\" keys=\"\" error=\"{refused}\"\n\
+                 item=replica id=7 address=127.0.0.1:7000 domain=milano region=north-west voter=yes\n"
+            ),
+        ),
+    ];
+    for (line, people, plain) in cases {
+        let mut line = format!("{line} --directory {directory} --gateway {gateway}");
+        if !line.contains("--control") {
+            line = format!("{line} --control {control}");
+        }
+        let ended = rwrctl(&format!("{line} --plain")).await;
+        assert_eq!(
+            (ended.exit, ended.out.as_str()),
+            (Exit::Done, plain.as_str()),
+            "{line}: {}",
+            ended.err
+        );
+        let ended = rwrctl(&line).await;
+        assert_eq!(ended.exit, Exit::Done, "{line}: {}", ended.err);
+        assert!(
+            people.is_empty() || ended.out == people,
+            "{line}:\n{}",
+            ended.out
+        );
+    }
+}
+
+#[tokio::test]
+async fn test_commands_replica_changes() {
+    use membership_reply::Kind;
+    let fake = filled();
+    let control = listen!(ControlApi, fake);
+    let add = "replica add --id 9 --address 127.0.0.1:7009 --domain torino --region north-west";
+    let refused = Kind::Refused(MembershipRefused {
+        reason: "one change at a time".into(),
+    });
+    let cases = [
+        (
+            add,
+            Some(Kind::Done(MembershipDone {})),
+            Exit::Done,
+            "done: the group has changed\n",
+        ),
+        (
+            add,
+            Some(Kind::Pending(MembershipPending { behind: 40 })),
+            Exit::Unfinished,
+            "still learns, 40 entries behind",
+        ),
+        (
+            "replica remove --id 7",
+            Some(refused),
+            Exit::Invalid,
+            "refused: one change at a time",
+        ),
+        (
+            "replica remove --id 7",
+            None,
+            Exit::Failure,
+            "the answer has no content",
+        ),
+        (
+            "replica add --id 9",
+            None,
+            Exit::Usage,
+            "--address ADDRESS is missing",
+        ),
+        (
+            "replica remove --id nine",
+            None,
+            Exit::Usage,
+            "--id \"nine\" has the wrong form",
+        ),
+        (
+            "replica move",
+            None,
+            Exit::Usage,
+            "\"replica move\" is no command",
+        ),
+    ];
+    for (line, kind, exit, text) in cases {
+        fake.world().membership.kind = kind;
+        let ended = rwrctl(&format!("{line} --control {control}")).await;
+        assert_eq!(ended.exit, exit, "{line}: {}", ended.err);
+        assert!(
+            format!("{}{}", ended.out, ended.err).contains(text),
+            "{line}: {}",
+            ended.err
+        );
+    }
+}
+
+#[tokio::test]
+async fn test_commands_usage() {
+    let settings = write(
+        "client.ini",
+        "[rwrctl]\ncontrol = here\ntimeout = 5\ncolour = red\n",
+    );
+    let settings = settings.display();
+    let cases = [
+        ("--help".into(), Exit::Done, "Usage: rwrctl"),
+        ("show -h".into(), Exit::Done, "Usage: rwrctl"),
+        ("-V".into(), Exit::Done, "rwrctl 0.1.0\n"),
+        (String::new(), Exit::Usage, "no command given"),
+        ("shew".into(), Exit::Usage, "\"shew\" is no command"),
+        ("show --colour".into(), Exit::Usage, "--colour is no option"),
+        ("show -x".into(), Exit::Usage, "-x is no option"),
+        (
+            "show --id 3 --control 127.0.0.1:1".into(),
+            Exit::Usage,
+            "--id is no option of show",
+        ),
+        (
+            "show a b --control 127.0.0.1:1".into(),
+            Exit::Usage,
+            "\"b\" is one word too many",
+        ),
+        (
+            "show --plain --plain".into(),
+            Exit::Usage,
+            "--plain stands twice",
+        ),
+        ("show --control".into(), Exit::Usage, "missing argument"),
+        (
+            "show --control localhost:1".into(),
+            Exit::Usage,
+            "--control \"localhost:1\" has the wrong form",
+        ),
+        ("show".into(), Exit::Usage, "--control ADDRESS is missing"),
+        (
+            "hosts".into(),
+            Exit::Usage,
+            "--directory ADDRESS is missing",
+        ),
+        ("drain".into(), Exit::Usage, "--gateway ADDRESS is missing"),
+        ("explain".into(), Exit::Usage, "SERVICE is missing"),
+        (
+            "apply x.ini --wait --control 127.0.0.1:1".into(),
+            Exit::Usage,
+            "--directory ADDRESS is missing",
+        ),
+        (
+            format!("show --config {settings}"),
+            Exit::Usage,
+            "[rwrctl] control: \"here\" has the wrong form",
+        ),
+        (
+            format!("show --config {settings}"),
+            Exit::Usage,
+            "[rwrctl] timeout: \"5\" has the wrong form",
+        ),
+        (
+            format!("show --config {settings}"),
+            Exit::Usage,
+            "[rwrctl] colour: is no known key",
+        ),
+        (
+            format!("show --config {settings}.absent"),
+            Exit::Usage,
+            "No such file",
+        ),
+    ];
+    for (line, exit, text) in cases {
+        let ended = rwrctl(&line).await;
+        assert_eq!(ended.exit, exit, "{line}: {}", ended.err);
+        assert!(
+            format!("{}{}", ended.out, ended.err).contains(text),
+            "{line}: {}",
+            ended.err
+        );
+        assert_eq!(
+            ended.err.contains("hint: "),
+            exit != Exit::Done,
+            "{line}: {}",
+            ended.err
+        );
+    }
+}
+
+#[tokio::test]
+async fn test_commands_settings_file() {
+    let fake = filled();
+    let control = listen!(ControlApi, fake);
+    let text = format!("[rwrctl]\ncontrol = {control}\nauthor = bruno\ntimeout = 2s\n");
+    let settings = write("good-client.ini", &text);
+    let ended = rwrctl(&format!("show grants --config {}", settings.display())).await;
+    assert_eq!(ended.exit, Exit::Done, "{}", ended.err);
+    let ended = rwrctl(&format!("show none --config {}", settings.display())).await;
+    assert_eq!(ended.exit, Exit::Failure);
+    assert_eq!(ended.err, "rwrctl: there is no service none\n");
+    let edited = write("settings.ini", &FILE.replace("84", "86"));
+    let line = format!("apply {} --config {}", edited.display(), settings.display());
+    assert_eq!(rwrctl(&line).await.exit, Exit::Done);
+    assert_eq!(fake.world().changes[0].author, "bruno");
+    fake.world().state.apply(&Change {
+        id: "later".into(),
+        base: 2,
+        author: "anna".into(),
+        edits: vec![Edit {
+            kind: Some(Kind::AddGateway("torino-1".into())),
+        }],
+    });
+    let line = format!(
+        "history --from 3 --most 5 --plain --config {}",
+        settings.display()
+    );
+    let expect = "item=change version=3 id=later author=anna edits=\"add gateway torino-1\"\n";
+    assert_eq!(rwrctl(&line).await.out, expect);
+}
