--- a/crates/ledger/src/bounds.rs
+++ b/crates/ledger/src/bounds.rs
@@ -7,7 +7,7 @@
     pub records: usize,
     /// Records of one service, so that none fills the ledger for the others.
     pub service: usize,
-    /// Bytes of all answers kept; beyond them answers are omitted.
+    /// Bytes of all answers kept, encoded; beyond them bodies are omitted.
     pub answers: usize,
     /// Bytes of one answer's body; a longer one is omitted.
     pub body: usize,
@@ -36,7 +36,7 @@
             records: 262_144,
             service: 131_072,
             answers: 32 * 1024 * 1024,
-            body: 16 * 1024,
+            body: 64 * 1024,
             window_ms: 15 * 60 * 1_000,
             early_ms: 60 * 1_000,
             hold_ms: 10 * 60 * 1_000,
--- a/crates/ledger/src/key.rs
+++ b/crates/ledger/src/key.rs
@@ -1,8 +1,8 @@
 //! What a record is kept under, and when its key was minted.
 
-use base::prelude::CallerName;
-use base::prelude::RequestKey;
-use base::prelude::ServiceName;
+use std::sync::Arc;
+
+use base::name;
 use uuid::Uuid;
 use uuid::Variant;
 
@@ -11,26 +11,46 @@
 /// Bits of such a UUID that follow its time in milliseconds.
 const BITS_AFTER_TIME: u32 = 80;
 
-/// One caller's idempotency key at one service.
+/// Stands between the parts of a key; no name has it, and it sorts before all that a name has.
+const SEPARATOR: char = ' ';
+
+/// One caller's idempotency key at one service; two callers never share a record.
+///
+/// The three names are one text, as a ledger keeps very many keys. They sort
+/// as the names would one by one.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Key {
-    /// The service that the request is for.
-    pub service: ServiceName,
-    /// Who sends it; two callers never share a record.
-    pub caller: CallerName,
-    /// The key that the caller chose.
-    pub request: RequestKey,
-}
+pub struct Key(Arc<str>);
 
 impl Key {
     /// Takes the three names; `None` when one is no name.
     #[must_use]
     pub fn read(service: &str, caller: &str, request: &str) -> Option<Self> {
-        Some(Self {
-            service: ServiceName::new(service).ok()?,
-            caller: CallerName::new(caller).ok()?,
-            request: RequestKey::new(request).ok()?,
-        })
+        for part in [service, caller, request] {
+            name::check(part).ok()?;
+        }
+        Some(Self([service, caller, request].join(" ").into()))
+    }
+
+    /// The service that the request is for.
+    #[must_use]
+    pub fn service(&self) -> &str {
+        self.part(0)
+    }
+
+    /// Who sends it.
+    #[must_use]
+    pub fn caller(&self) -> &str {
+        self.part(1)
+    }
+
+    /// The key that the caller chose.
+    #[must_use]
+    pub fn request(&self) -> &str {
+        self.part(2)
+    }
+
+    fn part(&self, index: usize) -> &str {
+        self.0.split(SEPARATOR).nth(index).unwrap_or_default()
     }
 
     /// When the key was minted, in milliseconds since the Unix epoch.
@@ -39,7 +59,7 @@
     /// can't come with another time.
     #[must_use]
     pub fn minted_ms(&self) -> Option<u64> {
-        let id = Uuid::try_parse(self.request.as_str()).ok()?;
+        let id = Uuid::try_parse(self.request()).ok()?;
         if id.get_version_num() != TIMED_VERSION || id.get_variant() != Variant::RFC4122 {
             return None;
         }
--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -2,9 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
-use base::prelude::ServiceName;
 use wire::ledger::Answer;
 use wire::ledger::Claim;
 use wire::ledger::ClaimReply;
@@ -27,10 +25,9 @@
 use crate::bounds::MAX_CLAIM_ID;
 use crate::bounds::MAX_RETRY_MS;
 use crate::key::Key;
+use crate::record::KeptAnswer;
 use crate::record::Record;
 use crate::record::Standing;
-use crate::record::kept;
-use crate::record::weight;
 
 /// What a command got.
 #[derive(Clone, Debug, PartialEq)]
@@ -62,9 +59,9 @@
 pub struct Ledger {
     pub(crate) bounds: Bounds,
     pub(crate) now_ms: u64,
-    pub(crate) records: BTreeMap<Arc<Key>, Record>,
-    timers: BTreeSet<(u64, Arc<Key>)>,
-    services: BTreeMap<ServiceName, usize>,
+    pub(crate) records: BTreeMap<Key, Record>,
+    timers: BTreeSet<(u64, Key)>,
+    services: BTreeMap<Box<str>, usize>,
     counts: Counts,
 }
 
@@ -130,7 +127,7 @@
         }
     }
 
-    fn fall_due(&mut self, key: &Arc<Key>) {
+    fn fall_due(&mut self, key: &Key) {
         let Some(mut record) = self.take(key) else {
             return;
         };
@@ -139,7 +136,7 @@
         }
         record.standing = Standing::Unknown;
         record.due_ms = self.end_ms(key);
-        self.put(Arc::clone(key), record);
+        self.put(key.clone(), record);
     }
 
     fn claim(&mut self, claim: &Claim) -> Kind {
@@ -165,11 +162,11 @@
                 retry_ms: self.retry_ms(record.due_ms),
             }),
             Standing::Done(answer) => Kind::Done(Done {
-                answer: Some(Answer::clone(answer)),
+                answer: Some(answer.answer()),
             }),
             Standing::Unknown => Kind::Unknown(Unknown {}),
             Standing::NotRun if same => refused(Refusal::Spent),
-            Standing::NotRun => self.grant(Arc::new(key), claim),
+            Standing::NotRun => self.grant(key, claim),
         }
     }
 
@@ -185,16 +182,16 @@
     }
 
     fn first_claim(&mut self, key: Key, claim: &Claim) -> Kind {
-        if self.is_full(&key.service) {
+        if self.is_full(key.service()) {
             let due = self.next_due_ms().unwrap_or(self.now_ms);
             return Kind::Full(Full {
                 retry_ms: self.retry_ms(due),
             });
         }
-        self.grant(Arc::new(key), claim)
+        self.grant(key, claim)
     }
 
-    fn grant(&mut self, key: Arc<Key>, claim: &Claim) -> Kind {
+    fn grant(&mut self, key: Key, claim: &Claim) -> Kind {
         self.take(&key);
         let hold_ms = u64::from(claim.hold_ms).clamp(1, self.bounds.hold_ms);
         let record = Record {
@@ -222,7 +219,7 @@
             return false;
         }
         match &record.standing {
-            Standing::InFlight => self.close(Arc::new(key), settled, settle.answer.as_ref()),
+            Standing::InFlight => self.close(key, settled, settle.answer.as_ref()),
             // A resent settlement finds its own result.
             Standing::Done(_) => return settled == Settled::Done,
             Standing::NotRun => return settled == Settled::NotRun,
@@ -234,7 +231,7 @@
     /// Notes a claim that its gateway gave up before the log had it, so that
     /// it is not granted to nobody when it comes.
     fn settle_before_claim(&mut self, key: Key, settle: &Settle) -> bool {
-        if self.refusal(&key).is_some() || self.is_full(&key.service) {
+        if self.refusal(&key).is_some() || self.is_full(key.service()) {
             return false;
         }
         let record = Record {
@@ -243,11 +240,11 @@
             claim: settle.claim_id.as_ref().into(),
             due_ms: self.end_ms(&key),
         };
-        self.put(Arc::new(key), record);
+        self.put(key, record);
         true
     }
 
-    fn close(&mut self, key: Arc<Key>, settled: Settled, answer: Option<&Answer>) {
+    fn close(&mut self, key: Key, settled: Settled, answer: Option<&Answer>) {
         let Some(mut record) = self.take(&key) else {
             return;
         };
@@ -255,7 +252,7 @@
         record.standing = match settled {
             Settled::Done => {
                 let room = self.bounds.answers.saturating_sub(self.counts.answers);
-                Standing::Done(Box::new(kept(answer, &self.bounds, room)))
+                Standing::Done(KeptAnswer::within(&self.bounds, answer, room))
             }
             Settled::NotRun => Standing::NotRun,
             Settled::Unknown | Settled::Unspecified => Standing::Unknown,
@@ -278,38 +275,39 @@
         u32::try_from(left).unwrap_or(u32::MAX)
     }
 
-    fn is_full(&self, service: &ServiceName) -> bool {
+    fn is_full(&self, service: &str) -> bool {
         let taken = self.services.get(service).copied().unwrap_or(0);
         self.records.len() >= self.bounds.records || taken >= self.bounds.service
     }
 
-    pub(crate) fn put(&mut self, key: Arc<Key>, record: Record) {
-        self.count(&key.service, &record, true);
-        self.timers.insert((record.due_ms, Arc::clone(&key)));
+    pub(crate) fn put(&mut self, key: Key, record: Record) {
+        self.count(key.service(), &record, true);
+        self.timers.insert((record.due_ms, key.clone()));
         self.records.insert(key, record);
         self.counts.records = self.records.len();
     }
 
-    fn take(&mut self, key: &Arc<Key>) -> Option<Record> {
+    fn take(&mut self, key: &Key) -> Option<Record> {
         let record = self.records.remove(key)?;
-        self.timers.remove(&(record.due_ms, Arc::clone(key)));
-        self.count(&key.service, &record, false);
+        self.timers.remove(&(record.due_ms, key.clone()));
+        self.count(key.service(), &record, false);
         self.counts.records = self.records.len();
         Some(record)
     }
 
-    fn count(&mut self, service: &ServiceName, record: &Record, comes: bool) {
+    fn count(&mut self, service: &str, record: &Record, comes: bool) {
         let step = |count: &mut usize, by: usize| {
             *count = if comes { *count + by } else { *count - by };
         };
-        let taken = self.services.entry(service.clone()).or_default();
-        step(taken, 1);
-        if *taken == 0 {
-            self.services.remove(service);
+        let taken = self.services.get_mut(service);
+        match taken {
+            None => drop(self.services.insert(service.into(), 1)),
+            Some(1) if !comes => drop(self.services.remove(service)),
+            Some(taken) => step(taken, 1),
         }
         match &record.standing {
             Standing::InFlight => step(&mut self.counts.in_flight, 1),
-            Standing::Done(answer) => step(&mut self.counts.answers, weight(answer)),
+            Standing::Done(answer) => step(&mut self.counts.answers, answer.weight()),
             Standing::NotRun | Standing::Unknown => {}
         }
     }
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -1,6 +1,6 @@
 //! One key's record.
 
-use bytes::Bytes;
+use prost::Message;
 use strum::Display;
 use strum::IntoStaticStr;
 use wire::ledger::Answer;
@@ -15,7 +15,7 @@
     /// One claim is granted and not settled.
     InFlight,
     /// It ran; the answer is kept unless it was too long.
-    Done(Box<Answer>),
+    Done(KeptAnswer),
     /// It was certainly not run, and may be claimed again.
     NotRun,
     /// It may have run; it is never granted again.
@@ -38,36 +38,54 @@
     pub due_ms: u64,
 }
 
-/// Bytes that `answer` takes of the ledger's bound.
-pub(crate) fn weight(answer: &Answer) -> usize {
-    answer.body.len() + answer.content_type.len()
-}
+/// An answer in its encoded form, as a ledger keeps very many.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeptAnswer(Box<[u8]>);
 
-/// The answer as it is kept: whole and true to its digest, or without its body.
-pub(crate) fn kept(answer: Option<&Answer>, bounds: &Bounds, room: usize) -> Answer {
-    let Some(answer) = answer else {
-        return Answer {
-            omitted: true,
-            ..Answer::default()
+impl KeptAnswer {
+    /// Takes `answer` as it is.
+    #[must_use]
+    pub fn new(answer: &Answer) -> Self {
+        Self(answer.encode_to_vec().into())
+    }
+
+    /// Takes `answer` whole where it is within `bounds` and true to its
+    /// digest, else without its body.
+    #[must_use]
+    pub fn within(bounds: &Bounds, answer: Option<&Answer>, room: usize) -> Self {
+        let Some(answer) = answer else {
+            return Self::new(&Answer {
+                omitted: true,
+                ..Answer::default()
+            });
         };
-    };
-    let whole = !answer.omitted
-        && answer.body.len() <= bounds.body
-        && answer.content_type.len() <= MAX_CONTENT_TYPE
-        && weight(answer) <= room
-        && digest(&answer.body) == answer.digest;
-    if !whole {
-        return Answer {
+        let whole = !answer.omitted
+            && answer.body.len() <= bounds.body
+            && answer.content_type.len() <= MAX_CONTENT_TYPE
+            && answer.encoded_len() <= room
+            && digest(&answer.body) == answer.digest;
+        if whole {
+            return Self::new(answer);
+        }
+        Self::new(&Answer {
             status: answer.status,
             digest: answer.digest,
             omitted: true,
             ..Answer::default()
-        };
+        })
+    }
+
+    /// The answer.
+    #[must_use]
+    pub fn answer(&self) -> Answer {
+        // Only an encoded answer is ever kept, so it can be decoded.
+        Answer::decode(&*self.0).unwrap_or_default()
     }
-    Answer {
-        // A copy of its own: the message's buffer would be kept alive otherwise.
-        body: Bytes::copy_from_slice(&answer.body),
-        ..answer.clone()
+
+    /// Bytes that it takes of the ledger's bound.
+    #[must_use]
+    pub fn weight(&self) -> usize {
+        self.0.len()
     }
 }
 
--- a/crates/ledger/src/snapshot.rs
+++ b/crates/ledger/src/snapshot.rs
@@ -1,15 +1,13 @@
 //! The ledger as one message, and back.
 
-use std::sync::Arc;
-
 use quick_error::quick_error;
-use wire::ledger::Answer;
 use wire::ledger::Snapshot;
 use wire::ledger::Standing as WireStanding;
 
 use crate::bounds::Bounds;
 use crate::key::Key;
 use crate::machine::Ledger;
+use crate::record::KeptAnswer;
 use crate::record::Record;
 use crate::record::Standing;
 
@@ -60,7 +58,7 @@
             if ledger.records.contains_key(&key) {
                 return Err(RestoreError::Twice(index));
             }
-            ledger.put(Arc::new(key), from_wire(index, record)?);
+            ledger.put(key, from_wire(index, record)?);
         }
         Ok(ledger)
     }
@@ -69,14 +67,14 @@
 fn to_wire(key: &Key, record: &Record) -> wire::ledger::Record {
     let (standing, answer) = match &record.standing {
         Standing::InFlight => (WireStanding::InFlight, None),
-        Standing::Done(answer) => (WireStanding::Done, Some(Answer::clone(answer))),
+        Standing::Done(answer) => (WireStanding::Done, Some(answer.answer())),
         Standing::NotRun => (WireStanding::NotRun, None),
         Standing::Unknown => (WireStanding::Unknown, None),
     };
     wire::ledger::Record {
-        service: key.service.to_string(),
-        caller: key.caller.to_string(),
-        key: key.request.to_string(),
+        service: key.service().into(),
+        caller: key.caller().into(),
+        key: key.request().into(),
         digest: record.digest,
         standing: standing.into(),
         claim_id: record.claim.to_vec().into(),
@@ -89,7 +87,9 @@
     let standing = match record.standing() {
         WireStanding::Unspecified => return Err(RestoreError::Standing(index)),
         WireStanding::InFlight => Standing::InFlight,
-        WireStanding::Done => Standing::Done(Box::new(record.answer.clone().unwrap_or_default())),
+        WireStanding::Done => {
+            Standing::Done(KeptAnswer::new(&record.answer.clone().unwrap_or_default()))
+        }
         WireStanding::NotRun => Standing::NotRun,
         WireStanding::Unknown => Standing::Unknown,
     };
