directory: announce, answer, poll, follow and exchange

The thin path through the directory, all of it real: upstreams announce over HTTP, callers ask which entry hosts to use, gateways poll by tarpc, and the directory follows the control replicas.

Membership (crate members) is a partition a home: the directory that hears an instance or a gateway keeps its lease and publishes what changes; a heartbeat that says nothing new travels no further. Others keep copies and count them only while the home was heard of within 3 s. Ages are taken from answers only, counted from when the request was sent, so no clock is compared with another and no delay makes an age younger.

A confirmation from before the process's start is not taken: a version accepted between it and the start may have been in force here before the restart.

Exchange is reshaped for this: digests first, one byte of age a home where they agree, points and deltas where they don't.

Placement (crate place) is rendezvous hashing with bounded load in each failure domain; its widths are defaults that are still to be measured.

Seen: announce to route over two directories and a fake control replica.

--- /dev/null
+++ b/crates/directory/src/settings.rs
@@ -0,0 +1,288 @@
+//! The daemon's settings, typed and checked.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use base::prelude::*;
+use conf::ConfError;
+use conf::Problem;
+use conf::Reader;
+use conf::value::log_level::Level;
+use members::Limits;
+use place::Spread;
+
+const DIRECTORY: &str = "directory";
+const CONTROL: &str = "control";
+const LEASES: &str = "leases";
+const ANSWERS: &str = "answers";
+const LOG: &str = "log";
+const METRICS: &str = "metrics";
+
+/// Leases and what depends on them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Leases {
+    /// Lease of an instance or a host.
+    pub lease: Duration,
+    /// Time between two announcements of an instance.
+    pub refresh: Duration,
+    /// How long another directory counts after it was last heard of.
+    pub home: Duration,
+    /// How long a confirmation of the catalogue counts.
+    pub confirmation: Duration,
+    /// Time between two exchanges with another directory.
+    pub exchange: Duration,
+    /// Most records whose leases this directory keeps.
+    pub records: u32,
+}
+
+impl Default for Leases {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_millis(1500),
+            refresh: Duration::from_millis(500),
+            home: Duration::from_secs(3),
+            confirmation: Duration::from_secs(3),
+            exchange: Duration::from_millis(250),
+            records: 8192,
+        }
+    }
+}
+
+/// What callers are told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answers {
+    /// How long a caller may keep an answer.
+    pub keep: Duration,
+    /// How services are spread over the entry hosts.
+    pub spread: Spread,
+}
+
+impl Default for Answers {
+    fn default() -> Self {
+        Self {
+            keep: Duration::from_secs(5),
+            spread: Spread::default(),
+        }
+    }
+}
+
+/// All settings of one directory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Its host.
+    pub host: HostName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Where upstreams and callers reach it.
+    pub http: SocketAddr,
+    /// Where gateways, directories and operators reach it.
+    pub rpc: SocketAddr,
+    /// Other directories' `rpc` addresses.
+    pub peers: Vec<SocketAddr>,
+    /// The control replicas, nearest first.
+    pub control: Vec<SocketAddr>,
+    /// Leases.
+    pub leases: Leases,
+    /// Answers to callers.
+    pub answers: Answers,
+    /// How long a stop waits for what is in flight.
+    pub stop: Duration,
+    /// Least level that is logged.
+    pub level: Level,
+    /// Where metrics go.
+    pub metrics: Option<SocketAddr>,
+}
+
+impl Settings {
+    /// Settings of a directory on loopback with free ports, the rest as by default.
+    #[must_use]
+    pub fn local(host: HostName, domain: DomainName) -> Self {
+        let free = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            host,
+            domain,
+            http: free,
+            rpc: free,
+            peers: Vec::new(),
+            control: Vec::new(),
+            leases: Leases::default(),
+            answers: Answers::default(),
+            stop: Duration::from_secs(5),
+            level: Level::default(),
+            metrics: None,
+        }
+    }
+
+    /// Reads the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every fault of the file.
+    pub fn open(path: &Path) -> Result<Self, ConfError> {
+        Self::read(Reader::open(path)?)
+    }
+
+    /// Reads all keys of `reader`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every fault noted.
+    pub fn read(mut reader: Reader) -> Result<Self, ConfError> {
+        let r = &mut reader;
+        let host = r.required(DIRECTORY, "host");
+        let domain = r.required(DIRECTORY, "domain");
+        let http = r.required(DIRECTORY, "http");
+        let rpc = r.required(DIRECTORY, "rpc");
+        let peers = r.list(DIRECTORY, "peers");
+        let stop = r.or(DIRECTORY, "stop", Duration::from_secs(5));
+        let control = read_control(r);
+        let leases = read_leases(r);
+        let answers = read_answers(r);
+        let level = r.or(LOG, "level", Level::default());
+        let metrics = r.optional(METRICS, "sink");
+        let parts = host.zip(domain).zip(http.zip(rpc));
+        reader.finish()?;
+        let Some(((host, domain), (http, rpc))) = parts else {
+            unreachable!("a required key that is missing is a fault of its own")
+        };
+        Ok(Self {
+            host,
+            domain,
+            http,
+            rpc,
+            peers,
+            control,
+            leases,
+            answers,
+            stop,
+            level,
+            metrics,
+        })
+    }
+
+    /// The bounds of the membership.
+    #[must_use]
+    pub fn limits(&self) -> Limits {
+        Limits {
+            lease: self.leases.lease,
+            home_lease: self.leases.home,
+            records: usize::try_from(self.leases.records).unwrap_or(usize::MAX),
+            ..Limits::default()
+        }
+    }
+}
+
+fn read_control(r: &mut Reader) -> Vec<SocketAddr> {
+    let replicas: Vec<SocketAddr> = r.list(CONTROL, "replicas");
+    if replicas.is_empty() {
+        let form = "IP:port of each control replica, apart by commas";
+        r.fault(CONTROL, "replicas", Problem::Missing, form);
+    }
+    replicas
+}
+
+fn read_leases(r: &mut Reader) -> Leases {
+    let default = Leases::default();
+    let leases = Leases {
+        lease: r.or(LEASES, "lease", default.lease),
+        refresh: r.or(LEASES, "refresh", default.refresh),
+        home: r.or(LEASES, "home", default.home),
+        confirmation: r.or(LEASES, "confirmation", default.confirmation),
+        exchange: r.or(LEASES, "exchange", default.exchange),
+        records: r.or(LEASES, "records", default.records),
+    };
+    if leases.refresh.is_zero() || leases.refresh * 2 > leases.lease {
+        let form = "at most half of the lease, so that one may be lost";
+        r.fault(LEASES, "refresh", Problem::Contradicts("lease"), form);
+    }
+    if leases.exchange.is_zero() || leases.exchange * 4 > leases.home {
+        let form = "at most a quarter of home";
+        r.fault(LEASES, "exchange", Problem::Contradicts("home"), form);
+    }
+    if leases.home > gossip_most() {
+        let form = "at most 5s, the longest age that directories tell each other";
+        r.fault(LEASES, "home", Problem::Form(text(leases.home)), form);
+    }
+    if leases.confirmation < Duration::from_secs(1) {
+        let form = "at least 1s, twice the longest poll";
+        r.fault(
+            LEASES,
+            "confirmation",
+            Problem::Form(text(leases.confirmation)),
+            form,
+        );
+    }
+    leases
+}
+
+fn gossip_most() -> Duration {
+    members::gossip::AGE_STEP * u32::from(members::gossip::AGE_UNKNOWN - 1)
+}
+
+fn read_answers(r: &mut Reader) -> Answers {
+    let default = Answers::default();
+    let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+    let least = r.or(ANSWERS, "gateways", count(default.spread.least));
+    let slack = conf::value::Percent(default.spread.slack);
+    let answers = Answers {
+        keep: r.or(ANSWERS, "keep", default.keep),
+        spread: Spread {
+            least: usize::try_from(least).unwrap_or(usize::MAX),
+            slots: r.or(ANSWERS, "slots", default.spread.slots),
+            slack: r.or(ANSWERS, "slack", slack).0,
+        },
+    };
+    if least == 0 {
+        let form = "whole number from 1";
+        r.fault(ANSWERS, "gateways", Problem::Form("0".into()), form);
+    }
+    if answers.spread.slots == 0 {
+        let form = "whole number from 1";
+        r.fault(ANSWERS, "slots", Problem::Form("0".into()), form);
+    }
+    answers
+}
+
+impl fmt::Display for Settings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "[{DIRECTORY}]")?;
+        writeln!(f, "host = {}", self.host)?;
+        writeln!(f, "domain = {}", self.domain)?;
+        writeln!(f, "http = {}", self.http)?;
+        writeln!(f, "rpc = {}", self.rpc)?;
+        writeln!(f, "peers = {}", join(&self.peers))?;
+        writeln!(f, "stop = {}", text(self.stop))?;
+        writeln!(f, "\n[{CONTROL}]")?;
+        writeln!(f, "replicas = {}", join(&self.control))?;
+        writeln!(f, "\n[{LEASES}]")?;
+        writeln!(f, "lease = {}", text(self.leases.lease))?;
+        writeln!(f, "refresh = {}", text(self.leases.refresh))?;
+        writeln!(f, "home = {}", text(self.leases.home))?;
+        writeln!(f, "confirmation = {}", text(self.leases.confirmation))?;
+        writeln!(f, "exchange = {}", text(self.leases.exchange))?;
+        writeln!(f, "records = {}", self.leases.records)?;
+        writeln!(f, "\n[{ANSWERS}]")?;
+        writeln!(f, "keep = {}", text(self.answers.keep))?;
+        writeln!(f, "gateways = {}", self.answers.spread.least)?;
+        writeln!(f, "slots = {}", self.answers.spread.slots)?;
+        writeln!(f, "slack = {}%", self.answers.spread.slack)?;
+        writeln!(f, "\n[{LOG}]")?;
+        writeln!(f, "level = {}", self.level)?;
+        if let Some(sink) = self.metrics {
+            writeln!(f, "\n[{METRICS}]")?;
+            writeln!(f, "sink = {sink}")?;
+        }
+        Ok(())
+    }
+}
+
+fn join(addresses: &[SocketAddr]) -> String {
+    let texts: Vec<String> = addresses.iter().map(ToString::to_string).collect();
+    texts.join(", ")
+}
+
+fn text(span: Duration) -> String {
+    format!("{}ms", span.as_millis())
+}
--- /dev/null
+++ b/crates/directory/tests/tests.rs
@@ -0,0 +1,4 @@
+//! All tests of the directory, as one binary that shares its fakes.
+
+mod common;
+mod test_path;
