--- a/crates/directory/src/convert.rs
+++ b/crates/directory/src/convert.rs
@@ -15,6 +15,9 @@
 use members::homes::Vouch;
 use wire::directory as w;
 
+/// On the wire: no age is known.
+const UNKNOWN_AGE: u32 = u32::MAX;
+
 /// Milliseconds, rounded up, so that an age is never made younger.
 #[must_use]
 pub fn millis(span: Duration) -> u32 {
@@ -260,7 +263,7 @@
         address: v.place.address.to_string(),
         epoch: v.epoch,
         cursor: v.cursor,
-        age_ms: millis(v.age),
+        age_ms: v.age.map_or(UNKNOWN_AGE, millis),
     }
 }
 
@@ -272,6 +275,6 @@
         place: place(&v.domain, &v.address)?,
         epoch: v.epoch,
         cursor: v.cursor,
-        age: span(v.age_ms),
+        age: (v.age_ms != UNKNOWN_AGE).then(|| span(v.age_ms)),
     })
 }
--- a/crates/members/src/gossip.rs
+++ b/crates/members/src/gossip.rs
@@ -9,6 +9,7 @@
 use base::prelude::*;
 use xxhash_rust::xxh3::Xxh3;
 
+use crate::homes::Home;
 use crate::homes::Homes;
 use crate::homes::Vouch;
 
@@ -49,23 +50,24 @@
     (byte != AGE_UNKNOWN).then(|| AGE_STEP * u32::from(byte))
 }
 
-/// Each home's point and age in full; homes never vouched for are left out.
+/// Each home's point and age in full.
+///
+/// A home that was never vouched for is told too: it may be the listener itself,
+/// which must learn of a later point of its own.
 #[must_use]
 pub fn vouches(homes: &Homes, me: &HostName, now: Moment) -> Vec<Vouch> {
-    let mut found = Vec::new();
-    for (name, home) in homes.iter() {
-        let vouched = if name == me { Some(now) } else { home.vouched };
-        let Some(moment) = vouched else { continue };
+    let vouch = |(name, home): (&HostName, &Home)| {
         let (epoch, cursor) = home.partition.point();
-        found.push(Vouch {
+        let vouched = if name == me { Some(now) } else { home.vouched };
+        Vouch {
             home: name.clone(),
             place: home.place.clone(),
             epoch,
             cursor,
-            age: now.since(moment),
-        });
-    }
-    found
+            age: vouched.map(|moment| now.since(moment)),
+        }
+    };
+    homes.iter().map(vouch).collect()
 }
 
 fn steps(age: Duration) -> u8 {
--- a/crates/members/src/homes.rs
+++ b/crates/members/src/homes.rs
@@ -51,8 +51,8 @@
     pub epoch: u64,
     /// Its latest change that the speaker knows.
     pub cursor: u64,
-    /// Time since it was certainly alive.
-    pub age: Duration,
+    /// Time since it was certainly alive, if that is known at all.
+    pub age: Option<Duration>,
 }
 
 /// All known homes by name.
@@ -151,17 +151,12 @@
         records.max_by_key(|record| record.rank())
     }
 
-    /// The best record of `key` if it is alive: it hasn't left, and a home that
-    /// counts keeps a lease of the same incarnation.
+    /// Whether a home that counts keeps a lease of `key` in this incarnation.
     #[must_use]
-    pub fn living(&self, key: &Key) -> Option<&Record> {
-        let best = self.best(key).filter(|record| !record.is_gone())?;
-        let rank = best.rank();
+    pub fn keeps(&self, key: &Key, incarnation: u64) -> bool {
         let counts = self.homes.values().filter(|home| home.alive);
         let mut found = counts.filter_map(|home| home.partition.get(key));
-        found
-            .any(|r| !r.is_gone() && r.rank().incarnation == rank.incarnation)
-            .then_some(best)
+        found.any(|r| !r.is_gone() && r.rank().incarnation == incarnation)
     }
 }
 
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -12,6 +12,7 @@
 //! [`confirm::Standing`] keeps the catalogue version and when a quorum confirmed it.
 
 pub mod confirm;
+pub mod floor;
 pub mod gossip;
 pub mod homes;
 pub mod lease;
--- a/crates/members/src/members.rs
+++ b/crates/members/src/members.rs
@@ -5,6 +5,8 @@
 
 use base::prelude::*;
 
+use crate::floor::Floor;
+use crate::floor::Floors;
 use crate::gossip;
 use crate::homes::Home;
 use crate::homes::Homes;
@@ -18,6 +20,7 @@
 use crate::record::Host;
 use crate::record::Instance;
 use crate::record::Key;
+use crate::record::Rank;
 use crate::record::Record;
 
 /// Spans and bounds.
@@ -68,6 +71,7 @@
     limits: Limits,
     leases: Leases,
     homes: Homes,
+    floors: Floors,
     instances: Partition,
     hosts: Partition,
     swept: Moment,
@@ -90,6 +94,7 @@
             limits,
             leases: Leases::default(),
             homes,
+            floors: Floors::default(),
             instances: Partition::new(epoch),
             hosts: Partition::new(epoch),
             swept: now,
@@ -137,34 +142,49 @@
     fn is_repeated(&self, key: &Key, record: &Record) -> Result<bool, AnnounceError> {
         let rank = record.rank();
         let best = self.homes.best(key);
-        let known = self.leases.rank(key).max(best.map(Record::rank));
-        let Some(known) = known else {
-            return Ok(false);
+        let heard = self.leases.rank(key);
+        let Some(known) = heard.max(best.map(Record::rank)) else {
+            return self.check_floor(key, rank).map(|()| false);
         };
-        if known.gone && known.incarnation == rank.incarnation {
-            let repeated = rank == known;
-            return if repeated {
-                Ok(true)
-            } else {
-                Err(AnnounceError::Left(rank.incarnation))
-            };
+        let left_before = known.gone && rank.gone && known.incarnation == rank.incarnation;
+        let again = heard == Some(rank) && rank == known && self.leases.is_live(key);
+        if left_before || again {
+            return Ok(true);
         }
-        if rank < known {
+        self.check_floor(key, rank)?;
+        let ended = heard == Some(rank);
+        let differs = best.is_some_and(|b| b.rank() == rank && !b.same(record));
+        if rank < known || ended || differs {
             return Err(AnnounceError::Older(known));
         }
-        let differs = best.is_some_and(|b| b.rank() == rank && !b.same(record));
-        let again = self.leases.rank(key) == Some(rank);
-        if differs || (again && !self.leases.is_live(key)) {
+        Ok(false)
+    }
+
+    /// Refuses what the view would not show.
+    fn check_floor(&self, key: &Key, rank: Rank) -> Result<(), AnnounceError> {
+        let Some(floor) = self.floors.get(key) else {
+            return Ok(());
+        };
+        if floor.gone && floor.incarnation == rank.incarnation {
+            return Err(AnnounceError::Left(rank.incarnation));
+        }
+        if rank.incarnation < floor.incarnation {
+            let known = Rank {
+                incarnation: floor.incarnation,
+                gone: floor.gone,
+                sequence: 0,
+            };
             return Err(AnnounceError::Older(known));
         }
-        Ok(again)
+        Ok(())
     }
 
-    /// Whether others must learn of it: the view or this home's part in it would change.
+    /// Whether others must learn of it: the view or this home's record says something else.
+    ///
+    /// Each home tells each change itself, so that the end of another's lease
+    /// uncovers nothing that is out of date.
     fn says_new(&self, key: &Key, record: &Record) -> bool {
-        let own = self.own_record(key);
-        let kept =
-            own.is_some_and(|r| !r.is_gone() && r.rank().incarnation == record.rank().incarnation);
+        let kept = self.own_record(key).is_some_and(|r| r.same(record));
         let seen = self.view(key).is_some_and(|r| r.same(record));
         !(kept && seen)
     }
@@ -194,6 +214,9 @@
         swept.homes = expired.homes;
         let forgotten = self.homes.forget(&self.me, self.limits.memory, now);
         self.refresh_all(&forgotten);
+        let homes = &self.homes;
+        let known = |key: &Key| homes.best(key).is_some();
+        self.floors.forget(self.limits.memory, now, known);
         swept
     }
 
@@ -321,15 +344,14 @@
                 self.outlive(point);
                 continue;
             }
-            if vouch.age >= self.limits.memory / 2 {
-                continue;
-            }
+            let age = vouch.age.filter(|age| *age < self.limits.memory / 2);
+            let Some(age) = age else { continue };
             let place = vouch.place.clone();
             let home = self.homes.learn(&vouch.home, place, self.swept);
             home.place = vouch.place.clone();
             let known = home.partition.point();
             if known.0 == point.0 && known >= point {
-                self.vouch(&vouch.home, sent.before(vouch.age));
+                self.vouch(&vouch.home, sent.before(age));
             }
         }
     }
@@ -376,9 +398,20 @@
         }
     }
 
+    /// The record to show: the best one, unless it fell below the floor, has
+    /// left, or no home that counts keeps its lease.
+    fn living(&mut self, key: &Key) -> Option<Record> {
+        let best = self.homes.best(key)?.clone();
+        let own = Floor::from(best.rank());
+        let floor = self.floors.raise(key, own, self.swept);
+        let shown = own == floor && !floor.gone;
+        let kept = shown && self.homes.keeps(key, floor.incarnation);
+        kept.then_some(best)
+    }
+
     /// Brings the view of `key` in line with the homes.
     fn refresh(&mut self, key: &Key) {
-        let living = self.homes.living(key).cloned();
+        let living = self.living(key);
         let view = match key {
             Key::Instance(..) => &mut self.instances,
             Key::Host(_) => &mut self.hosts,
--- a/crates/members/src/partition.rs
+++ b/crates/members/src/partition.rs
@@ -13,6 +13,8 @@
 /// Removals that are remembered; a copy that missed more gets the whole table.
 pub const MEMORY: usize = 1024;
 
+const EPOCH_MASK: u64 = 0xFFFF;
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Slot {
     record: Record,
@@ -121,8 +123,12 @@
     }
 
     /// Begins a new history after `epoch`, with the same records.
+    ///
+    /// The low bits of the own start go into the new epoch, so that several
+    /// starts with a clock set back don't meet at the same one.
     pub fn restart(&mut self, epoch: u64) {
-        self.epoch = self.epoch.max(epoch).saturating_add(1);
+        let step = 1 + (self.epoch & EPOCH_MASK);
+        self.epoch = self.epoch.max(epoch).saturating_add(step);
         self.floor = self.cursor;
         self.removed.clear();
     }
