--- a/crates/attempt/src/action.rs
+++ b/crates/attempt/src/action.rs
@@ -22,7 +22,8 @@
     Relay {
         /// The attempt.
         number: Number,
-        /// The answer is a failure that no level above may retry.
+        /// It is a failure, which no level above may retry, or took extra attempts,
+        /// which the levels above pay for from their budgets too.
         marked: bool,
     },
     /// Answer the caller at once with a failure.
--- a/crates/attempt/src/budget.rs
+++ b/crates/attempt/src/budget.rs
@@ -1,9 +1,10 @@
 //! The retry budget of one service at one gateway.
 //!
-//! A token bucket: each call earns a share of a token, and a small floor earns on
-//! with time, so that a service with few calls can retry at all. Each attempt
-//! beyond a call's first, hedges included, spends one token. So over any stretch
-//! the extra attempts are at most `share * calls + floor * time + burst`.
+//! A token bucket: each call earns a share of a token, and each attempt beyond a
+//! call's first, hedges included, spends one. So that a service with few calls can
+//! retry at all, time lends a token while there is none, and calls pay that back
+//! before they earn. So over any stretch from the start the extra attempts are at
+//! most `share * calls`, or what the floor lent where calls are too few to repay it.
 
 use std::time::Duration;
 
@@ -16,9 +17,9 @@
 /// How a budget fills.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Share {
-    /// Extra attempts as a share of calls, in percent.
+    /// Extra attempts as a share of calls, in percent; 0 allows none at all.
     pub percent: u32,
-    /// Time after which one token is earned without calls.
+    /// Time after which one token is lent without calls.
     pub floor: Duration,
     /// Most tokens saved.
     pub burst: u64,
@@ -42,16 +43,19 @@
     share: Share,
     // Millionths of a token.
     level: u64,
+    // What the floor lent and calls haven't paid back, in the same unit.
+    owed: u64,
     filled: Moment,
 }
 
 impl Budget {
-    /// A budget with one token.
+    /// A budget without a token, so that restarts earn none.
     #[must_use]
     pub fn new(share: Share, now: Moment) -> Self {
         Self {
             share,
-            level: TOKEN,
+            level: 0,
+            owed: 0,
             filled: now,
         }
     }
@@ -67,22 +71,38 @@
     pub fn earn(&mut self, now: Moment) {
         self.fill(now);
         let earned = TOKEN / 100 * u64::from(self.share.percent);
-        self.level = (self.level + earned).min(self.cap());
+        let paid = earned.min(self.owed);
+        self.owed -= paid;
+        self.level = (self.level + earned - paid).min(self.cap());
     }
 
     /// Takes a token, if there is one.
     pub fn spend(&mut self, now: Moment) -> bool {
         self.fill(now);
-        if self.level < TOKEN {
+        if self.level < TOKEN || self.share.percent == 0 {
             return false;
         }
         self.level -= TOKEN;
         true
     }
 
-    /// How long until the floor alone has earned a token.
+    /// Pays for an attempt that a level below spent on a call of this service.
+    ///
+    /// Without a token it is owed, and calls pay it back before they earn. So the
+    /// extra attempts of all levels together stay within one level's share and burst.
+    pub fn charge(&mut self, now: Moment) {
+        self.fill(now);
+        let paid = self.level.min(TOKEN);
+        self.level -= paid;
+        self.owed = (self.owed + TOKEN - paid).min(self.cap());
+    }
+
+    /// How long until the floor alone has lent a token.
     #[must_use]
     pub fn wait(&self, now: Moment) -> Duration {
+        if self.share.percent == 0 {
+            return Duration::MAX;
+        }
         let mut ahead = self.clone();
         ahead.fill(now);
         let missing = TOKEN.saturating_sub(ahead.level);
@@ -100,12 +120,14 @@
 
     fn fill(&mut self, now: Moment) {
         let floor = self.share.floor.as_nanos().max(1);
-        let earned = now.since(self.filled).as_nanos() * u128::from(TOKEN) / floor;
-        if earned == 0 {
+        let lent = now.since(self.filled).as_nanos() * u128::from(TOKEN) / floor;
+        if lent == 0 {
             return;
         }
-        let earned = u64::try_from(earned).unwrap_or(u64::MAX);
-        self.level = self.level.saturating_add(earned).min(self.cap());
+        let lent = u64::try_from(lent).unwrap_or(u64::MAX);
+        let lent = lent.min(TOKEN.saturating_sub(self.level));
+        self.level += lent;
+        self.owed = (self.owed + lent).min(self.cap());
         self.filled = now;
     }
 }
--- a/crates/attempt/src/event.rs
+++ b/crates/attempt/src/event.rs
@@ -28,7 +28,8 @@
     pub status: u16,
     /// It carries [`base::header::SHED`]: refused before any work.
     pub shed: bool,
-    /// It carries [`base::header::RETRIED`]: retried below, not to be retried here.
+    /// It carries [`base::header::RETRIED`]: extra attempts were spent below, or could
+    /// not be, so that none is spent here.
     pub retried: bool,
     /// The rest of a broken body can be asked for: `GET`, `Accept-Ranges: bytes`, strong `ETag`.
     pub resumable: bool,
--- a/crates/base/src/header.rs
+++ b/crates/base/src/header.rs
@@ -14,7 +14,9 @@
 pub const ATTEMPT: &str = "rwr-attempt";
 /// Depth of nested calls, from 0 at the edge.
 pub const DEPTH: &str = "rwr-depth";
-/// On an answer: the failure was met and retried below, so no level above retries it.
+/// On an answer: extra attempts were spent on it below, or it failed there, so no level above retries it.
+///
+/// An upstream that calls on passes it from the answers it got to its own answer.
 pub const RETRIED: &str = "rwr-retried";
 /// On an answer that is not the upstream's own: `not-run` or `unknown`.
 pub const OUTCOME: &str = "rwr-outcome";
