--- /dev/null
+++ b/crates/route/src/instance.rs
@@ -0,0 +1,69 @@
+//! What the directory says of an instance, and handles to it.
+
+use base::prelude::DomainName;
+use base::prelude::InstanceId;
+use base::prelude::Moment;
+use strum::Display;
+use strum::EnumString;
+use strum::IntoStaticStr;
+
+/// What an instance announced of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Phase {
+    /// Not yet serving; gets no work.
+    Starting,
+    /// Serving.
+    Ready,
+    /// Leaving; gets no new work.
+    Draining,
+    /// Left, or its lease ran out.
+    Gone,
+}
+
+/// One row of the directory's table.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Instance {
+    /// Unique within the service.
+    pub id: InstanceId,
+    /// The failure domain it runs in.
+    pub domain: DomainName,
+    /// Requests that it works on at once, at least 1.
+    pub slots: u32,
+    /// What it announced.
+    pub phase: Phase,
+}
+
+/// A handle to an instance of one chooser, valid until the instance has gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Pick {
+    pub(crate) index: u32,
+    pub(crate) epoch: u32,
+}
+
+/// An attempt in flight, given back to the chooser at its end.
+#[derive(Debug)]
+#[must_use = "an attempt that is never finished counts as in flight for good"]
+pub struct Ticket {
+    pub(crate) pick: Pick,
+    pub(crate) began: Moment,
+}
+
+impl Ticket {
+    /// The instance that the attempt went to.
+    #[must_use]
+    pub fn pick(&self) -> Pick {
+        self.pick
+    }
+
+    /// When the attempt began.
+    #[must_use]
+    pub fn began(&self) -> Moment {
+        self.began
+    }
+
+    /// Uses the ticket up.
+    pub(crate) fn close(self) -> Pick {
+        self.pick
+    }
+}
