gateway: serve callers by way of announced upstreams

The thin path: salvo takes HTTP/1.1 and 2, a directory is followed for the catalogue, the instances and the age of their confirmation, and each call is a task that drives the attempts' machine and relays the answer as it comes. An answer without a length, of another request, or cut short is never passed off as whole. A caller's leaving drops the attempt's connection, except where the machine says that the request must not be cut.

Keyed requests of class once claim before a byte leaves and settle after. Proved so far by tests/test_serve.rs with a fake directory and upstream.

--- /dev/null
+++ b/crates/gateway/src/core.rs
@@ -0,0 +1,104 @@
+//! What all tasks of one gateway share.
+
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+
+use base::prelude::*;
+use cadence::StatsdClient;
+use slog::Logger;
+use tokio::sync::watch;
+
+use crate::body::Memory;
+use crate::claims::Claims;
+use crate::desk::Desks;
+use crate::flying::Flying;
+use crate::lanes::Lanes;
+use crate::settings::Settings;
+use crate::view::View;
+
+/// How far a graceful stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Serves.
+    Serving,
+    /// Serves on, while directories stop naming the host.
+    Stopping,
+    /// Takes no new connection and no new request.
+    Closing,
+}
+
+/// The state of one gateway.
+pub struct Core {
+    /// As they were read.
+    pub settings: Settings,
+    /// Where decisions are logged.
+    pub log: Logger,
+    /// Where counters go.
+    pub metrics: StatsdClient,
+    /// The process's clock.
+    pub clock: Clock,
+    /// The machines of each service.
+    pub desks: Desks,
+    /// Connections to instances.
+    pub lanes: Lanes,
+    /// Memory of kept bodies.
+    pub memory: Memory,
+    /// The ledger.
+    pub claims: Claims,
+    /// Requests in flight.
+    pub flying: Flying,
+    /// How far the stop has come.
+    pub phase: watch::Sender<Phase>,
+    view: RwLock<Arc<View>>,
+}
+
+impl Core {
+    /// The state of a gateway that knows nothing yet, and so is fenced.
+    #[must_use]
+    pub fn new(settings: Settings, log: Logger, metrics: StatsdClient) -> Self {
+        Self {
+            memory: Memory::new(settings.bounds.memory.0),
+            claims: Claims::new(&settings.control),
+            settings,
+            log,
+            metrics,
+            clock: Clock::start(),
+            desks: Desks::default(),
+            lanes: Lanes::default(),
+            flying: Flying::default(),
+            phase: watch::Sender::new(Phase::Serving),
+            view: RwLock::default(),
+        }
+    }
+
+    /// What is known now.
+    #[must_use]
+    pub fn view(&self) -> Arc<View> {
+        let view = self.view.read().unwrap_or_else(PoisonError::into_inner);
+        view.clone()
+    }
+
+    /// Replaces what is known; `changed` says that more than its age is new, so
+    /// that desks and connections take it over too.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a client for an instance can't be made.
+    pub fn set_view(&self, view: View, changed: bool) -> Result<(), reqwest::Error> {
+        if changed {
+            self.lanes.update(&view)?;
+            self.desks.update(self.clock.now(), &view);
+        }
+        let mut kept = self.view.write().unwrap_or_else(PoisonError::into_inner);
+        *kept = Arc::new(view);
+        Ok(())
+    }
+
+    /// Whether the gateway must refuse new work.
+    #[must_use]
+    pub fn is_fenced(&self) -> bool {
+        self.view()
+            .is_fenced(self.clock.now(), self.settings.lease.length)
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/fakes/mod.rs
@@ -0,0 +1,103 @@
+//! Small fakes at the gateway's interfaces: a directory, a control replica and
+//! an upstream whose behaviour is the first part of the request's path.
+#![allow(dead_code)]
+
+pub mod control;
+pub mod directory;
+pub mod upstream;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::prelude::*;
+use gateway::Gateway;
+use gateway::settings::Settings;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::fakes::directory::FakeDirectory;
+use crate::fakes::upstream::FakeUpstream;
+
+/// A gateway with a directory and one upstream for each service.
+pub struct Rig {
+    pub gateway: Gateway,
+    pub directory: FakeDirectory,
+    pub upstream: FakeUpstream,
+}
+
+/// Settings that know `directories` and `control`.
+pub fn settings(directories: &[SocketAddr], control: &[SocketAddr]) -> Settings {
+    let host = HostName::new("host-1").expect("a name");
+    let domain = DomainName::new("milano").expect("a name");
+    let mut settings = Settings::local(host, domain);
+    settings.directories = directories.to_vec();
+    settings.control = control.to_vec();
+    settings.lease.poll = Duration::from_millis(50);
+    settings.stop.linger = Duration::from_millis(50);
+    settings
+}
+
+/// Starts a gateway with `settings` and waits until it isn't fenced.
+pub async fn ready(settings: Settings) -> Gateway {
+    let gateway = start(settings).await;
+    until(|| !gateway.core().is_fenced()).await;
+    gateway
+}
+
+pub async fn start(settings: Settings) -> Gateway {
+    gateway::start(
+        settings,
+        telemetry::log::silent(),
+        telemetry::metrics::silent(),
+    )
+    .await
+    .expect("free ports")
+}
+
+/// A whole rig, the settings changed by `change`.
+pub async fn rig(control: &[SocketAddr], change: impl FnOnce(&mut Settings)) -> Rig {
+    let upstream = FakeUpstream::start().await;
+    let directory = FakeDirectory::start(upstream.address).await;
+    let mut settings = settings(&[directory.address], control);
+    change(&mut settings);
+    Rig {
+        gateway: ready(settings).await,
+        directory,
+        upstream,
+    }
+}
+
+/// Waits until `check` holds; the test's own timeout bounds it.
+pub async fn until(check: impl Fn() -> bool) {
+    while !check() {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Sends `text` as it stands and reads until the gateway closes.
+pub async fn raw(address: SocketAddr, text: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("a listener");
+    // The gateway may close before all is written; what it said counts.
+    let _ = stream.write_all(text).await;
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// A client that keeps connections.
+pub fn client() -> reqwest::Client {
+    reqwest::Client::builder()
+        .no_proxy()
+        .build()
+        .expect("a client")
+}
+
+/// One header of an answer as text.
+pub fn header(response: &reqwest::Response, name: &str) -> String {
+    let value = response.headers().get(name);
+    value
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or_default()
+        .to_owned()
+}
--- /dev/null
+++ b/crates/gateway/tests/test_serve.rs
@@ -0,0 +1,222 @@
+//! The callers' contract: what each behaviour of an upstream becomes.
+
+mod fakes;
+
+use crate::fakes::client;
+use crate::fakes::header;
+use crate::fakes::rig;
+use crate::fakes::until;
+
+/// What a caller gets for one behaviour of the upstream.
+struct Case {
+    service: &'static str,
+    path: &'static str,
+    status: u16,
+    outcome: &'static str,
+    reason: &'static str,
+    body: Option<&'static str>,
+}
+
+const fn own(service: &'static str, path: &'static str, status: u16, body: &'static str) -> Case {
+    Case {
+        service,
+        path,
+        status,
+        outcome: "",
+        reason: "",
+        body: Some(body),
+    }
+}
+
+const fn failed(
+    service: &'static str,
+    path: &'static str,
+    status: u16,
+    outcome: &'static str,
+    reason: &'static str,
+) -> Case {
+    Case {
+        service,
+        path,
+        status,
+        outcome,
+        reason,
+        body: None,
+    }
+}
+
+const CASES: [Case; 15] = [
+    own("urgent", "/ok", 200, "ok"),
+    own("once", "/ok", 200, "ok"),
+    own("durable", "/ok", 200, "ok"),
+    own("deferred", "/chunked", 200, "onetwo"),
+    own("urgent", "/missing", 404, ""),
+    own("once", "/error", 500, "bad"),
+    own("urgent", "/error", 500, "bad"),
+    failed("once", "/close", 502, "unknown", "no-answer"),
+    failed("once", "/garbage", 502, "unknown", "no-answer"),
+    failed("once", "/foreign", 502, "unknown", "mismatch"),
+    failed("once", "/unframed", 502, "unknown", "no-answer"),
+    failed("once", "/shed", 503, "not-run", "shed"),
+    failed("urgent", "/shed", 503, "not-run", "shed"),
+    failed("urgent", "/foreign", 502, "unknown", "mismatch"),
+    failed("once", "/stall", 504, "unknown", "deadline"),
+];
+
+#[tokio::test]
+async fn test_serve_answers() {
+    let rig = rig(&[], |_| {}).await;
+    let client = client();
+    for case in CASES {
+        let url = format!("http://{}{}", rig.gateway.http(), case.path);
+        let request = client
+            .get(url)
+            .header("rwr-service", case.service)
+            .header("rwr-deadline-ms", "300");
+        let response = request.send().await.expect("an answer");
+        let name = format!("{} {}", case.service, case.path);
+        assert_eq!(response.status(), case.status, "{name}");
+        assert_eq!(header(&response, "rwr-outcome"), case.outcome, "{name}");
+        assert_eq!(header(&response, "rwr-reason"), case.reason, "{name}");
+        let body = response.text().await.expect("a body");
+        if let Some(expected) = case.body {
+            assert_eq!(body, expected, "{name}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn test_serve_short_body_is_visible() {
+    let rig = rig(&[], |_| {}).await;
+    for path in ["/short", "/short-chunk"] {
+        let url = format!("http://{}{path}", rig.gateway.http());
+        let response = client().get(url).header("rwr-service", "once").send().await;
+        let body = response.expect("a head").bytes().await;
+        assert!(body.is_err(), "{path}: {body:?}");
+    }
+}
+
+#[tokio::test]
+async fn test_serve_request_reaches_upstream() {
+    let rig = rig(&[], |_| {}).await;
+    let url = format!("http://{}/echo/a%20b?x=1&y=%2F", rig.gateway.http());
+    let response = client()
+        .post(url)
+        .header("rwr-service", "urgent")
+        .header("rwr-deadline-ms", "2000")
+        .header("rwr-request-id", "forged")
+        .header("connection", "x-hop")
+        .header("x-hop", "1")
+        .header("te", "trailers")
+        .header("x-kept", "yes")
+        .body("grant")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(response.text().await.expect("a body"), "grant");
+    let seen = rig.upstream.seen().remove(0);
+    assert!(
+        seen.head.starts_with("POST /echo/a%20b?x=1&y=%2F HTTP/1.1"),
+        "{}",
+        seen.head
+    );
+    assert_eq!(seen.header("x-kept"), Some("yes"));
+    assert_eq!(seen.header("rwr-service"), Some("urgent"));
+    assert_eq!(seen.header("rwr-attempt"), Some("1"));
+    assert_eq!(seen.header("rwr-depth"), Some("1"));
+    for gone in ["x-hop", "te", "connection"] {
+        assert_eq!(seen.header(gone), None, "{gone}");
+    }
+    let id = seen.header("rwr-request-id").expect("an id");
+    assert_ne!(id, "forged");
+    let left: u64 = seen
+        .header("rwr-deadline-ms")
+        .and_then(|v| v.parse().ok())
+        .expect("a number");
+    assert!(left > 0 && left < 2000, "{left}");
+}
+
+#[tokio::test]
+async fn test_serve_hop_headers_of_answer() {
+    let rig = rig(&[], |_| {}).await;
+    let url = format!("http://{}/hop", rig.gateway.http());
+    let response = client().get(url).header("rwr-service", "urgent").send();
+    let response = response.await.expect("an answer");
+    assert_eq!(header(&response, "x-kept"), "1");
+    for gone in ["x-secret", "keep-alive", "rwr-outcome"] {
+        assert_eq!(header(&response, gone), "", "{gone}");
+    }
+}
+
+#[tokio::test]
+async fn test_serve_body_streams() {
+    let rig = rig(&[], |_| {}).await;
+    let url = format!("http://{}/echo", rig.gateway.http());
+    // Over the bound of kept bodies, so it passes through.
+    let body = vec![b'a'; 300_000];
+    let response = client()
+        .post(url)
+        .header("rwr-service", "deferred")
+        .body(body.clone())
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(response.bytes().await.expect("whole"), body);
+}
+
+#[tokio::test]
+async fn test_serve_late_answer_reaches_nobody() {
+    let rig = rig(&[], |_| {}).await;
+    let client = client();
+    let url = |path: &str| format!("http://{}{path}", rig.gateway.http());
+    let first = client
+        .get(url("/late"))
+        .header("rwr-service", "once")
+        .header("rwr-deadline-ms", "100")
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(first.status(), 504);
+    for _ in 0..4 {
+        let next = client.get(url("/ok")).header("rwr-service", "once").send();
+        let next = next.await.expect("an answer");
+        assert_eq!(next.text().await.expect("a body"), "ok");
+    }
+    // The connection with the late answer was left, so there is a second one.
+    assert_eq!(rig.upstream.connections(), 2);
+}
+
+#[tokio::test]
+async fn test_serve_caller_leaving() {
+    for (service, cuts) in [("urgent", 1), ("deferred", 1)] {
+        let rig = rig(&[], |_| {}).await;
+        let url = format!("http://{}/stall", rig.gateway.http());
+        let call = client().get(url).header("rwr-service", service).send();
+        let call = tokio::spawn(call);
+        until(|| rig.upstream.seen().len() == 1).await;
+        call.abort();
+        until(|| rig.upstream.cut() == cuts).await;
+        until(|| rig.gateway.core().flying.count() == 0).await;
+    }
+}
+
+#[tokio::test]
+async fn test_serve_caller_leaving_cuts_no_change() {
+    for service in ["once", "durable"] {
+        let rig = rig(&[], |_| {}).await;
+        let url = format!("http://{}/hold", rig.gateway.http());
+        let call = client().post(url).header("rwr-service", service).send();
+        let call = tokio::spawn(call);
+        until(|| rig.upstream.seen().len() == 1).await;
+        call.abort();
+        let _ = call.await;
+        assert_eq!(rig.gateway.core().flying.count(), 1, "{service}");
+        rig.upstream.release.notify_one();
+        until(|| rig.gateway.core().flying.count() == 0).await;
+        // The answer was read to its end, so the connection is still good.
+        let url = format!("http://{}/ok", rig.gateway.http());
+        let next = client().get(url).header("rwr-service", service).send();
+        assert_eq!(next.await.expect("an answer").status(), 200);
+        assert_eq!(rig.upstream.connections(), 1, "{service}");
+    }
+}
