standin: serve, announce and fail like an upstream

Tests need an upstream whose faults are switched at run time and which records each run by request key. Slots with a FIFO queue, seeded service times whose level shifts within milliseconds, cold start, probes that cost a slot, shedding before any work, deadlines, cancellation, archive ranges.

--- /dev/null
+++ b/crates/standin/src/settings.rs
@@ -0,0 +1,187 @@
+//! What a stand-in is told at its start, read from INI.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::prelude::*;
+use conf::ConfError;
+use conf::Problem;
+use conf::Reader;
+use conf::value::Bytes;
+use conf::value::Percent;
+use conf::value::log_level::Level;
+
+const MAIN: &str = "standin";
+const DIRECTORY: &str = "directory";
+const LOG: &str = "log";
+
+/// Settings of one stand-in.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Where it listens; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// The service it offers.
+    pub service: ServiceName,
+    /// Its name within the service.
+    pub instance: InstanceId,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Connections that it announces as its bound.
+    pub connections: u32,
+    /// Requests that may wait for a slot; more are shed.
+    pub queue: u32,
+    /// Mean time of one request.
+    pub time: Duration,
+    /// Spread of each request's time to both sides.
+    pub jitter: Percent,
+    /// Mean time between two shifts of the level of all requests' time.
+    pub shift: Duration,
+    /// How far the level shifts to both sides.
+    pub swing: Percent,
+    /// Requests that are slow after a start.
+    pub cold: u32,
+    /// Factor on the time of a cold request.
+    pub cold_factor: u32,
+    /// How long a probe holds a slot.
+    pub probe: Duration,
+    /// Size of an archive answer.
+    pub archive: Bytes,
+    /// Whether work is dropped when its connection closes.
+    pub cancel: bool,
+    /// Seed of the service times.
+    pub seed: u64,
+    /// How long a graceful stop announces `draining` before it stops taking work.
+    pub drain: Duration,
+    /// Directories that it announces itself to.
+    pub directories: Vec<SocketAddr>,
+    /// Least level of the log.
+    pub level: Level,
+}
+
+impl Settings {
+    /// Settings with every default, on a free loopback port.
+    #[must_use]
+    pub fn new(service: ServiceName, instance: InstanceId, domain: DomainName) -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            service,
+            instance,
+            domain,
+            slots: 6,
+            connections: 250,
+            queue: 64,
+            time: Duration::from_millis(8),
+            jitter: Percent(30),
+            shift: Duration::from_millis(20),
+            swing: Percent(40),
+            cold: 0,
+            cold_factor: 3,
+            probe: Duration::ZERO,
+            archive: Bytes(256 * 1024),
+            cancel: true,
+            seed: 1,
+            drain: Duration::from_secs(3),
+            directories: Vec::new(),
+            level: Level::Info,
+        }
+    }
+
+    /// Reads the settings from `reader`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every fault of the file.
+    pub fn read(mut reader: Reader) -> Result<Self, ConfError> {
+        let r = &mut reader;
+        let service = r.required(MAIN, "service");
+        let instance = r.required(MAIN, "instance");
+        let domain = r.required(MAIN, "domain");
+        let listen = r.required(MAIN, "listen");
+        let settings = match (service, instance, domain, listen) {
+            (Some(service), Some(instance), Some(domain), Some(listen)) => {
+                let mut settings = Self::new(service, instance, domain);
+                settings.listen = listen;
+                Some(settings)
+            }
+            _ => None,
+        };
+        // The other keys are read in any case, so that all faults are noted.
+        let spare = || Self::new(spare_service(), spare_instance(), spare_domain());
+        let mut settings = settings.unwrap_or_else(spare);
+        settings.read_work(r);
+        settings.read_rest(r);
+        reader.finish()?;
+        Ok(settings)
+    }
+
+    fn read_work(&mut self, r: &mut Reader) {
+        self.slots = r.or(MAIN, "slots", self.slots);
+        if self.slots == 0 {
+            let problem = Problem::Form("0".into());
+            r.fault(MAIN, "slots", problem, "whole number from 1");
+        }
+        self.connections = r.or(MAIN, "connections", self.connections);
+        self.queue = r.or(MAIN, "queue", self.queue);
+        self.time = r.or(MAIN, "time", self.time);
+        self.jitter = r.or(MAIN, "jitter", self.jitter);
+        self.shift = r.or(MAIN, "shift", self.shift);
+        self.swing = r.or(MAIN, "swing", self.swing);
+        self.cold = r.or(MAIN, "cold", self.cold);
+        self.cold_factor = r.or(MAIN, "cold_factor", self.cold_factor);
+        self.probe = r.or(MAIN, "probe", self.probe);
+    }
+
+    fn read_rest(&mut self, r: &mut Reader) {
+        self.archive = r.or(MAIN, "archive", self.archive);
+        self.cancel = r.or(MAIN, "cancel", self.cancel);
+        self.seed = r.or(MAIN, "seed", self.seed);
+        self.drain = r.or(MAIN, "drain", self.drain);
+        self.directories = r.list(DIRECTORY, "addresses");
+        self.level = r.or(LOG, "level", self.level);
+    }
+}
+
+fn spare_service() -> ServiceName {
+    ServiceName::new("unnamed").expect("a valid name")
+}
+
+fn spare_instance() -> InstanceId {
+    InstanceId::new("unnamed").expect("a valid name")
+}
+
+fn spare_domain() -> DomainName {
+    DomainName::new("unnamed").expect("a valid name")
+}
+
+/// The effective settings as INI, which [`Settings::read`] reads again.
+impl fmt::Display for Settings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "[{MAIN}]")?;
+        writeln!(f, "listen = {}", self.listen)?;
+        writeln!(f, "service = {}", self.service)?;
+        writeln!(f, "instance = {}", self.instance)?;
+        writeln!(f, "domain = {}", self.domain)?;
+        writeln!(f, "slots = {}", self.slots)?;
+        writeln!(f, "connections = {}", self.connections)?;
+        writeln!(f, "queue = {}", self.queue)?;
+        writeln!(f, "time = {}ms", self.time.as_millis())?;
+        writeln!(f, "jitter = {}%", self.jitter.0)?;
+        writeln!(f, "shift = {}ms", self.shift.as_millis())?;
+        writeln!(f, "swing = {}%", self.swing.0)?;
+        writeln!(f, "cold = {}", self.cold)?;
+        writeln!(f, "cold_factor = {}", self.cold_factor)?;
+        writeln!(f, "probe = {}ms", self.probe.as_millis())?;
+        writeln!(f, "archive = {}B", self.archive.0)?;
+        writeln!(f, "cancel = {}", if self.cancel { "yes" } else { "no" })?;
+        writeln!(f, "seed = {}", self.seed)?;
+        writeln!(f, "drain = {}ms", self.drain.as_millis())?;
+        writeln!(f, "\n[{DIRECTORY}]")?;
+        let addresses: Vec<String> = self.directories.iter().map(ToString::to_string).collect();
+        writeln!(f, "addresses = {}", addresses.join(", "))?;
+        writeln!(f, "\n[{LOG}]")?;
+        writeln!(f, "level = {}", self.level)
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/test_faults.rs
@@ -0,0 +1,255 @@
+//! Each fault as a caller sees it and as the record keeps it.
+
+use std::time::Duration;
+
+use base::header;
+use base::prelude::*;
+use reqwest::Client;
+use reqwest::Response;
+use standin::Fault;
+use standin::FaultKind;
+use standin::RunState;
+use standin::Settings;
+use standin::StandIn;
+use standin::archive;
+
+fn settings() -> Settings {
+    let mut settings = Settings::new(
+        ServiceName::new("grants").unwrap(),
+        InstanceId::new("grants-1").unwrap(),
+        DomainName::new("milano").unwrap(),
+    );
+    settings.time = Duration::from_millis(1);
+    settings.archive.0 = 100_000;
+    settings
+}
+
+async fn start(settings: Settings) -> StandIn {
+    standin::start(settings, telemetry::log::silent())
+        .await
+        .unwrap()
+}
+
+fn url(upstream: &StandIn, path: &str) -> String {
+    format!("http://{}{path}", upstream.address())
+}
+
+async fn grant(upstream: &StandIn, key: &str) -> reqwest::Result<Response> {
+    Client::new()
+        .post(url(upstream, "/grant"))
+        .header(header::IDEMPOTENCY_KEY, key)
+        .header(header::REQUEST_ID, key)
+        .body("block 7")
+        .send()
+        .await
+}
+
+fn text<'a>(answer: &'a Response, name: &str) -> &'a str {
+    answer
+        .headers()
+        .get(name)
+        .map_or("", |v| v.to_str().unwrap())
+}
+
+#[tokio::test]
+async fn test_faults_answered() {
+    struct Case {
+        kind: FaultKind,
+        status: u16,
+        shed: &'static str,
+        states: &'static [RunState],
+    }
+    let cases = [
+        Case {
+            kind: FaultKind::None,
+            status: 200,
+            shed: "",
+            states: &[RunState::Done],
+        },
+        Case {
+            kind: FaultKind::Slow,
+            status: 200,
+            shed: "",
+            states: &[RunState::Done],
+        },
+        Case {
+            kind: FaultKind::Late,
+            status: 200,
+            shed: "",
+            states: &[RunState::Done],
+        },
+        Case {
+            kind: FaultKind::Fail,
+            status: 500,
+            shed: "",
+            states: &[RunState::Failed],
+        },
+        Case {
+            kind: FaultKind::Shed,
+            status: 503,
+            shed: "1",
+            states: &[],
+        },
+    ];
+    for case in cases {
+        let upstream = start(settings()).await;
+        let mut fault = Fault::new(case.kind);
+        fault.delay_ms = 5;
+        upstream.set_fault(fault);
+        let answer = grant(&upstream, "k1").await.unwrap();
+        assert_eq!(answer.status(), case.status, "{}", case.kind);
+        assert_eq!(text(&answer, header::SHED), case.shed, "{}", case.kind);
+        assert_eq!(text(&answer, header::LOAD), "0/6", "{}", case.kind);
+        let runs = upstream.runs().of_key("k1");
+        let states: Vec<RunState> = runs.iter().map(|r| r.state).collect();
+        assert_eq!(states, case.states, "{}", case.kind);
+    }
+}
+
+#[tokio::test]
+async fn test_faults_short_body() {
+    let upstream = start(settings()).await;
+    upstream.set_fault(Fault::new(FaultKind::Short));
+    for path in ["/grant", "/archive/1970"] {
+        let answer = reqwest::get(url(&upstream, path)).await.unwrap();
+        assert_eq!(answer.status(), 200, "{path}");
+        assert!(answer.content_length().unwrap() > 0, "{path}");
+        assert!(answer.bytes().await.is_err(), "{path}");
+    }
+}
+
+#[tokio::test]
+async fn test_faults_crossed_id() {
+    let upstream = start(settings()).await;
+    let answer = grant(&upstream, "k1").await.unwrap();
+    assert_eq!(text(&answer, header::REQUEST_ID), "k1");
+    upstream.set_fault(Fault::new(FaultKind::Crossed));
+    let answer = grant(&upstream, "k2").await.unwrap();
+    assert_eq!(text(&answer, header::REQUEST_ID), "k1");
+}
+
+#[tokio::test]
+async fn test_faults_cancelled_when_closed() {
+    // The work is dropped or kept when its connection closes, as the settings say.
+    let cases = [
+        (FaultKind::Stall, true, RunState::Cancelled),
+        (FaultKind::Hold, true, RunState::Cancelled),
+        (FaultKind::Hold, false, RunState::Done),
+    ];
+    for (kind, cancel, state) in cases {
+        let mut settings = settings();
+        settings.cancel = cancel;
+        let upstream = start(settings).await;
+        upstream.set_fault(Fault::new(kind));
+        tokio::select! {
+            _ = grant(&upstream, "k1") => panic!("answered under {kind}"),
+            () = upstream.runs().wait(|runs| runs.len() == 1) => {}
+        }
+        if !cancel {
+            upstream.set_fault(Fault::default());
+        }
+        upstream.runs().wait(|runs| runs[0].state == state).await;
+    }
+}
+
+#[tokio::test]
+async fn test_faults_hold_released() {
+    let upstream = start(settings()).await;
+    upstream.set_fault(Fault::new(FaultKind::Hold));
+    let release = async {
+        upstream.runs().wait(|runs| runs.len() == 1).await;
+        upstream.set_fault(Fault::default());
+    };
+    let (answer, ()) = tokio::join!(grant(&upstream, "k1"), release);
+    assert_eq!(answer.unwrap().status(), 200);
+}
+
+#[tokio::test]
+async fn test_faults_deadline() {
+    let upstream = start(settings()).await;
+    upstream.set_fault(Fault::new(FaultKind::Stall));
+    let ask = |deadline: &'static str| {
+        let request = Client::new().get(url(&upstream, "/status"));
+        request.header(header::DEADLINE, deadline).send()
+    };
+    assert_eq!(ask("soon").await.unwrap().status(), 400);
+    assert_eq!(upstream.runs().all().len(), 0);
+    assert_eq!(ask("20").await.unwrap().status(), 504);
+    assert_eq!(upstream.runs().all()[0].state, RunState::Expired);
+}
+
+#[tokio::test]
+async fn test_faults_queue_full_is_shed() {
+    let mut settings = settings();
+    settings.slots = 1;
+    settings.queue = 0;
+    let upstream = start(settings).await;
+    upstream.set_fault(Fault::new(FaultKind::Hold));
+    let second = async {
+        upstream.runs().wait(|runs| runs.len() == 1).await;
+        let answer = grant(&upstream, "k2").await.unwrap();
+        upstream.set_fault(Fault::default());
+        answer
+    };
+    let (first, second) = tokio::join!(grant(&upstream, "k1"), second);
+    assert_eq!(first.unwrap().status(), 200);
+    assert_eq!(second.status(), 503);
+    assert_eq!(text(&second, header::SHED), "1");
+    assert!(upstream.runs().of_key("k2").is_empty());
+}
+
+#[tokio::test]
+async fn test_faults_switched_over_http() {
+    let upstream = start(settings()).await;
+    let switch = |body: &'static str| {
+        let request = Client::new().post(url(&upstream, "/standin/fault"));
+        request.body(body).send()
+    };
+    assert_eq!(switch("{\"kind\":\"shed\"}").await.unwrap().status(), 200);
+    assert_eq!(grant(&upstream, "k1").await.unwrap().status(), 503);
+    assert_eq!(switch("{\"kind\":\"odd\"}").await.unwrap().status(), 400);
+    assert_eq!(switch("{\"kind\":\"none\"}").await.unwrap().status(), 200);
+    assert_eq!(grant(&upstream, "k1").await.unwrap().status(), 200);
+    let record = reqwest::get(url(&upstream, "/standin/runs")).await.unwrap();
+    let record = record.text().await.unwrap();
+    assert!(record.contains("\"key\":\"k1\""), "{record}");
+}
+
+#[tokio::test]
+async fn test_archive_ranges() {
+    let cases: [(&str, u16, std::ops::Range<u64>); 5] = [
+        ("", 200, 0..100_000),
+        ("bytes=0-", 206, 0..100_000),
+        ("bytes=50000-", 206, 50_000..100_000),
+        ("bytes=10-19", 206, 10..20),
+        ("bytes=99990-200000", 206, 99_990..100_000),
+    ];
+    let upstream = start(settings()).await;
+    for (range, status, expected) in cases {
+        let mut request = Client::new().get(url(&upstream, "/archive/1970"));
+        if !range.is_empty() {
+            request = request.header("range", range);
+        }
+        let answer = request.send().await.unwrap();
+        assert_eq!(answer.status(), status, "{range}");
+        let body = answer.bytes().await.unwrap();
+        assert_eq!(body, archive::bytes("/archive/1970", expected), "{range}");
+    }
+    let request = Client::new().get(url(&upstream, "/archive/1970"));
+    let answer = request.header("range", "bytes=100000-").send().await;
+    assert_eq!(answer.unwrap().status(), 416);
+}
+
+#[tokio::test]
+async fn test_probe_counted_and_killed() {
+    let mut settings = settings();
+    settings.probe = Duration::from_millis(5);
+    let upstream = start(settings).await;
+    let probe = url(&upstream, "/rwr/load");
+    let answer = reqwest::get(&probe).await.unwrap();
+    assert_eq!(text(&answer, header::LOAD), "0/6");
+    assert_eq!(upstream.probes(), 1);
+    upstream.kill();
+    tokio::task::yield_now().await;
+    assert!(reqwest::get(&probe).await.is_err());
+}
