--- /dev/null
+++ b/crates/load/src/call.rs
@@ -0,0 +1,102 @@
+//! One call as a caller makes it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::header;
+use base::prelude::*;
+use reqwest::Client;
+use reqwest::RequestBuilder;
+use reqwest::Response;
+
+use crate::options::Options;
+use crate::report::Verdict;
+use crate::target::Target;
+
+/// Time that a call without a deadline may take.
+const NO_DEADLINE: Duration = Duration::from_secs(10);
+/// Time that a caller waits beyond its deadline, for the word that it passed.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// Makes calls to one target.
+pub struct Calls {
+    client: Client,
+    target: Target,
+    options: Options,
+}
+
+impl Calls {
+    /// Calls to `target` as `options` say.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the HTTP client can't be had.
+    pub fn new(target: Target, options: Options) -> Result<Self, reqwest::Error> {
+        let client = Client::builder()
+            .redirect(reqwest::redirect::Policy::none())
+            .tcp_nodelay(true)
+            .build()?;
+        Ok(Self {
+            client,
+            target,
+            options,
+        })
+    }
+
+    /// Makes call number `number`; goes to the next address only where no connection came about.
+    pub async fn call(&self, number: u64) -> Verdict {
+        let Ok(addresses) = self.target.addresses().await else {
+            return Verdict::NoAddress;
+        };
+        for address in addresses.iter() {
+            match self.request(*address, number).send().await {
+                Ok(answer) => return judge(answer).await,
+                Err(err) if err.is_connect() => {}
+                Err(err) if err.is_timeout() => return Verdict::Timeout,
+                Err(_) => return Verdict::Broken,
+            }
+        }
+        Verdict::Connect
+    }
+
+    fn request(&self, address: SocketAddr, number: u64) -> RequestBuilder {
+        let options = &self.options;
+        let url = format!("http://{address}{}", options.path);
+        let mut request = if options.body.is_empty() {
+            self.client.get(url)
+        } else {
+            self.client.post(url).body(options.body.clone())
+        };
+        request = request.header(header::SERVICE, options.service.as_str());
+        if let Some(caller) = &options.caller {
+            request = request.header(header::CALLER, caller.as_str());
+        }
+        if options.keyed {
+            let key = format!("load-{}-{number}", options.seed);
+            request = request.header(header::IDEMPOTENCY_KEY, key);
+        }
+        if let Some(deadline) = options.deadline {
+            let millis = deadline.as_millis().to_string();
+            request = request.header(header::DEADLINE, millis);
+        }
+        let deadline = options.deadline.unwrap_or(NO_DEADLINE);
+        request.timeout(deadline + GRACE)
+    }
+}
+
+async fn judge(answer: Response) -> Verdict {
+    let status = answer.status();
+    let outcome = answer.headers().get(header::OUTCOME);
+    let outcome = outcome.and_then(|v| v.to_str().ok()?.parse().ok());
+    match answer.bytes().await {
+        Err(err) if err.is_timeout() => return Verdict::Timeout,
+        Err(_) => return Verdict::Broken,
+        Ok(_) => {}
+    }
+    match outcome {
+        Some(Outcome::NotRun) => Verdict::NotRun,
+        Some(Outcome::Unknown) => Verdict::Unknown,
+        None if status.is_success() => Verdict::Ok,
+        None => Verdict::Status,
+    }
+}
--- /dev/null
+++ b/crates/load/tests/test_load.rs
@@ -0,0 +1,187 @@
+//! The tool against a stand-in and against a fake directory.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::prelude::*;
+use load::Options;
+use load::OptionsError;
+use load::Verdict;
+use load::arrival::Arrivals;
+use load::arrival::Spacing;
+use load::report::Report;
+use load::report::added_micros;
+use salvo::Depot;
+use salvo::FlowCtrl;
+use salvo::Handler;
+use salvo::Request;
+use salvo::Response;
+use salvo::Router;
+use salvo::Server;
+use salvo::async_trait;
+use salvo::conn::tcp::TcpAcceptor;
+use standin::Fault;
+use standin::FaultKind;
+use standin::StandIn;
+use tokio::net::TcpListener;
+
+type Spoil = fn(&mut Options);
+
+fn service() -> ServiceName {
+    ServiceName::new("status").unwrap()
+}
+
+fn options(address: Option<SocketAddr>) -> Options {
+    let mut options = Options::new(service());
+    options.address = address;
+    options.rate = 100;
+    options.span = Duration::from_secs(1);
+    options
+}
+
+async fn upstream() -> StandIn {
+    let instance = InstanceId::new("status-1").unwrap();
+    let domain = DomainName::new("milano").unwrap();
+    let mut settings = standin::Settings::new(service(), instance, domain);
+    settings.time = Duration::ZERO;
+    let log = telemetry::log::silent();
+    standin::start(settings, log).await.unwrap()
+}
+
+/// Answers each question for a route with one address.
+struct Directory(SocketAddr);
+
+#[async_trait]
+impl Handler for Directory {
+    async fn handle(&self, _: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
+        res.body(format!(
+            "{{\"service\":\"status\",\"addresses\":[{{\"address\":\"{}\",\"domain\":\"d\"}}],\"max_age_ms\":60000}}",
+            self.0
+        ));
+    }
+}
+
+async fn directory(named: SocketAddr) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = Server::new(TcpAcceptor::try_from(listener).unwrap());
+    tokio::spawn(server.serve(Router::with_path("v1/route").get(Directory(named))));
+    address
+}
+
+#[test]
+fn test_options_refused() {
+    let outside: SocketAddr = "192.0.2.1:80".parse().unwrap();
+    let inside: SocketAddr = "127.0.0.1:80".parse().unwrap();
+    let cases: [(Spoil, OptionsError); 7] = [
+        (
+            |o| o.address = Some("192.0.2.1:80".parse().unwrap()),
+            OptionsError::NotLoopback(outside),
+        ),
+        (
+            |o| o.compare = Some("192.0.2.1:80".parse().unwrap()),
+            OptionsError::NotLoopback(outside),
+        ),
+        (|o| o.address = None, OptionsError::NoTarget),
+        (
+            |o| o.directories = vec!["127.0.0.1:1".parse().unwrap()],
+            OptionsError::TwoTargets,
+        ),
+        (|o| o.rate = 0, OptionsError::Rate(0)),
+        (|o| o.rate = 50_001, OptionsError::Rate(50_001)),
+        (
+            |o| o.span = Duration::from_secs(301),
+            OptionsError::Span(Duration::from_secs(301)),
+        ),
+    ];
+    for (spoil, expected) in cases {
+        let mut options = options(Some(inside));
+        assert_eq!(options.check(), Ok(()));
+        spoil(&mut options);
+        assert_eq!(options.check(), Err(expected));
+    }
+}
+
+#[test]
+fn test_arrivals_rate_kept() {
+    let span = Duration::from_secs(100);
+    for (spacing, least, most) in [
+        (Spacing::Even, 9_999, 10_000),
+        (Spacing::Poisson, 9_500, 10_500),
+    ] {
+        for seed in 0..10 {
+            let times: Vec<Duration> = Arrivals::new(spacing, 100, span, seed).collect();
+            let count = times.len();
+            assert!((least..=most).contains(&count), "{spacing} {seed} {count}");
+            assert!(times.is_sorted());
+        }
+    }
+}
+
+#[test]
+fn test_report_added_latency() {
+    let span = Duration::from_secs(1);
+    let (mut through, mut direct) = (Report::new("gateway", span), Report::new("direct", span));
+    for i in 1..=100 {
+        let time = Duration::from_micros(i);
+        through.add(Verdict::Ok, time + Duration::from_micros(50), time);
+        direct.add(Verdict::Ok, time, time);
+    }
+    // A refusal is quick and says nothing of the latency of an answer.
+    through.add(Verdict::NotRun, Duration::ZERO, Duration::ZERO);
+    assert_eq!(added_micros(&through, &direct, 0.5), 50);
+    assert_eq!(added_micros(&through, &direct, 0.99), 50);
+    assert_eq!(through.sent(), 101);
+    assert!(
+        through.plain().contains(" not_run=1 "),
+        "{}",
+        through.plain()
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_run_verdicts() {
+    let cases = [
+        (FaultKind::None, Verdict::Ok),
+        (FaultKind::Fail, Verdict::Status),
+        (FaultKind::Short, Verdict::Broken),
+    ];
+    for (kind, verdict) in cases {
+        let upstream = upstream().await;
+        upstream.set_fault(Fault::new(kind));
+        let reports = load::run(options(Some(upstream.address()))).await.unwrap();
+        let report = &reports[0];
+        assert!(report.sent() > 0);
+        assert_eq!(report.count(verdict), report.sent(), "{kind}: {report}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_run_by_directory() {
+    let upstream = upstream().await;
+    let mut options = options(None);
+    options.directories = vec![
+        "127.0.0.1:1".parse().unwrap(),
+        directory(upstream.address()).await,
+    ];
+    options.compare = Some(upstream.address());
+    options.keyed = true;
+    options.spacing = Spacing::Even;
+    let reports = load::run(options).await.unwrap();
+    let (through, direct) = (&reports[0], &reports[1]);
+    assert_eq!(through.count(Verdict::Ok), through.sent(), "{through}");
+    assert_eq!(direct.count(Verdict::Ok), direct.sent(), "{direct}");
+    let mut keys: Vec<String> = upstream.runs().all().into_iter().map(|r| r.key).collect();
+    keys.sort();
+    keys.dedup();
+    assert_eq!(keys.len() as u64, through.sent() + direct.sent());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_run_directory_names_outside() {
+    let named = directory("192.0.2.1:80".parse().unwrap()).await;
+    let mut options = options(None);
+    options.directories = vec![named];
+    let reports = load::run(options).await.unwrap();
+    assert_eq!(reports[0].count(Verdict::NoAddress), reports[0].sent());
+}
