testutils: real processes of the built binaries on loopback hosts

Each host of a test has an IP number of its own in 127.0.0.0/8, held by a guard port, as a process that is killed and started again needs its old port. Binaries are found beside the test's own; a missing one is a typed error that says what to build.

--- a/crates/testutils/src/lib.rs
+++ b/crates/testutils/src/lib.rs
@@ -1,1 +1,19 @@
-//! placeholder
+//! Starts whole systems on loopback for tests: real processes of the built
+//! binaries, and a caller that keeps the callers' contract.
+//!
+//! Only tests start processes; the system's own never do. A process is ended
+//! by its own id, and at the latest when its handle is dropped.
+
+pub mod caller;
+pub mod folder;
+pub mod host;
+pub mod process;
+
+pub use caller::Ask;
+pub use caller::Caller;
+pub use caller::Reply;
+pub use folder::Folder;
+pub use host::Host;
+pub use process::Binary;
+pub use process::Process;
+pub use process::ProcessError;
