gateway: prove at most once, the fence, the stop and bad input

Contract tests in tables against fakes at the interfaces.

A body that goes over its bound while it passes through now ends in 413; before it was a 502 without the cause.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -5,6 +5,8 @@
 //! the whole process, so that callers can't grow its memory.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +16,7 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::BodyStream;
+use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use http_body_util::StreamBody;
 use salvo::http::ReqBody;
@@ -26,6 +29,8 @@
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 
+type BoxError = Box<dyn std::error::Error + Send + std::marker::Sync>;
+
 /// Bytes of one permit of the memory bound.
 const UNIT: u64 = 1024;
 /// When to come back after the memory bound was met.
@@ -71,7 +76,27 @@
     /// Kept whole; may be sent again.
     Kept(Bytes, Option<OwnedSemaphorePermit>),
     /// Can be sent once.
-    Once(Option<reqwest::Body>),
+    Once(Option<reqwest::Body>, Over),
+}
+
+/// Set when a body that passes through went over its bound.
+#[derive(Clone, Debug, Default)]
+pub struct Over(Arc<AtomicBool>);
+
+impl Over {
+    /// `body`, whose end over the bound is noted here.
+    fn watch<B>(&self, body: B) -> reqwest::Body
+    where
+        B: http_body::Body<Data = Bytes, Error = BoxError> + Send + Sync + 'static,
+    {
+        let over = self.0.clone();
+        reqwest::Body::wrap(body.map_err(move |err| {
+            if err.is::<LengthLimitError>() {
+                over.store(true, Ordering::Relaxed);
+            }
+            err
+        }))
+    }
 }
 
 impl Payload {
@@ -86,15 +111,21 @@
     pub fn kept(&self) -> Option<&Bytes> {
         match self {
             Self::Kept(bytes, _) => Some(bytes),
-            Self::Once(_) => None,
+            Self::Once(..) => None,
         }
     }
 
+    /// Whether it went over the entry's bound while it passed through.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        matches!(self, Self::Once(_, over) if over.0.load(Ordering::Relaxed))
+    }
+
     /// The body for one attempt; `None` when it was streamed away before.
     pub fn take(&mut self) -> Option<reqwest::Body> {
         match self {
             Self::Kept(bytes, _) => Some(bytes.clone().into()),
-            Self::Once(body) => body.take(),
+            Self::Once(body, _) => body.take(),
         }
     }
 }
@@ -120,7 +151,9 @@
         Keep::Small(bytes) => bytes.min(bound),
     };
     if keep != Keep::Whole && ask.length.is_some_and(|length| length > kept) {
-        return Ok(Payload::Once(Some(bounded(body, bound))));
+        let limited = Limited::new(body, usize::try_from(bound).unwrap_or(usize::MAX));
+        let over = Over::default();
+        return Ok(Payload::Once(Some(over.watch(limited)), over));
     }
     let permit = memory.reserve(ask.length.unwrap_or(kept))?;
     let mut intake = Intake {
@@ -136,7 +169,8 @@
     if kept == bound {
         return Err(too_large());
     }
-    Ok(Payload::Once(Some(intake.chained(bound))))
+    let over = Over::default();
+    Ok(Payload::Once(Some(intake.chained(bound, &over)), over))
 }
 
 struct Intake {
@@ -161,24 +195,16 @@
     }
 
     /// What was read, with the rest after it.
-    fn chained(self, bound: u64) -> reqwest::Body {
+    fn chained(self, bound: u64, over: &Over) -> reqwest::Body {
         let begun = self.bytes.freeze();
         let left = bound.saturating_sub(begun.len() as u64);
         let rest = Limited::new(self.body, usize::try_from(left).unwrap_or(usize::MAX));
         let first = stream::once(async move { Ok(http_body::Frame::data(begun)) });
         let frames = first.chain(BodyStream::new(rest));
-        reqwest::Body::wrap(StreamBody::new(frames))
+        over.watch(StreamBody::new(frames))
     }
 }
 
-/// The stream itself; it ends in an error over `bound` bytes.
-fn bounded(body: ReqBody, bound: u64) -> reqwest::Body {
-    reqwest::Body::wrap(Limited::new(
-        body,
-        usize::try_from(bound).unwrap_or(usize::MAX),
-    ))
-}
-
 fn too_large() -> Refusal {
     Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, Reason::BodyTooLarge)
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -239,6 +239,7 @@
                 self.outlet = Outlet::Shut;
                 self.piece = None;
                 self.step(Event::Left);
+                info!(self.log, "caller left"; "ended" => self.call.is_finished());
             }
         }
     }
@@ -519,8 +520,13 @@
         if let (Reason::NoUpstream, Some(hindrance)) = (reason, self.hindrance) {
             reason = hindrance;
         }
+        let mut status = StatusCode::from_u16(failure.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+        if self.request.payload.is_over() {
+            status = StatusCode::PAYLOAD_TOO_LARGE;
+            reason = Reason::BodyTooLarge;
+        }
         let refusal = Refusal {
-            status: StatusCode::from_u16(failure.status()).unwrap_or(StatusCode::BAD_GATEWAY),
+            status,
             outcome: failure.outcome,
             reason,
             retry: (failure.outcome == Outcome::NotRun).then_some(crate::serve::RETRY),
--- a/crates/gateway/src/keyed.rs
+++ b/crates/gateway/src/keyed.rs
@@ -45,7 +45,7 @@
 /// Added to what is left of the deadline for the claim's hold: time to settle.
 const HOLD_MARGIN: Duration = Duration::from_secs(5);
 /// Longest wait for a claim.
-const CLAIM_TIME: Duration = Duration::from_secs(2);
+const CLAIM_TIME: Duration = Duration::from_secs(1);
 /// How long an answer is held back for its settlement.
 const SETTLE_FIRST: Duration = Duration::from_millis(200);
 /// When to come back while the same key runs.
--- a/crates/gateway/tests/fakes/directory.rs
+++ b/crates/gateway/tests/fakes/directory.rs
@@ -151,7 +151,8 @@
         let reply = {
             let mut state = self.state.lock().expect("no panic");
             state.heard.extend(ask.host);
-            let newer = state.catalogue.version > ask.have;
+            // An older one is sent too: the gateway itself must refuse it.
+            let newer = state.catalogue.version != ask.have;
             let changed = state.cursor != ask.cursor;
             SyncReply {
                 catalogue: newer.then(|| state.catalogue.clone()),
--- a/crates/gateway/tests/fakes/mod.rs
+++ b/crates/gateway/tests/fakes/mod.rs
@@ -6,12 +6,17 @@
 pub mod directory;
 pub mod upstream;
 
+use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use base::prelude::*;
 use gateway::Gateway;
 use gateway::settings::Settings;
+use reqwest::RequestBuilder;
+use telemetry::log::LogGuard;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -24,6 +29,19 @@
     pub gateway: Gateway,
     pub directory: FakeDirectory,
     pub upstream: FakeUpstream,
+    pub lines: Lines,
+    _log: LogGuard,
+}
+
+impl Rig {
+    pub fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.gateway.http())
+    }
+
+    /// A request to `service` at `path`.
+    pub fn post(&self, service: &str, path: &str) -> RequestBuilder {
+        client().post(self.url(path)).header("rwr-service", service)
+    }
 }
 
 /// Settings that know `directories` and `control`.
@@ -61,17 +79,53 @@
     let directory = FakeDirectory::start(upstream.address).await;
     let mut settings = settings(&[directory.address], control);
     change(&mut settings);
+    let lines = Lines::default();
+    let (log, guard) = telemetry::log::start(lines.clone(), slog::Level::Info, "test", "host-1");
+    let gateway = gateway::start(settings, log, telemetry::metrics::silent());
+    let gateway = gateway.await.expect("free ports");
+    until(|| !gateway.core().is_fenced()).await;
     Rig {
-        gateway: ready(settings).await,
+        gateway,
         directory,
         upstream,
+        lines,
+        _log: guard,
     }
 }
 
-/// Waits until `check` holds; the test's own timeout bounds it.
+/// Waits until `check` holds; a test that waits for nothing ends by a panic.
 pub async fn until(check: impl Fn() -> bool) {
-    while !check() {
-        tokio::time::sleep(Duration::from_millis(2)).await;
+    let waits = async {
+        while !check() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    let waited = tokio::time::timeout(Duration::from_secs(20), waits).await;
+    waited.expect("the event comes");
+}
+
+/// A log that the test can read.
+#[derive(Clone, Default)]
+pub struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl Lines {
+    /// Whether a line has all `parts`.
+    pub fn has(&self, parts: &[&str]) -> bool {
+        let bytes = self.0.lock().expect("no panic").clone();
+        let text = String::from_utf8_lossy(&bytes);
+        text.lines()
+            .any(|line| parts.iter().all(|p| line.contains(p)))
+    }
+}
+
+impl io::Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("no panic").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
     }
 }
 
--- /dev/null
+++ b/crates/gateway/tests/test_input.rs
@@ -0,0 +1,308 @@
+//! Bad input at the callers' and the operators' port: a clear error, and
+//! nobody else's call is touched.
+
+mod fakes;
+
+use std::time::Duration;
+
+use conf::value::Bytes;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use wire::api::GatewayApiClient;
+use wire::gateway::Explain;
+use wire::link::Link;
+use wire::link::within;
+
+use crate::fakes::Rig;
+use crate::fakes::header;
+use crate::fakes::raw;
+use crate::fakes::rig;
+use crate::fakes::until;
+
+/// One head, and what the answer begins with and has in it.
+struct Case {
+    name: &'static str,
+    head: &'static str,
+    status: &'static str,
+    reason: &'static str,
+}
+
+const fn case(
+    name: &'static str,
+    head: &'static str,
+    status: &'static str,
+    reason: &'static str,
+) -> Case {
+    Case {
+        name,
+        head,
+        status,
+        reason,
+    }
+}
+
+const CASES: [Case; 24] = [
+    case("no service", "GET / HTTP/1.1\r\n", "400", "no-service"),
+    case(
+        "service no name",
+        "GET / HTTP/1.1\r\nrwr-service: a b\r\n",
+        "400",
+        "bad-service",
+    ),
+    case(
+        "service empty",
+        "GET / HTTP/1.1\r\nrwr-service:\r\n",
+        "400",
+        "bad-service",
+    ),
+    case(
+        "service not text",
+        "GET / HTTP/1.1\r\nrwr-service: \u{e9}\r\n",
+        "400",
+        "bad-service",
+    ),
+    case(
+        "service twice",
+        "GET / HTTP/1.1\r\nrwr-service: urgent\r\nrwr-service: once\r\n",
+        "400",
+        "bad-service",
+    ),
+    case(
+        "service unknown",
+        "GET / HTTP/1.1\r\nrwr-service: other\r\n",
+        "404",
+        "unknown-service",
+    ),
+    case(
+        "deadline zero",
+        "GET / HTTP/1.1\r\nrwr-service: urgent\r\nrwr-deadline-ms: 0\r\n",
+        "400",
+        "bad-deadline",
+    ),
+    case(
+        "deadline word",
+        "GET / HTTP/1.1\r\nrwr-service: urgent\r\nrwr-deadline-ms: soon\r\n",
+        "400",
+        "bad-deadline",
+    ),
+    case(
+        "deadline sign",
+        "GET / HTTP/1.1\r\nrwr-service: urgent\r\nrwr-deadline-ms: +5\r\n",
+        "400",
+        "bad-deadline",
+    ),
+    case(
+        "deadline negative",
+        "GET / HTTP/1.1\r\nrwr-service: urgent\r\nrwr-deadline-ms: -5\r\n",
+        "400",
+        "bad-deadline",
+    ),
+    case(
+        "deadline too long",
+        "GET / HTTP/1.1\r\nrwr-service: urgent\r\nrwr-deadline-ms: 600001\r\n",
+        "400",
+        "bad-deadline",
+    ),
+    case(
+        "deadline overflow",
+        "GET / HTTP/1.1\r\nrwr-service: urgent\r\nrwr-deadline-ms: 99999999999999999999\r\n",
+        "400",
+        "bad-deadline",
+    ),
+    case(
+        "deadline twice",
+        "GET / HTTP/1.1\r\nrwr-service: urgent\r\nrwr-deadline-ms: 5\r\nrwr-deadline-ms: 6\r\n",
+        "400",
+        "bad-deadline",
+    ),
+    case(
+        "depth absurd",
+        "GET / HTTP/1.1\r\nrwr-service: urgent\r\nrwr-depth: 33\r\n",
+        "400",
+        "bad-depth",
+    ),
+    case(
+        "caller no name",
+        "GET / HTTP/1.1\r\nrwr-service: urgent\r\nrwr-caller: a/b\r\n",
+        "400",
+        "bad-caller",
+    ),
+    case(
+        "key no name",
+        "POST / HTTP/1.1\r\nrwr-service: once\r\nrwr-caller: a\r\nidempotency-key: a b\r\n",
+        "400",
+        "bad-key",
+    ),
+    case(
+        "key twice",
+        "POST / HTTP/1.1\r\nrwr-service: once\r\nrwr-caller: a\r\nidempotency-key: a\r\nidempotency-key: b\r\n",
+        "400",
+        "bad-key",
+    ),
+    case(
+        "key without caller",
+        "POST / HTTP/1.1\r\nrwr-service: once\r\nidempotency-key: a\r\n",
+        "400",
+        "no-caller",
+    ),
+    case(
+        "trace",
+        "TRACE / HTTP/1.1\r\nrwr-service: urgent\r\n",
+        "405",
+        "bad-method",
+    ),
+    case(
+        "connect",
+        "CONNECT host:80 HTTP/1.1\r\nrwr-service: urgent\r\n",
+        "405",
+        "bad-method",
+    ),
+    case(
+        "body too large",
+        "POST / HTTP/1.1\r\nrwr-service: urgent\r\ncontent-length: 1048577\r\n",
+        "413",
+        "body-too-large",
+    ),
+    case(
+        "two lengths",
+        "POST / HTTP/1.1\r\nrwr-service: urgent\r\ncontent-length: 5\r\ncontent-length: 6\r\n",
+        "400",
+        "",
+    ),
+    case(
+        "length no number",
+        "POST / HTTP/1.1\r\nrwr-service: urgent\r\ncontent-length: x\r\n",
+        "400",
+        "",
+    ),
+    case("no HTTP", "what is this\r\n", "400", ""),
+];
+
+#[tokio::test]
+async fn test_input_heads() {
+    let rig = rig(&[], |_| {}).await;
+    for case in CASES {
+        let text = format!("{}host: x\r\nconnection: close\r\n\r\n", case.head);
+        let answer = raw(rig.gateway.http(), text.as_bytes()).await;
+        let status = format!("HTTP/1.1 {}", case.status);
+        assert!(answer.starts_with(&status), "{}: {answer}", case.name);
+        if !case.reason.is_empty() {
+            let reason = format!("rwr-reason: {}\r\n", case.reason);
+            assert!(answer.contains(&reason), "{}: {answer}", case.name);
+            assert!(answer.contains("rwr-outcome: not-run\r\n"), "{}", case.name);
+        }
+    }
+    assert!(rig.upstream.seen().is_empty());
+    still_serves(&rig).await;
+}
+
+async fn still_serves(rig: &Rig) {
+    let answer = rig.post("urgent", "/ok").send().await.expect("an answer");
+    assert_eq!(answer.status(), 200);
+}
+
+#[tokio::test]
+async fn test_input_head_too_large() {
+    let rig = rig(&[], |s| s.bounds.head = Bytes(8 * 1024)).await;
+    let long = format!("x-long: {}\r\n", "a".repeat(20_000));
+    let many = "x-many: 1\r\n".repeat(200);
+    for extra in [long, many] {
+        let text = format!("GET / HTTP/1.1\r\nhost: x\r\nrwr-service: urgent\r\n{extra}\r\n");
+        let answer = raw(rig.gateway.http(), text.as_bytes()).await;
+        assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+    }
+    still_serves(&rig).await;
+}
+
+#[tokio::test]
+async fn test_input_chunks_too_large() {
+    let rig = rig(&[], |_| {}).await;
+    // Kept whole, and passed through.
+    for (service, outcome) in [("durable", "not-run"), ("deferred", "unknown")] {
+        let pieces = (0..40).map(|_| Ok::<_, std::io::Error>(vec![b'a'; 64 * 1024]));
+        let body = reqwest::Body::wrap_stream(futures::stream::iter(pieces));
+        let answer = rig.post(service, "/echo").body(body).send().await;
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status(), 413, "{service}");
+        assert_eq!(header(&answer, "rwr-outcome"), outcome, "{service}");
+    }
+    still_serves(&rig).await;
+}
+
+#[tokio::test]
+async fn test_input_slow_senders() {
+    let rig = rig(&[], |s| s.bounds.head_time = Duration::from_millis(100)).await;
+    // Nothing at all, half a head: closed without an answer to a request.
+    for text in ["", "GET / HTTP/1.1\r\nhost: x\r\n"] {
+        let answer = raw(rig.gateway.http(), text.as_bytes()).await;
+        assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
+    }
+    let body = "POST / HTTP/1.1\r\nhost: x\r\nrwr-service: durable\r\nrwr-deadline-ms: 100\r\n\
+                connection: close\r\ncontent-length: 10\r\n\r\nabc";
+    let answer = raw(rig.gateway.http(), body.as_bytes()).await;
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("rwr-outcome: not-run"), "{answer}");
+    assert!(rig.upstream.seen().is_empty());
+    still_serves(&rig).await;
+}
+
+#[tokio::test]
+async fn test_input_body_broken_off() {
+    let rig = rig(&[], |_| {}).await;
+    let text = "POST / HTTP/1.1\r\nhost: x\r\nrwr-service: durable\r\n\
+                content-length: 10\r\n\r\nabc";
+    let mut stream = TcpStream::connect(rig.gateway.http())
+        .await
+        .expect("a port");
+    stream.write_all(text.as_bytes()).await.expect("sent");
+    drop(stream);
+    still_serves(&rig).await;
+    assert_eq!(rig.upstream.seen().len(), 1, "only the whole request");
+}
+
+#[tokio::test]
+async fn test_input_memory_is_bounded() {
+    let rig = rig(&[], |s| s.bounds.memory = Bytes(100 * 1024)).await;
+    let head =
+        "POST / HTTP/1.1\r\nhost: x\r\nrwr-service: durable\r\ncontent-length: 81920\r\n\r\n";
+    let mut holder = TcpStream::connect(rig.gateway.http())
+        .await
+        .expect("a port");
+    holder.write_all(head.as_bytes()).await.expect("sent");
+    let memory = &rig.gateway.core().memory;
+    until(|| memory.reserve(100 * 1024).is_err()).await;
+    let body = vec![b'a'; 80 * 1024];
+    let refused = rig.post("durable", "/echo").body(body.clone()).send().await;
+    let refused = refused.expect("an answer");
+    assert_eq!(refused.status(), 503);
+    assert_eq!(header(&refused, "rwr-reason"), "memory");
+    drop(holder);
+    until(|| memory.reserve(100 * 1024).is_ok()).await;
+    let taken = rig.post("durable", "/echo").body(body.clone()).send().await;
+    let taken = taken.expect("an answer").bytes().await;
+    assert_eq!(taken.expect("whole"), body);
+}
+
+#[tokio::test]
+async fn test_input_garbage_at_operators_port() {
+    let rig = rig(&[], |_| {}).await;
+    let frame_of_4_gib = b"\xff\xff\xff\xff garbage";
+    for garbage in [
+        &frame_of_4_gib[..],
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"\0\0\0\x04abcd",
+    ] {
+        let answer = raw(rig.gateway.rpc(), garbage).await;
+        assert_eq!(answer, "");
+    }
+    let link = Link::new(rig.gateway.rpc(), |channel| {
+        GatewayApiClient::new(tarpc::client::Config::default(), channel).spawn()
+    });
+    let operator = link.client().await.expect("a connection");
+    let service = "urgent".into();
+    let reply = operator.explain(within(Duration::from_secs(5)), Explain { service });
+    let reply = reply.await.expect("an answer");
+    assert_eq!(reply.version, 1);
+    assert_eq!(reply.candidates.len(), 1);
+    assert_eq!(reply.candidates[0].instance, "i-1");
+}
--- /dev/null
+++ b/crates/gateway/tests/test_keyed.rs
@@ -0,0 +1,278 @@
+//! At most once: what a keyed request of class once becomes, by what the
+//! ledger says, what the upstream does and who fails when.
+
+mod fakes;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::prelude::*;
+use gateway::ask::Ask;
+use gateway::body::Payload;
+use gateway::call;
+use gateway::refusal::Reason;
+use http::HeaderMap;
+use http::Method;
+use reqwest::RequestBuilder;
+use reqwest::Response;
+use wire::ledger::Settled;
+
+use crate::fakes::Rig;
+use crate::fakes::control::FakeControl;
+use crate::fakes::header;
+use crate::fakes::ready;
+use crate::fakes::rig;
+use crate::fakes::settings;
+use crate::fakes::until;
+
+fn grant(rig: &Rig, key: &str, path: &str) -> RequestBuilder {
+    rig.post("once", path)
+        .header("rwr-caller", "planner")
+        .header("idempotency-key", key)
+}
+
+/// Status, outcome, reason and body of an answer.
+async fn told(response: Response) -> (u16, String, String, String) {
+    let status = response.status().as_u16();
+    let outcome = header(&response, "rwr-outcome");
+    let reason = header(&response, "rwr-reason");
+    let body = response.text().await.unwrap_or_else(|_| "broken".into());
+    (status, outcome, reason, body)
+}
+
+/// A first request and its resend, by what the upstream does.
+struct Case {
+    path: &'static str,
+    first: (u16, &'static str, &'static str),
+    settled: Settled,
+    second: (u16, &'static str, &'static str),
+    runs: usize,
+}
+
+const CASES: [Case; 7] = [
+    Case {
+        path: "/ok",
+        first: (200, "", ""),
+        settled: Settled::Done,
+        second: (200, "", ""),
+        runs: 1,
+    },
+    Case {
+        path: "/error",
+        first: (500, "", ""),
+        settled: Settled::Done,
+        second: (500, "", ""),
+        runs: 1,
+    },
+    Case {
+        path: "/close",
+        first: (502, "unknown", "no-answer"),
+        settled: Settled::Unknown,
+        second: (409, "unknown", "forgotten"),
+        runs: 1,
+    },
+    Case {
+        path: "/short",
+        first: (502, "unknown", "short-body"),
+        settled: Settled::Unknown,
+        second: (409, "unknown", "forgotten"),
+        runs: 1,
+    },
+    Case {
+        path: "/foreign",
+        first: (502, "unknown", "mismatch"),
+        settled: Settled::Unknown,
+        second: (409, "unknown", "forgotten"),
+        runs: 1,
+    },
+    Case {
+        path: "/unframed",
+        first: (502, "unknown", "no-answer"),
+        settled: Settled::Unknown,
+        second: (409, "unknown", "forgotten"),
+        runs: 1,
+    },
+    Case {
+        path: "/large",
+        first: (200, "", ""),
+        settled: Settled::Done,
+        second: (409, "unknown", "not-kept"),
+        runs: 1,
+    },
+];
+
+#[tokio::test]
+async fn test_keyed_resend() {
+    for case in CASES {
+        let control = FakeControl::start().await;
+        let rig = rig(&[control.address], |_| {}).await;
+        let first = told(grant(&rig, "k", case.path).send().await.expect("an answer")).await;
+        assert_eq!((first.0, &*first.1, &*first.2), case.first, "{}", case.path);
+        until(|| control.settled("k") == Some(case.settled)).await;
+        let second = told(grant(&rig, "k", case.path).send().await.expect("an answer")).await;
+        let head = (second.0, &*second.1, &*second.2);
+        assert_eq!(head, case.second, "{}", case.path);
+        if second.0 == first.0 {
+            assert_eq!(second.3, first.3, "{}", case.path);
+        }
+        assert_eq!(rig.upstream.seen().len(), case.runs, "{}", case.path);
+    }
+}
+
+#[tokio::test]
+async fn test_keyed_shed_may_run_again() {
+    let control = FakeControl::start().await;
+    let rig = rig(&[control.address], |_| {}).await;
+    for _ in 0..2 {
+        let shed = told(grant(&rig, "k", "/shed").send().await.expect("an answer")).await;
+        assert_eq!((shed.0, &*shed.1, &*shed.2), (503, "not-run", "shed"));
+        until(|| control.settled("k") == Some(Settled::NotRun)).await;
+    }
+}
+
+#[tokio::test]
+async fn test_keyed_resend_through_another_gateway() {
+    let control = FakeControl::start().await;
+    let rig = rig(&[control.address], |_| {}).await;
+    let other = ready(settings(&[rig.directory.address], &[control.address])).await;
+    let first = told(
+        grant(&rig, "k", "/echo")
+            .body("block 7")
+            .send()
+            .await
+            .expect("one"),
+    )
+    .await;
+    let second = fakes::client()
+        .post(format!("http://{}/echo", other.http()))
+        .header("rwr-service", "once")
+        .header("rwr-caller", "planner")
+        .header("idempotency-key", "k")
+        .body("block 7");
+    let second = told(second.send().await.expect("two")).await;
+    assert_eq!(first, second);
+    assert_eq!(first.3, "block 7");
+    assert_eq!(rig.upstream.seen().len(), 1);
+}
+
+#[tokio::test]
+async fn test_keyed_resend_while_it_runs() {
+    let control = FakeControl::start().await;
+    let rig = rig(&[control.address], |_| {}).await;
+    let first = tokio::spawn(grant(&rig, "k", "/hold").send());
+    until(|| rig.upstream.seen().len() == 1).await;
+    let second = grant(&rig, "k", "/hold").send().await.expect("an answer");
+    // 1.5 s rounded up: the header has whole seconds.
+    assert_eq!(header(&second, "retry-after"), "2");
+    let second = told(second).await;
+    assert_eq!(
+        (second.0, &*second.1, &*second.2),
+        (409, "unknown", "in-flight")
+    );
+    rig.upstream.release.notify_one();
+    let first = first.await.expect("no panic").expect("an answer");
+    assert_eq!(told(first).await.3, "held");
+    assert_eq!(rig.upstream.seen().len(), 1);
+}
+
+#[tokio::test]
+async fn test_keyed_other_request_with_same_key() {
+    let control = FakeControl::start().await;
+    let rig = rig(&[control.address], |_| {}).await;
+    grant(&rig, "k", "/ok").send().await.expect("an answer");
+    let body = grant(&rig, "k", "/ok").body("other");
+    let target = grant(&rig, "k", "/ok?x=1");
+    for changed in [body, target] {
+        let answer = told(changed.send().await.expect("an answer")).await;
+        assert_eq!(
+            (answer.0, &*answer.1, &*answer.2),
+            (422, "not-run", "key-reused")
+        );
+    }
+    assert_eq!(rig.upstream.seen().len(), 1);
+}
+
+#[tokio::test]
+async fn test_keyed_without_ledger() {
+    let control = FakeControl::start().await;
+    control.state.lock().expect("no panic").unreachable = true;
+    let rig = rig(&[control.address], |_| {}).await;
+    let answer = grant(&rig, "k", "/ok").send().await.expect("an answer");
+    assert!(!header(&answer, "retry-after").is_empty());
+    let answer = told(answer).await;
+    assert_eq!(
+        (answer.0, &*answer.1, &*answer.2),
+        (503, "not-run", "ledger")
+    );
+    assert_eq!(rig.upstream.seen().len(), 0);
+}
+
+#[tokio::test]
+async fn test_keyed_claim_answer_lost() {
+    let first = FakeControl::start().await;
+    let second = FakeControl::with(first.state.clone()).await;
+    first.state.lock().expect("no panic").lose_answer = true;
+    let rig = rig(&[first.address, second.address], |_| {}).await;
+    let answer = told(grant(&rig, "k", "/ok").send().await.expect("an answer")).await;
+    assert_eq!(answer.0, 200);
+    assert_eq!(rig.upstream.seen().len(), 1);
+    assert_eq!(first.state.lock().expect("no panic").claims, 2);
+}
+
+#[tokio::test]
+async fn test_keyed_kept_answer_damaged() {
+    let control = FakeControl::start().await;
+    let rig = rig(&[control.address], |_| {}).await;
+    grant(&rig, "k", "/ok").send().await.expect("an answer");
+    {
+        let mut state = control.state.lock().expect("no panic");
+        let settle = state.records.get_mut("k").and_then(|r| r.settle.as_mut());
+        let answer = settle.and_then(|s| s.answer.as_mut()).expect("kept");
+        answer.body = "no".into();
+    }
+    let answer = told(grant(&rig, "k", "/ok").send().await.expect("an answer")).await;
+    assert_eq!((answer.0, &*answer.1), (502, "unknown"));
+}
+
+#[tokio::test]
+async fn test_keyed_caller_leaving() {
+    let control = FakeControl::start().await;
+    let rig = rig(&[control.address], |_| {}).await;
+    let first = tokio::spawn(grant(&rig, "k", "/hold").send());
+    until(|| rig.upstream.seen().len() == 1).await;
+    first.abort();
+    let _ = first.await;
+    rig.upstream.release.notify_one();
+    until(|| control.settled("k") == Some(Settled::Done)).await;
+    let again = told(grant(&rig, "k", "/hold").send().await.expect("an answer")).await;
+    assert_eq!((again.0, &*again.3), (200, "held"));
+    assert_eq!(rig.upstream.seen().len(), 1);
+}
+
+#[tokio::test]
+async fn test_keyed_hold_is_over() {
+    let rig = rig(&[], |_| {}).await;
+    let core = rig.gateway.core().clone();
+    let now = core.clock.now();
+    let mut headers = HeaderMap::new();
+    headers.insert("rwr-service", "once".parse().expect("a value"));
+    let longest = Duration::from_mins(1);
+    let ask = Ask::read(now, &core.view(), longest, &Method::POST, &headers).expect("a head");
+    let desk = core.desks.get(&ask.service.name).expect("a desk");
+    let request = call::Request {
+        ask,
+        method: Method::POST,
+        target: Arc::from("/ok"),
+        headers,
+        payload: Payload::Kept(bytes::Bytes::new(), None),
+        // As after a freeze between the claim and the attempt.
+        hold: Some(now),
+    };
+    let answer = call::start(core, desk, request).await.expect("an answer");
+    let refusal = answer.err().expect("a refusal");
+    assert_eq!(
+        (refusal.outcome, refusal.reason),
+        (Outcome::NotRun, Reason::Hold)
+    );
+    assert_eq!(rig.upstream.seen().len(), 0);
+}
--- a/crates/gateway/tests/test_serve.rs
+++ b/crates/gateway/tests/test_serve.rs
@@ -209,7 +209,7 @@
         let call = tokio::spawn(call);
         until(|| rig.upstream.seen().len() == 1).await;
         call.abort();
-        let _ = call.await;
+        until(|| rig.lines.has(&["msg=\"caller left\"", "ended=false"])).await;
         assert_eq!(rig.gateway.core().flying.count(), 1, "{service}");
         rig.upstream.release.notify_one();
         until(|| rig.gateway.core().flying.count() == 0).await;
