--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod api;
 pub mod link;
+pub mod peer;
 
 /// Catalogue messages.
 #[allow(missing_docs, clippy::pedantic)]
@@ -35,3 +36,15 @@
 pub mod gateway {
     include!("generated/rwr.gateway.rs");
 }
+
+/// Records of a replica's data folder.
+#[allow(missing_docs, clippy::pedantic)]
+pub mod store {
+    include!("generated/rwr.store.rs");
+}
+
+/// Messages between control replicas.
+#[allow(missing_docs, clippy::pedantic)]
+pub mod replica {
+    include!("generated/rwr.replica.rs");
+}
