gateway: admit calls, probe within the budget

Admission stands before each call as the machine of the crate admit; a slot's drop is the call's end, however it ends. Probes are asked for by the chooser and spent by the meter of the crate measure; the bound operators' port is the right to probe under the host's name. A choice whose connections are all in use goes to the next instance.

Callers' connections get TCP_NODELAY from the listener: the server library doesn't set it, and pieces of an answer would wait for acknowledgements.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -8,7 +8,9 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::Poll;
+use std::time::Duration;
 
+use admit::Finish;
 use attempt::Action;
 use attempt::Actions;
 use attempt::Ending;
@@ -34,6 +36,7 @@
 use route::Pick;
 use slog::Logger;
 use slog::info;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::sleep_until;
@@ -47,6 +50,7 @@
 use crate::lanes::Lane;
 use crate::lanes::LaneError;
 use crate::lanes::Outgoing;
+use crate::queue::Slot;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::relay::Answer;
@@ -72,6 +76,8 @@
     pub payload: Payload,
     /// After this moment no attempt may begin: a claim's hold.
     pub hold: Option<Moment>,
+    /// Its place among the calls that run.
+    pub slot: Option<Slot>,
 }
 
 /// Starts the call; its answer comes by the receiver.
@@ -193,8 +199,10 @@
 
     async fn run(mut self) {
         let began = self.core.clock.now();
+        let pressed = self.core.queue.is_pressed(&self.request.ask.service.name);
         let actions = {
             let mut state = self.desk.state();
+            state.attempts.pressed = pressed;
             self.call.start(&mut state.attempts, began)
         };
         self.perform(actions, None);
@@ -206,7 +214,7 @@
         info!(self.log, "call";
             "attempts" => self.call.attempts(),
             "bytes" => self.taken,
-            "us" => u64::try_from(span.as_micros()).unwrap_or(u64::MAX),
+            "us" => micros(span),
         );
     }
 
@@ -315,34 +323,34 @@
         start: Start,
         now: Moment,
     ) -> std::result::Result<(Arc<Lane>, Track), Reason> {
-        let service = &self.request.ask.service.name;
         let mut state = self.desk.state();
-        let choice = state
-            .chooser
-            .choose(now, &self.tried)
-            .ok_or(Reason::NoUpstream)?;
-        let id = state.chooser.id(choice.pick).cloned();
-        let id = id.ok_or(Reason::NoUpstream)?;
-        self.tried.push(choice.pick);
-        let lane = self
-            .core
-            .lanes
-            .get(service, &id)
-            .ok_or(Reason::NoUpstream)?;
-        let connection = lane.reserve().ok_or(Reason::Limit)?;
-        let ticket = state.chooser.started(now, choice.pick);
-        drop(state);
-        let track = Track::new(self.desk.clone(), self.core.clock, ticket, connection);
-        info!(self.log, "route";
-            "attempt" => start.number,
-            "hedge" => start.hedge,
-            "instance" => id.as_str(),
-            "reason" => <&str>::from(choice.reason),
-            "age_us" => choice.age.map(|a| u64::try_from(a.as_micros()).unwrap_or(u64::MAX)),
-            "in_flight" => choice.in_flight,
-            "expected_us" => u64::try_from(choice.expected.as_micros()).unwrap_or(u64::MAX),
-        );
-        Ok((lane, track))
+        let mut reason = Reason::NoUpstream;
+        while let Some(choice) = state.chooser.choose(now, &self.tried) {
+            let again = self.tried.contains(&choice.pick);
+            let ticket = state.chooser.started(now, choice.pick);
+            let id = state.chooser.id(choice.pick).cloned();
+            let Some((lane, connection)) = self.connection(id.as_ref()) else {
+                state.chooser.finished(now, ticket, NOT_SENT);
+                if again {
+                    break;
+                }
+                reason = Reason::Connections;
+                self.tried.push(choice.pick);
+                continue;
+            };
+            drop(state);
+            self.tried.push(choice.pick);
+            log_choice(&self.log, start, id.as_ref(), &choice);
+            let track = Track::new(self.desk.clone(), self.core.clock, ticket, connection);
+            return Ok((lane, track));
+        }
+        Err(reason)
+    }
+
+    fn connection(&self, id: Option<&InstanceId>) -> Option<(Arc<Lane>, OwnedSemaphorePermit)> {
+        let lane = self.core.lanes.get(&self.request.ask.service.name, id?)?;
+        let connection = lane.reserve()?;
+        Some((lane, connection))
     }
 
     fn outgoing_headers(&self, start: Start) -> HeaderMap {
@@ -391,6 +399,9 @@
         }
         track.note(kind_of_answer(&answer));
         let head = self.machine_head(&answer);
+        if head.shed {
+            self.core.queue.shed(&self.request.ask.service.name);
+        }
         self.arrived.push(Arrived {
             number,
             track,
@@ -512,9 +523,16 @@
             // The empty piece is the mark of a whole body; room was made before.
             let _ = send.try_send(Ok(Bytes::new()));
         }
+        self.note(Finish::Answered);
         self.step(Event::Whole(number));
     }
 
+    fn note(&mut self, finish: Finish) {
+        if let Some(slot) = &mut self.request.slot {
+            slot.note(finish);
+        }
+    }
+
     fn fail(&mut self, failure: Failure) {
         let mut reason = reason_of(failure.reason);
         if let (Reason::NoUpstream, Some(hindrance)) = (reason, self.hindrance) {
@@ -529,9 +547,14 @@
             status,
             outcome: failure.outcome,
             reason,
-            retry: (failure.outcome == Outcome::NotRun).then_some(crate::serve::RETRY),
+            retry: (failure.outcome == Outcome::NotRun).then(|| self.retry_after()),
             marked: true,
         };
+        self.note(if reason == Reason::Shed {
+            Finish::Shed
+        } else {
+            Finish::Failed
+        });
         info!(self.log, "call failed";
             "outcome" => <&str>::from(refusal.outcome),
             "reason" => <&str>::from(refusal.reason),
@@ -541,7 +564,12 @@
         }
     }
 
+    fn retry_after(&self) -> Duration {
+        self.core.queue.retry_after(&self.request.ask.service.name)
+    }
+
     fn cut(&mut self, failure: Failure) {
+        self.note(Finish::Failed);
         info!(self.log, "call broken"; "reason" => <&str>::from(failure.reason));
         // Closing the channel without its end mark is the visible failure.
         self.outlet = Outlet::Shut;
@@ -562,6 +590,30 @@
     }
 }
 
+/// The end of an attempt that found no free connection.
+const NOT_SENT: route::Outcome = route::Outcome {
+    kind: Kind::Cancelled,
+    latency: Duration::ZERO,
+    report: None,
+};
+
+/// The line of a routing decision: what was known, and how old that was.
+fn log_choice(log: &Logger, start: Start, id: Option<&InstanceId>, choice: &route::Choice) {
+    info!(log, "route";
+        "attempt" => start.number,
+        "hedge" => start.hedge,
+        "instance" => id.map(InstanceId::as_str),
+        "reason" => <&str>::from(choice.reason),
+        "age_us" => choice.age.map(micros),
+        "in_flight" => choice.in_flight,
+        "expected_us" => micros(choice.expected),
+    );
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
 async fn next_head(waiting: &mut [Waiting]) -> Head {
     poll_fn(|cx| {
         for one in waiting.iter_mut() {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -14,6 +14,8 @@
 use crate::desk::Desks;
 use crate::flying::Flying;
 use crate::lanes::Lanes;
+use crate::probes::Prober;
+use crate::queue::Queue;
 use crate::settings::Settings;
 use crate::view::View;
 
@@ -42,6 +44,10 @@
     pub desks: Desks,
     /// Connections to instances.
     pub lanes: Lanes,
+    /// Admission.
+    pub queue: Arc<Queue>,
+    /// The measuring budget.
+    pub prober: Prober,
     /// Memory of kept bodies.
     pub memory: Memory,
     /// The ledger.
@@ -57,13 +63,20 @@
     /// The state of a gateway that knows nothing yet, and so is fenced.
     #[must_use]
     pub fn new(settings: Settings, log: Logger, metrics: StatsdClient) -> Self {
+        let clock = Clock::start();
+        let limits = admit::Settings {
+            concurrency: settings.bounds.running,
+            queue: settings.bounds.queue,
+        };
         Self {
+            queue: Arc::new(Queue::new(limits, clock)),
+            prober: Prober::new(settings.host.clone(), settings.lease.length, clock),
             memory: Memory::new(settings.bounds.memory.0),
             claims: Claims::new(&settings.control),
             settings,
             log,
             metrics,
-            clock: Clock::start(),
+            clock,
             desks: Desks::default(),
             lanes: Lanes::default(),
             flying: Flying::default(),
@@ -86,10 +99,13 @@
     ///
     /// Fails when a client for an instance can't be made.
     pub fn set_view(&self, view: View, changed: bool) -> Result<(), reqwest::Error> {
+        let before = self.view();
         if changed {
             self.lanes.update(&view)?;
             self.desks.update(self.clock.now(), &view);
+            self.queue.update(&before, &view);
         }
+        self.prober.update(&before, &view, changed);
         let mut kept = self.view.write().unwrap_or_else(PoisonError::into_inner);
         *kept = Arc::new(view);
         Ok(())
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -73,6 +73,7 @@
         phase: match row.phase {
             Phase::Ready => route::Phase::Ready,
             Phase::Draining => route::Phase::Draining,
+            Phase::Gone => route::Phase::Gone,
             Phase::Starting | Phase::Unspecified => route::Phase::Starting,
         },
     }
--- a/crates/gateway/src/keyed.rs
+++ b/crates/gateway/src/keyed.rs
@@ -170,6 +170,20 @@
             Reason::LedgerFull,
             millis_or(full.retry_ms, RUNNING_RETRY),
         )),
+        Some(Kind::Refused(why)) => refused(refusal_of(why.refusal())),
+    }
+}
+
+fn refusal_of(refusal: ledger::Refusal) -> Refusal {
+    match refusal {
+        // An earlier send may have run, and its record is gone.
+        ledger::Refusal::Expired => Refusal::unknown(StatusCode::CONFLICT, Reason::KeyExpired),
+        ledger::Refusal::Early => Refusal::bad(Reason::KeyEarly),
+        ledger::Refusal::Untimed => Refusal::bad(Reason::KeyUntimed),
+        ledger::Refusal::Form => Refusal::bad(Reason::BadKey),
+        ledger::Refusal::Spent | ledger::Refusal::Unspecified => {
+            Refusal::busy(Reason::Ledger, RUNNING_RETRY)
+        }
     }
 }
 
@@ -221,6 +235,7 @@
         Some(Kind::Unknown(_)) => "unknown",
         Some(Kind::Mismatch(_)) => "mismatch",
         Some(Kind::Full(_)) => "full",
+        Some(Kind::Refused(_)) => "refused",
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 use quick_error::quick_error;
 use slog::Logger;
 use slog::info;
+use socket2::SockRef;
 use telemetry::metrics::MetricsError;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -30,6 +31,8 @@
 pub mod headers;
 pub mod keyed;
 pub mod lanes;
+pub mod probes;
+pub mod queue;
 pub mod refusal;
 pub mod relay;
 pub mod rpc;
@@ -84,10 +87,16 @@
     metrics: StatsdClient,
 ) -> Result<Gateway, StartError> {
     let listener = TcpListener::bind(settings.http).await?;
+    // Connections inherit it: pieces of an answer don't wait for one another.
+    SockRef::from(&listener).set_tcp_nodelay(true)?;
     let http = listener.local_addr()?;
     let core = Arc::new(Core::new(settings, log, metrics));
     let rpc = rpc::start(core.clone(), core.settings.rpc).await?;
     let port = serve::start(core.clone(), listener)?;
+    tokio::spawn(core.queue.clone().run());
+    // The bound operators' port is the right to probe under this host's name.
+    core.prober.hold();
+    tokio::spawn(probes::run(core.clone()));
     let told = sync::start(core.clone(), http);
     info!(core.log, "ready"; "http" => %http, "rpc" => %rpc);
     Ok(Gateway {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -49,10 +49,18 @@
     Memory,
     /// No instance that can take it.
     NoUpstream,
-    /// Over the limits of the entry.
-    Limit,
-    /// The wait would be over the deadline.
-    Wait,
+    /// Every connection of the gateway's share is in use.
+    Connections,
+    /// The queue of the service or of the gateway is full.
+    QueueFull,
+    /// The predicted wait doesn't fit the deadline.
+    Overloaded,
+    /// It waited until its deadline couldn't be met.
+    Expired,
+    /// It made room for a call of a higher class.
+    Yielded,
+    /// The service left the catalogue.
+    Removed,
     /// No instance took the connection.
     Connect,
     /// Every instance tried refused before any work.
@@ -77,6 +85,12 @@
     Forgotten,
     /// The same key came with another request.
     KeyReused,
+    /// The key is from before the ledger's window.
+    KeyExpired,
+    /// The key was minted ahead of the ledger's time.
+    KeyEarly,
+    /// The ledger takes only keys that tell when they were minted.
+    KeyUntimed,
     /// The answer is done but too large to be kept.
     NotKept,
     /// The claim's hold ran out before the request could leave.
--- a/crates/gateway/src/rpc.rs
+++ b/crates/gateway/src/rpc.rs
@@ -44,6 +44,8 @@
         let connections = incoming.by_ref().filter_map(|c| async { c.ok() });
         connections
             .for_each_concurrent(MOST_CONNECTIONS, |transport| {
+                // Without it answers only come later.
+                let _ = transport.get_ref().set_nodelay(true);
                 let config = tarpc::server::Config {
                     pending_response_buffer: MAX_PENDING,
                 };
@@ -70,6 +72,9 @@
         let Ok(service) = ServiceName::new(&ask.service) else {
             return reply;
         };
+        let counts = core.queue.counts(&service);
+        reply.queued = counts.queued;
+        reply.in_flight = counts.running;
         if let Some(desk) = core.desks.get(&service) {
             let views = desk.state().chooser.views(core.clock.now());
             reply.candidates = views.iter().map(candidate).collect();
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -191,12 +191,14 @@
         let until = core.clock.instant(ask.deadline);
         let body = request.take_body();
         let payload = body::take_in(body, &ask, keep, &core.memory, until).await?;
+        let slot = core.queue.admit(&ask.service.name, ask.deadline).await?;
         let admitted = call::Request {
             method: request.method().clone(),
             target: target(request).into(),
             headers: headers::of_request(request.headers()),
             payload,
             hold: None,
+            slot: Some(slot),
             ask,
         };
         Ok(if is_keyed {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -60,6 +60,10 @@
     pub streams: u32,
     /// Size of a request's head.
     pub head: Bytes,
+    /// Calls that run at once, over all services.
+    pub running: u32,
+    /// Calls that wait, over all services.
+    pub queue: u32,
     /// Time for a request's head, and for the next one on a kept connection.
     pub head_time: Duration,
     /// Time in which a caller takes nothing of its answer.
@@ -171,6 +175,8 @@
             connections: r.or("bounds", "connections", preset.connections),
             streams: r.or("bounds", "streams", preset.streams),
             head: r.or("bounds", "head", preset.head),
+            running: r.or("bounds", "running", preset.running),
+            queue: r.or("bounds", "queue", preset.queue),
             head_time: r.or("bounds", "head-time", preset.head_time),
             write_time: r.or("bounds", "write-time", preset.write_time),
             deadline: r.or("bounds", "deadline", preset.deadline),
@@ -223,6 +229,8 @@
             connections: 4096,
             streams: 128,
             head: Bytes(32 * 1024),
+            running: 1024,
+            queue: 4096,
             head_time: Duration::from_secs(10),
             write_time: Duration::from_secs(30),
             deadline: Duration::from_mins(10),
@@ -276,6 +284,8 @@
         writeln!(f, "connections = {}", b.connections)?;
         writeln!(f, "streams = {}", b.streams)?;
         writeln!(f, "head = {}", b.head.to_text())?;
+        writeln!(f, "running = {}", b.running)?;
+        writeln!(f, "queue = {}", b.queue)?;
         writeln!(f, "head-time = {}", b.head_time.to_text())?;
         writeln!(f, "write-time = {}", b.write_time.to_text())?;
         writeln!(f, "deadline = {}", b.deadline.to_text())?;
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use measure::Registry;
 use wire::catalogue::Catalogue;
 use wire::catalogue::Entry;
 use wire::directory::Instance;
@@ -64,15 +65,27 @@
 }
 
 /// The state that a gateway decides from.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct View {
     version: u64,
     services: HashMap<ServiceName, Arc<Service>>,
-    gateways: u32,
+    registry: Arc<Registry>,
     instances: HashMap<ServiceName, Arc<Vec<Arc<Upstream>>>>,
     confirmation: Option<Confirmation>,
 }
 
+impl Default for View {
+    fn default() -> Self {
+        Self {
+            version: 0,
+            services: HashMap::new(),
+            registry: Arc::new(registry_of(&Catalogue::default())),
+            instances: HashMap::new(),
+            confirmation: None,
+        }
+    }
+}
+
 impl View {
     /// The catalogue's version, zero before the first.
     #[must_use]
@@ -83,7 +96,20 @@
     /// Gateways that the catalogue registers, at least 1.
     #[must_use]
     pub fn gateways(&self) -> u32 {
-        self.gateways.max(1)
+        let count = self.registry.gateways.len();
+        u32::try_from(count).unwrap_or(u32::MAX).max(1)
+    }
+
+    /// What the catalogue says of measuring.
+    #[must_use]
+    pub fn registry(&self) -> &Arc<Registry> {
+        &self.registry
+    }
+
+    /// The moment the last confirmation was asked for, at the earliest the process's begin.
+    #[must_use]
+    pub fn confirmed(&self) -> Option<Moment> {
+        self.confirmation.map(|c| c.sent.before(c.age))
     }
 
     /// A service of the catalogue.
@@ -137,7 +163,7 @@
             return;
         }
         self.version = catalogue.version;
-        self.gateways = u32::try_from(catalogue.gateways.len()).unwrap_or(u32::MAX);
+        self.registry = Arc::new(registry_of(catalogue));
         self.services = catalogue
             .entries
             .iter()
@@ -179,6 +205,22 @@
     }
 }
 
+fn registry_of(catalogue: &Catalogue) -> Registry {
+    let gateways = catalogue.gateways.iter();
+    let mut gateways: Vec<HostName> = gateways.filter_map(|g| HostName::new(g).ok()).collect();
+    gateways.sort();
+    gateways.dedup();
+    let budgets = catalogue.entries.iter().filter_map(|entry| {
+        let millis = entry.limits.unwrap_or_default().probe_millis;
+        Some((ServiceName::new(&entry.service).ok()?, millis))
+    });
+    Registry {
+        version: catalogue.version,
+        gateways: gateways.into(),
+        budgets: budgets.collect(),
+    }
+}
+
 fn service_of(entry: &Entry) -> Option<Service> {
     use wire::catalogue::Class as Wire;
     let class = match Wire::try_from(entry.class).ok()? {
--- a/crates/gateway/tests/fakes/directory.rs
+++ b/crates/gateway/tests/fakes/directory.rs
@@ -71,7 +71,7 @@
             deadline_ms: 5_000,
             body_bytes: 1024 * 1024,
             retry_percent: 10,
-            probe_millis: 1_000,
+            probe_millis: 0,
         }),
     }
 }
@@ -140,6 +140,15 @@
         state.cursor += 1;
     }
 
+    /// Changes the limits of every service, as a new version.
+    pub fn limit(&self, change: impl Fn(&mut Limits)) {
+        self.change(|state| {
+            state.catalogue.version += 1;
+            let entries = state.catalogue.entries.iter_mut();
+            entries.filter_map(|e| e.limits.as_mut()).for_each(change);
+        });
+    }
+
     /// Whether a gateway has said something that fits `check`.
     pub fn has_heard(&self, check: impl Fn(&Host) -> bool) -> bool {
         self.state.lock().expect("no panic").heard.iter().any(check)
--- a/crates/gateway/tests/fakes/upstream.rs
+++ b/crates/gateway/tests/fakes/upstream.rs
@@ -67,9 +67,20 @@
         upstream
     }
 
-    /// All requests so far.
+    /// All requests so far, probes not among them.
     pub fn seen(&self) -> Vec<Seen> {
-        self.state.lock().expect("no panic").seen.clone()
+        self.requests(|seen| seen.path() != "/rwr/load")
+    }
+
+    /// All probes so far.
+    pub fn probes(&self) -> Vec<Seen> {
+        self.requests(|seen| seen.path() == "/rwr/load")
+    }
+
+    fn requests(&self, which: impl Fn(&Seen) -> bool) -> Vec<Seen> {
+        let state = self.state.lock().expect("no panic");
+        let seen = state.seen.iter();
+        seen.filter(|seen| which(seen)).cloned().collect()
     }
 
     /// Connections opened so far.
--- a/crates/gateway/tests/test_keyed.rs
+++ b/crates/gateway/tests/test_keyed.rs
@@ -267,6 +267,7 @@
         payload: Payload::Kept(bytes::Bytes::new(), None),
         // As after a freeze between the claim and the attempt.
         hold: Some(now),
+        slot: None,
     };
     let answer = call::start(core, desk, request).await.expect("an answer");
     let refusal = answer.err().expect("a refusal");
