--- a/crates/route/src/instance.rs
+++ b/crates/route/src/instance.rs
@@ -63,7 +63,7 @@
     }
 
     /// Uses the ticket up.
-    pub(crate) fn close(self) -> Pick {
-        self.pick
+    pub(crate) fn close(self) -> (Pick, Moment) {
+        (self.pick, self.began)
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,6 +11,7 @@
 //! with [`Chooser::probe`]; what they may cost is not decided here.
 
 pub mod chooser;
+mod entry;
 pub mod instance;
 pub mod outcome;
 pub mod policy;
