route: choose by least expected wait, with health from results

Cause: a gateway sees a fifteenth of the traffic, so two choices by own attempts in flight is close to random, and an instance that fails fast or stalls keeps its share. The policy least-wait expects an answer from own attempts, the mean load that reports tell, the work time in latencies, and how long attempts have waited without any answer; failures and silence eject, at most half of the instances at a time, and an instance comes back by a probe, one trial and a ramp.

--- a/crates/route/src/chooser.rs
+++ b/crates/route/src/chooser.rs
@@ -9,6 +9,10 @@
 use rand::rngs::SmallRng;
 
 use crate::entry::Entry;
+use crate::entry::Usual;
+use crate::entry::Verdict;
+use crate::health::Cause;
+use crate::health::State;
 use crate::instance::Instance;
 use crate::instance::Phase;
 use crate::instance::Pick;
@@ -21,6 +25,25 @@
 use crate::policy::Settings;
 use crate::view::View;
 
+/// Work time that is assumed before the first answer, in seconds.
+const FIRST_WORK: f64 = 0.01;
+/// Weight of one answer in what is usual for the service.
+const USUAL_WEIGHT: f64 = 0.02;
+/// Usual work times that one answer counts for at most.
+const MOST_SAMPLE: f64 = 4.0;
+/// Most that an expectation is shown as, in seconds.
+const MOST_EXPECTED: f64 = 3600.0;
+/// Part of an expectation that is random, so that equal ones take turns.
+const JITTER: f64 = 0.05;
+/// Choices over which shares are shown.
+const SHARE_WINDOW: u32 = 2048;
+/// Usual work times without an answer that eject.
+const SILENT_WORKS: f64 = 20.0;
+/// Least time without an answer that ejects.
+const SILENT_FLOOR: Duration = Duration::from_millis(100);
+/// At most one instance in so many is ejected.
+const EJECTED_PART: usize = 2;
+
 /// Chooses among one service's instances.
 ///
 /// Invariant: `ready` holds the indexes of exactly the entries whose phase is
@@ -33,6 +56,9 @@
     entries: Vec<Entry>,
     ready: Vec<usize>,
     turn: usize,
+    usual: Usual,
+    total: u32,
+    begun: bool,
 }
 
 impl Chooser {
@@ -46,6 +72,12 @@
             entries: Vec::new(),
             ready: Vec::new(),
             turn: 0,
+            usual: Usual {
+                work: FIRST_WORK,
+                others: 0.0,
+            },
+            total: 0,
+            begun: false,
         }
     }
 
@@ -59,6 +91,7 @@
         for row in table {
             self.take(now, row);
         }
+        self.begun |= !table.is_empty();
         self.ready.clear();
         let ready = (0..self.entries.len()).filter(|i| self.entries[*i].is_ready());
         self.ready.extend(ready);
@@ -73,10 +106,15 @@
         if row.phase == Phase::Gone {
             return;
         }
+        let state = if self.begun {
+            State::Ramping { since: now }
+        } else {
+            State::Well
+        };
         let free = self.entries.iter_mut().find(|e| e.is_gone());
         match free {
-            Some(entry) => *entry = Entry::new(row.clone(), entry.epoch + 1),
-            None => self.entries.push(Entry::new(row.clone(), 0)),
+            Some(entry) => *entry = Entry::new(row.clone(), entry.epoch + 1, state),
+            None => self.entries.push(Entry::new(row.clone(), 0, state)),
         }
     }
 
@@ -84,21 +122,76 @@
     ///
     /// `None` means that no instance is ready.
     pub fn choose(&mut self, now: Moment, exclude: &[Pick]) -> Option<Choice> {
-        let index = match self.policy {
-            Policy::Random | Policy::LeastWait => self.random(exclude, None)?,
-            Policy::RoundRobin => self.next(exclude)?,
-            Policy::TwoChoices => self.two_choices(exclude)?,
+        let (index, reason) = match self.policy {
+            Policy::Random => (self.random(exclude, None)?, Reason::Baseline),
+            Policy::RoundRobin => (self.next(exclude)?, Reason::Baseline),
+            Policy::TwoChoices => (self.two_choices(exclude)?, Reason::Baseline),
+            Policy::LeastWait => self.least_wait(now, exclude)?,
         };
-        let entry = &self.entries[index];
+        self.count(index, reason);
+        let entry = &mut self.entries[index];
+        let expected = entry.expected(now, self.usual, &self.settings);
         Some(Choice {
             pick: entry.pick(index),
-            reason: Reason::Baseline,
+            reason,
             age: entry.age(now),
             in_flight: entry.in_flight(),
-            expected: Duration::ZERO,
+            expected: Duration::from_secs_f64(expected.clamp(0.0, MOST_EXPECTED)),
         })
     }
 
+    fn least_wait(&mut self, now: Moment, exclude: &[Pick]) -> Option<(usize, Reason)> {
+        if let Some(index) = self.trial(now, exclude) {
+            self.entries[index].health.begin_trial();
+            return Some((index, Reason::Trial));
+        }
+        let Some(index) = self.least(now, exclude) else {
+            let index = self.random(exclude, None)?;
+            return Some((index, Reason::Panic));
+        };
+        let age = self.entries[index].age(now);
+        let fresh = age.is_some_and(|age| age < self.settings.report_limit);
+        Some((index, if fresh { Reason::Fresh } else { Reason::Stale }))
+    }
+
+    /// An ejected instance that may be tried; not for a retry, which has failed once.
+    fn trial(&self, now: Moment, exclude: &[Pick]) -> Option<usize> {
+        let mut ready = self.ready.iter().copied();
+        ready.find(|i| exclude.is_empty() && self.entries[*i].health.wants_trial(now))
+    }
+
+    fn least(&mut self, now: Moment, exclude: &[Pick]) -> Option<usize> {
+        let mut best = None;
+        let mut least = f64::INFINITY;
+        for at in 0..self.ready.len() {
+            let index = self.ready[at];
+            if !self.entries[index].health.is_in() || self.is_excluded(index, exclude) {
+                continue;
+            }
+            let jitter = 1.0 + JITTER * self.rng.random::<f64>();
+            let expected = self.entries[index].expected(now, self.usual, &self.settings);
+            if expected * jitter < least {
+                least = expected * jitter;
+                best = Some(index);
+            }
+        }
+        best
+    }
+
+    fn count(&mut self, index: usize, reason: Reason) {
+        self.total += 1;
+        self.entries[index].chosen += 1;
+        self.entries[index].reason = Some(reason);
+        if self.total < SHARE_WINDOW {
+            return;
+        }
+        self.total = 0;
+        for entry in &mut self.entries {
+            entry.chosen /= 2;
+            self.total += entry.chosen;
+        }
+    }
+
     /// A random ready instance, not `other` and none of `exclude` if another is left.
     fn random(&mut self, exclude: &[Pick], other: Option<usize>) -> Option<usize> {
         let free = |i: &usize| Some(*i) != other && !self.is_excluded(*i, exclude);
@@ -146,8 +239,47 @@
     /// Notes the end of an attempt.
     pub fn finished(&mut self, now: Moment, ticket: Ticket, outcome: Outcome) {
         let (pick, began) = ticket.close();
-        if let Some(entry) = self.entry(pick) {
-            entry.finish(now, began, outcome);
+        let (usual, settings) = (self.usual, self.settings);
+        let Some(entry) = self.entry(pick) else {
+            return;
+        };
+        match entry.finish(now, began, outcome, usual, &settings) {
+            Verdict::Worked(work) => self.learn(now, pick, work),
+            Verdict::Bad => self.eject(now, pick, Cause::Failures),
+            Verdict::Nothing => self.check_silence(now, pick),
+        }
+    }
+
+    fn learn(&mut self, now: Moment, pick: Pick, work: f64) {
+        let work = work.min(self.usual.work * MOST_SAMPLE);
+        self.usual.work += (work - self.usual.work) * USUAL_WEIGHT;
+        let limit = self.settings.report_limit;
+        let others = self.entry(pick).and_then(|e| e.others(now, limit));
+        if let Some(others) = others {
+            self.usual.others += (others - self.usual.others) * USUAL_WEIGHT;
+        }
+    }
+
+    fn check_silence(&mut self, now: Moment, pick: Pick) {
+        let limit = Duration::from_secs_f64(self.usual.work * SILENT_WORKS);
+        let limit = limit.max(SILENT_FLOOR);
+        let silent = |e: &mut Entry| e.health.is_in() && e.silence(now) > limit;
+        if self.entry(pick).is_some_and(silent) {
+            self.eject(now, pick, Cause::Silence);
+        }
+    }
+
+    /// Ejects the instance unless too many of the ready ones are out already.
+    fn eject(&mut self, now: Moment, pick: Pick, cause: Cause) {
+        let out = |i: &&usize| !self.entries[**i].health.is_in();
+        let count = self.ready.iter().filter(out).count();
+        let jitter = self.rng.random();
+        let bound = self.ready.len() / EJECTED_PART;
+        let Some(entry) = self.entry(pick) else {
+            return;
+        };
+        if !entry.health.is_in() || count < bound {
+            entry.health.eject(now, cause, jitter);
         }
     }
 
@@ -156,14 +288,42 @@
     /// `allowed` is asked in the order of need and takes the probe from the
     /// instance's measuring budget when it says yes. Every pick is to be given
     /// back to [`Chooser::probed`].
-    pub fn probe(&mut self, now: Moment, allowed: impl FnMut(&InstanceId) -> bool) -> Option<Pick> {
-        let _ = (now, allowed, self.settings);
-        None
+    pub fn probe(
+        &mut self,
+        now: Moment,
+        mut allowed: impl FnMut(&InstanceId) -> bool,
+    ) -> Option<Pick> {
+        let settings = self.settings;
+        let waiting = |e: &Entry| e.is_ready() && !e.probing;
+        let back = |e: &Entry| waiting(e) && e.health.wants_probe(now);
+        let stale = |e: &Entry| waiting(e) && e.age(now).is_none_or(|a| a >= settings.probe_age);
+        let entries = self.entries.iter().enumerate();
+        let first = entries.clone().filter(|(_, e)| back(e));
+        let then = entries.filter(|(_, e)| stale(e) && !back(e));
+        let mut wanted = first.chain(then);
+        let (index, _) = wanted.find(|(_, e)| allowed(&e.instance.id))?;
+        self.entries[index].probing = true;
+        Some(self.entries[index].pick(index))
     }
 
     /// Notes the end of a probe.
     pub fn probed(&mut self, now: Moment, pick: Pick, result: Probed) {
-        let _ = (now, pick, result);
+        let settings = self.settings;
+        let Some(entry) = self.entry(pick) else {
+            return;
+        };
+        entry.probing = false;
+        match result {
+            Probed::Load(report) => {
+                entry.report(now, report, &settings);
+                entry.health.probe_answered(now);
+            }
+            Probed::Failed => {
+                if entry.health.probe_failed() {
+                    self.eject(now, pick, Cause::Silence);
+                }
+            }
+        }
     }
 
     /// The instance's id, `None` after it has gone.
@@ -177,7 +337,7 @@
     #[must_use]
     pub fn views(&self, now: Moment) -> Vec<View> {
         let shown = self.entries.iter().filter(|e| !e.is_gone());
-        shown.map(|e| e.view(now)).collect()
+        shown.map(|e| e.view(now, self.usual, self.total)).collect()
     }
 
     fn entry(&mut self, pick: Pick) -> Option<&mut Entry> {
--- /dev/null
+++ b/crates/route/src/health.rs
@@ -0,0 +1,207 @@
+//! Whether an instance gets work, judged from results.
+//!
+//! Failures in a row, or too large a share of them, eject an instance; so does
+//! a long wait without any answer. It comes back by a probe that is answered,
+//! one trial request, and a ramp. Each ejection soon after the last one is
+//! twice as long, so that a flapping instance costs less and less. Who may be
+//! ejected is bounded by the chooser, not here.
+
+use std::time::Duration;
+
+use base::prelude::Moment;
+
+use crate::load::keep;
+
+/// Failures in a row that eject.
+const STREAK: u32 = 3;
+/// Results below which a share of failures tells nothing.
+const FEWEST: f64 = 5.0;
+/// Share of failures that ejects.
+const SHARE: f64 = 0.4;
+/// Results that the share of failures remembers.
+const MEMORY: f64 = 20.0;
+/// Age at which results have half of their weight.
+const RESULT_HALF: Duration = Duration::from_secs(1);
+/// Failed probes in a row, without an answer between them, that eject.
+const FAILED_PROBES: u32 = 2;
+/// First ejection.
+const SHORTEST: Duration = Duration::from_secs(1);
+/// Doublings at most.
+const MOST_DOUBLINGS: u32 = 4;
+/// Time without an ejection after which the next is a first one again.
+const FORGIVEN: Duration = Duration::from_mins(1);
+/// Wait for a probe's answer before a trial is made without one, after failures.
+const GRACE: Duration = Duration::from_secs(2);
+/// The same after silence, when requests may be lost in the instance.
+const SILENT_GRACE: Duration = Duration::from_secs(30);
+
+/// Why an instance was ejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Cause {
+    /// It failed.
+    Failures,
+    /// It gave no answer.
+    Silence,
+}
+
+/// Where an instance stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum State {
+    /// It gets its share.
+    Well,
+    /// It gets a share that grows from `since` on.
+    Ramping { since: Moment },
+    /// It gets nothing; from `until` on a probe or a trial may be made.
+    Ejected { until: Moment, cause: Cause },
+    /// A probe was answered after the ejection: one trial request may be made.
+    Probed,
+    /// The trial is under way.
+    Trial,
+}
+
+/// The health of one instance.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Health {
+    state: State,
+    streak: u32,
+    failures: f64,
+    results: f64,
+    at: Moment,
+    failed_probes: u32,
+    doublings: u32,
+    ejected: Option<Moment>,
+}
+
+impl Health {
+    /// An instance about which nothing is known.
+    pub(crate) fn new(state: State) -> Self {
+        Self {
+            state,
+            streak: 0,
+            failures: 0.0,
+            results: 0.0,
+            at: Moment::ZERO,
+            failed_probes: 0,
+            doublings: 0,
+            ejected: None,
+        }
+    }
+
+    /// Where it stands.
+    pub(crate) fn state(&self) -> State {
+        self.state
+    }
+
+    /// Whether it gets ordinary work.
+    pub(crate) fn is_in(&self) -> bool {
+        matches!(self.state, State::Well | State::Ramping { .. })
+    }
+
+    /// Takes an answer that the instance means.
+    pub(crate) fn succeeded(&mut self, now: Moment) {
+        self.note(now, 0.0);
+        self.streak = 0;
+        self.failed_probes = 0;
+        if self.state == State::Trial {
+            self.state = State::Ramping { since: now };
+            self.failures = 0.0;
+        }
+    }
+
+    /// Takes a failure; true when it asks for ejection.
+    pub(crate) fn failed(&mut self, now: Moment) -> bool {
+        self.note(now, 1.0);
+        self.streak += 1;
+        let often = self.results >= FEWEST && self.share(now) >= SHARE;
+        self.state == State::Trial || self.streak >= STREAK || often
+    }
+
+    /// Takes a probe's failure; true when it asks for ejection.
+    pub(crate) fn probe_failed(&mut self) -> bool {
+        self.failed_probes += 1;
+        !self.is_in() || self.failed_probes >= FAILED_PROBES
+    }
+
+    /// Takes a probe's answer.
+    pub(crate) fn probe_answered(&mut self, now: Moment) {
+        self.failed_probes = 0;
+        if matches!(self.state, State::Ejected { until, .. } if until <= now) {
+            self.state = State::Probed;
+        }
+    }
+
+    /// Ejects it; `jitter` from 0 to 1 spreads the gateways' trials.
+    pub(crate) fn eject(&mut self, now: Moment, cause: Cause, jitter: f64) {
+        let soon = self.ejected.is_some_and(|at| now.since(at) < FORGIVEN);
+        self.doublings = if soon {
+            (self.doublings + 1).min(MOST_DOUBLINGS)
+        } else {
+            0
+        };
+        let span = SHORTEST * 2_u32.pow(self.doublings);
+        let until = now + span.mul_f64(1.0 + jitter / 2.0);
+        self.state = State::Ejected { until, cause };
+        self.ejected = Some(now);
+        self.streak = 0;
+    }
+
+    /// Whether a trial request may be made now.
+    pub(crate) fn wants_trial(&self, now: Moment) -> bool {
+        match self.state {
+            State::Probed => true,
+            State::Ejected { until, cause } => now >= until + grace(cause),
+            State::Well | State::Ramping { .. } | State::Trial => false,
+        }
+    }
+
+    /// Notes that the trial is under way.
+    pub(crate) fn begin_trial(&mut self) {
+        self.state = State::Trial;
+    }
+
+    /// Takes the end of a trial that told nothing.
+    pub(crate) fn trial_cancelled(&mut self) {
+        if self.state == State::Trial {
+            self.state = State::Probed;
+        }
+    }
+
+    /// Whether a probe could end the ejection.
+    pub(crate) fn wants_probe(&self, now: Moment) -> bool {
+        matches!(self.state, State::Ejected { until, .. } if until <= now)
+    }
+
+    /// Share of failures among recent results, from 0 to 1.
+    pub(crate) fn share(&self, now: Moment) -> f64 {
+        let kept = keep(now.since(self.at), RESULT_HALF);
+        // One success more than was seen, so that a first failure isn't all.
+        self.failures * kept / (self.results * kept + 1.0)
+    }
+
+    /// How far a ramp of `span` has come, 1 when there is none.
+    pub(crate) fn ramp(&mut self, now: Moment, span: Duration) -> f64 {
+        let State::Ramping { since } = self.state else {
+            return 1.0;
+        };
+        let done = now.since(since).as_secs_f64() / span.as_secs_f64();
+        if done >= 1.0 {
+            self.state = State::Well;
+        }
+        done.min(1.0)
+    }
+
+    fn note(&mut self, now: Moment, failure: f64) {
+        let kept = keep(now.since(self.at), RESULT_HALF);
+        let kept = kept * (1.0 - 1.0 / MEMORY);
+        self.failures = self.failures * kept + failure;
+        self.results = self.results * kept + 1.0;
+        self.at = now;
+    }
+}
+
+fn grace(cause: Cause) -> Duration {
+    match cause {
+        Cause::Failures => GRACE,
+        Cause::Silence => SILENT_GRACE,
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -12,9 +12,12 @@
 
 pub mod chooser;
 mod entry;
+mod health;
 pub mod instance;
+mod load;
 pub mod outcome;
 pub mod policy;
+mod speed;
 pub mod view;
 
 pub use chooser::Chooser;
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -60,17 +60,23 @@
 /// Settings of a chooser.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
-    /// Age at which a report has lost the larger part of its weight.
+    /// Age at which the reports before have half of their weight.
     pub report_half: Duration,
     /// Age from which a report isn't used.
     pub report_limit: Duration,
+    /// Age of the newest report from which a probe is worth its cost.
+    pub probe_age: Duration,
+    /// How long an instance that is new, or back, gets a growing share.
+    pub ramp: Duration,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            report_half: Duration::from_millis(10),
-            report_limit: Duration::from_millis(500),
+            report_half: Duration::from_secs(3),
+            report_limit: Duration::from_secs(10),
+            probe_age: Duration::from_millis(200),
+            ramp: Duration::from_secs(2),
         }
     }
 }
