--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,9 +11,13 @@
 //! with [`Chooser::probe`]; what they may cost is not decided here.
 
 pub mod chooser;
+mod entry;
+mod health;
 pub mod instance;
+mod load;
 pub mod outcome;
 pub mod policy;
+mod speed;
 pub mod view;
 
 pub use chooser::Chooser;
