--- a/crates/gateway/src/keyed.rs
+++ b/crates/gateway/src/keyed.rs
@@ -45,7 +45,7 @@
 /// Added to what is left of the deadline for the claim's hold: time to settle.
 const HOLD_MARGIN: Duration = Duration::from_secs(5);
 /// Longest wait for a claim.
-const CLAIM_TIME: Duration = Duration::from_secs(2);
+const CLAIM_TIME: Duration = Duration::from_secs(1);
 /// How long an answer is held back for its settlement.
 const SETTLE_FIRST: Duration = Duration::from_millis(200);
 /// When to come back while the same key runs.
@@ -170,6 +170,20 @@
             Reason::LedgerFull,
             millis_or(full.retry_ms, RUNNING_RETRY),
         )),
+        Some(Kind::Refused(why)) => refused(refusal_of(why.refusal())),
+    }
+}
+
+fn refusal_of(refusal: ledger::Refusal) -> Refusal {
+    match refusal {
+        // An earlier send may have run, and its record is gone.
+        ledger::Refusal::Expired => Refusal::unknown(StatusCode::CONFLICT, Reason::KeyExpired),
+        ledger::Refusal::Early => Refusal::bad(Reason::KeyEarly),
+        ledger::Refusal::Untimed => Refusal::bad(Reason::KeyUntimed),
+        ledger::Refusal::Form => Refusal::bad(Reason::BadKey),
+        ledger::Refusal::Spent | ledger::Refusal::Unspecified => {
+            Refusal::busy(Reason::Ledger, RUNNING_RETRY)
+        }
     }
 }
 
@@ -221,6 +235,7 @@
         Some(Kind::Unknown(_)) => "unknown",
         Some(Kind::Mismatch(_)) => "mismatch",
         Some(Kind::Full(_)) => "full",
+        Some(Kind::Refused(_)) => "refused",
     }
 }
 
