--- a/crates/members/tests/test_members.rs
+++ b/crates/members/tests/test_members.rs
@@ -252,6 +252,24 @@
     );
 }
 
+#[test]
+fn test_members_ages_count_only_at_equal_digests() {
+    for told in [false, true] {
+        let (mut home, mut peer) = pair();
+        if !told {
+            home.announce(instance("g2", Phase::Ready, 1, 1), at(100))
+                .expect("taken");
+        }
+        // Both know the same homes.
+        common::pull(&mut home, &mut peer, at(100), at(100));
+        common::sweep(&mut peer, 100, 2900);
+        peer.merge_ages(home.digest(), &home.ages(at(2900)), at(2900));
+        common::sweep(&mut peer, 3000, 3100);
+        let seen = told.then_some(Phase::Ready);
+        assert_eq!(common::phase(&peer, "g1"), seen, "equal digests: {told}");
+    }
+}
+
 #[test]
 fn test_members_drain_told_to_one_home_outlives_its_lease_there() {
     let (mut a, mut b) = pair();
