directory: tests of spread, ports, stop and settings; answers leave before a stop ends

Cause: a stop dropped each tarpc connection at once, so the answers that held polls were given on the stop never left. Red run: test_stop_answers_held_polls 'is answered: Shutdown'. Connections now go on for 250 ms after the stop began.

--- a/crates/directory/src/rpc.rs
+++ b/crates/directory/src/rpc.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures::StreamExt;
 use slog::debug;
@@ -13,6 +14,7 @@
 use tarpc::server::Channel as _;
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
+use tokio::time::sleep;
 use tokio_serde::formats::Bincode;
 use wire::api::DirectoryApi;
 use wire::api::DirectoryApiRequest;
@@ -27,6 +29,8 @@
 const MAX_CONNECTIONS: usize = 1024;
 /// Most requests in flight on one connection.
 const MAX_REQUESTS: usize = 64;
+/// Time for answers to leave once the directory stops; held polls are answered at once then.
+const DRAIN: Duration = Duration::from_millis(250);
 
 type In = ClientMessage<DirectoryApiRequest>;
 type Out = Response<DirectoryApiResponse>;
@@ -73,7 +77,8 @@
     while connections.join_next().await.is_some() {}
 }
 
-/// Answers one connection's requests until it ends or the directory stops.
+/// Answers one connection's requests until it ends, or the directory stops and
+/// the answers to held polls had time to leave.
 async fn converse(shared: Arc<Shared>, channel: Channel<In, Out>) {
     let stop = shared.stop.clone();
     let config = tarpc::server::Config {
@@ -81,8 +86,12 @@
     };
     let channel = BaseChannel::new(config, channel);
     let requests = channel.execute(Api(shared).serve());
+    let ended = async {
+        stop.cancelled().await;
+        sleep(DRAIN).await;
+    };
     requests
-        .take_until(stop.cancelled_owned())
+        .take_until(Box::pin(ended))
         .for_each_concurrent(MAX_REQUESTS, |answer| answer)
         .await;
 }
--- a/crates/directory/tests/common/mod.rs
+++ b/crates/directory/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Fakes at the directory's interfaces: a control replica and a gateway.
 
+pub mod relay;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -285,3 +287,52 @@
     })
     .await;
 }
+
+/// Whether the directory shows the instance, and in what phase.
+pub fn phase(directory: &Directory, id: &str) -> Option<members::Phase> {
+    directory.shared().step(|inner, _| {
+        let mut records = inner.members.instances().records();
+        records.find_map(|record| match record {
+            members::Record::Instance(i) if i.id.as_str() == id => Some(i.phase),
+            _ => None,
+        })
+    })
+}
+
+/// The catalogue version held and whether it is current.
+pub fn version(directory: &Directory) -> (u64, bool) {
+    let now = directory.shared().clock.now();
+    directory
+        .shared()
+        .step(|inner, _| (inner.version(), inner.standing.is_current(now)))
+}
+
+/// The hosts that a caller is told, or none.
+pub async fn named(directory: SocketAddr) -> Vec<String> {
+    let answer = get(directory, "/v1/route?service=grants").await;
+    let route: Option<directory::answer::Route> = serde_json::from_str(&answer.body).ok();
+    route.map_or_else(Vec::new, |r| {
+        r.addresses.into_iter().map(|a| a.address).collect()
+    })
+}
+
+/// Announces an instance again and again until dropped.
+pub struct Upstream(JoinHandle<()>);
+
+impl Upstream {
+    /// Starts announcing to one directory.
+    pub fn start(directory: SocketAddr, id: &'static str) -> Self {
+        Self(tokio::spawn(async move {
+            for sequence in 1.. {
+                announce(directory, announcement(id, "ready", 1, sequence)).await;
+                tokio::time::sleep(Duration::from_millis(200)).await;
+            }
+        }))
+    }
+}
+
+impl Drop for Upstream {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
--- a/crates/directory/tests/tests.rs
+++ b/crates/directory/tests/tests.rs
@@ -2,3 +2,7 @@
 
 mod common;
 mod test_path;
+mod test_port;
+mod test_settings;
+mod test_spread;
+mod test_stop;
