--- a/crates/cli/src/command/upstreams.rs
+++ b/crates/cli/src/command/upstreams.rs
@@ -71,6 +71,7 @@
 fn phase_word(phase: Phase, gone: bool) -> &'static str {
     match phase {
         _ if gone => "gone",
+        Phase::Gone => "gone",
         Phase::Unspecified => "unknown",
         Phase::Starting => "starting",
         Phase::Ready => "ready",
