cli: a file knows the version that it was made from

Cause: a file says the whole catalogue, and apply took it against whatever was in force. Ruled out: a warning in plan alone, which apply doesn't wait for.

Red run: with the file's version ignored, test_apply_answers got Done where the table expects the conflict that names the winner.

--- a/crates/catalogue/src/file.rs
+++ b/crates/catalogue/src/file.rs
@@ -1,7 +1,8 @@
 //! Catalogue files: INI, one section an entry.
 //!
-//! `[service NAME]` has every key of an entry, `[gateway NAME]` has none. A
-//! file that is written can be read back to the same catalogue.
+//! `[service NAME]` has every key of an entry, `[gateway NAME]` has none, and
+//! `[catalogue]` may say the version that the file was made from. A file that
+//! is written can be read back to the same catalogue.
 
 use std::fmt::Write;
 use std::path::Path;
@@ -25,10 +26,12 @@
 use crate::fault::Fault;
 use crate::fault::Field;
 
+const WHOLE: &str = "catalogue";
+const VERSION: &str = "version";
 const SERVICE: &str = "service ";
 const GATEWAY: &str = "gateway ";
 
-/// Reads the file at `path`; its version is zero.
+/// Reads the file at `path`; its version is zero where it says none.
 ///
 /// # Errors
 ///
@@ -50,6 +53,11 @@
 #[must_use]
 pub fn write(catalogue: &Catalogue) -> String {
     let mut text = String::new();
+    if catalogue.version > 0 {
+        section(&mut text, WHOLE);
+        // Writing to a string can't fail.
+        let _ = writeln!(text, "{VERSION} = {}", catalogue.version);
+    }
     for entry in catalogue.entries.values() {
         section(&mut text, &format!("{SERVICE}{}", entry.service));
         for (field, value) in fields(entry) {
@@ -88,7 +96,10 @@
 }
 
 fn read(mut reader: Reader) -> Result<Catalogue, ConfError> {
-    let mut catalogue = Catalogue::default();
+    let mut catalogue = Catalogue {
+        version: reader.or(WHOLE, VERSION, 0),
+        ..Catalogue::default()
+    };
     for section in reader.sections() {
         if let Some(name) = section.strip_prefix(SERVICE) {
             read_service(&mut reader, &section, name, &mut catalogue);
--- a/crates/catalogue/tests/test_file.rs
+++ b/crates/catalogue/tests/test_file.rs
@@ -36,6 +36,10 @@
     assert_eq!(read.entries.len(), 2);
     assert_eq!(read.gateways.len(), 2);
     assert_eq!(file::write(&read), WHOLE);
+    let text = format!("[catalogue]\nversion = 7\n\n{WHOLE}");
+    let read = file::parse("c.ini", &text).expect("a good file");
+    assert_eq!(read.version, 7);
+    assert_eq!(file::write(&read), text);
     assert_eq!(
         file::parse("c.ini", "").expect("an empty one"),
         catalogue::Catalogue::default()
--- a/crates/cli/src/command/apply.rs
+++ b/crates/cli/src/command/apply.rs
@@ -104,9 +104,10 @@
         return Ok(None);
     }
     let id = args.id.as_ref().map(ToString::to_string);
+    let stated = (wanted.version > 0).then_some(wanted.version);
     let change = Change {
         id: id.unwrap_or_else(|| Uuid::new_v4().to_string()),
-        base: args.base.unwrap_or(current.version),
+        base: args.base.or(stated).unwrap_or(current.version),
         author: settings.author.clone(),
         edits,
     };
--- a/crates/cli/src/command/plan.rs
+++ b/crates/cli/src/command/plan.rs
@@ -40,12 +40,25 @@
         count => format!("against version {}, {count} differences:", current.version),
     };
     out.fact(&sentence, &plan)?;
+    if wanted.version > 0 && wanted.version != current.version {
+        tell_old(current, wanted, out)?;
+    }
     if rows.is_empty() {
         return Ok(());
     }
     out.table(&table(&rows))
 }
 
+fn tell_old(current: &Catalogue, wanted: &Catalogue, out: &mut Output<'_>) -> std::io::Result<()> {
+    let mut table = Table::new("overtaken", &["file", "current"]);
+    table.row([&wanted.version, &current.version]);
+    let sentence = format!(
+        "the file was made from version {}, so applying it will be a conflict",
+        wanted.version
+    );
+    out.fact(&sentence, &table)
+}
+
 fn table(rows: &[Difference]) -> Table {
     let mut table = Table::new("difference", &["effect", "name", "field", "from", "to"]);
     for row in rows {
--- a/crates/cli/src/fault.rs
+++ b/crates/cli/src/fault.rs
@@ -140,7 +140,8 @@
                 format!("resend it: rwrctl apply {} --id {id}", file.display())
             }
             Self::Conflict(_) => {
-                "rwrctl plan FILE against the present version, then apply it with a new id".into()
+                "rwrctl show --ini writes the present catalogue; edit that, plan and apply it"
+                    .into()
             }
             Self::Reused(..) => "leave --id out, and a new one is chosen".into(),
             Self::Expired(_) => "rwrctl history and rwrctl show tell what is in force".into(),
--- a/crates/cli/tests/test_apply.rs
+++ b/crates/cli/tests/test_apply.rs
@@ -41,7 +41,10 @@
         "answers-bad.ini",
         &FILE.replace("once", "twice").replace("64KiB", "64"),
     );
-    let (file, more, bad) = (file.display(), more.display(), bad.display());
+    let old = format!("[catalogue]\nversion = 1\n\n{}", FILE.replace("84", "86"));
+    let old = write("answers-old.ini", &old);
+    let (file, more) = (file.display(), more.display());
+    let (bad, old) = (bad.display(), old.display());
     let cases = [
         (
             format!("apply {bad}"),
@@ -75,6 +78,11 @@
             "change a-1 by anna came first on version 0; now at version 1",
         ),
         (format!("apply {more} --id b-2 --base 1"), Exit::Done, ""),
+        (
+            format!("apply {old} --id b-3"),
+            Exit::Conflict,
+            "change b-2 by operator came first on version 1; now at version 2",
+        ),
         (
             format!("apply {more} --id b/2"),
             Exit::Usage,
--- a/crates/cli/tests/test_commands.rs
+++ b/crates/cli/tests/test_commands.rs
@@ -42,6 +42,10 @@
 [gateway milano-1]
 ";
 
+fn of_version(version: u64) -> String {
+    format!("[catalogue]\nversion = {version}\n\n{FILE}")
+}
+
 /// A system of one host with one service, one instance and one replica.
 fn filled() -> Fake {
     let fake = Fake::default();
@@ -148,7 +152,7 @@
              item=service service=grants owner=\"Ferrovie Alpine\" class=once concurrency=42 queue=84 deadline=2s body=64KiB retries=10% probes=2/s\n\
              item=gateway gateway=milano-1\n".into(),
         ),
-        ("show --ini".into(), FILE.into(), FILE.into()),
+        ("show --ini".into(), of_version(1), of_version(1)),
         (
             "history".into(),
             "VERSION  ID   AUTHOR  EDITS\n1        a-1  anna    put grants, add gateway milano-1\n".into(),
@@ -363,6 +367,12 @@
     }
 }
 
+#[test]
+fn test_commands_reference_has_the_usage_text() {
+    let page = include_str!("../../../docs/reference/rwrctl.md");
+    assert!(page.contains(cli::command::USAGE));
+}
+
 #[tokio::test]
 async fn test_commands_settings_file() {
     let fake = filled();
