demo: run the policies inside attempts, admission and the measuring budget

Rows with a plus sign have the product's own crates around the choice: retries and hedges within 10 % of the calls, admission, probes paid from the measuring budget. Rows without have one attempt a call, so that the choice alone is seen.

--- a/crates/demo/examples/policy/fake.rs
+++ b/crates/demo/examples/policy/fake.rs
@@ -26,12 +26,22 @@
 
 /// An answer, or what came in its place.
 pub struct Answer {
-    /// How it ended.
-    pub kind: Kind,
+    /// How it ended, `None` when there was no instance to ask.
+    pub kind: Option<Kind>,
     /// The load report on it.
     pub report: Option<Report>,
 }
 
+impl Answer {
+    /// There was no instance to ask.
+    pub fn none() -> Self {
+        Self {
+            kind: None,
+            report: None,
+        }
+    }
+}
+
 /// One instance of a service.
 pub struct Fake {
     index: u32,
@@ -78,7 +88,10 @@
         let kind = self.run(work).await;
         let report = (kind != Kind::ConnectFailed).then(|| self.report());
         self.time.sleep(HOP).await;
-        Answer { kind, report }
+        Answer {
+            kind: Some(kind),
+            report,
+        }
     }
 
     async fn run(&self, work: Duration) -> Kind {
--- a/crates/demo/examples/policy/figures.rs
+++ b/crates/demo/examples/policy/figures.rs
@@ -4,6 +4,8 @@
 
 use hdrhistogram::Histogram;
 
+use crate::call::End;
+
 /// Counts of one run, over the calls that arrived after the warm-up.
 pub struct Tally {
     /// Latencies in microseconds; a call that failed counts with its whole deadline.
@@ -38,8 +40,19 @@
         }
     }
 
-    /// Notes the latency of a call that wasn't refused.
-    pub fn record(&mut self, latency: Duration) {
+    /// Notes the end of a call.
+    pub fn record(&mut self, end: End, latency: Duration, attempts: u32) {
+        self.calls += 1;
+        self.attempts += attempts;
+        match end {
+            End::Answered => self.answered += 1,
+            End::Refused => {
+                self.refused += 1;
+                return;
+            }
+            End::Late => {}
+            End::Failed => self.errors += 1,
+        }
         let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
         self.latency.saturating_record(micros.max(1));
     }
@@ -56,6 +69,7 @@
             p99: quantile(0.99),
             p999: quantile(0.999),
             within: share(self.answered),
+            admitted: f64::from(self.answered) / f64::from((self.calls - self.refused).max(1)),
             refused: share(self.refused),
             errors: share(self.errors),
             attempts: share(self.attempts),
@@ -75,6 +89,8 @@
     pub p999: f64,
     /// Answered within the deadline.
     pub within: f64,
+    /// The same, of the calls that weren't refused.
+    pub admitted: f64,
     /// Refused at once.
     pub refused: f64,
     /// Ended in an error.
--- a/crates/demo/examples/policy/run.rs
+++ b/crates/demo/examples/policy/run.rs
@@ -1,4 +1,4 @@
-//! One run: choosers that share instances, open-loop arrivals, one fault.
+//! One run: gateways that share instances, open-loop arrivals, one fault.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -13,55 +13,108 @@
 use route::Chooser;
 use route::Instance;
 use route::Kind;
-use route::Outcome;
 use route::Pick;
 use route::Policy;
+use route::Probed;
 use route::Settings;
 
-use crate::fake::Answer;
+use crate::call;
+use crate::call::End;
 use crate::fake::Fake;
 use crate::fake::SLOTS;
 use crate::fault::Fault;
 use crate::figures::Figures;
 use crate::figures::Tally;
+use crate::gateway::Gateway;
 use crate::noise::exponential;
 use crate::shape::Shape;
 use crate::time::Time;
 
 /// Calls before this aren't counted.
 const WARM_UP: Moment = Moment::from_millis(1000);
-/// How often the choosers get the directory's table.
+/// How often the gateways get the directory's table.
 const TABLE_EVERY: Duration = Duration::from_millis(100);
-/// Attempts of one call.
-const MAX_ATTEMPTS: usize = 3;
+/// How often a gateway looks for probes to send and waits that are over.
+const POLL_EVERY: Duration = Duration::from_millis(1);
+/// How long a probe may take.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// The part of a request's work that is the same for all.
 const FIXED_WORK: f64 = 0.7;
 
+/// A policy, alone or with what the product has around it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// The choice.
+    pub policy: Policy,
+    /// Retries, hedges, admission and probes too.
+    pub whole: bool,
+}
+
+impl Row {
+    /// The policy's name, with a plus sign for the whole.
+    pub fn name(self) -> String {
+        let mark = if self.whole { "+" } else { "" };
+        format!("{}{mark}", self.policy)
+    }
+}
+
 /// What is run.
 #[derive(Clone, Copy, Debug)]
 pub struct Case {
     /// The service.
     pub shape: Shape,
-    /// The policy of all choosers.
-    pub policy: Policy,
+    /// What all gateways do.
+    pub row: Row,
     /// The fault.
     pub fault: Fault,
+    /// Of the choosers.
+    pub settings: Settings,
     /// Gateways that share the calls evenly.
     pub choosers: u32,
+    /// Probes that one instance may receive, in thousandths a second.
+    pub probes: u32,
     /// How long calls are counted.
     pub span: Duration,
     /// Of arrivals, work, noise and choices.
     pub seed: u64,
 }
 
-struct World {
-    case: Case,
-    time: Time,
-    fakes: Vec<Fake>,
-    choosers: Vec<RefCell<Chooser>>,
+/// One call's own facts.
+#[derive(Clone, Copy, Debug)]
+pub struct Request {
+    /// Which gateway it came to.
+    pub gateway: u32,
+    /// When it came.
+    pub arrival: Moment,
+    /// How much work it is.
+    pub work: Duration,
+}
+
+/// Everything of one run.
+pub struct World {
+    /// What is run.
+    pub case: Case,
+    /// The clock.
+    pub time: Time,
+    fakes: Vec<Rc<Fake>>,
+    gateways: Vec<Rc<RefCell<Gateway>>>,
     tally: RefCell<Tally>,
 }
 
+impl World {
+    /// The gateway that the request came to.
+    pub fn gateway(&self, request: Request) -> &Rc<RefCell<Gateway>> {
+        &self.gateways[request.gateway as usize]
+    }
+
+    /// The instance that `chooser` has picked.
+    pub fn fake(&self, chooser: &Chooser, pick: Pick) -> Rc<Fake> {
+        let id = chooser.id(pick).expect("the pick was just made");
+        let index: usize = id.as_str().parse().expect("ids are indexes");
+        Rc::clone(&self.fakes[index])
+    }
+}
+
 /// Runs `case` on a paused clock of its own.
 pub fn run(case: Case) -> Figures {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -74,26 +127,32 @@
 
 async fn drive(case: Case) -> Figures {
     let time = Time::start();
-    let fakes = (0..case.shape.instances())
-        .map(|i| Fake::new(i, case.fault, time, case.seed * 1000 + u64::from(i)))
-        .collect();
-    let choosers = (0..case.choosers)
-        .map(|i| {
-            let seed = case.seed * 1000 + 500 + u64::from(i);
-            RefCell::new(Chooser::new(case.policy, Settings::default(), seed))
-        })
-        .collect();
+    let fake = |i| {
+        Rc::new(Fake::new(
+            i,
+            case.fault,
+            time,
+            case.seed * 1000 + u64::from(i),
+        ))
+    };
+    let gateway = |i| Rc::new(RefCell::new(Gateway::new(&case, i)));
     let world = Rc::new(World {
         case,
         time,
-        fakes,
-        choosers,
+        fakes: (0..case.shape.instances()).map(fake).collect(),
+        gateways: (0..case.choosers).map(gateway).collect(),
         tally: RefCell::new(Tally::new()),
     });
-    let tables = tokio::task::spawn_local(spread_tables(Rc::clone(&world)));
+    let mut tasks = tokio::task::JoinSet::new();
+    tasks.spawn_local(spread_tables(Rc::clone(&world)));
+    if case.row.whole {
+        for gateway in &world.gateways {
+            tasks.spawn_local(poll(Rc::clone(&world), Rc::clone(gateway)));
+        }
+    }
     arrive(&world).await;
     time.sleep(case.shape.deadline() * 2).await;
-    tables.abort();
+    tasks.abort_all();
     let tally = world.tally.borrow();
     tally.figures(case.span, case.shape.instances())
 }
@@ -104,8 +163,8 @@
         let table: Vec<Instance> = (0..world.case.shape.instances())
             .map(|i| instance(i, world.case.fault, now))
             .collect();
-        for chooser in &world.choosers {
-            chooser.borrow_mut().update(now, &table);
+        for gateway in &world.gateways {
+            gateway.borrow_mut().update(now, &table);
         }
         world.time.sleep(TABLE_EVERY).await;
     }
@@ -120,6 +179,32 @@
     }
 }
 
+async fn poll(world: Rc<World>, gateway: Rc<RefCell<Gateway>>) {
+    loop {
+        let now = world.time.now();
+        gateway.borrow_mut().poll(now);
+        let pick = gateway.borrow_mut().probe(now);
+        if let Some(pick) = pick {
+            tokio::task::spawn_local(probe(Rc::clone(&world), Rc::clone(&gateway), pick));
+        }
+        world.time.sleep(POLL_EVERY).await;
+    }
+}
+
+async fn probe(world: Rc<World>, gateway: Rc<RefCell<Gateway>>, pick: Pick) {
+    let fake = world.fake(&gateway.borrow().chooser, pick);
+    let counts = world.time.now() >= WARM_UP;
+    world.tally.borrow_mut().probes += u32::from(counts);
+    let work = world.case.shape.probe_work();
+    let answer = world.time.within(PROBE_TIMEOUT, fake.serve(work)).await;
+    let report = answer
+        .filter(|a| a.kind == Some(Kind::Ok))
+        .and_then(|a| a.report);
+    let result = report.map_or(Probed::Failed, Probed::Load);
+    let now = world.time.now();
+    gateway.borrow_mut().chooser.probed(now, pick, result);
+}
+
 async fn arrive(world: &Rc<World>) {
     let case = world.case;
     let mut rng = SmallRng::seed_from_u64(case.seed);
@@ -132,77 +217,23 @@
         let varying = (1.0 - FIXED_WORK) * exponential(&mut rng);
         let work = case.shape.work().mul_f64(FIXED_WORK + varying);
         world.time.until(at).await;
-        tokio::task::spawn_local(call(Rc::clone(world), gateway, at, work));
+        let request = Request {
+            gateway,
+            arrival: at,
+            work,
+        };
+        tokio::task::spawn_local(serve(Rc::clone(world), request));
     }
 }
 
-async fn call(world: Rc<World>, gateway: u32, arrival: Moment, work: Duration) {
-    let counted = arrival >= WARM_UP;
-    let mut tried = Vec::new();
-    let mut kind = Kind::ConnectFailed;
-    while tried.len() < MAX_ATTEMPTS {
-        let Some(result) = attempt(&world, gateway, arrival, work, &mut tried).await else {
-            break;
-        };
-        kind = result;
-        if matches!(kind, Kind::Ok | Kind::Timeout) {
-            break;
-        }
-    }
-    if !counted {
+async fn serve(world: Rc<World>, request: Request) {
+    let (end, attempts) = call::run(&world, request).await;
+    if request.arrival < WARM_UP {
         return;
     }
-    let mut tally = world.tally.borrow_mut();
-    tally.calls += 1;
-    tally.attempts += u32::try_from(tried.len()).unwrap_or(u32::MAX);
-    match kind {
-        Kind::Ok => tally.answered += 1,
-        Kind::Shed => {
-            tally.refused += 1;
-            return;
-        }
-        Kind::Timeout => {}
-        _ => tally.errors += 1,
-    }
-    if kind == Kind::Ok {
-        tally.record(world.time.now().since(arrival));
-    } else {
-        tally.record(world.case.shape.deadline());
-    }
-}
-
-async fn attempt(
-    world: &World,
-    gateway: u32,
-    arrival: Moment,
-    work: Duration,
-    tried: &mut Vec<Pick>,
-) -> Option<Kind> {
-    let chooser = &world.choosers[gateway as usize];
-    let start = world.time.now();
-    let left = (arrival + world.case.shape.deadline()).since(start);
-    let choice = chooser.borrow_mut().choose(start, tried)?;
-    let index = index_of(&chooser.borrow(), choice.pick)?;
-    tried.push(choice.pick);
-    let ticket = chooser.borrow_mut().started(start, choice.pick);
-    let answer = world
-        .time
-        .within(left, world.fakes[index].serve(work))
-        .await;
-    let answer = answer.unwrap_or(Answer {
-        kind: Kind::Timeout,
-        report: None,
-    });
-    let now = world.time.now();
-    let outcome = Outcome {
-        kind: answer.kind,
-        latency: now.since(start),
-        report: answer.report,
+    let latency = match end {
+        End::Answered => world.time.now().since(request.arrival),
+        End::Refused | End::Late | End::Failed => world.case.shape.deadline(),
     };
-    chooser.borrow_mut().finished(now, ticket, outcome);
-    Some(answer.kind)
-}
-
-fn index_of(chooser: &Chooser, pick: Pick) -> Option<usize> {
-    chooser.id(pick)?.as_str().parse().ok()
+    world.tally.borrow_mut().record(end, latency, attempts);
 }
--- a/crates/demo/examples/policy/shape.rs
+++ b/crates/demo/examples/policy/shape.rs
@@ -36,6 +36,22 @@
         }
     }
 
+    /// What a probe costs an instance, on one of its slots.
+    pub fn probe_work(self) -> Duration {
+        match self {
+            Self::Ferrovie => Duration::from_micros(200),
+            Self::Trust => Duration::from_millis(5),
+        }
+    }
+
+    /// The default measuring budget, in thousandths of a probe a second and instance.
+    pub fn probes(self) -> u32 {
+        match self {
+            Self::Ferrovie => 20_000,
+            Self::Trust => 4_000,
+        }
+    }
+
     /// How long a caller waits.
     pub fn deadline(self) -> Duration {
         self.work() * 20
--- a/crates/demo/examples/policy/table.rs
+++ b/crates/demo/examples/policy/table.rs
@@ -8,12 +8,14 @@
 use std::time::Duration;
 
 use route::Policy;
+use route::Settings;
 use strum::IntoEnumIterator;
 
 use crate::fault::Fault;
 use crate::figures::Figures;
 use crate::figures::Spread;
 use crate::run::Case;
+use crate::run::Row;
 use crate::run::run;
 use crate::shape::Shape;
 
@@ -26,11 +28,15 @@
     /// Services.
     pub shapes: Vec<Shape>,
     /// Rows.
-    pub policies: Vec<Policy>,
+    pub rows: Vec<Row>,
     /// Columns.
     pub faults: Vec<Fault>,
     /// Gateways.
     pub choosers: u32,
+    /// Measuring budget, in thousandths a second; of the shape when `None`.
+    pub probes: Option<u32>,
+    /// Of the choosers.
+    pub settings: Settings,
     /// How long calls are counted.
     pub span: Duration,
     /// Runs at once.
@@ -45,9 +51,11 @@
             seed: 100,
             seeds: 5,
             shapes: Shape::iter().collect(),
-            policies: Policy::iter().collect(),
+            rows: rows(),
             faults: Fault::iter().collect(),
             choosers: 15,
+            probes: None,
+            settings: Settings::default(),
             span: Duration::from_secs(8),
             threads: 4,
             plain: false,
@@ -55,13 +63,22 @@
     }
 }
 
+/// Each policy alone, then two with all that the product has around them.
+fn rows() -> Vec<Row> {
+    let alone = Policy::iter().map(|policy| (policy, false));
+    let whole = [(Policy::TwoChoices, true), (Policy::LeastWait, true)];
+    let rows = alone.chain(whole);
+    rows.map(|(policy, whole)| Row { policy, whole }).collect()
+}
+
 type Figure = (&'static str, fn(&Figures) -> f64, usize);
 
-const FIGURES: [Figure; 8] = [
+const FIGURES: [Figure; 9] = [
     ("p50_ms", |f| f.p50, 1),
     ("p99_ms", |f| f.p99, 1),
     ("p99.9_ms", |f| f.p999, 1),
     ("within_%", |f| f.within * 100.0, 2),
+    ("admitted_%", |f| f.admitted * 100.0, 2),
     ("refused_%", |f| f.refused * 100.0, 2),
     ("errors_%", |f| f.errors * 100.0, 3),
     ("attempts", |f| f.attempts, 3),
@@ -85,14 +102,16 @@
 
 fn cases(options: &Options, shape: Shape) -> Vec<Case> {
     let mut cases = Vec::new();
-    for &policy in &options.policies {
+    for &row in &options.rows {
         for &fault in &options.faults {
             for seed in options.seed..options.seed + options.seeds.max(1) {
                 cases.push(Case {
                     shape,
-                    policy,
+                    row,
                     fault,
+                    settings: options.settings,
                     choosers: options.choosers,
+                    probes: options.probes.unwrap_or(shape.probes()),
                     span: options.span,
                     seed,
                 });
@@ -123,11 +142,12 @@
 
 fn print_plain(options: &Options, shape: Shape, cells: &[&[Figures]]) {
     let mut cells = cells.iter();
-    for policy in &options.policies {
+    for row in &options.rows {
         for fault in &options.faults {
             let runs = cells.next().expect("each cell was run");
             print!(
-                "shape={shape} policy={policy} fault={fault} seeds={}",
+                "shape={shape} policy={} fault={fault} seeds={}",
+                row.name(),
                 runs.len()
             );
             for (name, figure, digits) in FIGURES {
@@ -157,9 +177,9 @@
             print!("{name:>22}");
         }
         println!();
-        for (row, policy) in options.policies.iter().enumerate() {
-            let runs = cells[row * options.faults.len() + column];
-            print!("  {:<14}", policy.to_string());
+        for (index, row) in options.rows.iter().enumerate() {
+            let runs = cells[index * options.faults.len() + column];
+            print!("  {:<14}", row.name());
             for (_, figure, digits) in FIGURES {
                 let spread = Spread::of(runs, figure);
                 let text = format!(
