--- /dev/null
+++ b/crates/directory/tests/tests.rs
@@ -0,0 +1,8 @@
+//! All tests of the directory, as one binary that shares its fakes.
+
+mod common;
+mod test_path;
+mod test_port;
+mod test_settings;
+mod test_spread;
+mod test_stop;
