route: tell silence from slowness, and judge no attempt twice

Attempts that began before an ejection and failed after it asked for a second, longer one; they tell nothing new. An answer since the oldest attempt shows that the instance isn't silent, however late that attempt is. Silence is judged only once an answer has told how long work usually takes, at 40 work times instead of 20, so that a service of long requests isn't ejected at its start. A trial that was shed or never told of is made again.

--- a/crates/route/src/chooser.rs
+++ b/crates/route/src/chooser.rs
@@ -38,7 +38,7 @@
 /// Choices over which shares are shown.
 const SHARE_WINDOW: u32 = 2048;
 /// Usual work times without an answer that eject.
-const SILENT_WORKS: f64 = 20.0;
+const SILENT_WORKS: f64 = 40.0;
 /// Least time without an answer that ejects.
 const SILENT_FLOOR: Duration = Duration::from_millis(100);
 /// At most one instance in so many is ejected.
@@ -75,6 +75,7 @@
             usual: Usual {
                 work: FIRST_WORK,
                 others: 0.0,
+                known: false,
             },
             total: 0,
             begun: false,
@@ -95,6 +96,9 @@
         self.ready.clear();
         let ready = (0..self.entries.len()).filter(|i| self.entries[*i].is_ready());
         self.ready.extend(ready);
+        for index in 0..self.entries.len() {
+            self.check_silence(now, self.entries[index].pick(index));
+        }
     }
 
     fn take(&mut self, now: Moment, row: &Instance) {
@@ -142,7 +146,7 @@
 
     fn least_wait(&mut self, now: Moment, exclude: &[Pick]) -> Option<(usize, Reason)> {
         if let Some(index) = self.trial(now, exclude) {
-            self.entries[index].health.begin_trial();
+            self.entries[index].health.begin_trial(now);
             return Some((index, Reason::Trial));
         }
         let Some(index) = self.least(now, exclude) else {
@@ -245,14 +249,19 @@
         };
         match entry.finish(now, began, outcome, usual, &settings) {
             Verdict::Worked(work) => self.learn(now, pick, work),
-            Verdict::Bad => self.eject(now, pick, Cause::Failures),
+            Verdict::Bad(cause) => self.eject(now, pick, cause),
             Verdict::Nothing => self.check_silence(now, pick),
         }
     }
 
     fn learn(&mut self, now: Moment, pick: Pick, work: f64) {
-        let work = work.min(self.usual.work * MOST_SAMPLE);
-        self.usual.work += (work - self.usual.work) * USUAL_WEIGHT;
+        if self.usual.known {
+            let work = work.min(self.usual.work * MOST_SAMPLE);
+            self.usual.work += (work - self.usual.work) * USUAL_WEIGHT;
+        } else {
+            self.usual.work = work;
+            self.usual.known = true;
+        }
         let limit = self.settings.report_limit;
         let others = self.entry(pick).and_then(|e| e.others(now, limit));
         if let Some(others) = others {
@@ -264,7 +273,7 @@
         let limit = Duration::from_secs_f64(self.usual.work * SILENT_WORKS);
         let limit = limit.max(SILENT_FLOOR);
         let silent = |e: &mut Entry| e.health.is_in() && e.silence(now) > limit;
-        if self.entry(pick).is_some_and(silent) {
+        if self.usual.known && self.entry(pick).is_some_and(silent) {
             self.eject(now, pick, Cause::Silence);
         }
     }
--- a/crates/route/src/entry.rs
+++ b/crates/route/src/entry.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::Moment;
 
+use crate::health::Cause;
 use crate::health::Health;
 use crate::health::State;
 use crate::instance::Instance;
@@ -29,7 +30,7 @@
 const FAILURE_COST: f64 = 10.0;
 
 /// How much longer a wait that has lasted so far is expected to last.
-const SILENCE_FACTOR: f64 = 2.0;
+const WAIT_FACTOR: f64 = 2.0;
 /// Work times that a request waits at an instance with as many requests as slots.
 const QUEUE_FACTOR: f64 = 2.0;
 
@@ -40,6 +41,8 @@
     pub(crate) work: f64,
     /// Requests of other gateways at an instance.
     pub(crate) others: f64,
+    /// Whether an answer has told the work time yet.
+    pub(crate) known: bool,
 }
 
 /// What an end of an attempt or a probe says of the instance.
@@ -48,7 +51,7 @@
     /// Work time of an answered request, in seconds.
     Worked(f64),
     /// It is to be ejected if the bound allows.
-    Bad,
+    Bad(Cause),
     /// Nothing to act on.
     Nothing,
 }
@@ -135,8 +138,8 @@
     pub(crate) fn expected(&mut self, now: Moment, usual: Usual, settings: &Settings) -> f64 {
         let full = self.full(now, usual, settings);
         let mut work = self.speed.estimate(now, usual.work);
-        let silence = self.silence(now).as_secs_f64() * SILENCE_FACTOR;
-        work = work.max(silence / full.max(1.0));
+        let waited = self.waited(now).as_secs_f64() * WAIT_FACTOR;
+        work = work.max(waited / full.max(1.0));
         let failures = self.health.share(now) * usual.work * FAILURE_COST;
         let ramp = 1.0 + RAMP_FACTOR * (1.0 - self.health.ramp(now, settings.ramp));
         (work * wait(full) + failures) * ramp
@@ -150,13 +153,22 @@
         load / f64::from(self.instance.slots.max(1))
     }
 
-    /// How long attempts have waited since the last answer.
-    pub(crate) fn silence(&self, now: Moment) -> Duration {
-        let ended = self
-            .waited
-            .mul_f64(keep(now.since(self.waited_at), WAIT_HALF));
+    /// How long the oldest attempt has waited, with those that ended in vain.
+    fn waited(&self, now: Moment) -> Duration {
         let running = self.starts.first().map(|start| now.since(*start));
-        ended + running.unwrap_or_default()
+        self.waited_in_vain(now) + running.unwrap_or_default()
+    }
+
+    /// How long attempts have waited since the last answer of any.
+    pub(crate) fn silence(&self, now: Moment) -> Duration {
+        let oldest = self.starts.first().map(|start| (*start).max(self.answered));
+        let running = oldest.map(|start| now.since(start));
+        self.waited_in_vain(now) + running.unwrap_or_default()
+    }
+
+    fn waited_in_vain(&self, now: Moment) -> Duration {
+        self.waited
+            .mul_f64(keep(now.since(self.waited_at), WAIT_HALF))
     }
 
     pub(crate) fn start(&mut self, now: Moment) {
@@ -180,13 +192,14 @@
         }
         match outcome.kind {
             Kind::Ok => self.succeed(now, outcome.latency, usual, settings),
-            Kind::Error | Kind::ConnectFailed => self.fail(now),
+            Kind::Error | Kind::ConnectFailed => self.fail(now, Cause::Failures),
             Kind::Timeout => {
                 self.wait_in_vain(now, outcome.latency);
-                self.fail(now)
+                self.fail(now, Cause::Silence)
             }
             Kind::Shed => {
                 self.answer(now);
+                self.health.trial_cancelled();
                 Verdict::Nothing
             }
             Kind::Cancelled => {
@@ -213,9 +226,9 @@
         Verdict::Worked(work)
     }
 
-    fn fail(&mut self, now: Moment) -> Verdict {
+    fn fail(&mut self, now: Moment, cause: Cause) -> Verdict {
         if self.health.failed(now) {
-            Verdict::Bad
+            Verdict::Bad(cause)
         } else {
             Verdict::Nothing
         }
@@ -227,10 +240,7 @@
     }
 
     fn wait_in_vain(&mut self, now: Moment, latency: Duration) {
-        let kept = self
-            .waited
-            .mul_f64(keep(now.since(self.waited_at), WAIT_HALF));
-        self.waited = kept + latency;
+        self.waited = self.waited_in_vain(now) + latency;
         self.waited_at = now;
     }
 
@@ -245,7 +255,7 @@
             State::Well => view::Health::Well,
             State::Ramping { .. } => view::Health::Ramping,
             State::Ejected { .. } => view::Health::Ejected,
-            State::Probed | State::Trial => view::Health::Trial,
+            State::Probed | State::Trial { .. } => view::Health::Trial,
         };
         View {
             id: self.instance.id.clone(),
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -35,6 +35,9 @@
 /// The same after silence, when requests may be lost in the instance.
 const SILENT_GRACE: Duration = Duration::from_secs(30);
 
+/// Age at which a trial whose end was never told is made again.
+const TRIAL_LIMIT: Duration = Duration::from_secs(30);
+
 /// Why an instance was ejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Cause {
@@ -56,7 +59,7 @@
     /// A probe was answered after the ejection: one trial request may be made.
     Probed,
     /// The trial is under way.
-    Trial,
+    Trial { since: Moment },
 }
 
 /// The health of one instance.
@@ -102,7 +105,7 @@
         self.note(now, 0.0);
         self.streak = 0;
         self.failed_probes = 0;
-        if self.state == State::Trial {
+        if matches!(self.state, State::Trial { .. }) {
             self.state = State::Ramping { since: now };
             self.failures = 0.0;
         }
@@ -113,7 +116,12 @@
         self.note(now, 1.0);
         self.streak += 1;
         let often = self.results >= FEWEST && self.share(now) >= SHARE;
-        self.state == State::Trial || self.streak >= STREAK || often
+        match self.state {
+            State::Well | State::Ramping { .. } => self.streak >= STREAK || often,
+            State::Trial { .. } => true,
+            // Attempts from before the ejection tell nothing new.
+            State::Ejected { .. } | State::Probed => false,
+        }
     }
 
     /// Takes a probe's failure; true when it asks for ejection.
@@ -150,18 +158,19 @@
         match self.state {
             State::Probed => true,
             State::Ejected { until, cause } => now >= until + grace(cause),
-            State::Well | State::Ramping { .. } | State::Trial => false,
+            State::Trial { since } => now.since(since) >= TRIAL_LIMIT,
+            State::Well | State::Ramping { .. } => false,
         }
     }
 
     /// Notes that the trial is under way.
-    pub(crate) fn begin_trial(&mut self) {
-        self.state = State::Trial;
+    pub(crate) fn begin_trial(&mut self, now: Moment) {
+        self.state = State::Trial { since: now };
     }
 
     /// Takes the end of a trial that told nothing.
     pub(crate) fn trial_cancelled(&mut self) {
-        if self.state == State::Trial {
+        if matches!(self.state, State::Trial { .. }) {
             self.state = State::Probed;
         }
     }
