route: let weights end, probe suspects first, and test each fault

Weights fell as 1/(1+age), whose rest outlasts the small differences between idle instances. They now halve. - test_faults_trial_waits_for_probe: "no trial after an answered probe". An ejected instance was probed as stale every 200 ms, and each failure doubled the ejection. Only one whose ejection has run out is probed. - A silent instance that had timed out once was avoided by its score only and would get a request every 10 s. An attempt that waited in vain now asks for a probe, whose failure ejects; without an answered probe no trial is made.

--- a/crates/route/src/chooser.rs
+++ b/crates/route/src/chooser.rs
@@ -303,12 +303,12 @@
         mut allowed: impl FnMut(&InstanceId) -> bool,
     ) -> Option<Pick> {
         let settings = self.settings;
-        let waiting = |e: &Entry| e.is_ready() && !e.probing;
-        let back = |e: &Entry| waiting(e) && e.health.wants_probe(now);
-        let stale = |e: &Entry| waiting(e) && e.age(now).is_none_or(|a| a >= settings.probe_age);
+        let free = |e: &Entry| e.is_ready() && !e.probing;
+        let urgent = |e: &Entry| free(e) && e.needs_probe(now);
+        let stale = |e: &Entry| free(e) && e.is_stale(now, settings.probe_age);
         let entries = self.entries.iter().enumerate();
-        let first = entries.clone().filter(|(_, e)| back(e));
-        let then = entries.filter(|(_, e)| stale(e) && !back(e));
+        let first = entries.clone().filter(|(_, e)| urgent(e));
+        let then = entries.filter(|(_, e)| stale(e) && !urgent(e));
         let mut wanted = first.chain(then);
         let (index, _) = wanted.find(|(_, e)| allowed(&e.instance.id))?;
         self.entries[index].probing = true;
@@ -322,13 +322,14 @@
             return;
         };
         entry.probing = false;
+        entry.probed = Some(now);
         match result {
             Probed::Load(report) => {
                 entry.report(now, report, &settings);
                 entry.health.probe_answered(now);
             }
             Probed::Failed => {
-                if entry.health.probe_failed() {
+                if entry.health.probe_failed(entry.is_suspect()) {
                     self.eject(now, pick, Cause::Silence);
                 }
             }
--- a/crates/route/src/entry.rs
+++ b/crates/route/src/entry.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::Moment;
 
+use crate::fade::fade;
 use crate::health::Cause;
 use crate::health::Health;
 use crate::health::State;
@@ -11,7 +12,6 @@
 use crate::instance::Phase;
 use crate::instance::Pick;
 use crate::load::Load;
-use crate::load::keep;
 use crate::outcome::Kind;
 use crate::outcome::Outcome;
 use crate::outcome::Report;
@@ -65,6 +65,7 @@
     pub(crate) chosen: u32,
     pub(crate) reason: Option<Reason>,
     pub(crate) probing: bool,
+    pub(crate) probed: Option<Moment>,
     starts: Vec<Moment>,
     load: Load,
     speed: Speed,
@@ -83,6 +84,7 @@
             chosen: 0,
             reason: None,
             probing: false,
+            probed: None,
             starts: Vec::new(),
             load: Load::default(),
             speed: Speed::default(),
@@ -166,9 +168,29 @@
         self.waited_in_vain(now) + running.unwrap_or_default()
     }
 
+    /// Whether an attempt has waited in vain since the last answer.
+    pub(crate) fn is_suspect(&self) -> bool {
+        !self.waited.is_zero()
+    }
+
+    /// Whether a probe would tell if it is silent or back.
+    pub(crate) fn needs_probe(&self, now: Moment) -> bool {
+        let asked = self.probed.is_some_and(|at| at > self.waited_at);
+        let suspect = self.is_suspect() && !asked && self.health.is_in();
+        suspect || self.health.wants_probe(now)
+    }
+
+    /// Whether it gets work and its newest report is as old as `limit`.
+    pub(crate) fn is_stale(&self, now: Moment, limit: Duration) -> bool {
+        self.health.is_in() && self.age(now).is_none_or(|age| age >= limit)
+    }
+
     fn waited_in_vain(&self, now: Moment) -> Duration {
+        if self.waited.is_zero() {
+            return Duration::ZERO;
+        }
         self.waited
-            .mul_f64(keep(now.since(self.waited_at), WAIT_HALF))
+            .mul_f64(fade(now.since(self.waited_at), WAIT_HALF))
     }
 
     pub(crate) fn start(&mut self, now: Moment) {
@@ -227,7 +249,7 @@
     }
 
     fn fail(&mut self, now: Moment, cause: Cause) -> Verdict {
-        if self.health.failed(now) {
+        if self.health.failed(now, cause) {
             Verdict::Bad(cause)
         } else {
             Verdict::Nothing
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -10,10 +10,12 @@
 
 use base::prelude::Moment;
 
-use crate::load::keep;
+use crate::fade::fade;
 
 /// Failures in a row that eject.
 const STREAK: u32 = 3;
+/// What an attempt without any answer counts for in a row.
+const SILENT_STEP: u32 = 2;
 /// Results below which a share of failures tells nothing.
 const FEWEST: f64 = 5.0;
 /// Share of failures that ejects.
@@ -112,9 +114,12 @@
     }
 
     /// Takes a failure; true when it asks for ejection.
-    pub(crate) fn failed(&mut self, now: Moment) -> bool {
+    pub(crate) fn failed(&mut self, now: Moment, cause: Cause) -> bool {
         self.note(now, 1.0);
-        self.streak += 1;
+        self.streak += match cause {
+            Cause::Failures => 1,
+            Cause::Silence => SILENT_STEP,
+        };
         let often = self.results >= FEWEST && self.share(now) >= SHARE;
         match self.state {
             State::Well | State::Ramping { .. } => self.streak >= STREAK || often,
@@ -125,9 +130,11 @@
     }
 
     /// Takes a probe's failure; true when it asks for ejection.
-    pub(crate) fn probe_failed(&mut self) -> bool {
+    ///
+    /// `suspect` says that attempts have waited in vain since the last answer.
+    pub(crate) fn probe_failed(&mut self, suspect: bool) -> bool {
         self.failed_probes += 1;
-        !self.is_in() || self.failed_probes >= FAILED_PROBES
+        suspect || !self.is_in() || self.failed_probes >= FAILED_PROBES
     }
 
     /// Takes a probe's answer.
@@ -182,7 +189,10 @@
 
     /// Share of failures among recent results, from 0 to 1.
     pub(crate) fn share(&self, now: Moment) -> f64 {
-        let kept = keep(now.since(self.at), RESULT_HALF);
+        if self.failures == 0.0 {
+            return 0.0;
+        }
+        let kept = fade(now.since(self.at), RESULT_HALF);
         // One success more than was seen, so that a first failure isn't all.
         self.failures * kept / (self.results * kept + 1.0)
     }
@@ -200,7 +210,7 @@
     }
 
     fn note(&mut self, now: Moment, failure: f64) {
-        let kept = keep(now.since(self.at), RESULT_HALF);
+        let kept = fade(now.since(self.at), RESULT_HALF);
         let kept = kept * (1.0 - 1.0 / MEMORY);
         self.failures = self.failures * kept + failure;
         self.results = self.results * kept + 1.0;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod chooser;
 mod entry;
+mod fade;
 mod health;
 pub mod instance;
 mod load;
--- a/crates/route/src/load.rs
+++ b/crates/route/src/load.rs
@@ -9,6 +9,7 @@
 
 use base::prelude::Moment;
 
+use crate::fade::fade;
 use crate::outcome::Report;
 
 /// Weight of one report in the test of reports.
@@ -32,7 +33,7 @@
     pub(crate) fn observe(&mut self, now: Moment, report: Report, own: u32, half: Duration) {
         let others = f64::from(report.in_flight.saturating_sub(own));
         let kept = match self.at {
-            Some(at) => keep(now.since(at), half),
+            Some(at) => fade(now.since(at), half),
             None => 0.0,
         };
         self.test(report, own);
@@ -63,10 +64,3 @@
         self.at.map(|at| now.since(at))
     }
 }
-
-/// What is kept of a weight after `age`, one half at `half`.
-pub(crate) fn keep(age: Duration, half: Duration) -> f64 {
-    let age = age.as_secs_f64();
-    let half = half.as_secs_f64();
-    half / (half + age)
-}
--- a/crates/route/src/speed.rs
+++ b/crates/route/src/speed.rs
@@ -9,14 +9,14 @@
 
 use base::prelude::Moment;
 
-use crate::load::keep;
+use crate::fade::fade;
 
 /// Most samples that an estimate remembers.
 const MEMORY: f64 = 8.0;
 /// Samples that the service's usual work time counts for.
 const PRIOR: f64 = 4.0;
-/// Age at which an estimate has a quarter of its weight.
-const FADE: Duration = Duration::from_secs(1);
+/// Age at which an estimate has half of its weight.
+const HALF: Duration = Duration::from_secs(1);
 
 /// The work time of one instance, in seconds.
 #[derive(Clone, Copy, Debug, Default)]
@@ -41,8 +41,7 @@
     }
 
     fn weight(&self, now: Moment) -> f64 {
-        let kept = keep(now.since(self.at), FADE);
-        self.weight * kept * kept
+        self.weight * fade(now.since(self.at), HALF)
     }
 }
 
