--- a/crates/gateway/tests/test_probes.rs
+++ b/crates/gateway/tests/test_probes.rs
@@ -8,7 +8,7 @@
 use crate::fakes::until;
 
 /// Probes a second in the test.
-const BUDGET: u32 = 4;
+const BUDGET: u32 = 1;
 
 #[tokio::test]
 async fn test_probes_within_budget() {
