--- a/crates/testutils/src/caller.rs
+++ b/crates/testutils/src/caller.rs
@@ -8,6 +8,7 @@
 use reqwest::Client;
 use reqwest::Method;
 use serde::Deserialize;
+use uuid::Uuid;
 
 /// One request of a caller.
 #[derive(Clone, Debug)]
@@ -72,6 +73,18 @@
     }
 }
 
+/// How far an answer came.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum End {
+    /// No connection came about, so that nothing was sent.
+    #[default]
+    Unsent,
+    /// The connection broke before the answer was whole.
+    Cut,
+    /// The whole answer came.
+    Whole,
+}
+
 /// What a caller got.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Reply {
@@ -83,17 +96,17 @@
     pub reason: String,
     /// Seconds after which the caller may come back.
     pub retry_after: Option<u64>,
-    /// The body; only a whole one when `whole`.
+    /// The body, empty unless whole.
     pub body: String,
-    /// Whether the whole answer came.
-    pub whole: bool,
+    /// How far it came.
+    pub end: End,
 }
 
 impl Reply {
     /// Whether this is an upstream's own whole answer of success.
     #[must_use]
     pub fn is_ok(&self) -> bool {
-        self.whole && self.outcome.is_none() && (200..300).contains(&self.status)
+        self.end == End::Whole && self.outcome.is_none() && (200..300).contains(&self.status)
     }
 
     /// The receipt of a stand-in's ordinary answer.
@@ -184,7 +197,11 @@
         }
         match request.send().await {
             Ok(answer) => read(answer).await,
-            Err(_) => Reply::default(),
+            Err(err) if err.is_connect() => Reply::default(),
+            Err(_) => Reply {
+                end: End::Cut,
+                ..Reply::default()
+            },
         }
     }
 }
@@ -204,9 +221,18 @@
     match answer.bytes().await {
         Ok(body) => Reply {
             body: String::from_utf8_lossy(&body).into_owned(),
-            whole: true,
+            end: End::Whole,
+            ..reply
+        },
+        Err(_) => Reply {
+            end: End::Cut,
             ..reply
         },
-        Err(_) => reply,
     }
 }
+
+/// A new idempotency key, which tells when it was minted.
+#[must_use]
+pub fn new_key() -> String {
+    Uuid::now_v7().to_string()
+}
--- a/crates/testutils/src/lib.rs
+++ b/crates/testutils/src/lib.rs
@@ -7,13 +7,23 @@
 pub mod caller;
 pub mod folder;
 pub mod host;
+pub mod operator;
+pub mod plan;
 pub mod process;
+pub mod services;
+pub mod system;
+pub mod upstream;
 
 pub use caller::Ask;
 pub use caller::Caller;
 pub use caller::Reply;
+pub use caller::new_key;
 pub use folder::Folder;
 pub use host::Host;
+pub use operator::Operator;
+pub use plan::Plan;
 pub use process::Binary;
 pub use process::Process;
 pub use process::ProcessError;
+pub use system::System;
+pub use upstream::Upstream;
--- /dev/null
+++ b/crates/testutils/src/operator.rs
@@ -0,0 +1,172 @@
+//! An operator: proposes changes to the replicas and looks at the hosts.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use quick_error::quick_error;
+use tarpc::ClientMessage;
+use tarpc::Response;
+use tarpc::client::Config;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use uuid::Uuid;
+use wire::api::ControlApiClient;
+use wire::api::ControlApiRequest;
+use wire::api::ControlApiResponse;
+use wire::api::DirectoryApiClient;
+use wire::api::DirectoryApiRequest;
+use wire::api::DirectoryApiResponse;
+use wire::api::GatewayApiClient;
+use wire::api::GatewayApiRequest;
+use wire::api::GatewayApiResponse;
+use wire::catalogue::Change;
+use wire::catalogue::ChangeReply;
+use wire::catalogue::Edit;
+use wire::catalogue::change_reply::Kind;
+use wire::control::Status;
+use wire::directory::Host;
+use wire::gateway::Explain;
+use wire::gateway::ExplainReply;
+use wire::link::Channel;
+use wire::link::Link;
+use wire::link::within;
+
+use crate::process::PATIENCE;
+
+/// Longest wait for one answer.
+const CALL_TIME: Duration = Duration::from_secs(5);
+/// Pause between two tries.
+const PAUSE: Duration = Duration::from_millis(20);
+
+type ControlLink =
+    Link<ControlApiClient, Response<ControlApiResponse>, ClientMessage<ControlApiRequest>>;
+type DirectoryLink =
+    Link<DirectoryApiClient, Response<DirectoryApiResponse>, ClientMessage<DirectoryApiRequest>>;
+type GatewayLink =
+    Link<GatewayApiClient, Response<GatewayApiResponse>, ClientMessage<GatewayApiRequest>>;
+
+quick_error! {
+    /// Why an operator got no success.
+    #[derive(Debug)]
+    pub enum OperatorError {
+        /// The change was refused.
+        Refused(reply: Kind) {
+            display("refused: {reply:?}")
+        }
+        /// No replica gave a certain answer in time.
+        Silent {
+            display("no certain answer within {PATIENCE:?}")
+        }
+    }
+}
+
+/// One operator, who knows the replicas' addresses.
+pub struct Operator {
+    replicas: Vec<ControlLink>,
+}
+
+impl Operator {
+    /// An operator who asks `replicas` in this order.
+    #[must_use]
+    pub fn new(replicas: &[SocketAddr]) -> Self {
+        let link = |address: &SocketAddr| Link::new(*address, connect_control);
+        Self {
+            replicas: replicas.iter().map(link).collect(),
+        }
+    }
+
+    /// Sends `change` to the replica at `index` once; `None` without an answer.
+    pub async fn propose(&self, index: usize, change: &Change) -> Option<Kind> {
+        let link = self.replicas.get(index)?;
+        let client = link.client().await.ok()?;
+        let reply = client.propose(within(CALL_TIME), change.clone()).await;
+        let reply: ChangeReply = link.judge(reply).ok()?;
+        reply.kind
+    }
+
+    /// The state of the replica at `index`; `None` without an answer.
+    pub async fn status(&self, index: usize) -> Option<Status> {
+        let link = self.replicas.get(index)?;
+        let client = link.client().await.ok()?;
+        link.judge(client.status(within(CALL_TIME)).await).ok()
+    }
+
+    /// Sends `change` to one replica after the other until the answer is certain.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no replica gives one within [`PATIENCE`].
+    pub async fn send(&self, change: &Change) -> Result<Kind, OperatorError> {
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            for index in 0..self.replicas.len() {
+                match self.propose(index, change).await {
+                    Some(Kind::Uncertain(_)) | None => {}
+                    Some(kind) => return Ok(kind),
+                }
+            }
+            sleep(PAUSE).await;
+        }
+        Err(OperatorError::Silent)
+    }
+
+    /// Applies `edits` on top of the version `base`; the new version.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the change is refused, or no answer is certain.
+    pub async fn apply(&self, base: u64, edits: Vec<Edit>) -> Result<u64, OperatorError> {
+        match self.send(&change(base, edits)).await? {
+            Kind::Accepted(accepted) => Ok(accepted.version),
+            other => Err(OperatorError::Refused(other)),
+        }
+    }
+}
+
+/// A change with an id of its own.
+#[must_use]
+pub fn change(base: u64, edits: Vec<Edit>) -> Change {
+    Change {
+        id: Uuid::new_v4().to_string(),
+        base,
+        author: String::from("tests"),
+        edits,
+    }
+}
+
+/// The hosts as the directory at `address` knows them; `None` without an answer.
+pub async fn hosts(address: SocketAddr) -> Option<Vec<Host>> {
+    let link: DirectoryLink = Link::new(address, connect_directory);
+    let client = link.client().await.ok()?;
+    let reply = link.judge(client.hosts(within(CALL_TIME)).await).ok()?;
+    Some(reply.hosts)
+}
+
+/// Why calls of `service` go where they go at the gateway whose own protocol
+/// is at `address`; `None` without an answer.
+pub async fn explain(address: SocketAddr, service: &str) -> Option<ExplainReply> {
+    let link: GatewayLink = Link::new(address, connect_gateway);
+    let client = link.client().await.ok()?;
+    let ask = Explain {
+        service: service.into(),
+    };
+    link.judge(client.explain(within(CALL_TIME), ask).await).ok()
+}
+
+fn connect_gateway(
+    channel: Channel<Response<GatewayApiResponse>, ClientMessage<GatewayApiRequest>>,
+) -> GatewayApiClient {
+    GatewayApiClient::new(Config::default(), channel).spawn()
+}
+
+fn connect_control(
+    channel: Channel<Response<ControlApiResponse>, ClientMessage<ControlApiRequest>>,
+) -> ControlApiClient {
+    ControlApiClient::new(Config::default(), channel).spawn()
+}
+
+fn connect_directory(
+    channel: Channel<Response<DirectoryApiResponse>, ClientMessage<DirectoryApiRequest>>,
+) -> DirectoryApiClient {
+    DirectoryApiClient::new(Config::default(), channel).spawn()
+}
--- /dev/null
+++ b/crates/testutils/tests/test_config.rs
@@ -0,0 +1,137 @@
+//! Configurations in force over kills, restarts and freezes of gateways.
+
+use base::prelude::*;
+use testutils::Ask;
+use testutils::Caller;
+use testutils::System;
+use testutils::operator;
+use testutils::operator::explain;
+use testutils::services;
+use testutils::system::wait;
+use wire::catalogue::Edit;
+use wire::catalogue::edit::Kind;
+
+/// What is killed and started again around a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Killed {
+    Gateway,
+    GatewayAndDirectory,
+    EntryAndLeader,
+}
+
+fn edit(queue: u32) -> Vec<Edit> {
+    let mut entry = services::ferrovie().remove(0);
+    entry.limits.queue = queue;
+    let kind = Some(Kind::Put(entry.to_wire()));
+    vec![Edit { kind }]
+}
+
+async fn kill(system: &mut System, killed: Killed) {
+    system.gateways[0].take().unwrap().kill().unwrap();
+    if killed != Killed::Gateway {
+        system.directories[0].take().unwrap().kill().unwrap();
+    }
+    if killed == Killed::EntryAndLeader {
+        let leader = leader(system).await;
+        system.control[leader].take().unwrap().kill().unwrap();
+    }
+}
+
+async fn leader(system: &System) -> usize {
+    for index in 0..system.control.len() {
+        let status = system.operator.status(index).await;
+        if status.is_some_and(|s| s.id == s.leader) {
+            return index;
+        }
+    }
+    panic!("no leader");
+}
+
+async fn restart(system: &mut System) {
+    for index in 0..system.control.len() {
+        if system.control[index].is_none() {
+            system.control[index] = Some(system.new_control(index).await.unwrap());
+        }
+    }
+    if system.directories[0].is_none() {
+        system.directories[0] = Some(system.new_directory(0).await.unwrap());
+    }
+    system.gateways[0] = Some(system.new_gateway(0).await.unwrap());
+}
+
+/// Kills and restarts gateway 0 around each of a few changes; whenever it
+/// isn't fenced, what it has in force is at least what was in force before.
+async fn run(killed: Killed) {
+    let mut system = System::start(3, 2, &services::all()).await.unwrap();
+    let address = system.plan.gateways[0].rpc;
+    for queue in 1..=3 {
+        kill(&mut system, killed).await;
+        let version = system.apply(edit(queue)).await.unwrap();
+        system.wait_in_force(1, version).await.unwrap();
+        restart(&mut system).await;
+        // From its first breath on: fenced, or at the version that is in force elsewhere.
+        wait("unfenced gateway", async || {
+            let Some(reply) = explain(address, services::STATUS).await else {
+                return false;
+            };
+            assert!(
+                reply.fenced || reply.version >= version,
+                "{killed:?}: {} below {version}",
+                reply.version
+            );
+            !reply.fenced
+        })
+        .await
+        .unwrap();
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_config_gateway_killed_during_change() {
+    run(Killed::Gateway).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_config_entry_host_killed_during_change() {
+    run(Killed::GatewayAndDirectory).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_config_entry_host_and_leader_killed_during_change() {
+    run(Killed::EntryAndLeader).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_config_frozen_gateway_serves_nothing_removed() {
+    let mut system = System::start(3, 2, &services::all()).await.unwrap();
+    let upstream = system.upstream(services::GRANTS, 0).await.unwrap();
+    let frozen = system.gateways[0].take().unwrap();
+    frozen.freeze().unwrap();
+    // Once its host's lease is over, the directories name it no more.
+    let directory = system.plan.directories[1].rpc;
+    let name = system.plan.gateways[0].host.to_string();
+    wait("forgotten gateway", async || {
+        let hosts = operator::hosts(directory).await;
+        hosts.is_some_and(|hosts| !hosts.iter().any(|h| h.host == name))
+    })
+    .await
+    .unwrap();
+    let removal = Edit {
+        kind: Some(Kind::Remove(services::GRANTS.into())),
+    };
+    let version = system.apply(vec![removal]).await.unwrap();
+    system.wait_in_force(1, version).await.unwrap();
+
+    // The call waits in the frozen process's socket and is its first when it goes on.
+    let gateway = system.gateway(0);
+    let ask = Ask::post(services::GRANTS, "/grants", "block 7").keyed(&testutils::new_key());
+    let call = tokio::spawn(async move { Caller::new().call(gateway, &ask).await });
+    frozen.resume().unwrap();
+    let reply = call.await.unwrap();
+    assert_eq!(reply.outcome, Some(Outcome::NotRun), "{reply:?}");
+    assert!(
+        ["fenced", "unknown-service"].contains(&reply.reason.as_str()),
+        "{reply:?}"
+    );
+    assert!(upstream.record().await.runs.is_empty());
+}
--- /dev/null
+++ b/crates/testutils/tests/test_upstream_faults.rs
@@ -0,0 +1,77 @@
+//! A slow, a failing and a stalled upstream on the real path.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use standin::Fault;
+use standin::FaultKind;
+use testutils::Ask;
+use testutils::Caller;
+use testutils::Reply;
+use testutils::System;
+use testutils::Upstream;
+use testutils::services;
+use tokio::sync::Semaphore;
+
+/// Calls of one trial.
+const CALLS: usize = 300;
+/// Calls at once, well below the slots of the two good instances.
+const AT_ONCE: usize = 6;
+/// Instances, of which the first shows the fault.
+const INSTANCES: usize = 3;
+/// Deadline of a call, far above any service time.
+const DEADLINE: Duration = Duration::from_secs(20);
+
+async fn call_all(system: &System) -> Vec<Reply> {
+    let turn = Arc::new(Semaphore::new(AT_ONCE));
+    let calls = (0..CALLS).map(|i| {
+        let (turn, gateway) = (turn.clone(), system.gateway(i % 2));
+        tokio::spawn(async move {
+            let _turn = turn.acquire_owned().await.unwrap();
+            let ask = Ask::get(services::STATUS, &format!("/block/{i}")).within(DEADLINE);
+            Caller::new().call(gateway, &ask).await
+        })
+    });
+    let calls: Vec<_> = calls.collect();
+    let mut replies = vec![];
+    for call in calls {
+        replies.push(call.await.unwrap());
+    }
+    replies
+}
+
+async fn run(kind: FaultKind) {
+    let mut system = System::start(1, 2, &services::all()).await.unwrap();
+    let mut upstreams: Vec<Upstream> = vec![];
+    for number in 0..INSTANCES {
+        let upstream = system.upstream(services::STATUS, number).await.unwrap();
+        upstreams.push(upstream);
+    }
+    upstreams[0].set_fault(Fault::new(kind)).await.unwrap();
+
+    let replies = call_all(&system).await;
+    for (i, reply) in replies.iter().enumerate() {
+        assert!(reply.is_ok(), "{kind} call {i}: {reply:?}");
+        let receipt = reply.receipt().unwrap();
+        assert_eq!(receipt.path, format!("/block/{i}"), "{kind}");
+    }
+    // An even share would be a third; a fault must lose traffic, not attract it.
+    let faulty = upstreams[0].record().await.runs.len();
+    assert!(faulty < CALLS / INSTANCES, "{kind}: {faulty} of {CALLS}");
+    assert!(faulty > 0, "{kind}: the fault was never met");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_upstream_slow() {
+    run(FaultKind::Slow).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_upstream_failing_fast() {
+    run(FaultKind::Fail).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_upstream_stalled() {
+    run(FaultKind::Stall).await;
+}
