place: mend the rig's rounding and two tests that didn't bite; red runs

The first tail trials were void: the fake's span could fall below zero by a rounding error, its task then ended in a panic that nobody looked at, and its slot and count were never given back. The rig now fails on such an end.

Red runs, each mechanism broken once: no bound -> load_is_bounded (62 over 58); position in place of rendezvous -> order_of_inputs_doesnt_matter; exact weights -> a_slot_less_moves_nothing; one domain only -> few_gateways_in_every_domain; answer not turned -> answers_start_evenly; answer in placement order -> answer_changes_domain_at_each_step. The third and sixth were green at first; their tests now try every service, and hosts sorted by domain.

--- a/crates/place/examples/concentration/fake.rs
+++ b/crates/place/examples/concentration/fake.rs
@@ -104,7 +104,8 @@
             let end = self.end(i);
             let factor = FACTORS[i % 2];
             if left <= (end - at) / factor {
-                return Duration::from_secs_f64(at + left * factor - start);
+                // Rounding may leave it a hair below zero.
+                return Duration::from_secs_f64((at - start + left * factor).max(0.0));
             }
             left -= (end - at) / factor;
             at = end;
--- a/crates/place/examples/concentration/rig.rs
+++ b/crates/place/examples/concentration/rig.rs
@@ -133,7 +133,7 @@
     }
     let span = world.time.now().since(Moment::ZERO).as_secs_f64();
     for call in calls {
-        let _ = call.await;
+        call.await.expect("the call ends");
     }
     for task in probing {
         task.abort();
--- a/crates/place/tests/test_place.rs
+++ b/crates/place/tests/test_place.rs
@@ -123,13 +123,16 @@
 }
 
 #[test]
-fn test_place_an_instance_more_moves_nothing() {
+fn test_place_a_slot_less_moves_nothing() {
     let all = hosts(15, 3);
-    let mut services = demands(130);
+    let services = demands(130);
     let before = Placement::new(&all, &services, Spread::default());
-    services[5].slots = 54;
-    let after = Placement::new(&all, &services, Spread::default());
-    assert!(before.iter().eq(after.iter()));
+    for i in 0..services.len() {
+        let mut fewer = services.clone();
+        fewer[i].slots = 58;
+        let after = Placement::new(&all, &fewer, Spread::default());
+        assert!(before.iter().eq(after.iter()), "service {i}");
+    }
 }
 
 quickcheck! {
@@ -156,7 +159,9 @@
     }
 
     fn test_place_answer_changes_domain_at_each_step(pick: u64) -> bool {
-        let ordered = order(&hosts(6, 3), pick);
+        let mut all = hosts(6, 3);
+        all.sort_by_key(|c| c.domain.clone());
+        let ordered = order(&all, pick);
         domains(&ordered[..3]).len() == 3 && domains(&ordered[3..]).len() == 3
     }
 }
