--- a/crates/cli/src/command/explain.rs
+++ b/crates/cli/src/command/explain.rs
@@ -10,6 +10,9 @@
 use crate::settings::Settings;
 use crate::table::Table;
 
+/// The age of an instance of which nothing was heard yet.
+const NEVER: u32 = u32::MAX;
+
 pub(super) async fn perform(
     mut words: Words,
     settings: &Settings,
@@ -59,12 +62,16 @@
     ];
     let mut table = Table::new("candidate", columns);
     for candidate in &reply.candidates {
+        let age = match candidate.age_ms {
+            NEVER => String::new(),
+            age => age.to_string(),
+        };
         table.row([
             &candidate.instance,
             &candidate.health,
             &candidate.in_flight,
             &candidate.latency_us,
-            &candidate.age_ms,
+            &age,
             &candidate.chosen_millis,
             &candidate.reason,
         ]);
--- a/crates/cli/tests/test_commands.rs
+++ b/crates/cli/tests/test_commands.rs
@@ -83,15 +83,24 @@
     }];
     world.explain.version = 1;
     world.explain.in_flight = 2;
-    world.explain.candidates = vec![Candidate {
-        instance: "g-1".into(),
-        health: "slow".into(),
-        in_flight: 2,
-        latency_us: 1_500,
-        age_ms: 12,
-        chosen_millis: 250,
-        reason: "least load".into(),
-    }];
+    let unheard = Candidate {
+        instance: "g-2".into(),
+        health: "well".into(),
+        age_ms: u32::MAX,
+        ..Candidate::default()
+    };
+    world.explain.candidates = vec![
+        Candidate {
+            instance: "g-1".into(),
+            health: "slow".into(),
+            in_flight: 2,
+            latency_us: 1_500,
+            age_ms: 12,
+            chosen_millis: 250,
+            reason: "least load".into(),
+        },
+        unheard,
+    ];
     world.status = Status {
         id: 7,
         role: Role::Leader.into(),
@@ -174,9 +183,11 @@
             "explain grants".into(),
             "grants: version 1, fenced no, 0 queued, 2 in flight\n\
              INSTANCE  HEALTH  IN-FLIGHT  LATENCY-US  AGE-MS  CHOSEN-MILLIS  REASON\n\
-             g-1       slow    2          1500        12      250            least load\n".into(),
+             g-1       slow    2          1500        12      250            least load\n\
+             g-2       well    0          0           -       0              -\n".into(),
             "item=gateway service=grants version=1 fenced=no queued=0 in-flight=2\n\
-             item=candidate instance=g-1 health=slow in-flight=2 latency-us=1500 age-ms=12 chosen-millis=250 reason=\"least load\"\n".into(),
+             item=candidate instance=g-1 health=slow in-flight=2 latency-us=1500 age-ms=12 chosen-millis=250 reason=\"least load\"\n\
+             item=candidate instance=g-2 health=well in-flight=0 latency-us=0 age-ms=\"\" chosen-millis=0 reason=\"\"\n".into(),
         ),
         (
             "drain".into(),
