--- a/crates/conf/src/value.rs
+++ b/crates/conf/src/value.rs
@@ -4,6 +4,7 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::str::FromStr;
 use std::time::Duration;
 
 use base::prelude::CallerName;
@@ -26,6 +27,12 @@
     fn read(text: &str) -> Option<Self>;
 }
 
+/// A number of digits alone, as the library also takes a sign.
+fn digits<T: FromStr>(text: &str) -> Option<T> {
+    let bare = text.bytes().all(|b| b.is_ascii_digit());
+    if bare { text.parse().ok() } else { None }
+}
+
 impl Value for SocketAddr {
     const FORM: &'static str = "IP:port, such as 127.0.0.1:7000";
 
@@ -46,7 +53,7 @@
     const FORM: &'static str = "whole number";
 
     fn read(text: &str) -> Option<Self> {
-        text.parse().ok()
+        digits(text)
     }
 }
 
@@ -54,7 +61,7 @@
     const FORM: &'static str = "whole number";
 
     fn read(text: &str) -> Option<Self> {
-        text.parse().ok()
+        digits(text)
     }
 }
 
@@ -76,7 +83,7 @@
     fn read(text: &str) -> Option<Self> {
         let split = text.find(|c: char| !c.is_ascii_digit())?;
         let (count, unit) = text.split_at(split);
-        let count: u64 = count.parse().ok()?;
+        let count: u64 = digits(count)?;
         match unit {
             "ms" => Some(Self::from_millis(count)),
             "s" => Some(Self::from_secs(count)),
@@ -108,7 +115,7 @@
     fn read(text: &str) -> Option<Self> {
         let split = text.find(|c: char| !c.is_ascii_digit())?;
         let (count, unit) = text.split_at(split);
-        let count: u64 = count.parse().ok()?;
+        let count: u64 = digits(count)?;
         let factor = match unit {
             "B" => 1,
             "KiB" => KIBI,
@@ -140,11 +147,11 @@
     fn read(text: &str) -> Option<Self> {
         let number = text.strip_suffix("/s")?;
         let (whole, part) = number.split_once('.').unwrap_or((number, "0"));
-        if part.is_empty() || part.len() > 3 || !part.bytes().all(|b| b.is_ascii_digit()) {
+        if part.is_empty() || part.len() > 3 {
             return None;
         }
-        let whole: u32 = whole.parse().ok()?;
-        let part: u32 = format!("{part:0<3}").parse().ok()?;
+        let whole: u32 = digits(whole)?;
+        let part: u32 = digits(&format!("{part:0<3}"))?;
         whole.checked_mul(1000)?.checked_add(part).map(Rate)
     }
 }
@@ -167,7 +174,7 @@
     const FORM: &'static str = "0% to 100%";
 
     fn read(text: &str) -> Option<Self> {
-        let count = text.strip_suffix('%')?.parse().ok()?;
+        let count = digits(text.strip_suffix('%')?)?;
         (count <= 100).then_some(Self(count))
     }
 }
