--- /dev/null
+++ b/crates/cli/tests/test_usage.rs
@@ -0,0 +1,154 @@
+//! What a wrong command line or settings file gets, and what the right ones do.
+
+mod fakes;
+
+use cli::Exit;
+use fakes::Fake;
+use fakes::listen;
+use fakes::nobody;
+use fakes::rwrctl;
+use fakes::write;
+use futures::StreamExt;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use wire::catalogue::Change;
+use wire::catalogue::Edit;
+use wire::catalogue::edit::Kind;
+
+const FILE: &str = "\
+[service grants]
+owner = Ferrovie Alpine
+class = once
+concurrency = 42
+queue = 84
+deadline = 2s
+body = 64KiB
+retries = 10%
+probes = 2/s
+
+[gateway milano-1]
+";
+
+#[tokio::test]
+async fn test_usage_faults() {
+    let settings = write(
+        "client.ini",
+        "[rwrctl]\ncontrol = here\ntimeout = 5\ncolour = red\n",
+    );
+    let (settings, dead) = (settings.display(), nobody());
+    let cases = [
+        ("--help".into(), Exit::Done, "Usage: rwrctl"),
+        ("show -h".into(), Exit::Done, "Usage: rwrctl"),
+        ("-V".into(), Exit::Done, "rwrctl 0.1.0\n"),
+        (String::new(), Exit::Usage, "no command given"),
+        ("shew".into(), Exit::Usage, "\"shew\" is no command"),
+        ("show --colour".into(), Exit::Usage, "--colour is no option"),
+        ("show -x".into(), Exit::Usage, "-x is no option"),
+        (
+            format!("show --id 3 --control {dead}"),
+            Exit::Usage,
+            "--id is no option of show",
+        ),
+        (
+            format!("show a b --control {dead}"),
+            Exit::Usage,
+            "\"b\" is one word too many",
+        ),
+        (
+            "show --plain --plain".into(),
+            Exit::Usage,
+            "--plain stands twice",
+        ),
+        ("show --control".into(), Exit::Usage, "missing argument"),
+        (
+            "show --control localhost:1".into(),
+            Exit::Usage,
+            "--control \"localhost:1\" has the wrong form",
+        ),
+        ("show".into(), Exit::Usage, "--control ADDRESS is missing"),
+        (
+            "hosts".into(),
+            Exit::Usage,
+            "--directory ADDRESS is missing",
+        ),
+        ("drain".into(), Exit::Usage, "--gateway ADDRESS is missing"),
+        ("explain".into(), Exit::Usage, "SERVICE is missing"),
+        (
+            format!("apply x.ini --wait --control {dead}"),
+            Exit::Usage,
+            "--directory ADDRESS is missing",
+        ),
+        (
+            format!("show --config {settings}"),
+            Exit::Usage,
+            "[rwrctl] control: \"here\" has the wrong form",
+        ),
+        (
+            format!("show --config {settings}"),
+            Exit::Usage,
+            "[rwrctl] timeout: \"5\" has the wrong form",
+        ),
+        (
+            format!("show --config {settings}"),
+            Exit::Usage,
+            "[rwrctl] colour: is no known key",
+        ),
+        (
+            format!("show --config {settings}.absent"),
+            Exit::Usage,
+            "No such file",
+        ),
+    ];
+    for (line, exit, text) in cases {
+        let ended = rwrctl(&line).await;
+        assert_eq!(ended.exit, exit, "{line}: {}", ended.err);
+        assert!(
+            format!("{}{}", ended.out, ended.err).contains(text),
+            "{line}: {}",
+            ended.err
+        );
+        assert_eq!(
+            ended.err.contains("hint: "),
+            exit != Exit::Done,
+            "{line}: {}",
+            ended.err
+        );
+    }
+}
+
+#[test]
+fn test_usage_reference_has_the_usage_text() {
+    let page = include_str!("../../../docs/reference/rwrctl.md");
+    assert!(page.contains(cli::command::USAGE));
+}
+
+#[tokio::test]
+async fn test_usage_settings_file() {
+    let fake = Fake::default();
+    let control = listen!(ControlApi, fake);
+    let text = format!("[rwrctl]\ncontrol = {control}\nauthor = bruno\ntimeout = 2s\n");
+    let settings = write("good-client.ini", &text);
+    let file = write("settings.ini", FILE);
+    let line = format!("apply {} --config {}", file.display(), settings.display());
+    assert_eq!(rwrctl(&line).await.exit, Exit::Done);
+    assert_eq!(fake.world().changes[0].author, "bruno");
+    let ended = rwrctl(&format!("show grants --config {}", settings.display())).await;
+    assert_eq!(ended.exit, Exit::Done, "{}", ended.err);
+    let ended = rwrctl(&format!("show none --config {}", settings.display())).await;
+    assert_eq!(ended.exit, Exit::Failure);
+    assert_eq!(ended.err, "rwrctl: there is no service none\n");
+    fake.world().state.apply(&Change {
+        id: "later".into(),
+        base: 1,
+        author: "anna".into(),
+        edits: vec![Edit {
+            kind: Some(Kind::AddGateway("torino-1".into())),
+        }],
+    });
+    let line = format!(
+        "history --from 2 --most 5 --plain --config {}",
+        settings.display()
+    );
+    let expect = "item=change version=2 id=later author=anna edits=\"add gateway torino-1\"\n";
+    assert_eq!(rwrctl(&line).await.out, expect);
+}
