--- a/crates/testutils/src/system.rs
+++ b/crates/testutils/src/system.rs
@@ -191,7 +191,7 @@
         .await
     }
 
-    /// Starts a stand-in for `service` that the directories know.
+    /// Starts stand-in `number` of `service` and waits until every gateway knows it.
     ///
     /// # Errors
     ///
@@ -202,9 +202,21 @@
         number: usize,
     ) -> Result<Upstream, SystemError> {
         let settings = self.plan.standin(service, number);
-        let upstream = Upstream::start(&settings).await?;
+        self.start_upstream(&settings).await
+    }
+
+    /// Starts a stand-in with `settings` and waits until every gateway knows it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it isn't ready in time.
+    pub async fn start_upstream(
+        &self,
+        settings: &standin::Settings,
+    ) -> Result<Upstream, SystemError> {
+        let upstream = Upstream::start(settings).await?;
         for index in 0..self.gateways.len() {
-            self.wait_instance(index, service, &upstream.instance)
+            self.wait_instance(index, settings.service.as_str(), &upstream.instance)
                 .await?;
         }
         Ok(upstream)
--- a/crates/testutils/tests/test_freeze.rs
+++ b/crates/testutils/tests/test_freeze.rs
@@ -37,13 +37,7 @@
     for number in 0..2 {
         let mut settings = system.plan.standin(services::GRANTS, number);
         settings.cancel = false;
-        let upstream = Upstream::start(&settings).await.unwrap();
-        for entry in 0..2 {
-            system
-                .wait_instance(entry, services::GRANTS, &upstream.instance)
-                .await
-                .unwrap();
-        }
+        let upstream = system.start_upstream(&settings).await.unwrap();
         upstreams.push(upstream);
     }
     let asks = (0..GRANTS).map(|i| {
@@ -92,13 +86,7 @@
     let mut system = System::start(3, 2, &services::all()).await.unwrap();
     let mut settings = system.plan.standin(services::GRANTS, 0);
     settings.cancel = false;
-    let upstream = Upstream::start(&settings).await.unwrap();
-    for entry in 0..2 {
-        system
-            .wait_instance(entry, services::GRANTS, &upstream.instance)
-            .await
-            .unwrap();
-    }
+    let upstream = system.start_upstream(&settings).await.unwrap();
     upstream.process.freeze().unwrap();
     let ask = Ask::post(services::GRANTS, "/grants", "block 7");
     let ask = ask.keyed(&testutils::new_key()).within(DEADLINE);
--- a/crates/testutils/tests/test_once.rs
+++ b/crates/testutils/tests/test_once.rs
@@ -96,13 +96,7 @@
         let mut settings = system.plan.standin(services::GRANTS, 0);
         // It finishes what it began, so that nothing hides a second run.
         settings.cancel = false;
-        let upstream = Upstream::start(&settings).await.unwrap();
-        for entry in [FIRST, SECOND] {
-            system
-                .wait_instance(entry, services::GRANTS, &upstream.instance)
-                .await
-                .unwrap();
-        }
+        let upstream = system.start_upstream(&settings).await.unwrap();
         let ask = Ask::post(services::GRANTS, "/grants", "block 7");
         let ask = ask.keyed(&testutils::new_key()).within(DEADLINE);
         Self {
--- a/crates/testutils/tests/test_upstream_faults.rs
+++ b/crates/testutils/tests/test_upstream_faults.rs
@@ -19,12 +19,15 @@
 const AT_ONCE: usize = 6;
 /// Instances, of which the first shows the fault.
 const INSTANCES: usize = 3;
+/// Mean service time, well above the noise of a busy machine.
+const SERVICE_TIME: Duration = Duration::from_millis(20);
 /// Deadline of a call, far above any service time.
 const DEADLINE: Duration = Duration::from_secs(20);
 
-async fn call_all(system: &System) -> Vec<Reply> {
+/// Calls everything once; `first` is the number of the first call.
+async fn call_all(system: &System, first: usize) -> Vec<Reply> {
     let turn = Arc::new(Semaphore::new(AT_ONCE));
-    let calls = (0..CALLS).map(|i| {
+    let calls = (first..first + CALLS).map(|i| {
         let (turn, gateway) = (turn.clone(), system.gateway(i % 2));
         tokio::spawn(async move {
             let _turn = turn.acquire_owned().await.unwrap();
@@ -40,23 +43,29 @@
     replies
 }
 
+/// One instance shows a fault in a system that is at work.
 async fn run(kind: FaultKind) {
     let mut system = System::start(1, 2, &services::all()).await.unwrap();
     let mut upstreams: Vec<Upstream> = vec![];
     for number in 0..INSTANCES {
-        let upstream = system.upstream(services::STATUS, number).await.unwrap();
+        let mut settings = system.plan.standin(services::STATUS, number);
+        settings.time = SERVICE_TIME;
+        let upstream = system.start_upstream(&settings).await.unwrap();
         upstreams.push(upstream);
     }
+    let healthy = call_all(&system, 0).await;
+    assert!(healthy.iter().all(Reply::is_ok), "{kind}");
+    let before = upstreams[0].record().await.runs.len();
     upstreams[0].set_fault(Fault::new(kind)).await.unwrap();
 
-    let replies = call_all(&system).await;
-    for (i, reply) in replies.iter().enumerate() {
-        assert!(reply.is_ok(), "{kind} call {i}: {reply:?}");
+    let replies = call_all(&system, CALLS).await;
+    for (reply, number) in replies.iter().zip(CALLS..) {
+        assert!(reply.is_ok(), "{kind} call {number}: {reply:?}");
         let receipt = reply.receipt().unwrap();
-        assert_eq!(receipt.path, format!("/block/{i}"), "{kind}");
+        assert_eq!(receipt.path, format!("/block/{number}"), "{kind}");
     }
     // An even share would be a third; a fault must lose traffic, not attract it.
-    let faulty = upstreams[0].record().await.runs.len();
+    let faulty = upstreams[0].record().await.runs.len() - before;
     assert!(faulty < CALLS / INSTANCES, "{kind}: {faulty} of {CALLS}");
     assert!(faulty > 0, "{kind}: the fault was never met");
 }
