--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use bytes::Bytes;
 use cadence::StatsdClient;
 use consensus::Action;
 use consensus::Config;
@@ -26,6 +27,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::task::JoinError;
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use wire::control::MembershipPending;
 use wire::control::Role as WireRole;
@@ -125,6 +128,8 @@
     founding: Option<(Config, oneshot::Sender<bool>)>,
     /// The replica may yet be handed a founding group, and takes no message before.
     unfounded: bool,
+    /// A snapshot that is being encoded, and its last entry.
+    encoding: Option<(Index, JoinHandle<Bytes>)>,
     applied: Index,
     group: Config,
     next_expiry: Moment,
@@ -153,6 +158,7 @@
             admitted: 0,
             founding: None,
             unfounded: parts.unfounded,
+            encoding: None,
             applied: parts.stored.snapshot.position.index,
             group: Config::default(),
             next_expiry: clock.now(),
@@ -200,6 +206,7 @@
                     self.take(input);
                     self.take_more(&mut inbox);
                 }
+                data = encoded(&mut self.encoding) => self.encoded(data),
                 () = tokio::time::sleep_until(wake) => {}
             }
             self.pass_time();
@@ -369,3 +376,11 @@
         }
     }
 }
+
+/// The encoded snapshot, once there is one.
+async fn encoded(encoding: &mut Option<(Index, JoinHandle<Bytes>)>) -> Result<Bytes, JoinError> {
+    match encoding {
+        Some((_, data)) => data.await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/control/src/driver/act.rs
+++ b/crates/control/src/driver/act.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use cadence::Counted;
 use cadence::Gauged;
 use cadence::Timed;
@@ -17,6 +18,7 @@
 use consensus::Ticket;
 use slog::info;
 use slog::warn;
+use tokio::task::JoinError;
 use wire::catalogue::ChangeReply;
 use wire::catalogue::change_reply;
 use wire::ledger::claim_reply;
@@ -130,18 +132,32 @@
         }
     }
 
+    /// Begins a snapshot of what is applied when the log has grown.
+    ///
+    /// A large state takes longer to encode than a heartbeat may wait, so this
+    /// is done on a copy by another thread.
     fn compact(&mut self, status: &Status) {
         let enough = self
             .parts
             .snapshot_bytes
             .max(self.snapshot_size * SNAPSHOT_RATIO);
         let fresh = status.snapshot < self.applied;
-        if status.log_bytes < enough || !fresh || self.failure.is_some() {
+        if status.log_bytes < enough || !fresh || self.encoding.is_some() {
             return;
         }
-        let data = self.parts.machine.snapshot();
+        let machine = self.parts.machine.clone();
+        let data = tokio::task::spawn_blocking(move || machine.snapshot());
+        self.encoding = Some((self.applied, data));
+    }
+
+    /// Takes the encoded snapshot in the log's place.
+    pub(super) fn encoded(&mut self, data: Result<Bytes, JoinError>) {
+        let Some((index, _)) = self.encoding.take() else {
+            return;
+        };
+        // A failed encoding is tried again, as the log is as long as before.
+        let Ok(data) = data else { return };
         self.snapshot_size = data.len();
-        let index = self.applied;
         info!(self.parts.log, "snapshot"; "event" => "taken",
             "index" => index.0, "bytes" => data.len());
         self.step(Event::Compact { index, data });
--- a/crates/control/src/driver/propose.rs
+++ b/crates/control/src/driver/propose.rs
@@ -3,6 +3,7 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use base::prelude::*;
 use consensus::Action;
 use consensus::Change;
 use consensus::Event;
@@ -23,6 +24,7 @@
 use wire::replica::command::Kind;
 
 use crate::convert;
+use crate::convert::ConvertError;
 use crate::driver::EXPIRY;
 use crate::driver::PENDING_AFTER;
 use crate::driver::Task;
@@ -114,7 +116,9 @@
         let change = match &change.kind {
             Some(membership::Kind::Add(replica)) => convert::member(replica).map(Change::Add),
             Some(membership::Kind::Remove(id)) => Ok(Change::Remove(ReplicaId(*id))),
-            None => Err(convert::ConvertError::Missing("change")),
+            Some(membership::Kind::Evict(name)) => region(name).map(Change::Evict),
+            Some(membership::Kind::Readmit(name)) => region(name).map(Change::Readmit),
+            None => Err(ConvertError::Missing("change")),
         };
         let change = match change {
             Ok(change) => change,
@@ -133,6 +137,10 @@
     }
 }
 
+fn region(name: &str) -> Result<RegionName, ConvertError> {
+    Ok(RegionName::new(name)?)
+}
+
 /// The answer to a change of the group that can't be made.
 pub(super) fn refused(reason: &str) -> AskReply {
     tickets::membership(membership_reply::Kind::Refused(MembershipRefused {
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -1,11 +1,15 @@
 //! Accepts connections within bounds and serves each on its own task.
 
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures::StreamExt;
 use serde::Deserialize;
 use serde::Serialize;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio_serde::formats::Bincode;
 use tokio_util::sync::CancellationToken;
@@ -15,6 +19,12 @@
 const MAX_CONNECTIONS: usize = 1024;
 /// Pause after the system refused to accept.
 const PAUSE: Duration = Duration::from_millis(50);
+/// A connection that is idle for so long is probed,
+const IDLE: Duration = Duration::from_secs(30);
+/// again after so long,
+const PROBE: Duration = Duration::from_secs(5);
+/// and so often, before it is closed.
+const PROBES: u32 = 3;
 /// Responses that wait for one connection.
 pub const MAX_RESPONSES: usize = 4096;
 
@@ -60,8 +70,7 @@
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
             continue;
         };
-        // Small frames must not wait for the ones before to be acknowledged.
-        if channel.get_ref().set_nodelay(true).is_err() {
+        if prepare(channel.get_ref()).is_err() {
             continue;
         }
         let connection = serve(channel);
@@ -72,3 +81,14 @@
         });
     }
 }
+
+/// Small frames must not wait for the ones before to be acknowledged, and a
+/// peer that vanished must not keep its place.
+fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(IDLE)
+        .with_interval(PROBE)
+        .with_retries(PROBES);
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
+}
