--- a/crates/control/examples/capacity.rs
+++ b/crates/control/examples/capacity.rs
@@ -51,6 +51,9 @@
     for (workers, group) in [(256, 4096), (256, 1), (1, 4096)] {
         claims(&folder, workers, group).await?;
     }
+    for count in [3, 5, 7] {
+        idle(&folder, count).await?;
+    }
     for count in [3, 5] {
         changes(&folder, count).await?;
     }
@@ -264,6 +267,30 @@
     Ok(())
 }
 
+/// Processor time of a replica that does nothing but keep its group.
+async fn idle(folder: &Path, count: usize) -> Result<(), Failure> {
+    let mut group = Group::start(&folder.join("idle"), count, 4096).await?;
+    group.leader_first().await?;
+    let before = processor()?;
+    tokio::time::sleep(SPAN).await;
+    let spent = processor()? - before;
+    let share = spent * 1_000_000 / u64::try_from(SPAN.as_millis())? / count as u64;
+    println!("measure=idle replicas={count} core_ppm_per_replica={share}");
+    group.kill().await;
+    Ok(())
+}
+
+/// Processor time of this process in milliseconds.
+fn processor() -> Result<u64, Failure> {
+    let text = fs::read_to_string("/proc/self/stat")?;
+    let rest = text.rsplit(')').next().ok_or("stat has no name")?;
+    let fields: Vec<&str> = rest.split_whitespace().collect();
+    let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<u64>().ok());
+    let sum = ticks(11).zip(ticks(12)).ok_or("stat has no times")?;
+    // The system counts in hundredths of a second.
+    Ok((sum.0 + sum.1) * 10)
+}
+
 /// How long until every replica confirms the last version after all were killed.
 async fn restart(folder: &Path, count: u64) -> Result<(), Failure> {
     let mut group = Group::start(&folder.join("restart"), 3, 4096).await?;
--- a/crates/control/tests/common/process.rs
+++ b/crates/control/tests/common/process.rs
@@ -76,6 +76,13 @@
     }
 }
 
+/// Makes sizes so small that some hundred changes pass several snapshots.
+pub fn take_snapshots(plan: &Plan) {
+    let mut text = fs::read_to_string(&plan.config).expect("settings");
+    text.push_str("\n[store]\nsegment = 64KiB\nsnapshot = 64KiB\n");
+    fs::write(&plan.config, text).expect("settings");
+}
+
 /// A loopback address that no other test process uses.
 fn loopback() -> IpAddr {
     static NEXT: AtomicU16 = AtomicU16::new(1);
--- a/crates/control/tests/test_replace.rs
+++ b/crates/control/tests/test_replace.rs
@@ -10,12 +10,32 @@
 use common::process::Plan;
 use common::process::Process;
 use common::process::plan;
+use common::process::take_snapshots;
 use wire::catalogue::change_reply::Kind;
 use wire::control::Replica;
 use wire::control::Role;
 use wire::control::membership;
 
-const CHANGES: u64 = 20;
+/// How much lies behind the replicas when the first disk is lost.
+struct Case {
+    name: &'static str,
+    changes: u64,
+    /// The log before is gone, so that the new replica needs a snapshot.
+    snapshots: bool,
+}
+
+const CASES: [Case; 2] = [
+    Case {
+        name: "replace-log",
+        changes: 20,
+        snapshots: false,
+    },
+    Case {
+        name: "replace-snapshot",
+        changes: 500,
+        snapshots: true,
+    },
+];
 
 /// Kills a replica and empties its data folder.
 fn lose(process: Process, plan: &Plan) {
@@ -48,19 +68,31 @@
 
 async fn fill(client: &Client, from: u64, to: u64) {
     for base in from..to {
-        let next = change(&format!("c-{base}"), base, &format!("service-{base}"));
+        let service = format!("service-{:0100}", base % 50);
+        let next = change(&format!("c-{base}"), base, &service);
         assert_eq!(accepted(&client.propose_surely(&next).await), base + 1);
     }
 }
 
 #[tokio::test]
 async fn test_replace_second_loss_after_the_repair_loses_nothing() {
-    let plans = plan(&folder("replace-second"), 3);
+    for case in CASES {
+        second_loss(&case).await;
+    }
+}
+
+async fn second_loss(case: &Case) {
+    let plans = plan(&folder(case.name), 3);
+    if case.snapshots {
+        plans.iter().for_each(take_snapshots);
+    }
     let clients: Vec<Client> = plans.iter().map(|p| Client::new(p.rpc)).collect();
     let [a, b, c] = <[Process; 3]>::try_from(Process::start_all(&plans))
         .ok()
         .expect("three");
-    fill(&clients[0], 0, CHANGES).await;
+    fill(&clients[0], 0, case.changes).await;
+    let first = clients[0].status().await.expect("answers").first_index;
+    assert_eq!(first > 1, case.snapshots, "{}", case.name);
 
     let old = id(&clients[2]).await;
     lose(c, &plans[2]);
@@ -72,14 +104,14 @@
     // The repair is finished: the next loss may come at once.
     let old = id(&clients[1]).await;
     lose(b, &plans[1]);
-    let reply = clients[2].reaches(CHANGES).await;
-    assert_eq!(reply.version, CHANGES);
-    assert_eq!(clients[2].history().await.len() as u64, CHANGES);
-    fill(&clients[2], CHANGES, CHANGES + 5).await;
+    let reply = clients[2].reaches(case.changes).await;
+    assert_eq!(reply.version, case.changes);
+    assert_eq!(clients[2].history().await.len() as u64, case.changes);
+    fill(&clients[2], case.changes, case.changes + 5).await;
 
     let b = Process::start(&plans[1]);
     repair(&clients[2], &plans[1], old).await;
-    clients[1].reaches(CHANGES + 5).await;
+    clients[1].reaches(case.changes + 5).await;
     let status = clients[0].status().await.expect("answers");
     assert_eq!(status.replicas.len(), 3);
     assert!(status.replicas.iter().all(|r| r.voter));
--- a/crates/control/tests/test_restart.rs
+++ b/crates/control/tests/test_restart.rs
@@ -10,6 +10,7 @@
 use common::folder;
 use common::process::Process;
 use common::process::plan;
+use common::process::take_snapshots;
 use wire::ledger::claim_reply::Kind;
 
 const CHANGES: u64 = 500;
@@ -22,12 +23,7 @@
 #[tokio::test]
 async fn test_restart_of_all_after_many_changes_keeps_catalogue_and_ledger() {
     let plans = plan(&folder("restart-all"), 3);
-    // Small enough that the changes pass several snapshots.
-    for plan in &plans {
-        let mut text = std::fs::read_to_string(&plan.config).expect("settings");
-        text.push_str("\n[store]\nsegment = 64KiB\nsnapshot = 64KiB\n");
-        std::fs::write(&plan.config, text).expect("settings");
-    }
+    plans.iter().for_each(take_snapshots);
     let clients: Vec<Client> = plans.iter().map(|p| Client::new(p.rpc)).collect();
     let processes = Process::start_all(&plans);
     // They come first, so that only a snapshot holds them in the end.
