demo: one table a figure, harsh neighbours, small default probe budgets

The default budgets are now 4 probes a second for an instance at Ferrovie and 1 at the Trust. Answers already tell what probes would, so probes are left for suspects, the ejected and the idle.

--- a/crates/demo/examples/policy/fake.rs
+++ b/crates/demo/examples/policy/fake.rs
@@ -13,6 +13,7 @@
 use crate::fault::Fault;
 use crate::fault::Mode;
 use crate::noise::Noise;
+use crate::run::Case;
 use crate::time::Time;
 
 /// Requests that an instance works on at once.
@@ -70,13 +71,14 @@
 
 impl Fake {
     /// Instance `index` with its neighbours' noise by `seed`.
-    pub fn new(index: u32, fault: Fault, time: Time, seed: u64) -> Self {
+    pub fn new(index: u32, case: &Case, time: Time) -> Self {
+        let seed = case.seed * 1000 + u64::from(index);
         Self {
             index,
-            fault,
+            fault: case.fault,
             time,
             slots: Semaphore::new(SLOTS as usize),
-            noise: RefCell::new(Noise::new(seed)),
+            noise: RefCell::new(Noise::new(case.neighbours, seed)),
             in_flight: Cell::new(0),
             history: RefCell::new(VecDeque::from([(Moment::ZERO, 0)])),
         }
--- a/crates/demo/examples/policy/figures.rs
+++ b/crates/demo/examples/policy/figures.rs
@@ -124,3 +124,19 @@
         }
     }
 }
+
+/// A figure's name with its unit, its value and its digits.
+type Figure = (&'static str, fn(&Figures) -> f64, usize);
+
+/// What is printed.
+pub const FIGURES: [Figure; 9] = [
+    ("p50_ms", |f| f.p50, 1),
+    ("p99_ms", |f| f.p99, 1),
+    ("p99.9_ms", |f| f.p999, 1),
+    ("within_%", |f| f.within * 100.0, 2),
+    ("admitted_%", |f| f.admitted * 100.0, 2),
+    ("refused_%", |f| f.refused * 100.0, 2),
+    ("errors_%", |f| f.errors * 100.0, 3),
+    ("attempts", |f| f.attempts, 3),
+    ("probes_s", |f| f.probes, 1),
+];
--- a/crates/demo/examples/policy/main.rs
+++ b/crates/demo/examples/policy/main.rs
@@ -26,6 +26,7 @@
   --shape NAME   ferrovie or trust, default both
   --policy NAME  one row only, such as two-choices or least-wait+
   --fault NAME   one column only
+  --noise NAME   of neighbours: mild (default) or harsh
   --choosers N   gateways that share the instances, default 15
   --probes N     measuring budget for an instance, in thousandths a second
   --probe-age N  milliseconds without a report after which a probe is sent
@@ -62,6 +63,7 @@
                 let name = parser.value()?.string()?;
                 options.rows.retain(|row| row.name() == name);
             }
+            Arg::Long("noise") => options.neighbours = parser.value()?.parse()?,
             Arg::Long("probes") => options.probes = Some(parser.value()?.parse()?),
             Arg::Long("probe-age") => {
                 let millis = parser.value()?.parse()?;
--- a/crates/demo/examples/policy/noise.rs
+++ b/crates/demo/examples/policy/noise.rs
@@ -6,18 +6,34 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use strum::Display;
+use strum::EnumString;
 
-/// Mean length of a calm stretch.
-const CALM: Duration = Duration::from_millis(60);
-/// Mean length of a stretch in which a neighbour takes the machine's time.
-const BUSY: Duration = Duration::from_millis(12);
-/// How much slower work goes meanwhile.
-const BUSY_FACTOR: f64 = 3.0;
+/// How noisy the neighbours on an instance's machine are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Neighbours {
+    /// They slow it 3 times for 12 ms of 72.
+    Mild,
+    /// They slow it 10 times for 50 ms of 500.
+    Harsh,
+}
 
-/// Mean speed over both kinds of stretches.
-pub fn mean_speed() -> f64 {
-    let (calm, busy) = (CALM.as_secs_f64(), BUSY.as_secs_f64());
-    (calm + busy / BUSY_FACTOR) / (calm + busy)
+impl Neighbours {
+    /// Mean lengths of a calm and a busy stretch, and how much slower the busy one is.
+    fn stretches(self) -> (Duration, Duration, f64) {
+        match self {
+            Self::Mild => (Duration::from_millis(60), Duration::from_millis(12), 3.0),
+            Self::Harsh => (Duration::from_millis(450), Duration::from_millis(50), 10.0),
+        }
+    }
+
+    /// Mean speed over both kinds of stretches.
+    pub fn mean_speed(self) -> f64 {
+        let (calm, busy, factor) = self.stretches();
+        let (calm, busy) = (calm.as_secs_f64(), busy.as_secs_f64());
+        (calm + busy / factor) / (calm + busy)
+    }
 }
 
 /// A draw from the exponential distribution with mean 1.
@@ -27,14 +43,16 @@
 
 /// An instance's neighbours: alternating stretches, the same for every policy.
 pub struct Noise {
+    neighbours: Neighbours,
     rng: SmallRng,
     stretches: Vec<(Moment, f64)>,
 }
 
 impl Noise {
     /// The schedule of `seed`.
-    pub fn new(seed: u64) -> Self {
+    pub fn new(neighbours: Neighbours, seed: u64) -> Self {
         Self {
+            neighbours,
             rng: SmallRng::seed_from_u64(seed),
             stretches: Vec::new(),
         }
@@ -60,12 +78,9 @@
     fn stretch(&mut self, index: usize) -> (Moment, f64) {
         while self.stretches.len() <= index {
             let last = self.stretches.last().map_or(Moment::ZERO, |(end, _)| *end);
-            let busy = self.stretches.len() % 2 == 1;
-            let (mean, factor) = if busy {
-                (BUSY, BUSY_FACTOR)
-            } else {
-                (CALM, 1.0)
-            };
+            let (calm, busy, factor) = self.neighbours.stretches();
+            let is_busy = self.stretches.len() % 2 == 1;
+            let (mean, factor) = if is_busy { (busy, factor) } else { (calm, 1.0) };
             let length = mean.mul_f64(exponential(&mut self.rng)) + Duration::from_micros(1);
             self.stretches.push((last + length, factor));
         }
--- a/crates/demo/examples/policy/run.rs
+++ b/crates/demo/examples/policy/run.rs
@@ -26,6 +26,7 @@
 use crate::figures::Figures;
 use crate::figures::Tally;
 use crate::gateway::Gateway;
+use crate::noise::Neighbours;
 use crate::noise::exponential;
 use crate::shape::Shape;
 use crate::time::Time;
@@ -67,6 +68,8 @@
     pub row: Row,
     /// The fault.
     pub fault: Fault,
+    /// On every instance's machine.
+    pub neighbours: Neighbours,
     /// Of the choosers.
     pub settings: Settings,
     /// Gateways that share the calls evenly.
@@ -127,14 +130,7 @@
 
 async fn drive(case: Case) -> Figures {
     let time = Time::start();
-    let fake = |i| {
-        Rc::new(Fake::new(
-            i,
-            case.fault,
-            time,
-            case.seed * 1000 + u64::from(i),
-        ))
-    };
+    let fake = |i| Rc::new(Fake::new(i, &case, time));
     let gateway = |i| Rc::new(RefCell::new(Gateway::new(&case, i)));
     let world = Rc::new(World {
         case,
@@ -208,7 +204,7 @@
 async fn arrive(world: &Rc<World>) {
     let case = world.case;
     let mut rng = SmallRng::seed_from_u64(case.seed);
-    let gap = 1.0 / (case.shape.capacity() * case.fault.load());
+    let gap = 1.0 / (case.shape.capacity(case.neighbours) * case.fault.load());
     let end = WARM_UP + case.span;
     let mut at = world.time.now();
     while at < end {
--- a/crates/demo/examples/policy/shape.rs
+++ b/crates/demo/examples/policy/shape.rs
@@ -7,7 +7,7 @@
 use strum::EnumString;
 
 use crate::fake::SLOTS;
-use crate::noise::mean_speed;
+use crate::noise::Neighbours;
 
 /// A service as one of the users runs it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, EnumString)]
@@ -47,8 +47,8 @@
     /// The default measuring budget, in thousandths of a probe a second and instance.
     pub fn probes(self) -> u32 {
         match self {
-            Self::Ferrovie => 20_000,
-            Self::Trust => 4_000,
+            Self::Ferrovie => 4_000,
+            Self::Trust => 1_000,
         }
     }
 
@@ -58,8 +58,8 @@
     }
 
     /// Calls a second that all instances can serve.
-    pub fn capacity(self) -> f64 {
+    pub fn capacity(self, neighbours: Neighbours) -> f64 {
         let slots = f64::from(SLOTS * self.instances());
-        slots * mean_speed() / self.work().as_secs_f64()
+        slots * neighbours.mean_speed() / self.work().as_secs_f64()
     }
 }
--- a/crates/demo/examples/policy/table.rs
+++ b/crates/demo/examples/policy/table.rs
@@ -1,4 +1,4 @@
-//! Runs every case, a few at once, and prints the table.
+//! Runs every case, a few at once, and prints the tables.
 
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -12,18 +12,23 @@
 use strum::IntoEnumIterator;
 
 use crate::fault::Fault;
+use crate::figures::FIGURES;
 use crate::figures::Figures;
 use crate::figures::Spread;
+use crate::noise::Neighbours;
 use crate::run::Case;
 use crate::run::Row;
 use crate::run::run;
 use crate::shape::Shape;
 
+/// Width of a column.
+const WIDTH: usize = 24;
+
 /// What the command line asked for.
 pub struct Options {
     /// First seed.
     pub seed: u64,
-    /// Number of seeds.
+    /// Number of seeds, at least 1.
     pub seeds: u64,
     /// Services.
     pub shapes: Vec<Shape>,
@@ -31,6 +36,8 @@
     pub rows: Vec<Row>,
     /// Columns.
     pub faults: Vec<Fault>,
+    /// Noise.
+    pub neighbours: Neighbours,
     /// Gateways.
     pub choosers: u32,
     /// Measuring budget, in thousandths a second; of the shape when `None`.
@@ -53,6 +60,7 @@
             shapes: Shape::iter().collect(),
             rows: rows(),
             faults: Fault::iter().collect(),
+            neighbours: Neighbours::Mild,
             choosers: 15,
             probes: None,
             settings: Settings::default(),
@@ -71,125 +79,113 @@
     rows.map(|(policy, whole)| Row { policy, whole }).collect()
 }
 
-type Figure = (&'static str, fn(&Figures) -> f64, usize);
-
-const FIGURES: [Figure; 9] = [
-    ("p50_ms", |f| f.p50, 1),
-    ("p99_ms", |f| f.p99, 1),
-    ("p99.9_ms", |f| f.p999, 1),
-    ("within_%", |f| f.within * 100.0, 2),
-    ("admitted_%", |f| f.admitted * 100.0, 2),
-    ("refused_%", |f| f.refused * 100.0, 2),
-    ("errors_%", |f| f.errors * 100.0, 3),
-    ("attempts", |f| f.attempts, 3),
-    ("probes_s", |f| f.probes, 1),
-];
+/// All seeds of one row and column.
+struct Cell {
+    row: Row,
+    fault: Fault,
+    runs: Vec<Figures>,
+}
 
 /// Runs and prints what `options` ask for.
 pub fn print(options: &Options) {
-    for shape in &options.shapes {
-        let cases = cases(options, *shape);
-        let results = run_all(&cases, options.threads);
-        let per_cell = usize::try_from(options.seeds).unwrap_or(1).max(1);
-        let cells: Vec<&[Figures]> = results.chunks(per_cell).collect();
+    for &shape in &options.shapes {
+        let cells = run_all(options, shape);
         if options.plain {
-            print_plain(options, *shape, &cells);
+            for cell in &cells {
+                print_plain(shape, cell);
+            }
         } else {
-            print_table(options, *shape, &cells);
+            print_tables(options, shape, &cells);
         }
     }
 }
 
-fn cases(options: &Options, shape: Shape) -> Vec<Case> {
-    let mut cases = Vec::new();
-    for &row in &options.rows {
-        for &fault in &options.faults {
-            for seed in options.seed..options.seed + options.seeds.max(1) {
-                cases.push(Case {
-                    shape,
-                    row,
-                    fault,
-                    settings: options.settings,
-                    choosers: options.choosers,
-                    probes: options.probes.unwrap_or(shape.probes()),
-                    span: options.span,
-                    seed,
-                });
-            }
-        }
+fn case(options: &Options, shape: Shape, row: Row, fault: Fault, seed: u64) -> Case {
+    Case {
+        shape,
+        row,
+        fault,
+        neighbours: options.neighbours,
+        settings: options.settings,
+        choosers: options.choosers,
+        probes: options.probes.unwrap_or(shape.probes()),
+        span: options.span,
+        seed,
     }
-    cases
 }
 
-fn run_all(cases: &[Case], threads: usize) -> Vec<Figures> {
+fn run_all(options: &Options, shape: Shape) -> Vec<Cell> {
+    let seeds = options.seed..options.seed + options.seeds.max(1);
+    let columns = |&row| options.faults.iter().map(move |&fault| (row, fault));
+    let cells: Vec<(Row, Fault)> = options.rows.iter().flat_map(columns).collect();
     let next = AtomicUsize::new(0);
-    let results = Mutex::new(vec![None; cases.len()]);
+    let done = Mutex::new(Vec::new());
+    let work = || {
+        while let Some(&(row, fault)) = cells.get(next.fetch_add(1, Ordering::Relaxed)) {
+            let figures = |seed| run(case(options, shape, row, fault, seed));
+            let runs = seeds.clone().map(figures).collect();
+            let mut done = done.lock().unwrap_or_else(PoisonError::into_inner);
+            done.push(Cell { row, fault, runs });
+        }
+    };
     thread::scope(|scope| {
-        for _ in 0..threads {
-            scope.spawn(|| {
-                while let Some(case) = cases.get(next.fetch_add(1, Ordering::Relaxed)) {
-                    let figures = run(*case);
-                    let index = cases.iter().position(|c| std::ptr::eq(c, case));
-                    let mut results = results.lock().unwrap_or_else(PoisonError::into_inner);
-                    results[index.expect("the case is of the list")] = Some(figures);
-                }
-            });
+        for _ in 0..options.threads {
+            scope.spawn(work);
         }
     });
-    let results = results.into_inner().unwrap_or_else(PoisonError::into_inner);
-    results.into_iter().flatten().collect()
+    let mut done = done.into_inner().unwrap_or_else(PoisonError::into_inner);
+    let order = |cell: &Cell| cells.iter().position(|c| *c == (cell.row, cell.fault));
+    done.sort_by_key(order);
+    done
 }
 
-fn print_plain(options: &Options, shape: Shape, cells: &[&[Figures]]) {
-    let mut cells = cells.iter();
-    for row in &options.rows {
-        for fault in &options.faults {
-            let runs = cells.next().expect("each cell was run");
-            print!(
-                "shape={shape} policy={} fault={fault} seeds={}",
-                row.name(),
-                runs.len()
-            );
-            for (name, figure, digits) in FIGURES {
-                let spread = Spread::of(runs, figure);
-                print!(" {name}={:.digits$}", spread.median);
-                print!(" {name}_min={:.digits$}", spread.least);
-                print!(" {name}_max={:.digits$}", spread.most);
-            }
-            println!();
-        }
+fn print_plain(shape: Shape, cell: &Cell) {
+    let Cell { row, fault, runs } = cell;
+    let name = row.name();
+    print!(
+        "shape={shape} policy={name} fault={fault} seeds={}",
+        runs.len()
+    );
+    for (name, figure, digits) in FIGURES {
+        let Spread {
+            median,
+            least,
+            most,
+        } = Spread::of(runs, figure);
+        print!(" {name}={median:.digits$} {name}_min={least:.digits$} {name}_max={most:.digits$}");
     }
+    println!();
 }
 
-fn print_table(options: &Options, shape: Shape, cells: &[&[Figures]]) {
-    let last = options.seed + options.seeds.max(1) - 1;
+/// A table for each figure: rows are policies, columns faults.
+fn print_tables(options: &Options, shape: Shape, cells: &[Cell]) {
     println!(
-        "{shape}: {} instances, {} choosers, {:.0} calls/s can be served, seeds {}-{last}, median (least-most)",
+        "{shape}: {} instances, {} gateways, {:.0} calls/s can be served, {} neighbours,",
         shape.instances(),
         options.choosers,
-        shape.capacity(),
-        options.seed,
+        shape.capacity(options.neighbours),
+        options.neighbours,
     );
-    for (column, fault) in options.faults.iter().enumerate() {
-        println!("\n  {fault}, load {:.0} %", fault.load() * 100.0);
-        print!("  {:<14}", "policy");
-        for (name, _, _) in FIGURES {
-            print!("{name:>22}");
+    let last = options.seed + options.seeds.max(1) - 1;
+    println!("seeds {}-{last}, median (least-most)", options.seed);
+    for (name, figure, digits) in FIGURES {
+        print!("\n{name:<14}");
+        for fault in &options.faults {
+            print!("{:>WIDTH$}", fault.to_string());
         }
-        println!();
-        for (index, row) in options.rows.iter().enumerate() {
-            let runs = cells[index * options.faults.len() + column];
-            print!("  {:<14}", row.name());
-            for (_, figure, digits) in FIGURES {
-                let spread = Spread::of(runs, figure);
-                let text = format!(
-                    "{:.digits$} ({:.digits$}-{:.digits$})",
-                    spread.median, spread.least, spread.most
-                );
-                print!("{text:>22}");
+        for row in cells.chunks(options.faults.len()) {
+            print!("\n{:<14}", row[0].row.name());
+            for cell in row {
+                let Spread {
+                    median,
+                    least,
+                    most,
+                } = Spread::of(&cell.runs, figure);
+                let text = format!("{median:.digits$} ({least:.digits$}-{most:.digits$})");
+                print!("{text:>WIDTH$}");
             }
-            println!();
         }
+        println!();
     }
     println!();
 }
