gateway: settings in the sections that the other daemons use, counters for metrics

Counters are atomics, sent as sums once a second when a sink is set. Sending each by itself would format a line a request also where no sink is.

--- a/crates/gateway/src/bin/rwr-gateway.rs
+++ b/crates/gateway/src/bin/rwr-gateway.rs
@@ -51,7 +51,7 @@
             ExitCode::SUCCESS
         }
         Command::Check(path) => with_settings(&path, |settings| {
-            println!("{settings}");
+            print!("{settings}");
             ExitCode::SUCCESS
         }),
         Command::Run(path) => with_settings(&path, run),
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -44,6 +44,7 @@
 use crate::ask::Ask;
 use crate::body::Payload;
 use crate::core::Core;
+use crate::counters::add;
 use crate::desk::Desk;
 use crate::headers;
 use crate::headers::Told;
@@ -211,6 +212,10 @@
             self.take(woken);
         }
         let span = self.core.clock.now().since(began);
+        let counters = &self.core.counters;
+        add(&counters.calls, 1);
+        add(&counters.call_micros, micros(span));
+        add(&counters.attempts, self.call.attempts().into());
         info!(self.log, "call";
             "attempts" => self.call.attempts(),
             "bytes" => self.taken,
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -11,6 +11,7 @@
 
 use crate::body::Memory;
 use crate::claims::Claims;
+use crate::counters::Counters;
 use crate::desk::Desks;
 use crate::flying::Flying;
 use crate::lanes::Lanes;
@@ -38,6 +39,8 @@
     pub log: Logger,
     /// Where counters go.
     pub metrics: StatsdClient,
+    /// Sums for the metrics.
+    pub counters: Counters,
     /// The process's clock.
     pub clock: Clock,
     /// The machines of each service.
@@ -76,6 +79,7 @@
             settings,
             log,
             metrics,
+            counters: Counters::default(),
             clock,
             desks: Desks::default(),
             lanes: Lanes::default(),
--- a/crates/gateway/src/keyed.rs
+++ b/crates/gateway/src/keyed.rs
@@ -34,6 +34,7 @@
 use crate::call;
 use crate::call::Request;
 use crate::core::Core;
+use crate::counters::add;
 use crate::desk::Desk;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
@@ -78,6 +79,7 @@
         return;
     };
     let asked = core.clock.now();
+    add(&core.counters.claims, 1);
     let until = core
         .clock
         .instant((asked + CLAIM_TIME).min(request.ask.deadline));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod call;
 pub mod claims;
 pub mod core;
+pub mod counters;
 pub mod desk;
 pub mod door;
 pub mod flying;
@@ -97,6 +98,7 @@
     // The bound operators' port is the right to probe under this host's name.
     core.prober.hold();
     tokio::spawn(probes::run(core.clone()));
+    tokio::spawn(counters::run(core.clone()));
     let told = sync::start(core.clone(), http);
     info!(core.log, "ready"; "http" => %http, "rpc" => %rpc);
     Ok(Gateway {
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -26,6 +26,7 @@
 
 use crate::core::Core;
 use crate::core::Phase;
+use crate::counters::add;
 use crate::desk::Desk;
 use crate::lanes::Outgoing;
 use crate::track::read_report;
@@ -147,6 +148,7 @@
     pick: Pick,
     id: Option<InstanceId>,
 ) {
+    add(&core.counters.probes, 1);
     let answer = ask(&core, &service, id.as_ref());
     let result = timeout(PROBE_TIME, answer).await.ok().flatten();
     debug!(core.log, "probe";
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -11,10 +11,12 @@
 use http::header::RETRY_AFTER;
 use salvo::http::ResBody;
 use strum::Display;
+use strum::EnumCount;
+use strum::EnumIter;
 use strum::IntoStaticStr;
 
 /// Why a request got no answer of an upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, IntoStaticStr)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display, EnumCount, EnumIter, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Reason {
     /// No service named.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -221,6 +221,7 @@
     }
 
     fn refuse(&self, refusal: Refusal, response: &mut Response) {
+        self.0.counters.refused(refusal.reason);
         info!(self.0.log, "refuse";
             "outcome" => <&str>::from(refusal.outcome),
             "reason" => <&str>::from(refusal.reason),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -126,10 +126,10 @@
         let domain = r.required("gateway", "domain");
         let http = r.required("gateway", "http");
         let rpc = r.required("gateway", "rpc");
-        let level = r.or("gateway", "log", Level::default());
-        let metrics = r.optional("gateway", "metrics");
-        let directories = list(r, "gateway", "directories");
-        let control = list(r, "gateway", "control");
+        let level = r.or("log", "level", Level::default());
+        let metrics = r.optional("metrics", "sink");
+        let directories = list(r, "directory", "addresses");
+        let control = list(r, "control", "replicas");
         let lease = Lease::read(r);
         let bounds = Bounds::read(r);
         let stop = StopTimes::read(r);
@@ -177,8 +177,8 @@
             head: r.or("bounds", "head", preset.head),
             running: r.or("bounds", "running", preset.running),
             queue: r.or("bounds", "queue", preset.queue),
-            head_time: r.or("bounds", "head-time", preset.head_time),
-            write_time: r.or("bounds", "write-time", preset.write_time),
+            head_time: r.or("bounds", "head_time", preset.head_time),
+            write_time: r.or("bounds", "write_time", preset.write_time),
             deadline: r.or("bounds", "deadline", preset.deadline),
             replay: r.or("bounds", "replay", preset.replay),
             memory: r.or("bounds", "memory", preset.memory),
@@ -257,41 +257,46 @@
         writeln!(f, "domain = {}", self.domain)?;
         writeln!(f, "http = {}", self.http)?;
         writeln!(f, "rpc = {}", self.rpc)?;
-        writeln!(f, "log = {}", self.level)?;
+        writeln!(f, "\n[directory]")?;
+        writeln!(f, "addresses = {}", joined(&self.directories))?;
+        writeln!(f, "\n[control]")?;
+        writeln!(f, "replicas = {}", joined(&self.control))?;
+        self.write_times(f)?;
+        self.write_bounds(f)?;
+        writeln!(f, "\n[log]")?;
+        writeln!(f, "level = {}", self.level)?;
         if let Some(sink) = self.metrics {
-            writeln!(f, "metrics = {sink}")?;
+            writeln!(f, "\n[metrics]")?;
+            writeln!(f, "sink = {sink}")?;
         }
-        writeln!(f, "directories = {}", joined(&self.directories))?;
-        writeln!(f, "control = {}", joined(&self.control))?;
-        self.write_times(f)?;
-        self.write_bounds(f)
+        Ok(())
     }
 }
 
 impl Settings {
     fn write_times(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "[lease]")?;
+        writeln!(f, "\n[lease]")?;
         writeln!(f, "length = {}", self.lease.length.to_text())?;
         writeln!(f, "poll = {}", self.lease.poll.to_text())?;
-        writeln!(f, "[stop]")?;
+        writeln!(f, "\n[stop]")?;
         writeln!(f, "linger = {}", self.stop.linger.to_text())?;
         writeln!(f, "finish = {}", self.stop.finish.to_text())
     }
 
     fn write_bounds(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let b = &self.bounds;
-        writeln!(f, "[bounds]")?;
+        writeln!(f, "\n[bounds]")?;
         writeln!(f, "connections = {}", b.connections)?;
         writeln!(f, "streams = {}", b.streams)?;
         writeln!(f, "head = {}", b.head.to_text())?;
         writeln!(f, "running = {}", b.running)?;
         writeln!(f, "queue = {}", b.queue)?;
-        writeln!(f, "head-time = {}", b.head_time.to_text())?;
-        writeln!(f, "write-time = {}", b.write_time.to_text())?;
+        writeln!(f, "head_time = {}", b.head_time.to_text())?;
+        writeln!(f, "write_time = {}", b.write_time.to_text())?;
         writeln!(f, "deadline = {}", b.deadline.to_text())?;
         writeln!(f, "replay = {}", b.replay.to_text())?;
         writeln!(f, "memory = {}", b.memory.to_text())?;
-        write!(f, "answer = {}", b.answer.to_text())
+        writeln!(f, "answer = {}", b.answer.to_text())
     }
 }
 
