gateway: give each answer its request id, bound HTTP/2's buffers

A caller can now quote the id that the logs have; refusals are logged with it. The HTTP library's own windows let one connection of a slow caller hold 1 MB each way and 400 KB for each stream; they are 256 KiB and 64 KiB now. HTTP/2 is in the contract tests: whole, short, and one stream's end beside another's.

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -10,7 +10,6 @@
 use http::Method;
 use http::StatusCode;
 use http::header::CONTENT_LENGTH;
-use uuid::Uuid;
 
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
@@ -42,12 +41,13 @@
 }
 
 impl Ask {
-    /// Reads the head of a request that came at `now`.
+    /// Reads the head of the request `id`, which came at `now`.
     ///
     /// # Errors
     ///
     /// Fails with the refusal that the caller gets.
     pub fn read(
+        id: Arc<str>,
         now: Moment,
         view: &View,
         longest: Duration,
@@ -68,7 +68,7 @@
             return Err(Refusal::bad(Reason::NoCaller));
         }
         Ok(Self {
-            id: Uuid::new_v4().simple().to_string().into(),
+            id,
             service,
             deadline: now + deadline,
             caller,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -27,6 +27,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
+use uuid::Uuid;
 
 use crate::ask::Ask;
 use crate::body;
@@ -47,6 +48,12 @@
 pub const READY_PATH: &str = "/rwr/ready";
 /// How often an HTTP/2 connection is checked for a silent end.
 const PING_PERIOD: Duration = Duration::from_secs(20);
+/// Bytes that one HTTP/2 stream may send before they are read.
+const STREAM_WINDOW: u32 = 64 * 1024;
+/// Bytes that one HTTP/2 connection may send before they are read.
+const CONNECTION_WINDOW: u32 = 256 * 1024;
+/// Bytes of an answer that wait for one HTTP/2 stream.
+const SEND_BUFFER: usize = 64 * 1024;
 /// Most headers of one request.
 const MOST_HEADERS: usize = 100;
 
@@ -84,6 +91,9 @@
         .timer(TokioTimer::new())
         .max_header_list_size(u32::try_from(bounds.head.0).unwrap_or(u32::MAX))
         .max_concurrent_streams(bounds.streams)
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .max_send_buf_size(SEND_BUFFER)
         .keep_alive_interval(PING_PERIOD)
         .keep_alive_timeout(bounds.head_time);
     let handle = server.handle();
@@ -128,10 +138,13 @@
             self.say_ready(response);
             return;
         }
-        let now = self.0.clock.now();
-        match self.admit(now, request).await {
-            Ok(answer) => self.answer(answer, response).await,
-            Err(refusal) => self.refuse(refusal, response),
+        let id: Arc<str> = Uuid::new_v4().simple().to_string().into();
+        match self.call(&id, request).await {
+            Ok(relayed) => relay(relayed, response),
+            Err(refusal) => self.refuse(&id, refusal, response),
+        }
+        if let Ok(id) = HeaderValue::from_str(&id) {
+            response.headers_mut().insert(header::REQUEST_ID, id);
         }
     }
 }
@@ -156,13 +169,22 @@
         refusal.write(response);
     }
 
+    /// Has the request called; being dropped here is the caller's leaving.
+    async fn call(&self, id: &Arc<str>, request: &mut Request) -> call::Result {
+        let answer = self.admit(id, request).await?;
+        // A call's task always answers; its loss may have come after its run.
+        let lost = Refusal::unknown(StatusCode::BAD_GATEWAY, Reason::NoAnswer);
+        answer.await.unwrap_or(Err(lost))
+    }
+
     /// Takes the request in and starts its call.
     async fn admit(
         &self,
-        now: Moment,
+        id: &Arc<str>,
         request: &mut Request,
     ) -> Result<oneshot::Receiver<call::Result>, Refusal> {
         let core = &self.0;
+        let now = core.clock.now();
         let bounds = core.settings.bounds;
         let view = core.view();
         if view.is_fenced(now, core.settings.lease.length) {
@@ -172,6 +194,7 @@
             return Err(Refusal::busy(Reason::Stopping, RETRY));
         }
         let ask = Ask::read(
+            id.clone(),
             now,
             &view,
             bounds.deadline,
@@ -208,21 +231,10 @@
         })
     }
 
-    /// Waits for the call's answer; being dropped here is the caller's leaving.
-    async fn answer(&self, answer: oneshot::Receiver<call::Result>, response: &mut Response) {
-        match answer.await {
-            Ok(Ok(relayed)) => relay(relayed, response),
-            Ok(Err(refusal)) => self.refuse(refusal, response),
-            Err(_) => {
-                let refusal = Refusal::unknown(StatusCode::BAD_GATEWAY, Reason::NoAnswer);
-                self.refuse(refusal, response);
-            }
-        }
-    }
-
-    fn refuse(&self, refusal: Refusal, response: &mut Response) {
+    fn refuse(&self, id: &str, refusal: Refusal, response: &mut Response) {
         self.0.counters.refused(refusal.reason);
         info!(self.0.log, "refuse";
+            "request" => id,
             "outcome" => <&str>::from(refusal.outcome),
             "reason" => <&str>::from(refusal.reason),
             "status" => refusal.status.as_u16(),
--- a/crates/gateway/tests/fakes/mod.rs
+++ b/crates/gateway/tests/fakes/mod.rs
@@ -81,7 +81,8 @@
     change(&mut settings);
     let lines = Lines::default();
     let (log, guard) = telemetry::log::start(lines.clone(), slog::Level::Info, "test", "host-1");
-    let gateway = gateway::start(settings, log, telemetry::metrics::silent());
+    let metrics = telemetry::metrics::start(settings.metrics, "host-1").expect("a socket");
+    let gateway = gateway::start(settings, log, metrics);
     let gateway = gateway.await.expect("free ports");
     until(|| !gateway.core().is_fenced()).await;
     Rig {
@@ -147,6 +148,15 @@
         .expect("a client")
 }
 
+/// A client that speaks HTTP/2 from the first byte.
+pub fn client_of_2() -> reqwest::Client {
+    reqwest::Client::builder()
+        .no_proxy()
+        .http2_prior_knowledge()
+        .build()
+        .expect("a client")
+}
+
 /// One header of an answer as text.
 pub fn header(response: &reqwest::Response, name: &str) -> String {
     let value = response.headers().get(name);
--- a/crates/gateway/tests/test_keyed.rs
+++ b/crates/gateway/tests/test_keyed.rs
@@ -257,7 +257,15 @@
     let mut headers = HeaderMap::new();
     headers.insert("rwr-service", "once".parse().expect("a value"));
     let longest = Duration::from_mins(1);
-    let ask = Ask::read(now, &core.view(), longest, &Method::POST, &headers).expect("a head");
+    let ask = Ask::read(
+        Arc::from("id"),
+        now,
+        &core.view(),
+        longest,
+        &Method::POST,
+        &headers,
+    )
+    .expect("a head");
     let desk = core.desks.get(&ask.service.name).expect("a desk");
     let request = call::Request {
         ask,
--- /dev/null
+++ b/crates/gateway/tests/test_metrics.rs
@@ -0,0 +1,40 @@
+//! Metrics reach the sink by their names.
+
+mod fakes;
+
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+
+use crate::fakes::rig;
+
+#[tokio::test]
+async fn test_metrics_names() {
+    let sink = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    let address = sink.local_addr().expect("bound");
+    let rig = rig(&[], |s| s.metrics = Some(address)).await;
+    rig.post("urgent", "/ok").send().await.expect("an answer");
+    rig.post("other", "/ok").send().await.expect("an answer");
+    let mut missing = vec![
+        "rwr.gateway.calls:1|c",
+        "rwr.gateway.attempts:1|c",
+        "rwr.gateway.refused:1|c|#host:host-1,reason:unknown-service",
+        "rwr.gateway.version:1|g",
+        "rwr.gateway.fenced:0|g",
+        "rwr.gateway.in_flight:0|g",
+        "rwr.gateway.confirmed_age:",
+        "rwr.gateway.call_micros:",
+        "rwr.gateway.probes:0|c",
+        "rwr.gateway.claims:0|c",
+    ];
+    let mut buffer = vec![0; 2048];
+    let heard = async {
+        while !missing.is_empty() {
+            let count = sink.recv(&mut buffer).await.expect("a datagram");
+            let text = String::from_utf8_lossy(&buffer[..count]).into_owned();
+            missing.retain(|name| !text.contains(name));
+        }
+    };
+    let heard = tokio::time::timeout(Duration::from_secs(20), heard).await;
+    assert!(heard.is_ok(), "missing: {missing:?}");
+}
--- a/crates/gateway/tests/test_serve.rs
+++ b/crates/gateway/tests/test_serve.rs
@@ -3,6 +3,7 @@
 mod fakes;
 
 use crate::fakes::client;
+use crate::fakes::client_of_2;
 use crate::fakes::header;
 use crate::fakes::rig;
 use crate::fakes::until;
@@ -96,6 +97,30 @@
     }
 }
 
+#[tokio::test]
+async fn test_serve_over_http_2() {
+    let rig = rig(&[], |_| {}).await;
+    let caller = client_of_2();
+    let send = |path: &str| {
+        let request = caller.post(rig.url(path)).header("rwr-service", "urgent");
+        request.body("grant").send()
+    };
+    let whole = send("/echo").await.expect("an answer");
+    assert_eq!(whole.version(), http::Version::HTTP_2);
+    assert_eq!(whole.text().await.expect("whole"), "grant");
+    let short = send("/short").await.expect("a head");
+    assert!(short.bytes().await.is_err());
+    // One stream's end leaves the others of its connection alone.
+    let held = tokio::spawn(send("/hold"));
+    let leaving = tokio::spawn(send("/stall"));
+    until(|| rig.upstream.seen().len() == 4).await;
+    leaving.abort();
+    until(|| rig.upstream.cut() == 1).await;
+    rig.upstream.release.notify_one();
+    let held = held.await.expect("no panic").expect("an answer");
+    assert_eq!(held.text().await.expect("whole"), "held");
+}
+
 #[tokio::test]
 async fn test_serve_request_reaches_upstream() {
     let rig = rig(&[], |_| {}).await;
@@ -113,6 +138,7 @@
         .send()
         .await
         .expect("an answer");
+    let told = header(&response, "rwr-request-id");
     assert_eq!(response.text().await.expect("a body"), "grant");
     let seen = rig.upstream.seen().remove(0);
     assert!(
@@ -129,6 +155,7 @@
     }
     let id = seen.header("rwr-request-id").expect("an id");
     assert_ne!(id, "forged");
+    assert_eq!(id, told, "the caller learns the same id");
     let left: u64 = seen
         .header("rwr-deadline-ms")
         .and_then(|v| v.parse().ok())
