gateway: end all tasks and free the ports with the stop

A stopped gateway in one process with others went on polling its directory and held its operators' port.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -8,6 +8,7 @@
 use cadence::StatsdClient;
 use slog::Logger;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 use crate::body::Memory;
 use crate::claims::Claims;
@@ -59,6 +60,7 @@
     pub flying: Flying,
     /// How far the stop has come.
     pub phase: watch::Sender<Phase>,
+    ended: CancellationToken,
     view: RwLock<Arc<View>>,
 }
 
@@ -85,10 +87,22 @@
             lanes: Lanes::default(),
             flying: Flying::default(),
             phase: watch::Sender::new(Phase::Serving),
+            ended: CancellationToken::new(),
             view: RwLock::default(),
         }
     }
 
+    /// Runs `task` until the gateway has stopped.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let ended = self.ended.clone();
+        tokio::spawn(ended.run_until_cancelled_owned(task));
+    }
+
+    /// Ends all tasks of [`Core::spawn`], and frees the ports that they hold.
+    pub fn end(&self) {
+        self.ended.cancel();
+    }
+
     /// What is known now.
     #[must_use]
     pub fn view(&self) -> Arc<View> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -94,11 +94,11 @@
     let core = Arc::new(Core::new(settings, log, metrics));
     let rpc = rpc::start(core.clone(), core.settings.rpc).await?;
     let port = serve::start(core.clone(), listener)?;
-    tokio::spawn(core.queue.clone().run());
+    core.spawn(core.queue.clone().run());
     // The bound operators' port is the right to probe under this host's name.
     core.prober.hold();
-    tokio::spawn(probes::run(core.clone()));
-    tokio::spawn(counters::run(core.clone()));
+    core.spawn(probes::run(core.clone()));
+    core.spawn(counters::run(core.clone()));
     let told = sync::start(core.clone(), http);
     info!(core.log, "ready"; "http" => %http, "rpc" => %rpc);
     Ok(Gateway {
--- a/crates/gateway/src/rpc.rs
+++ b/crates/gateway/src/rpc.rs
@@ -40,7 +40,8 @@
         link::listen::<ClientMessage<GatewayApiRequest>, Response<GatewayApiResponse>>(address)
             .await?;
     let bound = incoming.local_addr();
-    tokio::spawn(async move {
+    let owner = core.clone();
+    owner.spawn(async move {
         let connections = incoming.by_ref().filter_map(|c| async { c.ok() });
         connections
             .for_each_concurrent(MOST_CONNECTIONS, |transport| {
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -31,5 +31,6 @@
     port.close(core.settings.stop.finish).await;
     // Runs that must not be cut outlive their callers' connections.
     let landed = timeout(core.settings.stop.finish, core.flying.landed()).await;
+    core.end();
     info!(core.log, "stopped"; "whole" => landed.is_ok());
 }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -78,7 +78,8 @@
         cursor: 0,
         told,
     };
-    tokio::spawn(follower.run());
+    let core = follower.core.clone();
+    core.spawn(follower.run());
     receiver
 }
 
--- a/crates/gateway/tests/test_stop.rs
+++ b/crates/gateway/tests/test_stop.rs
@@ -80,5 +80,8 @@
     .await;
     let ready = client().get(rig.url("/rwr/ready")).send();
     assert_eq!(ready.await.expect("an answer").status(), 503);
+    let rpc = rig.gateway.rpc();
     rig.gateway.stop().await;
+    // Its ports are free for the next process.
+    until(|| std::net::TcpListener::bind(rpc).is_ok()).await;
 }
