--- a/crates/testutils/src/system.rs
+++ b/crates/testutils/src/system.rs
@@ -184,14 +184,14 @@
         let name = self.plan.gateways[index].host.to_string();
         wait(&format!("version {version} at {name}"), async || {
             let hosts = operator::hosts(directory).await.unwrap_or_default();
-            hosts.iter().any(|h| {
-                h.host == name && h.version >= version && h.phase() == HostPhase::Serving
-            })
+            hosts
+                .iter()
+                .any(|h| h.host == name && h.version >= version && h.phase() == HostPhase::Serving)
         })
         .await
     }
 
-    /// Starts a stand-in for `service` that the directories know.
+    /// Starts stand-in `number` of `service` and waits until every gateway knows it.
     ///
     /// # Errors
     ///
@@ -202,9 +202,21 @@
         number: usize,
     ) -> Result<Upstream, SystemError> {
         let settings = self.plan.standin(service, number);
-        let upstream = Upstream::start(&settings).await?;
+        self.start_upstream(&settings).await
+    }
+
+    /// Starts a stand-in with `settings` and waits until every gateway knows it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it isn't ready in time.
+    pub async fn start_upstream(
+        &self,
+        settings: &standin::Settings,
+    ) -> Result<Upstream, SystemError> {
+        let upstream = Upstream::start(settings).await?;
         for index in 0..self.gateways.len() {
-            self.wait_instance(index, service, &upstream.instance)
+            self.wait_instance(index, settings.service.as_str(), &upstream.instance)
                 .await?;
         }
         Ok(upstream)
@@ -265,10 +277,7 @@
 /// # Errors
 ///
 /// Fails, naming `what`, when that takes longer than [`PATIENCE`].
-pub async fn wait_some<T>(
-    what: &str,
-    find: impl AsyncFn() -> Option<T>,
-) -> Result<T, SystemError> {
+pub async fn wait_some<T>(what: &str, find: impl AsyncFn() -> Option<T>) -> Result<T, SystemError> {
     let end = Instant::now() + PATIENCE;
     while Instant::now() < end {
         if let Some(found) = find().await {
