--- /dev/null
+++ b/crates/directory/examples/spread/main.rs
@@ -0,0 +1,142 @@
+//! What it takes to spread a change and to know who is there.
+//!
+//! Prints key=value lines: the time from sending a change until it was
+//! accepted and until it is in force on every host, and the bytes a second of a
+//! directory against the number of instances and of hosts. All roles run in
+//! this one process. An argument `force` or `bytes` names one part.
+
+mod fleet;
+mod relay;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use fleet::Fleet;
+use fleet::Plan;
+use relay::Count;
+
+const CHANGES: u64 = 20;
+const SPAN: Duration = Duration::from_secs(10);
+
+#[tokio::main]
+async fn main() {
+    let part = std::env::args().nth(1).unwrap_or_else(|| "all".into());
+    if part != "bytes" {
+        for (hosts, cut) in [(5, 0), (15, 0), (15, 5), (15, 14), (30, 0)] {
+            print_force(hosts, cut).await;
+        }
+    }
+    if part != "force" {
+        for instances in [0, 100, 400, 1600] {
+            print_bytes(15, instances, Duration::ZERO).await;
+        }
+        for hosts in [5, 30, 60] {
+            print_bytes(hosts, 400, Duration::ZERO).await;
+        }
+        print_bytes(15, 1600, Duration::from_millis(500)).await;
+    }
+}
+
+async fn print_force(hosts: usize, cut: usize) {
+    let plan = Plan {
+        hosts,
+        cut,
+        gateways: true,
+        counted: false,
+    };
+    let fleet = Fleet::start(plan).await;
+    let mut times = Vec::new();
+    let mut slowest = Vec::new();
+    let mut replies = Vec::new();
+    for version in 2..2 + CHANGES {
+        let sent = fleet.change(version).await;
+        let accepted = sent.elapsed();
+        let found = fleet.until_version(version, sent).await;
+        replies.push(accepted);
+        slowest.extend(found.iter().max().copied());
+        times.extend(found);
+    }
+    times.sort();
+    slowest.sort();
+    replies.sort();
+    let ms = |span: Duration| span.as_secs_f64() * 1e3;
+    println!(
+        "kind=force hosts={hosts} without_control={cut} changes={CHANGES} accepted_p50_ms={:.1} host_p50_ms={:.1} host_p99_ms={:.1} all_hosts_p50_ms={:.1} all_hosts_max_ms={:.1}",
+        ms(replies[replies.len() / 2]),
+        ms(times[times.len() / 2]),
+        ms(times[times.len() * 99 / 100]),
+        ms(slowest[slowest.len() / 2]),
+        ms(slowest[slowest.len() - 1]),
+    );
+    fleet.stop().await;
+}
+
+async fn print_bytes(hosts: usize, instances: usize, restarts: Duration) {
+    let plan = Plan {
+        hosts,
+        cut: 0,
+        gateways: false,
+        counted: true,
+    };
+    let fleet = Fleet::start(plan).await;
+    let announcing = fleet.announce(instances, restarts);
+    fleet.until_instances(instances).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let before = (read(&fleet.peers), read(&fleet.follow), cpu());
+    tokio::time::sleep(SPAN).await;
+    let after = (read(&fleet.peers), read(&fleet.follow), cpu());
+    announcing.abort();
+    // Each byte leaves one directory and comes to another; control's other end isn't a directory.
+    let rate = |after: u64, before: u64, ends: f64| {
+        let count = f64::from(u32::try_from(after - before).unwrap_or(u32::MAX));
+        let hosts = f64::from(u32::try_from(hosts).unwrap_or(u32::MAX));
+        count * ends / SPAN.as_secs_f64() / hosts
+    };
+    println!(
+        "kind=bytes hosts={hosts} instances={instances} restarts_per_s={:.1} peers_bytes_per_s={:.0} peers_segments_per_s={:.1} follow_bytes_per_s={:.0} follow_segments_per_s={:.1} cpu_percent={:.2} rss_kib={}",
+        if restarts.is_zero() {
+            0.0
+        } else {
+            1.0 / restarts.as_secs_f64()
+        },
+        rate(after.0.0, before.0.0, 2.0),
+        rate(after.0.1, before.0.1, 2.0),
+        rate(after.1.0, before.1.0, 1.0),
+        rate(after.1.1, before.1.1, 1.0),
+        rate(after.2, before.2, 1.0),
+        rss(),
+    );
+    fleet.stop().await;
+}
+
+fn read(count: &Count) -> (u64, u64) {
+    (
+        count.bytes.load(Ordering::Relaxed),
+        count.pieces.load(Ordering::Relaxed),
+    )
+}
+
+/// Processor time of this process in hundredths of a second: a hundredth a second is one percent.
+fn cpu() -> u64 {
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields = stat
+        .rsplit(')')
+        .next()
+        .unwrap_or_default()
+        .split_whitespace();
+    fields
+        .skip(11)
+        .take(2)
+        .filter_map(|f| f.parse::<u64>().ok())
+        .sum()
+}
+
+/// Resident memory of this process in KiB, all roles together.
+fn rss() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let digits = line.and_then(|line| line.split_whitespace().nth(1));
+    digits
+        .and_then(|text| text.parse().ok())
+        .unwrap_or_default()
+}
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod settings;
 pub mod shared;
 pub mod stop;
+pub mod sweep;
 pub mod sync;
 
 pub use server::Bound;
--- a/crates/directory/src/peers.rs
+++ b/crates/directory/src/peers.rs
@@ -19,7 +19,6 @@
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use slog::debug;
-use slog::info;
 use tarpc::ClientMessage;
 use tarpc::Response;
 use tarpc::client::Config;
@@ -271,26 +270,3 @@
         debug!(shared.log, "peer silent"; "peer" => %peer.address(), "kind" => kind, "error" => %err);
     }
 }
-
-/// Ends leases and homes whose time is over, until the directory stops.
-pub async fn sweep(shared: Arc<Shared>, period: Duration) {
-    let mut ticks = interval(period);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            _ = ticks.tick() => {}
-            () = shared.stop.cancelled() => return,
-        }
-        let swept = shared.step(|inner, now| inner.members.sweep(now));
-        for key in &swept.leases {
-            info!(shared.log, "lease ran out"; "key" => ?key);
-        }
-        for home in &swept.homes {
-            info!(shared.log, "directory silent"; "name" => %home);
-        }
-        let ended = i64::try_from(swept.leases.len()).unwrap_or(i64::MAX);
-        if ended > 0 {
-            let _ = shared.metrics.count(names::EXPIRED, ended);
-        }
-    }
-}
--- a/crates/directory/src/server.rs
+++ b/crates/directory/src/server.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -26,9 +25,8 @@
 use crate::rpc::Listener;
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::sweep;
 
-/// Time between two looks for leases that ran out.
-const SWEEP: Duration = Duration::from_millis(100);
 /// Most HTTP connections at once.
 const MAX_CONNECTIONS: usize = 8192;
 
@@ -159,7 +157,7 @@
         tasks.spawn(peers::push(shared.clone(), peer.clone()));
     }
     tasks.spawn(peers::ask(shared.clone(), links));
-    tasks.spawn(peers::sweep(shared.clone(), SWEEP));
+    tasks.spawn(sweep::sweep(shared.clone()));
     tasks.spawn(follow::follow(
         shared.clone(),
         shared.settings.control.clone(),
--- a/crates/members/src/record.rs
+++ b/crates/members/src/record.rs
@@ -1,5 +1,6 @@
 //! What is announced: instances and hosts, and the order of their announcements.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use base::prelude::*;
@@ -84,6 +85,15 @@
     Host(HostName),
 }
 
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Instance(service, id) => write!(f, "{service}/{id}"),
+            Self::Host(host) => write!(f, "{host}"),
+        }
+    }
+}
+
 /// The order of announcements of one key; a lower rank never overrides a higher.
 ///
 /// Within an incarnation `gone` goes before the sequence: leaving is final.
