--- /dev/null
+++ b/crates/control/tests/common/mod.rs
@@ -0,0 +1,345 @@
+//! Clients and groups for the tests of the control replicas.
+#![allow(dead_code, reason = "each test binary uses its own part")]
+
+pub mod process;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use control::Control;
+use control::Settings;
+use control::group;
+use tarpc::ClientMessage;
+use tarpc::Response;
+use wire::api::ControlApiClient;
+use wire::api::ControlApiRequest;
+use wire::api::ControlApiResponse;
+use wire::catalogue::Change;
+use wire::catalogue::ChangeReply;
+use wire::catalogue::Class;
+use wire::catalogue::Edit;
+use wire::catalogue::Entry;
+use wire::catalogue::HistoryItem;
+use wire::catalogue::Limits;
+use wire::catalogue::change_reply;
+use wire::catalogue::edit;
+use wire::control::Follow;
+use wire::control::FollowReply;
+use wire::control::HistoryQuery;
+use wire::control::Membership;
+use wire::control::Status;
+use wire::control::membership;
+use wire::control::membership_reply;
+use wire::ledger::Answer;
+use wire::ledger::Claim;
+use wire::ledger::Settle;
+use wire::ledger::Settled;
+use wire::ledger::claim_reply;
+use wire::link::Channel;
+use wire::link::Link;
+use wire::link::LinkError;
+use wire::link::within;
+
+/// Longer than any step of a test takes, for what must come in the end.
+pub const PATIENCE: Duration = Duration::from_mins(1);
+/// Between two looks at what must come in the end.
+pub const PAUSE: Duration = Duration::from_millis(20);
+
+/// A fresh folder for one test.
+pub fn folder(name: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&path);
+    std::fs::create_dir_all(&path).expect("folder");
+    path
+}
+
+/// A started group with the settings to start each replica again.
+pub async fn start(name: &str, count: usize) -> (Vec<Settings>, Vec<Control>) {
+    start_with(name, count, |_| {}).await
+}
+
+/// A started group with settings that were changed first.
+pub async fn start_with(
+    name: &str,
+    count: usize,
+    change: impl Fn(&mut Settings),
+) -> (Vec<Settings>, Vec<Control>) {
+    let mut settings = group::local(&folder(name), count).expect("settings");
+    settings.iter_mut().for_each(change);
+    let replicas = group::start(&mut settings, &telemetry::log::silent())
+        .await
+        .expect("starts");
+    (settings, replicas)
+}
+
+/// Starts a replica again from its folder.
+pub async fn restart(settings: &Settings) -> Control {
+    control::start(settings.clone(), telemetry::log::silent())
+        .await
+        .expect("starts again")
+}
+
+/// A client of one replica.
+pub struct Client {
+    link: Link<ControlApiClient, Response<ControlApiResponse>, ClientMessage<ControlApiRequest>>,
+}
+
+impl Client {
+    /// Connects when first used.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            link: Link::new(address, spawn),
+        }
+    }
+
+    /// The connected client.
+    pub async fn api(&self) -> Result<ControlApiClient, LinkError> {
+        self.link.client().await
+    }
+
+    /// One proposal; an error is a lost answer.
+    pub async fn propose(&self, change: &Change) -> Result<change_reply::Kind, LinkError> {
+        let api = self.api().await?;
+        let result = api.propose(within(PATIENCE), change.clone()).await;
+        let reply: ChangeReply = self.link.judge(result)?;
+        Ok(reply.kind.expect("a reply has a kind"))
+    }
+
+    /// Proposes until there is a certain answer.
+    pub async fn propose_surely(&self, change: &Change) -> change_reply::Kind {
+        let tries = async {
+            loop {
+                match self.propose(change).await {
+                    Ok(change_reply::Kind::Uncertain(_)) | Err(_) => {
+                        tokio::time::sleep(PAUSE).await;
+                    }
+                    Ok(kind) => return kind,
+                }
+            }
+        };
+        tokio::time::timeout(PATIENCE, tries)
+            .await
+            .expect("a certain answer")
+    }
+
+    /// One follow.
+    pub async fn follow(&self, have: u64, wait_ms: u32) -> Result<FollowReply, LinkError> {
+        let api = self.api().await?;
+        let result = api.follow(within(PATIENCE), Follow { have, wait_ms }).await;
+        self.link.judge(result)
+    }
+
+    /// Follows until `version` is confirmed.
+    pub async fn reaches(&self, version: u64) -> FollowReply {
+        let tries = async {
+            loop {
+                match self.follow(0, 0).await {
+                    Ok(reply) if reply.confirmed && reply.version >= version => return reply,
+                    _ => tokio::time::sleep(PAUSE).await,
+                }
+            }
+        };
+        tokio::time::timeout(PATIENCE, tries)
+            .await
+            .expect("the version is reached")
+    }
+
+    /// One claim.
+    pub async fn claim(&self, claim: &Claim) -> Result<claim_reply::Kind, LinkError> {
+        let api = self.api().await?;
+        let result = api.claim(within(PATIENCE), claim.clone()).await;
+        let reply = self.link.judge(result)?;
+        Ok(reply.kind.expect("a reply has a kind"))
+    }
+
+    /// Claims until a quorum answers.
+    pub async fn claim_surely(&self, claim: &Claim) -> claim_reply::Kind {
+        let tries = async {
+            loop {
+                match self.claim(claim).await {
+                    Ok(claim_reply::Kind::Unreachable(_)) | Err(_) => {
+                        tokio::time::sleep(PAUSE).await;
+                    }
+                    Ok(kind) => return kind,
+                }
+            }
+        };
+        tokio::time::timeout(PATIENCE, tries)
+            .await
+            .expect("a certain answer")
+    }
+
+    /// Settles until a quorum answers that it is recorded.
+    pub async fn settle_surely(&self, settle: &Settle) {
+        let tries = async {
+            loop {
+                let api = self.api().await;
+                if let Ok(api) = api {
+                    let result = api.settle(within(PATIENCE), settle.clone()).await;
+                    if self.link.judge(result).is_ok_and(|r| r.recorded) {
+                        return;
+                    }
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, tries)
+            .await
+            .expect("recorded");
+    }
+
+    /// One change of the group.
+    pub async fn change_group(
+        &self,
+        kind: membership::Kind,
+    ) -> Result<membership_reply::Kind, LinkError> {
+        let api = self.api().await?;
+        let ask = Membership { kind: Some(kind) };
+        let result = api.change_membership(within(PATIENCE), ask).await;
+        let reply = self.link.judge(result)?;
+        Ok(reply.kind.expect("a reply has a kind"))
+    }
+
+    /// Asks for a change of the group until it is done.
+    pub async fn change_group_surely(&self, kind: membership::Kind) {
+        let tries = async {
+            loop {
+                let reply = self.change_group(kind.clone()).await;
+                if matches!(reply, Ok(membership_reply::Kind::Done(_))) {
+                    return;
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, tries).await.expect("done");
+    }
+
+    /// All accepted changes.
+    pub async fn history(&self) -> Vec<HistoryItem> {
+        let mut items: Vec<HistoryItem> = Vec::new();
+        loop {
+            let from = items.last().map_or(0, |item| item.version + 1);
+            let query = HistoryQuery { from, most: 256 };
+            let api = self.api().await.expect("connects");
+            let result = api.history(within(PATIENCE), query).await;
+            let page = self.link.judge(result).expect("history").items;
+            if page.is_empty() {
+                return items;
+            }
+            items.extend(page);
+        }
+    }
+
+    /// The replica's view of itself.
+    pub async fn status(&self) -> Result<Status, LinkError> {
+        let api = self.api().await?;
+        self.link.judge(api.status(within(PATIENCE)).await)
+    }
+}
+
+fn spawn(
+    channel: Channel<Response<ControlApiResponse>, ClientMessage<ControlApiRequest>>,
+) -> ControlApiClient {
+    ControlApiClient::new(tarpc::client::Config::default(), channel).spawn()
+}
+
+/// A claim of `key`, told apart by `number`.
+pub fn claim(key: &str, number: u8, hold_ms: u32) -> Claim {
+    Claim {
+        service: "grants".into(),
+        caller: "site-7".into(),
+        key: key.into(),
+        digest: 7,
+        claim_id: vec![number; 16].into(),
+        hold_ms,
+    }
+}
+
+/// The settlement of a claim as done, with `body` as the answer.
+pub fn done(claim: &Claim, body: &'static [u8]) -> Settle {
+    Settle {
+        service: claim.service.clone(),
+        caller: claim.caller.clone(),
+        key: claim.key.clone(),
+        claim_id: claim.claim_id.clone(),
+        settled: Settled::Done.into(),
+        answer: Some(Answer {
+            status: 200,
+            content_type: "text/plain".into(),
+            body: body.into(),
+            digest: ledger::record::digest(body),
+            omitted: false,
+        }),
+    }
+}
+
+/// Which of the replicas leads, once one does and the others agree.
+pub async fn leader(clients: &[Client]) -> usize {
+    let tries = async {
+        loop {
+            if let Some(found) = find_leader(clients).await {
+                return found;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, tries)
+        .await
+        .expect("a leader")
+}
+
+async fn find_leader(clients: &[Client]) -> Option<usize> {
+    let mut ids = Vec::new();
+    let mut leaders = Vec::new();
+    for client in clients {
+        let status = client.status().await.ok()?;
+        ids.push(status.id);
+        leaders.push(status.leader);
+    }
+    let first = leaders[0];
+    let agreed = leaders.iter().all(|l| *l == first);
+    ids.iter().position(|id| agreed && *id == first)
+}
+
+/// Clients of all replicas.
+pub fn clients(replicas: &[Control]) -> Vec<Client> {
+    replicas.iter().map(|r| Client::new(r.rpc())).collect()
+}
+
+/// A change that puts one service.
+pub fn change(id: &str, base: u64, service: &str) -> Change {
+    Change {
+        id: id.into(),
+        base,
+        author: "operator".into(),
+        edits: vec![Edit {
+            kind: Some(edit::Kind::Put(entry(service))),
+        }],
+    }
+}
+
+/// An entry that is valid.
+pub fn entry(service: &str) -> Entry {
+    Entry {
+        service: service.into(),
+        owner: "owner".into(),
+        class: Class::Urgent.into(),
+        limits: Some(Limits {
+            concurrency: 60,
+            queue: 60,
+            deadline_ms: 2_000,
+            body_bytes: 65_536,
+            retry_percent: 10,
+            probe_millis: 1_000,
+        }),
+    }
+}
+
+/// The version of an accepted change.
+pub fn accepted(kind: &change_reply::Kind) -> u64 {
+    match kind {
+        change_reply::Kind::Accepted(accepted) => accepted.version,
+        other => panic!("not accepted: {other:?}"),
+    }
+}
