--- a/crates/consensus/src/action.rs
+++ b/crates/consensus/src/action.rs
@@ -115,7 +115,7 @@
         Withdrawn {
             display("a later change came before this one was done")
         }
-        /// No voter of that region's majority has been heard; certain not to be done.
+        /// Too few voters of that region are in reach to accept anything; certain not to be done.
         RegionDown(region: RegionName) {
             display("region {region} has no majority in reach")
         }
--- a/crates/consensus/src/node/read.rs
+++ b/crates/consensus/src/node/read.rs
@@ -1,6 +1,7 @@
 //! Linearisable reads: a leader confirms itself by a round of heartbeats, a follower asks it.
 
 use base::prelude::*;
+use rand::RngExt;
 
 use crate::action::Action;
 use crate::action::Rejection;
@@ -193,7 +194,7 @@
         if self.asks.open.is_some() || self.asks.queued.is_empty() {
             return;
         }
-        let number = Ticket(rand::RngExt::random(&mut self.rng));
+        let number = Ticket(self.rng.random());
         self.asks.open = Some(Ask {
             number,
             tickets: std::mem::take(&mut self.asks.queued),
--- a/crates/consensus/tests/test_replicas/cluster.rs
+++ b/crates/consensus/tests/test_replicas/cluster.rs
@@ -40,6 +40,8 @@
     pub paused: bool,
     /// Nothing reaches it and nothing leaves it, silently.
     pub cut: bool,
+    /// Nothing leaves it, silently, and everything reaches it.
+    pub mute: bool,
     pub applied: Index,
 }
 
@@ -115,6 +117,7 @@
             disk: Disk::new(stored),
             paused: false,
             cut: false,
+            mute: false,
             applied: Index::default(),
         };
         self.hosts.insert(id, host);
@@ -181,7 +184,7 @@
             Action::Send(message) => {
                 self.oracle.sends(&message, &host.disk);
                 self.sent += 1;
-                if !host.cut {
+                if !host.cut && !host.mute {
                     self.bag.push(message);
                 }
             }
--- a/crates/consensus/tests/test_replicas/cluster/drive.rs
+++ b/crates/consensus/tests/test_replicas/cluster/drive.rs
@@ -141,7 +141,7 @@
     pub fn settle(&mut self) {
         for id in self.ids() {
             let host = self.host(id);
-            (host.paused, host.cut) = (false, false);
+            (host.paused, host.cut, host.mute) = (false, false, false);
             self.start(id);
         }
         self.elect();
--- a/crates/consensus/tests/test_replicas/test_schedules.rs
+++ b/crates/consensus/tests/test_replicas/test_schedules.rs
@@ -93,6 +93,7 @@
         174..179 => cluster.compact(id),
         179..181 => cluster.crash(id),
         181 => cluster.host(id).paused = true,
+        182 if cluster.rng.random() => cluster.host(id).mute = true,
         182 => cluster.host(id).cut = true,
         183..193 => recover(cluster, id),
         193 => cluster.step(id, Event::Transfer),
@@ -109,7 +110,7 @@
 /// Starts, wakes or joins a replica again.
 fn recover(cluster: &mut Cluster, id: ReplicaId) {
     let host = cluster.host(id);
-    (host.paused, host.cut) = (false, false);
+    (host.paused, host.cut, host.mute) = (false, false, false);
     cluster.start(id);
 }
 
