consensus: a leader whose disk hangs gives way

Cause: a write that neither ends nor fails left the leader in office. It sent heartbeats, its followers could commit nothing new, and no proposal was answered. Red before the mechanism: the proposal had no outcome after 10 s.

Now a leader steps down after write_timeout (2 s), and a replica in that state doesn't campaign (red without: its term grew at each timeout). Messages that wait for a write are merged by kind and receiver (red without: 999 replies to 999 heartbeats).

--- a/crates/consensus/src/disk.rs
+++ b/crates/consensus/src/disk.rs
@@ -6,6 +6,10 @@
 //! send it early.
 
 use std::collections::VecDeque;
+use std::mem;
+use std::time::Duration;
+
+use base::prelude::*;
 
 use crate::action::Write;
 use crate::action::WriteNumber;
@@ -19,6 +23,7 @@
 #[derive(Debug)]
 struct Flight {
     number: WriteNumber,
+    since: Moment,
     /// The last entry synced once the write is, lowered where entries are dropped meanwhile.
     last: Index,
     hard: bool,
@@ -87,6 +92,12 @@
         !self.hard && !self.flight.as_ref().is_some_and(|f| f.hard)
     }
 
+    /// Whether a write has been in flight for `span`.
+    pub(crate) fn hangs(&self, now: Moment, span: Duration) -> bool {
+        let late = |flight: &Flight| now.since(flight.since) >= span;
+        self.flight.as_ref().is_some_and(late)
+    }
+
     /// The term or the vote has changed.
     pub(crate) fn mark_hard(&mut self) {
         self.hard = true;
@@ -140,31 +151,14 @@
         let Some(after) = self.after_hard().max(self.after_entry(index)) else {
             return Some(message);
         };
-        if !self.merge(after, &message) {
-            self.held.push_back(Held { after, message });
+        let fits = |h: &&mut Held| h.after == after && same_kind(&h.message, &message);
+        match self.held.iter_mut().find(fits) {
+            Some(held) => held.message.body = latest(&held.message.body, message.body),
+            None => self.held.push_back(Held { after, message }),
         }
         None
     }
 
-    /// Lets a later acknowledgement to the same leader stand for an earlier one.
-    fn merge(&mut self, after: WriteNumber, message: &Message) -> bool {
-        let Some(held) = self.held.back_mut() else {
-            return false;
-        };
-        let same = held.after == after
-            && held.message.to == message.to
-            && held.message.term == message.term;
-        let (Body::Accepted { matched: old }, Body::Accepted { matched: new }) =
-            (&mut held.message.body, &message.body)
-        else {
-            return false;
-        };
-        if same {
-            *old = (*old).max(*new);
-        }
-        same
-    }
-
     fn after_hard(&self) -> Option<WriteNumber> {
         if self.hard {
             return Some(self.next);
@@ -186,7 +180,7 @@
     }
 
     /// The next write, unless one is in flight or there is nothing to write.
-    pub(crate) fn flush(&mut self, log: &Log, hard: HardState) -> Option<Write> {
+    pub(crate) fn flush(&mut self, log: &Log, hard: HardState, now: Moment) -> Option<Write> {
         let last = log.last().index;
         let dirty = self.hard
             || self.snapshot.is_some()
@@ -204,6 +198,7 @@
         };
         self.flight = Some(Flight {
             number: self.next,
+            since: now,
             last,
             hard: self.hard,
             install: write.snapshot.clone().filter(|_| self.install),
@@ -228,3 +223,24 @@
         }
     }
 }
+
+/// Whether one of two messages to a replica can stand for both.
+fn same_kind(a: &Message, b: &Message) -> bool {
+    let kinds = mem::discriminant(&a.body) == mem::discriminant(&b.body);
+    kinds && a.to == b.to && a.term == b.term
+}
+
+/// What stands for both: an adapter whose disk hangs holds no more than one message of a kind.
+fn latest(old: &Body, new: Body) -> Body {
+    match (old, new) {
+        (Body::Accepted { matched: old }, Body::Accepted { matched }) => Body::Accepted {
+            matched: matched.max(*old),
+        },
+        (Body::HeartbeatReply { round: old }, Body::HeartbeatReply { round }) => {
+            Body::HeartbeatReply {
+                round: round.max(*old),
+            }
+        }
+        (_, new) => new,
+    }
+}
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -340,7 +340,7 @@
         if self.stopped {
             return;
         }
-        if let Some(write) = self.disk.flush(&self.log, self.hard) {
+        if let Some(write) = self.disk.flush(&self.log, self.hard, self.now) {
             self.out.push(Action::Persist(write));
         }
     }
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -24,7 +24,7 @@
             return;
         }
         self.draw_timeout();
-        if self.log.config().is_voter(self.id) {
+        if self.log.config().is_voter(self.id) && !self.disk_hangs() {
             self.pre_campaign();
         } else {
             self.become_follower(self.hard.term, None);
--- a/crates/consensus/src/node/lead.rs
+++ b/crates/consensus/src/node/lead.rs
@@ -19,7 +19,7 @@
 use super::State;
 
 impl Node {
-    /// Looks at a leader's timers: its quorum, its heartbeat, its hand-over.
+    /// Looks at a leader's timers: its quorum, its disk, its heartbeat, its hand-over.
     pub(super) fn tick_leader(&mut self) {
         let State::Leader(leader) = &mut self.state else {
             return;
@@ -35,13 +35,19 @@
         {
             leader.transfer = None;
         }
-        if quorum::elects(self.log.config(), |id| self.is_active(id)) {
+        let confirmed = quorum::elects(self.log.config(), |id| self.is_active(id));
+        if confirmed && !self.disk_hangs() {
             self.broadcast_heartbeat();
         } else {
             self.become_follower(self.hard.term, None);
         }
     }
 
+    /// Whether the disk has left a write unanswered for so long that another should lead.
+    pub(super) fn disk_hangs(&self) -> bool {
+        self.disk.hangs(self.now, self.settings.write_timeout)
+    }
+
     /// Whether a voter is this leader or has answered it in the last election timeout.
     pub(super) fn is_active(&self, id: ReplicaId) -> bool {
         let since = self.now.before(self.settings.election);
--- a/crates/consensus/src/settings.rs
+++ b/crates/consensus/src/settings.rs
@@ -11,6 +11,8 @@
     ///
     /// A leader that hasn't heard a quorum for so long steps down.
     pub election: Duration,
+    /// After so long without an answer to a write, a leader steps down and no one campaigns.
+    pub write_timeout: Duration,
     /// Entries in one append, in bytes; a larger entry travels alone.
     pub batch_bytes: usize,
     /// Appends on the way to one follower.
@@ -32,6 +34,7 @@
         Self {
             heartbeat: Duration::from_millis(50),
             election: Duration::from_millis(500),
+            write_timeout: Duration::from_secs(2),
             batch_bytes: 256 * 1024,
             window: 16,
             chunk_bytes: 256 * 1024,
