--- a/crates/consensus/src/node/change.rs
+++ b/crates/consensus/src/node/change.rs
@@ -39,7 +39,7 @@
 
     /// The group after the change, none where the log has it already.
     fn check_change(&mut self, change: &Change) -> Result<Option<Config>, Rejection> {
-        self.check_transfer()?;
+        self.check_office()?;
         if !matches!(change, Change::Evict(_)) {
             self.check_order(change)?;
         }
@@ -145,7 +145,7 @@
             return;
         };
         let settled = self.is_ready() && self.log.config_index() <= self.commit;
-        if !settled || self.check_transfer().is_err() {
+        if !settled || self.check_office().is_err() {
             return;
         }
         let member = member.clone();
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -1,6 +1,7 @@
 //! Campaigns and votes.
 
 use std::collections::BTreeSet;
+use std::mem;
 
 use crate::action::Action;
 use crate::entry::Index;
@@ -109,7 +110,7 @@
             self.incoming = None;
         }
         let before = self.leader_id();
-        let state = std::mem::replace(&mut self.state, State::Follower { leader });
+        let state = mem::replace(&mut self.state, State::Follower { leader });
         if let State::Leader(old) = state {
             self.retire(*old);
             self.draw_timeout();
--- a/crates/consensus/src/node/lead.rs
+++ b/crates/consensus/src/node/lead.rs
@@ -1,5 +1,7 @@
 //! A leader's timers, proposals and commit index.
 
+use std::mem;
+
 use bytes::Bytes;
 
 use crate::action::Action;
@@ -115,13 +117,17 @@
         }
     }
 
-    fn check_proposal(&self) -> Result<(), Rejection> {
-        let State::Leader(leader) = &self.state else {
-            return Err(Rejection::NotLeader(self.leader_id()));
-        };
-        if leader.transfer.is_some() {
-            return Err(Rejection::Transferring);
+    /// The state of a leader that isn't handing over.
+    pub(super) fn check_office(&self) -> Result<&Leader, Rejection> {
+        match &self.state {
+            State::Leader(leader) if leader.transfer.is_some() => Err(Rejection::Transferring),
+            State::Leader(leader) => Ok(leader),
+            _ => Err(Rejection::NotLeader(self.leader_id())),
         }
+    }
+
+    fn check_proposal(&self) -> Result<(), Rejection> {
+        let leader = self.check_office()?;
         if leader.open_bytes >= self.settings.open_bytes {
             return Err(Rejection::Busy);
         }
@@ -140,7 +146,7 @@
             return;
         }
         if let State::Leader(leader) = &self.state
-            && std::mem::take(&mut self.recount)
+            && mem::take(&mut self.recount)
         {
             let matched = |id| self.matched(leader, id);
             let accepted = quorum::accepted(self.log.config(), matched);
@@ -174,7 +180,7 @@
     pub(super) fn finish_tickets(&mut self) {
         if let State::Leader(leader) = &mut self.state {
             let open = leader.tickets.split_off(&self.applied.next());
-            let done = std::mem::replace(&mut leader.tickets, open);
+            let done = mem::replace(&mut leader.tickets, open);
             for (index, ticket) in done {
                 self.out.push(Action::Committed { ticket, index });
             }
--- a/crates/consensus/src/node/read.rs
+++ b/crates/consensus/src/node/read.rs
@@ -1,5 +1,7 @@
 //! Linearisable reads: a leader confirms itself by a round of heartbeats, a follower asks it.
 
+use std::mem;
+
 use base::prelude::*;
 use rand::RngExt;
 
@@ -160,7 +162,7 @@
         }
         reads.round += 1;
         reads.index = self.commit;
-        reads.open = std::mem::take(&mut reads.waiting);
+        reads.open = mem::take(&mut reads.waiting);
         self.broadcast_heartbeat();
         self.finish_round();
     }
@@ -173,7 +175,7 @@
             return;
         }
         let index = leader.reads.index;
-        for read in std::mem::take(&mut leader.reads.open) {
+        for read in mem::take(&mut leader.reads.open) {
             self.answer_read(read, index);
         }
     }
@@ -197,7 +199,7 @@
         let number = Ticket(self.rng.random());
         self.asks.open = Some(Ask {
             number,
-            tickets: std::mem::take(&mut self.asks.queued),
+            tickets: mem::take(&mut self.asks.queued),
             since: self.now,
         });
         self.send(to, Body::ReadAsk { ticket: number });
--- a/crates/consensus/src/node/transfer.rs
+++ b/crates/consensus/src/node/transfer.rs
@@ -1,6 +1,5 @@
 //! Handing leadership over before a graceful stop.
 
-use crate::action::Rejection;
 use crate::entry::ReplicaId;
 use crate::leader::Transfer;
 use crate::message::Body;
@@ -60,13 +59,4 @@
             self.campaign(true);
         }
     }
-
-    /// The reason why a leader takes no change while it hands over.
-    pub(super) fn check_transfer(&self) -> Result<(), Rejection> {
-        match &self.state {
-            State::Leader(leader) if leader.transfer.is_some() => Err(Rejection::Transferring),
-            State::Leader(_) => Ok(()),
-            _ => Err(Rejection::NotLeader(self.leader_id())),
-        }
-    }
 }
