consensus: the eviction's test cuts off the leader

The test now hands leadership to the region that is cut; red again: "the leader has committed nothing in its term yet".

--- a/crates/consensus/tests/test_replicas/test_groups.rs
+++ b/crates/consensus/tests/test_replicas/test_groups.rs
@@ -231,8 +231,12 @@
     let mut cluster = Cluster::new(7, Acceptance::EveryRegion, 3);
     let east = |id: &ReplicaId| id.0.is_multiple_of(2);
     let cut: Vec<ReplicaId> = cluster.ids().into_iter().filter(east).collect();
-    cluster.elect();
     cluster.commit_one();
+    // A leader elected after the cut has committed nothing in its term.
+    while let Some(leader) = cluster.leader().filter(|id| !east(id)) {
+        cluster.step(leader, Event::Transfer);
+        cluster.run(settings().election);
+    }
     for id in &cut {
         cluster.host(*id).link = Link::Cut;
     }
