--- a/crates/control/src/asker.rs
+++ b/crates/control/src/asker.rs
@@ -105,7 +105,7 @@
     /// One try is short, as a leader that doesn't answer may be cut off.
     async fn ask_other(&self, ask: &Ask, address: SocketAddr, end: Instant) -> Option<Kind> {
         let left = end.saturating_duration_since(Instant::now());
-        let span = left.min(self.timing.election * 4);
+        let span = left.min(self.timing.election * 2);
         let link = self.link(address);
         let reply: Result<AskReply, _> = link::ask(&link, &self.switch, ask.clone(), span).await;
         reply.ok().and_then(|reply| reply.kind)
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -200,7 +200,7 @@
                 .instant(self.node.deadline().min(self.next_expiry));
             tokio::select! {
                 biased;
-                Some(report) = self.parts.reports.recv() => self.written(report),
+                report = self.parts.reports.recv() => self.written(report),
                 input = inbox.recv() => {
                     let Some(input) = input else { return };
                     self.take(input);
@@ -269,8 +269,9 @@
         }
     }
 
-    fn written(&mut self, report: Result<Written, StoreError>) {
-        match report {
+    fn written(&mut self, report: Option<Result<Written, StoreError>>) {
+        // A thread that ended without a report has panicked.
+        match report.unwrap_or(Err(StoreError::Stopped)) {
             Ok(written) if written.number == FOUNDING => self.founded(),
             Ok(written) => {
                 self.time_write(written.span);
--- a/crates/control/src/driver/propose.rs
+++ b/crates/control/src/driver/propose.rs
@@ -31,14 +31,20 @@
 use crate::tickets;
 use crate::tickets::Open;
 
+/// Requests that wait for the write before them; further ones are declined.
+const MAX_WAITING: usize = 16_384;
+
 impl Task {
     /// Takes a request; it waits while its group of commands is full.
     pub(super) fn ask(&mut self, ask: Ask, reply: oneshot::Sender<AskReply>) {
-        if self.admitted >= self.parts.group {
-            self.waiting.push_back((ask, reply));
-            return;
+        if self.admitted < self.parts.group {
+            return self.admit(ask, reply);
+        }
+        if self.waiting.len() < MAX_WAITING {
+            return self.waiting.push_back((ask, reply));
         }
-        self.admit(ask, reply);
+        let kind = Some(tickets::declined(None, false, "busy"));
+        let _ = reply.send(AskReply { kind });
     }
 
     /// Takes requests that waited for the write before them.
--- a/crates/control/tests/test_freeze.rs
+++ b/crates/control/tests/test_freeze.rs
@@ -1,4 +1,4 @@
-//! A leader that is stopped by the system and goes on much later.
+//! A replica that the system stops, and that goes on much later.
 
 mod common;
 
@@ -11,27 +11,42 @@
 use common::process::Process;
 use common::process::plan;
 
-/// Follows that are asked of the thawed leader.
+/// Follows that are asked of the thawed replica.
 const LOOKS: usize = 50;
+/// Changes that are accepted meanwhile.
+const CHANGES: u64 = 100;
 
 #[tokio::test]
 async fn test_freeze_thawed_leader_confirms_nothing_old() {
-    let plans = plan(&folder("freeze"), 3);
+    freeze("freeze-leader", 0).await;
+}
+
+#[tokio::test]
+async fn test_freeze_thawed_follower_confirms_nothing_old() {
+    freeze("freeze-follower", 1).await;
+}
+
+/// Freezes the replica that is `distance` after the leader.
+async fn freeze(name: &str, distance: usize) {
+    let plans = plan(&folder(name), 3);
     let processes = Process::start_all(&plans);
     let clients: Vec<Client> = plans.iter().map(|p| Client::new(p.rpc)).collect();
-    clients[0].propose_surely(&change("c-1", 0, "status")).await;
-    let led = leader(&clients).await;
-    clients[led].reaches(1).await;
+    clients[0].propose_surely(&change("c-0", 0, "status")).await;
+    let frozen = (leader(&clients).await + distance) % 3;
+    clients[frozen].reaches(1).await;
 
-    processes[led].freeze();
-    let other = &clients[(led + 1) % 3];
-    let second = other.propose_surely(&change("c-2", 1, "grants")).await;
-    assert_eq!(accepted(&second), 2);
-    processes[led].thaw();
+    processes[frozen].freeze();
+    let other = &clients[(frozen + 1) % 3];
+    for base in 1..CHANGES {
+        let next = change(&format!("c-{base}"), base, "grants");
+        assert_eq!(accepted(&other.propose_surely(&next).await), base + 1);
+    }
+    processes[frozen].thaw();
     for _ in 0..LOOKS {
-        let reply = clients[led].follow(0, 0).await.expect("answers");
-        assert!(!reply.confirmed || reply.version == 2, "{reply:?}");
+        let reply = clients[frozen].follow(0, 0).await.expect("answers");
+        let old = reply.confirmed && reply.version != CHANGES;
+        assert!(!old, "confirmed {}", reply.version);
         tokio::time::sleep(PAUSE / 10).await;
     }
-    clients[led].reaches(2).await;
+    clients[frozen].reaches(CHANGES).await;
 }
--- a/crates/control/tests/test_ledger.rs
+++ b/crates/control/tests/test_ledger.rs
@@ -52,21 +52,26 @@
 async fn test_ledger_hold_runs_out_to_unknown_on_all_replicas() {
     let (_, replicas) = start("ledger-hold", 3).await;
     let clients = clients(&replicas);
+    leader(&clients).await;
+    clients[0].reaches(0).await;
+    let before = clients[0].status().await.expect("answers").commit;
     let first = claim("block-8", 1, 200);
     assert!(matches!(
         clients[0].claim_surely(&first).await,
         Kind::Granted(_)
     ));
+    // Nobody asks anything: the leader alone moves log time on.
     let expiry = async {
-        loop {
-            // The holder's own resend must learn it, too.
-            match clients[1].claim_surely(&first).await {
-                Kind::Granted(_) => tokio::time::sleep(PAUSE).await,
-                other => return other,
+        for client in &clients {
+            while client.status().await.expect("answers").applied < before + 2 {
+                tokio::time::sleep(PAUSE).await;
             }
         }
     };
-    let found = tokio::time::timeout(PATIENCE, expiry).await.expect("ends");
+    let expired = tokio::time::timeout(PATIENCE, expiry).await;
+    expired.expect("log time moves on");
+    // The holder's own resend learns it, too.
+    let found = clients[1].claim_surely(&first).await;
     assert!(matches!(found, Kind::Unknown(_)), "{found:?}");
     for client in &clients {
         let other = client.claim_surely(&claim("block-8", 2, 60_000)).await;
--- a/crates/control/tests/test_replace.rs
+++ b/crates/control/tests/test_replace.rs
@@ -11,6 +11,7 @@
 use common::process::Process;
 use common::process::plan;
 use common::process::take_snapshots;
+use wire::catalogue::Change;
 use wire::catalogue::change_reply::Kind;
 use wire::control::Replica;
 use wire::control::Role;
@@ -66,11 +67,15 @@
     }
 }
 
+fn numbered(base: u64) -> Change {
+    let service = format!("service-{:0100}", base % 50);
+    change(&format!("c-{base}"), base, &service)
+}
+
 async fn fill(client: &Client, from: u64, to: u64) {
     for base in from..to {
-        let service = format!("service-{:0100}", base % 50);
-        let next = change(&format!("c-{base}"), base, &service);
-        assert_eq!(accepted(&client.propose_surely(&next).await), base + 1);
+        let kind = client.propose_surely(&numbered(base)).await;
+        assert_eq!(accepted(&kind), base + 1);
     }
 }
 
@@ -135,7 +140,7 @@
     lose(c, &plans[2]);
     let c = Process::start(&plans[2]);
     let emptied = id(&clients[2]).await;
-    let reply = clients[0].propose(&change("c-1", 1, "service-1")).await;
+    let reply = clients[0].propose(&numbered(1)).await;
     assert!(matches!(reply, Ok(Kind::Uncertain(_))), "{reply:?}");
     let status = clients[2].status().await.expect("answers");
     assert_eq!(status.id, emptied);
