--- a/crates/gateway/tests/fakes/upstream.rs
+++ b/crates/gateway/tests/fakes/upstream.rs
@@ -155,6 +155,8 @@
                 let sent = stream.write_all(head.as_bytes()).await;
                 return sent.is_ok() && stream.write_all(&seen.body).await.is_ok();
             }
+            "ranged" => (ranged(seen, "4-9"), false),
+            "ranged-wrong" => (ranged(seen, "5-9"), false),
             "large" => return self.large(stream).await,
             _ => (
                 "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-type: text/plain\r\nrwr-load: 1/6\r\n\r\nok",
@@ -178,6 +180,22 @@
     }
 }
 
+/// Ten bytes that break off after four, and the rest of them when asked for.
+fn ranged(seen: &Seen, rest: &str) -> &'static str {
+    match (seen.header("range"), seen.header("if-range"), rest) {
+        (None, ..) => {
+            "HTTP/1.1 200 OK\r\ncontent-length: 10\r\naccept-ranges: bytes\r\netag: \"v1\"\r\n\r\n0123"
+        }
+        (Some("bytes=4-"), Some("\"v1\""), "4-9") => {
+            "HTTP/1.1 206 Part\r\ncontent-length: 6\r\ncontent-range: bytes 4-9/10\r\n\r\n456789"
+        }
+        (Some("bytes=4-"), Some("\"v1\""), _) => {
+            "HTTP/1.1 206 Part\r\ncontent-length: 6\r\ncontent-range: bytes 5-9/10\r\n\r\n56789!"
+        }
+        _ => "HTTP/1.1 400 Bad\r\ncontent-length: 0\r\n\r\n",
+    }
+}
+
 async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Seen> {
     let end = loop {
         if let Some(at) = buffer.windows(4).position(|w| w == b"\r\n\r\n") {
