--- a/crates/directory/examples/spread/fleet.rs
+++ b/crates/directory/examples/spread/fleet.rs
@@ -219,6 +219,37 @@
         }
     }
 
+    /// Announces instance `i` once, at one directory.
+    pub fn say(&self, i: usize, phase: Phase, sequence: u64) -> Instant {
+        let said = Instance {
+            phase,
+            ..instance(i, 0, sequence)
+        };
+        let home = self.directories[i % self.directories.len()].shared();
+        let heard = home.step(|inner, now| inner.members.announce(said, now));
+        heard.expect("it is newer");
+        Instant::now()
+    }
+
+    /// Waits until every gateway shows instance `i` in `phase`, or not at all.
+    pub async fn until_phase(&self, i: usize, phase: Option<Phase>) {
+        let row = instance(i, 0, 0);
+        let wanted = phase.map(|phase| match phase {
+            Phase::Starting => wire::directory::Phase::Starting,
+            Phase::Ready => wire::directory::Phase::Ready,
+            Phase::Draining => wire::directory::Phase::Draining,
+            Phase::Gone => wire::directory::Phase::Gone,
+        });
+        let seen = |gateway: &Gateway| {
+            let view = gateway.core().view();
+            let rows = view.instances(&row.service);
+            rows.iter().find(|r| r.id == row.id).map(|r| r.phase)
+        };
+        while self.gateways.iter().any(|gateway| seen(gateway) != wanted) {
+            sleep(LOOK).await;
+        }
+    }
+
     /// Stops all.
     pub async fn stop(self) {
         for gateway in self.gateways {
--- a/crates/directory/src/peers.rs
+++ b/crates/directory/src/peers.rs
@@ -1,7 +1,7 @@
 //! Exchanges with other directories.
 //!
-//! Each directory asks one other at a time, in an order shuffled anew each
-//! round: what homes there are, how long ago each was heard of, and how current
+//! Each directory asks one other at a time, in the order of
+//! [`members::ring::Ring`]: what homes there are, how long ago each was heard of, and how current
 //! the catalogue is. Only ages in an answer are taken, counted from when the
 //! request was sent; the same in a push could have been long on its way. What
 //! changes in the own home's table is pushed to all at once, and what a push
@@ -15,13 +15,12 @@
 use cadence::Counted;
 use members::Confirmed;
 use members::homes::Vouch;
-use rand::SeedableRng;
-use rand::rngs::StdRng;
-use rand::seq::SliceRandom;
+use members::ring::Ring;
 use slog::debug;
 use tarpc::ClientMessage;
 use tarpc::Response;
 use tarpc::client::Config;
+use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tokio::time::sleep;
@@ -63,33 +62,39 @@
 }
 
 /// Asks one peer after another until the directory stops.
-pub async fn ask(shared: Arc<Shared>, peers: Vec<Arc<Peer>>) {
-    if peers.is_empty() {
-        return;
-    }
+pub async fn ask(shared: Arc<Shared>, me: SocketAddr, peers: Vec<Arc<Peer>>) {
+    let addresses: Vec<SocketAddr> = peers.iter().map(|peer| peer.address()).collect();
+    let mut ring = Ring::new(me, &addresses);
+    let (tell, mut told) = mpsc::unbounded_channel();
     let mut ticks = interval(shared.settings.leases.exchange);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut random = StdRng::from_rng(&mut rand::rng());
-    let mut round: Vec<Arc<Peer>> = Vec::new();
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
             () = shared.stop.cancelled() => return,
         }
-        if round.is_empty() {
-            round.clone_from(&peers);
-            round.shuffle(&mut random);
+        while let Ok((peer, answered)) = told.try_recv() {
+            ring.note(peer, answered);
         }
-        if let Some(peer) = round.pop() {
+        let next = ring.pick();
+        let peer = peers.iter().find(|peer| Some(peer.address()) == next);
+        if let Some(peer) = peer {
+            let (shared, peer, tell) = (shared.clone(), peer.clone(), tell.clone());
             // A silent peer holds up no other.
-            tokio::spawn(pull(shared.clone(), peer));
+            tokio::spawn(async move {
+                let answered = pull(shared, &peer).await;
+                let _ = tell.send((peer.address(), answered));
+            });
         }
     }
 }
 
-async fn pull(shared: Arc<Shared>, peer: Arc<Peer>) {
-    let result = pull_once(&shared, &peer).await;
-    note(&shared, &peer, "pull", result);
+/// Asks once and returns whether there was an answer.
+async fn pull(shared: Arc<Shared>, peer: &Peer) -> bool {
+    let result = pull_once(&shared, peer).await;
+    let answered = result.is_ok();
+    note(&shared, peer, "pull", result);
+    answered
 }
 
 /// Asks in short, and in full where digests differ.
--- a/crates/directory/src/server.rs
+++ b/crates/directory/src/server.rs
@@ -134,7 +134,7 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(server.serve(http::service(&shared)));
         tasks.spawn(rpc::serve(shared.clone(), self.rpc));
-        spawn_work(&mut tasks, &shared);
+        spawn_work(&mut tasks, &shared, rpc_address);
         info!(shared.log, "ready"; "http" => %address, "rpc" => %rpc_address,
             "peers" => shared.settings.peers.len(), "control" => shared.settings.control.len());
         Ok(Directory {
@@ -147,7 +147,7 @@
     }
 }
 
-fn spawn_work(tasks: &mut JoinSet<()>, shared: &Arc<Shared>) {
+fn spawn_work(tasks: &mut JoinSet<()>, shared: &Arc<Shared>, me: SocketAddr) {
     let addresses = &shared.settings.peers;
     let links: Vec<Arc<peers::Peer>> = addresses
         .iter()
@@ -156,7 +156,7 @@
     for peer in &links {
         tasks.spawn(peers::push(shared.clone(), peer.clone()));
     }
-    tasks.spawn(peers::ask(shared.clone(), links));
+    tasks.spawn(peers::ask(shared.clone(), me, links));
     tasks.spawn(sweep::sweep(shared.clone()));
     tasks.spawn(follow::follow(
         shared.clone(),
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod members;
 pub mod partition;
 pub mod record;
+pub mod ring;
 
 pub use confirm::Confirmed;
 pub use confirm::Standing;
--- a/crates/members/tests/tests.rs
+++ b/crates/members/tests/tests.rs
@@ -5,3 +5,4 @@
 mod test_gossip;
 mod test_members;
 mod test_partition;
+mod test_ring;
