--- /dev/null
+++ b/crates/directory/tests/test_daemon.rs
@@ -0,0 +1,79 @@
+//! The daemon as a process: exit codes, the ready line, the stop on SIGTERM.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Output;
+use std::process::Stdio;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_rwr-directory");
+
+fn file(name: &str, http: &str) -> PathBuf {
+    let text = format!(
+        "[directory]\nhost = a\ndomain = milano\nhttp = {http}\nrpc = 127.0.0.1:0\n[control]\nreplicas = 127.0.0.1:1\n"
+    );
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).expect("a file");
+    path
+}
+
+fn run(args: &[&str]) -> Output {
+    Command::new(BINARY).args(args).output().expect("it runs")
+}
+
+#[test]
+fn test_daemon_exit_codes() {
+    let good = file("daemon-good.ini", "127.0.0.1:0");
+    let bad = file("daemon-bad.ini", "localhost");
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let taken = taken.local_addr().map(|a| (a, taken)).expect("an address");
+    let taken_file = file("daemon-taken.ini", &taken.0.to_string());
+    let [good, bad, taken_file] = [good, bad, taken_file].map(|p| p.display().to_string());
+    let cases = [
+        (vec!["--help"], 0, "Usage: rwr-directory"),
+        (vec!["--version"], 0, "rwr-directory "),
+        (vec!["--check", "--config", &good], 0, "http = 127.0.0.1:0"),
+        (vec!["--check", "--config", &bad], 2, "[directory] http"),
+        (vec!["--config", "nowhere.ini"], 2, "nowhere.ini"),
+        (vec![], 2, "--config FILE is missing"),
+        (vec!["--config", &taken_file], 1, "listen at"),
+    ];
+    for (args, code, text) in cases {
+        let output = run(&args);
+        let said = [output.stdout, output.stderr].concat();
+        let said = String::from_utf8_lossy(&said);
+        assert_eq!(output.status.code(), Some(code), "{args:?}: {said}");
+        assert!(said.contains(text), "{args:?}: {said}");
+    }
+}
+
+#[test]
+fn test_daemon_stops_on_sigterm() {
+    let config = file("daemon-stop.ini", "127.0.0.1:0");
+    let mut child = Command::new(BINARY)
+        .arg("--config")
+        .arg(config)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let mut lines = BufReader::new(child.stdout.take().expect("its log")).lines();
+    let ready = lines.find_map(|line| line.ok().filter(|l| l.contains("msg=ready")));
+    let ready = ready.expect("a ready line");
+    assert!(ready.contains("http=\"127.0.0.1:"), "{ready}");
+    let id = child.id().to_string();
+    let sent = Command::new("kill")
+        .args(["-TERM", &id])
+        .status()
+        .expect("kill runs");
+    assert!(sent.success());
+    let rest: Vec<String> = lines.map_while(Result::ok).collect();
+    let status = child.wait().expect("it ends");
+    assert_eq!(status.code(), Some(0), "{rest:?}");
+    assert!(
+        rest.iter()
+            .any(|l| l.contains("msg=stopped") && l.contains("graceful=true")),
+        "{rest:?}"
+    );
+}
--- a/crates/directory/tests/tests.rs
+++ b/crates/directory/tests/tests.rs
@@ -1,6 +1,7 @@
 //! All tests of the directory, as one binary that shares its fakes.
 
 mod common;
+mod test_daemon;
 mod test_path;
 mod test_port;
 mod test_settings;
