--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -8,9 +8,11 @@
 use cadence::StatsdClient;
 use slog::Logger;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 use crate::body::Memory;
 use crate::claims::Claims;
+use crate::counters::Counters;
 use crate::desk::Desks;
 use crate::flying::Flying;
 use crate::lanes::Lanes;
@@ -38,6 +40,8 @@
     pub log: Logger,
     /// Where counters go.
     pub metrics: StatsdClient,
+    /// Sums for the metrics.
+    pub counters: Counters,
     /// The process's clock.
     pub clock: Clock,
     /// The machines of each service.
@@ -56,6 +60,7 @@
     pub flying: Flying,
     /// How far the stop has come.
     pub phase: watch::Sender<Phase>,
+    ended: CancellationToken,
     view: RwLock<Arc<View>>,
 }
 
@@ -76,15 +81,28 @@
             settings,
             log,
             metrics,
+            counters: Counters::default(),
             clock,
             desks: Desks::default(),
             lanes: Lanes::default(),
             flying: Flying::default(),
             phase: watch::Sender::new(Phase::Serving),
+            ended: CancellationToken::new(),
             view: RwLock::default(),
         }
     }
 
+    /// Runs `task` until the gateway has stopped.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let ended = self.ended.clone();
+        tokio::spawn(ended.run_until_cancelled_owned(task));
+    }
+
+    /// Ends all tasks of [`Core::spawn`], and frees the ports that they hold.
+    pub fn end(&self) {
+        self.ended.cancel();
+    }
+
     /// What is known now.
     #[must_use]
     pub fn view(&self) -> Arc<View> {
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -10,10 +10,12 @@
 
 use base::prelude::Moment;
 
-use crate::load::keep;
+use crate::fade::fade;
 
 /// Failures in a row that eject.
 const STREAK: u32 = 3;
+/// What an attempt without any answer counts for in a row.
+const SILENT_STEP: u32 = 2;
 /// Results below which a share of failures tells nothing.
 const FEWEST: f64 = 5.0;
 /// Share of failures that ejects.
@@ -35,6 +37,9 @@
 /// The same after silence, when requests may be lost in the instance.
 const SILENT_GRACE: Duration = Duration::from_secs(30);
 
+/// Age at which a trial whose end was never told is made again.
+const TRIAL_LIMIT: Duration = Duration::from_secs(30);
+
 /// Why an instance was ejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Cause {
@@ -56,7 +61,7 @@
     /// A probe was answered after the ejection: one trial request may be made.
     Probed,
     /// The trial is under way.
-    Trial,
+    Trial { since: Moment },
 }
 
 /// The health of one instance.
@@ -102,24 +107,34 @@
         self.note(now, 0.0);
         self.streak = 0;
         self.failed_probes = 0;
-        if self.state == State::Trial {
+        if matches!(self.state, State::Trial { .. }) {
             self.state = State::Ramping { since: now };
             self.failures = 0.0;
         }
     }
 
     /// Takes a failure; true when it asks for ejection.
-    pub(crate) fn failed(&mut self, now: Moment) -> bool {
+    pub(crate) fn failed(&mut self, now: Moment, cause: Cause) -> bool {
         self.note(now, 1.0);
-        self.streak += 1;
+        self.streak += match cause {
+            Cause::Failures => 1,
+            Cause::Silence => SILENT_STEP,
+        };
         let often = self.results >= FEWEST && self.share(now) >= SHARE;
-        self.state == State::Trial || self.streak >= STREAK || often
+        match self.state {
+            State::Well | State::Ramping { .. } => self.streak >= STREAK || often,
+            State::Trial { .. } => true,
+            // Attempts from before the ejection tell nothing new.
+            State::Ejected { .. } | State::Probed => false,
+        }
     }
 
     /// Takes a probe's failure; true when it asks for ejection.
-    pub(crate) fn probe_failed(&mut self) -> bool {
+    ///
+    /// `suspect` says that attempts have waited in vain since the last answer.
+    pub(crate) fn probe_failed(&mut self, suspect: bool) -> bool {
         self.failed_probes += 1;
-        !self.is_in() || self.failed_probes >= FAILED_PROBES
+        suspect || !self.is_in() || self.failed_probes >= FAILED_PROBES
     }
 
     /// Takes a probe's answer.
@@ -150,18 +165,19 @@
         match self.state {
             State::Probed => true,
             State::Ejected { until, cause } => now >= until + grace(cause),
-            State::Well | State::Ramping { .. } | State::Trial => false,
+            State::Trial { since } => now.since(since) >= TRIAL_LIMIT,
+            State::Well | State::Ramping { .. } => false,
         }
     }
 
     /// Notes that the trial is under way.
-    pub(crate) fn begin_trial(&mut self) {
-        self.state = State::Trial;
+    pub(crate) fn begin_trial(&mut self, now: Moment) {
+        self.state = State::Trial { since: now };
     }
 
     /// Takes the end of a trial that told nothing.
     pub(crate) fn trial_cancelled(&mut self) {
-        if self.state == State::Trial {
+        if matches!(self.state, State::Trial { .. }) {
             self.state = State::Probed;
         }
     }
@@ -173,7 +189,10 @@
 
     /// Share of failures among recent results, from 0 to 1.
     pub(crate) fn share(&self, now: Moment) -> f64 {
-        let kept = keep(now.since(self.at), RESULT_HALF);
+        if self.failures == 0.0 {
+            return 0.0;
+        }
+        let kept = fade(now.since(self.at), RESULT_HALF);
         // One success more than was seen, so that a first failure isn't all.
         self.failures * kept / (self.results * kept + 1.0)
     }
@@ -191,7 +210,7 @@
     }
 
     fn note(&mut self, now: Moment, failure: f64) {
-        let kept = keep(now.since(self.at), RESULT_HALF);
+        let kept = fade(now.since(self.at), RESULT_HALF);
         let kept = kept * (1.0 - 1.0 / MEMORY);
         self.failures = self.failures * kept + failure;
         self.results = self.results * kept + 1.0;
