admit: bound running calls by how much longer they take; show overload of 2 times

Cause: the first bound shrank on sheds only. Upstreams that queue (64 beside 6 slots) shed nothing at twice their capacity, so calls waited there, where nothing orders or refuses them. Three more causes were found with the same example: predictions left no room for spread, hedges went on under load (attempts 1.100 and no budget left for sheds), and a growth of one call a round shed too much.

Now: the bound shrinks when calls take 1.3 times what they take without a queue, and on sheds; it grows 0.018 a call; predictions allow for 2 spreads of the wait and 4 deviations of the call; under load only a stalled call is tried twice.

--- /dev/null
+++ b/crates/admit/examples/overload/scene.rs
@@ -0,0 +1,455 @@
+//! Fifteen gateways with the product's admission and attempts, ten fake upstreams.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::fmt;
+use std::time::Duration;
+
+use admit::Admission;
+use admit::Arrival;
+use admit::Finish;
+use admit::Mode;
+use admit::Request;
+use admit::Settings;
+use admit::Ticket;
+use attempt::Call;
+use attempt::Event;
+use attempt::Head;
+use attempt::Service;
+use attempt::Share;
+use base::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const GATEWAYS: usize = 15;
+const INSTANCES: usize = 10;
+const SLOTS: usize = 6;
+const WORK: Duration = Duration::from_millis(10);
+const TRANSIT: Duration = Duration::from_micros(500);
+const PATIENCE: Duration = Duration::from_millis(100);
+const WARM: Moment = Moment::from_millis(2_000);
+const END: Moment = Moment::from_millis(10_000);
+
+#[derive(Clone, Copy)]
+pub struct Setup {
+    pub seed: u64,
+    pub mode: Mode,
+    pub concurrency: u32,
+    // Requests that an instance holds beside its slots before it sheds.
+    pub backlog: usize,
+    // Calls offered, as a share of capacity.
+    pub load: f64,
+}
+
+impl fmt::Display for Setup {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            seed,
+            mode,
+            concurrency,
+            backlog,
+            load,
+        } = self;
+        write!(
+            f,
+            "load={load} backlog={backlog} bound={mode} concurrency={concurrency} seed={seed}"
+        )
+    }
+}
+
+#[derive(Default)]
+pub struct Report {
+    offered: f64,
+    refused: f64,
+    expired: f64,
+    failed: f64,
+    late: f64,
+    good: f64,
+    attempts: f64,
+    started: f64,
+    spans: Vec<Duration>,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let slots = f64::from(u32::try_from(INSTANCES * SLOTS).unwrap_or(0));
+        let capacity = slots / WORK.as_secs_f64() * END.since(WARM).as_secs_f64();
+        let mut spans = self.spans.clone();
+        spans.sort_unstable();
+        let at = |permille: usize| {
+            let index = spans.len() * permille / 1000;
+            spans
+                .get(index)
+                .map_or(0.0, |span| span.as_secs_f64() * 1e3)
+        };
+        write!(
+            f,
+            "offered={} goodput={:.3} started_in_deadline={:.4} refused={:.3} expired={:.4} \
+             failed={:.4} attempts={:.3} p50_ms={:.1} p99_ms={:.1}",
+            self.offered,
+            self.good / capacity,
+            self.good / (self.good + self.late + self.failed),
+            self.refused / self.offered,
+            self.expired / self.offered,
+            self.failed / self.offered,
+            self.attempts / self.started,
+            at(500),
+            at(990)
+        )
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Job {
+    gateway: usize,
+    ticket: Ticket,
+    number: u8,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+enum Item {
+    Arrive,
+    Reach(usize, Job),
+    Done(usize, Job),
+    Answer(Job, bool),
+    Wake(usize, Ticket),
+    Poll(usize),
+}
+
+#[derive(Default)]
+struct Instance {
+    running: Vec<Job>,
+    waiting: VecDeque<Job>,
+}
+
+struct Gateway {
+    admission: Admission,
+    service: Service,
+    calls: HashMap<Ticket, Running>,
+    deadlines: HashMap<Ticket, Moment>,
+    in_flight: [u32; INSTANCES],
+    poll_at: Option<Moment>,
+}
+
+struct Running {
+    call: Call,
+    arrived: Moment,
+    places: Vec<(u8, usize)>,
+}
+
+pub struct Scene {
+    setup: Setup,
+    rng: StdRng,
+    now: Moment,
+    tickets: u64,
+    order: u64,
+    items: BinaryHeap<Reverse<(Moment, u64, Item)>>,
+    gateways: Vec<Gateway>,
+    instances: Vec<Instance>,
+    report: Report,
+}
+
+impl Scene {
+    pub fn new(setup: Setup) -> Self {
+        let gateway = || {
+            let settings = Settings {
+                concurrency: 1_000,
+                queue: 1_000,
+            };
+            let mut admission = Admission::with_mode(settings, setup.mode);
+            let terms = admit::Terms {
+                class: Class::Urgent,
+                concurrency: setup.concurrency,
+                queue: 200,
+            };
+            admission.set_service(&name(), terms);
+            Gateway {
+                admission,
+                service: Service::new(Share::percent(10), Moment::ZERO),
+                calls: HashMap::new(),
+                deadlines: HashMap::new(),
+                in_flight: [0; INSTANCES],
+                poll_at: None,
+            }
+        };
+        Self {
+            setup,
+            rng: StdRng::seed_from_u64(setup.seed),
+            now: Moment::ZERO,
+            tickets: 0,
+            order: 0,
+            items: BinaryHeap::new(),
+            gateways: (0..GATEWAYS).map(|_| gateway()).collect(),
+            instances: (0..INSTANCES).map(|_| Instance::default()).collect(),
+            report: Report::default(),
+        }
+    }
+
+    pub fn run(mut self) -> Report {
+        self.put(Duration::ZERO, Item::Arrive);
+        while let Some(Reverse((at, _, item))) = self.items.pop() {
+            if at > END {
+                break;
+            }
+            self.now = at;
+            match item {
+                Item::Arrive => self.arrive(),
+                Item::Reach(instance, job) => self.reach(instance, job),
+                Item::Done(instance, job) => self.done(instance, job),
+                Item::Answer(job, shed) => self.answer(job, shed),
+                Item::Wake(gateway, ticket) => self.step(gateway, ticket, Event::Tick),
+                Item::Poll(gateway) => self.poll(gateway),
+            }
+        }
+        self.report
+    }
+
+    fn put(&mut self, span: Duration, item: Item) {
+        self.order += 1;
+        self.items
+            .push(Reverse((self.now + span, self.order, item)));
+    }
+
+    fn is_counted(&self) -> bool {
+        self.now >= WARM
+    }
+
+    fn random_span(&mut self, mean: Duration) -> Duration {
+        mean.mul_f64(-(1.0 - self.rng.random::<f64>()).ln())
+    }
+
+    fn arrive(&mut self) {
+        let gap = WORK.div_f64(60.0 * self.setup.load);
+        let next = self.random_span(gap);
+        self.put(next, Item::Arrive);
+        self.tickets += 1;
+        let gateway = self.rng.random_range(0..GATEWAYS);
+        let request = Request {
+            ticket: Ticket(self.tickets),
+            service: name(),
+            deadline: self.now + PATIENCE,
+        };
+        let counted = f64::from(u8::from(self.is_counted()));
+        self.report.offered += counted;
+        let mut out = Vec::new();
+        let admission = &mut self.gateways[gateway].admission;
+        match admission.arrive(&request, self.now, &mut out) {
+            Arrival::Started => self.start(gateway, request.ticket, request.deadline),
+            Arrival::Refused(_) => self.report.refused += counted,
+            Arrival::Queued => {
+                let deadlines = &mut self.gateways[gateway].deadlines;
+                deadlines.insert(request.ticket, request.deadline);
+            }
+        }
+        self.act(gateway, out);
+    }
+
+    fn poll(&mut self, gateway: usize) {
+        let mut out = Vec::new();
+        self.gateways[gateway].poll_at = None;
+        self.gateways[gateway].admission.poll(self.now, &mut out);
+        self.act(gateway, out);
+    }
+
+    fn act(&mut self, gateway: usize, actions: Vec<admit::Action>) {
+        for action in actions {
+            match action {
+                admit::Action::Start(ticket) => {
+                    let deadline = self.gateways[gateway].deadlines.remove(&ticket);
+                    self.start(gateway, ticket, deadline.unwrap_or(self.now));
+                }
+                admit::Action::Refuse(ticket, _) => {
+                    self.gateways[gateway].deadlines.remove(&ticket);
+                    self.report.expired += f64::from(u8::from(self.is_counted()));
+                }
+            }
+        }
+        let owner = &mut self.gateways[gateway];
+        let wake = owner.admission.wake();
+        if let Some(at) = wake.filter(|at| owner.poll_at.is_none_or(|set| *at < set)) {
+            owner.poll_at = Some(at);
+            self.put(at.since(self.now), Item::Poll(gateway));
+        }
+    }
+
+    fn start(&mut self, gateway: usize, ticket: Ticket, deadline: Moment) {
+        let terms = attempt::Terms {
+            class: Class::Urgent,
+            deadline,
+            depth: 0,
+        };
+        self.report.started += f64::from(u8::from(self.is_counted()));
+        let pressed = self.gateways[gateway].admission.is_pressed(&name());
+        let service = &mut self.gateways[gateway].service;
+        service.pressed = pressed;
+        let mut call = Call::new(terms);
+        let actions = call.start(service, self.now);
+        let running = Running {
+            call,
+            arrived: deadline.before(PATIENCE),
+            places: Vec::new(),
+        };
+        self.gateways[gateway].calls.insert(ticket, running);
+        self.follow(gateway, ticket, actions);
+    }
+
+    fn step(&mut self, gateway: usize, ticket: Ticket, event: Event) {
+        let owner = &mut self.gateways[gateway];
+        let Some(running) = owner.calls.get_mut(&ticket) else {
+            return;
+        };
+        let service = &mut owner.service;
+        let actions = running.call.step(event, service, &mut self.rng, self.now);
+        self.follow(gateway, ticket, actions);
+    }
+
+    fn follow(&mut self, gateway: usize, ticket: Ticket, actions: attempt::Actions) {
+        for action in actions {
+            match action {
+                attempt::Action::Start(start) => self.send(gateway, ticket, start.number),
+                attempt::Action::Cancel(number) => self.cancel(gateway, ticket, number),
+                attempt::Action::Relay { .. } => {
+                    self.finish(gateway, ticket, Finish::Answered);
+                    return;
+                }
+                attempt::Action::Fail(failure) => {
+                    let shed = failure.reason == attempt::Reason::Shed;
+                    let finish = if shed { Finish::Shed } else { Finish::Failed };
+                    self.finish(gateway, ticket, finish);
+                    return;
+                }
+                attempt::Action::Break(_) => {}
+            }
+        }
+        let running = self.gateways[gateway].calls.get(&ticket);
+        if let Some(at) = running.and_then(|running| running.call.wake()) {
+            self.put(at.since(self.now), Item::Wake(gateway, ticket));
+        }
+    }
+
+    // Two choices by own requests in flight, but for those tried.
+    fn send(&mut self, gateway: usize, ticket: Ticket, number: u8) {
+        self.report.attempts += f64::from(u8::from(self.is_counted()));
+        let owner = &mut self.gateways[gateway];
+        let Some(running) = owner.calls.get_mut(&ticket) else {
+            return;
+        };
+        let mut pick = || loop {
+            let picked = self.rng.random_range(0..INSTANCES);
+            if running.places.iter().all(|(_, tried)| *tried != picked) {
+                return picked;
+            }
+        };
+        let (one, two) = (pick(), pick());
+        let lesser = owner.in_flight[two] < owner.in_flight[one];
+        let picked = if lesser { two } else { one };
+        owner.in_flight[picked] += 1;
+        running.places.push((number, picked));
+        let job = Job {
+            gateway,
+            ticket,
+            number,
+        };
+        self.put(TRANSIT, Item::Reach(picked, job));
+    }
+
+    fn cancel(&mut self, gateway: usize, ticket: Ticket, number: u8) {
+        let running = self.gateways[gateway].calls.get(&ticket);
+        let places = running.map(|running| running.places.as_slice());
+        let place = places.and_then(|places| places.iter().find(|(n, _)| *n == number));
+        let Some((_, instance)) = place.copied() else {
+            return;
+        };
+        let job = Job {
+            gateway,
+            ticket,
+            number,
+        };
+        let owner = &mut self.instances[instance];
+        owner.waiting.retain(|waiting| *waiting != job);
+        self.free(instance, job);
+    }
+
+    fn finish(&mut self, gateway: usize, ticket: Ticket, finish: Finish) {
+        let owner = &mut self.gateways[gateway];
+        let Some(running) = owner.calls.remove(&ticket) else {
+            return;
+        };
+        for (_, instance) in &running.places {
+            owner.in_flight[*instance] -= 1;
+        }
+        let span = self.now.since(running.arrived);
+        let mut out = Vec::new();
+        owner.admission.finish(ticket, finish, self.now, &mut out);
+        if self.is_counted() {
+            let count = match (finish, span <= PATIENCE) {
+                (Finish::Answered, true) => &mut self.report.good,
+                (Finish::Answered, false) => &mut self.report.late,
+                _ => &mut self.report.failed,
+            };
+            *count += 1.0;
+            if finish == Finish::Answered {
+                self.report.spans.push(span);
+            }
+        }
+        self.act(gateway, out);
+    }
+
+    fn reach(&mut self, instance: usize, job: Job) {
+        if !self.gateways[job.gateway].calls.contains_key(&job.ticket) {
+            return;
+        }
+        let owner = &mut self.instances[instance];
+        if owner.running.len() < SLOTS {
+            self.work(instance, job);
+        } else if owner.waiting.len() < self.setup.backlog {
+            owner.waiting.push_back(job);
+        } else {
+            self.put(TRANSIT, Item::Answer(job, true));
+        }
+    }
+
+    fn work(&mut self, instance: usize, job: Job) {
+        self.instances[instance].running.push(job);
+        let span = self.random_span(WORK);
+        self.put(span, Item::Done(instance, job));
+    }
+
+    fn done(&mut self, instance: usize, job: Job) {
+        if self.free(instance, job) {
+            self.put(TRANSIT, Item::Answer(job, false));
+        }
+    }
+
+    fn free(&mut self, instance: usize, job: Job) -> bool {
+        let owner = &mut self.instances[instance];
+        let Some(at) = owner.running.iter().position(|running| *running == job) else {
+            return false;
+        };
+        owner.running.swap_remove(at);
+        if let Some(next) = owner.waiting.pop_front() {
+            self.work(instance, next);
+        }
+        true
+    }
+
+    fn answer(&mut self, job: Job, shed: bool) {
+        if shed {
+            let admission = &mut self.gateways[job.gateway].admission;
+            admission.shed(&name(), self.now);
+        }
+        let head = Head {
+            status: if shed { 503 } else { 200 },
+            shed,
+            ..Head::default()
+        };
+        self.step(job.gateway, job.ticket, Event::Head(job.number, head));
+    }
+}
+
+fn name() -> ServiceName {
+    ServiceName::new("status").expect("a valid name")
+}
--- a/crates/admit/src/admission.rs
+++ b/crates/admit/src/admission.rs
@@ -9,6 +9,7 @@
 use crate::lane::Finish;
 use crate::lane::Lane;
 use crate::lane::Terms;
+use crate::limit::Mode;
 use crate::refusal::Refusal;
 use crate::refusal::Refused;
 use crate::share;
@@ -79,6 +80,7 @@
 #[derive(Clone, Debug)]
 pub struct Admission {
     settings: Settings,
+    mode: Mode,
     lanes: BTreeMap<ServiceName, Lane>,
     shares: Shares,
     queued: HashMap<Ticket, Queued>,
@@ -90,8 +92,15 @@
     /// Admission without services.
     #[must_use]
     pub fn new(settings: Settings) -> Self {
+        Self::with_mode(settings, Mode::default())
+    }
+
+    /// Admission without services, with adaptive or fixed bounds on their calls.
+    #[must_use]
+    pub fn with_mode(settings: Settings, mode: Mode) -> Self {
         Self {
             settings,
+            mode,
             lanes: BTreeMap::new(),
             shares: Shares::default(),
             queued: HashMap::new(),
@@ -106,7 +115,8 @@
             lane.set_terms(terms);
             return;
         }
-        self.lanes.insert(service.clone(), Lane::new(terms));
+        self.lanes
+            .insert(service.clone(), Lane::new(self.mode, terms));
     }
 
     /// Removes a service; calls of it that wait are refused, those that run go on.
--- a/crates/admit/src/drain.rs
+++ b/crates/admit/src/drain.rs
@@ -5,6 +5,10 @@
 use base::prelude::*;
 
 const WEIGHT: u32 = 8;
+// Deviations above the mean that a prediction allows for, so that few admitted calls
+// come too late.
+const SPREADS: u32 = 2;
+const DEVIATIONS: u32 = 4;
 
 /// Measured pace of one lane.
 #[derive(Clone, Debug, Default)]
@@ -45,7 +49,8 @@
         self.mean = Some(blend(self.mean, span));
     }
 
-    /// Time after which a call behind `ahead` waiting ones starts, with `running` under way.
+    /// Time after which a call behind `ahead` waiting ones has likely started, with `running`
+    /// under way.
     ///
     /// A drain that has stopped counts for as long as it has stood still.
     #[must_use]
@@ -57,19 +62,15 @@
         let first = interval
             .saturating_sub(stood)
             .max(stood.saturating_sub(interval));
-        interval.saturating_mul(ahead).saturating_add(first)
+        // Starts come unevenly: the sum of `ahead` intervals spreads with their root.
+        let spread = interval.mul_f64(f64::from(ahead).sqrt()) * SPREADS;
+        interval.saturating_mul(ahead) + first + spread
     }
 
     /// Time that a call takes once it is started, with room for its spread.
     #[must_use]
     pub fn need(&self) -> Duration {
-        self.mean.unwrap_or_default() + self.deviation * 2
-    }
-
-    /// Mean time of answered calls.
-    #[must_use]
-    pub fn mean(&self) -> Option<Duration> {
-        self.mean
+        self.mean.unwrap_or_default() + self.deviation * DEVIATIONS
     }
 }
 
--- a/crates/admit/src/lane.rs
+++ b/crates/admit/src/lane.rs
@@ -9,6 +9,7 @@
 use crate::admission::Ticket;
 use crate::drain::Drain;
 use crate::limit::Limit;
+use crate::limit::Mode;
 
 /// What the catalogue says of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,10 +56,10 @@
 }
 
 impl Lane {
-    pub(crate) fn new(terms: Terms) -> Self {
+    pub(crate) fn new(mode: Mode, terms: Terms) -> Self {
         Self {
             terms,
-            limit: Limit::new(terms.concurrency),
+            limit: Limit::new(mode, terms.concurrency),
             drain: Drain::default(),
             running: 0,
             queue: BTreeMap::new(),
@@ -204,9 +205,7 @@
         match finish {
             Finish::Answered => {
                 self.drain.answered(span);
-                if was_full {
-                    self.limit.answered();
-                }
+                self.limit.answered(span, was_full, now);
             }
             Finish::Shed => self.shed(now),
             Finish::Failed | Finish::Cancelled => {}
@@ -214,8 +213,7 @@
     }
 
     pub(crate) fn shed(&mut self, now: Moment) {
-        let round = self.drain.mean().unwrap_or_default();
-        self.limit.shed(round, now);
+        self.limit.shed(now);
     }
 
     // Time a call takes, but never over half of the `span` that its caller gave: an
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -28,5 +28,6 @@
 pub use admission::Ticket;
 pub use lane::Finish;
 pub use lane::Terms;
+pub use limit::Mode;
 pub use refusal::Refusal;
 pub use refusal::Refused;
--- a/crates/attempt/src/call.rs
+++ b/crates/attempt/src/call.rs
@@ -458,12 +458,13 @@
             return None;
         }
         let half = self.terms.deadline.since(now) / 2;
-        let quantile = service.latency.quantile(HEDGE_PERMILLE);
-        let may_hedge = self.terms.class == Class::Urgent && !service.pressed;
-        let span = match (may_hedge, quantile) {
-            (true, Some(span)) => span,
-            _ => stall(service).map_or(half, |span| span.min(half)),
+        let late = match (self.terms.class, service.pressed) {
+            // Under load a call that is merely slow must not cost a second attempt.
+            (_, true) => Some(stall(service)?),
+            (Class::Urgent, false) => service.latency.quantile(HEDGE_PERMILLE),
+            _ => stall(service).map(|span| span.min(half)),
         };
+        let span = late.unwrap_or(half);
         Some(now + span)
     }
 
