route: forget a wait in vain after 20 work times, not a second

Cause: a cancelled hedge counted against its instance for a second, although a neighbour's burst lasts 50 ms, so the instance stood idle and the others were fuller. Scaled to the service's work it lasts about 150 ms at Ferrovie and 500 ms at the Trust.

The schedules test then failed: "cannot convert float seconds to Duration: value is either too big or NaN", as a first answer without latency made the usual work time zero. It now has a floor of 10 us.

--- a/crates/route/src/chooser.rs
+++ b/crates/route/src/chooser.rs
@@ -27,6 +27,8 @@
 
 /// Work time that is assumed before the first answer, in seconds.
 const FIRST_WORK: f64 = 0.01;
+/// Least work time that is believed, in seconds.
+const LEAST_WORK: f64 = 1e-5;
 /// Weight of one answer in what is usual for the service.
 const USUAL_WEIGHT: f64 = 0.02;
 /// Usual work times that one answer counts for at most.
@@ -291,6 +293,7 @@
             self.usual.work = work;
             self.usual.known = true;
         }
+        self.usual.work = self.usual.work.max(LEAST_WORK);
         let limit = self.settings.report_limit;
         let others = self.entry(pick).and_then(|e| e.others(now, limit));
         if let Some(others) = others {
@@ -301,7 +304,8 @@
     fn check_silence(&mut self, now: Moment, pick: Pick) {
         let limit = Duration::from_secs_f64(self.usual.work * SILENT_WORKS);
         let limit = limit.max(SILENT_FLOOR);
-        let silent = |e: &mut Entry| e.health.is_in() && e.silence(now) > limit;
+        let usual = self.usual;
+        let silent = |e: &mut Entry| e.health.is_in() && e.silence(now, usual) > limit;
         if self.usual.known && self.entry(pick).is_some_and(silent) {
             self.eject(now, pick, Cause::Silence);
         }
--- a/crates/route/src/entry.rs
+++ b/crates/route/src/entry.rs
@@ -22,8 +22,8 @@
 use crate::view;
 use crate::view::View;
 
-/// Age at which a wait without an answer has half of its weight, once it is over.
-const WAIT_HALF: Duration = Duration::from_secs(1);
+/// Usual work times after which a wait that ended in vain has half of its weight.
+const WAIT_WORKS: f64 = 20.0;
 /// Most that a ramping instance's expectation is raised by.
 const RAMP_FACTOR: f64 = 4.0;
 /// Usual work times that a failure costs.
@@ -45,6 +45,13 @@
     pub(crate) known: bool,
 }
 
+impl Usual {
+    /// Age at which a wait that ended in vain has half of its weight.
+    fn wait_half(self) -> Duration {
+        Duration::from_secs_f64(self.work * WAIT_WORKS)
+    }
+}
+
 /// What an end of an attempt or a probe says of the instance.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Verdict {
@@ -140,7 +147,7 @@
     pub(crate) fn expected(&mut self, now: Moment, usual: Usual, settings: &Settings) -> f64 {
         let full = self.full(now, usual, settings);
         let mut work = self.speed.estimate(now, usual.work);
-        let waited = self.waited(now).as_secs_f64() * WAIT_FACTOR;
+        let waited = self.waited(now, usual).as_secs_f64() * WAIT_FACTOR;
         work = work.max(waited / full.max(1.0));
         let failures = self.health.share(now) * usual.work * FAILURE_COST;
         let ramp = 1.0 + RAMP_FACTOR * (1.0 - self.health.ramp(now, settings.ramp));
@@ -156,16 +163,16 @@
     }
 
     /// How long the oldest attempt has waited, with those that ended in vain.
-    fn waited(&self, now: Moment) -> Duration {
+    fn waited(&self, now: Moment, usual: Usual) -> Duration {
         let running = self.starts.first().map(|start| now.since(*start));
-        self.waited_in_vain(now) + running.unwrap_or_default()
+        self.waited_in_vain(now, usual) + running.unwrap_or_default()
     }
 
     /// How long attempts have waited since the last answer of any.
-    pub(crate) fn silence(&self, now: Moment) -> Duration {
+    pub(crate) fn silence(&self, now: Moment, usual: Usual) -> Duration {
         let oldest = self.starts.first().map(|start| (*start).max(self.answered));
         let running = oldest.map(|start| now.since(start));
-        self.waited_in_vain(now) + running.unwrap_or_default()
+        self.waited_in_vain(now, usual) + running.unwrap_or_default()
     }
 
     /// Whether an attempt has waited in vain since the last answer.
@@ -185,12 +192,12 @@
         self.health.is_in() && self.age(now).is_none_or(|age| age >= limit)
     }
 
-    fn waited_in_vain(&self, now: Moment) -> Duration {
+    fn waited_in_vain(&self, now: Moment, usual: Usual) -> Duration {
         if self.waited.is_zero() {
             return Duration::ZERO;
         }
         self.waited
-            .mul_f64(fade(now.since(self.waited_at), WAIT_HALF))
+            .mul_f64(fade(now.since(self.waited_at), usual.wait_half()))
     }
 
     pub(crate) fn start(&mut self, now: Moment) {
@@ -216,7 +223,7 @@
             Kind::Ok => self.succeed(now, outcome.latency, usual, settings),
             Kind::Error | Kind::ConnectFailed => self.fail(now, Cause::Failures),
             Kind::Timeout => {
-                self.wait_in_vain(now, outcome.latency);
+                self.wait_in_vain(now, outcome.latency, usual);
                 self.fail(now, Cause::Silence)
             }
             Kind::Shed => {
@@ -225,7 +232,7 @@
                 Verdict::Nothing
             }
             Kind::Cancelled => {
-                self.wait_in_vain(now, outcome.latency);
+                self.wait_in_vain(now, outcome.latency, usual);
                 self.health.trial_cancelled();
                 Verdict::Nothing
             }
@@ -261,8 +268,8 @@
         self.waited = Duration::ZERO;
     }
 
-    fn wait_in_vain(&mut self, now: Moment, latency: Duration) {
-        self.waited = self.waited_in_vain(now) + latency;
+    fn wait_in_vain(&mut self, now: Moment, latency: Duration, usual: Usual) {
+        self.waited = self.waited_in_vain(now, usual) + latency;
         self.waited_at = now;
     }
 
