--- a/crates/consensus/src/node/change.rs
+++ b/crates/consensus/src/node/change.rs
@@ -40,11 +40,8 @@
     /// The group after the change, none where the log has it already.
     fn check_change(&mut self, change: &Change) -> Result<Option<Config>, Rejection> {
         self.check_transfer()?;
-        if !self.is_ready() {
-            return Err(Rejection::NotReady);
-        }
-        if self.is_change_open(change) || self.log.config_index() > self.commit {
-            return Err(Rejection::ChangeOpen);
+        if !matches!(change, Change::Evict(_)) {
+            self.check_order(change)?;
         }
         match change {
             Change::Add(member) => self.check_add(member),
@@ -54,6 +51,21 @@
         }
     }
 
+    /// Changes of the voters wait for each other, and for an entry committed in the leader's term.
+    ///
+    /// An eviction waits for neither: it leaves the voters alone, so majorities
+    /// intersect as before, and a leader that lacks a region can commit nothing
+    /// before it.
+    fn check_order(&self, change: &Change) -> Result<(), Rejection> {
+        if !self.is_ready() {
+            return Err(Rejection::NotReady);
+        }
+        if self.is_change_open(change) || self.log.config_index() > self.commit {
+            return Err(Rejection::ChangeOpen);
+        }
+        Ok(())
+    }
+
     /// Whether someone waits for another change; an addition under way may be taken back.
     fn is_change_open(&self, change: &Change) -> bool {
         let State::Leader(leader) = &self.state else {
@@ -96,7 +108,7 @@
         }
         next.voters.remove(&id);
         next.learners.remove(&id);
-        if !quorum::elects(&next, |voter| self.is_active(voter)) {
+        if !quorum::accepts(&next, |voter| self.is_active(voter)) {
             return Err(Rejection::QuorumLost);
         }
         Ok(Some(next))
@@ -128,18 +140,16 @@
 
     /// Makes a voter of a learner that has caught up, by an entry of its own.
     fn promote_learner(&mut self) {
-        if self.check_transfer().is_err() || !self.is_ready() {
+        let mut learners = self.log.config().learners.values();
+        let Some(member) = learners.find(|m| self.has_caught_up(m.id)) else {
             return;
-        }
-        if self.log.config_index() > self.commit {
+        };
+        let settled = self.is_ready() && self.log.config_index() <= self.commit;
+        if !settled || self.check_transfer().is_err() {
             return;
         }
-        let mut next = self.log.config().clone();
-        let learners = next.learners.values();
-        let Some(member) = learners.into_iter().find(|m| self.has_caught_up(m.id)) else {
-            return;
-        };
         let member = member.clone();
+        let mut next = self.log.config().clone();
         next.learners.remove(&member.id);
         next.voters.insert(member.id, member);
         self.append_config(next);
--- a/crates/directory/src/server.rs
+++ b/crates/directory/src/server.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -26,9 +25,8 @@
 use crate::rpc::Listener;
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::sweep;
 
-/// Time between two looks for leases that ran out.
-const SWEEP: Duration = Duration::from_millis(100);
 /// Most HTTP connections at once.
 const MAX_CONNECTIONS: usize = 8192;
 
@@ -136,7 +134,7 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(server.serve(http::service(&shared)));
         tasks.spawn(rpc::serve(shared.clone(), self.rpc));
-        spawn_work(&mut tasks, &shared);
+        spawn_work(&mut tasks, &shared, rpc_address);
         info!(shared.log, "ready"; "http" => %address, "rpc" => %rpc_address,
             "peers" => shared.settings.peers.len(), "control" => shared.settings.control.len());
         Ok(Directory {
@@ -149,7 +147,7 @@
     }
 }
 
-fn spawn_work(tasks: &mut JoinSet<()>, shared: &Arc<Shared>) {
+fn spawn_work(tasks: &mut JoinSet<()>, shared: &Arc<Shared>, me: SocketAddr) {
     let addresses = &shared.settings.peers;
     let links: Vec<Arc<peers::Peer>> = addresses
         .iter()
@@ -158,8 +156,8 @@
     for peer in &links {
         tasks.spawn(peers::push(shared.clone(), peer.clone()));
     }
-    tasks.spawn(peers::ask(shared.clone(), links));
-    tasks.spawn(peers::sweep(shared.clone(), SWEEP));
+    tasks.spawn(peers::ask(shared.clone(), me, links));
+    tasks.spawn(sweep::sweep(shared.clone()));
     tasks.spawn(follow::follow(
         shared.clone(),
         shared.settings.control.clone(),
--- a/crates/route/src/entry.rs
+++ b/crates/route/src/entry.rs
@@ -4,13 +4,14 @@
 
 use base::prelude::Moment;
 
+use crate::fade::fade;
+use crate::health::Cause;
 use crate::health::Health;
 use crate::health::State;
 use crate::instance::Instance;
 use crate::instance::Phase;
 use crate::instance::Pick;
 use crate::load::Load;
-use crate::load::keep;
 use crate::outcome::Kind;
 use crate::outcome::Outcome;
 use crate::outcome::Report;
@@ -21,15 +22,15 @@
 use crate::view;
 use crate::view::View;
 
-/// Age at which a wait without an answer has half of its weight, once it is over.
-const WAIT_HALF: Duration = Duration::from_secs(1);
+/// Usual work times after which a wait that ended in vain has half of its weight.
+const WAIT_WORKS: f64 = 20.0;
 /// Most that a ramping instance's expectation is raised by.
 const RAMP_FACTOR: f64 = 4.0;
 /// Usual work times that a failure costs.
 const FAILURE_COST: f64 = 10.0;
 
 /// How much longer a wait that has lasted so far is expected to last.
-const SILENCE_FACTOR: f64 = 2.0;
+const WAIT_FACTOR: f64 = 2.0;
 /// Work times that a request waits at an instance with as many requests as slots.
 const QUEUE_FACTOR: f64 = 2.0;
 
@@ -40,6 +41,15 @@
     pub(crate) work: f64,
     /// Requests of other gateways at an instance.
     pub(crate) others: f64,
+    /// Whether an answer has told the work time yet.
+    pub(crate) known: bool,
+}
+
+impl Usual {
+    /// Age at which a wait that ended in vain has half of its weight.
+    fn wait_half(self) -> Duration {
+        Duration::from_secs_f64(self.work * WAIT_WORKS)
+    }
 }
 
 /// What an end of an attempt or a probe says of the instance.
@@ -48,7 +58,7 @@
     /// Work time of an answered request, in seconds.
     Worked(f64),
     /// It is to be ejected if the bound allows.
-    Bad,
+    Bad(Cause),
     /// Nothing to act on.
     Nothing,
 }
@@ -62,6 +72,7 @@
     pub(crate) chosen: u32,
     pub(crate) reason: Option<Reason>,
     pub(crate) probing: bool,
+    pub(crate) probed: Option<Moment>,
     starts: Vec<Moment>,
     load: Load,
     speed: Speed,
@@ -80,6 +91,7 @@
             chosen: 0,
             reason: None,
             probing: false,
+            probed: None,
             starts: Vec::new(),
             load: Load::default(),
             speed: Speed::default(),
@@ -135,8 +147,8 @@
     pub(crate) fn expected(&mut self, now: Moment, usual: Usual, settings: &Settings) -> f64 {
         let full = self.full(now, usual, settings);
         let mut work = self.speed.estimate(now, usual.work);
-        let silence = self.silence(now).as_secs_f64() * SILENCE_FACTOR;
-        work = work.max(silence / full.max(1.0));
+        let waited = self.waited(now, usual).as_secs_f64() * WAIT_FACTOR;
+        work = work.max(waited / full.max(1.0));
         let failures = self.health.share(now) * usual.work * FAILURE_COST;
         let ramp = 1.0 + RAMP_FACTOR * (1.0 - self.health.ramp(now, settings.ramp));
         (work * wait(full) + failures) * ramp
@@ -150,13 +162,42 @@
         load / f64::from(self.instance.slots.max(1))
     }
 
-    /// How long attempts have waited since the last answer.
-    pub(crate) fn silence(&self, now: Moment) -> Duration {
-        let ended = self
-            .waited
-            .mul_f64(keep(now.since(self.waited_at), WAIT_HALF));
+    /// How long the oldest attempt has waited, with those that ended in vain.
+    fn waited(&self, now: Moment, usual: Usual) -> Duration {
         let running = self.starts.first().map(|start| now.since(*start));
-        ended + running.unwrap_or_default()
+        self.waited_in_vain(now, usual) + running.unwrap_or_default()
+    }
+
+    /// How long attempts have waited since the last answer of any.
+    pub(crate) fn silence(&self, now: Moment, usual: Usual) -> Duration {
+        let oldest = self.starts.first().map(|start| (*start).max(self.answered));
+        let running = oldest.map(|start| now.since(start));
+        self.waited_in_vain(now, usual) + running.unwrap_or_default()
+    }
+
+    /// Whether an attempt has waited in vain since the last answer.
+    pub(crate) fn is_suspect(&self) -> bool {
+        !self.waited.is_zero()
+    }
+
+    /// Whether a probe would tell if it is silent or back.
+    pub(crate) fn needs_probe(&self, now: Moment) -> bool {
+        let asked = self.probed.is_some_and(|at| at > self.waited_at);
+        let suspect = self.is_suspect() && !asked && self.health.is_in();
+        suspect || self.health.wants_probe(now)
+    }
+
+    /// Whether it gets work and its newest report is as old as `limit`.
+    pub(crate) fn is_stale(&self, now: Moment, limit: Duration) -> bool {
+        self.health.is_in() && self.age(now).is_none_or(|age| age >= limit)
+    }
+
+    fn waited_in_vain(&self, now: Moment, usual: Usual) -> Duration {
+        if self.waited.is_zero() {
+            return Duration::ZERO;
+        }
+        self.waited
+            .mul_f64(fade(now.since(self.waited_at), usual.wait_half()))
     }
 
     pub(crate) fn start(&mut self, now: Moment) {
@@ -180,17 +221,18 @@
         }
         match outcome.kind {
             Kind::Ok => self.succeed(now, outcome.latency, usual, settings),
-            Kind::Error | Kind::ConnectFailed => self.fail(now),
+            Kind::Error | Kind::ConnectFailed => self.fail(now, Cause::Failures),
             Kind::Timeout => {
-                self.wait_in_vain(now, outcome.latency);
-                self.fail(now)
+                self.wait_in_vain(now, outcome.latency, usual);
+                self.fail(now, Cause::Silence)
             }
             Kind::Shed => {
                 self.answer(now);
+                self.health.trial_cancelled();
                 Verdict::Nothing
             }
             Kind::Cancelled => {
-                self.wait_in_vain(now, outcome.latency);
+                self.wait_in_vain(now, outcome.latency, usual);
                 self.health.trial_cancelled();
                 Verdict::Nothing
             }
@@ -213,9 +255,9 @@
         Verdict::Worked(work)
     }
 
-    fn fail(&mut self, now: Moment) -> Verdict {
-        if self.health.failed(now) {
-            Verdict::Bad
+    fn fail(&mut self, now: Moment, cause: Cause) -> Verdict {
+        if self.health.failed(now, cause) {
+            Verdict::Bad(cause)
         } else {
             Verdict::Nothing
         }
@@ -226,11 +268,8 @@
         self.waited = Duration::ZERO;
     }
 
-    fn wait_in_vain(&mut self, now: Moment, latency: Duration) {
-        let kept = self
-            .waited
-            .mul_f64(keep(now.since(self.waited_at), WAIT_HALF));
-        self.waited = kept + latency;
+    fn wait_in_vain(&mut self, now: Moment, latency: Duration, usual: Usual) {
+        self.waited = self.waited_in_vain(now, usual) + latency;
         self.waited_at = now;
     }
 
@@ -245,7 +284,7 @@
             State::Well => view::Health::Well,
             State::Ramping { .. } => view::Health::Ramping,
             State::Ejected { .. } => view::Health::Ejected,
-            State::Probed | State::Trial => view::Health::Trial,
+            State::Probed | State::Trial { .. } => view::Health::Trial,
         };
         View {
             id: self.instance.id.clone(),
