route: test what every policy promises of one choice

An excluded instance is chosen only when no other is left, nothing is chosen while none is ready, and healthy instances share evenly within 3 %. Red with exclusion broken: random: an excluded one was chosen.

--- a/crates/route/tests/test_faults.rs
+++ b/crates/route/tests/test_faults.rs
@@ -10,8 +10,10 @@
 use route::Kind;
 use route::Outcome;
 use route::Phase;
+use route::Pick;
 use route::Policy;
 use route::view::Health;
+use strum::IntoEnumIterator;
 
 /// The policy under test; each case is red with the baselines.
 const POLICY: Policy = Policy::LeastWait;
@@ -203,3 +205,56 @@
     let views = drive.chooser.views(now);
     assert!(views.iter().all(|view| view.health == Health::Ramping));
 }
+
+/// Instances where every policy is tried.
+const FEW: usize = 4;
+
+fn picks(drive: &mut Drive) -> Vec<Pick> {
+    let mut picks: Vec<Pick> = Vec::new();
+    while picks.len() < FEW {
+        let choice = drive.chooser.choose(drive.now(), &picks);
+        picks.push(choice.expect("all are ready").pick);
+    }
+    picks
+}
+
+#[test]
+fn test_choice_excludes() {
+    for policy in Policy::iter() {
+        let mut drive = Drive::new(policy, FEW);
+        let mut picks = picks(&mut drive);
+        let choice = drive.chooser.choose(drive.now(), &picks);
+        assert!(choice.is_some(), "{policy}: none when all are excluded");
+        picks.sort_by_key(|pick| drive.chooser.id(*pick).cloned());
+        picks.dedup();
+        assert_eq!(picks.len(), FEW, "{policy}: an excluded one was chosen");
+    }
+}
+
+#[test]
+fn test_choice_needs_ready() {
+    for policy in Policy::iter() {
+        for phase in [Phase::Starting, Phase::Draining, Phase::Gone] {
+            let mut drive = Drive::new(policy, FEW);
+            drive.phases.fill(phase);
+            drive.announce();
+            let choice = drive.chooser.choose(drive.now(), &[]);
+            assert!(choice.is_none(), "{policy}: a choice while all are {phase}");
+        }
+    }
+}
+
+#[test]
+fn test_choice_spreads() {
+    for policy in Policy::iter() {
+        let mut drive = Drive::new(policy, FEW);
+        let shares = drive.run(4000);
+        let even = 1.0 / 4.0;
+        for share in shares {
+            assert!(
+                (share - even).abs() < 0.03,
+                "{policy}: {share:.3} of the choices"
+            );
+        }
+    }
+}
