--- a/crates/admit/examples/overload/scene.rs
+++ b/crates/admit/examples/overload/scene.rs
@@ -73,31 +73,46 @@
     spans: Vec<Duration>,
 }
 
-impl fmt::Display for Report {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl Report {
+    // Calls answered in their deadline, as a share of what the slots can do.
+    pub fn goodput(&self) -> f64 {
         let slots = f64::from(u32::try_from(INSTANCES * SLOTS).unwrap_or(0));
-        let capacity = slots / WORK.as_secs_f64() * END.since(WARM).as_secs_f64();
+        self.good / (slots / WORK.as_secs_f64() * END.since(WARM).as_secs_f64())
+    }
+
+    // Of the calls started, the share answered in their deadline.
+    pub fn in_deadline(&self) -> f64 {
+        self.good / (self.good + self.late + self.failed)
+    }
+
+    // Attempts a call that was started.
+    pub fn attempts(&self) -> f64 {
+        self.attempts / self.started
+    }
+
+    fn millis(&self, permille: usize) -> f64 {
         let mut spans = self.spans.clone();
         spans.sort_unstable();
-        let at = |permille: usize| {
-            let index = spans.len() * permille / 1000;
-            spans
-                .get(index)
-                .map_or(0.0, |span| span.as_secs_f64() * 1e3)
-        };
+        let span = spans.get(spans.len() * permille / 1000);
+        span.map_or(0.0, |span| span.as_secs_f64() * 1e3)
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
             "offered={} goodput={:.3} started_in_deadline={:.4} refused={:.3} expired={:.4} \
              failed={:.4} attempts={:.3} p50_ms={:.1} p99_ms={:.1}",
             self.offered,
-            self.good / capacity,
-            self.good / (self.good + self.late + self.failed),
+            self.goodput(),
+            self.in_deadline(),
             self.refused / self.offered,
             self.expired / self.offered,
             self.failed / self.offered,
-            self.attempts / self.started,
-            at(500),
-            at(990)
+            self.attempts(),
+            self.millis(500),
+            self.millis(990)
         )
     }
 }
--- /dev/null
+++ b/crates/admit/tests/test_admission.rs
@@ -0,0 +1,335 @@
+//! Decisions of one gateway: cases one by one, and what holds over random schedules.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use admit::Action;
+use admit::Admission;
+use admit::Arrival;
+use admit::Finish;
+use admit::Refused;
+use admit::Request;
+use admit::Settings;
+use admit::Terms;
+use admit::Ticket;
+use base::prelude::*;
+use quickcheck::QuickCheck;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const CLASSES: [Class; 4] = [Class::Urgent, Class::Once, Class::Durable, Class::Deferred];
+
+fn name(class: Class) -> ServiceName {
+    ServiceName::new(&class.to_string()).expect("a class is a name")
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+// One service a class, each with the limits given.
+fn admission(settings: Settings, concurrency: u32, queue: u32) -> Admission {
+    let mut admission = Admission::new(settings);
+    for class in CLASSES {
+        let terms = Terms {
+            class,
+            concurrency,
+            queue,
+        };
+        admission.set_service(&name(class), terms);
+    }
+    admission
+}
+
+fn request(ticket: u64, class: Class, deadline: u64) -> Request {
+    Request {
+        ticket: Ticket(ticket),
+        service: name(class),
+        deadline: at(deadline),
+    }
+}
+
+fn refused(arrival: Arrival) -> Option<Refused> {
+    match arrival {
+        Arrival::Refused(refusal) => Some(refusal.reason),
+        Arrival::Started | Arrival::Queued => None,
+    }
+}
+
+fn refusals(out: &[Action]) -> Vec<(u64, Refused)> {
+    let each = out.iter().filter_map(|action| match action {
+        Action::Refuse(ticket, refusal) => Some((ticket.0, refusal.reason)),
+        Action::Start(_) => None,
+    });
+    each.collect()
+}
+
+fn starts(out: &[Action]) -> Vec<u64> {
+    let each = out.iter().filter_map(|action| match action {
+        Action::Start(ticket) => Some(ticket.0),
+        Action::Refuse(..) => None,
+    });
+    each.collect()
+}
+
+const SMALL: Settings = Settings {
+    concurrency: 1,
+    queue: 4,
+};
+
+#[test]
+fn test_admission_earliest_deadline_first() {
+    let mut admission = admission(SMALL, 1, 4);
+    let mut out = Vec::new();
+    let urgent = Class::Urgent;
+    let first = admission.arrive(&request(1, urgent, 900), at(0), &mut out);
+    assert_eq!(first, Arrival::Started);
+    for (ticket, deadline) in [(2, 800), (3, 500), (4, 700)] {
+        let arrival = admission.arrive(&request(ticket, urgent, deadline), at(0), &mut out);
+        assert_eq!(arrival, Arrival::Queued);
+    }
+    admission.finish(Ticket(1), Finish::Answered, at(10), &mut out);
+    admission.finish(Ticket(3), Finish::Answered, at(20), &mut out);
+    admission.finish(Ticket(4), Finish::Answered, at(30), &mut out);
+    assert_eq!(starts(&out), [3, 4, 2]);
+}
+
+#[test]
+fn test_admission_refuses_at_once() {
+    let mut admission = admission(SMALL, 1, 4);
+    let mut out = Vec::new();
+    let urgent = Class::Urgent;
+    // Calls take 100 ms, one after the other.
+    for ticket in 1..=4 {
+        admission.arrive(&request(ticket, urgent, 10_000), at(0), &mut out);
+    }
+    for ticket in 1..=2 {
+        admission.finish(Ticket(ticket), Finish::Answered, at(ticket * 100), &mut out);
+    }
+    // Two run or wait before it, so it can't end before 500 ms.
+    let short = admission.arrive(&request(5, urgent, 300), at(200), &mut out);
+    let Arrival::Refused(refusal) = short else {
+        panic!("{short:?}");
+    };
+    assert_eq!(refusal.reason, Refused::Overloaded);
+    let wait = refusal.retry_after.expect("a time to come back");
+    assert!(wait >= Duration::from_millis(100), "{wait:?}");
+    assert_eq!(refusal.retry_seconds(), Some(1));
+    let long = admission.arrive(&request(6, urgent, 10_000), at(200), &mut out);
+    assert_eq!(long, Arrival::Queued);
+    let past = admission.arrive(&request(7, urgent, 200), at(200), &mut out);
+    assert_eq!(refused(past), Some(Refused::Expired));
+}
+
+#[test]
+fn test_admission_refusals() {
+    let mut out = Vec::new();
+    let mut admission = admission(SMALL, 1, 1);
+    let unknown = Request {
+        service: ServiceName::new("other").expect("a valid name"),
+        ..request(1, Class::Urgent, 900)
+    };
+    let arrival = admission.arrive(&unknown, at(0), &mut out);
+    assert_eq!(refused(arrival), Some(Refused::UnknownService));
+    admission.arrive(&request(2, Class::Urgent, 900), at(0), &mut out);
+    admission.arrive(&request(3, Class::Urgent, 900), at(0), &mut out);
+    let arrival = admission.arrive(&request(4, Class::Urgent, 900), at(0), &mut out);
+    assert_eq!(refused(arrival), Some(Refused::QueueFull));
+    // A service that leaves the catalogue, and comes back while its call runs.
+    admission.remove_service(&name(Class::Urgent), &mut out);
+    assert_eq!(refusals(&out), [(3, Refused::Removed)]);
+    let arrival = admission.arrive(&request(5, Class::Urgent, 900), at(0), &mut out);
+    assert_eq!(refused(arrival), Some(Refused::UnknownService));
+    let terms = Terms {
+        class: Class::Urgent,
+        concurrency: 1,
+        queue: 1,
+    };
+    admission.set_service(&name(Class::Urgent), terms);
+    let arrival = admission.arrive(&request(6, Class::Urgent, 900), at(0), &mut out);
+    assert_eq!(arrival, Arrival::Queued);
+    admission.stop();
+    let arrival = admission.arrive(&request(7, Class::Once, 900), at(0), &mut out);
+    assert_eq!(refused(arrival), Some(Refused::Stopping));
+}
+
+#[test]
+fn test_admission_deferred_yields_but_keeps_share() {
+    let settings = Settings {
+        concurrency: 1,
+        queue: 40,
+    };
+    let mut admission = admission(settings, 1, 100);
+    let mut out = Vec::new();
+    admission.arrive(&request(0, Class::Urgent, 9_000), at(0), &mut out);
+    for ticket in 1..=40 {
+        admission.arrive(&request(ticket, Class::Deferred, 9_000), at(0), &mut out);
+    }
+    // The queue is full: urgent calls push deferred ones out, but for their share of 2.
+    for ticket in 41..=80 {
+        let arrival = admission.arrive(&request(ticket, Class::Urgent, 9_000), at(0), &mut out);
+        let expected = if ticket <= 78 {
+            None
+        } else {
+            Some(Refused::QueueFull)
+        };
+        assert_eq!(refused(arrival), expected, "{ticket}");
+    }
+    let yielded = refusals(&out);
+    assert_eq!(yielded.len(), 38);
+    assert!(
+        yielded
+            .iter()
+            .all(|(_, reason)| *reason == Refused::Yielded)
+    );
+}
+
+#[test]
+fn test_admission_no_class_starves() {
+    let settings = Settings {
+        concurrency: 1,
+        queue: 10_000,
+    };
+    let mut admission = admission(settings, 10, 2_000);
+    let mut out = Vec::new();
+    let mut ticket = 0;
+    for _ in 0..1_500 {
+        for class in CLASSES {
+            ticket += 1;
+            admission.arrive(&request(ticket, class, 9_000_000), at(0), &mut out);
+        }
+    }
+    let mut counts = BTreeMap::new();
+    let mut last = 1;
+    for _ in 0..1_000 {
+        out.clear();
+        admission.finish(Ticket(last), Finish::Failed, at(0), &mut out);
+        last = starts(&out)[0];
+        // Tickets go round the classes.
+        let class = CLASSES[usize::try_from((last - 1) % 4).expect("under 4")];
+        *counts.entry(class).or_insert(0) += 1;
+    }
+    for class in CLASSES {
+        let fewest = admit::share::percent(class) * 10 - 1;
+        assert!(counts[&class] >= fewest, "{class}: {counts:?}");
+    }
+}
+
+#[test]
+fn test_admission_expiry_and_leaving() {
+    let mut admission = admission(SMALL, 1, 4);
+    let mut out = Vec::new();
+    for (ticket, deadline) in [(1, 900), (2, 300), (3, 200), (4, 400)] {
+        admission.arrive(&request(ticket, Class::Once, deadline), at(0), &mut out);
+    }
+    assert_eq!(admission.wake(), Some(at(200)));
+    admission.leave(Ticket(3));
+    assert_eq!(admission.wake(), Some(at(300)));
+    admission.poll(at(299), &mut out);
+    assert!(out.is_empty());
+    admission.poll(at(300), &mut out);
+    assert_eq!(refusals(&out), [(2, Refused::Expired)]);
+    admission.leave(Ticket(4));
+    admission.finish(Ticket(1), Finish::Answered, at(310), &mut out);
+    assert_eq!((admission.running(), admission.queued()), (0, 0));
+    assert_eq!(out.len(), 1);
+}
+
+// What the test knows: who waits until when, and who runs for which class.
+#[derive(Default)]
+struct Truth {
+    waiting: BTreeMap<u64, (Class, Moment)>,
+    running: BTreeMap<u64, Class>,
+}
+
+impl Truth {
+    fn take(&mut self, out: &mut Vec<Action>, now: Moment) {
+        for action in out.drain(..) {
+            let (Action::Start(ticket) | Action::Refuse(ticket, _)) = action;
+            let (class, deadline) = self.waiting.remove(&ticket.0).expect("it waited");
+            assert!(now <= deadline, "decided after its deadline");
+            if matches!(action, Action::Start(_)) {
+                assert!(now < deadline, "started at its deadline");
+                self.running.insert(ticket.0, class);
+            }
+        }
+    }
+}
+
+fn schedule(seed: u64) -> bool {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let settings = Settings {
+        concurrency: rng.random_range(1..12),
+        queue: rng.random_range(1..20),
+    };
+    let concurrency = rng.random_range(1..6);
+    let mut admission = admission(settings, concurrency, 8);
+    let mut truth = Truth::default();
+    let mut now = Moment::ZERO;
+    let mut out = Vec::new();
+    for ticket in 0..1_500 {
+        let next = now + Duration::from_micros(rng.random_range(0..4_000));
+        // The adapter polls at each wake on the way.
+        while let Some(wake) = admission.wake().filter(|wake| *wake <= next) {
+            now = now.max(wake);
+            admission.poll(now, &mut out);
+            truth.take(&mut out, now);
+            assert!(
+                admission.wake().is_none_or(|next| next > now),
+                "nothing expired"
+            );
+        }
+        now = next;
+        let running: Vec<u64> = truth.running.keys().copied().collect();
+        match rng.random_range(0..10) {
+            0..5 => {
+                let class = CLASSES[rng.random_range(0..4)];
+                let deadline = now + Duration::from_millis(rng.random_range(0..60));
+                let request = Request {
+                    ticket: Ticket(ticket),
+                    service: name(class),
+                    deadline,
+                };
+                match admission.arrive(&request, now, &mut out) {
+                    Arrival::Started => drop(truth.running.insert(ticket, class)),
+                    Arrival::Queued => drop(truth.waiting.insert(ticket, (class, deadline))),
+                    Arrival::Refused(_) => {}
+                }
+            }
+            5..9 if !running.is_empty() => {
+                let ticket = running[rng.random_range(0..running.len())];
+                truth.running.remove(&ticket);
+                let all = [
+                    Finish::Answered,
+                    Finish::Shed,
+                    Finish::Failed,
+                    Finish::Cancelled,
+                ];
+                let finish = all[rng.random_range(0..all.len())];
+                admission.finish(Ticket(ticket), finish, now, &mut out);
+            }
+            _ => {
+                if let Some((ticket, _)) = truth.waiting.pop_first() {
+                    admission.leave(Ticket(ticket));
+                }
+            }
+        }
+        truth.take(&mut out, now);
+        assert_eq!(admission.running(), truth.running.len());
+        assert_eq!(admission.queued(), truth.waiting.len());
+        assert!(truth.running.len() <= usize::try_from(settings.concurrency).unwrap());
+        for class in CLASSES {
+            let count = truth.running.values().filter(|c| **c == class).count();
+            assert!(count <= usize::try_from(concurrency).unwrap(), "{class}");
+        }
+    }
+    true
+}
+
+#[test]
+fn test_admission_random_schedules() {
+    QuickCheck::new()
+        .tests(100)
+        .quickcheck(schedule as fn(u64) -> bool);
+}
--- /dev/null
+++ b/crates/admit/tests/test_overload.rs
@@ -0,0 +1,39 @@
+//! Overload of two times, with the example's gateways and fake upstreams.
+
+#[path = "../examples/overload/scene.rs"]
+mod scene;
+
+use admit::Mode;
+
+use crate::scene::Report;
+use crate::scene::Scene;
+use crate::scene::Setup;
+
+fn overload(mode: Mode, backlog: usize) -> Report {
+    let setup = Setup {
+        seed: 11,
+        mode,
+        concurrency: 32,
+        backlog,
+        load: 2.0,
+    };
+    Scene::new(setup).run()
+}
+
+#[test]
+fn test_overload_goodput_and_deadlines() {
+    for backlog in [6, 64] {
+        let report = overload(Mode::Adaptive, backlog);
+        assert!(report.goodput() >= 0.95, "{backlog}: {report}");
+        assert!(report.in_deadline() >= 0.99, "{backlog}: {report}");
+        assert!(report.attempts() <= 1.1, "{backlog}: {report}");
+    }
+}
+
+#[test]
+fn test_overload_baseline_misses_deadlines() {
+    for backlog in [6, 64] {
+        let report = overload(Mode::Fixed, backlog);
+        assert!(report.in_deadline() < 0.9, "{backlog}: {report}");
+    }
+}
