--- a/crates/conf/src/value.rs
+++ b/crates/conf/src/value.rs
@@ -1,8 +1,10 @@
 //! The types that a key can have, each with the form it is written in.
 
+use std::fmt;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::str::FromStr;
 use std::time::Duration;
 
 use base::prelude::CallerName;
@@ -13,6 +15,9 @@
 use base::prelude::RegionName;
 use base::prelude::ServiceName;
 
+const KIBI: u64 = 1024;
+const MEBI: u64 = KIBI * KIBI;
+
 /// A type that a key's text can be read as.
 pub trait Value: Sized {
     /// The allowed form, for people.
@@ -22,6 +27,12 @@
     fn read(text: &str) -> Option<Self>;
 }
 
+/// A number of digits alone, as the library also takes a sign.
+fn digits<T: FromStr>(text: &str) -> Option<T> {
+    let bare = text.bytes().all(|b| b.is_ascii_digit());
+    if bare { text.parse().ok() } else { None }
+}
+
 impl Value for SocketAddr {
     const FORM: &'static str = "IP:port, such as 127.0.0.1:7000";
 
@@ -42,7 +53,7 @@
     const FORM: &'static str = "whole number";
 
     fn read(text: &str) -> Option<Self> {
-        text.parse().ok()
+        digits(text)
     }
 }
 
@@ -50,7 +61,7 @@
     const FORM: &'static str = "whole number";
 
     fn read(text: &str) -> Option<Self> {
-        text.parse().ok()
+        digits(text)
     }
 }
 
@@ -72,7 +83,7 @@
     fn read(text: &str) -> Option<Self> {
         let split = text.find(|c: char| !c.is_ascii_digit())?;
         let (count, unit) = text.split_at(split);
-        let count: u64 = count.parse().ok()?;
+        let count: u64 = digits(count)?;
         match unit {
             "ms" => Some(Self::from_millis(count)),
             "s" => Some(Self::from_secs(count)),
@@ -82,6 +93,18 @@
     }
 }
 
+/// Writes `span` as it is read, cut to whole milliseconds.
+#[must_use]
+pub fn duration_text(span: Duration) -> String {
+    let millis = span.as_millis();
+    match (millis % 60_000, millis % 1_000) {
+        _ if millis == 0 => "0ms".into(),
+        (0, _) => format!("{}min", millis / 60_000),
+        (_, 0) => format!("{}s", millis / 1_000),
+        _ => format!("{millis}ms"),
+    }
+}
+
 /// A size in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Bytes(pub u64);
@@ -92,17 +115,28 @@
     fn read(text: &str) -> Option<Self> {
         let split = text.find(|c: char| !c.is_ascii_digit())?;
         let (count, unit) = text.split_at(split);
-        let count: u64 = count.parse().ok()?;
+        let count: u64 = digits(count)?;
         let factor = match unit {
             "B" => 1,
-            "KiB" => 1024,
-            "MiB" => 1024 * 1024,
+            "KiB" => KIBI,
+            "MiB" => MEBI,
             _ => return None,
         };
         count.checked_mul(factor).map(Bytes)
     }
 }
 
+impl fmt::Display for Bytes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            0 => write!(f, "0B"),
+            count if count % MEBI == 0 => write!(f, "{}MiB", count / MEBI),
+            count if count % KIBI == 0 => write!(f, "{}KiB", count / KIBI),
+            count => write!(f, "{count}B"),
+        }
+    }
+}
+
 /// Events a second, kept in thousandths.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rate(pub u32);
@@ -113,15 +147,25 @@
     fn read(text: &str) -> Option<Self> {
         let number = text.strip_suffix("/s")?;
         let (whole, part) = number.split_once('.').unwrap_or((number, "0"));
-        if part.is_empty() || part.len() > 3 || !part.bytes().all(|b| b.is_ascii_digit()) {
+        if part.is_empty() || part.len() > 3 {
             return None;
         }
-        let whole: u32 = whole.parse().ok()?;
-        let part: u32 = format!("{part:0<3}").parse().ok()?;
+        let whole: u32 = digits(whole)?;
+        let part: u32 = digits(&format!("{part:0<3}"))?;
         whole.checked_mul(1000)?.checked_add(part).map(Rate)
     }
 }
 
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let part = format!("{:03}", self.0 % 1000);
+        match part.trim_end_matches('0') {
+            "" => write!(f, "{}/s", self.0 / 1000),
+            part => write!(f, "{}.{part}/s", self.0 / 1000),
+        }
+    }
+}
+
 /// A share in whole percent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Percent(pub u32);
@@ -130,11 +174,29 @@
     const FORM: &'static str = "0% to 100%";
 
     fn read(text: &str) -> Option<Self> {
-        let count = text.strip_suffix('%')?.parse().ok()?;
+        let count = digits(text.strip_suffix('%')?)?;
         (count <= 100).then_some(Self(count))
     }
 }
 
+impl fmt::Display for Percent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}%", self.0)
+    }
+}
+
+/// Text that may be anything but empty.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Text(pub String);
+
+impl Value for Text {
+    const FORM: &'static str = "text";
+
+    fn read(text: &str) -> Option<Self> {
+        (!text.is_empty()).then(|| Self(text.into()))
+    }
+}
+
 impl Value for PathBuf {
     const FORM: &'static str = "path of a folder or file";
 
