--- a/crates/attempt/src/action.rs
+++ b/crates/attempt/src/action.rs
@@ -6,6 +6,7 @@
 use strum::Display;
 use strum::IntoStaticStr;
 
+use crate::event::Ending;
 use crate::event::Number;
 
 /// Most actions that one event brings: a failure and the end of two attempts.
@@ -93,6 +94,19 @@
     Cancelled,
 }
 
+impl From<Ending> for Reason {
+    fn from(ending: Ending) -> Self {
+        match ending {
+            Ending::NoUpstream => Self::NoUpstream,
+            Ending::ConnectFailed | Ending::NotSent => Self::Connect,
+            Ending::NoAnswer => Self::NoAnswer,
+            Ending::Mismatch => Self::Mismatch,
+            Ending::Timeout => Self::Deadline,
+            Ending::ShortBody(_) => Self::ShortBody,
+        }
+    }
+}
+
 /// Up to [`MOST_ACTIONS`] actions, in order, without allocation.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Actions {
--- a/crates/attempt/src/call.rs
+++ b/crates/attempt/src/call.rs
@@ -7,11 +7,8 @@
 //! edge, at depth 0, acts on it: by a hedge for class urgent, by cancelling and
 //! retrying for the other idempotent classes.
 
-use std::time::Duration;
-
 use base::prelude::*;
 use rand::Rng;
-use rand::RngExt;
 
 use crate::action::Action;
 use crate::action::Actions;
@@ -23,22 +20,12 @@
 use crate::event::Head;
 use crate::event::Number;
 use crate::service::Service;
+use crate::timing;
 
 /// Most attempts of one call, resumed ones that made progress not counted.
 pub const MOST_ATTEMPTS: u8 = 3;
 /// Most attempts with the resumed ones.
 pub const MOST_NUMBERS: u8 = 32;
-/// Thousandths of answers that come before a hedge is sent.
-pub const HEDGE_PERMILLE: u32 = 950;
-/// An attempt is taken as stalled after this many times the 99th percentile.
-pub const STALL_FACTOR: u32 = 4;
-/// Least time before an attempt is taken as stalled.
-pub const STALL_FLOOR: Duration = Duration::from_millis(10);
-/// Longest backoff before the second retry; doubled for each further one.
-pub const BACKOFF: Duration = Duration::from_millis(5);
-/// Most that [`Start::told`] is less than what remains.
-pub const MARGIN: Duration = Duration::from_millis(5);
-
 /// What a call is bound by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Terms {
@@ -289,7 +276,7 @@
             self.resume_or_break(ending, resumable, service, rng, now, actions);
             return;
         }
-        let reason = reason_of(ending);
+        let reason = Reason::from(ending);
         let useless = ending == Ending::NoUpstream;
         let silent = ending == Ending::Timeout && self.terms.depth > 0;
         if useless || silent {
@@ -394,7 +381,7 @@
         }
         self.paid = service.budget.spend(now);
         let pause = if self.paid {
-            self.backoff(rng)
+            timing::backoff(self.counted, rng)
         } else if self.terms.class == Class::Deferred {
             service.budget.wait(now)
         } else {
@@ -408,15 +395,6 @@
         true
     }
 
-    // The first retry goes at once; later ones wait, spread over a growing span.
-    fn backoff(&self, rng: &mut impl Rng) -> Duration {
-        if self.counted <= 1 {
-            return Duration::ZERO;
-        }
-        let span = BACKOFF * (1 << (self.counted - 2).min(8));
-        span.mul_f64(rng.random::<f64>())
-    }
-
     // Starts a decided retry whose moment has come.
     fn begin_due(&mut self, service: &mut Service, now: Moment, actions: &mut Actions) {
         if self.retry_at.is_none_or(|at| at > now) {
@@ -440,34 +418,22 @@
         };
         let free = self.live.iter_mut().find(|slot| slot.is_none());
         *free.expect("at most two attempts run") = Some(live);
-        self.second_at = self.late_at(hedge, service, now);
+        self.second_at = if hedge {
+            None
+        } else {
+            timing::late_at(&self.terms, service, now)
+        };
         let remains = self.terms.deadline.since(now);
         actions.push(Action::Start(Start {
             number: self.begun,
             deadline: self.terms.deadline,
-            told: remains.saturating_sub(MARGIN.min(remains / 16)),
+            told: timing::told(remains),
             depth: self.terms.depth.saturating_add(1),
             offset: self.offset,
             hedge,
         }));
     }
 
-    // When an attempt that starts now is late; none where nobody may act on that.
-    fn late_at(&self, hedge: bool, service: &Service, now: Moment) -> Option<Moment> {
-        if hedge || self.terms.depth > 0 || !self.terms.class.is_idempotent() {
-            return None;
-        }
-        let half = self.terms.deadline.since(now) / 2;
-        let late = match (self.terms.class, service.pressed) {
-            // Under load a call that is merely slow must not cost a second attempt.
-            (_, true) => Some(stall(service)?),
-            (Class::Urgent, false) => service.latency.quantile(HEDGE_PERMILLE),
-            _ => stall(service).map(|span| span.min(half)),
-        };
-        let span = late.unwrap_or(half);
-        Some(now + span)
-    }
-
     fn failure(&self, reason: Reason) -> Failure {
         Failure {
             outcome: self.outcome(),
@@ -525,19 +491,3 @@
 
 const PARTIAL: u16 = 206;
 const SERVER_ERROR: u16 = 500;
-
-fn stall(service: &Service) -> Option<Duration> {
-    let high = service.latency.quantile(990)?;
-    Some((high * STALL_FACTOR).max(STALL_FLOOR))
-}
-
-fn reason_of(ending: Ending) -> Reason {
-    match ending {
-        Ending::NoUpstream => Reason::NoUpstream,
-        Ending::ConnectFailed | Ending::NotSent => Reason::Connect,
-        Ending::NoAnswer => Reason::NoAnswer,
-        Ending::Mismatch => Reason::Mismatch,
-        Ending::Timeout => Reason::Deadline,
-        Ending::ShortBody(_) => Reason::ShortBody,
-    }
-}
--- a/crates/attempt/src/lib.rs
+++ b/crates/attempt/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod event;
 pub mod latency;
 pub mod service;
+pub mod timing;
 
 pub use action::Action;
 pub use action::Actions;
