--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -4,6 +4,7 @@
 //! crate `measure` says whether this gateway may send one now. At most one
 //! process of a host may probe: the one that has bound the operators' port.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -102,20 +103,34 @@
 
 /// Probes for as long as the gateway serves.
 pub async fn run(core: Arc<Core>) {
+    let mut dues = HashMap::new();
     while *core.phase.borrow() < Phase::Closing {
         let now = core.clock.now();
-        let mut next = now + MOST_PAUSE;
-        let view = core.view();
-        for service in view.services() {
-            if let Some(desk) = core.desks.get(&service.name) {
-                next = next.min(round(&core, &service.name, &desk, now));
-            }
-        }
-        let next = next.max(now + LEAST_PAUSE);
+        let next = visit(&core, &mut dues, now).max(now + LEAST_PAUSE);
         sleep_until(core.clock.instant(next)).await;
     }
 }
 
+/// Looks at the services that are due, and says when the next one is.
+///
+/// One service's next probe doesn't bring a look at all others.
+fn visit(core: &Arc<Core>, dues: &mut HashMap<ServiceName, Moment>, now: Moment) -> Moment {
+    let view = core.view();
+    let mut next = now + MOST_PAUSE;
+    dues.retain(|name, _| view.service(name.as_str()).is_some());
+    for service in view.services() {
+        let mut due = dues.get(&service.name).copied().unwrap_or(now);
+        if due <= now
+            && let Some(desk) = core.desks.get(&service.name)
+        {
+            due = round(core, &service.name, &desk, now);
+            dues.insert(service.name.clone(), due);
+        }
+        next = next.min(due);
+    }
+    next
+}
+
 /// Sends the probes that are due for one service; says when to ask again.
 fn round(core: &Arc<Core>, service: &ServiceName, desk: &Arc<Desk>, now: Moment) -> Moment {
     let mut next = now + MOST_PAUSE;
