--- a/crates/consensus/tests/test_replicas/test_faults.rs
+++ b/crates/consensus/tests/test_replicas/test_faults.rs
@@ -2,16 +2,24 @@
 
 use std::time::Duration;
 
+use consensus::Acceptance;
+use consensus::Action;
 use consensus::Body;
+use consensus::Entry;
 use consensus::Event;
 use consensus::Index;
 use consensus::Message;
+use consensus::Node;
+use consensus::Payload;
 use consensus::Position;
 use consensus::Rejection;
+use consensus::ReplicaId;
 use consensus::Role;
 use consensus::Term;
+use consensus::WriteNumber;
 
 use crate::cluster::Cluster;
+use crate::cluster::Link;
 use crate::cluster::Outcome;
 use crate::cluster::settings;
 
@@ -29,10 +37,10 @@
         let (mut cluster, leader) = Cluster::elected(voters);
         let before = terms(&cluster);
         let away = cluster.followers(leader)[0];
-        cluster.host(away).cut = true;
+        cluster.host(away).link = Link::Cut;
         cluster.run(LONG);
         cluster.commit_one();
-        cluster.host(away).cut = false;
+        cluster.host(away).link = Link::Open;
         cluster.run(LONG);
         assert_eq!(terms(&cluster), before);
         assert_eq!(cluster.leader(), Some(leader));
@@ -44,7 +52,7 @@
 #[test]
 fn test_faults_cut_leader_accepts_nothing_and_returns_quietly() {
     let (mut cluster, old) = Cluster::elected(5);
-    cluster.host(old).cut = true;
+    cluster.host(old).link = Link::Cut;
     let proposal = cluster.propose(old);
     let read = cluster.read(old);
     cluster.run(LONG);
@@ -63,7 +71,7 @@
         cluster.outcome(late),
         Outcome::Rejected(Rejection::NotLeader(None))
     );
-    cluster.host(old).cut = false;
+    cluster.host(old).link = Link::Open;
     cluster.run(LONG);
     assert_eq!(cluster.node(old.0).term(), term);
     assert_eq!(cluster.leader(), Some(new));
@@ -84,12 +92,56 @@
     }
 }
 
+/// A leader whose disk hangs without an error gives way to one whose disk works.
+#[test]
+fn test_faults_leader_with_a_hung_disk_gives_way() {
+    let (mut cluster, old) = Cluster::elected(3);
+    cluster.host(old).hung = true;
+    let lost = cluster.propose(old);
+    cluster.run(LONG);
+    assert_eq!(
+        cluster.outcomes.get(&lost),
+        Some(&Outcome::Rejected(Rejection::Uncertain))
+    );
+    assert!(cluster.leader().is_some_and(|id| id != old));
+    cluster.commit_one();
+    cluster.settle();
+}
+
+/// What waits for a hung disk is one message of a kind, however long it hangs.
+#[test]
+fn test_faults_hung_disk_holds_a_bounded_number_of_messages() {
+    let cluster = Cluster::new(3, Acceptance::Majority, 1);
+    let stored = cluster.hosts[&ReplicaId(2)].disk.stored.clone();
+    let mut node = Node::new(settings(), stored, 1, cluster.now);
+    for round in 1..1000 {
+        let body = Body::Heartbeat {
+            commit: Index(0),
+            round,
+        };
+        let event = Event::Message(Message {
+            from: ReplicaId(1),
+            to: ReplicaId(2),
+            term: Term(1),
+            body,
+        });
+        node.step(cluster.now, event, &mut Vec::new());
+    }
+    let mut actions = Vec::new();
+    let number = WriteNumber(1);
+    node.step(cluster.now, Event::Persisted { number }, &mut actions);
+    let [Action::Send(message)] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(message.body, Body::HeartbeatReply { round: 999 });
+}
+
 /// A long absence costs the leader a bounded log, and ends by a snapshot.
 #[test]
 fn test_faults_long_absence_takes_bounded_memory() {
     let (mut cluster, leader) = Cluster::elected(3);
     let away = cluster.followers(leader)[0];
-    cluster.host(away).cut = true;
+    cluster.host(away).link = Link::Cut;
     let mut most = 0;
     for round in 0..300 {
         let ticket = cluster.propose(leader);
@@ -100,7 +152,7 @@
         most = most.max(cluster.node(leader.0).status().log_bytes);
     }
     assert!(most < 2500, "the log took {most} bytes");
-    cluster.host(away).cut = false;
+    cluster.host(away).link = Link::Open;
     cluster.run(LONG);
     let applied = cluster.hosts[&leader].applied;
     assert_eq!(cluster.hosts[&away].applied, applied);
@@ -164,3 +216,42 @@
         assert_eq!(cluster.node(voter.0).term(), expected);
     }
 }
+
+/// A majority that has an older term's entry doesn't commit it; one that has the own term's does.
+#[test]
+fn test_faults_older_term_commits_only_with_the_own() {
+    let cluster = Cluster::new(3, Acceptance::Majority, 1);
+    let mut stored = cluster.hosts[&ReplicaId(1)].disk.stored.clone();
+    stored.hard.term = Term(3);
+    stored.entries = vec![Entry {
+        term: Term(2),
+        index: Index(1),
+        payload: Payload::Noop,
+    }];
+    let mut node = Node::new(settings(), stored, 1, cluster.now);
+    let reply = |body| {
+        Event::Message(Message {
+            from: ReplicaId(2),
+            to: ReplicaId(1),
+            term: Term(4),
+            body,
+        })
+    };
+    let synced = |number| Event::Persisted {
+        number: WriteNumber(number),
+    };
+    let events = [
+        (Event::Tick, Index(0)),
+        (reply(Body::PreVoteReply { granted: true }), Index(0)),
+        (synced(1), Index(0)),
+        (reply(Body::VoteReply { granted: true }), Index(0)),
+        (synced(2), Index(0)),
+        (reply(Body::Accepted { matched: Index(1) }), Index(0)),
+        (reply(Body::Accepted { matched: Index(2) }), Index(2)),
+    ];
+    for (event, commit) in events {
+        node.step(cluster.now + LONG, event.clone(), &mut Vec::new());
+        assert_eq!(node.status().commit, commit, "{event:?}");
+    }
+    assert_eq!(node.role(), Role::Leader);
+}
