--- a/crates/directory/src/rpc.rs
+++ b/crates/directory/src/rpc.rs
@@ -84,6 +84,8 @@
     let config = tarpc::server::Config {
         pending_response_buffer: MAX_REQUESTS,
     };
+    // Without it an answer may wait for the acknowledgement of the one before.
+    let _ = channel.get_ref().set_nodelay(true);
     let channel = BaseChannel::new(config, channel);
     let requests = channel.execute(Api(shared).serve());
     let ended = async {
