--- a/crates/directory/examples/spread/fleet.rs
+++ b/crates/directory/examples/spread/fleet.rs
@@ -259,7 +259,7 @@
             directory.stop().await;
         }
         for replica in self.replicas {
-            drop(replica);
+            replica.stop().await;
         }
         let _ = std::fs::remove_dir_all(&self.folder);
     }
--- a/crates/directory/examples/spread/main.rs
+++ b/crates/directory/examples/spread/main.rs
@@ -3,7 +3,8 @@
 //! Prints key=value lines: the time from sending a change until it was
 //! accepted and until it is in force on every host, and the bytes a second of a
 //! directory against the number of instances and of hosts. All roles run in
-//! this one process. An argument `force`, `phase` or `bytes` names one part.
+//! this one process. An argument `force`, `phase` or `bytes` names one
+//! part; `bytes HOSTS INSTANCES [RESTARTS]` is one line of it.
 
 mod fleet;
 mod relay;
@@ -20,7 +21,16 @@
 
 #[tokio::main]
 async fn main() {
-    let part = std::env::args().nth(1).unwrap_or_else(|| "all".into());
+    let mut args = std::env::args().skip(1);
+    let part = args.next().unwrap_or_else(|| "all".into());
+    let mut number = || args.next().and_then(|text| text.parse::<usize>().ok());
+    if let (Some(hosts), Some(instances)) = (number(), number()) {
+        let restarts = number().map_or(Duration::ZERO, |n| {
+            Duration::from_millis(1000 / n.max(1) as u64)
+        });
+        print_bytes(hosts, instances, restarts).await;
+        return;
+    }
     if part == "phase" || part == "all" {
         print_phase(15).await;
     }
