--- a/crates/testutils/src/system.rs
+++ b/crates/testutils/src/system.rs
@@ -161,6 +161,14 @@
         Ok(Process::start(Binary::Gateway, &ini).await?)
     }
 
+    /// The decisions that the gateways logged, for a failed test's report.
+    #[must_use]
+    pub fn decisions(&self) -> String {
+        let lines = self.gateways.iter().flatten().flat_map(Process::lines);
+        let decisions: Vec<String> = lines.filter(|l| l.contains("request=")).collect();
+        decisions.join("\n")
+    }
+
     /// Where callers connect to the gateway at `index`.
     #[must_use]
     pub fn gateway(&self, index: usize) -> SocketAddr {
--- a/crates/testutils/tests/test_freeze.rs
+++ b/crates/testutils/tests/test_freeze.rs
@@ -95,5 +95,5 @@
     upstream.process.resume().unwrap();
     settle(&system, &ask).await;
     let runs = upstream.runs_of(ask.key.as_deref().unwrap()).await;
-    assert!(runs.len() <= 1, "{runs:?}");
+    assert!(runs.len() <= 1, "{runs:?}\n{}", system.decisions());
 }
