--- a/crates/testutils/tests/test_upstream_faults.rs
+++ b/crates/testutils/tests/test_upstream_faults.rs
@@ -21,6 +21,8 @@
 const INSTANCES: usize = 3;
 /// Mean service time, well above the noise of a busy machine.
 const SERVICE_TIME: Duration = Duration::from_millis(20);
+/// Runs that the faulty instance may get: half of an even share.
+const MOST_FAULTY: usize = CALLS / INSTANCES / 2;
 /// Deadline of a call, far above any service time.
 const DEADLINE: Duration = Duration::from_secs(20);
 
@@ -64,9 +66,9 @@
         let receipt = reply.receipt().unwrap();
         assert_eq!(receipt.path, format!("/block/{number}"), "{kind}");
     }
-    // An even share would be a third; a fault must lose traffic, not attract it.
+    // An even share would be a third; a fault must lose at least half of that.
     let faulty = upstreams[0].record().await.runs.len() - before;
-    assert!(faulty < CALLS / INSTANCES, "{kind}: {faulty} of {CALLS}");
+    assert!(faulty < MOST_FAULTY, "{kind}: {faulty} of {CALLS}");
     assert!(faulty > 0, "{kind}: the fault was never met");
 }
 
