--- a/crates/demo/examples/policy/fault.rs
+++ b/crates/demo/examples/policy/fault.rs
@@ -3,30 +3,22 @@
 use std::time::Duration;
 
 use base::prelude::Moment;
+use route::Kind;
 use route::Phase;
 use strum::Display;
 use strum::EnumIter;
-use strum::EnumString;
 
 /// When a fault begins: after the warm-up, so that its onset is measured too.
-pub const ONSET: Moment = Moment::from_millis(1500);
-/// How far behind a stale report is.
-pub const STALENESS: Duration = Duration::from_millis(500);
-/// How late the gateways learn what an instance announced.
-const NEWS: Duration = Duration::from_millis(300);
-/// One restart each, in turn.
-const RESTART_EVERY: Duration = Duration::from_secs(1);
-/// From the announcement to the end.
+const ONSET: Moment = Moment::from_millis(1500);
+/// From a restart's announcement to the old process's end.
 const DRAIN: Duration = Duration::from_millis(500);
-/// From the end to the new process's announcement.
+/// From there to the new process's announcement.
 const DOWN: Duration = Duration::from_millis(200);
-/// How long a new process is cold.
-const COLD: Duration = Duration::from_secs(1);
-/// How much slower it is at first.
+/// How much slower a new process is at first; that fades in a second.
 const COLD_FACTOR: f64 = 8.0;
 
 /// One column of the table.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, EnumString)]
+#[derive(Clone, Copy, PartialEq, Eq, Display, EnumIter)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Fault {
     /// None.
@@ -37,7 +29,7 @@
     FailFast,
     /// One instance takes requests and never answers.
     Stalled,
-    /// A rolling restart, each instance cold at first.
+    /// A rolling restart, one a second, each instance cold at first.
     ColdStarts,
     /// Two instances always say that they are idle.
     Lying,
@@ -47,80 +39,33 @@
     Overload,
 }
 
-/// What an instance does with a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Mode {
-    /// Serves it, slower by a factor.
-    Serve(f64),
-    /// Answers with a failure at once.
-    Fail,
-    /// Never answers.
-    Stall,
-    /// Takes no connection.
-    Down,
-}
-
 impl Fault {
-    /// Calls offered, as a share of what all instances can serve.
-    pub fn load(self) -> f64 {
-        if self == Self::Overload { 2.0 } else { 0.7 }
-    }
-
-    /// What instance `index` does at `now`.
-    pub fn mode(self, index: u32, now: Moment) -> Mode {
+    /// How much slower instance `index` works at `now`, or how it fails; one that
+    /// never answers has a timeout.
+    pub fn factor(self, index: u32, now: Moment) -> Result<f64, Kind> {
+        let back = ONSET + Duration::from_secs(index.into()) + DRAIN + DOWN;
         let hit = index == 0 && now >= ONSET;
-        match self {
-            Self::Slow if hit => Mode::Serve(10.0),
-            Self::FailFast if hit => Mode::Fail,
-            Self::Stalled if hit => Mode::Stall,
-            Self::ColdStarts => restart_mode(index, now),
-            _ => Mode::Serve(1.0),
+        match (self, self.phase(index, now)) {
+            (Self::Slow, _) if hit => Ok(10.0),
+            (Self::FailFast, _) if hit => Err(Kind::Error),
+            (Self::Stalled, _) if hit => Err(Kind::Timeout),
+            (Self::ColdStarts, Phase::Gone) => Err(Kind::ConnectFailed),
+            (Self::ColdStarts, _) if now >= back => {
+                let cold = 1.0 - now.since(back).as_secs_f64();
+                Ok(1.0 + (COLD_FACTOR - 1.0) * cold.max(0.0))
+            }
+            _ => Ok(1.0),
         }
     }
 
-    /// What the gateways know of instance `index` at `now`.
+    /// What instance `index` announced before `now`.
     pub fn phase(self, index: u32, now: Moment) -> Phase {
-        if self != Self::ColdStarts || now < restart(index) + NEWS {
-            return Phase::Ready;
-        }
-        let since = now.since(restart(index) + NEWS);
-        if since < DRAIN {
-            Phase::Draining
-        } else if since < DRAIN + DOWN {
-            Phase::Gone
-        } else {
-            Phase::Ready
-        }
-    }
-
-    /// Whether instance `index` always says that it is idle.
-    pub fn lies(self, index: u32) -> bool {
-        self == Self::Lying && index < 2
-    }
-
-    /// How old a report is when it is sent.
-    pub fn staleness(self) -> Duration {
-        if self == Self::StaleReports {
-            STALENESS
-        } else {
-            Duration::ZERO
+        let since = now.since(ONSET + Duration::from_secs(index.into()));
+        match self {
+            Self::ColdStarts if since.is_zero() || since >= DRAIN + DOWN => Phase::Ready,
+            Self::ColdStarts if since >= DRAIN => Phase::Gone,
+            Self::ColdStarts => Phase::Draining,
+            _ => Phase::Ready,
         }
     }
 }
-
-fn restart(index: u32) -> Moment {
-    ONSET + RESTART_EVERY * index
-}
-
-fn restart_mode(index: u32, now: Moment) -> Mode {
-    let end = restart(index) + DRAIN;
-    let back = end + DOWN;
-    if now < end {
-        Mode::Serve(1.0)
-    } else if now < back {
-        Mode::Down
-    } else {
-        let left = 1.0 - now.since(back).as_secs_f64() / COLD.as_secs_f64();
-        Mode::Serve(1.0 + (COLD_FACTOR - 1.0) * left.max(0.0))
-    }
-}
--- a/crates/demo/examples/policy/gateway.rs
+++ b/crates/demo/examples/policy/gateway.rs
@@ -5,8 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use admit::Action;
 use admit::Admission;
 use admit::Arrival;
+use admit::Ticket;
+use attempt::Actions;
+use attempt::Call;
+use attempt::Event;
 use attempt::Service;
 use attempt::Share;
 use base::prelude::Class;
@@ -18,18 +23,18 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use route::Chooser;
-use route::Instance;
-use route::Pick;
+use route::Settings;
 use tokio::sync::oneshot;
 
-use crate::run::Case;
+use crate::case::Case;
 
 /// Extra attempts as a share of calls, in percent.
 const RETRY_PERCENT: u32 = 10;
-/// Most calls of the service that run at one gateway.
-const CONCURRENCY: u32 = 24;
-/// Most calls of the service that wait at one gateway.
-const QUEUE: u32 = 32;
+/// Most calls of the service that run at one gateway, and that wait there.
+const LIMITS: admit::Settings = admit::Settings {
+    concurrency: 24,
+    queue: 32,
+};
 /// How long a confirmation of the catalogue holds.
 const LEASE: Duration = Duration::from_secs(3);
 
@@ -37,139 +42,100 @@
 pub struct Gateway {
     /// The choice.
     pub chooser: Chooser,
-    /// Budget and latency of the attempts.
-    pub service: Service,
-    /// Of backoffs.
-    pub rng: SmallRng,
-    name: ServiceName,
-    admission: Option<Admission>,
-    waiting: HashMap<admit::Ticket, oneshot::Sender<bool>>,
-    next: u64,
-    meter: Meter,
+    service: Service,
+    rng: SmallRng,
+    /// Of calls.
+    pub admission: Admission,
+    /// Of probes.
+    pub meter: Meter,
+    waiting: HashMap<Ticket, oneshot::Sender<bool>>,
+    last: u64,
+    whole: bool,
 }
 
 impl Gateway {
     /// Gateway `index` of `case`.
     pub fn new(case: &Case, index: u32) -> Self {
-        let name = ServiceName::new("status").expect("letters are a name");
         let seed = case.seed * 1000 + 500 + u64::from(index);
-        let percent = if case.row.whole { RETRY_PERCENT } else { 0 };
+        let settings = Settings {
+            probe_age: case.probe_age,
+            ..Settings::default()
+        };
+        let mut admission = Admission::new(LIMITS);
+        let terms = admit::Terms {
+            class: Class::Urgent,
+            concurrency: LIMITS.concurrency,
+            queue: LIMITS.queue,
+        };
+        admission.set_service(&name(), terms);
+        let share = Share::percent(RETRY_PERCENT * u32::from(case.whole));
         Self {
-            chooser: Chooser::new(case.row.policy, case.settings, seed),
-            service: Service::new(Share::percent(percent), Moment::ZERO),
+            chooser: Chooser::new(case.policy, settings, seed),
+            service: Service::new(share, Moment::ZERO),
             rng: SmallRng::seed_from_u64(seed),
-            admission: case.row.whole.then(|| admission(&name)),
+            admission,
+            meter: meter(case, index),
             waiting: HashMap::new(),
-            next: 0,
-            meter: meter(case, index, &name),
-            name,
-        }
-    }
-
-    /// Takes the directory's table and a confirmation of the catalogue.
-    pub fn update(&mut self, now: Moment, table: &[Instance]) {
-        self.chooser.update(now, table);
-        self.meter.confirm(1, now, now);
-        for row in table {
-            self.meter.add(&self.name, &row.id, now);
+            last: 0,
+            whole: case.whole,
         }
     }
 
-    /// The instance to probe now, paid from the measuring budget.
-    pub fn probe(&mut self, now: Moment) -> Option<Pick> {
-        let (meter, name) = (&mut self.meter, &self.name);
-        self.chooser
-            .probe(now, |id| meter.spend(name, id, now).is_ok())
-    }
-
-    /// Asks for admission; the receiver tells how a wait ends.
-    pub fn arrive(
-        &mut self,
-        now: Moment,
-        deadline: Moment,
-    ) -> (admit::Ticket, oneshot::Receiver<bool>) {
+    /// Asks for admission, if there is any; the receiver tells whether the call may start.
+    pub fn arrive(&mut self, now: Moment, deadline: Moment) -> (Ticket, oneshot::Receiver<bool>) {
+        let whole = self.whole;
         let (sender, receiver) = oneshot::channel();
-        self.next += 1;
-        let ticket = admit::Ticket(self.next);
+        self.last += 1;
+        let ticket = Ticket(self.last);
         let request = admit::Request {
             ticket,
-            service: self.name.clone(),
+            service: name(),
             deadline,
         };
-        let mut out = Vec::new();
-        let arrival = match &mut self.admission {
-            Some(admission) => admission.arrive(&request, now, &mut out),
-            None => Arrival::Started,
-        };
-        match arrival {
-            Arrival::Started => _ = sender.send(true),
-            Arrival::Refused(_) => _ = sender.send(false),
-            Arrival::Queued => _ = self.waiting.insert(ticket, sender),
-        }
-        self.tell(out);
+        self.waiting.insert(ticket, sender);
+        self.admit(|admission, out| {
+            let arrival = whole.then(|| admission.arrive(&request, now, out));
+            match arrival.unwrap_or(Arrival::Started) {
+                Arrival::Started => out.push(Action::Start(ticket)),
+                Arrival::Refused(refusal) => out.push(Action::Refuse(ticket, refusal)),
+                Arrival::Queued => {}
+            }
+        });
         (ticket, receiver)
     }
 
-    /// Notes that an instance shed an attempt of a call that goes on.
-    pub fn shed(&mut self, now: Moment) {
-        if let Some(admission) = &mut self.admission {
-            admission.shed(&self.name, now);
-        }
-    }
-
-    /// Notes the end of a started call.
-    pub fn finish(&mut self, now: Moment, ticket: admit::Ticket, finish: admit::Finish) {
-        let mut out = Vec::new();
-        if let Some(admission) = &mut self.admission {
-            admission.finish(ticket, finish, now, &mut out);
+    /// Starts a call, or takes it on after an event.
+    pub fn step(&mut self, call: &mut Call, event: Option<Event>, now: Moment) -> Actions {
+        if let Some(event) = event {
+            return call.step(event, &mut self.service, &mut self.rng, now);
         }
-        self.tell(out);
+        self.service.pressed = self.admission.is_pressed(&name());
+        call.start(&mut self.service, now)
     }
 
-    /// Refuses and starts what has become due.
-    pub fn poll(&mut self, now: Moment) {
+    /// Does something with the admission and tells those who wait what comes of it.
+    pub fn admit(&mut self, act: impl FnOnce(&mut Admission, &mut Vec<Action>)) {
         let mut out = Vec::new();
-        if let Some(admission) = &mut self.admission {
-            admission.poll(now, &mut out);
-            self.service.pressed = admission.is_pressed(&self.name);
-        }
-        self.tell(out);
-    }
-
-    fn tell(&mut self, out: Vec<admit::Action>) {
+        act(&mut self.admission, &mut out);
         for action in out {
-            let (ticket, starts) = match action {
-                admit::Action::Start(ticket) => (ticket, true),
-                admit::Action::Refuse(ticket, _) => (ticket, false),
-            };
-            if let Some(sender) = self.waiting.remove(&ticket) {
-                let _ = sender.send(starts);
-            }
+            let (Action::Start(ticket) | Action::Refuse(ticket, _)) = action;
+            let sender = self.waiting.remove(&ticket);
+            sender.map(|sender| sender.send(matches!(action, Action::Start(_))));
         }
     }
 }
 
-fn admission(name: &ServiceName) -> Admission {
-    let mut admission = Admission::new(admit::Settings {
-        concurrency: CONCURRENCY,
-        queue: QUEUE,
-    });
-    let terms = admit::Terms {
-        class: Class::Urgent,
-        concurrency: CONCURRENCY,
-        queue: QUEUE,
-    };
-    admission.set_service(name, terms);
-    admission
+/// The service's name.
+pub fn name() -> ServiceName {
+    ServiceName::new("status").expect("letters are a name")
 }
 
-fn meter(case: &Case, index: u32, name: &ServiceName) -> Meter {
+fn meter(case: &Case, index: u32) -> Meter {
     let host = |i: u32| HostName::new(&format!("host-{i:02}")).expect("letters are a name");
-    let millis = if case.row.whole { case.probes } else { 0 };
     let registry = Registry {
         version: 1,
         gateways: (0..case.choosers).map(host).collect(),
-        budgets: BTreeMap::from([(name.clone(), millis)]),
+        budgets: BTreeMap::from([(name(), case.probes)]),
     };
     let mut meter = Meter::new(host(index), LEASE, Duration::ZERO);
     meter.set_holder(true, Moment::ZERO);
--- a/crates/demo/examples/policy/main.rs
+++ b/crates/demo/examples/policy/main.rs
@@ -1,82 +1,107 @@
 //! Compares policies under faults: `cargo run --release --example policy -- --seed N`.
+//!
+//! `--seed` is the first of `--seeds` (5) seeds; those below 100 were tuned on.
+//! `--shape`, `--policy` (such as `least-wait+`) and `--fault` pick one service, row or
+//! column; `--noise harsh` has worse neighbours; `--choosers` is the number of gateways;
+//! `--probes` the measuring budget in thousandths of a probe a second and instance,
+//! `--probe-age` the milliseconds without a report after which a probe is sent;
+//! `--plain` prints lines of key=value.
 
 mod call;
+mod case;
 mod fake;
 mod fault;
 mod figures;
 mod gateway;
 mod noise;
 mod run;
-mod shape;
-mod table;
 mod time;
 
-use std::process::ExitCode;
-use std::time::Duration;
+use std::thread;
+use std::thread::ScopedJoinHandle;
 
-use lexopt::Arg;
-use lexopt::ValueExt;
+use lexopt::Arg::Long;
+use route::Policy;
+use strum::IntoEnumIterator;
 
-use crate::shape::Shape;
-use crate::table::Options;
+use crate::case::Case;
+use crate::case::FERROVIE;
+use crate::case::TRUST;
+use crate::fault::Fault;
+use crate::figures::Figures;
+use crate::figures::NAMES;
 
-const HELP: &str = "policy: compares policies under faults
-  --seed N       first seed, default 100 (seeds below 100 were tuned on)
-  --seeds N      number of seeds, default 5
-  --shape NAME   ferrovie or trust, default both
-  --policy NAME  one row only, such as two-choices or least-wait+
-  --fault NAME   one column only
-  --noise NAME   of neighbours: mild (default) or harsh
-  --choosers N   gateways that share the instances, default 15
-  --probes N     measuring budget for an instance, in thousandths a second
-  --probe-age N  milliseconds without a report after which a probe is sent
-  --seconds N    how long calls are counted, default 8
-  --threads N    runs at once, default 4
-  --plain        one line of key=value for each figure set";
+const HELP: &str = "policy [--seed N] [--seeds N] [--shape ferrovie|trust] [--policy NAME]
+  [--fault NAME] [--noise harsh] [--choosers N] [--probes N] [--probe-age N] [--plain]";
 
-fn main() -> ExitCode {
-    match parse() {
-        Ok(Some(options)) => {
-            table::print(&options);
-            ExitCode::SUCCESS
-        }
-        Ok(None) => {
-            println!("{HELP}");
-            ExitCode::SUCCESS
+fn main() -> Result<(), lexopt::Error> {
+    let (mut cases, mut plain) = (all(), false);
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("plain") => plain = true,
+            Long(name) => {
+                let (name, value) = (name.to_owned(), parser.value()?);
+                let mut kept = Vec::new();
+                for mut case in cases {
+                    kept.extend(case.take(&name, value.clone())?.then_some(case));
+                }
+                cases = kept;
+            }
+            _ => return Err(HELP.into()),
         }
-        Err(err) => {
-            eprintln!("policy: {err}");
-            ExitCode::from(2)
+    }
+    compare(&cases, plain);
+    Ok(())
+}
+
+/// Every row and column: each policy alone, then two with all that the product has around.
+fn all() -> Vec<Case> {
+    let alone = Policy::iter().map(|policy| (policy, false));
+    let whole = [(Policy::TwoChoices, true), (Policy::LeastWait, true)];
+    let mut cases = Vec::new();
+    for mut case in [FERROVIE, TRUST] {
+        for row in alone.clone().chain(whole) {
+            (case.policy, case.whole) = row;
+            cases.extend(Fault::iter().map(|fault| Case { fault, ..case }));
         }
     }
+    cases
 }
 
-fn parse() -> Result<Option<Options>, lexopt::Error> {
-    let mut options = Options::default();
-    let mut parser = lexopt::Parser::from_env();
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Arg::Long("seed") => options.seed = parser.value()?.parse()?,
-            Arg::Long("seeds") => options.seeds = parser.value()?.parse()?,
-            Arg::Long("shape") => options.shapes = vec![parser.value()?.parse::<Shape>()?],
-            Arg::Long("policy") => {
-                let name = parser.value()?.string()?;
-                options.rows.retain(|row| row.name() == name);
+/// Prints a line for each case and figure, or a table for each figure.
+fn compare(cases: &[Case], plain: bool) {
+    let runs: Vec<_> = cases.iter().map(run_seeds).collect();
+    for (index, name) in NAMES.iter().enumerate() {
+        let mut last = String::new();
+        for (case, runs) in cases.iter().zip(&runs) {
+            let (row, fault) = (case.row(), case.fault.to_string());
+            let text = figures::text(runs, index, plain);
+            if plain {
+                println!("{row} fault={fault} figure={name} {text}");
+                continue;
             }
-            Arg::Long("noise") => options.neighbours = parser.value()?.parse()?,
-            Arg::Long("probes") => options.probes = Some(parser.value()?.parse()?),
-            Arg::Long("probe-age") => {
-                let millis = parser.value()?.parse()?;
-                options.settings.probe_age = Duration::from_millis(millis);
+            if last.is_empty() {
+                let columns = cases.iter().filter(|case| case.row() == row);
+                let heads = columns.map(|case| format!("{:>24}", case.fault.to_string()));
+                print!("\n{name:<39}{}", heads.collect::<String>());
             }
-            Arg::Long("fault") => options.faults = vec![parser.value()?.parse()?],
-            Arg::Long("choosers") => options.choosers = parser.value()?.parse()?,
-            Arg::Long("seconds") => options.span = Duration::from_secs(parser.value()?.parse()?),
-            Arg::Long("threads") => options.threads = parser.value()?.parse()?,
-            Arg::Long("plain") => options.plain = true,
-            Arg::Long("help") | Arg::Short('h') => return Ok(None),
-            _ => return Err(arg.unexpected()),
+            if row != last {
+                print!("\n{row:<39}");
+            }
+            print!("{text:>24}");
+            last = row;
         }
+        print!("{}", if plain { "" } else { "\n" });
     }
-    Ok(Some(options))
+}
+
+/// The figures of each seed, run at once.
+fn run_seeds(case: &Case) -> Vec<Figures> {
+    let join = |thread: ScopedJoinHandle<Figures>| thread.join().expect("no run panics");
+    thread::scope(|scope| {
+        let spawn = |seed| scope.spawn(move || run::run(Case { seed, ..*case }));
+        let threads: Vec<_> = (case.seed..case.seed + case.seeds).map(spawn).collect();
+        threads.into_iter().map(join).collect()
+    })
 }
--- a/crates/demo/examples/policy/run.rs
+++ b/crates/demo/examples/policy/run.rs
@@ -1,9 +1,12 @@
 //! One run: gateways that share instances, open-loop arrivals, one fault.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
+use admit::Finish;
+use base::prelude::Clock;
 use base::prelude::DomainName;
 use base::prelude::InstanceId;
 use base::prelude::Moment;
@@ -14,102 +17,46 @@
 use route::Instance;
 use route::Kind;
 use route::Pick;
-use route::Policy;
 use route::Probed;
-use route::Settings;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
 
 use crate::call;
-use crate::call::End;
+use crate::case::Case;
 use crate::fake::Fake;
 use crate::fake::SLOTS;
-use crate::fault::Fault;
+use crate::figures::Done;
 use crate::figures::Figures;
-use crate::figures::Tally;
+use crate::figures::figures;
 use crate::gateway::Gateway;
-use crate::noise::Neighbours;
+use crate::gateway::name;
 use crate::noise::exponential;
-use crate::shape::Shape;
 use crate::time::Time;
 
 /// Calls before this aren't counted.
 const WARM_UP: Moment = Moment::from_millis(1000);
-/// How often the gateways get the directory's table.
-const TABLE_EVERY: Duration = Duration::from_millis(100);
-/// How often a gateway looks for probes to send and waits that are over.
-const POLL_EVERY: Duration = Duration::from_millis(1);
+/// How long calls are counted.
+const SPAN: Duration = Duration::from_secs(8);
+/// How late the gateways learn what an instance announced.
+const NEWS: Duration = Duration::from_millis(300);
 /// How long a probe may take.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// The part of a request's work that is the same for all.
 const FIXED_WORK: f64 = 0.7;
 
-/// A policy, alone or with what the product has around it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Row {
-    /// The choice.
-    pub policy: Policy,
-    /// Retries, hedges, admission and probes too.
-    pub whole: bool,
-}
-
-impl Row {
-    /// The policy's name, with a plus sign for the whole.
-    pub fn name(self) -> String {
-        let mark = if self.whole { "+" } else { "" };
-        format!("{}{mark}", self.policy)
-    }
-}
-
-/// What is run.
-#[derive(Clone, Copy, Debug)]
-pub struct Case {
-    /// The service.
-    pub shape: Shape,
-    /// What all gateways do.
-    pub row: Row,
-    /// The fault.
-    pub fault: Fault,
-    /// On every instance's machine.
-    pub neighbours: Neighbours,
-    /// Of the choosers.
-    pub settings: Settings,
-    /// Gateways that share the calls evenly.
-    pub choosers: u32,
-    /// Probes that one instance may receive, in thousandths a second.
-    pub probes: u32,
-    /// How long calls are counted.
-    pub span: Duration,
-    /// Of arrivals, work, noise and choices.
-    pub seed: u64,
-}
-
-/// One call's own facts.
-#[derive(Clone, Copy, Debug)]
-pub struct Request {
-    /// Which gateway it came to.
-    pub gateway: u32,
-    /// When it came.
-    pub arrival: Moment,
-    /// How much work it is.
-    pub work: Duration,
-}
-
 /// Everything of one run.
 pub struct World {
-    /// What is run.
-    pub case: Case,
     /// The clock.
     pub time: Time,
+    /// That share the calls.
+    pub gateways: Vec<RefCell<Gateway>>,
+    case: Case,
     fakes: Vec<Rc<Fake>>,
-    gateways: Vec<Rc<RefCell<Gateway>>>,
-    tally: RefCell<Tally>,
+    done: RefCell<Vec<Done>>,
+    probes: Cell<u32>,
 }
 
 impl World {
-    /// The gateway that the request came to.
-    pub fn gateway(&self, request: Request) -> &Rc<RefCell<Gateway>> {
-        &self.gateways[request.gateway as usize]
-    }
-
     /// The instance that `chooser` has picked.
     pub fn fake(&self, chooser: &Chooser, pick: Pick) -> Rc<Fake> {
         let id = chooser.id(pick).expect("the pick was just made");
@@ -120,116 +67,107 @@
 
 /// Runs `case` on a paused clock of its own.
 pub fn run(case: Case) -> Figures {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .expect("a runtime without input or output starts");
-    runtime.block_on(tokio::task::LocalSet::new().run_until(drive(case)))
+    let mut runtime = tokio::runtime::Builder::new_current_thread();
+    let runtime = runtime.enable_time().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("it has no input or output"), drive(case))
 }
 
 async fn drive(case: Case) -> Figures {
-    let time = Time::start();
+    let time = Time(Clock::start());
     let fake = |i| Rc::new(Fake::new(i, &case, time));
-    let gateway = |i| Rc::new(RefCell::new(Gateway::new(&case, i)));
+    let gateway = |i| RefCell::new(Gateway::new(&case, i));
     let world = Rc::new(World {
-        case,
         time,
-        fakes: (0..case.shape.instances()).map(fake).collect(),
         gateways: (0..case.choosers).map(gateway).collect(),
-        tally: RefCell::new(Tally::new()),
+        case,
+        fakes: (0..case.instances).map(fake).collect(),
+        done: RefCell::default(),
+        probes: Cell::new(0),
     });
-    let mut tasks = tokio::task::JoinSet::new();
-    tasks.spawn_local(spread_tables(Rc::clone(&world)));
-    if case.row.whole {
-        for gateway in &world.gateways {
-            tasks.spawn_local(poll(Rc::clone(&world), Rc::clone(gateway)));
-        }
-    }
+    spawn_local(poll(Rc::clone(&world)));
     arrive(&world).await;
-    time.sleep(case.shape.deadline() * 2).await;
-    tasks.abort_all();
-    let tally = world.tally.borrow();
-    tally.figures(case.span, case.shape.instances())
+    time.sleep(case.deadline() * 2).await;
+    let probes = f64::from(world.probes.get()) / f64::from(case.instances);
+    figures(&world.done.borrow(), probes / SPAN.as_secs_f64())
 }
 
-async fn spread_tables(world: Rc<World>) {
-    loop {
+/// Each millisecond; the directory's table comes each 100 ms.
+async fn poll(world: Rc<World>) {
+    for millis in 0_u32.. {
         let now = world.time.now();
-        let table: Vec<Instance> = (0..world.case.shape.instances())
-            .map(|i| instance(i, world.case.fault, now))
-            .collect();
-        for gateway in &world.gateways {
-            gateway.borrow_mut().update(now, &table);
+        let table: Vec<_> = (0..world.case.instances).map(|i| row(&world, i)).collect();
+        for (index, gateway) in world.gateways.iter().enumerate() {
+            let gateway = &mut *gateway.borrow_mut();
+            let (chooser, meter) = (&mut gateway.chooser, &mut gateway.meter);
+            if millis.is_multiple_of(100) {
+                chooser.update(now, &table);
+                meter.confirm(1, now, now);
+                for row in &table {
+                    meter.add(&name(), &row.id, now);
+                }
+            }
+            if world.case.whole {
+                let pick = chooser.probe(now, |id| meter.spend(&name(), id, now).is_ok());
+                pick.map(|pick| spawn_local(probe(Rc::clone(&world), index, pick)));
+                gateway.admit(|admission, out| admission.poll(now, out));
+            }
         }
-        world.time.sleep(TABLE_EVERY).await;
+        world.time.sleep(Duration::from_millis(1)).await;
     }
 }
 
-fn instance(index: u32, fault: Fault, now: Moment) -> Instance {
+fn row(world: &World, index: u32) -> Instance {
+    let known = world.time.now().before(NEWS);
     Instance {
         id: InstanceId::new(&index.to_string()).expect("digits are a name"),
         domain: DomainName::new("milano").expect("letters are a name"),
         slots: SLOTS,
-        phase: fault.phase(index, now),
+        phase: world.case.fault.phase(index, known),
     }
 }
 
-async fn poll(world: Rc<World>, gateway: Rc<RefCell<Gateway>>) {
-    loop {
-        let now = world.time.now();
-        gateway.borrow_mut().poll(now);
-        let pick = gateway.borrow_mut().probe(now);
-        if let Some(pick) = pick {
-            tokio::task::spawn_local(probe(Rc::clone(&world), Rc::clone(&gateway), pick));
-        }
-        world.time.sleep(POLL_EVERY).await;
-    }
-}
-
-async fn probe(world: Rc<World>, gateway: Rc<RefCell<Gateway>>, pick: Pick) {
+async fn probe(world: Rc<World>, index: usize, pick: Pick) {
+    let (time, gateway) = (world.time, &world.gateways[index]);
+    let counted = u32::from(time.now() >= WARM_UP);
+    world.probes.update(|probes| probes + counted);
     let fake = world.fake(&gateway.borrow().chooser, pick);
-    let counts = world.time.now() >= WARM_UP;
-    world.tally.borrow_mut().probes += u32::from(counts);
-    let work = world.case.shape.probe_work();
-    let answer = world.time.within(PROBE_TIMEOUT, fake.serve(work)).await;
-    let report = answer
-        .filter(|a| a.kind == Some(Kind::Ok))
-        .and_then(|a| a.report);
+    let answer = time.within(PROBE_TIMEOUT, fake.serve(world.case.probe_work));
+    let answer = answer.await.filter(|answer| answer.kind == Kind::Ok);
+    let report = answer.and_then(|answer| answer.report);
     let result = report.map_or(Probed::Failed, Probed::Load);
-    let now = world.time.now();
-    gateway.borrow_mut().chooser.probed(now, pick, result);
+    let chooser = &mut gateway.borrow_mut().chooser;
+    chooser.probed(time.now(), pick, result);
 }
 
 async fn arrive(world: &Rc<World>) {
-    let case = world.case;
+    let (time, case) = (world.time, &world.case);
     let mut rng = SmallRng::seed_from_u64(case.seed);
-    let gap = 1.0 / (case.shape.capacity(case.neighbours) * case.fault.load());
-    let end = WARM_UP + case.span;
-    let mut at = world.time.now();
-    while at < end {
-        at = at + Duration::from_secs_f64(gap * exponential(&mut rng));
-        let gateway = rng.random_range(0..case.choosers);
+    let mut arrival = time.now();
+    while arrival < WARM_UP + SPAN {
+        arrival = arrival + Duration::from_secs_f64(case.gap() * exponential(&mut rng));
+        let index = rng.random_range(0..case.choosers) as usize;
         let varying = (1.0 - FIXED_WORK) * exponential(&mut rng);
-        let work = case.shape.work().mul_f64(FIXED_WORK + varying);
-        world.time.until(at).await;
-        let request = Request {
-            gateway,
-            arrival: at,
-            work,
-        };
-        tokio::task::spawn_local(serve(Rc::clone(world), request));
+        let work = case.work.mul_f64(FIXED_WORK + varying);
+        time.sleep(arrival.since(time.now())).await;
+        spawn_local(serve(Rc::clone(world), index, arrival, work));
     }
 }
 
-async fn serve(world: Rc<World>, request: Request) {
-    let (end, attempts) = call::run(&world, request).await;
-    if request.arrival < WARM_UP {
-        return;
-    }
-    let latency = match end {
-        End::Answered => world.time.now().since(request.arrival),
-        End::Refused | End::Late | End::Failed => world.case.shape.deadline(),
+async fn serve(world: Rc<World>, index: usize, arrival: Moment, work: Duration) {
+    let (time, gateway) = (world.time, &world.gateways[index]);
+    let deadline = arrival + world.case.deadline();
+    let (ticket, admitted) = gateway.borrow_mut().arrive(time.now(), deadline);
+    let (finish, attempts) = match admitted.await {
+        Ok(true) => call::run(&world, index, deadline, work).await,
+        _ => (Finish::Shed, 0),
     };
-    world.tally.borrow_mut().record(end, latency, attempts);
+    let now = time.now();
+    let mut gateway = gateway.borrow_mut();
+    gateway.admit(|admission, out| admission.finish(ticket, finish, now, out));
+    let answered = finish == Finish::Answered;
+    let end = if answered { now } else { deadline };
+    if arrival >= WARM_UP {
+        let done = (finish, end.since(arrival), attempts);
+        world.done.borrow_mut().push(done);
+    }
 }
--- a/crates/demo/examples/policy/time.rs
+++ b/crates/demo/examples/policy/time.rs
@@ -1,6 +1,5 @@
 //! The paused runtime clock, stretched so that its millisecond ticks are microseconds.
 
-use std::future::Future;
 use std::time::Duration;
 
 use base::prelude::Clock;
@@ -11,21 +10,12 @@
 
 /// The rig's clock.
 #[derive(Clone, Copy)]
-pub struct Time {
-    clock: Clock,
-}
+pub struct Time(pub Clock);
 
 impl Time {
-    /// Starts at zero.
-    pub fn start() -> Self {
-        Self {
-            clock: Clock::start(),
-        }
-    }
-
     /// The rig's present moment.
     pub fn now(self) -> Moment {
-        Moment::from_nanos(self.clock.now().nanos() / u64::from(STRETCH))
+        Moment::from_nanos(self.0.now().nanos() / u64::from(STRETCH))
     }
 
     /// Waits for `span` of the rig's time.
@@ -33,11 +23,6 @@
         tokio::time::sleep(span * STRETCH).await;
     }
 
-    /// Waits until `moment` of the rig's time.
-    pub async fn until(self, moment: Moment) {
-        self.sleep(moment.since(self.now())).await;
-    }
-
     /// Runs `work` for at most `span` of the rig's time.
     pub async fn within<T>(self, span: Duration, work: impl Future<Output = T>) -> Option<T> {
         tokio::time::timeout(span * STRETCH, work).await.ok()
