--- a/crates/demo/examples/policy/call.rs
+++ b/crates/demo/examples/policy/call.rs
@@ -28,10 +28,14 @@
         depth: 0,
     });
     let (mut tasks, mut live, mut tried) = (JoinSet::new(), Vec::new(), Vec::new());
-    let (mut event, mut failed) = (None, false);
+    let mut failed = false;
+    let mut actions = {
+        let gateway = &mut *gateway.borrow_mut();
+        gateway.service.pressed = gateway.admission.is_pressed(&name());
+        call.start(&mut gateway.service, world.time.now())
+    };
     loop {
         let now = world.time.now();
-        let actions = gateway.borrow_mut().step(&mut call, event, now);
         for action in actions {
             let chooser = &mut gateway.borrow_mut().chooser;
             let finish = match action {
@@ -77,11 +81,12 @@
             Some(ended) = tasks.join_next() => ended.ok(),
             () = world.time.sleep(wake.since(now)) => None,
         };
-        event = Some(match ended {
+        let gateway = &mut *gateway.borrow_mut();
+        let now = world.time.now();
+        let event = match ended {
             None => Event::Tick,
             Some(Err(number)) => Event::Ended(number, Ending::NoUpstream),
             Some(Ok((number, outcome))) => {
-                let (now, mut gateway) = (world.time.now(), gateway.borrow_mut());
                 if let Some(ticket) = live[usize::from(number) - 1].0.take() {
                     gateway.chooser.finished(now, ticket, outcome);
                 }
@@ -99,6 +104,7 @@
                     _ => Event::Head(number, head),
                 }
             }
-        });
+        };
+        actions = call.step(event, &mut gateway.service, &mut gateway.rng, now);
     }
 }
--- a/crates/demo/examples/policy/case.rs
+++ b/crates/demo/examples/policy/case.rs
@@ -39,8 +39,6 @@
     pub choosers: u32,
     /// Of arrivals, work, noise and choices; the first of some.
     pub seed: u64,
-    /// How many, at least 1.
-    pub seeds: u64,
 }
 
 /// Ferrovie's status queries.
@@ -57,7 +55,6 @@
     neighbours: MILD,
     choosers: 15,
     seed: 100,
-    seeds: 5,
 };
 
 /// The Trust's drawings.
@@ -81,7 +78,6 @@
     pub fn take(&mut self, name: &str, value: OsString) -> Result<bool, lexopt::Error> {
         match name {
             "seed" => self.seed = value.parse()?,
-            "seeds" => self.seeds = value.parse::<u64>()?.max(1),
             "choosers" => self.choosers = value.parse()?,
             "probes" => self.probes = value.parse()?,
             "probe-age" => self.probe_age = Duration::from_millis(value.parse()?),
--- a/crates/demo/examples/policy/fake.rs
+++ b/crates/demo/examples/policy/fake.rs
@@ -1,7 +1,6 @@
 //! A fake upstream: slots, a first-in first-out queue, a service time and a fault.
 
 use std::cell::RefCell;
-use std::rc::Rc;
 use std::time::Duration;
 
 use base::prelude::Moment;
@@ -17,8 +16,8 @@
 
 /// Requests that an instance works on at once.
 pub const SLOTS: u32 = 6;
-/// Requests that may wait at an instance; further ones are shed.
-const QUEUE: u32 = 24;
+/// Requests that an instance has, with the 24 that may wait; further ones are shed.
+const PLACES: usize = SLOTS as usize + 24;
 /// One way between a gateway and an instance.
 const HOP: Duration = Duration::from_millis(1);
 /// How long a failing instance takes to fail.
@@ -33,10 +32,10 @@
     time: Time,
     noise: Noise,
     slots: Semaphore,
-    // Each request in flight holds one more of it.
-    running: Rc<()>,
+    // One for each request that works or waits.
+    places: Semaphore,
     // Every report made, so that a stale one can be sent.
-    reports: RefCell<Vec<(Moment, u32)>>,
+    reports: RefCell<Vec<(Moment, usize)>>,
 }
 
 impl Fake {
@@ -48,7 +47,7 @@
             time,
             noise: Noise::new(case.neighbours, case.seed * 1000 + u64::from(index)),
             slots: Semaphore::new(SLOTS as usize),
-            running: Rc::new(()),
+            places: Semaphore::new(PLACES),
             reports: RefCell::default(),
         }
     }
@@ -76,10 +75,9 @@
             }
             Ok(factor) => factor,
         };
-        if self.in_flight() >= SLOTS + QUEUE {
+        let Ok(_place) = self.places.try_acquire() else {
             return Kind::Shed;
-        }
-        let _running = Rc::clone(&self.running);
+        };
         self.report();
         let _slot = self.slots.acquire().await;
         let work = work.mul_f64(factor);
@@ -88,20 +86,19 @@
         Kind::Ok
     }
 
-    fn in_flight(&self) -> u32 {
-        u32::try_from(Rc::strong_count(&self.running) - 1).unwrap_or(u32::MAX)
-    }
-
     fn report(&self) -> Report {
         let lies = self.fault == Fault::Lying && self.index < 2;
         let stale = self.fault == Fault::StaleReports;
         let now = self.time.now();
+        let taken = PLACES - self.places.available_permits();
         let mut reports = self.reports.borrow_mut();
-        reports.push((now, if lies { 0 } else { self.in_flight() }));
+        reports.push((now, if lies { 0 } else { taken }));
         let made = now.before(STALENESS * u32::from(stale));
         let newer = reports.partition_point(|(at, _)| *at <= made);
-        let (_, in_flight) = reports[newer.saturating_sub(1)];
-        let slots = SLOTS;
-        Report { in_flight, slots }
+        let (_, taken) = reports[newer.saturating_sub(1)];
+        Report {
+            in_flight: u32::try_from(taken).expect("few places"),
+            slots: SLOTS,
+        }
     }
 }
--- a/crates/demo/examples/policy/figures.rs
+++ b/crates/demo/examples/policy/figures.rs
@@ -42,15 +42,10 @@
     ]
 }
 
-/// Median, least and greatest of figure `index` over the seeds, as `--plain` has it or as
-/// people do.
-pub fn text(runs: &[Figures], index: usize, plain: bool) -> String {
+/// Median, least and greatest of figure `index` over the seeds.
+pub fn spread(runs: &[Figures], index: usize) -> [String; 3] {
     let mut values: Vec<f64> = runs.iter().map(|run| run[index]).collect();
     values.sort_by(f64::total_cmp);
     let digits = DIGITS[index];
-    let [median, least, most] = [values.len() / 2, 0, values.len() - 1].map(|i| values[i]);
-    if plain {
-        return format!("median={median:.digits$} min={least:.digits$} max={most:.digits$}");
-    }
-    format!("{median:.digits$} ({least:.digits$}-{most:.digits$})")
+    [values.len() / 2, 0, values.len() - 1].map(|i| format!("{:.digits$}", values[i]))
 }
--- a/crates/demo/examples/policy/gateway.rs
+++ b/crates/demo/examples/policy/gateway.rs
@@ -9,9 +9,6 @@
 use admit::Admission;
 use admit::Arrival;
 use admit::Ticket;
-use attempt::Actions;
-use attempt::Call;
-use attempt::Event;
 use attempt::Service;
 use attempt::Share;
 use base::prelude::Class;
@@ -42,8 +39,10 @@
 pub struct Gateway {
     /// The choice.
     pub chooser: Chooser,
-    service: Service,
-    rng: SmallRng,
+    /// Budget and latency of the attempts.
+    pub service: Service,
+    /// Of backoffs.
+    pub rng: SmallRng,
     /// Of calls.
     pub admission: Admission,
     /// Of probes.
@@ -104,15 +103,6 @@
         (ticket, receiver)
     }
 
-    /// Starts a call, or takes it on after an event.
-    pub fn step(&mut self, call: &mut Call, event: Option<Event>, now: Moment) -> Actions {
-        if let Some(event) = event {
-            return call.step(event, &mut self.service, &mut self.rng, now);
-        }
-        self.service.pressed = self.admission.is_pressed(&name());
-        call.start(&mut self.service, now)
-    }
-
     /// Does something with the admission and tells those who wait what comes of it.
     pub fn admit(&mut self, act: impl FnOnce(&mut Admission, &mut Vec<Action>)) {
         let mut out = Vec::new();
--- a/crates/demo/examples/policy/main.rs
+++ b/crates/demo/examples/policy/main.rs
@@ -1,6 +1,6 @@
 //! Compares policies under faults: `cargo run --release --example policy -- --seed N`.
 //!
-//! `--seed` is the first of `--seeds` (5) seeds; those below 100 were tuned on.
+//! `--seed` is the first of five seeds; those below 100 were tuned on.
 //! `--shape`, `--policy` (such as `least-wait+`) and `--fault` pick one service, row or
 //! column; `--noise harsh` has worse neighbours; `--choosers` is the number of gateways;
 //! `--probes` the measuring budget in thousandths of a probe a second and instance,
@@ -31,9 +31,12 @@
 use crate::figures::Figures;
 use crate::figures::NAMES;
 
-const HELP: &str = "policy [--seed N] [--seeds N] [--shape ferrovie|trust] [--policy NAME]
+const HELP: &str = "policy [--seed N] [--shape ferrovie|trust] [--policy NAME]
   [--fault NAME] [--noise harsh] [--choosers N] [--probes N] [--probe-age N] [--plain]";
 
+/// Seeds of each case, run at once.
+const SEEDS: u64 = 5;
+
 fn main() -> Result<(), lexopt::Error> {
     let (mut cases, mut plain) = (all(), false);
     let mut parser = lexopt::Parser::from_env();
@@ -73,35 +76,34 @@
 fn compare(cases: &[Case], plain: bool) {
     let runs: Vec<_> = cases.iter().map(run_seeds).collect();
     for (index, name) in NAMES.iter().enumerate() {
-        let mut last = String::new();
+        let mut shown = String::new();
         for (case, runs) in cases.iter().zip(&runs) {
-            let (row, fault) = (case.row(), case.fault.to_string());
-            let text = figures::text(runs, index, plain);
+            let (row, fault) = (case.row(), case.fault);
+            let [median, least, most] = figures::spread(runs, index);
             if plain {
-                println!("{row} fault={fault} figure={name} {text}");
+                print!("{row} fault={fault} figure={name}");
+                println!(" median={median} min={least} max={most}");
                 continue;
             }
-            if last.is_empty() {
-                let columns = cases.iter().filter(|case| case.row() == row);
-                let heads = columns.map(|case| format!("{:>24}", case.fault.to_string()));
-                print!("\n{name:<39}{}", heads.collect::<String>());
-            }
-            if row != last {
-                print!("\n{row:<39}");
+            if row != shown {
+                print!(
+                    "{}{row:<36}{name:<8}",
+                    if shown.is_empty() { "" } else { "\n" }
+                );
             }
-            print!("{text:>24}");
-            last = row;
+            print!("  {fault} {:<18}", format!("{median} ({least}-{most})"));
+            shown = row;
         }
-        print!("{}", if plain { "" } else { "\n" });
+        print!("{}", if plain { "" } else { "\n\n" });
     }
 }
 
-/// The figures of each seed, run at once.
+/// The figures of each seed.
 fn run_seeds(case: &Case) -> Vec<Figures> {
     let join = |thread: ScopedJoinHandle<Figures>| thread.join().expect("no run panics");
     thread::scope(|scope| {
         let spawn = |seed| scope.spawn(move || run::run(Case { seed, ..*case }));
-        let threads: Vec<_> = (case.seed..case.seed + case.seeds).map(spawn).collect();
+        let threads: Vec<_> = (case.seed..case.seed + SEEDS).map(spawn).collect();
         threads.into_iter().map(join).collect()
     })
 }
--- a/crates/demo/examples/policy/run.rs
+++ b/crates/demo/examples/policy/run.rs
@@ -20,6 +20,7 @@
 use route::Probed;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
+use tokio::time::timeout;
 
 use crate::call;
 use crate::case::Case;
@@ -31,6 +32,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::name;
 use crate::noise::exponential;
+use crate::time::STRETCH;
 use crate::time::Time;
 
 /// Calls before this aren't counted.
@@ -95,7 +97,7 @@
 async fn poll(world: Rc<World>) {
     for millis in 0_u32.. {
         let now = world.time.now();
-        let table: Vec<_> = (0..world.case.instances).map(|i| row(&world, i)).collect();
+        let table = table(&world.case, now.before(NEWS));
         for (index, gateway) in world.gateways.iter().enumerate() {
             let gateway = &mut *gateway.borrow_mut();
             let (chooser, meter) = (&mut gateway.chooser, &mut gateway.meter);
@@ -116,14 +118,14 @@
     }
 }
 
-fn row(world: &World, index: u32) -> Instance {
-    let known = world.time.now().before(NEWS);
-    Instance {
+fn table(case: &Case, known: Moment) -> Vec<Instance> {
+    let instance = |index: u32| Instance {
         id: InstanceId::new(&index.to_string()).expect("digits are a name"),
         domain: DomainName::new("milano").expect("letters are a name"),
         slots: SLOTS,
-        phase: world.case.fault.phase(index, known),
-    }
+        phase: case.fault.phase(index, known),
+    };
+    (0..case.instances).map(instance).collect()
 }
 
 async fn probe(world: Rc<World>, index: usize, pick: Pick) {
@@ -131,8 +133,9 @@
     let counted = u32::from(time.now() >= WARM_UP);
     world.probes.update(|probes| probes + counted);
     let fake = world.fake(&gateway.borrow().chooser, pick);
-    let answer = time.within(PROBE_TIMEOUT, fake.serve(world.case.probe_work));
-    let answer = answer.await.filter(|answer| answer.kind == Kind::Ok);
+    let serve = fake.serve(world.case.probe_work);
+    let answer = timeout(PROBE_TIMEOUT * STRETCH, serve).await.ok();
+    let answer = answer.filter(|answer| answer.kind == Kind::Ok);
     let report = answer.and_then(|answer| answer.report);
     let result = report.map_or(Probed::Failed, Probed::Load);
     let chooser = &mut gateway.borrow_mut().chooser;
--- a/crates/demo/examples/policy/time.rs
+++ b/crates/demo/examples/policy/time.rs
@@ -6,7 +6,7 @@
 use base::prelude::Moment;
 
 /// Ticks of the runtime's clock for one of the rig's.
-const STRETCH: u32 = 1000;
+pub const STRETCH: u32 = 1000;
 
 /// The rig's clock.
 #[derive(Clone, Copy)]
@@ -22,9 +22,4 @@
     pub async fn sleep(self, span: Duration) {
         tokio::time::sleep(span * STRETCH).await;
     }
-
-    /// Runs `work` for at most `span` of the rig's time.
-    pub async fn within<T>(self, span: Duration, work: impl Future<Output = T>) -> Option<T> {
-        tokio::time::timeout(span * STRETCH, work).await.ok()
-    }
 }
