--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -71,8 +71,6 @@
     NoAnswer,
     /// The answer was another request's.
     Mismatch,
-    /// The answer has no length, so that its end can't be told.
-    Unframed,
     /// The answer broke off.
     ShortBody,
     /// The deadline passed.
--- a/crates/gateway/tests/test_input.rs
+++ b/crates/gateway/tests/test_input.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use conf::value::Bytes;
+use gateway::refusal::Reason;
+use strum::IntoEnumIterator;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use wire::api::GatewayApiClient;
@@ -196,6 +198,17 @@
     still_serves(&rig).await;
 }
 
+#[test]
+fn test_input_reasons_are_documented() {
+    let page = include_str!("../../../docs/callers.md");
+    for reason in Reason::iter() {
+        // Nobody is there to be told of this one.
+        if reason != Reason::Cancelled {
+            assert!(page.contains(&format!("`{reason}`")), "{reason}");
+        }
+    }
+}
+
 async fn still_serves(rig: &Rig) {
     let answer = rig.post("urgent", "/ok").send().await.expect("an answer");
     assert_eq!(answer.status(), 200);
