gateway: take no confirmation from before the process began

Cause: a restarted gateway could follow a directory whose confirmation of version 4 was 2.5 s old, and serve version 4 though version 5 was accepted and in force there, by way of another directory, just before the restart. The lease allows the age, so the fence didn't stop it.

Ruled out: storing the version on disk, as most hosts have none; waiting out a lease at each start, as a directory confirms within its next poll.

The confirmation is now one moment, as none lies before the clock's origin.

--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -49,21 +49,6 @@
     pub phase: Phase,
 }
 
-/// The moment a confirmation was asked for, kept as it came.
-///
-/// The moment itself may lie before the process began, where no [`Moment`] is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Confirmation {
-    sent: Moment,
-    age: Duration,
-}
-
-impl Confirmation {
-    fn age(&self, now: Moment) -> Duration {
-        now.since(self.sent) + self.age
-    }
-}
-
 /// The state that a gateway decides from.
 #[derive(Clone, Debug)]
 pub struct View {
@@ -71,7 +56,8 @@
     services: HashMap<ServiceName, Arc<Service>>,
     registry: Arc<Registry>,
     instances: HashMap<ServiceName, Arc<Vec<Arc<Upstream>>>>,
-    confirmation: Option<Confirmation>,
+    /// The moment the youngest confirmation was asked for; never before the process began.
+    confirmed: Option<Moment>,
 }
 
 impl Default for View {
@@ -81,7 +67,7 @@
             services: HashMap::new(),
             registry: Arc::new(registry_of(&Catalogue::default())),
             instances: HashMap::new(),
-            confirmation: None,
+            confirmed: None,
         }
     }
 }
@@ -106,10 +92,10 @@
         &self.registry
     }
 
-    /// The moment the last confirmation was asked for, at the earliest the process's begin.
+    /// The moment the youngest confirmation was asked for.
     #[must_use]
     pub fn confirmed(&self) -> Option<Moment> {
-        self.confirmation.map(|c| c.sent.before(c.age))
+        self.confirmed
     }
 
     /// A service of the catalogue.
@@ -137,7 +123,7 @@
     /// How long ago the version in force was confirmed as current.
     #[must_use]
     pub fn confirmed_age(&self, now: Moment) -> Option<Duration> {
-        self.confirmation.map(|c| c.age(now))
+        self.confirmed.map(|moment| now.since(moment))
     }
 
     /// Whether no confirmation is younger than `lease`.
@@ -177,13 +163,12 @@
             return;
         }
         let age = Duration::from_millis(age_ms.into());
-        let fresh = Confirmation { sent, age };
-        let older = self
-            .confirmation
-            .is_some_and(|kept| kept.age(sent) <= fresh.age(sent));
-        if !older {
-            self.confirmation = Some(fresh);
+        // Before its start the process may have had a newer version in force, by
+        // way of another directory: it learns nothing from what was current then.
+        if age > sent.since(Moment::ZERO) {
+            return;
         }
+        self.confirmed = self.confirmed.max(Some(sent.before(age)));
     }
 
     fn take_instances(&mut self, whole: bool, changes: &[InstanceChange]) {
