control: the server's file split by job

Starting, the handle of what runs, and errors each have a module; server.rs goes from 540 lines to 371.

--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -7,9 +7,9 @@
 use slog::Logger;
 use store::Folder;
 
+use crate::error::ControlError;
+use crate::handle::Control;
 use crate::server::Bound;
-use crate::server::Control;
-use crate::server::ControlError;
 use crate::server::bind;
 use crate::settings::Settings;
 
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -1,9 +1,7 @@
-//! Starts a replica from its settings and stops it.
+//! Starts a replica from its settings.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use cadence::StatsdClient;
 use consensus::HardState;
@@ -11,7 +9,6 @@
 use consensus::Stored;
 use consensus::Term;
 use futures::StreamExt;
-use quick_error::quick_error;
 use slog::Logger;
 use slog::info;
 use store::Disk;
@@ -19,16 +16,12 @@
 use store::Options;
 use store::Recovered;
 use store::Store;
-use store::StoreError;
 use tarpc::ClientMessage;
 use tarpc::Response;
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
 use tarpc::server::Config;
-use telemetry::metrics::MetricsError;
 use tokio::sync::watch;
-use tokio::task::JoinError;
-use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
@@ -39,7 +32,6 @@
 use wire::api::ReplicaApi;
 use wire::api::ReplicaApiRequest;
 use wire::api::ReplicaApiResponse;
-use wire::control::Role;
 use wire::link::MAX_PENDING;
 use wire::replica::Group;
 
@@ -47,16 +39,15 @@
 use crate::control::ControlServer;
 use crate::convert;
 use crate::convert::ConvertError;
-use crate::driver::DriverError;
 use crate::driver::Parts;
 use crate::driver::Task;
+use crate::error::ControlError;
 use crate::founding::Distributor;
 use crate::founding::Founder;
+use crate::handle::Control;
 use crate::input::Driver;
-use crate::input::Input;
 use crate::input::View;
 use crate::machine::Machine;
-use crate::machine::MachineError;
 use crate::peers::Peers;
 use crate::replica::Identity;
 use crate::replica::ReplicaServer;
@@ -67,64 +58,6 @@
 use crate::settings::Settings;
 use crate::switch::Switch;
 use crate::writer::Writer;
-use crate::writer::WriterError;
-
-/// Between two looks at who leads during a stop.
-const PAUSE: Duration = Duration::from_millis(10);
-
-quick_error! {
-    /// Why a replica can't start or has stopped.
-    #[derive(Debug)]
-    pub enum ControlError {
-        /// A port.
-        Bind(address: SocketAddr, err: io::Error) {
-            source(err)
-            display("bind {address}: {err}")
-        }
-        /// The data folder.
-        Store(err: StoreError) {
-            from()
-            source(err)
-            display("{err}")
-        }
-        /// What the data folder holds.
-        Convert(err: ConvertError) {
-            from()
-            source(err)
-            display("data folder: {err}")
-        }
-        /// The applied state.
-        Machine(err: MachineError) {
-            from()
-            source(err)
-            display("data folder: {err}")
-        }
-        /// The data folder's thread.
-        Writer(err: WriterError) {
-            from()
-            source(err)
-            display("{err}")
-        }
-        /// The metrics.
-        Metrics(err: MetricsError) {
-            from()
-            source(err)
-            display("{err}")
-        }
-        /// The replica stopped by itself.
-        Driver(err: DriverError) {
-            from()
-            source(err)
-            display("{err}")
-        }
-        /// A task panicked.
-        Task(err: JoinError) {
-            from()
-            source(err)
-            display("{err}")
-        }
-    }
-}
 
 /// Both ports, bound and not yet served.
 pub struct Bound {
@@ -436,105 +369,3 @@
         pending_response_buffer: MAX_RESPONSES,
     }
 }
-
-/// A running replica.
-pub struct Control {
-    id: u64,
-    rpc: SocketAddr,
-    replica: SocketAddr,
-    driver: Driver,
-    switch: Switch,
-    ends: Ends,
-    end: CancellationToken,
-    open: TaskTracker,
-    accepts: JoinSet<()>,
-    task: JoinHandle<Result<(), DriverError>>,
-    founding: AbortOnDropHandle<()>,
-    settings: Settings,
-    log: Logger,
-}
-
-impl Control {
-    /// Minted with the data folder.
-    #[must_use]
-    pub fn id(&self) -> u64 {
-        self.id
-    }
-
-    /// Where directories, gateways and operators connect.
-    #[must_use]
-    pub fn rpc(&self) -> SocketAddr {
-        self.rpc
-    }
-
-    /// Where other replicas connect.
-    #[must_use]
-    pub fn replica(&self) -> SocketAddr {
-        self.replica
-    }
-
-    /// Where tests cut the links to the other replicas.
-    #[must_use]
-    pub fn switch(&self) -> &Switch {
-        &self.switch
-    }
-
-    /// Waits until the replica stops by itself.
-    ///
-    /// # Errors
-    ///
-    /// Fails with what stopped it.
-    pub async fn ended(&mut self) -> Result<(), ControlError> {
-        let result = (&mut self.task).await;
-        self.close().await;
-        result?.map_err(ControlError::from)
-    }
-
-    /// Hands leadership over, answers what is open, and stops.
-    pub async fn stop(mut self) {
-        self.ends.accept.cancel();
-        let limit = self.settings.timing.stop;
-        let _ = tokio::time::timeout(limit, self.hand_over()).await;
-        self.open.close();
-        let _ = tokio::time::timeout(limit, self.open.wait()).await;
-        self.kill().await;
-        info!(self.log, "stopped"; "id" => self.id);
-    }
-
-    /// Stops at once, as a crash would, but for what the disk does.
-    pub async fn kill(&mut self) {
-        self.close().await;
-        let _ = (&mut self.task).await;
-    }
-
-    /// Asks again and again, as the chosen successor may be stopping, too.
-    async fn hand_over(&self) {
-        loop {
-            self.driver.tell(Input::Transfer);
-            let status = self.driver.call(Input::Status).await;
-            if !status.is_ok_and(|s| s.role() == Role::Leader && s.replicas.len() > 1) {
-                return;
-            }
-            tokio::time::sleep(PAUSE).await;
-        }
-    }
-
-    /// Ends everything, and waits until the ports are free again.
-    async fn close(&mut self) {
-        self.cancel();
-        while self.accepts.join_next().await.is_some() {}
-    }
-
-    fn cancel(&self) {
-        self.ends.accept.cancel();
-        self.ends.serve.cancel();
-        self.end.cancel();
-        self.founding.abort();
-    }
-}
-
-impl Drop for Control {
-    fn drop(&mut self) {
-        self.cancel();
-    }
-}
