cli: wait for a first host to serve before a change counts as in force

Red: 'all fenced: left: Done right: Unfinished'. Green: the crate's tests; a single fenced host still isn't waited for, as its row in the same table says.

--- a/crates/cli/src/command/hosts.rs
+++ b/crates/cli/src/command/hosts.rs
@@ -60,15 +60,15 @@
 }
 
 impl InForce {
-    /// The hosts that may still serve an older version.
+    /// The hosts that are still waited for.
     ///
-    /// A fenced host serves nothing, so it is not among them; one that nobody
-    /// heard is.
+    /// A fenced host serves no older version, so it is waited for only while no
+    /// host at all has this one; one that nobody heard may serve an older one.
     pub(super) fn lagging(&self) -> Vec<String> {
-        let lags = |host: &Option<Host>| {
-            host.as_ref()
-                .is_none_or(|host| host.version < self.version && host.phase() != HostPhase::Fenced)
-        };
+        let has = |host: &Host| host.version >= self.version;
+        let served = self.hosts.values().flatten().any(has);
+        let excused = |host: &Host| served && host.phase() == HostPhase::Fenced;
+        let lags = |host: &Option<Host>| host.as_ref().is_none_or(|h| !has(h) && !excused(h));
         let lagging = self.hosts.iter().filter(|(_, host)| lags(host));
         lagging.map(|(name, _)| name.clone()).collect()
     }
--- a/crates/cli/tests/test_apply.rs
+++ b/crates/cli/tests/test_apply.rs
@@ -222,6 +222,12 @@
             Exit::Done,
             "",
         ),
+        (
+            "all fenced",
+            vec![("milano-1", Fenced, 0), ("torino-1", Fenced, 0)],
+            Exit::Unfinished,
+            "not yet in force on milano-1, torino-1\n",
+        ),
         (
             "one not heard",
             vec![("torino-1", Serving, 1)],
