--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -5,3 +5,6 @@
 
 pub mod log;
 pub mod metrics;
+pub mod settings;
+
+pub use settings::Settings;
