--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -19,7 +19,6 @@
 pub mod server;
 pub mod settings;
 pub mod shared;
-pub mod stop;
 pub mod sweep;
 pub mod sync;
 
--- a/crates/directory/src/server.rs
+++ b/crates/directory/src/server.rs
@@ -14,6 +14,7 @@
 use salvo::server::ServerHandle;
 use slog::Logger;
 use slog::info;
+use telemetry::metrics::MetricsError;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
@@ -39,6 +40,12 @@
             source(err)
             display("listen at {address}: {err}")
         }
+        /// The metrics can't be had.
+        Metrics(err: MetricsError) {
+            from()
+            source(err)
+            display("{err}")
+        }
     }
 }
 
--- a/crates/directory/src/settings.rs
+++ b/crates/directory/src/settings.rs
@@ -9,7 +9,6 @@
 use conf::ConfError;
 use conf::Problem;
 use conf::Reader;
-use conf::value::log_level::Level;
 use members::Limits;
 use place::Spread;
 
@@ -17,8 +16,6 @@
 const CONTROL: &str = "control";
 const LEASES: &str = "leases";
 const ANSWERS: &str = "answers";
-const LOG: &str = "log";
-const METRICS: &str = "metrics";
 
 /// Leases and what depends on them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -89,10 +86,8 @@
     pub answers: Answers,
     /// How long a stop waits for what is in flight.
     pub stop: Duration,
-    /// Least level that is logged.
-    pub level: Level,
-    /// Where metrics go.
-    pub metrics: Option<SocketAddr>,
+    /// Log and metrics.
+    pub telemetry: telemetry::Settings,
 }
 
 impl Settings {
@@ -110,8 +105,7 @@
             leases: Leases::default(),
             answers: Answers::default(),
             stop: Duration::from_secs(5),
-            level: Level::default(),
-            metrics: None,
+            telemetry: telemetry::Settings::default(),
         }
     }
 
@@ -140,8 +134,7 @@
         let control = read_control(r);
         let leases = read_leases(r);
         let answers = read_answers(r);
-        let level = r.or(LOG, "level", Level::default());
-        let metrics = r.optional(METRICS, "sink");
+        let telemetry = telemetry::Settings::read(r);
         let parts = host.zip(domain).zip(http.zip(rpc));
         reader.finish()?;
         let Some(((host, domain), (http, rpc))) = parts else {
@@ -157,8 +150,7 @@
             leases,
             answers,
             stop,
-            level,
-            metrics,
+            telemetry,
         })
     }
 
@@ -268,13 +260,7 @@
         writeln!(f, "gateways = {}", self.answers.spread.least)?;
         writeln!(f, "slots = {}", self.answers.spread.slots)?;
         writeln!(f, "slack = {}%", self.answers.spread.slack)?;
-        writeln!(f, "\n[{LOG}]")?;
-        writeln!(f, "level = {}", self.level)?;
-        if let Some(sink) = self.metrics {
-            writeln!(f, "\n[{METRICS}]")?;
-            writeln!(f, "sink = {sink}")?;
-        }
-        Ok(())
+        write!(f, "\n{}", self.telemetry)
     }
 }
 
--- a/crates/directory/tests/test_daemon.rs
+++ b/crates/directory/tests/test_daemon.rs
@@ -37,7 +37,7 @@
         (vec!["--check", "--config", &good], 0, "http = 127.0.0.1:0"),
         (vec!["--check", "--config", &bad], 2, "[directory] http"),
         (vec!["--config", "nowhere.ini"], 2, "nowhere.ini"),
-        (vec![], 2, "--config FILE is missing"),
+        (vec![], 2, "--config FILE is required"),
         (vec!["--config", &taken_file], 1, "listen at"),
     ];
     for (args, code, text) in cases {
--- a/crates/directory/tests/test_stop.rs
+++ b/crates/directory/tests/test_stop.rs
@@ -1,8 +1,7 @@
-//! The graceful stop, and the daemon's command line.
+//! The graceful stop.
 
 use std::time::Duration;
 
-use directory::stop::Command;
 use wire::directory::HostPhase;
 use wire::directory::Sync;
 use wire::link;
@@ -48,25 +47,3 @@
         "nothing listens"
     );
 }
-
-#[test]
-fn test_stop_command_line() {
-    let run = |check| Command::Run {
-        config: "a.ini".into(),
-        check,
-    };
-    let cases = [
-        (vec!["--config", "a.ini"], Some(run(false))),
-        (vec!["--check", "--config=a.ini"], Some(run(true))),
-        (vec!["--help"], Some(Command::Help)),
-        (vec!["--version"], Some(Command::Version)),
-        (vec![], None),
-        (vec!["--config"], None),
-        (vec!["--config", "a.ini", "more"], None),
-        (vec!["--unknown"], None),
-    ];
-    for (args, expected) in cases {
-        let text = format!("{args:?}");
-        assert_eq!(directory::stop::read(args).ok(), expected, "{text}");
-    }
-}
