--- a/crates/directory/src/follow.rs
+++ b/crates/directory/src/follow.rs
@@ -13,19 +13,13 @@
 use members::Confirmed;
 use slog::debug;
 use slog::warn;
-use tarpc::ClientMessage;
-use tarpc::Response;
-use tarpc::client::Config;
 use tokio::time::sleep;
-use wire::api::ControlApiClient;
-use wire::api::ControlApiRequest;
-use wire::api::ControlApiResponse;
 use wire::control::Follow;
 use wire::control::FollowReply;
 use wire::link;
-use wire::link::Channel;
-use wire::link::Link;
 use wire::link::LinkError;
+use wire::peer;
+use wire::peer::ControlLink;
 
 use crate::convert;
 use crate::names;
@@ -40,20 +34,9 @@
 /// Longest pause.
 pub const MAX_PAUSE: Duration = Duration::from_millis(500);
 
-type Control =
-    Link<ControlApiClient, Response<ControlApiResponse>, ClientMessage<ControlApiRequest>>;
-type Wire = Channel<Response<ControlApiResponse>, ClientMessage<ControlApiRequest>>;
-
-fn connect(channel: Wire) -> ControlApiClient {
-    ControlApiClient::new(Config::default(), channel).spawn()
-}
-
 /// Follows until the directory stops.
 pub async fn follow(shared: Arc<Shared>, replicas: Vec<SocketAddr>) {
-    let links: Vec<Control> = replicas
-        .into_iter()
-        .map(|a| Link::new(a, connect))
-        .collect();
+    let links: Vec<ControlLink> = replicas.into_iter().map(peer::control).collect();
     let mut turn = 0;
     let mut failures = 0;
     while !links.is_empty() {
@@ -98,7 +81,7 @@
 }
 
 /// Asks one replica; returns whether a quorum stood behind its answer.
-async fn ask(shared: &Shared, link: &Control) -> Result<bool, LinkError> {
+async fn ask(shared: &Shared, link: &ControlLink) -> Result<bool, LinkError> {
     let (have, current) =
         shared.step(|inner, now| (inner.version(), inner.standing.is_current(now)));
     let hold = if current { HOLD } else { Duration::ZERO };
--- a/crates/directory/src/peers.rs
+++ b/crates/directory/src/peers.rs
@@ -17,21 +17,14 @@
 use members::homes::Vouch;
 use members::ring::Ring;
 use slog::debug;
-use tarpc::ClientMessage;
-use tarpc::Response;
-use tarpc::client::Config;
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tokio::time::sleep;
-use wire::api::DirectoryApiClient;
-use wire::api::DirectoryApiRequest;
-use wire::api::DirectoryApiResponse;
 use wire::directory::Exchange;
 use wire::link;
-use wire::link::Channel;
-use wire::link::Link;
 use wire::link::LinkError;
+use wire::peer::DirectoryLink;
 
 use crate::convert;
 use crate::names;
@@ -45,24 +38,8 @@
 /// Pause before a failed push is tried again.
 pub const PAUSE: Duration = Duration::from_millis(300);
 
-type Wire = Channel<Response<DirectoryApiResponse>, ClientMessage<DirectoryApiRequest>>;
-
-/// The link to one peer.
-pub type Peer =
-    Link<DirectoryApiClient, Response<DirectoryApiResponse>, ClientMessage<DirectoryApiRequest>>;
-
-/// A link to the directory whose `rpc` address is `address`.
-#[must_use]
-pub fn peer(address: SocketAddr) -> Peer {
-    Link::new(address, connect)
-}
-
-fn connect(channel: Wire) -> DirectoryApiClient {
-    DirectoryApiClient::new(Config::default(), channel).spawn()
-}
-
 /// Asks one peer after another until the directory stops.
-pub async fn ask(shared: Arc<Shared>, me: SocketAddr, peers: Vec<Arc<Peer>>) {
+pub async fn ask(shared: Arc<Shared>, me: SocketAddr, peers: Vec<Arc<DirectoryLink>>) {
     let addresses: Vec<SocketAddr> = peers.iter().map(|peer| peer.address()).collect();
     let mut ring = Ring::new(me, &addresses);
     let (tell, mut told) = mpsc::unbounded_channel();
@@ -90,7 +67,7 @@
 }
 
 /// Asks once and returns whether there was an answer.
-async fn pull(shared: Arc<Shared>, peer: &Peer) -> bool {
+async fn pull(shared: Arc<Shared>, peer: &DirectoryLink) -> bool {
     let result = pull_once(&shared, peer).await;
     let answered = result.is_ok();
     note(&shared, peer, "pull", result);
@@ -98,7 +75,7 @@
 }
 
 /// Asks in short, and in full where digests differ.
-async fn pull_once(shared: &Shared, peer: &Peer) -> Result<(), LinkError> {
+async fn pull_once(shared: &Shared, peer: &DirectoryLink) -> Result<(), LinkError> {
     let short = shared.step(|inner, _| short(inner));
     let digest = short.digest;
     let (sent, reply) = call(shared, peer, short).await?;
@@ -116,7 +93,7 @@
 
 async fn call(
     shared: &Shared,
-    peer: &Peer,
+    peer: &DirectoryLink,
     ask: Exchange,
 ) -> Result<(Moment, Exchange), LinkError> {
     let client = peer.client().await?;
@@ -218,7 +195,7 @@
 }
 
 /// Pushes changes of the own home's table to one peer until the directory stops.
-pub async fn push(shared: Arc<Shared>, peer: Arc<Peer>) {
+pub async fn push(shared: Arc<Shared>, peer: Arc<DirectoryLink>) {
     let mut changed = shared.watch();
     let mut told = changed.borrow().own;
     loop {
@@ -241,7 +218,7 @@
 /// Sends what moved after `told`; returns the point that the peer was told of.
 async fn push_once(
     shared: &Shared,
-    peer: &Peer,
+    peer: &DirectoryLink,
     told: (u64, u64),
 ) -> Result<Option<(u64, u64)>, LinkError> {
     let found = shared.step(|inner, _| {
@@ -264,7 +241,7 @@
     Ok(Some(point))
 }
 
-fn note(shared: &Shared, peer: &Peer, kind: &'static str, result: Result<(), LinkError>) {
+fn note(shared: &Shared, peer: &DirectoryLink, kind: &'static str, result: Result<(), LinkError>) {
     let word = if result.is_ok() { "ok" } else { "failed" };
     let metric = shared.metrics.count_with_tags(names::EXCHANGE, 1);
     metric
--- a/crates/directory/src/server.rs
+++ b/crates/directory/src/server.rs
@@ -18,6 +18,8 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
+use wire::peer;
+use wire::peer::DirectoryLink;
 
 use crate::follow;
 use crate::http;
@@ -156,9 +158,9 @@
 
 fn spawn_work(tasks: &mut JoinSet<()>, shared: &Arc<Shared>, me: SocketAddr) {
     let addresses = &shared.settings.peers;
-    let links: Vec<Arc<peers::Peer>> = addresses
+    let links: Vec<Arc<DirectoryLink>> = addresses
         .iter()
-        .map(|a| Arc::new(peers::peer(*a)))
+        .map(|a| Arc::new(peer::directory(*a)))
         .collect();
     for peer in &links {
         tasks.spawn(peers::push(shared.clone(), peer.clone()));
--- a/crates/directory/tests/common/mod.rs
+++ b/crates/directory/tests/common/mod.rs
@@ -206,7 +206,7 @@
 }
 
 async fn poll(directory: SocketAddr, mut host: Host) {
-    let peer = directory::peers::peer(directory);
+    let peer = wire::peer::directory(directory);
     let mut ask = Sync {
         wait_ms: 200,
         ..Sync::default()
--- a/crates/directory/tests/test_stop.rs
+++ b/crates/directory/tests/test_stop.rs
@@ -14,7 +14,7 @@
     let settings = vec![common::settings("a", "milano")];
     let directory = common::directories(settings, &[address]).await.remove(0);
     common::ready(&directory).await;
-    let peer = directory::peers::peer(directory.rpc());
+    let peer = wire::peer::directory(directory.rpc());
     let client = peer.client().await.expect("connects");
     let host = common::host("a", "milano", HostPhase::Serving, 1);
     let ask = Sync {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,8 +1,9 @@
 //! What the system's own processes say to each other: typed messages,
-//! `tarpc` services, and TCP links with bounded frames and deadlines.
+//! `tarpc` services, and TCP links and ports with bounds and deadlines.
 //!
 //! The messages are generated from `proto/` by the crate `gen`.
 
+pub mod accept;
 pub mod api;
 pub mod link;
 pub mod peer;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -13,7 +13,6 @@
 use tarpc::context::Context;
 use tarpc::serde_transport::Transport;
 use tarpc::serde_transport::tcp;
-use tarpc::serde_transport::tcp::Incoming;
 use tokio::net::TcpStream;
 use tokio_serde::formats::Bincode;
 
@@ -48,14 +47,15 @@
 /// The transport of a `tarpc` channel, `In` what it receives, `Out` what it sends.
 pub type Channel<In, Out> = Transport<TcpStream, In, Out, Bincode<In, Out>>;
 
+/// A bound port.
+pub type Incoming<In, Out> = tcp::Incoming<In, Out, Bincode<In, Out>, fn() -> Bincode<In, Out>>;
+
 /// Listens at `address` for channels with bounded frames.
 ///
 /// # Errors
 ///
 /// Fails when the address can't be bound.
-pub async fn listen<In, Out>(
-    address: SocketAddr,
-) -> io::Result<Incoming<In, Out, Bincode<In, Out>, fn() -> Bincode<In, Out>>>
+pub async fn listen<In, Out>(address: SocketAddr) -> io::Result<Incoming<In, Out>>
 where
     In: for<'de> Deserialize<'de>,
     Out: Serialize,
