demo: measure slopes of each role with small stand-ins

The capacity page needs each role's cost as count times a measured slope. Each role runs in a process of its own, started from the same program, so that processor time (by the process's own clock, not hundredths of a second) and memory are its alone; relays count bytes between processes. Three sizes or more of everything, so that a bend shows.

--- /dev/null
+++ b/crates/demo/examples/slopes/main.rs
@@ -0,0 +1,95 @@
+//! Slopes of each role, measured small: `cargo run --release --example slopes`.
+//!
+//! Prints a table, or with `--plain` one line of key=value pairs a point;
+//! `--part NAME` measures one part only. Each role runs in a process of its own,
+//! started from this program, so that processor time and memory are its alone.
+//! Callers, upstreams and the relays that count bytes run in the first process.
+
+mod announce;
+mod claim;
+mod fault;
+mod fields;
+mod part;
+mod process;
+mod relay;
+mod role;
+mod row;
+mod system;
+mod usage;
+
+use std::process::ExitCode;
+use std::time::Instant;
+
+use strum::IntoEnumIterator;
+
+use crate::fault::Fault;
+use crate::part::Part;
+use crate::row::Row;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let result = match args.split_first() {
+        Some((first, rest)) if first == process::ROLE => role::run(rest).await,
+        _ => measure(&args).await,
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("slopes: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn measure(args: &[String]) -> Result<(), Fault> {
+    let plain = args.iter().any(|a| a == "--plain");
+    let named = args.iter().position(|a| a == "--part");
+    let named = named.map(|at| args.get(at + 1).map_or("", String::as_str));
+    let parts: Vec<Part> = match named {
+        Some(name) => vec![name.parse().map_err(|_| Fault::Usage(name.into()))?],
+        None => Part::iter().collect(),
+    };
+    let begin = Instant::now();
+    println!("{}", machine(plain));
+    // Parts that read this process's own clock run alone, the others in two lanes.
+    let (alone, others): (Vec<Part>, Vec<Part>) = parts.into_iter().partition(|p| p.is_alone());
+    let (first, second) = others.into_iter().partition(|p| p.is_first());
+    print(&run(alone).await?, plain);
+    let (first, second) = futures::future::try_join(run(first), run(second)).await?;
+    print(&first, plain);
+    print(&second, plain);
+    let end = if plain { "role=run slope=time" } else { "run" };
+    println!("{end} took_s={:.0}", begin.elapsed().as_secs_f64());
+    Ok(())
+}
+
+async fn run(parts: Vec<Part>) -> Result<Vec<Row>, Fault> {
+    let mut rows = Vec::new();
+    for part in parts {
+        rows.extend(part.run().await?);
+    }
+    Ok(rows)
+}
+
+fn print(rows: &[Row], plain: bool) {
+    for row in rows {
+        if plain {
+            println!("{}", row.plain());
+        } else {
+            println!("{row}");
+        }
+    }
+}
+
+/// How busy the machine is, as other work on it shows in every figure.
+fn machine(plain: bool) -> String {
+    let load = std::fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    let load = load.split(' ').next().unwrap_or_default();
+    let cores = std::thread::available_parallelism().map_or(0, std::num::NonZero::get);
+    if plain {
+        format!("role=machine slope=load cores={cores} load={load}")
+    } else {
+        format!("machine: {cores} cores, load average {load}")
+    }
+}
