--- a/crates/demo/examples/slopes/system.rs
+++ b/crates/demo/examples/slopes/system.rs
@@ -236,7 +236,12 @@
     }
 }
 
-async fn relays(targets: &[SocketAddr], count: &Count) -> Result<Vec<SocketAddr>, Fault> {
+/// Starts a relay to each of `targets`.
+///
+/// # Errors
+///
+/// Fails when a port can't be bound.
+pub async fn relays(targets: &[SocketAddr], count: &Count) -> Result<Vec<SocketAddr>, Fault> {
     let mut found = Vec::new();
     for target in targets {
         found.push(relay::start(*target, count.clone()).await?);
