--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -1,6 +1,7 @@
 //! Campaigns and votes.
 
 use std::collections::BTreeSet;
+use std::mem;
 
 use crate::action::Action;
 use crate::entry::Index;
@@ -24,7 +25,7 @@
             return;
         }
         self.draw_timeout();
-        if self.log.config().is_voter(self.id) {
+        if self.log.config().is_voter(self.id) && !self.disk_hangs() {
             self.pre_campaign();
         } else {
             self.become_follower(self.hard.term, None);
@@ -109,7 +110,7 @@
             self.incoming = None;
         }
         let before = self.leader_id();
-        let state = std::mem::replace(&mut self.state, State::Follower { leader });
+        let state = mem::replace(&mut self.state, State::Follower { leader });
         if let State::Leader(old) = state {
             self.retire(*old);
             self.draw_timeout();
--- a/crates/consensus/src/node/lead.rs
+++ b/crates/consensus/src/node/lead.rs
@@ -1,5 +1,7 @@
 //! A leader's timers, proposals and commit index.
 
+use std::mem;
+
 use bytes::Bytes;
 
 use crate::action::Action;
@@ -19,7 +21,7 @@
 use super::State;
 
 impl Node {
-    /// Looks at a leader's timers: its quorum, its heartbeat, its hand-over.
+    /// Looks at a leader's timers: its quorum, its disk, its heartbeat, its hand-over.
     pub(super) fn tick_leader(&mut self) {
         let State::Leader(leader) = &mut self.state else {
             return;
@@ -35,13 +37,19 @@
         {
             leader.transfer = None;
         }
-        if quorum::elects(self.log.config(), |id| self.is_active(id)) {
+        let confirmed = quorum::elects(self.log.config(), |id| self.is_active(id));
+        if confirmed && !self.disk_hangs() {
             self.broadcast_heartbeat();
         } else {
             self.become_follower(self.hard.term, None);
         }
     }
 
+    /// Whether the disk has left a write unanswered for so long that another should lead.
+    pub(super) fn disk_hangs(&self) -> bool {
+        self.disk.hangs(self.now, self.settings.write_timeout)
+    }
+
     /// Whether a voter is this leader or has answered it in the last election timeout.
     pub(super) fn is_active(&self, id: ReplicaId) -> bool {
         let since = self.now.before(self.settings.election);
@@ -92,6 +100,7 @@
     /// Appends a group, which is in force from now on.
     pub(super) fn append_config(&mut self, config: Config) -> Index {
         let index = self.append(Payload::Config(config));
+        self.recount = true;
         if let State::Leader(leader) = &mut self.state {
             leader.follow(self.id, self.log.config(), index, self.now);
         }
@@ -108,13 +117,17 @@
         }
     }
 
-    fn check_proposal(&self) -> Result<(), Rejection> {
-        let State::Leader(leader) = &self.state else {
-            return Err(Rejection::NotLeader(self.leader_id()));
-        };
-        if leader.transfer.is_some() {
-            return Err(Rejection::Transferring);
+    /// The state of a leader that isn't handing over.
+    pub(super) fn check_office(&self) -> Result<&Leader, Rejection> {
+        match &self.state {
+            State::Leader(leader) if leader.transfer.is_some() => Err(Rejection::Transferring),
+            State::Leader(leader) => Ok(leader),
+            _ => Err(Rejection::NotLeader(self.leader_id())),
         }
+    }
+
+    fn check_proposal(&self) -> Result<(), Rejection> {
+        let leader = self.check_office()?;
         if leader.open_bytes >= self.settings.open_bytes {
             return Err(Rejection::Busy);
         }
@@ -132,7 +145,9 @@
         if self.stopped {
             return;
         }
-        if let State::Leader(leader) = &self.state {
+        if let State::Leader(leader) = &self.state
+            && mem::take(&mut self.recount)
+        {
             let matched = |id| self.matched(leader, id);
             let accepted = quorum::accepted(self.log.config(), matched);
             self.advance_to(accepted);
@@ -165,7 +180,7 @@
     pub(super) fn finish_tickets(&mut self) {
         if let State::Leader(leader) = &mut self.state {
             let open = leader.tickets.split_off(&self.applied.next());
-            let done = std::mem::replace(&mut leader.tickets, open);
+            let done = mem::replace(&mut leader.tickets, open);
             for (index, ticket) in done {
                 self.out.push(Action::Committed { ticket, index });
             }
--- a/crates/consensus/tests/test_replicas/test_groups.rs
+++ b/crates/consensus/tests/test_replicas/test_groups.rs
@@ -12,6 +12,7 @@
 use consensus::ReplicaId;
 
 use crate::cluster::Cluster;
+use crate::cluster::Link;
 use crate::cluster::Outcome;
 use crate::cluster::member;
 use crate::cluster::settings;
@@ -24,11 +25,6 @@
     (cluster, leader)
 }
 
-fn others(cluster: &Cluster, leader: ReplicaId) -> Vec<ReplicaId> {
-    let ids = cluster.ids().into_iter();
-    ids.filter(|id| *id != leader).collect()
-}
-
 fn region(name: &str) -> RegionName {
     RegionName::new(name).expect("a name")
 }
@@ -59,7 +55,7 @@
 #[test]
 fn test_groups_read_in_one_round() {
     let (mut cluster, leader) = group(3, Acceptance::Majority);
-    let follower = others(&cluster, leader)[0];
+    let follower = cluster.followers(leader)[0];
     for (id, messages) in [(leader, 4), (follower, 6)] {
         cluster.read(id);
         cluster.run(Duration::from_millis(1));
@@ -77,8 +73,8 @@
 fn test_groups_learner_counts_only_once_promoted() {
     let (mut cluster, leader) = group(3, Acceptance::Majority);
     cluster.add_empty(4);
-    for id in others(&cluster, leader) {
-        cluster.host(id).cut = id.0 != 4;
+    for id in cluster.followers(leader) {
+        cluster.host(id).link = if id.0 == 4 { Link::Open } else { Link::Cut };
     }
     let commit = cluster.node(leader.0).status().commit;
     let ticket = cluster.change(leader, Change::Add(member(4)));
@@ -88,7 +84,7 @@
     assert!(status.config.learners.contains_key(&ReplicaId(4)));
     assert!(cluster.hosts[&ReplicaId(4)].disk.holds(status.last));
     for id in cluster.ids() {
-        cluster.host(id).cut = false;
+        cluster.host(id).link = Link::Open;
     }
     cluster.done(ticket);
     assert!(
@@ -108,7 +104,7 @@
     let leader = cluster.leader().expect("a leader");
     for change in [
         Change::Add(member(4)),
-        Change::Remove(others(&cluster, leader)[0]),
+        Change::Remove(cluster.followers(leader)[0]),
     ] {
         let ticket = cluster.change(leader, change);
         assert_eq!(
@@ -159,7 +155,7 @@
 fn test_groups_hand_over_without_waiting_for_a_timeout() {
     for voters in [2, 3, 5] {
         let (mut cluster, old) = group(voters, Acceptance::Majority);
-        let term = cluster.node(old.0).status().term;
+        let term = cluster.node(old.0).term();
         cluster.step(old, Event::Transfer);
         let refused = cluster.propose(old);
         assert_eq!(
@@ -169,7 +165,7 @@
         cluster.run(settings().election / 2);
         let new = cluster.leader().expect("a leader");
         assert_ne!(new, old);
-        assert_eq!(cluster.node(new.0).status().term, term.next());
+        assert_eq!(cluster.node(new.0).term(), term.next());
     }
 }
 
@@ -186,7 +182,7 @@
     ];
     for (case, mut expected) in cases {
         let (mut cluster, leader) = group(6, Acceptance::EveryRegion);
-        let others = others(&cluster, leader);
+        let others = cluster.followers(leader);
         let in_east = |id: &&ReplicaId| id.0.is_multiple_of(2);
         let eastern: Vec<ReplicaId> = others.iter().filter(in_east).copied().collect();
         let ticket = match case {
@@ -224,7 +220,7 @@
 /// Cuts replicas off and waits until the leader knows.
 fn cut(cluster: &mut Cluster, ids: &[ReplicaId]) {
     for id in ids {
-        cluster.host(*id).cut = true;
+        cluster.host(*id).link = Link::Cut;
     }
     cluster.run(settings().election + settings().heartbeat);
 }
@@ -235,10 +231,14 @@
     let mut cluster = Cluster::new(7, Acceptance::EveryRegion, 3);
     let east = |id: &ReplicaId| id.0.is_multiple_of(2);
     let cut: Vec<ReplicaId> = cluster.ids().into_iter().filter(east).collect();
-    cluster.elect();
     cluster.commit_one();
+    // A leader elected after the cut has committed nothing in its term.
+    while let Some(leader) = cluster.leader().filter(|id| !east(id)) {
+        cluster.step(leader, Event::Transfer);
+        cluster.run(settings().election);
+    }
     for id in &cut {
-        cluster.host(*id).cut = true;
+        cluster.host(*id).link = Link::Cut;
     }
     cluster.run(Duration::from_secs(5));
     let leader = cluster.leader().expect("a leader in the west");
@@ -249,7 +249,7 @@
     cluster.done(evict);
     cluster.commit_one();
     for id in cut {
-        cluster.host(id).cut = false;
+        cluster.host(id).link = Link::Open;
     }
     cluster.settle();
 }
