attempt: a new budget lends three retries once

Cause: budgets begin empty, so that restarts earn nothing; then the first calls of a young gateway can't be retried at all. In the quickstart an urgent call right after its upstream was killed was refused as connect, and in the tutorial one of 260 calls ended in the upstream's 500.

Ruled out: retries after a failed connection for nothing, as refused calls would reach the bottom more than 1.1 times (test_levels has that row); three tokens in the bucket from the start, as the edge hedges with them what the bottom retries: 'Error urgent: 2201 of 2200'.

Red: test_call_young_gateway_retries 'fail-not-run-connect'. Green: it, test_levels unchanged at 2200 of 2200 at most, test_safety, gateway, admit.

--- a/crates/attempt/src/budget.rs
+++ b/crates/attempt/src/budget.rs
@@ -13,6 +13,8 @@
 const TOKEN: u64 = 1_000_000;
 const FLOOR_PERIOD: Duration = Duration::from_secs(5);
 const BURST: u64 = 10;
+/// Retries that a new budget lends once, so that a process's first calls have some.
+const FIRST_LOAN: u64 = 3;
 
 /// How a budget fills.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,6 +47,8 @@
     level: u64,
     // What the floor lent and calls haven't paid back, in the same unit.
     owed: u64,
+    // Tokens that can still be borrowed; never more, so that only a new process has any.
+    loans: u64,
     filled: Moment,
 }
 
@@ -56,6 +60,7 @@
             share,
             level: 0,
             owed: 0,
+            loans: FIRST_LOAN,
             filled: now,
         }
     }
@@ -86,6 +91,22 @@
         true
     }
 
+    /// Takes a token, or borrows one of the first few, for a retry after a failure.
+    ///
+    /// A hedge borrows nothing: the level next to a failure may borrow for the same
+    /// call, and both would be spent on it.
+    pub fn spend_or_borrow(&mut self, now: Moment) -> bool {
+        if self.spend(now) {
+            return true;
+        }
+        if self.loans == 0 || self.share.percent == 0 {
+            return false;
+        }
+        self.loans -= 1;
+        self.owed = (self.owed + TOKEN).min(self.cap());
+        true
+    }
+
     /// Pays for an attempt that a level below spent on a call of this service.
     ///
     /// Without a token it is owed, and calls pay it back before they earn. So the
--- a/crates/attempt/src/call.rs
+++ b/crates/attempt/src/call.rs
@@ -379,7 +379,7 @@
         if now + needed >= self.terms.deadline {
             return false;
         }
-        self.paid = service.budget.spend(now);
+        self.paid = service.budget.spend_or_borrow(now);
         let pause = if self.paid {
             timing::backoff(self.counted, rng)
         } else if self.terms.class == Class::Deferred {
--- a/crates/attempt/tests/test_call.rs
+++ b/crates/attempt/tests/test_call.rs
@@ -262,6 +262,33 @@
     assert_eq!(bench.step(Event::Head(1, head(200))), "relay-1");
 }
 
+/// A gateway that has just started can still retry what may be retried: time has
+/// lent its budget a few tokens, which its calls pay back.
+#[test]
+fn test_call_young_gateway_retries() {
+    let mut service = Service::new(Share::percent(10), Moment::ZERO);
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut extra = 0;
+    for call in 0..100 {
+        let now = Moment::from_millis(call);
+        let mut call = Call::new(Terms {
+            class: Class::Urgent,
+            deadline: now + Duration::from_secs(1),
+            depth: 0,
+        });
+        call.start(&mut service, now);
+        let refused = Event::Ended(1, Ending::ConnectFailed);
+        let retried = words(call.step(refused, &mut service, &mut rng, now));
+        let again = retried == "start-2";
+        extra += u32::from(again);
+        assert!(
+            again || extra >= 3,
+            "the first calls are retried: {retried}"
+        );
+    }
+    assert!(extra <= 10, "{extra} extra attempts for 100 calls");
+}
+
 #[test]
 fn test_call_no_time_left() {
     // A retry that can't be answered in time is given up at once, not at the deadline.
