control: the daemon on the shared shell, its ports and links on wire's

Command line, log start, signals and accept loop were copies; serve.rs is gone, and the three questions to another replica share one bounded call. The link between replicas stands with the other typed links in wire::peer.

--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -16,13 +16,34 @@
 use crate::error::ControlError;
 use crate::input::Driver;
 use crate::input::Input;
-use crate::serve::Ends;
 use crate::settings::Settings;
 use crate::switch::Switch;
 
 /// Between two looks at who leads during a stop.
 const PAUSE: Duration = Duration::from_millis(10);
 
+/// When to stop accepting, and when to close what was accepted.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Ends {
+    /// Take no new connection.
+    pub(crate) accept: CancellationToken,
+    /// Close all connections.
+    pub(crate) serve: CancellationToken,
+}
+
+impl Ends {
+    /// The connection's task, closed when all are.
+    pub(crate) fn bound<F>(&self, connection: F) -> impl Future<Output = ()> + use<F>
+    where
+        F: Future<Output = ()>,
+    {
+        let end = self.serve.clone();
+        async move {
+            end.run_until_cancelled(connection).await;
+        }
+    }
+}
+
 /// A running replica.
 pub struct Control {
     pub(crate) id: u64,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,7 +19,6 @@
 pub mod machine;
 pub mod peers;
 pub mod replica;
-pub mod serve;
 pub mod server;
 pub mod settings;
 pub mod switch;
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -1,18 +1,13 @@
 //! Clients of other replicas.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use tarpc::ClientMessage;
-use tarpc::Response;
-use tarpc::client::Config;
+use tarpc::client::RpcError;
 use wire::api::ReplicaApiClient;
-use wire::api::ReplicaApiRequest;
-use wire::api::ReplicaApiResponse;
-use wire::link::Channel;
-use wire::link::Link;
 use wire::link::LinkError;
 use wire::link::within;
+pub use wire::peer::ReplicaLink;
+pub use wire::peer::replica;
 use wire::replica::Ask;
 use wire::replica::AskReply;
 use wire::replica::Found;
@@ -21,28 +16,6 @@
 
 use crate::switch::Switch;
 
-/// Requests in flight on one link, and those that wait for it.
-const MAX_OPEN: usize = 4096;
-
-/// A link to one replica.
-pub type ReplicaLink =
-    Link<ReplicaApiClient, Response<ReplicaApiResponse>, ClientMessage<ReplicaApiRequest>>;
-
-/// A link to the replica at `address`, not yet connected.
-#[must_use]
-pub fn replica(address: SocketAddr) -> ReplicaLink {
-    Link::new(address, spawn)
-}
-
-fn spawn(
-    channel: Channel<Response<ReplicaApiResponse>, ClientMessage<ReplicaApiRequest>>,
-) -> ReplicaApiClient {
-    let mut config = Config::default();
-    config.max_in_flight_requests = MAX_OPEN;
-    config.pending_request_buffer = MAX_OPEN;
-    ReplicaApiClient::new(config, channel).spawn()
-}
-
 /// Asks who is at an address.
 ///
 /// # Errors
@@ -54,12 +27,8 @@
     ask: Hello,
     span: Duration,
 ) -> Result<HelloReply, LinkError> {
-    let call = async {
-        switch.pass().await;
-        let client = link.client().await?;
-        link.judge(client.hello(within(span), ask).await)
-    };
-    bounded(link, span, call).await
+    let once = |client: ReplicaApiClient| async move { client.hello(within(span), ask).await };
+    call(link, switch, span, once).await
 }
 
 /// Hands over the founding group.
@@ -73,12 +42,10 @@
     ask: Found,
     span: Duration,
 ) -> Result<bool, LinkError> {
-    let call = async {
-        switch.pass().await;
-        let client = link.client().await?;
-        link.judge(client.found(within(span), ask).await)
-    };
-    bounded(link, span, call).await.map(|reply| reply.taken)
+    let once = |client: ReplicaApiClient| async move { client.found(within(span), ask).await };
+    call(link, switch, span, once)
+        .await
+        .map(|reply| reply.taken)
 }
 
 /// Passes a request on.
@@ -92,19 +59,24 @@
     ask: Ask,
     span: Duration,
 ) -> Result<AskReply, LinkError> {
-    let call = async {
-        switch.pass().await;
-        let client = link.client().await?;
-        link.judge(client.ask(within(span), ask).await)
-    };
-    bounded(link, span, call).await
+    let once = |client: ReplicaApiClient| async move { client.ask(within(span), ask).await };
+    call(link, switch, span, once).await
 }
 
-async fn bounded<T>(
+async fn call<T, F>(
     link: &ReplicaLink,
+    switch: &Switch,
     span: Duration,
-    call: impl Future<Output = Result<T, LinkError>>,
-) -> Result<T, LinkError> {
+    once: impl FnOnce(ReplicaApiClient) -> F,
+) -> Result<T, LinkError>
+where
+    F: Future<Output = Result<T, RpcError>>,
+{
+    let call = async {
+        switch.pass().await;
+        let client = link.client().await?;
+        link.judge(once(client).await)
+    };
     let timeout = |_| Err(LinkError::Timeout(link.address()));
     tokio::time::timeout(span, call)
         .await
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -26,12 +26,15 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 use tokio_util::task::TaskTracker;
+use wire::accept::Acceptor;
 use wire::api::ControlApi;
 use wire::api::ControlApiRequest;
 use wire::api::ControlApiResponse;
 use wire::api::ReplicaApi;
 use wire::api::ReplicaApiRequest;
 use wire::api::ReplicaApiResponse;
+use wire::link::Channel as Transport;
+use wire::link::Incoming;
 use wire::link::MAX_PENDING;
 use wire::replica::Group;
 
@@ -45,20 +48,20 @@
 use crate::founding::Distributor;
 use crate::founding::Founder;
 use crate::handle::Control;
+use crate::handle::Ends;
 use crate::input::Driver;
 use crate::input::View;
 use crate::machine::Machine;
 use crate::peers::Peers;
 use crate::replica::Identity;
 use crate::replica::ReplicaServer;
-use crate::serve;
-use crate::serve::Ends;
-use crate::serve::Incoming;
-use crate::serve::MAX_RESPONSES;
 use crate::settings::Settings;
 use crate::switch::Switch;
 use crate::writer::Writer;
 
+/// Most connections on one port at once.
+const MAX_CONNECTIONS: usize = 1024;
+
 /// Both ports, bound and not yet served.
 pub struct Bound {
     rpc: Incoming<ClientMessage<ControlApiRequest>, Response<ControlApiResponse>>,
@@ -119,7 +122,7 @@
         let segment_bytes = settings.sizes.segment.0;
         let opening = move || Store::open(disk, Options { segment_bytes }, rand::random());
         let (store, recovered) = tokio::task::spawn_blocking(opening).await??;
-        let metrics = telemetry::metrics::start(settings.metrics, settings.host.as_str())?;
+        let metrics = telemetry::metrics::start(settings.telemetry.sink, settings.host.as_str())?;
         let plan = Plan {
             identity: Arc::new(self.identity(&settings, recovered.id)),
             settings,
@@ -194,13 +197,19 @@
         let open = TaskTracker::new();
         let server = self.control_server(&driver, view, &ends);
         let mut accepts = JoinSet::new();
-        accepts.spawn(serve::accept(bound.rpc, ends.clone(), {
-            let open = open.clone();
-            move |channel| serve_control(channel, server.clone(), open.clone())
+        let acceptor = Acceptor {
+            limit: MAX_CONNECTIONS,
+            stop: ends.accept.clone(),
+            log: self.log.clone(),
+        };
+        accepts.spawn(acceptor.clone().run(bound.rpc, {
+            let (ends, open) = (ends.clone(), open.clone());
+            move |channel| ends.bound(serve_control(channel, server.clone(), open.clone()))
         }));
         let server = self.replica_server(&driver);
-        accepts.spawn(serve::accept(bound.replica, ends.clone(), move |channel| {
-            serve_replica(channel, server.clone())
+        accepts.spawn(acceptor.run(bound.replica, {
+            let ends = ends.clone();
+            move |channel| ends.bound(serve_replica(channel, server.clone()))
         }));
         info!(self.log, "ready"; "id" => recovered.id, "address" => %rpc, "replica" => %replica);
         Ok(Control {
@@ -336,7 +345,7 @@
 }
 
 async fn serve_control(
-    channel: wire::link::Channel<ClientMessage<ControlApiRequest>, Response<ControlApiResponse>>,
+    channel: Transport<ClientMessage<ControlApiRequest>, Response<ControlApiResponse>>,
     server: ControlServer,
     open: TaskTracker,
 ) {
@@ -351,7 +360,7 @@
 }
 
 async fn serve_replica(
-    channel: wire::link::Channel<ClientMessage<ReplicaApiRequest>, Response<ReplicaApiResponse>>,
+    channel: Transport<ClientMessage<ReplicaApiRequest>, Response<ReplicaApiResponse>>,
     server: ReplicaServer,
 ) {
     BaseChannel::new(config(), channel)
@@ -366,6 +375,6 @@
 
 fn config() -> Config {
     Config {
-        pending_response_buffer: MAX_RESPONSES,
+        pending_response_buffer: MAX_PENDING,
     }
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -11,15 +11,12 @@
 use conf::Problem;
 use conf::Reader;
 use conf::value::Bytes;
-use conf::value::log_level::Level;
 use consensus::Acceptance;
 
 const CONTROL: &str = "control";
 const REPLICA: &str = "replica";
 const TIMING: &str = "timing";
 const STORE: &str = "store";
-const LOG: &str = "log";
-const METRICS: &str = "metrics";
 
 /// Most replicas of a founding group.
 pub const MAX_INITIAL: usize = 7;
@@ -103,10 +100,8 @@
     pub timing: Timing,
     /// Sizes on disk.
     pub sizes: Sizes,
-    /// Least level that is logged.
-    pub level: Level,
-    /// Where metrics go.
-    pub metrics: Option<SocketAddr>,
+    /// Log and metrics.
+    pub telemetry: telemetry::Settings,
 }
 
 impl Settings {
@@ -128,8 +123,7 @@
             },
             timing: Timing::default(),
             sizes: Sizes::default(),
-            level: Level::default(),
-            metrics: None,
+            telemetry: telemetry::Settings::default(),
         }
     }
 
@@ -157,8 +151,7 @@
         let replica = read_replica(r);
         let timing = read_timing(r);
         let sizes = read_sizes(r);
-        let level = r.or(LOG, "level", Level::default());
-        let metrics = r.optional(METRICS, "sink");
+        let telemetry = telemetry::Settings::read(r);
         let names = host.zip(domain).zip(region);
         let parts = names.zip(data.zip(rpc)).zip(replica);
         reader.finish()?;
@@ -174,8 +167,7 @@
             replica,
             timing,
             sizes,
-            level,
-            metrics,
+            telemetry,
         })
     }
 }
@@ -287,12 +279,6 @@
         writeln!(f, "segment = {}B", self.sizes.segment.0)?;
         writeln!(f, "snapshot = {}B", self.sizes.snapshot.0)?;
         writeln!(f, "group = {}", self.sizes.group)?;
-        writeln!(f, "\n[{LOG}]")?;
-        writeln!(f, "level = {}", self.level)?;
-        if let Some(sink) = self.metrics {
-            writeln!(f, "\n[{METRICS}]")?;
-            writeln!(f, "sink = {sink}")?;
-        }
-        Ok(())
+        write!(f, "\n{}", self.telemetry)
     }
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -15,7 +15,11 @@
 use crate::api::GatewayApiClient;
 use crate::api::GatewayApiRequest;
 use crate::api::GatewayApiResponse;
+use crate::api::ReplicaApiClient;
+use crate::api::ReplicaApiRequest;
+use crate::api::ReplicaApiResponse;
 use crate::link::Link;
+use crate::link::MAX_PENDING;
 
 /// A link to a control replica.
 pub type ControlLink =
@@ -27,6 +31,10 @@
 pub type GatewayLink =
     Link<GatewayApiClient, Response<GatewayApiResponse>, ClientMessage<GatewayApiRequest>>;
 
+/// A link from one control replica to another.
+pub type ReplicaLink =
+    Link<ReplicaApiClient, Response<ReplicaApiResponse>, ClientMessage<ReplicaApiRequest>>;
+
 /// A link to the control replica at `address`, not yet connected.
 #[must_use]
 pub fn control(address: SocketAddr) -> ControlLink {
@@ -50,3 +58,16 @@
         GatewayApiClient::new(Config::default(), channel).spawn()
     })
 }
+
+/// A link between control replicas to the one at `address`, not yet connected.
+///
+/// It carries as many requests as the other end takes.
+#[must_use]
+pub fn replica(address: SocketAddr) -> ReplicaLink {
+    Link::new(address, |channel| {
+        let mut config = Config::default();
+        config.max_in_flight_requests = MAX_PENDING;
+        config.pending_request_buffer = MAX_PENDING;
+        ReplicaApiClient::new(config, channel).spawn()
+    })
+}
