gateway: the daemon on the shared shell, its port and links on wire's

Operators' connections beyond 64 are closed at once; they used to wait unaccepted, until their own connect time ran out, and an accept that failed was tried again without a pause.

--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -5,28 +5,21 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use tarpc::ClientMessage;
-use tarpc::Response;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use wire::api::ControlApiClient;
-use wire::api::ControlApiRequest;
-use wire::api::ControlApiResponse;
 use wire::ledger::Claim;
 use wire::ledger::Settle;
 use wire::ledger::claim_reply::Kind;
-use wire::link::Link;
 use wire::link::LinkError;
 use wire::link::within;
+use wire::peer;
+use wire::peer::ControlLink;
 
 /// Longest wait for one replica.
 const REPLICA_TIME: Duration = Duration::from_millis(500);
 /// Pause after every replica failed once.
 const ROUND_PAUSE: Duration = Duration::from_millis(50);
 
-type ControlLink =
-    Link<ControlApiClient, Response<ControlApiResponse>, ClientMessage<ControlApiRequest>>;
-
 /// The control replicas, asked in turn from the one that answered last.
 pub struct Claims {
     replicas: Vec<ControlLink>,
@@ -39,7 +32,7 @@
     pub fn new(addresses: &[SocketAddr]) -> Self {
         let replicas = addresses
             .iter()
-            .map(|address| Link::new(*address, connect))
+            .map(|address| peer::control(*address))
             .collect();
         Self {
             replicas,
@@ -98,9 +91,3 @@
         None
     }
 }
-
-fn connect(
-    channel: wire::link::Channel<Response<ControlApiResponse>, ClientMessage<ControlApiRequest>>,
-) -> ControlApiClient {
-    ControlApiClient::new(tarpc::client::Config::default(), channel).spawn()
-}
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -98,6 +98,12 @@
         tokio::spawn(ended.run_until_cancelled_owned(task));
     }
 
+    /// Fires when all tasks of [`Core::spawn`] are ended.
+    #[must_use]
+    pub fn ended(&self) -> &CancellationToken {
+        &self.ended
+    }
+
     /// Ends all tasks of [`Core::spawn`], and frees the ports that they hold.
     pub fn end(&self) {
         self.ended.cancel();
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -83,7 +83,7 @@
 
 /// Sends the sums for as long as the process lives; ends at once without a sink.
 pub async fn run(core: Arc<Core>) {
-    if core.settings.metrics.is_none() {
+    if core.settings.telemetry.sink.is_none() {
         return;
     }
     loop {
--- a/crates/gateway/src/rpc.rs
+++ b/crates/gateway/src/rpc.rs
@@ -11,6 +11,7 @@
 use tarpc::context::Context;
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
+use wire::accept::Acceptor;
 use wire::api::GatewayApi;
 use wire::api::GatewayApiRequest;
 use wire::api::GatewayApiResponse;
@@ -36,26 +37,24 @@
 ///
 /// Fails when the address can't be bound.
 pub async fn start(core: Arc<Core>, address: SocketAddr) -> io::Result<SocketAddr> {
-    let mut incoming =
+    let incoming =
         link::listen::<ClientMessage<GatewayApiRequest>, Response<GatewayApiResponse>>(address)
             .await?;
     let bound = incoming.local_addr();
+    let acceptor = Acceptor {
+        limit: MOST_CONNECTIONS,
+        stop: core.ended().clone(),
+        log: core.log.clone(),
+    };
     let owner = core.clone();
-    owner.spawn(async move {
-        let connections = incoming.by_ref().filter_map(|c| async { c.ok() });
-        connections
-            .for_each_concurrent(MOST_CONNECTIONS, |transport| {
-                // Without it answers only come later.
-                let _ = transport.get_ref().set_nodelay(true);
-                let config = tarpc::server::Config {
-                    pending_response_buffer: MAX_PENDING,
-                };
-                BaseChannel::new(config, transport)
-                    .execute(Operators(core.clone()).serve())
-                    .for_each_concurrent(MAX_PENDING, |call| call)
-            })
-            .await;
-    });
+    owner.spawn(acceptor.run(incoming, move |transport| {
+        let config = tarpc::server::Config {
+            pending_response_buffer: MAX_PENDING,
+        };
+        BaseChannel::new(config, transport)
+            .execute(Operators(core.clone()).serve())
+            .for_each_concurrent(MAX_PENDING, |call| call)
+    }));
     Ok(bound)
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -10,7 +10,6 @@
 use conf::Problem;
 use conf::Reader;
 use conf::value::Bytes;
-use conf::value::log_level::Level;
 
 /// Least bound of a request's head, as the HTTP library needs it.
 pub const LEAST_HEAD: u64 = 8 * 1024;
@@ -26,10 +25,8 @@
     pub http: SocketAddr,
     /// Where operators connect.
     pub rpc: SocketAddr,
-    /// Least level of the log.
-    pub level: Level,
-    /// Where metrics go.
-    pub metrics: Option<SocketAddr>,
+    /// Log and metrics.
+    pub telemetry: telemetry::Settings,
     /// The directories, the own host's first.
     pub directories: Vec<SocketAddr>,
     /// The control replicas, for claims.
@@ -96,8 +93,7 @@
             domain,
             http: SocketAddr::from(([127, 0, 0, 1], 0)),
             rpc: SocketAddr::from(([127, 0, 0, 1], 0)),
-            level: Level::Info,
-            metrics: None,
+            telemetry: telemetry::Settings::default(),
             directories: Vec::new(),
             control: Vec::new(),
             lease: Lease::default(),
@@ -126,8 +122,7 @@
         let domain = r.required("gateway", "domain");
         let http = r.required("gateway", "http");
         let rpc = r.required("gateway", "rpc");
-        let level = r.or("log", "level", Level::default());
-        let metrics = r.optional("metrics", "sink");
+        let telemetry = telemetry::Settings::read(r);
         let directories = list(r, "directory", "addresses");
         let control = list(r, "control", "replicas");
         let lease = Lease::read(r);
@@ -142,8 +137,7 @@
             domain,
             http,
             rpc,
-            level,
-            metrics,
+            telemetry,
             directories,
             control,
             lease,
@@ -263,13 +257,7 @@
         writeln!(f, "replicas = {}", joined(&self.control))?;
         self.write_times(f)?;
         self.write_bounds(f)?;
-        writeln!(f, "\n[log]")?;
-        writeln!(f, "level = {}", self.level)?;
-        if let Some(sink) = self.metrics {
-            writeln!(f, "\n[metrics]")?;
-            writeln!(f, "sink = {sink}")?;
-        }
-        Ok(())
+        write!(f, "\n{}", self.telemetry)
     }
 }
 
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -9,21 +9,16 @@
 use base::prelude::*;
 use slog::info;
 use slog::warn;
-use tarpc::ClientMessage;
-use tarpc::Response;
 use tokio::sync::watch;
 use tokio::time::sleep;
-use wire::api::DirectoryApiClient;
-use wire::api::DirectoryApiRequest;
-use wire::api::DirectoryApiResponse;
 use wire::directory::Host;
 use wire::directory::HostPhase;
 use wire::directory::Sync;
 use wire::directory::SyncReply;
-use wire::link::Channel;
-use wire::link::Link;
 use wire::link::LinkError;
 use wire::link::within;
+use wire::peer;
+use wire::peer::DirectoryLink;
 
 use crate::core::Core;
 use crate::core::Phase;
@@ -35,9 +30,6 @@
 /// How long another directory is followed before the own one is tried again.
 const RETURN_PERIOD: Duration = Duration::from_secs(5);
 
-type DirectoryLink =
-    Link<DirectoryApiClient, Response<DirectoryApiResponse>, ClientMessage<DirectoryApiRequest>>;
-
 /// What the follower does after one poll.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Next {
@@ -69,7 +61,7 @@
     let told = watch::Sender::new(HostPhase::Unspecified);
     let receiver = told.subscribe();
     let links = core.settings.directories.iter();
-    let links = links.map(|a| Link::new(*a, connect)).collect();
+    let links = links.map(|a| peer::directory(*a)).collect();
     let follower = Follower {
         host: own_host(&core, gateway),
         since: core.clock.now(),
@@ -86,12 +78,6 @@
     receiver
 }
 
-fn connect(
-    channel: Channel<Response<DirectoryApiResponse>, ClientMessage<DirectoryApiRequest>>,
-) -> DirectoryApiClient {
-    DirectoryApiClient::new(tarpc::client::Config::default(), channel).spawn()
-}
-
 fn own_host(core: &Core, gateway: SocketAddr) -> Host {
     let started = SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/crates/gateway/tests/fakes/mod.rs
+++ b/crates/gateway/tests/fakes/mod.rs
@@ -81,7 +81,7 @@
     change(&mut settings);
     let lines = Lines::default();
     let (log, guard) = telemetry::log::start(lines.clone(), slog::Level::Info, "test", "host-1");
-    let metrics = telemetry::metrics::start(settings.metrics, "host-1").expect("a socket");
+    let metrics = telemetry::metrics::start(settings.telemetry.sink, "host-1").expect("a socket");
     let gateway = gateway::start(settings, log, metrics);
     let gateway = gateway.await.expect("free ports");
     until(|| !gateway.core().is_fenced()).await;
--- a/crates/gateway/tests/test_metrics.rs
+++ b/crates/gateway/tests/test_metrics.rs
@@ -12,7 +12,7 @@
 async fn test_metrics_names() {
     let sink = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
     let address = sink.local_addr().expect("bound");
-    let rig = rig(&[], |s| s.metrics = Some(address)).await;
+    let rig = rig(&[], |s| s.telemetry.sink = Some(address)).await;
     rig.post("urgent", "/ok").send().await.expect("an answer");
     rig.post("other", "/ok").send().await.expect("an answer");
     let mut missing = vec![
