--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -9,21 +9,16 @@
 use base::prelude::*;
 use slog::info;
 use slog::warn;
-use tarpc::ClientMessage;
-use tarpc::Response;
 use tokio::sync::watch;
 use tokio::time::sleep;
-use wire::api::DirectoryApiClient;
-use wire::api::DirectoryApiRequest;
-use wire::api::DirectoryApiResponse;
 use wire::directory::Host;
 use wire::directory::HostPhase;
 use wire::directory::Sync;
 use wire::directory::SyncReply;
-use wire::link::Channel;
-use wire::link::Link;
 use wire::link::LinkError;
 use wire::link::within;
+use wire::peer;
+use wire::peer::DirectoryLink;
 
 use crate::core::Core;
 use crate::core::Phase;
@@ -35,9 +30,6 @@
 /// How long another directory is followed before the own one is tried again.
 const RETURN_PERIOD: Duration = Duration::from_secs(5);
 
-type DirectoryLink =
-    Link<DirectoryApiClient, Response<DirectoryApiResponse>, ClientMessage<DirectoryApiRequest>>;
-
 /// What the follower does after one poll.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Next {
@@ -52,6 +44,8 @@
     core: Arc<Core>,
     links: Vec<DirectoryLink>,
     index: usize,
+    // The one to go back to when a return to the own one fails.
+    good: usize,
     since: Moment,
     // The instance table's cursor at the directory that is followed.
     epoch: u64,
@@ -67,13 +61,14 @@
     let told = watch::Sender::new(HostPhase::Unspecified);
     let receiver = told.subscribe();
     let links = core.settings.directories.iter();
-    let links = links.map(|a| Link::new(*a, connect)).collect();
+    let links = links.map(|a| peer::directory(*a)).collect();
     let follower = Follower {
         host: own_host(&core, gateway),
         since: core.clock.now(),
         core,
         links,
         index: 0,
+        good: 0,
         epoch: 0,
         cursor: 0,
         told,
@@ -83,12 +78,6 @@
     receiver
 }
 
-fn connect(
-    channel: Channel<Response<DirectoryApiResponse>, ClientMessage<DirectoryApiRequest>>,
-) -> DirectoryApiClient {
-    DirectoryApiClient::new(tarpc::client::Config::default(), channel).spawn()
-}
-
 fn own_host(core: &Core, gateway: SocketAddr) -> Host {
     let started = SystemTime::now()
         .duration_since(UNIX_EPOCH)
@@ -120,7 +109,7 @@
                 Next::Stay => failed = 0,
                 Next::Move => {
                     failed += 1;
-                    self.follow((self.index + 1) % self.links.len());
+                    self.leave();
                 }
             }
             if failed >= self.links.len() {
@@ -203,9 +192,21 @@
         if age.is_none_or(|age| age > lag) {
             return Next::Move;
         }
+        self.good = self.index;
         Next::Stay
     }
 
+    /// Leaves a directory that failed: back to the good one, or on from that.
+    ///
+    /// A trial of the own one so costs one failed poll, and not one at each
+    /// directory between the two, by which the lease could run out.
+    fn leave(&mut self) {
+        if self.index == self.good {
+            self.good = (self.good + 1) % self.links.len();
+        }
+        self.follow(self.good);
+    }
+
     fn return_home(&mut self) {
         let away = self.index != 0;
         if away && self.core.clock.now().since(self.since) >= RETURN_PERIOD {
