--- a/crates/attempt/src/action.rs
+++ b/crates/attempt/src/action.rs
@@ -90,8 +90,6 @@
     Deadline,
     /// The body of the answer was short.
     ShortBody,
-    /// The caller went away.
-    Cancelled,
 }
 
 impl From<Ending> for Reason {
--- a/crates/gateway/src/call/judge.rs
+++ b/crates/gateway/src/call/judge.rs
@@ -44,7 +44,6 @@
         attempt::Reason::Mismatch => Reason::Mismatch,
         attempt::Reason::Deadline => Reason::Deadline,
         attempt::Reason::ShortBody => Reason::ShortBody,
-        attempt::Reason::Cancelled => Reason::Cancelled,
     }
 }
 
