--- a/crates/admit/examples/overload/main.rs
+++ b/crates/admit/examples/overload/main.rs
@@ -3,12 +3,13 @@
 //! `cargo run --release -p admit --example overload -- [SEED]` prints one line of
 //! key=value pairs for each bound on running calls and each kind of upstream.
 
+mod report;
 mod scene;
 
 use admit::Mode;
 
+use crate::report::Setup;
 use crate::scene::Scene;
-use crate::scene::Setup;
 
 const SLOTS: u32 = 60;
 // What one of 15 gateways could hold if it knew the slots and the others.
--- a/crates/admit/tests/test_overload.rs
+++ b/crates/admit/tests/test_overload.rs
@@ -1,13 +1,15 @@
 //! Overload of two times, with the example's gateways and fake upstreams.
 
+#[path = "../examples/overload/report.rs"]
+mod report;
 #[path = "../examples/overload/scene.rs"]
 mod scene;
 
 use admit::Mode;
 
-use crate::scene::Report;
+use crate::report::Report;
+use crate::report::Setup;
 use crate::scene::Scene;
-use crate::scene::Setup;
 
 fn overload(mode: Mode, backlog: usize) -> Report {
     let setup = Setup {
