gateway: look at a service only when a probe may be sent

Cause: with 130 services a gateway without calls looked at each of them 20 times a second and asked the meter for each stale instance, though the meter had said from when on a probe may be sent; a profile had 24 % in the search for the rank in the registry, 18 % in comparing names, 7 % in the meter.

Ruled out: a heap of due times (130 comparisons a wake cost nothing beside the looks); waiting for the meter's whole word (a share that is raised would be seen up to a period late, so the word counts for 1 s at most).

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod queue;
 pub mod refusal;
 pub mod relay;
+pub mod rounds;
 pub mod rpc;
 pub mod serve;
 pub mod settings;
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -4,7 +4,6 @@
 //! crate `measure` says whether this gateway may send one now. At most one
 //! process of a host may probe: the one that has bound the operators' port.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -30,6 +29,8 @@
 use crate::counters::add;
 use crate::desk::Desk;
 use crate::lanes::Outgoing;
+use crate::rounds::Round;
+use crate::rounds::Rounds;
 use crate::track::read_report;
 use crate::view::View;
 
@@ -37,9 +38,7 @@
 pub const LOAD_PATH: &str = "/rwr/load";
 /// Longest wait for a probe's answer; the slowest upstreams take 5 ms.
 const PROBE_TIME: Duration = Duration::from_millis(250);
-/// Longest pause between two rounds over the services.
-const MOST_PAUSE: Duration = Duration::from_millis(50);
-/// Shortest pause between two rounds.
+/// Shortest pause between two rounds over the services that are due.
 const LEAST_PAUSE: Duration = Duration::from_millis(2);
 
 /// The meter behind a lock.
@@ -103,48 +102,43 @@
 
 /// Probes for as long as the gateway serves.
 pub async fn run(core: Arc<Core>) {
-    let mut dues = HashMap::new();
+    let mut rounds = Rounds::default();
     while *core.phase.borrow() < Phase::Closing {
         let now = core.clock.now();
-        let next = visit(&core, &mut dues, now).max(now + LEAST_PAUSE);
+        rounds.update(&core.view());
+        visit(&core, &mut rounds, now);
+        let next = rounds.next(now).max(now + LEAST_PAUSE);
         sleep_until(core.clock.instant(next)).await;
     }
 }
 
-/// Looks at the services that are due, and says when the next one is.
+/// Looks at the services that are due.
 ///
 /// One service's next probe doesn't bring a look at all others.
-fn visit(core: &Arc<Core>, dues: &mut HashMap<ServiceName, Moment>, now: Moment) -> Moment {
-    let view = core.view();
-    let mut next = now + MOST_PAUSE;
-    dues.retain(|name, _| view.service(name.as_str()).is_some());
-    for service in view.services() {
-        let mut due = dues.get(&service.name).copied().unwrap_or(now);
-        if due <= now
-            && let Some(desk) = core.desks.get(&service.name)
-        {
-            due = round(core, &service.name, &desk, now);
-            dues.insert(service.name.clone(), due);
+fn visit(core: &Arc<Core>, rounds: &mut Rounds, now: Moment) {
+    for (service, round) in rounds.due(now) {
+        if let Some(desk) = core.desks.get(service) {
+            look(core, service, &desk, round, now);
         }
-        next = next.min(due);
+        round.end(now);
     }
-    next
 }
 
-/// Sends the probes that are due for one service; says when to ask again.
-fn round(core: &Arc<Core>, service: &ServiceName, desk: &Arc<Desk>, now: Moment) -> Moment {
-    let mut next = now + MOST_PAUSE;
+/// Sends the probes that are due for one service.
+fn look(core: &Arc<Core>, service: &ServiceName, desk: &Arc<Desk>, round: &mut Round, now: Moment) {
     let mut picks = Vec::new();
     {
         let mut state = desk.state();
         let mut meter = core.prober.meter();
-        let mut allowed = |id: &InstanceId| match meter.spend(service, id, now) {
-            Ok(()) => true,
-            Err(Denied::Early(at)) => {
-                next = next.min(at);
-                false
+        let mut allowed = |id: &InstanceId| {
+            if !round.may_ask(id, now) {
+                return false;
             }
-            Err(_) => false,
+            let word = meter.spend(service, id, now);
+            if let Err(Denied::Early(at)) = word {
+                round.deny(id, at, now);
+            }
+            word.is_ok()
         };
         while let Some(pick) = state.chooser.probe(now, &mut allowed) {
             picks.push((pick, state.chooser.id(pick).cloned()));
@@ -153,7 +147,6 @@
     for (pick, id) in picks {
         tokio::spawn(probe(core.clone(), service.clone(), desk.clone(), pick, id));
     }
-    next
 }
 
 async fn probe(
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -49,13 +49,16 @@
     pub phase: Phase,
 }
 
+/// The announced instances of one service.
+pub type Rows = Arc<Vec<Arc<Upstream>>>;
+
 /// The state that a gateway decides from.
 #[derive(Clone, Debug)]
 pub struct View {
     version: u64,
     services: HashMap<ServiceName, Arc<Service>>,
     registry: Arc<Registry>,
-    instances: HashMap<ServiceName, Arc<Vec<Arc<Upstream>>>>,
+    instances: HashMap<ServiceName, Rows>,
     /// The moment the youngest confirmation was asked for; never before the process began.
     confirmed: Option<Moment>,
 }
@@ -115,6 +118,12 @@
         self.instances.get(service).map_or(&[], |rows| rows)
     }
 
+    /// The same, to be kept: equal pointers say that nothing has changed.
+    #[must_use]
+    pub fn rows(&self, service: &ServiceName) -> Rows {
+        self.instances.get(service).cloned().unwrap_or_default()
+    }
+
     /// All announced instances.
     pub fn all_instances(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.instances.values().flat_map(|rows| rows.iter())
