gateway: the line of a refusal names the service

Operators ask which service is refused, and the line had only the request's id. Empty when the request named none or no name.

Red: without the key test_serve_refusals_are_logged waits 20 s in vain for service=other and fails (the event comes: Elapsed).

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -85,10 +85,19 @@
     }
 }
 
-fn service(view: &View, headers: &HeaderMap) -> Result<Arc<Service>, Refusal> {
+/// The service that a request names.
+///
+/// # Errors
+///
+/// Refuses a request that names none, several, or what is no name.
+pub fn service_name(headers: &HeaderMap) -> Result<ServiceName, Refusal> {
     let text = single(headers, header::SERVICE, Reason::BadService)?
         .ok_or(Refusal::bad(Reason::NoService))?;
-    let name = ServiceName::new(text).map_err(|_| Refusal::bad(Reason::BadService))?;
+    ServiceName::new(text).map_err(|_| Refusal::bad(Reason::BadService))
+}
+
+fn service(view: &View, headers: &HeaderMap) -> Result<Arc<Service>, Refusal> {
+    let name = service_name(headers)?;
     view.service(name.as_str()).cloned().ok_or(Refusal::not_run(
         StatusCode::NOT_FOUND,
         Reason::UnknownService,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -29,6 +29,7 @@
 use tokio_util::sync::CancellationToken;
 use uuid::Uuid;
 
+use crate::ask;
 use crate::ask::Ask;
 use crate::body;
 use crate::body::Keep;
@@ -141,7 +142,10 @@
         let id: Arc<str> = Uuid::new_v4().simple().to_string().into();
         match self.call(&id, request).await {
             Ok(relayed) => relay(relayed, response),
-            Err(refusal) => self.refuse(&id, refusal, response),
+            Err(refusal) => {
+                let service = ask::service_name(request.headers()).ok();
+                self.refuse(&id, service.as_ref(), refusal, response);
+            }
         }
         if let Ok(id) = HeaderValue::from_str(&id) {
             response.headers_mut().insert(header::REQUEST_ID, id);
@@ -231,10 +235,17 @@
         })
     }
 
-    fn refuse(&self, id: &str, refusal: Refusal, response: &mut Response) {
+    fn refuse(
+        &self,
+        id: &str,
+        service: Option<&ServiceName>,
+        refusal: Refusal,
+        response: &mut Response,
+    ) {
         self.0.counters.refused(refusal.reason);
         info!(self.0.log, "refuse";
             "request" => id,
+            "service" => service.map_or("", ServiceName::as_str),
             "outcome" => <&str>::from(refusal.outcome),
             "reason" => <&str>::from(refusal.reason),
             "status" => refusal.status.as_u16(),
--- a/crates/gateway/tests/test_serve.rs
+++ b/crates/gateway/tests/test_serve.rs
@@ -247,3 +247,22 @@
         assert_eq!(rig.upstream.connections(), 1, "{service}");
     }
 }
+
+#[tokio::test]
+async fn test_serve_refusals_are_logged() {
+    let rig = rig(&[], |_| ()).await;
+    let cases = [
+        (Some("other"), "service=other", "reason=unknown-service"),
+        (Some("no name"), "service=", "reason=bad-service"),
+        (None, "service=", "reason=no-service"),
+    ];
+    for (service, named, reason) in cases {
+        let mut request = client().get(rig.url("/ok"));
+        if let Some(service) = service {
+            request = request.header("rwr-service", service);
+        }
+        let answer = request.send().await.expect("an answer");
+        let request = format!("request={}", header(&answer, "rwr-request-id"));
+        until(|| rig.lines.has(&["msg=refuse", &request, named, reason])).await;
+    }
+}
