cli: one catalogue file for all tests of the commands

It stood in three test files; test_apply's differed by one more gateway, which it adds, and by an owner that nothing looks at.

--- a/crates/cli/tests/fakes/mod.rs
+++ b/crates/cli/tests/fakes/mod.rs
@@ -38,6 +38,21 @@
 use wire::ledger::Settle;
 use wire::ledger::SettleReply;
 
+/// A catalogue of one service and one gateway.
+pub const FILE: &str = "\
+[service grants]
+owner = Ferrovie Alpine
+class = once
+concurrency = 42
+queue = 84
+deadline = 2s
+body = 64KiB
+retries = 10%
+probes = 2/s
+
+[gateway milano-1]
+";
+
 /// What the daemons answer, and what they were sent.
 #[derive(Default)]
 pub struct World {
--- a/crates/cli/tests/test_apply.rs
+++ b/crates/cli/tests/test_apply.rs
@@ -3,6 +3,7 @@
 mod fakes;
 
 use cli::Exit;
+use fakes::FILE;
 use fakes::Fake;
 use fakes::listen;
 use fakes::nobody;
@@ -14,34 +15,28 @@
 use wire::directory::Host;
 use wire::directory::HostPhase;
 
-const FILE: &str = "\
-[service grants]
-owner = Ferrovie
-class = once
-concurrency = 42
-queue = 84
-deadline = 2s
-body = 64KiB
-retries = 10%
-probes = 2/s
-
-[gateway milano-1]
-
-[gateway torino-1]
-";
+/// The common file with one gateway more.
+fn two_gateways() -> String {
+    format!("{FILE}\n[gateway torino-1]\n")
+}
 
 #[tokio::test]
 async fn test_apply_answers() {
     let fake = Fake::default();
     let control = listen!(ControlApi, fake);
     let name = "answers.ini";
-    let file = write(name, FILE);
-    let more = write("answers-more.ini", &FILE.replace("84", "85"));
+    let file = write(name, &two_gateways());
+    let more = write("answers-more.ini", &two_gateways().replace("84", "85"));
     let bad = write(
         "answers-bad.ini",
-        &FILE.replace("once", "twice").replace("64KiB", "64"),
+        &two_gateways()
+            .replace("once", "twice")
+            .replace("64KiB", "64"),
+    );
+    let old = format!(
+        "[catalogue]\nversion = 1\n\n{}",
+        two_gateways().replace("84", "86")
     );
-    let old = format!("[catalogue]\nversion = 1\n\n{}", FILE.replace("84", "86"));
     let old = write("answers-old.ini", &old);
     let (file, more) = (file.display(), more.display());
     let (bad, old) = (bad.display(), old.display());
@@ -126,7 +121,7 @@
 async fn test_apply_resends_the_same_change() {
     let fake = Fake::default();
     let control = listen!(ControlApi, fake);
-    let file = write("resend.ini", FILE);
+    let file = write("resend.ini", &two_gateways());
     let line = format!(
         "apply {} --control {control} --timeout 300ms --plain",
         file.display()
@@ -167,7 +162,7 @@
 async fn test_apply_goes_on_to_the_next_replica() {
     let fake = Fake::default();
     let control = listen!(ControlApi, fake);
-    let file = write("next.ini", FILE);
+    let file = write("next.ini", &two_gateways());
     let (dead, file) = (nobody(), file.display());
     let ended = rwrctl(&format!("apply {file} --control {dead},{control}")).await;
     assert_eq!(ended.exit, Exit::Done, "{}", ended.err);
@@ -252,7 +247,7 @@
             .into_iter()
             .map(|(h, phase, version)| host(h, phase, version));
         fake.world().hosts.hosts = hosts.collect();
-        let file = write("wait.ini", FILE);
+        let file = write("wait.ini", &two_gateways());
         let line = format!(
             "apply {} --control {control} --directory {directory}",
             file.display()
--- a/crates/cli/tests/test_commands.rs
+++ b/crates/cli/tests/test_commands.rs
@@ -3,6 +3,7 @@
 mod fakes;
 
 use cli::Exit;
+use fakes::FILE;
 use fakes::Fake;
 use fakes::listen;
 use fakes::nobody;
@@ -26,20 +27,6 @@
 use wire::directory::Phase;
 use wire::gateway::Candidate;
 
-const FILE: &str = "\
-[service grants]
-owner = Ferrovie Alpine
-class = once
-concurrency = 42
-queue = 84
-deadline = 2s
-body = 64KiB
-retries = 10%
-probes = 2/s
-
-[gateway milano-1]
-";
-
 fn of_version(version: u64) -> String {
     format!("[catalogue]\nversion = {version}\n\n{FILE}")
 }
--- a/crates/cli/tests/test_usage.rs
+++ b/crates/cli/tests/test_usage.rs
@@ -3,6 +3,7 @@
 mod fakes;
 
 use cli::Exit;
+use fakes::FILE;
 use fakes::Fake;
 use fakes::listen;
 use fakes::nobody;
@@ -15,20 +16,6 @@
 use wire::catalogue::Edit;
 use wire::catalogue::edit::Kind;
 
-const FILE: &str = "\
-[service grants]
-owner = Ferrovie Alpine
-class = once
-concurrency = 42
-queue = 84
-deadline = 2s
-body = 64KiB
-retries = 10%
-probes = 2/s
-
-[gateway milano-1]
-";
-
 #[tokio::test]
 async fn test_usage_faults() {
     let settings = write(
