--- a/crates/demo/examples/slopes/fault.rs
+++ b/crates/demo/examples/slopes/fault.rs
@@ -18,6 +18,10 @@
         Role(said: String) {
             display("a role's process said {said:?}")
         }
+        /// A part took too long.
+        Late(part: String) {
+            display("the part {part} didn't end in time")
+        }
         /// The command line.
         Usage(word: String) {
             display("no part or role is called {word:?}")
--- a/crates/demo/examples/slopes/main.rs
+++ b/crates/demo/examples/slopes/main.rs
@@ -18,13 +18,18 @@
 mod usage;
 
 use std::process::ExitCode;
+use std::time::Duration;
 use std::time::Instant;
 
 use strum::IntoEnumIterator;
+use tokio::time::timeout;
 
 use crate::fault::Fault;
 use crate::part::Part;
 
+/// Longest time of one part; a role that never gets ready must not hold the run up.
+const PATIENCE: Duration = Duration::from_mins(1);
+
 #[tokio::main]
 async fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
@@ -64,7 +69,9 @@
 /// Runs one part after another, and prints each as soon as it has ended.
 async fn run(parts: Vec<Part>, plain: bool) -> Result<(), Fault> {
     for part in parts {
-        for row in part.run().await? {
+        let late = |_| Fault::Late(part.to_string());
+        let rows = timeout(PATIENCE, part.run()).await.map_err(late)??;
+        for row in rows {
             if plain {
                 println!("{}", row.plain());
             } else {
