admit: a bound knows the slots behind it

Cause: the adaptive bound began at 8 calls and fell back to 8 whenever answers took 1.3 times their shortest mean, also where one gateway has hundreds of slots before it and the time is its own or its machine's.

Now twice the gateway's share of the ready instances' slots, at least 8 as before. Red: test_admission_free_slots_hold_nothing_back 'round 0 left: Queued', and with the start alone mended 'round 13 left: Queued'.

--- a/crates/admit/examples/overload/scene.rs
+++ b/crates/admit/examples/overload/scene.rs
@@ -28,6 +28,8 @@
 const GATEWAYS: usize = 15;
 pub const INSTANCES: usize = 10;
 pub const SLOTS: usize = 6;
+/// 10 instances of 6 slots by 15 gateways.
+const SLOTS_A_GATEWAY: u32 = 4;
 pub const WORK: Duration = Duration::from_millis(10);
 const TRANSIT: Duration = Duration::from_micros(500);
 const PATIENCE: Duration = Duration::from_millis(100);
@@ -96,6 +98,7 @@
                 class: Class::Urgent,
                 concurrency: setup.concurrency,
                 queue: 200,
+                slots: SLOTS_A_GATEWAY,
             };
             admission.set_service(&name(), terms);
             Gateway {
--- a/crates/admit/src/lane.rs
+++ b/crates/admit/src/lane.rs
@@ -20,6 +20,8 @@
     pub concurrency: u32,
     /// Most calls that wait at this gateway.
     pub queue: u32,
+    /// Slots of the service's ready instances, divided by the gateways; 0 when unknown.
+    pub slots: u32,
 }
 
 /// How a started call ended, as far as admission needs it.
@@ -59,7 +61,7 @@
     pub(crate) fn new(mode: Mode, terms: Terms) -> Self {
         Self {
             terms,
-            limit: Limit::new(mode, terms.concurrency),
+            limit: Limit::new(mode, terms.concurrency, terms.slots),
             drain: Drain::default(),
             running: 0,
             queue: BTreeMap::new(),
@@ -70,6 +72,7 @@
     pub(crate) fn set_terms(&mut self, terms: Terms) {
         self.terms = terms;
         self.limit.set_most(terms.concurrency);
+        self.limit.set_slots(terms.slots);
         self.removed = false;
     }
 
--- a/crates/admit/src/limit.rs
+++ b/crates/admit/src/limit.rs
@@ -18,8 +18,6 @@
 pub const GROWTH: f64 = 0.018;
 /// Growth with each answer before the bound was ever shrunk.
 pub const EARLY_GROWTH: f64 = 0.1;
-/// Bound to begin with, so that the time of a call without a queue is learned first.
-pub const START: f64 = 8.0;
 /// What a shed leaves of the bound.
 pub const SHRINK: f64 = 0.95;
 /// Least that one round of slow answers leaves of the bound.
@@ -28,8 +26,12 @@
 pub const STRETCH: f64 = 1.3;
 /// Least bound.
 pub const LEAST: f64 = 1.0;
-/// Least bound that slow answers alone lead to: means over a few calls scatter too much.
+/// Least bound to begin with, and that slow answers alone lead to: means over a few
+/// calls scatter too much.
 pub const LEAST_SLOW: f64 = 8.0;
+/// The same as a multiple of the gateway's share of the slots: slow answers while
+/// calls can't even fill the slots come from elsewhere.
+pub const SLOTS_SLOW: f64 = 2.0;
 
 // Share of a new sample in the recent mean.
 const WEIGHT: f64 = 1.0 / 32.0;
@@ -57,6 +59,9 @@
 pub struct Limit {
     mode: Mode,
     most: u32,
+    // What slow answers alone leave of the bound; it begins there, too, so that the
+    // time of a call without a queue is learned first.
+    floor: f64,
     bound: f64,
     phase: f64,
     shrunk: Option<Moment>,
@@ -67,16 +72,18 @@
 }
 
 impl Limit {
-    /// A bound of at most `most`.
+    /// A bound of at most `most`, where the gateway's share of the upstreams is `slots`.
     #[must_use]
-    pub fn new(mode: Mode, most: u32) -> Self {
+    pub fn new(mode: Mode, most: u32, slots: u32) -> Self {
+        let floor = floor(slots);
         let bound = match mode {
             Mode::Fixed => f64::from(most),
-            Mode::Adaptive => f64::from(most).min(START),
+            Mode::Adaptive => f64::from(most).min(floor),
         };
         Self {
             mode,
             most,
+            floor,
             bound,
             phase: 0.0,
             shrunk: None,
@@ -94,6 +101,16 @@
         self.bound = if was_open { most } else { self.bound.min(most) };
     }
 
+    /// Takes another share of the upstreams' slots over; with a larger one the bound
+    /// begins anew.
+    pub fn set_slots(&mut self, slots: u32) {
+        let floor = floor(slots);
+        if floor > self.floor {
+            self.bound = self.bound.max(floor).min(f64::from(self.most));
+        }
+        self.floor = floor;
+    }
+
     /// Whether a call may start beside `running` others.
     #[must_use]
     pub fn has_room(&self, running: u32) -> bool {
@@ -110,7 +127,7 @@
         self.learn(span);
         let stretch = self.mean / self.shortest;
         if stretch > STRETCH {
-            self.shrink((STRETCH / stretch).max(DEEPEST), LEAST_SLOW, now);
+            self.shrink((STRETCH / stretch).max(DEEPEST), self.floor, now);
         } else if was_full {
             let growth = self.shrunk.map_or(EARLY_GROWTH, |_| GROWTH);
             self.bound = (self.bound + growth).min(f64::from(self.most));
@@ -149,3 +166,7 @@
         self.bound
     }
 }
+
+fn floor(slots: u32) -> f64 {
+    (f64::from(slots) * SLOTS_SLOW).max(LEAST_SLOW)
+}
--- a/crates/admit/tests/test_admission.rs
+++ b/crates/admit/tests/test_admission.rs
@@ -36,6 +36,7 @@
             class,
             concurrency,
             queue,
+            slots: 0,
         };
         admission.set_service(&name(class), terms);
     }
@@ -145,6 +146,7 @@
         class: Class::Urgent,
         concurrency: 1,
         queue: 1,
+        slots: 0,
     };
     admission.set_service(&name(Class::Urgent), terms);
     let arrival = admission.arrive(&request(6, Class::Urgent, 900), at(0), &mut out);
@@ -154,6 +156,41 @@
     assert_eq!(refused(arrival), Some(Refused::Stopping));
 }
 
+/// A service whose slots are far from filled: neither a burst at the start nor
+/// answers that come late for another reason make calls wait.
+#[test]
+fn test_admission_free_slots_hold_nothing_back() {
+    let mut admission = Admission::new(Settings {
+        concurrency: 1_000,
+        queue: 10,
+    });
+    let terms = Terms {
+        class: Class::Urgent,
+        concurrency: 128,
+        queue: 1,
+        slots: 60,
+    };
+    admission.set_service(&name(Class::Urgent), terms);
+    let mut out = Vec::new();
+    let mut now = 0;
+    for round in 0..50 {
+        let first = round * 100;
+        for ticket in first..first + 60 {
+            let arrival = admission.arrive(
+                &request(ticket, Class::Urgent, now + 10_000),
+                at(now),
+                &mut out,
+            );
+            assert_eq!(arrival, Arrival::Started, "round {round}");
+        }
+        // The first rounds take 5 ms, the others 20 ms.
+        now += if round < 10 { 5 } else { 20 };
+        for ticket in first..first + 60 {
+            admission.finish(Ticket(ticket), Finish::Answered, at(now), &mut out);
+        }
+    }
+}
+
 #[test]
 fn test_admission_deferred_yields_but_keeps_share() {
     let settings = Settings {
--- a/crates/demo/examples/policy/gateway.rs
+++ b/crates/demo/examples/policy/gateway.rs
@@ -65,6 +65,7 @@
             class: Class::Urgent,
             concurrency: LIMITS.concurrency,
             queue: LIMITS.queue,
+            slots: case.instances * crate::fake::SLOTS / case.choosers,
         };
         admission.set_service(&name(), terms);
         let share = Share::percent(RETRY_PERCENT * u32::from(case.whole));
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -20,6 +20,7 @@
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::time::sleep_until;
+use wire::directory::Phase;
 
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
@@ -77,7 +78,9 @@
             }
         }
         for service in after.services() {
-            state.admission.set_service(&service.name, terms(service));
+            state
+                .admission
+                .set_service(&service.name, terms(service, after));
         }
         state.perform(out);
     }
@@ -244,11 +247,17 @@
     }
 }
 
-fn terms(service: &Service) -> Terms {
+fn terms(service: &Service, view: &View) -> Terms {
+    let ready = view.instances(&service.name).iter();
+    let slots: u32 = ready
+        .filter(|row| row.phase == Phase::Ready)
+        .map(|row| row.slots)
+        .fold(0, u32::saturating_add);
     Terms {
         class: service.class,
         concurrency: service.limits.concurrency,
         queue: service.limits.queue,
+        slots: slots / view.gateways(),
     }
 }
 
