--- a/crates/demo/examples/policy/gateway.rs
+++ b/crates/demo/examples/policy/gateway.rs
@@ -24,6 +24,7 @@
 use tokio::sync::oneshot;
 
 use crate::case::Case;
+use crate::fake::SLOTS;
 
 /// Extra attempts as a share of calls, in percent.
 const RETRY_PERCENT: u32 = 10;
@@ -65,7 +66,7 @@
             class: Class::Urgent,
             concurrency: LIMITS.concurrency,
             queue: LIMITS.queue,
-            slots: case.instances * crate::fake::SLOTS / case.choosers,
+            slots: case.instances * SLOTS / case.choosers,
         };
         admission.set_service(&name(), terms);
         let share = Share::percent(RETRY_PERCENT * u32::from(case.whole));
