--- a/crates/directory/src/server.rs
+++ b/crates/directory/src/server.rs
@@ -14,9 +14,12 @@
 use salvo::server::ServerHandle;
 use slog::Logger;
 use slog::info;
+use telemetry::metrics::MetricsError;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
+use wire::peer;
+use wire::peer::DirectoryLink;
 
 use crate::follow;
 use crate::http;
@@ -39,6 +42,12 @@
             source(err)
             display("listen at {address}: {err}")
         }
+        /// The metrics can't be had.
+        Metrics(err: MetricsError) {
+            from()
+            source(err)
+            display("{err}")
+        }
     }
 }
 
@@ -149,9 +158,9 @@
 
 fn spawn_work(tasks: &mut JoinSet<()>, shared: &Arc<Shared>, me: SocketAddr) {
     let addresses = &shared.settings.peers;
-    let links: Vec<Arc<peers::Peer>> = addresses
+    let links: Vec<Arc<DirectoryLink>> = addresses
         .iter()
-        .map(|a| Arc::new(peers::peer(*a)))
+        .map(|a| Arc::new(peer::directory(*a)))
         .collect();
     for peer in &links {
         tasks.spawn(peers::push(shared.clone(), peer.clone()));
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -6,3 +6,6 @@
 pub mod lines;
 pub mod log;
 pub mod metrics;
+pub mod settings;
+
+pub use settings::Settings;
