telemetry: go back to the library's queue, and lose only what can't be written

Reverts, a log writer of our own that joined lines.

Pieces of a line go out as one write. The library's report counts a dropped line up to twice, as it also counts its own reports that found no room.

--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -1,37 +1,29 @@
-//! One logfmt line an event, formatted by who logs and written by one thread.
+//! One logfmt line an event, through a bounded asynchronous queue.
 
-use std::cell::RefCell;
 use std::io;
-use std::mem;
-use std::rc::Rc;
-use std::sync::Arc;
-use std::thread::JoinHandle;
+use std::io::LineWriter;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use slog::Drain;
 use slog::Level;
 use slog::Logger;
-use slog::Never;
-use slog::OwnedKVList;
 use slog::Record;
 use slog::o;
+use slog_async::Async;
+use slog_async::AsyncGuard;
+use slog_async::OverflowStrategy;
 use slog_logfmt::Logfmt;
 
-use crate::lines::Lines;
+/// Lines that may wait for the writer; more are dropped and counted.
+pub const QUEUE: usize = 16_384;
 
-/// Writes the lines that wait when dropped; later ones are lost.
-pub struct LogGuard {
-    lines: Arc<Lines>,
-    thread: Option<JoinHandle<()>>,
-}
+/// Bytes of a line that go out in one write.
+const LINE: usize = 8 * 1024;
 
-impl Drop for LogGuard {
-    fn drop(&mut self) {
-        self.lines.end();
-        // A writer that panicked has lost its lines; there is nobody to tell.
-        let _ = self.thread.take().map(JoinHandle::join);
-    }
+/// Writes the queued lines when dropped.
+pub struct LogGuard {
+    _guard: AsyncGuard,
 }
 
 /// A logger that writes lines of `level` and above to `out`.
@@ -43,14 +35,21 @@
     binary: &'static str,
     host: &str,
 ) -> (Logger, LogGuard) {
-    let (lines, thread) = Lines::start(out);
-    let guard = LogGuard {
-        lines: lines.clone(),
-        thread: Some(thread),
-    };
-    let drain = Format(lines).filter_level(level).fuse();
+    // The formatter writes piece by piece; whole lines go out.
+    let format = Logfmt::new(LineWriter::with_capacity(LINE, out))
+        .set_prefix(write_time)
+        .print_level(true)
+        .print_msg(true)
+        .build()
+        // A line that can't be written is lost, and the thread goes on.
+        .ignore_res();
+    let (queue, guard) = Async::new(format)
+        .chan_size(QUEUE)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build_with_guard();
+    let drain = queue.filter_level(level).fuse();
     let logger = Logger::root(drain, o!("binary" => binary, "host" => host.to_owned()));
-    (logger, guard)
+    (logger, LogGuard { _guard: guard })
 }
 
 /// A logger that writes nothing.
@@ -58,67 +57,6 @@
     Logger::root(slog::Discard, o!())
 }
 
-/// Formats each event as a line.
-struct Format(Arc<Lines>);
-
-impl Drain for Format {
-    type Ok = ();
-    type Err = Never;
-
-    fn log(&self, record: &Record, values: &OwnedKVList) -> Result<(), Never> {
-        // A thread that is ending may have lost its line already.
-        let _ = LINE.try_with(|line| {
-            // What a panic in a value's own code has left is no part of this line.
-            line.text.0.borrow_mut().clear();
-            // A value that can't be written cuts its line off, which is still one line.
-            if line.format.log(record, values).is_err() {
-                line.text.0.borrow_mut().push(b'\n');
-            }
-            let text = mem::take(&mut *line.text.0.borrow_mut());
-            self.0.push(&text);
-            // The room is kept for the thread's next line.
-            *line.text.0.borrow_mut() = text;
-        });
-        Ok(())
-    }
-}
-
-thread_local! {
-    static LINE: Line = Line::new();
-}
-
-/// One thread's line while it is formatted.
-struct Line {
-    format: Logfmt<Text>,
-    text: Text,
-}
-
-impl Line {
-    fn new() -> Self {
-        let text = Text::default();
-        let format = Logfmt::new(text.clone())
-            .set_prefix(write_time)
-            .print_level(true)
-            .print_msg(true)
-            .build();
-        Self { format, text }
-    }
-}
-
-#[derive(Clone, Default)]
-struct Text(Rc<RefCell<Vec<u8>>>);
-
-impl io::Write for Text {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.borrow_mut().extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
 fn write_time(out: &mut dyn io::Write, _: &Record) -> slog::Result {
     let now = SystemTime::now()
         .duration_since(UNIX_EPOCH)
