--- a/crates/control/examples/capacity.rs
+++ b/crates/control/examples/capacity.rs
@@ -31,8 +31,8 @@
 use wire::ledger::Claim;
 use wire::ledger::claim_reply;
 use wire::ledger::command;
-use wire::link::Link;
 use wire::link::within;
+use wire::peer;
 use wire::replica::Command;
 
 type Failure = Box<dyn Error + Send + Sync>;
@@ -110,10 +110,7 @@
 }
 
 async fn client(address: SocketAddr) -> Result<ControlApiClient, Failure> {
-    let link = Link::new(address, |channel| {
-        ControlApiClient::new(tarpc::client::Config::default(), channel).spawn()
-    });
-    Ok(link.client().await?)
+    Ok(peer::control(address).client().await?)
 }
 
 fn claim(number: u64) -> Claim {
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -10,11 +10,7 @@
 use control::Control;
 use control::Settings;
 use control::group;
-use tarpc::ClientMessage;
-use tarpc::Response;
 use wire::api::ControlApiClient;
-use wire::api::ControlApiRequest;
-use wire::api::ControlApiResponse;
 use wire::catalogue::Change;
 use wire::catalogue::ChangeReply;
 use wire::catalogue::Class;
@@ -36,10 +32,10 @@
 use wire::ledger::Settle;
 use wire::ledger::Settled;
 use wire::ledger::claim_reply;
-use wire::link::Channel;
-use wire::link::Link;
 use wire::link::LinkError;
 use wire::link::within;
+use wire::peer;
+use wire::peer::ControlLink;
 
 /// Longer than any step of a test takes, for what must come in the end.
 pub const PATIENCE: Duration = Duration::from_mins(1);
@@ -82,14 +78,14 @@
 
 /// A client of one replica.
 pub struct Client {
-    link: Link<ControlApiClient, Response<ControlApiResponse>, ClientMessage<ControlApiRequest>>,
+    link: ControlLink,
 }
 
 impl Client {
     /// Connects when first used.
     pub fn new(address: SocketAddr) -> Self {
         Self {
-            link: Link::new(address, spawn),
+            link: peer::control(address),
         }
     }
 
@@ -238,12 +234,6 @@
     }
 }
 
-fn spawn(
-    channel: Channel<Response<ControlApiResponse>, ClientMessage<ControlApiRequest>>,
-) -> ControlApiClient {
-    ControlApiClient::new(tarpc::client::Config::default(), channel).spawn()
-}
-
 /// A claim of `key`, told apart by `number`.
 pub fn claim(key: &str, number: u8, hold_ms: u32) -> Claim {
     Claim {
--- a/crates/demo/examples/slopes/part/control.rs
+++ b/crates/demo/examples/slopes/part/control.rs
@@ -4,15 +4,14 @@
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
-use tarpc::client::Config;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use wire::api::ControlApiClient;
 use wire::control::Follow;
 use wire::ledger::claim_reply;
-use wire::link::Link;
 use wire::link::within;
+use wire::peer;
 
 use crate::claim;
 use crate::fault::Fault;
@@ -82,10 +81,7 @@
 }
 
 async fn client(address: SocketAddr) -> Result<ControlApiClient, Fault> {
-    let link = Link::new(address, |channel| {
-        ControlApiClient::new(Config::default(), channel).spawn()
-    });
-    Ok(link.client().await?)
+    Ok(peer::control(address).client().await?)
 }
 
 async fn followers(replicas: &mut Replicas, count: usize) -> Result<Row, Fault> {
--- a/crates/directory/examples/spread/fleet.rs
+++ b/crates/directory/examples/spread/fleet.rs
@@ -11,14 +11,8 @@
 use gateway::Gateway;
 use members::Instance;
 use members::Phase;
-use tarpc::ClientMessage;
-use tarpc::Response;
-use tarpc::client::Config;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use wire::api::ControlApiClient;
-use wire::api::ControlApiRequest;
-use wire::api::ControlApiResponse;
 use wire::catalogue::Change;
 use wire::catalogue::Class;
 use wire::catalogue::Edit;
@@ -27,7 +21,7 @@
 use wire::catalogue::change_reply;
 use wire::catalogue::edit;
 use wire::link;
-use wire::link::Channel;
+use wire::peer;
 
 use crate::relay;
 use crate::relay::Count;
@@ -145,7 +139,7 @@
             edits: edits.collect(),
         };
         let address = self.replicas[0].rpc();
-        let links: ControlLink = link::Link::new(address, connect);
+        let links = peer::control(address);
         for _ in 0..200 {
             let client = links.client().await.expect("control answers");
             let reply = client
@@ -265,15 +259,6 @@
     }
 }
 
-type ControlLink =
-    link::Link<ControlApiClient, Response<ControlApiResponse>, ClientMessage<ControlApiRequest>>;
-
-fn connect(
-    channel: Channel<Response<ControlApiResponse>, ClientMessage<ControlApiRequest>>,
-) -> ControlApiClient {
-    ControlApiClient::new(Config::default(), channel).spawn()
-}
-
 async fn start_gateways(directories: &[Directory]) -> Vec<Gateway> {
     let rpcs: Vec<SocketAddr> = directories.iter().map(Directory::rpc).collect();
     let mut gateways = Vec::new();
--- a/crates/gateway/tests/test_input.rs
+++ b/crates/gateway/tests/test_input.rs
@@ -10,10 +10,9 @@
 use strum::IntoEnumIterator;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use wire::api::GatewayApiClient;
 use wire::gateway::Explain;
-use wire::link::Link;
 use wire::link::within;
+use wire::peer;
 
 use crate::fakes::Rig;
 use crate::fakes::header;
@@ -308,9 +307,7 @@
         let answer = raw(rig.gateway.rpc(), garbage).await;
         assert_eq!(answer, "");
     }
-    let link = Link::new(rig.gateway.rpc(), |channel| {
-        GatewayApiClient::new(tarpc::client::Config::default(), channel).spawn()
-    });
+    let link = peer::gateway(rig.gateway.rpc());
     let operator = link.client().await.expect("a connection");
     let service = "urgent".into();
     let reply = operator.explain(within(Duration::from_secs(5)), Explain { service });
--- a/crates/gateway/tests/test_stop.rs
+++ b/crates/gateway/tests/test_stop.rs
@@ -7,10 +7,9 @@
 
 use gateway::core::Phase;
 use tokio::net::TcpStream;
-use wire::api::GatewayApiClient;
 use wire::directory::HostPhase;
-use wire::link::Link;
 use wire::link::within;
+use wire::peer;
 
 use crate::fakes::client;
 use crate::fakes::header;
@@ -66,9 +65,7 @@
 #[tokio::test]
 async fn test_stop_by_operator() {
     let rig = rig(&[], |_| {}).await;
-    let link = Link::new(rig.gateway.rpc(), |channel| {
-        GatewayApiClient::new(tarpc::client::Config::default(), channel).spawn()
-    });
+    let link = peer::gateway(rig.gateway.rpc());
     let operator = link.client().await.expect("a connection");
     let reply = operator.drain(within(Duration::from_secs(5))).await;
     assert_eq!(reply.expect("an answer").in_flight, 0);
--- a/crates/testutils/src/operator.rs
+++ b/crates/testutils/src/operator.rs
@@ -4,21 +4,9 @@
 use std::time::Duration;
 
 use quick_error::quick_error;
-use tarpc::ClientMessage;
-use tarpc::Response;
-use tarpc::client::Config;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use uuid::Uuid;
-use wire::api::ControlApiClient;
-use wire::api::ControlApiRequest;
-use wire::api::ControlApiResponse;
-use wire::api::DirectoryApiClient;
-use wire::api::DirectoryApiRequest;
-use wire::api::DirectoryApiResponse;
-use wire::api::GatewayApiClient;
-use wire::api::GatewayApiRequest;
-use wire::api::GatewayApiResponse;
 use wire::catalogue::Change;
 use wire::catalogue::ChangeReply;
 use wire::catalogue::Edit;
@@ -27,9 +15,9 @@
 use wire::directory::Host;
 use wire::gateway::Explain;
 use wire::gateway::ExplainReply;
-use wire::link::Channel;
-use wire::link::Link;
 use wire::link::within;
+use wire::peer;
+use wire::peer::ControlLink;
 
 use crate::process::PATIENCE;
 
@@ -38,13 +26,6 @@
 /// Pause between two tries.
 const PAUSE: Duration = Duration::from_millis(20);
 
-type ControlLink =
-    Link<ControlApiClient, Response<ControlApiResponse>, ClientMessage<ControlApiRequest>>;
-type DirectoryLink =
-    Link<DirectoryApiClient, Response<DirectoryApiResponse>, ClientMessage<DirectoryApiRequest>>;
-type GatewayLink =
-    Link<GatewayApiClient, Response<GatewayApiResponse>, ClientMessage<GatewayApiRequest>>;
-
 quick_error! {
     /// Why an operator got no success.
     #[derive(Debug)]
@@ -69,9 +50,8 @@
     /// An operator who asks `replicas` in this order.
     #[must_use]
     pub fn new(replicas: &[SocketAddr]) -> Self {
-        let link = |address: &SocketAddr| Link::new(*address, connect_control);
         Self {
-            replicas: replicas.iter().map(link).collect(),
+            replicas: replicas.iter().copied().map(peer::control).collect(),
         }
     }
 
@@ -136,7 +116,7 @@
 
 /// The hosts as the directory at `address` knows them; `None` without an answer.
 pub async fn hosts(address: SocketAddr) -> Option<Vec<Host>> {
-    let link: DirectoryLink = Link::new(address, connect_directory);
+    let link = peer::directory(address);
     let client = link.client().await.ok()?;
     let reply = link.judge(client.hosts(within(CALL_TIME)).await).ok()?;
     Some(reply.hosts)
@@ -145,7 +125,7 @@
 /// Why calls of `service` go where they go at the gateway whose own protocol
 /// is at `address`; `None` without an answer.
 pub async fn explain(address: SocketAddr, service: &str) -> Option<ExplainReply> {
-    let link: GatewayLink = Link::new(address, connect_gateway);
+    let link = peer::gateway(address);
     let client = link.client().await.ok()?;
     let ask = Explain {
         service: service.into(),
@@ -153,21 +133,3 @@
     link.judge(client.explain(within(CALL_TIME), ask).await)
         .ok()
 }
-
-fn connect_gateway(
-    channel: Channel<Response<GatewayApiResponse>, ClientMessage<GatewayApiRequest>>,
-) -> GatewayApiClient {
-    GatewayApiClient::new(Config::default(), channel).spawn()
-}
-
-fn connect_control(
-    channel: Channel<Response<ControlApiResponse>, ClientMessage<ControlApiRequest>>,
-) -> ControlApiClient {
-    ControlApiClient::new(Config::default(), channel).spawn()
-}
-
-fn connect_directory(
-    channel: Channel<Response<DirectoryApiResponse>, ClientMessage<DirectoryApiRequest>>,
-) -> DirectoryApiClient {
-    DirectoryApiClient::new(Config::default(), channel).spawn()
-}
