testutils: the state of a restarted replica isn't lost to its old connection

The operator kept the connection to a replica that was killed; when the one started in its place led again, the first question failed ("the connection to the server was already shutdown"), which status() gave as no answer, and the test, which asks each replica once, found no leader. The next question showed it as leader. status() asks over a new connection in just this case, as its text says that a replica that answers is seen; the test and what it asserts are as they were.

--- a/crates/testutils/src/operator.rs
+++ b/crates/testutils/src/operator.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use quick_error::quick_error;
+use tarpc::client::RpcError;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use uuid::Uuid;
@@ -15,6 +16,7 @@
 use wire::directory::Host;
 use wire::gateway::Explain;
 use wire::gateway::ExplainReply;
+use wire::link::LinkError;
 use wire::link::within;
 use wire::peer;
 use wire::peer::ControlLink;
@@ -67,8 +69,12 @@
     /// The state of the replica at `index`; `None` without an answer.
     pub async fn status(&self, index: usize) -> Option<Status> {
         let link = self.replicas.get(index)?;
-        let client = link.client().await.ok()?;
-        link.judge(client.status(within(CALL_TIME)).await).ok()
+        match ask_status(link).await {
+            // The connection was one to a process that has ended since: the
+            // one that runs there now is asked over a new connection.
+            Err(LinkError::Call(_, RpcError::Shutdown)) => ask_status(link).await.ok(),
+            first => first.ok(),
+        }
     }
 
     /// Sends `change` to one replica after the other until the answer is certain.
@@ -133,3 +139,8 @@
     link.judge(client.explain(within(CALL_TIME), ask).await)
         .ok()
 }
+
+async fn ask_status(link: &ControlLink) -> Result<Status, LinkError> {
+    let client = link.client().await?;
+    link.judge(client.status(within(CALL_TIME)).await)
+}
