gateway: drop a reason that nothing gives any more

Reason::Cancelled lost its only maker when the attempts' own word for it was removed. Every reason now stands in the callers' contract, without the exception that the test made for this one. The retry budget's comments name its first loan.

--- a/crates/attempt/src/budget.rs
+++ b/crates/attempt/src/budget.rs
@@ -4,7 +4,8 @@
 //! call's first, hedges included, spends one. So that a service with few calls can
 //! retry at all, time lends a token while there is none, and calls pay that back
 //! before they earn. So over any stretch from the start the extra attempts are at
-//! most `share * calls`, or what the floor lent where calls are too few to repay it.
+//! most `share * calls`, or what was lent where calls are too few to repay it. A new
+//! budget lends a few retries besides, once.
 
 use std::time::Duration;
 
@@ -45,7 +46,7 @@
     share: Share,
     // Millionths of a token.
     level: u64,
-    // What the floor lent and calls haven't paid back, in the same unit.
+    // What was lent, by the floor or at first, and calls haven't paid back, in the same unit.
     owed: u64,
     // Tokens that can still be borrowed; never more, so that only a new process has any.
     loans: u64,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -95,8 +95,6 @@
     NotKept,
     /// The claim's hold ran out before the request could leave.
     Hold,
-    /// The caller went away.
-    Cancelled,
 }
 
 /// One answer that is not an upstream's own.
--- a/crates/gateway/tests/test_input.rs
+++ b/crates/gateway/tests/test_input.rs
@@ -201,10 +201,7 @@
 fn test_input_reasons_are_documented() {
     let page = include_str!("../../../docs/callers.md");
     for reason in Reason::iter() {
-        // Nobody is there to be told of this one.
-        if reason != Reason::Cancelled {
-            assert!(page.contains(&format!("`{reason}`")), "{reason}");
-        }
+        assert!(page.contains(&format!("`{reason}`")), "{reason}");
     }
 }
 
