--- a/crates/demo/examples/slopes/part/held.rs
+++ b/crates/demo/examples/slopes/part/held.rs
@@ -92,7 +92,7 @@
     let mut tasks = JoinSet::new();
     for number in 0..calls {
         let call = client
-            .get(format!("http://{address}/work/{number}"))
+            .get(format!("http://{address}/blocks/{number}"))
             .header(header::SERVICE, service);
         tasks.spawn(async move { call.send().await.is_ok_and(|a| a.status().is_success()) });
     }
--- a/crates/demo/src/traffic.rs
+++ b/crates/demo/src/traffic.rs
@@ -174,7 +174,7 @@
     let body = format!("{} asks {number}", shape.caller);
     let path = match shape.class {
         Class::Deferred => format!("/archive/{number}"),
-        _ => format!("/work/{number}"),
+        _ => format!("/blocks/{number}"),
     };
     let ask = match shape.class {
         Class::Urgent | Class::Deferred => Ask::get(shape.service, &path),
