--- a/crates/consensus/src/node/lead.rs
+++ b/crates/consensus/src/node/lead.rs
@@ -1,5 +1,7 @@
 //! A leader's timers, proposals and commit index.
 
+use std::time::Duration;
+
 use std::mem;
 
 use bytes::Bytes;
@@ -59,6 +61,19 @@
         id == self.id || leader.heard_since(id, since)
     }
 
+    /// Voters that have not answered this leader for `span`; none elsewhere.
+    #[must_use]
+    pub fn silent(&self, span: Duration) -> Vec<ReplicaId> {
+        let State::Leader(leader) = &self.state else {
+            return Vec::new();
+        };
+        let since = self.now.before(span);
+        let voters = self.log.config().voters.keys().copied();
+        voters
+            .filter(|id| *id != self.id && !leader.heard_since(*id, since))
+            .collect()
+    }
+
     pub(super) fn broadcast_heartbeat(&mut self) {
         let State::Leader(leader) = &self.state else {
             return;
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -51,6 +51,7 @@
 use crate::writer::Written;
 
 mod act;
+mod members;
 mod propose;
 
 /// Inputs taken in one go.
@@ -107,6 +108,8 @@
     pub group: usize,
     /// The replica is one of a founding group that it wasn't handed yet.
     pub unfounded: bool,
+    /// Replicas are taken in and let go without an operator.
+    pub automatic: bool,
     /// For election timeouts.
     pub seed: u64,
     /// The log.
@@ -263,6 +266,7 @@
         }
         if now >= self.next_expiry {
             self.expire();
+            self.trim();
         }
         for (reply, id) in self.tickets.pending(now) {
             let _ = reply.send(self.pending(id));
@@ -364,7 +368,12 @@
             if newer {
                 view.catalogue = Arc::new(catalogue.to_wire());
             }
-            newer
+            let table = self.parts.machine.table();
+            let routed = table.version > view.table.version;
+            if routed {
+                view.table = Arc::clone(table);
+            }
+            newer || routed
         });
     }
 
--- a/crates/control/src/driver/act.rs
+++ b/crates/control/src/driver/act.rs
@@ -21,6 +21,7 @@
 use tokio::task::JoinError;
 use wire::catalogue::ChangeReply;
 use wire::catalogue::change_reply;
+use wire::hub::TableReply;
 use wire::ledger::claim_reply;
 use wire::replica::AskReply;
 use wire::replica::ask_reply;
@@ -196,9 +197,16 @@
                     .try_send();
             }
             Output::Expire => {}
+            Output::Table(reply) => self.note_table(index, reply),
         }
     }
 
+    fn note_table(&self, index: Index, reply: &TableReply) {
+        let _ = self.parts.metrics.count("control.tables", 1);
+        info!(self.parts.log, "route table"; "outcome" => reply.outcome().as_str_name(),
+            "version" => reply.version, "index" => index.0);
+    }
+
     fn note_change(&self, index: Index, id: &str, reply: &ChangeReply) {
         let _ = self.parts.metrics.count("control.changes", 1);
         let log = &self.parts.log;
@@ -228,7 +236,7 @@
         }
     }
 
-    fn declined(&self, reason: &Rejection) -> AskReply {
+    pub(super) fn declined(&self, reason: &Rejection) -> AskReply {
         let mut kind = tickets::rejected(reason);
         if let ask_reply::Kind::Declined(declined) = &mut kind
             && let Rejection::NotLeader(Some(leader)) = reason
--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -18,6 +18,7 @@
 use crate::input::Input;
 use crate::settings::Settings;
 use crate::switch::Switch;
+use crate::table::TableDesk;
 
 /// Between two looks at who leads during a stop.
 const PAUSE: Duration = Duration::from_millis(10);
@@ -49,6 +50,7 @@
     pub(crate) id: u64,
     pub(crate) rpc: SocketAddr,
     pub(crate) replica: SocketAddr,
+    pub(crate) desk: TableDesk,
     pub(crate) driver: Driver,
     pub(crate) switch: Switch,
     pub(crate) ends: Ends,
@@ -80,6 +82,12 @@
         self.replica
     }
 
+    /// Proposes and reads the route table.
+    #[must_use]
+    pub fn tables(&self) -> &TableDesk {
+        &self.desk
+    }
+
     /// Where tests cut the links to the other replicas.
     #[must_use]
     pub fn switch(&self) -> &Switch {
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -13,17 +13,20 @@
 use wire::catalogue::History;
 use wire::control::HistoryQuery;
 use wire::control::Status;
+use wire::hub::Table;
 use wire::replica::Ask;
 use wire::replica::AskReply;
 
 /// Inputs that wait for the driver.
 pub const QUEUE: usize = 16_384;
 
-/// The catalogue as applied by this replica.
+/// What this replica has applied, for readers.
 #[derive(Clone, Debug, Default)]
 pub struct View {
     /// It in its wire form, shared by all answers.
     pub catalogue: Arc<Catalogue>,
+    /// The route table; version 0 before the first.
+    pub table: Arc<Table>,
 }
 
 quick_error! {
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -1,5 +1,8 @@
 //! What the log drives: the catalogue and the ledger, applied in one order.
 
+use std::cmp::Ordering;
+use std::sync::Arc;
+
 use bytes::Bytes;
 use catalogue::State as Book;
 use catalogue::state::RestoreError as BookError;
@@ -11,6 +14,9 @@
 use quick_error::quick_error;
 use wire::catalogue::Change;
 use wire::catalogue::ChangeReply;
+use wire::hub::Table;
+use wire::hub::TableOutcome;
+use wire::hub::TableReply;
 use wire::ledger::ClaimReply;
 use wire::ledger::SettleReply;
 use wire::replica::Command;
@@ -62,6 +68,8 @@
     Settle(SettleReply),
     /// Of the passing of time.
     Expire,
+    /// Of a route table.
+    Table(TableReply),
 }
 
 /// The applied state.
@@ -69,6 +77,7 @@
 pub struct Machine {
     book: Book,
     ledger: Ledger,
+    table: Arc<Table>,
 }
 
 impl Default for Machine {
@@ -76,6 +85,7 @@
         Self {
             book: Book::default(),
             ledger: Ledger::new(Bounds::default()),
+            table: Arc::default(),
         }
     }
 }
@@ -96,6 +106,7 @@
         Ok(Self {
             book: Book::restore(catalogue::history::Window::default(), &book)?,
             ledger: Ledger::restore(Bounds::default(), &ledger)?,
+            table: Arc::new(state.table.unwrap_or_default()),
         })
     }
 
@@ -105,6 +116,7 @@
         let state = State {
             catalogue: Some(self.book.snapshot()),
             ledger: Some(self.ledger.snapshot()),
+            table: Some((*self.table).clone()).filter(|table| table.version > 0),
         };
         state.encode_to_vec().into()
     }
@@ -126,9 +138,28 @@
                 Reply::Settle(reply) => Output::Settle(reply),
                 Reply::Expire => Output::Expire,
             }),
+            Kind::Table(table) => Ok(Output::Table(self.take_table(table))),
+        }
+    }
+
+    /// The highest version wins, and the first content under a version.
+    fn take_table(&mut self, table: Table) -> TableReply {
+        let outcome = compare(&self.table, &table);
+        if outcome == TableOutcome::Taken {
+            self.table = Arc::new(table);
+        }
+        TableReply {
+            outcome: outcome.into(),
+            version: self.table.version,
         }
     }
 
+    /// The route table in force; version 0 before the first.
+    #[must_use]
+    pub fn table(&self) -> &Arc<Table> {
+        &self.table
+    }
+
     /// The answer to a change that needs no log entry.
     #[must_use]
     pub fn known(&self, change: &Change) -> Option<ChangeReply> {
@@ -147,3 +178,13 @@
         &self.ledger
     }
 }
+
+/// What `next` would lead to while `held` is in force.
+fn compare(held: &Table, next: &Table) -> TableOutcome {
+    match next.version.cmp(&held.version) {
+        Ordering::Greater => TableOutcome::Taken,
+        Ordering::Less => TableOutcome::Older,
+        Ordering::Equal if next.content == held.content => TableOutcome::Held,
+        Ordering::Equal => TableOutcome::Differs,
+    }
+}
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -51,12 +51,14 @@
 use crate::handle::Ends;
 use crate::input::Driver;
 use crate::input::View;
+use crate::joining::Joiner;
 use crate::machine::Machine;
 use crate::peers::Peers;
 use crate::replica::Identity;
 use crate::replica::ReplicaServer;
 use crate::settings::Settings;
 use crate::switch::Switch;
+use crate::table::TableDesk;
 use crate::writer::Writer;
 
 /// Most connections on one port at once.
@@ -196,6 +198,7 @@
         let founding = tokio::spawn(self.founding(&driver, unfounded, group));
         let open = TaskTracker::new();
         let server = self.control_server(&driver, view, &ends);
+        let desk = TableDesk::new(&server);
         let mut accepts = JoinSet::new();
         let acceptor = Acceptor {
             limit: MAX_CONNECTIONS,
@@ -216,6 +219,7 @@
             id: recovered.id,
             rpc,
             replica,
+            desk,
             driver,
             switch: self.switch,
             ends,
@@ -263,6 +267,7 @@
             unfounded,
             snapshot_bytes,
             group: usize::try_from(sizes.group).unwrap_or(usize::MAX),
+            automatic: !self.settings.replica.seeds.is_empty(),
             seed: rand::random(),
             log: self.log.clone(),
             metrics: Arc::clone(&self.metrics),
@@ -285,19 +290,35 @@
         });
         let identity = Arc::clone(&self.identity);
         let switch = self.switch.clone();
+        let seeds = self.settings.replica.seeds.clone();
+        let joiner = (!seeds.is_empty()).then(|| Joiner {
+            identity: Arc::clone(&self.identity),
+            seeds,
+            driver: driver.clone(),
+            switch: self.switch.clone(),
+            log: self.log.clone(),
+        });
         async move {
             let group = match founder {
                 Some(founder) => founder.run().await,
                 None => group,
             };
-            if let Some(group) = group {
-                let distributor = Distributor {
-                    identity,
-                    group,
-                    switch,
-                };
-                distributor.run().await;
-            }
+            let handing = async {
+                if let Some(group) = group {
+                    let distributor = Distributor {
+                        identity,
+                        group,
+                        switch,
+                    };
+                    distributor.run().await;
+                }
+            };
+            let joining = async {
+                if let Some(joiner) = joiner {
+                    joiner.run().await;
+                }
+            };
+            tokio::join!(handing, joining);
         }
     }
 
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -34,6 +34,9 @@
     pub initial: Vec<SocketAddr>,
     /// The founding group's rule of acceptance.
     pub acceptance: Acceptance,
+    /// Replicas that a replica without a group asks to be taken in; empty where
+    /// only operators change the group.
+    pub seeds: Vec<SocketAddr>,
 }
 
 /// Times.
@@ -120,6 +123,7 @@
                 address: free,
                 initial: Vec::new(),
                 acceptance: Acceptance::default(),
+                seeds: Vec::new(),
             },
             timing: Timing::default(),
             sizes: Sizes::default(),
@@ -177,6 +181,7 @@
     let address = r.required(REPLICA, "address");
     let mut initial: Vec<SocketAddr> = r.list(REPLICA, "initial");
     let acceptance = r.or(REPLICA, "acceptance", Rule(Acceptance::default())).0;
+    let seeds = r.list(REPLICA, "seeds");
     let count = initial.len();
     initial.sort_unstable();
     initial.dedup();
@@ -196,6 +201,7 @@
         address: address?,
         initial,
         acceptance,
+        seeds,
     })
 }
 
@@ -253,12 +259,10 @@
 impl fmt::Display for Settings {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let millis = |span: Duration| format!("{}ms", span.as_millis());
-        let initial: Vec<String> = self
-            .replica
-            .initial
-            .iter()
-            .map(ToString::to_string)
-            .collect();
+        let addresses = |list: &[SocketAddr]| {
+            let list: Vec<String> = list.iter().map(ToString::to_string).collect();
+            list.join(", ")
+        };
         writeln!(f, "[{CONTROL}]")?;
         writeln!(f, "host = {}", self.host)?;
         writeln!(f, "domain = {}", self.domain)?;
@@ -268,8 +272,11 @@
         writeln!(f, "\n[{REPLICA}]")?;
         writeln!(f, "listen = {}", self.replica.listen)?;
         writeln!(f, "address = {}", self.replica.address)?;
-        writeln!(f, "initial = {}", initial.join(", "))?;
+        writeln!(f, "initial = {}", addresses(&self.replica.initial))?;
         writeln!(f, "acceptance = {}", self.replica.acceptance)?;
+        if !self.replica.seeds.is_empty() {
+            writeln!(f, "seeds = {}", addresses(&self.replica.seeds))?;
+        }
         writeln!(f, "\n[{TIMING}]")?;
         writeln!(f, "heartbeat = {}", millis(self.timing.heartbeat))?;
         writeln!(f, "election = {}", millis(self.timing.election))?;
--- /dev/null
+++ b/crates/control/src/table.rs
@@ -0,0 +1,82 @@
+//! The route table for whoever runs in the replica's process.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::Instant;
+use wire::control::Replica;
+use wire::hub::Table;
+use wire::hub::TableReply;
+use wire::replica::Ask;
+use wire::replica::ask;
+use wire::replica::ask_reply::Kind;
+
+use crate::asker::Asker;
+use crate::control::ControlServer;
+use crate::input::Driver;
+use crate::input::Input;
+use crate::input::View;
+
+/// Pause before a majority is asked again.
+const PAUSE: Duration = Duration::from_millis(25);
+
+/// Proposes and reads the route table.
+#[derive(Clone)]
+pub struct TableDesk {
+    driver: Driver,
+    asker: Asker,
+    views: watch::Receiver<View>,
+}
+
+impl TableDesk {
+    pub(crate) fn new(server: &ControlServer) -> Self {
+        Self {
+            driver: server.driver.clone(),
+            asker: server.asker.clone(),
+            views: server.views.clone(),
+        }
+    }
+
+    /// Proposes a table; none when no majority took it in time, and it may yet be taken.
+    pub async fn put(&self, table: Table) -> Option<TableReply> {
+        let ask = Ask {
+            kind: Some(ask::Kind::Table(table)),
+        };
+        match self.asker.ask(&ask).await {
+            Ok(Kind::Table(reply)) => Some(reply),
+            Ok(_) | Err(_) => None,
+        }
+    }
+
+    /// The newest table, confirmed by a majority after the call began; none when
+    /// that takes longer than `limit`.
+    pub async fn read(&self, limit: Duration) -> Option<Arc<Table>> {
+        let end = Instant::now() + limit;
+        let tries = async {
+            while self.driver.call(Input::Read).await != Ok(true) {
+                tokio::time::sleep(PAUSE).await;
+            }
+        };
+        tokio::time::timeout_at(end, tries).await.ok()?;
+        Some(self.applied())
+    }
+
+    /// The table as applied by this replica, which others may have overtaken.
+    #[must_use]
+    pub fn applied(&self) -> Arc<Table> {
+        Arc::clone(&self.views.borrow().table)
+    }
+
+    /// Tells when more is applied.
+    #[must_use]
+    pub fn views(&self) -> watch::Receiver<View> {
+        self.views.clone()
+    }
+
+    /// The replicas of the group, as this one knows them.
+    pub async fn replicas(&self) -> Vec<Replica> {
+        let status = self.driver.call(Input::Status).await;
+        status.map(|status| status.replicas).unwrap_or_default()
+    }
+}
--- a/crates/control/src/tickets.rs
+++ b/crates/control/src/tickets.rs
@@ -140,6 +140,7 @@
         Output::Change { reply, .. } => Kind::Change(reply),
         Output::Claim(reply) => Kind::Claim(reply),
         Output::Settle(reply) => Kind::Settle(reply),
+        Output::Table(reply) => Kind::Table(reply),
         Output::Expire => declined(None, false, "expire"),
     }
 }
--- /dev/null
+++ b/crates/entry/src/core.rs
@@ -0,0 +1,176 @@
+//! What all tasks of one entry process share.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+
+use base::prelude::*;
+use route::Phase as RoutePhase;
+use slog::Logger;
+use slog::info;
+use table::Split;
+use table::Table;
+use tokio::sync::watch;
+use wire::hub::Instance;
+use wire::hub::Phase;
+
+use crate::desk::Desk;
+use crate::dialect::Dialect;
+use crate::settings::Settings;
+use crate::view::Instances;
+use crate::view::Routes;
+
+/// How far a graceful stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// Serves.
+    Serving,
+    /// Serves on, while callers stop being sent here.
+    Leaving,
+    /// Takes no new connection and no new request.
+    Closing,
+}
+
+/// What changes while the process runs.
+#[derive(Debug, Default)]
+pub struct Known {
+    instances: Instances,
+    desks: HashMap<ServiceName, Desk>,
+    splits: HashMap<Arc<str>, Split>,
+    entries: u32,
+}
+
+/// The state of one entry process.
+pub struct Core {
+    /// As they were read.
+    pub settings: Settings,
+    /// Names of headers.
+    pub dialect: Dialect,
+    /// The log.
+    pub log: Logger,
+    /// The process's clock.
+    pub clock: Clock,
+    /// How far the stop has come.
+    pub stage: watch::Sender<Stage>,
+    /// Whether the table is known.
+    pub routed: watch::Sender<bool>,
+    routes: RwLock<Arc<Routes>>,
+    known: Mutex<Known>,
+}
+
+impl Core {
+    /// A process that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: Settings, dialect: Dialect, log: Logger) -> Arc<Self> {
+        Arc::new(Self {
+            settings,
+            dialect,
+            log,
+            clock: Clock::start(),
+            stage: watch::Sender::new(Stage::Serving),
+            routed: watch::Sender::new(false),
+            routes: RwLock::default(),
+            known: Mutex::default(),
+        })
+    }
+
+    /// The table in force; version 0 before the first.
+    #[must_use]
+    pub fn routes(&self) -> Arc<Routes> {
+        Arc::clone(&self.routes.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Puts a table in force unless a newer one is.
+    pub fn set_table(&self, table: Table) {
+        let version = table.version;
+        let routes = Arc::new(Routes::new(table));
+        {
+            let mut held = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+            if held.table.version >= version {
+                return;
+            }
+            *held = routes;
+        }
+        self.routed.send_replace(true);
+        info!(self.log, "route table"; "version" => version);
+    }
+
+    /// Whether callers may be sent here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        *self.routed.borrow() && *self.stage.borrow() == Stage::Serving
+    }
+
+    /// Takes what a hub told of instances.
+    pub fn take_instances(&self, instances: &[Instance]) {
+        let now = self.clock.now();
+        let mut known = self.known();
+        for instance in instances {
+            let Some(service) = known.instances.take(instance) else {
+                continue;
+            };
+            info!(self.log, "instance"; "instance" => &instance.id, "service" => %service,
+                "phase" => instance.phase().as_str_name(), "sequence" => instance.sequence);
+            let Known {
+                instances,
+                desks,
+                entries,
+                ..
+            } = &mut *known;
+            let desk = desks.entry(service.clone());
+            let seed = rand::random();
+            let desk = desk.or_insert_with(|| Desk::new(&self.settings.retry, *entries, seed, now));
+            let rows = instances.of(&service);
+            desk.update(
+                now,
+                rows.map(|(phase, upstream)| (route_phase(phase), upstream)),
+            );
+        }
+    }
+
+    /// Takes how many entry processes share the allowance of retries.
+    pub fn set_entries(&self, entries: u32) {
+        let now = self.clock.now();
+        let mut known = self.known();
+        if known.entries == entries {
+            return;
+        }
+        known.entries = entries;
+        for desk in known.desks.values_mut() {
+            desk.set_entries(&self.settings.retry, entries, now);
+        }
+    }
+
+    /// Asks the desk of a service; none while it has no instance.
+    pub fn desk<T>(
+        &self,
+        service: &ServiceName,
+        ask: impl FnOnce(&mut Desk, Moment) -> T,
+    ) -> Option<T> {
+        let now = self.clock.now();
+        let mut known = self.known();
+        known.desks.get_mut(service).map(|desk| ask(desk, now))
+    }
+
+    /// Whose turn it is among the parts of a split.
+    pub fn turn(&self, route: &table::Route, parts: &[table::Part]) -> Option<ServiceName> {
+        let mut known = self.known();
+        let split = known.splits.entry(Arc::clone(&route.name)).or_default();
+        split.next(parts).cloned()
+    }
+
+    fn known(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn route_phase(phase: Phase) -> RoutePhase {
+    match phase {
+        Phase::Ready => RoutePhase::Ready,
+        Phase::Draining | Phase::Unspecified => RoutePhase::Draining,
+        Phase::Gone => RoutePhase::Gone,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/dialect.rs
@@ -0,0 +1,64 @@
+//! The names of headers that callers and upstreams use, and the form of load
+//! reports. An adapter for other names brings its own.
+
+use base::header;
+use http::HeaderName;
+
+/// What an instance says of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// How long work takes on its machine now, in hundredths of the usual time.
+    pub pace: u32,
+}
+
+/// Names of headers, and how a load report is read.
+#[derive(Clone, Debug)]
+pub struct Dialect {
+    /// Names one request; an upstream's answer repeats it.
+    pub request: HeaderName,
+    /// Milliseconds that are left for the answer.
+    pub deadline: HeaderName,
+    /// To an upstream: the one instance that may run the request.
+    pub expected: HeaderName,
+    /// From an upstream: the instance that answers.
+    pub instance: HeaderName,
+    /// From an upstream: its load.
+    pub load: HeaderName,
+    /// From an upstream: the request was not run.
+    pub refused: HeaderName,
+    /// Reads the load header.
+    pub read_load: fn(&str) -> Option<Load>,
+}
+
+impl Default for Dialect {
+    /// The product's own names.
+    fn default() -> Self {
+        Self {
+            request: HeaderName::from_static(header::REQUEST_ID),
+            deadline: HeaderName::from_static(header::DEADLINE),
+            expected: HeaderName::from_static("rwr-expected-instance"),
+            instance: HeaderName::from_static("rwr-instance"),
+            load: HeaderName::from_static(header::LOAD),
+            refused: HeaderName::from_static(header::SHED),
+            read_load,
+        }
+    }
+}
+
+/// Reads `in-flight/slots`.
+fn read_load(text: &str) -> Option<Load> {
+    let (busy, slots) = text.split_once('/')?;
+    let (busy, slots): (u32, u32) = (busy.trim().parse().ok()?, slots.trim().parse().ok()?);
+    Some(Load {
+        running: busy.min(slots),
+        waiting: busy.saturating_sub(slots),
+        slots,
+        pace: 100,
+    })
+}
--- /dev/null
+++ b/crates/entry/src/entry.rs
@@ -0,0 +1,121 @@
+//! Starts an entry process from its settings, and stops it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use quick_error::quick_error;
+use slog::Logger;
+use slog::info;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+use tokio_util::task::AbortOnDropHandle;
+use tokio_util::task::TaskTracker;
+
+use crate::core::Core;
+use crate::core::Stage;
+use crate::dialect::Dialect;
+use crate::serve;
+use crate::settings::Settings;
+use crate::sync;
+
+/// Left of the grace period for the last answers to reach their callers.
+const LAST: std::time::Duration = std::time::Duration::from_millis(300);
+
+quick_error! {
+    /// Why an entry process can't start.
+    #[derive(Debug)]
+    pub enum EntryError {
+        /// A port.
+        Bind(address: SocketAddr, err: io::Error) {
+            source(err)
+            display("bind {address}: {err}")
+        }
+    }
+}
+
+/// A running entry process.
+pub struct Entry {
+    core: Arc<Core>,
+    open: TaskTracker,
+    front: SocketAddr,
+    ready: SocketAddr,
+    _tasks: [AbortOnDropHandle<()>; 3],
+}
+
+impl Entry {
+    /// Binds both ports and starts; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a port can't be bound.
+    pub async fn start(
+        mut settings: Settings,
+        dialect: Dialect,
+        log: Logger,
+    ) -> Result<Self, EntryError> {
+        let (front, front_address) = bind(settings.front).await?;
+        let (ready, ready_address) = bind(settings.ready).await?;
+        settings.front = front_address;
+        settings.ready = ready_address;
+        let core = Core::new(settings, dialect, log);
+        let open = TaskTracker::new();
+        let tasks = [
+            spawn(serve::front(Arc::clone(&core), front, open.clone())),
+            spawn(serve::readiness(Arc::clone(&core), ready)),
+            spawn(sync::run(Arc::clone(&core))),
+        ];
+        info!(core.log, "entry serves"; "front" => %front_address, "ready" => %ready_address);
+        Ok(Self {
+            core,
+            open,
+            front: front_address,
+            ready: ready_address,
+            _tasks: tasks,
+        })
+    }
+
+    /// Where callers connect.
+    #[must_use]
+    pub fn front(&self) -> SocketAddr {
+        self.front
+    }
+
+    /// Where readiness is asked for.
+    #[must_use]
+    pub fn ready(&self) -> SocketAddr {
+        self.ready
+    }
+
+    /// The shared state.
+    #[must_use]
+    pub fn core(&self) -> &Arc<Core> {
+        &self.core
+    }
+
+    /// Serves on while callers still come, finishes what is open, and stops.
+    pub async fn stop(self) {
+        let begun = Instant::now();
+        let stop = self.core.settings.stop;
+        info!(self.core.log, "leaving"; "linger_ms" => stop.linger.as_millis());
+        self.core.stage.send_replace(Stage::Leaving);
+        tokio::time::sleep_until(begun + stop.linger).await;
+        self.core.stage.send_replace(Stage::Closing);
+        self.open.close();
+        let end = begun + stop.grace.saturating_sub(LAST);
+        let whole = tokio::time::timeout_at(end, self.open.wait()).await.is_ok();
+        info!(self.core.log, "stopped"; "whole" => whole, "open" => self.open.len(),
+            "after_ms" => begun.elapsed().as_millis());
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr), EntryError> {
+    let fail = |err| EntryError::Bind(address, err);
+    let listener = TcpListener::bind(address).await.map_err(fail)?;
+    let bound = listener.local_addr().map_err(fail)?;
+    Ok((listener, bound))
+}
+
+fn spawn(task: impl Future<Output = ()> + Send + 'static) -> AbortOnDropHandle<()> {
+    AbortOnDropHandle::new(tokio::spawn(task))
+}
--- /dev/null
+++ b/crates/entry/src/exchange.rs
@@ -0,0 +1,226 @@
+//! One attempt at one instance.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::prelude::*;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::Uri;
+use http::response::Parts;
+use hyper::body::Incoming;
+use route::Kind;
+use route::Outcome;
+use route::Report;
+use route::Ticket;
+
+use crate::body;
+use crate::body::Outgoing;
+use crate::body::Read;
+use crate::core::Core;
+use crate::dialect::Load;
+use crate::headers;
+use crate::pool::Connection;
+use crate::view::Upstream;
+
+/// A request as it is passed on.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The caller's name for it.
+    pub id: HeaderValue,
+    /// As it came.
+    pub method: Method,
+    /// As it came: path and query.
+    pub uri: Uri,
+    /// What is passed on.
+    pub headers: HeaderMap,
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum Answered {
+    /// All of it.
+    Whole(Bytes),
+    /// Its beginning, the rest, and the connection on which that comes.
+    Stream(Bytes, Incoming, Connection),
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub enum End {
+    /// An answer to this request.
+    Answer(Box<Parts>, Answered),
+    /// No byte of the request has left.
+    Unsent,
+    /// The instance says that it didn't run the request.
+    Refused,
+    /// Another instance has the address; the request didn't run.
+    Elsewhere,
+    /// The request may have run.
+    Unknown,
+}
+
+/// An attempt as the desk counts it; one that is dropped counts as given up.
+struct Running {
+    core: Arc<Core>,
+    service: ServiceName,
+    began: Moment,
+    ticket: Option<Ticket>,
+}
+
+impl Running {
+    fn end(&mut self, kind: Kind, report: Option<Report>) {
+        let Some(ticket) = self.ticket.take() else {
+            return;
+        };
+        let latency = self.core.clock.now().since(self.began);
+        let outcome = Outcome {
+            kind,
+            latency,
+            report,
+        };
+        self.core.desk(&self.service, |desk, now| {
+            desk.finished(now, ticket, outcome);
+        });
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.end(Kind::Cancelled, None);
+    }
+}
+
+/// Sends `call` to `upstream`, which has `left` for it.
+pub async fn attempt(
+    core: &Arc<Core>,
+    upstream: &Upstream,
+    ticket: Ticket,
+    call: &Call,
+    body: Outgoing,
+    left: Duration,
+) -> End {
+    let mut running = Running {
+        core: Arc::clone(core),
+        service: upstream.service.clone(),
+        began: core.clock.now(),
+        ticket: Some(ticket),
+    };
+    let Some((response, connection)) = send(core, upstream, call, body, left).await else {
+        running.end(Kind::ConnectFailed, None);
+        return End::Unsent;
+    };
+    let Some(response) = response else {
+        running.end(Kind::Error, None);
+        return End::Unknown;
+    };
+    let report = load(core, response.headers()).map(|load| Report {
+        in_flight: load.running + load.waiting,
+        slots: load.slots,
+    });
+    if response.headers().contains_key(&core.dialect.refused) {
+        let end = if response.status() == StatusCode::MISDIRECTED_REQUEST {
+            End::Elsewhere
+        } else {
+            End::Refused
+        };
+        finish(upstream, response, connection).await;
+        running.end(Kind::Shed, report);
+        return end;
+    }
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        running.end(Kind::Error, None);
+        return End::Elsewhere;
+    }
+    // A late or second answer to another request belongs to nobody here.
+    if response.headers().get(&core.dialect.request) != Some(&call.id) {
+        running.end(Kind::Error, None);
+        return End::Unknown;
+    }
+    let failed = response.status().is_server_error();
+    if let Some((parts, answered)) = finish(upstream, response, connection).await {
+        running.end(if failed { Kind::Error } else { Kind::Ok }, report);
+        End::Answer(Box::new(parts), answered)
+    } else {
+        running.end(Kind::Error, report);
+        End::Unknown
+    }
+}
+
+/// The load that an instance tells on an answer.
+fn load(core: &Core, headers: &HeaderMap) -> Option<Load> {
+    let text = headers.get(&core.dialect.load)?.to_str().ok()?;
+    (core.dialect.read_load)(text)
+}
+
+/// Sends the request; none while no byte has left, no response when it broke off.
+async fn send(
+    core: &Core,
+    upstream: &Upstream,
+    call: &Call,
+    body: Outgoing,
+    left: Duration,
+) -> Option<(Option<Response<Incoming>>, Connection)> {
+    let mut request = request(core, upstream, call, body, left)?;
+    loop {
+        let kept = upstream.pool.take();
+        let fresh = kept.is_none();
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => upstream.pool.connect().await.ok()?,
+        };
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => return Some((Some(response), connection)),
+            Err(mut err) => match err.take_message() {
+                // A kept connection closed before the request was written.
+                Some(unsent) if !fresh => request = unsent,
+                Some(_) => return None,
+                None => return Some((None, connection)),
+            },
+        }
+    }
+}
+
+fn request(
+    core: &Core,
+    upstream: &Upstream,
+    call: &Call,
+    body: Outgoing,
+    left: Duration,
+) -> Option<Request<Outgoing>> {
+    let mut request = Request::new(body);
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    let headers = request.headers_mut();
+    headers.clone_from(&call.headers);
+    let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(&core.dialect.deadline, HeaderValue::from(millis));
+    let expected = HeaderValue::from_str(upstream.id.as_str()).ok()?;
+    headers.insert(&core.dialect.expected, expected);
+    Some(request)
+}
+
+/// Reads the answer, and keeps the connection where the answer was whole.
+async fn finish(
+    upstream: &Upstream,
+    response: Response<Incoming>,
+    connection: Connection,
+) -> Option<(Parts, Answered)> {
+    let (parts, incoming) = response.into_parts();
+    let closes = headers::closes(&parts.headers);
+    let named = headers::kept_for(&parts.headers);
+    match body::read(incoming).await.ok()? {
+        Read::Whole(bytes) => {
+            if !closes {
+                upstream.pool.keep(connection, named);
+            }
+            Some((parts, Answered::Whole(bytes)))
+        }
+        Read::Part(first, rest) => Some((parts, Answered::Stream(first, rest, connection))),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/flow.rs
@@ -0,0 +1,299 @@
+//! The way of one request, from its head to the final answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::prelude::*;
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::Uri;
+use http::header;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use route::Pick;
+use slog::info;
+use table::Kind;
+use table::Route;
+use table::Target;
+use tokio::time::Instant;
+
+use crate::body;
+use crate::body::Outgoing;
+use crate::body::Read;
+use crate::body::Returned;
+use crate::core::Core;
+use crate::exchange;
+use crate::exchange::Answered;
+use crate::exchange::Call;
+use crate::exchange::End;
+use crate::headers;
+use crate::refusal;
+use crate::refusal::Reason;
+use crate::view::Routes;
+
+/// Time for a request that names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+/// When a caller may come back after a refusal for lack of knowledge: the hubs
+/// tell of tables and instances within it.
+const BACK_UNKNOWN: Duration = Duration::from_millis(300);
+/// When a caller may come back after a refusal for lack of room: about the time
+/// in which one slot gets free.
+const BACK_FULL: Duration = Duration::from_millis(100);
+/// Attempts whose connection failed, beyond what the route allows: nothing
+/// reached an instance.
+const UNSENT_TRIES: u32 = 4;
+
+/// One request on its way.
+struct Flow {
+    core: Arc<Core>,
+    began: Instant,
+    call: Call,
+    route: Arc<Route>,
+    service: ServiceName,
+    version: u64,
+    deadline: Duration,
+    end: Instant,
+    attempts: u32,
+    unsent: u32,
+    exclude: Vec<Pick>,
+    /// The request may have run.
+    exposed: bool,
+    instance: Option<InstanceId>,
+}
+
+/// What a request led to.
+enum Outcome {
+    Answer(Box<http::response::Parts>, Answered),
+    Own(Reason, Option<Duration>),
+}
+
+/// Answers one request.
+pub async fn handle(core: Arc<Core>, request: Request<Incoming>) -> Response<Returned> {
+    let began = Instant::now();
+    let routes = core.routes();
+    let id = request.headers().get(&core.dialect.request).cloned();
+    let id = id.unwrap_or_else(|| HeaderValue::from_static("-"));
+    if routes.table.version == 0 {
+        return refuse(&core, &id, &routes, Reason::NoTable, Some(BACK_UNKNOWN));
+    }
+    let host = host(&request).unwrap_or_default();
+    let Some(route) = routes.index.select(&host, request.uri().path()) else {
+        return refuse(&core, &id, &routes, Reason::NoRoute, None);
+    };
+    let service = match &route.target {
+        Target::Service(name) => Some(name.clone()),
+        Target::Split(parts) => core.turn(route, parts),
+    };
+    let Some(service) = service else {
+        return refuse(&core, &id, &routes, Reason::NoInstance, Some(BACK_UNKNOWN));
+    };
+    let named = headers::number(request.headers(), &core.dialect.deadline);
+    let deadline = named.map_or(DEFAULT_DEADLINE, Duration::from_millis);
+    let limit = routes.table.limits.body_bytes;
+    if request.body().size_hint().lower() > limit {
+        return refuse(&core, &id, &routes, Reason::TooLarge, None);
+    }
+    let (call, incoming) = call(&core, id, request);
+    let mut flow = Flow {
+        end: began + deadline.min(route.timeout.unwrap_or(deadline)),
+        core,
+        began,
+        call,
+        route: Arc::clone(route),
+        service,
+        version: routes.table.version,
+        deadline,
+        attempts: 0,
+        unsent: 0,
+        exclude: Vec::new(),
+        exposed: false,
+        instance: None,
+    };
+    flow.run(incoming).await
+}
+
+/// The host that the request names, without its port.
+fn host(request: &Request<Incoming>) -> Option<String> {
+    let named = request.headers().get(header::HOST);
+    let named = named.and_then(|value| value.to_str().ok());
+    let host = request.uri().host().or(named)?;
+    let bare = host.rsplit_once(':').map_or(host, |(bare, port)| {
+        if port.bytes().all(|b| b.is_ascii_digit()) {
+            bare
+        } else {
+            host
+        }
+    });
+    Some(bare.to_ascii_lowercase())
+}
+
+/// Splits a request into what is passed on and its body.
+fn call(core: &Core, id: HeaderValue, request: Request<Incoming>) -> (Call, Incoming) {
+    let (mut parts, incoming) = request.into_parts();
+    headers::strip(&mut parts.headers);
+    parts.headers.remove(&core.dialect.expected);
+    let uri = match parts.uri.path_and_query() {
+        Some(path) => Uri::from(path.clone()),
+        None => parts.uri,
+    };
+    let call = Call {
+        id,
+        method: parts.method,
+        uri,
+        headers: parts.headers,
+    };
+    (call, incoming)
+}
+
+impl Flow {
+    async fn run(&mut self, incoming: Incoming) -> Response<Returned> {
+        let end = self.end;
+        let outcome = match tokio::time::timeout_at(end, self.serve(incoming)).await {
+            Ok(outcome) => outcome,
+            Err(_) if self.exposed => Outcome::Own(Reason::Timeout, None),
+            Err(_) => Outcome::Own(Reason::Late, Some(BACK_FULL)),
+        };
+        self.respond(outcome)
+    }
+
+    async fn serve(&mut self, incoming: Incoming) -> Outcome {
+        // A caller that breaks off its body has left; there is nobody to answer.
+        let Ok(read) = body::read(incoming).await else {
+            return Outcome::Own(Reason::Late, None);
+        };
+        let mut body = match read {
+            Read::Whole(bytes) if bytes.is_empty() => Outgoing::Whole(None),
+            Read::Whole(bytes) => Outgoing::Whole(Some(bytes)),
+            Read::Part(first, rest) => Outgoing::Stream(Some(first), rest),
+        };
+        self.desk(super::desk::Desk::request);
+        loop {
+            let again = body.again();
+            let end = self.attempt(body).await;
+            match self.judge(end, again) {
+                Ok(outcome) => return outcome,
+                Err(next) => body = next,
+            }
+        }
+    }
+
+    fn desk<T>(&self, ask: impl FnOnce(&mut crate::desk::Desk, Moment) -> T) -> Option<T> {
+        self.core.desk(&self.service, ask)
+    }
+
+    /// One attempt; none when no instance is known.
+    async fn attempt(&mut self, body: Outgoing) -> Option<End> {
+        let exclude = std::mem::take(&mut self.exclude);
+        let chosen = self.desk(|desk, now| desk.choose(now, &exclude)).flatten();
+        self.exclude = exclude;
+        let chosen = chosen?;
+        let pick = chosen.choice.pick;
+        self.attempts += 1;
+        self.exclude.push(pick);
+        self.instance = Some(chosen.upstream.id.clone());
+        let left = self.deadline.saturating_sub(self.began.elapsed());
+        info!(self.core.log, "choice"; "request" => self.call.id.to_str().unwrap_or("-"),
+            "attempt" => self.attempts, "instance" => %chosen.upstream.id,
+            "reason" => %chosen.choice.reason, "in_flight" => chosen.choice.in_flight,
+            "expected_ms" => millis(chosen.choice.expected),
+            "age_ms" => chosen.choice.age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(-1)),
+            "left_ms" => millis(left));
+        let ticket = self.desk(|desk, now| desk.started(now, pick))?;
+        let core = Arc::clone(&self.core);
+        // Until the end says otherwise, the request may be running.
+        let before = std::mem::replace(&mut self.exposed, true);
+        let end = exchange::attempt(&core, &chosen.upstream, ticket, &self.call, body, left).await;
+        self.exposed = before || matches!(end, End::Answer(..) | End::Unknown);
+        Some(end)
+    }
+
+    /// The final outcome, or the body for another attempt.
+    fn judge(&mut self, end: Option<End>, again: Option<Outgoing>) -> Result<Outcome, Outgoing> {
+        let once = self.route.kind == Kind::Once;
+        let (reason, back) = match &end {
+            None if self.exposed => (Reason::Broken, None),
+            None => (Reason::NoInstance, Some(BACK_UNKNOWN)),
+            Some(End::Answer(..) | End::Unknown) => (Reason::Broken, None),
+            Some(_) if self.exposed => (Reason::Broken, None),
+            Some(_) => (Reason::Full, Some(BACK_FULL)),
+        };
+        let own = Outcome::Own(reason, back);
+        let retried = match end {
+            None => return Ok(own),
+            Some(End::Answer(parts, answered)) => {
+                let failed = parts.status.is_server_error();
+                if !failed || once || !self.may_retry(again.is_some()) {
+                    return Ok(Outcome::Answer(parts, answered));
+                }
+                true
+            }
+            Some(End::Unknown) => !once && self.may_retry(again.is_some()),
+            Some(End::Unsent) => {
+                self.attempts -= 1;
+                self.unsent += 1;
+                self.unsent < UNSENT_TRIES
+            }
+            Some(End::Refused | End::Elsewhere) => self.may_retry(again.is_some()),
+        };
+        match again {
+            Some(body) if retried => Err(body),
+            _ => Ok(own),
+        }
+    }
+
+    /// Whether another attempt is allowed and paid for.
+    fn may_retry(&self, whole: bool) -> bool {
+        let allowed = whole && self.attempts < self.route.attempts;
+        allowed && self.desk(super::desk::Desk::pay).unwrap_or(false)
+    }
+
+    fn respond(&self, outcome: Outcome) -> Response<Returned> {
+        let (response, reason) = match outcome {
+            Outcome::Answer(mut parts, answered) => {
+                headers::strip(&mut parts.headers);
+                let body = match answered {
+                    Answered::Whole(bytes) => Returned::whole(bytes),
+                    Answered::Stream(first, rest, connection) => {
+                        Returned::stream(first, rest, connection)
+                    }
+                };
+                (Response::from_parts(*parts, body), "answered")
+            }
+            Outcome::Own(reason, back) => (refusal::answer(reason, back), reason.into()),
+        };
+        info!(self.core.log, "request"; "request" => self.call.id.to_str().unwrap_or("-"),
+            "outcome" => reason, "status" => response.status().as_u16(),
+            "route" => &*self.route.name, "service" => %self.service,
+            "table" => self.version, "attempts" => self.attempts, "unsent" => self.unsent,
+            "instance" => self.instance.as_ref().map_or("-", |id| id.as_str()),
+            "ms" => millis(self.began.elapsed()));
+        response
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Answers without a route.
+fn refuse(
+    core: &Core,
+    id: &HeaderValue,
+    routes: &Routes,
+    reason: Reason,
+    back: Option<Duration>,
+) -> Response<Returned> {
+    let response = refusal::answer(reason, back);
+    let word: &'static str = reason.into();
+    info!(core.log, "request"; "request" => id.to_str().unwrap_or("-"), "outcome" => word,
+        "status" => response.status().as_u16(), "table" => routes.table.version);
+    response
+}
+
+/// An empty body, for pages of the process itself.
+#[must_use]
+pub fn empty() -> Returned {
+    Returned::whole(Bytes::new())
+}
--- /dev/null
+++ b/crates/entry/src/headers.rs
@@ -0,0 +1,58 @@
+//! Which headers are passed on.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::HeaderName;
+use http::header;
+
+/// Headers that concern one connection only.
+const HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// Takes out what concerns one connection only, the headers that `Connection`
+/// names among it.
+pub fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in HOP.iter().chain(&named) {
+        headers.remove(name);
+    }
+}
+
+/// Whether the connection is closed after the message.
+#[must_use]
+pub fn closes(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter();
+    let texts = values.filter_map(|value| value.to_str().ok());
+    let mut words = texts.flat_map(|text| text.split(','));
+    words.any(|word| word.trim().eq_ignore_ascii_case("close"))
+}
+
+/// How long the sender keeps the connection, where it says so.
+#[must_use]
+pub fn kept_for(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let mut parts = text.split(',').map(str::trim);
+    let secs = parts.find_map(|part| part.strip_prefix("timeout="))?;
+    secs.parse().ok().map(Duration::from_secs)
+}
+
+/// A header as a number.
+#[must_use]
+pub fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/entry/src/serve.rs
@@ -0,0 +1,133 @@
+//! Takes callers' connections, and answers whether the process is ready.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use slog::debug;
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio_util::task::TaskTracker;
+
+use crate::body::Returned;
+use crate::core::Core;
+use crate::core::Stage;
+use crate::flow;
+
+/// Bytes that a connection may buffer of a head; the library asks for 8 KiB at least.
+const LEAST_BUFFER: usize = 8 * 1024;
+/// Pause after the system refused to accept.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts callers until the process closes; connections run in `open`.
+pub async fn front(core: Arc<Core>, listener: TcpListener, open: TaskTracker) {
+    let mut stage = core.stage.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            () = closing(&mut stage) => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                open.spawn(connection(Arc::clone(&core), stream));
+            }
+            Err(err) => {
+                warn!(core.log, "accept failed"; "error" => %err);
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn closing(stage: &mut watch::Receiver<Stage>) {
+    // The sender lives as long as the process.
+    let _ = stage.wait_for(|stage| *stage == Stage::Closing).await;
+}
+
+async fn connection(core: Arc<Core>, stream: TcpStream) {
+    if let Err(err) = stream.set_nodelay(true) {
+        debug!(core.log, "connection failed"; "error" => %err);
+        return;
+    }
+    let limits = core.routes().table.limits;
+    let service = service_fn(|request| answer(Arc::clone(&core), request));
+    let mut serving = std::pin::pin!(
+        http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
+            .max_buf_size(limits.header_bytes.max(LEAST_BUFFER))
+            .serve_connection(TokioIo::new(stream), service)
+    );
+    let mut stage = core.stage.subscribe();
+    let result = tokio::select! {
+        result = &mut serving => result,
+        () = closing(&mut stage) => {
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    if let Err(err) = result {
+        debug!(core.log, "connection ended"; "error" => %err);
+    }
+}
+
+/// Answers one request; while the process leaves, the connection closes after it.
+async fn answer(
+    core: Arc<Core>,
+    request: Request<Incoming>,
+) -> Result<Response<Returned>, Infallible> {
+    let mut response = flow::handle(Arc::clone(&core), request).await;
+    if *core.stage.borrow() != Stage::Serving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
+/// Answers whether callers may be sent here, until the process ends.
+pub async fn readiness(core: Arc<Core>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        let core = Arc::clone(&core);
+        tokio::spawn(async move {
+            let service = service_fn(|request: Request<Incoming>| {
+                let response = page(&core, request.uri().path());
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let serving = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(err) = serving.await {
+                debug!(core.log, "readiness connection ended"; "error" => %err);
+            }
+        });
+    }
+}
+
+fn page(core: &Core, path: &str) -> Response<Returned> {
+    let mut response = Response::new(flow::empty());
+    *response.status_mut() = if path != &*core.settings.ready_path {
+        StatusCode::NOT_FOUND
+    } else if core.is_ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    response
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,212 @@
+//! Settings of one entry process, typed and checked.
+
+use std::fmt;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::prelude::*;
+use conf::ConfError;
+use conf::Problem;
+use conf::Reader;
+use conf::value::duration_text;
+
+const ENTRY: &str = "entry";
+const RETRY: &str = "retry";
+const STOP: &str = "stop";
+
+/// Path of the readiness page, by default.
+const READY_PATH: &str = "/ready";
+/// Offset of a hub's own port from the first one.
+const HUB_PORT: u16 = 2;
+
+/// What retries all entry processes together may spend on a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Retry {
+    /// Extra attempts as a share of requests, in percent.
+    pub percent: u32,
+    /// Extra attempts beyond the share, in each window, for all entry hosts together.
+    pub base: u32,
+    /// The window.
+    pub window: Duration,
+}
+
+impl Default for Retry {
+    /// A fifth of the requests is the usual bound on retries.
+    fn default() -> Self {
+        Self {
+            percent: 20,
+            base: 60,
+            window: Duration::from_secs(10),
+        }
+    }
+}
+
+/// How long a graceful stop takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stop {
+    /// Callers still come for so long, as they keep old addresses.
+    pub linger: Duration,
+    /// All is over after this.
+    pub grace: Duration,
+}
+
+impl Default for Stop {
+    /// Callers keep an answer of the directory for some seconds.
+    fn default() -> Self {
+        Self {
+            linger: Duration::from_millis(4_500),
+            grace: Duration::from_secs(6),
+        }
+    }
+}
+
+/// All settings of one entry process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Its host.
+    pub host: HostName,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Its region.
+    pub region: RegionName,
+    /// Where callers connect.
+    pub front: SocketAddr,
+    /// Where readiness is asked for.
+    pub ready: SocketAddr,
+    /// The path of the readiness page.
+    pub ready_path: Arc<str>,
+    /// The first of the ports that hubs use, the same on every host.
+    pub port: u16,
+    /// Hosts that run hubs; of each only the address counts, not the port.
+    pub seeds: Vec<SocketAddr>,
+    /// Retries.
+    pub retry: Retry,
+    /// The graceful stop.
+    pub stop: Stop,
+    /// Log and metrics.
+    pub telemetry: telemetry::Settings,
+}
+
+struct Text(Arc<str>);
+
+impl conf::Value for Text {
+    const FORM: &'static str = "a path";
+
+    fn read(text: &str) -> Option<Self> {
+        text.starts_with('/').then(|| Self(text.into()))
+    }
+}
+
+impl Settings {
+    /// Reads the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every fault of the file.
+    pub fn open(path: &Path) -> Result<Self, ConfError> {
+        Self::read(Reader::open(path)?)
+    }
+
+    /// Reads all keys of `reader`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every fault noted.
+    pub fn read(mut reader: Reader) -> Result<Self, ConfError> {
+        let settings = Self::take(&mut reader);
+        reader.finish()?;
+        Ok(settings.unwrap_or_else(|| unreachable!("what is missing is a fault of its own")))
+    }
+
+    fn take(r: &mut Reader) -> Option<Self> {
+        let host = r.required(ENTRY, "host");
+        let domain = r.required(ENTRY, "domain");
+        let region = r.required(ENTRY, "region");
+        let front = r.required(ENTRY, "front");
+        let ready = r.required(ENTRY, "ready");
+        let ready_path = r.or(ENTRY, "ready-path", Text(READY_PATH.into())).0;
+        let port: Option<u32> = r.required(ENTRY, "port");
+        let seeds = r.list(ENTRY, "seeds");
+        let retry = read_retry(r);
+        let stop = read_stop(r);
+        let telemetry = telemetry::Settings::read(r);
+        let last = u32::from(u16::MAX - HUB_PORT);
+        if let Some(port) = port.filter(|p| *p > last) {
+            let problem = Problem::Form(port.to_string());
+            r.fault(ENTRY, "port", problem, "a port with two more after it");
+        }
+        Some(Self {
+            host: host?,
+            domain: domain?,
+            region: region?,
+            front: front?,
+            ready: ready?,
+            ready_path,
+            port: u16::try_from(port?).ok()?,
+            seeds,
+            retry,
+            stop,
+            telemetry,
+        })
+    }
+
+    /// Where the hub at `ip` serves entry processes.
+    #[must_use]
+    pub fn hub_at(&self, ip: IpAddr) -> SocketAddr {
+        SocketAddr::new(ip, self.port + HUB_PORT)
+    }
+}
+
+fn read_retry(r: &mut Reader) -> Retry {
+    let preset = Retry::default();
+    let retry = Retry {
+        percent: r.or(RETRY, "percent", preset.percent),
+        base: r.or(RETRY, "base", preset.base),
+        window: r.or(RETRY, "window", preset.window),
+    };
+    if retry.window.is_zero() {
+        r.fault(RETRY, "window", Problem::Form("0ms".into()), "over 0");
+    }
+    retry
+}
+
+fn read_stop(r: &mut Reader) -> Stop {
+    let preset = Stop::default();
+    let grace = r.or(STOP, "grace", preset.grace);
+    let linger = r.or(STOP, "linger", preset.linger.min(grace * 3 / 4));
+    if linger > grace {
+        r.fault(
+            STOP,
+            "linger",
+            Problem::Contradicts("grace"),
+            "at most grace",
+        );
+    }
+    Stop { linger, grace }
+}
+
+impl fmt::Display for Settings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let seeds: Vec<String> = self.seeds.iter().map(ToString::to_string).collect();
+        writeln!(f, "[{ENTRY}]")?;
+        writeln!(f, "host = {}", self.host)?;
+        writeln!(f, "domain = {}", self.domain)?;
+        writeln!(f, "region = {}", self.region)?;
+        writeln!(f, "front = {}", self.front)?;
+        writeln!(f, "ready = {}", self.ready)?;
+        writeln!(f, "ready-path = {}", self.ready_path)?;
+        writeln!(f, "port = {}", self.port)?;
+        writeln!(f, "seeds = {}", seeds.join(", "))?;
+        writeln!(f, "\n[{RETRY}]")?;
+        writeln!(f, "percent = {}", self.retry.percent)?;
+        writeln!(f, "base = {}", self.retry.base)?;
+        writeln!(f, "window = {}", duration_text(self.retry.window))?;
+        writeln!(f, "\n[{STOP}]")?;
+        writeln!(f, "linger = {}", duration_text(self.stop.linger))?;
+        writeln!(f, "grace = {}", duration_text(self.stop.grace))?;
+        write!(f, "\n{}", self.telemetry)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/sync.rs
@@ -0,0 +1,181 @@
+//! Watches every hub for the table and the instances.
+//!
+//! A change of any hub counts, so that one cut path doesn't matter. While no
+//! hub answers, the process serves on with what it knows.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use slog::info;
+use slog::warn;
+use tarpc::client::RpcError;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::task::AbortOnDropHandle;
+use wire::hub::Watch;
+use wire::hub::WatchReply;
+use wire::link::within;
+use wire::peer;
+use wire::peer::HubLink;
+
+use crate::core::Core;
+
+/// How long a hub holds a watch while nothing changes; a hub counts an entry
+/// host as lost after some of these.
+const WAIT: Duration = Duration::from_millis(500);
+/// Beyond its wait, a watch may take this long before the connection counts as dead.
+const SLACK: Duration = Duration::from_millis(600);
+/// Pause after a watch that failed.
+const PAUSE: Duration = Duration::from_millis(150);
+/// A table that no majority has confirmed is taken only after so long, as it
+/// may be older than one that was in force here before a restart.
+const UNCONFIRMED: Duration = Duration::from_secs(3);
+/// A hub that no other hub names and that doesn't answer is let go after so long.
+const FORGET: Duration = Duration::from_secs(10);
+
+/// One hub as last heard.
+struct Seen {
+    answered: Instant,
+    /// The hubs that it named.
+    named: Vec<SocketAddr>,
+}
+
+type Hubs = Arc<Mutex<HashMap<SocketAddr, Seen>>>;
+
+/// Watches all hubs. Never ends.
+pub async fn run(core: Arc<Core>) {
+    let hubs: Hubs = Arc::default();
+    let (wake, mut woken) = watch::channel(());
+    let seeds: Vec<SocketAddr> = core
+        .settings
+        .seeds
+        .iter()
+        .map(|seed| core.settings.hub_at(seed.ip()))
+        .collect();
+    let mut watches: HashMap<SocketAddr, AbortOnDropHandle<()>> = HashMap::new();
+    loop {
+        let wanted = wanted(&hubs, &seeds);
+        watches.retain(|address, _| wanted.contains(address));
+        for address in wanted {
+            watches.entry(address).or_insert_with(|| {
+                let task = follow(Arc::clone(&core), address, Arc::clone(&hubs), wake.clone());
+                AbortOnDropHandle::new(tokio::spawn(task))
+            });
+        }
+        let _ = tokio::time::timeout(FORGET, woken.changed()).await;
+    }
+}
+
+/// The hubs that any live hub names; the seeds besides while none is live.
+fn wanted(hubs: &Hubs, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+    let mut hubs = hubs.lock().unwrap_or_else(PoisonError::into_inner);
+    hubs.retain(|_, seen| seen.answered.elapsed() < FORGET);
+    let named = hubs.values().flat_map(|seen| seen.named.iter().copied());
+    let mut wanted: Vec<SocketAddr> = named.chain(hubs.keys().copied()).collect();
+    if wanted.len() < seeds.len() {
+        wanted.extend(seeds);
+    }
+    wanted.sort_unstable();
+    wanted.dedup();
+    wanted
+}
+
+async fn follow(core: Arc<Core>, address: SocketAddr, hubs: Hubs, wake: watch::Sender<()>) {
+    let link = peer::hub(address);
+    let mut last = WatchReply::default();
+    let mut up = false;
+    let begun = Instant::now();
+    loop {
+        let reply = ask(&core, &link, &last).await;
+        if reply.is_some() != up {
+            up = !up;
+            let outcome = if up { "regained" } else { "lost" };
+            info!(core.log, "hub"; "address" => %address, "outcome" => outcome);
+        }
+        let Some(reply) = reply else {
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        };
+        take(&core, &reply, begun);
+        note(&hubs, address, &reply, &wake);
+        last = WatchReply {
+            epoch: reply.epoch,
+            cursor: reply.cursor,
+            ..WatchReply::default()
+        };
+    }
+}
+
+async fn ask(core: &Core, link: &HubLink, last: &WatchReply) -> Option<WatchReply> {
+    let ready = core.is_ready();
+    let ask = Watch {
+        host: core.settings.host.to_string(),
+        domain: core.settings.domain.to_string(),
+        region: core.settings.region.to_string(),
+        address: core.settings.front.to_string(),
+        ready,
+        epoch: last.epoch,
+        cursor: last.cursor,
+        table: core.routes().table.version,
+        wait_ms: u32::try_from(WAIT.as_millis()).unwrap_or(u32::MAX),
+    };
+    let client = link.client().await.ok()?;
+    let mut routed = core.routed.subscribe();
+    let mut stage = core.stage.subscribe();
+    let call = client.watch(within(WAIT + SLACK), ask);
+    let result = tokio::select! {
+        result = tokio::time::timeout(WAIT + SLACK, call) => match result {
+            Ok(result) => result,
+            Err(_) => Err(RpcError::DeadlineExceeded),
+        },
+        // The hubs learn at once that callers may, or may no longer, be sent here.
+        () = async { tokio::select! {
+            _ = routed.changed() => {}
+            _ = stage.changed() => {}
+        } } => return Some(last.clone()),
+    };
+    link.judge(result).ok()
+}
+
+fn take(core: &Core, reply: &WatchReply, begun: Instant) {
+    core.take_instances(&reply.instances);
+    if reply.entries > 0 {
+        core.set_entries(reply.entries);
+    }
+    let Some(row) = &reply.table else {
+        return;
+    };
+    let trusted = reply.confirmed || core.routes().table.version > 0;
+    if !trusted && begun.elapsed() < UNCONFIRMED {
+        return;
+    }
+    match table::codec::decode(&row.content) {
+        Ok(table) => core.set_table(table),
+        Err(err) => warn!(core.log, "bad route table"; "version" => row.version, "error" => %err),
+    }
+}
+
+fn note(hubs: &Hubs, address: SocketAddr, reply: &WatchReply, wake: &watch::Sender<()>) {
+    if reply.epoch == 0 || reply.hubs.is_empty() {
+        return;
+    }
+    let named = reply
+        .hubs
+        .iter()
+        .filter_map(|hub| hub.parse().ok())
+        .collect();
+    let seen = Seen {
+        answered: Instant::now(),
+        named,
+    };
+    let mut hubs = hubs.lock().unwrap_or_else(PoisonError::into_inner);
+    let before = hubs.insert(address, seen);
+    let changed = before.is_none_or(|before| before.named != hubs[&address].named);
+    if changed {
+        wake.send_replace(());
+    }
+}
--- a/crates/gen/src/lib.rs
+++ b/crates/gen/src/lib.rs
@@ -10,10 +10,11 @@
 use quick_error::quick_error;
 
 /// The protocol files, in order of dependency.
-const PROTOS: [&str; 7] = [
+const PROTOS: [&str; 8] = [
     "catalogue.proto",
     "ledger.proto",
     "control.proto",
+    "hub.proto",
     "directory.proto",
     "gateway.proto",
     "store.proto",
--- /dev/null
+++ b/crates/hub/src/entries.rs
@@ -0,0 +1,95 @@
+//! The entry hosts that callers may be sent to: a pure state machine.
+//!
+//! An entry host counts while it watches this hub and says that it is ready. A
+//! hub that has just started knows only the first few that came to it; it names
+//! none until the others have had the time to come too, as callers would all go
+//! to those few.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use base::prelude::*;
+use wire::hub::Watch;
+
+/// An entry host that was silent for so long is named no more: two watches of
+/// the usual length and the time of a reconnection.
+pub const FRESH: Duration = Duration::from_millis(1_500);
+/// Entry hosts that were silent for so long are forgotten: over the time of a
+/// restart, so that the number of hosts that share a budget doesn't fall while
+/// one of them restarts.
+pub const FORGET: Duration = Duration::from_secs(20);
+/// How long after the first entry host came the others have come too: their
+/// longest pause between two tries to connect, and a connection.
+const SETTLE: Duration = Duration::from_millis(1_200);
+/// Most addresses of one answer.
+const MAX_ADDRESSES: usize = 64;
+/// Least addresses of one answer, as callers leave out those that failed them.
+const MIN_ADDRESSES: usize = 4;
+
+#[derive(Clone, Debug)]
+struct Entry {
+    address: String,
+    domain: String,
+    region: String,
+    ready: bool,
+    heard: Moment,
+}
+
+/// All entry hosts that watch.
+#[derive(Clone, Debug, Default)]
+pub struct Entries {
+    known: BTreeMap<String, Entry>,
+    first: Option<Moment>,
+}
+
+impl Entries {
+    /// Notes who watches; gives whether it is named from now on, or no more.
+    pub fn note(&mut self, now: Moment, watch: &Watch) -> bool {
+        if watch.address.is_empty() {
+            return false;
+        }
+        self.first.get_or_insert(now);
+        let entry = Entry {
+            address: watch.address.clone(),
+            domain: watch.domain.clone(),
+            region: watch.region.clone(),
+            ready: watch.ready,
+            heard: now,
+        };
+        let before = self.known.insert(watch.host.clone(), entry);
+        before.is_none_or(|b| b.ready != watch.ready || now.since(b.heard) > FRESH)
+    }
+
+    /// Hosts that share what is shared out among all entry hosts.
+    #[must_use]
+    pub fn count(&self, now: Moment) -> u32 {
+        let recent = |e: &&Entry| now.since(e.heard) < FORGET;
+        let count = self.known.values().filter(recent).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Addresses for a caller, those in its failure domain alone where they are enough.
+    #[must_use]
+    pub fn resolve(&self, now: Moment, domain: &str, region: &str) -> Vec<String> {
+        let settled = self.first.is_some_and(|first| now.since(first) >= SETTLE);
+        if !settled {
+            return Vec::new();
+        }
+        let usable = |e: &&Entry| e.ready && now.since(e.heard) < FRESH;
+        let mut usable: Vec<&Entry> = self.known.values().filter(usable).collect();
+        usable.sort_by_key(|e| (e.domain != domain, e.region != region));
+        let near = usable.iter().filter(|e| e.domain == domain).count();
+        let count = if near >= MIN_ADDRESSES {
+            near
+        } else {
+            usable.len()
+        };
+        let named = usable.into_iter().take(count.min(MAX_ADDRESSES));
+        named.map(|e| e.address.clone()).collect()
+    }
+
+    /// Forgets hosts that were silent for long.
+    pub fn forget(&mut self, now: Moment) {
+        self.known.retain(|_, e| now.since(e.heard) < FORGET);
+    }
+}
--- /dev/null
+++ b/crates/hub/src/registry.rs
@@ -0,0 +1,156 @@
+//! The announced upstreams as one hub knows them: a pure state machine.
+//!
+//! Announcements come late, twice, and by way of several hubs. One of a lower
+//! sequence than the last one changes nothing, a phase never goes back, and an
+//! id that has left never comes back. Every change gets a number, so that a
+//! watcher asks for what is newer than the last number that it saw.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use base::prelude::*;
+use wire::hub::Instance;
+use wire::hub::Phase;
+
+/// How long the id of an instance that has left is kept, so that a late
+/// announcement doesn't bring it back: well over the longest delay that a cut
+/// link was seen to cause.
+const KEEP_GONE: Duration = Duration::from_mins(10);
+
+/// What an announcement changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// Watchers are to learn of it.
+    Changed,
+    /// It said what was known.
+    Known,
+    /// It is older than what is known.
+    Stale,
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    instance: Instance,
+    changed: u64,
+    heard: Moment,
+    /// A majority of the hubs knows the phase.
+    spread: bool,
+}
+
+/// All announced instances.
+///
+/// Invariant: `cursor` is the highest `changed` of all rows there ever were.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    cursor: u64,
+    rows: BTreeMap<String, Row>,
+}
+
+impl Registry {
+    /// Takes an announcement, heard by this hub or by another one.
+    pub fn take(&mut self, now: Moment, instance: Instance) -> Taken {
+        let Some(row) = self.rows.get_mut(&instance.id) else {
+            self.insert(now, instance);
+            return Taken::Changed;
+        };
+        let gone = instance.phase() == Phase::Gone;
+        let left = row.instance.phase() == Phase::Gone;
+        if left {
+            return if gone { Taken::Known } else { Taken::Stale };
+        }
+        if instance.sequence < row.instance.sequence && !gone {
+            return Taken::Stale;
+        }
+        row.heard = now;
+        let next = merged(&row.instance, instance);
+        let same = is_same(&row.instance, &next);
+        let phase = row.instance.phase;
+        row.instance = next;
+        if same {
+            return Taken::Known;
+        }
+        if row.instance.phase != phase {
+            row.spread = false;
+        }
+        self.cursor += 1;
+        row.changed = self.cursor;
+        Taken::Changed
+    }
+
+    fn insert(&mut self, now: Moment, instance: Instance) {
+        self.cursor += 1;
+        let row = Row {
+            changed: self.cursor,
+            heard: now,
+            spread: false,
+            instance,
+        };
+        self.rows.insert(row.instance.id.clone(), row);
+    }
+
+    /// The number of the last change.
+    #[must_use]
+    pub fn cursor(&self) -> u64 {
+        self.cursor
+    }
+
+    /// What has changed after `cursor`.
+    #[must_use]
+    pub fn since(&self, cursor: u64) -> Vec<Instance> {
+        let newer = self.rows.values().filter(|row| row.changed > cursor);
+        newer.map(|row| row.instance.clone()).collect()
+    }
+
+    /// One instance.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&Instance> {
+        self.rows.get(id).map(|row| &row.instance)
+    }
+
+    /// Whether a majority of the hubs knows the instance's phase.
+    #[must_use]
+    pub fn is_spread(&self, id: &str) -> bool {
+        self.rows.get(id).is_some_and(|row| row.spread)
+    }
+
+    /// Notes that a majority of the hubs knows that the instance is in `phase`.
+    pub fn spread(&mut self, id: &str, phase: Phase) {
+        if let Some(row) = self.rows.get_mut(id)
+            && row.instance.phase() == phase
+        {
+            row.spread = true;
+        }
+    }
+
+    /// Forgets ids that left long ago.
+    pub fn forget(&mut self, now: Moment) {
+        self.rows.retain(|_, row| {
+            row.instance.phase() != Phase::Gone || now.since(row.heard) < KEEP_GONE
+        });
+    }
+}
+
+/// The newer announcement; a notice of leaving names nothing but the id.
+fn merged(held: &Instance, next: Instance) -> Instance {
+    if next.phase() == Phase::Gone {
+        return Instance {
+            phase: Phase::Gone.into(),
+            sequence: next.sequence.max(held.sequence),
+            ..held.clone()
+        };
+    }
+    Instance {
+        phase: next.phase.max(held.phase),
+        ..next
+    }
+}
+
+/// Whether watchers would see no difference; the sequence rises all the time.
+fn is_same(held: &Instance, next: &Instance) -> bool {
+    let bare = |instance: &Instance| Instance {
+        sequence: 0,
+        warmup_ms: 0,
+        ..instance.clone()
+    };
+    bare(held) == bare(next)
+}
--- /dev/null
+++ b/crates/hub/src/server.rs
@@ -0,0 +1,157 @@
+//! What a hub serves to entry processes, other hubs and operators.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use slog::info;
+use tarpc::ClientMessage;
+use tarpc::Response;
+use tarpc::context::Context;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tokio::time::Instant;
+use wire::api::HubApi;
+use wire::api::HubApiRequest;
+use wire::api::HubApiResponse;
+use wire::hub::ReadReply;
+use wire::hub::ResolveQuery;
+use wire::hub::ResolveReply;
+use wire::hub::Spread;
+use wire::hub::SpreadReply;
+use wire::hub::Table;
+use wire::hub::TableReply;
+use wire::hub::Watch;
+use wire::hub::WatchReply;
+use wire::link::Channel as Transport;
+
+use crate::desk::Desk;
+use crate::desk::Put;
+use crate::registry::Taken;
+use crate::state::State;
+
+/// Longest time that a watch is held.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+/// How long a majority may take to confirm the table for a process that has none.
+const CONFIRM: Duration = Duration::from_millis(300);
+
+/// The service, one clone a request.
+#[derive(Clone)]
+pub struct HubServer {
+    state: Arc<State>,
+    desk: Desk,
+}
+
+impl HubServer {
+    pub(crate) fn new(state: Arc<State>, desk: Desk) -> Self {
+        Self { state, desk }
+    }
+
+    /// Waits until there is anything that the watcher lacks.
+    async fn wait(&self, ask: &Watch) {
+        let wait = Duration::from_millis(ask.wait_ms.into()).min(MAX_WAIT);
+        let end = Instant::now() + wait;
+        let mut cursors = self.state.cursor.subscribe();
+        let mut views = self.state.tables.views();
+        let moved = cursors.wait_for(|cursor| *cursor > ask.cursor);
+        let newer = views.wait_for(|view| view.table.version > ask.table);
+        tokio::select! {
+            _ = moved => {}
+            _ = newer => {}
+            () = tokio::time::sleep_until(end) => {}
+        }
+    }
+
+    fn note(&self, ask: &Watch) {
+        let now = self.state.clock.now();
+        if self.state.known().entries.note(now, ask) {
+            info!(self.state.log, "entry host"; "entry" => &ask.host, "ready" => ask.ready,
+                "address" => &ask.address);
+        }
+    }
+}
+
+impl HubApi for HubServer {
+    async fn watch(self, _: Context, mut ask: Watch) -> WatchReply {
+        self.note(&ask);
+        if ask.epoch != self.state.epoch {
+            ask.cursor = 0;
+            ask.wait_ms = 0;
+        }
+        let confirmed = ask.table == 0 && self.state.tables.read(CONFIRM).await.is_some();
+        self.wait(&ask).await;
+        self.note(&ask);
+        let table = self.state.tables.applied();
+        let newer = table.version > ask.table;
+        let now = self.state.clock.now();
+        let known = self.state.known();
+        WatchReply {
+            epoch: self.state.epoch,
+            cursor: known.registry.cursor(),
+            instances: known.registry.since(ask.cursor),
+            table: newer.then(|| Table {
+                source: Vec::new().into(),
+                ..(*table).clone()
+            }),
+            confirmed,
+            hubs: known.hubs.iter().map(ToString::to_string).collect(),
+            entries: known.entries.count(now),
+        }
+    }
+
+    async fn spread(self, _: Context, push: Spread) -> SpreadReply {
+        let now = self.state.clock.now();
+        let mut changed = false;
+        {
+            let mut known = self.state.known();
+            for instance in push.instances {
+                changed |= known.registry.take(now, instance) == Taken::Changed;
+            }
+        }
+        if changed {
+            self.state.publish();
+        }
+        SpreadReply {}
+    }
+
+    async fn put_table(self, _: Context, row: Table) -> TableReply {
+        let Ok(table) = table::codec::decode(&row.content) else {
+            return TableReply::default();
+        };
+        let put = Put {
+            table,
+            source: row.source.to_vec(),
+        };
+        self.desk.put(put).await.unwrap_or_default()
+    }
+
+    async fn read_table(self, _: Context) -> ReadReply {
+        let table = self.desk.read().await.ok();
+        ReadReply {
+            confirmed: table.is_some(),
+            table: table.map(|table| (*table).clone()),
+        }
+    }
+
+    async fn resolve(self, _: Context, query: ResolveQuery) -> ResolveReply {
+        let (addresses, ttl) = self.desk.resolve(&query.domain, &query.region);
+        ResolveReply {
+            addresses,
+            ttl_ms: u32::try_from(ttl.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+/// Serves one connection to its end.
+pub async fn serve(
+    channel: Transport<ClientMessage<HubApiRequest>, Response<HubApiResponse>>,
+    server: HubServer,
+) {
+    BaseChannel::with_defaults(channel)
+        .execute(server.serve())
+        .for_each(|request| {
+            tokio::spawn(request);
+            std::future::ready(())
+        })
+        .await;
+}
--- /dev/null
+++ b/crates/hub/src/state.rs
@@ -0,0 +1,71 @@
+//! What all tasks of one hub share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use base::prelude::*;
+use control::TableDesk;
+use slog::Logger;
+use tokio::sync::watch;
+
+use crate::entries::Entries;
+use crate::registry::Registry;
+use crate::settings::Settings;
+
+/// What changes while the hub runs.
+#[derive(Debug, Default)]
+pub struct Known {
+    /// The announced upstreams.
+    pub registry: Registry,
+    /// The entry hosts that watch.
+    pub entries: Entries,
+    /// The hubs of the group, this one included, sorted.
+    pub hubs: Vec<SocketAddr>,
+}
+
+/// The shared state.
+pub struct State {
+    /// As they were read.
+    pub settings: Settings,
+    /// Names this process: cursors of another one mean nothing.
+    pub epoch: u64,
+    /// The process's clock.
+    pub clock: Clock,
+    /// The route table.
+    pub tables: TableDesk,
+    /// The log.
+    pub log: Logger,
+    /// The registry's cursor, for whoever waits for a change.
+    pub cursor: watch::Sender<u64>,
+    known: Mutex<Known>,
+}
+
+impl State {
+    /// A hub that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: Settings, tables: TableDesk, log: Logger) -> Arc<Self> {
+        Arc::new(Self {
+            settings,
+            epoch: rand::random::<u64>().max(1),
+            clock: Clock::start(),
+            tables,
+            log,
+            cursor: watch::Sender::new(0),
+            known: Mutex::default(),
+        })
+    }
+
+    /// The changing part, locked; never held across a wait.
+    pub fn known(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Wakes whoever waits for a change of the registry.
+    pub fn publish(&self) {
+        let cursor = self.known().registry.cursor();
+        self.cursor.send_replace(cursor);
+    }
+}
--- /dev/null
+++ b/crates/table/src/file.rs
@@ -0,0 +1,239 @@
+//! A table in INI, as operators write and read it.
+//!
+//! ```ini
+//! [table]
+//! version = 7
+//!
+//! [service status]
+//! health = /health
+//! connections = 240
+//!
+//! [route example.org/status/]
+//! name = status
+//! kind = idempotent
+//! timeout = 800ms
+//! aim = 300ms
+//! priority = 2
+//! attempts = 2
+//! target = status:90, status-next:10
+//! ```
+
+use std::fmt;
+use std::fmt::Write as _;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::prelude::*;
+use conf::ConfError;
+use conf::Problem;
+use conf::Reader;
+use conf::value::Bytes;
+use conf::value::duration_text;
+
+use crate::model::Host;
+use crate::model::Kind;
+use crate::model::Limits;
+use crate::model::Part;
+use crate::model::Route;
+use crate::model::Service;
+use crate::model::Table;
+use crate::model::Target;
+
+const TABLE: &str = "table";
+const LIMITS: &str = "limits";
+const SERVICE: &str = "service ";
+const ROUTE: &str = "route ";
+
+struct Word(Kind);
+
+impl conf::Value for Word {
+    const FORM: &'static str = "idempotent or once";
+
+    fn read(text: &str) -> Option<Self> {
+        text.parse().ok().map(Self)
+    }
+}
+
+struct Share(Part);
+
+impl conf::Value for Share {
+    const FORM: &'static str = "service, or service:weight";
+
+    fn read(text: &str) -> Option<Self> {
+        let (name, weight) = match text.rsplit_once(':') {
+            Some((name, weight)) => (name, weight.parse().ok()?),
+            None => (text, 1),
+        };
+        let service = ServiceName::new(name).ok()?;
+        Some(Self(Part { service, weight }))
+    }
+}
+
+struct Text(Arc<str>);
+
+impl conf::Value for Text {
+    const FORM: &'static str = "text";
+
+    fn read(text: &str) -> Option<Self> {
+        Some(Self(text.into()))
+    }
+}
+
+/// Reads a table; what only [`crate::check()`] sees is not looked at.
+///
+/// # Errors
+///
+/// Fails with every fault of the file.
+pub fn read(mut reader: Reader) -> Result<Table, ConfError> {
+    let r = &mut reader;
+    let version = r.required(TABLE, "version").unwrap_or_default();
+    let limits = read_limits(r);
+    let mut services = Vec::new();
+    let mut hosts: Vec<Host> = Vec::new();
+    for section in r.sections() {
+        if let Some(name) = section.strip_prefix(SERVICE) {
+            services.extend(read_service(r, &section, name));
+        } else if let Some(place) = section.strip_prefix(ROUTE)
+            && let Some((host, route)) = read_route(r, &section, place)
+        {
+            add(&mut hosts, host, route);
+        }
+    }
+    reader.finish()?;
+    Ok(Table {
+        version,
+        services,
+        limits,
+        hosts,
+    })
+}
+
+fn add(hosts: &mut Vec<Host>, name: &str, route: Route) {
+    match hosts.iter_mut().find(|h| &*h.name == name) {
+        Some(host) => host.routes.push(route),
+        None => hosts.push(Host {
+            name: name.into(),
+            routes: vec![route],
+        }),
+    }
+}
+
+fn read_limits(r: &mut Reader) -> Limits {
+    let preset = Limits::default();
+    let header = Bytes(preset.header_bytes as u64);
+    let header = r.or(LIMITS, "header-bytes", header).0;
+    Limits {
+        header_bytes: usize::try_from(header).unwrap_or(usize::MAX),
+        body_bytes: r.or(LIMITS, "body-bytes", Bytes(preset.body_bytes)).0,
+        header_timeout: r.or(LIMITS, "header-timeout", preset.header_timeout),
+        idle_timeout: r.or(LIMITS, "idle-timeout", preset.idle_timeout),
+    }
+}
+
+fn read_service(r: &mut Reader, section: &str, name: &str) -> Option<Service> {
+    let health = r.required(section, "health").map(|Text(path)| path);
+    let connections = r.required(section, "connections");
+    let Ok(name) = ServiceName::new(name) else {
+        r.fault(section, "", Problem::Form(name.into()), "a service's name");
+        return None;
+    };
+    Some(Service {
+        name,
+        health: health?,
+        connections: connections?,
+    })
+}
+
+fn read_route<'a>(r: &mut Reader, section: &str, place: &'a str) -> Option<(&'a str, Route)> {
+    let name = r.or(section, "name", Text(place.into())).0;
+    let kind = r.required(section, "kind").map(|Word(kind)| kind);
+    let timeout: Option<Duration> = r.optional(section, "timeout");
+    let aim: Option<Duration> = r.optional(section, "aim");
+    let priority = r.or(section, "priority", 0);
+    let attempts = r.or(section, "attempts", 1);
+    let parts: Vec<Share> = r.list(section, "target");
+    let Some(slash) = place.find('/') else {
+        let form = "host and path prefix, such as example.org/status/";
+        r.fault(section, "", Problem::Form(place.into()), form);
+        return None;
+    };
+    if parts.is_empty() {
+        r.fault(section, "target", Problem::Missing, "services by commas");
+    }
+    let (host, prefix) = place.split_at(slash);
+    let route = Route {
+        name,
+        prefix: prefix.into(),
+        kind: kind?,
+        timeout,
+        aim,
+        priority,
+        attempts,
+        target: target(parts)?,
+    };
+    Some((host, route))
+}
+
+fn target(mut parts: Vec<Share>) -> Option<Target> {
+    match parts.len() {
+        0 => None,
+        1 => parts.pop().map(|Share(part)| Target::Service(part.service)),
+        _ => Some(Target::Split(parts.into_iter().map(|Share(p)| p).collect())),
+    }
+}
+
+/// The table as INI, which [`read`] reads again.
+#[must_use]
+pub fn write(table: &Table) -> String {
+    let mut text = String::new();
+    // Writing to a string fails for no reason of its own.
+    let _ = write_all(&mut text, table);
+    text
+}
+
+fn write_all(out: &mut String, table: &Table) -> fmt::Result {
+    writeln!(out, "[{TABLE}]\nversion = {}", table.version)?;
+    let limits = &table.limits;
+    writeln!(out, "\n[{LIMITS}]")?;
+    writeln!(out, "header-bytes = {}B", limits.header_bytes)?;
+    writeln!(out, "body-bytes = {}", Bytes(limits.body_bytes))?;
+    writeln!(
+        out,
+        "header-timeout = {}",
+        duration_text(limits.header_timeout)
+    )?;
+    writeln!(out, "idle-timeout = {}", duration_text(limits.idle_timeout))?;
+    for service in &table.services {
+        writeln!(out, "\n[{SERVICE}{}]", service.name)?;
+        writeln!(out, "health = {}", service.health)?;
+        writeln!(out, "connections = {}", service.connections)?;
+    }
+    for host in &table.hosts {
+        for route in &host.routes {
+            write_route(out, &host.name, route)?;
+        }
+    }
+    Ok(())
+}
+
+fn write_route(out: &mut String, host: &str, route: &Route) -> fmt::Result {
+    writeln!(out, "\n[{ROUTE}{host}{}]", route.prefix)?;
+    writeln!(out, "name = {}", route.name)?;
+    writeln!(out, "kind = {}", route.kind)?;
+    if let Some(timeout) = route.timeout {
+        writeln!(out, "timeout = {}", duration_text(timeout))?;
+    }
+    if let Some(aim) = route.aim {
+        writeln!(out, "aim = {}", duration_text(aim))?;
+    }
+    writeln!(out, "priority = {}", route.priority)?;
+    writeln!(out, "attempts = {}", route.attempts)?;
+    let target = match &route.target {
+        Target::Service(name) => name.to_string(),
+        Target::Split(parts) => {
+            let parts = parts.iter().map(|p| format!("{}:{}", p.service, p.weight));
+            parts.collect::<Vec<_>>().join(", ")
+        }
+    };
+    writeln!(out, "target = {target}")
+}
--- /dev/null
+++ b/crates/table/src/lib.rs
@@ -0,0 +1,27 @@
+//! The route table: which requests go to which services, and how they are treated.
+//!
+//! A table is accepted or refused whole, under a version that only rises. A
+//! request's host and the longest prefix of its path select a route; the route
+//! names a service, or several with weights.
+
+pub mod check;
+pub mod codec;
+pub mod file;
+pub mod index;
+pub mod model;
+pub mod split;
+
+pub use check::Fault;
+pub use check::Problem;
+pub use check::check;
+pub use codec::CodecError;
+pub use index::Index;
+pub use model::Host;
+pub use model::Kind;
+pub use model::Limits;
+pub use model::Part;
+pub use model::Route;
+pub use model::Service;
+pub use model::Table;
+pub use model::Target;
+pub use split::Split;
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -20,6 +20,15 @@
 use crate::gateway::DrainReply;
 use crate::gateway::Explain;
 use crate::gateway::ExplainReply;
+use crate::hub::ReadReply;
+use crate::hub::ResolveQuery;
+use crate::hub::ResolveReply;
+use crate::hub::Spread;
+use crate::hub::SpreadReply;
+use crate::hub::Table;
+use crate::hub::TableReply;
+use crate::hub::Watch;
+use crate::hub::WatchReply;
 use crate::ledger::Claim;
 use crate::ledger::ClaimReply;
 use crate::ledger::Settle;
@@ -85,3 +94,18 @@
     /// Starts a graceful stop.
     async fn drain() -> DrainReply;
 }
+
+/// Served by each hub to entry processes, other hubs and operators.
+#[tarpc::service]
+pub trait HubApi {
+    /// Waits for changes of the route table and of the instances.
+    async fn watch(ask: Watch) -> WatchReply;
+    /// Takes instances that another hub is about to acknowledge.
+    async fn spread(push: Spread) -> SpreadReply;
+    /// Proposes a route table.
+    async fn put_table(table: Table) -> TableReply;
+    /// The newest route table.
+    async fn read_table() -> ReadReply;
+    /// The entry hosts that a caller may use.
+    async fn resolve(query: ResolveQuery) -> ResolveReply;
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -38,6 +38,12 @@
     include!("generated/rwr.gateway.rs");
 }
 
+/// Hub messages.
+#[allow(missing_docs, clippy::pedantic)]
+pub mod hub {
+    include!("generated/rwr.hub.rs");
+}
+
 /// Records of a replica's data folder.
 #[allow(missing_docs, clippy::pedantic)]
 pub mod store {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -15,6 +15,9 @@
 use crate::api::GatewayApiClient;
 use crate::api::GatewayApiRequest;
 use crate::api::GatewayApiResponse;
+use crate::api::HubApiClient;
+use crate::api::HubApiRequest;
+use crate::api::HubApiResponse;
 use crate::api::ReplicaApiClient;
 use crate::api::ReplicaApiRequest;
 use crate::api::ReplicaApiResponse;
@@ -31,6 +34,9 @@
 pub type GatewayLink =
     Link<GatewayApiClient, Response<GatewayApiResponse>, ClientMessage<GatewayApiRequest>>;
 
+/// A link to a hub.
+pub type HubLink = Link<HubApiClient, Response<HubApiResponse>, ClientMessage<HubApiRequest>>;
+
 /// A link from one control replica to another.
 pub type ReplicaLink =
     Link<ReplicaApiClient, Response<ReplicaApiResponse>, ClientMessage<ReplicaApiRequest>>;
@@ -59,6 +65,14 @@
     })
 }
 
+/// A link to the hub at `address`, not yet connected.
+#[must_use]
+pub fn hub(address: SocketAddr) -> HubLink {
+    Link::new(address, |channel| {
+        HubApiClient::new(Config::default(), channel).spawn()
+    })
+}
+
 /// A link between control replicas to the one at `address`, not yet connected.
 ///
 /// It carries as many requests as the other end takes.
