--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -108,12 +108,12 @@
     let level = level(D::telemetry(&settings).level);
     let host = D::host(&settings);
     let (log, _guard) = telemetry::log::start(io::stdout(), level, D::NAME, &host);
-    runtime.block_on(run::<D>(settings, log))
+    runtime.block_on(run::<D>(settings, config, log))
 }
 
 /// The signals come first: one that comes while the daemon starts isn't lost.
-async fn run<D: Daemon>(settings: D::Settings, log: Logger) -> ExitCode {
-    let signals = match Signals::new() {
+async fn run<D: Daemon>(settings: D::Settings, config: &Path, log: Logger) -> ExitCode {
+    let signals = match Signals::new(config) {
         Ok(signals) => signals,
         Err(err) => return failed(&log, &err),
     };
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -8,6 +8,7 @@
 use std::sync::RwLock;
 
 use base::prelude::*;
+use http::Uri;
 use route::Phase as RoutePhase;
 use slog::Logger;
 use slog::info;
@@ -19,6 +20,7 @@
 
 use crate::desk::Desk;
 use crate::dialect::Dialect;
+use crate::habit::Habit;
 use crate::settings::Settings;
 use crate::view::Instances;
 use crate::view::Routes;
@@ -40,13 +42,13 @@
     instances: Instances,
     desks: HashMap<ServiceName, Desk>,
     splits: HashMap<Arc<str>, Split>,
+    habits: HashMap<Arc<str>, Habit>,
     entries: u32,
 }
 
 /// The state of one entry process.
 pub struct Core {
-    /// As they were read.
-    pub settings: Settings,
+    settings: RwLock<Arc<Settings>>,
     /// Names of headers.
     pub dialect: Dialect,
     /// The log.
@@ -66,7 +68,7 @@
     #[must_use]
     pub fn new(settings: Settings, dialect: Dialect, log: Logger) -> Arc<Self> {
         Arc::new(Self {
-            settings,
+            settings: RwLock::new(Arc::new(settings)),
             dialect,
             log,
             clock: Clock::start(),
@@ -77,6 +79,32 @@
         })
     }
 
+    /// As they were last read.
+    #[must_use]
+    pub fn settings(&self) -> Arc<Settings> {
+        let held = self.settings.read().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&held)
+    }
+
+    /// Takes settings that were read again; ports and names stay as they are.
+    pub fn set_settings(&self, settings: Settings) {
+        let held = self.settings();
+        let next = Settings {
+            seeds: settings.seeds.clone(),
+            retry: settings.retry,
+            stop: settings.stop,
+            ..(*held).clone()
+        };
+        info!(self.log, "settings reloaded"; "seeds" => format!("{:?}", next.seeds),
+            "restart_needed" => next != settings);
+        let entries = std::mem::take(&mut self.known().entries);
+        *self
+            .settings
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = Arc::new(next);
+        self.set_entries(entries);
+    }
+
     /// The table in force; version 0 before the first.
     #[must_use]
     pub fn routes(&self) -> Arc<Routes> {
@@ -107,6 +135,8 @@
     /// Takes what a hub told of instances.
     pub fn take_instances(&self, instances: &[Instance]) {
         let now = self.clock.now();
+        let settings = self.settings();
+        let (retry, domain) = (settings.retry, &settings.domain);
         let mut known = self.known();
         for instance in instances {
             let Some(service) = known.instances.take(instance) else {
@@ -122,7 +152,8 @@
             } = &mut *known;
             let desk = desks.entry(service.clone());
             let seed = rand::random();
-            let desk = desk.or_insert_with(|| Desk::new(&self.settings.retry, *entries, seed, now));
+            let desk =
+                desk.or_insert_with(|| Desk::new(domain.clone(), &retry, *entries, seed, now));
             let rows = instances.of(&service);
             desk.update(
                 now,
@@ -134,13 +165,14 @@
     /// Takes how many entry processes share the allowance of retries.
     pub fn set_entries(&self, entries: u32) {
         let now = self.clock.now();
+        let retry = self.settings().retry;
         let mut known = self.known();
         if known.entries == entries {
             return;
         }
         known.entries = entries;
         for desk in known.desks.values_mut() {
-            desk.set_entries(&self.settings.retry, entries, now);
+            desk.set_entries(&retry, entries, now);
         }
     }
 
@@ -155,6 +187,29 @@
         known.desks.get_mut(service).map(|desk| ask(desk, now))
     }
 
+    /// Reads or changes what is usual for a route.
+    pub fn habit<T>(&self, route: &table::Route, ask: impl FnOnce(&mut Habit) -> T) -> T {
+        let mut known = self.known();
+        let habit = known.habits.entry(Arc::clone(&route.name));
+        ask(habit.or_insert_with(|| Habit::guess(route.aim)))
+    }
+
+    /// Asks every service's desk.
+    pub fn desks<T>(&self, mut ask: impl FnMut(&mut Desk, Moment) -> T) -> Vec<(ServiceName, T)> {
+        let now = self.clock.now();
+        let mut known = self.known();
+        let desks = known.desks.iter_mut();
+        desks
+            .map(|(name, desk)| (name.clone(), ask(desk, now)))
+            .collect()
+    }
+
+    /// Where a service's instances tell of themselves.
+    #[must_use]
+    pub fn health_path(&self, service: &ServiceName) -> Option<Uri> {
+        self.routes().health.get(service).cloned()
+    }
+
     /// Whose turn it is among the parts of a split.
     pub fn turn(&self, route: &table::Route, parts: &[table::Part]) -> Option<ServiceName> {
         let mut known = self.known();
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -7,13 +7,14 @@
 use attempt::budget::Budget;
 use attempt::budget::Share;
 use base::prelude::*;
-use route::Choice;
-use route::Chooser;
+use route::Fresh;
+use route::FreshChoice;
 use route::Instance;
-use route::Outcome;
+use route::Kind;
+use route::LoadReport;
+use route::Need;
 use route::Phase;
 use route::Pick;
-use route::Policy;
 use route::Ticket;
 
 use crate::settings::Retry;
@@ -30,7 +31,7 @@
 /// The machines of one service.
 #[derive(Debug)]
 pub struct Desk {
-    chooser: Chooser,
+    chooser: Fresh,
     budget: Budget,
     rows: HashMap<InstanceId, Arc<Upstream>>,
 }
@@ -41,15 +42,15 @@
     /// The instance.
     pub upstream: Arc<Upstream>,
     /// What the choice rests on.
-    pub choice: Choice,
+    pub choice: FreshChoice,
 }
 
 impl Desk {
     /// A desk without instances.
     #[must_use]
-    pub fn new(retry: &Retry, entries: u32, seed: u64, now: Moment) -> Self {
+    pub fn new(domain: DomainName, retry: &Retry, entries: u32, seed: u64, now: Moment) -> Self {
         Self {
-            chooser: Chooser::new(Policy::LeastWait, route::Settings::default(), seed),
+            chooser: Fresh::new(domain, seed),
             budget: Budget::new(share(retry, entries), now),
             rows: HashMap::new(),
         }
@@ -69,12 +70,13 @@
         self.rows.clear();
         let mut table = Vec::new();
         for (phase, upstream) in rows {
-            table.push(Instance {
+            let instance = Instance {
                 id: upstream.id.clone(),
                 domain: upstream.domain.clone(),
                 slots: upstream.slots,
                 phase,
-            });
+            };
+            table.push((instance, upstream.cold));
             self.rows.insert(upstream.id.clone(), Arc::clone(upstream));
         }
         self.chooser.update(now, &table);
@@ -90,9 +92,40 @@
         self.budget.spend(now)
     }
 
+    /// Instances to ask before a choice, at the round `round` from 0.
+    pub fn plan(
+        &mut self,
+        now: Moment,
+        need: &Need,
+        exclude: &[Pick],
+        round: u32,
+    ) -> Vec<(Pick, Arc<Upstream>)> {
+        let picks = self.chooser.plan(now, need, exclude, round);
+        self.upstreams(picks)
+    }
+
+    /// Ejected instances that a probe may bring back.
+    pub fn ejected(&mut self, now: Moment) -> Vec<(Pick, Arc<Upstream>)> {
+        let picks = self.chooser.ejected(now);
+        self.upstreams(picks)
+    }
+
+    fn upstreams(&self, picks: Vec<Pick>) -> Vec<(Pick, Arc<Upstream>)> {
+        let found = picks.into_iter().filter_map(|pick| {
+            let upstream = self.rows.get(self.chooser.id(pick)?)?;
+            Some((pick, Arc::clone(upstream)))
+        });
+        found.collect()
+    }
+
+    /// Notes the end of a probe.
+    pub fn probed(&mut self, now: Moment, pick: Pick, report: Option<LoadReport>) {
+        self.chooser.probed(now, pick, report);
+    }
+
     /// Chooses an instance, none of `exclude` if another is left.
-    pub fn choose(&mut self, now: Moment, exclude: &[Pick]) -> Option<Chosen> {
-        let choice = self.chooser.choose(now, exclude)?;
+    pub fn choose(&mut self, now: Moment, need: &Need, exclude: &[Pick]) -> Option<Chosen> {
+        let choice = self.chooser.choose(now, need, exclude)?;
         let id = self.chooser.id(choice.pick)?;
         let upstream = Arc::clone(self.rows.get(id)?);
         Some(Chosen { upstream, choice })
@@ -104,8 +137,14 @@
     }
 
     /// Notes the end of an attempt.
-    pub fn finished(&mut self, now: Moment, ticket: Ticket, outcome: Outcome) {
-        self.chooser.finished(now, ticket, outcome);
+    pub fn finished(
+        &mut self,
+        now: Moment,
+        ticket: Ticket,
+        kind: Kind,
+        report: Option<LoadReport>,
+    ) {
+        self.chooser.finished(now, ticket, kind, report);
     }
 }
 
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -3,19 +3,7 @@
 
 use base::header;
 use http::HeaderName;
-
-/// What an instance says of its load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Load {
-    /// Requests that it works on.
-    pub running: u32,
-    /// Requests that wait for a slot.
-    pub waiting: u32,
-    /// Requests that it works on at once.
-    pub slots: u32,
-    /// How long work takes on its machine now, in hundredths of the usual time.
-    pub pace: u32,
-}
+use route::LoadReport;
 
 /// Names of headers, and how a load report is read.
 #[derive(Clone, Debug)]
@@ -33,7 +21,7 @@
     /// From an upstream: the request was not run.
     pub refused: HeaderName,
     /// Reads the load header.
-    pub read_load: fn(&str) -> Option<Load>,
+    pub read_load: fn(&str) -> Option<LoadReport>,
 }
 
 impl Default for Dialect {
@@ -52,10 +40,10 @@
 }
 
 /// Reads `in-flight/slots`.
-fn read_load(text: &str) -> Option<Load> {
+fn read_load(text: &str) -> Option<LoadReport> {
     let (busy, slots) = text.split_once('/')?;
     let (busy, slots): (u32, u32) = (busy.trim().parse().ok()?, slots.trim().parse().ok()?);
-    Some(Load {
+    Some(LoadReport {
         running: busy.min(slots),
         waiting: busy.saturating_sub(slots),
         slots,
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use conf::ConfError;
 use quick_error::quick_error;
 use slog::Logger;
 use slog::info;
+use slog::warn;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
@@ -93,10 +95,18 @@
         &self.core
     }
 
+    /// Takes settings that were read again.
+    pub fn reload(&self, read: Result<Settings, ConfError>) {
+        match read {
+            Ok(settings) => self.core.set_settings(settings),
+            Err(err) => warn!(self.core.log, "settings not reloaded"; "error" => %err),
+        }
+    }
+
     /// Serves on while callers still come, finishes what is open, and stops.
     pub async fn stop(self) {
         let begun = Instant::now();
-        let stop = self.core.settings.stop;
+        let stop = self.core.settings().stop;
         info!(self.core.log, "leaving"; "linger_ms" => stop.linger.as_millis());
         self.core.stage.send_replace(Stage::Leaving);
         tokio::time::sleep_until(begun + stop.linger).await;
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -15,15 +15,13 @@
 use http::response::Parts;
 use hyper::body::Incoming;
 use route::Kind;
-use route::Outcome;
-use route::Report;
+use route::LoadReport;
 use route::Ticket;
 
 use crate::body;
 use crate::body::Outgoing;
 use crate::body::Read;
 use crate::core::Core;
-use crate::dialect::Load;
 use crate::headers;
 use crate::pool::Connection;
 use crate::view::Upstream;
@@ -69,23 +67,16 @@
 struct Running {
     core: Arc<Core>,
     service: ServiceName,
-    began: Moment,
     ticket: Option<Ticket>,
 }
 
 impl Running {
-    fn end(&mut self, kind: Kind, report: Option<Report>) {
+    fn end(&mut self, kind: Kind, report: Option<LoadReport>) {
         let Some(ticket) = self.ticket.take() else {
             return;
         };
-        let latency = self.core.clock.now().since(self.began);
-        let outcome = Outcome {
-            kind,
-            latency,
-            report,
-        };
         self.core.desk(&self.service, |desk, now| {
-            desk.finished(now, ticket, outcome);
+            desk.finished(now, ticket, kind, report);
         });
     }
 }
@@ -108,7 +99,6 @@
     let mut running = Running {
         core: Arc::clone(core),
         service: upstream.service.clone(),
-        began: core.clock.now(),
         ticket: Some(ticket),
     };
     let Some((response, connection)) = send(core, upstream, call, body, left).await else {
@@ -119,10 +109,7 @@
         running.end(Kind::Error, None);
         return End::Unknown;
     };
-    let report = load(core, response.headers()).map(|load| Report {
-        in_flight: load.running + load.waiting,
-        slots: load.slots,
-    });
+    let report = load(core, response.headers());
     if response.headers().contains_key(&core.dialect.refused) {
         let end = if response.status() == StatusCode::MISDIRECTED_REQUEST {
             End::Elsewhere
@@ -153,7 +140,7 @@
 }
 
 /// The load that an instance tells on an answer.
-fn load(core: &Core, headers: &HeaderMap) -> Option<Load> {
+fn load(core: &Core, headers: &HeaderMap) -> Option<LoadReport> {
     let text = headers.get(&core.dialect.load)?.to_str().ok()?;
     (core.dialect.read_load)(text)
 }
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -12,6 +12,7 @@
 use http::header;
 use hyper::body::Body;
 use hyper::body::Incoming;
+use route::Need;
 use route::Pick;
 use slog::info;
 use table::Kind;
@@ -24,11 +25,14 @@
 use crate::body::Read;
 use crate::body::Returned;
 use crate::core::Core;
+use crate::desk::Desk;
 use crate::exchange;
 use crate::exchange::Answered;
 use crate::exchange::Call;
 use crate::exchange::End;
+use crate::habit::Habit;
 use crate::headers;
+use crate::probe;
 use crate::refusal;
 use crate::refusal::Reason;
 use crate::view::Routes;
@@ -61,6 +65,8 @@
     /// The request may have run.
     exposed: bool,
     instance: Option<InstanceId>,
+    /// Bytes of the request's body, where it is here whole.
+    sent: usize,
 }
 
 /// What a request led to.
@@ -110,6 +116,7 @@
         exclude: Vec::new(),
         exposed: false,
         instance: None,
+        sent: 0,
     };
     flow.run(incoming).await
 }
@@ -168,7 +175,10 @@
             Read::Whole(bytes) => Outgoing::Whole(Some(bytes)),
             Read::Part(first, rest) => Outgoing::Stream(Some(first), rest),
         };
-        self.desk(super::desk::Desk::request);
+        if let Outgoing::Whole(Some(bytes)) = &body {
+            self.sent = bytes.len();
+        }
+        self.desk(Desk::request);
         loop {
             let again = body.again();
             let end = self.attempt(body).await;
@@ -179,16 +189,24 @@
         }
     }
 
-    fn desk<T>(&self, ask: impl FnOnce(&mut crate::desk::Desk, Moment) -> T) -> Option<T> {
+    fn desk<T>(&self, ask: impl FnOnce(&mut Desk, Moment) -> T) -> Option<T> {
         self.core.desk(&self.service, ask)
     }
 
     /// One attempt; none when no instance is known.
     async fn attempt(&mut self, body: Outgoing) -> Option<End> {
         let exclude = std::mem::take(&mut self.exclude);
-        let chosen = self.desk(|desk, now| desk.choose(now, &exclude)).flatten();
+        let need = self.need();
+        for round in 0.. {
+            let asked = self.desk(|desk, now| desk.plan(now, &need, &exclude, round))?;
+            if asked.is_empty() {
+                break;
+            }
+            probe::ask(&self.core, &self.service, asked).await;
+        }
+        let chosen = self.desk(|desk, now| desk.choose(now, &need, &exclude));
         self.exclude = exclude;
-        let chosen = chosen?;
+        let chosen = chosen.flatten()?;
         let pick = chosen.choice.pick;
         self.attempts += 1;
         self.exclude.push(pick);
@@ -199,16 +217,40 @@
             "reason" => %chosen.choice.reason, "in_flight" => chosen.choice.in_flight,
             "expected_ms" => millis(chosen.choice.expected),
             "age_ms" => chosen.choice.age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(-1)),
+            "report" => chosen.choice.report.map_or_else(|| "-".to_owned(), |r| {
+                format!("{}+{}/{}@{}", r.running, r.waiting, r.slots, r.pace)
+            }),
+            "cost" => format!("{:.3}", chosen.choice.cost),
             "left_ms" => millis(left));
         let ticket = self.desk(|desk, now| desk.started(now, pick))?;
         let core = Arc::clone(&self.core);
         // Until the end says otherwise, the request may be running.
         let before = std::mem::replace(&mut self.exposed, true);
+        let sent = Instant::now();
         let end = exchange::attempt(&core, &chosen.upstream, ticket, &self.call, body, left).await;
         self.exposed = before || matches!(end, End::Answer(..) | End::Unknown);
+        if let End::Answer(parts, Answered::Whole(bytes)) = &end
+            && parts.status.is_success()
+        {
+            let moved = bytes.len() + self.sent;
+            let latency = sent.elapsed();
+            let learn = |habit: &mut Habit| habit.learn(latency, &chosen.choice, moved);
+            self.core.habit(&self.route, learn);
+        }
         Some(end)
     }
 
+    /// What the request needs of an instance now.
+    fn need(&self) -> Need {
+        let aim = self.route.aim.unwrap_or(self.deadline / 2);
+        let left = aim.saturating_sub(self.began.elapsed());
+        let price = self.core.settings().crossing();
+        // One that is late already needs the soonest answer all the same.
+        let left = left.max(aim / 4);
+        self.core
+            .habit(&self.route, |habit| habit.need(left, price))
+    }
+
     /// The final outcome, or the body for another attempt.
     fn judge(&mut self, end: Option<End>, again: Option<Outgoing>) -> Result<Outcome, Outgoing> {
         let once = self.route.kind == Kind::Once;
@@ -246,7 +288,7 @@
     /// Whether another attempt is allowed and paid for.
     fn may_retry(&self, whole: bool) -> bool {
         let allowed = whole && self.attempts < self.route.attempts;
-        allowed && self.desk(super::desk::Desk::pay).unwrap_or(false)
+        allowed && self.desk(Desk::pay).unwrap_or(false)
     }
 
     fn respond(&self, outcome: Outcome) -> Response<Returned> {
--- /dev/null
+++ b/crates/entry/src/habit.rs
@@ -0,0 +1,61 @@
+//! What is usual for the requests of one route: how long the work takes and how
+//! many bytes move. A choice weighs both.
+
+use std::time::Duration;
+
+use route::FreshChoice;
+use route::Need;
+
+/// Weight of one answer in what is usual.
+const WEIGHT: f64 = 0.05;
+/// Aims are some 2.7 times the usual work where they were measured; the guess
+/// before the first answer.
+const AIM_WORKS: f64 = 2.7;
+/// Work that is assumed where a route has no aim, in seconds.
+const FIRST_WORK: f64 = 0.1;
+/// Bytes that are assumed before the first answer.
+const FIRST_BYTES: f64 = 2_000.0;
+/// Bytes of both heads, besides the bodies.
+const HEAD_BYTES: f64 = 600.0;
+/// Times the usual that one answer counts for at most, so that a stall doesn't
+/// count as work.
+const MOST_SAMPLE: f64 = 3.0;
+/// Bytes in the unit that the price of crossing is set for.
+const MEGABYTE: f64 = 1e6;
+
+/// What is usual for one route.
+#[derive(Clone, Copy, Debug)]
+pub struct Habit {
+    work: f64,
+    bytes: f64,
+}
+
+impl Habit {
+    /// A guess from the route's aim.
+    #[must_use]
+    pub fn guess(aim: Option<Duration>) -> Self {
+        Self {
+            work: aim.map_or(FIRST_WORK, |aim| aim.as_secs_f64() / AIM_WORKS),
+            bytes: FIRST_BYTES,
+        }
+    }
+
+    /// What a request needs that has `aim` left; `price` is that of a megabyte
+    /// between failure domains, in the worth of a request.
+    #[must_use]
+    pub fn need(&self, aim: Duration, price: f64) -> Need {
+        Need {
+            work: Duration::from_secs_f64(self.work),
+            aim,
+            crossing: (self.bytes + HEAD_BYTES) / MEGABYTE * price,
+        }
+    }
+
+    /// Takes an answer that came after `latency` at an instance chosen so.
+    pub fn learn(&mut self, latency: Duration, choice: &FreshChoice, bytes: usize) {
+        let slowdown = choice.expected.as_secs_f64() / self.work.max(1e-4);
+        let sample = latency.as_secs_f64() / slowdown.max(0.1);
+        self.work += (sample.min(self.work * MOST_SAMPLE) - self.work) * WEIGHT;
+        self.bytes += (bytes as f64 - self.bytes) * WEIGHT;
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,8 +17,10 @@
 pub mod entry;
 pub mod exchange;
 pub mod flow;
+pub mod habit;
 pub mod headers;
 pub mod pool;
+pub mod probe;
 pub mod refusal;
 pub mod serve;
 pub mod settings;
@@ -26,7 +28,6 @@
 pub mod view;
 
 pub use dialect::Dialect;
-pub use dialect::Load;
 pub use entry::Entry;
 pub use entry::EntryError;
 pub use settings::Settings;
--- /dev/null
+++ b/crates/entry/src/probe.rs
@@ -0,0 +1,102 @@
+//! Asks instances for their load, at the moment of a choice.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::prelude::*;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::Uri;
+use http::header;
+use route::LoadReport;
+use route::Pick;
+use tokio::sync::mpsc;
+
+use crate::body;
+use crate::body::Outgoing;
+use crate::body::Read;
+use crate::core::Core;
+use crate::headers;
+use crate::view::Upstream;
+
+/// After so long a probe has failed; an instance that is well answers at once,
+/// and a lost packet is sent again after some 200 ms.
+const TIMEOUT: Duration = Duration::from_millis(450);
+/// A choice waits so long for answers: the way to another failure domain and
+/// back, and as much again.
+const PATIENCE: Duration = Duration::from_millis(6);
+
+/// Asks the instances at once; ends when all have answered or patience has.
+/// Late answers count for later choices.
+pub async fn ask(core: &Arc<Core>, service: &ServiceName, asked: Vec<(Pick, Arc<Upstream>)>) {
+    let (done, mut answers) = mpsc::channel(asked.len().max(1));
+    let mut open = asked.len();
+    for (pick, upstream) in asked {
+        let core = Arc::clone(core);
+        let service = service.clone();
+        let done = done.clone();
+        tokio::spawn(async move {
+            let probe = tokio::time::timeout(TIMEOUT, probe(&core, &upstream));
+            let report = probe.await.ok().flatten();
+            core.desk(&service, |desk, now| desk.probed(now, pick, report));
+            // A choice that no longer waits has let go of its end.
+            let _ = done.try_send(());
+        });
+    }
+    drop(done);
+    let all = async {
+        while open > 0 && answers.recv().await.is_some() {
+            open -= 1;
+        }
+    };
+    // What has not answered by now is left out of this choice.
+    let _ = tokio::time::timeout(PATIENCE, all).await;
+}
+
+/// The load that one instance tells; none where it isn't well, or isn't the one expected.
+async fn probe(core: &Core, upstream: &Upstream) -> Option<LoadReport> {
+    let path = core.health_path(&upstream.service)?;
+    let (response, connection) = loop {
+        let kept = upstream.pool.take();
+        let fresh = kept.is_none();
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => upstream.pool.connect().await.ok()?,
+        };
+        let request = request(core, upstream, &path)?;
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => break (response, connection),
+            Err(_) if !fresh => {}
+            Err(_) => return None,
+        }
+    };
+    let (parts, incoming) = response.into_parts();
+    let whole = body::read(incoming).await;
+    let told = parts.headers.get(&core.dialect.load);
+    let told = told.and_then(|value| value.to_str().ok());
+    let report = told.and_then(core.dialect.read_load);
+    let id = parts.headers.get(&core.dialect.instance);
+    let same = id.is_none_or(|id| id.as_bytes() == upstream.id.as_str().as_bytes());
+    if parts.status != StatusCode::OK || !same {
+        return None;
+    }
+    if matches!(whole, Ok(Read::Whole(_))) && !headers::closes(&parts.headers) {
+        let named = headers::kept_for(&parts.headers);
+        upstream.pool.keep(connection, named);
+    }
+    report
+}
+
+fn request(core: &Core, upstream: &Upstream, path: &Uri) -> Option<Request<Outgoing>> {
+    let mut request = Request::new(Outgoing::Whole(None));
+    *request.method_mut() = Method::GET;
+    *request.uri_mut() = path.clone();
+    let headers = request.headers_mut();
+    let host = HeaderValue::from_str(&upstream.address.to_string()).ok()?;
+    headers.insert(header::HOST, host);
+    let expected = HeaderValue::from_str(upstream.id.as_str()).ok()?;
+    headers.insert(&core.dialect.expected, expected);
+    Some(request)
+}
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -122,7 +122,7 @@
 
 fn page(core: &Core, path: &str) -> Response<Returned> {
     let mut response = Response::new(flow::empty());
-    *response.status_mut() = if path != &*core.settings.ready_path {
+    *response.status_mut() = if path != &*core.settings().ready_path {
         StatusCode::NOT_FOUND
     } else if core.is_ready() {
         StatusCode::OK
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -16,6 +16,7 @@
 const ENTRY: &str = "entry";
 const RETRY: &str = "retry";
 const STOP: &str = "stop";
+const COST: &str = "cost";
 
 /// Path of the readiness page, by default.
 const READY_PATH: &str = "/ready";
@@ -86,6 +87,9 @@
     pub retry: Retry,
     /// The graceful stop.
     pub stop: Stop,
+    /// Price of a megabyte between failure domains, in thousandths of the worth
+    /// of a request; 0 where such bytes are free.
+    pub crossing: u32,
     /// Log and metrics.
     pub telemetry: telemetry::Settings,
 }
@@ -132,6 +136,7 @@
         let seeds = r.list(ENTRY, "seeds");
         let retry = read_retry(r);
         let stop = read_stop(r);
+        let crossing = r.or(COST, "crossing", 0);
         let telemetry = telemetry::Settings::read(r);
         let last = u32::from(u16::MAX - HUB_PORT);
         if let Some(port) = port.filter(|p| *p > last) {
@@ -149,10 +154,17 @@
             seeds,
             retry,
             stop,
+            crossing,
             telemetry,
         })
     }
 
+    /// Price of a megabyte between failure domains, in the worth of a request.
+    #[must_use]
+    pub fn crossing(&self) -> f64 {
+        f64::from(self.crossing) / 1000.0
+    }
+
     /// Where the hub at `ip` serves entry processes.
     #[must_use]
     pub fn hub_at(&self, ip: IpAddr) -> SocketAddr {
@@ -207,6 +219,8 @@
         writeln!(f, "\n[{STOP}]")?;
         writeln!(f, "linger = {}", duration_text(self.stop.linger))?;
         writeln!(f, "grace = {}", duration_text(self.stop.grace))?;
+        writeln!(f, "\n[{COST}]")?;
+        writeln!(f, "crossing = {}", self.crossing)?;
         write!(f, "\n{}", self.telemetry)
     }
 }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -34,6 +34,8 @@
 /// A table that no majority has confirmed is taken only after so long, as it
 /// may be older than one that was in force here before a restart.
 const UNCONFIRMED: Duration = Duration::from_secs(3);
+/// Between two looks at the settings and at who has gone.
+const LOOK: Duration = Duration::from_secs(1);
 /// A hub that no other hub names and that doesn't answer is let go after so long.
 const FORGET: Duration = Duration::from_secs(10);
 
@@ -50,14 +52,11 @@
 pub async fn run(core: Arc<Core>) {
     let hubs: Hubs = Arc::default();
     let (wake, mut woken) = watch::channel(());
-    let seeds: Vec<SocketAddr> = core
-        .settings
-        .seeds
-        .iter()
-        .map(|seed| core.settings.hub_at(seed.ip()))
-        .collect();
     let mut watches: HashMap<SocketAddr, AbortOnDropHandle<()>> = HashMap::new();
     loop {
+        let settings = core.settings();
+        let seeds = settings.seeds.iter();
+        let seeds: Vec<SocketAddr> = seeds.map(|seed| settings.hub_at(seed.ip())).collect();
         let wanted = wanted(&hubs, &seeds);
         watches.retain(|address, _| wanted.contains(address));
         for address in wanted {
@@ -66,7 +65,7 @@
                 AbortOnDropHandle::new(tokio::spawn(task))
             });
         }
-        let _ = tokio::time::timeout(FORGET, woken.changed()).await;
+        let _ = tokio::time::timeout(LOOK, woken.changed()).await;
     }
 }
 
@@ -112,11 +111,12 @@
 
 async fn ask(core: &Core, link: &HubLink, last: &WatchReply) -> Option<WatchReply> {
     let ready = core.is_ready();
+    let settings = core.settings();
     let ask = Watch {
-        host: core.settings.host.to_string(),
-        domain: core.settings.domain.to_string(),
-        region: core.settings.region.to_string(),
-        address: core.settings.front.to_string(),
+        host: settings.host.to_string(),
+        domain: settings.domain.to_string(),
+        region: settings.region.to_string(),
+        address: settings.front.to_string(),
         ready,
         epoch: last.epoch,
         cursor: last.cursor,
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -6,8 +6,10 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use base::prelude::*;
+use http::Uri;
 use table::Index;
 use table::Table;
 use wire::hub::Instance;
@@ -22,6 +24,8 @@
     pub table: Table,
     /// Its routes by host and path.
     pub index: Index,
+    /// Where each service's instances tell of themselves.
+    pub health: HashMap<ServiceName, Uri>,
 }
 
 impl Routes {
@@ -29,7 +33,13 @@
     #[must_use]
     pub fn new(table: Table) -> Self {
         let index = Index::new(&table);
-        Self { table, index }
+        let paths = table.services.iter();
+        let health = paths.filter_map(|s| Some((s.name.clone(), s.health.parse().ok()?)));
+        Self {
+            index,
+            health: health.collect(),
+            table,
+        }
     }
 }
 
@@ -46,6 +56,8 @@
     pub domain: DomainName,
     /// Requests that it works on at once.
     pub slots: u32,
+    /// How long it is still slow after its start, when it was announced.
+    pub cold: Duration,
     /// Connections to it.
     pub pool: Pool,
 }
@@ -117,6 +129,7 @@
         address,
         domain: DomainName::new(&instance.domain).ok()?,
         slots: instance.slots.max(1),
+        cold: Duration::from_millis(instance.warmup_ms.into()),
         pool: Pool::new(address),
     }))
 }
--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use conf::ConfError;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use quick_error::quick_error;
@@ -20,6 +21,7 @@
 use wire::peer;
 
 use crate::registry::Taken;
+use crate::settings::Settings;
 use crate::state::State;
 
 /// How long another hub may take to confirm that an instance leaves; the
@@ -183,8 +185,22 @@
     #[must_use]
     pub fn resolve(&self, domain: &str, region: &str) -> (Vec<String>, Duration) {
         let now = self.state.clock.now();
-        let addresses = self.state.known().entries.resolve(now, domain, region);
-        (addresses, self.state.settings.ttl)
+        let known = self.state.known();
+        let addresses = known.entries.resolve(now, domain, region);
+        (addresses, known.ttl.unwrap_or(self.state.settings.ttl))
+    }
+
+    /// Takes settings that were read again; seeds count from the next start on.
+    pub fn reload(&self, read: Result<Settings, ConfError>) {
+        match read {
+            Ok(settings) => {
+                let fixed = self.state.settings.is_fixed_same(&settings);
+                info!(self.state.log, "settings reloaded";
+                    "ttl_ms" => settings.ttl.as_millis(), "restart_needed" => !fixed);
+                self.state.known().ttl = Some(settings.ttl);
+            }
+            Err(err) => warn!(self.state.log, "settings not reloaded"; "error" => %err),
+        }
     }
 
     /// Whether a proposed table was taken, or is held already.
--- a/crates/hub/src/settings.rs
+++ b/crates/hub/src/settings.rs
@@ -102,6 +102,18 @@
         })
     }
 
+    /// Whether nothing differs that only a new start takes over.
+    #[must_use]
+    pub fn is_fixed_same(&self, other: &Self) -> bool {
+        let fixed = Self {
+            seeds: self.seeds.clone(),
+            found: self.found,
+            ttl: self.ttl,
+            ..other.clone()
+        };
+        *self == fixed
+    }
+
     /// Where the hub at `ip` serves entry processes, hubs and operators.
     #[must_use]
     pub fn hub_at(&self, ip: IpAddr) -> SocketAddr {
--- a/crates/hub/src/state.rs
+++ b/crates/hub/src/state.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use base::prelude::*;
 use control::TableDesk;
@@ -24,11 +25,13 @@
     pub entries: Entries,
     /// The hubs of the group, this one included, sorted.
     pub hubs: Vec<SocketAddr>,
+    /// How long callers may keep a list of entry hosts, as last read.
+    pub ttl: Option<Duration>,
 }
 
 /// The shared state.
 pub struct State {
-    /// As they were read.
+    /// As they were read at the start.
     pub settings: Settings,
     /// Names this process: cursors of another one mean nothing.
     pub epoch: u64,
--- /dev/null
+++ b/crates/route/src/fresh.rs
@@ -0,0 +1,421 @@
+//! Chooses by what instances say at the moment of the choice.
+//!
+//! Where load shifts in milliseconds, a report that came back on an answer is
+//! stale when it is used. So a choice goes in rounds: [`Fresh::plan`] names a few
+//! instances to ask, the answers come in by [`Fresh::probed`], and the next plan
+//! names more only if none that was asked is good. [`Fresh::choose`] then takes
+//! the one that costs least by [`crate::cost`]. Those in the gateway's own
+//! failure domain are asked first, as they answer sooner and their bytes are
+//! cheap.
+//!
+//! It is a plain state machine: the time and what happened go in, decisions come out.
+
+use std::time::Duration;
+
+use base::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::cost;
+use crate::cost::Need;
+use crate::cost::Standing;
+use crate::health::Cause;
+use crate::health::Health;
+use crate::health::State;
+use crate::instance::Instance;
+use crate::instance::Phase;
+use crate::instance::Pick;
+use crate::instance::Ticket;
+use crate::outcome::Kind;
+use crate::outcome::LoadReport;
+use crate::policy::Reason;
+
+/// A report that is younger than this is as good as a new one: requests of a
+/// service come some 10 ms apart, a pace lasts some 300 ms.
+const FRESH: Duration = Duration::from_millis(12);
+/// Instances asked in the first round, and in each further one.
+const ROUND: usize = 3;
+/// Rounds after which the best of those known is taken.
+const ROUNDS: u32 = 2;
+/// A choice that costs so little is taken without asking further.
+const GOOD: f64 = 0.06;
+/// Age at which a report of requests at an instance says nothing any more, in seconds.
+const LOAD_LIFE: f64 = 0.5;
+/// Requests a slot that are assumed where nothing is known.
+const USUAL_LOAD: f64 = 0.45;
+/// Part of the cost that is random, so that equal ones take turns.
+const JITTER: f64 = 0.01;
+/// At most one instance in so many is ejected.
+const EJECTED_PART: usize = 2;
+/// Ramp after an ejection.
+const RAMP: Duration = Duration::from_secs(2);
+
+/// What a choice rests on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FreshChoice {
+    /// The instance.
+    pub pick: Pick,
+    /// Why this one.
+    pub reason: Reason,
+    /// Age of its newest report, `None` before the first.
+    pub age: Option<Duration>,
+    /// Its newest report.
+    pub report: Option<LoadReport>,
+    /// Own attempts in flight there.
+    pub in_flight: u32,
+    /// When an answer is expected, from now.
+    pub expected: Duration,
+    /// What it costs, as a part of the request's worth.
+    pub cost: f64,
+}
+
+#[derive(Debug)]
+struct Row {
+    instance: Instance,
+    epoch: u32,
+    health: Health,
+    /// Own attempts in flight, by when they began.
+    starts: Vec<Moment>,
+    report: Option<(Moment, LoadReport)>,
+    /// Own attempts begun since the report.
+    since: u32,
+    cold_until: Moment,
+    probing: u32,
+}
+
+impl Row {
+    fn age(&self, now: Moment) -> Option<Duration> {
+        self.report.map(|(at, _)| now.since(at))
+    }
+
+    fn is_fresh(&self, now: Moment) -> bool {
+        self.age(now).is_some_and(|age| age < FRESH)
+    }
+
+    fn standing(&self, now: Moment) -> Standing {
+        let slots = f64::from(self.instance.slots.max(1));
+        let own = self.starts.len() as f64;
+        let usual = (slots * USUAL_LOAD).max(own);
+        let (busy, pace) = match self.report {
+            None => (usual, None),
+            Some((at, report)) => {
+                let age = now.since(at).as_secs_f64();
+                let told = f64::from(report.running + report.waiting + self.since);
+                let known = (-age / LOAD_LIFE).exp();
+                let busy = told * known + usual * (1.0 - known);
+                (busy.max(own), Some((f64::from(report.pace), age)))
+            }
+        };
+        Standing {
+            busy,
+            slots,
+            pace,
+            cold: now < self.cold_until,
+            failing: self.health.share(now),
+        }
+    }
+}
+
+/// Chooses among one service's instances by fresh reports.
+#[derive(Debug)]
+pub struct Fresh {
+    domain: DomainName,
+    rng: SmallRng,
+    rows: Vec<Row>,
+}
+
+impl Fresh {
+    /// A chooser without instances, for a gateway in `domain`.
+    #[must_use]
+    pub fn new(domain: DomainName, seed: u64) -> Self {
+        Self {
+            domain,
+            rng: SmallRng::seed_from_u64(seed),
+            rows: Vec::new(),
+        }
+    }
+
+    /// Takes the service's instances, whole: one that is lacking has gone. Each
+    /// comes with the time for which it is still slow after its start.
+    pub fn update(&mut self, now: Moment, table: &[(Instance, Duration)]) {
+        for row in &mut self.rows {
+            if !table.iter().any(|(next, _)| next.id == row.instance.id) {
+                row.instance.phase = Phase::Gone;
+            }
+        }
+        for (instance, cold) in table {
+            self.take(now, instance, *cold);
+        }
+    }
+
+    fn take(&mut self, now: Moment, instance: &Instance, cold: Duration) {
+        let known = self.rows.iter_mut().find(|r| r.instance.id == instance.id);
+        if let Some(row) = known {
+            row.instance.clone_from(instance);
+            return;
+        }
+        if instance.phase == Phase::Gone {
+            return;
+        }
+        let row = Row {
+            instance: instance.clone(),
+            epoch: 0,
+            health: Health::new(State::Well),
+            starts: Vec::new(),
+            report: None,
+            since: 0,
+            cold_until: now + cold,
+            probing: 0,
+        };
+        let gone = |r: &&mut Row| r.instance.phase == Phase::Gone && r.starts.is_empty();
+        match self.rows.iter_mut().find(gone) {
+            Some(free) => {
+                let epoch = free.epoch + 1;
+                *free = Row { epoch, ..row };
+            }
+            None => self.rows.push(row),
+        }
+    }
+
+    /// Instances to ask before the choice, at the round `round` from 0.
+    pub fn plan(&mut self, now: Moment, need: &Need, exclude: &[Pick], round: u32) -> Vec<Pick> {
+        if round >= ROUNDS
+            || self
+                .best(now, need, exclude, true)
+                .is_some_and(|(_, c)| c < GOOD)
+        {
+            return Vec::new();
+        }
+        let mut open: Vec<(usize, f64)> = Vec::new();
+        for index in 0..self.rows.len() {
+            let row = &self.rows[index];
+            if !self.is_usable(index, exclude) || row.is_fresh(now) {
+                continue;
+            }
+            let crosses = row.instance.domain != self.domain;
+            let cost = cost::cost(&row.standing(now), need, crosses);
+            let random: f64 = self.rng.random();
+            // Nearer ones first, then by what they are likely to cost.
+            let far = if crosses { 1.0 } else { 0.0 };
+            open.push((index, far + cost.min(1.0) * 0.5 + random * 0.25));
+        }
+        open.sort_by(|a, b| a.1.total_cmp(&b.1));
+        let asked = open.into_iter().take(ROUND);
+        let picks: Vec<Pick> = asked.map(|(index, _)| self.pick(index)).collect();
+        for pick in &picks {
+            self.rows[pick.index as usize].probing += 1;
+        }
+        picks
+    }
+
+    /// Notes the end of a probe; none where it failed.
+    pub fn probed(&mut self, now: Moment, pick: Pick, report: Option<LoadReport>) {
+        let Some(row) = self.row(pick) else {
+            return;
+        };
+        row.probing = row.probing.saturating_sub(1);
+        match report {
+            Some(report) => {
+                row.report = Some((now, report));
+                row.since = 0;
+                row.health.probe_answered(now);
+            }
+            None => {
+                if row.health.probe_failed(false) {
+                    self.eject(now, pick, Cause::Silence);
+                }
+            }
+        }
+    }
+
+    /// Chooses an instance, none of `exclude` if another is left; `None` means
+    /// that no instance is ready.
+    pub fn choose(&mut self, now: Moment, need: &Need, exclude: &[Pick]) -> Option<FreshChoice> {
+        if let Some(index) = self.trial(now, exclude) {
+            self.rows[index].health.begin_trial(now);
+            return Some(self.chosen(now, need, index, Reason::Trial));
+        }
+        if let Some((index, _)) = self.best(now, need, exclude, false) {
+            let fresh = self.rows[index].is_fresh(now);
+            let reason = if fresh { Reason::Fresh } else { Reason::Stale };
+            return Some(self.chosen(now, need, index, reason));
+        }
+        let ready = |r: &Row| r.instance.phase == Phase::Ready;
+        let picks: Vec<usize> = (0..self.rows.len())
+            .filter(|i| ready(&self.rows[*i]))
+            .collect();
+        let rest: Vec<usize> = picks
+            .iter()
+            .copied()
+            .filter(|i| !exclude.contains(&self.pick(*i)))
+            .collect();
+        let among = if rest.is_empty() { picks } else { rest };
+        if among.is_empty() {
+            return None;
+        }
+        let index = among[self.rng.random_range(0..among.len())];
+        Some(self.chosen(now, need, index, Reason::Panic))
+    }
+
+    fn chosen(&self, now: Moment, need: &Need, index: usize, reason: Reason) -> FreshChoice {
+        let row = &self.rows[index];
+        let standing = row.standing(now);
+        let crosses = row.instance.domain != self.domain;
+        FreshChoice {
+            pick: self.pick(index),
+            reason,
+            age: row.age(now),
+            report: row.report.map(|(_, report)| report),
+            in_flight: u32::try_from(row.starts.len()).unwrap_or(u32::MAX),
+            expected: Duration::from_secs_f64(cost::expected(&standing, need).clamp(0.0, 3600.0)),
+            cost: cost::cost(&standing, need, crosses),
+        }
+    }
+
+    fn best(
+        &mut self,
+        now: Moment,
+        need: &Need,
+        exclude: &[Pick],
+        fresh: bool,
+    ) -> Option<(usize, f64)> {
+        let mut best: Option<(usize, f64)> = None;
+        for index in 0..self.rows.len() {
+            let row = &self.rows[index];
+            if !self.is_usable(index, exclude) || (fresh && !row.is_fresh(now)) {
+                continue;
+            }
+            let crosses = row.instance.domain != self.domain;
+            let cost = cost::cost(&row.standing(now), need, crosses);
+            let cost = cost + JITTER * self.rng.random::<f64>();
+            if best.is_none_or(|(_, least)| cost < least) {
+                best = Some((index, cost));
+            }
+        }
+        best
+    }
+
+    fn is_usable(&self, index: usize, exclude: &[Pick]) -> bool {
+        let row = &self.rows[index];
+        row.instance.phase == Phase::Ready
+            && row.health.is_in()
+            && !exclude.contains(&self.pick(index))
+    }
+
+    /// An ejected instance that may be tried; not for a retry, which has failed once.
+    fn trial(&self, now: Moment, exclude: &[Pick]) -> Option<usize> {
+        if !exclude.is_empty() {
+            return None;
+        }
+        let wants = |r: &Row| r.instance.phase == Phase::Ready && r.health.wants_trial(now);
+        (0..self.rows.len()).find(|i| wants(&self.rows[*i]))
+    }
+
+    /// Ejected instances whose time is over, which a probe may bring back.
+    pub fn ejected(&mut self, now: Moment) -> Vec<Pick> {
+        let due = |r: &Row| {
+            r.instance.phase == Phase::Ready && r.probing == 0 && r.health.wants_probe(now)
+        };
+        let due: Vec<usize> = (0..self.rows.len())
+            .filter(|i| due(&self.rows[*i]))
+            .collect();
+        for index in &due {
+            self.rows[*index].probing += 1;
+        }
+        due.into_iter().map(|index| self.pick(index)).collect()
+    }
+
+    /// Notes that an attempt begins.
+    pub fn started(&mut self, now: Moment, pick: Pick) -> Ticket {
+        if let Some(row) = self.row(pick) {
+            row.starts.push(now);
+            row.since += 1;
+        }
+        Ticket { pick, began: now }
+    }
+
+    /// Notes the end of an attempt, with the report that came on its answer.
+    pub fn finished(
+        &mut self,
+        now: Moment,
+        ticket: Ticket,
+        kind: Kind,
+        report: Option<LoadReport>,
+    ) {
+        let (pick, began) = ticket.close();
+        let Some(row) = self.row(pick) else {
+            return;
+        };
+        if let Some(at) = row.starts.iter().position(|start| *start == began) {
+            row.starts.remove(at);
+        }
+        if let Some(report) = report {
+            row.report = Some((now, report));
+            row.since = 0;
+        } else {
+            row.since = row.since.saturating_sub(1);
+        }
+        let bad = match kind {
+            Kind::Ok => {
+                row.health.succeeded(now);
+                let _ = row.health.ramp(now, RAMP);
+                None
+            }
+            Kind::Error | Kind::ConnectFailed => row
+                .health
+                .failed(now, Cause::Failures)
+                .then_some(Cause::Failures),
+            Kind::Timeout => row
+                .health
+                .failed(now, Cause::Silence)
+                .then_some(Cause::Silence),
+            Kind::Shed | Kind::Cancelled => {
+                row.health.trial_cancelled();
+                None
+            }
+        };
+        if let Some(cause) = bad {
+            self.eject(now, pick, cause);
+        }
+    }
+
+    /// Ejects the instance unless too many of the ready ones are out already.
+    fn eject(&mut self, now: Moment, pick: Pick, cause: Cause) {
+        let ready = self
+            .rows
+            .iter()
+            .filter(|r| r.instance.phase == Phase::Ready);
+        let (mut count, mut out) = (0, 0);
+        for row in ready {
+            count += 1;
+            out += usize::from(!row.health.is_in());
+        }
+        let jitter = self.rng.random();
+        let Some(row) = self.row(pick) else {
+            return;
+        };
+        if !row.health.is_in() || out < count / EJECTED_PART {
+            row.health.eject(now, cause, jitter);
+        }
+    }
+
+    /// The instance's id, `None` after it has gone.
+    #[must_use]
+    pub fn id(&self, pick: Pick) -> Option<&InstanceId> {
+        let row = self.rows.get(pick.index as usize)?;
+        (row.epoch == pick.epoch).then_some(&row.instance.id)
+    }
+
+    fn pick(&self, index: usize) -> Pick {
+        Pick {
+            index: u32::try_from(index).unwrap_or(u32::MAX),
+            epoch: self.rows[index].epoch,
+        }
+    }
+
+    fn row(&mut self, pick: Pick) -> Option<&mut Row> {
+        let row = self.rows.get_mut(pick.index as usize)?;
+        (row.epoch == pick.epoch).then_some(row)
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,8 +11,10 @@
 //! with [`Chooser::probe`]; what they may cost is not decided here.
 
 pub mod chooser;
+pub mod cost;
 mod entry;
 mod fade;
+pub mod fresh;
 mod health;
 pub mod instance;
 mod load;
@@ -22,11 +24,15 @@
 pub mod view;
 
 pub use chooser::Chooser;
+pub use cost::Need;
+pub use fresh::Fresh;
+pub use fresh::FreshChoice;
 pub use instance::Instance;
 pub use instance::Phase;
 pub use instance::Pick;
 pub use instance::Ticket;
 pub use outcome::Kind;
+pub use outcome::LoadReport;
 pub use outcome::Outcome;
 pub use outcome::Probed;
 pub use outcome::Report;
--- a/crates/route/src/outcome.rs
+++ b/crates/route/src/outcome.rs
@@ -33,6 +33,19 @@
     pub slots: u32,
 }
 
+/// What an instance says of its load at one moment, everything counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// How long work takes on its machine now, in hundredths of the usual time.
+    pub pace: u32,
+}
+
 /// The end of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Outcome {
