--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod limit;
 pub mod refusal;
 pub mod share;
+pub mod waiting;
 
 pub use admission::Action;
 pub use admission::Admission;
@@ -31,3 +32,4 @@
 pub use limit::Mode;
 pub use refusal::Refusal;
 pub use refusal::Refused;
+pub use waiting::Waiting;
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -6,6 +6,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::RwLock;
+use std::time::Duration;
 
 use base::prelude::*;
 use http::Uri;
@@ -15,6 +16,7 @@
 use table::Split;
 use table::Table;
 use tokio::sync::watch;
+use wire::hub::EntryHost;
 use wire::hub::Instance;
 use wire::hub::Phase;
 
@@ -43,6 +45,7 @@
     desks: HashMap<ServiceName, Desk>,
     splits: HashMap<Arc<str>, Split>,
     habits: HashMap<Arc<str>, Habit>,
+    hosts: Vec<EntryHost>,
     entries: u32,
 }
 
@@ -91,7 +94,10 @@
         let held = self.settings();
         let next = Settings {
             seeds: settings.seeds.clone(),
+            ttl: settings.ttl,
+            crossing: settings.crossing,
             retry: settings.retry,
+            probes: settings.probes,
             stop: settings.stop,
             ..(*held).clone()
         };
@@ -136,8 +142,9 @@
     pub fn take_instances(&self, instances: &[Instance]) {
         let now = self.clock.now();
         let settings = self.settings();
-        let (retry, domain) = (settings.retry, &settings.domain);
+        let domain = &settings.domain;
         let mut known = self.known();
+        let shared = settings.shared(known.entries);
         for instance in instances {
             let Some(service) = known.instances.take(instance) else {
                 continue;
@@ -147,13 +154,12 @@
             let Known {
                 instances,
                 desks,
-                entries,
                 ..
             } = &mut *known;
             let desk = desks.entry(service.clone());
             let seed = rand::random();
             let desk =
-                desk.or_insert_with(|| Desk::new(domain.clone(), &retry, *entries, seed, now));
+                desk.or_insert_with(|| Desk::new(domain.clone(), &shared, seed, now));
             let rows = instances.of(&service);
             desk.update(
                 now,
@@ -162,17 +168,20 @@
         }
     }
 
-    /// Takes how many entry processes share the allowance of retries.
+    /// Takes how many entry processes share what is shared out.
     pub fn set_entries(&self, entries: u32) {
+        if self.known().entries != entries {
+            self.share_out(entries);
+        }
+    }
+
+    fn share_out(&self, entries: u32) {
         let now = self.clock.now();
-        let retry = self.settings().retry;
+        let shared = self.settings().shared(entries);
         let mut known = self.known();
-        if known.entries == entries {
-            return;
-        }
         known.entries = entries;
         for desk in known.desks.values_mut() {
-            desk.set_entries(&retry, entries, now);
+            desk.set_shared(&shared, now);
         }
     }
 
@@ -204,6 +213,24 @@
             .collect()
     }
 
+    /// Takes the entry hosts that callers may be sent to. An empty list tells that
+    /// the hubs don't know yet, so the last one stays.
+    pub fn set_hosts(&self, hosts: Vec<EntryHost>) {
+        let mut known = self.known();
+        if !hosts.is_empty() && hosts != known.hosts {
+            info!(self.log, "entry hosts"; "count" => hosts.len());
+            known.hosts = hosts;
+        }
+    }
+
+    /// Addresses of entry hosts for a caller, nearest first, and how long it may
+    /// keep them; none while no hub has told any.
+    #[must_use]
+    pub fn resolve(&self, domain: &str, region: &str) -> (Vec<String>, Duration) {
+        let addresses = place::near(&self.known().hosts, domain, region);
+        (addresses, self.settings().ttl)
+    }
+
     /// Where a service's instances tell of themselves.
     #[must_use]
     pub fn health_path(&self, service: &ServiceName) -> Option<Uri> {
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -4,9 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use admit::Waiting;
 use attempt::budget::Budget;
 use attempt::budget::Share;
 use base::prelude::*;
+use measure::Allowance;
+use route::Decision;
 use route::Fresh;
 use route::FreshChoice;
 use route::Instance;
@@ -16,24 +19,51 @@
 use route::Phase;
 use route::Pick;
 use route::Ticket;
+use tokio::sync::oneshot;
 
-use crate::settings::Retry;
+use crate::settings::Shared;
 use crate::view::Upstream;
 
 /// Part of the allowance that is spent on purpose. The rest covers what all
 /// entry processes together spend more for a moment: each counts its own
 /// requests, and their number falls while retries of earlier ones are under way.
 const SPENT_PART: f64 = 0.6;
+/// Part of the measuring budget that is spent on purpose; the rest covers
+/// instances that leave while their probes are saved up.
+const SPENT_PROBES: f64 = 0.8;
 /// Retries that one process saves up at most; with the part above, a hundred
 /// processes stay within what they share.
 const BURST: u64 = 2;
+/// Weight of one end in the usual time between two.
+const ENDS_WEIGHT: f64 = 0.1;
+/// Soonest that a refused caller is asked back: about the time of one request.
+const LEAST_BACK: Duration = Duration::from_millis(100);
+/// Latest: beyond a second most callers have given up.
+const MOST_BACK: Duration = Duration::from_secs(1);
 
 /// The machines of one service.
 #[derive(Debug)]
 pub struct Desk {
     chooser: Fresh,
     budget: Budget,
+    probes: Allowance,
+    shared: Shared,
     rows: HashMap<InstanceId, Arc<Upstream>>,
+    waiting: Waiting<oneshot::Sender<Pick>>,
+    /// When an attempt last ended, and the usual time between two ends.
+    ended: Moment,
+    ends: Duration,
+}
+
+/// What to do with a request.
+#[derive(Debug)]
+pub enum Verdict {
+    /// Send it.
+    Send(Chosen),
+    /// Wait for room.
+    Wait,
+    /// No instance is ready.
+    None,
 }
 
 /// An instance that was chosen.
@@ -48,17 +78,32 @@
 impl Desk {
     /// A desk without instances.
     #[must_use]
-    pub fn new(domain: DomainName, retry: &Retry, entries: u32, seed: u64, now: Moment) -> Self {
+    pub fn new(domain: DomainName, shared: &Shared, seed: u64, now: Moment) -> Self {
         Self {
             chooser: Fresh::new(domain, seed),
-            budget: Budget::new(share(retry, entries), now),
+            budget: Budget::new(share(shared), now),
+            probes: Allowance::new(now),
+            shared: *shared,
             rows: HashMap::new(),
+            waiting: Waiting::default(),
+            ended: now,
+            ends: LEAST_BACK,
         }
     }
 
-    /// Shares the allowance of retries among `entries` processes.
-    pub fn set_entries(&mut self, retry: &Retry, entries: u32, now: Moment) {
-        self.budget.set_share(share(retry, entries), now);
+    /// Takes over how budgets are shared.
+    pub fn set_shared(&mut self, shared: &Shared, now: Moment) {
+        self.shared = *shared;
+        self.budget.set_share(share(shared), now);
+        self.share_probes(now);
+    }
+
+    fn share_probes(&mut self, now: Moment) {
+        let budget = (f64::from(self.shared.probes) * SPENT_PROBES).floor();
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "below a u32")]
+        let budget = budget as u32;
+        let count = self.rows.len();
+        self.probes.set(now, budget, count, self.shared.entries);
     }
 
     /// Takes the service's instances, whole.
@@ -80,6 +125,7 @@
             self.rows.insert(upstream.id.clone(), Arc::clone(upstream));
         }
         self.chooser.update(now, &table);
+        self.share_probes(now);
     }
 
     /// Counts a request, which earns its share of a retry.
@@ -100,7 +146,9 @@
         exclude: &[Pick],
         round: u32,
     ) -> Vec<(Pick, Arc<Upstream>)> {
-        let picks = self.chooser.plan(now, need, exclude, round);
+        let probes = &mut self.probes;
+        let allow = |count| probes.take(now, count);
+        let picks = self.chooser.plan(now, need, exclude, round, allow);
         self.upstreams(picks)
     }
 
@@ -124,13 +172,55 @@
     }
 
     /// Chooses an instance, none of `exclude` if another is left.
-    pub fn choose(&mut self, now: Moment, need: &Need, exclude: &[Pick]) -> Option<Chosen> {
-        let choice = self.chooser.choose(now, need, exclude)?;
+    pub fn choose(&mut self, now: Moment, need: &Need, exclude: &[Pick]) -> Verdict {
+        match self.chooser.choose(now, need, exclude) {
+            Decision::Send(choice) => self.chosen(choice).map_or(Verdict::None, Verdict::Send),
+            Decision::Wait => Verdict::Wait,
+            Decision::None => Verdict::None,
+        }
+    }
+
+    /// Sends to an instance that has just got room.
+    pub fn choose_this(&mut self, now: Moment, need: &Need, pick: Pick) -> Option<Chosen> {
+        let choice = self.chooser.choose_this(now, need, pick)?;
+        self.chosen(choice)
+    }
+
+    fn chosen(&self, choice: FreshChoice) -> Option<Chosen> {
         let id = self.chooser.id(choice.pick)?;
         let upstream = Arc::clone(self.rows.get(id)?);
         Some(Chosen { upstream, choice })
     }
 
+    /// Waits for room; tells of an instance that got some.
+    pub fn wait(&mut self, priority: u32, until: Moment) -> oneshot::Receiver<Pick> {
+        let (tell, told) = oneshot::channel();
+        self.waiting.push(priority, until, tell);
+        told
+    }
+
+    /// When one that is refused now may find room: the waiting ones go first, one
+    /// each time that an attempt ends here.
+    #[must_use]
+    pub fn back(&self, now: Moment) -> Duration {
+        let ahead = u32::try_from(self.waiting.len(now)).unwrap_or(u32::MAX);
+        let span = self.ends.saturating_mul(ahead.saturating_add(1));
+        span.clamp(LEAST_BACK, MOST_BACK)
+    }
+
+    /// Hands room at an instance to one that waits for it.
+    fn hand_on(&mut self, now: Moment, pick: Pick) {
+        while self.chooser.has_room(now, pick) {
+            let Some(waiter) = self.waiting.pop(now) else {
+                return;
+            };
+            // One whose caller has left lets the next one go.
+            if waiter.send(pick).is_ok() {
+                return;
+            }
+        }
+    }
+
     /// Notes that an attempt begins.
     pub fn started(&mut self, now: Moment, pick: Pick) -> Ticket {
         self.chooser.started(now, pick)
@@ -144,14 +234,22 @@
         kind: Kind,
         report: Option<LoadReport>,
     ) {
+        let pick = ticket.pick();
         self.chooser.finished(now, ticket, kind, report);
+        let pause = now.since(self.ended).min(MOST_BACK);
+        self.ends = self.ends.mul_f64(1.0 - ENDS_WEIGHT) + pause.mul_f64(ENDS_WEIGHT);
+        self.ended = now;
+        if !self.waiting.is_empty() {
+            self.hand_on(now, pick);
+        }
     }
 }
 
 /// One process's share of the allowance.
-fn share(retry: &Retry, entries: u32) -> Share {
+fn share(shared: &Shared) -> Share {
+    let Shared { retry, entries, .. } = shared;
     let percent = f64::from(retry.percent) * SPENT_PART;
-    let base = f64::from(retry.base) * SPENT_PART / f64::from(entries.max(1));
+    let base = f64::from(retry.base) * SPENT_PART / f64::from((*entries).max(1));
     let floor = retry.window.as_secs_f64() / base.max(1e-3);
     Share {
         #[expect(
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -25,7 +25,9 @@
 use crate::body::Read;
 use crate::body::Returned;
 use crate::core::Core;
+use crate::desk::Chosen;
 use crate::desk::Desk;
+use crate::desk::Verdict;
 use crate::exchange;
 use crate::exchange::Answered;
 use crate::exchange::Call;
@@ -42,9 +44,12 @@
 /// When a caller may come back after a refusal for lack of knowledge: the hubs
 /// tell of tables and instances within it.
 const BACK_UNKNOWN: Duration = Duration::from_millis(300);
-/// When a caller may come back after a refusal for lack of room: about the time
-/// in which one slot gets free.
-const BACK_FULL: Duration = Duration::from_millis(100);
+/// A request that waits for room looks itself after so long, as room may come
+/// from other entry hosts' requests, which end unseen.
+const LOOK: Duration = Duration::from_millis(40);
+/// Usual times of work that must be left of the aim for a request to be worth
+/// waiting for: work times spread, and a quarter of them is slowed down.
+const WORK_MARGIN: f64 = 1.3;
 /// Attempts whose connection failed, beyond what the route allows: nothing
 /// reached an instance.
 const UNSENT_TRIES: u32 = 4;
@@ -160,7 +165,7 @@
         let outcome = match tokio::time::timeout_at(end, self.serve(incoming)).await {
             Ok(outcome) => outcome,
             Err(_) if self.exposed => Outcome::Own(Reason::Timeout, None),
-            Err(_) => Outcome::Own(Reason::Late, Some(BACK_FULL)),
+            Err(_) => self.own(Reason::Late),
         };
         self.respond(outcome)
     }
@@ -193,20 +198,62 @@
         self.core.desk(&self.service, ask)
     }
 
-    /// One attempt; none when no instance is known.
-    async fn attempt(&mut self, body: Outgoing) -> Option<End> {
+    /// An instance for the next attempt.
+    async fn choose(&mut self) -> Result<Chosen, Reason> {
         let exclude = std::mem::take(&mut self.exclude);
-        let need = self.need();
-        for round in 0.. {
-            let asked = self.desk(|desk, now| desk.plan(now, &need, &exclude, round))?;
-            if asked.is_empty() {
-                break;
+        let chosen = self.choose_beside(&exclude).await;
+        self.exclude = exclude;
+        chosen
+    }
+
+    async fn choose_beside(&self, exclude: &[Pick]) -> Result<Chosen, Reason> {
+        let patience = self.patience();
+        loop {
+            let need = self.need();
+            for round in 0.. {
+                let asked = self.desk(|desk, now| desk.plan(now, &need, exclude, round));
+                let asked = asked.unwrap_or_default();
+                if asked.is_empty() {
+                    break;
+                }
+                probe::ask(&self.core, &self.service, asked).await;
+            }
+            let verdict = self.desk(|desk, now| desk.choose(now, &need, exclude));
+            match verdict {
+                Some(Verdict::Send(chosen)) => return Ok(chosen),
+                Some(Verdict::Wait) => {}
+                Some(Verdict::None) | None => return Err(Reason::NoInstance),
+            }
+            let left = patience.saturating_sub(self.began.elapsed());
+            if left.is_zero() {
+                return Err(Reason::Full);
+            }
+            if let Some(chosen) = self.wait(&need, left.min(LOOK)).await {
+                return Ok(chosen);
             }
-            probe::ask(&self.core, &self.service, asked).await;
         }
-        let chosen = self.desk(|desk, now| desk.choose(now, &need, &exclude));
-        self.exclude = exclude;
-        let chosen = chosen.flatten()?;
+    }
+
+    /// Waits until an instance has room, or for `span`.
+    async fn wait(&self, need: &Need, span: Duration) -> Option<Chosen> {
+        let until = self.core.clock.now() + span;
+        let priority = self.route.priority;
+        let told = self.desk(|desk, _| desk.wait(priority, until))?;
+        let pick = tokio::time::timeout(span, told).await.ok()?.ok()?;
+        self.desk(|desk, now| desk.choose_this(now, need, pick))?
+    }
+
+    /// How long after its start a request still waits for room: as long as it
+    /// can be answered within its aim.
+    fn patience(&self) -> Duration {
+        let need = self.need();
+        let aim = self.route.aim.unwrap_or(self.deadline / 2);
+        aim.saturating_sub(need.work.mul_f64(WORK_MARGIN))
+    }
+
+    /// One attempt.
+    async fn attempt(&mut self, body: Outgoing) -> Result<End, Reason> {
+        let chosen = self.choose().await?;
         let pick = chosen.choice.pick;
         self.attempts += 1;
         self.exclude.push(pick);
@@ -222,7 +269,8 @@
             }),
             "cost" => format!("{:.3}", chosen.choice.cost),
             "left_ms" => millis(left));
-        let ticket = self.desk(|desk, now| desk.started(now, pick))?;
+        let ticket = self.desk(|desk, now| desk.started(now, pick));
+        let ticket = ticket.ok_or(Reason::NoInstance)?;
         let core = Arc::clone(&self.core);
         // Until the end says otherwise, the request may be running.
         let before = std::mem::replace(&mut self.exposed, true);
@@ -237,7 +285,7 @@
             let learn = |habit: &mut Habit| habit.learn(latency, &chosen.choice, moved);
             self.core.habit(&self.route, learn);
         }
-        Some(end)
+        Ok(end)
     }
 
     /// What the request needs of an instance now.
@@ -252,32 +300,32 @@
     }
 
     /// The final outcome, or the body for another attempt.
-    fn judge(&mut self, end: Option<End>, again: Option<Outgoing>) -> Result<Outcome, Outgoing> {
+    fn judge(
+        &mut self,
+        end: Result<End, Reason>,
+        again: Option<Outgoing>,
+    ) -> Result<Outcome, Outgoing> {
         let once = self.route.kind == Kind::Once;
-        let (reason, back) = match &end {
-            None if self.exposed => (Reason::Broken, None),
-            None => (Reason::NoInstance, Some(BACK_UNKNOWN)),
-            Some(End::Answer(..) | End::Unknown) => (Reason::Broken, None),
-            Some(_) if self.exposed => (Reason::Broken, None),
-            Some(_) => (Reason::Full, Some(BACK_FULL)),
-        };
-        let own = Outcome::Own(reason, back);
+        let own = self.own(match &end {
+            Err(reason) => *reason,
+            Ok(_) => Reason::Full,
+        });
         let retried = match end {
-            None => return Ok(own),
-            Some(End::Answer(parts, answered)) => {
+            Err(_) => false,
+            Ok(End::Answer(parts, answered)) => {
                 let failed = parts.status.is_server_error();
                 if !failed || once || !self.may_retry(again.is_some()) {
                     return Ok(Outcome::Answer(parts, answered));
                 }
                 true
             }
-            Some(End::Unknown) => !once && self.may_retry(again.is_some()),
-            Some(End::Unsent) => {
+            Ok(End::Unknown) => !once && self.may_retry(again.is_some()),
+            Ok(End::Unsent) => {
                 self.attempts -= 1;
                 self.unsent += 1;
                 self.unsent < UNSENT_TRIES
             }
-            Some(End::Refused | End::Elsewhere) => self.may_retry(again.is_some()),
+            Ok(End::Refused | End::Elsewhere) => self.may_retry(again.is_some()),
         };
         match again {
             Some(body) if retried => Err(body),
@@ -285,6 +333,18 @@
         }
     }
 
+    /// The system's own answer; `reason` counts where the request has not run.
+    fn own(&self, reason: Reason) -> Outcome {
+        if self.exposed {
+            return Outcome::Own(Reason::Broken, None);
+        }
+        let back = match reason {
+            Reason::Full => self.desk(|desk, now| desk.back(now)),
+            _ => Some(BACK_UNKNOWN),
+        };
+        Outcome::Own(reason, back)
+    }
+
     /// Whether another attempt is allowed and paid for.
     fn may_retry(&self, whole: bool) -> bool {
         let allowed = whole && self.attempts < self.route.attempts;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -15,11 +15,17 @@
 
 const ENTRY: &str = "entry";
 const RETRY: &str = "retry";
+const PROBE: &str = "probe";
 const STOP: &str = "stop";
 const COST: &str = "cost";
 
 /// Path of the readiness page, by default.
 const READY_PATH: &str = "/ready";
+/// How long callers may keep a list of entry hosts, by default.
+const TTL: Duration = Duration::from_secs(2);
+/// Probes an instance and second, by default: a twentieth of what an instance
+/// with a probe of 1 ms could answer.
+const PROBES: u32 = 50;
 /// Offset of a hub's own port from the first one.
 const HUB_PORT: u16 = 2;
 
@@ -45,6 +51,17 @@
     }
 }
 
+/// What the sharing of budgets among entry processes rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shared {
+    /// Retries.
+    pub retry: Retry,
+    /// Probes that one instance may get a second.
+    pub probes: u32,
+    /// The entry processes that share, 0 while that isn't known.
+    pub entries: u32,
+}
+
 /// How long a graceful stop takes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Stop {
@@ -86,8 +103,13 @@
     pub port: u16,
     /// Hosts that run hubs; of each only the address counts, not the port.
     pub seeds: Vec<SocketAddr>,
+    /// How long callers may keep a list of entry hosts.
+    pub ttl: Duration,
     /// Retries.
     pub retry: Retry,
+    /// Probes that one instance may get a second from all entry hosts together;
+    /// 0 allows none.
+    pub probes: u32,
     /// The graceful stop.
     pub stop: Stop,
     /// Price of a megabyte between failure domains, in thousandths of the worth
@@ -128,7 +150,8 @@
         Ok(settings.unwrap_or_else(|| unreachable!("what is missing is a fault of its own")))
     }
 
-    fn take(r: &mut Reader) -> Option<Self> {
+    /// Reads its own sections; faults are noted in the reader.
+    pub fn take(r: &mut Reader) -> Option<Self> {
         let host = r.required(ENTRY, "host");
         let domain = r.required(ENTRY, "domain");
         let region = r.required(ENTRY, "region");
@@ -137,7 +160,9 @@
         let ready_path = r.or(ENTRY, "ready-path", Text(READY_PATH.into())).0;
         let port: Option<u32> = r.required(ENTRY, "port");
         let seeds = r.list(ENTRY, "seeds");
+        let ttl = r.or(ENTRY, "ttl", TTL);
         let retry = read_retry(r);
+        let probes = r.or(PROBE, "per-second", PROBES);
         let stop = read_stop(r);
         let crossing = r.or(COST, "crossing", 0);
         let telemetry = telemetry::Settings::read(r);
@@ -155,13 +180,25 @@
             ready_path,
             port: u16::try_from(port?).ok()?,
             seeds,
+            ttl,
             retry,
+            probes,
             stop,
             crossing,
             telemetry,
         })
     }
 
+    /// How budgets are shared among `entries` processes.
+    #[must_use]
+    pub fn shared(&self, entries: u32) -> Shared {
+        Shared {
+            retry: self.retry,
+            probes: self.probes,
+            entries,
+        }
+    }
+
     /// Price of a megabyte between failure domains, in the worth of a request.
     #[must_use]
     pub fn crossing(&self) -> f64 {
@@ -215,10 +252,13 @@
         writeln!(f, "ready-path = {}", self.ready_path)?;
         writeln!(f, "port = {}", self.port)?;
         writeln!(f, "seeds = {}", seeds.join(", "))?;
+        writeln!(f, "ttl = {}", duration_text(self.ttl))?;
         writeln!(f, "\n[{RETRY}]")?;
         writeln!(f, "percent = {}", self.retry.percent)?;
         writeln!(f, "base = {}", self.retry.base)?;
         writeln!(f, "window = {}", duration_text(self.retry.window))?;
+        writeln!(f, "\n[{PROBE}]")?;
+        writeln!(f, "per-second = {}", self.probes)?;
         writeln!(f, "\n[{STOP}]")?;
         writeln!(f, "linger = {}", duration_text(self.stop.linger))?;
         writeln!(f, "grace = {}", duration_text(self.stop.grace))?;
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
+use wire::hub::EntryHost;
 use wire::hub::Watch;
 use wire::hub::WatchReply;
 use wire::link::within;
@@ -36,6 +37,8 @@
 const UNCONFIRMED: Duration = Duration::from_secs(3);
 /// Between two looks at the settings and at who has gone.
 const LOOK: Duration = Duration::from_secs(1);
+/// What a hub told counts for so long: some watches.
+const RECENT: Duration = Duration::from_secs(2);
 /// A hub that no other hub names and that doesn't answer is let go after so long.
 const FORGET: Duration = Duration::from_secs(10);
 
@@ -44,10 +47,20 @@
     answered: Instant,
     /// The hubs that it named.
     named: Vec<SocketAddr>,
+    /// The entry hosts that it named.
+    hosts: Vec<EntryHost>,
 }
 
 type Hubs = Arc<Mutex<HashMap<SocketAddr, Seen>>>;
 
+/// What a hub last told, for the next watch.
+#[derive(Clone, Copy, Debug, Default)]
+struct Mark {
+    epoch: u64,
+    cursor: u64,
+    list: u64,
+}
+
 /// Watches all hubs. Never ends.
 pub async fn run(core: Arc<Core>) {
     let hubs: Hubs = Arc::default();
@@ -83,13 +96,27 @@
     wanted
 }
 
+/// The entry hosts that any hub names that answered lately.
+fn hosts(hubs: &HashMap<SocketAddr, Seen>) -> Vec<EntryHost> {
+    let recent = |seen: &&Seen| seen.answered.elapsed() < RECENT;
+    let recent = hubs.values().filter(recent);
+    let mut hosts: Vec<EntryHost> = recent.flat_map(|seen| seen.hosts.iter().cloned()).collect();
+    hosts.sort_by(|a, b| a.address.cmp(&b.address));
+    hosts.dedup_by(|a, b| a.address == b.address);
+    hosts
+}
+
 async fn follow(core: Arc<Core>, address: SocketAddr, hubs: Hubs, wake: watch::Sender<()>) {
     let link = peer::hub(address);
-    let mut last = WatchReply::default();
+    let mut last = Mark::default();
     let mut up = false;
     let begun = Instant::now();
     loop {
-        let reply = ask(&core, &link, &last).await;
+        let reply = match ask(&core, &link, last).await {
+            Some(Answer::Reply(reply)) => Some(reply),
+            Some(Answer::Again) => continue,
+            None => None,
+        };
         if reply.is_some() != up {
             up = !up;
             let outcome = if up { "regained" } else { "lost" };
@@ -100,16 +127,24 @@
             continue;
         };
         take(&core, &reply, begun);
-        note(&hubs, address, &reply, &wake);
-        last = WatchReply {
+        note(&core, &hubs, address, &reply, last, &wake);
+        last = Mark {
             epoch: reply.epoch,
             cursor: reply.cursor,
-            ..WatchReply::default()
+            list: reply.list,
         };
     }
 }
 
-async fn ask(core: &Core, link: &HubLink, last: &WatchReply) -> Option<WatchReply> {
+/// How a watch ended.
+enum Answer {
+    /// The hub answered.
+    Reply(WatchReply),
+    /// It was given up, as this process has news for the hub.
+    Again,
+}
+
+async fn ask(core: &Core, link: &HubLink, last: Mark) -> Option<Answer> {
     let ready = core.is_ready();
     let settings = core.settings();
     let ask = Watch {
@@ -120,6 +155,7 @@
         ready,
         epoch: last.epoch,
         cursor: last.cursor,
+        list: last.list,
         table: core.routes().table.version,
         wait_ms: u32::try_from(WAIT.as_millis()).unwrap_or(u32::MAX),
     };
@@ -136,9 +172,9 @@
         () = async { tokio::select! {
             _ = routed.changed() => {}
             _ = stage.changed() => {}
-        } } => return Some(last.clone()),
+        } } => return Some(Answer::Again),
     };
-    link.judge(result).ok()
+    link.judge(result).ok().map(Answer::Reply)
 }
 
 fn take(core: &Core, reply: &WatchReply, begun: Instant) {
@@ -159,21 +195,33 @@
     }
 }
 
-fn note(hubs: &Hubs, address: SocketAddr, reply: &WatchReply, wake: &watch::Sender<()>) {
-    if reply.epoch == 0 || reply.hubs.is_empty() {
-        return;
-    }
+fn note(
+    core: &Core,
+    hubs: &Hubs,
+    address: SocketAddr,
+    reply: &WatchReply,
+    last: Mark,
+    wake: &watch::Sender<()>,
+) {
     let named = reply
         .hubs
         .iter()
         .filter_map(|hub| hub.parse().ok())
         .collect();
-    let seen = Seen {
+    let mut seen = Seen {
         answered: Instant::now(),
         named,
+        hosts: reply.hosts.clone(),
     };
     let mut hubs = hubs.lock().unwrap_or_else(PoisonError::into_inner);
-    let before = hubs.insert(address, seen);
+    let before = hubs.remove(&address);
+    if let Some(before) = &before
+        && reply.list == last.list
+    {
+        seen.hosts.clone_from(&before.hosts);
+    }
+    hubs.insert(address, seen);
+    core.set_hosts(hosts(&hubs));
     let changed = before.is_none_or(|before| before.named != hubs[&address].named);
     if changed {
         wake.send_replace(());
--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -186,7 +186,8 @@
     pub fn resolve(&self, domain: &str, region: &str) -> (Vec<String>, Duration) {
         let now = self.state.clock.now();
         let known = self.state.known();
-        let addresses = known.entries.resolve(now, domain, region);
+        let hosts = known.entries.list(now);
+        let addresses = place::near(&hosts, domain, region);
         (addresses, known.ttl.unwrap_or(self.state.settings.ttl))
     }
 
--- a/crates/hub/src/entries.rs
+++ b/crates/hub/src/entries.rs
@@ -9,7 +9,9 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use wire::hub::EntryHost;
 use wire::hub::Watch;
+use xxhash_rust::xxh3::Xxh3;
 
 /// An entry host that was silent for so long is named no more: two watches of
 /// the usual length and the time of a reconnection.
@@ -21,11 +23,6 @@
 /// How long after the first entry host came the others have come too: their
 /// longest pause between two tries to connect, and a connection.
 const SETTLE: Duration = Duration::from_millis(1_200);
-/// Most addresses of one answer.
-const MAX_ADDRESSES: usize = 64;
-/// Least addresses of one answer, as callers leave out those that failed them.
-const MIN_ADDRESSES: usize = 4;
-
 #[derive(Clone, Debug)]
 struct Entry {
     address: String,
@@ -68,24 +65,32 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
-    /// Addresses for a caller, those in its failure domain alone where they are enough.
+    /// The hosts that callers may be sent to; none before all had time to come.
     #[must_use]
-    pub fn resolve(&self, now: Moment, domain: &str, region: &str) -> Vec<String> {
+    pub fn list(&self, now: Moment) -> Vec<EntryHost> {
         let settled = self.first.is_some_and(|first| now.since(first) >= SETTLE);
         if !settled {
             return Vec::new();
         }
         let usable = |e: &&Entry| e.ready && now.since(e.heard) < FRESH;
-        let mut usable: Vec<&Entry> = self.known.values().filter(usable).collect();
-        usable.sort_by_key(|e| (e.domain != domain, e.region != region));
-        let near = usable.iter().filter(|e| e.domain == domain).count();
-        let count = if near >= MIN_ADDRESSES {
-            near
-        } else {
-            usable.len()
-        };
-        let named = usable.into_iter().take(count.min(MAX_ADDRESSES));
-        named.map(|e| e.address.clone()).collect()
+        let usable = self.known.values().filter(usable);
+        let hosts = usable.map(|e| EntryHost {
+            address: e.address.clone(),
+            domain: e.domain.clone(),
+            region: e.region.clone(),
+        });
+        hosts.collect()
+    }
+
+    /// Names a list; equal lists have equal marks, and none has 0.
+    #[must_use]
+    pub fn mark(hosts: &[EntryHost]) -> u64 {
+        let mut hash = Xxh3::new();
+        for host in hosts {
+            hash.update(host.address.as_bytes());
+            hash.update(b" ");
+        }
+        hash.digest().max(1)
     }
 
     /// Forgets hosts that were silent for long.
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -27,6 +27,7 @@
 
 use crate::desk::Desk;
 use crate::desk::Put;
+use crate::entries::Entries;
 use crate::registry::Taken;
 use crate::state::State;
 
@@ -85,6 +86,8 @@
         let newer = table.version > ask.table;
         let now = self.state.clock.now();
         let known = self.state.known();
+        let hosts = known.entries.list(now);
+        let list = Entries::mark(&hosts);
         WatchReply {
             epoch: self.state.epoch,
             cursor: known.registry.cursor(),
@@ -96,6 +99,8 @@
             confirmed,
             hubs: known.hubs.iter().map(ToString::to_string).collect(),
             entries: known.entries.count(now),
+            hosts: if list == ask.list { Vec::new() } else { hosts },
+            list,
         }
     }
 
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -14,11 +14,13 @@
 //! Where clocks agree to a quarter of `1 / budget`, slots tighten this to
 //! `budget * T + 2`.
 
+pub mod allowance;
 pub mod bucket;
 pub mod meter;
 pub mod registry;
 pub mod slot;
 
+pub use allowance::Allowance;
 pub use meter::Denied;
 pub use meter::Meter;
 pub use registry::Registry;
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -10,9 +10,11 @@
 
 pub mod answer;
 pub mod placement;
+pub mod near;
 
 pub use answer::order;
 pub use placement::Candidate;
 pub use placement::Demand;
 pub use placement::Placement;
 pub use placement::Spread;
+pub use near::near;
--- a/crates/route/src/cost.rs
+++ b/crates/route/src/cost.rs
@@ -17,7 +17,7 @@
 /// Age at which what a machine said of its pace has lost most of its meaning, in seconds.
 const PACE_LIFE: f64 = 0.2;
 /// Part of the slots above which instances were seen to get slower,
-const KNEE: f64 = 0.8;
+pub const KNEE: f64 = 0.8;
 /// and by how much.
 const KNEE_SLOWDOWN: f64 = 1.7;
 /// An instance that has just started works so much slower.
--- a/crates/route/src/fresh.rs
+++ b/crates/route/src/fresh.rs
@@ -70,6 +70,18 @@
     pub cost: f64,
 }
 
+/// What to do with a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Decision {
+    /// Send it.
+    Send(FreshChoice),
+    /// Every instance has as much work as it does well: one more would slow down
+    /// all that run there. Wait until one has room.
+    Wait,
+    /// No instance is ready.
+    None,
+}
+
 #[derive(Debug)]
 struct Row {
     instance: Instance,
@@ -93,6 +105,12 @@
         self.age(now).is_some_and(|age| age < FRESH)
     }
 
+    /// Whether one more request leaves it below the load from which it gets slower.
+    fn has_room(&self, now: Moment) -> bool {
+        let standing = self.standing(now);
+        standing.busy + 1.0 <= (standing.slots * cost::KNEE).max(1.0)
+    }
+
     fn standing(&self, now: Moment) -> Standing {
         let slots = f64::from(self.instance.slots.max(1));
         let own = self.starts.len() as f64;
@@ -179,7 +197,16 @@
     }
 
     /// Instances to ask before the choice, at the round `round` from 0.
-    pub fn plan(&mut self, now: Moment, need: &Need, exclude: &[Pick], round: u32) -> Vec<Pick> {
+    ///
+    /// `allow` is told how many are wanted, and says how many may be asked.
+    pub fn plan(
+        &mut self,
+        now: Moment,
+        need: &Need,
+        exclude: &[Pick],
+        round: u32,
+        allow: impl FnOnce(usize) -> usize,
+    ) -> Vec<Pick> {
         if round >= ROUNDS
             || self
                 .best(now, need, exclude, true)
@@ -201,7 +228,8 @@
             open.push((index, far + cost.min(1.0) * 0.5 + random * 0.25));
         }
         open.sort_by(|a, b| a.1.total_cmp(&b.1));
-        let asked = open.into_iter().take(ROUND);
+        let count = allow(open.len().min(ROUND));
+        let asked = open.into_iter().take(count);
         let picks: Vec<Pick> = asked.map(|(index, _)| self.pick(index)).collect();
         for pick in &picks {
             self.rows[pick.index as usize].probing += 1;
@@ -229,18 +257,40 @@
         }
     }
 
-    /// Chooses an instance, none of `exclude` if another is left; `None` means
-    /// that no instance is ready.
-    pub fn choose(&mut self, now: Moment, need: &Need, exclude: &[Pick]) -> Option<FreshChoice> {
+    /// Chooses an instance, none of `exclude` if another is left.
+    pub fn choose(&mut self, now: Moment, need: &Need, exclude: &[Pick]) -> Decision {
         if let Some(index) = self.trial(now, exclude) {
             self.rows[index].health.begin_trial(now);
-            return Some(self.chosen(now, need, index, Reason::Trial));
+            return Decision::Send(self.chosen(now, need, index, Reason::Trial));
         }
         if let Some((index, _)) = self.best(now, need, exclude, false) {
             let fresh = self.rows[index].is_fresh(now);
+            if !self.rows[index].has_room(now) {
+                return Decision::Wait;
+            }
             let reason = if fresh { Reason::Fresh } else { Reason::Stale };
-            return Some(self.chosen(now, need, index, reason));
+            return Decision::Send(self.chosen(now, need, index, reason));
         }
+        self.panic(now, need, exclude)
+    }
+
+    /// Sends to an instance that has just got room, if it still takes work.
+    pub fn choose_this(&mut self, now: Moment, need: &Need, pick: Pick) -> Option<FreshChoice> {
+        let index = pick.index as usize;
+        let row = self.rows.get(index)?;
+        let usable = row.epoch == pick.epoch && self.is_usable(index, &[]);
+        usable.then(|| self.chosen(now, need, index, Reason::Fresh))
+    }
+
+    /// Whether the instance has room for one more as far as its newest report goes.
+    #[must_use]
+    pub fn has_room(&self, now: Moment, pick: Pick) -> bool {
+        let row = self.rows.get(pick.index as usize);
+        row.is_some_and(|row| row.epoch == pick.epoch && row.has_room(now))
+    }
+
+    /// Every instance that is left is ejected: any that is ready, health apart.
+    fn panic(&mut self, now: Moment, need: &Need, exclude: &[Pick]) -> Decision {
         let ready = |r: &Row| r.instance.phase == Phase::Ready;
         let picks: Vec<usize> = (0..self.rows.len())
             .filter(|i| ready(&self.rows[*i]))
@@ -252,10 +302,10 @@
             .collect();
         let among = if rest.is_empty() { picks } else { rest };
         if among.is_empty() {
-            return None;
+            return Decision::None;
         }
         let index = among[self.rng.random_range(0..among.len())];
-        Some(self.chosen(now, need, index, Reason::Panic))
+        Decision::Send(self.chosen(now, need, index, Reason::Panic))
     }
 
     fn chosen(&self, now: Moment, need: &Need, index: usize, reason: Reason) -> FreshChoice {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -25,6 +25,7 @@
 
 pub use chooser::Chooser;
 pub use cost::Need;
+pub use fresh::Decision;
 pub use fresh::Fresh;
 pub use fresh::FreshChoice;
 pub use instance::Instance;
