entry: send the callers of a name in a failure domain to three entry hosts

Kept at 3 for fewer connections and probes, and since one lost host then holds a third of a name's callers and not half.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -95,6 +95,7 @@
         let next = Settings {
             seeds: settings.seeds.clone(),
             ttl: settings.ttl,
+            spread: settings.spread,
             crossing: settings.crossing,
             retry: settings.retry,
             probes: settings.probes,
@@ -152,14 +153,11 @@
             info!(self.log, "instance"; "instance" => &instance.id, "service" => %service,
                 "phase" => instance.phase().as_str_name(), "sequence" => instance.sequence);
             let Known {
-                instances,
-                desks,
-                ..
+                instances, desks, ..
             } = &mut *known;
             let desk = desks.entry(service.clone());
             let seed = rand::random();
-            let desk =
-                desk.or_insert_with(|| Desk::new(domain.clone(), &shared, seed, now));
+            let desk = desk.or_insert_with(|| Desk::new(domain.clone(), &shared, seed, now));
             let rows = instances.of(&service);
             desk.update(
                 now,
@@ -226,9 +224,11 @@
     /// Addresses of entry hosts for a caller, nearest first, and how long it may
     /// keep them; none while no hub has told any.
     #[must_use]
-    pub fn resolve(&self, domain: &str, region: &str) -> (Vec<String>, Duration) {
-        let addresses = place::near(&self.known().hosts, domain, region);
-        (addresses, self.settings().ttl)
+    pub fn resolve(&self, name: &str, domain: &str, region: &str) -> (Vec<String>, Duration) {
+        let settings = self.settings();
+        let hosts = &self.known().hosts;
+        let addresses = place::near(hosts, name, domain, region, settings.spread);
+        (addresses, settings.ttl)
     }
 
     /// Where a service's instances tell of themselves.
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -100,7 +100,11 @@
 
     fn share_probes(&mut self, now: Moment) {
         let budget = (f64::from(self.shared.probes) * SPENT_PROBES).floor();
-        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "below a u32")]
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "below a u32"
+        )]
         let budget = budget as u32;
         let count = self.rows.len();
         self.probes.set(now, budget, count, self.shared.entries);
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -26,6 +26,8 @@
 /// Probes an instance and second, by default: a twentieth of what an instance
 /// with a probe of 1 ms could answer.
 const PROBES: u32 = 50;
+/// Entry hosts that a caller is told, by default.
+const SPREAD: u32 = 3;
 /// Offset of a hub's own port from the first one.
 const HUB_PORT: u16 = 2;
 
@@ -105,6 +107,8 @@
     pub seeds: Vec<SocketAddr>,
     /// How long callers may keep a list of entry hosts.
     pub ttl: Duration,
+    /// Entry hosts that a caller is told.
+    pub spread: usize,
     /// Retries.
     pub retry: Retry,
     /// Probes that one instance may get a second from all entry hosts together;
@@ -161,6 +165,7 @@
         let port: Option<u32> = r.required(ENTRY, "port");
         let seeds = r.list(ENTRY, "seeds");
         let ttl = r.or(ENTRY, "ttl", TTL);
+        let spread: u32 = r.or(ENTRY, "spread", SPREAD);
         let retry = read_retry(r);
         let probes = r.or(PROBE, "per-second", PROBES);
         let stop = read_stop(r);
@@ -181,6 +186,7 @@
             port: u16::try_from(port?).ok()?,
             seeds,
             ttl,
+            spread: usize::try_from(spread).unwrap_or(usize::MAX),
             retry,
             probes,
             stop,
@@ -253,6 +259,7 @@
         writeln!(f, "port = {}", self.port)?;
         writeln!(f, "seeds = {}", seeds.join(", "))?;
         writeln!(f, "ttl = {}", duration_text(self.ttl))?;
+        writeln!(f, "spread = {}", self.spread)?;
         writeln!(f, "\n[{RETRY}]")?;
         writeln!(f, "percent = {}", self.retry.percent)?;
         writeln!(f, "base = {}", self.retry.base)?;
--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -183,11 +183,11 @@
     /// Addresses of entry hosts for a caller, and how long it may keep them; none
     /// when none is known to be ready.
     #[must_use]
-    pub fn resolve(&self, domain: &str, region: &str) -> (Vec<String>, Duration) {
+    pub fn resolve(&self, name: &str, domain: &str, region: &str) -> (Vec<String>, Duration) {
         let now = self.state.clock.now();
         let known = self.state.known();
         let hosts = known.entries.list(now);
-        let addresses = place::near(&hosts, domain, region);
+        let addresses = place::near(&hosts, name, domain, region, self.state.settings.spread);
         (addresses, known.ttl.unwrap_or(self.state.settings.ttl))
     }
 
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -139,7 +139,7 @@
     }
 
     async fn resolve(self, _: Context, query: ResolveQuery) -> ResolveReply {
-        let (addresses, ttl) = self.desk.resolve(&query.domain, &query.region);
+        let (addresses, ttl) = self.desk.resolve(&query.name, &query.domain, &query.region);
         ResolveReply {
             addresses,
             ttl_ms: u32::try_from(ttl.as_millis()).unwrap_or(u32::MAX),
--- a/crates/hub/src/settings.rs
+++ b/crates/hub/src/settings.rs
@@ -29,6 +29,8 @@
 const STOP: Duration = Duration::from_millis(1_500);
 /// How long callers may keep a list of entry hosts, by default.
 const TTL: Duration = Duration::from_secs(2);
+/// Entry hosts that a caller is told, by default.
+const SPREAD: u32 = 3;
 /// Ports that one hub takes, from the first on.
 const PORTS: u16 = 2;
 
@@ -54,6 +56,8 @@
     pub found: bool,
     /// How long callers may keep a list of entry hosts.
     pub ttl: Duration,
+    /// Entry hosts that a caller is told.
+    pub spread: usize,
     /// Log and metrics.
     pub telemetry: telemetry::Settings,
 }
@@ -82,6 +86,7 @@
         let seeds = r.list(HUB, "seeds");
         let found = r.or(HUB, "found", false);
         let ttl = r.or(HUB, "ttl", TTL);
+        let spread: u32 = r.or(HUB, "spread", SPREAD);
         let telemetry = telemetry::Settings::read(r);
         let last = u32::from(u16::MAX - PORTS);
         if let Some(port) = port.filter(|p| *p > last) {
@@ -98,6 +103,7 @@
             seeds,
             found,
             ttl,
+            spread: usize::try_from(spread).unwrap_or(usize::MAX),
             telemetry,
         })
     }
@@ -170,6 +176,7 @@
         writeln!(f, "seeds = {}", seeds.join(", "))?;
         writeln!(f, "found = {}", if self.found { "yes" } else { "no" })?;
         writeln!(f, "ttl = {}", duration_text(self.ttl))?;
+        writeln!(f, "spread = {}", self.spread)?;
         write!(f, "\n{}", self.telemetry)
     }
 }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -9,12 +9,12 @@
 //! [`answer`] orders the chosen hosts for one caller.
 
 pub mod answer;
-pub mod placement;
 pub mod near;
+pub mod placement;
 
 pub use answer::order;
+pub use near::near;
 pub use placement::Candidate;
 pub use placement::Demand;
 pub use placement::Placement;
 pub use placement::Spread;
-pub use near::near;
