control: announcements in the log, and quick elections after a restart

Cause: after all processes were killed, hubs had lost the list of instances and took up to 1.5 s to hear all of them; entry hosts waited 500 ms on connections to hubs that were not up yet, and elections took up to a second. Ruled out: processor time. Now the list comes from the log, a replica without a leader asks again after 100 to 300 ms, and connections wait 200 ms. The spreading of leaving instances among hubs goes with it.

--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -42,6 +42,10 @@
 use self::follow::Incoming;
 use self::read::Asks;
 
+/// Least part of an election timeout after which a replica without a leader asks
+/// again for pre-votes; three times that at most.
+const RETRY_FACTOR: f64 = 0.25;
+
 /// What a replica does in its group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -153,7 +157,13 @@
             out: Vec::new(),
         };
         node.adopt_log_term();
-        node.draw_timeout();
+        if node.hard.term == Term::default() {
+            node.draw_timeout();
+        } else {
+            // After a restart there may be no leader at all; if there is one, it is
+            // heard before, or the others refuse.
+            node.draw_retry();
+        }
         node
     }
 
@@ -284,6 +294,13 @@
         self.timeout = self.now + self.settings.election.mul_f64(factor);
     }
 
+    /// The time to the next campaign while no leader is known: all replicas may have
+    /// just started, and asking costs little.
+    fn draw_retry(&mut self) {
+        let factor = RETRY_FACTOR * (1.0 + 2.0 * self.rng.random::<f64>());
+        self.timeout = self.now + self.settings.election.mul_f64(factor);
+    }
+
     fn message(&self, to: ReplicaId, body: Body) -> Message {
         Message {
             from: self.id,
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -24,10 +24,11 @@
         if matches!(self.state, State::Leader(_)) || self.stopped || self.now < self.timeout {
             return;
         }
-        self.draw_timeout();
         if self.log.config().is_voter(self.id) && !self.disk_hangs() {
+            self.draw_retry();
             self.pre_campaign();
         } else {
+            self.draw_timeout();
             self.become_follower(self.hard.term, None);
         }
     }
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -373,7 +373,12 @@
             if routed {
                 view.table = Arc::clone(table);
             }
-            newer || routed
+            let registry = self.parts.machine.registry();
+            let announced = registry.cursor() != view.registry.cursor();
+            if announced {
+                view.registry = Arc::clone(registry);
+            }
+            newer || routed || announced
         });
     }
 
--- a/crates/control/src/driver/act.rs
+++ b/crates/control/src/driver/act.rs
@@ -196,7 +196,7 @@
                     .with_tag("recorded", if reply.recorded { "yes" } else { "no" })
                     .try_send();
             }
-            Output::Expire => {}
+            Output::Expire | Output::Instance => {}
             Output::Table(reply) => self.note_table(index, reply),
         }
     }
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -7,6 +7,7 @@
 use consensus::Message;
 use consensus::ReplicaId;
 use quick_error::quick_error;
+use registry::Registry;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use wire::catalogue::Catalogue;
@@ -27,6 +28,8 @@
     pub catalogue: Arc<Catalogue>,
     /// The route table; version 0 before the first.
     pub table: Arc<Table>,
+    /// The announced upstreams.
+    pub registry: Arc<Registry>,
 }
 
 quick_error! {
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -3,6 +3,7 @@
 use std::cmp::Ordering;
 use std::sync::Arc;
 
+use base::prelude::*;
 use bytes::Bytes;
 use catalogue::State as Book;
 use catalogue::state::RestoreError as BookError;
@@ -12,8 +13,10 @@
 use ledger::RestoreError as LedgerError;
 use prost::Message;
 use quick_error::quick_error;
+use registry::Registry;
 use wire::catalogue::Change;
 use wire::catalogue::ChangeReply;
+use wire::hub::Instance;
 use wire::hub::Table;
 use wire::hub::TableOutcome;
 use wire::hub::TableReply;
@@ -70,6 +73,8 @@
     Expire,
     /// Of a route table.
     Table(TableReply),
+    /// Of an announcement.
+    Instance,
 }
 
 /// The applied state.
@@ -78,6 +83,7 @@
     book: Book,
     ledger: Ledger,
     table: Arc<Table>,
+    registry: Arc<Registry>,
 }
 
 impl Default for Machine {
@@ -86,6 +92,7 @@
             book: Book::default(),
             ledger: Ledger::new(Bounds::default()),
             table: Arc::default(),
+            registry: Arc::default(),
         }
     }
 }
@@ -107,6 +114,7 @@
             book: Book::restore(catalogue::history::Window::default(), &book)?,
             ledger: Ledger::restore(Bounds::default(), &ledger)?,
             table: Arc::new(state.table.unwrap_or_default()),
+            registry: Arc::new(restored(state.instances)),
         })
     }
 
@@ -117,6 +125,7 @@
             catalogue: Some(self.book.snapshot()),
             ledger: Some(self.ledger.snapshot()),
             table: Some((*self.table).clone()).filter(|table| table.version > 0),
+            instances: self.registry.all().cloned().collect(),
         };
         state.encode_to_vec().into()
     }
@@ -139,6 +148,11 @@
                 Reply::Expire => Output::Expire,
             }),
             Kind::Table(table) => Ok(Output::Table(self.take_table(table))),
+            Kind::Instance(instance) => {
+                let now = Moment::from_millis(command.now_ms);
+                Arc::make_mut(&mut self.registry).take(now, instance);
+                Ok(Output::Instance)
+            }
         }
     }
 
@@ -154,6 +168,12 @@
         }
     }
 
+    /// The announced upstreams.
+    #[must_use]
+    pub fn registry(&self) -> &Arc<Registry> {
+        &self.registry
+    }
+
     /// The route table in force; version 0 before the first.
     #[must_use]
     pub fn table(&self) -> &Arc<Table> {
@@ -179,6 +199,15 @@
     }
 }
 
+/// The registry that a snapshot holds.
+fn restored(instances: Vec<Instance>) -> Registry {
+    let mut registry = Registry::default();
+    for instance in instances {
+        registry.take(Moment::ZERO, instance);
+    }
+    registry
+}
+
 /// What `next` would lead to while `held` is in force.
 fn compare(held: &Table, next: &Table) -> TableOutcome {
     match next.version.cmp(&held.version) {
--- a/crates/control/src/table.rs
+++ b/crates/control/src/table.rs
@@ -1,11 +1,14 @@
-//! The route table for whoever runs in the replica's process.
+//! The route table and the announced upstreams, for whoever runs in the
+//! replica's process.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use registry::Registry;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use wire::control::Replica;
+use wire::hub::Instance;
 use wire::hub::Table;
 use wire::hub::TableReply;
 use wire::replica::Ask;
@@ -21,7 +24,7 @@
 /// Pause before a majority is asked again.
 const PAUSE: Duration = Duration::from_millis(25);
 
-/// Proposes and reads the route table.
+/// Proposes and reads the route table and announcements.
 #[derive(Clone)]
 pub struct TableDesk {
     driver: Driver,
@@ -49,6 +52,20 @@
         }
     }
 
+    /// Puts an announcement into the log; false when no majority took it in time.
+    pub async fn register(&self, instance: Instance) -> bool {
+        let ask = Ask {
+            kind: Some(ask::Kind::Instance(instance)),
+        };
+        matches!(self.asker.ask(&ask).await, Ok(Kind::Instance(_)))
+    }
+
+    /// The announced upstreams as applied by this replica.
+    #[must_use]
+    pub fn registry(&self) -> Arc<Registry> {
+        Arc::clone(&self.views.borrow().registry)
+    }
+
     /// The newest table, confirmed by a majority after the call began; none when
     /// that takes longer than `limit`.
     pub async fn read(&self, limit: Duration) -> Option<Arc<Table>> {
--- a/crates/control/src/tickets.rs
+++ b/crates/control/src/tickets.rs
@@ -12,6 +12,7 @@
 use wire::control::MembershipDone;
 use wire::control::MembershipReply;
 use wire::control::membership_reply;
+use wire::hub::Registered;
 use wire::replica::AskReply;
 use wire::replica::Declined;
 use wire::replica::ask_reply::Kind;
@@ -141,6 +142,7 @@
         Output::Claim(reply) => Kind::Claim(reply),
         Output::Settle(reply) => Kind::Settle(reply),
         Output::Table(reply) => Kind::Table(reply),
+        Output::Instance => Kind::Instance(Registered {}),
         Output::Expire => declined(None, false, "expire"),
     }
 }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -31,7 +31,7 @@
 /// Beyond its wait, a watch may take this long before the connection counts as dead.
 const SLACK: Duration = Duration::from_millis(600);
 /// Pause after a watch that failed.
-const PAUSE: Duration = Duration::from_millis(150);
+const PAUSE: Duration = Duration::from_millis(50);
 /// A table that no majority has confirmed is taken only after so long, as it
 /// may be older than one that was in force here before a restart.
 const UNCONFIRMED: Duration = Duration::from_secs(3);
--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -4,9 +4,8 @@
 use std::time::Duration;
 
 use conf::ConfError;
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
 use quick_error::quick_error;
+use registry::Taken;
 use slog::info;
 use slog::warn;
 use table::CodecError;
@@ -14,19 +13,12 @@
 use table::Table;
 use wire::hub::Instance;
 use wire::hub::Phase;
-use wire::hub::Spread;
 use wire::hub::TableOutcome;
 use wire::hub::TableReply;
-use wire::link::within;
-use wire::peer;
 
-use crate::registry::Taken;
 use crate::settings::Settings;
 use crate::state::State;
 
-/// How long another hub may take to confirm that an instance leaves; the
-/// instance goes elsewhere after a second.
-const SPREAD_TIMEOUT: Duration = Duration::from_millis(700);
 /// How long a majority may take to confirm the newest table; operators wait a second.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -77,68 +69,43 @@
 
     /// Takes an instance's announcement or its notice of leaving.
     ///
+    /// Watchers learn of it at once, the other hubs through the log. An
+    /// acknowledgement that the instance leaves binds all of them, so that one
+    /// waits for the log.
+    ///
     /// # Errors
     ///
-    /// Fails when the instance leaves and no majority of the hubs could be told.
+    /// Fails when the instance leaves and the log didn't take that in time.
     pub async fn announce(&self, instance: Instance) -> Result<(), DeskError> {
-        let (id, phase) = (instance.id.clone(), instance.phase());
-        let now = self.state.clock.now();
-        let sequence = instance.sequence;
-        let taken = self.state.known().registry.take(now, instance);
+        let phase = instance.phase();
+        let taken = self.state.take([&instance]);
         if taken != Taken::Known {
-            info!(self.state.log, "announcement"; "instance" => &id,
-                "phase" => phase.as_str_name(), "sequence" => sequence,
+            info!(self.state.log, "announcement"; "instance" => &instance.id,
+                "phase" => phase.as_str_name(), "sequence" => instance.sequence,
                 "outcome" => format!("{taken:?}"));
         }
-        if taken == Taken::Changed {
-            self.state.publish();
-        }
-        if phase == Phase::Ready || taken == Taken::Stale {
+        if taken == Taken::Stale || self.state.tables.registry().holds(&instance) {
             return Ok(());
         }
-        self.spread(&id).await
-    }
-
-    /// Tells the other hubs that an instance leaves, until a majority knows.
-    async fn spread(&self, id: &str) -> Result<(), DeskError> {
-        let (instance, hubs) = {
-            let known = self.state.known();
-            if known.registry.is_spread(id) {
-                return Ok(());
-            }
-            (known.registry.get(id).cloned(), known.hubs.clone())
-        };
-        let Some(instance) = instance else {
+        let desk = self.clone();
+        if phase == Phase::Ready {
+            // What fails is told again with the next announcement.
+            tokio::spawn(async move { desk.register(instance).await });
             return Ok(());
-        };
-        let phase = instance.phase();
-        let own = self.state.settings.hub_at(self.state.settings.address);
-        let push = Spread {
-            instances: vec![instance],
-        };
-        let needed = hubs.len() / 2 + 1;
-        let mut answers: FuturesUnordered<_> = hubs
-            .iter()
-            .filter(|address| **address != own)
-            .map(|address| tell(*address, push.clone()))
-            .collect();
-        let mut told = 1;
-        while told < needed && !hubs.is_empty() {
-            match answers.next().await {
-                Some(true) => told += 1,
-                Some(false) => {}
-                None => break,
-            }
         }
-        if hubs.is_empty() || told < needed {
-            warn!(self.state.log, "leaving not spread"; "instance" => id,
-                "told" => told, "needed" => needed);
-            return Err(DeskError::NoMajority);
+        if desk.register(instance).await {
+            Ok(())
+        } else {
+            Err(DeskError::NoMajority)
         }
-        info!(self.state.log, "leaving spread"; "instance" => id,
-            "phase" => phase.as_str_name(), "told" => told, "hubs" => hubs.len());
-        self.state.known().registry.spread(id, phase);
-        Ok(())
+    }
+
+    async fn register(&self, instance: Instance) -> bool {
+        let (id, phase) = (instance.id.clone(), instance.phase());
+        let taken = self.state.tables.register(instance).await;
+        info!(self.state.log, "announcement in the log"; "instance" => id,
+            "phase" => phase.as_str_name(), "outcome" => taken);
+        taken
     }
 
     /// Proposes a table.
@@ -210,15 +177,3 @@
         matches!(reply.outcome(), TableOutcome::Taken | TableOutcome::Held)
     }
 }
-
-async fn tell(address: std::net::SocketAddr, push: Spread) -> bool {
-    let link = peer::hub(address);
-    let call = async {
-        let client = link.client().await.ok()?;
-        client.spread(within(SPREAD_TIMEOUT), push).await.ok()
-    };
-    matches!(
-        tokio::time::timeout(SPREAD_TIMEOUT, call).await,
-        Ok(Some(_))
-    )
-}
--- a/crates/hub/src/entries.rs
+++ b/crates/hub/src/entries.rs
@@ -22,7 +22,7 @@
 pub const FORGET: Duration = Duration::from_secs(20);
 /// How long after the first entry host came the others have come too: their
 /// longest pause between two tries to connect, and a connection.
-const SETTLE: Duration = Duration::from_millis(1_200);
+const SETTLE: Duration = Duration::from_millis(500);
 #[derive(Clone, Debug)]
 struct Entry {
     address: String,
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -48,7 +48,7 @@
     desk: Desk,
     stop: CancellationToken,
     log: Logger,
-    _tasks: [AbortOnDropHandle<()>; 2],
+    _tasks: [AbortOnDropHandle<()>; 3],
 }
 
 impl Hub {
@@ -76,7 +76,8 @@
         });
         let tasks = [
             AbortOnDropHandle::new(tokio::spawn(accepting)),
-            AbortOnDropHandle::new(tokio::spawn(peers::follow(state))),
+            AbortOnDropHandle::new(tokio::spawn(peers::follow_group(Arc::clone(&state)))),
+            AbortOnDropHandle::new(tokio::spawn(peers::follow_registry(state))),
         ];
         info!(log, "hub serves"; "address" => %address);
         Ok(Self {
--- a/crates/hub/src/lib.rs
+++ b/crates/hub/src/lib.rs
@@ -1,18 +1,16 @@
 //! The hub: a control replica together with what callers, upstreams and entry
 //! processes ask it for.
 //!
-//! The route table lives in the replicated log of [`control`]. Announced
-//! upstreams live in the memory of every hub ([`registry`]): hubs watch each
-//! other ([`peers`]), entry processes watch all hubs ([`server`]), and a hub
-//! acknowledges that an instance leaves only after a majority of the hubs knows
-//! it ([`desk`]). Which entry hosts callers may use follows from who watches
-//! ([`entries`]).
+//! The route table lives in the replicated log of [`control`], and so do the
+//! announced upstreams: a hub acknowledges that an instance leaves only when the
+//! log has it. Besides, each hub tells at once what it has just heard ([`desk`],
+//! [`state`]). Entry processes watch all hubs ([`server`]); which entry hosts
+//! callers may use follows from who watches ([`entries`]).
 
 pub mod desk;
 pub mod entries;
 pub mod hub;
 pub mod peers;
-pub mod registry;
 pub mod server;
 pub mod settings;
 pub mod state;
@@ -22,5 +20,4 @@
 pub use desk::Put;
 pub use hub::Hub;
 pub use hub::HubError;
-pub use registry::Registry;
 pub use settings::Settings;
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -17,8 +17,6 @@
 use wire::hub::ReadReply;
 use wire::hub::ResolveQuery;
 use wire::hub::ResolveReply;
-use wire::hub::Spread;
-use wire::hub::SpreadReply;
 use wire::hub::Table;
 use wire::hub::TableReply;
 use wire::hub::Watch;
@@ -28,7 +26,6 @@
 use crate::desk::Desk;
 use crate::desk::Put;
 use crate::entries::Entries;
-use crate::registry::Taken;
 use crate::state::State;
 
 /// Longest time that a watch is held.
@@ -104,21 +101,6 @@
         }
     }
 
-    async fn spread(self, _: Context, push: Spread) -> SpreadReply {
-        let now = self.state.clock.now();
-        let mut changed = false;
-        {
-            let mut known = self.state.known();
-            for instance in push.instances {
-                changed |= known.registry.take(now, instance) == Taken::Changed;
-            }
-        }
-        if changed {
-            self.state.publish();
-        }
-        SpreadReply {}
-    }
-
     async fn put_table(self, _: Context, row: Table) -> TableReply {
         let Ok(table) = table::codec::decode(&row.content) else {
             return TableReply::default();
--- a/crates/hub/src/settings.rs
+++ b/crates/hub/src/settings.rs
@@ -22,7 +22,7 @@
 const HEARTBEAT: Duration = Duration::from_millis(100);
 /// Shortest election timeout; an operator waits a second for one answer, and an
 /// election takes up to twice this.
-const ELECTION: Duration = Duration::from_millis(500);
+const ELECTION: Duration = Duration::from_millis(400);
 /// How long a change is tried for: operators go to the next hub after a second.
 const ASK: Duration = Duration::from_millis(900);
 /// How long a graceful stop waits for what is open.
--- a/crates/hub/src/state.rs
+++ b/crates/hub/src/state.rs
@@ -9,11 +9,13 @@
 
 use base::prelude::*;
 use control::TableDesk;
+use registry::Registry;
+use registry::Taken;
 use slog::Logger;
 use tokio::sync::watch;
+use wire::hub::Instance;
 
 use crate::entries::Entries;
-use crate::registry::Registry;
 use crate::settings::Settings;
 
 /// What changes while the hub runs.
@@ -66,8 +68,28 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes announcements and wakes whoever waits for them.
+    pub fn take<'a>(&self, instances: impl IntoIterator<Item = &'a Instance>) -> Taken {
+        let now = self.clock.now();
+        let mut last = Taken::Known;
+        {
+            let mut known = self.known();
+            for instance in instances {
+                match known.registry.take(now, instance.clone()) {
+                    Taken::Changed => last = Taken::Changed,
+                    Taken::Stale if last == Taken::Known => last = Taken::Stale,
+                    Taken::Stale | Taken::Known => {}
+                }
+            }
+        }
+        if last == Taken::Changed {
+            self.publish();
+        }
+        last
+    }
+
     /// Wakes whoever waits for a change of the registry.
-    pub fn publish(&self) {
+    fn publish(&self) {
         let cursor = self.known().registry.cursor();
         self.cursor.send_replace(cursor);
     }
--- a/crates/hub/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -1,4 +1,4 @@
-//! The announced upstreams as one hub knows them: a pure state machine.
+//! A pure state machine.
 //!
 //! Announcements come late, twice, and by way of several hubs. One of a lower
 //! sequence than the last one changes nothing, a phase never goes back, and an
@@ -33,8 +33,6 @@
     instance: Instance,
     changed: u64,
     heard: Moment,
-    /// A majority of the hubs knows the phase.
-    spread: bool,
 }
 
 /// All announced instances.
@@ -64,14 +62,10 @@
         row.heard = now;
         let next = merged(&row.instance, instance);
         let same = is_same(&row.instance, &next);
-        let phase = row.instance.phase;
         row.instance = next;
         if same {
             return Taken::Known;
         }
-        if row.instance.phase != phase {
-            row.spread = false;
-        }
         self.cursor += 1;
         row.changed = self.cursor;
         Taken::Changed
@@ -82,7 +76,6 @@
         let row = Row {
             changed: self.cursor,
             heard: now,
-            spread: false,
             instance,
         };
         self.rows.insert(row.instance.id.clone(), row);
@@ -107,19 +100,16 @@
         self.rows.get(id).map(|row| &row.instance)
     }
 
-    /// Whether a majority of the hubs knows the instance's phase.
-    #[must_use]
-    pub fn is_spread(&self, id: &str) -> bool {
-        self.rows.get(id).is_some_and(|row| row.spread)
+    /// All instances, those that left included, in the order of their ids.
+    pub fn all(&self) -> impl Iterator<Item = &Instance> {
+        self.rows.values().map(|row| &row.instance)
     }
 
-    /// Notes that a majority of the hubs knows that the instance is in `phase`.
-    pub fn spread(&mut self, id: &str, phase: Phase) {
-        if let Some(row) = self.rows.get_mut(id)
-            && row.instance.phase() == phase
-        {
-            row.spread = true;
-        }
+    /// Whether this is known of the instance already.
+    #[must_use]
+    pub fn holds(&self, instance: &Instance) -> bool {
+        self.get(&instance.id)
+            .is_some_and(|held| is_same(held, &merged(held, instance.clone())))
     }
 
     /// Forgets ids that left long ago.
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -23,8 +23,6 @@
 use crate::hub::ReadReply;
 use crate::hub::ResolveQuery;
 use crate::hub::ResolveReply;
-use crate::hub::Spread;
-use crate::hub::SpreadReply;
 use crate::hub::Table;
 use crate::hub::TableReply;
 use crate::hub::Watch;
@@ -100,8 +98,6 @@
 pub trait HubApi {
     /// Waits for changes of the route table and of the instances.
     async fn watch(ask: Watch) -> WatchReply;
-    /// Takes instances that another hub is about to acknowledge.
-    async fn spread(push: Spread) -> SpreadReply;
     /// Proposes a route table.
     async fn put_table(table: Table) -> TableReply;
     /// The newest route table.
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -18,8 +18,9 @@
 
 /// Largest frame in bytes; a larger one ends its connection.
 pub const MAX_FRAME: usize = 4 * 1024 * 1024;
-/// Longest wait for a connection.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for a connection: ten times the way between regions. An opening
+/// packet that is lost is sent again after a second; a new try is sooner.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Requests in flight on one accepted connection.
 pub const MAX_PENDING: usize = 4096;
 
