--- a/crates/table/src/check.rs
+++ b/crates/table/src/check.rs
@@ -25,6 +25,8 @@
     NoWeight,
     /// Its timeout is over [`MAX_TIMEOUT`].
     LongTimeout(Duration),
+    /// Its timeout leaves no time for any answer.
+    NoTimeout,
     /// It may be sent to no instance.
     NoAttempts,
     /// Its prefix doesn't begin and end with a slash.
@@ -40,6 +42,7 @@
             Self::LongTimeout(found) => {
                 write!(f, "the timeout {found:?} is over {MAX_TIMEOUT:?}")
             }
+            Self::NoTimeout => f.write_str("the timeout is 0"),
             Self::NoAttempts => f.write_str("0 attempts; at least 1 is needed"),
             Self::Prefix => f.write_str("the prefix must begin and end with a slash"),
         }
@@ -96,6 +99,9 @@
     if let Some(timeout) = route.timeout.filter(|t| *t > MAX_TIMEOUT) {
         problems.push(Problem::LongTimeout(timeout));
     }
+    if route.timeout.is_some_and(|timeout| timeout.is_zero()) {
+        problems.push(Problem::NoTimeout);
+    }
     if route.attempts == 0 {
         problems.push(Problem::NoAttempts);
     }
