entry: requests that are late already don't wait for room

A caller that asks again has less of its time left than on its first try, so the aim is counted from there; a request that can't meet it goes only where there is room, and is refused at once otherwise.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 use slog::Level;
 use slog::Logger;
 use slog::error;
+use slog::info;
 
 use crate::command::Command;
 use crate::signals::Signals;
@@ -117,6 +118,7 @@
         Ok(signals) => signals,
         Err(err) => return failed(&log, &err),
     };
+    info!(log, "starting"; "version" => D::VERSION, "settings" => %config.display());
     match D::run(settings, log.clone(), signals).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => failed(&log, &err),
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -50,6 +50,12 @@
 /// Usual times of work that must be left of the aim for a request to be worth
 /// waiting for: work times spread, and a quarter of them is slowed down.
 const WORK_MARGIN: f64 = 1.3;
+/// Part of what is left of a caller's time for which a request waits that is late
+/// already: a late answer is worth little, and one that is refused after a long
+/// wait was kept from trying elsewhere.
+const LATE_PART: f64 = 0.0;
+/// Added to the rank of a request that can't be answered in time any more.
+const LATE_RANK: u32 = 1_000;
 /// Attempts whose connection failed, beyond what the route allows: nothing
 /// reached an instance.
 const UNSENT_TRIES: u32 = 4;
@@ -63,6 +69,9 @@
     service: ServiceName,
     version: u64,
     deadline: Duration,
+    /// Time within which the answer has its full worth, less what the caller had
+    /// spent on earlier tries.
+    aim: Duration,
     end: Instant,
     attempts: u32,
     unsent: u32,
@@ -106,6 +115,10 @@
     if request.body().size_hint().lower() > limit {
         return refuse(&core, &id, &routes, Reason::TooLarge, None);
     }
+    let spent = named.map_or(Duration::ZERO, |_| {
+        core.habit(route, |habit| habit.spent(deadline))
+    });
+    let aim = route.aim.unwrap_or(deadline / 2).saturating_sub(spent);
     let (call, incoming) = call(&core, id, request);
     let mut flow = Flow {
         end: began + deadline.min(route.timeout.unwrap_or(deadline)),
@@ -116,6 +129,7 @@
         service,
         version: routes.table.version,
         deadline,
+        aim,
         attempts: 0,
         unsent: 0,
         exclude: Vec::new(),
@@ -234,21 +248,23 @@
         }
     }
 
-    /// Waits until an instance has room, or for `span`.
+    /// Waits until an instance has room, or for `span`. One that can't be answered
+    /// in time any more lets all others go first.
     async fn wait(&self, need: &Need, span: Duration) -> Option<Chosen> {
         let until = self.core.clock.now() + span;
-        let priority = self.route.priority;
+        let late = self.began.elapsed() + need.work > self.aim;
+        let priority = self.route.priority + if late { LATE_RANK } else { 0 };
         let told = self.desk(|desk, _| desk.wait(priority, until))?;
         let pick = tokio::time::timeout(span, told).await.ok()?.ok()?;
         self.desk(|desk, now| desk.choose_this(now, need, pick))?
     }
 
     /// How long after its start a request still waits for room: as long as it
-    /// can be answered within its aim.
+    /// can be answered in time, or a part of what its caller waits.
     fn patience(&self) -> Duration {
-        let need = self.need();
-        let aim = self.route.aim.unwrap_or(self.deadline / 2);
-        aim.saturating_sub(need.work.mul_f64(WORK_MARGIN))
+        let work = self.need().work.mul_f64(WORK_MARGIN);
+        let late = self.deadline.mul_f64(LATE_PART);
+        self.aim.saturating_sub(work).max(late)
     }
 
     /// One attempt.
@@ -291,7 +307,7 @@
     /// What the request needs of an instance now.
     fn need(&self) -> Need {
         let aim = self.route.aim.unwrap_or(self.deadline / 2);
-        let left = aim.saturating_sub(self.began.elapsed());
+        let left = self.aim.saturating_sub(self.began.elapsed());
         let price = self.core.settings().crossing();
         // One that is late already needs the soonest answer all the same.
         let left = left.max(aim / 4);
--- a/crates/entry/src/habit.rs
+++ b/crates/entry/src/habit.rs
@@ -28,6 +28,8 @@
 pub struct Habit {
     work: f64,
     bytes: f64,
+    /// The longest time that a caller had left.
+    deadline: Duration,
 }
 
 impl Habit {
@@ -37,6 +39,7 @@
         Self {
             work: aim.map_or(FIRST_WORK, |aim| aim.as_secs_f64() / AIM_WORKS),
             bytes: FIRST_BYTES,
+            deadline: Duration::ZERO,
         }
     }
 
@@ -51,6 +54,13 @@
         }
     }
 
+    /// How much of its time a caller with `left` had spent before it came here: one
+    /// that asks again has less left than on its first try.
+    pub fn spent(&mut self, left: Duration) -> Duration {
+        self.deadline = self.deadline.max(left);
+        self.deadline - left
+    }
+
     /// Takes an answer that came after `latency` at an instance chosen so.
     pub fn learn(&mut self, latency: Duration, choice: &FreshChoice, bytes: usize) {
         let slowdown = choice.expected.as_secs_f64() / self.work.max(1e-4);
