route: the pace at the start holds for the whole work

Ruled out: queueing at the instance (0 to 3 of 6 slots busy). Now a choice weighs both paces by the age of the report, and waits for a better instance while a slow one would be late.

--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -60,6 +60,8 @@
 pub enum Verdict {
     /// Send it.
     Send(Chosen),
+    /// Send it only if there is no time to wait for a better one.
+    Slow(Chosen),
     /// Wait for room.
     Wait,
     /// No instance is ready.
@@ -179,6 +181,7 @@
     pub fn choose(&mut self, now: Moment, need: &Need, exclude: &[Pick]) -> Verdict {
         match self.chooser.choose(now, need, exclude) {
             Decision::Send(choice) => self.chosen(choice).map_or(Verdict::None, Verdict::Send),
+            Decision::Slow(choice) => self.chosen(choice).map_or(Verdict::None, Verdict::Slow),
             Decision::Wait => Verdict::Wait,
             Decision::None => Verdict::None,
         }
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -233,14 +233,15 @@
                 probe::ask(&self.core, &self.service, asked).await;
             }
             let verdict = self.desk(|desk, now| desk.choose(now, &need, exclude));
-            match verdict {
+            let slow = match verdict {
                 Some(Verdict::Send(chosen)) => return Ok(chosen),
-                Some(Verdict::Wait) => {}
+                Some(Verdict::Slow(chosen)) => Some(chosen),
+                Some(Verdict::Wait) => None,
                 Some(Verdict::None) | None => return Err(Reason::NoInstance),
-            }
+            };
             let left = patience.saturating_sub(self.began.elapsed());
             if left.is_zero() {
-                return Err(Reason::Full);
+                return slow.ok_or(Reason::Full);
             }
             if let Some(chosen) = self.wait(&need, left.min(LOOK)).await {
                 return Ok(chosen);
--- a/crates/route/src/cost.rs
+++ b/crates/route/src/cost.rs
@@ -3,33 +3,71 @@
 //! An answer after the aim is worth little, so the largest part is how likely
 //! it comes late. Bytes between failure domains cost too, and are set against
 //! that. Time itself costs a little, which decides between equals.
+//!
+//! The pace of a machine when work starts holds for all of that work: on runs
+//! with a report that was fresh, the mean time was 119, 160 and 488 ms at the
+//! usual pace and 580 and 1934 ms at a pace four times slower, for usual work of
+//! 120, 160 and 480 ms. So an instance that is slow now is to be avoided, and one
+//! of which nothing is known is a draw between both.
 
 use std::time::Duration;
 
-/// Mean time for which a machine stays as slow as it says, in seconds: about
-/// half of the stretches of 300 ms that were seen.
-const STRETCH: f64 = 0.15;
 /// Usual pace, in hundredths.
 const USUAL_PACE: f64 = 100.0;
-/// Mean slowdown of a machine of which nothing is known: a quarter of the time
-/// four times slower.
-const MEAN_SLOWDOWN: f64 = 1.3;
-/// Age at which what a machine said of its pace has lost most of its meaning, in seconds.
-const PACE_LIFE: f64 = 0.2;
+/// Pace from which a machine counts as slow, in hundredths.
+const SLOW_PACE: f64 = 200.0;
+/// Mean time for which a pace lasts, in seconds.
+const PACE_LIFE: f64 = 0.3;
 /// Part of the slots above which instances were seen to get slower,
 pub const KNEE: f64 = 0.8;
 /// and by how much.
 const KNEE_SLOWDOWN: f64 = 1.7;
 /// An instance that has just started works so much slower.
 const COLD_SLOWDOWN: f64 = 2.0;
-/// How sharply lateness sets in around the aim: work times spread by about 0.3.
-const SHARPNESS: f64 = 8.0;
+/// Spread of work times, as the deviation of their logarithm.
+const SPREAD: f64 = 0.3;
+/// Makes the logistic curve follow the normal one.
+const LOGISTIC: f64 = 1.7;
 /// Part of a request's worth that a late answer loses.
 const LATE_LOSS: f64 = 0.9;
 /// Worth of one aim's time, to decide between answers that all come in time.
 const TIME_WORTH: f64 = 0.03;
 /// Worth that a share of failures costs, as a failed request is lost.
 const FAILURE_LOSS: f64 = 1.0;
+/// Weight of one report in what is usual for a service's machines.
+const USUAL_WEIGHT: f64 = 0.02;
+
+/// How often and how much the machines of a service are slow.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Paces {
+    /// Share of the reports with a slow pace.
+    share: f64,
+    /// Slowdown in these.
+    slowdown: f64,
+}
+
+impl Default for Paces {
+    /// As measured where machines are shared: a quarter of the time, four times.
+    fn default() -> Self {
+        Self {
+            share: 0.25,
+            slowdown: 4.0,
+        }
+    }
+}
+
+impl Paces {
+    /// Takes a pace that an instance told, in hundredths of the usual time.
+    pub fn learn(&mut self, pace: u32) {
+        let pace = f64::from(pace);
+        let slow = pace >= SLOW_PACE;
+        let sample = if slow { 1.0 } else { 0.0 };
+        self.share += (sample - self.share) * USUAL_WEIGHT;
+        if slow {
+            self.slowdown += (pace / USUAL_PACE - self.slowdown) * USUAL_WEIGHT;
+        }
+    }
+}
 
 /// What is known of an instance at the moment of a choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -40,6 +78,8 @@
     pub slots: f64,
     /// Pace that it told, in hundredths of the usual time, and the age of that in seconds.
     pub pace: Option<(f64, f64)>,
+    /// What is usual for the machines of its service.
+    pub usual: Paces,
     /// It has just started.
     pub cold: bool,
     /// Share of its recent answers that were failures.
@@ -57,44 +97,65 @@
     pub crossing: f64,
 }
 
+/// One way that it may go: how likely, and how much slower than usual.
+type Way = (f64, f64);
+
+impl Standing {
+    /// The pace that was told, or one of the usual two.
+    fn ways(&self) -> [Way; 3] {
+        let (pace, known) = match self.pace {
+            Some((pace, age)) => ((pace / USUAL_PACE).max(0.1), (-age / PACE_LIFE).exp()),
+            None => (1.0, 0.0),
+        };
+        let unknown = 1.0 - known;
+        let slow = unknown * self.usual.share;
+        [
+            (known, pace),
+            (unknown - slow, 1.0),
+            (slow, self.usual.slowdown),
+        ]
+    }
+
+    /// Time until the answer on a machine that is `slowdown` times slower, in seconds.
+    fn time(&self, need: &Need, slowdown: f64) -> f64 {
+        let cold = if self.cold { COLD_SLOWDOWN } else { 1.0 };
+        let work = need.work.as_secs_f64() * cold * slowdown;
+        let after = self.busy + 1.0;
+        let knee = if after > self.slots * KNEE {
+            KNEE_SLOWDOWN
+        } else {
+            1.0
+        };
+        let queued = (after - self.slots).max(0.0);
+        work * knee + work * KNEE_SLOWDOWN * queued / self.slots
+    }
+}
+
 /// When the answer is expected, in seconds.
 #[must_use]
 pub fn expected(standing: &Standing, need: &Need) -> f64 {
-    let work = need.work.as_secs_f64();
-    let cold = if standing.cold { COLD_SLOWDOWN } else { 1.0 };
-    let after = standing.busy + 1.0;
-    let knee = if after > standing.slots * KNEE {
-        KNEE_SLOWDOWN
-    } else {
-        1.0
-    };
-    let own = slowed(work * cold * knee, standing.pace);
-    let queued = (after - standing.slots).max(0.0);
-    let wait = queued / standing.slots * slowed(work * cold * KNEE_SLOWDOWN, standing.pace);
-    own + wait
+    let ways = standing.ways().into_iter();
+    ways.map(|(weight, slowdown)| weight * standing.time(need, slowdown))
+        .sum()
 }
 
-/// How long work takes on a machine that told its pace some time ago.
-fn slowed(work: f64, pace: Option<(f64, f64)>) -> f64 {
-    let Some((pace, age)) = pace else {
-        return work * MEAN_SLOWDOWN;
-    };
-    let slowdown = (pace / USUAL_PACE).max(0.1);
-    let now = if slowdown > 1.0 {
-        // Slow until the stretch ends, usual from then on.
-        (work * slowdown).min(STRETCH + (work - STRETCH / slowdown).max(0.0))
-    } else {
-        work * slowdown
-    };
-    let known = (-age / PACE_LIFE).exp();
-    now * known + work * MEAN_SLOWDOWN * (1.0 - known)
+/// How likely the answer comes late.
+#[must_use]
+pub fn late(standing: &Standing, need: &Need) -> f64 {
+    let aim = need.aim.as_secs_f64().max(1e-3);
+    let ways = standing.ways().into_iter();
+    ways.map(|(weight, slowdown)| {
+        let ratio = standing.time(need, slowdown) / aim;
+        weight / (1.0 + (-LOGISTIC * ratio.max(1e-6).ln() / SPREAD).exp())
+    })
+    .sum()
 }
 
 /// What the choice costs; `crosses` says that the instance is in another failure domain.
 #[must_use]
 pub fn cost(standing: &Standing, need: &Need, crosses: bool) -> f64 {
     let ratio = expected(standing, need) / need.aim.as_secs_f64().max(1e-3);
-    let late = 1.0 / (1.0 + (-SHARPNESS * (ratio - 1.0)).exp());
     let crossing = if crosses { need.crossing } else { 0.0 };
-    late * LATE_LOSS + ratio * TIME_WORTH + crossing + standing.failing * FAILURE_LOSS
+    let failing = standing.failing * FAILURE_LOSS;
+    late(standing, need) * LATE_LOSS + ratio * TIME_WORTH + crossing + failing
 }
--- a/crates/route/src/fresh.rs
+++ b/crates/route/src/fresh.rs
@@ -19,6 +19,7 @@
 
 use crate::cost;
 use crate::cost::Need;
+use crate::cost::Paces;
 use crate::cost::Standing;
 use crate::health::Cause;
 use crate::health::Health;
@@ -53,6 +54,8 @@
 const KNOWN: Duration = Duration::from_millis(150);
 /// Part of the cost that is random, so that equal ones take turns.
 const JITTER: f64 = 0.01;
+/// Likelihood of a late answer from which waiting is better than sending.
+const LATE: f64 = 0.5;
 /// At most one instance in so many is ejected.
 const EJECTED_PART: usize = 2;
 /// Ramp after an ejection.
@@ -82,6 +85,10 @@
 pub enum Decision {
     /// Send it.
     Send(FreshChoice),
+    /// It has room, and the answer would come late all the same: wait for a better one
+    /// while that may still come in time. Work on a slow machine holds its slot for
+    /// as much longer, too.
+    Slow(FreshChoice),
     /// Every instance has as much work as it does well: one more would slow down
     /// all that run there. Wait until one has room.
     Wait,
@@ -115,22 +122,22 @@
     }
 
     /// Whether one more request leaves it below the load from which it gets slower.
-    fn has_room(&self, now: Moment, load: f64) -> bool {
-        let standing = self.standing(now, load);
+    fn has_room(&self, now: Moment, usual: Usual) -> bool {
+        let standing = self.standing(now, usual);
         standing.busy + 1.0 <= (standing.slots * cost::KNEE).max(1.0)
     }
 
-    fn standing(&self, now: Moment, load: f64) -> Standing {
+    fn standing(&self, now: Moment, usual: Usual) -> Standing {
         let slots = f64::from(self.instance.slots.max(1));
         let own = self.starts.len() as f64;
-        let usual = (slots * load).max(own);
+        let guess = (slots * usual.load).max(own);
         let (busy, pace) = match self.report {
-            None => (usual, None),
+            None => (guess, None),
             Some((at, report)) => {
                 let age = now.since(at).as_secs_f64();
                 let told = f64::from(report.running + report.waiting + self.since);
                 let known = (-age / LOAD_LIFE).exp();
-                let busy = told * known + usual * (1.0 - known);
+                let busy = told * known + guess * (1.0 - known);
                 (busy.max(own), Some((f64::from(report.pace), age)))
             }
         };
@@ -138,6 +145,7 @@
             busy,
             slots,
             pace,
+            usual: usual.paces,
             cold: now < self.cold_until,
             failing: self.health.share(now),
         }
@@ -150,8 +158,24 @@
     domain: DomainName,
     rng: SmallRng,
     rows: Vec<Row>,
-    /// Requests a slot, as instances tell.
+    usual: Usual,
+}
+
+/// What is usual for the service, as its instances tell.
+#[derive(Clone, Copy, Debug)]
+struct Usual {
+    /// Requests a slot.
     load: f64,
+    paces: Paces,
+}
+
+impl Default for Usual {
+    fn default() -> Self {
+        Self {
+            load: FIRST_LOAD,
+            paces: Paces::default(),
+        }
+    }
 }
 
 impl Fresh {
@@ -162,7 +186,7 @@
             domain,
             rng: SmallRng::seed_from_u64(seed),
             rows: Vec::new(),
-            load: FIRST_LOAD,
+            usual: Usual::default(),
         }
     }
 
@@ -232,7 +256,7 @@
                 continue;
             }
             let crosses = row.instance.domain != self.domain;
-            let cost = cost::cost(&row.standing(now, self.load), need, crosses);
+            let cost = cost::cost(&row.standing(now, self.usual), need, crosses);
             let random: f64 = self.rng.random();
             // Nearer ones first, then by what they are likely to cost.
             let far = if crosses { 1.0 } else { 0.0 };
@@ -251,7 +275,7 @@
     /// Whether what was asked needs no further round: something good, or, after two
     /// rounds, anything with room.
     fn is_enough(&self, now: Moment, index: usize, cost: f64, round: u32) -> bool {
-        let room = self.rows[index].has_room(now, self.load);
+        let room = self.rows[index].has_room(now, self.usual);
         room && (cost < GOOD || round + 1 >= ROUNDS)
     }
 
@@ -286,16 +310,16 @@
         }
         let known = self.best(now, need, exclude, KNOWN);
         if let Some((index, _)) = known
-            && self.rows[index].has_room(now, self.load)
+            && self.rows[index].has_room(now, self.usual)
         {
             let fresh = self.rows[index].is_fresh(now);
             let reason = if fresh { Reason::Fresh } else { Reason::Stale };
-            return Decision::Send(self.chosen(now, need, index, reason));
+            return self.decided(now, need, index, reason);
         }
         let any = self.best(now, need, exclude, Duration::MAX);
         match any {
-            Some((index, _)) if self.rows[index].has_room(now, self.load) => {
-                return Decision::Send(self.chosen(now, need, index, Reason::Stale));
+            Some((index, _)) if self.rows[index].has_room(now, self.usual) => {
+                return self.decided(now, need, index, Reason::Stale);
             }
             Some(_) => return Decision::Wait,
             None => {}
@@ -315,7 +339,7 @@
     #[must_use]
     pub fn has_room(&self, now: Moment, pick: Pick) -> bool {
         let row = self.rows.get(pick.index as usize);
-        row.is_some_and(|row| row.epoch == pick.epoch && row.has_room(now, self.load))
+        row.is_some_and(|row| row.epoch == pick.epoch && row.has_room(now, self.usual))
     }
 
     /// Every instance that is left is ejected: any that is ready, health apart.
@@ -337,9 +361,19 @@
         Decision::Send(self.chosen(now, need, index, Reason::Panic))
     }
 
+    fn decided(&self, now: Moment, need: &Need, index: usize, reason: Reason) -> Decision {
+        let late = cost::late(&self.rows[index].standing(now, self.usual), need);
+        let chosen = self.chosen(now, need, index, reason);
+        if late > LATE {
+            Decision::Slow(chosen)
+        } else {
+            Decision::Send(chosen)
+        }
+    }
+
     fn chosen(&self, now: Moment, need: &Need, index: usize, reason: Reason) -> FreshChoice {
         let row = &self.rows[index];
-        let standing = row.standing(now, self.load);
+        let standing = row.standing(now, self.usual);
         let crosses = row.instance.domain != self.domain;
         FreshChoice {
             pick: self.pick(index),
@@ -368,7 +402,7 @@
                 continue;
             }
             let crosses = row.instance.domain != self.domain;
-            let cost = cost::cost(&row.standing(now, self.load), need, crosses);
+            let cost = cost::cost(&row.standing(now, self.usual), need, crosses);
             let cost = cost + JITTER * self.rng.random::<f64>();
             if best.is_none_or(|(_, least)| cost < least) {
                 best = Some((index, cost));
@@ -468,7 +502,8 @@
     fn learn(&mut self, report: LoadReport) {
         let slots = f64::from(report.slots.max(1));
         let load = f64::from(report.running + report.waiting) / slots;
-        self.load += (load - self.load) * LOAD_WEIGHT;
+        self.usual.load += (load - self.usual.load) * LOAD_WEIGHT;
+        self.usual.paces.learn(report.pace);
     }
 
     /// Ejects the instance unless too many of the ready ones are out already.
