entry: ask callers back when those asked before have had their turn; wait for the first table

Now the time counts those that wait and those that were asked back lately; a process without a table waits for it for a quarter of the caller's time.

--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -38,8 +38,8 @@
 const ENDS_WEIGHT: f64 = 0.1;
 /// Soonest that a refused caller is asked back: about the time of one request.
 const LEAST_BACK: Duration = Duration::from_millis(100);
-/// Latest: beyond a second most callers have given up.
-const MOST_BACK: Duration = Duration::from_secs(1);
+/// Latest: callers wait no longer than a third of the time that they have left.
+const MOST_BACK: Duration = Duration::from_secs(2);
 
 /// The machines of one service.
 #[derive(Debug)]
@@ -53,6 +53,9 @@
     /// When an attempt last ended, and the usual time between two ends.
     ended: Moment,
     ends: Duration,
+    /// Requests asked to come back, fading with the time that they were given.
+    refused: f64,
+    refused_at: Moment,
 }
 
 /// What to do with a request.
@@ -90,6 +93,8 @@
             waiting: Waiting::default(),
             ended: now,
             ends: LEAST_BACK,
+            refused: 0.0,
+            refused_at: now,
         }
     }
 
@@ -206,13 +211,16 @@
         told
     }
 
-    /// When one that is refused now may find room: the waiting ones go first, one
-    /// each time that an attempt ends here.
-    #[must_use]
-    pub fn back(&self, now: Moment) -> Duration {
-        let ahead = u32::try_from(self.waiting.len(now)).unwrap_or(u32::MAX);
-        let span = self.ends.saturating_mul(ahead.saturating_add(1));
-        span.clamp(LEAST_BACK, MOST_BACK)
+    /// When one that is refused now may find room: the waiting ones, and those that
+    /// were asked back a moment ago, go first, one each time that an attempt ends here.
+    pub fn back(&mut self, now: Moment) -> Duration {
+        let gone = now.since(self.refused_at).as_secs_f64() / MOST_BACK.as_secs_f64();
+        self.refused = self.refused * (-gone).exp() + 1.0;
+        self.refused_at = now;
+        let waiting = u32::try_from(self.waiting.len(now)).unwrap_or(u32::MAX);
+        let ahead = self.refused + f64::from(waiting);
+        let span = self.ends.as_secs_f64() * ahead;
+        Duration::from_secs_f64(span).clamp(LEAST_BACK, MOST_BACK)
     }
 
     /// Hands room at an instance to one that waits for it.
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -56,6 +56,9 @@
 const LATE_PART: f64 = 0.0;
 /// Added to the rank of a request that can't be answered in time any more.
 const LATE_RANK: u32 = 1_000;
+/// Part of a caller's time for which a request waits for the first table: after a
+/// restart of everything it comes within 700 ms.
+const TABLE_PART: f64 = 0.25;
 /// Attempts whose connection failed, beyond what the route allows: nothing
 /// reached an instance.
 const UNSENT_TRIES: u32 = 4;
@@ -92,7 +95,9 @@
 /// Answers one request.
 pub async fn handle(core: Arc<Core>, request: Request<Incoming>) -> Response<Returned> {
     let began = Instant::now();
-    let routes = core.routes();
+    let named = headers::number(request.headers(), &core.dialect.deadline);
+    let deadline = named.map_or(DEFAULT_DEADLINE, Duration::from_millis);
+    let routes = routes(&core, deadline.mul_f64(TABLE_PART)).await;
     let id = request.headers().get(&core.dialect.request).cloned();
     let id = id.unwrap_or_else(|| HeaderValue::from_static("-"));
     if routes.table.version == 0 {
@@ -109,8 +114,6 @@
     let Some(service) = service else {
         return refuse(&core, &id, &routes, Reason::NoInstance, Some(BACK_UNKNOWN));
     };
-    let named = headers::number(request.headers(), &core.dialect.deadline);
-    let deadline = named.map_or(DEFAULT_DEADLINE, Duration::from_millis);
     let limit = routes.table.limits.body_bytes;
     if request.body().size_hint().lower() > limit {
         return refuse(&core, &id, &routes, Reason::TooLarge, None);
@@ -140,6 +143,16 @@
     flow.run(incoming).await
 }
 
+/// The table in force; a process that has just started waits for it up to `span`.
+async fn routes(core: &Core, span: Duration) -> Arc<Routes> {
+    let mut routed = core.routed.subscribe();
+    if !*routed.borrow_and_update() {
+        // Without one by then, the request is refused.
+        let _ = tokio::time::timeout(span, routed.wait_for(|routed| *routed)).await;
+    }
+    core.routes()
+}
+
 /// The host that the request names, without its port.
 fn host(request: &Request<Incoming>) -> Option<String> {
     let named = request.headers().get(header::HOST);
