--- /dev/null
+++ b/crates/hub/tests/test_hub.rs
@@ -0,0 +1,241 @@
+//! One hub as a process would run it, over its own interface.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use base::prelude::*;
+use hub::DeskError;
+use hub::Hub;
+use hub::Put;
+use hub::Settings;
+use table::Table;
+use tokio::net::TcpListener;
+use wire::hub::Instance;
+use wire::hub::Phase;
+use wire::hub::TableOutcome;
+use wire::hub::Watch;
+use wire::hub::WatchReply;
+use wire::link::within;
+use wire::peer;
+
+const PATIENCE: Duration = Duration::from_mins(1);
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// The first of three free ports in a row.
+async fn ports() -> u16 {
+    loop {
+        let first = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+        let port = first.local_addr().expect("an address").port();
+        if port > u16::MAX - 2 {
+            continue;
+        }
+        let second = TcpListener::bind(("127.0.0.1", port + 1)).await;
+        let third = TcpListener::bind(("127.0.0.1", port + 2)).await;
+        if second.is_ok() && third.is_ok() {
+            return port;
+        }
+    }
+}
+
+async fn start(name: &str) -> (Hub, Settings) {
+    let data = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&data);
+    let address: IpAddr = [127, 0, 0, 1].into();
+    let port = ports().await;
+    let settings = Settings {
+        host: HostName::new("hub-1").expect("a name"),
+        domain: DomainName::new("a").expect("a name"),
+        region: RegionName::new("r").expect("a name"),
+        data,
+        address,
+        port,
+        seeds: vec![SocketAddr::new(address, 1)],
+        found: true,
+        ttl: Duration::from_secs(2),
+        spread: 3,
+        telemetry: telemetry::Settings::default(),
+    };
+    let log = telemetry::log::silent();
+    let hub = Hub::start(settings.clone(), log).await.expect("starts");
+    (hub, settings)
+}
+
+fn put(version: u64) -> Put {
+    Put {
+        table: Table {
+            version,
+            ..Table::default()
+        },
+        source: b"as sent".to_vec(),
+    }
+}
+
+async fn put_surely(hub: &Hub, put: Put) -> TableOutcome {
+    let tries = async {
+        loop {
+            match hub.desk().put(put.clone()).await {
+                Ok(reply) => return reply.outcome(),
+                Err(DeskError::NoMajority) => tokio::time::sleep(PAUSE).await,
+                Err(err) => panic!("{err}"),
+            }
+        }
+    };
+    tokio::time::timeout(PATIENCE, tries)
+        .await
+        .expect("a leader in the end")
+}
+
+fn instance(phase: Phase, sequence: u64) -> Instance {
+    Instance {
+        id: "i-1".into(),
+        service: "status".into(),
+        address: "127.0.0.1:9000".into(),
+        domain: "a".into(),
+        slots: 6,
+        phase: phase.into(),
+        sequence,
+        ..Instance::default()
+    }
+}
+
+async fn watch(settings: &Settings, ask: Watch) -> WatchReply {
+    let link = peer::hub(settings.hub_at(settings.address));
+    let client = link.client().await.expect("connects");
+    client.watch(within(PATIENCE), ask).await.expect("answers")
+}
+
+#[tokio::test]
+async fn test_hub_table_is_read_back_as_it_was_sent() {
+    let (hub, _) = start("hub-table").await;
+    assert!(matches!(
+        hub.desk().read().await,
+        Err(DeskError::NoTable | DeskError::NoMajority)
+    ));
+    assert_eq!(put_surely(&hub, put(7)).await, TableOutcome::Taken);
+    assert_eq!(put_surely(&hub, put(7)).await, TableOutcome::Held);
+    assert_eq!(put_surely(&hub, put(6)).await, TableOutcome::Older);
+    let row = hub.desk().read().await.expect("a table");
+    assert_eq!((row.version, &row.source[..]), (7, &b"as sent"[..]));
+}
+
+#[tokio::test]
+async fn test_hub_refuses_an_invalid_table_whole() {
+    let (hub, _) = start("hub-invalid").await;
+    put_surely(&hub, put(7)).await;
+    let mut bad = put(8);
+    bad.table.hosts.push(table::Host {
+        name: "example.org".into(),
+        routes: vec![table::Route {
+            name: "r".into(),
+            prefix: "/a/".into(),
+            kind: table::Kind::Once,
+            timeout: None,
+            aim: None,
+            priority: 0,
+            attempts: 0,
+            target: table::Target::Service(ServiceName::new("none").expect("a name")),
+        }],
+    });
+    match hub.desk().put(bad).await {
+        Err(DeskError::Invalid(faults)) => assert_eq!(faults.len(), 2),
+        other => panic!("{other:?}"),
+    }
+    assert_eq!(hub.desk().read().await.expect("a table").version, 7);
+}
+
+#[tokio::test]
+async fn test_hub_watcher_learns_of_tables_and_instances() {
+    let (hub, settings) = start("hub-watch").await;
+    put_surely(&hub, put(7)).await;
+    hub.desk()
+        .announce(instance(Phase::Ready, 1))
+        .await
+        .expect("taken");
+    let all = watch(&settings, Watch::default()).await;
+    assert_eq!(all.instances.len(), 1);
+    assert_eq!(all.table.as_ref().map(|t| t.version), Some(7));
+    // Nothing new ends with the wait; a change ends it at once.
+    let ask = Watch {
+        epoch: all.epoch,
+        cursor: all.cursor,
+        table: 7,
+        wait_ms: 5_000,
+        ..Watch::default()
+    };
+    let waiting = tokio::spawn({
+        let settings = settings.clone();
+        async move { watch(&settings, ask).await }
+    });
+    hub.desk()
+        .announce(instance(Phase::Draining, 2))
+        .await
+        .expect("in the log");
+    let news = waiting.await.expect("ends");
+    assert_eq!(news.instances[0].phase(), Phase::Draining);
+    assert_eq!(news.table, None);
+}
+
+#[tokio::test]
+async fn test_hub_cursor_of_another_process_asks_for_everything() {
+    let (hub, settings) = start("hub-epoch").await;
+    put_surely(&hub, put(7)).await;
+    hub.desk()
+        .announce(instance(Phase::Ready, 1))
+        .await
+        .expect("taken");
+    let ask = Watch {
+        epoch: 1,
+        cursor: 1_000,
+        wait_ms: 60_000,
+        ..Watch::default()
+    };
+    let reply = watch(&settings, ask).await;
+    assert_eq!(reply.instances.len(), 1);
+}
+
+#[tokio::test]
+async fn test_hub_leaving_instance_is_acknowledged_once_the_log_has_it() {
+    let (hub, _) = start("hub-leave").await;
+    put_surely(&hub, put(7)).await;
+    for row in [
+        instance(Phase::Ready, 1),
+        instance(Phase::Draining, 2),
+        Instance {
+            id: "i-1".into(),
+            phase: Phase::Gone.into(),
+            ..Instance::default()
+        },
+    ] {
+        hub.desk().announce(row).await.expect("in the log");
+    }
+    // Told again, it is acknowledged again.
+    let again = hub.desk().announce(instance(Phase::Draining, 2)).await;
+    again.expect("known");
+}
+
+#[tokio::test]
+async fn test_hub_names_entry_hosts_that_watch() {
+    let (hub, settings) = start("hub-resolve").await;
+    let ask = Watch {
+        host: "entry-1".into(),
+        domain: "a".into(),
+        region: "r".into(),
+        address: "127.0.0.1:8080".into(),
+        ready: true,
+        ..Watch::default()
+    };
+    let named = async {
+        loop {
+            watch(&settings, ask.clone()).await;
+            let (addresses, _) = hub.desk().resolve("example.org", "a", "r");
+            if !addresses.is_empty() {
+                return addresses;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    };
+    let named = tokio::time::timeout(PATIENCE, named).await;
+    assert_eq!(named.expect("named in the end"), ["127.0.0.1:8080"]);
+}
