--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -38,7 +38,7 @@
 /// Between two looks at the settings and at who has gone.
 const LOOK: Duration = Duration::from_secs(1);
 /// What a hub told counts for so long: some watches.
-const RECENT: Duration = Duration::from_secs(2);
+const RECENT: Duration = Duration::from_millis(1_200);
 /// A hub that no other hub names and that doesn't answer is let go after so long.
 const FORGET: Duration = Duration::from_secs(10);
 
--- a/crates/hub/src/entries.rs
+++ b/crates/hub/src/entries.rs
@@ -13,9 +13,12 @@
 use wire::hub::Watch;
 use xxhash_rust::xxh3::Xxh3;
 
-/// An entry host that was silent for so long is named no more: two watches of
-/// the usual length and the time of a reconnection.
-pub const FRESH: Duration = Duration::from_millis(1_500);
+/// How much longer than it asked for a watch may be held, before its host counts as
+/// lost: some ways through a busy network.
+pub const HELD: Duration = Duration::from_millis(150);
+/// After an answer a host asks again at once; one that takes longer counts as lost.
+/// A host without power is seen so within half a second on average.
+pub const ASKED: Duration = Duration::from_millis(350);
 /// Entry hosts that were silent for so long are forgotten: over the time of a
 /// restart, so that the number of hosts that share a budget doesn't fall while
 /// one of them restarts.
@@ -30,6 +33,8 @@
     region: String,
     ready: bool,
     heard: Moment,
+    /// It counts as lost then, unless it is heard.
+    until: Moment,
 }
 
 /// All entry hosts that watch.
@@ -40,8 +45,18 @@
 }
 
 impl Entries {
-    /// Notes who watches; gives whether it is named from now on, or no more.
-    pub fn note(&mut self, now: Moment, watch: &Watch) -> bool {
+    /// Notes who asks; gives whether it is named from now on, or no more.
+    pub fn asked(&mut self, now: Moment, watch: &Watch) -> bool {
+        let wait = Duration::from_millis(watch.wait_ms.into());
+        self.note(now, now + wait + HELD, watch)
+    }
+
+    /// Notes that the watch was answered.
+    pub fn answered(&mut self, now: Moment, watch: &Watch) {
+        self.note(now, now + ASKED, watch);
+    }
+
+    fn note(&mut self, now: Moment, until: Moment, watch: &Watch) -> bool {
         if watch.address.is_empty() {
             return false;
         }
@@ -52,9 +67,10 @@
             region: watch.region.clone(),
             ready: watch.ready,
             heard: now,
+            until,
         };
         let before = self.known.insert(watch.host.clone(), entry);
-        before.is_none_or(|b| b.ready != watch.ready || now.since(b.heard) > FRESH)
+        before.is_none_or(|b| b.ready != watch.ready || now >= b.until)
     }
 
     /// Hosts that share what is shared out among all entry hosts.
@@ -72,7 +88,7 @@
         if !settled {
             return Vec::new();
         }
-        let usable = |e: &&Entry| e.ready && now.since(e.heard) < FRESH;
+        let usable = |e: &&Entry| e.ready && now < e.until;
         let usable = self.known.values().filter(usable);
         let hosts = usable.map(|e| EntryHost {
             address: e.address.clone(),
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -48,7 +48,7 @@
     desk: Desk,
     stop: CancellationToken,
     log: Logger,
-    _tasks: [AbortOnDropHandle<()>; 3],
+    _tasks: [AbortOnDropHandle<()>; 4],
 }
 
 impl Hub {
@@ -77,6 +77,7 @@
         let tasks = [
             AbortOnDropHandle::new(tokio::spawn(accepting)),
             AbortOnDropHandle::new(tokio::spawn(peers::follow_group(Arc::clone(&state)))),
+            AbortOnDropHandle::new(tokio::spawn(peers::follow_entries(Arc::clone(&state)))),
             AbortOnDropHandle::new(tokio::spawn(peers::follow_registry(state))),
         ];
         info!(log, "hub serves"; "address" => %address);
--- a/crates/hub/src/peers.rs
+++ b/crates/hub/src/peers.rs
@@ -6,10 +6,14 @@
 
 use slog::info;
 
+use crate::entries::Entries;
 use crate::state::State;
 
 /// Between two looks at the group; entry processes learn of a new hub after this.
 const LOOK: Duration = Duration::from_millis(500);
+/// Between two looks at the entry hosts; short beside the time in which one is
+/// seen to be lost.
+const GLANCE: Duration = Duration::from_millis(100);
 
 /// Keeps the list of hubs. Never ends.
 pub async fn follow_group(state: Arc<State>) {
@@ -36,6 +40,20 @@
     }
 }
 
+/// Looks for entry hosts that were lost, and tells watchers. Never ends.
+pub async fn follow_entries(state: Arc<State>) {
+    loop {
+        tokio::time::sleep(GLANCE).await;
+        let now = state.clock.now();
+        let mark = Entries::mark(&state.known().entries.list(now));
+        state.list.send_if_modified(|list| {
+            let changed = *list != mark;
+            *list = mark;
+            changed
+        });
+    }
+}
+
 /// Takes announcements from the log, those of before a restart first. Ends with
 /// the replica.
 pub async fn follow_registry(state: Arc<State>) {
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -51,18 +51,20 @@
         let end = Instant::now() + wait;
         let mut cursors = self.state.cursor.subscribe();
         let mut views = self.state.tables.views();
+        let mut lists = self.state.list.subscribe();
         let moved = cursors.wait_for(|cursor| *cursor > ask.cursor);
         let newer = views.wait_for(|view| view.table.version > ask.table);
         tokio::select! {
             _ = moved => {}
             _ = newer => {}
+            _ = lists.wait_for(|list| *list != ask.list), if !ask.address.is_empty() => {}
             () = tokio::time::sleep_until(end) => {}
         }
     }
 
     fn note(&self, ask: &Watch) {
         let now = self.state.clock.now();
-        if self.state.known().entries.note(now, ask) {
+        if self.state.known().entries.asked(now, ask) {
             info!(self.state.log, "entry host"; "entry" => &ask.host, "ready" => ask.ready,
                 "address" => &ask.address);
         }
@@ -78,10 +80,10 @@
         }
         let confirmed = ask.table == 0 && self.state.tables.read(CONFIRM).await.is_some();
         self.wait(&ask).await;
-        self.note(&ask);
+        let now = self.state.clock.now();
+        self.state.known().entries.answered(now, &ask);
         let table = self.state.tables.applied();
         let newer = table.version > ask.table;
-        let now = self.state.clock.now();
         let known = self.state.known();
         let hosts = known.entries.list(now);
         let list = Entries::mark(&hosts);
--- a/crates/hub/src/state.rs
+++ b/crates/hub/src/state.rs
@@ -45,6 +45,8 @@
     pub log: Logger,
     /// The registry's cursor, for whoever waits for a change.
     pub cursor: watch::Sender<u64>,
+    /// The mark of the list of entry hosts, for whoever waits for a change.
+    pub list: watch::Sender<u64>,
     known: Mutex<Known>,
 }
 
@@ -59,6 +61,7 @@
             tables,
             log,
             cursor: watch::Sender::new(0),
+            list: watch::Sender::new(0),
             known: Mutex::default(),
         })
     }
