entry: an instance whose address is another one's gets nothing more

Ruled out: overload (load reports had room). Now such an id is left out for good, by an answer or a probe. Logs have a line for each attempt without a good answer.

--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -177,6 +177,11 @@
         found.collect()
     }
 
+    /// Notes that another instance has the address of this one.
+    pub fn displaced(&mut self, pick: Pick) {
+        self.chooser.displaced(pick);
+    }
+
     /// Notes the end of a probe.
     pub fn probed(&mut self, now: Moment, pick: Pick, report: Option<LoadReport>) {
         self.chooser.probed(now, pick, report);
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -17,6 +17,7 @@
 use route::Kind;
 use route::LoadReport;
 use route::Ticket;
+use strum::IntoStaticStr;
 
 use crate::body;
 use crate::body::Outgoing;
@@ -49,7 +50,8 @@
 }
 
 /// How an attempt ended.
-#[derive(Debug)]
+#[derive(Debug, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
 pub enum End {
     /// An answer to this request.
     Answer(Box<Parts>, Answered),
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -310,6 +310,10 @@
         let sent = Instant::now();
         let end = exchange::attempt(&core, &chosen.upstream, ticket, &self.call, body, left).await;
         self.exposed = before || matches!(end, End::Answer(..) | End::Unknown);
+        self.note(&end, sent.elapsed());
+        if matches!(end, End::Elsewhere) {
+            self.desk(|desk, _| desk.displaced(pick));
+        }
         if let End::Answer(parts, Answered::Whole(bytes)) = &end
             && parts.status.is_success()
         {
@@ -321,6 +325,21 @@
         Ok(end)
     }
 
+    /// One line for each attempt that gave no good answer; a good one is told by the
+    /// request's own line.
+    fn note(&self, end: &End, span: Duration) {
+        let status = match end {
+            End::Answer(parts, _) if parts.status.is_server_error() => parts.status.as_u16(),
+            End::Answer(..) => return,
+            _ => 0,
+        };
+        let word: &'static str = end.into();
+        info!(self.core.log, "attempt"; "request" => self.call.id.to_str().unwrap_or("-"),
+            "attempt" => self.attempts, "end" => word, "status" => status,
+            "instance" => self.instance.as_ref().map_or("-", |id| id.as_str()),
+            "service" => %self.service, "ms" => millis(span));
+    }
+
     /// What the request needs of an instance now.
     fn need(&self) -> Need {
         let aim = self.route.aim.unwrap_or(self.deadline / 2);
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -7,11 +7,14 @@
 use http::HeaderValue;
 use http::Method;
 use http::Request;
+use http::Response;
 use http::StatusCode;
 use http::Uri;
 use http::header;
+use hyper::body::Incoming;
 use route::LoadReport;
 use route::Pick;
+use slog::info;
 use tokio::sync::mpsc;
 
 use crate::body;
@@ -19,6 +22,7 @@
 use crate::body::Read;
 use crate::core::Core;
 use crate::headers;
+use crate::pool::Connection;
 use crate::view::Upstream;
 
 /// After so long a probe has failed; an instance that is well answers at once,
@@ -39,7 +43,16 @@
         let done = done.clone();
         tokio::spawn(async move {
             let probe = tokio::time::timeout(TIMEOUT, probe(&core, &upstream));
-            let report = probe.await.ok().flatten();
+            let report = match probe.await {
+                Ok(Found::Load(report)) => Some(report),
+                Ok(Found::Another) => {
+                    info!(core.log, "address taken over"; "instance" => %upstream.id,
+                        "service" => %service, "address" => %upstream.address);
+                    core.desk(&service, |desk, _| desk.displaced(pick));
+                    None
+                }
+                Ok(Found::Nothing) | Err(_) => None,
+            };
             core.counters.probe(&service, report.is_some());
             core.desk(&service, |desk, now| desk.probed(now, pick, report));
             // A choice that no longer waits has let go of its end.
@@ -56,10 +69,44 @@
     let _ = tokio::time::timeout(PATIENCE, all).await;
 }
 
-/// The load that one instance tells; none where it isn't well, or isn't the one expected.
-async fn probe(core: &Core, upstream: &Upstream) -> Option<LoadReport> {
+/// What a probe found.
+enum Found {
+    /// The load that the instance tells.
+    Load(LoadReport),
+    /// Another instance.
+    Another,
+    /// No answer, or not that of an instance which is well.
+    Nothing,
+}
+
+async fn probe(core: &Core, upstream: &Upstream) -> Found {
+    let Some((response, connection)) = send(core, upstream).await else {
+        return Found::Nothing;
+    };
+    let (parts, incoming) = response.into_parts();
+    let whole = body::read(incoming).await;
+    let id = parts.headers.get(&core.dialect.instance);
+    let same = id.is_none_or(|id| id.as_bytes() == upstream.id.as_str().as_bytes());
+    if parts.status == StatusCode::MISDIRECTED_REQUEST || !same {
+        return Found::Another;
+    }
+    if parts.status != StatusCode::OK {
+        return Found::Nothing;
+    }
+    if matches!(whole, Ok(Read::Whole(_))) && !headers::closes(&parts.headers) {
+        let named = headers::kept_for(&parts.headers);
+        upstream.pool.keep(connection, named);
+    }
+    let told = parts.headers.get(&core.dialect.load);
+    let told = told.and_then(|value| value.to_str().ok());
+    let report = told.and_then(core.dialect.read_load);
+    report.map_or(Found::Nothing, Found::Load)
+}
+
+/// The answer to a probe, on a kept connection or a new one.
+async fn send(core: &Core, upstream: &Upstream) -> Option<(Response<Incoming>, Connection)> {
     let path = core.health_path(&upstream.service)?;
-    let (response, connection) = loop {
+    loop {
         let kept = upstream.pool.take();
         let fresh = kept.is_none();
         let mut connection = match kept {
@@ -68,26 +115,11 @@
         };
         let request = request(core, upstream, &path)?;
         match connection.sender.try_send_request(request).await {
-            Ok(response) => break (response, connection),
+            Ok(response) => return Some((response, connection)),
             Err(_) if !fresh => {}
             Err(_) => return None,
         }
-    };
-    let (parts, incoming) = response.into_parts();
-    let whole = body::read(incoming).await;
-    let told = parts.headers.get(&core.dialect.load);
-    let told = told.and_then(|value| value.to_str().ok());
-    let report = told.and_then(core.dialect.read_load);
-    let id = parts.headers.get(&core.dialect.instance);
-    let same = id.is_none_or(|id| id.as_bytes() == upstream.id.as_str().as_bytes());
-    if parts.status != StatusCode::OK || !same {
-        return None;
-    }
-    if matches!(whole, Ok(Read::Whole(_))) && !headers::closes(&parts.headers) {
-        let named = headers::kept_for(&parts.headers);
-        upstream.pool.keep(connection, named);
     }
-    report
 }
 
 fn request(core: &Core, upstream: &Upstream, path: &Uri) -> Option<Request<Outgoing>> {
--- a/crates/entry/tests/test_flow.rs
+++ b/crates/entry/tests/test_flow.rs
@@ -216,6 +216,28 @@
     assert_eq!((one.arrivals().len(), two.arrivals().len()), (0, 10));
 }
 
+/// Its address belongs to another one now, for good.
+#[tokio::test]
+async fn test_flow_instance_whose_address_is_another_ones_gets_nothing_more() {
+    let one = Upstream::start("i-1", Manner::Answer).await;
+    let two = Upstream::start("i-2", Manner::Answer).await;
+    let entry = entry(&[&one]).await;
+    let mut caller = Caller::connect(entry.front()).await;
+    let answer = caller.call("GET", READ, "r-0", "").await;
+    assert_eq!(answer.status, 200);
+    one.set(Manner::Elsewhere);
+    // There is no other one yet, so every request would have to go there.
+    for n in 0..40 {
+        let answer = caller.call("GET", READ, &format!("r-{n}"), "").await;
+        assert_eq!(answer.status, 503);
+    }
+    let found = one.arrivals().len() - 1;
+    assert!(found <= 1, "{found} requests went there");
+    entry.core().take_instances(&[instance(&two, "status")]);
+    let answer = caller.call("GET", READ, "r-41", "").await;
+    assert_eq!(answer.status, 200);
+}
+
 #[tokio::test]
 async fn test_flow_split_keeps_its_weights() {
     let status = Upstream::start("i-1", Manner::Answer).await;
--- a/crates/route/src/fresh.rs
+++ b/crates/route/src/fresh.rs
@@ -110,6 +110,8 @@
     probing: u32,
     /// Its last probe failed.
     mute: bool,
+    /// Another instance has its address.
+    displaced: bool,
 }
 
 impl Row {
@@ -117,6 +119,11 @@
         self.report.map(|(at, _)| now.since(at))
     }
 
+    /// It takes work and is reached at its address.
+    fn is_ready(&self) -> bool {
+        self.instance.phase == Phase::Ready && !self.displaced
+    }
+
     fn is_fresh(&self, now: Moment) -> bool {
         self.age(now).is_some_and(|age| age < FRESH)
     }
@@ -222,6 +229,7 @@
             cold_until: now + cold,
             probing: 0,
             mute: false,
+            displaced: false,
         };
         let gone = |r: &&mut Row| r.instance.phase == Phase::Gone && r.starts.is_empty();
         match self.rows.iter_mut().find(gone) {
@@ -344,7 +352,7 @@
 
     /// Every instance that is left is ejected: any that is ready, health apart.
     fn panic(&mut self, now: Moment, need: &Need, exclude: &[Pick]) -> Decision {
-        let ready = |r: &Row| r.instance.phase == Phase::Ready;
+        let ready = |r: &Row| r.is_ready();
         let picks: Vec<usize> = (0..self.rows.len())
             .filter(|i| ready(&self.rows[*i]))
             .collect();
@@ -413,9 +421,7 @@
 
     fn is_usable(&self, index: usize, exclude: &[Pick]) -> bool {
         let row = &self.rows[index];
-        row.instance.phase == Phase::Ready
-            && row.health.is_in()
-            && !exclude.contains(&self.pick(index))
+        row.is_ready() && row.health.is_in() && !exclude.contains(&self.pick(index))
     }
 
     /// An ejected instance that may be tried; not for a retry, which has failed once.
@@ -423,15 +429,13 @@
         if !exclude.is_empty() {
             return None;
         }
-        let wants = |r: &Row| r.instance.phase == Phase::Ready && r.health.wants_trial(now);
+        let wants = |r: &Row| r.is_ready() && r.health.wants_trial(now);
         (0..self.rows.len()).find(|i| wants(&self.rows[*i]))
     }
 
     /// Ejected instances whose time is over, which a probe may bring back.
     pub fn ejected(&mut self, now: Moment) -> Vec<Pick> {
-        let due = |r: &Row| {
-            r.instance.phase == Phase::Ready && r.probing == 0 && r.health.wants_probe(now)
-        };
+        let due = |r: &Row| r.is_ready() && r.probing == 0 && r.health.wants_probe(now);
         let due: Vec<usize> = (0..self.rows.len())
             .filter(|i| due(&self.rows[*i]))
             .collect();
@@ -441,6 +445,14 @@
         due.into_iter().map(|index| self.pick(index)).collect()
     }
 
+    /// Notes that another instance has the address: this one gets nothing more, not
+    /// even a trial, as its id never comes back there.
+    pub fn displaced(&mut self, pick: Pick) {
+        if let Some(row) = self.row(pick) {
+            row.displaced = true;
+        }
+    }
+
     /// Notes that an attempt begins.
     pub fn started(&mut self, now: Moment, pick: Pick) -> Ticket {
         if let Some(row) = self.row(pick) {
