--- a/crates/cli/src/command/history.rs
+++ b/crates/cli/src/command/history.rs
@@ -25,16 +25,11 @@
     let most: u32 = words.value(Flag::Most)?.unwrap_or(MOST);
     words.finish("history")?;
     let control = Control::new(settings)?;
-    let from = if let Some(from) = from {
-        from
-    } else {
-        let version = control.catalogue().await?.version;
-        (version + 1).saturating_sub(most.into())
-    };
+    let version = control.catalogue().await?.version;
+    let from = from.unwrap_or((version + 1).saturating_sub(most.into()));
     let query = HistoryQuery { from, most };
-    let history = control
-        .first(async |c, x| c.history(x, query).await)
-        .await?;
+    let last = version.min((from + u64::from(most)).saturating_sub(1));
+    let history = control.history(query, last).await?;
     let mut table = Table::new("change", &["version", "id", "author", "edits"]);
     for item in &history.items {
         table.row([&item.version, &item.id, &item.author, &edits_text(item)]);
--- a/crates/cli/src/remote.rs
+++ b/crates/cli/src/remote.rs
@@ -10,9 +10,11 @@
 use tokio::time::Instant;
 use wire::api::ControlApiClient;
 use wire::catalogue::Change;
+use wire::catalogue::History;
 use wire::catalogue::Uncertain;
 use wire::catalogue::change_reply::Kind;
 use wire::control::Follow;
+use wire::control::HistoryQuery;
 use wire::directory::Host;
 use wire::link::Link;
 use wire::link::LinkError;
@@ -25,6 +27,9 @@
 use crate::pending::Pending;
 use crate::settings::Settings;
 
+/// Longest wait for one address while there are others: as long as other callers of
+/// control wait.
+const ONE_TRY: Duration = Duration::from_secs(1);
 /// Pause before a change is sent to the same addresses again.
 const RESEND_PAUSE: Duration = Duration::from_millis(200);
 
@@ -63,8 +68,8 @@
     Out: Serialize,
 {
     let mut errors = Vec::new();
-    for link in links {
-        match one(link, span, &call).await {
+    for (index, link) in links.iter().enumerate() {
+        match one(link, share(span, links.len() - index), &call).await {
             Ok(answer) => return Ok(answer),
             Err(err) => errors.push(err),
         }
@@ -72,6 +77,15 @@
     Err(CliError::Unreachable(errors))
 }
 
+/// What one of so many addresses that are left gets of the time: one that hangs
+/// must leave enough for the next.
+fn share(span: Duration, left: usize) -> Duration {
+    if left <= 1 {
+        return span;
+    }
+    span.min(ONE_TRY)
+}
+
 /// The control replicas.
 pub struct Control {
     /// A link to each.
@@ -117,8 +131,9 @@
         };
         let mut errors = Vec::new();
         let mut unconfirmed = None;
-        for link in &self.links {
-            match one(link, self.span, async |c, x| c.follow(x, ask).await).await {
+        for (index, link) in self.links.iter().enumerate() {
+            let span = share(self.span, self.links.len() - index);
+            match one(link, span, async |c, x| c.follow(x, ask).await).await {
                 Ok(reply) if reply.confirmed => return typed(&reply.catalogue.unwrap_or_default()),
                 Ok(reply) => unconfirmed = unconfirmed.max(Some(reply.version)),
                 Err(err) => errors.push(err),
@@ -127,6 +142,32 @@
         Err(unconfirmed.map_or(CliError::Unreachable(errors), CliError::Unconfirmed))
     }
 
+    /// Accepted changes. A replica that was emptied knows none, so that all are asked
+    /// until one reaches to `last`; else the longest answer counts.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no replica answers.
+    pub async fn history(&self, query: HistoryQuery, last: u64) -> Result<History, CliError> {
+        let mut errors = Vec::new();
+        let mut longest: Option<History> = None;
+        let reach = |history: &History| history.items.last().map_or(0, |item| item.version);
+        for (index, link) in self.links.iter().enumerate() {
+            let span = share(self.span, self.links.len() - index);
+            match one(link, span, async |c, x| c.history(x, query).await).await {
+                Ok(history) if reach(&history) >= last => return Ok(history),
+                Ok(history) => {
+                    let longer = longest.as_ref().is_none_or(|l| reach(l) < reach(&history));
+                    if longer {
+                        longest = Some(history);
+                    }
+                }
+                Err(err) => errors.push(err),
+            }
+        }
+        longest.ok_or(CliError::Unreachable(errors))
+    }
+
     /// Sends a change until it has an answer; a resend is harmless, as its id is the same.
     ///
     /// # Errors
