--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -7,6 +7,7 @@
 mod hosts;
 mod plan;
 mod replica;
+mod routes;
 mod show;
 mod upstreams;
 
@@ -38,6 +39,7 @@
     Explain,
     Drain,
     Replica,
+    Routes,
 }
 
 /// Performs the command that `words` name.
@@ -69,5 +71,6 @@
         Verb::Explain => explain::perform(words, &settings, out).await,
         Verb::Drain => drain::perform(words, &settings, out).await,
         Verb::Replica => replica::perform(words, &settings, out).await,
+        Verb::Routes => routes::perform(words, &settings, out).await,
     }
 }
--- a/crates/cli/src/fault.rs
+++ b/crates/cli/src/fault.rs
@@ -91,6 +91,14 @@
         Absent(what: &'static str, name: String) {
             display("there is no {what} {name}")
         }
+        /// A route table has faults.
+        Routes(faults: Vec<table::Fault>) {
+            display("{}", faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))
+        }
+        /// A newer route table is in force, or another one under the same version.
+        Overtaken(version: u64) {
+            display("version {version} of the route table is in force")
+        }
         /// An answer has no content.
         Malformed {
             display("the answer has no content")
@@ -104,10 +112,12 @@
     pub fn exit(&self) -> Exit {
         match self {
             Self::Usage(_) | Self::Settings(_) => Exit::Usage,
-            Self::Conflict(_) | Self::Expired(_) => Exit::Conflict,
-            Self::Catalogue(_) | Self::Invalid(_) | Self::Reused(..) | Self::Membership(_) => {
-                Exit::Invalid
-            }
+            Self::Conflict(_) | Self::Expired(_) | Self::Overtaken(_) => Exit::Conflict,
+            Self::Catalogue(_)
+            | Self::Invalid(_)
+            | Self::Reused(..)
+            | Self::Membership(_)
+            | Self::Routes(_) => Exit::Invalid,
             Self::Uncertain(..) => Exit::Uncertain,
             Self::Unreachable(_) | Self::Unconfirmed(_) => Exit::Unreachable,
             Self::Lagging(..) | Self::Pending(_) => Exit::Unfinished,
@@ -144,6 +154,10 @@
                     .into()
             }
             Self::Reused(..) => "leave --id out, and a new one is chosen".into(),
+            Self::Routes(_) => "nothing was changed; correct the file, then check it again".into(),
+            Self::Overtaken(_) => {
+                "rwrctl routes show writes the table in force; give a higher version".into()
+            }
             Self::Expired(_) => "rwrctl history and rwrctl show tell what is in force".into(),
             Self::Lagging(..) => {
                 "rwrctl hosts shows each host; one that can't follow is fenced within seconds"
--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -41,6 +41,8 @@
     Gateway,
     /// The usage text.
     Help,
+    /// Hubs.
+    Hub,
     /// A change's or replica's id.
     Id,
     /// The catalogue as a file.
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -35,6 +35,8 @@
     pub control: Vec<SocketAddr>,
     /// Directories; one that answers is enough.
     pub directory: Vec<SocketAddr>,
+    /// Hubs, in the order in which they are asked.
+    pub hub: Vec<SocketAddr>,
     /// One gateway's address for operators.
     pub gateway: Option<SocketAddr>,
     /// The author of changes.
@@ -58,6 +60,9 @@
         if let Some(directory) = words.list(Flag::Directory)? {
             settings.directory = directory;
         }
+        if let Some(hub) = words.list(Flag::Hub)? {
+            settings.hub = hub;
+        }
         if let Some(gateway) = words.value(Flag::Gateway)? {
             settings.gateway = Some(gateway);
         }
@@ -75,6 +80,7 @@
         let mut settings = Self {
             control: Vec::new(),
             directory: Vec::new(),
+            hub: Vec::new(),
             gateway: None,
             author,
             timeout: TIMEOUT,
@@ -85,6 +91,7 @@
         let mut reader = Reader::open(&file).map_err(CliError::Settings)?;
         settings.control = reader.list(SECTION, "control");
         settings.directory = reader.list(SECTION, "directory");
+        settings.hub = reader.list(SECTION, "hub");
         settings.gateway = reader.optional(SECTION, "gateway");
         settings.timeout = reader.or(SECTION, "timeout", TIMEOUT);
         if let Some(Text(author)) = reader.optional(SECTION, "author") {
@@ -112,6 +119,15 @@
         some(&self.directory, "--directory ADDRESS")
     }
 
+    /// The hubs, at least one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when none is set.
+    pub fn hub(&self) -> Result<&[SocketAddr], UsageError> {
+        some(&self.hub, "--hub ADDRESS")
+    }
+
     /// The gateway.
     ///
     /// # Errors
--- a/crates/cli/tests/fakes/mod.rs
+++ b/crates/cli/tests/fakes/mod.rs
@@ -1,5 +1,7 @@
 //! Daemons for `rwrctl`'s tests: the real interfaces over TCP, answers from memory.
 
+#![allow(dead_code, reason = "each test binary uses its own part")]
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
--- /dev/null
+++ b/crates/cli/tests/test_routes.rs
@@ -0,0 +1,108 @@
+//! The route table by `rwrctl`.
+
+mod fakes;
+
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use cli::Exit;
+use fakes::listen;
+use fakes::nobody;
+use fakes::rwrctl;
+use fakes::write;
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use wire::api::HubApi;
+use wire::hub::ReadReply;
+use wire::hub::ResolveQuery;
+use wire::hub::ResolveReply;
+use wire::hub::Table;
+use wire::hub::TableOutcome;
+use wire::hub::TableReply;
+use wire::hub::Watch;
+use wire::hub::WatchReply;
+
+const FILE: &str = "\
+[table]
+version = 7
+
+[service status]
+health = /health
+connections = 240
+
+[route example.org/status/]
+kind = idempotent
+attempts = 2
+target = status
+";
+
+#[derive(Clone, Default)]
+struct Hub(Arc<Mutex<Option<Table>>>);
+
+impl HubApi for Hub {
+    async fn watch(self, _: Context, _: Watch) -> WatchReply {
+        WatchReply::default()
+    }
+
+    async fn put_table(self, _: Context, table: Table) -> TableReply {
+        let mut held = self.0.lock().expect("no test panics while it holds it");
+        let version = held.as_ref().map_or(0, |held| held.version);
+        let outcome = if table.version > version {
+            *held = Some(table);
+            TableOutcome::Taken
+        } else {
+            TableOutcome::Older
+        };
+        TableReply {
+            outcome: outcome.into(),
+            version: held.as_ref().map_or(0, |held| held.version),
+        }
+    }
+
+    async fn read_table(self, _: Context) -> ReadReply {
+        let held = self.0.lock().expect("no test panics while it holds it");
+        ReadReply {
+            confirmed: held.is_some(),
+            table: held.clone(),
+        }
+    }
+
+    async fn resolve(self, _: Context, _: ResolveQuery) -> ResolveReply {
+        ResolveReply::default()
+    }
+}
+
+#[tokio::test]
+async fn test_routes_put_and_show() {
+    let hub = listen!(HubApi, Hub::default());
+    let path = write("routes.ini", FILE);
+    let path = path.display();
+    let before = rwrctl(&format!("routes show --hub {hub}")).await;
+    assert_eq!(before.exit, Exit::Unreachable);
+    let put = rwrctl(&format!("routes put {path} --hub {},{hub}", nobody())).await;
+    assert_eq!(put.exit, Exit::Done, "{}", put.err);
+    let show = rwrctl(&format!("routes show --hub {hub}")).await;
+    assert!(
+        show.out.contains("[route example.org/status/]"),
+        "{}",
+        show.out
+    );
+    let again = rwrctl(&format!("routes put {path} --hub {hub}")).await;
+    assert_eq!(again.exit, Exit::Conflict);
+}
+
+#[tokio::test]
+async fn test_routes_check_reports_every_fault() {
+    let bad = FILE.replace("attempts = 2", "attempts = 0\ntimeout = 11min");
+    let path = write("routes-bad.ini", &bad);
+    let ended = rwrctl(&format!("routes check {}", path.display())).await;
+    assert_eq!(ended.exit, Exit::Invalid);
+    for part in ["0 attempts", "timeout"] {
+        assert!(ended.err.contains(part), "{part} in {}", ended.err);
+    }
+    let good = write("routes-good.ini", FILE);
+    let ended = rwrctl(&format!("routes check {}", good.display())).await;
+    assert_eq!(ended.exit, Exit::Done, "{}", ended.err);
+}
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -94,7 +94,7 @@
     }
 
     /// Takes settings that were read again; ports and names stay as they are.
-    pub fn set_settings(&self, settings: Settings) {
+    pub fn set_settings(&self, settings: &Settings) {
         let held = self.settings();
         let next = Settings {
             seeds: settings.seeds.clone(),
@@ -107,7 +107,7 @@
             ..(*held).clone()
         };
         info!(self.log, "settings reloaded"; "seeds" => format!("{:?}", next.seeds),
-            "restart_needed" => next != settings);
+            "restart_needed" => next != *settings);
         let entries = std::mem::take(&mut self.known().entries);
         *self
             .settings
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -165,7 +165,8 @@
 
     /// Ejected instances that a probe may bring back.
     pub fn ejected(&mut self, now: Moment) -> Vec<(Pick, Arc<Upstream>)> {
-        let picks = self.chooser.ejected(now);
+        let probes = &mut self.probes;
+        let picks = self.chooser.ejected(now, |count| probes.take(now, count));
         self.upstreams(picks)
     }
 
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -19,6 +19,7 @@
 use crate::core::Stage;
 use crate::counters::Counters;
 use crate::dialect::Dialect;
+use crate::probe;
 use crate::serve;
 use crate::settings::Settings;
 use crate::sync;
@@ -50,7 +51,7 @@
     open: TaskTracker,
     front: SocketAddr,
     ready: SocketAddr,
-    _tasks: [AbortOnDropHandle<()>; 3],
+    _tasks: [AbortOnDropHandle<()>; 4],
 }
 
 impl Entry {
@@ -75,6 +76,7 @@
             spawn(serve::front(Arc::clone(&core), front, open.clone())),
             spawn(serve::readiness(Arc::clone(&core), ready)),
             spawn(sync::run(Arc::clone(&core))),
+            spawn(probe::bring_back(Arc::clone(&core))),
         ];
         info!(core.log, "entry serves"; "front" => %front_address, "ready" => %ready_address);
         Ok(Self {
@@ -107,7 +109,7 @@
     /// Takes settings that were read again.
     pub fn reload(&self, read: Result<Settings, ConfError>) {
         match read {
-            Ok(settings) => self.core.set_settings(settings),
+            Ok(settings) => self.core.set_settings(&settings),
             Err(err) => warn!(self.core.log, "settings not reloaded"; "error" => %err),
         }
     }
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -391,7 +391,7 @@
             return Outcome::Own(Reason::Broken, None);
         }
         let back = match reason {
-            Reason::Full => self.desk(|desk, now| desk.back(now)),
+            Reason::Full => self.desk(Desk::back),
             _ => Some(BACK_UNKNOWN),
         };
         Outcome::Own(reason, back)
--- a/crates/entry/src/habit.rs
+++ b/crates/entry/src/habit.rs
@@ -58,7 +58,7 @@
     /// that asks again has less left than on its first try.
     pub fn spent(&mut self, left: Duration) -> Duration {
         self.deadline = self.deadline.max(left);
-        self.deadline - left
+        self.deadline.saturating_sub(left)
     }
 
     /// Takes an answer that came after `latency` at an instance chosen so.
@@ -66,6 +66,7 @@
         let slowdown = choice.expected.as_secs_f64() / self.work.max(1e-4);
         let sample = latency.as_secs_f64() / slowdown.max(0.1);
         self.work += (sample.min(self.work * MOST_SAMPLE) - self.work) * WEIGHT;
-        self.bytes += (bytes as f64 - self.bytes) * WEIGHT;
+        let bytes = f64::from(u32::try_from(bytes).unwrap_or(u32::MAX));
+        self.bytes += (bytes - self.bytes) * WEIGHT;
     }
 }
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -21,6 +21,7 @@
 use crate::body::Outgoing;
 use crate::body::Read;
 use crate::core::Core;
+use crate::desk::Desk;
 use crate::headers;
 use crate::pool::Connection;
 use crate::view::Upstream;
@@ -32,6 +33,22 @@
 /// back, and as much again.
 const PATIENCE: Duration = Duration::from_millis(6);
 
+/// Between two looks for ejected instances whose time is over.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// Asks ejected instances, once their time is over, whether they are back. Without
+/// this, one that was silent would wait half a minute for a trial. Never ends.
+pub async fn bring_back(core: Arc<Core>) {
+    loop {
+        tokio::time::sleep(LOOK).await;
+        for (service, due) in core.desks(Desk::ejected) {
+            if !due.is_empty() {
+                ask(&core, &service, due).await;
+            }
+        }
+    }
+}
+
 /// Asks the instances at once; ends when all have answered or patience has.
 /// Late answers count for later choices.
 pub async fn ask(core: &Arc<Core>, service: &ServiceName, asked: Vec<(Pick, Arc<Upstream>)>) {
--- /dev/null
+++ b/crates/hub/src/bin/rwr-hub.rs
@@ -0,0 +1,55 @@
+//! `rwr-hub`: keeps the route table and the list of upstreams.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use conf::ConfError;
+use daemon::Daemon;
+use daemon::signals::Asked;
+use daemon::signals::Signals;
+use hub::Hub;
+use hub::HubError;
+use hub::Settings;
+use slog::Logger;
+
+struct HubDaemon;
+
+impl Daemon for HubDaemon {
+    const NAME: &'static str = "rwr-hub";
+    const VERSION: &'static str = env!("CARGO_PKG_VERSION");
+    const SUMMARY: &'static str = "Keeps the route table and the list of upstreams.";
+    type Settings = Settings;
+    type Error = HubError;
+
+    fn open(path: &Path) -> Result<Settings, ConfError> {
+        Settings::open(path)
+    }
+
+    fn host(settings: &Settings) -> String {
+        settings.host.to_string()
+    }
+
+    fn telemetry(settings: &Settings) -> telemetry::Settings {
+        settings.telemetry
+    }
+
+    async fn run(settings: Settings, log: Logger, mut signals: Signals) -> Result<(), HubError> {
+        let mut hub = Hub::start(settings, log).await?;
+        let desk = hub.desk().clone();
+        let asked = async {
+            while signals.next().await == Asked::Reload {
+                desk.reload(Settings::open(signals.path()));
+            }
+        };
+        tokio::select! {
+            result = hub.ended() => return result,
+            () = asked => {}
+        }
+        hub.stop().await;
+        Ok(())
+    }
+}
+
+fn main() -> ExitCode {
+    daemon::main::<HubDaemon>()
+}
--- a/crates/route/src/fresh.rs
+++ b/crates/route/src/fresh.rs
@@ -136,7 +136,7 @@
 
     fn standing(&self, now: Moment, usual: Usual) -> Standing {
         let slots = f64::from(self.instance.slots.max(1));
-        let own = self.starts.len() as f64;
+        let own = f64::from(u32::try_from(self.starts.len()).unwrap_or(u32::MAX));
         let guess = (slots * usual.load).max(own);
         let (busy, pace) = match self.report {
             None => (guess, None),
@@ -293,20 +293,17 @@
             return;
         };
         row.probing = row.probing.saturating_sub(1);
-        match report {
-            Some(report) => {
-                row.report = Some((now, report));
-                row.since = 0;
-                row.mute = false;
-                row.health.probe_answered(now);
-                self.learn(report);
-            }
-            None => {
-                row.mute = true;
-                if row.health.probe_failed(false) {
-                    self.eject(now, pick, Cause::Silence);
-                }
-            }
+        if let Some(report) = report {
+            row.report = Some((now, report));
+            row.since = 0;
+            row.mute = false;
+            row.health.probe_answered(now);
+            self.learn(report);
+            return;
+        }
+        row.mute = true;
+        if row.health.probe_failed(false) {
+            self.eject(now, pick, Cause::Silence);
         }
     }
 
@@ -434,11 +431,17 @@
     }
 
     /// Ejected instances whose time is over, which a probe may bring back.
-    pub fn ejected(&mut self, now: Moment) -> Vec<Pick> {
+    ///
+    /// `allow` is told how many are wanted, and says how many may be asked.
+    pub fn ejected(&mut self, now: Moment, allow: impl FnOnce(usize) -> usize) -> Vec<Pick> {
         let due = |r: &Row| r.is_ready() && r.probing == 0 && r.health.wants_probe(now);
-        let due: Vec<usize> = (0..self.rows.len())
+        let mut due: Vec<usize> = (0..self.rows.len())
             .filter(|i| due(&self.rows[*i]))
             .collect();
+        if due.is_empty() {
+            return Vec::new();
+        }
+        due.truncate(allow(due.len()));
         for index in &due {
             self.rows[*index].probing += 1;
         }
--- /dev/null
+++ b/crates/route/tests/test_fresh.rs
@@ -0,0 +1,233 @@
+//! Choices by what instances say at the moment of the choice.
+
+use std::time::Duration;
+
+use base::prelude::*;
+use quickcheck::TestResult;
+use quickcheck::quickcheck;
+use route::Decision;
+use route::Fresh;
+use route::Instance;
+use route::Kind;
+use route::LoadReport;
+use route::Need;
+use route::Phase;
+use route::Pick;
+use route::cost;
+use route::cost::Paces;
+use route::cost::Standing;
+
+const NEED: Need = Need {
+    work: Duration::from_millis(120),
+    aim: Duration::from_millis(300),
+    crossing: 0.05,
+};
+
+fn domain(name: &str) -> DomainName {
+    DomainName::new(name).expect("a name")
+}
+
+fn instance(id: &str, place: &str) -> (Instance, Duration) {
+    let instance = Instance {
+        id: InstanceId::new(id).expect("a name"),
+        domain: domain(place),
+        slots: 6,
+        phase: Phase::Ready,
+    };
+    (instance, Duration::ZERO)
+}
+
+fn fresh(rows: &[(Instance, Duration)]) -> Fresh {
+    let mut fresh = Fresh::new(domain("a"), 7);
+    fresh.update(at(0), rows);
+    fresh
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(1_000 + millis)
+}
+
+fn report(running: u32, waiting: u32, pace: u32) -> LoadReport {
+    LoadReport {
+        running,
+        waiting,
+        slots: 6,
+        pace,
+    }
+}
+
+/// Asks whom the chooser wants to ask; each answers as `told` says by its id.
+fn ask(fresh: &mut Fresh, now: Moment, told: impl Fn(&str) -> Option<LoadReport>) -> usize {
+    let mut asked = 0;
+    for round in 0.. {
+        let picks = fresh.plan(now, &NEED, &[], round, |count| count);
+        if picks.is_empty() {
+            return asked;
+        }
+        asked += picks.len();
+        for pick in picks {
+            let id = fresh.id(pick).expect("known").as_str().to_owned();
+            fresh.probed(now, pick, told(&id));
+        }
+    }
+    asked
+}
+
+fn sent(fresh: &mut Fresh, now: Moment) -> Option<(String, Pick)> {
+    match fresh.choose(now, &NEED, &[]) {
+        Decision::Send(choice) => {
+            let id = fresh.id(choice.pick).expect("known").as_str().to_owned();
+            Some((id, choice.pick))
+        }
+        _ => None,
+    }
+}
+
+#[test]
+fn test_fresh_takes_the_one_that_is_not_slow_now() {
+    let mut fresh = fresh(&["i-1", "i-2", "i-3"].map(|id| instance(id, "a")));
+    let told = |id: &str| {
+        let pace = if id == "i-2" { 100 } else { 400 };
+        Some(report(2, 0, pace))
+    };
+    ask(&mut fresh, at(0), told);
+    assert_eq!(sent(&mut fresh, at(0)).map(|s| s.0).as_deref(), Some("i-2"));
+}
+
+#[test]
+fn test_fresh_stays_in_the_failure_domain_unless_it_is_slow_there() {
+    let rows = [instance("near", "a"), instance("far", "b")];
+    let mut here = fresh(&rows);
+    ask(&mut here, at(0), |_| Some(report(1, 0, 100)));
+    assert_eq!(sent(&mut here, at(0)).map(|s| s.0).as_deref(), Some("near"));
+    let mut there = fresh(&rows);
+    ask(&mut there, at(0), |id| {
+        Some(report(1, 0, if id == "near" { 400 } else { 100 }))
+    });
+    assert_eq!(sent(&mut there, at(0)).map(|s| s.0).as_deref(), Some("far"));
+}
+
+#[test]
+fn test_fresh_waits_while_every_instance_is_at_its_knee() {
+    let mut fresh = fresh(&["i-1", "i-2"].map(|id| instance(id, "a")));
+    ask(&mut fresh, at(0), |_| Some(report(4, 0, 100)));
+    assert_eq!(fresh.choose(at(0), &NEED, &[]), Decision::Wait);
+}
+
+#[test]
+fn test_fresh_says_that_the_best_is_slow() {
+    let mut fresh = fresh(&["i-1", "i-2"].map(|id| instance(id, "a")));
+    ask(&mut fresh, at(0), |_| Some(report(0, 0, 400)));
+    assert!(matches!(fresh.choose(at(0), &NEED, &[]), Decision::Slow(_)));
+}
+
+#[test]
+fn test_fresh_unknown_instance_draws_nobody_while_all_others_are_full() {
+    let mut fresh = fresh(&["i-1", "i-2", "i-3"].map(|id| instance(id, "a")));
+    // Many reports of full instances; the mute one never answers.
+    for step in 0..60 {
+        let full = |id: &str| (id != "i-3").then(|| report(6, 6, 100));
+        ask(&mut fresh, at(step * 20), full);
+    }
+    assert_eq!(fresh.choose(at(1_200), &NEED, &[]), Decision::Wait);
+}
+
+#[test]
+fn test_fresh_leaving_and_displaced_instances_get_nothing() {
+    let mut fresh = fresh(&["i-1", "i-2"].map(|id| instance(id, "a")));
+    let mut leaving = instance("i-1", "a");
+    leaving.0.phase = Phase::Draining;
+    fresh.update(at(0), &[leaving, instance("i-2", "a")]);
+    for step in 0..20 {
+        let (id, _) = sent(&mut fresh, at(step)).expect("one is left");
+        assert_eq!(id, "i-2");
+    }
+    let (_, pick) = sent(&mut fresh, at(20)).expect("one is left");
+    fresh.displaced(pick);
+    assert_eq!(fresh.choose(at(20), &NEED, &[]), Decision::None);
+    assert!(fresh.ejected(at(60_000), |count| count).is_empty());
+}
+
+#[test]
+fn test_fresh_failing_instance_is_ejected_and_comes_back() {
+    let mut fresh = fresh(&["i-1", "i-2"].map(|id| instance(id, "a")));
+    let mut failed = 0;
+    for step in 0..200 {
+        let now = at(step * 20);
+        // The other one is slow, so that this one is worth another try until it is out.
+        let told = |id: &str| Some(report(0, 0, if id == "i-1" { 100 } else { 400 }));
+        ask(&mut fresh, now, told);
+        let Some((id, pick)) = sent(&mut fresh, now) else {
+            continue;
+        };
+        let ticket = fresh.started(now, pick);
+        let kind = if id == "i-1" { Kind::Error } else { Kind::Ok };
+        fresh.finished(now, ticket, kind, Some(report(0, 0, 100)));
+        failed += u32::from(id == "i-1");
+    }
+    // Three failures eject it; from then on it gets a trial now and then.
+    assert!((3..=8).contains(&failed), "{failed} requests went there");
+    let later = at(60_000);
+    let due = fresh.ejected(later, |count| count);
+    assert_eq!(due.len(), 1);
+    fresh.probed(later, due[0], Some(report(0, 0, 100)));
+    assert_eq!(sent(&mut fresh, later).map(|s| s.0).as_deref(), Some("i-1"));
+}
+
+#[test]
+fn test_fresh_asks_no_more_than_it_may() {
+    let mut fresh = fresh(&["i-1", "i-2", "i-3", "i-4"].map(|id| instance(id, "a")));
+    assert!(fresh.plan(at(0), &NEED, &[], 0, |_| 0).is_empty());
+    assert_eq!(
+        fresh.plan(at(0), &NEED, &[], 0, |count| count.min(2)).len(),
+        2
+    );
+}
+
+#[test]
+fn test_fresh_asks_nobody_while_a_good_report_is_young() {
+    let mut fresh = fresh(&["i-1", "i-2", "i-3", "i-4"].map(|id| instance(id, "a")));
+    assert_eq!(ask(&mut fresh, at(0), |_| Some(report(0, 0, 100))), 3);
+    assert_eq!(ask(&mut fresh, at(5), |_| Some(report(0, 0, 100))), 0);
+    assert!(ask(&mut fresh, at(100), |_| Some(report(0, 0, 100))) > 0);
+}
+
+fn standing(busy: f64, pace: Option<(f64, f64)>) -> Standing {
+    Standing {
+        busy,
+        slots: 6.0,
+        pace,
+        usual: Paces::default(),
+        cold: false,
+        failing: 0.0,
+    }
+}
+
+/// Figures of measured runs: work of 120, 160 and 480 ms at both paces.
+#[test]
+fn test_cost_expects_the_pace_for_the_whole_work() {
+    for work in [120, 160, 480] {
+        let need = Need {
+            work: Duration::from_millis(work),
+            ..NEED
+        };
+        let usual = cost::expected(&standing(2.0, Some((100.0, 0.0))), &need);
+        let slow = cost::expected(&standing(2.0, Some((400.0, 0.0))), &need);
+        assert!((slow / usual - 4.0).abs() < 0.01, "{work}");
+    }
+}
+
+quickcheck! {
+    /// More requests, a slower pace or more failures never make a choice cheaper.
+    fn prop_cost_rises_with_what_is_worse(busy: u8, pace: u16, age: u16) -> TestResult {
+        let (busy, age) = (f64::from(busy % 24), f64::from(age) / 1000.0);
+        let pace = f64::from(pace.max(50));
+        let here = standing(busy, Some((pace, age)));
+        let of = |standing: &Standing| cost::cost(standing, &NEED, false);
+        let more = Standing { busy: busy + 1.0, ..here };
+        let slower = standing(busy, Some((pace * 2.0, age)));
+        let failing = Standing { failing: 0.2, ..here };
+        let worse = [more, slower, failing];
+        TestResult::from_bool(worse.iter().all(|w| of(w) >= of(&here) - 1e-9))
+    }
+}
--- a/crates/telemetry/src/board.rs
+++ b/crates/telemetry/src/board.rs
@@ -124,7 +124,7 @@
             }
             "ms" => {
                 if let Ok(value) = line.value.parse() {
-                    observe(&mut state, key, value);
+                    observe(&mut state, &key, value);
                 }
             }
             _ => state.left_out += 1,
@@ -136,16 +136,16 @@
     }
 }
 
-fn observe(state: &mut State, key: String, millis: u64) {
-    if !state.metrics.contains_key(&key) {
+fn observe(state: &mut State, key: &str, millis: u64) {
+    if !state.metrics.contains_key(key) {
         // Bounds and digits are constants that the library allows.
         let Ok(times) = Histogram::new_with_bounds(1, MAX_MS, DIGITS) else {
             return;
         };
         let times = Metric::Times(Box::new(times), 0);
-        state.metrics.insert(key.clone(), times);
+        state.metrics.insert(key.to_owned(), times);
     }
-    if let Some(Metric::Times(times, sum)) = state.metrics.get_mut(&key) {
+    if let Some(Metric::Times(times, sum)) = state.metrics.get_mut(key) {
         times.saturating_record(millis);
         *sum += millis;
     }
