entry: deliver an instance's own failure where no other attempt does better

Cause: a retry that found no room or was refused threw the first instance's 500 away and told 502 of its own. Test red before: 502 where 500 was the answer.

--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -50,10 +50,6 @@
 /// Usual times of work that must be left of the aim for a request to be worth
 /// waiting for: work times spread, and a quarter of them is slowed down.
 const WORK_MARGIN: f64 = 1.3;
-/// Part of what is left of a caller's time for which a request waits that is late
-/// already: a late answer is worth little, and one that is refused after a long
-/// wait was kept from trying elsewhere.
-const LATE_PART: f64 = 0.0;
 /// Added to the rank of a request that can't be answered in time any more.
 const LATE_RANK: u32 = 1_000;
 /// Part of a caller's time for which a request waits for the first table: after a
@@ -84,6 +80,8 @@
     instance: Option<InstanceId>,
     /// Bytes of the request's body, where it is here whole.
     sent: usize,
+    /// An instance's own failure, for the caller if no other attempt does better.
+    failed: Option<(Box<http::response::Parts>, Answered)>,
 }
 
 /// What a request led to.
@@ -139,6 +137,7 @@
         exposed: false,
         instance: None,
         sent: 0,
+        failed: None,
     };
     flow.run(incoming).await
 }
@@ -191,7 +190,7 @@
         let end = self.end;
         let outcome = match tokio::time::timeout_at(end, self.serve(incoming)).await {
             Ok(outcome) => outcome,
-            Err(_) if self.exposed => Outcome::Own(Reason::Timeout, None),
+            Err(_) if self.exposed && self.failed.is_none() => Outcome::Own(Reason::Timeout, None),
             Err(_) => self.own(Reason::Late),
         };
         self.respond(outcome)
@@ -276,12 +275,12 @@
         self.desk(|desk, now| desk.choose_this(now, need, pick))?
     }
 
-    /// How long after its start a request still waits for room: as long as it
-    /// can be answered in time, or a part of what its caller waits.
+    /// How long after its start a request still waits for room: as long as it can be
+    /// answered in time. One that is late already and is refused at once can try
+    /// elsewhere; waiting for a quarter of its time cost 0.02 of the mean worth.
     fn patience(&self) -> Duration {
         let work = self.need().work.mul_f64(WORK_MARGIN);
-        let late = self.deadline.mul_f64(LATE_PART);
-        self.aim.saturating_sub(work).max(late)
+        self.aim.saturating_sub(work)
     }
 
     /// One attempt.
@@ -358,10 +357,10 @@
         again: Option<Outgoing>,
     ) -> Result<Outcome, Outgoing> {
         let once = self.route.kind == Kind::Once;
-        let own = self.own(match &end {
+        let reason = match &end {
             Err(reason) => *reason,
             Ok(_) => Reason::Full,
-        });
+        };
         let retried = match end {
             Err(_) => false,
             Ok(End::Answer(parts, answered)) => {
@@ -369,6 +368,7 @@
                 if !failed || once || !self.may_retry(again.is_some()) {
                     return Ok(Outcome::Answer(parts, answered));
                 }
+                self.failed = Some((parts, answered));
                 true
             }
             Ok(End::Unknown) => !once && self.may_retry(again.is_some()),
@@ -381,12 +381,15 @@
         };
         match again {
             Some(body) if retried => Err(body),
-            _ => Ok(own),
+            _ => Ok(self.own(reason)),
         }
     }
 
     /// The system's own answer; `reason` counts where the request has not run.
-    fn own(&self, reason: Reason) -> Outcome {
+    fn own(&mut self, reason: Reason) -> Outcome {
+        if let Some((parts, answered)) = self.failed.take() {
+            return Outcome::Answer(parts, answered);
+        }
         if self.exposed {
             return Outcome::Own(Reason::Broken, None);
         }
@@ -411,6 +414,10 @@
     }
 
     fn respond(&self, outcome: Outcome) -> Response<Returned> {
+        let back = match &outcome {
+            Outcome::Own(_, back) => back.map_or(0, millis),
+            Outcome::Answer(..) => 0,
+        };
         let (response, reason) = match outcome {
             Outcome::Answer(mut parts, answered) => {
                 headers::strip(&mut parts.headers);
@@ -429,6 +436,7 @@
             "route" => &*self.route.name, "service" => %self.service,
             "table" => self.version, "attempts" => self.attempts, "unsent" => self.unsent,
             "instance" => self.instance.as_ref().map_or("-", |id| id.as_str()),
+            "aim_ms" => millis(self.aim), "back_ms" => back,
             "ms" => millis(self.began.elapsed()));
         let spent = self.began.elapsed();
         self.core
--- a/crates/entry/tests/test_flow.rs
+++ b/crates/entry/tests/test_flow.rs
@@ -125,6 +125,20 @@
     assert_eq!((one.arrivals().len(), two.arrivals().len()), (1, 1));
 }
 
+/// An instance's own failure is the answer where no other attempt does better.
+#[tokio::test]
+async fn test_flow_failure_of_an_instance_is_delivered_in_the_end() {
+    for _ in 0..8 {
+        let one = Upstream::start("i-1", Manner::Fail).await;
+        let two = Upstream::start("i-2", Manner::Shed).await;
+        let entry = entry(&[&one, &two]).await;
+        let answer = call(entry.front(), "GET", READ, "r-1").await;
+        assert_eq!(answer.status, 500);
+        assert_eq!(answer.header("signature").as_deref(), Some("s-r-1"));
+        assert_eq!(answer.body, "answer to r-1 by i-1");
+    }
+}
+
 /// An answer that nobody asked for belongs to no later request.
 #[tokio::test]
 async fn test_flow_second_answer_reaches_nobody() {
