--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -17,6 +17,7 @@
 use route::Kind;
 use route::LoadReport;
 use route::Ticket;
+use slog::info;
 use strum::IntoStaticStr;
 
 use crate::body;
@@ -162,7 +163,7 @@
         let fresh = kept.is_none();
         let mut connection = match kept {
             Some(connection) => connection,
-            None => upstream.pool.connect().await.ok()?,
+            None => connect(core, upstream).await?,
         };
         match connection.sender.try_send_request(request).await {
             Ok(response) => return Some((Some(response), connection)),
@@ -176,6 +177,18 @@
     }
 }
 
+/// A new connection; why there is none is told in the log.
+pub async fn connect(core: &Core, upstream: &Upstream) -> Option<Connection> {
+    match upstream.pool.connect().await {
+        Ok(connection) => Some(connection),
+        Err(err) => {
+            info!(core.log, "connect failed"; "instance" => %upstream.id,
+                "address" => %upstream.address, "error" => %err);
+            None
+        }
+    }
+}
+
 fn request(
     core: &Core,
     upstream: &Upstream,
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -1,5 +1,8 @@
 //! The way of one request, from its head to the final answer.
 
+mod choice;
+mod head;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,11 +11,8 @@
 use http::HeaderValue;
 use http::Request;
 use http::Response;
-use http::Uri;
-use http::header;
 use hyper::body::Body;
 use hyper::body::Incoming;
-use route::Need;
 use route::Pick;
 use slog::info;
 use table::Kind;
@@ -25,33 +25,21 @@
 use crate::body::Read;
 use crate::body::Returned;
 use crate::core::Core;
-use crate::desk::Chosen;
 use crate::desk::Desk;
-use crate::desk::Verdict;
 use crate::exchange;
 use crate::exchange::Answered;
 use crate::exchange::Call;
 use crate::exchange::End;
 use crate::habit::Habit;
 use crate::headers;
-use crate::probe;
 use crate::refusal;
 use crate::refusal::Reason;
-use crate::view::Routes;
 
 /// Time for a request that names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 /// When a caller may come back after a refusal for lack of knowledge: the hubs
 /// tell of tables and instances within it.
 const BACK_UNKNOWN: Duration = Duration::from_millis(300);
-/// A request that waits for room looks itself after so long, as room may come
-/// from other entry hosts' requests, which end unseen.
-const LOOK: Duration = Duration::from_millis(40);
-/// Usual times of work that must be left of the aim for a request to be worth
-/// waiting for: work times spread, and a quarter of them is slowed down.
-const WORK_MARGIN: f64 = 1.3;
-/// Added to the rank of a request that can't be answered in time any more.
-const LATE_RANK: u32 = 1_000;
 /// Part of a caller's time for which a request waits for the first table: after a
 /// restart of everything it comes within 700 ms.
 const TABLE_PART: f64 = 0.25;
@@ -95,32 +83,32 @@
     let began = Instant::now();
     let named = headers::number(request.headers(), &core.dialect.deadline);
     let deadline = named.map_or(DEFAULT_DEADLINE, Duration::from_millis);
-    let routes = routes(&core, deadline.mul_f64(TABLE_PART)).await;
+    let routes = head::routes(&core, deadline.mul_f64(TABLE_PART)).await;
     let id = request.headers().get(&core.dialect.request).cloned();
     let id = id.unwrap_or_else(|| HeaderValue::from_static("-"));
     if routes.table.version == 0 {
-        return refuse(&core, &id, &routes, Reason::NoTable, Some(BACK_UNKNOWN));
+        return head::refuse(&core, &id, &routes, Reason::NoTable, Some(BACK_UNKNOWN));
     }
-    let host = host(&request).unwrap_or_default();
+    let host = head::host(&request).unwrap_or_default();
     let Some(route) = routes.index.select(&host, request.uri().path()) else {
-        return refuse(&core, &id, &routes, Reason::NoRoute, None);
+        return head::refuse(&core, &id, &routes, Reason::NoRoute, None);
     };
     let service = match &route.target {
         Target::Service(name) => Some(name.clone()),
         Target::Split(parts) => core.turn(route, parts),
     };
     let Some(service) = service else {
-        return refuse(&core, &id, &routes, Reason::NoInstance, Some(BACK_UNKNOWN));
+        return head::refuse(&core, &id, &routes, Reason::NoInstance, Some(BACK_UNKNOWN));
     };
     let limit = routes.table.limits.body_bytes;
     if request.body().size_hint().lower() > limit {
-        return refuse(&core, &id, &routes, Reason::TooLarge, None);
+        return head::refuse(&core, &id, &routes, Reason::TooLarge, None);
     }
     let spent = named.map_or(Duration::ZERO, |_| {
         core.habit(route, |habit| habit.spent(deadline))
     });
     let aim = route.aim.unwrap_or(deadline / 2).saturating_sub(spent);
-    let (call, incoming) = call(&core, id, request);
+    let (call, incoming) = head::call(&core, id, request);
     let mut flow = Flow {
         end: began + deadline.min(route.timeout.unwrap_or(deadline)),
         core,
@@ -142,49 +130,6 @@
     flow.run(incoming).await
 }
 
-/// The table in force; a process that has just started waits for it up to `span`.
-async fn routes(core: &Core, span: Duration) -> Arc<Routes> {
-    let mut routed = core.routed.subscribe();
-    if !*routed.borrow_and_update() {
-        // Without one by then, the request is refused.
-        let _ = tokio::time::timeout(span, routed.wait_for(|routed| *routed)).await;
-    }
-    core.routes()
-}
-
-/// The host that the request names, without its port.
-fn host(request: &Request<Incoming>) -> Option<String> {
-    let named = request.headers().get(header::HOST);
-    let named = named.and_then(|value| value.to_str().ok());
-    let host = request.uri().host().or(named)?;
-    let bare = host.rsplit_once(':').map_or(host, |(bare, port)| {
-        if port.bytes().all(|b| b.is_ascii_digit()) {
-            bare
-        } else {
-            host
-        }
-    });
-    Some(bare.to_ascii_lowercase())
-}
-
-/// Splits a request into what is passed on and its body.
-fn call(core: &Core, id: HeaderValue, request: Request<Incoming>) -> (Call, Incoming) {
-    let (mut parts, incoming) = request.into_parts();
-    headers::strip(&mut parts.headers);
-    parts.headers.remove(&core.dialect.expected);
-    let uri = match parts.uri.path_and_query() {
-        Some(path) => Uri::from(path.clone()),
-        None => parts.uri,
-    };
-    let call = Call {
-        id,
-        method: parts.method,
-        uri,
-        headers: parts.headers,
-    };
-    (call, incoming)
-}
-
 impl Flow {
     async fn run(&mut self, incoming: Incoming) -> Response<Returned> {
         let end = self.end;
@@ -224,65 +169,6 @@
         self.core.desk(&self.service, ask)
     }
 
-    /// An instance for the next attempt.
-    async fn choose(&mut self) -> Result<Chosen, Reason> {
-        let exclude = std::mem::take(&mut self.exclude);
-        let chosen = self.choose_beside(&exclude).await;
-        self.exclude = exclude;
-        chosen
-    }
-
-    async fn choose_beside(&self, exclude: &[Pick]) -> Result<Chosen, Reason> {
-        let patience = self.patience();
-        loop {
-            let need = self.need();
-            for round in 0.. {
-                let asked = self.desk(|desk, now| desk.plan(now, &need, exclude, round));
-                let asked = asked.unwrap_or_default();
-                if asked.is_empty() {
-                    break;
-                }
-                probe::ask(&self.core, &self.service, asked).await;
-            }
-            let verdict = self.desk(|desk, now| desk.choose(now, &need, exclude));
-            let slow = match verdict {
-                Some(Verdict::Send(chosen)) => return Ok(chosen),
-                Some(Verdict::Slow(chosen)) => Some(chosen),
-                Some(Verdict::Wait) => None,
-                Some(Verdict::None) | None => return Err(Reason::NoInstance),
-            };
-            let left = patience.saturating_sub(self.began.elapsed());
-            if left.is_zero() {
-                return slow.ok_or(Reason::Full);
-            }
-            if let Some(chosen) = self.wait(&need, left.min(LOOK)).await {
-                return Ok(chosen);
-            }
-        }
-    }
-
-    /// Waits until an instance has room, or for `span`. One that can't be answered
-    /// in time any more lets all others go first.
-    async fn wait(&self, need: &Need, span: Duration) -> Option<Chosen> {
-        let until = self.core.clock.now() + span;
-        let late = self.began.elapsed() + need.work > self.aim;
-        let priority = self.route.priority + if late { LATE_RANK } else { 0 };
-        let told = self.desk(|desk, _| desk.wait(priority, until))?;
-        let began = Instant::now();
-        let told = tokio::time::timeout(span, told).await;
-        self.core.counters.waited(&self.service, began.elapsed());
-        let pick = told.ok()?.ok()?;
-        self.desk(|desk, now| desk.choose_this(now, need, pick))?
-    }
-
-    /// How long after its start a request still waits for room: as long as it can be
-    /// answered in time. One that is late already and is refused at once can try
-    /// elsewhere; waiting for a quarter of its time cost 0.02 of the mean worth.
-    fn patience(&self) -> Duration {
-        let work = self.need().work.mul_f64(WORK_MARGIN);
-        self.aim.saturating_sub(work)
-    }
-
     /// One attempt.
     async fn attempt(&mut self, body: Outgoing) -> Result<End, Reason> {
         let chosen = self.choose().await?;
@@ -339,17 +225,6 @@
             "service" => %self.service, "ms" => millis(span));
     }
 
-    /// What the request needs of an instance now.
-    fn need(&self) -> Need {
-        let aim = self.route.aim.unwrap_or(self.deadline / 2);
-        let left = self.aim.saturating_sub(self.began.elapsed());
-        let price = self.core.settings().crossing();
-        // One that is late already needs the soonest answer all the same.
-        let left = left.max(aim / 4);
-        self.core
-            .habit(&self.route, |habit| habit.need(left, price))
-    }
-
     /// The final outcome, or the body for another attempt.
     fn judge(
         &mut self,
@@ -450,22 +325,6 @@
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Answers without a route.
-fn refuse(
-    core: &Core,
-    id: &HeaderValue,
-    routes: &Routes,
-    reason: Reason,
-    back: Option<Duration>,
-) -> Response<Returned> {
-    let response = refusal::answer(reason, back);
-    let word: &'static str = reason.into();
-    core.counters.request("-", word, Duration::ZERO);
-    info!(core.log, "request"; "request" => id.to_str().unwrap_or("-"), "outcome" => word,
-        "status" => response.status().as_u16(), "table" => routes.table.version);
-    response
-}
-
 /// An empty body, for pages of the process itself.
 #[must_use]
 pub fn empty() -> Returned {
--- /dev/null
+++ b/crates/entry/src/flow/choice.rs
@@ -0,0 +1,94 @@
+//! Finds an instance for an attempt: asks a few, decides, and waits for room.
+
+use std::time::Duration;
+
+use route::Need;
+use route::Pick;
+use tokio::time::Instant;
+
+use super::Flow;
+use crate::desk::Chosen;
+use crate::desk::Verdict;
+use crate::probe;
+use crate::refusal::Reason;
+
+/// A request that waits for room looks itself after so long, as room may come
+/// from other entry hosts' requests, which end unseen.
+const LOOK: Duration = Duration::from_millis(40);
+/// Usual times of work that must be left of the aim for a request to be worth
+/// waiting for: work times spread, and a quarter of them is slowed down.
+const WORK_MARGIN: f64 = 1.3;
+/// Added to the rank of a request that can't be answered in time any more.
+const LATE_RANK: u32 = 1_000;
+
+impl Flow {
+    /// An instance for the next attempt.
+    pub(super) async fn choose(&mut self) -> Result<Chosen, Reason> {
+        let exclude = std::mem::take(&mut self.exclude);
+        let chosen = self.choose_beside(&exclude).await;
+        self.exclude = exclude;
+        chosen
+    }
+
+    async fn choose_beside(&self, exclude: &[Pick]) -> Result<Chosen, Reason> {
+        let patience = self.patience();
+        loop {
+            let need = self.need();
+            for round in 0.. {
+                let asked = self.desk(|desk, now| desk.plan(now, &need, exclude, round));
+                let asked = asked.unwrap_or_default();
+                if asked.is_empty() {
+                    break;
+                }
+                probe::ask(&self.core, &self.service, asked).await;
+            }
+            let verdict = self.desk(|desk, now| desk.choose(now, &need, exclude));
+            let slow = match verdict {
+                Some(Verdict::Send(chosen)) => return Ok(chosen),
+                Some(Verdict::Slow(chosen)) => Some(chosen),
+                Some(Verdict::Wait) => None,
+                Some(Verdict::None) | None => return Err(Reason::NoInstance),
+            };
+            let left = patience.saturating_sub(self.began.elapsed());
+            if left.is_zero() {
+                return slow.ok_or(Reason::Full);
+            }
+            if let Some(chosen) = self.wait(&need, left.min(LOOK)).await {
+                return Ok(chosen);
+            }
+        }
+    }
+
+    /// Waits until an instance has room, or for `span`. One that can't be answered
+    /// in time any more lets all others go first.
+    async fn wait(&self, need: &Need, span: Duration) -> Option<Chosen> {
+        let until = self.core.clock.now() + span;
+        let late = self.began.elapsed() + need.work > self.aim;
+        let priority = self.route.priority + if late { LATE_RANK } else { 0 };
+        let told = self.desk(|desk, _| desk.wait(priority, until))?;
+        let began = Instant::now();
+        let told = tokio::time::timeout(span, told).await;
+        self.core.counters.waited(&self.service, began.elapsed());
+        let pick = told.ok()?.ok()?;
+        self.desk(|desk, now| desk.choose_this(now, need, pick))?
+    }
+
+    /// How long after its start a request still waits for room: as long as it can be
+    /// answered in time. One that is late already and is refused at once can try
+    /// elsewhere; waiting for a quarter of its time cost 0.02 of the mean worth.
+    fn patience(&self) -> Duration {
+        let work = self.need().work.mul_f64(WORK_MARGIN);
+        self.aim.saturating_sub(work)
+    }
+
+    /// What the request needs of an instance now.
+    fn need(&self) -> Need {
+        let aim = self.route.aim.unwrap_or(self.deadline / 2);
+        let left = self.aim.saturating_sub(self.began.elapsed());
+        let price = self.core.settings().crossing();
+        // One that is late already needs the soonest answer all the same.
+        let left = left.max(aim / 4);
+        self.core
+            .habit(&self.route, |habit| habit.need(left, price))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/flow/head.rs
@@ -0,0 +1,79 @@
+//! The beginning of a request: which table, host and route count, and what is passed on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::Uri;
+use http::header;
+use hyper::body::Incoming;
+use slog::info;
+
+use crate::body::Returned;
+use crate::core::Core;
+use crate::exchange::Call;
+use crate::headers;
+use crate::refusal;
+use crate::refusal::Reason;
+use crate::view::Routes;
+
+/// The table in force; a process that has just started waits for it up to `span`.
+pub(super) async fn routes(core: &Core, span: Duration) -> Arc<Routes> {
+    let mut routed = core.routed.subscribe();
+    if !*routed.borrow_and_update() {
+        // Without one by then, the request is refused.
+        let _ = tokio::time::timeout(span, routed.wait_for(|routed| *routed)).await;
+    }
+    core.routes()
+}
+
+/// The host that the request names, without its port.
+pub(super) fn host(request: &Request<Incoming>) -> Option<String> {
+    let named = request.headers().get(header::HOST);
+    let named = named.and_then(|value| value.to_str().ok());
+    let host = request.uri().host().or(named)?;
+    let bare = host.rsplit_once(':').map_or(host, |(bare, port)| {
+        if port.bytes().all(|b| b.is_ascii_digit()) {
+            bare
+        } else {
+            host
+        }
+    });
+    Some(bare.to_ascii_lowercase())
+}
+
+/// Splits a request into what is passed on and its body.
+pub(super) fn call(core: &Core, id: HeaderValue, request: Request<Incoming>) -> (Call, Incoming) {
+    let (mut parts, incoming) = request.into_parts();
+    headers::strip(&mut parts.headers);
+    parts.headers.remove(&core.dialect.expected);
+    let uri = match parts.uri.path_and_query() {
+        Some(path) => Uri::from(path.clone()),
+        None => parts.uri,
+    };
+    let call = Call {
+        id,
+        method: parts.method,
+        uri,
+        headers: parts.headers,
+    };
+    (call, incoming)
+}
+
+/// Answers without a route.
+pub(super) fn refuse(
+    core: &Core,
+    id: &HeaderValue,
+    routes: &Routes,
+    reason: Reason,
+    back: Option<Duration>,
+) -> Response<Returned> {
+    let response = refusal::answer(reason, back);
+    let word: &'static str = reason.into();
+    core.counters.request("-", word, Duration::ZERO);
+    info!(core.log, "request"; "request" => id.to_str().unwrap_or("-"), "outcome" => word,
+        "status" => response.status().as_u16(), "table" => routes.table.version);
+    response
+}
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -22,6 +22,7 @@
 use crate::body::Read;
 use crate::core::Core;
 use crate::desk::Desk;
+use crate::exchange;
 use crate::headers;
 use crate::pool::Connection;
 use crate::view::Upstream;
@@ -128,7 +129,7 @@
         let fresh = kept.is_none();
         let mut connection = match kept {
             Some(connection) => connection,
-            None => upstream.pool.connect().await.ok()?,
+            None => exchange::connect(core, upstream).await?,
         };
         let request = request(core, upstream, &path)?;
         match connection.sender.try_send_request(request).await {
--- a/crates/route/src/fresh.rs
+++ b/crates/route/src/fresh.rs
@@ -10,6 +10,8 @@
 //!
 //! It is a plain state machine: the time and what happened go in, decisions come out.
 
+mod row;
+
 use std::time::Duration;
 
 use base::prelude::*;
@@ -19,8 +21,6 @@
 
 use crate::cost;
 use crate::cost::Need;
-use crate::cost::Paces;
-use crate::cost::Standing;
 use crate::health::Cause;
 use crate::health::Health;
 use crate::health::State;
@@ -32,19 +32,16 @@
 use crate::outcome::LoadReport;
 use crate::policy::Reason;
 
-/// A report that is younger than this is as good as a new one: requests of a
-/// service come some 10 ms apart, a pace lasts some 300 ms.
-const FRESH: Duration = Duration::from_millis(12);
+use self::row::FRESH;
+use self::row::Row;
+use self::row::Usual;
+
 /// Instances asked in the first round, and in each further one.
 const ROUND: usize = 3;
 /// Rounds after which the best of those known is taken.
 const ROUNDS: u32 = 3;
 /// A choice that costs so little is taken without asking further.
 const GOOD: f64 = 0.06;
-/// Age at which a report of requests at an instance says nothing any more, in seconds.
-const LOAD_LIFE: f64 = 0.5;
-/// Requests a slot that are assumed before the first report.
-const FIRST_LOAD: f64 = 0.45;
 /// Weight of one report in the usual load of the service. Where all instances
 /// fill up, one of which nothing is known is full too, and must not draw
 /// everybody's requests.
@@ -96,69 +93,6 @@
     None,
 }
 
-#[derive(Debug)]
-struct Row {
-    instance: Instance,
-    epoch: u32,
-    health: Health,
-    /// Own attempts in flight, by when they began.
-    starts: Vec<Moment>,
-    report: Option<(Moment, LoadReport)>,
-    /// Own attempts begun since the report.
-    since: u32,
-    cold_until: Moment,
-    probing: u32,
-    /// Its last probe failed.
-    mute: bool,
-    /// Another instance has its address.
-    displaced: bool,
-}
-
-impl Row {
-    fn age(&self, now: Moment) -> Option<Duration> {
-        self.report.map(|(at, _)| now.since(at))
-    }
-
-    /// It takes work and is reached at its address.
-    fn is_ready(&self) -> bool {
-        self.instance.phase == Phase::Ready && !self.displaced
-    }
-
-    fn is_fresh(&self, now: Moment) -> bool {
-        self.age(now).is_some_and(|age| age < FRESH)
-    }
-
-    /// Whether one more request leaves it below the load from which it gets slower.
-    fn has_room(&self, now: Moment, usual: Usual) -> bool {
-        let standing = self.standing(now, usual);
-        standing.busy + 1.0 <= (standing.slots * cost::KNEE).max(1.0)
-    }
-
-    fn standing(&self, now: Moment, usual: Usual) -> Standing {
-        let slots = f64::from(self.instance.slots.max(1));
-        let own = f64::from(u32::try_from(self.starts.len()).unwrap_or(u32::MAX));
-        let guess = (slots * usual.load).max(own);
-        let (busy, pace) = match self.report {
-            None => (guess, None),
-            Some((at, report)) => {
-                let age = now.since(at).as_secs_f64();
-                let told = f64::from(report.running + report.waiting + self.since);
-                let known = (-age / LOAD_LIFE).exp();
-                let busy = told * known + guess * (1.0 - known);
-                (busy.max(own), Some((f64::from(report.pace), age)))
-            }
-        };
-        Standing {
-            busy,
-            slots,
-            pace,
-            usual: usual.paces,
-            cold: now < self.cold_until,
-            failing: self.health.share(now),
-        }
-    }
-}
-
 /// Chooses among one service's instances by fresh reports.
 #[derive(Debug)]
 pub struct Fresh {
@@ -168,23 +102,6 @@
     usual: Usual,
 }
 
-/// What is usual for the service, as its instances tell.
-#[derive(Clone, Copy, Debug)]
-struct Usual {
-    /// Requests a slot.
-    load: f64,
-    paces: Paces,
-}
-
-impl Default for Usual {
-    fn default() -> Self {
-        Self {
-            load: FIRST_LOAD,
-            paces: Paces::default(),
-        }
-    }
-}
-
 impl Fresh {
     /// A chooser without instances, for a gateway in `domain`.
     #[must_use]
--- /dev/null
+++ b/crates/route/src/fresh/row.rs
@@ -0,0 +1,101 @@
+//! What the chooser keeps of one instance, and of all of them together.
+
+use std::time::Duration;
+
+use base::prelude::*;
+
+use crate::cost;
+use crate::cost::Paces;
+use crate::cost::Standing;
+use crate::health::Health;
+use crate::instance::Instance;
+use crate::instance::Phase;
+use crate::outcome::LoadReport;
+
+/// A report that is younger than this is as good as a new one: requests of a
+/// service come some 10 ms apart, a pace lasts some 300 ms.
+pub(super) const FRESH: Duration = Duration::from_millis(12);
+/// Age at which a report of requests at an instance says nothing any more, in seconds.
+const LOAD_LIFE: f64 = 0.5;
+/// Requests a slot that are assumed before the first report.
+const FIRST_LOAD: f64 = 0.45;
+
+#[derive(Debug)]
+pub(super) struct Row {
+    pub(super) instance: Instance,
+    pub(super) epoch: u32,
+    pub(super) health: Health,
+    /// Own attempts in flight, by when they began.
+    pub(super) starts: Vec<Moment>,
+    pub(super) report: Option<(Moment, LoadReport)>,
+    /// Own attempts begun since the report.
+    pub(super) since: u32,
+    pub(super) cold_until: Moment,
+    pub(super) probing: u32,
+    /// Its last probe failed.
+    pub(super) mute: bool,
+    /// Another instance has its address.
+    pub(super) displaced: bool,
+}
+
+impl Row {
+    pub(super) fn age(&self, now: Moment) -> Option<Duration> {
+        self.report.map(|(at, _)| now.since(at))
+    }
+
+    /// It takes work and is reached at its address.
+    pub(super) fn is_ready(&self) -> bool {
+        self.instance.phase == Phase::Ready && !self.displaced
+    }
+
+    pub(super) fn is_fresh(&self, now: Moment) -> bool {
+        self.age(now).is_some_and(|age| age < FRESH)
+    }
+
+    /// Whether one more request leaves it below the load from which it gets slower.
+    pub(super) fn has_room(&self, now: Moment, usual: Usual) -> bool {
+        let standing = self.standing(now, usual);
+        standing.busy + 1.0 <= (standing.slots * cost::KNEE).max(1.0)
+    }
+
+    pub(super) fn standing(&self, now: Moment, usual: Usual) -> Standing {
+        let slots = f64::from(self.instance.slots.max(1));
+        let own = f64::from(u32::try_from(self.starts.len()).unwrap_or(u32::MAX));
+        let guess = (slots * usual.load).max(own);
+        let (busy, pace) = match self.report {
+            None => (guess, None),
+            Some((at, report)) => {
+                let age = now.since(at).as_secs_f64();
+                let told = f64::from(report.running + report.waiting + self.since);
+                let known = (-age / LOAD_LIFE).exp();
+                let busy = told * known + guess * (1.0 - known);
+                (busy.max(own), Some((f64::from(report.pace), age)))
+            }
+        };
+        Standing {
+            busy,
+            slots,
+            pace,
+            usual: usual.paces,
+            cold: now < self.cold_until,
+            failing: self.health.share(now),
+        }
+    }
+}
+
+/// What is usual for the service, as its instances tell.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Usual {
+    /// Requests a slot.
+    pub(super) load: f64,
+    pub(super) paces: Paces,
+}
+
+impl Default for Usual {
+    fn default() -> Self {
+        Self {
+            load: FIRST_LOAD,
+            paces: Paces::default(),
+        }
+    }
+}
