--- /dev/null
+++ b/crates/daemon/tests/test_signals.rs
@@ -0,0 +1,23 @@
+//! A settings file that changes without a signal.
+
+use std::fs;
+use std::path::PathBuf;
+
+use daemon::signals::Asked;
+use daemon::signals::Signals;
+
+#[tokio::test(start_paused = true)]
+async fn test_signals_changed_file_asks_for_a_reload() {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("changed.ini");
+    fs::write(&path, "a = 1\n").expect("writes");
+    let mut signals = Signals::new(&path).expect("takes over");
+    assert_eq!(signals.path(), path);
+    fs::write(&path, "a = 2\n").expect("writes");
+    assert_eq!(signals.next().await, Asked::Reload);
+    // One that is being replaced is looked at again.
+    fs::remove_file(&path).expect("removes");
+    let looks = tokio::time::timeout(std::time::Duration::from_secs(5), signals.next());
+    assert!(looks.await.is_err());
+    fs::write(&path, "a = 3\n").expect("writes");
+    assert_eq!(signals.next().await, Asked::Reload);
+}
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -1,6 +1,7 @@
 //! What all tasks of one entry process share.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -133,10 +134,22 @@
             }
             *held = routes;
         }
+        self.forget_routes();
         self.routed.send_replace(true);
         info!(self.log, "route table"; "version" => version);
     }
 
+    /// Drops what was learned of routes that the table no longer has, as names change
+    /// with every version.
+    fn forget_routes(&self) {
+        let routes = self.routes();
+        let hosts = routes.table.hosts.iter();
+        let names: HashSet<&Arc<str>> = hosts.flat_map(|h| &h.routes).map(|r| &r.name).collect();
+        let mut known = self.known();
+        known.habits.retain(|name, _| names.contains(name));
+        known.splits.retain(|name, _| names.contains(name));
+    }
+
     /// Whether callers may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
