--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -13,7 +13,6 @@
 use table::Table;
 use wire::hub::Instance;
 use wire::hub::Phase;
-use wire::hub::TableOutcome;
 use wire::hub::TableReply;
 
 use crate::settings::Settings;
@@ -170,10 +169,4 @@
             Err(err) => warn!(self.state.log, "settings not reloaded"; "error" => %err),
         }
     }
-
-    /// Whether a proposed table was taken, or is held already.
-    #[must_use]
-    pub fn is_in_force(reply: &TableReply) -> bool {
-        matches!(reply.outcome(), TableOutcome::Taken | TableOutcome::Held)
-    }
 }
