--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -144,7 +144,7 @@
 }
 
 /// The load that an instance tells on an answer.
-fn load(core: &Core, headers: &HeaderMap) -> Option<LoadReport> {
+pub fn load(core: &Core, headers: &HeaderMap) -> Option<LoadReport> {
     let text = headers.get(&core.dialect.load)?.to_str().ok()?;
     (core.dialect.read_load)(text)
 }
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -115,10 +115,7 @@
         let named = headers::kept_for(&parts.headers);
         upstream.pool.keep(connection, named);
     }
-    let told = parts.headers.get(&core.dialect.load);
-    let told = told.and_then(|value| value.to_str().ok());
-    let report = told.and_then(core.dialect.read_load);
-    report.map_or(Found::Nothing, Found::Load)
+    exchange::load(core, &parts.headers).map_or(Found::Nothing, Found::Load)
 }
 
 /// The answer to a probe, on a kept connection or a new one.
