standin: name the life that answers, refuse requests for another

An address of a killed instance may be another one's next. Tests: a request for another life is answered 421 and not run; the fault `ill` fails probes and works.

--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -35,6 +35,8 @@
     Crossed,
     /// Reports no load whatever it has in flight.
     Lie,
+    /// Answers probes with 503 and works as ever.
+    Ill,
 }
 
 /// A fault with its measures.
--- a/crates/standin/src/handler.rs
+++ b/crates/standin/src/handler.rs
@@ -57,6 +57,8 @@
 /// What the handler, the announcer and the owner of a stand-in share.
 pub struct Shared {
     pub settings: Settings,
+    /// Names this life of the instance.
+    life: String,
     pub slots: Slots,
     pub runs: Runs,
     pub fault: watch::Sender<Fault>,
@@ -69,8 +71,9 @@
 }
 
 impl Shared {
-    pub fn new(settings: Settings, log: Logger) -> Self {
+    pub fn new(settings: Settings, incarnation: u64, log: Logger) -> Self {
         Self {
+            life: format!("{}:{incarnation}", settings.instance),
             slots: Slots::new(settings.slots, settings.queue),
             runs: Runs::default(),
             fault: watch::Sender::new(Fault::default()),
@@ -161,13 +164,21 @@
                 render(res, StatusCode::OK, &fault);
             }
             (&Method::POST, "/standin/fault") => self.switch(req, res).await,
+            _ if !self.is_meant(req) => misdirected(res),
             _ => self.serve(req, res, path).await,
         }
+        set(res, header::INSTANCE, &self.0.life);
         set(res, header::LOAD, &self.0.load());
     }
 }
 
 impl Upstream {
+    /// Whether the request is for this life of the instance, or for any.
+    fn is_meant(&self, req: &Request) -> bool {
+        let only = text(req, header::ONLY);
+        only.is_empty() || only == self.0.life
+    }
+
     async fn probe(&self, res: &mut Response) {
         self.0.probes.fetch_add(1, Ordering::Relaxed);
         let cost = self.0.settings.probe;
@@ -177,7 +188,10 @@
             let _slot = place.slot().await;
             sleep(cost).await;
         }
-        res.status_code(StatusCode::OK);
+        res.status_code(match self.0.fault.borrow().kind {
+            FaultKind::Ill => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::OK,
+        });
     }
 
     fn record(&self, res: &mut Response) {
@@ -384,6 +398,12 @@
     set(res, header::SHED, "1");
 }
 
+/// Another instance was meant, which had this address before.
+fn misdirected(res: &mut Response) {
+    refuse(res, StatusCode::MISDIRECTED_REQUEST, "misdirected");
+    set(res, header::SHED, "1");
+}
+
 fn refuse(res: &mut Response, status: StatusCode, error: &'static str) {
     #[derive(Serialize)]
     struct Refusal {
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -62,8 +62,9 @@
     let listener = TcpListener::bind(listen).await.map_err(wrap)?;
     let address = listener.local_addr().map_err(wrap)?;
     let acceptor = TcpAcceptor::try_from(listener).map_err(wrap)?;
-    let announcer = Announcer::new(&settings, address, incarnation(), log.clone());
-    let shared = Arc::new(Shared::new(settings, log));
+    let incarnation = incarnation();
+    let announcer = Announcer::new(&settings, address, incarnation, log.clone());
+    let shared = Arc::new(Shared::new(settings, incarnation, log));
     let router = Router::with_path("{**path}").goal(Upstream(shared.clone()));
     let serve = tokio::spawn(Server::new(acceptor).serve(router));
     let (phase, phases) = watch::channel(Phase::Ready);
--- a/crates/standin/tests/test_faults.rs
+++ b/crates/standin/tests/test_faults.rs
@@ -253,3 +253,32 @@
     tokio::task::yield_now().await;
     assert!(reqwest::get(&probe).await.is_err());
 }
+
+#[tokio::test]
+async fn test_request_for_another_life_is_not_run() {
+    let upstream = start(settings()).await;
+    let send = async |only: Option<&str>| {
+        let mut request = Client::new().get(url(&upstream, "/blocks/7"));
+        if let Some(only) = only {
+            request = request.header(header::ONLY, only);
+        }
+        request.send().await.unwrap()
+    };
+    let answer = send(None).await;
+    assert_eq!(answer.status(), 200);
+    let life = text(&answer, header::INSTANCE);
+    assert_eq!(send(Some(&life)).await.status(), 200);
+    let earlier = send(Some("another:1")).await;
+    assert_eq!(earlier.status(), 421);
+    assert_eq!(text(&earlier, header::SHED), "1");
+    assert_eq!(upstream.runs().all().len(), 2);
+}
+
+#[tokio::test]
+async fn test_ill_answers_probes_with_a_failure_and_works() {
+    let upstream = start(settings()).await;
+    upstream.set_fault(Fault::new(FaultKind::Ill));
+    let probe = reqwest::get(url(&upstream, "/rwr/load")).await.unwrap();
+    assert_eq!(probe.status(), 503);
+    assert_eq!(grant(&upstream, "k1").await.unwrap().status(), 200);
+}
