hub: take announcements and callers' questions over HTTP

rwr-hub had no way in for upstreams of its own; only the platform's adapter brought them. The body of an announcement and the refusals move from directory to the crate announce, which both use. A life of an instance is a row of its own.

--- a/crates/directory/src/announce.rs
+++ b/crates/announce/src/body.rs
@@ -1,20 +1,14 @@
-//! `POST /v1/announce`: an upstream says that it is there.
+//! The body of `POST /v1/announce`.
 
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use members::AnnounceError;
-use members::Heard;
 use members::Instance;
 use members::Phase;
 use serde::Deserialize;
-use serde::Serialize;
-use slog::info;
-use slog::warn;
 
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
-use crate::shared::Shared;
 
 /// Largest body in bytes.
 pub const MAX_BODY: usize = 4 * 1024;
@@ -35,15 +29,6 @@
     sequence: u64,
 }
 
-/// The answer to an announcement that was taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Lease {
-    /// The instance is dropped this long after its last announcement.
-    pub lease_ms: u32,
-    /// It should announce itself again after this.
-    pub refresh_ms: u32,
-}
-
 /// Reads an announcement.
 ///
 /// # Errors
@@ -91,40 +76,3 @@
         Refusal::new(Reason::Field, detail)
     })
 }
-
-/// Takes an announcement and logs what it changed.
-///
-/// # Errors
-///
-/// Fails when it is older than one heard, its incarnation has left, or there is no room.
-pub fn take(shared: &Shared, instance: Instance) -> Result<Lease, Refusal> {
-    let told = instance.clone();
-    let heard = shared.step(|inner, now| inner.members.announce(instance, now));
-    match heard {
-        Ok(Heard::Changed) => {
-            info!(shared.log, "announced"; "service" => %told.service, "id" => %told.id,
-                "address" => %told.address, "domain" => %told.domain, "slots" => told.slots,
-                "phase" => %told.phase, "incarnation" => told.incarnation, "sequence" => told.sequence);
-        }
-        Ok(Heard::Renewed | Heard::Repeated) => {}
-        Err(err) => {
-            warn!(shared.log, "announcement refused"; "service" => %told.service, "id" => %told.id,
-                "incarnation" => told.incarnation, "sequence" => told.sequence, "error" => %err);
-            return Err(refusal(&err));
-        }
-    }
-    let leases = &shared.settings.leases;
-    Ok(Lease {
-        lease_ms: crate::convert::millis(leases.lease),
-        refresh_ms: crate::convert::millis(leases.refresh),
-    })
-}
-
-fn refusal(err: &AnnounceError) -> Refusal {
-    let reason = match err {
-        AnnounceError::Older(_) => Reason::Older,
-        AnnounceError::Left(_) => Reason::Left,
-        AnnounceError::Full(_) => Reason::Full,
-    };
-    Refusal::new(reason, err.to_string())
-}
--- a/crates/directory/src/answer.rs
+++ b/crates/directory/src/answer.rs
@@ -1,12 +1,12 @@
 //! `GET /v1/route`: a caller asks which entry hosts to use.
 
+use announce::Reason;
+use announce::Refusal;
 use base::prelude::*;
 use serde::Deserialize;
 use serde::Serialize;
 use slog::info;
 
-use crate::refusal::Reason;
-use crate::refusal::Refusal;
 use crate::shared::Inner;
 use crate::shared::Shared;
 
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -6,15 +6,14 @@
 //! other directories ([`peers`]). What it decides is in the crates `members`
 //! and `place`; here are the sockets, the tasks and the clock around them.
 
-pub mod announce;
 pub mod answer;
 pub mod convert;
 pub mod follow;
 pub mod http;
+pub mod lease;
 pub mod names;
 pub mod peers;
 pub mod placed;
-pub mod refusal;
 pub mod rpc;
 pub mod server;
 pub mod settings;
--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -157,6 +157,13 @@
         (addresses, known.ttl.unwrap_or(self.state.settings.ttl))
     }
 
+    /// The announced upstreams, those that left lately included, in the order of
+    /// their ids.
+    #[must_use]
+    pub fn instances(&self) -> Vec<Instance> {
+        self.state.known().registry.all().cloned().collect()
+    }
+
     /// Takes settings that were read again; seeds count from the next start on.
     pub fn reload(&self, read: Result<Settings, ConfError>) {
         match read {
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -14,6 +14,7 @@
 use wire::accept::Acceptor;
 
 use crate::desk::Desk;
+use crate::http;
 use crate::peers;
 use crate::server;
 use crate::server::HubServer;
@@ -34,7 +35,7 @@
             source(err)
             display("{err}")
         }
-        /// Its own port.
+        /// A port of its own.
         Bind(address: SocketAddr, err: io::Error) {
             source(err)
             display("bind {address}: {err}")
@@ -48,7 +49,8 @@
     desk: Desk,
     stop: CancellationToken,
     log: Logger,
-    _tasks: [AbortOnDropHandle<()>; 4],
+    http: Option<SocketAddr>,
+    _tasks: Vec<AbortOnDropHandle<()>>,
 }
 
 impl Hub {
@@ -62,6 +64,7 @@
         let address = settings.hub_at(settings.address);
         let listener = wire::link::listen(address).await;
         let listener = listener.map_err(|err| HubError::Bind(address, err))?;
+        let port = settings.http;
         let state = State::new(settings, control.tables().clone(), log.clone());
         let desk = Desk::new(Arc::clone(&state));
         let stop = CancellationToken::new();
@@ -74,22 +77,37 @@
         let accepting = acceptor.run(listener, move |channel| {
             server::serve(channel, served.clone())
         });
-        let tasks = [
+        let mut tasks = vec![
             AbortOnDropHandle::new(tokio::spawn(accepting)),
             AbortOnDropHandle::new(tokio::spawn(peers::follow_group(Arc::clone(&state)))),
             AbortOnDropHandle::new(tokio::spawn(peers::follow_entries(Arc::clone(&state)))),
             AbortOnDropHandle::new(tokio::spawn(peers::follow_registry(state))),
         ];
-        info!(log, "hub serves"; "address" => %address);
+        let mut http = None;
+        if let Some(port) = port {
+            let listened = http::listen(port, &desk).await;
+            let (bound, serving) = listened.map_err(|err| HubError::Bind(port, err))?;
+            tasks.push(AbortOnDropHandle::new(tokio::spawn(serving)));
+            http = Some(bound);
+        }
+        let shown = http.map_or_else(|| "-".to_owned(), |bound| bound.to_string());
+        info!(log, "hub serves"; "address" => %address, "http" => shown);
         Ok(Self {
             control,
             desk,
             stop,
             log,
+            http,
             _tasks: tasks,
         })
     }
 
+    /// Where upstreams and callers reach it, if they do.
+    #[must_use]
+    pub fn http(&self) -> Option<SocketAddr> {
+        self.http
+    }
+
     /// Answers what the hub is asked.
     #[must_use]
     pub fn desk(&self) -> &Desk {
--- a/crates/hub/src/lib.rs
+++ b/crates/hub/src/lib.rs
@@ -4,11 +4,12 @@
 //! The route table lives in the replicated log of [`control`], and so do the
 //! announced upstreams: a hub acknowledges that an instance leaves only when the
 //! log has it. Besides, each hub tells at once what it has just heard ([`desk`],
-//! [`state`]). Entry processes watch all hubs ([`server`]); which entry hosts
+//! [`state`]). Entry processes watch all hubs ([`server`]), upstreams and callers ask over HTTP ([`http`]); which entry hosts
 //! callers may use follows from who watches ([`entries`]).
 
 pub mod desk;
 pub mod entries;
+pub mod http;
 pub mod hub;
 pub mod peers;
 pub mod server;
--- a/crates/hub/src/settings.rs
+++ b/crates/hub/src/settings.rs
@@ -38,6 +38,10 @@
 const TTL: Duration = Duration::from_secs(2);
 /// Entry hosts that a caller is told, by default.
 const SPREAD: u32 = 3;
+/// First port of a local hub.
+const PORT: u16 = 7010;
+/// Region of a local hub.
+const REGION: &str = "local";
 /// Ports that one hub takes, from the first on.
 const PORTS: u16 = 2;
 
@@ -57,6 +61,9 @@
     /// The first of the ports for traffic between the system's processes; the
     /// same on every host.
     pub port: u16,
+    /// Where upstreams announce themselves and callers ask for entry hosts; none
+    /// where another process takes these calls.
+    pub http: Option<SocketAddr>,
     /// Hosts that run hubs; of each only the address counts, not the port.
     pub seeds: Vec<SocketAddr>,
     /// The seeds found a new system, this hub among them.
@@ -70,6 +77,25 @@
 }
 
 impl Settings {
+    /// A hub at `address` that founds no system and knows no other, with every default.
+    #[must_use]
+    pub fn local(host: HostName, domain: DomainName, data: PathBuf, address: IpAddr) -> Self {
+        Self {
+            host,
+            domain,
+            region: RegionName::new(REGION).expect("a valid name"),
+            data,
+            address,
+            port: PORT,
+            http: None,
+            seeds: Vec::new(),
+            found: false,
+            ttl: TTL,
+            spread: SPREAD as usize,
+            telemetry: telemetry::Settings::default(),
+        }
+    }
+
     /// Reads the file at `path`.
     ///
     /// # Errors
@@ -90,6 +116,7 @@
         let data = r.required(HUB, "data");
         let address = r.required(HUB, "address");
         let port: Option<u32> = r.required(HUB, "port");
+        let http = r.optional(HUB, "http");
         let seeds = r.list(HUB, "seeds");
         let found = r.or(HUB, "found", false);
         let ttl = r.or(HUB, "ttl", TTL);
@@ -107,6 +134,7 @@
             data: data?,
             address: address?,
             port: u16::try_from(port?).ok()?,
+            http,
             seeds,
             found,
             ttl,
@@ -182,6 +210,9 @@
         writeln!(f, "data = {}", self.data.display())?;
         writeln!(f, "address = {}", self.address)?;
         writeln!(f, "port = {}", self.port)?;
+        if let Some(http) = self.http {
+            writeln!(f, "http = {http}")?;
+        }
         writeln!(f, "seeds = {}", seeds.join(", "))?;
         writeln!(f, "found = {}", if self.found { "yes" } else { "no" })?;
         writeln!(f, "ttl = {}", duration_text(self.ttl))?;
--- a/crates/hub/tests/test_hub.rs
+++ b/crates/hub/tests/test_hub.rs
@@ -44,18 +44,13 @@
     let _ = std::fs::remove_dir_all(&data);
     let address: IpAddr = [127, 0, 0, 1].into();
     let port = ports().await;
+    let host = HostName::new("hub-1").expect("a name");
+    let domain = DomainName::new("a").expect("a name");
     let settings = Settings {
-        host: HostName::new("hub-1").expect("a name"),
-        domain: DomainName::new("a").expect("a name"),
-        region: RegionName::new("r").expect("a name"),
-        data,
-        address,
         port,
         seeds: vec![SocketAddr::new(address, 1)],
         found: true,
-        ttl: Duration::from_secs(2),
-        spread: 3,
-        telemetry: telemetry::Settings::default(),
+        ..Settings::local(host, domain, data, address)
     };
     let log = telemetry::log::silent();
     let hub = Hub::start(settings.clone(), log).await.expect("starts");
@@ -239,3 +234,92 @@
     let named = tokio::time::timeout(PATIENCE, named).await;
     assert_eq!(named.expect("named in the end"), ["127.0.0.1:8080"]);
 }
+
+/// A hub that takes announcements over HTTP too, and where.
+async fn start_http(name: &str) -> (Hub, String) {
+    let (hub, mut settings) = start(name).await;
+    hub.stop().await;
+    settings.http = Some(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let log = telemetry::log::silent();
+    let hub = Hub::start(settings, log).await.expect("starts again");
+    let base = format!("http://{}", hub.http().expect("served"));
+    (hub, base)
+}
+
+async fn post(base: &str, body: &str) -> (u16, String) {
+    let client = reqwest::Client::new();
+    let sent = client
+        .post(format!("{base}/v1/announce"))
+        .body(body.to_owned());
+    let answer = sent.send().await.expect("an answer");
+    let status = answer.status().as_u16();
+    (status, answer.text().await.expect("a body"))
+}
+
+fn told(phase: &str, incarnation: u64, sequence: u64) -> String {
+    format!(
+        "{{\"service\":\"status\",\"id\":\"status-1\",\"address\":\"127.0.0.1:9\",\
+         \"domain\":\"a\",\"slots\":6,\"connections\":250,\"phase\":\"{phase}\",\
+         \"incarnation\":{incarnation},\"sequence\":{sequence}}}"
+    )
+}
+
+#[tokio::test]
+async fn test_hub_takes_announcements_over_http() {
+    let (hub, base) = start_http("hub-http").await;
+    // `starting` is acknowledged and tells nobody of the instance.
+    for (phase, count) in [("starting", 0), ("ready", 1)] {
+        assert_eq!(
+            post(&base, &told(phase, 1, 1)).await,
+            (200, "{\"refresh_ms\":500}".to_owned())
+        );
+        assert_eq!(hub.desk().instances().len(), count, "{phase}");
+    }
+    // A later life of the same instance is another row, and the earlier one can leave.
+    assert_eq!(post(&base, &told("ready", 2, 1)).await.0, 200);
+    let leave = async {
+        while post(&base, &told("gone", 1, 2)).await.0 != 200 {
+            tokio::time::sleep(PAUSE).await;
+        }
+    };
+    let left = tokio::time::timeout(PATIENCE, leave).await;
+    left.expect("in the log in the end");
+    let lives = hub.desk().instances();
+    let lives: Vec<(&str, Phase)> = lives.iter().map(|i| (&*i.id, i.phase())).collect();
+    assert_eq!(
+        lives,
+        [("status-1:1", Phase::Gone), ("status-1:2", Phase::Ready)]
+    );
+}
+
+#[tokio::test]
+async fn test_hub_refuses_what_is_no_announcement() {
+    let (_hub, base) = start_http("hub-http-bad").await;
+    let cases = [
+        ("{", 400, "json"),
+        ("{}", 400, "json"),
+        (&told("asleep", 1, 1), 400, "field"),
+        (
+            &told("ready", 1, 1).replace("127.0.0.1:9", "here"),
+            400,
+            "field",
+        ),
+        (&"x".repeat(5_000), 413, "large"),
+    ];
+    for (body, status, word) in cases {
+        let (found, text) = post(&base, body).await;
+        assert_eq!(found, status, "{text}");
+        assert!(text.contains(&format!("\"error\":\"{word}\"")), "{text}");
+    }
+}
+
+#[tokio::test]
+async fn test_hub_without_entry_hosts_tells_callers_to_come_back() {
+    let (_hub, base) = start_http("hub-http-hosts").await;
+    let url = format!("{base}/v1/hosts?name=example.org&domain=a&region=r");
+    let answer = reqwest::get(url).await.expect("an answer");
+    assert_eq!(answer.status().as_u16(), 503);
+    assert!(answer.headers().contains_key("retry-after"));
+    let other = reqwest::get(format!("{base}/v1/other")).await;
+    assert_eq!(other.expect("an answer").status().as_u16(), 404);
+}
