entry: name a request whose caller gave it no id

Found by the first run of testutils test_fleet: 502 "broken" for every request without an id, since the answer was compared with a name that was never sent. The request had run. Also: Settings::local, for tests; the header rwr-only in place of a name that came near the platform's.

--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -30,8 +30,8 @@
         Self {
             request: HeaderName::from_static(header::REQUEST_ID),
             deadline: HeaderName::from_static(header::DEADLINE),
-            expected: HeaderName::from_static("rwr-expected-instance"),
-            instance: HeaderName::from_static("rwr-instance"),
+            expected: HeaderName::from_static(header::ONLY),
+            instance: HeaderName::from_static(header::INSTANCE),
             load: HeaderName::from_static(header::LOAD),
             refused: HeaderName::from_static(header::SHED),
             read_load,
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -8,7 +8,6 @@
 
 use base::prelude::*;
 use bytes::Bytes;
-use http::HeaderValue;
 use http::Request;
 use http::Response;
 use hyper::body::Body;
@@ -85,7 +84,7 @@
     let deadline = named.map_or(DEFAULT_DEADLINE, Duration::from_millis);
     let routes = head::routes(&core, deadline.mul_f64(TABLE_PART)).await;
     let id = request.headers().get(&core.dialect.request).cloned();
-    let id = id.unwrap_or_else(|| HeaderValue::from_static("-"));
+    let id = id.unwrap_or_else(head::new_id);
     if routes.table.version == 0 {
         return head::refuse(&core, &id, &routes, Reason::NoTable, Some(BACK_UNKNOWN));
     }
--- a/crates/entry/src/flow/head.rs
+++ b/crates/entry/src/flow/head.rs
@@ -10,6 +10,7 @@
 use http::header;
 use hyper::body::Incoming;
 use slog::info;
+use uuid::Uuid;
 
 use crate::body::Returned;
 use crate::core::Core;
@@ -29,6 +30,13 @@
     core.routes()
 }
 
+/// A name for a request whose caller gave none: its answer is told by it from
+/// another's, and its log lines are found by it.
+pub(super) fn new_id() -> HeaderValue {
+    let id = Uuid::new_v4().simple().to_string();
+    HeaderValue::from_str(&id).unwrap_or_else(|_| unreachable!("hexadecimal digits"))
+}
+
 /// The host that the request names, without its port.
 pub(super) fn host(request: &Request<Incoming>) -> Option<String> {
     let named = request.headers().get(header::HOST);
@@ -49,6 +57,7 @@
     let (mut parts, incoming) = request.into_parts();
     headers::strip(&mut parts.headers);
     parts.headers.remove(&core.dialect.expected);
+    parts.headers.insert(&core.dialect.request, id.clone());
     let uri = match parts.uri.path_and_query() {
         Some(path) => Uri::from(path.clone()),
         None => parts.uri,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -28,6 +28,10 @@
 const PROBES: u32 = 50;
 /// Entry hosts that a caller is told, by default.
 const SPREAD: u32 = 3;
+/// First port of local hubs.
+const PORT: u16 = 7010;
+/// Region of a local entry process.
+const REGION: &str = "local";
 /// Offset of a hub's own port from the first one.
 const HUB_PORT: u16 = 2;
 
@@ -134,6 +138,29 @@
 }
 
 impl Settings {
+    /// An entry process with every default that takes callers at `front`, on free
+    /// ports where that has port 0, and knows no hub.
+    #[must_use]
+    pub fn local(host: HostName, domain: DomainName, front: SocketAddr) -> Self {
+        Self {
+            host,
+            domain,
+            region: RegionName::new(REGION).expect("a valid name"),
+            front,
+            ready: SocketAddr::new(front.ip(), 0),
+            ready_path: READY_PATH.into(),
+            port: PORT,
+            seeds: Vec::new(),
+            ttl: TTL,
+            spread: SPREAD as usize,
+            retry: Retry::default(),
+            probes: PROBES,
+            stop: Stop::default(),
+            crossing: 0,
+            telemetry: telemetry::Settings::default(),
+        }
+    }
+
     /// Reads the file at `path`.
     ///
     /// # Errors
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -11,7 +11,6 @@
 use entry::Dialect;
 use entry::Entry;
 use entry::Settings;
-use entry::settings::Retry;
 use entry::settings::Stop;
 use table::Host;
 use table::Kind;
@@ -90,25 +89,15 @@
 
 pub fn settings() -> Settings {
     let free = SocketAddr::from(([127, 0, 0, 1], 0));
+    let host = HostName::new("entry-1").expect("a name");
+    let domain = DomainName::new("a").expect("a name");
     Settings {
-        host: HostName::new("entry-1").expect("a name"),
-        domain: DomainName::new("a").expect("a name"),
-        region: RegionName::new("r").expect("a name"),
-        front: free,
-        ready: free,
-        ready_path: "/ready".into(),
-        port: 1,
-        seeds: Vec::new(),
-        ttl: Duration::from_secs(2),
-        spread: 3,
-        retry: Retry::default(),
         probes: 1_000,
         stop: Stop {
             linger: Duration::from_millis(300),
             grace: Duration::from_secs(20),
         },
-        crossing: 0,
-        telemetry: telemetry::Settings::default(),
+        ..Settings::local(host, domain, free)
     }
 }
 
--- a/crates/entry/tests/test_flow.rs
+++ b/crates/entry/tests/test_flow.rs
@@ -42,7 +42,7 @@
     assert_eq!(header("x-own").as_deref(), Some("kept"));
     assert_eq!(header("x-hop"), None);
     assert_eq!(header("rwr-request-id").as_deref(), Some("r-1"));
-    assert_eq!(header("rwr-expected-instance").as_deref(), Some("i-1"));
+    assert_eq!(header("rwr-only").as_deref(), Some("i-1"));
     let left: u64 = header("rwr-deadline-ms")
         .and_then(|text| text.parse().ok())
         .expect("a deadline");
