testutils: hubs and entry processes as processes

Split by weight, leaving upstream, reused address, five faults at most once, loss of all hubs and the newest table after it, an emptied hub that joins and counts, SIGHUP. Process::kill waits 30 s at most and says so, where it waited without end.

--- a/crates/testutils/src/caller.rs
+++ b/crates/testutils/src/caller.rs
@@ -29,6 +29,8 @@
     pub body: String,
     /// The range asked for, if any.
     pub range: Option<String>,
+    /// The host name asked for; the address where none is given.
+    pub host: Option<&'static str>,
 }
 
 impl Ask {
@@ -44,6 +46,7 @@
             deadline: Duration::from_secs(10),
             body: String::new(),
             range: None,
+            host: None,
         }
     }
 
@@ -66,6 +69,15 @@
         }
     }
 
+    /// The same for a host name, which a route table knows.
+    #[must_use]
+    pub fn at(self, host: &'static str) -> Self {
+        Self {
+            host: Some(host),
+            ..self
+        }
+    }
+
     /// The same with another deadline.
     #[must_use]
     pub fn within(self, deadline: Duration) -> Self {
@@ -192,6 +204,9 @@
         if let Some(key) = &ask.key {
             request = request.header(header::IDEMPOTENCY_KEY, key);
         }
+        if let Some(host) = ask.host {
+            request = request.header("host", host);
+        }
         if let Some(range) = &ask.range {
             request = request.header("range", range);
         }
--- /dev/null
+++ b/crates/testutils/src/fleet.rs
@@ -0,0 +1,261 @@
+//! Hubs and entry processes as real processes, and upstreams that announce
+//! themselves to the hubs.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::prelude::*;
+use futures::future::join_all;
+use table::Table;
+use wire::hub::TableOutcome;
+use wire::link::within;
+use wire::peer;
+
+use crate::caller::Ask;
+use crate::caller::Caller;
+use crate::caller::Reply;
+use crate::folder::Folder;
+use crate::host::Host;
+use crate::process::Binary;
+use crate::process::Process;
+use crate::process::ProcessError;
+use crate::process::field;
+use crate::system::SystemError;
+use crate::system::wait;
+use crate::upstream::Upstream;
+
+/// First of the ports that hubs use.
+const HUB: u16 = 7010;
+/// Port where upstreams announce themselves to a hub.
+const ASK: u16 = 7003;
+/// Port where callers connect, and where upstreams serve.
+const SERVE: u16 = 7080;
+/// Port of the readiness page.
+const READY: u16 = 7081;
+/// Longest wait for one answer of a hub.
+const CALL_TIME: Duration = Duration::from_secs(2);
+/// The failure domains, over which hosts are spread in turn.
+const DOMAINS: [&str; 3] = ["milano", "torino", "genova"];
+/// The path of the stand-ins' own health page.
+pub const HEALTH: &str = "/rwr/load";
+
+/// A running fleet; all its processes are killed when it is dropped.
+pub struct Fleet {
+    /// The hubs; `None` once taken.
+    pub hubs: Vec<Option<Process>>,
+    /// The entry processes; `None` once taken.
+    pub entries: Vec<Option<Process>>,
+    /// The settings of the hubs.
+    pub hub_plans: Vec<hub::Settings>,
+    /// The settings of the entry processes.
+    pub entry_plans: Vec<entry::Settings>,
+    // The numbers and folders are free again when the fleet is dropped.
+    hosts: Vec<Host>,
+    folder: Folder,
+}
+
+impl Fleet {
+    /// Starts `hubs` hubs and `entries` entry processes, without a table.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process isn't ready in time.
+    pub async fn start(hubs: usize, entries: usize) -> Result<Self, SystemError> {
+        let hosts: Vec<Host> = (0..hubs + entries).map(|_| Host::new()).collect();
+        let folder = Folder::new()?;
+        let (core, edge) = hosts.split_at(hubs);
+        let seeds: Vec<SocketAddr> = core.iter().map(|h| h.at(HUB)).collect();
+        let hub_plans = core.iter().enumerate();
+        let hub_plans = hub_plans.map(|(i, host)| plan_hub(i, host, &seeds, &folder));
+        let entry_plans = edge.iter().enumerate();
+        let entry_plans = entry_plans.map(|(i, host)| plan_entry(i, host, &seeds));
+        let mut fleet = Self {
+            hubs: vec![],
+            entries: vec![],
+            hub_plans: hub_plans.collect(),
+            entry_plans: entry_plans.collect(),
+            hosts,
+            folder,
+        };
+        // Together, as none is ready before it has heard of the others.
+        let started = join_all((0..hubs).map(|i| fleet.new_hub(i))).await;
+        for process in started {
+            fleet.hubs.push(Some(process?));
+        }
+        let started = join_all((0..entries).map(|i| fleet.new_entry(i))).await;
+        for process in started {
+            fleet.entries.push(Some(process?));
+        }
+        Ok(fleet)
+    }
+
+    /// Starts the hub at `index` anew, with the data it has.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it isn't ready in time.
+    pub async fn new_hub(&self, index: usize) -> Result<Process, ProcessError> {
+        Process::start(Binary::Hub, &self.hub_plans[index].to_string()).await
+    }
+
+    /// Starts the entry process at `index` anew.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it isn't ready in time.
+    pub async fn new_entry(&self, index: usize) -> Result<Process, ProcessError> {
+        Process::start(Binary::Entry, &self.entry_plans[index].to_string()).await
+    }
+
+    /// Puts a table at any hub, until one has taken it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when none does within the patience of tests.
+    pub async fn put(&self, table: &Table) -> Result<(), SystemError> {
+        let content = table::codec::encode(table).expect("a table that can be written");
+        let row = wire::hub::Table {
+            version: table.version,
+            content: content.into(),
+            ..wire::hub::Table::default()
+        };
+        wait("table taken", async || {
+            for plan in &self.hub_plans {
+                let link = peer::hub(plan.hub_at(plan.address));
+                let Ok(client) = link.client().await else {
+                    continue;
+                };
+                let reply = client.put_table(within(CALL_TIME), row.clone()).await;
+                let outcome = reply.map(|reply| reply.outcome());
+                if matches!(outcome, Ok(o) if o != TableOutcome::Unspecified) {
+                    return true;
+                }
+            }
+            false
+        })
+        .await
+    }
+
+    /// Waits until the entry process at `index` has `version` or a later one in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that takes longer than the patience of tests.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process was taken, which is a fault of the test.
+    pub async fn wait_table(&self, index: usize, version: u64) -> Result<(), SystemError> {
+        let process = self.entries[index].as_ref().expect("a running process");
+        let told = |line: &str| {
+            let found = field(line, "version").and_then(|text| text.parse::<u64>().ok());
+            field(line, "msg") == Some("route table") && found.is_some_and(|v| v >= version)
+        };
+        process.wait_line(told).await?;
+        Ok(())
+    }
+
+    /// Starts a stand-in of `service`, on a host of its own, and waits until every
+    /// entry process that runs knows it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it isn't ready in time.
+    pub async fn upstream(
+        &mut self,
+        service: &str,
+        number: usize,
+    ) -> Result<Upstream, SystemError> {
+        let settings = self.plan_upstream(service, number);
+        self.start_upstream(&settings).await
+    }
+
+    /// Starts a stand-in with `settings` and waits until it is known.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it isn't ready in time.
+    pub async fn start_upstream(
+        &self,
+        settings: &standin::Settings,
+    ) -> Result<Upstream, SystemError> {
+        let upstream = Upstream::start(settings).await?;
+        let life = format!("{}:", upstream.instance);
+        for process in self.entries.iter().flatten() {
+            process
+                .wait_line(|line| {
+                    let instance = field(line, "instance");
+                    field(line, "msg") == Some("instance")
+                        && instance.is_some_and(|id| id.starts_with(&life))
+                })
+                .await?;
+        }
+        Ok(upstream)
+    }
+
+    /// Settings of a stand-in on a host of its own, announced to two hubs.
+    ///
+    /// # Panics
+    ///
+    /// Panics when `service` is no name, which is a fault of the test.
+    pub fn plan_upstream(&mut self, service: &str, number: usize) -> standin::Settings {
+        let host = Host::new();
+        let mut settings = standin::Settings::new(
+            ServiceName::new(service).expect("a valid service name"),
+            InstanceId::new(&format!("{service}-{number}")).expect("a valid name"),
+            domain(number),
+        );
+        settings.listen = host.at(SERVE);
+        settings.time = Duration::from_millis(2);
+        settings.drain = Duration::from_secs(2);
+        settings.seed = number as u64;
+        let asks: Vec<SocketAddr> = self.asks();
+        let homes = asks.iter().cycle().skip(number).take(asks.len().min(2));
+        settings.directories = homes.copied().collect();
+        self.hosts.push(host);
+        settings
+    }
+
+    /// Where upstreams and callers reach the hubs.
+    #[must_use]
+    pub fn asks(&self) -> Vec<SocketAddr> {
+        self.hub_plans.iter().filter_map(|plan| plan.http).collect()
+    }
+
+    /// Sends `ask` to the entry process at `index`.
+    pub async fn call(&self, index: usize, ask: &Ask) -> Reply {
+        Caller::new().call(self.entry_plans[index].front, ask).await
+    }
+
+    /// The folder of the hubs' data.
+    #[must_use]
+    pub fn folder(&self) -> &Folder {
+        &self.folder
+    }
+}
+
+fn plan_hub(index: usize, host: &Host, seeds: &[SocketAddr], folder: &Folder) -> hub::Settings {
+    let name = HostName::new(&format!("hub-{index}")).expect("a valid name");
+    let data = folder.path().join(format!("hub-{index}"));
+    hub::Settings {
+        port: HUB,
+        http: Some(host.at(ASK)),
+        seeds: seeds.to_vec(),
+        found: true,
+        ..hub::Settings::local(name, domain(index), data, host.at(HUB).ip())
+    }
+}
+
+fn plan_entry(index: usize, host: &Host, seeds: &[SocketAddr]) -> entry::Settings {
+    let name = HostName::new(&format!("entry-{index}")).expect("a valid name");
+    entry::Settings {
+        ready: host.at(READY),
+        port: HUB,
+        seeds: seeds.to_vec(),
+        ..entry::Settings::local(name, domain(index), host.at(SERVE))
+    }
+}
+
+fn domain(number: usize) -> DomainName {
+    DomainName::new(DOMAINS[number % DOMAINS.len()]).expect("a valid name")
+}
--- a/crates/testutils/src/lib.rs
+++ b/crates/testutils/src/lib.rs
@@ -5,6 +5,7 @@
 //! by its own id, and at the latest when its handle is dropped.
 
 pub mod caller;
+pub mod fleet;
 pub mod folder;
 pub mod host;
 pub mod operator;
@@ -18,6 +19,7 @@
 pub use caller::Caller;
 pub use caller::Reply;
 pub use caller::new_key;
+pub use fleet::Fleet;
 pub use folder::Folder;
 pub use host::Host;
 pub use operator::Operator;
--- a/crates/testutils/src/process.rs
+++ b/crates/testutils/src/process.rs
@@ -31,6 +31,8 @@
 
 /// Longest wait for an event of a process; far above what any takes.
 pub const PATIENCE: Duration = Duration::from_secs(30);
+/// The file in which a process finds its settings.
+const SETTINGS: &str = "settings.ini";
 /// Time between two looks at whether a process has ended.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -44,6 +46,10 @@
     Directory,
     /// A gateway.
     Gateway,
+    /// A hub.
+    Hub,
+    /// An entry process.
+    Entry,
     /// A stand-in for an upstream.
     Standin,
     /// The load tool.
@@ -85,6 +91,15 @@
 }
 
 impl Binary {
+    /// The message of the line that says that it serves.
+    fn ready(self) -> &'static str {
+        match self {
+            Self::Hub => "hub serves",
+            Self::Entry => "entry serves",
+            _ => "ready",
+        }
+    }
+
     /// Where cargo puts it: beside the folder of the running test.
     ///
     /// # Errors
@@ -145,7 +160,7 @@
     log: Log,
     readers: Vec<JoinHandle<()>>,
     ready: String,
-    _folder: Folder,
+    folder: Folder,
 }
 
 impl Process {
@@ -157,7 +172,7 @@
     pub async fn start(binary: Binary, ini: &str) -> Result<Self, ProcessError> {
         let path = binary.path()?;
         let folder = Folder::new()?;
-        let config = folder.write("settings.ini", ini)?;
+        let config = folder.write(SETTINGS, ini)?;
         let mut child = Command::new(path)
             .arg("--config")
             .arg(config)
@@ -174,7 +189,7 @@
             log,
             readers: out.into_iter().chain(err).collect(),
             ready: String::new(),
-            _folder: folder,
+            folder,
         };
         process.ready = process.wait_ready().await?;
         Ok(process)
@@ -182,7 +197,8 @@
 
     async fn wait_ready(&mut self) -> Result<String, ProcessError> {
         let log = self.log.clone();
-        let line = log_line(&log, |line| field(line, "msg") == Some("ready"));
+        let ready = self.binary.ready();
+        let line = log_line(&log, |line| field(line, "msg") == Some(ready));
         tokio::select! {
             line = line => Ok(line),
             _ = ended(&mut self.child) => {
@@ -224,6 +240,25 @@
         self.signal(Signal::TERM)
     }
 
+    /// Sends `SIGHUP`, which asks to read the settings again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system refuses.
+    pub fn hang_up(&self) -> Result<(), ProcessError> {
+        self.signal(Signal::HUP)
+    }
+
+    /// Replaces its settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file can't be written.
+    pub fn write_settings(&self, ini: &str) -> Result<(), ProcessError> {
+        self.folder.write(SETTINGS, ini)?;
+        Ok(())
+    }
+
     /// Sends `SIGSTOP`: the process freezes, its sockets stay open.
     ///
     /// # Errors
@@ -246,11 +281,16 @@
     ///
     /// # Errors
     ///
-    /// Fails when the system refuses.
-    pub fn kill(mut self) -> Result<(), ProcessError> {
+    /// Fails when the system refuses, or keeps the process for longer than [`PATIENCE`].
+    pub async fn kill(mut self) -> Result<(), ProcessError> {
         self.child.kill()?;
-        self.child.wait()?;
-        Ok(())
+        match timeout(PATIENCE, ended(&mut self.child)).await {
+            Ok(status) => {
+                status?;
+                Ok(())
+            }
+            Err(_) => Err(self.late("end after SIGKILL")),
+        }
     }
 
     /// Waits for its end.
@@ -299,12 +339,21 @@
     }
 }
 
-/// The value of `key` in a logfmt line.
+/// The value of `key` in a logfmt line, without its quotes.
 #[must_use]
 pub fn field<'a>(line: &'a str, key: &str) -> Option<&'a str> {
-    let pairs = line.split(' ').filter_map(|pair| pair.split_once('='));
-    let value = pairs.filter(|(k, _)| *k == key).map(|(_, v)| v).next()?;
-    Some(value.trim_matches('"'))
+    let mut rest = line;
+    while let Some((name, after)) = rest.split_once('=') {
+        let (value, next) = match after.strip_prefix('"') {
+            Some(quoted) => quoted.split_once('"').unwrap_or((quoted, "")),
+            None => after.split_once(' ').unwrap_or((after, "")),
+        };
+        if name.trim_start() == key {
+            return Some(value);
+        }
+        rest = next;
+    }
+    None
 }
 
 async fn log_line(log: &Log, test: impl Fn(&str) -> bool) -> String {
--- a/crates/testutils/tests/test_config.rs
+++ b/crates/testutils/tests/test_config.rs
@@ -30,13 +30,13 @@
 }
 
 async fn kill(system: &mut System, killed: Killed) {
-    system.gateways[0].take().unwrap().kill().unwrap();
+    system.gateways[0].take().unwrap().kill().await.unwrap();
     if killed != Killed::Gateway {
-        system.directories[0].take().unwrap().kill().unwrap();
+        system.directories[0].take().unwrap().kill().await.unwrap();
     }
     if killed == Killed::EntryAndLeader {
         let leader = leader(system).await;
-        system.control[leader].take().unwrap().kill().unwrap();
+        system.control[leader].take().unwrap().kill().await.unwrap();
     }
 }
 
--- /dev/null
+++ b/crates/testutils/tests/test_fleet.rs
@@ -0,0 +1,264 @@
+//! Hubs and entry processes as processes: tables, splits, leaving upstreams,
+//! reused addresses, reloads, and the loss of every hub.
+
+use std::fs;
+
+use standin::Fault;
+use standin::FaultKind;
+use table::Host;
+use table::Kind;
+use table::Part;
+use table::Route;
+use table::Service;
+use table::Table;
+use table::Target;
+use testutils::Ask;
+use testutils::Fleet;
+use testutils::Operator;
+use testutils::Reply;
+use testutils::Upstream;
+use testutils::fleet::HEALTH;
+use testutils::process::field;
+use testutils::system::wait;
+
+/// The host name of all routes.
+const HOST: &str = "example.org";
+/// A service, and another one.
+const STATUS: &str = "status";
+const GRANTS: &str = "grants";
+
+fn name(text: &str) -> base::prelude::ServiceName {
+    base::prelude::ServiceName::new(text).expect("a name")
+}
+
+fn route(prefix: &str, kind: Kind, target: Target) -> Route {
+    Route {
+        name: prefix.into(),
+        prefix: prefix.into(),
+        kind,
+        timeout: None,
+        aim: None,
+        priority: 0,
+        attempts: 2,
+        target,
+    }
+}
+
+/// Reads go to one service, and once-only requests to the other.
+fn table(version: u64) -> Table {
+    let service = |service| Service {
+        name: name(service),
+        health: HEALTH.into(),
+        connections: 240,
+    };
+    Table {
+        version,
+        services: vec![service(STATUS), service(GRANTS)],
+        hosts: vec![Host {
+            name: HOST.into(),
+            routes: vec![
+                route("/read/", Kind::Idempotent, Target::Service(name(STATUS))),
+                route("/once/", Kind::Once, Target::Service(name(GRANTS))),
+            ],
+        }],
+        ..Table::default()
+    }
+}
+
+/// The same with reads split between both services.
+fn split(version: u64, weights: [u32; 2]) -> Table {
+    let mut table = table(version);
+    let parts = [STATUS, GRANTS].into_iter().zip(weights);
+    let parts = parts.map(|(service, weight)| Part {
+        service: name(service),
+        weight,
+    });
+    table.hosts[0].routes[0].target = Target::Split(parts.collect());
+    table
+}
+
+fn read(number: usize) -> Ask {
+    Ask::get(STATUS, &format!("/read/{number}")).at(HOST)
+}
+
+fn once(number: usize) -> Ask {
+    Ask::post(GRANTS, &format!("/once/{number}"), "block 7").at(HOST)
+}
+
+/// Three hubs and two entry processes with the table in force.
+async fn start() -> Fleet {
+    let fleet = Fleet::start(3, 2).await.unwrap();
+    fleet.put(&table(1)).await.unwrap();
+    for index in 0..2 {
+        fleet.wait_table(index, 1).await.unwrap();
+    }
+    fleet
+}
+
+/// Calls until an upstream's own answer comes.
+async fn served(fleet: &Fleet, index: usize, ask: &Ask) -> Reply {
+    wait("served call", async || fleet.call(index, ask).await.is_ok())
+        .await
+        .unwrap();
+    fleet.call(index, ask).await
+}
+
+async fn runs(upstream: &Upstream) -> usize {
+    upstream.record().await.runs.len()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_fleet_split_goes_by_weight() {
+    let mut fleet = start().await;
+    let a = fleet.upstream(STATUS, 0).await.unwrap();
+    let b = fleet.upstream(GRANTS, 0).await.unwrap();
+    fleet.put(&split(2, [3, 1])).await.unwrap();
+    fleet.wait_table(0, 2).await.unwrap();
+    for number in 0..40 {
+        let reply = fleet.call(0, &read(number)).await;
+        assert!(reply.is_ok(), "{reply:?}");
+    }
+    assert_eq!((runs(&a).await, runs(&b).await), (30, 10));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_fleet_leaving_upstream_gets_nothing_more() {
+    let mut fleet = start().await;
+    let mut leaving = fleet.upstream(STATUS, 0).await.unwrap();
+    let _other = fleet.upstream(STATUS, 1).await.unwrap();
+    leaving.process.terminate().unwrap();
+    for index in 0..2 {
+        let process = fleet.entries[index].as_ref().unwrap();
+        let told = |line: &str| {
+            field(line, "phase") == Some("PHASE_DRAINING")
+                && field(line, "instance").is_some_and(|id| id.starts_with("status-0:"))
+        };
+        process.wait_line(told).await.unwrap();
+    }
+    let before = runs(&leaving).await;
+    for number in 0..20 {
+        let reply = fleet.call(number % 2, &read(number)).await;
+        assert!(reply.is_ok(), "{reply:?}");
+    }
+    assert_eq!(runs(&leaving).await, before);
+    assert!(leaving.process.wait().await.unwrap().success());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_fleet_address_of_a_killed_upstream_is_taken_over() {
+    let mut fleet = start().await;
+    let settings = fleet.plan_upstream(STATUS, 0);
+    let killed = fleet.start_upstream(&settings).await.unwrap();
+    assert!(served(&fleet, 0, &read(0)).await.is_ok());
+    killed.process.kill().await.unwrap();
+    // Another service's instance takes the address at once.
+    let mut other = settings.clone();
+    other.service = name(GRANTS);
+    other.instance = base::prelude::InstanceId::new("grants-9").unwrap();
+    let other = fleet.start_upstream(&other).await.unwrap();
+    for number in 0..10 {
+        let reply = fleet.call(0, &read(number)).await;
+        assert!(!reply.is_ok(), "{reply:?}");
+    }
+    assert_eq!(runs(&other).await, 0);
+    assert!(served(&fleet, 0, &once(1)).await.is_ok());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_fleet_once_runs_at_most_once_whatever_fails() {
+    let mut fleet = start().await;
+    let mut upstreams = vec![];
+    for number in 0..2 {
+        upstreams.push(fleet.upstream(GRANTS, number).await.unwrap());
+    }
+    let kinds = [
+        FaultKind::Shed,
+        FaultKind::Fail,
+        FaultKind::Short,
+        FaultKind::Crossed,
+        FaultKind::Ill,
+    ];
+    let mut number = 0;
+    for kind in kinds {
+        upstreams[0].set_fault(Fault::new(kind)).await.unwrap();
+        for _ in 0..6 {
+            number += 1;
+            let reply = fleet.call(number % 2, &once(number)).await;
+            let path = format!("/once/{number}");
+            let mut ran = 0;
+            for upstream in &upstreams {
+                let record = upstream.record().await;
+                ran += record.runs.iter().filter(|run| run.path == path).count();
+            }
+            assert!(ran <= 1, "{kind}: {ran} runs of {path}");
+            let refused = [408, 421, 429, 503].contains(&reply.status);
+            assert!(!refused || ran == 0, "{kind}: {reply:?} and {ran} runs");
+            assert!(!reply.is_ok() || ran == 1, "{kind}: {reply:?}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_fleet_serves_on_without_hubs_and_takes_the_newest_table_after() {
+    let mut fleet = start().await;
+    let _upstream = fleet.upstream(STATUS, 0).await.unwrap();
+    assert!(served(&fleet, 0, &read(0)).await.is_ok());
+    for index in 0..3 {
+        fleet.hubs[index].take().unwrap().kill().await.unwrap();
+    }
+    for number in 0..10 {
+        let reply = fleet.call(number % 2, &read(number)).await;
+        assert!(reply.is_ok(), "{reply:?}");
+    }
+    // A majority is back: what was accepted is still there, and what is new comes.
+    for index in 0..2 {
+        fleet.hubs[index] = Some(fleet.new_hub(index).await.unwrap());
+    }
+    let mut next = table(2);
+    next.hosts[0].routes.remove(0);
+    fleet.put(&next).await.unwrap();
+    fleet.wait_table(0, 2).await.unwrap();
+    let reply = fleet.call(0, &read(1)).await;
+    assert_eq!(reply.status, 404, "{reply:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_fleet_emptied_hub_joins_again_by_itself() {
+    let mut fleet = start().await;
+    let _upstream = fleet.upstream(STATUS, 0).await.unwrap();
+    fleet.hubs[0].take().unwrap().kill().await.unwrap();
+    fs::remove_dir_all(&fleet.hub_plans[0].data).unwrap();
+    fleet.hub_plans[0].found = false;
+    let emptied = fleet.new_hub(0).await.unwrap();
+    fleet.hubs[0] = Some(emptied);
+    let replicas = fleet.hub_plans.iter().map(|plan| plan.control().rpc);
+    let operator = Operator::new(&replicas.collect::<Vec<_>>());
+    wait("emptied hub among the voters", async || {
+        let status = operator.status(0).await;
+        status.is_some_and(|s| s.replicas.iter().any(|r| r.id == s.id && r.voter))
+    })
+    .await
+    .unwrap();
+    // It counts: with another hub lost, there still is a majority.
+    fleet.hubs[1].take().unwrap().kill().await.unwrap();
+    fleet.put(&table(2)).await.unwrap();
+    fleet.wait_table(0, 2).await.unwrap();
+    assert!(served(&fleet, 0, &read(0)).await.is_ok());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_fleet_entry_reads_its_settings_again_on_hangup() {
+    let mut fleet = start().await;
+    let process = fleet.entries[0].take().unwrap();
+    process.hang_up().unwrap();
+    let reloaded = |line: &str| field(line, "msg") == Some("settings reloaded");
+    let line = process.wait_line(reloaded).await.unwrap();
+    assert_eq!(field(&line, "restart_needed"), Some("false"), "{line}");
+    // A file that can't be read changes nothing.
+    process.write_settings("[entry]\nspread = many\n").unwrap();
+    let refused = |line: &str| field(line, "msg") == Some("settings not reloaded");
+    process.wait_line(refused).await.unwrap();
+    fleet.entries[0] = Some(process);
+    let _upstream = fleet.upstream(STATUS, 0).await.unwrap();
+    assert!(served(&fleet, 0, &read(0)).await.is_ok());
+}
--- a/crates/testutils/tests/test_once.rs
+++ b/crates/testutils/tests/test_once.rs
@@ -123,9 +123,9 @@
             .unwrap();
     }
 
-    fn kill_first(&mut self) {
+    async fn kill_first(&mut self) {
         let process = self.system.gateways[FIRST].take().unwrap();
-        process.kill().unwrap();
+        process.kill().await.unwrap();
     }
 
     /// Brings the first send to `point`; its reply, when it has one.
@@ -150,7 +150,7 @@
                     .wait_line(|l| l.contains("msg=claim") && l.contains("found=granted"))
                     .await
                     .unwrap();
-                self.kill_first();
+                self.kill_first().await;
                 let lost = first.await.unwrap();
                 assert!(!lost.is_ok(), "{lost:?}");
                 self.upstream.process.resume().unwrap();
@@ -160,7 +160,7 @@
                 self.fault(FaultKind::Hold).await;
                 let first = self.send(FIRST);
                 self.wait_run(RunState::Running).await;
-                self.kill_first();
+                self.kill_first().await;
                 assert!(!first.await.unwrap().is_ok());
                 self.fault(FaultKind::None).await;
                 self.wait_run(RunState::Done).await;
@@ -172,7 +172,7 @@
                 self.upstream.set_fault(late).await.unwrap();
                 let first = self.send(FIRST);
                 self.wait_run(RunState::Done).await;
-                self.kill_first();
+                self.kill_first().await;
                 assert!(!first.await.unwrap().is_ok());
                 self.fault(FaultKind::None).await;
                 None
--- a/crates/testutils/tests/test_process.rs
+++ b/crates/testutils/tests/test_process.rs
@@ -38,7 +38,7 @@
         assert_eq!(address, host.at(7300));
         let reply = Caller::new().call(address, &ask).await;
         assert_eq!(reply.receipt().unwrap().echo, "block 7");
-        process.kill().unwrap();
+        process.kill().await.unwrap();
         assert_eq!(Caller::new().call(address, &ask).await.status, 0);
     }
 }
