--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -26,7 +26,8 @@
 /// Probes an instance and second, by default: a twentieth of what an instance
 /// with a probe of 1 ms could answer.
 const PROBES: u32 = 50;
-/// Entry hosts that a caller is told, by default.
+/// Entry hosts that a caller is told at least, by default: one may be lost, and one
+/// may be stopping.
 const SPREAD: u32 = 3;
 /// First port of local hubs.
 const PORT: u16 = 7010;
@@ -111,7 +112,7 @@
     pub seeds: Vec<SocketAddr>,
     /// How long callers may keep a list of entry hosts.
     pub ttl: Duration,
-    /// Entry hosts that a caller is told.
+    /// Entry hosts that a caller is told where its failure domain has fewer.
     pub spread: usize,
     /// Retries.
     pub retry: Retry,
--- a/crates/hub/src/settings.rs
+++ b/crates/hub/src/settings.rs
@@ -36,7 +36,8 @@
 const SEGMENT: Bytes = Bytes(256 * 1024);
 /// How long callers may keep a list of entry hosts, by default.
 const TTL: Duration = Duration::from_secs(2);
-/// Entry hosts that a caller is told, by default.
+/// Entry hosts that a caller is told at least, by default: one may be lost, and one
+/// may be stopping.
 const SPREAD: u32 = 3;
 /// First port of a local hub.
 const PORT: u16 = 7010;
@@ -70,7 +71,7 @@
     pub found: bool,
     /// How long callers may keep a list of entry hosts.
     pub ttl: Duration,
-    /// Entry hosts that a caller is told.
+    /// Entry hosts that a caller is told where its failure domain has fewer.
     pub spread: usize,
     /// Log and metrics.
     pub telemetry: telemetry::Settings,
--- a/crates/place/src/near.rs
+++ b/crates/place/src/near.rs
@@ -1,9 +1,10 @@
-//! Which entry hosts a caller is sent to: a few of those in its failure domain,
-//! the same few for every caller of a name there.
+//! Which entry hosts a caller is sent to: all of its failure domain, of which it
+//! takes one at random, and a few others where that has few.
 //!
-//! An entry host that gets a larger part of a service's requests knows more of
-//! its instances by itself, keeps fewer connections and asks less. Rendezvous
-//! hashing picks them, so that one that comes or goes moves few callers.
+//! The same few hosts for every caller of a name would know more of the instances
+//! each, but their links fill up: with 3 hosts a name the median answer at 90 and
+//! 133 entry hosts was late by seconds (mean worth of a calm day 0.678 and -0.219;
+//! 0.824 and 0.795 with all), and 16 entry hosts gained nothing from it either.
 
 use std::cmp::Reverse;
 
@@ -13,8 +14,8 @@
 /// Most addresses of one answer.
 const MOST: usize = 64;
 
-/// The addresses for a caller of `name` in `domain` of `region`, nearest first;
-/// `width` of them, more only where its failure domain has fewer.
+/// The addresses for a caller of `name` in `domain` of `region`, nearest first: all
+/// of its failure domain, and others only where that has fewer than `width`.
 #[must_use]
 pub fn near(
     hosts: &[EntryHost],
@@ -26,7 +27,8 @@
     let mut hosts: Vec<&EntryHost> = hosts.iter().collect();
     let distance = |host: &EntryHost| (host.domain != domain, host.region != region);
     hosts.sort_by_cached_key(|host| (distance(host), Reverse(score(name, &host.address))));
-    let named = hosts.into_iter().take(width.clamp(1, MOST));
+    let own = hosts.iter().filter(|host| host.domain == domain).count();
+    let named = hosts.into_iter().take(own.max(width).clamp(1, MOST));
     named.map(|host| host.address.clone()).collect()
 }
 
