entry: take tables and the list of entry hosts from one hub

Cause: each of four hubs sent every table and list to each of 90 entry hosts. Ruled out: the log (acknowledged after 120 ms), processor time of hubs. A hub now tells the version; the first that tells is asked for the content. Entry hosts come from the nearest hub that answers.

--- a/crates/cli/tests/test_routes.rs
+++ b/crates/cli/tests/test_routes.rs
@@ -15,6 +15,7 @@
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
 use wire::api::HubApi;
+use wire::hub::Fetch;
 use wire::hub::ReadReply;
 use wire::hub::ResolveQuery;
 use wire::hub::ResolveReply;
@@ -46,6 +47,10 @@
         WatchReply::default()
     }
 
+    async fn fetch(self, _: Context, _: Fetch) -> Table {
+        Table::default()
+    }
+
     async fn put_table(self, _: Context, table: Table) -> TableReply {
         let mut held = self.0.lock().expect("no test panics while it holds it");
         let version = held.as_ref().map_or(0, |held| held.version);
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -146,7 +146,7 @@
         Self {
             host,
             domain,
-            region: RegionName::new(REGION).expect("a valid name"),
+            region: RegionName::new(REGION).unwrap_or_else(|_| unreachable!("a valid name")),
             front,
             ready: SocketAddr::new(front.ip(), 0),
             ready_path: READY_PATH.into(),
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -3,20 +3,19 @@
 //! A change of any hub counts, so that one cut path doesn't matter. While no
 //! hub answers, the process serves on with what it knows.
 
+mod hubs;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use slog::info;
 use slog::warn;
 use tarpc::client::RpcError;
-use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
-use wire::hub::EntryHost;
+use wire::hub::Fetch;
 use wire::hub::Watch;
 use wire::hub::WatchReply;
 use wire::link::within;
@@ -25,6 +24,9 @@
 
 use crate::core::Core;
 
+use self::hubs::Hubs;
+use self::hubs::Seen;
+
 /// How long a hub holds a watch while nothing changes; a hub counts an entry
 /// host as lost after some of these.
 const WAIT: Duration = Duration::from_millis(500);
@@ -32,26 +34,13 @@
 const SLACK: Duration = Duration::from_millis(600);
 /// Pause after a watch that failed.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Longest wait for a table: 400 KB over a link of 2.3 Mbit/s.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// A table that no majority has confirmed is taken only after so long, as it
 /// may be older than one that was in force here before a restart.
 const UNCONFIRMED: Duration = Duration::from_secs(3);
 /// Between two looks at the settings and at who has gone.
 const LOOK: Duration = Duration::from_secs(1);
-/// What a hub told counts for so long: some watches.
-const RECENT: Duration = Duration::from_millis(1_200);
-/// A hub that no other hub names and that doesn't answer is let go after so long.
-const FORGET: Duration = Duration::from_secs(10);
-
-/// One hub as last heard.
-struct Seen {
-    answered: Instant,
-    /// The hubs that it named.
-    named: Vec<SocketAddr>,
-    /// The entry hosts that it named.
-    hosts: Vec<EntryHost>,
-}
-
-type Hubs = Arc<Mutex<HashMap<SocketAddr, Seen>>>;
 
 /// What a hub last told, for the next watch.
 #[derive(Clone, Copy, Debug, Default)]
@@ -59,171 +48,185 @@
     epoch: u64,
     cursor: u64,
     list: u64,
+    table: u64,
+}
+
+/// The watch of one hub.
+struct Follower {
+    core: Arc<Core>,
+    hubs: Arc<Hubs>,
+    address: SocketAddr,
+    link: Arc<HubLink>,
+    begun: Instant,
+    last: Mark,
+}
+
+/// How a watch ended.
+enum Answer {
+    /// The hub answered.
+    Reply(WatchReply),
+    /// It was given up, as something else is asked now.
+    Again,
 }
 
 /// Watches all hubs. Never ends.
 pub async fn run(core: Arc<Core>) {
-    let hubs: Hubs = Arc::default();
-    let (wake, mut woken) = watch::channel(());
+    let hubs = Arc::new(Hubs::new());
+    let mut renamed = hubs.renamed.subscribe();
     let mut watches: HashMap<SocketAddr, AbortOnDropHandle<()>> = HashMap::new();
     loop {
         let settings = core.settings();
         let seeds = settings.seeds.iter();
         let seeds: Vec<SocketAddr> = seeds.map(|seed| settings.hub_at(seed.ip())).collect();
-        let wanted = wanted(&hubs, &seeds);
+        let wanted = hubs.wanted(&seeds);
         watches.retain(|address, _| wanted.contains(address));
         for address in wanted {
             watches.entry(address).or_insert_with(|| {
-                let task = follow(Arc::clone(&core), address, Arc::clone(&hubs), wake.clone());
-                AbortOnDropHandle::new(tokio::spawn(task))
+                let follower = Follower::new(&core, &hubs, address);
+                AbortOnDropHandle::new(tokio::spawn(follower.run()))
             });
         }
-        let _ = tokio::time::timeout(LOOK, woken.changed()).await;
+        let _ = tokio::time::timeout(LOOK, renamed.changed()).await;
     }
 }
 
-/// The hubs that any live hub names; the seeds besides while none is live.
-fn wanted(hubs: &Hubs, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
-    let mut hubs = hubs.lock().unwrap_or_else(PoisonError::into_inner);
-    hubs.retain(|_, seen| seen.answered.elapsed() < FORGET);
-    let named = hubs.values().flat_map(|seen| seen.named.iter().copied());
-    let mut wanted: Vec<SocketAddr> = named.chain(hubs.keys().copied()).collect();
-    if wanted.len() < seeds.len() {
-        wanted.extend(seeds);
+impl Follower {
+    fn new(core: &Arc<Core>, hubs: &Arc<Hubs>, address: SocketAddr) -> Self {
+        Self {
+            core: Arc::clone(core),
+            hubs: Arc::clone(hubs),
+            address,
+            link: Arc::new(peer::hub(address)),
+            begun: Instant::now(),
+            last: Mark::default(),
+        }
     }
-    wanted.sort_unstable();
-    wanted.dedup();
-    wanted
-}
 
-/// The entry hosts that any hub names that answered lately.
-fn hosts(hubs: &HashMap<SocketAddr, Seen>) -> Vec<EntryHost> {
-    let recent = |seen: &&Seen| seen.answered.elapsed() < RECENT;
-    let recent = hubs.values().filter(recent);
-    let mut hosts: Vec<EntryHost> = recent.flat_map(|seen| seen.hosts.iter().cloned()).collect();
-    hosts.sort_by(|a, b| a.address.cmp(&b.address));
-    hosts.dedup_by(|a, b| a.address == b.address);
-    hosts
-}
+    async fn run(mut self) {
+        let mut up = false;
+        loop {
+            let ask = self.next();
+            let reply = match self.ask(ask.clone()).await {
+                Some(Answer::Reply(reply)) => Some(reply),
+                Some(Answer::Again) => continue,
+                None => None,
+            };
+            if reply.is_some() != up {
+                up = !up;
+                let outcome = if up { "regained" } else { "lost" };
+                info!(self.core.log, "hub"; "address" => %self.address, "outcome" => outcome);
+            }
+            let Some(reply) = reply else {
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            };
+            self.take(&ask, &reply);
+        }
+    }
 
-async fn follow(core: Arc<Core>, address: SocketAddr, hubs: Hubs, wake: watch::Sender<()>) {
-    let link = peer::hub(address);
-    let mut last = Mark::default();
-    let mut up = false;
-    let begun = Instant::now();
-    loop {
-        let reply = match ask(&core, &link, last).await {
-            Some(Answer::Reply(reply)) => Some(reply),
-            Some(Answer::Again) => continue,
-            None => None,
+    /// What the hub is asked next.
+    fn next(&self) -> Watch {
+        let settings = self.core.settings();
+        let held = self.core.routes().table.version;
+        // While a table is on its way, being told of it again helps nobody.
+        let fetching = self.hubs.is_fetching();
+        let table = if fetching {
+            held.max(self.last.table)
+        } else {
+            held
         };
-        if reply.is_some() != up {
-            up = !up;
-            let outcome = if up { "regained" } else { "lost" };
-            info!(core.log, "hub"; "address" => %address, "outcome" => outcome);
+        Watch {
+            host: settings.host.to_string(),
+            domain: settings.domain.to_string(),
+            region: settings.region.to_string(),
+            address: settings.front.to_string(),
+            ready: self.core.is_ready(),
+            epoch: self.last.epoch,
+            cursor: self.last.cursor,
+            list: self.last.list,
+            lists: self.hubs.is_first(self.address),
+            table,
+            wait_ms: u32::try_from(WAIT.as_millis()).unwrap_or(u32::MAX),
         }
-        let Some(reply) = reply else {
-            tokio::time::sleep(PAUSE).await;
-            continue;
+    }
+
+    async fn ask(&self, ask: Watch) -> Option<Answer> {
+        let client = self.link.client().await.ok()?;
+        let mut routed = self.core.routed.subscribe();
+        let mut stage = self.core.stage.subscribe();
+        let mut stalled = self.hubs.stalled.subscribe();
+        let call = client.watch(within(WAIT + SLACK), ask);
+        let result = tokio::select! {
+            result = tokio::time::timeout(WAIT + SLACK, call) => match result {
+                Ok(result) => result,
+                Err(_) => Err(RpcError::DeadlineExceeded),
+            },
+            // The hubs learn at once that callers may, or may no longer, be sent here.
+            _ = routed.changed() => return Some(Answer::Again),
+            _ = stage.changed() => return Some(Answer::Again),
+            _ = stalled.changed() => return Some(Answer::Again),
         };
-        take(&core, &reply, begun);
-        note(&core, &hubs, address, &reply, last, &wake);
-        last = Mark {
+        self.link.judge(result).ok().map(Answer::Reply)
+    }
+
+    fn take(&mut self, ask: &Watch, reply: &WatchReply) {
+        self.core.take_instances(&reply.instances);
+        if reply.entries > 0 {
+            self.core.set_entries(reply.entries);
+        }
+        self.note(ask, reply);
+        self.last = Mark {
             epoch: reply.epoch,
             cursor: reply.cursor,
-            list: reply.list,
+            list: if ask.lists { reply.list } else { 0 },
+            table: reply.table,
         };
+        let held = self.core.routes().table.version;
+        let trusted = reply.confirmed || held > 0 || self.begun.elapsed() >= UNCONFIRMED;
+        if reply.table > held && trusted && self.hubs.begin_fetch() {
+            let (core, hubs) = (Arc::clone(&self.core), Arc::clone(&self.hubs));
+            tokio::spawn(fetch(core, hubs, Arc::clone(&self.link), reply.table));
+        }
     }
-}
 
-/// How a watch ended.
-enum Answer {
-    /// The hub answered.
-    Reply(WatchReply),
-    /// It was given up, as this process has news for the hub.
-    Again,
+    fn note(&self, ask: &Watch, reply: &WatchReply) {
+        let named = reply.hubs.iter().filter_map(|hub| hub.parse().ok());
+        let hosts = if ask.lists && reply.list == ask.list {
+            self.hubs.hosts_of(self.address)
+        } else {
+            reply.hosts.clone()
+        };
+        let seen = Seen {
+            answered: Instant::now(),
+            near: reply.domain == ask.domain,
+            table: reply.table,
+            named: named.collect(),
+            hosts,
+        };
+        self.core.set_hosts(self.hubs.note(self.address, seen));
+    }
 }
 
-async fn ask(core: &Core, link: &HubLink, last: Mark) -> Option<Answer> {
-    let ready = core.is_ready();
-    let settings = core.settings();
-    let ask = Watch {
-        host: settings.host.to_string(),
-        domain: settings.domain.to_string(),
-        region: settings.region.to_string(),
-        address: settings.front.to_string(),
-        ready,
-        epoch: last.epoch,
-        cursor: last.cursor,
-        list: last.list,
-        table: core.routes().table.version,
-        wait_ms: u32::try_from(WAIT.as_millis()).unwrap_or(u32::MAX),
-    };
-    let client = link.client().await.ok()?;
-    let mut routed = core.routed.subscribe();
-    let mut stage = core.stage.subscribe();
-    let call = client.watch(within(WAIT + SLACK), ask);
-    let result = tokio::select! {
-        result = tokio::time::timeout(WAIT + SLACK, call) => match result {
-            Ok(result) => result,
-            Err(_) => Err(RpcError::DeadlineExceeded),
+/// Fetches the newest table that a hub has, of `told` at least.
+async fn fetch(core: Arc<Core>, hubs: Arc<Hubs>, link: Arc<HubLink>, told: u64) {
+    let have = core.routes().table.version;
+    match fetched(&link, have).await {
+        Some(row) if row.version > have => match table::codec::decode(&row.content) {
+            Ok(table) => core.set_table(table),
+            Err(err) => {
+                warn!(core.log, "bad route table"; "version" => row.version, "error" => %err);
+            }
         },
-        // The hubs learn at once that callers may, or may no longer, be sent here.
-        () = async { tokio::select! {
-            _ = routed.changed() => {}
-            _ = stage.changed() => {}
-        } } => return Some(Answer::Again),
-    };
-    link.judge(result).ok().map(Answer::Reply)
-}
-
-fn take(core: &Core, reply: &WatchReply, begun: Instant) {
-    core.take_instances(&reply.instances);
-    if reply.entries > 0 {
-        core.set_entries(reply.entries);
-    }
-    let Some(row) = &reply.table else {
-        return;
-    };
-    let trusted = reply.confirmed || core.routes().table.version > 0;
-    if !trusted && begun.elapsed() < UNCONFIRMED {
-        return;
-    }
-    match table::codec::decode(&row.content) {
-        Ok(table) => core.set_table(table),
-        Err(err) => warn!(core.log, "bad route table"; "version" => row.version, "error" => %err),
+        Some(_) => {}
+        None => {
+            info!(core.log, "route table not fetched"; "hub" => %link.address(), "told" => told);
+        }
     }
+    hubs.end_fetch(core.routes().table.version);
 }
 
-fn note(
-    core: &Core,
-    hubs: &Hubs,
-    address: SocketAddr,
-    reply: &WatchReply,
-    last: Mark,
-    wake: &watch::Sender<()>,
-) {
-    let named = reply
-        .hubs
-        .iter()
-        .filter_map(|hub| hub.parse().ok())
-        .collect();
-    let mut seen = Seen {
-        answered: Instant::now(),
-        named,
-        hosts: reply.hosts.clone(),
-    };
-    let mut hubs = hubs.lock().unwrap_or_else(PoisonError::into_inner);
-    let before = hubs.remove(&address);
-    if let Some(before) = &before
-        && reply.list == last.list
-    {
-        seen.hosts.clone_from(&before.hosts);
-    }
-    hubs.insert(address, seen);
-    core.set_hosts(hosts(&hubs));
-    let changed = before.is_none_or(|before| before.named != hubs[&address].named);
-    if changed {
-        wake.send_replace(());
-    }
+async fn fetched(link: &HubLink, have: u64) -> Option<wire::hub::Table> {
+    let client = link.client().await.ok()?;
+    let call = client.fetch(within(FETCH_TIMEOUT), Fetch { have });
+    link.judge(call.await).ok()
 }
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -85,8 +85,9 @@
         ];
         let mut http = None;
         if let Some(port) = port {
-            let listened = http::listen(port, &desk).await;
-            let (bound, serving) = listened.map_err(|err| HubError::Bind(port, err))?;
+            let (bound, serving) = http::listen(port, &desk)
+                .await
+                .map_err(|err| HubError::Bind(port, err))?;
             tasks.push(AbortOnDropHandle::new(tokio::spawn(serving)));
             http = Some(bound);
         }
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -14,6 +14,7 @@
 use wire::api::HubApi;
 use wire::api::HubApiRequest;
 use wire::api::HubApiResponse;
+use wire::hub::Fetch;
 use wire::hub::ReadReply;
 use wire::hub::ResolveQuery;
 use wire::hub::ResolveReply;
@@ -57,7 +58,7 @@
         tokio::select! {
             _ = moved => {}
             _ = newer => {}
-            _ = lists.wait_for(|list| *list != ask.list), if !ask.address.is_empty() => {}
+            _ = lists.wait_for(|list| *list != ask.list), if ask.lists => {}
             () = tokio::time::sleep_until(end) => {}
         }
     }
@@ -82,24 +83,36 @@
         self.wait(&ask).await;
         let now = self.state.clock.now();
         self.state.known().entries.answered(now, &ask);
-        let table = self.state.tables.applied();
-        let newer = table.version > ask.table;
+        let table = self.state.tables.applied().version;
         let known = self.state.known();
         let hosts = known.entries.list(now);
         let list = Entries::mark(&hosts);
+        let held = !ask.lists || list == ask.list;
         WatchReply {
             epoch: self.state.epoch,
             cursor: known.registry.cursor(),
             instances: known.registry.since(ask.cursor),
-            table: newer.then(|| Table {
-                source: Vec::new().into(),
-                ..(*table).clone()
-            }),
+            table,
             confirmed,
             hubs: known.hubs.iter().map(ToString::to_string).collect(),
             entries: known.entries.count(now),
-            hosts: if list == ask.list { Vec::new() } else { hosts },
+            hosts: if held { Vec::new() } else { hosts },
             list,
+            domain: self.state.settings.domain.to_string(),
+        }
+    }
+
+    async fn fetch(self, _: Context, ask: Fetch) -> Table {
+        let table = self.state.tables.applied();
+        let newer = table.version > ask.have;
+        Table {
+            version: table.version,
+            content: if newer {
+                table.content.clone()
+            } else {
+                Vec::new().into()
+            },
+            source: Vec::new().into(),
         }
     }
 
--- a/crates/hub/src/settings.rs
+++ b/crates/hub/src/settings.rs
@@ -84,7 +84,7 @@
         Self {
             host,
             domain,
-            region: RegionName::new(REGION).expect("a valid name"),
+            region: RegionName::new(REGION).unwrap_or_else(|_| unreachable!("a valid name")),
             data,
             address,
             port: PORT,
--- a/crates/hub/tests/test_hub.rs
+++ b/crates/hub/tests/test_hub.rs
@@ -12,6 +12,7 @@
 use hub::Settings;
 use table::Table;
 use tokio::net::TcpListener;
+use wire::hub::Fetch;
 use wire::hub::Instance;
 use wire::hub::Phase;
 use wire::hub::TableOutcome;
@@ -101,6 +102,13 @@
     client.watch(within(PATIENCE), ask).await.expect("answers")
 }
 
+async fn fetch(settings: &Settings, have: u64) -> wire::hub::Table {
+    let link = peer::hub(settings.hub_at(settings.address));
+    let client = link.client().await.expect("connects");
+    let fetched = client.fetch(within(PATIENCE), Fetch { have }).await;
+    fetched.expect("answers")
+}
+
 #[tokio::test]
 async fn test_hub_table_is_read_back_as_it_was_sent() {
     let (hub, _) = start("hub-table").await;
@@ -150,7 +158,9 @@
         .expect("taken");
     let all = watch(&settings, Watch::default()).await;
     assert_eq!(all.instances.len(), 1);
-    assert_eq!(all.table.as_ref().map(|t| t.version), Some(7));
+    assert_eq!(all.table, 7);
+    assert!(fetch(&settings, 6).await.content.len() > 10);
+    assert_eq!(fetch(&settings, 7).await.content.len(), 0);
     // Nothing new ends with the wait; a change ends it at once.
     let ask = Watch {
         epoch: all.epoch,
@@ -169,7 +179,7 @@
         .expect("in the log");
     let news = waiting.await.expect("ends");
     assert_eq!(news.instances[0].phase(), Phase::Draining);
-    assert_eq!(news.table, None);
+    assert_eq!(news.table, 7);
 }
 
 #[tokio::test]
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -20,6 +20,7 @@
 use crate::gateway::DrainReply;
 use crate::gateway::Explain;
 use crate::gateway::ExplainReply;
+use crate::hub::Fetch;
 use crate::hub::ReadReply;
 use crate::hub::ResolveQuery;
 use crate::hub::ResolveReply;
@@ -98,6 +99,8 @@
 pub trait HubApi {
     /// Waits for changes of the route table and of the instances.
     async fn watch(ask: Watch) -> WatchReply;
+    /// The newest route table as this hub has it, without content where it isn't newer.
+    async fn fetch(ask: Fetch) -> Table;
     /// Proposes a route table.
     async fn put_table(table: Table) -> TableReply;
     /// The newest route table.
