--- a/crates/announce/src/page.rs
+++ b/crates/announce/src/page.rs
@@ -35,7 +35,7 @@
     })?;
     let body = body.map_err(|err| match err {
         ParseError::PayloadTooLarge => {
-            let detail = format!("the body has over {} bytes", MAX_BODY);
+            let detail = format!("the body has over {MAX_BODY} bytes");
             Refusal::new(Reason::Large, detail)
         }
         err => Refusal::new(Reason::Other, err.to_string()),
--- a/crates/standin/tests/test_faults.rs
+++ b/crates/standin/tests/test_faults.rs
@@ -267,7 +267,7 @@
     let answer = send(None).await;
     assert_eq!(answer.status(), 200);
     let life = text(&answer, header::INSTANCE);
-    assert_eq!(send(Some(&life)).await.status(), 200);
+    assert_eq!(send(Some(life)).await.status(), 200);
     let earlier = send(Some("another:1")).await;
     assert_eq!(earlier.status(), 421);
     assert_eq!(text(&earlier, header::SHED), "1");
--- a/crates/testutils/src/fleet.rs
+++ b/crates/testutils/src/fleet.rs
@@ -112,6 +112,10 @@
     /// # Errors
     ///
     /// Fails when none does within the patience of tests.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the table can't be written, which is a fault of the test.
     pub async fn put(&self, table: &Table) -> Result<(), SystemError> {
         let content = table::codec::encode(table).expect("a table that can be written");
         let row = wire::hub::Table {
