--- /dev/null
+++ b/crates/wire/tests/test_link.rs
@@ -0,0 +1,48 @@
+//! A link whose peer ends in the middle of calls.
+
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+use tokio::time::timeout;
+use wire::hub::Fetch;
+use wire::link::within;
+use wire::peer;
+
+const LIMIT: Duration = Duration::from_millis(100);
+const PATIENCE: Duration = Duration::from_secs(20);
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn test_link_call_ends_when_its_peer_does() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    // Takes connections and drops them after as many bytes as the turn says.
+    tokio::spawn(async move {
+        for turn in 0_usize.. {
+            let Ok((mut stream, _)) = listener.accept().await else {
+                return;
+            };
+            tokio::spawn(async move {
+                let mut buffer = vec![0; 1 + turn % 90];
+                let _ = stream.read(&mut buffer).await;
+            });
+        }
+    });
+    let calls = (0..16).map(|_| {
+        tokio::spawn(async move {
+            let link = peer::hub(address);
+            for _ in 0..400 {
+                let Ok(client) = link.client().await else {
+                    continue;
+                };
+                let call = client.fetch(within(LIMIT), Fetch { have: 0 });
+                let ended = timeout(PATIENCE, call).await;
+                let result = ended.expect("the call ends, whatever became of its peer");
+                assert!(link.judge(result).is_err());
+            }
+        })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        call.await.expect("no panic");
+    }
+}
