quickstart: a route table and a split; clean-ups of earlier work

Route tables: one hub, two entry processes, two upstreams; three promises more. testutils: Layout for hubs and entry processes in one process or many, tables beside it.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -52,8 +52,6 @@
 
 /// Longest time that a follow is held.
 const MAX_WAIT: Duration = Duration::from_secs(30);
-/// Pause before the quorum is asked again.
-const PAUSE: Duration = Duration::from_millis(25);
 /// How long a new replica may take to say who it is.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -80,17 +78,9 @@
     /// Whether a quorum has confirmed, after the call, that what is applied here is current.
     async fn confirm(&self) -> bool {
         let end = Instant::now() + self.timing.election * 2;
-        let tries = async {
-            loop {
-                if self.driver.call(Input::Read).await == Ok(true) {
-                    return true;
-                }
-                tokio::time::sleep(PAUSE).await;
-            }
-        };
         tokio::select! {
             () = self.stopping.cancelled() => false,
-            confirmed = tokio::time::timeout_at(end, tries) => confirmed.unwrap_or(false),
+            confirmed = self.driver.confirm(end) => confirmed,
         }
     }
 
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use consensus::Config;
 use consensus::Message;
@@ -10,6 +11,7 @@
 use registry::Registry;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 use wire::catalogue::Catalogue;
 use wire::catalogue::History;
 use wire::control::HistoryQuery;
@@ -21,6 +23,9 @@
 /// Inputs that wait for the driver.
 pub const QUEUE: usize = 16_384;
 
+/// Pause before a quorum is asked again; well below the time that an answer may take.
+const PAUSE: Duration = Duration::from_millis(25);
+
 /// What this replica has applied, for readers.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -108,4 +113,15 @@
         })?;
         answer.await.map_err(|_| InputError::Stopped)
     }
+
+    /// Waits until a quorum has confirmed, after the call, that what is applied here
+    /// is current; false once `end` has come.
+    pub async fn confirm(&self, end: Instant) -> bool {
+        let tries = async {
+            while self.call(Input::Read).await != Ok(true) {
+                tokio::time::sleep(PAUSE).await;
+            }
+        };
+        tokio::time::timeout_at(end, tries).await.is_ok()
+    }
 }
--- a/crates/control/src/table.rs
+++ b/crates/control/src/table.rs
@@ -21,9 +21,6 @@
 use crate::input::Input;
 use crate::input::View;
 
-/// Pause before a majority is asked again.
-const PAUSE: Duration = Duration::from_millis(25);
-
 /// Proposes and reads the route table and announcements.
 #[derive(Clone)]
 pub struct TableDesk {
@@ -69,14 +66,8 @@
     /// The newest table, confirmed by a majority after the call began; none when
     /// that takes longer than `limit`.
     pub async fn read(&self, limit: Duration) -> Option<Arc<Table>> {
-        let end = Instant::now() + limit;
-        let tries = async {
-            while self.driver.call(Input::Read).await != Ok(true) {
-                tokio::time::sleep(PAUSE).await;
-            }
-        };
-        tokio::time::timeout_at(end, tries).await.ok()?;
-        Some(self.applied())
+        let confirmed = self.driver.confirm(Instant::now() + limit).await;
+        confirmed.then(|| self.applied())
     }
 
     /// The table as applied by this replica, which others may have overtaken.
--- a/crates/demo/examples/quickstart.rs
+++ b/crates/demo/examples/quickstart.rs
@@ -1,8 +1,8 @@
 //! The whole system at work in one process, on free loopback addresses.
 //!
 //! Both users' callers call; meanwhile a grant is sent twice, an upstream is
-//! drained, one is killed, a gateway is stopped and the catalogue is changed.
-//! Ends with exit code 0 only if every promise held.
+//! drained, one is killed, a gateway is stopped and the catalogue is changed. Then
+//! a hub and two entry processes serve by a route table with a split. Ends with exit code 0 only if every promise held.
 
 use std::collections::BTreeMap;
 use std::process::ExitCode;
@@ -18,6 +18,8 @@
 use demo::promise::Probes;
 use demo::roles::Roles;
 use demo::roles::RolesError;
+use demo::routes;
+use demo::routes::RoutesError;
 use demo::summary::Summary;
 use demo::traffic;
 use demo::traffic::Book;
@@ -25,6 +27,7 @@
 use demo::traffic::Record;
 use demo::traffic::Shape;
 use demo::watch::Seen;
+use quick_error::quick_error;
 use standin::Run;
 use standin::StandIn;
 use testutils::services;
@@ -83,7 +86,33 @@
     }
 }
 
-async fn run() -> Result<bool, RolesError> {
+quick_error! {
+    /// Why the trial can't run.
+    #[derive(Debug)]
+    enum TrialError {
+        /// The roles around gateways.
+        Roles(err: RolesError) {
+            from()
+            display("{err}")
+        }
+        /// The roles around entry processes.
+        Routes(err: RoutesError) {
+            from()
+            display("{err}")
+        }
+    }
+}
+
+async fn run() -> Result<bool, TrialError> {
+    let calls = run_calls().await?;
+    println!();
+    println!("starting: a hub, 2 entry processes, 2 upstreams; a split of 3 to 1");
+    let judgements = promise::judge_routes(&routes::run().await?);
+    print_judgements(&judgements);
+    Ok(calls && judgements.iter().all(Judgement::held))
+}
+
+async fn run_calls() -> Result<bool, RolesError> {
     println!("starting: 3 control replicas, 4 entry hosts, 24 upstreams");
     let entries = services::all();
     let mut roles = Roles::start(&entries).await?;
@@ -239,6 +268,10 @@
         println!("{}", Summary::new(shape, records));
     }
     println!();
+    print_judgements(judgements);
+}
+
+fn print_judgements(judgements: &[Judgement]) {
     for judgement in judgements {
         println!("{judgement}");
         judgement
--- a/crates/demo/src/promise.rs
+++ b/crates/demo/src/promise.rs
@@ -11,6 +11,7 @@
 use strum::Display;
 use testutils::caller::End;
 
+use crate::routes::Shown;
 use crate::traffic::Record;
 use crate::watch::Seen;
 
@@ -19,6 +20,9 @@
 /// Time within which a change is in force everywhere.
 pub const IN_FORCE: Duration = Duration::from_secs(4);
 
+/// Time within which a new route table is in force everywhere.
+pub const TABLE: Duration = Duration::from_secs(2);
+
 /// A promise of the brief.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 pub enum Promise {
@@ -52,6 +56,12 @@
     /// After an upstream was killed, callers are answered, or told at once when to come back.
     #[strum(to_string = "a killed upstream leaves no caller waiting")]
     Served,
+    /// A new route table is in force everywhere within seconds.
+    #[strum(to_string = "a route table is in force everywhere within 2 s")]
+    Table,
+    /// Each part of a split gets its share of the requests.
+    #[strum(to_string = "each part of a split gets its share")]
+    Split,
 }
 
 /// How a promise fared.
@@ -152,6 +162,28 @@
     ]
 }
 
+/// Judges what route tables showed.
+#[must_use]
+pub fn judge_routes(shown: &Shown) -> Vec<Judgement> {
+    let mut table = Judgement::new(Promise::Table);
+    table.case(shown.in_force <= TABLE, || {
+        format!("took {:?}", shown.in_force)
+    });
+    let mut own = Judgement::new(Promise::Own);
+    own.cases = shown.calls;
+    if shown.answered < shown.calls {
+        own.broken = vec![format!("{} of {}", shown.answered, shown.calls)];
+    }
+    let mut split = Judgement::new(Promise::Split);
+    let sum: u32 = shown.weights.iter().sum();
+    for (ran, weight) in shown.runs.into_iter().zip(shown.weights) {
+        let share = shown.calls * weight as usize / sum.max(1) as usize;
+        // Each entry process is within one request of the share.
+        split.case(ran.abs_diff(share) <= 2, || format!("{ran} of {share}"));
+    }
+    vec![table, own, split]
+}
+
 fn judge_budget(evidence: &Evidence) -> Judgement {
     let mut judgement = Judgement::new(Promise::Budget);
     for probes in &evidence.probes {
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -288,11 +288,8 @@
     }
 
     fn respond(&self, outcome: Outcome) -> Response<Returned> {
-        let back = match &outcome {
-            Outcome::Own(_, back) => back.map_or(0, millis),
-            Outcome::Answer(..) => 0,
-        };
-        let (response, reason) = match outcome {
+        let spent = self.began.elapsed();
+        let (response, reason, back) = match outcome {
             Outcome::Answer(mut parts, answered) => {
                 headers::strip(&mut parts.headers);
                 let body = match answered {
@@ -301,18 +298,18 @@
                         Returned::stream(first, rest, connection)
                     }
                 };
-                (Response::from_parts(*parts, body), "answered")
+                let response = Response::from_parts(*parts, body);
+                (response, "answered", None)
             }
-            Outcome::Own(reason, back) => (refusal::answer(reason, back), reason.into()),
+            Outcome::Own(reason, back) => (refusal::answer(reason, back), reason.into(), back),
         };
         info!(self.core.log, "request"; "request" => self.call.id.to_str().unwrap_or("-"),
             "outcome" => reason, "status" => response.status().as_u16(),
             "route" => &*self.route.name, "service" => %self.service,
             "table" => self.version, "attempts" => self.attempts, "unsent" => self.unsent,
             "instance" => self.instance.as_ref().map_or("-", |id| id.as_str()),
-            "aim_ms" => millis(self.aim), "back_ms" => back,
-            "ms" => millis(self.began.elapsed()));
-        let spent = self.began.elapsed();
+            "aim_ms" => millis(self.aim), "back_ms" => back.map_or(0, millis),
+            "ms" => millis(spent));
         self.core
             .counters
             .request(self.service.as_str(), reason, spent);
--- a/crates/route/src/fresh.rs
+++ b/crates/route/src/fresh.rs
@@ -10,6 +10,7 @@
 //!
 //! It is a plain state machine: the time and what happened go in, decisions come out.
 
+mod results;
 mod row;
 
 use std::time::Duration;
@@ -21,14 +22,11 @@
 
 use crate::cost;
 use crate::cost::Need;
-use crate::health::Cause;
 use crate::health::Health;
 use crate::health::State;
 use crate::instance::Instance;
 use crate::instance::Phase;
 use crate::instance::Pick;
-use crate::instance::Ticket;
-use crate::outcome::Kind;
 use crate::outcome::LoadReport;
 use crate::policy::Reason;
 
@@ -42,10 +40,6 @@
 const ROUNDS: u32 = 3;
 /// A choice that costs so little is taken without asking further.
 const GOOD: f64 = 0.06;
-/// Weight of one report in the usual load of the service. Where all instances
-/// fill up, one of which nothing is known is full too, and must not draw
-/// everybody's requests.
-const LOAD_WEIGHT: f64 = 0.1;
 /// A report that is younger than this counts as knowledge; an instance without
 /// one gets work only where no other has room. Half of a pace's usual time.
 const KNOWN: Duration = Duration::from_millis(150);
@@ -53,10 +47,6 @@
 const JITTER: f64 = 0.01;
 /// Likelihood of a late answer from which waiting is better than sending.
 const LATE: f64 = 0.5;
-/// At most one instance in so many is ejected.
-const EJECTED_PART: usize = 2;
-/// Ramp after an ejection.
-const RAMP: Duration = Duration::from_secs(2);
 
 /// What a choice rests on.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -180,11 +170,10 @@
             if !self.is_usable(index, exclude) || row.is_fresh(now) {
                 continue;
             }
-            let crosses = row.instance.domain != self.domain;
-            let cost = cost::cost(&row.standing(now, self.usual), need, crosses);
-            let random: f64 = self.rng.random();
+            let cost = self.cost(now, need, row);
             // Nearer ones first, then by what they are likely to cost.
-            let far = if crosses { 1.0 } else { 0.0 };
+            let far = if self.crosses(row) { 1.0 } else { 0.0 };
+            let random: f64 = self.rng.random();
             open.push((index, far + cost.min(1.0) * 0.5 + random * 0.25));
         }
         open.sort_by(|a, b| a.1.total_cmp(&b.1));
@@ -204,26 +193,6 @@
         room && (cost < GOOD || round + 1 >= ROUNDS)
     }
 
-    /// Notes the end of a probe; none where it failed.
-    pub fn probed(&mut self, now: Moment, pick: Pick, report: Option<LoadReport>) {
-        let Some(row) = self.row(pick) else {
-            return;
-        };
-        row.probing = row.probing.saturating_sub(1);
-        if let Some(report) = report {
-            row.report = Some((now, report));
-            row.since = 0;
-            row.mute = false;
-            row.health.probe_answered(now);
-            self.learn(report);
-            return;
-        }
-        row.mute = true;
-        if row.health.probe_failed(false) {
-            self.eject(now, pick, Cause::Silence);
-        }
-    }
-
     /// Chooses an instance, none of `exclude` if another is left.
     pub fn choose(&mut self, now: Moment, need: &Need, exclude: &[Pick]) -> Decision {
         if let Some(index) = self.trial(now, exclude) {
@@ -296,7 +265,6 @@
     fn chosen(&self, now: Moment, need: &Need, index: usize, reason: Reason) -> FreshChoice {
         let row = &self.rows[index];
         let standing = row.standing(now, self.usual);
-        let crosses = row.instance.domain != self.domain;
         FreshChoice {
             pick: self.pick(index),
             reason,
@@ -304,7 +272,7 @@
             report: row.report.map(|(_, report)| report),
             in_flight: u32::try_from(row.starts.len()).unwrap_or(u32::MAX),
             expected: Duration::from_secs_f64(cost::expected(&standing, need).clamp(0.0, 3600.0)),
-            cost: cost::cost(&standing, need, crosses),
+            cost: self.cost(now, need, row),
         }
     }
 
@@ -323,8 +291,7 @@
             if !self.is_usable(index, exclude) || !young {
                 continue;
             }
-            let crosses = row.instance.domain != self.domain;
-            let cost = cost::cost(&row.standing(now, self.usual), need, crosses);
+            let cost = self.cost(now, need, row);
             let cost = cost + JITTER * self.rng.random::<f64>();
             if best.is_none_or(|(_, least)| cost < least) {
                 best = Some((index, cost));
@@ -333,6 +300,17 @@
         best
     }
 
+    /// What sending there costs.
+    fn cost(&self, now: Moment, need: &Need, row: &Row) -> f64 {
+        let standing = row.standing(now, self.usual);
+        cost::cost(&standing, need, self.crosses(row))
+    }
+
+    /// Whether it is in another failure domain than the gateway.
+    fn crosses(&self, row: &Row) -> bool {
+        row.instance.domain != self.domain
+    }
+
     fn is_usable(&self, index: usize, exclude: &[Pick]) -> bool {
         let row = &self.rows[index];
         row.is_ready() && row.health.is_in() && !exclude.contains(&self.pick(index))
@@ -365,99 +343,6 @@
         due.into_iter().map(|index| self.pick(index)).collect()
     }
 
-    /// Notes that another instance has the address: this one gets nothing more, not
-    /// even a trial, as its id never comes back there.
-    pub fn displaced(&mut self, pick: Pick) {
-        if let Some(row) = self.row(pick) {
-            row.displaced = true;
-        }
-    }
-
-    /// Notes that an attempt begins.
-    pub fn started(&mut self, now: Moment, pick: Pick) -> Ticket {
-        if let Some(row) = self.row(pick) {
-            row.starts.push(now);
-            row.since += 1;
-        }
-        Ticket { pick, began: now }
-    }
-
-    /// Notes the end of an attempt, with the report that came on its answer.
-    pub fn finished(
-        &mut self,
-        now: Moment,
-        ticket: Ticket,
-        kind: Kind,
-        report: Option<LoadReport>,
-    ) {
-        let (pick, began) = ticket.close();
-        let Some(row) = self.row(pick) else {
-            return;
-        };
-        if let Some(at) = row.starts.iter().position(|start| *start == began) {
-            row.starts.remove(at);
-        }
-        if let Some(report) = report {
-            row.report = Some((now, report));
-            row.since = 0;
-            row.mute = false;
-        } else {
-            row.since = row.since.saturating_sub(1);
-        }
-        let bad = match kind {
-            Kind::Ok => {
-                row.health.succeeded(now);
-                let _ = row.health.ramp(now, RAMP);
-                None
-            }
-            Kind::Error | Kind::ConnectFailed => row
-                .health
-                .failed(now, Cause::Failures)
-                .then_some(Cause::Failures),
-            Kind::Timeout => row
-                .health
-                .failed(now, Cause::Silence)
-                .then_some(Cause::Silence),
-            Kind::Shed | Kind::Cancelled => {
-                row.health.trial_cancelled();
-                None
-            }
-        };
-        if let Some(report) = report {
-            self.learn(report);
-        }
-        if let Some(cause) = bad {
-            self.eject(now, pick, cause);
-        }
-    }
-
-    fn learn(&mut self, report: LoadReport) {
-        let slots = f64::from(report.slots.max(1));
-        let load = f64::from(report.running + report.waiting) / slots;
-        self.usual.load += (load - self.usual.load) * LOAD_WEIGHT;
-        self.usual.paces.learn(report.pace);
-    }
-
-    /// Ejects the instance unless too many of the ready ones are out already.
-    fn eject(&mut self, now: Moment, pick: Pick, cause: Cause) {
-        let ready = self
-            .rows
-            .iter()
-            .filter(|r| r.instance.phase == Phase::Ready);
-        let (mut count, mut out) = (0, 0);
-        for row in ready {
-            count += 1;
-            out += usize::from(!row.health.is_in());
-        }
-        let jitter = self.rng.random();
-        let Some(row) = self.row(pick) else {
-            return;
-        };
-        if !row.health.is_in() || out < count / EJECTED_PART {
-            row.health.eject(now, cause, jitter);
-        }
-    }
-
     /// The instance's id, `None` after it has gone.
     #[must_use]
     pub fn id(&self, pick: Pick) -> Option<&InstanceId> {
--- /dev/null
+++ b/crates/route/src/fresh/results.rs
@@ -0,0 +1,139 @@
+//! What becomes of probes and attempts, and which instances they eject.
+
+use std::time::Duration;
+
+use base::prelude::*;
+use rand::RngExt;
+
+use crate::health::Cause;
+use crate::instance::Phase;
+use crate::instance::Pick;
+use crate::instance::Ticket;
+use crate::outcome::Kind;
+use crate::outcome::LoadReport;
+
+use super::Fresh;
+
+/// Weight of one report in the usual load of the service. Where all instances
+/// fill up, one of which nothing is known is full too, and must not draw
+/// everybody's requests.
+const LOAD_WEIGHT: f64 = 0.1;
+/// At most one instance in so many is ejected.
+const EJECTED_PART: usize = 2;
+/// Ramp after an ejection.
+const RAMP: Duration = Duration::from_secs(2);
+
+impl Fresh {
+    /// Notes the end of a probe; none where it failed.
+    pub fn probed(&mut self, now: Moment, pick: Pick, report: Option<LoadReport>) {
+        let Some(row) = self.row(pick) else {
+            return;
+        };
+        row.probing = row.probing.saturating_sub(1);
+        if let Some(report) = report {
+            row.report = Some((now, report));
+            row.since = 0;
+            row.mute = false;
+            row.health.probe_answered(now);
+            self.learn(report);
+            return;
+        }
+        row.mute = true;
+        if row.health.probe_failed(false) {
+            self.eject(now, pick, Cause::Silence);
+        }
+    }
+
+    /// Notes that another instance has the address: this one gets nothing more, not
+    /// even a trial, as its id never comes back there.
+    pub fn displaced(&mut self, pick: Pick) {
+        if let Some(row) = self.row(pick) {
+            row.displaced = true;
+        }
+    }
+
+    /// Notes that an attempt begins.
+    pub fn started(&mut self, now: Moment, pick: Pick) -> Ticket {
+        if let Some(row) = self.row(pick) {
+            row.starts.push(now);
+            row.since += 1;
+        }
+        Ticket { pick, began: now }
+    }
+
+    /// Notes the end of an attempt, with the report that came on its answer.
+    pub fn finished(
+        &mut self,
+        now: Moment,
+        ticket: Ticket,
+        kind: Kind,
+        report: Option<LoadReport>,
+    ) {
+        let (pick, began) = ticket.close();
+        let Some(row) = self.row(pick) else {
+            return;
+        };
+        if let Some(at) = row.starts.iter().position(|start| *start == began) {
+            row.starts.remove(at);
+        }
+        if let Some(report) = report {
+            row.report = Some((now, report));
+            row.since = 0;
+            row.mute = false;
+        } else {
+            row.since = row.since.saturating_sub(1);
+        }
+        let bad = match kind {
+            Kind::Ok => {
+                row.health.succeeded(now);
+                let _ = row.health.ramp(now, RAMP);
+                None
+            }
+            Kind::Error | Kind::ConnectFailed => row
+                .health
+                .failed(now, Cause::Failures)
+                .then_some(Cause::Failures),
+            Kind::Timeout => row
+                .health
+                .failed(now, Cause::Silence)
+                .then_some(Cause::Silence),
+            Kind::Shed | Kind::Cancelled => {
+                row.health.trial_cancelled();
+                None
+            }
+        };
+        if let Some(report) = report {
+            self.learn(report);
+        }
+        if let Some(cause) = bad {
+            self.eject(now, pick, cause);
+        }
+    }
+
+    fn learn(&mut self, report: LoadReport) {
+        let slots = f64::from(report.slots.max(1));
+        let load = f64::from(report.running + report.waiting) / slots;
+        self.usual.load += (load - self.usual.load) * LOAD_WEIGHT;
+        self.usual.paces.learn(report.pace);
+    }
+
+    /// Ejects the instance unless too many of the ready ones are out already.
+    fn eject(&mut self, now: Moment, pick: Pick, cause: Cause) {
+        let ready = self
+            .rows
+            .iter()
+            .filter(|r| r.instance.phase == Phase::Ready);
+        let (mut count, mut out) = (0, 0);
+        for row in ready {
+            count += 1;
+            out += usize::from(!row.health.is_in());
+        }
+        let jitter = self.rng.random();
+        let Some(row) = self.row(pick) else {
+            return;
+        };
+        if !row.health.is_in() || out < count / EJECTED_PART {
+            row.health.eject(now, cause, jitter);
+        }
+    }
+}
--- a/crates/testutils/src/fleet.rs
+++ b/crates/testutils/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Hubs and entry processes as real processes, and upstreams that announce
 //! themselves to the hubs.
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -36,8 +37,106 @@
 const CALL_TIME: Duration = Duration::from_secs(2);
 /// The failure domains, over which hosts are spread in turn.
 const DOMAINS: [&str; 3] = ["milano", "torino", "genova"];
-/// The path of the stand-ins' own health page.
-pub const HEALTH: &str = "/rwr/load";
+/// The settings of all processes of a fleet, each on a host of its own.
+pub struct Layout {
+    /// The hubs.
+    pub hubs: Vec<hub::Settings>,
+    /// The entry processes.
+    pub entries: Vec<entry::Settings>,
+    // The numbers and folders are free again when the layout is dropped.
+    hosts: Vec<Host>,
+    _folder: Folder,
+}
+
+impl Layout {
+    /// A layout of `hubs` hubs, which found a new system, and `entries` entry processes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no folder for the hubs' data can be had.
+    pub fn new(hubs: usize, entries: usize) -> io::Result<Self> {
+        let hosts: Vec<Host> = (0..hubs + entries).map(|_| Host::new()).collect();
+        let folder = Folder::new()?;
+        let (core, edge) = hosts.split_at(hubs);
+        let seeds: Vec<SocketAddr> = core.iter().map(|h| h.at(HUB)).collect();
+        let hubs = core.iter().enumerate();
+        let hubs = hubs.map(|(i, host)| plan_hub(i, host, &seeds, &folder));
+        let entries = edge.iter().enumerate();
+        let entries = entries.map(|(i, host)| plan_entry(i, host, &seeds));
+        Ok(Self {
+            hubs: hubs.collect(),
+            entries: entries.collect(),
+            hosts,
+            _folder: folder,
+        })
+    }
+
+    /// Settings of a stand-in on a host of its own, announced to two hubs.
+    ///
+    /// # Panics
+    ///
+    /// Panics when `service` is no name, which is a fault of the test.
+    pub fn upstream(&mut self, service: &str, number: usize) -> standin::Settings {
+        let host = Host::new();
+        let mut settings = standin::Settings::new(
+            ServiceName::new(service).expect("a valid service name"),
+            InstanceId::new(&format!("{service}-{number}")).expect("a valid name"),
+            domain(number),
+        );
+        settings.listen = host.at(SERVE);
+        settings.time = Duration::from_millis(2);
+        settings.drain = Duration::from_secs(2);
+        settings.seed = number as u64;
+        let asks: Vec<SocketAddr> = self.asks();
+        let homes = asks.iter().cycle().skip(number).take(asks.len().min(2));
+        settings.directories = homes.copied().collect();
+        self.hosts.push(host);
+        settings
+    }
+
+    /// Where upstreams and callers reach the hubs.
+    #[must_use]
+    pub fn asks(&self) -> Vec<SocketAddr> {
+        self.hubs.iter().filter_map(|plan| plan.http).collect()
+    }
+
+    /// Puts a table at any hub, until one has taken it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when none does within the patience of tests.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the table can't be written, which is a fault of the test.
+    pub async fn put(&self, table: &Table) -> Result<(), SystemError> {
+        let content = table::codec::encode(table).expect("a table that can be written");
+        let row = wire::hub::Table {
+            version: table.version,
+            content: content.into(),
+            ..wire::hub::Table::default()
+        };
+        wait("table taken", async || {
+            for plan in &self.hubs {
+                if put(plan, &row).await {
+                    return true;
+                }
+            }
+            false
+        })
+        .await
+    }
+}
+
+/// Whether the hub took the table, or held it or a newer one.
+async fn put(plan: &hub::Settings, row: &wire::hub::Table) -> bool {
+    let link = peer::hub(plan.hub_at(plan.address));
+    let Ok(client) = link.client().await else {
+        return false;
+    };
+    let reply = client.put_table(within(CALL_TIME), row.clone()).await;
+    reply.is_ok_and(|reply| reply.outcome() != TableOutcome::Unspecified)
+}
 
 /// A running fleet; all its processes are killed when it is dropped.
 pub struct Fleet {
@@ -45,13 +144,8 @@
     pub hubs: Vec<Option<Process>>,
     /// The entry processes; `None` once taken.
     pub entries: Vec<Option<Process>>,
-    /// The settings of the hubs.
-    pub hub_plans: Vec<hub::Settings>,
-    /// The settings of the entry processes.
-    pub entry_plans: Vec<entry::Settings>,
-    // The numbers and folders are free again when the fleet is dropped.
-    hosts: Vec<Host>,
-    folder: Folder,
+    /// The settings of all of them.
+    pub layout: Layout,
 }
 
 impl Fleet {
@@ -61,23 +155,11 @@
     ///
     /// Fails when a process isn't ready in time.
     pub async fn start(hubs: usize, entries: usize) -> Result<Self, SystemError> {
-        let hosts: Vec<Host> = (0..hubs + entries).map(|_| Host::new()).collect();
-        let folder = Folder::new()?;
-        let (core, edge) = hosts.split_at(hubs);
-        let seeds: Vec<SocketAddr> = core.iter().map(|h| h.at(HUB)).collect();
-        let hub_plans = core.iter().enumerate();
-        let hub_plans = hub_plans.map(|(i, host)| plan_hub(i, host, &seeds, &folder));
-        let entry_plans = edge.iter().enumerate();
-        let entry_plans = entry_plans.map(|(i, host)| plan_entry(i, host, &seeds));
         let mut fleet = Self {
             hubs: vec![],
             entries: vec![],
-            hub_plans: hub_plans.collect(),
-            entry_plans: entry_plans.collect(),
-            hosts,
-            folder,
+            layout: Layout::new(hubs, entries)?,
         };
-        // Together, as none is ready before it has heard of the others.
         let started = join_all((0..hubs).map(|i| fleet.new_hub(i))).await;
         for process in started {
             fleet.hubs.push(Some(process?));
@@ -95,7 +177,7 @@
     ///
     /// Fails when it isn't ready in time.
     pub async fn new_hub(&self, index: usize) -> Result<Process, ProcessError> {
-        Process::start(Binary::Hub, &self.hub_plans[index].to_string()).await
+        Process::start(Binary::Hub, &self.layout.hubs[index].to_string()).await
     }
 
     /// Starts the entry process at `index` anew.
@@ -104,40 +186,7 @@
     ///
     /// Fails when it isn't ready in time.
     pub async fn new_entry(&self, index: usize) -> Result<Process, ProcessError> {
-        Process::start(Binary::Entry, &self.entry_plans[index].to_string()).await
-    }
-
-    /// Puts a table at any hub, until one has taken it.
-    ///
-    /// # Errors
-    ///
-    /// Fails when none does within the patience of tests.
-    ///
-    /// # Panics
-    ///
-    /// Panics when the table can't be written, which is a fault of the test.
-    pub async fn put(&self, table: &Table) -> Result<(), SystemError> {
-        let content = table::codec::encode(table).expect("a table that can be written");
-        let row = wire::hub::Table {
-            version: table.version,
-            content: content.into(),
-            ..wire::hub::Table::default()
-        };
-        wait("table taken", async || {
-            for plan in &self.hub_plans {
-                let link = peer::hub(plan.hub_at(plan.address));
-                let Ok(client) = link.client().await else {
-                    continue;
-                };
-                let reply = client.put_table(within(CALL_TIME), row.clone()).await;
-                let outcome = reply.map(|reply| reply.outcome());
-                if matches!(outcome, Ok(o) if o != TableOutcome::Unspecified) {
-                    return true;
-                }
-            }
-            false
-        })
-        .await
+        Process::start(Binary::Entry, &self.layout.entries[index].to_string()).await
     }
 
     /// Waits until the entry process at `index` has `version` or a later one in force.
@@ -170,7 +219,7 @@
         service: &str,
         number: usize,
     ) -> Result<Upstream, SystemError> {
-        let settings = self.plan_upstream(service, number);
+        let settings = self.layout.upstream(service, number);
         self.start_upstream(&settings).await
     }
 
@@ -185,56 +234,21 @@
     ) -> Result<Upstream, SystemError> {
         let upstream = Upstream::start(settings).await?;
         let life = format!("{}:", upstream.instance);
+        let told = |line: &str| {
+            let instance = field(line, "instance");
+            field(line, "msg") == Some("instance")
+                && instance.is_some_and(|id| id.starts_with(&life))
+        };
         for process in self.entries.iter().flatten() {
-            process
-                .wait_line(|line| {
-                    let instance = field(line, "instance");
-                    field(line, "msg") == Some("instance")
-                        && instance.is_some_and(|id| id.starts_with(&life))
-                })
-                .await?;
+            process.wait_line(told).await?;
         }
         Ok(upstream)
     }
 
-    /// Settings of a stand-in on a host of its own, announced to two hubs.
-    ///
-    /// # Panics
-    ///
-    /// Panics when `service` is no name, which is a fault of the test.
-    pub fn plan_upstream(&mut self, service: &str, number: usize) -> standin::Settings {
-        let host = Host::new();
-        let mut settings = standin::Settings::new(
-            ServiceName::new(service).expect("a valid service name"),
-            InstanceId::new(&format!("{service}-{number}")).expect("a valid name"),
-            domain(number),
-        );
-        settings.listen = host.at(SERVE);
-        settings.time = Duration::from_millis(2);
-        settings.drain = Duration::from_secs(2);
-        settings.seed = number as u64;
-        let asks: Vec<SocketAddr> = self.asks();
-        let homes = asks.iter().cycle().skip(number).take(asks.len().min(2));
-        settings.directories = homes.copied().collect();
-        self.hosts.push(host);
-        settings
-    }
-
-    /// Where upstreams and callers reach the hubs.
-    #[must_use]
-    pub fn asks(&self) -> Vec<SocketAddr> {
-        self.hub_plans.iter().filter_map(|plan| plan.http).collect()
-    }
-
     /// Sends `ask` to the entry process at `index`.
     pub async fn call(&self, index: usize, ask: &Ask) -> Reply {
-        Caller::new().call(self.entry_plans[index].front, ask).await
-    }
-
-    /// The folder of the hubs' data.
-    #[must_use]
-    pub fn folder(&self) -> &Folder {
-        &self.folder
+        let address = self.layout.entries[index].front;
+        Caller::new().call(address, ask).await
     }
 }
 
--- a/crates/testutils/src/lib.rs
+++ b/crates/testutils/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod process;
 pub mod services;
 pub mod system;
+pub mod tables;
 pub mod upstream;
 
 pub use caller::Ask;
@@ -20,6 +21,7 @@
 pub use caller::Reply;
 pub use caller::new_key;
 pub use fleet::Fleet;
+pub use fleet::Layout;
 pub use folder::Folder;
 pub use host::Host;
 pub use operator::Operator;
--- a/crates/testutils/src/process.rs
+++ b/crates/testutils/src/process.rs
@@ -1,6 +1,7 @@
 //! A process of one of the built binaries: its log, its signals, its end.
 
 use std::env;
+use std::fs;
 use std::io;
 use std::io::BufRead;
 use std::io::BufReader;
@@ -17,6 +18,7 @@
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
+use std::time::Instant;
 
 use quick_error::quick_error;
 use rustix::process::Pid;
@@ -84,8 +86,8 @@
             display("{binary} ended before it was ready:\n{log}")
         }
         /// An event didn't come within [`PATIENCE`].
-        Late(binary: Binary, event: &'static str, log: String) {
-            display("{binary}: no {event} within {PATIENCE:?}:\n{log}")
+        Late(binary: Binary, event: &'static str, state: String, log: String) {
+            display("{binary}: no {event} within {PATIENCE:?}; its state: {state}\n{log}")
         }
     }
 }
@@ -323,7 +325,18 @@
     }
 
     fn late(&self, event: &'static str) -> ProcessError {
-        ProcessError::Late(self.binary, event, self.text())
+        ProcessError::Late(self.binary, event, self.state(), self.text())
+    }
+
+    /// What the kernel says of the process: what it waits for tells a stalled disk
+    /// from a process that is stuck by itself.
+    fn state(&self) -> String {
+        let folder = format!("/proc/{}", self.child.id());
+        let read = |name: &str| fs::read_to_string(format!("{folder}/{name}"));
+        match (read("stat"), read("wchan")) {
+            (Ok(stat), Ok(wchan)) => format!("{} in {wchan}", stat.trim()),
+            (Err(err), _) | (_, Err(err)) => err.to_string(),
+        }
     }
 
     fn text(&self) -> String {
@@ -335,7 +348,10 @@
     fn drop(&mut self) {
         // It may have ended already, which is as good.
         let _ = self.child.kill();
-        let _ = self.child.wait();
+        let end = Instant::now() + PATIENCE;
+        while matches!(self.child.try_wait(), Ok(None)) && Instant::now() < end {
+            thread::sleep(LOOK);
+        }
     }
 }
 
--- /dev/null
+++ b/crates/testutils/src/tables.rs
@@ -0,0 +1,90 @@
+//! Route tables over two services of stand-ins.
+
+use base::prelude::*;
+use table::Host;
+use table::Kind;
+use table::Part;
+use table::Route;
+use table::Service;
+use table::Table;
+use table::Target;
+
+/// The host name of all routes.
+pub const HOST: &str = "example.org";
+/// Requests below it may run more than once.
+pub const READ: &str = "/read/";
+/// Requests below it may not.
+pub const ONCE: &str = "/once/";
+/// The service of reads.
+pub const STATUS: &str = "status";
+/// The service of requests that run once.
+pub const GRANTS: &str = "grants";
+/// The path of the stand-ins' own health page.
+const HEALTH: &str = "/rwr/load";
+/// Connections that one stand-in takes from everyone together.
+const CONNECTIONS: u32 = 240;
+
+fn name(text: &str) -> ServiceName {
+    ServiceName::new(text).expect("a valid name")
+}
+
+fn route(prefix: &str, kind: Kind, target: Target) -> Route {
+    Route {
+        name: prefix.into(),
+        prefix: prefix.into(),
+        kind,
+        timeout: None,
+        aim: None,
+        priority: 0,
+        attempts: 2,
+        target,
+    }
+}
+
+fn service(service: &str) -> Service {
+    Service {
+        name: name(service),
+        health: HEALTH.into(),
+        connections: CONNECTIONS,
+    }
+}
+
+/// Reads go to one service, and requests that run once to the other.
+#[must_use]
+pub fn plain(version: u64) -> Table {
+    let reads = Target::Service(name(STATUS));
+    let grants = Target::Service(name(GRANTS));
+    Table {
+        version,
+        services: vec![service(STATUS), service(GRANTS)],
+        hosts: vec![Host {
+            name: HOST.into(),
+            routes: vec![
+                route(READ, Kind::Idempotent, reads),
+                route(ONCE, Kind::Once, grants),
+            ],
+        }],
+        ..Table::default()
+    }
+}
+
+/// The same with reads split between both services.
+#[must_use]
+pub fn split(version: u64, weights: [u32; 2]) -> Table {
+    let mut table = plain(version);
+    let parts = [STATUS, GRANTS].into_iter().zip(weights);
+    let parts = parts.map(|(service, weight)| Part {
+        service: name(service),
+        weight,
+    });
+    table.hosts[0].routes[0].target = Target::Split(parts.collect());
+    table
+}
+
+/// The same without reads.
+#[must_use]
+pub fn without_reads(version: u64) -> Table {
+    let mut table = plain(version);
+    table.hosts[0].routes.retain(|route| &*route.prefix != READ);
+    table
+}
--- a/crates/testutils/tests/test_fleet.rs
+++ b/crates/testutils/tests/test_fleet.rs
@@ -3,79 +3,20 @@
 
 use std::fs;
 
+use base::prelude::*;
 use standin::Fault;
 use standin::FaultKind;
-use table::Host;
-use table::Kind;
-use table::Part;
-use table::Route;
-use table::Service;
-use table::Table;
-use table::Target;
 use testutils::Ask;
 use testutils::Fleet;
 use testutils::Operator;
 use testutils::Reply;
 use testutils::Upstream;
-use testutils::fleet::HEALTH;
 use testutils::process::field;
 use testutils::system::wait;
-
-/// The host name of all routes.
-const HOST: &str = "example.org";
-/// A service, and another one.
-const STATUS: &str = "status";
-const GRANTS: &str = "grants";
-
-fn name(text: &str) -> base::prelude::ServiceName {
-    base::prelude::ServiceName::new(text).expect("a name")
-}
-
-fn route(prefix: &str, kind: Kind, target: Target) -> Route {
-    Route {
-        name: prefix.into(),
-        prefix: prefix.into(),
-        kind,
-        timeout: None,
-        aim: None,
-        priority: 0,
-        attempts: 2,
-        target,
-    }
-}
-
-/// Reads go to one service, and once-only requests to the other.
-fn table(version: u64) -> Table {
-    let service = |service| Service {
-        name: name(service),
-        health: HEALTH.into(),
-        connections: 240,
-    };
-    Table {
-        version,
-        services: vec![service(STATUS), service(GRANTS)],
-        hosts: vec![Host {
-            name: HOST.into(),
-            routes: vec![
-                route("/read/", Kind::Idempotent, Target::Service(name(STATUS))),
-                route("/once/", Kind::Once, Target::Service(name(GRANTS))),
-            ],
-        }],
-        ..Table::default()
-    }
-}
-
-/// The same with reads split between both services.
-fn split(version: u64, weights: [u32; 2]) -> Table {
-    let mut table = table(version);
-    let parts = [STATUS, GRANTS].into_iter().zip(weights);
-    let parts = parts.map(|(service, weight)| Part {
-        service: name(service),
-        weight,
-    });
-    table.hosts[0].routes[0].target = Target::Split(parts.collect());
-    table
-}
+use testutils::tables;
+use testutils::tables::GRANTS;
+use testutils::tables::HOST;
+use testutils::tables::STATUS;
 
 fn read(number: usize) -> Ask {
     Ask::get(STATUS, &format!("/read/{number}")).at(HOST)
@@ -88,7 +29,7 @@
 /// Three hubs and two entry processes with the table in force.
 async fn start() -> Fleet {
     let fleet = Fleet::start(3, 2).await.unwrap();
-    fleet.put(&table(1)).await.unwrap();
+    fleet.layout.put(&tables::plain(1)).await.unwrap();
     for index in 0..2 {
         fleet.wait_table(index, 1).await.unwrap();
     }
@@ -112,7 +53,7 @@
     let mut fleet = start().await;
     let a = fleet.upstream(STATUS, 0).await.unwrap();
     let b = fleet.upstream(GRANTS, 0).await.unwrap();
-    fleet.put(&split(2, [3, 1])).await.unwrap();
+    fleet.layout.put(&tables::split(2, [3, 1])).await.unwrap();
     fleet.wait_table(0, 2).await.unwrap();
     for number in 0..40 {
         let reply = fleet.call(0, &read(number)).await;
@@ -147,14 +88,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn test_fleet_address_of_a_killed_upstream_is_taken_over() {
     let mut fleet = start().await;
-    let settings = fleet.plan_upstream(STATUS, 0);
+    let settings = fleet.layout.upstream(STATUS, 0);
     let killed = fleet.start_upstream(&settings).await.unwrap();
     assert!(served(&fleet, 0, &read(0)).await.is_ok());
     killed.process.kill().await.unwrap();
     // Another service's instance takes the address at once.
     let mut other = settings.clone();
-    other.service = name(GRANTS);
-    other.instance = base::prelude::InstanceId::new("grants-9").unwrap();
+    other.service = ServiceName::new(GRANTS).unwrap();
+    other.instance = InstanceId::new("grants-9").unwrap();
     let other = fleet.start_upstream(&other).await.unwrap();
     for number in 0..10 {
         let reply = fleet.call(0, &read(number)).await;
@@ -214,9 +155,7 @@
     for index in 0..2 {
         fleet.hubs[index] = Some(fleet.new_hub(index).await.unwrap());
     }
-    let mut next = table(2);
-    next.hosts[0].routes.remove(0);
-    fleet.put(&next).await.unwrap();
+    fleet.layout.put(&tables::without_reads(2)).await.unwrap();
     fleet.wait_table(0, 2).await.unwrap();
     let reply = fleet.call(0, &read(1)).await;
     assert_eq!(reply.status, 404, "{reply:?}");
@@ -227,11 +166,11 @@
     let mut fleet = start().await;
     let _upstream = fleet.upstream(STATUS, 0).await.unwrap();
     fleet.hubs[0].take().unwrap().kill().await.unwrap();
-    fs::remove_dir_all(&fleet.hub_plans[0].data).unwrap();
-    fleet.hub_plans[0].found = false;
+    fs::remove_dir_all(&fleet.layout.hubs[0].data).unwrap();
+    fleet.layout.hubs[0].found = false;
     let emptied = fleet.new_hub(0).await.unwrap();
     fleet.hubs[0] = Some(emptied);
-    let replicas = fleet.hub_plans.iter().map(|plan| plan.control().rpc);
+    let replicas = fleet.layout.hubs.iter().map(|plan| plan.control().rpc);
     let operator = Operator::new(&replicas.collect::<Vec<_>>());
     wait("emptied hub among the voters", async || {
         let status = operator.status(0).await;
@@ -241,7 +180,7 @@
     .unwrap();
     // It counts: with another hub lost, there still is a majority.
     fleet.hubs[1].take().unwrap().kill().await.unwrap();
-    fleet.put(&table(2)).await.unwrap();
+    fleet.layout.put(&tables::plain(2)).await.unwrap();
     fleet.wait_table(0, 2).await.unwrap();
     assert!(served(&fleet, 0, &read(0)).await.is_ok());
 }
