soak: hubs and entry processes under random faults

Checked: at most one run of requests that run once, none of what was refused, only own whole answers of what ran, tables never back, served again at the end.

--- /dev/null
+++ b/crates/soak/src/calls.rs
@@ -0,0 +1,99 @@
+//! Callers that call without a break, and what they got.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use testutils::Ask;
+use testutils::Caller;
+use testutils::Reply;
+use testutils::tables::GRANTS;
+use testutils::tables::HOST;
+use testutils::tables::STATUS;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+/// Callers at once.
+const CALLERS: u64 = 4;
+/// Deadline of each call.
+const DEADLINE: Duration = Duration::from_secs(2);
+/// A caller leaves after this, answer or not.
+const PATIENCE: Duration = Duration::from_secs(4);
+/// Pause between two calls of one caller.
+const PAUSE: Duration = Duration::from_millis(8);
+
+/// One call.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The path, which no other call has.
+    pub path: String,
+    /// It must not run twice.
+    pub once: bool,
+    /// What came; none when the caller left before anything did.
+    pub reply: Option<Reply>,
+}
+
+/// Callers that run until they are stopped.
+pub struct Callers {
+    stop: CancellationToken,
+    tasks: JoinSet<()>,
+    calls: Arc<Mutex<Vec<Call>>>,
+}
+
+impl Callers {
+    /// Starts them; each uses all `fronts` in turn.
+    #[must_use]
+    pub fn start(fronts: Vec<SocketAddr>) -> Self {
+        let fronts: Arc<[SocketAddr]> = fronts.into();
+        let stop = CancellationToken::new();
+        let calls: Arc<Mutex<Vec<Call>>> = Arc::default();
+        let number = Arc::new(AtomicU64::new(0));
+        let mut tasks = JoinSet::new();
+        for _ in 0..CALLERS {
+            let (fronts, stop) = (Arc::clone(&fronts), stop.clone());
+            let (calls, number) = (Arc::clone(&calls), Arc::clone(&number));
+            tasks.spawn(async move {
+                while !stop.is_cancelled() {
+                    let number = number.fetch_add(1, Ordering::Relaxed);
+                    let call = call(&fronts, number).await;
+                    calls
+                        .lock()
+                        .unwrap_or_else(PoisonError::into_inner)
+                        .push(call);
+                    tokio::time::sleep(PAUSE).await;
+                }
+            });
+        }
+        Self { stop, tasks, calls }
+    }
+
+    /// Stops them; all calls that were made.
+    pub async fn stop(mut self) -> Vec<Call> {
+        self.stop.cancel();
+        while self.tasks.join_next().await.is_some() {}
+        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut calls)
+    }
+}
+
+async fn call(fronts: &[SocketAddr], number: u64) -> Call {
+    let once = number.is_multiple_of(2);
+    let path = format!("/{}/{number}", if once { "once" } else { "read" });
+    let ask = if once {
+        Ask::post(GRANTS, &path, "block 7")
+    } else {
+        Ask::get(STATUS, &path)
+    };
+    let ask = ask.at(HOST).within(DEADLINE);
+    let turn = usize::try_from(number / 2).unwrap_or(0) % fronts.len();
+    let reply = tokio::time::timeout(PATIENCE, Caller::new().call(fronts[turn], &ask)).await;
+    Call {
+        path,
+        once,
+        reply: reply.ok(),
+    }
+}
--- /dev/null
+++ b/crates/soak/src/judge.rs
@@ -0,0 +1,81 @@
+//! Which promises a run broke.
+
+use std::collections::HashMap;
+use std::fmt;
+
+use testutils::Reply;
+
+use crate::calls::Call;
+use crate::world::World;
+
+/// Statuses by which the system promises that the request has not run.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
+/// What a run showed.
+#[derive(Clone, Debug, Default)]
+pub struct Verdict {
+    /// Calls made.
+    pub calls: usize,
+    /// Calls whose own whole answer came.
+    pub answered: usize,
+    /// What was broken, empty when nothing was.
+    pub broken: Vec<String>,
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            calls,
+            answered,
+            broken,
+        } = self;
+        write!(
+            f,
+            "{answered} of {calls} calls answered, {} broken",
+            broken.len()
+        )?;
+        broken.iter().try_for_each(|what| write!(f, "\n  {what}"))
+    }
+}
+
+/// Judges what callers got against what truly ran.
+#[must_use]
+pub fn judge(world: &World, calls: &[Call]) -> Verdict {
+    let mut ran: HashMap<String, usize> = HashMap::new();
+    for run in world.runs() {
+        *ran.entry(run.path).or_default() += 1;
+    }
+    let mut verdict = Verdict {
+        calls: calls.len(),
+        ..Verdict::default()
+    };
+    for call in calls {
+        let count = ran.get(&call.path).copied().unwrap_or(0);
+        verdict.answered += usize::from(call.reply.as_ref().is_some_and(Reply::is_ok));
+        if let Some(what) = broken(call, count) {
+            verdict.broken.push(what);
+        }
+    }
+    verdict.broken.extend(world.backward_tables());
+    verdict
+}
+
+/// What the call shows to be broken, if anything; its request ran `count` times.
+fn broken(call: &Call, count: usize) -> Option<String> {
+    let path = &call.path;
+    if call.once && count > 1 {
+        return Some(format!("{path} ran {count} times"));
+    }
+    let reply = call.reply.as_ref()?;
+    if call.once && NOT_RUN.contains(&reply.status) && count > 0 {
+        return Some(format!(
+            "{path} ran though it was answered {}",
+            reply.status
+        ));
+    }
+    if !reply.is_ok() {
+        return None;
+    }
+    let own = reply.receipt().is_some_and(|receipt| receipt.path == *path);
+    (!own || count == 0).then(|| format!("{path} got another's answer: {reply:?}"))
+}
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -63,7 +63,8 @@
     let address = listener.local_addr().map_err(wrap)?;
     let acceptor = TcpAcceptor::try_from(listener).map_err(wrap)?;
     let incarnation = incarnation();
-    let announcer = Announcer::new(&settings, address, incarnation, log.clone());
+    let shown = settings.announced.unwrap_or(address);
+    let announcer = Announcer::new(&settings, shown, incarnation, log.clone());
     let shared = Arc::new(Shared::new(settings, incarnation, log));
     let router = Router::with_path("{**path}").goal(Upstream(shared.clone()));
     let serve = tokio::spawn(Server::new(acceptor).serve(router));
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -21,6 +21,8 @@
 pub struct Settings {
     /// Where it listens; port 0 takes a free one.
     pub listen: SocketAddr,
+    /// Where it says that it listens; as it does where this is none.
+    pub announced: Option<SocketAddr>,
     /// The service it offers.
     pub service: ServiceName,
     /// Its name within the service.
@@ -67,6 +69,7 @@
     pub fn new(service: ServiceName, instance: InstanceId, domain: DomainName) -> Self {
         Self {
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            announced: None,
             service,
             instance,
             domain,
@@ -118,6 +121,7 @@
     }
 
     fn read_work(&mut self, r: &mut Reader) {
+        self.announced = r.optional(MAIN, "announced");
         self.slots = r.or(MAIN, "slots", self.slots);
         if self.slots == 0 {
             let problem = Problem::Form("0".into());
@@ -161,6 +165,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "[{MAIN}]")?;
         writeln!(f, "listen = {}", self.listen)?;
+        if let Some(announced) = self.announced {
+            writeln!(f, "announced = {announced}")?;
+        }
         writeln!(f, "service = {}", self.service)?;
         writeln!(f, "instance = {}", self.instance)?;
         writeln!(f, "domain = {}", self.domain)?;
--- a/crates/testutils/src/fleet.rs
+++ b/crates/testutils/src/fleet.rs
@@ -105,26 +105,28 @@
     /// # Errors
     ///
     /// Fails when none does within the patience of tests.
+    pub async fn put(&self, table: &Table) -> Result<(), SystemError> {
+        wait("table taken", async || self.put_once(table).await).await
+    }
+
+    /// Puts a table at one hub after the other; whether one has taken it.
     ///
     /// # Panics
     ///
     /// Panics when the table can't be written, which is a fault of the test.
-    pub async fn put(&self, table: &Table) -> Result<(), SystemError> {
+    pub async fn put_once(&self, table: &Table) -> bool {
         let content = table::codec::encode(table).expect("a table that can be written");
         let row = wire::hub::Table {
             version: table.version,
             content: content.into(),
             ..wire::hub::Table::default()
         };
-        wait("table taken", async || {
-            for plan in &self.hubs {
-                if put(plan, &row).await {
-                    return true;
-                }
+        for plan in &self.hubs {
+            if put(plan, &row).await {
+                return true;
             }
-            false
-        })
-        .await
+        }
+        false
     }
 }
 
