cli: story, what the logs tell of one request

The lines of the request over all hosts, and what its hosts came to believe of its instances shortly before. telemetry::logfmt reads a line's field, which stood in testutils.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -9,6 +9,7 @@
 mod replica;
 mod routes;
 mod show;
+mod story;
 mod upstreams;
 
 use std::str::FromStr;
@@ -40,6 +41,7 @@
     Drain,
     Replica,
     Routes,
+    Story,
 }
 
 /// Performs the command that `words` name.
@@ -72,5 +74,6 @@
         Verb::Drain => drain::perform(words, &settings, out).await,
         Verb::Replica => replica::perform(words, &settings, out).await,
         Verb::Routes => routes::perform(words, &settings, out).await,
+        Verb::Story => story::perform(words, out),
     }
 }
--- a/crates/cli/src/fault.rs
+++ b/crates/cli/src/fault.rs
@@ -47,6 +47,10 @@
         Saved(path: PathBuf) {
             display("{}: is no saved change", path.display())
         }
+        /// No log names the request.
+        NoStory(id: String) {
+            display("no line names request {id}; were the logs of all entry hosts given?")
+        }
         /// No address answered.
         Unreachable(errors: Vec<LinkError>) {
             display("no answer{}", list(errors))
@@ -125,6 +129,7 @@
             | Self::File(..)
             | Self::Saved(_)
             | Self::Absent(..)
+            | Self::NoStory(_)
             | Self::Malformed => Exit::Failure,
         }
     }
@@ -166,6 +171,9 @@
             Self::Membership(_) => "rwrctl replica list shows the group".into(),
             Self::Pending(_) => "repeat the same command until it says done".into(),
             Self::Saved(_) => "apply with a new id".into(),
+            Self::NoStory(_) => {
+                "a request that no entry host took has no line; a full log leaves lines out".into()
+            }
             Self::Output(_) | Self::File(..) | Self::Absent(..) | Self::Malformed => return None,
         };
         Some(text)
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod pending;
 pub mod remote;
 pub mod settings;
+pub mod story;
 pub mod table;
 
 use std::ffi::OsString;
--- a/crates/cli/tests/test_commands.rs
+++ b/crates/cli/tests/test_commands.rs
@@ -275,3 +275,29 @@
         );
     }
 }
+
+const ENTRY_LOG: &str = "\
+ts=110.0 level=INFO msg=choice host=entry-1 binary=rwr-entry instance=i-1 attempt=1 request=r-7
+ts=111.0 level=INFO msg=request host=entry-1 binary=rwr-entry status=504 outcome=timeout request=r-7
+";
+const OTHER_LOG: &str = "ts=109.5 level=INFO msg=hub host=entry-2 binary=rwr-entry outcome=lost\n";
+
+#[tokio::test]
+async fn test_story_reads_all_files_given() {
+    let (entry, other) = (write("entry.log", ENTRY_LOG), write("other.log", OTHER_LOG));
+    let (entry, other) = (entry.display(), other.display());
+    let told = rwrctl(&format!("story r-7 {other} {entry}")).await;
+    assert_eq!(told.exit, Exit::Done, "{}", told.err);
+    assert!(told.out.contains("outcome=timeout"), "{}", told.out);
+    let none = rwrctl(&format!("story r-9 {entry}")).await;
+    assert_eq!(none.exit, Exit::Failure);
+    assert!(
+        none.err.contains("no line names request r-9"),
+        "{}",
+        none.err
+    );
+    let missing = rwrctl("story r-7 /no/such/log").await;
+    assert_eq!(missing.exit, Exit::Failure);
+    let usage = rwrctl("story r-7").await;
+    assert_eq!(usage.exit, Exit::Usage);
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod board;
 pub mod limit;
 pub mod log;
+pub mod logfmt;
 pub mod metrics;
 pub mod settings;
 
--- a/crates/testutils/src/process.rs
+++ b/crates/testutils/src/process.rs
@@ -31,6 +31,8 @@
 
 use crate::folder::Folder;
 
+pub use telemetry::logfmt::field;
+
 /// Longest wait for an event of a process; far above what any takes.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 /// The file in which a process finds its settings.
@@ -355,23 +357,6 @@
     }
 }
 
-/// The value of `key` in a logfmt line, without its quotes.
-#[must_use]
-pub fn field<'a>(line: &'a str, key: &str) -> Option<&'a str> {
-    let mut rest = line;
-    while let Some((name, after)) = rest.split_once('=') {
-        let (value, next) = match after.strip_prefix('"') {
-            Some(quoted) => quoted.split_once('"').unwrap_or((quoted, "")),
-            None => after.split_once(' ').unwrap_or((after, "")),
-        };
-        if name.trim_start() == key {
-            return Some(value);
-        }
-        rest = next;
-    }
-    None
-}
-
 async fn log_line(log: &Log, test: impl Fn(&str) -> bool) -> String {
     let mut changes = log.changes.subscribe();
     let mut seen = 0;
