--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -3,7 +3,7 @@
 //! A change of any hub counts, so that one cut path doesn't matter. While no
 //! hub answers, the process serves on with what it knows.
 
-mod hubs;
+pub mod hubs;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/entry/src/sync/hubs.rs
+++ b/crates/entry/src/sync/hubs.rs
@@ -27,16 +27,17 @@
 const PATIENCE: Duration = Duration::from_millis(400);
 
 /// One hub as last heard.
-pub(super) struct Seen {
-    pub(super) answered: Instant,
+pub struct Seen {
+    /// When it last answered.
+    pub answered: Instant,
     /// It is in this process's failure domain.
-    pub(super) near: bool,
+    pub near: bool,
     /// The version of the newest table that it told of.
-    pub(super) table: u64,
+    pub table: u64,
     /// The hubs that it named.
-    pub(super) named: Vec<SocketAddr>,
+    pub named: Vec<SocketAddr>,
     /// The entry hosts that it named.
-    pub(super) hosts: Vec<EntryHost>,
+    pub hosts: Vec<EntryHost>,
 }
 
 impl Seen {
@@ -46,20 +47,28 @@
 }
 
 /// All hubs as last heard.
-pub(super) struct Hubs {
+pub struct Hubs {
     seen: Mutex<HashMap<SocketAddr, Seen>>,
     /// When the fetch of a table began that is under way.
     fetching: Mutex<Option<Instant>>,
     /// Spreads the entry processes over the hubs.
     order: RandomState,
     /// Tells that a fetch ended without the newest table.
-    pub(super) stalled: watch::Sender<()>,
+    pub stalled: watch::Sender<()>,
     /// Tells that the hubs named others than before.
-    pub(super) renamed: watch::Sender<()>,
+    pub renamed: watch::Sender<()>,
+}
+
+impl Default for Hubs {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 impl Hubs {
-    pub(super) fn new() -> Self {
+    /// None heard yet.
+    #[must_use]
+    pub fn new() -> Self {
         Self {
             seen: Mutex::default(),
             fetching: Mutex::default(),
@@ -70,7 +79,8 @@
     }
 
     /// The hubs that any live hub names; the seeds besides while none is live.
-    pub(super) fn wanted(&self, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+    #[must_use]
+    pub fn wanted(&self, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
         let mut hubs = self.seen();
         hubs.retain(|_, seen| seen.answered.elapsed() < FORGET);
         let named = hubs.values().flat_map(|seen| seen.named.iter().copied());
@@ -85,7 +95,8 @@
 
     /// Whether the hub at `address` is the one that is asked for entry hosts; true
     /// while none has answered.
-    pub(super) fn is_first(&self, address: SocketAddr) -> bool {
+    #[must_use]
+    pub fn is_first(&self, address: SocketAddr) -> bool {
         let hubs = self.seen();
         let recent = hubs.iter().filter(|(_, seen)| seen.is_recent());
         let rank =
@@ -95,7 +106,7 @@
     }
 
     /// Takes what a hub told; gives the entry hosts that are named now.
-    pub(super) fn note(&self, address: SocketAddr, seen: Seen) -> Vec<EntryHost> {
+    pub fn note(&self, address: SocketAddr, seen: Seen) -> Vec<EntryHost> {
         let mut hubs = self.seen();
         let before = hubs.insert(address, seen);
         if before.is_none_or(|before| before.named != hubs[&address].named) {
@@ -110,7 +121,8 @@
     }
 
     /// The entry hosts that the hub at `address` named last.
-    pub(super) fn hosts_of(&self, address: SocketAddr) -> Vec<EntryHost> {
+    #[must_use]
+    pub fn hosts_of(&self, address: SocketAddr) -> Vec<EntryHost> {
         let hubs = self.seen();
         hubs.get(&address)
             .map(|seen| seen.hosts.clone())
@@ -118,13 +130,14 @@
     }
 
     /// Whether a table is being fetched that may still come soon.
-    pub(super) fn is_fetching(&self) -> bool {
+    #[must_use]
+    pub fn is_fetching(&self) -> bool {
         let fetching = *self.fetching();
         fetching.is_some_and(|began| began.elapsed() < PATIENCE)
     }
 
     /// Begins a fetch, unless one is under way.
-    pub(super) fn begin_fetch(&self) -> bool {
+    pub fn begin_fetch(&self) -> bool {
         let mut fetching = self.fetching();
         let free = fetching.is_none_or(|began| began.elapsed() >= PATIENCE);
         if free {
@@ -135,7 +148,7 @@
 
     /// Ends a fetch, after which `held` is held. Who was told of a newer one meanwhile
     /// asks again.
-    pub(super) fn end_fetch(&self, held: u64) {
+    pub fn end_fetch(&self, held: u64) {
         *self.fetching() = None;
         let told = self.seen().values().map(|seen| seen.table).max();
         if told > Some(held) {
--- a/crates/testutils/src/fleet.rs
+++ b/crates/testutils/src/fleet.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::prelude::*;
 use futures::future::join_all;
 use table::Table;
 use wire::hub::TableOutcome;
@@ -17,6 +16,11 @@
 use crate::caller::Reply;
 use crate::folder::Folder;
 use crate::host::Host;
+use crate::plan::ASK;
+use crate::plan::SERVE;
+use crate::plan::domain;
+use crate::plan::name;
+use crate::plan::plan_standin;
 use crate::process::Binary;
 use crate::process::Process;
 use crate::process::ProcessError;
@@ -27,16 +31,11 @@
 
 /// First of the ports that hubs use.
 const HUB: u16 = 7010;
-/// Port where upstreams announce themselves to a hub.
-const ASK: u16 = 7003;
-/// Port where callers connect, and where upstreams serve.
-const SERVE: u16 = 7080;
 /// Port of the readiness page.
 const READY: u16 = 7081;
 /// Longest wait for one answer of a hub.
 const CALL_TIME: Duration = Duration::from_secs(2);
-/// The failure domains, over which hosts are spread in turn.
-const DOMAINS: [&str; 3] = ["milano", "torino", "genova"];
+
 /// The settings of all processes of a fleet, each on a host of its own.
 pub struct Layout {
     /// The hubs.
@@ -78,18 +77,7 @@
     /// Panics when `service` is no name, which is a fault of the test.
     pub fn upstream(&mut self, service: &str, number: usize) -> standin::Settings {
         let host = Host::new();
-        let mut settings = standin::Settings::new(
-            ServiceName::new(service).expect("a valid service name"),
-            InstanceId::new(&format!("{service}-{number}")).expect("a valid name"),
-            domain(number),
-        );
-        settings.listen = host.at(SERVE);
-        settings.time = Duration::from_millis(2);
-        settings.drain = Duration::from_secs(2);
-        settings.seed = number as u64;
-        let asks: Vec<SocketAddr> = self.asks();
-        let homes = asks.iter().cycle().skip(number).take(asks.len().min(2));
-        settings.directories = homes.copied().collect();
+        let settings = plan_standin(service, number, &host, &self.asks());
         self.hosts.push(host);
         settings
     }
@@ -255,27 +243,21 @@
 }
 
 fn plan_hub(index: usize, host: &Host, seeds: &[SocketAddr], folder: &Folder) -> hub::Settings {
-    let name = HostName::new(&format!("hub-{index}")).expect("a valid name");
     let data = folder.path().join(format!("hub-{index}"));
     hub::Settings {
         port: HUB,
         http: Some(host.at(ASK)),
         seeds: seeds.to_vec(),
         found: true,
-        ..hub::Settings::local(name, domain(index), data, host.at(HUB).ip())
+        ..hub::Settings::local(name("hub", index), domain(index), data, host.at(HUB).ip())
     }
 }
 
 fn plan_entry(index: usize, host: &Host, seeds: &[SocketAddr]) -> entry::Settings {
-    let name = HostName::new(&format!("entry-{index}")).expect("a valid name");
     entry::Settings {
         ready: host.at(READY),
         port: HUB,
         seeds: seeds.to_vec(),
-        ..entry::Settings::local(name, domain(index), host.at(SERVE))
+        ..entry::Settings::local(name("entry", index), domain(index), host.at(SERVE))
     }
 }
-
-fn domain(number: usize) -> DomainName {
-    DomainName::new(DOMAINS[number % DOMAINS.len()]).expect("a valid name")
-}
--- a/crates/testutils/src/plan.rs
+++ b/crates/testutils/src/plan.rs
@@ -13,12 +13,12 @@
 const RPC: u16 = 7001;
 /// Port between replicas.
 const REPLICA: u16 = 7002;
-/// Port where callers ask a directory.
-const ASK: u16 = 7003;
+/// Port where callers ask a directory or hub.
+pub(crate) const ASK: u16 = 7003;
 /// Port of a gateway's own protocol.
 const GATEWAY_RPC: u16 = 7004;
-/// Port where callers connect to a gateway.
-const SERVE: u16 = 7080;
+/// Port where callers connect, and where upstreams serve.
+pub(crate) const SERVE: u16 = 7080;
 /// How long callers keep a directory's answer in tests.
 const KEEP: Duration = Duration::from_secs(1);
 /// How long a gateway serves on after it told of its stop, longer than [`KEEP`] and
@@ -89,24 +89,38 @@
     /// Panics when `service` is no name, which is a fault of the test.
     pub fn standin(&mut self, service: &str, number: usize) -> standin::Settings {
         let host = Host::new();
-        let mut settings = standin::Settings::new(
-            ServiceName::new(service).expect("a valid service name"),
-            InstanceId::new(&format!("{service}-{number}")).expect("a valid name"),
-            domain(number),
-        );
-        settings.listen = host.at(SERVE);
-        settings.time = Duration::from_millis(2);
-        settings.drain = Duration::from_secs(2);
-        settings.seed = number as u64;
-        // Two of them, so that one may be lost; the directories pass it on.
-        let asks = self.asks();
-        let homes = asks.iter().cycle().skip(number).take(asks.len().min(2));
-        settings.directories = homes.copied().collect();
+        let settings = plan_standin(service, number, &host, &self.asks());
         self.hosts.push(host);
         settings
     }
 }
 
+/// Settings of a stand-in on `host`, announced to two of `asks`.
+///
+/// # Panics
+///
+/// Panics when `service` is no name, which is a fault of the test.
+pub(crate) fn plan_standin(
+    service: &str,
+    number: usize,
+    host: &Host,
+    asks: &[SocketAddr],
+) -> standin::Settings {
+    let mut settings = standin::Settings::new(
+        ServiceName::new(service).expect("a valid service name"),
+        InstanceId::new(&format!("{service}-{number}")).expect("a valid name"),
+        domain(number),
+    );
+    settings.listen = host.at(SERVE);
+    settings.time = Duration::from_millis(2);
+    settings.drain = Duration::from_secs(2);
+    settings.seed = number as u64;
+    // Two of them, so that one may be lost; they pass it on.
+    let homes = asks.iter().cycle().skip(number).take(asks.len().min(2));
+    settings.directories = homes.copied().collect();
+    settings
+}
+
 fn plan_control(hosts: &[Host], folder: &Folder) -> Vec<control::Settings> {
     let initial: Vec<SocketAddr> = hosts.iter().map(|h| h.at(REPLICA)).collect();
     let plan = |(i, host): (usize, &Host)| {
@@ -156,10 +170,10 @@
     all.map(|h| h.at(port)).collect()
 }
 
-fn name(kind: &str, number: usize) -> HostName {
+pub(crate) fn name(kind: &str, number: usize) -> HostName {
     HostName::new(&format!("{kind}-{number}")).expect("a valid name")
 }
 
-fn domain(number: usize) -> DomainName {
+pub(crate) fn domain(number: usize) -> DomainName {
     DomainName::new(DOMAINS[number % DOMAINS.len()]).expect("a valid name")
 }
