--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -20,6 +20,8 @@
     pub answered: usize,
     /// What was broken, empty when nothing was.
     pub broken: Vec<String>,
+    /// What was done to the system, in order.
+    pub steps: Vec<String>,
 }
 
 impl fmt::Display for Verdict {
@@ -28,13 +30,18 @@
             calls,
             answered,
             broken,
+            steps,
         } = self;
         write!(
             f,
             "{answered} of {calls} calls answered, {} broken",
             broken.len()
         )?;
-        broken.iter().try_for_each(|what| write!(f, "\n  {what}"))
+        if broken.is_empty() {
+            return Ok(());
+        }
+        let mut told = broken.iter().chain(steps);
+        told.try_for_each(|what| write!(f, "\n  {what}"))
     }
 }
 
@@ -47,6 +54,7 @@
     }
     let mut verdict = Verdict {
         calls: calls.len(),
+        steps: world.steps().to_vec(),
         ..Verdict::default()
     };
     for call in calls {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -93,6 +93,7 @@
     version: u64,
     /// The logs of entry processes that have ended.
     logs: Vec<Vec<String>>,
+    steps: Vec<String>,
 }
 
 impl World {
@@ -116,6 +117,7 @@
             sites: vec![],
             version: 0,
             logs: vec![],
+            steps: vec![],
         };
         for service in [STATUS, GRANTS] {
             for number in 0..UPSTREAMS {
@@ -164,29 +166,41 @@
     /// Fails when a process can't be started or signalled.
     pub async fn step(&mut self, rng: &mut SmallRng) -> Result<(), SoakError> {
         match rng.random_range(0..10) {
-            0..4 => self.disturb(rng).await,
+            0..4 => self.disturb(rng).await?,
             4..6 => {
-                let site = &self.sites[rng.random_range(0..self.sites.len())];
-                site.proxy.set(MODES[rng.random_range(0..MODES.len())]);
-                Ok(())
+                let at = rng.random_range(0..self.sites.len());
+                let mode = MODES[rng.random_range(0..MODES.len())];
+                self.sites[at].proxy.set(mode);
+                self.note(format!("proxy {at}: {mode}"));
             }
             6..8 => {
-                let site = &self.sites[rng.random_range(0..self.sites.len())];
+                let at = rng.random_range(0..self.sites.len());
                 let kind = FAULTS[rng.random_range(0..FAULTS.len())];
-                if let Some(upstream) = &site.upstream {
+                if let Some(upstream) = &self.sites[at].upstream {
                     upstream.set_fault(Fault::new(kind));
                 }
-                Ok(())
+                self.note(format!("upstream {at}: {kind}"));
             }
-            8 => self.kill_or_start(rng).await,
+            8 => self.kill_or_start(rng).await?,
             _ => {
                 self.version += 1;
                 // Taken or not: hubs may be down, and it is put again at the end.
                 let table = tables::plain(self.version);
-                self.fleet.layout.put_once(&table).await;
-                Ok(())
+                let taken = self.fleet.layout.put_once(&table).await;
+                self.note(format!("table {}: taken {taken}", self.version));
             }
         }
+        Ok(())
+    }
+
+    fn note(&mut self, step: String) {
+        self.steps.push(step);
+    }
+
+    /// What was done, in order.
+    #[must_use]
+    pub fn steps(&self) -> &[String] {
+        &self.steps
     }
 
     /// Waits up to `most`.
@@ -198,17 +212,20 @@
     async fn disturb(&mut self, rng: &mut SmallRng) -> Result<(), SoakError> {
         let at = rng.random_range(0..self.seats.len());
         let signal = SIGNALS[rng.random_range(0..SIGNALS.len())];
-        if self.slot(at).is_none() || self.seats[at].frozen {
+        let Seat { hub, index, frozen } = self.seats[at];
+        let kind = if hub { "hub" } else { "entry" };
+        if self.slot(at).is_none() || frozen {
+            self.note(format!("{kind} {index}: back"));
             return self.bring_back(at).await;
         }
+        self.note(format!("{kind} {index}: {signal}"));
         match signal {
             Signal::HangUp => self.process(at).hang_up()?,
             Signal::Freeze => {
                 self.process(at).freeze()?;
                 self.seats[at].frozen = true;
             }
-            Signal::Kill => self.end(at, Signal::Kill).await?,
-            Signal::Stop => self.end(at, Signal::Stop).await?,
+            Signal::Kill | Signal::Stop => self.end(at, signal).await?,
         }
         Ok(())
     }
@@ -268,12 +285,13 @@
     /// Kills an upstream, or starts it anew at its address.
     async fn kill_or_start(&mut self, rng: &mut SmallRng) -> Result<(), SoakError> {
         let at = rng.random_range(0..self.sites.len());
-        let site = &mut self.sites[at];
-        if let Some(upstream) = site.upstream.take() {
+        if let Some(upstream) = self.sites[at].upstream.take() {
             upstream.kill();
+            self.note(format!("upstream {at}: killed"));
             return Ok(());
         }
-        site.start().await
+        self.note(format!("upstream {at}: started"));
+        self.sites[at].start().await
     }
 
     async fn change(&mut self) -> Result<(), SoakError> {
