--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -6,6 +6,7 @@
 use conf::ConfError;
 use quick_error::quick_error;
 use registry::Taken;
+use slog::Logger;
 use slog::info;
 use slog::warn;
 use table::CodecError;
@@ -157,6 +158,11 @@
         (addresses, known.ttl.unwrap_or(self.state.settings.ttl))
     }
 
+    /// The hub's log, for those who bring in what it is asked.
+    pub fn log(&self) -> &Logger {
+        &self.state.log
+    }
+
     /// The announced upstreams, those that left lately included, in the order of
     /// their ids.
     #[must_use]
--- a/crates/hub/src/http.rs
+++ b/crates/hub/src/http.rs
@@ -22,6 +22,7 @@
 use salvo::catcher::Catcher;
 use salvo::conn::tcp::TcpAcceptor;
 use serde::Serialize;
+use slog::warn;
 use tokio::net::TcpListener;
 use wire::hub::Instance;
 use wire::hub::Phase;
@@ -83,6 +84,10 @@
             Ok(told) => take(&self.0, told).await,
             Err(refusal) => Err(refusal),
         };
+        if let Err(refusal) = &result {
+            warn!(self.0.log(), "announcement refused";
+                "reason" => Into::<&str>::into(refusal.reason), "detail" => &refusal.detail);
+        }
         page::render(res, result);
     }
 }
