--- a/crates/standin/src/handler.rs
+++ b/crates/standin/src/handler.rs
@@ -1,7 +1,6 @@
 //! Serves requests, probes and the test controls over HTTP.
 
 use std::future::Future;
-use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -13,8 +12,6 @@
 use base::header;
 use base::prelude::*;
 use bytes::Bytes;
-use futures::StreamExt;
-use futures::stream;
 use salvo::Depot;
 use salvo::FlowCtrl;
 use salvo::Handler;
@@ -37,6 +34,12 @@
 use crate::fault::Fault;
 use crate::fault::FaultKind;
 use crate::pace::Pace;
+use crate::reply::misdirected;
+use crate::reply::refuse;
+use crate::reply::render;
+use crate::reply::send;
+use crate::reply::set;
+use crate::reply::shed;
 use crate::runs::Origin;
 use crate::runs::Run;
 use crate::runs::RunState;
@@ -49,8 +52,6 @@
 const MAX_BODY: usize = 1024 * 1024;
 /// Time that a request without a deadline may take.
 const NO_DEADLINE: Duration = Duration::from_hours(1);
-/// Pause before a short answer's connection ends.
-const CUT_DELAY: Duration = Duration::from_millis(20);
 /// Path prefix of archive answers.
 const ARCHIVE: &str = "/archive/";
 
@@ -393,54 +394,6 @@
     value.unwrap_or_default().to_owned()
 }
 
-fn shed(res: &mut Response) {
-    refuse(res, StatusCode::SERVICE_UNAVAILABLE, "shed");
-    set(res, header::SHED, "1");
-}
-
-/// Another instance was meant, which had this address before.
-fn misdirected(res: &mut Response) {
-    refuse(res, StatusCode::MISDIRECTED_REQUEST, "misdirected");
-    set(res, header::SHED, "1");
-}
-
-fn refuse(res: &mut Response, status: StatusCode, error: &'static str) {
-    #[derive(Serialize)]
-    struct Refusal {
-        error: &'static str,
-    }
-    render(res, status, &Refusal { error });
-}
-
-fn render(res: &mut Response, status: StatusCode, value: &impl Serialize) {
-    res.status_code(status);
-    set(res, "content-type", "application/json");
-    let body = serde_json::to_vec(value).unwrap_or_default();
-    res.body(ResBody::Once(body.into()));
-}
-
-/// Announces `length` bytes and sends `pieces`; when they are fewer, the connection ends.
-fn send(res: &mut Response, pieces: Vec<Bytes>, length: u64) {
-    set(res, "content-length", &length.to_string());
-    let sent: usize = pieces.iter().map(Bytes::len).sum();
-    let pieces = stream::iter(pieces.into_iter().map(Ok));
-    if sent as u64 == length {
-        res.stream(pieces);
-        return;
-    }
-    let cut = stream::once(async {
-        // What was sent before must leave first, or the caller sees no answer at all.
-        sleep(CUT_DELAY).await;
-        Err(io::Error::from(io::ErrorKind::UnexpectedEof))
-    });
-    res.stream(pieces.chain(cut));
-}
-
-fn set(res: &mut Response, name: &'static str, value: &str) {
-    // A value that is no header value came from a request, which can't be echoed then.
-    let _ = res.add_header(name, value, true);
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
