entry: one way to a connection for probes and requests

exchange::open takes a kept connection or makes one, exchange::keep keeps it after a whole answer; both stood in probe and exchange. The two loops stay apart: a probe is sent again after any failure on a kept connection, a request only while unsent. Only the first table wakes those who wait for one: each later one had cancelled the watch of every hub and asked again.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -135,7 +135,9 @@
             *held = routes;
         }
         self.forget_routes();
-        self.routed.send_replace(true);
+        // Only the first table changes anything for those who wait.
+        self.routed
+            .send_if_modified(|routed| !std::mem::replace(routed, true));
         info!(self.log, "route table"; "version" => version);
     }
 
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -159,12 +159,7 @@
 ) -> Option<(Option<Response<Incoming>>, Connection)> {
     let mut request = request(core, upstream, call, body, left)?;
     loop {
-        let kept = upstream.pool.take();
-        let fresh = kept.is_none();
-        let mut connection = match kept {
-            Some(connection) => connection,
-            None => connect(core, upstream).await?,
-        };
+        let (mut connection, fresh) = open(core, upstream).await?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => return Some((Some(response), connection)),
             Err(mut err) => match err.take_message() {
@@ -177,10 +172,14 @@
     }
 }
 
-/// A new connection; why there is none is told in the log.
-pub async fn connect(core: &Core, upstream: &Upstream) -> Option<Connection> {
+/// A connection, kept or new, and whether it is new; why there is none is told in
+/// the log.
+pub async fn open(core: &Core, upstream: &Upstream) -> Option<(Connection, bool)> {
+    if let Some(kept) = upstream.pool.take() {
+        return Some((kept, false));
+    }
     match upstream.pool.connect().await {
-        Ok(connection) => Some(connection),
+        Ok(connection) => Some((connection, true)),
         Err(err) => {
             info!(core.log, "connect failed"; "instance" => %upstream.id,
                 "address" => %upstream.address, "error" => %err);
@@ -189,6 +188,13 @@
     }
 }
 
+/// Keeps a connection whose answer, with these headers, was read whole.
+pub fn keep(upstream: &Upstream, connection: Connection, headers: &HeaderMap) {
+    if !headers::closes(headers) {
+        upstream.pool.keep(connection, headers::kept_for(headers));
+    }
+}
+
 fn request(
     core: &Core,
     upstream: &Upstream,
@@ -215,13 +221,9 @@
     connection: Connection,
 ) -> Option<(Parts, Answered)> {
     let (parts, incoming) = response.into_parts();
-    let closes = headers::closes(&parts.headers);
-    let named = headers::kept_for(&parts.headers);
     match body::read(incoming).await.ok()? {
         Read::Whole(bytes) => {
-            if !closes {
-                upstream.pool.keep(connection, named);
-            }
+            keep(upstream, connection, &parts.headers);
             Some((parts, Answered::Whole(bytes)))
         }
         Read::Part(first, rest) => Some((parts, Answered::Stream(first, rest, connection))),
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -23,7 +23,6 @@
 use crate::core::Core;
 use crate::desk::Desk;
 use crate::exchange;
-use crate::headers;
 use crate::pool::Connection;
 use crate::view::Upstream;
 
@@ -113,9 +112,8 @@
     if parts.status != StatusCode::OK {
         return Found::Nothing;
     }
-    if matches!(whole, Ok(Read::Whole(_))) && !headers::closes(&parts.headers) {
-        let named = headers::kept_for(&parts.headers);
-        upstream.pool.keep(connection, named);
+    if matches!(whole, Ok(Read::Whole(_))) {
+        exchange::keep(upstream, connection, &parts.headers);
     }
     exchange::load(core, &parts.headers).map_or(Found::Nothing, Found::Load)
 }
@@ -124,12 +122,7 @@
 async fn send(core: &Core, upstream: &Upstream) -> Option<(Response<Incoming>, Connection)> {
     let path = core.health_path(&upstream.service)?;
     loop {
-        let kept = upstream.pool.take();
-        let fresh = kept.is_none();
-        let mut connection = match kept {
-            Some(connection) => connection,
-            None => exchange::connect(core, upstream).await?,
-        };
+        let (mut connection, fresh) = exchange::open(core, upstream).await?;
         let request = request(core, upstream, &path)?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => return Some((response, connection)),
