hub: make the list of entry hosts once for all watchers

Each reply to a watch made and hashed the list anew, also for the six of seven hubs that aren't asked for it. Its mark could be ahead of the one that ends a wait, by up to 100 ms, in which a watcher was answered again and again. Now replies give what the look of every 100 ms made; callers' questions still see the newest.

--- a/crates/hub/src/entries.rs
+++ b/crates/hub/src/entries.rs
@@ -37,6 +37,32 @@
     until: Moment,
 }
 
+/// The entry hosts of one moment.
+#[derive(Clone, Debug, Default)]
+pub struct List {
+    /// Names the list; equal lists have equal marks, and only one that was never
+    /// made has 0.
+    pub mark: u64,
+    /// The hosts.
+    pub hosts: Vec<EntryHost>,
+}
+
+impl List {
+    /// The list of `hosts`.
+    #[must_use]
+    pub fn new(hosts: Vec<EntryHost>) -> Self {
+        let mut hash = Xxh3::new();
+        for host in &hosts {
+            hash.update(host.address.as_bytes());
+            hash.update(b" ");
+        }
+        Self {
+            mark: hash.digest().max(1),
+            hosts,
+        }
+    }
+}
+
 /// All entry hosts that watch.
 #[derive(Clone, Debug, Default)]
 pub struct Entries {
@@ -98,17 +124,6 @@
         hosts.collect()
     }
 
-    /// Names a list; equal lists have equal marks, and none has 0.
-    #[must_use]
-    pub fn mark(hosts: &[EntryHost]) -> u64 {
-        let mut hash = Xxh3::new();
-        for host in hosts {
-            hash.update(host.address.as_bytes());
-            hash.update(b" ");
-        }
-        hash.digest().max(1)
-    }
-
     /// Forgets hosts that were silent for long.
     pub fn forget(&mut self, now: Moment) {
         self.known.retain(|_, e| now.since(e.heard) < FORGET);
--- a/crates/hub/src/peers.rs
+++ b/crates/hub/src/peers.rs
@@ -6,7 +6,7 @@
 
 use slog::info;
 
-use crate::entries::Entries;
+use crate::entries::List;
 use crate::state::State;
 
 /// Between two looks at the group; entry processes learn of a new hub after this.
@@ -45,10 +45,12 @@
     loop {
         tokio::time::sleep(GLANCE).await;
         let now = state.clock.now();
-        let mark = Entries::mark(&state.known().entries.list(now));
+        let next = List::new(state.known().entries.list(now));
         state.list.send_if_modified(|list| {
-            let changed = *list != mark;
-            *list = mark;
+            let changed = list.mark != next.mark;
+            if changed {
+                *list = Arc::new(next);
+            }
             changed
         });
     }
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -26,7 +26,6 @@
 
 use crate::desk::Desk;
 use crate::desk::Put;
-use crate::entries::Entries;
 use crate::state::State;
 
 /// Longest time that a watch is held.
@@ -58,7 +57,7 @@
         tokio::select! {
             _ = moved => {}
             _ = newer => {}
-            _ = lists.wait_for(|list| *list != ask.list), if ask.lists => {}
+            _ = lists.wait_for(|list| list.mark != ask.list), if ask.lists => {}
             () = tokio::time::sleep_until(end) => {}
         }
     }
@@ -85,9 +84,8 @@
         self.state.known().entries.answered(now, &ask);
         let table = self.state.tables.applied().version;
         let known = self.state.known();
-        let hosts = known.entries.list(now);
-        let list = Entries::mark(&hosts);
-        let held = !ask.lists || list == ask.list;
+        let list = Arc::clone(&self.state.list.borrow());
+        let wanted = ask.lists && list.mark != ask.list;
         WatchReply {
             epoch: self.state.epoch,
             cursor: known.registry.cursor(),
@@ -96,8 +94,12 @@
             confirmed,
             hubs: known.hubs.iter().map(ToString::to_string).collect(),
             entries: known.entries.count(now),
-            hosts: if held { Vec::new() } else { hosts },
-            list,
+            hosts: if wanted {
+                list.hosts.clone()
+            } else {
+                Vec::new()
+            },
+            list: list.mark,
             domain: self.state.settings.domain.to_string(),
         }
     }
--- a/crates/hub/src/state.rs
+++ b/crates/hub/src/state.rs
@@ -16,6 +16,7 @@
 use wire::hub::Instance;
 
 use crate::entries::Entries;
+use crate::entries::List;
 use crate::settings::Settings;
 
 /// What changes while the hub runs.
@@ -45,8 +46,8 @@
     pub log: Logger,
     /// The registry's cursor, for whoever waits for a change.
     pub cursor: watch::Sender<u64>,
-    /// The mark of the list of entry hosts, for whoever waits for a change.
-    pub list: watch::Sender<u64>,
+    /// The entry hosts as last looked at, for whoever waits for a change.
+    pub list: watch::Sender<Arc<List>>,
     known: Mutex<Known>,
 }
 
@@ -61,7 +62,7 @@
             tables,
             log,
             cursor: watch::Sender::new(0),
-            list: watch::Sender::new(0),
+            list: watch::Sender::default(),
             known: Mutex::default(),
         })
     }
--- a/crates/hub/tests/test_entries.rs
+++ b/crates/hub/tests/test_entries.rs
@@ -7,6 +7,7 @@
 use hub::entries::Entries;
 use hub::entries::FORGET;
 use hub::entries::HELD;
+use hub::entries::List;
 use wire::hub::Watch;
 
 const WAIT: Duration = Duration::from_secs(2);
@@ -90,10 +91,10 @@
 fn test_entries_equal_lists_have_equal_marks() {
     let mut entries = Entries::default();
     entries.asked(after(0), &watch("one", true));
-    let one = Entries::mark(&entries.list(after(600)));
+    let one = List::new(entries.list(after(600))).mark;
     entries.asked(after(700), &watch("two", true));
-    let two = Entries::mark(&entries.list(after(700)));
+    let two = List::new(entries.list(after(700))).mark;
     assert_ne!(one, two);
-    assert_ne!(Entries::mark(&[]), 0);
-    assert_eq!(two, Entries::mark(&entries.list(after(800))));
+    assert_ne!(List::new(Vec::new()).mark, 0);
+    assert_eq!(two, List::new(entries.list(after(800))).mark);
 }
