--- a/crates/hub/tests/test_hub.rs
+++ b/crates/hub/tests/test_hub.rs
@@ -1,17 +1,13 @@
 //! One hub as a process would run it, over its own interface.
 
-use std::net::IpAddr;
-use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::Duration;
 
 use base::prelude::*;
 use hub::DeskError;
 use hub::Hub;
 use hub::Put;
-use hub::Settings;
 use table::Table;
-use tokio::net::TcpListener;
+use testutils::Layout;
 use wire::hub::Fetch;
 use wire::hub::Instance;
 use wire::hub::Phase;
@@ -20,42 +16,17 @@
 use wire::hub::WatchReply;
 use wire::link::within;
 use wire::peer;
+use wire::peer::HubLink;
 
 const PATIENCE: Duration = Duration::from_mins(1);
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// The first of three free ports in a row.
-async fn ports() -> u16 {
-    loop {
-        let first = TcpListener::bind("127.0.0.1:0").await.expect("binds");
-        let port = first.local_addr().expect("an address").port();
-        if port > u16::MAX - 2 {
-            continue;
-        }
-        let second = TcpListener::bind(("127.0.0.1", port + 1)).await;
-        let third = TcpListener::bind(("127.0.0.1", port + 2)).await;
-        if second.is_ok() && third.is_ok() {
-            return port;
-        }
-    }
-}
-
-async fn start(name: &str) -> (Hub, Settings) {
-    let data = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-    let _ = std::fs::remove_dir_all(&data);
-    let address: IpAddr = [127, 0, 0, 1].into();
-    let port = ports().await;
-    let host = HostName::new("hub-1").expect("a name");
-    let domain = DomainName::new("a").expect("a name");
-    let settings = Settings {
-        port,
-        seeds: vec![SocketAddr::new(address, 1)],
-        found: true,
-        ..Settings::local(host, domain, data, address)
-    };
+/// A hub of its own system; the layout keeps its host and folder.
+async fn start() -> (Hub, Layout) {
+    let layout = Layout::new(1, 0).expect("a folder");
     let log = telemetry::log::silent();
-    let hub = Hub::start(settings.clone(), log).await.expect("starts");
-    (hub, settings)
+    let hub = Hub::start(layout.hubs[0].clone(), log).await;
+    (hub.expect("starts"), layout)
 }
 
 fn put(version: u64) -> Put {
@@ -96,14 +67,17 @@
     }
 }
 
-async fn watch(settings: &Settings, ask: Watch) -> WatchReply {
-    let link = peer::hub(settings.hub_at(settings.address));
+fn link(layout: &Layout) -> HubLink {
+    let settings = &layout.hubs[0];
+    peer::hub(settings.hub_at(settings.address))
+}
+
+async fn watch(link: &HubLink, ask: Watch) -> WatchReply {
     let client = link.client().await.expect("connects");
     client.watch(within(PATIENCE), ask).await.expect("answers")
 }
 
-async fn fetch(settings: &Settings, have: u64) -> wire::hub::Table {
-    let link = peer::hub(settings.hub_at(settings.address));
+async fn fetch(link: &HubLink, have: u64) -> wire::hub::Table {
     let client = link.client().await.expect("connects");
     let fetched = client.fetch(within(PATIENCE), Fetch { have }).await;
     fetched.expect("answers")
@@ -111,7 +85,7 @@
 
 #[tokio::test]
 async fn test_hub_table_is_read_back_as_it_was_sent() {
-    let (hub, _) = start("hub-table").await;
+    let (hub, _layout) = start().await;
     assert!(matches!(
         hub.desk().read().await,
         Err(DeskError::NoTable | DeskError::NoMajority)
@@ -125,7 +99,7 @@
 
 #[tokio::test]
 async fn test_hub_refuses_an_invalid_table_whole() {
-    let (hub, _) = start("hub-invalid").await;
+    let (hub, _layout) = start().await;
     put_surely(&hub, put(7)).await;
     let mut bad = put(8);
     bad.table.hosts.push(table::Host {
@@ -150,17 +124,17 @@
 
 #[tokio::test]
 async fn test_hub_watcher_learns_of_tables_and_instances() {
-    let (hub, settings) = start("hub-watch").await;
+    let (hub, layout) = start().await;
     put_surely(&hub, put(7)).await;
     hub.desk()
         .announce(instance(Phase::Ready, 1))
         .await
         .expect("taken");
-    let all = watch(&settings, Watch::default()).await;
+    let all = watch(&link(&layout), Watch::default()).await;
     assert_eq!(all.instances.len(), 1);
     assert_eq!(all.table, 7);
-    assert!(fetch(&settings, 6).await.content.len() > 10);
-    assert_eq!(fetch(&settings, 7).await.content.len(), 0);
+    assert!(fetch(&link(&layout), 6).await.content.len() > 10);
+    assert_eq!(fetch(&link(&layout), 7).await.content.len(), 0);
     // Nothing new ends with the wait; a change ends it at once.
     let ask = Watch {
         epoch: all.epoch,
@@ -170,8 +144,8 @@
         ..Watch::default()
     };
     let waiting = tokio::spawn({
-        let settings = settings.clone();
-        async move { watch(&settings, ask).await }
+        let link = link(&layout);
+        async move { watch(&link, ask).await }
     });
     hub.desk()
         .announce(instance(Phase::Draining, 2))
@@ -184,7 +158,7 @@
 
 #[tokio::test]
 async fn test_hub_cursor_of_another_process_asks_for_everything() {
-    let (hub, settings) = start("hub-epoch").await;
+    let (hub, layout) = start().await;
     put_surely(&hub, put(7)).await;
     hub.desk()
         .announce(instance(Phase::Ready, 1))
@@ -196,13 +170,13 @@
         wait_ms: 60_000,
         ..Watch::default()
     };
-    let reply = watch(&settings, ask).await;
+    let reply = watch(&link(&layout), ask).await;
     assert_eq!(reply.instances.len(), 1);
 }
 
 #[tokio::test]
 async fn test_hub_leaving_instance_is_acknowledged_once_the_log_has_it() {
-    let (hub, _) = start("hub-leave").await;
+    let (hub, _layout) = start().await;
     put_surely(&hub, put(7)).await;
     for row in [
         instance(Phase::Ready, 1),
@@ -222,7 +196,7 @@
 
 #[tokio::test]
 async fn test_hub_names_entry_hosts_that_watch() {
-    let (hub, settings) = start("hub-resolve").await;
+    let (hub, layout) = start().await;
     let ask = Watch {
         host: "entry-1".into(),
         domain: "a".into(),
@@ -233,7 +207,7 @@
     };
     let named = async {
         loop {
-            watch(&settings, ask.clone()).await;
+            watch(&link(&layout), ask.clone()).await;
             let (addresses, _) = hub.desk().resolve("example.org", "a", "r");
             if !addresses.is_empty() {
                 return addresses;
@@ -245,15 +219,9 @@
     assert_eq!(named.expect("named in the end"), ["127.0.0.1:8080"]);
 }
 
-/// A hub that takes announcements over HTTP too, and where.
-async fn start_http(name: &str) -> (Hub, String) {
-    let (hub, mut settings) = start(name).await;
-    hub.stop().await;
-    settings.http = Some(SocketAddr::from(([127, 0, 0, 1], 0)));
-    let log = telemetry::log::silent();
-    let hub = Hub::start(settings, log).await.expect("starts again");
-    let base = format!("http://{}", hub.http().expect("served"));
-    (hub, base)
+/// Where the hub takes announcements over HTTP.
+fn base(hub: &Hub) -> String {
+    format!("http://{}", hub.http().expect("served"))
 }
 
 async fn post(base: &str, body: &str) -> (u16, String) {
@@ -276,7 +244,8 @@
 
 #[tokio::test]
 async fn test_hub_takes_announcements_over_http() {
-    let (hub, base) = start_http("hub-http").await;
+    let (hub, _layout) = start().await;
+    let base = base(&hub);
     // `starting` is acknowledged and tells nobody of the instance.
     for (phase, count) in [("starting", 0), ("ready", 1)] {
         assert_eq!(
@@ -304,7 +273,8 @@
 
 #[tokio::test]
 async fn test_hub_refuses_what_is_no_announcement() {
-    let (_hub, base) = start_http("hub-http-bad").await;
+    let (hub, _layout) = start().await;
+    let base = base(&hub);
     let cases = [
         ("{", 400, "json"),
         ("{}", 400, "json"),
@@ -325,7 +295,8 @@
 
 #[tokio::test]
 async fn test_hub_without_entry_hosts_tells_callers_to_come_back() {
-    let (_hub, base) = start_http("hub-http-hosts").await;
+    let (hub, _layout) = start().await;
+    let base = base(&hub);
     let url = format!("{base}/v1/hosts?name=example.org&domain=a&region=r");
     let answer = reqwest::get(url).await.expect("an answer");
     assert_eq!(answer.status().as_u16(), 503);
