route: send no more than the share of all slots blindly

Instances got three times their slots, with work slowed and queued: for 1.2 s a fifth of the requests was refused and answers came late for 2 s. Ruled out: that probes were too slow (none was sent, as their allowance starts empty); that hubs came late (tables 0.26 s after the start, 0.15 of it an election). Red first: 24 sent where the share is 3 (test_fresh_sends_its_share_...).

--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -84,8 +84,10 @@
     /// A desk without instances.
     #[must_use]
     pub fn new(domain: DomainName, shared: &Shared, seed: u64, now: Moment) -> Self {
+        let mut chooser = Fresh::new(domain, seed);
+        chooser.set_processes(shared.entries);
         Self {
-            chooser: Fresh::new(domain, seed),
+            chooser,
             budget: Budget::new(share(shared), now),
             probes: Allowance::new(now),
             shared: *shared,
@@ -101,6 +103,7 @@
     /// Takes over how budgets are shared.
     pub fn set_shared(&mut self, shared: &Shared, now: Moment) {
         self.shared = *shared;
+        self.chooser.set_processes(shared.entries);
         self.budget.set_share(share(shared), now);
         self.share_probes(now);
     }
--- a/crates/route/src/fresh.rs
+++ b/crates/route/src/fresh.rs
@@ -76,7 +76,8 @@
     /// while that may still come in time. Work on a slow machine holds its slot for
     /// as much longer, too.
     Slow(FreshChoice),
-    /// Every instance has as much work as it does at once: wait until one has room.
+    /// Every instance has as much work as it does at once, or nothing is known and this
+    /// process has its share at work: wait until one has room.
     Wait,
     /// No instance is ready.
     None,
@@ -89,6 +90,7 @@
     rng: SmallRng,
     rows: Vec<Row>,
     usual: Usual,
+    processes: u32,
 }
 
 impl Fresh {
@@ -100,9 +102,15 @@
             rng: SmallRng::seed_from_u64(seed),
             rows: Vec::new(),
             usual: Usual::default(),
+            processes: 1,
         }
     }
 
+    /// Takes over how many processes send to these instances.
+    pub fn set_processes(&mut self, processes: u32) {
+        self.processes = processes.max(1);
+    }
+
     /// Takes the service's instances, whole: one that is lacking has gone. Each
     /// comes with the time for which it is still slow after its start.
     pub fn update(&mut self, now: Moment, table: &[(Instance, Duration)]) {
@@ -208,7 +216,7 @@
         }
         let any = self.best(now, need, exclude, Duration::MAX);
         match any {
-            Some((index, _)) if self.rows[index].has_room(now, self.usual) => {
+            Some((index, _)) if self.may_guess() && self.rows[index].has_room(now, self.usual) => {
                 return self.decided(now, need, index, Reason::Stale);
             }
             Some(_) => return Decision::Wait,
@@ -217,6 +225,18 @@
         self.panic(now, need, exclude)
     }
 
+    /// Whether one more may be sent to an instance of which nothing is known. After a
+    /// restart of all processes the requests of a second come to each of them at once;
+    /// 275 sent blindly within 20 ms filled queues for the next 2 s. So then each
+    /// sends no more than its share of all slots.
+    fn may_guess(&self) -> bool {
+        let ready = self.rows.iter().filter(|row| row.is_ready());
+        let slots: u32 = ready.map(|row| row.instance.slots).sum();
+        let own: usize = self.rows.iter().map(|row| row.starts.len()).sum();
+        let share = (slots / self.processes).max(1);
+        own < usize::try_from(share).unwrap_or(usize::MAX)
+    }
+
     /// Sends to an instance that has just got room, if it still takes work.
     pub fn choose_this(&mut self, now: Moment, need: &Need, pick: Pick) -> Option<FreshChoice> {
         let index = pick.index as usize;
--- a/crates/route/tests/test_fresh.rs
+++ b/crates/route/tests/test_fresh.rs
@@ -152,6 +152,33 @@
     assert_eq!(fresh.choose(at(1_200), &NEED, &[]), Decision::Wait);
 }
 
+#[test]
+fn test_fresh_sends_its_share_of_the_slots_while_nothing_is_known() {
+    let mut fresh = fresh(&["i-1", "i-2", "i-3", "i-4"].map(|id| instance(id, "a")));
+    // 24 slots for 8 processes.
+    fresh.set_processes(8);
+    let mut tickets = Vec::new();
+    while let Some((_, pick)) = sent(&mut fresh, at(0)) {
+        tickets.push(fresh.started(at(0), pick));
+        assert!(tickets.len() <= 24, "no end");
+    }
+    assert_eq!(tickets.len(), 3);
+    assert_eq!(fresh.choose(at(0), &NEED, &[]), Decision::Wait);
+    // One ends, without a word of its load: one more goes.
+    let ticket = tickets.pop().expect("three");
+    fresh.finished(at(100), ticket, Kind::Ok, None);
+    assert!(sent(&mut fresh, at(100)).is_some());
+    // What is known to have room is used beyond the share.
+    ask(&mut fresh, at(200), |_| Some(report(2, 0, 100)));
+    for _ in 0..4 {
+        let (_, pick) = sent(&mut fresh, at(200)).expect("room is known");
+        tickets.push(fresh.started(at(200), pick));
+    }
+    for ticket in tickets {
+        fresh.finished(at(300), ticket, Kind::Ok, None);
+    }
+}
+
 #[test]
 fn test_fresh_leaving_and_displaced_instances_get_nothing() {
     let mut fresh = fresh(&["i-1", "i-2"].map(|id| instance(id, "a")));
