--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -27,10 +27,6 @@
 use self::hubs::Hubs;
 use self::hubs::Seen;
 
-/// How long a hub holds a watch while nothing changes. A hub counts an entry host as
-/// lost soon after it, a fifth of the time for which callers keep addresses; half of it
-/// cost 90 entry hosts with 7 hubs 13 % more processor time on a calm day.
-const WAIT: Duration = Duration::from_secs(1);
 /// Beyond its wait, a watch may take this long before the connection counts as dead.
 const SLACK: Duration = Duration::from_millis(600);
 /// Pause after a watch that failed.
@@ -147,7 +143,7 @@
             list: self.last.list,
             lists: self.hubs.is_first(self.address),
             table,
-            wait_ms: u32::try_from(WAIT.as_millis()).unwrap_or(u32::MAX),
+            wait_ms: u32::try_from(self.hubs.wait().as_millis()).unwrap_or(u32::MAX),
         }
     }
 
@@ -156,9 +152,10 @@
         let mut routed = self.core.routed.subscribe();
         let mut stage = self.core.stage.subscribe();
         let mut stalled = self.hubs.stalled.subscribe();
-        let call = client.watch(within(WAIT + SLACK), ask);
+        let patience = Duration::from_millis(ask.wait_ms.into()) + SLACK;
+        let call = client.watch(within(patience), ask);
         let result = tokio::select! {
-            result = tokio::time::timeout(WAIT + SLACK, call) => match result {
+            result = tokio::time::timeout(patience, call) => match result {
                 Ok(result) => result,
                 Err(_) => Err(RpcError::DeadlineExceeded),
             },
--- a/crates/entry/src/sync/hubs.rs
+++ b/crates/entry/src/sync/hubs.rs
@@ -20,6 +20,13 @@
 
 /// What a hub told counts for so long: a watch, and the time after which it is given up.
 const RECENT: Duration = Duration::from_millis(1_800);
+/// How long a hub holds a watch while nothing changes, for each hub that is watched:
+/// six watches are renewed a second, whatever their number. Renewed twice a second at
+/// each of 7 hubs they cost 90 entry hosts 13 % more processor time on a calm day.
+const WAIT_PART: Duration = Duration::from_millis(167);
+/// Shortest and longest of these waits: a hub counts an entry host as lost soon after
+/// one, and callers keep addresses for 5 s.
+const WAITS: [Duration; 2] = [Duration::from_millis(500), Duration::from_secs(1)];
 /// A hub that no other hub names and that doesn't answer is let go after so long.
 const FORGET: Duration = Duration::from_secs(10);
 /// A table that takes longer is fetched from another hub too: over the time in
@@ -93,6 +100,14 @@
         wanted
     }
 
+    /// How long the hubs hold a watch while nothing changes.
+    #[must_use]
+    pub fn wait(&self) -> Duration {
+        let count = u32::try_from(self.seen().len()).unwrap_or(u32::MAX);
+        let [least, most] = WAITS;
+        WAIT_PART.saturating_mul(count).clamp(least, most)
+    }
+
     /// Whether the hub at `address` is the one that is asked for entry hosts; true
     /// while none has answered.
     #[must_use]
--- a/crates/entry/tests/test_hubs.rs
+++ b/crates/entry/tests/test_hubs.rs
@@ -73,3 +73,14 @@
     advance(Duration::from_secs(10)).await;
     assert_eq!(hubs.wanted(&seeds), seeds);
 }
+
+#[tokio::test(start_paused = true)]
+async fn test_hubs_more_of_them_hold_watches_for_longer() {
+    let hubs = Hubs::new();
+    let mut waits = Vec::new();
+    for last in 1..=9 {
+        hubs.note(hub(last), seen(true, 0, &[]));
+        waits.push(hubs.wait().as_millis());
+    }
+    assert_eq!(waits, [500, 500, 501, 668, 835, 1000, 1000, 1000, 1000]);
+}
