entry: silence tells against an instance; nothing is sent that would be cut

Looking for why they weren't ejected showed that an attempt that ends by the route's timeout was counted as given up by its caller, so an instance that swallows requests was never judged at all. Now such an attempt counts as silence after three times the expected span, and a request that can't end in time is refused at once with when to come back. Ruled out: overload (others had 4 to 5 of 6 slots taken, the service's load was low).

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -19,6 +19,7 @@
 use route::Ticket;
 use slog::info;
 use strum::IntoStaticStr;
+use tokio::time::Instant;
 
 use crate::body;
 use crate::body::Outgoing;
@@ -66,11 +67,15 @@
     Unknown,
 }
 
-/// An attempt as the desk counts it; one that is dropped counts as given up.
+/// An attempt as the desk counts it. One that is dropped was given up by the caller or
+/// at the route's timeout; after `silence` without an answer that tells against the
+/// instance.
 struct Running {
     core: Arc<Core>,
     service: ServiceName,
     ticket: Option<Ticket>,
+    began: Instant,
+    silence: Duration,
 }
 
 impl Running {
@@ -87,11 +92,17 @@
 
 impl Drop for Running {
     fn drop(&mut self) {
-        self.end(Kind::Cancelled, None);
+        let kind = if self.began.elapsed() < self.silence {
+            Kind::Cancelled
+        } else {
+            Kind::Timeout
+        };
+        self.end(kind, None);
     }
 }
 
-/// Sends `call` to `upstream`, which has `left` for it.
+/// Sends `call` to `upstream`, which has `left` for it, and should have answered after
+/// `silence`.
 pub async fn attempt(
     core: &Arc<Core>,
     upstream: &Upstream,
@@ -99,11 +110,14 @@
     call: &Call,
     body: Outgoing,
     left: Duration,
+    silence: Duration,
 ) -> End {
     let mut running = Running {
         core: Arc::clone(core),
         service: upstream.service.clone(),
         ticket: Some(ticket),
+        began: Instant::now(),
+        silence,
     };
     let Some((response, connection)) = send(core, upstream, call, body, left).await else {
         running.end(Kind::ConnectFailed, None);
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -46,6 +46,12 @@
 /// reached an instance.
 const UNSENT_TRIES: u32 = 4;
 
+/// Expected times of an answer after which an attempt that is given up tells against
+/// its instance: work at the pace that was told takes three times as long as usual once
+/// in thousands. Without it instances that swallowed half of their requests were never
+/// taken for ill, as each of these ended by the route's timeout.
+const SILENT_WORKS: f64 = 3.0;
+
 /// One request on its way.
 struct Flow {
     core: Arc<Core>,
@@ -192,7 +198,17 @@
         // Until the end says otherwise, the request may be running.
         let before = std::mem::replace(&mut self.exposed, true);
         let sent = Instant::now();
-        let end = exchange::attempt(&core, &chosen.upstream, ticket, &self.call, body, left).await;
+        let silence = chosen.choice.expected.mul_f64(SILENT_WORKS);
+        let attempt = exchange::attempt(
+            &core,
+            &chosen.upstream,
+            ticket,
+            &self.call,
+            body,
+            left,
+            silence,
+        );
+        let end = attempt.await;
         self.exposed = before || matches!(end, End::Answer(..) | End::Unknown);
         self.note(&end, sent.elapsed());
         if matches!(end, End::Elsewhere) {
--- a/crates/entry/src/flow/choice.rs
+++ b/crates/entry/src/flow/choice.rs
@@ -55,7 +55,9 @@
             };
             let left = patience.saturating_sub(self.began.elapsed());
             if left.is_zero() {
-                return slow.ok_or(Reason::Full);
+                return slow
+                    .filter(|slow| self.ends_in_time(slow))
+                    .ok_or(Reason::Full);
             }
             if let Some(chosen) = self.wait(&need, left.min(LOOK)).await {
                 return Ok(chosen);
@@ -63,6 +65,14 @@
         }
     }
 
+    /// Whether the answer is expected before the request is given up. One that is sent
+    /// all the same holds a slot of a slow machine for nothing, and its caller isn't
+    /// told to come back.
+    fn ends_in_time(&self, chosen: &Chosen) -> bool {
+        let left = self.end.saturating_duration_since(Instant::now());
+        chosen.choice.expected < left
+    }
+
     /// Waits until an instance has room, or for `span`. One that can't be answered
     /// in time any more lets all others go first.
     async fn wait(&self, need: &Need, span: Duration) -> Option<Chosen> {
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -68,7 +68,10 @@
             routes: vec![
                 route(READ, Kind::Idempotent, long),
                 route(ONCE, Kind::Once, long),
-                route(SHORT, Kind::Once, short),
+                Route {
+                    aim: Some(short / 4),
+                    ..route(SHORT, Kind::Once, short)
+                },
             ],
         }],
         ..Table::default()
--- a/crates/entry/tests/test_flow.rs
+++ b/crates/entry/tests/test_flow.rs
@@ -2,6 +2,8 @@
 
 mod fakes;
 
+use std::time::Duration;
+
 use entry::Entry;
 use fakes::HOST;
 use fakes::ONCE;
@@ -252,6 +254,47 @@
     assert_eq!(answer.status, 200);
 }
 
+/// Its health page is fine, so only the requests that end by the route's timeout tell.
+#[tokio::test]
+async fn test_flow_instance_that_swallows_requests_is_left_out() {
+    let mute = Upstream::start("i-1", Manner::Hang).await;
+    let well = Upstream::start("i-2", Manner::Answer).await;
+    let entry = entry(&[&mute]).await;
+    let mut caller = Caller::connect(entry.front()).await;
+    for n in 0..3 {
+        let answer = caller.call("GET", SHORT, &format!("r-{n}"), "").await;
+        assert_eq!(answer.status, 504);
+    }
+    let rows = [instance(&mute, "status"), instance(&well, "status")];
+    entry.core().take_instances(&rows);
+    for n in 3..23 {
+        // Long enough that both are asked anew.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        caller.call("GET", SHORT, &format!("r-{n}"), "").await;
+    }
+    let found = mute.arrivals().len();
+    assert!(found <= 5, "{found} of 23 went there");
+}
+
+/// Work is expected to take 18 ms there.
+#[tokio::test]
+async fn test_flow_request_that_would_be_cut_is_refused_unsent() {
+    let (upstream, entry) = one(Manner::Answer).await;
+    let mut caller = Caller::connect(entry.front()).await;
+    let answer = caller.call("GET", SHORT, "r-1", "").await;
+    assert_eq!(answer.status, 200);
+    // The others have 20 s, so that this caller has asked before.
+    let late = format!(
+        "GET {SHORT} HTTP/1.1\r\nhost: {HOST}\r\nrwr-request-id: r-2\r\n\
+         rwr-deadline-ms: 10\r\n\r\n"
+    );
+    caller.raw(late.as_bytes()).await;
+    let answer = caller.answer().await.expect("an answer");
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(upstream.arrivals().len(), 1);
+}
+
 #[tokio::test]
 async fn test_flow_split_keeps_its_weights() {
     let status = Upstream::start("i-1", Manner::Answer).await;
