route: limit blind sends to instances never heard of

Cause: an old report tells more than none, and where callers gather at few processes these have more than their share at work in good order. Kept as the narrower rule; the herd after a restart has no report at all.

--- a/crates/route/src/fresh.rs
+++ b/crates/route/src/fresh.rs
@@ -218,7 +218,8 @@
         let any = self.best(now, need, exclude, Duration::MAX);
         match any {
             Some((index, _))
-                if self.may_guess() && self.rows[index].has_room(now, self.usual, need.room) =>
+                if self.may_guess(index)
+                    && self.rows[index].has_room(now, self.usual, need.room) =>
             {
                 return self.decided(now, need, index, Reason::Stale);
             }
@@ -228,11 +229,14 @@
         self.panic(now, need, exclude)
     }
 
-    /// Whether one more may be sent to an instance of which nothing is known. After a
+    /// Whether one more may be sent there on an old report, or on none at all. After a
     /// restart of all processes the requests of a second come to each of them at once;
-    /// 275 sent blindly within 20 ms filled queues for the next 2 s. So then each
-    /// sends no more than its share of all slots.
-    fn may_guess(&self) -> bool {
+    /// 275 sent blindly within 20 ms filled queues for the next 2 s. So each sends no
+    /// more than its share of all slots to instances that it has never heard of.
+    fn may_guess(&self, index: usize) -> bool {
+        if self.rows[index].report.is_some() {
+            return true;
+        }
         let ready = self.rows.iter().filter(|row| row.is_ready());
         let slots: u32 = ready.map(|row| row.instance.slots).sum();
         let own: usize = self.rows.iter().map(|row| row.starts.len()).sum();
