--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -42,6 +42,15 @@
     pub headers: HeaderMap,
 }
 
+/// How long an attempt may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// What the request has left.
+    pub left: Duration,
+    /// When an instance that is well has answered.
+    pub silence: Duration,
+}
+
 /// The body of an answer.
 #[derive(Debug)]
 pub enum Answered {
@@ -101,25 +110,23 @@
     }
 }
 
-/// Sends `call` to `upstream`, which has `left` for it, and should have answered after
-/// `silence`.
+/// Sends `call` to `upstream`.
 pub async fn attempt(
     core: &Arc<Core>,
     upstream: &Upstream,
     ticket: Ticket,
     call: &Call,
     body: Outgoing,
-    left: Duration,
-    silence: Duration,
+    patience: Patience,
 ) -> End {
     let mut running = Running {
         core: Arc::clone(core),
         service: upstream.service.clone(),
         ticket: Some(ticket),
         began: Instant::now(),
-        silence,
+        silence: patience.silence,
     };
-    let Some((response, connection)) = send(core, upstream, call, body, left).await else {
+    let Some((response, connection)) = send(core, upstream, call, body, patience.left).await else {
         running.end(Kind::ConnectFailed, None);
         return End::Unsent;
     };
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -29,6 +29,7 @@
 use crate::exchange::Answered;
 use crate::exchange::Call;
 use crate::exchange::End;
+use crate::exchange::Patience;
 use crate::habit::Habit;
 use crate::headers;
 use crate::refusal;
@@ -198,17 +199,12 @@
         // Until the end says otherwise, the request may be running.
         let before = std::mem::replace(&mut self.exposed, true);
         let sent = Instant::now();
-        let silence = chosen.choice.expected.mul_f64(SILENT_WORKS);
-        let attempt = exchange::attempt(
-            &core,
-            &chosen.upstream,
-            ticket,
-            &self.call,
-            body,
+        let patience = Patience {
             left,
-            silence,
-        );
-        let end = attempt.await;
+            silence: chosen.choice.expected.mul_f64(SILENT_WORKS),
+        };
+        let upstream = &chosen.upstream;
+        let end = exchange::attempt(&core, upstream, ticket, &self.call, body, patience).await;
         self.exposed = before || matches!(end, End::Answer(..) | End::Unknown);
         self.note(&end, sent.elapsed());
         if matches!(end, End::Elsewhere) {
