registry, hub, entry: an instance may start again under its id

Cause: announcements were ordered by sequence alone and an id that had left never came back, so a new incarnation of an id counted as an old, late call. Announcements of another writer were taken as they came: one with an address that is none, under the id of a sound instance, took that instance away.

Now the order is (incarnation, sequence), in one place that hubs, the log and entry processes share (registry::merge); a later incarnation replaces health, load and connections. What names no instance to use is refused by the hub and passed over in a stored log (registry::check).

Ruled out: the incarnation as a part of the id, as the product's own HTTP side has it; the id goes on the wire in front of every request.

--- a/crates/demo/examples/policy/run.rs
+++ b/crates/demo/examples/policy/run.rs
@@ -121,6 +121,7 @@
 fn table(case: &Case, known: Moment) -> Vec<Instance> {
     let instance = |index: u32| Instance {
         id: InstanceId::new(&index.to_string()).expect("digits are a name"),
+        incarnation: 0,
         domain: DomainName::new("milano").expect("letters are a name"),
         slots: SLOTS,
         phase: case.fault.phase(index, known),
--- a/crates/demo/examples/slopes/part/choice.rs
+++ b/crates/demo/examples/slopes/part/choice.rs
@@ -40,6 +40,7 @@
 fn instance(index: usize) -> Option<Instance> {
     Some(Instance {
         id: InstanceId::new(&index.to_string()).ok()?,
+        incarnation: 0,
         domain: DomainName::new("genova").ok()?,
         slots: 6,
         phase: Phase::Ready,
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -166,22 +166,22 @@
         let mut known = self.known();
         let shared = settings.shared(known.entries);
         for instance in instances {
-            let Some(service) = known.instances.take(instance) else {
-                continue;
-            };
-            info!(self.log, "instance"; "instance" => &instance.id, "service" => %service,
-                "phase" => instance.phase().as_str_name(), "sequence" => instance.sequence);
-            let Known {
-                instances, desks, ..
-            } = &mut *known;
-            let desk = desks.entry(service.clone());
-            let seed = rand::random();
-            let desk = desk.or_insert_with(|| Desk::new(domain.clone(), &shared, seed, now));
-            let rows = instances.of(&service);
-            desk.update(
-                now,
-                rows.map(|(phase, upstream)| (route_phase(phase), upstream)),
-            );
+            for service in known.instances.take(instance) {
+                info!(self.log, "instance"; "instance" => &instance.id, "service" => %service,
+                    "phase" => instance.phase().as_str_name(), "address" => &instance.address,
+                    "incarnation" => instance.incarnation, "sequence" => instance.sequence);
+                let Known {
+                    instances, desks, ..
+                } = &mut *known;
+                let desk = desks.entry(service.clone());
+                let seed = rand::random();
+                let desk = desk.or_insert_with(|| Desk::new(domain.clone(), &shared, seed, now));
+                let rows = instances.of(&service);
+                desk.update(
+                    now,
+                    rows.map(|(phase, upstream)| (route_phase(phase), upstream)),
+                );
+            }
         }
     }
 
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -133,6 +133,7 @@
         for (phase, upstream) in rows {
             let instance = Instance {
                 id: upstream.id.clone(),
+                incarnation: upstream.incarnation,
                 domain: upstream.domain.clone(),
                 slots: upstream.slots,
                 phase,
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -1,7 +1,7 @@
 //! What the process knows of table and instances.
 //!
 //! Invariant: the table's version never goes back while the process lives, nor
-//! does the phase of an instance, nor an id that has left come back.
+//! does an instance to an earlier incarnation or phase.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -10,6 +10,8 @@
 
 use base::prelude::*;
 use http::Uri;
+use registry::Merged;
+use registry::merge;
 use table::Index;
 use table::Table;
 use wire::hub::Instance;
@@ -46,8 +48,10 @@
 /// One instance, with connections to it.
 #[derive(Debug)]
 pub struct Upstream {
-    /// Unique for each start of it.
+    /// Unique among the instances that run.
     pub id: InstanceId,
+    /// Rises with each start under the same id.
+    pub incarnation: u64,
     /// The service.
     pub service: ServiceName,
     /// Where it listens.
@@ -65,12 +69,33 @@
 /// What is kept of one instance.
 #[derive(Debug)]
 struct Row {
-    sequence: u64,
-    phase: Phase,
+    told: Instance,
     /// None for one that left before it was ever announced.
     upstream: Option<Arc<Upstream>>,
 }
 
+impl Row {
+    fn new(told: Instance) -> Self {
+        Self {
+            upstream: upstream(&told),
+            told,
+        }
+    }
+
+    /// Takes a newer announcement; connections stay with what they were opened to.
+    fn replace(&mut self, next: Instance) {
+        let same = next.address == self.told.address && next.incarnation == self.told.incarnation;
+        if next.phase() != Phase::Gone && !same {
+            self.upstream = upstream(&next);
+        }
+        self.told = next;
+    }
+
+    fn service(&self) -> Option<ServiceName> {
+        self.upstream.as_ref().map(|u| u.service.clone())
+    }
+}
+
 /// All instances that any hub told of.
 #[derive(Debug, Default)]
 pub struct Instances {
@@ -78,44 +103,33 @@
 }
 
 impl Instances {
-    /// Takes an announcement; gives the service whose instances have changed.
-    pub fn take(&mut self, instance: &Instance) -> Option<ServiceName> {
-        let phase = instance.phase();
-        if let Some(row) = self.rows.get_mut(&instance.id) {
-            if row.phase == Phase::Gone
-                || (instance.sequence < row.sequence && phase != Phase::Gone)
-            {
-                return None;
-            }
-            row.sequence = row.sequence.max(instance.sequence);
-            let moved = row
-                .upstream
-                .as_ref()
-                .is_some_and(|u| phase != Phase::Gone && u.address.to_string() != instance.address);
-            if phase <= row.phase && !moved {
-                return None;
-            }
-            row.phase = row.phase.max(phase);
-            if moved {
-                row.upstream = upstream(instance);
+    /// Takes an announcement; gives the services whose instances have changed, two where
+    /// an instance started again in another one.
+    pub fn take(&mut self, instance: &Instance) -> Vec<ServiceName> {
+        let Some(row) = self.rows.get_mut(&instance.id) else {
+            let row = Row::new(instance.clone());
+            let service = row.service();
+            self.rows.insert(instance.id.clone(), row);
+            return service.into_iter().collect();
+        };
+        let before = row.service();
+        match merge(&row.told, instance.clone()) {
+            Merged::Stale => return Vec::new(),
+            Merged::Known(next) => {
+                row.told = next;
+                return Vec::new();
             }
-            return row.upstream.as_ref().map(|u| u.service.clone());
+            Merged::Changed(next) => row.replace(next),
         }
-        let upstream = upstream(instance);
-        let service = upstream.as_ref().map(|u| u.service.clone());
-        let row = Row {
-            sequence: instance.sequence,
-            phase,
-            upstream,
-        };
-        self.rows.insert(instance.id.clone(), row);
-        service
+        let after = row.service().filter(|after| before.as_ref() != Some(after));
+        before.into_iter().chain(after).collect()
     }
 
     /// The instances of a service that have not left.
     pub fn of(&self, service: &ServiceName) -> impl Iterator<Item = (Phase, &Arc<Upstream>)> {
-        let rows = self.rows.values().filter(|row| row.phase != Phase::Gone);
-        let found = rows.filter_map(|row| Some((row.phase, row.upstream.as_ref()?)));
+        let here = |row: &&Row| row.told.phase() != Phase::Gone;
+        let rows = self.rows.values().filter(here);
+        let found = rows.filter_map(|row| Some((row.told.phase(), row.upstream.as_ref()?)));
         found.filter(move |(_, upstream)| upstream.service == *service)
     }
 }
@@ -125,6 +139,7 @@
     let address = instance.address.parse().ok()?;
     Some(Arc::new(Upstream {
         id: InstanceId::new(&instance.id).ok()?,
+        incarnation: instance.incarnation,
         service: ServiceName::new(&instance.service).ok()?,
         address,
         domain: DomainName::new(&instance.domain).ok()?,
--- a/crates/entry/tests/test_flow.rs
+++ b/crates/entry/tests/test_flow.rs
@@ -232,6 +232,41 @@
     assert_eq!((one.arrivals().len(), two.arrivals().len()), (0, 10));
 }
 
+/// It starts again at another address, under its id; the sequence starts anew.
+#[tokio::test]
+async fn test_flow_instance_that_starts_again_under_its_id_gets_requests() {
+    let before = Upstream::start("i-1", Manner::Answer).await;
+    let after = Upstream::start("i-1", Manner::Answer).await;
+    let entry = bare().await;
+    entry.core().set_table(fakes::table(1));
+    let life = |upstream: &Upstream, incarnation, sequence, phase: Phase| Instance {
+        incarnation,
+        sequence,
+        phase: phase.into(),
+        ..instance(upstream, "status")
+    };
+    entry
+        .core()
+        .take_instances(&[life(&before, 1, 7, Phase::Ready)]);
+    let answer = call(entry.front(), "GET", READ, "r-1").await;
+    assert_eq!(answer.status, 200);
+    entry
+        .core()
+        .take_instances(&[life(&before, 1, 8, Phase::Draining)]);
+    entry
+        .core()
+        .take_instances(&[life(&after, 2, 1, Phase::Ready)]);
+    // Late news of the earlier one.
+    entry
+        .core()
+        .take_instances(&[life(&before, 1, 9, Phase::Gone)]);
+    for n in 2..6 {
+        let answer = call(entry.front(), "GET", READ, &format!("r-{n}")).await;
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!((before.arrivals().len(), after.arrivals().len()), (1, 4));
+}
+
 /// Its address belongs to another one now, for good.
 #[tokio::test]
 async fn test_flow_instance_whose_address_is_another_ones_gets_nothing_more() {
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -68,6 +68,7 @@
 fn instance_of(row: &Upstream) -> route::Instance {
     route::Instance {
         id: row.id.clone(),
+        incarnation: row.incarnation,
         domain: row.domain.clone(),
         slots: row.slots,
         phase: match row.phase {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -37,6 +37,8 @@
     pub service: ServiceName,
     /// Its id, unique within the service.
     pub id: InstanceId,
+    /// Rises with each start under the same id.
+    pub incarnation: u64,
     /// Where it listens.
     pub address: SocketAddr,
     /// Its failure domain.
@@ -239,6 +241,7 @@
         domain: DomainName::new(&row.domain).ok()?,
         slots: row.slots.max(1),
         connections: row.connections.max(1),
+        incarnation: row.incarnation,
         phase: Phase::try_from(row.phase).ok()?,
     })
 }
--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -6,6 +6,7 @@
 use conf::ConfError;
 use quick_error::quick_error;
 use registry::Taken;
+use registry::Unusable;
 use slog::Logger;
 use slog::info;
 use slog::warn;
@@ -38,6 +39,12 @@
         Invalid(faults: Vec<Fault>) {
             display("{}", faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))
         }
+        /// The announcement names no instance to use.
+        Unusable(err: Unusable) {
+            from()
+            source(err)
+            display("{err}")
+        }
         /// The table can't be written or read.
         Codec(err: CodecError) {
             from()
@@ -75,14 +82,20 @@
     ///
     /// # Errors
     ///
-    /// Fails when the instance leaves and the log didn't take that in time.
+    /// Fails when the announcement names no instance to use, or when the instance leaves
+    /// and the log didn't take that in time.
     pub async fn announce(&self, instance: Instance) -> Result<(), DeskError> {
+        if let Err(err) = registry::check(&instance) {
+            warn!(self.state.log, "announcement refused"; "instance" => &instance.id,
+                "error" => %err);
+            return Err(err.into());
+        }
         let phase = instance.phase();
         let taken = self.state.take([&instance]);
         if taken != Taken::Known {
             info!(self.state.log, "announcement"; "instance" => &instance.id,
-                "phase" => phase.as_str_name(), "sequence" => instance.sequence,
-                "outcome" => format!("{taken:?}"));
+                "phase" => phase.as_str_name(), "incarnation" => instance.incarnation,
+                "sequence" => instance.sequence, "outcome" => format!("{taken:?}"));
         }
         if taken == Taken::Stale || self.state.tables.registry().holds(&instance) {
             return Ok(());
--- a/crates/hub/src/state.rs
+++ b/crates/hub/src/state.rs
@@ -81,8 +81,10 @@
             for instance in instances {
                 match known.registry.take(now, instance.clone()) {
                     Taken::Changed => last = Taken::Changed,
-                    Taken::Stale if last == Taken::Known => last = Taken::Stale,
-                    Taken::Stale | Taken::Known => {}
+                    taken @ (Taken::Stale | Taken::Unusable) if last == Taken::Known => {
+                        last = taken;
+                    }
+                    Taken::Stale | Taken::Unusable | Taken::Known => {}
                 }
             }
         }
--- a/crates/place/examples/concentration/rig.rs
+++ b/crates/place/examples/concentration/rig.rs
@@ -196,6 +196,7 @@
     fn new(shape: &Shape, seed: u64) -> Self {
         let row = |i: usize| Instance {
             id: InstanceId::new(&i.to_string()).expect("a name"),
+            incarnation: 0,
             domain: DomainName::new("d").expect("a name"),
             slots: fake::SLOTS,
             phase: Phase::Ready,
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -1,9 +1,8 @@
 //! A pure state machine.
 //!
-//! Announcements come late, twice, and by way of several hubs. One of a lower
-//! sequence than the last one changes nothing, a phase never goes back, and an
-//! id that has left never comes back. Every change gets a number, so that a
-//! watcher asks for what is newer than the last number that it saw.
+//! Announcements come late, twice, and by way of several hubs. [`merge`] orders those
+//! of one id. Every change gets a number, so that a watcher asks for what is newer
+//! than the last number that it saw.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -12,6 +11,10 @@
 use wire::hub::Instance;
 use wire::hub::Phase;
 
+use crate::check::check;
+use crate::merge::Merged;
+use crate::merge::merge;
+
 /// How long the id of an instance that has left is kept, so that a late
 /// announcement doesn't bring it back: well over the longest delay that a cut
 /// link was seen to cause.
@@ -26,6 +29,8 @@
     Known,
     /// It is older than what is known.
     Stale,
+    /// It names no instance to use; nothing is kept of it.
+    Unusable,
 }
 
 #[derive(Clone, Debug)]
@@ -47,28 +52,25 @@
 impl Registry {
     /// Takes an announcement, heard by this hub or by another one.
     pub fn take(&mut self, now: Moment, instance: Instance) -> Taken {
+        if check(&instance).is_err() {
+            return Taken::Unusable;
+        }
         let Some(row) = self.rows.get_mut(&instance.id) else {
             self.insert(now, instance);
             return Taken::Changed;
         };
-        let gone = instance.phase() == Phase::Gone;
-        let left = row.instance.phase() == Phase::Gone;
-        if left {
-            return if gone { Taken::Known } else { Taken::Stale };
-        }
-        if instance.sequence < row.instance.sequence && !gone {
-            return Taken::Stale;
-        }
+        let (next, taken) = match merge(&row.instance, instance) {
+            Merged::Stale => return Taken::Stale,
+            Merged::Known(next) => (next, Taken::Known),
+            Merged::Changed(next) => (next, Taken::Changed),
+        };
         row.heard = now;
-        let next = merged(&row.instance, instance);
-        let same = is_same(&row.instance, &next);
         row.instance = next;
-        if same {
-            return Taken::Known;
+        if taken == Taken::Changed {
+            self.cursor += 1;
+            row.changed = self.cursor;
         }
-        self.cursor += 1;
-        row.changed = self.cursor;
-        Taken::Changed
+        taken
     }
 
     fn insert(&mut self, now: Moment, instance: Instance) {
@@ -109,7 +111,7 @@
     #[must_use]
     pub fn holds(&self, instance: &Instance) -> bool {
         self.get(&instance.id)
-            .is_some_and(|held| is_same(held, &merged(held, instance.clone())))
+            .is_some_and(|held| !matches!(merge(held, instance.clone()), Merged::Changed(_)))
     }
 
     /// Forgets ids that left long ago.
@@ -119,28 +121,3 @@
         });
     }
 }
-
-/// The newer announcement; a notice of leaving names nothing but the id.
-fn merged(held: &Instance, next: Instance) -> Instance {
-    if next.phase() == Phase::Gone {
-        return Instance {
-            phase: Phase::Gone.into(),
-            sequence: next.sequence.max(held.sequence),
-            ..held.clone()
-        };
-    }
-    Instance {
-        phase: next.phase.max(held.phase),
-        ..next
-    }
-}
-
-/// Whether watchers would see no difference; the sequence rises all the time.
-fn is_same(held: &Instance, next: &Instance) -> bool {
-    let bare = |instance: &Instance| Instance {
-        sequence: 0,
-        warmup_ms: 0,
-        ..instance.clone()
-    };
-    bare(held) == bare(next)
-}
--- a/crates/registry/tests/test_registry.rs
+++ b/crates/registry/tests/test_registry.rs
@@ -5,6 +5,8 @@
 use quickcheck::quickcheck;
 use registry::Registry;
 use registry::Taken;
+use registry::Unusable;
+use registry::check;
 use wire::hub::Instance;
 use wire::hub::Phase;
 
@@ -119,7 +121,221 @@
     assert!(registry.holds(&gone()));
 }
 
+/// An announcement of a later or earlier start under the same id.
+fn life(incarnation: u64, sequence: u64, phase: Phase) -> Instance {
+    Instance {
+        incarnation,
+        ..at(sequence, phase)
+    }
+}
+
+#[test]
+fn test_registry_later_incarnation_replaces_earlier_one() {
+    use Phase::Draining;
+    use Phase::Gone;
+    use Phase::Ready;
+    let cases = [
+        (
+            "sequence starts anew",
+            vec![life(1, 9, Ready), life(2, 1, Ready)],
+            Taken::Changed,
+            (2, Ready),
+        ),
+        (
+            "after a drain",
+            vec![life(1, 9, Draining), life(2, 1, Ready)],
+            Taken::Changed,
+            (2, Ready),
+        ),
+        (
+            "after it left",
+            vec![life(1, 9, Ready), life(1, 0, Gone), life(2, 1, Ready)],
+            Taken::Changed,
+            (2, Ready),
+        ),
+        (
+            "late call of the earlier one",
+            vec![life(2, 1, Ready), life(1, 9, Draining)],
+            Taken::Stale,
+            (2, Ready),
+        ),
+        (
+            "late notice of the earlier one",
+            vec![life(2, 1, Ready), life(1, 0, Gone)],
+            Taken::Stale,
+            (2, Ready),
+        ),
+        (
+            "notice that names none",
+            vec![life(2, 1, Ready), gone()],
+            Taken::Changed,
+            (2, Gone),
+        ),
+        (
+            "announcement that names none",
+            vec![life(2, 1, Ready), at(9, Draining)],
+            Taken::Stale,
+            (2, Ready),
+        ),
+        (
+            "one that names itself after one that did not",
+            vec![at(9, Draining), life(1, 1, Ready)],
+            Taken::Changed,
+            (1, Ready),
+        ),
+        (
+            "notice of the later one first",
+            vec![life(1, 9, Ready), life(2, 0, Gone), life(2, 1, Ready)],
+            Taken::Stale,
+            (2, Gone),
+        ),
+    ];
+    for (name, steps, expected, last) in cases {
+        let mut registry = Registry::default();
+        let taken: Vec<Taken> = steps.into_iter().map(|i| registry.take(NOW, i)).collect();
+        assert_eq!(taken.last(), Some(&expected), "{name}");
+        let held = registry.get("i-1").expect("a row");
+        assert_eq!((held.incarnation, held.phase()), last, "{name}");
+    }
+}
+
+/// The same id with another service is another writer's.
+#[test]
+fn test_registry_instance_stays_with_its_service() {
+    let mut registry = Registry::default();
+    registry.take(NOW, at(1, Phase::Ready));
+    let other = Instance {
+        service: "other".into(),
+        ..at(2, Phase::Ready)
+    };
+    assert_eq!(registry.take(NOW, other), Taken::Stale);
+    assert_eq!(registry.get("i-1").map(|i| &*i.service), Some("status"));
+}
+
+#[test]
+fn test_registry_takes_nothing_that_can_not_be_used() {
+    let ready = at(1, Phase::Ready);
+    let address = |text: &str| Instance {
+        address: text.into(),
+        ..ready.clone()
+    };
+    let cases = [
+        (
+            "no id",
+            Instance {
+                id: String::new(),
+                ..ready.clone()
+            },
+        ),
+        (
+            "id that is no name",
+            Instance {
+                id: "a b".into(),
+                ..ready.clone()
+            },
+        ),
+        (
+            "no service",
+            Instance {
+                service: String::new(),
+                ..ready.clone()
+            },
+        ),
+        (
+            "no failure domain",
+            Instance {
+                domain: String::new(),
+                ..ready.clone()
+            },
+        ),
+        ("no address", address("")),
+        ("address without a port", address("127.0.0.1")),
+        ("port 0", address("127.0.0.1:0")),
+        ("host name", address("localhost:80")),
+        ("anywhere", address("0.0.0.0:80")),
+        (
+            "no slot",
+            Instance {
+                slots: 0,
+                ..ready.clone()
+            },
+        ),
+        (
+            "too many slots",
+            Instance {
+                slots: u32::MAX,
+                ..ready.clone()
+            },
+        ),
+        (
+            "no phase",
+            Instance {
+                phase: 0,
+                ..ready.clone()
+            },
+        ),
+        (
+            "odd phase",
+            Instance {
+                phase: 17,
+                ..ready.clone()
+            },
+        ),
+    ];
+    for (name, bad) in cases {
+        let mut registry = Registry::default();
+        registry.take(NOW, ready.clone());
+        assert_eq!(registry.take(NOW, bad), Taken::Unusable, "{name}");
+        assert_eq!(registry.all().collect::<Vec<_>>(), [&ready], "{name}");
+    }
+    assert_eq!(check(&gone()), Ok(()));
+    assert_eq!(
+        check(&Instance { slots: 0, ..ready }),
+        Err(Unusable::Slots(0))
+    );
+}
+
 quickcheck! {
+    /// Whatever comes in whatever order, the incarnation never goes back, a phase only
+    /// with a later incarnation, and all who heard the same agree on the incarnation,
+    /// and that it has left once it says so.
+    fn prop_registry_incarnations_rise_and_agree(steps: Vec<(u8, u8, u8)>) -> bool {
+        let announcements: Vec<Instance> = steps
+            .iter()
+            .map(|(incarnation, sequence, phase)| {
+                let incarnation = u64::from(incarnation % 4) + 1;
+                match phase % 8 {
+                    0 => life(incarnation, 0, Phase::Gone),
+                    1 => life(incarnation, (*sequence).into(), Phase::Draining),
+                    _ => life(incarnation, (*sequence).into(), Phase::Ready),
+                }
+            })
+            .collect();
+        let mut forward = Registry::default();
+        let mut last = (0, Phase::Unspecified);
+        for announcement in &announcements {
+            forward.take(NOW, announcement.clone());
+            let now = forward.get("i-1").map(|i| (i.incarnation, i.phase()));
+            if now < Some(last) {
+                return false;
+            }
+            last = now.unwrap_or(last);
+        }
+        let mut backward = Registry::default();
+        for announcement in announcements.iter().rev() {
+            backward.take(NOW, announcement.clone());
+        }
+        let newest = announcements.iter().map(|i| i.incarnation).max().unwrap_or_default();
+        let left = announcements.contains(&life(newest, 0, Phase::Gone));
+        let last = |registry: &Registry| registry.get("i-1").map(|i| (i.incarnation, i.phase()));
+        let agree = [&forward, &backward].iter().all(|registry| {
+            last(registry).is_none_or(|(incarnation, phase)| {
+                incarnation == newest && (phase == Phase::Gone) == left
+            })
+        });
+        agree && forward.all().count() == usize::from(!steps.is_empty())
+    }
+
     /// Whatever comes in whatever order, a phase never goes back, and two hubs that
     /// heard the same announcements agree on it.
     fn prop_registry_phases_rise_and_agree(steps: Vec<(u8, u8)>) -> TestResult {
--- a/crates/route/examples/bench_choose.rs
+++ b/crates/route/examples/bench_choose.rs
@@ -93,6 +93,7 @@
 fn instance(index: usize) -> Instance {
     Instance {
         id: InstanceId::new(&index.to_string()).expect("digits are a name"),
+        incarnation: 0,
         domain: DomainName::new("genova").expect("letters are a name"),
         slots: 6,
         phase: Phase::Ready,
--- a/crates/route/src/chooser.rs
+++ b/crates/route/src/chooser.rs
@@ -92,7 +92,7 @@
     /// Takes the directory's table, whole: an instance that it lacks has gone.
     pub fn update(&mut self, now: Moment, table: &[Instance]) {
         for entry in &mut self.entries {
-            if !table.iter().any(|row| row.id == entry.instance.id) {
+            if !table.iter().any(|row| row.is_same(&entry.instance)) {
                 entry.instance.phase = Phase::Gone;
             }
         }
@@ -109,8 +109,8 @@
     }
 
     fn take(&mut self, now: Moment, row: &Instance) {
-        let known = self.entries.iter_mut().find(|e| e.instance.id == row.id);
-        if let Some(entry) = known {
+        let mut entries = self.entries.iter_mut();
+        if let Some(entry) = entries.find(|e| e.instance.is_same(row)) {
             entry.take(now, row);
             return;
         }
--- a/crates/route/src/fresh.rs
+++ b/crates/route/src/fresh.rs
@@ -115,7 +115,7 @@
     /// comes with the time for which it is still slow after its start.
     pub fn update(&mut self, now: Moment, table: &[(Instance, Duration)]) {
         for row in &mut self.rows {
-            if !table.iter().any(|(next, _)| next.id == row.instance.id) {
+            if !table.iter().any(|(next, _)| next.is_same(&row.instance)) {
                 row.instance.phase = Phase::Gone;
             }
         }
@@ -125,8 +125,8 @@
     }
 
     fn take(&mut self, now: Moment, instance: &Instance, cold: Duration) {
-        let known = self.rows.iter_mut().find(|r| r.instance.id == instance.id);
-        if let Some(row) = known {
+        let mut rows = self.rows.iter_mut();
+        if let Some(row) = rows.find(|r| r.instance.is_same(instance)) {
             row.instance.clone_from(instance);
             return;
         }
--- a/crates/route/src/instance.rs
+++ b/crates/route/src/instance.rs
@@ -26,6 +26,9 @@
 pub struct Instance {
     /// Unique within the service.
     pub id: InstanceId,
+    /// Rises with each start under the same id; what was known of an earlier one says
+    /// nothing of a later one.
+    pub incarnation: u64,
     /// The failure domain it runs in.
     pub domain: DomainName,
     /// Requests that it works on at once, at least 1.
@@ -34,6 +37,14 @@
     pub phase: Phase,
 }
 
+impl Instance {
+    /// Whether both are the same start of the same instance.
+    #[must_use]
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.id == other.id && self.incarnation == other.incarnation
+    }
+}
+
 /// A handle to an instance of one chooser, valid until the instance has gone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Pick {
--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -218,6 +218,7 @@
 pub fn instance(index: usize, phase: Phase) -> Instance {
     Instance {
         id: InstanceId::new(&index.to_string()).expect("digits are a name"),
+        incarnation: 0,
         domain: DomainName::new("torino").expect("letters are a name"),
         slots: SLOTS,
         phase,
--- a/crates/route/tests/test_fresh.rs
+++ b/crates/route/tests/test_fresh.rs
@@ -31,6 +31,7 @@
 fn instance(id: &str, place: &str) -> (Instance, Duration) {
     let instance = Instance {
         id: InstanceId::new(id).expect("a name"),
+        incarnation: 0,
         domain: domain(place),
         slots: 6,
         phase: Phase::Ready,
@@ -309,3 +310,40 @@
         TestResult::from_bool(worse.iter().all(|w| of(w) >= of(&here) - 1e-9))
     }
 }
+
+/// What the earlier start earned says nothing of the later one.
+#[test]
+fn test_fresh_instance_that_starts_again_is_judged_anew() {
+    let row = |incarnation| {
+        let (instance, cold) = instance("i-1", "a");
+        (
+            Instance {
+                incarnation,
+                ..instance
+            },
+            cold,
+        )
+    };
+    let mut fresh = fresh(&[row(1), instance("i-2", "a")]);
+    let first = fresh.plan(at(0), &NEED, &[], 0, |count| count);
+    let old = *first
+        .iter()
+        .find(|p| fresh.id(**p).is_some_and(|id| id.as_str() == "i-1"))
+        .expect("asked");
+    for _ in 0..4 {
+        let ticket = fresh.started(at(1), old);
+        fresh.finished(at(1), ticket, Kind::Error, None);
+    }
+    fresh.probed(at(2), first[1 - usize::from(first[0] != old)], None);
+    fresh.update(at(3), &[row(2), instance("i-2", "a")]);
+    // News of the earlier one that come late tell nothing of the later one.
+    fresh.probed(at(3), old, None);
+    assert!(!fresh.has_room(at(3), old) || fresh.choose_this(at(3), &NEED, old).is_none());
+    let asked = fresh.plan(at(4), &NEED, &[], 0, |count| count);
+    let names: Vec<&str> = asked
+        .iter()
+        .filter_map(|p| fresh.id(*p))
+        .map(InstanceId::as_str)
+        .collect();
+    assert!(names.contains(&"i-1"), "{names:?}");
+}
--- a/crates/route/tests/test_schedules.rs
+++ b/crates/route/tests/test_schedules.rs
@@ -180,6 +180,7 @@
 fn instance(index: usize, phase: Phase) -> Instance {
     Instance {
         id: InstanceId::new(&index.to_string()).expect("digits are a name"),
+        incarnation: 0,
         domain: DomainName::new("milano").expect("letters are a name"),
         slots: 6,
         phase,
