hub, consensus: entry processes have a table sooner after all were lost

Entry hosts that tried to reach a hub without power waited 200 ms for it.

The log's writes carry the commit index, so that a replica applies what was accepted at its start; a hub that has known no leader yet tells of its table as recovered, and an entry process without one takes that. Reads of operators still need a majority. The first campaign after a restart comes 10 to 20 ms after it. While an entry process has no table it gives a connection 40 ms and tries again after 10.

Ruled out: the store (18 ms from the first line to the recovered log); the time from power to the first line (0.42 s of hubs) isn't the program's, entry processes need 40 ms.

Red before: test_restart_first_campaign_is_soon.

--- a/crates/consensus/src/action.rs
+++ b/crates/consensus/src/action.rs
@@ -33,6 +33,9 @@
     pub truncate: Option<Index>,
     /// Entries to append.
     pub entries: Vec<Entry>,
+    /// Entries up to here are committed. It goes with the next write that is due, and
+    /// costs none of its own.
+    pub commit: Index,
 }
 
 /// One thing to do.
--- a/crates/consensus/src/disk.rs
+++ b/crates/consensus/src/disk.rs
@@ -180,7 +180,13 @@
     }
 
     /// The next write, unless one is in flight or there is nothing to write.
-    pub(crate) fn flush(&mut self, log: &Log, hard: HardState, now: Moment) -> Option<Write> {
+    pub(crate) fn flush(
+        &mut self,
+        log: &Log,
+        hard: HardState,
+        commit: Index,
+        now: Moment,
+    ) -> Option<Write> {
         let last = log.last().index;
         let dirty = self.hard
             || self.snapshot.is_some()
@@ -195,6 +201,7 @@
             snapshot: self.snapshot.take(),
             truncate: self.truncate.take(),
             entries: log.slice(self.unwritten, last, usize::MAX),
+            commit,
         };
         self.flight = Some(Flight {
             number: self.next,
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -46,6 +46,10 @@
 /// again for pre-votes; three times that at most.
 const RETRY_FACTOR: f64 = 0.25;
 
+/// Least part of an election timeout after which a replica that has restarted asks for
+/// pre-votes; twice that at most, so that two that start together rarely ask together.
+const FIRST_FACTOR: f64 = 0.02;
+
 /// Least part of an election timeout that a campaign has; twice that at most.
 const CAMPAIGN_FACTOR: f64 = 0.5;
 
@@ -139,6 +143,8 @@
             disk.drop_from(index);
         }
         let base = log.snapshot().position.index;
+        // What is committed can be applied at once, before a leader tells of more.
+        let commit = stored.commit.min(log.last().index).max(base);
         let mut node = Self {
             id: stored.id,
             settings,
@@ -147,7 +153,7 @@
             state: State::Follower { leader: None },
             log,
             disk,
-            commit: base,
+            commit,
             applied: base,
             timeout: now,
             heard: None,
@@ -163,9 +169,7 @@
         if node.hard.term == Term::default() {
             node.draw_timeout();
         } else {
-            // After a restart there may be no leader at all; if there is one, it is
-            // heard before, or the others refuse.
-            node.draw_retry();
+            node.draw_first();
         }
         node
     }
@@ -297,6 +301,14 @@
         self.timeout = self.now + self.settings.election.mul_f64(factor);
     }
 
+    /// The time to the first campaign after a restart: where all have restarted there is
+    /// no leader, and if there is one, the others refuse. The last one to make a majority
+    /// asks at once in this way.
+    fn draw_first(&mut self) {
+        let factor = FIRST_FACTOR * (1.0 + self.rng.random::<f64>());
+        self.timeout = self.now + self.settings.election.mul_f64(factor);
+    }
+
     /// The time to the next campaign while no leader is known: all replicas may have
     /// just started, and asking costs little.
     fn draw_retry(&mut self) {
@@ -367,7 +379,7 @@
         if self.stopped {
             return;
         }
-        if let Some(write) = self.disk.flush(&self.log, self.hard, self.now) {
+        if let Some(write) = self.disk.flush(&self.log, self.hard, self.commit, self.now) {
             self.out.push(Action::Persist(write));
         }
     }
--- a/crates/consensus/src/stored.rs
+++ b/crates/consensus/src/stored.rs
@@ -6,6 +6,7 @@
 
 use crate::config::Config;
 use crate::entry::Entry;
+use crate::entry::Index;
 use crate::entry::Position;
 use crate::entry::ReplicaId;
 use crate::entry::Term;
@@ -41,6 +42,8 @@
     pub snapshot: Snapshot,
     /// The log, without gaps; what the snapshot holds may still be in front.
     pub entries: Vec<Entry>,
+    /// Entries up to here were known to be committed, perhaps later ones are.
+    pub commit: Index,
 }
 
 impl Stored {
@@ -63,6 +66,7 @@
                 ..Snapshot::default()
             },
             entries: Vec::new(),
+            commit: Index::default(),
         }
     }
 }
--- a/crates/consensus/tests/test_replicas/cluster/disk.rs
+++ b/crates/consensus/tests/test_replicas/cluster/disk.rs
@@ -52,6 +52,9 @@
         }
         let entries = write.entries.iter().take(parts.saturating_sub(3));
         self.stored.entries.extend(entries.cloned());
+        if parts > 3 + write.entries.len() {
+            self.stored.commit = self.stored.commit.max(write.commit);
+        }
     }
 
     /// The term of a synced entry, none before the snapshot.
--- a/crates/consensus/tests/test_restart.rs
+++ b/crates/consensus/tests/test_restart.rs
@@ -7,10 +7,13 @@
 use consensus::Acceptance;
 use consensus::Action;
 use consensus::Config;
+use consensus::Entry;
 use consensus::Event;
 use consensus::HardState;
+use consensus::Index;
 use consensus::Member;
 use consensus::Node;
+use consensus::Payload;
 use consensus::ReplicaId;
 use consensus::Role;
 use consensus::Settings;
@@ -92,3 +95,50 @@
         assert!(nodes.iter().all(|n| n.term() == Term(2)), "seed {seed}");
     }
 }
+
+fn entry(index: u64) -> Entry {
+    Entry {
+        term: Term(1),
+        index: Index(index),
+        payload: Payload::Data(format!("entry {index}").into()),
+    }
+}
+
+/// What is applied at the first step, by the index that the disk names as committed.
+fn applied(commit: u64) -> Vec<u64> {
+    let mut stored = stored(1);
+    stored.entries = (1..=3).map(entry).collect();
+    stored.commit = Index(commit);
+    let now = Moment::from_millis(1);
+    let mut node = Node::new(Settings::default(), stored, 1, now);
+    let mut actions = Vec::new();
+    node.step(now, Event::Tick, &mut actions);
+    let commits = actions.iter().filter_map(|action| match action {
+        Action::Commit(entries) => Some(entries.iter().map(|e| e.index.0)),
+        _ => None,
+    });
+    commits.flatten().collect()
+}
+
+/// A replica that is alone after a restart applies what was committed, and no more.
+#[test]
+fn test_restart_applies_what_the_disk_says_is_committed() {
+    let cases: [(u64, &[u64]); 4] = [(0, &[]), (2, &[1, 2]), (3, &[1, 2, 3]), (9, &[1, 2, 3])];
+    for (commit, expected) in cases {
+        assert_eq!(applied(commit), expected, "commit {commit}");
+    }
+}
+
+/// Where all have restarted the last of a majority asks for votes at once.
+#[test]
+fn test_restart_first_campaign_is_soon() {
+    let settings = Settings::default();
+    for seed in 0..50 {
+        let now = Moment::from_millis(1);
+        let node = Node::new(settings.clone(), stored(1), seed, now);
+        assert!(
+            node.deadline() <= now + settings.election / 20,
+            "seed {seed}"
+        );
+    }
+}
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -196,6 +196,8 @@
     }
 
     async fn serve(&mut self, mut inbox: mpsc::Receiver<Input>) {
+        // What the disk says is committed is applied before a leader is there.
+        self.step(Event::Tick);
         self.act();
         while self.failure.is_none() {
             let wake = self
--- a/crates/control/src/driver/act.rs
+++ b/crates/control/src/driver/act.rs
@@ -1,5 +1,6 @@
 //! Carries out what the log decides.
 
+use std::mem;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -29,6 +30,7 @@
 use crate::driver::DriverError;
 use crate::driver::Task;
 use crate::driver::propose::refused;
+use crate::input::View;
 use crate::machine::Machine;
 use crate::machine::MachineError;
 use crate::machine::Output;
@@ -42,7 +44,7 @@
     pub(super) fn act(&mut self) {
         // A write that begins makes room for commands, which may begin the next one.
         while !self.actions.is_empty() {
-            for action in std::mem::take(&mut self.actions) {
+            for action in mem::take(&mut self.actions) {
                 self.carry_out(action);
             }
             self.admit_waiting();
@@ -70,6 +72,10 @@
             }
             Action::Rejected { ticket, reason } => self.reject(ticket, &reason),
             Action::LeaderChanged { term, leader } => {
+                if leader.is_some() {
+                    let led = |view: &mut View| !mem::replace(&mut view.led, true);
+                    self.parts.views.send_if_modified(led);
+                }
                 let leader = leader.map_or(0, |id| id.0);
                 info!(self.parts.log, "leadership";
                     "term" => term.0, "leader" => leader, "leads" => leader == self.id().0);
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -35,6 +35,8 @@
     pub table: Arc<Table>,
     /// The announced upstreams.
     pub registry: Arc<Registry>,
+    /// A leader was known since the replica started.
+    pub led: bool,
 }
 
 quick_error! {
--- a/crates/control/src/link.rs
+++ b/crates/control/src/link.rs
@@ -77,7 +77,7 @@
         let client = link.client().await?;
         link.judge(once(client).await)
     };
-    let timeout = |_| Err(LinkError::Timeout(link.address()));
+    let timeout = |_| Err(LinkError::Timeout(link.address(), span));
     tokio::time::timeout(span, call)
         .await
         .unwrap_or_else(timeout)
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -5,6 +5,7 @@
 
 use cadence::StatsdClient;
 use consensus::HardState;
+use consensus::Index;
 use consensus::ReplicaId;
 use consensus::Stored;
 use consensus::Term;
@@ -176,6 +177,7 @@
         let unfounded = empty && !self.identity.initial.is_empty();
         info!(self.log, "recovered"; "id" => recovered.id, "term" => recovered.state.term,
             "snapshot" => stored.snapshot.position.index.0, "entries" => stored.entries.len(),
+            "commit" => stored.commit.0,
             "torn" => recovered.torn);
         let stored_index = stored.snapshot.position.index.0;
         let (driver, inbox) = Driver::new();
@@ -362,6 +364,7 @@
     }
     let entries = recovered.entries.iter().map(convert::entry);
     stored.entries = entries.collect::<Result<_, _>>()?;
+    stored.commit = Index(recovered.commit);
     Ok(stored)
 }
 
--- a/crates/control/src/table.rs
+++ b/crates/control/src/table.rs
@@ -76,6 +76,13 @@
         Arc::clone(&self.views.borrow().table)
     }
 
+    /// Whether a leader was known since this replica started. Before, what is applied
+    /// comes from its own disk: all of it was committed, and others may have more.
+    #[must_use]
+    pub fn is_led(&self) -> bool {
+        self.views.borrow().led
+    }
+
     /// Tells when more is applied.
     #[must_use]
     pub fn views(&self) -> watch::Receiver<View> {
--- a/crates/control/src/writer.rs
+++ b/crates/control/src/writer.rs
@@ -99,6 +99,7 @@
         state,
         truncate: write.truncate.map_or(0, |index| index.0),
         entries: write.entries.iter().map(convert::entry_to_wire).collect(),
+        commit: write.commit.0,
     };
     let Some(snapshot) = &write.snapshot else {
         return append(store, &log);
@@ -113,7 +114,12 @@
 }
 
 fn append(store: &mut Store, batch: &Batch) -> Result<(), StoreError> {
-    if *batch == Batch::default() {
+    // A commit index alone isn't worth a sync.
+    let empty = Batch {
+        commit: batch.commit,
+        ..Batch::default()
+    };
+    if *batch == empty {
         return Ok(());
     }
     store.append(batch)
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -18,6 +18,7 @@
 use wire::hub::Fetch;
 use wire::hub::Watch;
 use wire::hub::WatchReply;
+use wire::link::CONNECT_TIMEOUT;
 use wire::link::within;
 use wire::peer;
 use wire::peer::HubLink;
@@ -31,10 +32,18 @@
 const SLACK: Duration = Duration::from_millis(600);
 /// Pause after a watch that failed.
 const PAUSE: Duration = Duration::from_millis(50);
+/// The same while there is no table: callers wait, and a hub may start at any moment.
+const QUICK_PAUSE: Duration = Duration::from_millis(10);
+/// Longest wait for a connection while there is no table. A host that is without power
+/// answers nothing, so that the wait for it goes on after it is back: up to
+/// [`CONNECT_TIMEOUT`] of the callers' time. Over two ways between regions.
+const QUICK_CONNECT: Duration = Duration::from_millis(40);
 /// Longest wait for a table: 400 KB over a link of 2.3 Mbit/s.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// A table that no majority has confirmed is taken only after so long, as it
-/// may be older than one that was in force here before a restart.
+/// may be older than one that was in force here before a restart. One that a hub has
+/// from its disk before there is a leader is taken at once: all have restarted then, or
+/// the other hubs tell of a newer one within milliseconds.
 const UNCONFIRMED: Duration = Duration::from_secs(3);
 /// Between two looks at the settings and at who has gone.
 const LOOK: Duration = Duration::from_secs(1);
@@ -114,13 +123,36 @@
                 info!(self.core.log, "hub"; "address" => %self.address, "outcome" => outcome);
             }
             let Some(reply) = reply else {
-                tokio::time::sleep(PAUSE).await;
+                tokio::time::sleep(self.pause()).await;
                 continue;
             };
             self.take(&ask, &reply);
         }
     }
 
+    /// How long to wait for a connection to the hub.
+    fn patience(&self) -> Duration {
+        if self.is_waiting() {
+            QUICK_CONNECT
+        } else {
+            CONNECT_TIMEOUT
+        }
+    }
+
+    /// How long to wait after a watch that failed.
+    fn pause(&self) -> Duration {
+        if self.is_waiting() {
+            QUICK_PAUSE
+        } else {
+            PAUSE
+        }
+    }
+
+    /// Whether requests wait for the first table.
+    fn is_waiting(&self) -> bool {
+        !*self.core.routed.borrow()
+    }
+
     /// What the hub is asked next.
     fn next(&self) -> Watch {
         let settings = self.core.settings();
@@ -148,7 +180,7 @@
     }
 
     async fn ask(&self, ask: Watch) -> Option<Answer> {
-        let client = self.link.client().await.ok()?;
+        let client = self.link.client_within(self.patience()).await.ok()?;
         let mut routed = self.core.routed.subscribe();
         let mut stage = self.core.stage.subscribe();
         let mut stalled = self.hubs.stalled.subscribe();
@@ -180,7 +212,8 @@
             table: reply.table,
         };
         let held = self.core.routes().table.version;
-        let trusted = reply.confirmed || held > 0 || self.begun.elapsed() >= UNCONFIRMED;
+        let late = self.begun.elapsed() >= UNCONFIRMED;
+        let trusted = reply.confirmed || reply.recovered || held > 0 || late;
         if reply.table > held && trusted && self.hubs.begin_fetch() {
             let (core, hubs) = (Arc::clone(&self.core), Arc::clone(&self.hubs));
             tokio::spawn(fetch(core, hubs, Arc::clone(&self.link), reply.table));
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -62,6 +62,18 @@
         }
     }
 
+    async fn confirm(&self) -> bool {
+        self.state.tables.read(CONFIRM).await.is_some()
+    }
+
+    /// Whether there is a table from the disk and no leader was known yet.
+    ///
+    /// After a loss of all processes entry processes have no table. One that was
+    /// accepted is told to them at once in place of after the election.
+    fn is_recovered(&self) -> bool {
+        !self.state.tables.is_led() && self.state.tables.applied().version > 0
+    }
+
     fn note(&self, ask: &Watch) {
         let now = self.state.clock.now();
         if self.state.known().entries.asked(now, ask) {
@@ -78,7 +90,8 @@
             ask.cursor = 0;
             ask.wait_ms = 0;
         }
-        let confirmed = ask.table == 0 && self.state.tables.read(CONFIRM).await.is_some();
+        let recovered = self.is_recovered();
+        let confirmed = ask.table == 0 && !recovered && self.confirm().await;
         self.wait(&ask).await;
         let now = self.state.clock.now();
         self.state.known().entries.answered(now, &ask);
@@ -92,6 +105,7 @@
             instances: known.registry.since(ask.cursor),
             table,
             confirmed,
+            recovered,
             hubs: known.hubs.iter().map(ToString::to_string).collect(),
             entries: known.entries.count(now),
             hosts: if wanted {
--- a/crates/hub/tests/test_hub.rs
+++ b/crates/hub/tests/test_hub.rs
@@ -219,6 +219,47 @@
     assert_eq!(named.expect("named in the end"), ["127.0.0.1:8080"]);
 }
 
+/// All hubs were lost, and one is back before the others: no majority can confirm.
+#[tokio::test]
+async fn test_hub_alone_after_a_restart_tells_of_the_table_that_was_accepted() {
+    let layout = Layout::new(3, 0).expect("a folder");
+    let log = telemetry::log::silent();
+    let mut hubs = Vec::new();
+    for settings in &layout.hubs {
+        let hub = Hub::start(settings.clone(), log.clone()).await;
+        hubs.push(hub.expect("starts"));
+    }
+    for version in [7, 8, 9] {
+        put_surely(&hubs[0], put(version)).await;
+    }
+    // The disk of each names the last but one as accepted by now.
+    let told = async {
+        while watch(&link(&layout), Watch::default()).await.table < 9 {
+            tokio::time::sleep(PAUSE).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, told).await.expect("told");
+    for hub in hubs {
+        hub.stop().await;
+    }
+    let hub = Hub::start(layout.hubs[0].clone(), log)
+        .await
+        .expect("starts");
+    let ask = Watch {
+        wait_ms: 60_000,
+        ..Watch::default()
+    };
+    let reply = watch(&link(&layout), ask).await;
+    assert!(reply.recovered && !reply.confirmed, "{reply:?}");
+    assert!(reply.table >= 8, "{}", reply.table);
+    assert!(fetch(&link(&layout), 0).await.content.len() > 10);
+    // Whoever asks for what is in force is not told.
+    assert!(matches!(
+        hub.desk().read().await,
+        Err(DeskError::NoMajority)
+    ));
+}
+
 /// Where the hub takes announcements over HTTP.
 fn base(hub: &Hub) -> String {
     format!("http://{}", hub.http().expect("served"))
--- a/crates/store/src/replay.rs
+++ b/crates/store/src/replay.rs
@@ -18,6 +18,8 @@
     pub state: HardState,
     /// Entries that are not void.
     pub entries: VecDeque<Entry>,
+    /// Entries up to here were known to be committed.
+    pub commit: u64,
     floor: u64,
 }
 
@@ -43,6 +45,7 @@
         if batch.truncate > 0 {
             self.truncate(batch.truncate);
         }
+        self.commit = self.commit.max(batch.commit);
         batch.entries.into_iter().try_for_each(|e| self.push(e))
     }
 
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -44,6 +44,8 @@
     pub snapshot: Option<Snapshot>,
     /// The entries after it, without a gap.
     pub entries: Vec<Entry>,
+    /// Entries up to this index were known to be committed, perhaps later ones are.
+    pub commit: u64,
     /// Bytes of a write that a crash had cut short.
     pub torn: u64,
 }
@@ -96,6 +98,7 @@
         let mut log = LogReader::new(&mut *disk, floor);
         log.read_all(&names)?;
         let (segments, torn) = (log.segments, log.torn);
+        let commit = log.replay.commit;
         let (state, entries) = log.replay.finish(kept.as_ref().map_or(0, |s| s.term));
         let store = Self {
             disk,
@@ -111,6 +114,7 @@
             state,
             snapshot: kept,
             entries,
+            commit,
             torn,
         };
         Ok((store, recovered))
--- a/crates/store/tests/test_store.rs
+++ b/crates/store/tests/test_store.rs
@@ -33,6 +33,7 @@
     Batch {
         state: Some(HardState { term, vote: 7 }),
         truncate: 0,
+        commit: 0,
         entries: entries.into_iter().map(|i| entry(i, term)).collect(),
     }
 }
@@ -422,3 +423,20 @@
         TestResult::passed()
     }
 }
+
+/// It costs no sync of its own, so it may be behind; it never is ahead of the log.
+#[test]
+fn test_store_commit_index_survives_with_the_write_that_carries_it() {
+    let (disk, mut store) = filled(3, SMALL);
+    let carried = Batch {
+        commit: 3,
+        ..batch(1, [4])
+    };
+    store.append(&carried).expect("appends");
+    store.append(&batch(1, [5])).expect("appends");
+    store.save(&snapshot(1, 1)).expect("saves");
+    disk.crash();
+    let (_, found) = open(&disk, SMALL).expect("opens");
+    assert_eq!(found.commit, 3);
+    assert_eq!(indices(&found), [2, 3, 4, 5]);
+}
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -33,9 +33,9 @@
             source(err)
             display("connect to {address}: {err}")
         }
-        /// The connection took longer than [`CONNECT_TIMEOUT`].
-        Timeout(address: SocketAddr) {
-            display("connect to {address}: no answer within {CONNECT_TIMEOUT:?}")
+        /// The connection took too long.
+        Timeout(address: SocketAddr, span: Duration) {
+            display("connect to {address}: no answer within {span:?}")
         }
         /// The call failed on the connection or ran out of time.
         Call(address: SocketAddr, err: tarpc::client::RpcError) {
@@ -108,15 +108,24 @@
     ///
     /// Fails when the peer doesn't take the connection in time.
     pub async fn client(&self) -> Result<C, LinkError> {
+        self.client_within(CONNECT_TIMEOUT).await
+    }
+
+    /// The same with a bound of its own on the time that a connection takes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the peer doesn't take the connection within `span`.
+    pub async fn client_within(&self, span: Duration) -> Result<C, LinkError> {
         if let Some(client) = self.slot().clone() {
             return Ok(client);
         }
         let codec: fn() -> Bincode<In, Out> = Bincode::default;
         let mut connect = tcp::connect(self.address, codec);
         connect.config_mut().max_frame_length(MAX_FRAME);
-        let channel = tokio::time::timeout(CONNECT_TIMEOUT, connect)
+        let channel = tokio::time::timeout(span, connect)
             .await
-            .map_err(|_| LinkError::Timeout(self.address))?
+            .map_err(|_| LinkError::Timeout(self.address, span))?
             .map_err(|err| LinkError::Connect(self.address, err))?;
         // Small frames must not wait for the ones before to be acknowledged.
         channel
