entry: young callers are told by the route's timeout too

Cause: for 2 s after a start the usual time of callers was the most that one had, and one in twenty-five waits three times as long as the others; all others counted as late, and late ones leave half of the slots. In the second after the tables came 129 of 650 requests to one service were refused while instances idled.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -217,7 +217,7 @@
     pub fn habit<T>(&self, route: &table::Route, ask: impl FnOnce(&mut Habit) -> T) -> T {
         let mut known = self.known();
         let habit = known.habits.entry(Arc::clone(&route.name));
-        ask(habit.or_insert_with(|| Habit::guess(route.aim)))
+        ask(habit.or_insert_with(|| Habit::guess(route.aim, route.timeout)))
     }
 
     /// Asks every service's desk.
--- a/crates/entry/src/habit.rs
+++ b/crates/entry/src/habit.rs
@@ -31,16 +31,18 @@
 pub struct Habit {
     work: f64,
     bytes: f64,
+    timeout: Option<Duration>,
     left: Left,
 }
 
 impl Habit {
-    /// A guess from the route's aim.
+    /// A guess from the route's aim and timeout.
     #[must_use]
-    pub fn guess(aim: Option<Duration>) -> Self {
+    pub fn guess(aim: Option<Duration>, timeout: Option<Duration>) -> Self {
         Self {
             work: aim.map_or(FIRST_WORK, |aim| aim.as_secs_f64() / AIM_WORKS),
             bytes: FIRST_BYTES,
+            timeout,
             left: Left::default(),
         }
     }
@@ -66,7 +68,7 @@
     /// How much of its time a caller with `left` had spent before it came here.
     pub fn spent(&mut self, now: Moment, left: Duration) -> Duration {
         let spent = self.left.spent(left);
-        self.left.learn(now, left);
+        self.left.learn(now, left, self.timeout);
         spent
     }
 
--- a/crates/entry/src/left.rs
+++ b/crates/entry/src/left.rs
@@ -15,9 +15,14 @@
 /// Callers that are remembered: some seconds of a busy route, over the twenty that
 /// come at once after an outage.
 const RECENT: usize = 64;
-/// For so long after the first caller the usual is the most that one had left: after a
-/// restart of everything nearly all of them have waited, for a second or two.
+/// For so long after the first caller the usual is the most that one had left, or the
+/// route's timeout if that is less: after a restart of everything nearly all of them have
+/// waited, for a second or two, and one in twenty-five may wait far longer than the others.
+/// Without the timeout such a one made all others count as late, while instances idled.
 const YOUNG: Duration = Duration::from_secs(2);
+/// Part of the usual that one has left at least who has spent nothing, as long as it isn't
+/// known how callers differ: those that were seen differ by a seventh.
+const YOUNG_LEAST: f64 = 0.8;
 /// Part of the callers that have less left than is usual.
 const USUAL: f64 = 0.75;
 /// Part below the few that wait far longer.
@@ -48,8 +53,8 @@
         }
     }
 
-    /// Takes one caller's time.
-    pub fn learn(&mut self, now: Moment, left: Duration) {
+    /// Takes one caller's time; `timeout` is the route's.
+    pub fn learn(&mut self, now: Moment, left: Duration, timeout: Option<Duration>) {
         let first = *self.first.get_or_insert(now);
         if self.recent.len() == RECENT {
             self.recent.pop_front();
@@ -58,8 +63,9 @@
         let mut sorted: Vec<Duration> = self.recent.iter().copied().collect();
         sorted.sort_unstable();
         if now.since(first) < YOUNG {
-            self.usual = part(&sorted, 1.0);
-            self.least = self.usual;
+            let most = part(&sorted, 1.0);
+            self.usual = timeout.map_or(most, |timeout| most.min(timeout));
+            self.least = self.usual.mul_f64(YOUNG_LEAST);
             return;
         }
         self.usual = part(&sorted, USUAL);
--- a/crates/entry/tests/test_habit.rs
+++ b/crates/entry/tests/test_habit.rs
@@ -18,7 +18,7 @@
 impl Route {
     fn new() -> Self {
         Self {
-            habit: Habit::guess(Some(millis(300))),
+            habit: Habit::guess(Some(millis(300)), None),
             now: Moment::from_millis(1_000),
         }
     }
@@ -92,3 +92,23 @@
     }
     assert!(route.spent(500) > millis(400));
 }
+
+/// After a restart of everything; one in twenty-five waits three times as long.
+#[test]
+fn test_habit_first_callers_after_a_restart_are_not_measured_by_the_most_patient() {
+    let timeout = Some(millis(500));
+    let mut habit = Habit::guess(Some(millis(200)), timeout);
+    let mut now = Moment::from_millis(1_000);
+    for step in 0..50 {
+        now = now + millis(20);
+        let left = if step % 25 == 0 {
+            1_430
+        } else {
+            425 + step * 7 % 75
+        };
+        let spent = habit.spent(now, millis(left));
+        assert!(spent.is_zero(), "{spent:?} at {step}");
+    }
+    // One that was refused and has come back.
+    assert!(habit.spent(now, millis(300)) >= millis(190));
+}
