hub, entry: whole lists of instances are packed, desks take them at once

A hub tells each of 121 watchers of 500 instances, 60 KB row by row, and six hubs do so over links of 2 Mbit/s; the entry process then handed its desk every instance of the service for each one that it was told of.

Now a watcher without a cursor gets one packed list, which a hub packs once for all who ask between two changes, and a desk is updated once for all changes that came together. Ruled out: the leader, which was there before most tables were.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -1,5 +1,6 @@
 //! What all tasks of one entry process share.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -160,29 +161,33 @@
 
     /// Takes what a hub told of instances.
     pub fn take_instances(&self, instances: &[Instance]) {
-        let now = self.clock.now();
-        let settings = self.settings();
-        let domain = &settings.domain;
         let mut known = self.known();
-        let shared = settings.shared(known.entries);
+        let mut changed = BTreeSet::new();
         for instance in instances {
             for service in known.instances.take(instance) {
                 info!(self.log, "instance"; "instance" => &instance.id, "service" => %service,
                     "phase" => instance.phase().as_str_name(), "address" => &instance.address,
                     "incarnation" => instance.incarnation, "sequence" => instance.sequence);
-                let Known {
-                    instances, desks, ..
-                } = &mut *known;
-                let desk = desks.entry(service.clone());
-                let seed = rand::random();
-                let desk = desk.or_insert_with(|| Desk::new(domain.clone(), &shared, seed, now));
-                let rows = instances.of(&service);
-                desk.update(
-                    now,
-                    rows.map(|(phase, upstream)| (route_phase(phase), upstream)),
-                );
+                changed.insert(service);
             }
         }
+        self.update_desks(&mut known, changed);
+    }
+
+    /// Hands each service's desk its instances, once for all that was told together: a
+    /// process that starts is told of hundreds, and each time costs as many steps.
+    fn update_desks(&self, known: &mut Known, changed: BTreeSet<ServiceName>) {
+        let now = self.clock.now();
+        let settings = self.settings();
+        let shared = settings.shared(known.entries);
+        let domain = &settings.domain;
+        for service in changed {
+            let rows = known.instances.of(&service);
+            let rows = rows.map(|(phase, upstream)| (route_phase(phase), upstream));
+            let desk = known.desks.entry(service.clone());
+            let new = || Desk::new(domain.clone(), &shared, rand::random(), now);
+            desk.or_insert_with(new).update(now, rows);
+        }
     }
 
     /// Takes how many entry processes share what is shared out.
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -200,7 +200,7 @@
     }
 
     fn take(&mut self, ask: &Watch, reply: &WatchReply) {
-        self.core.take_instances(&reply.instances);
+        self.take_news(reply);
         if reply.entries > 0 {
             self.core.set_entries(reply.entries);
         }
@@ -220,6 +220,20 @@
         }
     }
 
+    /// Takes what the hub tells of instances, all of them or changes.
+    fn take_news(&self, reply: &WatchReply) {
+        if reply.whole.is_empty() {
+            return self.core.take_instances(&reply.instances);
+        }
+        match registry::unpack(&reply.whole) {
+            Ok(all) => self.core.take_instances(&all),
+            Err(err) => {
+                warn!(self.core.log, "bad list of instances"; "hub" => %self.address,
+                    "error" => %err);
+            }
+        }
+    }
+
     fn note(&self, ask: &Watch, reply: &WatchReply) {
         let named = reply.hubs.iter().filter_map(|hub| hub.parse().ok());
         let hosts = if ask.lists && reply.list == ask.list {
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::StreamExt;
 use slog::info;
 use tarpc::ClientMessage;
@@ -15,6 +16,7 @@
 use wire::api::HubApiRequest;
 use wire::api::HubApiResponse;
 use wire::hub::Fetch;
+use wire::hub::Instance;
 use wire::hub::ReadReply;
 use wire::hub::ResolveQuery;
 use wire::hub::ResolveReply;
@@ -62,6 +64,17 @@
         }
     }
 
+    /// What a watcher at `cursor` lacks, and its next cursor: changes, or all at once.
+    fn news(&self, cursor: u64) -> (u64, Vec<Instance>, Bytes) {
+        if cursor == 0 {
+            let (cursor, whole) = self.state.whole();
+            return (cursor, Vec::new(), whole);
+        }
+        let known = self.state.known();
+        let changes = known.registry.since(cursor);
+        (known.registry.cursor(), changes, Bytes::new())
+    }
+
     async fn confirm(&self) -> bool {
         self.state.tables.read(CONFIRM).await.is_some()
     }
@@ -96,13 +109,15 @@
         let now = self.state.clock.now();
         self.state.known().entries.answered(now, &ask);
         let table = self.state.tables.applied().version;
+        let (cursor, instances, whole) = self.news(ask.cursor);
         let known = self.state.known();
         let list = Arc::clone(&self.state.list.borrow());
         let wanted = ask.lists && list.mark != ask.list;
         WatchReply {
             epoch: self.state.epoch,
-            cursor: known.registry.cursor(),
-            instances: known.registry.since(ask.cursor),
+            cursor,
+            instances,
+            whole,
             table,
             confirmed,
             recovered,
--- a/crates/hub/src/state.rs
+++ b/crates/hub/src/state.rs
@@ -8,10 +8,12 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use bytes::Bytes;
 use control::TableDesk;
 use registry::Registry;
 use registry::Taken;
 use slog::Logger;
+use slog::warn;
 use tokio::sync::watch;
 use wire::hub::Instance;
 
@@ -30,6 +32,8 @@
     pub hubs: Vec<SocketAddr>,
     /// How long callers may keep a list of entry hosts, as last read.
     pub ttl: Option<Duration>,
+    /// All instances, packed, and the cursor that they stand for.
+    packed: (u64, Bytes),
 }
 
 /// The shared state.
@@ -94,6 +98,25 @@
         last
     }
 
+    /// All instances as they are told to a watcher without a cursor, and the cursor that
+    /// goes with them. They are packed once for all who ask between two changes.
+    pub fn whole(&self) -> (u64, Bytes) {
+        let mut known = self.known();
+        let cursor = known.registry.cursor();
+        if known.packed.0 != cursor {
+            let rows = known.registry.all().cloned().collect();
+            match registry::pack(rows) {
+                Ok(packed) => known.packed = (cursor, packed.into()),
+                Err(err) => {
+                    warn!(self.log, "instances not packed"; "error" => %err);
+                    // From cursor 0 the watcher asks again.
+                    return (0, Bytes::new());
+                }
+            }
+        }
+        known.packed.clone()
+    }
+
     /// Wakes whoever waits for a change of the registry.
     fn publish(&self) {
         let cursor = self.known().registry.cursor();
--- a/crates/hub/tests/test_hub.rs
+++ b/crates/hub/tests/test_hub.rs
@@ -6,6 +6,7 @@
 use hub::DeskError;
 use hub::Hub;
 use hub::Put;
+use registry::unpack;
 use table::Table;
 use testutils::Layout;
 use wire::hub::Fetch;
@@ -131,7 +132,7 @@
         .await
         .expect("taken");
     let all = watch(&link(&layout), Watch::default()).await;
-    assert_eq!(all.instances.len(), 1);
+    assert_eq!(unpack(&all.whole).expect("a list").len(), 1);
     assert_eq!(all.table, 7);
     assert!(fetch(&link(&layout), 6).await.content.len() > 10);
     assert_eq!(fetch(&link(&layout), 7).await.content.len(), 0);
@@ -171,7 +172,7 @@
         ..Watch::default()
     };
     let reply = watch(&link(&layout), ask).await;
-    assert_eq!(reply.instances.len(), 1);
+    assert_eq!(unpack(&reply.whole).expect("a list").len(), 1);
 }
 
 #[tokio::test]
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -2,11 +2,15 @@
 
 pub mod check;
 pub mod merge;
+pub mod pack;
 pub mod registry;
 
 pub use check::Unusable;
 pub use check::check;
 pub use merge::Merged;
 pub use merge::merge;
+pub use pack::PackError;
+pub use pack::pack;
+pub use pack::unpack;
 pub use registry::Registry;
 pub use registry::Taken;
--- a/crates/registry/tests/test_registry.rs
+++ b/crates/registry/tests/test_registry.rs
@@ -7,6 +7,8 @@
 use registry::Taken;
 use registry::Unusable;
 use registry::check;
+use registry::pack;
+use registry::unpack;
 use wire::hub::Instance;
 use wire::hub::Phase;
 
@@ -369,3 +371,24 @@
         TestResult::from_bool(!left || agree)
     }
 }
+
+#[test]
+fn test_registry_whole_list_takes_a_tenth_of_its_rows() {
+    let rows: Vec<Instance> = (0..500_u32)
+        .map(|i| Instance {
+            id: format!(
+                "i-{:010x}",
+                u64::from(i).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 24
+            ),
+            address: format!("10.{}.64.{}:8400", i % 3, i % 250),
+            sequence: u64::from(i % 40),
+            incarnation: 1_787_360_900_000 + u64::from(i) * 137,
+            ..at(1, Phase::Ready)
+        })
+        .collect();
+    let packed = pack(rows.clone()).expect("packs");
+    assert!(packed.len() < 13_000, "{} bytes", packed.len());
+    assert_eq!(unpack(&packed).expect("unpacks"), rows);
+    assert!(unpack(&packed[..packed.len() / 2]).is_err());
+    assert!(unpack(b"other").is_err());
+}
