registry, hub, entry, route: instances that no hub hears are asked and sent to last

A hub tells with each instance whether it has heard it within a lease; an entry process takes one for silent that no hub has heard. While most others are heard, such a one is asked and sent to last, and probed later where it is ejected. One that is cut off from the hubs alone, or one whose hubs all fail, is used on as its own answers say.

Ruled out: letting hubs agree on silence and remove such instances; one that is cut off from the hubs only serves on.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -12,7 +13,6 @@
 
 use base::prelude::*;
 use http::Uri;
-use route::Phase as RoutePhase;
 use slog::Logger;
 use slog::info;
 use table::Split;
@@ -20,7 +20,6 @@
 use tokio::sync::watch;
 use wire::hub::EntryHost;
 use wire::hub::Instance;
-use wire::hub::Phase;
 
 use crate::counters::Counters;
 use crate::desk::Desk;
@@ -159,21 +158,29 @@
         *self.routed.borrow() && *self.stage.borrow() == Stage::Serving
     }
 
-    /// Takes what a hub told of instances.
-    pub fn take_instances(&self, instances: &[Instance]) {
+    /// Takes what the hub at `hub` told of instances.
+    pub fn take_instances(&self, hub: SocketAddr, instances: &[Instance]) {
         let mut known = self.known();
         let mut changed = BTreeSet::new();
         for instance in instances {
-            for service in known.instances.take(instance) {
+            for service in known.instances.take(hub, instance) {
                 info!(self.log, "instance"; "instance" => &instance.id, "service" => %service,
                     "phase" => instance.phase().as_str_name(), "address" => &instance.address,
-                    "incarnation" => instance.incarnation, "sequence" => instance.sequence);
+                    "incarnation" => instance.incarnation, "sequence" => instance.sequence,
+                    "heard" => instance.heard, "hub" => %hub);
                 changed.insert(service);
             }
         }
         self.update_desks(&mut known, changed);
     }
 
+    /// Takes which hubs answer: what others have heard counts no more.
+    pub fn keep_hearers(&self, hubs: &BTreeSet<SocketAddr>) {
+        let mut known = self.known();
+        let changed = known.instances.keep_hearers(hubs);
+        self.update_desks(&mut known, changed.into_iter().collect());
+    }
+
     /// Hands each service's desk its instances, once for all that was told together: a
     /// process that starts is told of hundreds, and each time costs as many steps.
     fn update_desks(&self, known: &mut Known, changed: BTreeSet<ServiceName>) {
@@ -183,7 +190,6 @@
         let domain = &settings.domain;
         for service in changed {
             let rows = known.instances.of(&service);
-            let rows = rows.map(|(phase, upstream)| (route_phase(phase), upstream));
             let desk = known.desks.entry(service.clone());
             let new = || Desk::new(domain.clone(), &shared, rand::random(), now);
             desk.or_insert_with(new).update(now, rows);
@@ -272,11 +278,3 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn route_phase(phase: Phase) -> RoutePhase {
-    match phase {
-        Phase::Ready => RoutePhase::Ready,
-        Phase::Draining | Phase::Unspecified => RoutePhase::Draining,
-        Phase::Gone => RoutePhase::Gone,
-    }
-}
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -19,9 +19,12 @@
 use route::Phase;
 use route::Pick;
 use route::Ticket;
+use route::Told;
 use tokio::sync::oneshot;
+use wire::hub::Phase as WirePhase;
 
 use crate::settings::Shared;
+use crate::view::Listed;
 use crate::view::Upstream;
 
 /// Part of the retries allowed by requests that is spent on purpose. The rest covers
@@ -123,22 +126,23 @@
     }
 
     /// Takes the service's instances, whole.
-    pub fn update<'a>(
-        &mut self,
-        now: Moment,
-        rows: impl Iterator<Item = (Phase, &'a Arc<Upstream>)>,
-    ) {
+    pub fn update<'a>(&mut self, now: Moment, rows: impl Iterator<Item = Listed<'a>>) {
         self.rows.clear();
         let mut table = Vec::new();
-        for (phase, upstream) in rows {
+        for listed in rows {
+            let upstream = listed.upstream;
             let instance = Instance {
                 id: upstream.id.clone(),
                 incarnation: upstream.incarnation,
                 domain: upstream.domain.clone(),
                 slots: upstream.slots,
-                phase,
+                phase: phase(listed.phase),
             };
-            table.push((instance, upstream.cold));
+            table.push(Told {
+                instance,
+                cold: upstream.cold,
+                silent: listed.silent,
+            });
             self.rows.insert(upstream.id.clone(), Arc::clone(upstream));
         }
         self.chooser.update(now, &table);
@@ -289,3 +293,11 @@
         burst: BURST,
     }
 }
+
+fn phase(told: WirePhase) -> Phase {
+    match told {
+        WirePhase::Ready => Phase::Ready,
+        WirePhase::Draining | WirePhase::Unspecified => Phase::Draining,
+        WirePhase::Gone => Phase::Gone,
+    }
+}
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -85,6 +85,11 @@
         let seeds = settings.seeds.iter();
         let seeds: Vec<SocketAddr> = seeds.map(|seed| settings.hub_at(seed.ip())).collect();
         let wanted = hubs.wanted(&seeds);
+        let live = hubs.live();
+        // While no hub answers, what they have heard last is all that is known.
+        if !live.is_empty() {
+            core.keep_hearers(&live);
+        }
         watches.retain(|address, _| wanted.contains(address));
         for address in wanted {
             watches.entry(address).or_insert_with(|| {
@@ -223,10 +228,10 @@
     /// Takes what the hub tells of instances, all of them or changes.
     fn take_news(&self, reply: &WatchReply) {
         if reply.whole.is_empty() {
-            return self.core.take_instances(&reply.instances);
+            return self.core.take_instances(self.address, &reply.instances);
         }
         match registry::unpack(&reply.whole) {
-            Ok(all) => self.core.take_instances(&all),
+            Ok(all) => self.core.take_instances(self.address, &all),
             Err(err) => {
                 warn!(self.core.log, "bad list of instances"; "hub" => %self.address,
                     "error" => %err);
--- a/crates/entry/src/sync/hubs.rs
+++ b/crates/entry/src/sync/hubs.rs
@@ -5,6 +5,7 @@
 //! that answers, a table from the one that told of it first. With all hubs sending
 //! both, the links of 90 entry hosts were full for 12 s after a table of 1,440 routes.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::hash::BuildHasher;
 use std::hash::RandomState;
@@ -100,6 +101,16 @@
         wanted
     }
 
+    /// The hubs that answered within the time after which one is let go.
+    #[must_use]
+    pub fn live(&self) -> BTreeSet<SocketAddr> {
+        let hubs = self.seen();
+        let live = hubs
+            .iter()
+            .filter(|(_, seen)| seen.answered.elapsed() < FORGET);
+        live.map(|(address, _)| *address).collect()
+    }
+
     /// How long the hubs hold a watch while nothing changes.
     #[must_use]
     pub fn wait(&self) -> Duration {
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -3,6 +3,7 @@
 //! Invariant: the table's version never goes back while the process lives, nor
 //! does an instance to an earlier incarnation or phase.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -72,6 +73,8 @@
     told: Instance,
     /// None for one that left before it was ever announced.
     upstream: Option<Arc<Upstream>>,
+    /// The hubs that have heard it lately.
+    hearers: BTreeSet<SocketAddr>,
 }
 
 impl Row {
@@ -79,11 +82,26 @@
         Self {
             upstream: upstream(&told),
             told,
+            hearers: BTreeSet::new(),
         }
     }
 
+    /// Takes whether a hub has heard it; gives whether it falls silent or is heard again.
+    fn hear(&mut self, hub: SocketAddr, heard: bool) -> bool {
+        let before = self.hearers.is_empty();
+        if heard {
+            self.hearers.insert(hub);
+        } else {
+            self.hearers.remove(&hub);
+        }
+        before != self.hearers.is_empty()
+    }
+
     /// Takes a newer announcement; connections stay with what they were opened to.
     fn replace(&mut self, next: Instance) {
+        if next.incarnation != self.told.incarnation {
+            self.hearers.clear();
+        }
         let same = next.address == self.told.address && next.incarnation == self.told.incarnation;
         if next.phase() != Phase::Gone && !same {
             self.upstream = upstream(&next);
@@ -96,6 +114,17 @@
     }
 }
 
+/// One instance of a service as it stands now.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed<'a> {
+    /// What it announced.
+    pub phase: Phase,
+    /// No hub has heard it lately.
+    pub silent: bool,
+    /// It, with connections to it.
+    pub upstream: &'a Arc<Upstream>,
+}
+
 /// All instances that any hub told of.
 #[derive(Debug, Default)]
 pub struct Instances {
@@ -103,11 +132,12 @@
 }
 
 impl Instances {
-    /// Takes an announcement; gives the services whose instances have changed, two where
-    /// an instance started again in another one.
-    pub fn take(&mut self, instance: &Instance) -> Vec<ServiceName> {
+    /// Takes what a hub tells of an instance; gives the services whose instances have
+    /// changed, two where an instance started again in another one.
+    pub fn take(&mut self, hub: SocketAddr, instance: &Instance) -> Vec<ServiceName> {
         let Some(row) = self.rows.get_mut(&instance.id) else {
-            let row = Row::new(instance.clone());
+            let mut row = Row::new(instance.clone());
+            row.hear(hub, instance.heard);
             let service = row.service();
             self.rows.insert(instance.id.clone(), row);
             return service.into_iter().collect();
@@ -117,20 +147,42 @@
             Merged::Stale => return Vec::new(),
             Merged::Known(next) => {
                 row.told = next;
-                return Vec::new();
+                let changed = row.hear(hub, instance.heard);
+                return before.into_iter().filter(|_| changed).collect();
             }
             Merged::Changed(next) => row.replace(next),
         }
+        row.hear(hub, instance.heard);
         let after = row.service().filter(|after| before.as_ref() != Some(after));
         before.into_iter().chain(after).collect()
     }
 
+    /// Forgets what hubs other than `hubs` have heard; gives the services with an
+    /// instance that falls silent.
+    pub fn keep_hearers(&mut self, hubs: &BTreeSet<SocketAddr>) -> Vec<ServiceName> {
+        let mut changed = Vec::new();
+        for row in self.rows.values_mut() {
+            let before = row.hearers.is_empty();
+            row.hearers.retain(|hub| hubs.contains(hub));
+            if before != row.hearers.is_empty() {
+                changed.extend(row.service());
+            }
+        }
+        changed
+    }
+
     /// The instances of a service that have not left.
-    pub fn of(&self, service: &ServiceName) -> impl Iterator<Item = (Phase, &Arc<Upstream>)> {
+    pub fn of(&self, service: &ServiceName) -> impl Iterator<Item = Listed<'_>> {
         let here = |row: &&Row| row.told.phase() != Phase::Gone;
         let rows = self.rows.values().filter(here);
-        let found = rows.filter_map(|row| Some((row.told.phase(), row.upstream.as_ref()?)));
-        found.filter(move |(_, upstream)| upstream.service == *service)
+        let found = rows.filter_map(|row| {
+            Some(Listed {
+                phase: row.told.phase(),
+                silent: row.hearers.is_empty(),
+                upstream: row.upstream.as_ref()?,
+            })
+        });
+        found.filter(move |listed| listed.upstream.service == *service)
     }
 }
 
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -4,6 +4,8 @@
 pub mod caller;
 pub mod upstream;
 
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -26,6 +28,8 @@
 
 /// The host name of all routes.
 pub const HOST: &str = "example.org";
+/// The hub that tells of instances.
+pub const HUB: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7012);
 /// A route whose requests may run more than once.
 pub const READ: &str = "/read/";
 /// A route whose requests may not.
@@ -116,7 +120,7 @@
     let entry = bare().await;
     entry.core().set_table(table(1));
     let rows: Vec<Instance> = upstreams.iter().map(|u| instance(u, "status")).collect();
-    entry.core().take_instances(&rows);
+    entry.core().take_instances(HUB, &rows);
     entry
 }
 
--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -92,6 +92,11 @@
         }
         let phase = instance.phase();
         let taken = self.state.take([&instance]);
+        if phase != Phase::Gone {
+            // Watchers learn of it with the next look at what was missed.
+            let now = self.state.clock.now();
+            self.state.known().registry.hear(now, &instance);
+        }
         if taken != Taken::Known {
             info!(self.state.log, "announcement"; "instance" => &instance.id,
                 "phase" => phase.as_str_name(), "incarnation" => instance.incarnation,
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -80,7 +80,7 @@
         let mut tasks = vec![
             AbortOnDropHandle::new(tokio::spawn(accepting)),
             AbortOnDropHandle::new(tokio::spawn(peers::follow_group(Arc::clone(&state)))),
-            AbortOnDropHandle::new(tokio::spawn(peers::follow_entries(Arc::clone(&state)))),
+            AbortOnDropHandle::new(tokio::spawn(peers::follow_lost(Arc::clone(&state)))),
             AbortOnDropHandle::new(tokio::spawn(peers::follow_registry(state))),
         ];
         let mut http = None;
--- a/crates/hub/src/peers.rs
+++ b/crates/hub/src/peers.rs
@@ -11,8 +11,9 @@
 
 /// Between two looks at the group; entry processes learn of a new hub after this.
 const LOOK: Duration = Duration::from_millis(500);
-/// Between two looks at the entry hosts; short beside the time in which one is
-/// seen to be lost.
+/// Between two looks at entry hosts and instances; short beside the time in which one
+/// is seen to be lost. After a restart hundreds of instances are heard within 150 ms,
+/// and watchers are told of all that came between two looks at once.
 const GLANCE: Duration = Duration::from_millis(100);
 
 /// Keeps the list of hubs. Never ends.
@@ -40,11 +41,14 @@
     }
 }
 
-/// Looks for entry hosts that were lost, and tells watchers. Never ends.
-pub async fn follow_entries(state: Arc<State>) {
+/// Looks for entry hosts that were lost and instances that fell silent, and tells
+/// watchers. Never ends.
+pub async fn follow_lost(state: Arc<State>) {
     loop {
         tokio::time::sleep(GLANCE).await;
         let now = state.clock.now();
+        state.known().registry.miss(now, state.settings.lease);
+        state.publish();
         let next = List::new(state.known().entries.list(now));
         state.list.send_if_modified(|list| {
             let changed = list.mark != next.mark;
--- a/crates/hub/src/settings.rs
+++ b/crates/hub/src/settings.rs
@@ -36,6 +36,9 @@
 const SEGMENT: Bytes = Bytes(256 * 1024);
 /// How long callers may keep a list of entry hosts, by default.
 const TTL: Duration = Duration::from_secs(2);
+/// How long an instance counts as heard after an announcement, by default: three
+/// announcements that come every 1.5 s, and half a second for the last.
+const LEASE: Duration = Duration::from_secs(5);
 /// Entry hosts that a caller is told at least, by default: one may be lost, and one
 /// may be stopping.
 const SPREAD: u32 = 3;
@@ -73,6 +76,8 @@
     pub ttl: Duration,
     /// Entry hosts that a caller is told where its failure domain has fewer.
     pub spread: usize,
+    /// How long an instance counts as heard after an announcement.
+    pub lease: Duration,
     /// Log and metrics.
     pub telemetry: telemetry::Settings,
 }
@@ -93,6 +98,7 @@
             found: false,
             ttl: TTL,
             spread: SPREAD as usize,
+            lease: LEASE,
             telemetry: telemetry::Settings::default(),
         }
     }
@@ -122,6 +128,7 @@
         let found = r.or(HUB, "found", false);
         let ttl = r.or(HUB, "ttl", TTL);
         let spread: u32 = r.or(HUB, "spread", SPREAD);
+        let lease = r.or(HUB, "lease", LEASE);
         let telemetry = telemetry::Settings::read(r);
         let last = u32::from(u16::MAX - PORTS);
         if let Some(port) = port.filter(|p| *p > last) {
@@ -140,6 +147,7 @@
             found,
             ttl,
             spread: usize::try_from(spread).unwrap_or(usize::MAX),
+            lease,
             telemetry,
         })
     }
@@ -218,6 +226,7 @@
         writeln!(f, "found = {}", if self.found { "yes" } else { "no" })?;
         writeln!(f, "ttl = {}", duration_text(self.ttl))?;
         writeln!(f, "spread = {}", self.spread)?;
+        writeln!(f, "lease = {}", duration_text(self.lease))?;
         write!(f, "\n{}", self.telemetry)
     }
 }
--- a/crates/hub/src/state.rs
+++ b/crates/hub/src/state.rs
@@ -104,8 +104,7 @@
         let mut known = self.known();
         let cursor = known.registry.cursor();
         if known.packed.0 != cursor {
-            let rows = known.registry.all().cloned().collect();
-            match registry::pack(rows) {
+            match registry::pack(known.registry.shown()) {
                 Ok(packed) => known.packed = (cursor, packed.into()),
                 Err(err) => {
                     warn!(self.log, "instances not packed"; "error" => %err);
@@ -118,8 +117,9 @@
     }
 
     /// Wakes whoever waits for a change of the registry.
-    fn publish(&self) {
+    pub fn publish(&self) {
         let cursor = self.known().registry.cursor();
-        self.cursor.send_replace(cursor);
+        self.cursor
+            .send_if_modified(|held| std::mem::replace(held, cursor) != cursor);
     }
 }
--- a/crates/registry/src/merge.rs
+++ b/crates/registry/src/merge.rs
@@ -84,11 +84,13 @@
     next
 }
 
-/// Whether watchers would see no difference; the sequence rises all the time.
+/// Whether watchers would see no difference; the sequence rises all the time, and who
+/// has heard it is told apart from it.
 fn is_same(held: &Instance, next: &Instance) -> bool {
     let bare = |instance: &Instance| Instance {
         sequence: 0,
         warmup_ms: 0,
+        heard: false,
         ..instance.clone()
     };
     bare(held) == bare(next)
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -37,7 +37,20 @@
 struct Row {
     instance: Instance,
     changed: u64,
-    heard: Moment,
+    /// When it was last told of, by itself or by way of the log.
+    told: Moment,
+    /// When it last announced itself here, as long as that counts.
+    heard: Option<Moment>,
+}
+
+impl Row {
+    /// As watchers are told of it.
+    fn shown(&self) -> Instance {
+        Instance {
+            heard: self.heard.is_some(),
+            ..self.instance.clone()
+        }
+    }
 }
 
 /// All announced instances.
@@ -64,7 +77,10 @@
             Merged::Known(next) => (next, Taken::Known),
             Merged::Changed(next) => (next, Taken::Changed),
         };
-        row.heard = now;
+        row.told = now;
+        if next.incarnation != row.instance.incarnation {
+            row.heard = None;
+        }
         row.instance = next;
         if taken == Taken::Changed {
             self.cursor += 1;
@@ -77,7 +93,8 @@
         self.cursor += 1;
         let row = Row {
             changed: self.cursor,
-            heard: now,
+            told: now,
+            heard: None,
             instance,
         };
         self.rows.insert(row.instance.id.clone(), row);
@@ -93,7 +110,38 @@
     #[must_use]
     pub fn since(&self, cursor: u64) -> Vec<Instance> {
         let newer = self.rows.values().filter(|row| row.changed > cursor);
-        newer.map(|row| row.instance.clone()).collect()
+        newer.map(Row::shown).collect()
+    }
+
+    /// All instances as watchers are told of them.
+    #[must_use]
+    pub fn shown(&self) -> Vec<Instance> {
+        self.rows.values().map(Row::shown).collect()
+    }
+
+    /// Notes that the instance has announced itself here, in the incarnation that is held.
+    pub fn hear(&mut self, now: Moment, instance: &Instance) {
+        let Some(row) = self.rows.get_mut(&instance.id) else {
+            return;
+        };
+        if row.instance.incarnation != instance.incarnation {
+            return;
+        }
+        if row.heard.replace(now).is_none() {
+            self.cursor += 1;
+            row.changed = self.cursor;
+        }
+    }
+
+    /// Notes which instances haven't announced themselves here for `lease`.
+    pub fn miss(&mut self, now: Moment, lease: Duration) {
+        for row in self.rows.values_mut() {
+            if row.heard.is_some_and(|at| now.since(at) >= lease) {
+                row.heard = None;
+                self.cursor += 1;
+                row.changed = self.cursor;
+            }
+        }
     }
 
     /// One instance.
@@ -117,7 +165,7 @@
     /// Forgets ids that left long ago.
     pub fn forget(&mut self, now: Moment) {
         self.rows.retain(|_, row| {
-            row.instance.phase() != Phase::Gone || now.since(row.heard) < KEEP_GONE
+            row.instance.phase() != Phase::Gone || now.since(row.told) < KEEP_GONE
         });
     }
 }
--- a/crates/registry/tests/test_registry.rs
+++ b/crates/registry/tests/test_registry.rs
@@ -1,5 +1,7 @@
 //! Announcements that come late, twice, and out of order.
 
+use std::time::Duration;
+
 use base::prelude::*;
 use quickcheck::TestResult;
 use quickcheck::quickcheck;
@@ -392,3 +394,37 @@
     assert!(unpack(&packed[..packed.len() / 2]).is_err());
     assert!(unpack(b"other").is_err());
 }
+
+/// Told of by the log, heard, silent for a lease, heard again; each is a change that
+/// watchers learn of, and none is one of what is known of it.
+#[test]
+fn test_registry_tells_which_instances_were_heard() {
+    const LEASE: Duration = Duration::from_secs(5);
+    let later = |secs| NOW + Duration::from_secs(secs);
+    let mut registry = Registry::default();
+    let ready = life(1, 3, Phase::Ready);
+    registry.take(NOW, ready.clone());
+    let heard = |registry: &Registry| registry.shown().iter().all(|i| i.heard);
+    assert!(!heard(&registry));
+    let seen = registry.cursor();
+    registry.hear(NOW, &ready);
+    assert!(heard(&registry) && registry.since(seen).len() == 1);
+    let seen = registry.cursor();
+    registry.hear(later(4), &ready);
+    registry.miss(later(8), LEASE);
+    assert!(heard(&registry) && registry.since(seen).is_empty());
+    registry.miss(later(9), LEASE);
+    assert!(!heard(&registry) && registry.since(seen).len() == 1);
+    // A late call of an earlier start isn't a sign of life.
+    registry.hear(later(9), &life(0, 9, Phase::Ready));
+    assert!(!heard(&registry));
+    registry.hear(later(10), &ready);
+    assert!(heard(&registry));
+    // The next start has yet to be heard.
+    registry.take(later(11), life(2, 1, Phase::Ready));
+    assert!(!heard(&registry));
+    assert_eq!(
+        registry.take(later(11), life(2, 2, Phase::Ready)),
+        Taken::Known
+    );
+}
--- a/crates/route/src/entry.rs
+++ b/crates/route/src/entry.rs
@@ -184,7 +184,7 @@
     pub(crate) fn needs_probe(&self, now: Moment) -> bool {
         let asked = self.probed.is_some_and(|at| at > self.waited_at);
         let suspect = self.is_suspect() && !asked && self.health.is_in();
-        suspect || self.health.wants_probe(now)
+        suspect || self.health.wants_probe(now, Duration::ZERO)
     }
 
     /// Whether it gets work and its newest report is as old as `limit`.
--- a/crates/route/src/fresh.rs
+++ b/crates/route/src/fresh.rs
@@ -24,9 +24,9 @@
 use crate::cost::Need;
 use crate::health::Health;
 use crate::health::State;
-use crate::instance::Instance;
 use crate::instance::Phase;
 use crate::instance::Pick;
+use crate::instance::Told;
 use crate::outcome::LoadReport;
 use crate::policy::Reason;
 
@@ -45,6 +45,15 @@
 const KNOWN: Duration = Duration::from_millis(150);
 /// Part of the cost that is random, so that equal ones take turns.
 const JITTER: f64 = 0.01;
+/// Put to the rank of an instance that may be gone, over that of any other, so that it
+/// is asked only when no other is left to ask. After a restart of everything one probe in
+/// three went to an instance that had crashed and was still in the log.
+const SILENT_RANK: f64 = 2.0;
+/// Put to the cost of sending to one that may be gone and tells nothing: a request lost.
+const SILENT_COST: f64 = 1.0;
+/// An ejected one that may be gone is asked so much later whether it is back: it is
+/// heard when it is, unless it is cut off from all hubs.
+const SILENT_PAUSE: Duration = Duration::from_secs(5);
 /// Likelihood of a late answer from which waiting is better than sending.
 const LATE: f64 = 0.5;
 
@@ -91,6 +100,9 @@
     rows: Vec<Row>,
     usual: Usual,
     processes: u32,
+    /// Most instances were heard, so that silence tells something. Just after a restart
+    /// of everything it would send all requests to the first few that were heard.
+    heard: bool,
 }
 
 impl Fresh {
@@ -103,6 +115,7 @@
             rows: Vec::new(),
             usual: Usual::default(),
             processes: 1,
+            heard: false,
         }
     }
 
@@ -111,23 +124,28 @@
         self.processes = processes.max(1);
     }
 
-    /// Takes the service's instances, whole: one that is lacking has gone. Each
-    /// comes with the time for which it is still slow after its start.
-    pub fn update(&mut self, now: Moment, table: &[(Instance, Duration)]) {
+    /// Takes the service's instances, whole: one that is lacking has gone.
+    pub fn update(&mut self, now: Moment, table: &[Told]) {
         for row in &mut self.rows {
-            if !table.iter().any(|(next, _)| next.is_same(&row.instance)) {
+            let here = |told: &Told| told.instance.is_same(&row.instance);
+            if !table.iter().any(here) {
                 row.instance.phase = Phase::Gone;
             }
         }
-        for (instance, cold) in table {
-            self.take(now, instance, *cold);
+        for told in table {
+            self.take(now, told);
         }
+        let ready = self.rows.iter().filter(|row| row.is_ready());
+        let (silent, heard): (Vec<&Row>, Vec<&Row>) = ready.partition(|row| row.silent);
+        self.heard = silent.len() < heard.len();
     }
 
-    fn take(&mut self, now: Moment, instance: &Instance, cold: Duration) {
+    fn take(&mut self, now: Moment, told: &Told) {
+        let instance = &told.instance;
         let mut rows = self.rows.iter_mut();
         if let Some(row) = rows.find(|r| r.instance.is_same(instance)) {
             row.instance.clone_from(instance);
+            row.silent = told.silent;
             return;
         }
         if instance.phase == Phase::Gone {
@@ -140,10 +158,11 @@
             starts: Vec::new(),
             report: None,
             since: 0,
-            cold_until: now + cold,
+            cold_until: now + told.cold,
             probing: 0,
             mute: false,
             displaced: false,
+            silent: told.silent,
         };
         let gone = |r: &&mut Row| r.instance.phase == Phase::Gone && r.starts.is_empty();
         match self.rows.iter_mut().find(gone) {
@@ -179,10 +198,15 @@
                 continue;
             }
             let cost = self.cost(now, need, row);
-            // Nearer ones first, then by what they are likely to cost.
+            // Those that were heard first, nearer ones, then by what they are likely to cost.
+            let silent = if self.may_be_gone(row) {
+                SILENT_RANK
+            } else {
+                0.0
+            };
             let far = if self.crosses(row) { 1.0 } else { 0.0 };
             let random: f64 = self.rng.random();
-            open.push((index, far + cost.min(1.0) * 0.5 + random * 0.25));
+            open.push((index, silent + far + cost.min(1.0) * 0.5 + random * 0.25));
         }
         open.sort_by(|a, b| a.1.total_cmp(&b.1));
         let count = allow(open.len().min(ROUND));
@@ -318,6 +342,8 @@
                 continue;
             }
             let cost = self.cost(now, need, row);
+            let blind = self.may_be_gone(row) && row.age(now).is_none_or(|age| age >= KNOWN);
+            let cost = cost + if blind { SILENT_COST } else { 0.0 };
             let cost = cost + JITTER * self.rng.random::<f64>();
             if best.is_none_or(|(_, least)| cost < least) {
                 best = Some((index, cost));
@@ -332,6 +358,11 @@
         cost::cost(&standing, need, self.crosses(row))
     }
 
+    /// Whether it has fallen silent while most of the others are heard.
+    fn may_be_gone(&self, row: &Row) -> bool {
+        row.silent && self.heard
+    }
+
     /// Whether it is in another failure domain than the gateway.
     fn crosses(&self, row: &Row) -> bool {
         row.instance.domain != self.domain
@@ -355,7 +386,14 @@
     ///
     /// `allow` is told how many are wanted, and says how many may be asked.
     pub fn ejected(&mut self, now: Moment, allow: impl FnOnce(usize) -> usize) -> Vec<Pick> {
-        let due = |r: &Row| r.is_ready() && r.probing == 0 && r.health.wants_probe(now);
+        let due = |r: &Row| {
+            let since = if self.may_be_gone(r) {
+                SILENT_PAUSE
+            } else {
+                Duration::ZERO
+            };
+            r.is_ready() && r.probing == 0 && r.health.wants_probe(now, since)
+        };
         let mut due: Vec<usize> = (0..self.rows.len())
             .filter(|i| due(&self.rows[*i]))
             .collect();
--- a/crates/route/src/fresh/row.rs
+++ b/crates/route/src/fresh/row.rs
@@ -35,6 +35,8 @@
     pub(super) mute: bool,
     /// Another instance has its address.
     pub(super) displaced: bool,
+    /// It hasn't announced itself lately, so it may be gone.
+    pub(super) silent: bool,
 }
 
 impl Row {
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -182,9 +182,9 @@
         }
     }
 
-    /// Whether a probe could end the ejection.
-    pub(crate) fn wants_probe(&self, now: Moment) -> bool {
-        matches!(self.state, State::Ejected { until, .. } if until <= now)
+    /// Whether a probe could end the ejection, whose time has been over for `since`.
+    pub(crate) fn wants_probe(&self, now: Moment, since: Duration) -> bool {
+        matches!(self.state, State::Ejected { until, .. } if until + since <= now)
     }
 
     /// Share of failures among recent results, from 0 to 1.
--- a/crates/route/src/instance.rs
+++ b/crates/route/src/instance.rs
@@ -1,5 +1,7 @@
 //! What the directory says of an instance, and handles to it.
 
+use std::time::Duration;
+
 use base::prelude::DomainName;
 use base::prelude::InstanceId;
 use base::prelude::Moment;
@@ -37,6 +39,17 @@
     pub phase: Phase,
 }
 
+/// An instance as a chooser is told of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// It.
+    pub instance: Instance,
+    /// How long it is still slow after its start.
+    pub cold: Duration,
+    /// It hasn't announced itself lately, so it may be gone.
+    pub silent: bool,
+}
+
 impl Instance {
     /// Whether both are the same start of the same instance.
     #[must_use]
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -32,6 +32,7 @@
 pub use instance::Phase;
 pub use instance::Pick;
 pub use instance::Ticket;
+pub use instance::Told;
 pub use outcome::Kind;
 pub use outcome::LoadReport;
 pub use outcome::Outcome;
--- a/crates/route/tests/test_fresh.rs
+++ b/crates/route/tests/test_fresh.rs
@@ -13,6 +13,7 @@
 use route::Need;
 use route::Phase;
 use route::Pick;
+use route::Told;
 use route::cost;
 use route::cost::Paces;
 use route::cost::Standing;
@@ -28,7 +29,7 @@
     DomainName::new(name).expect("a name")
 }
 
-fn instance(id: &str, place: &str) -> (Instance, Duration) {
+fn instance(id: &str, place: &str) -> Told {
     let instance = Instance {
         id: InstanceId::new(id).expect("a name"),
         incarnation: 0,
@@ -36,10 +37,14 @@
         slots: 6,
         phase: Phase::Ready,
     };
-    (instance, Duration::ZERO)
+    Told {
+        instance,
+        cold: Duration::ZERO,
+        silent: false,
+    }
 }
 
-fn fresh(rows: &[(Instance, Duration)]) -> Fresh {
+fn fresh(rows: &[Told]) -> Fresh {
     let mut fresh = Fresh::new(domain("a"), 7);
     fresh.update(at(0), rows);
     fresh
@@ -168,9 +173,9 @@
 
 #[test]
 fn test_fresh_late_request_gets_the_only_slot_of_an_idle_instance() {
-    let (mut single, cold) = instance("i-1", "a");
-    single.slots = 1;
-    let mut fresh = fresh(&[(single, cold)]);
+    let mut single = instance("i-1", "a");
+    single.instance.slots = 1;
+    let mut fresh = fresh(&[single]);
     let idle = LoadReport {
         slots: 1,
         ..report(0, 0, 100)
@@ -215,7 +220,7 @@
 fn test_fresh_leaving_and_displaced_instances_get_nothing() {
     let mut fresh = fresh(&["i-1", "i-2"].map(|id| instance(id, "a")));
     let mut leaving = instance("i-1", "a");
-    leaving.0.phase = Phase::Draining;
+    leaving.instance.phase = Phase::Draining;
     fresh.update(at(0), &[leaving, instance("i-2", "a")]);
     for step in 0..20 {
         let (id, _) = sent(&mut fresh, at(step)).expect("one is left");
@@ -315,14 +320,9 @@
 #[test]
 fn test_fresh_instance_that_starts_again_is_judged_anew() {
     let row = |incarnation| {
-        let (instance, cold) = instance("i-1", "a");
-        (
-            Instance {
-                incarnation,
-                ..instance
-            },
-            cold,
-        )
+        let mut told = instance("i-1", "a");
+        told.instance.incarnation = incarnation;
+        told
     };
     let mut fresh = fresh(&[row(1), instance("i-2", "a")]);
     let first = fresh.plan(at(0), &NEED, &[], 0, |count| count);
@@ -347,3 +347,51 @@
         .collect();
     assert!(names.contains(&"i-1"), "{names:?}");
 }
+
+/// After a restart of everything nobody has a report, and crashed instances are still told of.
+#[test]
+fn test_fresh_asks_and_sends_to_those_that_were_heard_first() {
+    let silent = |id: &str, place: &str| Told {
+        silent: true,
+        ..instance(id, place)
+    };
+    let mut fresh = fresh(&[
+        silent("gone-1", "a"),
+        silent("gone-2", "a"),
+        instance("i-1", "b"),
+        instance("i-2", "b"),
+        instance("i-3", "b"),
+    ]);
+    // Nothing may be asked, so the first is sent blindly.
+    assert!(fresh.plan(at(0), &NEED, &[], 0, |_| 0).is_empty());
+    let (id, _) = sent(&mut fresh, at(0)).expect("sent");
+    assert!(id.starts_with("i-"), "{id}");
+    let heard = fresh.plan(at(0), &NEED, &[], 0, |count| count);
+    let asked = heard.iter().filter_map(|p| fresh.id(*p));
+    let asked: Vec<&str> = asked.map(InstanceId::as_str).collect();
+    assert!(asked.iter().all(|id| id.starts_with("i-")), "{asked:?}");
+    // One that answers is as good as any, heard or not.
+    for pick in fresh.plan(at(1), &NEED, &heard, 0, |count| count) {
+        fresh.probed(at(1), pick, Some(report(0, 0, 100)));
+    }
+    let (id, _) = sent(&mut fresh, at(1)).expect("sent");
+    assert!(id.starts_with("gone-"), "near and well: {id}");
+}
+
+/// The news of who is heard has just begun to come in.
+#[test]
+fn test_fresh_few_that_were_heard_do_not_get_all() {
+    let silent = |id: &str| Told {
+        silent: true,
+        ..instance(id, "a")
+    };
+    let mut rows: Vec<Told> = (0..9).map(|n| silent(&format!("s-{n}"))).collect();
+    rows.push(instance("i-1", "a"));
+    let mut fresh = fresh(&rows);
+    let mut names = std::collections::BTreeSet::new();
+    for _ in 0..20 {
+        let asked = fresh.plan(at(0), &NEED, &[], 0, |count| count);
+        names.extend(asked.iter().filter_map(|p| fresh.id(*p)).cloned());
+    }
+    assert!(names.len() >= 8, "{names:?}");
+}
