entry: room at a slow machine is no reason to go there

Hypothesis: a request that waits is handed to the instance at which an attempt ends, slow or not, so some wait for an answer that comes late.

Now such a one waits on, up to the last moment at which it can be in time, as a choice that found only slow machines does.

--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -200,7 +200,18 @@
 
     /// Chooses an instance, none of `exclude` if another is left.
     pub fn choose(&mut self, now: Moment, need: &Need, exclude: &[Pick]) -> Verdict {
-        match self.chooser.choose(now, need, exclude) {
+        let decision = self.chooser.choose(now, need, exclude);
+        self.verdict(decision)
+    }
+
+    /// Chooses an instance that has just got room.
+    pub fn choose_this(&mut self, now: Moment, need: &Need, pick: Pick) -> Verdict {
+        let decision = self.chooser.choose_this(now, need, pick);
+        self.verdict(decision)
+    }
+
+    fn verdict(&self, decision: Decision) -> Verdict {
+        match decision {
             Decision::Send(choice) => self.chosen(choice).map_or(Verdict::None, Verdict::Send),
             Decision::Slow(choice) => self.chosen(choice).map_or(Verdict::None, Verdict::Slow),
             Decision::Wait => Verdict::Wait,
@@ -208,12 +219,6 @@
         }
     }
 
-    /// Sends to an instance that has just got room.
-    pub fn choose_this(&mut self, now: Moment, need: &Need, pick: Pick) -> Option<Chosen> {
-        let choice = self.chooser.choose_this(now, need, pick)?;
-        self.chosen(choice)
-    }
-
     fn chosen(&self, choice: FreshChoice) -> Option<Chosen> {
         let id = self.chooser.id(choice.pick)?;
         let upstream = Arc::clone(self.rows.get(id)?);
--- a/crates/entry/src/flow/choice.rs
+++ b/crates/entry/src/flow/choice.rs
@@ -83,7 +83,11 @@
         let told = tokio::time::timeout(span, told).await;
         self.core.counters.waited(&self.service, began.elapsed());
         let pick = told.ok()?.ok()?;
-        self.desk(|desk, now| desk.choose_this(now, need, pick))?
+        match self.desk(|desk, now| desk.choose_this(now, need, pick))? {
+            Verdict::Send(chosen) => Some(chosen),
+            // The machine is slow now: there is time to wait for another one.
+            Verdict::Slow(_) | Verdict::Wait | Verdict::None => None,
+        }
     }
 
     /// How long after its start a request still waits for room: as long as it can be
--- a/crates/route/src/fresh.rs
+++ b/crates/route/src/fresh.rs
@@ -268,12 +268,19 @@
         own < usize::try_from(share).unwrap_or(usize::MAX)
     }
 
-    /// Sends to an instance that has just got room, if it still takes work.
-    pub fn choose_this(&mut self, now: Moment, need: &Need, pick: Pick) -> Option<FreshChoice> {
+    /// Chooses an instance that has just got room; waits on where it takes no work any
+    /// more.
+    pub fn choose_this(&mut self, now: Moment, need: &Need, pick: Pick) -> Decision {
         let index = pick.index as usize;
-        let row = self.rows.get(index)?;
-        let usable = row.epoch == pick.epoch && self.is_usable(index, &[]);
-        usable.then(|| self.chosen(now, need, index, Reason::Fresh))
+        let known = self
+            .rows
+            .get(index)
+            .is_some_and(|row| row.epoch == pick.epoch);
+        if known && self.is_usable(index, &[]) {
+            self.decided(now, need, index, Reason::Fresh)
+        } else {
+            Decision::Wait
+        }
     }
 
     /// Whether the instance has room for one more as far as its newest report goes.
