dispatch, entry: one entry process decides for a service

Hypothesis: in a burst the choice starves for knowledge.

For each service of few instances one entry process, named by rendezvous hashing over the entry hosts that the hubs list, looks for instances on behalf of all, by the same code as for its own requests; the others ask it in one round trip and tell it of the end. It has three quarters of the service's measuring budget. One that is silent for 60 ms is left alone for 250, and each decides for itself meanwhile. A grant is placement only: what may be sent where, and at most once, stays with the sender, which checks what it knows of the instance. Numbers and ends of grants, trust, and who may spend what are a crate of plain state, dispatch.

A health streak counts against the number of recent results: where 30 % of the answers are lost, three failures in a row ejected half of the instances at a process that sees all.

--- /dev/null
+++ b/crates/dispatch/tests/test_dispatch.rs
@@ -0,0 +1,108 @@
+//! Who dispatches, whether it answers, and what it gave away.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use base::prelude::*;
+use dispatch::Grants;
+use dispatch::Tenure;
+use dispatch::Trust;
+use dispatch::dispatcher;
+use quickcheck::quickcheck;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(1_000 + millis)
+}
+
+fn service(number: u32) -> ServiceName {
+    ServiceName::new(&format!("service-{number}")).expect("a name")
+}
+
+fn hosts(count: u32) -> Vec<String> {
+    (0..count).map(|n| format!("10.0.0.{n}:7013")).collect()
+}
+
+fn named(number: u32, hosts: &[String]) -> Option<&str> {
+    dispatcher(&service(number), hosts.iter().map(String::as_str))
+}
+
+#[test]
+fn test_dispatcher_services_spread_over_the_hosts() {
+    let hosts = hosts(17);
+    let used: BTreeSet<&str> = (0..100).filter_map(|n| named(n, &hosts)).collect();
+    assert!(used.len() >= 15, "{} of 17", used.len());
+    assert_eq!(named(1, &[]), None);
+}
+
+quickcheck! {
+    /// In whatever order the hosts are told, and whoever else leaves.
+    fn prop_dispatcher_moves_only_when_it_leaves(number: u32, leaver: u8) -> bool {
+        let all = hosts(17);
+        let first = named(number, &all);
+        let mut left = all.clone();
+        let leaver = left.remove(usize::from(leaver) % 17);
+        left.reverse();
+        let second = named(number, &left);
+        first == Some(leaver.as_str()) || first == second
+    }
+}
+
+#[test]
+fn test_trust_silent_dispatcher_is_asked_no_more() {
+    let mut trust = Trust::default();
+    assert!(trust.ask(at(0)));
+    // Others ask while it still may answer, and none after.
+    assert!(trust.ask(at(59)));
+    assert!(!trust.ask(at(60)));
+    assert!(!trust.ask(at(300)));
+    assert!(trust.is_lost());
+    trust.failed(at(100));
+    trust.failed(at(160));
+    // One asks again after the pause.
+    assert!(!trust.ask(at(409)));
+    assert!(trust.ask(at(410)));
+    trust.answered(at(412));
+    assert!(!trust.is_lost() && trust.ask(at(413)));
+}
+
+#[test]
+fn test_trust_answers_of_any_question_count() {
+    let mut trust = Trust::default();
+    for step in 0..100 {
+        assert!(trust.ask(at(step * 30)), "step {step}");
+        if step > 0 {
+            trust.answered(at(step * 30 + 1));
+        }
+    }
+    // The first was never answered; it was given up by its caller.
+    trust.dropped();
+    assert!(trust.ask(at(60_000)));
+}
+
+#[test]
+fn test_grants_of_a_lost_process_end_with_their_time() {
+    let mut grants = Grants::starting(70);
+    let one = grants.grant(at(100), "one");
+    let two = grants.grant(at(200), "two");
+    assert_eq!((one, two, grants.len()), (70, 71, 2));
+    assert_eq!(grants.take(two), Some("two"));
+    assert_eq!(grants.take(two), None);
+    assert!(grants.over(at(99)).is_empty());
+    assert_eq!(grants.over(at(100)), ["one"]);
+    // It comes back late.
+    assert_eq!(grants.take(one), None);
+    assert!(grants.is_empty());
+}
+
+#[test]
+fn test_tenure_shared_budget_waits_for_the_one_before() {
+    let mut tenure = Tenure::default();
+    tenure.set(at(0), true);
+    tenure.set(at(200), true);
+    assert!(!tenure.is_settled(at(299)));
+    assert!(tenure.is_settled(at(300)));
+    tenure.set(at(1_100), false);
+    assert!(!tenure.is_settled(at(1_100)));
+    tenure.set(at(1_200), true);
+    assert!(!tenure.is_settled(at(1_200) + Duration::from_millis(299)));
+}
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -23,8 +23,10 @@
 
 use crate::counters::Counters;
 use crate::desk::Desk;
+use crate::desk::Dispatched;
 use crate::dialect::Dialect;
 use crate::habit::Habit;
+use crate::placing::Places;
 use crate::settings::Settings;
 use crate::view::Instances;
 use crate::view::Routes;
@@ -49,6 +51,8 @@
     habits: HashMap<Arc<str>, Habit>,
     hosts: Vec<EntryHost>,
     entries: u32,
+    /// Where others decide for a service.
+    dispatchers: HashMap<ServiceName, SocketAddr>,
 }
 
 /// The state of one entry process.
@@ -64,6 +68,8 @@
     pub clock: Clock,
     /// How far the stop has come.
     pub stage: watch::Sender<Stage>,
+    /// Dispatchers of services.
+    pub places: Places,
     /// Whether the table is known.
     pub routed: watch::Sender<bool>,
     routes: RwLock<Arc<Routes>>,
@@ -81,6 +87,7 @@
             counters,
             clock: Clock::start(),
             stage: watch::Sender::new(Stage::Serving),
+            places: Places::default(),
             routed: watch::Sender::new(false),
             routes: RwLock::default(),
             known: Mutex::default(),
@@ -104,6 +111,7 @@
             crossing: settings.crossing,
             retry: settings.retry,
             probes: settings.probes,
+            dispatched: settings.dispatched,
             stop: settings.stop,
             ..(*held).clone()
         };
@@ -194,6 +202,12 @@
             let new = || Desk::new(domain.clone(), &shared, rand::random(), now);
             desk.or_insert_with(new).update(now, rows);
         }
+        name_dispatchers(&settings, known, now);
+    }
+
+    /// Who decides for the service, where that is another process.
+    pub fn dispatcher(&self, service: &ServiceName) -> Option<SocketAddr> {
+        self.known().dispatchers.get(service).copied()
     }
 
     /// Takes how many entry processes share what is shared out.
@@ -248,6 +262,7 @@
         if !hosts.is_empty() && hosts != known.hosts {
             info!(self.log, "entry hosts"; "count" => hosts.len());
             known.hosts = hosts;
+            name_dispatchers(&self.settings(), &mut known, self.clock.now());
         }
     }
 
@@ -278,3 +293,28 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Takes over who decides for each service, after a change of entry hosts or instances.
+fn name_dispatchers(settings: &Settings, known: &mut Known, now: Moment) {
+    let places: Vec<&str> = known.hosts.iter().map(|host| &*host.place).collect();
+    let own = settings.place.map(|own| own.to_string());
+    known.dispatchers.clear();
+    for (service, desk) in &mut known.desks {
+        let few = desk.len() <= settings.dispatched;
+        let named = places.iter().copied().filter(|place| !place.is_empty());
+        let named = dispatch::dispatcher(service, named).filter(|_| few && own.is_some());
+        let here = named.is_some() && named == own.as_deref();
+        let elsewhere = named.filter(|_| !here).and_then(|named| named.parse().ok());
+        desk.set_dispatched(
+            now,
+            match (here, elsewhere) {
+                (true, _) => Dispatched::Here,
+                (false, Some(_)) => Dispatched::Elsewhere,
+                (false, None) => Dispatched::Nobody,
+            },
+        );
+        known
+            .dispatchers
+            .extend(elsewhere.map(|address| (service.clone(), address)));
+    }
+}
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -52,6 +52,15 @@
             .send();
     }
 
+    /// A question to a dispatcher.
+    pub fn placed(&self, service: &ServiceName, outcome: &str, span: Duration) {
+        self.client
+            .time_with_tags("entry.placing", span)
+            .with_tag("service", service.as_str())
+            .with_tag("outcome", outcome)
+            .send();
+    }
+
     /// A retry that no allowance was left for.
     pub fn unpaid(&self, service: &ServiceName) {
         self.client
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -8,6 +8,8 @@
 use attempt::budget::Budget;
 use attempt::budget::Share;
 use base::prelude::*;
+use dispatch::Grants;
+use dispatch::Tenure;
 use measure::Allowance;
 use route::Decision;
 use route::Fresh;
@@ -18,11 +20,18 @@
 use route::Need;
 use route::Phase;
 use route::Pick;
+use route::Reason;
 use route::Ticket;
 use route::Told;
 use tokio::sync::oneshot;
 use wire::hub::Phase as WirePhase;
+use wire::place::Ask;
+use wire::place::Outcome;
+use wire::place::Placed;
 
+use crate::placing::Grant;
+use crate::placing::report;
+use crate::placing::report_to_wire;
 use crate::settings::Shared;
 use crate::view::Listed;
 use crate::view::Upstream;
@@ -36,9 +45,14 @@
 /// Part of the measuring budget that is spent on purpose; the rest covers
 /// instances that leave while their probes are saved up.
 const SPENT_PROBES: f64 = 0.8;
+/// Part of these that a service's dispatcher spends; all processes share the rest, for
+/// the time when it doesn't answer, and for instances that are to be brought back.
+const DISPATCHER_PROBES: f64 = 0.75;
 /// Retries that one process saves up at most; with the part above, a hundred
 /// processes stay within what they share.
 const BURST: u64 = 2;
+/// After the end of a request the news of it may take so long.
+const GRANT_SLACK: Duration = Duration::from_millis(300);
 /// Weight of one end in the usual time between two.
 const ENDS_WEIGHT: f64 = 0.1;
 /// Soonest that a refused caller is asked back: about the time of one request.
@@ -61,6 +75,22 @@
     /// Requests asked to come back, fading with the time that they were given.
     refused: f64,
     refused_at: Moment,
+    /// What was granted to other processes.
+    grants: Grants<Ticket>,
+    /// Whether this process decides for all, or another does.
+    dispatched: Dispatched,
+    tenure: Tenure,
+}
+
+/// Who decides for a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Dispatched {
+    /// Each process for its own requests.
+    Nobody,
+    /// This process.
+    Here,
+    /// Another one.
+    Elsewhere,
 }
 
 /// What to do with a request.
@@ -83,6 +113,19 @@
     pub upstream: Arc<Upstream>,
     /// What the choice rests on.
     pub choice: FreshChoice,
+    /// The dispatcher's, where it chose.
+    pub grant: Option<Grant>,
+}
+
+impl Chosen {
+    /// The same as granted by a dispatcher.
+    #[must_use]
+    pub fn with(self, grant: Grant) -> Self {
+        Self {
+            grant: Some(grant),
+            ..self
+        }
+    }
 }
 
 impl Desk {
@@ -102,7 +145,25 @@
             ends: LEAST_BACK,
             refused: 0.0,
             refused_at: now,
+            grants: Grants::starting(seed),
+            dispatched: Dispatched::Nobody,
+            tenure: Tenure::default(),
+        }
+    }
+
+    /// Takes who decides for the service.
+    pub fn set_dispatched(&mut self, now: Moment, dispatched: Dispatched) {
+        self.dispatched = dispatched;
+        self.tenure.set(now, dispatched == Dispatched::Here);
+        self.share_probes(now);
+    }
+
+    /// Looks what time has brought: grants that are over, and a share that is due.
+    pub fn pass_time(&mut self, now: Moment) {
+        for ticket in self.grants.over(now) {
+            self.finished(now, ticket, Kind::Cancelled, None);
         }
+        self.share_probes(now);
     }
 
     /// Takes over how budgets are shared.
@@ -114,7 +175,13 @@
     }
 
     fn share_probes(&mut self, now: Moment) {
-        let budget = (f64::from(self.shared.probes) * SPENT_PROBES).floor();
+        let entries = self.shared.entries;
+        let (part, processes) = match self.dispatched {
+            Dispatched::Nobody => (1.0, entries),
+            Dispatched::Here if self.tenure.is_settled(now) => (DISPATCHER_PROBES, 1),
+            Dispatched::Here | Dispatched::Elsewhere => (1.0 - DISPATCHER_PROBES, entries),
+        };
+        let budget = (f64::from(self.shared.probes) * SPENT_PROBES * part).floor();
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
@@ -122,7 +189,7 @@
         )]
         let budget = budget as u32;
         let count = self.rows.len();
-        self.probes.set(now, budget, count, self.shared.entries);
+        self.probes.set(now, budget, count, processes);
     }
 
     /// Takes the service's instances, whole.
@@ -149,6 +216,18 @@
         self.share_probes(now);
     }
 
+    /// How many instances the service has.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Whether the service has no instance.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
     /// Counts a request, which earns its share of a retry.
     pub fn request(&mut self, now: Moment) {
         self.budget.earn(now);
@@ -222,7 +301,80 @@
     fn chosen(&self, choice: FreshChoice) -> Option<Chosen> {
         let id = self.chooser.id(choice.pick)?;
         let upstream = Arc::clone(self.rows.get(id)?);
-        Some(Chosen { upstream, choice })
+        Some(Chosen {
+            upstream,
+            choice,
+            grant: None,
+        })
+    }
+
+    /// What a request of another process needs.
+    pub fn need(&mut self, ask: &Ask, domain: &DomainName) -> Need {
+        Need {
+            work: Duration::from_micros(ask.work_us.into()),
+            aim: Duration::from_micros(ask.aim_us.into()),
+            crossing: ask.crossing,
+            room: ask.room,
+            home: self.chooser.home(domain),
+        }
+    }
+
+    /// Handles to the instances of these ids.
+    #[must_use]
+    pub fn picks(&self, ids: &[String]) -> Vec<Pick> {
+        self.chooser.picks(ids)
+    }
+
+    /// The ids of these instances.
+    #[must_use]
+    pub fn ids(&self, picks: &[Pick]) -> Vec<String> {
+        let ids = picks.iter().filter_map(|pick| self.chooser.id(*pick));
+        ids.map(ToString::to_string).collect()
+    }
+
+    /// Grants what was chosen to another process, until its request is over.
+    pub fn grant(&mut self, now: Moment, chosen: &Chosen, until: Moment) -> Placed {
+        let choice = &chosen.choice;
+        let ticket = self.chooser.started(now, choice.pick);
+        let micros = |span: Duration| u32::try_from(span.as_micros()).unwrap_or(u32::MAX);
+        Placed {
+            outcome: Outcome::Granted.into(),
+            grant: self.grants.grant(until + GRANT_SLACK, ticket),
+            instance: chosen.upstream.id.to_string(),
+            incarnation: chosen.upstream.incarnation,
+            report: choice.report.map(report_to_wire),
+            age_us: choice.age.map_or(u32::MAX, micros),
+            in_flight: choice.in_flight,
+            expected_us: micros(choice.expected),
+            cost: choice.cost,
+            back_us: 0,
+        }
+    }
+
+    /// Takes back what was granted; what is over already changes nothing.
+    pub fn ended(&mut self, now: Moment, grant: u64, kind: Kind, report: Option<LoadReport>) {
+        if let Some(ticket) = self.grants.take(grant) {
+            self.finished(now, ticket, kind, report);
+        }
+    }
+
+    /// What the dispatcher granted; none where the instance takes no work as far as this
+    /// process knows, or isn't known.
+    pub fn granted(&mut self, now: Moment, placed: &Placed) -> Option<Chosen> {
+        let pick = self.chooser.find(&placed.instance, placed.incarnation)?;
+        let report = placed.report.as_ref().map(report);
+        if let Some(report) = report {
+            self.chooser.told(now, pick, report);
+        }
+        self.chosen(FreshChoice {
+            pick,
+            reason: Reason::Placed,
+            age: (placed.age_us < u32::MAX).then(|| Duration::from_micros(placed.age_us.into())),
+            report,
+            in_flight: placed.in_flight,
+            expected: Duration::from_micros(placed.expected_us.into()),
+            cost: placed.cost,
+        })
     }
 
     /// Waits for room; tells of an instance that got some.
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -9,16 +9,25 @@
 use slog::Logger;
 use slog::info;
 use slog::warn;
+use tarpc::ClientMessage;
+use tarpc::Response;
 use telemetry::metrics::MetricsError;
 use tokio::net::TcpListener;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 use tokio_util::task::TaskTracker;
+use wire::accept::Acceptor;
+use wire::api::PlaceApiRequest;
+use wire::api::PlaceApiResponse;
+use wire::link::Incoming;
 
 use crate::core::Core;
 use crate::core::Stage;
 use crate::counters::Counters;
 use crate::dialect::Dialect;
+use crate::placing::server;
+use crate::placing::server::PlaceServer;
 use crate::probe;
 use crate::serve;
 use crate::settings::Settings;
@@ -27,6 +36,10 @@
 /// Left of the grace period for the last answers to reach their callers.
 const LAST: std::time::Duration = std::time::Duration::from_millis(300);
 
+/// Most connections of other entry processes at once: some hundred with one each, and
+/// room for those that reconnect.
+const MAX_ASKERS: usize = 1024;
+
 quick_error! {
     /// Why an entry process can't start.
     #[derive(Debug)]
@@ -51,7 +64,7 @@
     open: TaskTracker,
     front: SocketAddr,
     ready: SocketAddr,
-    _tasks: [AbortOnDropHandle<()>; 4],
+    _tasks: Vec<AbortOnDropHandle<()>>,
 }
 
 impl Entry {
@@ -70,15 +83,23 @@
         settings.front = front_address;
         settings.ready = ready_address;
         let client = telemetry::metrics::start(settings.telemetry.sink, settings.host.as_str())?;
+        let placing = match settings.place {
+            Some(place) => Some(listen(place).await?),
+            None => None,
+        };
+        settings.place = placing.as_ref().map(Questions::local_addr);
         let core = Core::new(settings, dialect, log, Counters::new(client));
         let open = TaskTracker::new();
-        let tasks = [
+        let mut tasks = vec![
             spawn(serve::front(Arc::clone(&core), front, open.clone())),
             spawn(serve::readiness(Arc::clone(&core), ready)),
             spawn(sync::run(Arc::clone(&core))),
             spawn(probe::bring_back(Arc::clone(&core))),
         ];
-        info!(core.log, "entry serves"; "front" => %front_address, "ready" => %ready_address);
+        tasks.extend(placing.map(|incoming| spawn(place(Arc::clone(&core), incoming))));
+        let shown = core.settings().place;
+        info!(core.log, "entry serves"; "front" => %front_address, "ready" => %ready_address,
+            "place" => shown.map_or_else(|| "-".to_owned(), |place| place.to_string()));
         Ok(Self {
             core,
             open,
@@ -130,6 +151,25 @@
     }
 }
 
+type Questions = Incoming<ClientMessage<PlaceApiRequest>, Response<PlaceApiResponse>>;
+
+async fn listen(address: SocketAddr) -> Result<Questions, EntryError> {
+    let incoming = wire::link::listen(address).await;
+    incoming.map_err(|err| EntryError::Bind(address, err))
+}
+
+/// Answers other entry processes that ask for instances.
+async fn place(core: Arc<Core>, incoming: Questions) {
+    let acceptor = Acceptor {
+        limit: MAX_ASKERS,
+        stop: CancellationToken::new(),
+        log: core.log.clone(),
+    };
+    let server = PlaceServer::new(core);
+    let serve = move |channel| server::serve(channel, server.clone());
+    acceptor.run(incoming, serve).await;
+}
+
 async fn bind(address: SocketAddr) -> Result<(TcpListener, SocketAddr), EntryError> {
     let fail = |err| EntryError::Bind(address, err);
     let listener = TcpListener::bind(address).await.map_err(fail)?;
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -26,6 +26,7 @@
 use crate::body::Read;
 use crate::core::Core;
 use crate::headers;
+use crate::placing::Grant;
 use crate::pool::Connection;
 use crate::view::Upstream;
 
@@ -51,6 +52,15 @@
     pub silence: Duration,
 }
 
+/// What an attempt holds until it ends.
+#[derive(Debug)]
+pub struct Held {
+    /// Of this process's desk.
+    pub ticket: Ticket,
+    /// Of the service's dispatcher, where that chose the instance.
+    pub grant: Option<Grant>,
+}
+
 /// The body of an answer.
 #[derive(Debug)]
 pub enum Answered {
@@ -83,6 +93,7 @@
     core: Arc<Core>,
     service: ServiceName,
     ticket: Option<Ticket>,
+    grant: Option<Grant>,
     began: Instant,
     silence: Duration,
 }
@@ -93,6 +104,9 @@
             return;
         };
         self.core.counters.attempt(&self.service, kind.into());
+        if let Some(grant) = self.grant.take() {
+            grant.end(kind, report);
+        }
         self.core.desk(&self.service, |desk, now| {
             desk.finished(now, ticket, kind, report);
         });
@@ -114,7 +128,7 @@
 pub async fn attempt(
     core: &Arc<Core>,
     upstream: &Upstream,
-    ticket: Ticket,
+    held: Held,
     call: &Call,
     body: Outgoing,
     patience: Patience,
@@ -122,7 +136,8 @@
     let mut running = Running {
         core: Arc::clone(core),
         service: upstream.service.clone(),
-        ticket: Some(ticket),
+        ticket: Some(held.ticket),
+        grant: held.grant,
         began: Instant::now(),
         silence: patience.silence,
     };
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -29,6 +29,7 @@
 use crate::exchange::Answered;
 use crate::exchange::Call;
 use crate::exchange::End;
+use crate::exchange::Held;
 use crate::exchange::Patience;
 use crate::habit::Habit;
 use crate::headers;
@@ -72,6 +73,8 @@
     /// The request may have run.
     exposed: bool,
     instance: Option<InstanceId>,
+    /// When to come back, as a dispatcher says.
+    back: Option<Duration>,
     /// Bytes of the request's body, where it is here whole.
     sent: usize,
     /// An instance's own failure, for the caller if no other attempt does better.
@@ -130,6 +133,7 @@
         exclude: Vec::new(),
         exposed: false,
         instance: None,
+        back: None,
         sent: 0,
         failed: None,
     };
@@ -194,7 +198,10 @@
             "cost" => format!("{:.3}", chosen.choice.cost),
             "left_ms" => millis(left));
         let ticket = self.desk(|desk, now| desk.started(now, pick));
-        let ticket = ticket.ok_or(Reason::NoInstance)?;
+        let held = Held {
+            ticket: ticket.ok_or(Reason::NoInstance)?,
+            grant: chosen.grant,
+        };
         let core = Arc::clone(&self.core);
         // Until the end says otherwise, the request may be running.
         let before = std::mem::replace(&mut self.exposed, true);
@@ -204,7 +211,7 @@
             silence: chosen.choice.expected.mul_f64(SILENT_WORKS),
         };
         let upstream = &chosen.upstream;
-        let end = exchange::attempt(&core, upstream, ticket, &self.call, body, patience).await;
+        let end = exchange::attempt(&core, upstream, held, &self.call, body, patience).await;
         self.exposed = before || matches!(end, End::Answer(..) | End::Unknown);
         self.note(&end, sent.elapsed());
         if matches!(end, End::Elsewhere) {
@@ -280,7 +287,7 @@
             return Outcome::Own(Reason::Broken, None);
         }
         let back = match reason {
-            Reason::Full => self.desk(Desk::back),
+            Reason::Full => self.back.or_else(|| self.desk(Desk::back)),
             _ => Some(BACK_UNKNOWN),
         };
         Outcome::Own(reason, back)
--- a/crates/entry/src/habit.rs
+++ b/crates/entry/src/habit.rs
@@ -5,7 +5,6 @@
 
 use base::prelude::*;
 use route::FreshChoice;
-use route::Need;
 
 use crate::left::Left;
 
@@ -53,16 +52,11 @@
         Duration::from_secs_f64(self.work)
     }
 
-    /// What a request needs that has `aim` left; `price` is that of a megabyte
-    /// between failure domains, in the worth of a request.
+    /// What a request's bytes between failure domains cost where a megabyte costs
+    /// `price`, in the worth of a request.
     #[must_use]
-    pub fn need(&self, aim: Duration, price: f64, room: f64) -> Need {
-        Need {
-            work: Duration::from_secs_f64(self.work),
-            aim,
-            crossing: (self.bytes + HEAD_BYTES) / MEGABYTE * price,
-            room,
-        }
+    pub fn crossing(&self, price: f64) -> f64 {
+        (self.bytes + HEAD_BYTES) / MEGABYTE * price
     }
 
     /// How much of its time a caller with `left` had spent before it came here.
--- /dev/null
+++ b/crates/entry/src/placing.rs
@@ -0,0 +1,304 @@
+//! Asks a service's dispatcher for an instance, and gives back what it granted.
+//!
+//! A dispatcher that doesn't answer in time is left alone for a while, and the process
+//! decides for itself meanwhile. What it grants is checked against what this process
+//! knows: an instance that leaves here gets nothing, whoever says otherwise.
+
+pub mod server;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use base::prelude::*;
+use dispatch::Trust;
+use route::Kind;
+use route::LoadReport;
+use slog::Logger;
+use slog::info;
+use tarpc::client::RpcError;
+use tokio::runtime::Handle;
+use wire::link::within;
+use wire::peer;
+use wire::peer::PlaceLink;
+use wire::place::Ask;
+use wire::place::Ended;
+use wire::place::Kind as WireKind;
+use wire::place::Outcome;
+use wire::place::Placed;
+use wire::place::Report;
+
+use crate::core::Core;
+use crate::search::Found;
+use crate::search::Want;
+
+/// Longest wait for a dispatcher's answer: it holds the question for 30 ms, and looks for
+/// an instance before, with up to three rounds of probes of a few milliseconds each.
+const TIMEOUT: Duration = Duration::from_millis(60);
+/// Connections tried for one question: one of before a restart of the dispatcher, which
+/// fails at once, and a new one.
+const CONNECTIONS: usize = 2;
+/// Longest wait for a connection to it, in one region.
+const CONNECT: Duration = Duration::from_millis(20);
+/// How long the end of an attempt may take to arrive. One that doesn't is known to be
+/// over when the request's time is.
+const ENDED_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The dispatchers that were ever asked.
+#[derive(Default)]
+pub struct Places {
+    known: Mutex<HashMap<SocketAddr, Arc<Place>>>,
+}
+
+impl Places {
+    /// The one at `address`.
+    fn at(&self, address: SocketAddr, core: &Core) -> Arc<Place> {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let place = known.entry(address);
+        Arc::clone(place.or_insert_with(|| {
+            Arc::new(Place {
+                link: peer::place(address),
+                trust: Mutex::default(),
+                clock: core.clock,
+                log: core.log.clone(),
+            })
+        }))
+    }
+}
+
+/// One dispatcher.
+pub struct Place {
+    link: PlaceLink,
+    trust: Mutex<Trust>,
+    clock: Clock,
+    log: Logger,
+}
+
+/// Asks the dispatcher of `service`; none where this process decides itself.
+pub async fn ask(
+    core: &Arc<Core>,
+    service: &ServiceName,
+    request: &str,
+    want: &Want,
+) -> Option<Found> {
+    let address = core.dispatcher(service)?;
+    let place = core.places.at(address, core);
+    let settings = core.settings();
+    let ask = Ask {
+        service: service.to_string(),
+        request: request.to_owned(),
+        host: settings.host.to_string(),
+        domain: settings.domain.to_string(),
+        work_us: micros(want.need.work),
+        aim_us: micros(want.need.aim),
+        crossing: want.need.crossing,
+        room: want.need.room,
+        priority: want.rank,
+        patience_us: micros(want.patience),
+        left_us: micros(want.left),
+        exclude: core
+            .desk(service, |desk, _| desk.ids(&want.exclude))
+            .unwrap_or_default(),
+    };
+    let began = core.clock.now();
+    let placed = place.ask(ask).await;
+    let outcome = placed.as_ref().map_or("lost", |placed| word(placed));
+    let span = core.clock.now().since(began);
+    core.counters.placed(service, outcome, span);
+    let placed = placed?;
+    match placed.outcome() {
+        Outcome::Granted => {
+            let grant = Grant::new(&place, service, placed.grant);
+            let chosen = core.desk(service, |desk, now| desk.granted(now, &placed))??;
+            Some(Found::Chosen(chosen.with(grant)))
+        }
+        Outcome::Wait => Some(Found::Wait),
+        Outcome::Full => Some(Found::Full(Some(span_of(placed.back_us)))),
+        Outcome::Unspecified => None,
+    }
+}
+
+fn word(placed: &Placed) -> &'static str {
+    match placed.outcome() {
+        Outcome::Granted => "granted",
+        Outcome::Wait => "wait",
+        Outcome::Full => "full",
+        Outcome::Unspecified => "unknown",
+    }
+}
+
+impl Place {
+    /// Asks; none where it doesn't answer in time or isn't worth asking.
+    async fn ask(&self, ask: Ask) -> Option<Placed> {
+        if !self.judge(|trust, now| trust.ask(now)) {
+            return None;
+        }
+        let mut question = Question {
+            place: self,
+            open: true,
+        };
+        let placed = tokio::time::timeout(TIMEOUT, self.call(ask)).await;
+        let placed = placed.ok().flatten();
+        question.open = false;
+        self.judge(|trust, now| match &placed {
+            Some(_) => trust.answered(now),
+            None => trust.failed(now),
+        });
+        placed
+    }
+
+    /// One question, on a new connection where the one that was there has ended.
+    async fn call(&self, ask: Ask) -> Option<Placed> {
+        for _ in 0..CONNECTIONS {
+            let client = self.link.client_within(CONNECT).await.ok()?;
+            match client.place(within(TIMEOUT), ask.clone()).await {
+                Err(RpcError::Shutdown | RpcError::Channel(_)) => self.link.drop_client(),
+                result => return self.link.judge(result).ok(),
+            }
+        }
+        None
+    }
+
+    /// Changes what is thought of it; one line where it is lost or regained.
+    fn judge<T>(&self, change: impl FnOnce(&mut Trust, Moment) -> T) -> T {
+        let now = self.clock.now();
+        let mut trust = self.trust();
+        let before = trust.is_lost();
+        let result = change(&mut trust, now);
+        if trust.is_lost() != before {
+            let outcome = if before { "regained" } else { "lost" };
+            info!(self.log, "dispatcher"; "address" => %self.link.address(), "outcome" => outcome);
+        }
+        result
+    }
+
+    fn trust(&self) -> MutexGuard<'_, Trust> {
+        self.trust.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A question on its way; one whose asker has left tells nothing.
+struct Question<'a> {
+    place: &'a Place,
+    open: bool,
+}
+
+impl Drop for Question<'_> {
+    fn drop(&mut self) {
+        if self.open {
+            self.place.trust().dropped();
+        }
+    }
+}
+
+/// What a dispatcher granted. It learns of the end, also where the attempt is dropped.
+pub struct Grant {
+    place: Arc<Place>,
+    service: ServiceName,
+    number: u64,
+    kind: Kind,
+    report: Option<LoadReport>,
+}
+
+impl Grant {
+    fn new(place: &Arc<Place>, service: &ServiceName, number: u64) -> Self {
+        Self {
+            place: Arc::clone(place),
+            service: service.clone(),
+            number,
+            kind: Kind::Cancelled,
+            report: None,
+        }
+    }
+
+    /// Gives it back.
+    pub fn end(mut self, kind: Kind, report: Option<LoadReport>) {
+        self.kind = kind;
+        self.report = report;
+    }
+}
+
+impl std::fmt::Debug for Grant {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Grant")
+            .field("number", &self.number)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        let ended = Ended {
+            service: self.service.to_string(),
+            grant: self.number,
+            kind: kind_to_wire(self.kind).into(),
+            report: self.report.map(report_to_wire),
+        };
+        let place = Arc::clone(&self.place);
+        // Outside of the runtime the process ends, and the grant ends with its time.
+        let Ok(runtime) = Handle::try_current() else {
+            return;
+        };
+        runtime.spawn(async move {
+            let Ok(client) = place.link.client_within(CONNECT).await else {
+                return;
+            };
+            // What gets lost ends with its time.
+            let _ = place
+                .link
+                .judge(client.ended(within(ENDED_TIMEOUT), ended).await);
+        });
+    }
+}
+
+fn micros(span: Duration) -> u32 {
+    u32::try_from(span.as_micros()).unwrap_or(u32::MAX)
+}
+
+fn span_of(micros: u32) -> Duration {
+    Duration::from_micros(micros.into())
+}
+
+pub(crate) fn report_to_wire(report: LoadReport) -> Report {
+    Report {
+        running: report.running,
+        waiting: report.waiting,
+        slots: report.slots,
+        pace: report.pace,
+    }
+}
+
+pub(crate) fn report(report: &Report) -> LoadReport {
+    LoadReport {
+        running: report.running,
+        waiting: report.waiting,
+        slots: report.slots,
+        pace: report.pace,
+    }
+}
+
+fn kind_to_wire(kind: Kind) -> WireKind {
+    match kind {
+        Kind::Ok => WireKind::Ok,
+        Kind::Error => WireKind::Error,
+        Kind::Shed => WireKind::Shed,
+        Kind::Timeout => WireKind::Timeout,
+        Kind::ConnectFailed => WireKind::ConnectFailed,
+        Kind::Cancelled => WireKind::Cancelled,
+    }
+}
+
+fn kind(kind: WireKind) -> Kind {
+    match kind {
+        WireKind::Ok => Kind::Ok,
+        WireKind::Error => Kind::Error,
+        WireKind::Shed => Kind::Shed,
+        WireKind::Timeout => Kind::Timeout,
+        WireKind::ConnectFailed => Kind::ConnectFailed,
+        WireKind::Cancelled | WireKind::Unspecified => Kind::Cancelled,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/placing/server.rs
@@ -0,0 +1,140 @@
+//! Grants instances to other entry processes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::prelude::*;
+use futures::StreamExt;
+use slog::info;
+use slog::warn;
+use tarpc::ClientMessage;
+use tarpc::Response;
+use tarpc::context::Context;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tokio::time::Instant;
+use wire::api::PlaceApi;
+use wire::api::PlaceApiRequest;
+use wire::api::PlaceApiResponse;
+use wire::link::Channel as Transport;
+use wire::place::Ask;
+use wire::place::Ended;
+use wire::place::Outcome;
+use wire::place::Placed;
+
+use super::kind;
+use super::micros;
+use super::report;
+use super::span_of;
+use super::word;
+use crate::core::Core;
+use crate::search;
+use crate::search::Found;
+use crate::search::Want;
+
+/// How long a question is held while there is no room. The asker asks again, so that it
+/// learns soon whether the dispatcher lives; each time costs both a question.
+const HOLD: Duration = Duration::from_millis(30);
+
+/// The service, one clone a question.
+#[derive(Clone)]
+pub struct PlaceServer {
+    core: Arc<Core>,
+}
+
+impl PlaceServer {
+    /// Grants what the desks of `core` choose.
+    #[must_use]
+    pub fn new(core: Arc<Core>) -> Self {
+        Self { core }
+    }
+
+    fn want(&self, service: &ServiceName, ask: &Ask) -> Option<Want> {
+        let domain = DomainName::new(&ask.domain).ok()?;
+        self.core.desk(service, |desk, _| Want {
+            need: desk.need(ask, &domain),
+            rank: ask.priority,
+            exclude: desk.picks(&ask.exclude),
+            patience: span_of(ask.patience_us),
+            left: span_of(ask.left_us),
+        })
+    }
+
+    async fn find(&self, service: &ServiceName, ask: &Ask) -> Option<Placed> {
+        let want = self.want(service, ask)?;
+        let began = Instant::now();
+        let found = search::search(&self.core, service, &want, HOLD).await;
+        let left = want.left.saturating_sub(began.elapsed());
+        match found {
+            Found::Chosen(chosen) => self
+                .core
+                .desk(service, |desk, now| desk.grant(now, &chosen, now + left)),
+            Found::Wait => Some(outcome(Outcome::Wait)),
+            Found::Full(_) => {
+                let back = self.core.desk(service, |desk, now| desk.back(now))?;
+                Some(Placed {
+                    back_us: micros(back),
+                    ..outcome(Outcome::Full)
+                })
+            }
+            Found::None => None,
+        }
+    }
+
+    fn note(&self, ask: &Ask, placed: &Placed, span: Duration) {
+        if placed.outcome() == Outcome::Wait {
+            // The asker asks again at once; its last answer is told.
+            return;
+        }
+        info!(self.core.log, "placed"; "request" => &ask.request, "from" => &ask.host,
+            "service" => &ask.service, "outcome" => word(placed), "instance" => &placed.instance,
+            "grant" => placed.grant, "in_flight" => placed.in_flight,
+            "age_us" => placed.age_us, "expected_us" => placed.expected_us,
+            "back_us" => placed.back_us, "us" => micros(span));
+    }
+}
+
+fn outcome(outcome: Outcome) -> Placed {
+    Placed {
+        outcome: outcome.into(),
+        ..Placed::default()
+    }
+}
+
+impl PlaceApi for PlaceServer {
+    async fn place(self, _: Context, ask: Ask) -> Placed {
+        let began = Instant::now();
+        let Ok(service) = ServiceName::new(&ask.service) else {
+            warn!(self.core.log, "bad question for an instance"; "from" => &ask.host);
+            return Placed::default();
+        };
+        let placed = self.find(&service, &ask).await.unwrap_or_default();
+        self.note(&ask, &placed, began.elapsed());
+        placed
+    }
+
+    async fn ended(self, _: Context, end: Ended) {
+        let Ok(service) = ServiceName::new(&end.service) else {
+            warn!(self.core.log, "bad end of an attempt"; "grant" => end.grant);
+            return;
+        };
+        let told = end.report.as_ref().map(report);
+        let kind = kind(end.kind());
+        self.core
+            .desk(&service, |desk, now| desk.ended(now, end.grant, kind, told));
+    }
+}
+
+/// Serves one connection to its end.
+pub async fn serve(
+    channel: Transport<ClientMessage<PlaceApiRequest>, Response<PlaceApiResponse>>,
+    server: PlaceServer,
+) {
+    BaseChannel::with_defaults(channel)
+        .execute(server.serve())
+        .for_each(|question| {
+            tokio::spawn(question);
+            std::future::ready(())
+        })
+        .await;
+}
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -35,7 +35,8 @@
 /// report (worth of a calm day at 133 entry hosts 0.719, with 25 ms 0.750).
 const PATIENCE: Duration = Duration::from_millis(25);
 
-/// Between two looks for ejected instances whose time is over.
+/// Between two looks for ejected instances whose time is over, and for what time brings
+/// to desks.
 const LOOK: Duration = Duration::from_millis(250);
 
 /// Asks ejected instances, once their time is over, whether they are back. Without
@@ -43,6 +44,7 @@
 pub async fn bring_back(core: Arc<Core>) {
     loop {
         tokio::time::sleep(LOOK).await;
+        core.desks(Desk::pass_time);
         for (service, due) in core.desks(Desk::ejected) {
             if !due.is_empty() {
                 ask(&core, &service, due).await;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -16,6 +16,7 @@
 const ENTRY: &str = "entry";
 const RETRY: &str = "retry";
 const PROBE: &str = "probe";
+const PLACE: &str = "place";
 const STOP: &str = "stop";
 const COST: &str = "cost";
 
@@ -29,6 +30,9 @@
 /// Entry hosts that a caller is told at least, by default: one may be lost, and one
 /// may be stopping.
 const SPREAD: u32 = 3;
+/// Most instances that one entry process dispatches, by default: it asks each some 36
+/// times a second, which with 400 questions of others is about a tenth of a core.
+const DISPATCHED: u32 = 24;
 /// First port of local hubs.
 const PORT: u16 = 7010;
 /// Region of a local entry process.
@@ -119,6 +123,10 @@
     /// Probes that one instance may get a second from all entry hosts together;
     /// 0 allows none.
     pub probes: u32,
+    /// Where other entry processes ask for instances; none where each decides alone.
+    pub place: Option<SocketAddr>,
+    /// Most instances of a service that one entry process dispatches.
+    pub dispatched: usize,
     /// The graceful stop.
     pub stop: Stop,
     /// Price of a megabyte between failure domains, in thousandths of the worth
@@ -156,6 +164,8 @@
             spread: SPREAD as usize,
             retry: Retry::default(),
             probes: PROBES,
+            place: None,
+            dispatched: DISPATCHED as usize,
             stop: Stop::default(),
             crossing: 0,
             telemetry: telemetry::Settings::default(),
@@ -196,6 +206,8 @@
         let spread: u32 = r.or(ENTRY, "spread", SPREAD);
         let retry = read_retry(r);
         let probes = r.or(PROBE, "per-second", PROBES);
+        let place = r.optional(PLACE, "listen");
+        let dispatched: u32 = r.or(PLACE, "instances", DISPATCHED);
         let stop = read_stop(r);
         let crossing = r.or(COST, "crossing", 0);
         let telemetry = telemetry::Settings::read(r);
@@ -217,6 +229,8 @@
             spread: usize::try_from(spread).unwrap_or(usize::MAX),
             retry,
             probes,
+            place,
+            dispatched: usize::try_from(dispatched).unwrap_or(usize::MAX),
             stop,
             crossing,
             telemetry,
@@ -294,6 +308,11 @@
         writeln!(f, "window = {}", duration_text(self.retry.window))?;
         writeln!(f, "\n[{PROBE}]")?;
         writeln!(f, "per-second = {}", self.probes)?;
+        writeln!(f, "\n[{PLACE}]")?;
+        if let Some(place) = self.place {
+            writeln!(f, "listen = {place}")?;
+        }
+        writeln!(f, "instances = {}", self.dispatched)?;
         writeln!(f, "\n[{STOP}]")?;
         writeln!(f, "linger = {}", duration_text(self.stop.linger))?;
         writeln!(f, "grace = {}", duration_text(self.stop.grace))?;
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -179,6 +179,9 @@
             cursor: self.last.cursor,
             list: self.last.list,
             lists: self.hubs.is_first(self.address),
+            place: settings
+                .place
+                .map_or_else(String::new, |place| place.to_string()),
             table,
             wait_ms: u32::try_from(self.hubs.wait().as_millis()).unwrap_or(u32::MAX),
         }
--- a/crates/gen/src/lib.rs
+++ b/crates/gen/src/lib.rs
@@ -10,13 +10,14 @@
 use quick_error::quick_error;
 
 /// The protocol files, in order of dependency.
-const PROTOS: [&str; 8] = [
+const PROTOS: [&str; 9] = [
     "catalogue.proto",
     "ledger.proto",
     "control.proto",
     "hub.proto",
     "directory.proto",
     "gateway.proto",
+    "place.proto",
     "store.proto",
     "replica.proto",
 ];
--- a/crates/hub/src/entries.rs
+++ b/crates/hub/src/entries.rs
@@ -31,6 +31,7 @@
     address: String,
     domain: String,
     region: String,
+    place: String,
     ready: bool,
     heard: Moment,
     /// It counts as lost then, unless it is heard.
@@ -91,6 +92,7 @@
             address: watch.address.clone(),
             domain: watch.domain.clone(),
             region: watch.region.clone(),
+            place: watch.place.clone(),
             ready: watch.ready,
             heard: now,
             until,
@@ -120,6 +122,7 @@
             address: e.address.clone(),
             domain: e.domain.clone(),
             region: e.region.clone(),
+            place: e.place.clone(),
         });
         hosts.collect()
     }
--- a/crates/place/tests/test_near.rs
+++ b/crates/place/tests/test_near.rs
@@ -9,6 +9,7 @@
         address: format!("{domain}-{number}"),
         domain: domain.into(),
         region: if domain == "c" { "south" } else { "north" }.into(),
+        ..EntryHost::default()
     };
     domains
         .flat_map(|(domain, count)| (0..count).map(move |number| host(domain, number)))
--- a/crates/route/src/cost.rs
+++ b/crates/route/src/cost.rs
@@ -98,6 +98,17 @@
     pub crossing: f64,
     /// Part of an instance's slots that may be taken with it.
     pub room: f64,
+    /// Where its answer goes.
+    pub home: Home,
+}
+
+/// A failure domain as a chooser numbers them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Home(pub(crate) u32);
+
+impl Home {
+    /// The chooser's own.
+    pub const OWN: Self = Self(0);
 }
 
 /// One way that it may go: how likely, and how much slower than usual.
--- a/crates/route/src/fresh.rs
+++ b/crates/route/src/fresh.rs
@@ -21,6 +21,7 @@
 use rand::rngs::SmallRng;
 
 use crate::cost;
+use crate::cost::Home;
 use crate::cost::Need;
 use crate::health::Health;
 use crate::health::State;
@@ -95,7 +96,8 @@
 /// Chooses among one service's instances by fresh reports.
 #[derive(Debug)]
 pub struct Fresh {
-    domain: DomainName,
+    /// Failure domains by their numbers, its own first.
+    domains: Vec<DomainName>,
     rng: SmallRng,
     rows: Vec<Row>,
     usual: Usual,
@@ -110,7 +112,7 @@
     #[must_use]
     pub fn new(domain: DomainName, seed: u64) -> Self {
         Self {
-            domain,
+            domains: vec![domain],
             rng: SmallRng::seed_from_u64(seed),
             rows: Vec::new(),
             usual: Usual::default(),
@@ -119,6 +121,16 @@
         }
     }
 
+    /// The number of a failure domain, for what a request needs.
+    pub fn home(&mut self, domain: &DomainName) -> Home {
+        let known = self.domains.iter().position(|known| known == domain);
+        let index = known.unwrap_or_else(|| {
+            self.domains.push(domain.clone());
+            self.domains.len() - 1
+        });
+        Home(u32::try_from(index).unwrap_or(u32::MAX))
+    }
+
     /// Takes over how many processes send to these instances.
     pub fn set_processes(&mut self, processes: u32) {
         self.processes = processes.max(1);
@@ -152,6 +164,7 @@
             return;
         }
         let row = Row {
+            home: self.home(&instance.domain),
             instance: instance.clone(),
             epoch: 0,
             health: Health::new(State::Well),
@@ -204,7 +217,7 @@
             } else {
                 0.0
             };
-            let far = if self.crosses(row) { 1.0 } else { 0.0 };
+            let far = if row.home == need.home { 0.0 } else { 1.0 };
             let random: f64 = self.rng.random();
             open.push((index, silent + far + cost.min(1.0) * 0.5 + random * 0.25));
         }
@@ -362,7 +375,7 @@
     /// What sending there costs.
     fn cost(&self, now: Moment, need: &Need, row: &Row) -> f64 {
         let standing = row.standing(now, self.usual);
-        cost::cost(&standing, need, self.crosses(row))
+        cost::cost(&standing, need, row.home != need.home)
     }
 
     /// Whether it has fallen silent while most of the others are heard.
@@ -370,11 +383,6 @@
         row.silent && self.heard
     }
 
-    /// Whether it is in another failure domain than the gateway.
-    fn crosses(&self, row: &Row) -> bool {
-        row.instance.domain != self.domain
-    }
-
     fn is_usable(&self, index: usize, exclude: &[Pick]) -> bool {
         let row = &self.rows[index];
         row.is_ready() && row.health.is_in() && !exclude.contains(&self.pick(index))
@@ -414,6 +422,26 @@
         due.into_iter().map(|index| self.pick(index)).collect()
     }
 
+    /// A handle to the instance of this id and incarnation, if it takes work.
+    #[must_use]
+    pub fn find(&self, id: &str, incarnation: u64) -> Option<Pick> {
+        let here = |row: &Row| {
+            row.is_ready()
+                && row.instance.id.as_str() == id
+                && row.instance.incarnation == incarnation
+        };
+        let index = self.rows.iter().position(here)?;
+        Some(self.pick(index))
+    }
+
+    /// Handles to the instances of these ids.
+    #[must_use]
+    pub fn picks(&self, ids: &[String]) -> Vec<Pick> {
+        let named = |row: &Row| ids.iter().any(|id| id == row.instance.id.as_str());
+        let found = (0..self.rows.len()).filter(|index| named(&self.rows[*index]));
+        found.map(|index| self.pick(index)).collect()
+    }
+
     /// The instance's id, `None` after it has gone.
     #[must_use]
     pub fn id(&self, pick: Pick) -> Option<&InstanceId> {
--- a/crates/route/src/fresh/results.rs
+++ b/crates/route/src/fresh/results.rs
@@ -44,6 +44,15 @@
         }
     }
 
+    /// Notes what another process was told by the instance, a moment ago.
+    pub fn told(&mut self, now: Moment, pick: Pick, report: LoadReport) {
+        if let Some(row) = self.row(pick) {
+            row.report = Some((now, report));
+            row.since = 0;
+            row.mute = false;
+        }
+    }
+
     /// Notes that another instance has the address: this one gets nothing more, not
     /// even a trial, as its id never comes back there.
     pub fn displaced(&mut self, pick: Pick) {
--- a/crates/route/src/health.rs
+++ b/crates/route/src/health.rs
@@ -12,8 +12,12 @@
 
 use crate::fade::fade;
 
-/// Failures in a row that eject.
+/// Failures in a row that eject where few results come.
 const STREAK: u32 = 3;
+/// One more is needed for each so many recent results: where a third of the answers are
+/// lost, three in a row come by chance every two seconds at 20 results a second, and
+/// half of the instances were out while requests were refused for want of room.
+const STREAK_RESULTS: u32 = 4;
 /// What an attempt without any answer counts for in a row.
 const SILENT_STEP: u32 = 2;
 /// Results below which a share of failures tells nothing.
@@ -122,13 +126,25 @@
         };
         let often = self.results >= FEWEST && self.share(now) >= SHARE;
         match self.state {
-            State::Well | State::Ramping { .. } => self.streak >= STREAK || often,
+            State::Well | State::Ramping { .. } => self.streak >= self.most_streak(now) || often,
             State::Trial { .. } => true,
             // Attempts from before the ejection tell nothing new.
             State::Ejected { .. } | State::Probed => false,
         }
     }
 
+    /// Failures in a row that eject now.
+    fn most_streak(&self, now: Moment) -> u32 {
+        let kept = fade(now.since(self.at), RESULT_HALF);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a small positive number"
+        )]
+        let results = (self.results * kept) as u32;
+        STREAK + results / STREAK_RESULTS
+    }
+
     /// Takes a probe's failure; true when it asks for ejection.
     ///
     /// `suspect` says that attempts have waited in vain since the last answer.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod view;
 
 pub use chooser::Chooser;
+pub use cost::Home;
 pub use cost::Need;
 pub use fresh::Decision;
 pub use fresh::Fresh;
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -36,6 +36,8 @@
     Fresh,
     /// Least expected wait, from own attempts and averages alone.
     Stale,
+    /// Granted by the process that decides for the service.
+    Placed,
     /// A trial request to an instance that is ejected or was silent.
     Trial,
     /// Every instance is ejected, so that health is left out of account.
--- a/crates/route/tests/test_fresh.rs
+++ b/crates/route/tests/test_fresh.rs
@@ -7,6 +7,7 @@
 use quickcheck::quickcheck;
 use route::Decision;
 use route::Fresh;
+use route::Home;
 use route::Instance;
 use route::Kind;
 use route::LoadReport;
@@ -23,6 +24,7 @@
     aim: Duration::from_millis(300),
     crossing: 0.05,
     room: 1.0,
+    home: Home::OWN,
 };
 
 fn domain(name: &str) -> DomainName {
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -32,6 +32,8 @@
 use crate::ledger::ClaimReply;
 use crate::ledger::Settle;
 use crate::ledger::SettleReply;
+use crate::place::Ended;
+use crate::place::Placed;
 use crate::replica::Ask;
 use crate::replica::AskReply;
 use crate::replica::Envelope;
@@ -108,3 +110,12 @@
     /// The entry hosts that a caller may use.
     async fn resolve(query: ResolveQuery) -> ResolveReply;
 }
+
+/// Served by each entry process to the others, for the services that it dispatches.
+#[tarpc::service]
+pub trait PlaceApi {
+    /// Grants an instance for one attempt, or says that there is no room.
+    async fn place(ask: crate::place::Ask) -> Placed;
+    /// Takes the end of the attempt at a granted instance.
+    async fn ended(end: Ended);
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -44,6 +44,12 @@
     include!("generated/rwr.hub.rs");
 }
 
+/// Messages between entry processes.
+#[allow(missing_docs, clippy::pedantic)]
+pub mod place {
+    include!("generated/rwr.place.rs");
+}
+
 /// Records of a replica's data folder.
 #[allow(missing_docs, clippy::pedantic)]
 pub mod store {
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -144,11 +144,16 @@
     /// Passes the call's failure on.
     pub fn judge<T>(&self, result: Result<T, tarpc::client::RpcError>) -> Result<T, LinkError> {
         result.map_err(|err| {
-            *self.slot() = None;
+            self.drop_client();
             LinkError::Call(self.address, err)
         })
     }
 
+    /// Drops the client, so that the next call connects anew.
+    pub fn drop_client(&self) {
+        *self.slot() = None;
+    }
+
     fn slot(&self) -> std::sync::MutexGuard<'_, Option<C>> {
         self.client.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -18,6 +18,9 @@
 use crate::api::HubApiClient;
 use crate::api::HubApiRequest;
 use crate::api::HubApiResponse;
+use crate::api::PlaceApiClient;
+use crate::api::PlaceApiRequest;
+use crate::api::PlaceApiResponse;
 use crate::api::ReplicaApiClient;
 use crate::api::ReplicaApiRequest;
 use crate::api::ReplicaApiResponse;
@@ -37,6 +40,10 @@
 /// A link to a hub.
 pub type HubLink = Link<HubApiClient, Response<HubApiResponse>, ClientMessage<HubApiRequest>>;
 
+/// A link from one entry process to another.
+pub type PlaceLink =
+    Link<PlaceApiClient, Response<PlaceApiResponse>, ClientMessage<PlaceApiRequest>>;
+
 /// A link from one control replica to another.
 pub type ReplicaLink =
     Link<ReplicaApiClient, Response<ReplicaApiResponse>, ClientMessage<ReplicaApiRequest>>;
@@ -73,6 +80,14 @@
     })
 }
 
+/// A link to the entry process at `address`, not yet connected.
+#[must_use]
+pub fn place(address: SocketAddr) -> PlaceLink {
+    Link::new(address, |channel| {
+        PlaceApiClient::new(Config::default(), channel).spawn()
+    })
+}
+
 /// A link between control replicas to the one at `address`, not yet connected.
 ///
 /// It carries as many requests as the other end takes.
