--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,5 +17,6 @@
 
 pub use dispatcher::dispatcher;
 pub use grants::Grants;
+pub use tenure::Dispatched;
 pub use tenure::Tenure;
 pub use trust::Trust;
--- a/crates/dispatch/src/tenure.rs
+++ b/crates/dispatch/src/tenure.rs
@@ -1,35 +1,57 @@
-//! How long a process has been a service's dispatcher.
+//! Who decides for a service, and when a process may spend what all share.
 
 use std::time::Duration;
 
 use base::prelude::*;
 
-/// A process spends what all share only after it has been the dispatcher for so long.
-/// Lists of entry hosts reach all within some 600 ms, so two may spend at once for 300 ms:
-/// that is a third of a second's share of the dispatcher's part, less than what is left
-/// unspent on purpose. With a whole second the first after a restart of everything was
-/// spent without knowledge.
+/// A process spends what all share only after it has taken over for so long. Lists of
+/// entry hosts reach all within some 600 ms, so the one before and this one may both spend
+/// for 300 ms: that is a third of a second's share of the dispatcher's part, less than
+/// what is left unspent on purpose.
 const SETTLED: Duration = Duration::from_millis(300);
 
-/// Whether this process is the dispatcher, and since when.
+/// Who decides for a service, as one process sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Dispatched {
+    /// Each process for its own requests.
+    #[default]
+    Nobody,
+    /// This process.
+    Here,
+    /// Another one.
+    Elsewhere,
+}
+
+/// Since when this process decides.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Tenure {
-    since: Option<Moment>,
+    now: Dispatched,
+    /// It may spend what all share from then on.
+    from: Moment,
 }
 
 impl Tenure {
-    /// Takes whether it is the dispatcher now.
-    pub fn set(&mut self, now: Moment, holds: bool) {
-        if holds {
-            self.since.get_or_insert(now);
-        } else {
-            self.since = None;
+    /// Takes who decides now. Where nobody did before, as after a restart of everything,
+    /// there is no one to wait for.
+    pub fn set(&mut self, now: Moment, next: Dispatched) {
+        if self.now != next {
+            self.from = match self.now {
+                Dispatched::Nobody => now,
+                Dispatched::Here | Dispatched::Elsewhere => now + SETTLED,
+            };
         }
+        self.now = next;
+    }
+
+    /// Who decides.
+    #[must_use]
+    pub fn dispatched(&self) -> Dispatched {
+        self.now
     }
 
-    /// Whether it may spend what all share.
+    /// Whether this process may spend what all share.
     #[must_use]
     pub fn is_settled(&self, now: Moment) -> bool {
-        self.since.is_some_and(|since| now.since(since) >= SETTLED)
+        self.now == Dispatched::Here && now >= self.from
     }
 }
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use dispatch::Dispatched;
 use http::Uri;
 use slog::Logger;
 use slog::info;
@@ -23,7 +24,6 @@
 
 use crate::counters::Counters;
 use crate::desk::Desk;
-use crate::desk::Dispatched;
 use crate::dialect::Dialect;
 use crate::habit::Habit;
 use crate::placing::Places;
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -8,6 +8,7 @@
 use attempt::budget::Budget;
 use attempt::budget::Share;
 use base::prelude::*;
+use dispatch::Dispatched;
 use dispatch::Grants;
 use dispatch::Tenure;
 use measure::Allowance;
@@ -78,21 +79,9 @@
     /// What was granted to other processes.
     grants: Grants<Ticket>,
     /// Whether this process decides for all, or another does.
-    dispatched: Dispatched,
     tenure: Tenure,
 }
 
-/// Who decides for a service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Dispatched {
-    /// Each process for its own requests.
-    Nobody,
-    /// This process.
-    Here,
-    /// Another one.
-    Elsewhere,
-}
-
 /// What to do with a request.
 #[derive(Debug)]
 pub enum Verdict {
@@ -146,15 +135,13 @@
             refused: 0.0,
             refused_at: now,
             grants: Grants::starting(seed),
-            dispatched: Dispatched::Nobody,
             tenure: Tenure::default(),
         }
     }
 
     /// Takes who decides for the service.
     pub fn set_dispatched(&mut self, now: Moment, dispatched: Dispatched) {
-        self.dispatched = dispatched;
-        self.tenure.set(now, dispatched == Dispatched::Here);
+        self.tenure.set(now, dispatched);
         self.share_probes(now);
     }
 
@@ -176,7 +163,7 @@
 
     fn share_probes(&mut self, now: Moment) {
         let entries = self.shared.entries;
-        let (part, processes) = match self.dispatched {
+        let (part, processes) = match self.tenure.dispatched() {
             Dispatched::Nobody => (1.0, entries),
             Dispatched::Here if self.tenure.is_settled(now) => (DISPATCHER_PROBES, 1),
             Dispatched::Here | Dispatched::Elsewhere => (1.0 - DISPATCHER_PROBES, entries),
