--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -1,16 +1,18 @@
 //! The decisions for one service: which instance, and whether a retry is paid for.
 
+mod dispatch;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use ::dispatch::Dispatched;
+use ::dispatch::Grants;
+use ::dispatch::Tenure;
 use admit::Waiting;
 use attempt::budget::Budget;
 use attempt::budget::Share;
 use base::prelude::*;
-use dispatch::Dispatched;
-use dispatch::Grants;
-use dispatch::Tenure;
 use measure::Allowance;
 use route::Decision;
 use route::Fresh;
@@ -21,18 +23,12 @@
 use route::Need;
 use route::Phase;
 use route::Pick;
-use route::Reason;
 use route::Ticket;
 use route::Told;
 use tokio::sync::oneshot;
 use wire::hub::Phase as WirePhase;
-use wire::place::Ask;
-use wire::place::Outcome;
-use wire::place::Placed;
 
 use crate::placing::Grant;
-use crate::placing::report;
-use crate::placing::report_to_wire;
 use crate::settings::Shared;
 use crate::view::Listed;
 use crate::view::Upstream;
@@ -49,13 +45,9 @@
 /// Part of these that a service's dispatcher spends; all processes share the rest, for
 /// calm times, for when it doesn't answer, and for instances that are to be brought back.
 const DISPATCHER_PROBES: f64 = 0.5;
-/// Requests a slot from which a service counts as busy.
-const BUSY: f64 = 0.5;
 /// Retries that one process saves up at most; with the part above, a hundred
 /// processes stay within what they share.
 const BURST: u64 = 2;
-/// After the end of a request the news of it may take so long.
-const GRANT_SLACK: Duration = Duration::from_millis(300);
 /// Weight of one end in the usual time between two.
 const ENDS_WEIGHT: f64 = 0.1;
 /// Soonest that a refused caller is asked back: about the time of one request.
@@ -141,27 +133,6 @@
         }
     }
 
-    /// Takes who decides for the service.
-    pub fn set_dispatched(&mut self, now: Moment, dispatched: Dispatched) {
-        self.tenure.set(now, dispatched);
-        self.share_probes(now);
-    }
-
-    /// Whether to ask the dispatcher: where instances have little to do, a few questions
-    /// of its own find a process as good a one.
-    #[must_use]
-    pub fn is_busy(&self) -> bool {
-        self.chooser.load() >= BUSY
-    }
-
-    /// Looks what time has brought: grants that are over, and a share that is due.
-    pub fn pass_time(&mut self, now: Moment) {
-        for ticket in self.grants.over(now) {
-            self.finished(now, ticket, Kind::Cancelled, None);
-        }
-        self.share_probes(now);
-    }
-
     /// Takes over how budgets are shared.
     pub fn set_shared(&mut self, shared: &Shared, now: Moment) {
         self.shared = *shared;
@@ -212,12 +183,6 @@
         self.share_probes(now);
     }
 
-    /// How many grants to other processes are open.
-    #[must_use]
-    pub fn grants(&self) -> usize {
-        self.grants.len()
-    }
-
     /// How many instances the service has.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -310,75 +275,6 @@
         })
     }
 
-    /// What a request of another process needs.
-    pub fn need(&mut self, ask: &Ask, domain: &DomainName) -> Need {
-        Need {
-            work: Duration::from_micros(ask.work_us.into()),
-            aim: Duration::from_micros(ask.aim_us.into()),
-            crossing: ask.crossing,
-            room: ask.room,
-            home: self.chooser.home(domain),
-        }
-    }
-
-    /// Handles to the instances of these ids.
-    #[must_use]
-    pub fn picks(&self, ids: &[String]) -> Vec<Pick> {
-        self.chooser.picks(ids)
-    }
-
-    /// The ids of these instances.
-    #[must_use]
-    pub fn ids(&self, picks: &[Pick]) -> Vec<String> {
-        let ids = picks.iter().filter_map(|pick| self.chooser.id(*pick));
-        ids.map(ToString::to_string).collect()
-    }
-
-    /// Grants what was chosen to another process, until its request is over.
-    pub fn grant(&mut self, now: Moment, chosen: &Chosen, until: Moment) -> Placed {
-        let choice = &chosen.choice;
-        let ticket = self.chooser.started(now, choice.pick);
-        let micros = |span: Duration| u32::try_from(span.as_micros()).unwrap_or(u32::MAX);
-        Placed {
-            outcome: Outcome::Granted.into(),
-            grant: self.grants.grant(until + GRANT_SLACK, ticket),
-            instance: chosen.upstream.id.to_string(),
-            incarnation: chosen.upstream.incarnation,
-            report: choice.report.map(report_to_wire),
-            age_us: choice.age.map_or(u32::MAX, micros),
-            in_flight: choice.in_flight,
-            expected_us: micros(choice.expected),
-            cost: choice.cost,
-            back_us: 0,
-        }
-    }
-
-    /// Takes back what was granted; what is over already changes nothing.
-    pub fn ended(&mut self, now: Moment, grant: u64, kind: Kind, report: Option<LoadReport>) {
-        if let Some(ticket) = self.grants.take(grant) {
-            self.finished(now, ticket, kind, report);
-        }
-    }
-
-    /// What the dispatcher granted; none where the instance takes no work as far as this
-    /// process knows, or isn't known.
-    pub fn granted(&mut self, now: Moment, placed: &Placed) -> Option<Chosen> {
-        let pick = self.chooser.find(&placed.instance, placed.incarnation)?;
-        let report = placed.report.as_ref().map(report);
-        if let Some(report) = report {
-            self.chooser.told(now, pick, report);
-        }
-        self.chosen(FreshChoice {
-            pick,
-            reason: Reason::Placed,
-            age: (placed.age_us < u32::MAX).then(|| Duration::from_micros(placed.age_us.into())),
-            report,
-            in_flight: placed.in_flight,
-            expected: Duration::from_micros(placed.expected_us.into()),
-            cost: placed.cost,
-        })
-    }
-
     /// Waits for room; tells of an instance that got some.
     pub fn wait(&mut self, priority: u32, until: Moment) -> oneshot::Receiver<Pick> {
         let (tell, told) = oneshot::channel();
--- a/crates/entry/src/placing.rs
+++ b/crates/entry/src/placing.rs
@@ -4,6 +4,8 @@
 //! decides for itself meanwhile. What it grants is checked against what this process
 //! knows: an instance that leaves here gets nothing, whoever says otherwise.
 
+mod convert;
+mod grant;
 pub mod server;
 
 use std::collections::HashMap;
@@ -16,22 +18,23 @@
 
 use base::prelude::*;
 use dispatch::Trust;
-use route::Kind;
-use route::LoadReport;
 use slog::Logger;
 use slog::info;
 use tarpc::client::RpcError;
-use tokio::runtime::Handle;
 use wire::link::within;
 use wire::peer;
 use wire::peer::PlaceLink;
 use wire::place::Ask;
-use wire::place::Ended;
-use wire::place::Kind as WireKind;
 use wire::place::Outcome;
 use wire::place::Placed;
-use wire::place::Report;
 
+pub use self::grant::Grant;
+
+pub(crate) use self::convert::report;
+pub(crate) use self::convert::report_to_wire;
+
+use self::convert::micros;
+use self::convert::span_of;
 use crate::core::Core;
 use crate::search::Found;
 use crate::search::Want;
@@ -44,9 +47,6 @@
 const CONNECTIONS: usize = 2;
 /// Longest wait for a connection to it, in one region.
 const CONNECT: Duration = Duration::from_millis(20);
-/// How long the end of an attempt may take to arrive. One that doesn't is known to be
-/// over when the request's time is.
-const ENDED_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The dispatchers that were ever asked.
 #[derive(Default)]
@@ -134,7 +134,7 @@
 impl Place {
     /// Asks; none where it doesn't answer in time or isn't worth asking.
     async fn ask(&self, ask: Ask) -> Option<Placed> {
-        if !self.judge(|trust, now| trust.ask(now)) {
+        if !self.judge(Trust::ask) {
             return None;
         }
         let mut question = Question {
@@ -194,111 +194,3 @@
         }
     }
 }
-
-/// What a dispatcher granted. It learns of the end, also where the attempt is dropped.
-pub struct Grant {
-    place: Arc<Place>,
-    service: ServiceName,
-    number: u64,
-    kind: Kind,
-    report: Option<LoadReport>,
-}
-
-impl Grant {
-    fn new(place: &Arc<Place>, service: &ServiceName, number: u64) -> Self {
-        Self {
-            place: Arc::clone(place),
-            service: service.clone(),
-            number,
-            kind: Kind::Cancelled,
-            report: None,
-        }
-    }
-
-    /// Gives it back.
-    pub fn end(mut self, kind: Kind, report: Option<LoadReport>) {
-        self.kind = kind;
-        self.report = report;
-    }
-}
-
-impl std::fmt::Debug for Grant {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Grant")
-            .field("number", &self.number)
-            .finish_non_exhaustive()
-    }
-}
-
-impl Drop for Grant {
-    fn drop(&mut self) {
-        let ended = Ended {
-            service: self.service.to_string(),
-            grant: self.number,
-            kind: kind_to_wire(self.kind).into(),
-            report: self.report.map(report_to_wire),
-        };
-        let place = Arc::clone(&self.place);
-        // Outside of the runtime the process ends, and the grant ends with its time.
-        let Ok(runtime) = Handle::try_current() else {
-            return;
-        };
-        runtime.spawn(async move {
-            let Ok(client) = place.link.client_within(CONNECT).await else {
-                return;
-            };
-            // What gets lost ends with its time.
-            let _ = place
-                .link
-                .judge(client.ended(within(ENDED_TIMEOUT), ended).await);
-        });
-    }
-}
-
-fn micros(span: Duration) -> u32 {
-    u32::try_from(span.as_micros()).unwrap_or(u32::MAX)
-}
-
-fn span_of(micros: u32) -> Duration {
-    Duration::from_micros(micros.into())
-}
-
-pub(crate) fn report_to_wire(report: LoadReport) -> Report {
-    Report {
-        running: report.running,
-        waiting: report.waiting,
-        slots: report.slots,
-        pace: report.pace,
-    }
-}
-
-pub(crate) fn report(report: &Report) -> LoadReport {
-    LoadReport {
-        running: report.running,
-        waiting: report.waiting,
-        slots: report.slots,
-        pace: report.pace,
-    }
-}
-
-fn kind_to_wire(kind: Kind) -> WireKind {
-    match kind {
-        Kind::Ok => WireKind::Ok,
-        Kind::Error => WireKind::Error,
-        Kind::Shed => WireKind::Shed,
-        Kind::Timeout => WireKind::Timeout,
-        Kind::ConnectFailed => WireKind::ConnectFailed,
-        Kind::Cancelled => WireKind::Cancelled,
-    }
-}
-
-fn kind(kind: WireKind) -> Kind {
-    match kind {
-        WireKind::Ok => Kind::Ok,
-        WireKind::Error => Kind::Error,
-        WireKind::Shed => Kind::Shed,
-        WireKind::Timeout => Kind::Timeout,
-        WireKind::ConnectFailed => Kind::ConnectFailed,
-        WireKind::Cancelled | WireKind::Unspecified => Kind::Cancelled,
-    }
-}
--- /dev/null
+++ b/crates/entry/src/placing/convert.rs
@@ -0,0 +1,56 @@
+//! Between the process's own types and those of questions to dispatchers.
+
+use std::time::Duration;
+
+use route::Kind;
+use route::LoadReport;
+use wire::place::Kind as WireKind;
+use wire::place::Report;
+
+pub(super) fn micros(span: Duration) -> u32 {
+    u32::try_from(span.as_micros()).unwrap_or(u32::MAX)
+}
+
+pub(super) fn span_of(micros: u32) -> Duration {
+    Duration::from_micros(micros.into())
+}
+
+pub(crate) fn report_to_wire(report: LoadReport) -> Report {
+    Report {
+        running: report.running,
+        waiting: report.waiting,
+        slots: report.slots,
+        pace: report.pace,
+    }
+}
+
+pub(crate) fn report(report: &Report) -> LoadReport {
+    LoadReport {
+        running: report.running,
+        waiting: report.waiting,
+        slots: report.slots,
+        pace: report.pace,
+    }
+}
+
+pub(super) fn kind_to_wire(kind: Kind) -> WireKind {
+    match kind {
+        Kind::Ok => WireKind::Ok,
+        Kind::Error => WireKind::Error,
+        Kind::Shed => WireKind::Shed,
+        Kind::Timeout => WireKind::Timeout,
+        Kind::ConnectFailed => WireKind::ConnectFailed,
+        Kind::Cancelled => WireKind::Cancelled,
+    }
+}
+
+pub(super) fn kind(kind: WireKind) -> Kind {
+    match kind {
+        WireKind::Ok => Kind::Ok,
+        WireKind::Error => Kind::Error,
+        WireKind::Shed => Kind::Shed,
+        WireKind::Timeout => Kind::Timeout,
+        WireKind::ConnectFailed => Kind::ConnectFailed,
+        WireKind::Cancelled | WireKind::Unspecified => Kind::Cancelled,
+    }
+}
--- a/crates/entry/src/placing/server.rs
+++ b/crates/entry/src/placing/server.rs
@@ -22,12 +22,13 @@
 use wire::place::Outcome;
 use wire::place::Placed;
 
-use super::kind;
-use super::micros;
-use super::report;
-use super::span_of;
+use super::convert::kind;
+use super::convert::micros;
+use super::convert::report;
+use super::convert::span_of;
 use super::word;
 use crate::core::Core;
+use crate::desk::Desk;
 use crate::search;
 use crate::search::Found;
 use crate::search::Want;
@@ -71,7 +72,7 @@
                 .desk(service, |desk, now| desk.grant(now, &chosen, now + left)),
             Found::Wait => Some(outcome(Outcome::Wait)),
             Found::Full(_) => {
-                let back = self.core.desk(service, |desk, now| desk.back(now))?;
+                let back = self.core.desk(service, Desk::back)?;
                 Some(Placed {
                     back_us: micros(back),
                     ..outcome(Outcome::Full)
--- a/crates/entry/tests/test_placing.rs
+++ b/crates/entry/tests/test_placing.rs
@@ -129,13 +129,14 @@
     granted(&dispatcher, 0).await;
 }
 
-#[tokio::test]
-async fn test_placing_dispatcher_that_is_gone_costs_no_request() {
+/// Every request is answered while nobody is at the address, or while connections are
+/// taken there and nothing comes back: frozen, or cut off one way.
+async fn costs_no_request(listens: bool) {
     let upstream = Upstream::start("i-1", Manner::Answer).await;
     let asker = start(&[instance(&upstream, "status")]).await;
     let listener = TcpListener::bind(FREE).await.expect("binds");
     name(&asker, listener.local_addr().expect("an address"));
-    drop(listener);
+    let _kept = listens.then_some(listener);
     for n in 0..3 {
         make_busy(&asker);
         let answer = call(asker.front(), "POST", ONCE, &format!("r-{n}")).await;
@@ -144,19 +145,14 @@
     assert_eq!(upstream.arrivals().len(), 3);
 }
 
-/// Frozen, or cut off one way: connections are taken and nothing comes back.
+#[tokio::test]
+async fn test_placing_dispatcher_that_is_gone_costs_no_request() {
+    costs_no_request(false).await;
+}
+
 #[tokio::test]
 async fn test_placing_silent_dispatcher_costs_no_request() {
-    let upstream = Upstream::start("i-1", Manner::Answer).await;
-    let asker = start(&[instance(&upstream, "status")]).await;
-    let listener = TcpListener::bind(FREE).await.expect("binds");
-    name(&asker, listener.local_addr().expect("an address"));
-    for n in 0..3 {
-        make_busy(&asker);
-        let answer = call(asker.front(), "POST", ONCE, &format!("r-{n}")).await;
-        assert_eq!(answer.status, 200);
-    }
-    assert_eq!(upstream.arrivals().len(), 3);
+    costs_no_request(true).await;
 }
 
 /// A dispatcher that was restarted, or hears nothing of the instances.
