--- a/crates/dispatch/src/grants.rs
+++ b/crates/dispatch/src/grants.rs
@@ -12,15 +12,6 @@
     open: HashMap<u64, (Moment, T)>,
 }
 
-impl<T> Default for Grants<T> {
-    fn default() -> Self {
-        Self {
-            next: 1,
-            open: HashMap::new(),
-        }
-    }
-}
-
 impl<T> Grants<T> {
     /// Grants from `first` on. Numbers of an earlier life of the process must not be
     /// taken for those of this one.
--- a/crates/entry/src/desk/dispatch.rs
+++ b/crates/entry/src/desk/dispatch.rs
@@ -16,8 +16,10 @@
 
 use super::Chosen;
 use super::Desk;
+use crate::placing::micros;
 use crate::placing::report;
 use crate::placing::report_to_wire;
+use crate::placing::span_of;
 
 /// After the end of a request the news of it may take so long.
 const GRANT_SLACK: Duration = Duration::from_millis(300);
@@ -51,8 +53,8 @@
     /// What a request of another process needs.
     pub fn need(&mut self, ask: &Ask, domain: &DomainName) -> Need {
         Need {
-            work: Duration::from_micros(ask.work_us.into()),
-            aim: Duration::from_micros(ask.aim_us.into()),
+            work: span_of(ask.work_us),
+            aim: span_of(ask.aim_us),
             crossing: ask.crossing,
             room: ask.room,
             home: self.chooser.home(domain),
@@ -76,7 +78,6 @@
     pub fn grant(&mut self, now: Moment, chosen: &Chosen, until: Moment) -> Placed {
         let choice = &chosen.choice;
         let ticket = self.chooser.started(now, choice.pick);
-        let micros = |span: Duration| u32::try_from(span.as_micros()).unwrap_or(u32::MAX);
         Placed {
             outcome: Outcome::Granted.into(),
             grant: self.grants.grant(until + GRANT_SLACK, ticket),
@@ -109,10 +110,10 @@
         self.chosen(FreshChoice {
             pick,
             reason: Reason::Placed,
-            age: (placed.age_us < u32::MAX).then(|| Duration::from_micros(placed.age_us.into())),
+            age: (placed.age_us < u32::MAX).then(|| span_of(placed.age_us)),
             report,
             in_flight: placed.in_flight,
-            expected: Duration::from_micros(placed.expected_us.into()),
+            expected: span_of(placed.expected_us),
             cost: placed.cost,
         })
     }
--- a/crates/entry/src/placing.rs
+++ b/crates/entry/src/placing.rs
@@ -30,11 +30,11 @@
 
 pub use self::grant::Grant;
 
+pub(crate) use self::convert::micros;
 pub(crate) use self::convert::report;
 pub(crate) use self::convert::report_to_wire;
+pub(crate) use self::convert::span_of;
 
-use self::convert::micros;
-use self::convert::span_of;
 use crate::core::Core;
 use crate::search::Found;
 use crate::search::Want;
--- a/crates/entry/src/placing/convert.rs
+++ b/crates/entry/src/placing/convert.rs
@@ -7,11 +7,11 @@
 use wire::place::Kind as WireKind;
 use wire::place::Report;
 
-pub(super) fn micros(span: Duration) -> u32 {
+pub(crate) fn micros(span: Duration) -> u32 {
     u32::try_from(span.as_micros()).unwrap_or(u32::MAX)
 }
 
-pub(super) fn span_of(micros: u32) -> Duration {
+pub(crate) fn span_of(micros: u32) -> Duration {
     Duration::from_micros(micros.into())
 }
 
