hub, entry: after a restart hubs make themselves known to entry hosts

Cause: an entry process that starts knows the seeds only.

A hub keeps where entry hosts listen beside its log (written at most every 5 s, synced and renamed), and after a restart sends each a datagram with the addresses of all hubs until it has come. Entry processes ask these beside the seeds while no hub is live.

Ruled out: slow starts of the entry processes (they retry each 50 ms at most and were there from 31.42 on), the election (31.57), replay (20 ms).

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -13,6 +13,7 @@
 use tarpc::Response;
 use telemetry::metrics::MetricsError;
 use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
@@ -88,12 +89,19 @@
             None => None,
         };
         settings.place = placing.as_ref().map(Questions::local_addr);
+        let beacons = match settings.place {
+            Some(place) => {
+                let bound = UdpSocket::bind(place).await;
+                Some(bound.map_err(|err| EntryError::Bind(place, err))?)
+            }
+            None => None,
+        };
         let core = Core::new(settings, dialect, log, Counters::new(client));
         let open = TaskTracker::new();
         let mut tasks = vec![
             spawn(serve::front(Arc::clone(&core), front, open.clone())),
             spawn(serve::readiness(Arc::clone(&core), ready)),
-            spawn(sync::run(Arc::clone(&core))),
+            spawn(sync::run(Arc::clone(&core), beacons)),
             spawn(probe::bring_back(Arc::clone(&core))),
         ];
         tasks.extend(placing.map(|incoming| spawn(place(Arc::clone(&core), incoming))));
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -3,6 +3,7 @@
 //! A change of any hub counts, so that one cut path doesn't matter. While no
 //! hub answers, the process serves on with what it knows.
 
+pub mod beacon;
 pub mod hubs;
 pub mod progress;
 
@@ -14,6 +15,7 @@
 use slog::info;
 use slog::warn;
 use tarpc::client::RpcError;
+use tokio::net::UdpSocket;
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 use wire::hub::Fetch;
@@ -80,9 +82,13 @@
     Again,
 }
 
-/// Watches all hubs. Never ends.
-pub async fn run(core: Arc<Core>) {
+/// Watches all hubs; `beacons` is where they make themselves known. Never ends.
+pub async fn run(core: Arc<Core>, beacons: Option<UdpSocket>) {
     let hubs = Arc::new(Hubs::new(core.settings().domain.clone()));
+    let _listening = beacons.map(|socket| {
+        let (core, hubs) = (Arc::clone(&core), Arc::clone(&hubs));
+        AbortOnDropHandle::new(tokio::spawn(beacon::listen(core, hubs, socket)))
+    });
     let mut renamed = hubs.renamed.subscribe();
     let mut watches: HashMap<SocketAddr, AbortOnDropHandle<()>> = HashMap::new();
     loop {
--- a/crates/entry/src/sync/hubs.rs
+++ b/crates/entry/src/sync/hubs.rs
@@ -44,6 +44,9 @@
 const LISTING: Duration = Duration::from_millis(400);
 /// A hub that no other hub names and that doesn't answer is let go after so long.
 const FORGET: Duration = Duration::from_secs(10);
+/// Hubs that are taken from those that make themselves known; twice as many as a group
+/// of the largest size has.
+const MOST_HINTS: usize = 32;
 /// A table that takes longer is fetched from another hub too: over the time in
 /// which 60 KB come over a link of 2.3 Mbit/s.
 const PATIENCE: Duration = Duration::from_millis(400);
@@ -98,6 +101,8 @@
     fetching: Mutex<Option<Instant>>,
     listing: Mutex<Listing>,
     told: Mutex<Told>,
+    /// Hubs that made themselves known, to be asked while none is live.
+    hints: Mutex<BTreeSet<SocketAddr>>,
     /// Spreads the entry processes over the hubs nearby.
     order: RandomState,
     /// The hub that tells changes.
@@ -120,6 +125,7 @@
             fetching: Mutex::default(),
             listing: Mutex::new(Listing::Nobody),
             told: Mutex::default(),
+            hints: Mutex::default(),
             first: watch::Sender::new(None),
             listed: watch::Sender::new(false),
             order: RandomState::new(),
@@ -137,12 +143,27 @@
         let mut wanted: Vec<SocketAddr> = named.chain(hubs.keys().copied()).collect();
         if wanted.len() < seeds.len() {
             wanted.extend(seeds);
+            wanted.extend(self.hints().iter());
         }
         wanted.sort_unstable();
         wanted.dedup();
         wanted
     }
 
+    /// Takes the addresses of hubs that one of them told unasked.
+    ///
+    /// Gives whether any of them is new.
+    pub fn hint(&self, addresses: &[SocketAddr]) -> bool {
+        let mut hints = self.hints();
+        let before = hints.len();
+        hints.extend(addresses.iter().take(MOST_HINTS.saturating_sub(before)));
+        let more = hints.len() > before;
+        if more {
+            self.renamed.send_replace(());
+        }
+        more
+    }
+
     /// The hubs that answered within the time after which one is let go.
     #[must_use]
     pub fn live(&self) -> BTreeSet<SocketAddr> {
@@ -314,6 +335,10 @@
         self.listing.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn hints(&self) -> MutexGuard<'_, BTreeSet<SocketAddr>> {
+        self.hints.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn told(&self) -> MutexGuard<'_, Told> {
         self.told.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/entry/tests/test_hubs.rs
+++ b/crates/entry/tests/test_hubs.rs
@@ -178,6 +178,26 @@
     assert_eq!(hubs.wanted(&seeds), seeds);
 }
 
+/// Hubs that make themselves known are asked beside the seeds, until others are live.
+#[tokio::test(start_paused = true)]
+async fn test_hubs_hints_are_wanted_while_none_is_live() {
+    let hubs = hubs();
+    let mut renamed = hubs.renamed.subscribe();
+    assert!(hubs.hint(&[hub(3), hub(9)]));
+    assert!(renamed.has_changed().expect("the hubs live"));
+    renamed.mark_unchanged();
+    assert!(!hubs.hint(&[hub(3)]));
+    assert!(!renamed.has_changed().expect("the hubs live"));
+    let seeds = [hub(8), hub(9)];
+    assert_eq!(hubs.wanted(&seeds), [hub(3), hub(8), hub(9)]);
+    hubs.note(hub(1), seen(true, 0));
+    assert_eq!(hubs.wanted(&seeds), [hub(1), hub(2)]);
+    let many: Vec<SocketAddr> = (10..100).map(hub).collect();
+    hubs.hint(&many);
+    advance(Duration::from_secs(10)).await;
+    assert!(hubs.wanted(&seeds).len() <= 34);
+}
+
 #[tokio::test(start_paused = true)]
 async fn test_hubs_more_of_them_hold_watches_for_longer() {
     let hubs = hubs();
--- a/crates/hub/src/entries.rs
+++ b/crates/hub/src/entries.rs
@@ -6,6 +6,8 @@
 //! to those few.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use base::prelude::*;
@@ -101,6 +103,13 @@
         hosts.collect()
     }
 
+    /// Where those that watch are asked for instances by others.
+    #[must_use]
+    pub fn places(&self) -> BTreeSet<SocketAddr> {
+        let places = self.known.values().map(|entry| entry.place.parse());
+        places.filter_map(Result::ok).collect()
+    }
+
     /// Forgets hosts that were silent for long.
     pub fn forget(&mut self, now: Moment) {
         self.known.retain(|_, e| now.since(e.heard) < FORGET);
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -13,6 +13,7 @@
 use tokio_util::task::AbortOnDropHandle;
 use wire::accept::Acceptor;
 
+use crate::beacon;
 use crate::desk::Desk;
 use crate::http;
 use crate::peers;
@@ -81,7 +82,8 @@
             AbortOnDropHandle::new(tokio::spawn(accepting)),
             AbortOnDropHandle::new(tokio::spawn(peers::follow_group(Arc::clone(&state)))),
             AbortOnDropHandle::new(tokio::spawn(peers::follow_lost(Arc::clone(&state)))),
-            AbortOnDropHandle::new(tokio::spawn(peers::follow_registry(state))),
+            AbortOnDropHandle::new(tokio::spawn(peers::follow_registry(Arc::clone(&state)))),
+            AbortOnDropHandle::new(tokio::spawn(beacon::run(state))),
         ];
         let mut http = None;
         if let Some(port) = port {
--- a/crates/hub/src/lib.rs
+++ b/crates/hub/src/lib.rs
@@ -5,8 +5,10 @@
 //! announced upstreams: a hub acknowledges that an instance leaves only when the
 //! log has it. Besides, each hub tells at once what it has just heard ([`desk`],
 //! [`state`]). Entry processes watch all hubs ([`server`]), upstreams and callers ask over HTTP ([`http`]); which entry hosts
-//! callers may use follows from who watches ([`entries`]).
+//! callers may use follows from who watches ([`entries`], [`list`]). After a restart it makes
+//! itself known to those that watched before ([`beacon`]).
 
+pub mod beacon;
 pub mod desk;
 pub mod entries;
 pub mod http;
