hub, entry: digests count only of hubs that are further in the log

As 900 instances announce themselves, ten hubs differ from each other in every bucket all the time, so 449 processes compared with nine hubs each 0.6 s, 200 to 280 packed rows a time.

A hub now tells up to which index of the log its announcements go, and a digest is compared only where that is beyond what is held. What is told after 0.6 s is the state of before, so a first hub that works has told of it by then.

Ruled out: a longer pause alone (a storm lasts for seconds), cursors in place of digests (see docs/design/news.md).

--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -379,6 +379,7 @@
             let announced = registry.cursor() != view.registry.cursor();
             if announced {
                 view.registry = Arc::clone(registry);
+                view.announced = self.applied.0;
             }
             newer || routed || announced
         });
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -35,6 +35,8 @@
     pub table: Arc<Table>,
     /// The announced upstreams.
     pub registry: Arc<Registry>,
+    /// The log's index up to which these are applied.
+    pub announced: u64,
     /// A leader was known since the replica started.
     pub led: bool,
 }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -183,7 +183,9 @@
         let fetching = self.hubs.is_fetching();
         let table = if fetching { held.max(self.table) } else { held };
         let part = self.hubs.part(self.address);
-        let question = self.progress.next(part, &self.core.digest());
+        let question = self
+            .progress
+            .next(part, &self.core.digest(), self.hubs.reached());
         let watch = Watch {
             host: settings.host.to_string(),
             domain: settings.domain.to_string(),
@@ -237,7 +239,8 @@
 
     fn take(&mut self, asked: &Asked, reply: &WatchReply) {
         self.take_news(reply);
-        self.progress.answered(&asked.question, reply);
+        let reached = self.progress.answered(&asked.question, reply);
+        self.hubs.reach(reached);
         self.note(asked, reply);
         self.table = reply.table;
         let held = self.core.routes().table.version;
--- a/crates/entry/src/sync/hubs.rs
+++ b/crates/entry/src/sync/hubs.rs
@@ -14,6 +14,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use base::prelude::*;
@@ -103,6 +105,8 @@
     told: Mutex<Told>,
     /// Hubs that made themselves known, to be asked while none is live.
     hints: Mutex<BTreeSet<SocketAddr>>,
+    /// All announcements of the log up to this index are held.
+    reached: AtomicU64,
     /// Spreads the entry processes over the hubs nearby.
     order: RandomState,
     /// The hub that tells changes.
@@ -126,6 +130,7 @@
             listing: Mutex::new(Listing::Nobody),
             told: Mutex::default(),
             hints: Mutex::default(),
+            reached: AtomicU64::new(0),
             first: watch::Sender::new(None),
             listed: watch::Sender::new(false),
             order: RandomState::new(),
@@ -214,6 +219,17 @@
         }
     }
 
+    /// The log's index up to which all announcements are held.
+    #[must_use]
+    pub fn reached(&self) -> u64 {
+        self.reached.load(Ordering::Relaxed)
+    }
+
+    /// Notes that all announcements of the log up to `index` are held.
+    pub fn reach(&self, index: u64) {
+        self.reached.fetch_max(index, Ordering::Relaxed);
+    }
+
     /// Notes that the process holds instances.
     pub fn list_done(&self) {
         *self.listing() = Listing::Done;
--- a/crates/entry/src/sync/progress.rs
+++ b/crates/entry/src/sync/progress.rs
@@ -1,12 +1,16 @@
 //! What one hub has told of instances, and what it is asked for next.
 //!
-//! One hub tells every change at once. Of the others a digest is enough: it shows when
-//! one of them knows of something that the first doesn't tell, as its path is cut or it
-//! is behind, and then just the rows that may differ are asked for. Whichever hub
-//! acknowledged that an instance leaves, the process learns of it.
+//! One hub tells every change at once. Of the others it is enough to know how far in the
+//! log they are, and a digest: these show when one of them knows of something that the
+//! first doesn't tell, as its path is cut or it is behind, and then just the rows that may
+//! differ are asked for. A hub acknowledges that an instance leaves once the log has it, so
+//! whichever hub did, the process learns of it.
 //!
-//! Why a digest of a hub needs no second look: instances only ever move forward, so once
-//! all rows that differed were taken, what is held is at least what that hub had.
+//! Why a hub that is no further in the log than what was taken needs no look, whatever its
+//! digest: instances only ever move forward, so what is held is at least what the log says
+//! up to there. What a hub has heard beyond its log is in the log of all soon. With digests
+//! alone ten hubs that are told of 900 instances within seconds all differ all the time:
+//! 449 processes compared rows 6,000 times a second, and the hubs had no time for the log.
 
 use registry::Digest;
 use wire::hub::News;
@@ -47,19 +51,20 @@
     whole: bool,
     /// The hub's digest, as last told.
     digest: Option<u64>,
-    /// The digest of the hub whose rows were taken last.
-    taken: Option<u64>,
+    /// The log's index up to which it knows announcements.
+    announced: u64,
 }
 
 impl Progress {
-    /// What to ask next; `held` is the digest of the instances that are held.
+    /// What to ask next; `held` is the digest of the instances that are held, which have
+    /// all announcements of the log up to `reached`.
     #[must_use]
-    pub fn next(&self, part: Part, held: &Digest) -> Question {
+    pub fn next(&self, part: Part, held: &Digest, reached: u64) -> Question {
         let (news, compare) = match part {
             Part::Waits => (News::None, false),
             Part::Lists => (News::Changes, false),
             Part::First => (News::Changes, !self.whole),
-            Part::Other => (News::Digest, self.differs(held)),
+            Part::Other => (News::Digest, self.is_ahead(held, reached)),
         };
         // A process that holds nothing asks for all of them.
         let cursor = if part == Part::Lists && !self.whole {
@@ -79,27 +84,30 @@
         }
     }
 
-    /// Whether the hub has told of something that wasn't compared yet.
-    fn differs(&self, held: &Digest) -> bool {
-        self.digest
-            .is_some_and(|told| told != held.total() && self.taken != Some(told))
+    /// Whether the hub knows of announcements in the log that may not be held.
+    fn is_ahead(&self, held: &Digest, reached: u64) -> bool {
+        self.announced > reached && self.digest.is_some_and(|told| told != held.total())
     }
 
-    /// Takes the answer to `asked`.
-    pub fn answered(&mut self, asked: &Question, reply: &WatchReply) {
+    /// Takes the answer to `asked`; gives the log's index up to which all announcements are
+    /// held with it.
+    pub fn answered(&mut self, asked: &Question, reply: &WatchReply) -> u64 {
         let same = reply.epoch == self.epoch;
         let told = match asked.news {
             News::Changes | News::Unspecified => !reply.whole.is_empty() || (same && self.whole),
             News::Digest => false,
             // Nothing was told that a later answer needn't tell again.
-            News::None => return,
+            News::None => return 0,
         };
         self.whole = told;
         self.epoch = reply.epoch;
         self.cursor = reply.cursor;
         self.digest = Some(reply.digest);
-        if !reply.whole.is_empty() {
-            self.taken = Some(reply.digest);
+        self.announced = reply.announced;
+        if told || !reply.whole.is_empty() {
+            reply.announced
+        } else {
+            0
         }
     }
 }
--- a/crates/hub/src/peers.rs
+++ b/crates/hub/src/peers.rs
@@ -61,8 +61,12 @@
     let mut views = state.tables.views();
     let mut cursor = 0;
     loop {
-        let registry = Arc::clone(&views.borrow_and_update().registry);
+        let (registry, announced) = {
+            let view = views.borrow_and_update();
+            (Arc::clone(&view.registry), view.announced)
+        };
         state.take(&registry.since(cursor));
+        state.known().announced = announced;
         cursor = registry.cursor();
         if views.changed().await.is_err() {
             return;
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -48,6 +48,7 @@
 struct Told {
     cursor: u64,
     digest: u64,
+    announced: u64,
     rows: Vec<Instance>,
     heard: Vec<Hearing>,
     whole: Bytes,
@@ -65,23 +66,29 @@
         Self { state, desk }
     }
 
-    /// Waits until there is anything that the watcher lacks.
-    async fn wait(&self, ask: &Watch) {
+    /// Waits until there is anything that the watcher lacks; gives what it is told of
+    /// instances.
+    async fn wait(&self, ask: &Watch) -> Told {
         let wait = Duration::from_millis(ask.wait_ms.into()).min(MAX_WAIT);
         let end = Instant::now() + wait;
         let mut views = self.state.tables.views();
         let mut lists = self.state.list.subscribe();
         let newer = views.wait_for(|view| view.table.version > ask.table);
+        let mut gathered = None;
         tokio::select! {
-            () = self.moved(ask) => {}
+            () = self.moved(ask, &mut gathered) => {}
             _ = newer => {}
             _ = lists.wait_for(|list| *list != ask.list), if ask.lists => {}
             () = tokio::time::sleep_until(end) => {}
         }
+        gathered.unwrap_or_else(|| self.news(ask))
     }
 
     /// Waits until instances have changed, as far as the watcher wants to know.
-    async fn moved(&self, ask: &Watch) {
+    ///
+    /// Who takes digests is told of the moment at which the wait for more changes began:
+    /// by then the hub that tells changes at once has told of it, unless it is behind.
+    async fn moved(&self, ask: &Watch, gathered: &mut Option<Told>) {
         if ask.news() == News::None {
             return std::future::pending().await;
         }
@@ -92,6 +99,7 @@
             return std::future::pending().await;
         }
         if ask.news() == News::Digest {
+            *gathered = Some(self.news(ask));
             tokio::time::sleep(GATHER).await;
         }
     }
@@ -101,10 +109,12 @@
         let known = self.state.known();
         let registry = &known.registry;
         let digest = registry.digest().total();
+        let announced = known.announced;
         if ask.news() == News::None {
             return Told {
                 cursor: ask.cursor,
                 digest,
+                announced,
                 ..Told::default()
             };
         }
@@ -112,6 +122,7 @@
             return Told {
                 cursor: registry.cursor(),
                 digest,
+                announced,
                 whole: self.state.pack(registry.differing(&ask.buckets)),
                 heard: registry.heard_since(ask.cursor),
                 ..Told::default()
@@ -121,6 +132,7 @@
             return Told {
                 cursor: registry.cursor(),
                 digest,
+                announced,
                 heard: registry.heard_since(ask.cursor),
                 ..Told::default()
             };
@@ -131,6 +143,7 @@
             return Told {
                 cursor,
                 digest,
+                announced,
                 whole,
                 ..Told::default()
             };
@@ -139,6 +152,7 @@
         Told {
             cursor: registry.cursor(),
             digest,
+            announced,
             rows: news.rows,
             heard: news.heard,
             whole: Bytes::new(),
@@ -180,11 +194,10 @@
         }
         let recovered = self.is_recovered();
         let confirmed = ask.table == 0 && !recovered && self.confirm().await;
-        self.wait(&ask).await;
+        let told = self.wait(&ask).await;
         let now = self.state.clock.now();
         self.state.known().entries.answered(now, &ask);
         let table = self.state.tables.applied().version;
-        let told = self.news(&ask);
         let known = self.state.known();
         let update = if ask.lists {
             known.lists.update(ask.list)
@@ -204,6 +217,7 @@
             whole: told.whole,
             heard: told.heard,
             digest: told.digest,
+            announced: told.announced,
             table,
             confirmed,
             recovered,
--- a/crates/hub/src/state.rs
+++ b/crates/hub/src/state.rs
@@ -28,6 +28,8 @@
 pub struct Known {
     /// The announced upstreams.
     pub registry: Registry,
+    /// The log's index up to which announcements are in it.
+    pub announced: u64,
     /// The entry hosts that watch.
     pub entries: Entries,
     /// Lists of them, as they were told.
