--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -4,6 +4,7 @@
 //! hub answers, the process serves on with what it knows.
 
 pub mod beacon;
+pub mod hosts;
 pub mod hubs;
 pub mod progress;
 
@@ -196,7 +197,7 @@
             cursor: question.cursor,
             news: question.news.into(),
             buckets: question.buckets.clone(),
-            list: self.hubs.list(),
+            list: self.hubs.hosts().mark(),
             lists: self.hubs.is_first(self.address),
             place: settings
                 .place
@@ -294,10 +295,20 @@
         if entries > 0 {
             self.core.set_entries(entries);
         }
-        if asked.watch.lists
-            && let Some(hosts) = self.hubs.take_hosts(asked.watch.list, reply)
-        {
-            self.core.set_hosts(hosts);
+        if asked.watch.lists {
+            self.take_hosts(asked.watch.list, reply);
+        }
+    }
+
+    fn take_hosts(&self, held: u64, reply: &WatchReply) {
+        let taken = self.hubs.hosts().take(held, reply);
+        match taken {
+            Ok(Some(hosts)) => self.core.set_hosts(hosts),
+            Ok(None) => {}
+            Err(err) => {
+                warn!(self.core.log, "bad list of entry hosts"; "hub" => %self.address,
+                    "error" => %err);
+            }
         }
     }
 }
--- a/crates/entry/src/sync/hubs.rs
+++ b/crates/entry/src/sync/hubs.rs
@@ -21,10 +21,9 @@
 use base::prelude::*;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use wire::hub::EntryHost;
-use wire::hub::WatchReply;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::hosts::HostList;
 use super::progress::Part;
 
 /// What a hub told counts for so much longer than its watch is held: until that is given
@@ -77,13 +76,6 @@
     }
 }
 
-/// The entry hosts as they were last told.
-#[derive(Debug, Default)]
-struct Told {
-    mark: u64,
-    hosts: Vec<EntryHost>,
-}
-
 /// Whether the process holds the instances, and who sends all of them.
 #[derive(Debug)]
 enum Listing {
@@ -102,7 +94,7 @@
     /// When the fetch of a table began that is under way.
     fetching: Mutex<Option<Instant>>,
     listing: Mutex<Listing>,
-    told: Mutex<Told>,
+    hosts: Mutex<HostList>,
     /// Hubs that made themselves known, to be asked while none is live.
     hints: Mutex<BTreeSet<SocketAddr>>,
     /// All announcements of the log up to this index are held.
@@ -128,7 +120,7 @@
             seen: Mutex::default(),
             fetching: Mutex::default(),
             listing: Mutex::new(Listing::Nobody),
-            told: Mutex::default(),
+            hosts: Mutex::default(),
             hints: Mutex::default(),
             reached: AtomicU64::new(0),
             first: watch::Sender::new(None),
@@ -289,27 +281,9 @@
         recent.map(|seen| seen.entries).max().unwrap_or_default()
     }
 
-    /// The mark of the list of entry hosts that is held.
-    #[must_use]
-    pub fn list(&self) -> u64 {
-        self.told().mark
-    }
-
-    /// Takes what a hub told of entry hosts; gives them all if they changed.
-    pub fn take_hosts(&self, held: u64, reply: &WatchReply) -> Option<Vec<EntryHost>> {
-        let mut told = self.told();
-        if reply.list == told.mark || held != told.mark {
-            return None;
-        }
-        if reply.packed.is_empty() {
-            told.hosts.retain(|host| !is_replaced(reply, host));
-            told.hosts.extend(reply.hosts.iter().cloned());
-        } else {
-            told.hosts = registry::unpack_hosts(&reply.packed).ok()?;
-        }
-        told.hosts.sort_by(|a, b| a.address.cmp(&b.address));
-        told.mark = reply.list;
-        Some(told.hosts.clone())
+    /// The entry hosts, as they were last told.
+    pub fn hosts(&self) -> MutexGuard<'_, HostList> {
+        self.hosts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Whether a table is being fetched that may still come soon.
@@ -354,15 +328,6 @@
     fn hints(&self) -> MutexGuard<'_, BTreeSet<SocketAddr>> {
         self.hints.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    fn told(&self) -> MutexGuard<'_, Told> {
-        self.told.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// Whether the answer takes the host off, or names it anew.
-fn is_replaced(reply: &WatchReply, host: &EntryHost) -> bool {
-    reply.lost.contains(&host.address) || reply.hosts.iter().any(|new| new.address == host.address)
 }
 
 /// A failure domain's order of the hubs elsewhere.
--- a/crates/entry/tests/test_hubs.rs
+++ b/crates/entry/tests/test_hubs.rs
@@ -49,9 +49,16 @@
     }
 }
 
-fn addresses(hosts: Option<Vec<EntryHost>>) -> Vec<String> {
-    let hosts = hosts.expect("changed").into_iter();
-    hosts.map(|host| host.address).collect()
+/// The entry hosts after an answer to a watch that named the list `held`; none if nothing
+/// changed.
+fn take(hubs: &Hubs, held: u64, reply: &WatchReply) -> Option<Vec<String>> {
+    let taken = hubs.hosts().take(held, reply).expect("a list");
+    let hosts = taken?.into_iter();
+    Some(hosts.map(|host| host.address).collect())
+}
+
+fn named(addresses: &[&str]) -> Vec<String> {
+    addresses.iter().map(ToString::to_string).collect()
 }
 
 #[tokio::test(start_paused = true)]
@@ -62,12 +69,12 @@
     hubs.note(hub(1), seen(false, 0));
     hubs.note(hub(2), seen(true, 0));
     assert!(!hubs.is_first(hub(1)) && hubs.is_first(hub(2)));
-    assert_eq!(addresses(hubs.take_hosts(0, &list(7, &["a:1"]))), ["a:1"]);
+    assert_eq!(take(&hubs, 0, &list(7, &["a:1"])), Some(named(&["a:1"])));
     // The near one falls silent; what it told no longer counts.
     advance(Duration::from_secs(2)).await;
     hubs.note(hub(1), seen(false, 0));
     assert!(hubs.is_first(hub(1)) && !hubs.is_first(hub(2)));
-    assert_eq!(addresses(hubs.take_hosts(7, &list(8, &["b:1"]))), ["b:1"]);
+    assert_eq!(take(&hubs, 7, &list(8, &["b:1"])), Some(named(&["b:1"])));
 }
 
 #[tokio::test(start_paused = true)]
@@ -119,19 +126,26 @@
 #[tokio::test(start_paused = true)]
 async fn test_hubs_entry_hosts_are_told_by_what_changes() {
     let hubs = hubs();
-    hubs.take_hosts(0, &list(7, &["a:1", "b:1"]));
+    take(&hubs, 0, &list(7, &["a:1", "b:1"]));
     let change = WatchReply {
         list: 8,
         hosts: vec![host("c:1")],
         lost: vec!["a:1".to_owned()],
         ..WatchReply::default()
     };
-    assert_eq!(addresses(hubs.take_hosts(7, &change)), ["b:1", "c:1"]);
+    assert_eq!(take(&hubs, 7, &change), Some(named(&["b:1", "c:1"])));
     // The same again, or a change of another list than the one that is held.
-    assert_eq!(hubs.take_hosts(8, &change), None);
+    assert_eq!(take(&hubs, 8, &change), None);
     let other = WatchReply { list: 9, ..change };
-    assert_eq!(hubs.take_hosts(7, &other), None);
-    assert_eq!(hubs.list(), 8);
+    assert_eq!(take(&hubs, 7, &other), None);
+    assert_eq!(hubs.hosts().mark(), 8);
+    // One that is damaged changes nothing.
+    let damaged = WatchReply {
+        packed: "other".into(),
+        ..other
+    };
+    assert!(hubs.hosts().take(8, &damaged).is_err());
+    assert_eq!(hubs.hosts().mark(), 8);
 }
 
 /// A hub that has just started knows few entry hosts: budgets are for all of them.
