--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -136,6 +136,8 @@
     applied: Index,
     group: Config,
     next_expiry: Moment,
+    /// Snapshots of others that were installed.
+    snapshots: u64,
     /// Bytes of the last snapshot, so that large states are written less often.
     snapshot_size: usize,
     failure: Option<DriverError>,
@@ -165,6 +167,7 @@
             applied: parts.stored.snapshot.position.index,
             group: Config::default(),
             next_expiry: clock.now(),
+            snapshots: 0,
             snapshot_size: parts.stored.snapshot.data.len(),
             failure: None,
             parts,
@@ -376,10 +379,12 @@
                 view.table = Arc::clone(table);
             }
             let registry = self.parts.machine.registry();
-            let announced = registry.cursor() != view.registry.cursor();
+            let renumbered = self.snapshots != view.snapshots;
+            let announced = renumbered || registry.cursor() != view.registry.cursor();
             if announced {
                 view.registry = Arc::clone(registry);
                 view.announced = self.applied.0;
+                view.snapshots = self.snapshots;
             }
             newer || routed || announced
         });
--- a/crates/control/src/driver/act.rs
+++ b/crates/control/src/driver/act.rs
@@ -92,6 +92,7 @@
             Ok(machine) => {
                 self.parts.machine = machine;
                 self.applied = snapshot.position.index;
+                self.snapshots += 1;
                 self.snapshot_size = snapshot.data.len();
                 info!(self.parts.log, "snapshot"; "event" => "installed",
                     "index" => self.applied.0, "bytes" => snapshot.data.len());
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -37,6 +37,8 @@
     pub registry: Arc<Registry>,
     /// The log's index up to which these are applied.
     pub announced: u64,
+    /// Snapshots that were installed: each numbers the changes of the registry anew.
+    pub snapshots: u64,
     /// A leader was known since the replica started.
     pub led: bool,
 }
--- a/crates/hub/src/peers.rs
+++ b/crates/hub/src/peers.rs
@@ -59,12 +59,17 @@
 /// the replica.
 pub async fn follow_registry(state: Arc<State>) {
     let mut views = state.tables.views();
-    let mut cursor = 0;
+    let (mut cursor, mut numbered) = (0, 0);
     loop {
-        let (registry, announced) = {
+        let (registry, announced, snapshots) = {
             let view = views.borrow_and_update();
-            (Arc::clone(&view.registry), view.announced)
+            (Arc::clone(&view.registry), view.announced, view.snapshots)
         };
+        // A snapshot numbers changes anew: by the old numbers, what it says of instances
+        // that were known would be passed over, a notice of leaving among it.
+        if snapshots != numbered {
+            (cursor, numbered) = (0, snapshots);
+        }
         state.take(&registry.since(cursor));
         state.known().announced = announced;
         cursor = registry.cursor();
--- a/crates/hub/tests/test_hub.rs
+++ b/crates/hub/tests/test_hub.rs
@@ -415,3 +415,56 @@
     let other = reqwest::get(format!("{base}/v1/other")).await;
     assert_eq!(other.expect("an answer").status().as_u16(), 404);
 }
+
+/// A hub that was away takes a snapshot in place of the entries that it missed; what that
+/// says of instances is told like any other news.
+#[tokio::test]
+async fn test_hub_that_was_away_learns_what_a_snapshot_says_of_instances() {
+    let layout = Layout::new(3, 0).expect("a folder");
+    let log = telemetry::log::silent();
+    let mut hubs = Vec::new();
+    for settings in &layout.hubs {
+        let hub = Hub::start(settings.clone(), log.clone()).await;
+        hubs.push(hub.expect("starts"));
+    }
+    let phase = |hub: &Hub| {
+        let instances = hub.desk().instances();
+        instances.iter().map(Instance::phase).max()
+    };
+    let reaches = async |hub: &Hub, wanted: Phase| {
+        let reached = async {
+            while phase(hub) != Some(wanted) {
+                tokio::time::sleep(PAUSE).await;
+            }
+        };
+        let reached = tokio::time::timeout(PATIENCE, reached).await;
+        reached.expect("told in the end");
+    };
+    put_surely(&hubs[0], put(1)).await;
+    let told = hubs[0].desk().announce(instance(Phase::Ready, 1)).await;
+    told.expect("taken");
+    reaches(&hubs[2], Phase::Ready).await;
+    hubs.pop().expect("the third").stop().await;
+    let drain = async {
+        while hubs[0]
+            .desk()
+            .announce(instance(Phase::Draining, 2))
+            .await
+            .is_err()
+        {
+            tokio::time::sleep(PAUSE).await;
+        }
+    };
+    let drained = tokio::time::timeout(PATIENCE, drain).await;
+    drained.expect("in the log in the end");
+    // Over the bytes after which a snapshot takes the place of the log, several times.
+    for version in 2..12 {
+        let large = Put {
+            source: vec![b'x'; 200 * 1024],
+            ..put(version)
+        };
+        put_surely(&hubs[0], large).await;
+    }
+    let back = Hub::start(layout.hubs[2].clone(), log).await;
+    reaches(&back.expect("starts"), Phase::Draining).await;
+}
