place, entry, hub: one rendezvous hash, one name of a list, no second copy of state

Core::stocked stays true once it was, as its doc says. - a watch was kept with a copy of its question; what asked for it is enough. - HubServer::news built the same answer five times; the beacon looked for hubs once a host. - test_hub starts all hubs of a layout in one place.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -224,7 +224,7 @@
         let stocked = !known.instances.is_empty();
         drop(known);
         self.stocked
-            .send_if_modified(|held| !std::mem::replace(held, stocked) && stocked);
+            .send_if_modified(|held| stocked && !std::mem::replace(held, true));
     }
 
     fn log_instance(&self, hub: SocketAddr, instance: &Instance, service: &ServiceName) {
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -32,7 +32,6 @@
 use self::hubs::Hubs;
 use self::hubs::Seen;
 use self::progress::Progress;
-use self::progress::Question;
 
 /// Beyond its wait, a watch may take this long before the connection counts as dead.
 const SLACK: Duration = Duration::from_millis(600);
@@ -69,23 +68,20 @@
     group: u64,
 }
 
-/// A watch as it was asked.
-struct Asked {
-    watch: Watch,
-    question: Question,
-}
-
 /// How a watch ended.
 enum Answer {
-    /// The hub answered.
-    Reply(Box<(Asked, WatchReply)>),
+    /// The hub answered the question.
+    Reply(Box<(Watch, WatchReply)>),
     /// It was given up, as something else is asked now.
     Again,
 }
 
 /// Watches all hubs; `beacons` is where they make themselves known. Never ends.
 pub async fn run(core: Arc<Core>, beacons: Option<UdpSocket>) {
-    let hubs = Arc::new(Hubs::new(core.settings().domain.clone()));
+    let hubs = Arc::new(Hubs::new(
+        core.settings().domain.clone(),
+        core.stocked.subscribe(),
+    ));
     let _listening = beacons.map(|socket| {
         let (core, hubs) = (Arc::clone(&core), Arc::clone(&hubs));
         AbortOnDropHandle::new(tokio::spawn(beacon::listen(core, hubs, socket)))
@@ -177,7 +173,7 @@
     }
 
     /// What the hub is asked next.
-    fn next(&self) -> Asked {
+    fn next(&self) -> Watch {
         let settings = self.core.settings();
         let held = self.core.routes().table.version;
         // While a table is on its way, being told of it again helps nobody.
@@ -187,7 +183,7 @@
         let question = self
             .progress
             .next(part, &self.core.digest(), self.hubs.reached());
-        let watch = Watch {
+        Watch {
             host: settings.host.to_string(),
             domain: settings.domain.to_string(),
             region: settings.region.to_string(),
@@ -196,7 +192,7 @@
             epoch: question.epoch,
             cursor: question.cursor,
             news: question.news.into(),
-            buckets: question.buckets.clone(),
+            buckets: question.buckets,
             list: self.hubs.hosts().mark(),
             lists: self.hubs.is_first(self.address),
             place: settings
@@ -205,8 +201,7 @@
             table,
             group: self.group,
             wait_ms: u32::try_from(self.hubs.wait(self.address).as_millis()).unwrap_or(u32::MAX),
-        };
-        Asked { watch, question }
+        }
     }
 
     async fn ask(&self) -> Option<Answer> {
@@ -215,11 +210,11 @@
         let mut stage = self.core.stage.subscribe();
         let mut stalled = self.hubs.stalled.subscribe();
         let mut first = self.hubs.first.subscribe();
-        let mut listed = self.hubs.listed.subscribe();
+        let mut stocked = self.core.stocked.subscribe();
         let asked = self.next();
-        let (was_first, address) = (asked.watch.lists, self.address);
-        let patience = Duration::from_millis(asked.watch.wait_ms.into()) + SLACK;
-        let call = client.watch(within(patience), asked.watch.clone());
+        let (was_first, address) = (asked.lists, self.address);
+        let patience = Duration::from_millis(asked.wait_ms.into()) + SLACK;
+        let call = client.watch(within(patience), asked.clone());
         let result = tokio::select! {
             result = tokio::time::timeout(patience, call) => match result {
                 Ok(result) => result,
@@ -232,15 +227,15 @@
             _ = first.wait_for(|first| first.is_none_or(|f| f == address) != was_first) => {
                 return Some(Answer::Again);
             }
-            _ = listed.changed() => return Some(Answer::Again),
+            _ = stocked.changed() => return Some(Answer::Again),
         };
         let reply = self.link.judge(result).ok()?;
         Some(Answer::Reply(Box::new((asked, reply))))
     }
 
-    fn take(&mut self, asked: &Asked, reply: &WatchReply) {
+    fn take(&mut self, asked: &Watch, reply: &WatchReply) {
         self.take_news(reply);
-        let reached = self.progress.answered(&asked.question, reply);
+        let reached = self.progress.answered(asked.news(), reply);
         self.hubs.reach(reached);
         self.note(asked, reply);
         self.table = reply.table;
@@ -270,12 +265,9 @@
                     "error" => %err);
             }
         }
-        if *self.core.stocked.borrow() {
-            self.hubs.list_done();
-        }
     }
 
-    fn note(&mut self, asked: &Asked, reply: &WatchReply) {
+    fn note(&mut self, asked: &Watch, reply: &WatchReply) {
         if reply.group != self.group {
             let named = reply.hubs.iter().filter_map(|hub| hub.parse().ok());
             self.named = named.collect();
@@ -283,11 +275,11 @@
         }
         let seen = Seen {
             answered: Instant::now(),
-            near: reply.domain == asked.watch.domain,
+            near: reply.domain == asked.domain,
             table: reply.table,
             named: self.named.clone(),
             entries: reply.entries,
-            wait: Duration::from_millis(asked.watch.wait_ms.into()),
+            wait: Duration::from_millis(asked.wait_ms.into()),
             missed: false,
         };
         self.hubs.note(self.address, seen);
@@ -295,8 +287,8 @@
         if entries > 0 {
             self.core.set_entries(entries);
         }
-        if asked.watch.lists {
-            self.take_hosts(asked.watch.list, reply);
+        if asked.lists {
+            self.take_hosts(asked.list, reply);
         }
     }
 
--- a/crates/entry/src/sync/hubs.rs
+++ b/crates/entry/src/sync/hubs.rs
@@ -21,7 +21,6 @@
 use base::prelude::*;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::hosts::HostList;
 use super::progress::Part;
@@ -76,24 +75,16 @@
     }
 }
 
-/// Whether the process holds the instances, and who sends all of them.
-#[derive(Debug)]
-enum Listing {
-    /// Nobody is asked.
-    Nobody,
-    /// This hub was asked then.
-    Asked(SocketAddr, Instant),
-    /// They are held.
-    Done,
-}
-
 /// All hubs as last heard.
 pub struct Hubs {
     domain: DomainName,
     seen: Mutex<HashMap<SocketAddr, Seen>>,
     /// When the fetch of a table began that is under way.
     fetching: Mutex<Option<Instant>>,
-    listing: Mutex<Listing>,
+    /// Whether the process holds instances.
+    stocked: watch::Receiver<bool>,
+    /// Who was asked for all instances, and when, while it holds none.
+    listing: Mutex<Option<(SocketAddr, Instant)>>,
     hosts: Mutex<HostList>,
     /// Hubs that made themselves known, to be asked while none is live.
     hints: Mutex<BTreeSet<SocketAddr>>,
@@ -103,8 +94,6 @@
     order: RandomState,
     /// The hub that tells changes.
     pub first: watch::Sender<Option<SocketAddr>>,
-    /// Whether all instances are held.
-    pub listed: watch::Sender<bool>,
     /// Tells that a fetch ended without the newest table.
     pub stalled: watch::Sender<()>,
     /// Tells that the hubs named others than before.
@@ -112,19 +101,19 @@
 }
 
 impl Hubs {
-    /// None heard yet, for a process in `domain`.
+    /// None heard yet, for a process in `domain`; `stocked` tells whether it holds instances.
     #[must_use]
-    pub fn new(domain: DomainName) -> Self {
+    pub fn new(domain: DomainName, stocked: watch::Receiver<bool>) -> Self {
         Self {
             domain,
+            stocked,
             seen: Mutex::default(),
             fetching: Mutex::default(),
-            listing: Mutex::new(Listing::Nobody),
+            listing: Mutex::default(),
             hosts: Mutex::default(),
             hints: Mutex::default(),
             reached: AtomicU64::new(0),
             first: watch::Sender::new(None),
-            listed: watch::Sender::new(false),
             order: RandomState::new(),
             stalled: watch::Sender::new(()),
             renamed: watch::Sender::new(()),
@@ -174,7 +163,7 @@
     /// How long the hub at `address` holds a watch while nothing changes.
     #[must_use]
     pub fn wait(&self, address: SocketAddr) -> Duration {
-        if !*self.listed.borrow() {
+        if !*self.stocked.borrow() {
             return LISTING;
         }
         let hubs = self.seen();
@@ -199,16 +188,20 @@
     /// one hub at a time is asked for all of them.
     #[must_use]
     pub fn part(&self, address: SocketAddr) -> Part {
+        if *self.stocked.borrow() {
+            return if self.is_first(address) {
+                Part::First
+            } else {
+                Part::Other
+            };
+        }
         let mut listing = self.listing();
-        match *listing {
-            Listing::Done if self.is_first(address) => Part::First,
-            Listing::Done => Part::Other,
-            Listing::Asked(other, at) if other != address && at.elapsed() < LISTING => Part::Waits,
-            Listing::Asked(..) | Listing::Nobody => {
-                *listing = Listing::Asked(address, Instant::now());
-                Part::Lists
-            }
+        let taken = |(other, at): (SocketAddr, Instant)| other != address && at.elapsed() < LISTING;
+        if listing.is_some_and(taken) {
+            return Part::Waits;
         }
+        *listing = Some((address, Instant::now()));
+        Part::Lists
     }
 
     /// The log's index up to which all announcements are held.
@@ -222,13 +215,6 @@
         self.reached.fetch_max(index, Ordering::Relaxed);
     }
 
-    /// Notes that the process holds instances.
-    pub fn list_done(&self) {
-        *self.listing() = Listing::Done;
-        self.listed
-            .send_if_modified(|listed| !std::mem::replace(listed, true));
-    }
-
     /// Takes what a hub told.
     pub fn note(&self, address: SocketAddr, seen: Seen) {
         let named = seen.named.clone();
@@ -241,11 +227,7 @@
 
     /// Notes that the hub at `address` didn't answer: another one is asked in its place.
     pub fn missed(&self, address: SocketAddr) {
-        let mut listing = self.listing();
-        if matches!(*listing, Listing::Asked(asked, _) if asked == address) {
-            *listing = Listing::Nobody;
-        }
-        drop(listing);
+        self.listing().take_if(|(asked, _)| *asked == address);
         if let Some(seen) = self.seen().get_mut(&address) {
             seen.missed = true;
         }
@@ -259,7 +241,7 @@
             let order = if seen.near {
                 self.order.hash_one(address)
             } else {
-                shared_order(&self.domain, address)
+                place::score(self.domain.as_str(), &address.to_string())
             };
             (!seen.near, order)
         };
@@ -321,7 +303,7 @@
         self.fetching.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn listing(&self) -> MutexGuard<'_, Listing> {
+    fn listing(&self) -> MutexGuard<'_, Option<(SocketAddr, Instant)>> {
         self.listing.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -329,8 +311,3 @@
         self.hints.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// A failure domain's order of the hubs elsewhere.
-fn shared_order(domain: &DomainName, address: &SocketAddr) -> u64 {
-    xxh3_64(format!("{domain} {address}").as_bytes())
-}
--- a/crates/entry/src/sync/progress.rs
+++ b/crates/entry/src/sync/progress.rs
@@ -89,11 +89,11 @@
         self.announced > reached && self.digest.is_some_and(|told| told != held.total())
     }
 
-    /// Takes the answer to `asked`; gives the log's index up to which all announcements are
-    /// held with it.
-    pub fn answered(&mut self, asked: &Question, reply: &WatchReply) -> u64 {
+    /// Takes an answer to what asked for `news`; gives the log's index up to which all
+    /// announcements are held with it.
+    pub fn answered(&mut self, news: News, reply: &WatchReply) -> u64 {
         let same = reply.epoch == self.epoch;
-        let told = match asked.news {
+        let told = match news {
             News::Changes | News::Unspecified => !reply.whole.is_empty() || (same && self.whole),
             News::Digest => false,
             // Nothing was told that a later answer needn't tell again.
--- a/crates/entry/tests/test_hubs.rs
+++ b/crates/entry/tests/test_hubs.rs
@@ -7,6 +7,7 @@
 use entry::sync::hubs::Hubs;
 use entry::sync::hubs::Seen;
 use entry::sync::progress::Part;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::advance;
 use wire::hub::EntryHost;
@@ -16,8 +17,15 @@
     SocketAddr::from(([10, 0, 0, last], 7012))
 }
 
+/// Of a process that holds instances once the sender says so.
+fn hubs_of() -> (Hubs, watch::Sender<bool>) {
+    let (stocked, told) = watch::channel(false);
+    let domain = DomainName::new("a").expect("a name");
+    (Hubs::new(domain, told), stocked)
+}
+
 fn hubs() -> Hubs {
-    Hubs::new(DomainName::new("a").expect("a name"))
+    hubs_of().0
 }
 
 fn seen(near: bool, table: u64) -> Seen {
@@ -107,7 +115,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn test_hubs_one_at_a_time_is_asked_for_all_instances() {
-    let hubs = hubs();
+    let (hubs, stocked) = hubs_of();
     assert_eq!(hubs.part(hub(1)), Part::Lists);
     assert_eq!(hubs.part(hub(2)), Part::Waits);
     assert_eq!(hubs.part(hub(1)), Part::Lists);
@@ -118,7 +126,7 @@
     hubs.missed(hub(2));
     assert_eq!(hubs.part(hub(3)), Part::Lists);
     hubs.note(hub(3), seen(true, 0));
-    hubs.list_done();
+    stocked.send_replace(true);
     assert_eq!(hubs.part(hub(3)), Part::First);
     assert_eq!(hubs.part(hub(1)), Part::Other);
 }
@@ -214,8 +222,8 @@
 
 #[tokio::test(start_paused = true)]
 async fn test_hubs_more_of_them_hold_watches_for_longer() {
-    let hubs = hubs();
-    hubs.list_done();
+    let (hubs, stocked) = hubs_of();
+    stocked.send_replace(true);
     let mut waits = Vec::new();
     for last in 1..=9 {
         hubs.note(hub(last), seen(true, 0));
--- a/crates/entry/tests/test_progress.rs
+++ b/crates/entry/tests/test_progress.rs
@@ -134,7 +134,7 @@
         for hearing in &reply.heard {
             self.instances.hear(address(hub), hearing);
         }
-        let reached = progress.answered(&asked, &reply);
+        let reached = progress.answered(asked.news, &reply);
         self.reached = self.reached.max(reached);
     }
 
--- a/crates/hub/src/beacon.rs
+++ b/crates/hub/src/beacon.rs
@@ -92,16 +92,16 @@
             let held = state.known();
             (held.hubs.clone(), held.entries.places())
         };
-        let beacon = Beacon {
-            hubs: hubs.iter().map(ToString::to_string).collect(),
-        };
-        let bytes = beacon.encode_to_vec();
-        let mut open = known.difference(&come).peekable();
-        if open.peek().is_none() {
+        if known.is_subset(&come) {
             break;
         }
-        for place in open {
-            if !hubs.is_empty() {
+        // Before the log was read there is nothing to tell.
+        if !hubs.is_empty() {
+            let beacon = Beacon {
+                hubs: hubs.iter().map(ToString::to_string).collect(),
+            };
+            let bytes = beacon.encode_to_vec();
+            for place in known.difference(&come) {
                 socket.send_to(&bytes, place).await?;
                 count += 1;
             }
--- a/crates/hub/src/list.rs
+++ b/crates/hub/src/list.rs
@@ -46,13 +46,9 @@
     /// The list of `hosts`.
     #[must_use]
     pub fn new(hosts: Vec<EntryHost>) -> Self {
-        let mut hash = Xxh3::new();
-        for host in &hosts {
-            hash.update(host.address.as_bytes());
-            hash.update(b" ");
-        }
+        let addresses = hosts.iter().map(|host| host.address.as_bytes());
         Self {
-            mark: hash.digest().max(1),
+            mark: mark(addresses),
             hosts,
         }
     }
@@ -75,6 +71,16 @@
     }
 }
 
+/// Names a list of `items`: equal lists have equal names, and none has 0.
+pub(crate) fn mark(items: impl Iterator<Item: AsRef<[u8]>>) -> u64 {
+    let mut hash = Xxh3::new();
+    for item in items {
+        hash.update(item.as_ref());
+        hash.update(b" ");
+    }
+    hash.digest().max(1)
+}
+
 fn by_address(hosts: &[EntryHost]) -> HashMap<&str, &EntryHost> {
     hosts.iter().map(|host| (&*host.address, host)).collect()
 }
--- a/crates/hub/src/peers.rs
+++ b/crates/hub/src/peers.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use slog::info;
-use xxhash_rust::xxh3::xxh3_64;
 
+use crate::list::mark;
 use crate::state::State;
 
 /// Between two looks at the group; entry processes learn of a new hub after this.
@@ -34,7 +34,7 @@
             known.entries.forget(now);
             if known.hubs != hubs {
                 info!(state.log, "hubs"; "addresses" => format!("{hubs:?}"));
-                known.group = mark(&hubs);
+                known.group = mark(hubs.iter().map(ToString::to_string));
                 known.hubs = hubs;
             }
         }
@@ -78,9 +78,3 @@
         }
     }
 }
-
-/// Names a list of hubs; equal lists have equal names.
-fn mark(hubs: &[SocketAddr]) -> u64 {
-    let text: Vec<String> = hubs.iter().map(ToString::to_string).collect();
-    xxh3_64(text.join(" ").as_bytes()).max(1)
-}
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -106,57 +106,34 @@
 
     /// What a watcher lacks of instances.
     fn news(&self, ask: &Watch) -> Told {
-        let known = self.state.known();
-        let registry = &known.registry;
-        let digest = registry.digest().total();
-        let announced = known.announced;
         if ask.news() == News::None {
             return Told {
                 cursor: ask.cursor,
-                digest,
-                announced,
                 ..Told::default()
             };
         }
+        let known = self.state.known();
+        let registry = &known.registry;
+        let mut told = Told {
+            cursor: registry.cursor(),
+            digest: registry.digest().total(),
+            announced: known.announced,
+            ..Told::default()
+        };
         if !ask.buckets.is_empty() {
-            return Told {
-                cursor: registry.cursor(),
-                digest,
-                announced,
-                whole: self.state.pack(registry.differing(&ask.buckets)),
-                heard: registry.heard_since(ask.cursor),
-                ..Told::default()
-            };
-        }
-        if ask.news() == News::Digest {
-            return Told {
-                cursor: registry.cursor(),
-                digest,
-                announced,
-                heard: registry.heard_since(ask.cursor),
-                ..Told::default()
-            };
-        }
-        if ask.cursor == 0 {
+            told.whole = self.state.pack(registry.differing(&ask.buckets));
+            told.heard = registry.heard_since(ask.cursor);
+        } else if ask.news() == News::Digest {
+            told.heard = registry.heard_since(ask.cursor);
+        } else if ask.cursor > 0 {
+            let news = registry.news(ask.cursor);
+            told.rows = news.rows;
+            told.heard = news.heard;
+        } else {
             drop(known);
-            let (cursor, whole) = self.state.whole();
-            return Told {
-                cursor,
-                digest,
-                announced,
-                whole,
-                ..Told::default()
-            };
-        }
-        let news = registry.news(ask.cursor);
-        Told {
-            cursor: registry.cursor(),
-            digest,
-            announced,
-            rows: news.rows,
-            heard: news.heard,
-            whole: Bytes::new(),
+            (told.cursor, told.whole) = self.state.whole();
         }
+        told
     }
 
     async fn confirm(&self) -> bool {
--- a/crates/hub/tests/test_hub.rs
+++ b/crates/hub/tests/test_hub.rs
@@ -8,6 +8,7 @@
 use hub::Put;
 use registry::Registry;
 use registry::unpack;
+use slog::Logger;
 use table::Table;
 use testutils::Layout;
 use wire::hub::Fetch;
@@ -33,6 +34,16 @@
     (hub.expect("starts"), layout)
 }
 
+/// All hubs of the layout.
+async fn start_all(layout: &Layout, log: &Logger) -> Vec<Hub> {
+    let mut hubs = Vec::new();
+    for settings in &layout.hubs {
+        let hub = Hub::start(settings.clone(), log.clone()).await;
+        hubs.push(hub.expect("starts"));
+    }
+    hubs
+}
+
 fn put(version: u64) -> Put {
     Put {
         table: Table {
@@ -294,11 +305,7 @@
 async fn test_hub_alone_after_a_restart_tells_of_the_table_that_was_accepted() {
     let layout = Layout::new(3, 0).expect("a folder");
     let log = telemetry::log::silent();
-    let mut hubs = Vec::new();
-    for settings in &layout.hubs {
-        let hub = Hub::start(settings.clone(), log.clone()).await;
-        hubs.push(hub.expect("starts"));
-    }
+    let hubs = start_all(&layout, &log).await;
     for version in [7, 8, 9] {
         put_surely(&hubs[0], put(version)).await;
     }
@@ -422,11 +429,7 @@
 async fn test_hub_that_was_away_learns_what_a_snapshot_says_of_instances() {
     let layout = Layout::new(3, 0).expect("a folder");
     let log = telemetry::log::silent();
-    let mut hubs = Vec::new();
-    for settings in &layout.hubs {
-        let hub = Hub::start(settings.clone(), log.clone()).await;
-        hubs.push(hub.expect("starts"));
-    }
+    let mut hubs = start_all(&layout, &log).await;
     let phase = |hub: &Hub| {
         let instances = hub.desk().instances();
         instances.iter().map(Instance::phase).max()
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod answer;
 pub mod near;
 pub mod placement;
+pub mod rendezvous;
 
 pub use answer::order;
 pub use near::near;
@@ -18,3 +19,4 @@
 pub use placement::Demand;
 pub use placement::Placement;
 pub use placement::Spread;
+pub use rendezvous::score;
--- a/crates/place/src/near.rs
+++ b/crates/place/src/near.rs
@@ -9,7 +9,8 @@
 use std::cmp::Reverse;
 
 use wire::hub::EntryHost;
-use xxhash_rust::xxh3::Xxh3;
+
+use crate::rendezvous::score;
 
 /// Most addresses of one answer.
 const MOST: usize = 64;
@@ -31,12 +32,3 @@
     let named = hosts.into_iter().take(own.max(width).clamp(1, MOST));
     named.map(|host| host.address.clone()).collect()
 }
-
-/// The rendezvous score of a name at an entry host.
-fn score(name: &str, address: &str) -> u64 {
-    let mut hash = Xxh3::new();
-    hash.update(name.as_bytes());
-    hash.update(&[0]);
-    hash.update(address.as_bytes());
-    hash.digest()
-}
--- a/crates/place/src/placement.rs
+++ b/crates/place/src/placement.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use xxhash_rust::xxh3::Xxh3;
+
+use crate::rendezvous;
 
 /// An entry host that callers may be sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -176,9 +177,8 @@
 
 /// The rendezvous score of a service at a host.
 fn score(service: &ServiceName, host: &HostName) -> (u64, HostName) {
-    let mut hash = Xxh3::new();
-    hash.update(service.as_str().as_bytes());
-    hash.update(&[0]);
-    hash.update(host.as_str().as_bytes());
-    (hash.digest(), host.clone())
+    (
+        rendezvous::score(service.as_str(), host.as_str()),
+        host.clone(),
+    )
 }
