evacuation: failure domains are emptied and returned by an operator's order

Every hub tells entry processes at once; to their desks an instance there is one that leaves. rwrctl evacuate, return, evacuations; the platform's calls only translate.

Ruled out: a field of the route table (races with other operators' versions), marking instances (those that come later are missed), last in the log wins (an order left in a queue undoes a later one). docs/design/evacuation.md.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -2,9 +2,11 @@
 
 mod apply;
 mod drain;
+mod evacuate;
 mod explain;
 mod history;
 mod hosts;
+mod links;
 mod plan;
 mod replica;
 mod routes;
@@ -39,6 +41,9 @@
     Upstreams,
     Explain,
     Drain,
+    Evacuate,
+    Return,
+    Evacuations,
     Replica,
     Routes,
     Story,
@@ -72,6 +77,9 @@
         Verb::Upstreams => upstreams::perform(words, &settings, out).await,
         Verb::Explain => explain::perform(words, &settings, out).await,
         Verb::Drain => drain::perform(words, &settings, out).await,
+        Verb::Evacuate => evacuate::order(words, true, &settings, out).await,
+        Verb::Return => evacuate::order(words, false, &settings, out).await,
+        Verb::Evacuations => evacuate::show(words, &settings, out).await,
         Verb::Replica => replica::perform(words, &settings, out).await,
         Verb::Routes => routes::perform(words, &settings, out).await,
         Verb::Story => story::perform(words, out),
--- a/crates/cli/src/command/routes.rs
+++ b/crates/cli/src/command/routes.rs
@@ -6,9 +6,8 @@
 use table::Table;
 use wire::hub::TableOutcome;
 use wire::hub::TableReply;
-use wire::peer;
-use wire::peer::HubLink;
 
+use super::links::hubs;
 use crate::fault::CliError;
 use crate::flags::UsageError;
 use crate::flags::Words;
@@ -54,16 +53,8 @@
     }
 }
 
-fn links(settings: &Settings) -> Result<Vec<HubLink>, CliError> {
-    Ok(settings
-        .hub()?
-        .iter()
-        .map(|address| peer::hub(*address))
-        .collect())
-}
-
 async fn show(settings: &Settings, out: &mut Output<'_>) -> Result<(), CliError> {
-    let links = links(settings)?;
+    let links = hubs(settings)?;
     let call = async |c: wire::api::HubApiClient, x| c.read_table(x).await;
     let reply = remote::first(&links, settings.timeout, call).await?;
     if !reply.confirmed {
@@ -75,7 +66,7 @@
 }
 
 async fn put(table: &Table, settings: &Settings, out: &mut Output<'_>) -> Result<(), CliError> {
-    let links = links(settings)?;
+    let links = hubs(settings)?;
     let content = table::codec::encode(table).map_err(|_| CliError::Malformed)?;
     let row = wire::hub::Table {
         version: table.version,
--- a/crates/cli/src/fault.rs
+++ b/crates/cli/src/fault.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::path::PathBuf;
 
+use base::prelude::*;
 use conf::ConfError;
 use quick_error::quick_error;
 use wire::catalogue::Conflict;
@@ -103,6 +104,18 @@
         Overtaken(version: u64) {
             display("version {version} of the route table is in force")
         }
+        /// Orders have named too many failure domains.
+        TooManyDomains(domain: DomainName) {
+            display("failure domain {domain}: orders have named too many others")
+        }
+        /// Another order on the failure domain came first.
+        OrderOvertaken(domain: DomainName) {
+            display("another order on failure domain {domain} was taken meanwhile; this one changed nothing")
+        }
+        /// An order on a failure domain may or may not have been taken.
+        OrderUncertain(domain: DomainName) {
+            display("the order on failure domain {domain} may or may not have been taken")
+        }
         /// An answer has no content.
         Malformed {
             display("the answer has no content")
@@ -116,13 +129,16 @@
     pub fn exit(&self) -> Exit {
         match self {
             Self::Usage(_) | Self::Settings(_) => Exit::Usage,
-            Self::Conflict(_) | Self::Expired(_) | Self::Overtaken(_) => Exit::Conflict,
+            Self::Conflict(_) | Self::Expired(_) | Self::Overtaken(_) | Self::OrderOvertaken(_) => {
+                Exit::Conflict
+            }
             Self::Catalogue(_)
             | Self::Invalid(_)
             | Self::Reused(..)
             | Self::Membership(_)
+            | Self::TooManyDomains(_)
             | Self::Routes(_) => Exit::Invalid,
-            Self::Uncertain(..) => Exit::Uncertain,
+            Self::Uncertain(..) | Self::OrderUncertain(_) => Exit::Uncertain,
             Self::Unreachable(_) | Self::Unconfirmed(_) => Exit::Unreachable,
             Self::Lagging(..) | Self::Pending(_) => Exit::Unfinished,
             Self::Output(_)
@@ -174,6 +190,10 @@
             Self::NoStory(_) => {
                 "a request that no entry host took has no line; a full log leaves lines out".into()
             }
+            Self::OrderOvertaken(_) | Self::OrderUncertain(_) => {
+                "rwrctl evacuations shows what is in force; then order again".into()
+            }
+            Self::TooManyDomains(_) => "check the failure domain's name".into(),
             Self::Output(_) | Self::File(..) | Self::Absent(..) | Self::Malformed => return None,
         };
         Some(text)
--- a/crates/cli/tests/test_routes.rs
+++ b/crates/cli/tests/test_routes.rs
@@ -15,6 +15,12 @@
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
 use wire::api::HubApi;
+use wire::hub::Evacuation;
+use wire::hub::EvacuationOutcome;
+use wire::hub::EvacuationReply;
+use wire::hub::EvacuationRow;
+use wire::hub::Evacuations;
+use wire::hub::EvacuationsReply;
 use wire::hub::Fetch;
 use wire::hub::ReadReply;
 use wire::hub::ResolveQuery;
@@ -51,6 +57,34 @@
         Table::default()
     }
 
+    /// Takes orders on one failure domain, and answers the others in other ways.
+    async fn evacuate(self, _: Context, order: Evacuation) -> EvacuationReply {
+        let outcome = match order.domain.as_str() {
+            "milano" => EvacuationOutcome::Taken,
+            "torino" => EvacuationOutcome::Overtaken,
+            "genova" => EvacuationOutcome::Refused,
+            _ => EvacuationOutcome::Unspecified,
+        };
+        EvacuationReply {
+            outcome: outcome.into(),
+        }
+    }
+
+    async fn evacuations(self, _: Context) -> EvacuationsReply {
+        let row = |domain: &str, evacuated, revision| EvacuationRow {
+            domain: domain.into(),
+            evacuated,
+            revision,
+        };
+        EvacuationsReply {
+            confirmed: true,
+            evacuations: Some(Evacuations {
+                revision: 3,
+                rows: vec![row("milano", true, 3), row("torino", false, 2)],
+            }),
+        }
+    }
+
     async fn put_table(self, _: Context, table: Table) -> TableReply {
         let mut held = self.0.lock().expect("no test panics while it holds it");
         let version = held.as_ref().map_or(0, |held| held.version);
@@ -111,3 +145,25 @@
     let ended = rwrctl(&format!("routes check {}", good.display())).await;
     assert_eq!(ended.exit, Exit::Done, "{}", ended.err);
 }
+
+#[tokio::test]
+async fn test_routes_failure_domain_is_evacuated_and_returned() {
+    let hub = listen!(HubApi, Hub::default());
+    let cases = [
+        ("evacuate milano", Exit::Done, "milano gets nothing more"),
+        ("return milano", Exit::Done, "milano is in use"),
+        ("evacuate torino", Exit::Conflict, "was taken meanwhile"),
+        ("evacuate genova", Exit::Invalid, "too many others"),
+        ("return bergamo", Exit::Uncertain, "may or may not"),
+        ("evacuations", Exit::Done, "milano"),
+        ("evacuate", Exit::Usage, "DOMAIN"),
+    ];
+    for (line, exit, text) in cases {
+        let ended = rwrctl(&format!("{line} --hub {hub}")).await;
+        assert_eq!(ended.exit, exit, "{line}: {}", ended.err);
+        let told = format!("{}{}", ended.out, ended.err);
+        assert!(told.contains(text), "{line}: {told}");
+    }
+    let listed = rwrctl(&format!("evacuations --hub {hub}")).await;
+    assert!(!listed.out.contains("torino"), "{}", listed.out);
+}
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -386,7 +386,12 @@
                 view.announced = self.applied.0;
                 view.snapshots = self.snapshots;
             }
-            newer || routed || announced
+            let evacuations = self.parts.machine.evacuations();
+            let ordered = evacuations.revision() > view.evacuations.revision();
+            if ordered {
+                view.evacuations = Arc::clone(evacuations);
+            }
+            newer || routed || announced || ordered
         });
     }
 
--- a/crates/control/src/driver/act.rs
+++ b/crates/control/src/driver/act.rs
@@ -205,6 +205,17 @@
             }
             Output::Expire | Output::Instance => {}
             Output::Table(reply) => self.note_table(index, reply),
+            Output::Evacuation {
+                domain,
+                evacuated,
+                reply,
+            } => {
+                let _ = self.parts.metrics.count("control.evacuations", 1);
+                info!(self.parts.log, "evacuation"; "domain" => domain,
+                    "evacuated" => evacuated, "outcome" => reply.outcome().as_str_name(),
+                    "revision" => self.parts.machine.evacuations().revision(),
+                    "index" => index.0);
+            }
         }
     }
 
--- a/crates/control/src/driver/propose.rs
+++ b/crates/control/src/driver/propose.rs
@@ -67,6 +67,7 @@
             Some(ask::Kind::Membership(change)) => self.change_group(&change, reply),
             Some(ask::Kind::Table(table)) => self.propose(Kind::Table(table), reply),
             Some(ask::Kind::Instance(instance)) => self.propose(Kind::Instance(instance), reply),
+            Some(ask::Kind::Evacuation(order)) => self.propose(Kind::Evacuation(order), reply),
             Some(ask::Kind::Join(replica)) => self.take_in(&replica, reply),
             None => {
                 let kind = Some(tickets::declined(None, false, "empty"));
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -7,6 +7,7 @@
 use consensus::Config;
 use consensus::Message;
 use consensus::ReplicaId;
+use evacuation::Domains;
 use quick_error::quick_error;
 use registry::Registry;
 use tokio::sync::mpsc;
@@ -35,7 +36,9 @@
     pub table: Arc<Table>,
     /// The announced upstreams.
     pub registry: Arc<Registry>,
-    /// The log's index up to which these are applied.
+    /// The failure domains to which nothing is sent.
+    pub evacuations: Arc<Domains>,
+    /// The log's index up to which the announcements are applied.
     pub announced: u64,
     /// Snapshots that were installed: each numbers the changes of the registry anew.
     pub snapshots: u64,
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -7,6 +7,8 @@
 use bytes::Bytes;
 use catalogue::State as Book;
 use catalogue::state::RestoreError as BookError;
+use evacuation::Domains;
+use evacuation::StateError;
 use ledger::Bounds;
 use ledger::Ledger;
 use ledger::Reply;
@@ -16,6 +18,7 @@
 use registry::Registry;
 use wire::catalogue::Change;
 use wire::catalogue::ChangeReply;
+use wire::hub::EvacuationReply;
 use wire::hub::Instance;
 use wire::hub::Table;
 use wire::hub::TableOutcome;
@@ -48,6 +51,12 @@
             source(err)
             display("snapshot of the ledger: {err}")
         }
+        /// The snapshot's evacuations.
+        Evacuations(err: StateError) {
+            from()
+            source(err)
+            display("snapshot of evacuations: {err}")
+        }
         /// A command of a kind that this version doesn't know.
         Kind {
             display("log entry: a command of unknown kind")
@@ -75,6 +84,15 @@
     Table(TableReply),
     /// Of an announcement.
     Instance,
+    /// Of an operator's order on a failure domain.
+    Evacuation {
+        /// The domain.
+        domain: String,
+        /// Whether it was to be evacuated.
+        evacuated: bool,
+        /// What its operator is told.
+        reply: EvacuationReply,
+    },
 }
 
 /// The applied state.
@@ -84,6 +102,7 @@
     ledger: Ledger,
     table: Arc<Table>,
     registry: Arc<Registry>,
+    evacuations: Arc<Domains>,
 }
 
 impl Default for Machine {
@@ -93,6 +112,7 @@
             ledger: Ledger::new(Bounds::default()),
             table: Arc::default(),
             registry: Arc::default(),
+            evacuations: Arc::default(),
         }
     }
 }
@@ -110,11 +130,13 @@
         let state = State::decode(data.clone())?;
         let book = state.catalogue.unwrap_or_default();
         let ledger = state.ledger.unwrap_or_default();
+        let evacuations = state.evacuations.unwrap_or_default();
         Ok(Self {
             book: Book::restore(catalogue::history::Window::default(), &book)?,
             ledger: Ledger::restore(Bounds::default(), &ledger)?,
             table: Arc::new(state.table.unwrap_or_default()),
             registry: Arc::new(restored(state.instances)),
+            evacuations: Arc::new(Domains::from_wire(&evacuations)?),
         })
     }
 
@@ -126,6 +148,7 @@
             ledger: Some(self.ledger.snapshot()),
             table: Some((*self.table).clone()).filter(|table| table.version > 0),
             instances: self.registry.all().cloned().collect(),
+            evacuations: Some(self.evacuations.to_wire()).filter(|e| e.revision > 0),
         };
         state.encode_to_vec().into()
     }
@@ -153,6 +176,16 @@
                 Arc::make_mut(&mut self.registry).take(now, instance);
                 Ok(Output::Instance)
             }
+            Kind::Evacuation(order) => {
+                let outcome = Arc::make_mut(&mut self.evacuations).apply(&order);
+                Ok(Output::Evacuation {
+                    domain: order.domain,
+                    evacuated: order.evacuated,
+                    reply: EvacuationReply {
+                        outcome: outcome.into(),
+                    },
+                })
+            }
         }
     }
 
@@ -180,6 +213,12 @@
         &self.table
     }
 
+    /// The failure domains to which nothing is sent.
+    #[must_use]
+    pub fn evacuations(&self) -> &Arc<Domains> {
+        &self.evacuations
+    }
+
     /// The answer to a change that needs no log entry.
     #[must_use]
     pub fn known(&self, change: &Change) -> Option<ChangeReply> {
--- a/crates/control/src/table.rs
+++ b/crates/control/src/table.rs
@@ -1,9 +1,12 @@
-//! The route table and the announced upstreams, for whoever runs in the
+//! The route table, the announced upstreams and the evacuations, for whoever runs in the
 //! replica's process.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::prelude::*;
+use evacuation::Domains;
+use evacuation::Outcome;
 use registry::Registry;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -21,7 +24,7 @@
 use crate::input::Input;
 use crate::input::View;
 
-/// Proposes and reads the route table and announcements.
+/// Proposes and reads the route table, announcements and evacuations.
 #[derive(Clone)]
 pub struct TableDesk {
     driver: Driver,
@@ -57,6 +60,34 @@
         matches!(self.asker.ask(&ask).await, Ok(Kind::Instance(_)))
     }
 
+    /// Asks that nothing be sent to the upstreams of `domain`, or takes that back; none
+    /// when no majority took it in time, and it may yet be taken while no other order is.
+    ///
+    /// What is in force is confirmed first, within `limit`: an order made from an older
+    /// state would count as overtaken.
+    pub async fn evacuate(
+        &self,
+        domain: &DomainName,
+        evacuated: bool,
+        limit: Duration,
+    ) -> Option<Outcome> {
+        let order = self.evacuations(limit).await?.order(domain, evacuated);
+        let ask = Ask {
+            kind: Some(ask::Kind::Evacuation(order)),
+        };
+        match self.asker.ask(&ask).await {
+            Ok(Kind::Evacuation(reply)) => Some(reply.outcome()),
+            Ok(_) | Err(_) => None,
+        }
+    }
+
+    /// The evacuations, confirmed by a majority after the call began; none when that
+    /// takes longer than `limit`.
+    pub async fn evacuations(&self, limit: Duration) -> Option<Arc<Domains>> {
+        let confirmed = self.driver.confirm(Instant::now() + limit).await;
+        confirmed.then(|| Arc::clone(&self.views.borrow().evacuations))
+    }
+
     /// The announced upstreams as applied by this replica.
     #[must_use]
     pub fn registry(&self) -> Arc<Registry> {
@@ -76,6 +107,12 @@
         Arc::clone(&self.views.borrow().table)
     }
 
+    /// The evacuations as applied by this replica, which others may have overtaken.
+    #[must_use]
+    pub fn evacuated(&self) -> Arc<Domains> {
+        Arc::clone(&self.views.borrow().evacuations)
+    }
+
     /// Whether a leader was known since this replica started. Before, what is applied
     /// comes from its own disk: all of it was committed, and others may have more.
     #[must_use]
--- a/crates/control/src/tickets.rs
+++ b/crates/control/src/tickets.rs
@@ -143,6 +143,7 @@
         Output::Settle(reply) => Kind::Settle(reply),
         Output::Table(reply) => Kind::Table(reply),
         Output::Instance => Kind::Instance(Registered {}),
+        Output::Evacuation { reply, .. } => Kind::Evacuation(reply),
         Output::Expire => declined(None, false, "expire"),
     }
 }
--- a/crates/control/tests/test_join.rs
+++ b/crates/control/tests/test_join.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 
+use base::prelude::*;
 use common::PATIENCE;
 use common::PAUSE;
 use common::folder;
@@ -14,6 +15,7 @@
 use control::Control;
 use control::Settings;
 use control::TableDesk;
+use evacuation::Outcome;
 use wire::hub::Instance;
 use wire::hub::Phase;
 use wire::hub::Table;
@@ -144,6 +146,38 @@
     assert_eq!(phase("i-2"), Some(Phase::Draining));
 }
 
+#[tokio::test]
+async fn test_join_evacuations_outlive_a_restart_of_all() {
+    let (settings, mut replicas) = start("join-evacuations", 3).await;
+    let [a, b] = ["a", "b"].map(|name| DomainName::new(name).expect("a name"));
+    let order = async |desk: &TableDesk, domain, evacuated| {
+        let tries = async {
+            loop {
+                let outcome = desk.evacuate(domain, evacuated, PATIENCE).await;
+                if let Some(outcome) = outcome {
+                    return outcome;
+                }
+            }
+        };
+        let outcome = tokio::time::timeout(PATIENCE, tries).await;
+        outcome.expect("a leader answers in the end")
+    };
+    let (one, two) = (replicas[0].tables(), replicas[1].tables());
+    assert_eq!(order(one, &a, true).await, Outcome::Taken);
+    // Each order is made from what a majority confirms, so that none counts as overtaken.
+    assert_eq!(order(two, &a, true).await, Outcome::Held);
+    assert_eq!(order(two, &b, true).await, Outcome::Taken);
+    assert_eq!(order(one, &a, false).await, Outcome::Taken);
+    kill(&mut replicas).await;
+    let mut again = Vec::new();
+    for one in &settings {
+        again.push(restart(one).await);
+    }
+    let held = again[2].tables().evacuations(PATIENCE).await;
+    let held = held.expect("a majority");
+    assert!(!held.is_evacuated(&a) && held.is_evacuated(&b));
+}
+
 #[tokio::test]
 async fn test_join_emptied_replica_comes_back_as_another_one() {
     let (settings, mut replicas) = start("join-emptied", 3).await;
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -13,14 +13,17 @@
 
 use base::prelude::*;
 use dispatch::Dispatched;
+use evacuation::Domains;
 use http::Uri;
 use registry::Digest;
 use slog::Logger;
 use slog::info;
+use slog::warn;
 use table::Split;
 use table::Table;
 use tokio::sync::watch;
 use wire::hub::EntryHost;
+use wire::hub::Evacuations;
 use wire::hub::Hearing;
 use wire::hub::Instance;
 use wire::hub::Phase;
@@ -32,6 +35,7 @@
 use crate::placing::Places;
 use crate::settings::Settings;
 use crate::view::Instances;
+use crate::view::Listed;
 use crate::view::Routes;
 
 /// Instances told at once of which each has a log line: a change of a few dozen. Of more,
@@ -58,6 +62,8 @@
     habits: HashMap<Arc<str>, Habit>,
     hosts: Vec<EntryHost>,
     entries: u32,
+    /// The failure domains to which nothing is sent.
+    evacuations: Domains,
     /// Where others decide for a service.
     dispatchers: HashMap<ServiceName, SocketAddr>,
 }
@@ -250,6 +256,7 @@
         let domain = &settings.domain;
         for service in changed {
             let rows = known.instances.of(&service);
+            let rows = rows.map(|listed| shun(&known.evacuations, listed));
             let desk = known.desks.entry(service.clone());
             let new = || Desk::new(domain.clone(), &shared, rand::random(), now);
             desk.or_insert_with(new).update(now, rows);
@@ -257,6 +264,35 @@
         name_dispatchers(&settings, known, now);
     }
 
+    /// Takes the evacuations that the hub at `hub` told, unless newer ones are held.
+    pub fn take_evacuations(&self, hub: SocketAddr, told: &Evacuations) {
+        let mut known = self.known();
+        if told.revision <= known.evacuations.revision() {
+            return;
+        }
+        let next = match Domains::from_wire(told) {
+            Ok(next) => next,
+            Err(err) => {
+                warn!(self.log, "bad evacuations"; "hub" => %hub, "revision" => told.revision,
+                    "error" => %err);
+                return;
+            }
+        };
+        let evacuated: Vec<&str> = next.evacuated().map(DomainName::as_str).collect();
+        info!(self.log, "evacuations"; "domains" => evacuated.join(","),
+            "revision" => told.revision, "hub" => %hub);
+        self.counters.evacuated(evacuated.len());
+        known.evacuations = next;
+        let services = known.desks.keys().cloned().collect();
+        self.update_desks(&mut known, services);
+    }
+
+    /// The revision of the evacuations that are held.
+    #[must_use]
+    pub fn evacuations(&self) -> u64 {
+        self.known().evacuations.revision()
+    }
+
     /// Who decides for the service, where that is another process.
     pub fn dispatcher(&self, service: &ServiceName) -> Option<SocketAddr> {
         self.known().dispatchers.get(service).copied()
@@ -346,6 +382,16 @@
     }
 }
 
+/// The instance as this process may use it: one in an evacuated failure domain gets no
+/// more than one that leaves.
+fn shun<'a>(evacuations: &Domains, listed: Listed<'a>) -> Listed<'a> {
+    let phase = match listed.phase {
+        Phase::Ready if evacuations.is_evacuated(&listed.upstream.domain) => Phase::Draining,
+        phase => phase,
+    };
+    Listed { phase, ..listed }
+}
+
 /// Takes over who decides for each service, after a change of entry hosts or instances.
 fn name_dispatchers(settings: &Settings, known: &mut Known, now: Moment) {
     let places: Vec<&str> = known.hosts.iter().map(|host| &*host.place).collect();
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use cadence::Counted;
+use cadence::Gauged;
 use cadence::StatsdClient;
 use cadence::Timed;
 
@@ -61,6 +62,14 @@
             .send();
     }
 
+    /// How many failure domains get nothing.
+    pub fn evacuated(&self, domains: usize) {
+        let domains = u64::try_from(domains).unwrap_or(u64::MAX);
+        self.client
+            .gauge_with_tags("entry.evacuated", domains)
+            .send();
+    }
+
     /// A retry that no allowance was left for.
     pub fn unpaid(&self, service: &ServiceName) {
         self.client
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -200,6 +200,7 @@
                 .map_or_else(String::new, |place| place.to_string()),
             table,
             group: self.group,
+            evacuations: self.core.evacuations(),
             wait_ms: u32::try_from(self.hubs.wait(self.address).as_millis()).unwrap_or(u32::MAX),
         }
     }
@@ -234,6 +235,10 @@
     }
 
     fn take(&mut self, asked: &Watch, reply: &WatchReply) {
+        // Before the table that comes with them lets the first request in.
+        if let Some(evacuations) = &reply.evacuations {
+            self.core.take_evacuations(self.address, evacuations);
+        }
         self.take_news(reply);
         let reached = self.progress.answered(asked.news(), reply);
         self.hubs.reach(reached);
--- /dev/null
+++ b/crates/evacuation/src/lib.rs
@@ -0,0 +1,10 @@
+//! Failure domains to whose upstreams an operator wants nothing sent.
+//!
+//! The replicated log applies orders, so that all hubs agree on their effect; entry
+//! processes hold the newest state that any hub told.
+
+pub mod domains;
+
+pub use domains::Domains;
+pub use domains::Outcome;
+pub use domains::StateError;
--- a/crates/hub/src/desk.rs
+++ b/crates/hub/src/desk.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::prelude::*;
 use conf::ConfError;
+use evacuation::Domains;
+use evacuation::Outcome;
 use quick_error::quick_error;
 use registry::Taken;
 use registry::Unusable;
@@ -31,6 +34,15 @@
         NoMajority {
             display("no majority of the hubs answered in time; ask another one or again")
         }
+        /// Another order on the failure domain was taken at the same time.
+        Overtaken(domain: DomainName) {
+            display("another order on failure domain {domain} was taken meanwhile; ask again")
+        }
+        /// The failure domain can't be evacuated.
+        Domain(domain: DomainName) {
+            display("failure domain {domain}: orders have named {} others, as many as are kept",
+                evacuation::domains::MOST_DOMAINS)
+        }
         /// There is no table yet.
         NoTable {
             display("no route table was accepted yet")
@@ -165,6 +177,37 @@
         }
     }
 
+    /// Asks that nothing more be sent to the upstreams of a failure domain, or takes that
+    /// back. What is in force already is acknowledged again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no majority took it in time, and it may be taken later then unless another
+    /// order comes first; when another order came first; when too many domains were named.
+    pub async fn evacuate(&self, domain: &DomainName, evacuated: bool) -> Result<(), DeskError> {
+        let tables = &self.state.tables;
+        let outcome = tables.evacuate(domain, evacuated, READ_TIMEOUT).await;
+        let word = outcome.map_or("no-majority", |outcome| outcome.as_str_name());
+        info!(self.state.log, "evacuation asked"; "domain" => %domain, "evacuated" => evacuated,
+            "outcome" => word);
+        match outcome {
+            Some(Outcome::Taken | Outcome::Held) => Ok(()),
+            Some(Outcome::Overtaken) => Err(DeskError::Overtaken(domain.clone())),
+            Some(Outcome::Refused) => Err(DeskError::Domain(domain.clone())),
+            Some(Outcome::Unspecified) | None => Err(DeskError::NoMajority),
+        }
+    }
+
+    /// The evacuated failure domains, as a majority confirms them.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no majority answers in time.
+    pub async fn evacuations(&self) -> Result<Arc<Domains>, DeskError> {
+        let found = self.state.tables.evacuations(READ_TIMEOUT).await;
+        found.ok_or(DeskError::NoMajority)
+    }
+
     /// Addresses of entry hosts for a caller, and how long it may keep them; none
     /// when none is known to be ready.
     #[must_use]
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::prelude::*;
 use bytes::Bytes;
+use evacuation::Outcome;
 use futures::StreamExt;
 use slog::info;
 use tarpc::ClientMessage;
@@ -15,6 +17,9 @@
 use wire::api::HubApi;
 use wire::api::HubApiRequest;
 use wire::api::HubApiResponse;
+use wire::hub::Evacuation;
+use wire::hub::EvacuationReply;
+use wire::hub::EvacuationsReply;
 use wire::hub::Fetch;
 use wire::hub::Hearing;
 use wire::hub::Instance;
@@ -29,6 +34,7 @@
 use wire::link::Channel as Transport;
 
 use crate::desk::Desk;
+use crate::desk::DeskError;
 use crate::desk::Put;
 use crate::list::Update;
 use crate::state::State;
@@ -73,7 +79,9 @@
         let end = Instant::now() + wait;
         let mut views = self.state.tables.views();
         let mut lists = self.state.list.subscribe();
-        let newer = views.wait_for(|view| view.table.version > ask.table);
+        let newer = views.wait_for(|view| {
+            view.table.version > ask.table || view.evacuations.revision() > ask.evacuations
+        });
         let mut gathered = None;
         tokio::select! {
             () = self.moved(ask, &mut gathered) => {}
@@ -175,6 +183,8 @@
         let now = self.state.clock.now();
         self.state.known().entries.answered(now, &ask);
         let table = self.state.tables.applied().version;
+        let evacuations = self.state.tables.evacuated();
+        let evacuations = Some(evacuations).filter(|held| held.revision() > ask.evacuations);
         let known = self.state.known();
         let update = if ask.lists {
             known.lists.update(ask.list)
@@ -210,6 +220,7 @@
             packed,
             list: known.lists.mark(),
             domain: self.state.settings.domain.to_string(),
+            evacuations: evacuations.map(|evacuations| evacuations.to_wire()),
         }
     }
 
@@ -227,6 +238,26 @@
         }
     }
 
+    async fn evacuate(self, _: Context, order: Evacuation) -> EvacuationReply {
+        let Ok(domain) = DomainName::new(&order.domain) else {
+            return reply(Outcome::Refused);
+        };
+        match self.desk.evacuate(&domain, order.evacuated).await {
+            Ok(()) => reply(Outcome::Taken),
+            Err(DeskError::Overtaken(_)) => reply(Outcome::Overtaken),
+            Err(DeskError::Domain(_)) => reply(Outcome::Refused),
+            Err(_) => reply(Outcome::Unspecified),
+        }
+    }
+
+    async fn evacuations(self, _: Context) -> EvacuationsReply {
+        let found = self.desk.evacuations().await.ok();
+        EvacuationsReply {
+            confirmed: found.is_some(),
+            evacuations: found.map(|found| found.to_wire()),
+        }
+    }
+
     async fn put_table(self, _: Context, row: Table) -> TableReply {
         let Ok(table) = table::codec::decode(&row.content) else {
             return TableReply::default();
@@ -255,6 +286,12 @@
     }
 }
 
+fn reply(outcome: Outcome) -> EvacuationReply {
+    EvacuationReply {
+        outcome: outcome.into(),
+    }
+}
+
 /// Serves one connection to its end.
 pub async fn serve(
     channel: Transport<ClientMessage<HubApiRequest>, Response<HubApiResponse>>,
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -20,6 +20,9 @@
 use crate::gateway::DrainReply;
 use crate::gateway::Explain;
 use crate::gateway::ExplainReply;
+use crate::hub::Evacuation;
+use crate::hub::EvacuationReply;
+use crate::hub::EvacuationsReply;
 use crate::hub::Fetch;
 use crate::hub::ReadReply;
 use crate::hub::ResolveQuery;
@@ -107,6 +110,10 @@
     async fn put_table(table: Table) -> TableReply;
     /// The newest route table.
     async fn read_table() -> ReadReply;
+    /// Asks that nothing be sent to a failure domain, or takes that back.
+    async fn evacuate(order: Evacuation) -> EvacuationReply;
+    /// The failure domains to which nothing is sent.
+    async fn evacuations() -> EvacuationsReply;
     /// The entry hosts that a caller may use.
     async fn resolve(query: ResolveQuery) -> ResolveReply;
 }
