entry: requests are passed on while their bodies come

Cause: on links of 262 KB/s a body of 4 KB took 15 ms in and 15 ms out, one after the other: 17 ms went by before a grant's instance was even chosen, 2 ms for requests without a body. Now the instance is chosen at the head; the body is passed on as it comes and kept, so that another attempt sends it from its beginning. A connection whose instance answered before the body had ended isn't used again, and our own answers wait for the rest of a body, which a close before it would reset. Bodies without a length are read first, as before.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -1,5 +1,6 @@
-//! Bodies on their way: kept whole where they are short, passed on as they come
-//! where they are long.
+//! Bodies on their way: kept where they are short, passed on as they come.
+
+mod spool;
 
 use std::pin::Pin;
 use std::task::Context;
@@ -13,12 +14,36 @@
 use http_body::SizeHint;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use quick_error::quick_error;
 
 use crate::pool::Connection;
 
-/// Bytes up to which a body is read whole before it is passed on. A request
-/// kept whole can be sent again, an answer kept whole can be asked for again;
-/// those of ordinary calls have some 5 KB, at most 30 KB.
+use self::spool::Reader;
+pub use self::spool::Spool;
+
+quick_error! {
+    /// Why a body ends early.
+    #[derive(Debug)]
+    pub enum BodyError {
+        /// Its sender broke off.
+        Incoming(err: hyper::Error) {
+            from()
+            source(err)
+            display("{err}")
+        }
+        /// Its sender broke off before it was sent again.
+        Broken {
+            display("the body had broken off")
+        }
+        /// It is sent again elsewhere.
+        Superseded {
+            display("the body is sent elsewhere")
+        }
+    }
+}
+
+/// Bytes up to which a body is kept. A request that is kept can be sent again, an answer
+/// kept whole can be asked for again.
 pub const WHOLE: usize = 256 * 1024;
 
 /// A body on its way to an upstream.
@@ -26,6 +51,8 @@
 pub enum Outgoing {
     /// All of it.
     Whole(Option<Bytes>),
+    /// Passed on as it comes, and kept.
+    Kept(Reader),
     /// What was read, and the rest.
     Stream(Option<Bytes>, Incoming),
 }
@@ -36,18 +63,45 @@
     pub fn again(&self) -> Option<Self> {
         match self {
             Self::Whole(bytes) => Some(Self::Whole(bytes.clone())),
+            Self::Kept(reader) => Some(Self::Kept(reader.again())),
+            Self::Stream(..) => None,
+        }
+    }
+
+    /// Where what was passed on is kept, while more may come.
+    #[must_use]
+    pub fn spool(&self) -> Option<Spool> {
+        match self {
+            Self::Kept(reader) => Some(reader.spool().clone()),
+            Self::Whole(_) | Self::Stream(..) => None,
+        }
+    }
+
+    /// Bytes of all of it, where that is known.
+    #[must_use]
+    pub fn known_length(&self) -> Option<u64> {
+        match self {
+            Self::Whole(bytes) => Some(length(bytes.as_ref())),
+            Self::Kept(reader) => Some(reader.length()),
             Self::Stream(..) => None,
         }
     }
 
-    fn step(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    fn step(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let (first, rest) = match self {
             Self::Whole(bytes) => (bytes.take(), None),
+            Self::Kept(reader) => {
+                let part = reader.poll_part(cx);
+                return part.map(|part| part.map(|part| part.map(Frame::data)));
+            }
             Self::Stream(bytes, rest) => (bytes.take(), Some(rest)),
         };
         match (first, rest) {
             (Some(bytes), _) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
-            (None, Some(rest)) => Pin::new(rest).poll_frame(cx),
+            (None, Some(rest)) => {
+                let frame = Pin::new(rest).poll_frame(cx);
+                frame.map(|frame| frame.map(|frame| frame.map_err(BodyError::from)))
+            }
             (None, None) => Poll::Ready(None),
         }
     }
@@ -55,6 +109,7 @@
     fn rest_hint(&self) -> SizeHint {
         match self {
             Self::Whole(bytes) => SizeHint::with_exact(length(bytes.as_ref())),
+            Self::Kept(reader) => SizeHint::with_exact(reader.left()),
             Self::Stream(bytes, rest) => match rest.size_hint().exact() {
                 Some(left) => SizeHint::with_exact(left + length(bytes.as_ref())),
                 None => SizeHint::new(),
@@ -69,12 +124,12 @@
 
 impl Body for Outgoing {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         self.step(cx)
     }
 
@@ -117,12 +172,12 @@
 
 impl Body for Returned {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         self.body.step(cx)
     }
 
@@ -144,6 +199,24 @@
     Part(Bytes, Incoming),
 }
 
+/// A request's body as it is passed on: while it comes, where its length is told, and
+/// else once it is here, so that an instance is told its length.
+///
+/// # Errors
+///
+/// Fails when one that is read first breaks off.
+pub async fn outgoing(incoming: Incoming) -> Result<Outgoing, hyper::Error> {
+    let told = incoming.size_hint().exact();
+    if let Some(length) = told.filter(|length| (1..=WHOLE as u64).contains(length)) {
+        return Ok(Outgoing::Kept(Reader::new(Spool::new(incoming), length)));
+    }
+    Ok(match read(incoming).await? {
+        Read::Whole(bytes) if bytes.is_empty() => Outgoing::Whole(None),
+        Read::Whole(bytes) => Outgoing::Whole(Some(bytes)),
+        Read::Part(first, rest) => Outgoing::Stream(Some(first), rest),
+    })
+}
+
 /// Reads a body up to [`WHOLE`] bytes.
 ///
 /// # Errors
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -141,6 +141,7 @@
         began: Instant::now(),
         silence: patience.silence,
     };
+    let spool = body.spool();
     let Some((response, connection)) = send(core, upstream, call, body, patience.left).await else {
         running.end(Kind::ConnectFailed, None);
         return End::Unsent;
@@ -150,13 +151,16 @@
         return End::Unknown;
     };
     let report = load(core, response.headers());
+    // An instance may answer before the body has ended; what follows on that connection
+    // would be the rest of it.
+    let reusable = spool.is_none_or(|spool| spool.is_whole());
     if response.headers().contains_key(&core.dialect.refused) {
         let end = if response.status() == StatusCode::MISDIRECTED_REQUEST {
             End::Elsewhere
         } else {
             End::Refused
         };
-        finish(upstream, response, connection).await;
+        finish(upstream, response, connection, reusable).await;
         running.end(Kind::Shed, report);
         return end;
     }
@@ -170,7 +174,7 @@
         return End::Unknown;
     }
     let failed = response.status().is_server_error();
-    if let Some((parts, answered)) = finish(upstream, response, connection).await {
+    if let Some((parts, answered)) = finish(upstream, response, connection, reusable).await {
         running.end(if failed { Kind::Error } else { Kind::Ok }, report);
         End::Answer(Box::new(parts), answered)
     } else {
@@ -250,16 +254,19 @@
     Some(request)
 }
 
-/// Reads the answer, and keeps the connection where the answer was whole.
+/// Reads the answer, and keeps a `reusable` connection where the answer was whole.
 async fn finish(
     upstream: &Upstream,
     response: Response<Incoming>,
     connection: Connection,
+    reusable: bool,
 ) -> Option<(Parts, Answered)> {
     let (parts, incoming) = response.into_parts();
     match body::read(incoming).await.ok()? {
         Read::Whole(bytes) => {
-            keep(upstream, connection, &parts.headers);
+            if reusable {
+                keep(upstream, connection, &parts.headers);
+            }
             Some((parts, Answered::Whole(bytes)))
         }
         Read::Part(first, rest) => Some((parts, Answered::Stream(first, rest, connection))),
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -21,8 +21,8 @@
 
 use crate::body;
 use crate::body::Outgoing;
-use crate::body::Read;
 use crate::body::Returned;
+use crate::body::Spool;
 use crate::core::Core;
 use crate::desk::Desk;
 use crate::exchange;
@@ -75,8 +75,10 @@
     instance: Option<InstanceId>,
     /// When to come back, as a dispatcher says.
     back: Option<Duration>,
-    /// Bytes of the request's body, where it is here whole.
-    sent: usize,
+    /// Bytes of the request's body, where they are known.
+    sent: u64,
+    /// Where the request's body is kept, while more of it may come.
+    spool: Option<Spool>,
     /// An instance's own failure, for the caller if no other attempt does better.
     failed: Option<(Box<http::response::Parts>, Answered)>,
 }
@@ -137,6 +139,7 @@
         instance: None,
         back: None,
         sent: 0,
+        spool: None,
         failed: None,
     };
     flow.run(incoming).await
@@ -150,22 +153,26 @@
             Err(_) if self.exposed && self.failed.is_none() => Outcome::Own(Reason::Timeout, None),
             Err(_) => self.own(Reason::Late),
         };
+        self.drain().await;
         self.respond(outcome)
     }
 
+    /// Takes the rest of a body that the answer doesn't wait for. An answer before it closes
+    /// the connection while the caller still writes, which may reset it unread.
+    async fn drain(&self) {
+        if let Some(spool) = &self.spool {
+            // A caller that is slower than its own deadline is told all the same.
+            let _ = tokio::time::timeout_at(self.end, spool.fill()).await;
+        }
+    }
+
     async fn serve(&mut self, incoming: Incoming) -> Outcome {
         // A caller that breaks off its body has left; there is nobody to answer.
-        let Ok(read) = body::read(incoming).await else {
+        let Ok(mut body) = body::outgoing(incoming).await else {
             return Outcome::Own(Reason::Late, None);
         };
-        let mut body = match read {
-            Read::Whole(bytes) if bytes.is_empty() => Outgoing::Whole(None),
-            Read::Whole(bytes) => Outgoing::Whole(Some(bytes)),
-            Read::Part(first, rest) => Outgoing::Stream(Some(first), rest),
-        };
-        if let Outgoing::Whole(Some(bytes)) = &body {
-            self.sent = bytes.len();
-        }
+        self.sent = body.known_length().unwrap_or_default();
+        self.spool = body.spool();
         self.desk(Desk::request);
         loop {
             let again = body.again();
@@ -183,7 +190,7 @@
 
     /// One attempt.
     async fn attempt(&mut self, body: Outgoing) -> Result<End, Reason> {
-        let chosen = self.choose().await?;
+        let chosen = self.choose_while(&body).await?;
         let pick = chosen.choice.pick;
         self.attempts += 1;
         self.exclude.push(pick);
@@ -222,7 +229,7 @@
         if let End::Answer(parts, Answered::Whole(bytes)) = &end
             && parts.status.is_success()
         {
-            let moved = bytes.len() + self.sent;
+            let moved = bytes.len() as u64 + self.sent;
             let latency = sent.elapsed();
             let learn = |habit: &mut Habit| habit.learn(latency, &chosen.choice, moved);
             self.core.habit(&self.route, learn);
--- a/crates/entry/src/flow/choice.rs
+++ b/crates/entry/src/flow/choice.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use super::Flow;
+use crate::body::Outgoing;
 use crate::desk::Chosen;
 use crate::placing;
 use crate::refusal::Reason;
@@ -48,6 +49,19 @@
         }
     }
 
+    /// The same, while the body goes on coming.
+    pub(super) async fn choose_while(&mut self, body: &Outgoing) -> Result<Chosen, Reason> {
+        let Some(spool) = body.spool() else {
+            return self.choose().await;
+        };
+        let mut choosing = std::pin::pin!(self.choose());
+        tokio::select! {
+            biased;
+            chosen = &mut choosing => chosen,
+            () = spool.fill() => choosing.await,
+        }
+    }
+
     /// One look, by way of the dispatcher if there is one and `ask` says so.
     async fn look(&self, want: &Want, ask: bool) -> Found {
         let dispatcher = self.core.dispatcher(&self.service);
--- a/crates/entry/tests/fakes/caller.rs
+++ b/crates/entry/tests/fakes/caller.rs
@@ -58,8 +58,8 @@
         self.raw(text.as_bytes()).await;
     }
 
-    /// The next answer; none when the connection ended before one.
-    pub async fn answer(&mut self) -> Option<Answer> {
+    /// The head of the next answer, which is left to be read whole.
+    pub async fn head(&mut self) -> Option<Answer> {
         let end = loop {
             if let Some(end) = self.rest.windows(4).position(|four| four == b"\r\n\r\n") {
                 break end;
@@ -68,11 +68,17 @@
         };
         let head = String::from_utf8_lossy(&self.rest[..end]).into_owned();
         let status = head.split(' ').nth(1).and_then(|code| code.parse().ok())?;
-        let mut answer = Answer {
+        Some(Answer {
             status,
             head,
             body: String::new(),
-        };
+        })
+    }
+
+    /// The next answer; none when the connection ended before it was whole.
+    pub async fn answer(&mut self) -> Option<Answer> {
+        let mut answer = self.head().await?;
+        let end = answer.head.len();
         let length = answer.header("content-length");
         let length: usize = length.map_or(0, |text| text.parse().expect("a number"));
         while self.rest.len() < end + 4 + length {
--- a/crates/entry/tests/fakes/upstream.rs
+++ b/crates/entry/tests/fakes/upstream.rs
@@ -12,6 +12,9 @@
 use tokio::sync::watch;
 use tokio_util::task::AbortOnDropHandle;
 
+/// Bytes added to answers that are halved: several packets.
+pub const LONG: usize = 8_000;
+
 /// What it does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Manner {
@@ -35,6 +38,12 @@
     Hang,
     /// Answers without a length, and closes.
     Unframed,
+    /// Refuses a request unrun at its head, and reads on.
+    ShedEarly,
+    /// Answers with half of the body, and the rest once it is told to.
+    Halves,
+    /// Answers with half of the body, and closes once it is told to send the rest.
+    HalfThenClose,
 }
 
 /// A request as it came.
@@ -69,6 +78,14 @@
     arrivals: watch::Sender<Vec<Arrival>>,
     /// Requests whose connection closed while they were worked on.
     left: watch::Sender<usize>,
+    /// Heads of requests that have come.
+    heads: watch::Sender<usize>,
+    /// Bytes of bodies that have come.
+    received: watch::Sender<usize>,
+    /// Connections that were taken.
+    connections: watch::Sender<usize>,
+    /// Whether the rest of halved answers may be sent.
+    rest: watch::Sender<bool>,
 }
 
 pub struct Upstream {
@@ -87,6 +104,10 @@
             manner: Mutex::new(manner),
             arrivals: watch::Sender::default(),
             left: watch::Sender::default(),
+            heads: watch::Sender::default(),
+            received: watch::Sender::default(),
+            connections: watch::Sender::default(),
+            rest: watch::Sender::default(),
         });
         let task = tokio::spawn(accept(listener, Arc::clone(&shared)));
         Self {
@@ -112,6 +133,35 @@
         reached.await.expect("the upstream lives");
     }
 
+    /// Waits until so many bytes of bodies have come.
+    pub async fn received(&self, bytes: usize) {
+        let mut received = self.shared.received.subscribe();
+        let reached = received.wait_for(|found| *found >= bytes);
+        reached.await.expect("the upstream lives");
+    }
+
+    /// How many heads of requests have come.
+    pub fn heads(&self) -> usize {
+        *self.shared.heads.borrow()
+    }
+
+    /// Waits until so many heads of requests have come.
+    pub async fn headed(&self, count: usize) {
+        let mut heads = self.shared.heads.subscribe();
+        let reached = heads.wait_for(|found| *found >= count);
+        reached.await.expect("the upstream lives");
+    }
+
+    /// How many connections were taken.
+    pub fn connections(&self) -> usize {
+        *self.shared.connections.borrow()
+    }
+
+    /// Sends the rest of halved answers.
+    pub fn send_rest(&self) {
+        self.shared.rest.send_replace(true);
+    }
+
     /// Waits until so many callers have left during the work.
     pub async fn left(&self, count: usize) {
         let mut left = self.shared.left.subscribe();
@@ -127,13 +177,14 @@
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     loop {
         let (stream, _) = listener.accept().await.expect("accepts");
+        shared.connections.send_modify(|count| *count += 1);
         tokio::spawn(serve(stream, Arc::clone(&shared)));
     }
 }
 
 async fn serve(mut stream: TcpStream, shared: Arc<Shared>) {
     let mut rest = Vec::new();
-    while let Some(arrival) = read(&mut stream, &mut rest).await {
+    while let Some(arrival) = read(&mut stream, &mut rest, &shared).await {
         let health = arrival.line() == "GET /health";
         let manner = if health {
             Manner::Answer
@@ -148,7 +199,7 @@
 }
 
 /// Reads one request with its body; none when the connection ended.
-async fn read(stream: &mut TcpStream, rest: &mut Vec<u8>) -> Option<Arrival> {
+async fn read(stream: &mut TcpStream, rest: &mut Vec<u8>, shared: &Shared) -> Option<Arrival> {
     let mut buffer = [0; 4096];
     loop {
         if let Some(end) = rest.windows(4).position(|four| four == b"\r\n\r\n") {
@@ -159,10 +210,23 @@
             };
             let length = arrival.header("content-length");
             let length: usize = length.map_or(0, |text| text.parse().expect("a number"));
+            if arrival.line() != "GET /health" {
+                shared.heads.send_modify(|heads| *heads += 1);
+            }
+            if length > 0 && *lock(&shared.manner) == Manner::ShedEarly {
+                let text = "HTTP/1.1 503 Service Unavailable\r\nrwr-shed: 1\r\n\
+                            content-length: 0\r\n\r\n";
+                stream.write_all(text.as_bytes()).await.ok()?;
+            }
+            let mut told = rest.len() - end - 4;
+            shared.received.send_modify(|bytes| *bytes += told);
             while rest.len() < end + 4 + length {
                 let count = stream.read(&mut buffer).await.ok().filter(|c| *c > 0)?;
                 rest.extend_from_slice(&buffer[..count]);
+                told += count;
+                shared.received.send_modify(|bytes| *bytes += count);
             }
+            debug_assert!(told >= length, "all of the body");
             let body = rest[end + 4..end + 4 + length].to_vec();
             rest.drain(..end + 4 + length);
             return Some(Arrival { body, ..arrival });
@@ -184,7 +248,10 @@
         "rwr-request-id: {id}\r\nrwr-instance: {}\r\nrwr-load: 0/6\r\nsignature: s-{id}\r\n",
         shared.id
     );
-    let body = format!("answer to {id} by {}", shared.id);
+    let mut body = format!("answer to {id} by {}", shared.id);
+    if matches!(manner, Manner::Halves | Manner::HalfThenClose) {
+        body.push_str(&".".repeat(LONG));
+    }
     let length = body.len();
     let answer = format!(
         "HTTP/1.1 200 OK\r\n{own}keep-alive: timeout=30\r\ncontent-length: {length}\r\n\r\n{body}"
@@ -210,6 +277,19 @@
             shared.left.send_modify(|left| *left += 1);
             return false;
         }
+        Manner::ShedEarly => return true,
+        Manner::Halves | Manner::HalfThenClose => {
+            let half = answer.len() - length / 2;
+            if stream.write_all(&answer.as_bytes()[..half]).await.is_err() {
+                return false;
+            }
+            let mut rest = shared.rest.subscribe();
+            let _ = rest.wait_for(|rest| *rest).await;
+            if manner == Manner::HalfThenClose {
+                return false;
+            }
+            return stream.write_all(&answer.as_bytes()[half..]).await.is_ok();
+        }
         Manner::Unframed => format!("HTTP/1.1 200 OK\r\n{own}connection: close\r\n\r\n{body}"),
     };
     if stream.write_all(text.as_bytes()).await.is_err() {
