entry: long answers are passed on while they come

Cause: an answer of 5 KB took 19 ms in and 19 ms out over a link of 262 KB/s, one after the other. A good answer whose length is told and is over a packet is passed on as it comes. Its end teaches the route's usual time and keeps the connection, a break tells against the instance, and one that stalls is ended a quarter of a second after its request's time at the earliest. Short answers, failures and those without a length are read whole, as before.

What it costs: a long answer that breaks off midway can't be asked for again by us; its caller sees the connection end, which never looks whole.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -16,7 +16,7 @@
 use hyper::body::Incoming;
 use quick_error::quick_error;
 
-use crate::pool::Connection;
+use crate::tail::Tail;
 
 use self::spool::Reader;
 pub use self::spool::Spool;
@@ -35,6 +35,10 @@
         Broken {
             display("the body had broken off")
         }
+        /// Nothing more came, and its request's time was up.
+        Stalled {
+            display("nothing more came in time")
+        }
         /// It is sent again elsewhere.
         Superseded {
             display("the body is sent elsewhere")
@@ -77,6 +81,16 @@
         }
     }
 
+    /// Whether nothing more comes, as far as its length tells.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.is_none(),
+            Self::Kept(reader) => reader.left() == 0,
+            Self::Stream(first, rest) => first.is_none() && rest.is_end_stream(),
+        }
+    }
+
     /// Bytes of all of it, where that is known.
     #[must_use]
     pub fn known_length(&self) -> Option<u64> {
@@ -134,7 +148,7 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Whole(None))
+        self.is_over()
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -142,11 +156,11 @@
     }
 }
 
-/// A body on its way to a caller; a long one holds its connection until it ends.
-#[derive(Debug)]
+/// A body on its way to a caller; one that is yet to come holds its connection until it
+/// ends.
 pub struct Returned {
     body: Outgoing,
-    _connection: Option<Connection>,
+    tail: Option<Tail>,
 }
 
 impl Returned {
@@ -156,16 +170,45 @@
         let bytes = Some(bytes).filter(|bytes| !bytes.is_empty());
         Self {
             body: Outgoing::Whole(bytes),
-            _connection: None,
+            tail: None,
         }
     }
 
-    /// A long body, the first part of which was read.
+    /// A body of which `first` was read.
     #[must_use]
-    pub fn stream(first: Bytes, rest: Incoming, connection: Connection) -> Self {
+    pub fn stream(first: Bytes, rest: Incoming, tail: Tail) -> Self {
+        let first = Some(first).filter(|first| !first.is_empty());
         Self {
-            body: Outgoing::Stream(Some(first), rest),
-            _connection: Some(connection),
+            body: Outgoing::Stream(first, rest),
+            tail: Some(tail),
+        }
+    }
+
+    /// Takes what a step led to: a part, the end, or that the sender broke off.
+    fn note(&mut self, step: Option<&Result<Frame<Bytes>, BodyError>>) {
+        match step {
+            Some(Ok(frame)) => {
+                let bytes = frame.data_ref().map_or(0, Bytes::len);
+                if let Some(tail) = &mut self.tail {
+                    tail.came(bytes);
+                }
+                // The last part of a body whose length was told; nobody asks for more.
+                if self.body.is_over() {
+                    self.end();
+                }
+            }
+            None => self.end(),
+            Some(Err(err)) => {
+                if let Some(tail) = self.tail.take() {
+                    tail.broke_off(err);
+                }
+            }
+        }
+    }
+
+    fn end(&mut self) {
+        if let Some(tail) = self.tail.take() {
+            tail.whole();
         }
     }
 }
@@ -178,11 +221,22 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        self.body.step(cx)
+        let step = match self.body.step(cx) {
+            Poll::Ready(step) => step,
+            Poll::Pending => {
+                let stalled = self.tail.as_mut().map(|tail| tail.poll_stalled(cx));
+                if stalled != Some(Poll::Ready(())) {
+                    return Poll::Pending;
+                }
+                Some(Err(BodyError::Stalled))
+            }
+        };
+        self.note(step.as_ref());
+        Poll::Ready(step)
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self.body, Outgoing::Whole(None))
+        self.body.is_over()
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -195,7 +249,7 @@
 pub enum Read {
     /// It ended.
     Whole(Bytes),
-    /// More than [`WHOLE`] bytes; the rest is yet to come.
+    /// The rest is yet to come.
     Part(Bytes, Incoming),
 }
 
@@ -217,6 +271,30 @@
     })
 }
 
+/// Reads what has come of a body already.
+///
+/// # Errors
+///
+/// Fails when it breaks off.
+pub async fn begin(mut body: Incoming) -> Result<Read, hyper::Error> {
+    let mut first = BytesMut::new();
+    loop {
+        let frame = std::future::poll_fn(|cx| Poll::Ready(Pin::new(&mut body).poll_frame(cx)));
+        match frame.await {
+            Poll::Pending => return Ok(Read::Part(first.freeze(), body)),
+            Poll::Ready(None) => return Ok(Read::Whole(first.freeze())),
+            Poll::Ready(Some(frame)) => {
+                if let Ok(data) = frame?.into_data() {
+                    first.extend_from_slice(&data);
+                }
+            }
+        }
+        if first.len() > WHOLE {
+            return Ok(Read::Part(first.freeze(), body));
+        }
+    }
+}
+
 /// Reads a body up to [`WHOLE`] bytes.
 ///
 /// # Errors
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -45,6 +45,14 @@
             .send();
     }
 
+    /// An answer that broke off after its head was passed on.
+    pub fn broke_off(&self, service: &ServiceName) {
+        self.client
+            .count_with_tags("entry.answers.broken", 1)
+            .with_tag("service", service.as_str())
+            .send();
+    }
+
     /// A request that waited for room.
     pub fn waited(&self, service: &ServiceName, span: Duration) {
         self.client
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -239,6 +239,11 @@
         self.chooser.displaced(pick);
     }
 
+    /// Notes that an answer of the instance broke off after its head.
+    pub fn broke_off(&mut self, now: Moment, pick: Pick) {
+        self.chooser.broke_off(now, pick);
+    }
+
     /// Notes the end of a probe.
     pub fn probed(&mut self, now: Moment, pick: Pick, report: Option<LoadReport>) {
         self.chooser.probed(now, pick, report);
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -13,6 +13,7 @@
 use http::StatusCode;
 use http::Uri;
 use http::response::Parts;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use route::Kind;
 use route::LoadReport;
@@ -28,8 +29,14 @@
 use crate::headers;
 use crate::placing::Grant;
 use crate::pool::Connection;
+use crate::tail::Origin;
 use crate::view::Upstream;
 
+/// Bytes of an answer that come in one packet beside its head. One that is no longer is read
+/// whole, so that it can be asked for again where it breaks off: passing on a part of it
+/// gains no time.
+const PACKET: u64 = 1_200;
+
 /// A request as it is passed on.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -66,8 +73,8 @@
 pub enum Answered {
     /// All of it.
     Whole(Bytes),
-    /// Its beginning, the rest, and the connection on which that comes.
-    Stream(Bytes, Incoming, Connection),
+    /// Its beginning, the rest, and where that comes from.
+    Stream(Bytes, Incoming, Origin),
 }
 
 /// How an attempt ended.
@@ -262,13 +269,32 @@
     reusable: bool,
 ) -> Option<(Parts, Answered)> {
     let (parts, incoming) = response.into_parts();
-    match body::read(incoming).await.ok()? {
+    // A failure may give way to another attempt's answer. One without a length tells only
+    // by its end whether it is whole.
+    let long = incoming
+        .size_hint()
+        .exact()
+        .is_some_and(|bytes| bytes > PACKET);
+    let at_once = parts.status.is_success() && long;
+    let read = if at_once {
+        body::begin(incoming).await
+    } else {
+        body::read(incoming).await
+    };
+    match read.ok()? {
         Read::Whole(bytes) => {
             if reusable {
                 keep(upstream, connection, &parts.headers);
             }
             Some((parts, Answered::Whole(bytes)))
         }
-        Read::Part(first, rest) => Some((parts, Answered::Stream(first, rest, connection))),
+        Read::Part(first, rest) => {
+            let origin = Origin {
+                connection,
+                reusable: reusable && !headers::closes(&parts.headers),
+                kept: headers::kept_for(&parts.headers),
+            };
+            Some((parts, Answered::Stream(first, rest, origin)))
+        }
     }
 }
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -12,6 +12,7 @@
 use http::Response;
 use hyper::body::Body;
 use hyper::body::Incoming;
+use route::FreshChoice;
 use route::Pick;
 use slog::info;
 use table::Kind;
@@ -35,6 +36,10 @@
 use crate::headers;
 use crate::refusal;
 use crate::refusal::Reason;
+use crate::tail::Asked;
+use crate::tail::Origin;
+use crate::tail::Tail;
+use crate::view::Upstream;
 
 /// Time for a request that names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
@@ -72,7 +77,7 @@
     exclude: Vec<Pick>,
     /// The request may have run.
     exposed: bool,
-    instance: Option<InstanceId>,
+    last: Option<Attempt>,
     /// When to come back, as a dispatcher says.
     back: Option<Duration>,
     /// Bytes of the request's body, where they are known.
@@ -83,6 +88,13 @@
     failed: Option<(Box<http::response::Parts>, Answered)>,
 }
 
+/// The newest attempt.
+struct Attempt {
+    upstream: Arc<Upstream>,
+    choice: FreshChoice,
+    sent: Instant,
+}
+
 /// What a request led to.
 enum Outcome {
     Answer(Box<http::response::Parts>, Answered),
@@ -136,7 +148,7 @@
         unsent: 0,
         exclude: Vec::new(),
         exposed: false,
-        instance: None,
+        last: None,
         back: None,
         sent: 0,
         spool: None,
@@ -194,7 +206,6 @@
         let pick = chosen.choice.pick;
         self.attempts += 1;
         self.exclude.push(pick);
-        self.instance = Some(chosen.upstream.id.clone());
         let left = self.deadline.saturating_sub(self.began.elapsed());
         info!(self.core.log, "choice"; "request" => self.call.id.to_str().unwrap_or("-"),
             "attempt" => self.attempts, "instance" => %chosen.upstream.id,
@@ -215,6 +226,11 @@
         // Until the end says otherwise, the request may be running.
         let before = std::mem::replace(&mut self.exposed, true);
         let sent = Instant::now();
+        self.last = Some(Attempt {
+            upstream: Arc::clone(&chosen.upstream),
+            choice: chosen.choice,
+            sent,
+        });
         let patience = Patience {
             left,
             silence: chosen.choice.expected.mul_f64(SILENT_WORKS),
@@ -248,7 +264,7 @@
         let word: &'static str = end.into();
         info!(self.core.log, "attempt"; "request" => self.call.id.to_str().unwrap_or("-"),
             "attempt" => self.attempts, "end" => word, "status" => status,
-            "instance" => self.instance.as_ref().map_or("-", |id| id.as_str()),
+            "instance" => self.instance(),
             "service" => %self.service, "ms" => millis(span));
     }
 
@@ -315,6 +331,30 @@
         paid
     }
 
+    /// The instance of the newest attempt.
+    fn instance(&self) -> &str {
+        let last = self.last.as_ref();
+        last.map_or("-", |attempt| attempt.upstream.id.as_str())
+    }
+
+    /// An answer whose body is passed on as it comes.
+    fn stream(&self, first: Bytes, rest: Incoming, origin: Origin) -> Returned {
+        let Some(attempt) = &self.last else {
+            unreachable!("an answer comes of an attempt");
+        };
+        let asked = Asked {
+            core: Arc::clone(&self.core),
+            id: self.call.id.clone(),
+            route: Arc::clone(&self.route),
+            upstream: Arc::clone(&attempt.upstream),
+            choice: attempt.choice,
+            sent: attempt.sent,
+            bytes: self.sent,
+            end: self.end,
+        };
+        Returned::stream(first, rest, Tail::new(asked, origin))
+    }
+
     fn respond(&self, outcome: Outcome) -> Response<Returned> {
         let spent = self.began.elapsed();
         let (response, reason, back) = match outcome {
@@ -322,9 +362,7 @@
                 headers::strip(&mut parts.headers);
                 let body = match answered {
                     Answered::Whole(bytes) => Returned::whole(bytes),
-                    Answered::Stream(first, rest, connection) => {
-                        Returned::stream(first, rest, connection)
-                    }
+                    Answered::Stream(first, rest, origin) => self.stream(first, rest, origin),
                 };
                 let response = Response::from_parts(*parts, body);
                 (response, "answered", None)
@@ -335,7 +373,7 @@
             "outcome" => reason, "status" => response.status().as_u16(),
             "route" => &*self.route.name, "service" => %self.service,
             "table" => self.version, "attempts" => self.attempts, "unsent" => self.unsent,
-            "instance" => self.instance.as_ref().map_or("-", |id| id.as_str()),
+            "instance" => self.instance(),
             "aim_ms" => millis(self.aim), "back_ms" => back.map_or(0, millis),
             "ms" => millis(spent));
         self.core
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod serve;
 pub mod settings;
 pub mod sync;
+pub mod tail;
 pub mod view;
 
 pub use dialect::Dialect;
--- a/crates/entry/tests/test_body.rs
+++ b/crates/entry/tests/test_body.rs
@@ -4,8 +4,10 @@
 
 use fakes::HOST;
 use fakes::ONCE;
+use fakes::SHORT;
 use fakes::caller::Caller;
 use fakes::entry;
+use fakes::upstream::LONG;
 use fakes::upstream::Manner;
 use fakes::upstream::Upstream;
 
@@ -99,3 +101,49 @@
     assert_eq!(answer.status, 200);
     assert_eq!(upstream.arrivals()[0].body, body.as_bytes());
 }
+
+/// What has come of an answer is passed on before the rest has, and the connection serves
+/// the next request.
+#[tokio::test]
+async fn test_body_of_an_answer_is_passed_on_while_it_comes() {
+    let upstream = Upstream::start("i-1", Manner::Halves).await;
+    let entry = entry(&[&upstream]).await;
+    let mut caller = Caller::connect(entry.front()).await;
+    caller.send("GET", ONCE, "r-1", "").await;
+    let answer = caller.head().await.expect("a head");
+    assert_eq!(answer.status, 200);
+    upstream.send_rest();
+    let answer = caller.answer().await.expect("an answer");
+    assert!(answer.body.starts_with("answer to r-1 by i-1."));
+    assert_eq!(answer.body.len(), "answer to r-1 by i-1".len() + LONG);
+    let before = upstream.connections();
+    let answer = caller.call("GET", ONCE, "r-2", "").await;
+    assert!(answer.body.starts_with("answer to r-2 by i-1."));
+    assert_eq!(upstream.connections(), before);
+}
+
+/// An answer that breaks off after its head doesn't look whole: the connection ends, as
+/// nothing else can tell the caller by then.
+#[tokio::test]
+async fn test_body_of_an_answer_that_breaks_off_does_not_look_whole() {
+    let upstream = Upstream::start("i-1", Manner::HalfThenClose).await;
+    let entry = entry(&[&upstream]).await;
+    let mut caller = Caller::connect(entry.front()).await;
+    caller.send("GET", ONCE, "r-1", "").await;
+    let answer = caller.head().await.expect("a head");
+    assert_eq!(answer.status, 200);
+    upstream.send_rest();
+    assert!(caller.answer().await.is_none());
+    assert_eq!(upstream.arrivals().len(), 1);
+}
+
+/// An answer that comes no further ends soon after its route's timeout.
+#[tokio::test]
+async fn test_body_of_an_answer_that_stalls_ends_after_the_timeout() {
+    let upstream = Upstream::start("i-1", Manner::Halves).await;
+    let entry = entry(&[&upstream]).await;
+    let mut caller = Caller::connect(entry.front()).await;
+    caller.send("GET", SHORT, "r-1", "").await;
+    caller.head().await.expect("a head");
+    assert!(caller.answer().await.is_none());
+}
--- a/crates/route/src/fresh/results.rs
+++ b/crates/route/src/fresh/results.rs
@@ -61,6 +61,17 @@
         }
     }
 
+    /// Notes that an answer broke off whose attempt has ended already.
+    pub fn broke_off(&mut self, now: Moment, pick: Pick) {
+        let cause = Cause::Failures;
+        let bad = self
+            .row(pick)
+            .is_some_and(|row| row.health.failed(now, cause));
+        if bad {
+            self.eject(now, pick, cause);
+        }
+    }
+
     /// Notes that an attempt begins.
     pub fn started(&mut self, now: Moment, pick: Pick) -> Ticket {
         if let Some(row) = self.row(pick) {
