entry, dispatch, table: instances that are cold get a bounded share from a few keepers

Cause: nothing in the code bounded what a cold instance gets from 117 processes; only its two slots did. A service's table may name what its instances take while they are cold, [cold] how far beyond that is safe. An instance's keepers, ranked by rendezvous hashing, may start a fixed share each; the others send nothing until it is warm.

--- a/crates/base/src/header.rs
+++ b/crates/base/src/header.rs
@@ -28,5 +28,7 @@
 pub const ONLY: &str = "rwr-only";
 /// On an upstream's answer: the life that answers, `id:incarnation`.
 pub const INSTANCE: &str = "rwr-instance";
+/// On an upstream's health page: milliseconds for which it is cold yet.
+pub const COLD: &str = "rwr-cold-ms";
 /// On an upstream's answer: requests in flight and slots, `in-flight/slots`.
 pub const LOAD: &str = "rwr-load";
--- a/crates/conf/src/value.rs
+++ b/crates/conf/src/value.rs
@@ -145,23 +145,41 @@
     const FORM: &'static str = "number a second with at most three decimals, such as 2.5/s";
 
     fn read(text: &str) -> Option<Self> {
-        let number = text.strip_suffix("/s")?;
-        let (whole, part) = number.split_once('.').unwrap_or((number, "0"));
+        let Decimal(thousandths) = Decimal::read(text.strip_suffix("/s")?)?;
+        Some(Rate(thousandths))
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", Decimal(self.0))
+    }
+}
+
+/// A number, kept in thousandths.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Decimal(pub u32);
+
+impl Value for Decimal {
+    const FORM: &'static str = "number with at most three decimals, such as 1.5";
+
+    fn read(text: &str) -> Option<Self> {
+        let (whole, part) = text.split_once('.').unwrap_or((text, "0"));
         if part.is_empty() || part.len() > 3 {
             return None;
         }
         let whole: u32 = digits(whole)?;
         let part: u32 = digits(&format!("{part:0<3}"))?;
-        whole.checked_mul(1000)?.checked_add(part).map(Rate)
+        whole.checked_mul(1000)?.checked_add(part).map(Decimal)
     }
 }
 
-impl fmt::Display for Rate {
+impl fmt::Display for Decimal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let part = format!("{:03}", self.0 % 1000);
         match part.trim_end_matches('0') {
-            "" => write!(f, "{}/s", self.0 / 1000),
-            part => write!(f, "{}.{part}/s", self.0 / 1000),
+            "" => write!(f, "{}", self.0 / 1000),
+            part => write!(f, "{}.{part}", self.0 / 1000),
         }
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`Trust`] tells whether it still answers, [`Grants`] keeps what it gave away, and
 //! [`Tenure`] when it may spend what all share. A grant is placement only: whoever got it
 //! checks itself what may be sent where, and decides alone while the dispatcher is silent.
+//! [`Warmup`] names the few processes that send to an instance which is cold.
 //!
 //! All of it is plain state: the time and what happened go in, decisions come out.
 
@@ -14,9 +15,11 @@
 pub mod grants;
 pub mod tenure;
 pub mod trust;
+pub mod warmup;
 
 pub use dispatcher::dispatcher;
 pub use grants::Grants;
 pub use tenure::Dispatched;
 pub use tenure::Tenure;
 pub use trust::Trust;
+pub use warmup::Warmup;
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -13,6 +13,7 @@
 
 use base::prelude::*;
 use dispatch::Dispatched;
+use dispatch::Warmup;
 use evacuation::Domains;
 use http::Uri;
 use registry::Digest;
@@ -33,6 +34,7 @@
 use crate::dialect::Dialect;
 use crate::habit::Habit;
 use crate::placing::Places;
+use crate::processes::Processes;
 use crate::settings::Settings;
 use crate::view::Instances;
 use crate::view::Listed;
@@ -66,6 +68,8 @@
     evacuations: Domains,
     /// Where others decide for a service.
     dispatchers: HashMap<ServiceName, SocketAddr>,
+    /// Who shares what cold instances take.
+    processes: Arc<Processes>,
 }
 
 /// The state of one entry process.
@@ -125,6 +129,7 @@
             ttl: settings.ttl,
             spread: settings.spread,
             crossing: settings.crossing,
+            cold: settings.cold,
             retry: settings.retry,
             probes: settings.probes,
             dispatched: settings.dispatched,
@@ -159,6 +164,7 @@
             *held = routes;
         }
         self.forget_routes();
+        self.set_warmups(&mut self.known());
         // Only the first table changes anything for those who wait.
         self.routed
             .send_if_modified(|routed| !std::mem::replace(routed, true));
@@ -261,9 +267,26 @@
             let new = || Desk::new(domain.clone(), &shared, rand::random(), now);
             desk.or_insert_with(new).update(now, rows);
         }
+        self.set_warmups(known);
         name_dispatchers(&settings, known, now);
     }
 
+    /// Hands each service's desk what its cold instances bear, and who shares that.
+    fn set_warmups(&self, known: &mut Known) {
+        let routes = self.routes();
+        let bound = self.settings().cold;
+        for (service, desk) in &mut known.desks {
+            let services = &routes.table.services;
+            let cold = services.iter().find(|s| s.name == *service);
+            let warmup = cold.and_then(|s| s.cold).map(|cold| Warmup {
+                rate: cold.rate,
+                overshoot: bound.overshoot,
+                slack: bound.slack,
+            });
+            desk.set_warmup(warmup, &known.processes);
+        }
+    }
+
     /// Takes the evacuations that the hub at `hub` told, unless newer ones are held.
     pub fn take_evacuations(&self, hub: SocketAddr, told: &Evacuations) {
         let mut known = self.known();
@@ -350,10 +373,23 @@
         if !hosts.is_empty() && hosts != known.hosts {
             info!(self.log, "entry hosts"; "count" => hosts.len());
             known.hosts = hosts;
+            known.processes = Arc::new(self.processes(&known));
+            self.set_warmups(&mut known);
             name_dispatchers(&self.settings(), &mut known, self.clock.now());
         }
     }
 
+    /// The processes among the entry hosts that are known now.
+    fn processes(&self, known: &Known) -> Processes {
+        let own = self.settings().place;
+        let places = known.hosts.iter().map(|host| host.place.clone());
+        Processes {
+            own: own.map_or_else(String::new, |own| own.to_string()),
+            all: places.filter(|place| !place.is_empty()).collect(),
+            mark: known.processes.mark + 1,
+        }
+    }
+
     /// Addresses of entry hosts for a caller, nearest first, and how long it may
     /// keep them; none while no hub has told any.
     #[must_use]
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -9,11 +9,13 @@
 use ::dispatch::Dispatched;
 use ::dispatch::Grants;
 use ::dispatch::Tenure;
+use ::dispatch::Warmup;
 use admit::Waiting;
 use attempt::budget::Budget;
 use attempt::budget::Share;
 use base::prelude::*;
 use measure::Allowance;
+use route::COLD_WINDOW;
 use route::Decision;
 use route::Fresh;
 use route::FreshChoice;
@@ -29,6 +31,7 @@
 use wire::hub::Phase as WirePhase;
 
 use crate::placing::Grant;
+use crate::processes::Processes;
 use crate::settings::Shared;
 use crate::view::Listed;
 use crate::view::Upstream;
@@ -74,6 +77,12 @@
     grants: Grants<Ticket>,
     /// Whether this process decides for all, or another does.
     tenure: Tenure,
+    /// What cold instances bear; none where nothing bounds it.
+    warmup: Option<Warmup>,
+    /// Who shares that.
+    processes: Arc<Processes>,
+    /// When the desk began.
+    born: Moment,
 }
 
 /// What to do with a request.
@@ -130,6 +139,9 @@
             refused_at: now,
             grants: Grants::starting(seed),
             tenure: Tenure::default(),
+            warmup: None,
+            processes: Arc::default(),
+            born: now,
         }
     }
 
@@ -141,6 +153,30 @@
         self.share_probes(now);
     }
 
+    /// Takes over what cold instances bear, and who shares it.
+    pub fn set_warmup(&mut self, warmup: Option<Warmup>, processes: &Arc<Processes>) {
+        self.warmup = warmup;
+        self.processes = Arc::clone(processes);
+        self.chooser.share_cold(warmup.map(|_| processes.mark));
+    }
+
+    /// Works out this process's share of instances that were found to be cold.
+    fn share_cold(&mut self, now: Moment) {
+        let Some(warmup) = self.warmup else {
+            return;
+        };
+        // The process before this one may have used the share of this second.
+        if now.since(self.born) < COLD_WINDOW {
+            return;
+        }
+        for pick in self.chooser.unshared(now) {
+            let Processes { own, all, .. } = &*self.processes;
+            let id = self.chooser.id(pick);
+            let starts = id.map_or(0, |id| warmup.share(id, own, all));
+            self.chooser.set_share(pick, starts);
+        }
+    }
+
     fn share_probes(&mut self, now: Moment) {
         let entries = self.shared.entries;
         let (part, processes) = match self.tenure.dispatched() {
@@ -213,6 +249,7 @@
         exclude: &[Pick],
         round: u32,
     ) -> Vec<(Pick, Arc<Upstream>)> {
+        self.share_cold(now);
         let probes = &mut self.probes;
         let allow = |count| probes.take(now, count);
         let picks = self.chooser.plan(now, need, exclude, round, allow);
@@ -249,14 +286,21 @@
         self.chooser.probed(now, pick, report);
     }
 
+    /// Notes how much longer an instance says that it is cold.
+    pub fn told_cold(&mut self, now: Moment, pick: Pick, left: Duration) {
+        self.chooser.told_cold(now, pick, left);
+    }
+
     /// Chooses an instance, none of `exclude` if another is left.
     pub fn choose(&mut self, now: Moment, need: &Need, exclude: &[Pick]) -> Verdict {
+        self.share_cold(now);
         let decision = self.chooser.choose(now, need, exclude);
         self.verdict(decision)
     }
 
     /// Chooses an instance that has just got room.
     pub fn choose_this(&mut self, now: Moment, need: &Need, pick: Pick) -> Verdict {
+        self.share_cold(now);
         let decision = self.chooser.choose_this(now, need, pick);
         self.verdict(decision)
     }
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -1,6 +1,8 @@
 //! The names of headers that callers and upstreams use, and the form of load
 //! reports. An adapter for other names brings its own.
 
+use std::time::Duration;
+
 use base::header;
 use http::HeaderName;
 use route::LoadReport;
@@ -18,10 +20,14 @@
     pub instance: HeaderName,
     /// From an upstream: its load.
     pub load: HeaderName,
+    /// From an upstream, on its health page: how much longer it is cold.
+    pub cold: HeaderName,
     /// From an upstream: the request was not run.
     pub refused: HeaderName,
     /// Reads the load header.
     pub read_load: fn(&str) -> Option<LoadReport>,
+    /// Reads the header that says how much longer the upstream is cold.
+    pub read_cold: fn(&str) -> Option<Duration>,
 }
 
 impl Default for Dialect {
@@ -32,13 +38,20 @@
             deadline: HeaderName::from_static(header::DEADLINE),
             expected: HeaderName::from_static(header::ONLY),
             instance: HeaderName::from_static(header::INSTANCE),
+            cold: HeaderName::from_static(header::COLD),
             load: HeaderName::from_static(header::LOAD),
             refused: HeaderName::from_static(header::SHED),
             read_load,
+            read_cold,
         }
     }
 }
 
+/// Reads milliseconds.
+fn read_cold(text: &str) -> Option<Duration> {
+    text.trim().parse().ok().map(Duration::from_millis)
+}
+
 /// Reads `in-flight/slots`.
 fn read_load(text: &str) -> Option<LoadReport> {
     let (busy, slots) = text.split_once('/')?;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod placing;
 pub mod pool;
 pub mod probe;
+pub mod processes;
 pub mod refusal;
 pub mod search;
 pub mod serve;
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -65,7 +65,12 @@
         tokio::spawn(async move {
             let probe = tokio::time::timeout(TIMEOUT, probe(&core, &upstream));
             let report = match probe.await {
-                Ok(Found::Load(report)) => Some(report),
+                Ok(Found::Load(report, cold)) => {
+                    if let Some(left) = cold {
+                        core.desk(&service, |desk, now| desk.told_cold(now, pick, left));
+                    }
+                    Some(report)
+                }
                 Ok(Found::Another) => {
                     info!(core.log, "address taken over"; "instance" => %upstream.id,
                         "service" => %service, "address" => %upstream.address);
@@ -92,8 +97,8 @@
 
 /// What a probe found.
 enum Found {
-    /// The load that the instance tells.
-    Load(LoadReport),
+    /// The load that the instance tells, and how much longer it is cold where it says so.
+    Load(LoadReport, Option<Duration>),
     /// Another instance.
     Another,
     /// No answer, or not that of an instance which is well.
@@ -117,7 +122,10 @@
     if matches!(whole, Ok(Read::Whole(_))) {
         exchange::keep(upstream, connection, &parts.headers);
     }
-    exchange::load(core, &parts.headers).map_or(Found::Nothing, Found::Load)
+    let cold = parts.headers.get(&core.dialect.cold);
+    let cold = cold.and_then(|value| (core.dialect.read_cold)(value.to_str().ok()?));
+    let load = exchange::load(core, &parts.headers);
+    load.map_or(Found::Nothing, |load| Found::Load(load, cold))
 }
 
 /// The answer to a probe, on a kept connection or a new one.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -11,6 +11,7 @@
 use conf::ConfError;
 use conf::Problem;
 use conf::Reader;
+use conf::value::Decimal;
 use conf::value::duration_text;
 
 const ENTRY: &str = "entry";
@@ -19,6 +20,7 @@
 const PLACE: &str = "place";
 const STOP: &str = "stop";
 const COST: &str = "cost";
+const COLD: &str = "cold";
 
 /// Path of the readiness page, by default.
 const READY_PATH: &str = "/ready";
@@ -95,6 +97,25 @@
     }
 }
 
+/// How far beyond what a cold instance takes all entry hosts together may go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdBound {
+    /// In thousandths of its rate.
+    pub overshoot: u32,
+    /// Requests in a second beyond that.
+    pub slack: u32,
+}
+
+impl Default for ColdBound {
+    /// What it says that it takes, and nothing beyond.
+    fn default() -> Self {
+        Self {
+            overshoot: 1_000,
+            slack: 0,
+        }
+    }
+}
+
 /// All settings of one entry process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -132,6 +153,8 @@
     /// Price of a megabyte between failure domains, in thousandths of the worth
     /// of a request; 0 where such bytes are free.
     pub crossing: u32,
+    /// How far beyond their rate cold instances may be sent to.
+    pub cold: ColdBound,
     /// Log and metrics.
     pub telemetry: telemetry::Settings,
 }
@@ -168,6 +191,7 @@
             dispatched: DISPATCHED as usize,
             stop: Stop::default(),
             crossing: 0,
+            cold: ColdBound::default(),
             telemetry: telemetry::Settings::default(),
         }
     }
@@ -210,6 +234,7 @@
         let dispatched: u32 = r.or(PLACE, "instances", DISPATCHED);
         let stop = read_stop(r);
         let crossing = r.or(COST, "crossing", 0);
+        let cold = read_cold(r);
         let telemetry = telemetry::Settings::read(r);
         let last = u32::from(u16::MAX - HUB_PORT);
         if let Some(port) = port.filter(|p| *p > last) {
@@ -233,6 +258,7 @@
             dispatched: usize::try_from(dispatched).unwrap_or(usize::MAX),
             stop,
             crossing,
+            cold,
             telemetry,
         })
     }
@@ -273,6 +299,19 @@
     retry
 }
 
+fn read_cold(r: &mut Reader) -> ColdBound {
+    let preset = ColdBound::default();
+    let bound = ColdBound {
+        overshoot: r.or(COLD, "overshoot", Decimal(preset.overshoot)).0,
+        slack: r.or(COLD, "slack", preset.slack),
+    };
+    if bound.overshoot < preset.overshoot {
+        let problem = Problem::Form(Decimal(bound.overshoot).to_string());
+        r.fault(COLD, "overshoot", problem, "1 or more");
+    }
+    bound
+}
+
 fn read_stop(r: &mut Reader) -> Stop {
     let preset = Stop::default();
     let grace = r.or(STOP, "grace", preset.grace);
@@ -318,6 +357,9 @@
         writeln!(f, "grace = {}", duration_text(self.stop.grace))?;
         writeln!(f, "\n[{COST}]")?;
         writeln!(f, "crossing = {}", self.crossing)?;
+        writeln!(f, "\n[{COLD}]")?;
+        writeln!(f, "overshoot = {}", Decimal(self.cold.overshoot))?;
+        writeln!(f, "slack = {}", self.cold.slack)?;
         write!(f, "\n{}", self.telemetry)
     }
 }
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -65,6 +65,7 @@
                 name: name(service),
                 health: "/health".into(),
                 connections: 240,
+                cold: None,
             })
             .into(),
         hosts: vec![Host {
--- a/crates/route/src/fresh.rs
+++ b/crates/route/src/fresh.rs
@@ -10,6 +10,7 @@
 //!
 //! It is a plain state machine: the time and what happened go in, decisions come out.
 
+mod cold;
 mod results;
 mod row;
 mod table;
@@ -27,6 +28,7 @@
 use crate::outcome::LoadReport;
 use crate::policy::Reason;
 
+pub use self::row::COLD_WINDOW;
 use self::row::FRESH;
 use self::row::Row;
 use self::row::Subset;
@@ -107,6 +109,8 @@
     /// Most instances were heard, so that silence tells something. Just after a restart
     /// of everything it would send all requests to the first few that were heard.
     heard: bool,
+    /// The list of processes by which cold instances are shared; none where they aren't.
+    sharing: Option<u64>,
 }
 
 impl Fresh {
@@ -121,6 +125,7 @@
             usual: Usual::default(),
             processes: 1,
             heard: false,
+            sharing: None,
         }
     }
 
@@ -159,7 +164,7 @@
         let mut open: Vec<(usize, f64)> = Vec::new();
         for index in 0..self.rows.len() {
             let row = &self.rows[index];
-            if !self.is_usable(index, exclude) || row.is_fresh(now) {
+            if !self.is_usable(now, index, exclude) || row.is_fresh(now) {
                 continue;
             }
             let cost = self.cost(now, need, row);
@@ -248,7 +253,7 @@
             .rows
             .get(index)
             .is_some_and(|row| row.epoch == pick.epoch);
-        if known && self.is_usable(index, &[]) {
+        if known && self.is_usable(now, index, &[]) {
             self.decided(now, need, index, Reason::Fresh)
         } else {
             Decision::Wait
@@ -264,10 +269,14 @@
 
     /// Every instance that is left is ejected: any that is ready, health apart.
     fn panic(&mut self, now: Moment, need: &Need, exclude: &[Pick]) -> Decision {
-        let ready = |r: &Row| r.is_ready();
-        let picks: Vec<usize> = (0..self.rows.len())
-            .filter(|i| ready(&self.rows[*i]))
+        let ready: Vec<usize> = (0..self.rows.len())
+            .filter(|i| self.rows[*i].is_ready())
             .collect();
+        let open = |i: &usize| self.may_send(now, &self.rows[*i]);
+        let picks: Vec<usize> = ready.iter().copied().filter(open).collect();
+        if picks.is_empty() && !ready.is_empty() {
+            return Decision::Wait;
+        }
         let rest: Vec<usize> = picks
             .iter()
             .copied()
@@ -317,7 +326,7 @@
             let row = &self.rows[index];
             let unknown = age == Duration::MAX && !row.mute;
             let young = row.age(now).map_or(unknown, |found| found < age);
-            if !self.is_usable(index, exclude) || !young {
+            if !self.is_usable(now, index, exclude) || !young {
                 continue;
             }
             let cost = self.cost(now, need, row);
@@ -342,9 +351,12 @@
         row.silent && self.heard
     }
 
-    fn is_usable(&self, index: usize, exclude: &[Pick]) -> bool {
+    fn is_usable(&self, now: Moment, index: usize, exclude: &[Pick]) -> bool {
         let row = &self.rows[index];
-        row.is_ready() && row.health.is_in() && !exclude.contains(&self.pick(index))
+        row.is_ready()
+            && row.health.is_in()
+            && self.may_send(now, row)
+            && !exclude.contains(&self.pick(index))
     }
 
     /// An ejected instance that may be tried; not for a retry, which has failed once.
@@ -352,7 +364,7 @@
         if !exclude.is_empty() {
             return None;
         }
-        let wants = |r: &Row| r.is_ready() && r.health.wants_trial(now);
+        let wants = |r: &Row| r.is_ready() && self.may_send(now, r) && r.health.wants_trial(now);
         (0..self.rows.len()).find(|i| wants(&self.rows[*i]))
     }
 
--- a/crates/route/src/fresh/results.rs
+++ b/crates/route/src/fresh/results.rs
@@ -44,6 +44,13 @@
         }
     }
 
+    /// Notes how much longer an instance says that it is cold.
+    pub fn told_cold(&mut self, now: Moment, pick: Pick, left: Duration) {
+        if let Some(row) = self.row(pick) {
+            row.cold_until = now + left;
+        }
+    }
+
     /// Notes what another process was told by the instance, a moment ago.
     pub fn told(&mut self, now: Moment, pick: Pick, report: LoadReport) {
         if let Some(row) = self.row(pick) {
@@ -75,8 +82,7 @@
     /// Notes that an attempt begins.
     pub fn started(&mut self, now: Moment, pick: Pick) -> Ticket {
         if let Some(row) = self.row(pick) {
-            row.starts.push(now);
-            row.since += 1;
+            row.start(now);
         }
         Ticket { pick, began: now }
     }
--- a/crates/route/src/fresh/row.rs
+++ b/crates/route/src/fresh/row.rs
@@ -1,5 +1,6 @@
 //! What the chooser keeps of one instance, and of all of them together.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use base::prelude::*;
@@ -33,6 +34,10 @@
     /// Own attempts begun since the report.
     pub(super) since: u32,
     pub(super) cold_until: Moment,
+    /// What this process may send there while it is cold.
+    pub(super) share: Share,
+    /// When this process lately started attempts there.
+    pub(super) recent: VecDeque<Moment>,
     pub(super) probing: u32,
     /// Its last probe failed.
     pub(super) mute: bool,
@@ -43,6 +48,21 @@
     pub(super) subset: Subset,
 }
 
+/// Time in which starts at a cold instance count together: a second, and the longest wait
+/// for a connection between a start and the moment at which the request is sent.
+pub const COLD_WINDOW: Duration = Duration::from_millis(1_250);
+/// Starts of one process that are remembered; no share of a cold instance is as large.
+const MOST_RECENT: usize = 64;
+
+/// A process's share of what a cold instance takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Share {
+    /// Of the list of processes that it goes by.
+    pub(super) mark: u64,
+    /// Starts a second.
+    pub(super) starts: u32,
+}
+
 /// Whether this process asks an instance before others of its failure domain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Subset {
@@ -60,6 +80,27 @@
         self.instance.phase == Phase::Ready && !self.displaced
     }
 
+    pub(super) fn is_cold(&self, now: Moment) -> bool {
+        now < self.cold_until
+    }
+
+    /// Whether this process has a part of its share left.
+    pub(super) fn has_share(&self, now: Moment, mark: u64) -> bool {
+        let counts = |at: &&Moment| now.since(**at) < COLD_WINDOW;
+        let recent = self.recent.iter().rev().take_while(counts).count();
+        let starts = usize::try_from(self.share.starts).unwrap_or(usize::MAX);
+        self.share.mark == mark && recent < starts.min(MOST_RECENT)
+    }
+
+    pub(super) fn start(&mut self, now: Moment) {
+        self.starts.push(now);
+        self.since += 1;
+        if self.recent.len() == MOST_RECENT {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(now);
+    }
+
     pub(super) fn is_fresh(&self, now: Moment) -> bool {
         self.age(now).is_some_and(|age| age < FRESH)
     }
@@ -92,7 +133,7 @@
             slots,
             pace,
             usual: usual.paces,
-            cold: now < self.cold_until,
+            cold: self.is_cold(now),
             failing: self.health.share(now),
         }
     }
--- a/crates/route/src/fresh/table.rs
+++ b/crates/route/src/fresh/table.rs
@@ -9,12 +9,14 @@
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 
 use base::prelude::*;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Fresh;
 use super::row::Row;
+use super::row::Share;
 use super::row::Subset;
 use crate::cost::Home;
 use crate::health::Health;
@@ -106,6 +108,8 @@
             report: None,
             since: 0,
             cold_until: now + told.cold,
+            share: Share::default(),
+            recent: VecDeque::new(),
             probing: 0,
             mute: false,
             displaced: false,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -26,6 +26,7 @@
 pub use chooser::Chooser;
 pub use cost::Home;
 pub use cost::Need;
+pub use fresh::COLD_WINDOW;
 pub use fresh::Decision;
 pub use fresh::Fresh;
 pub use fresh::FreshChoice;
--- a/crates/table/src/file.rs
+++ b/crates/table/src/file.rs
@@ -7,6 +7,8 @@
 //! [service status]
 //! health = /health
 //! connections = 240
+//! cold = 3s
+//! cold-rate = 5.8/s
 //!
 //! [route example.org/status/]
 //! name = status
@@ -27,9 +29,12 @@
 use conf::ConfError;
 use conf::Problem;
 use conf::Reader;
+use conf::Value;
 use conf::value::Bytes;
+use conf::value::Rate;
 use conf::value::duration_text;
 
+use crate::model::Cold;
 use crate::model::Host;
 use crate::model::Kind;
 use crate::model::Limits;
@@ -133,6 +138,7 @@
 fn read_service(r: &mut Reader, section: &str, name: &str) -> Option<Service> {
     let health = r.required(section, "health").map(|Text(path)| path);
     let connections = r.required(section, "connections");
+    let cold = read_cold(r, section);
     let Ok(name) = ServiceName::new(name) else {
         r.fault(section, "", Problem::Form(name.into()), "a service's name");
         return None;
@@ -141,9 +147,27 @@
         name,
         health: health?,
         connections: connections?,
+        cold,
     })
 }
 
+fn read_cold(r: &mut Reader, section: &str) -> Option<Cold> {
+    let span: Option<Duration> = r.optional(section, "cold");
+    let rate: Option<Rate> = r.optional(section, "cold-rate");
+    match (span, rate) {
+        (Some(span), Some(Rate(rate))) => Some(Cold { span, rate }),
+        (None, None) => None,
+        (Some(_), None) => {
+            r.fault(section, "cold-rate", Problem::Missing, Rate::FORM);
+            None
+        }
+        (None, Some(_)) => {
+            r.fault(section, "cold", Problem::Missing, Duration::FORM);
+            None
+        }
+    }
+}
+
 fn read_route<'a>(r: &mut Reader, section: &str, place: &'a str) -> Option<(&'a str, Route)> {
     let name = r.or(section, "name", Text(place.into())).0;
     let kind = r.required(section, "kind").map(|Word(kind)| kind);
@@ -207,6 +231,10 @@
         writeln!(out, "\n[{SERVICE}{}]", service.name)?;
         writeln!(out, "health = {}", service.health)?;
         writeln!(out, "connections = {}", service.connections)?;
+        if let Some(cold) = service.cold {
+            writeln!(out, "cold = {}", duration_text(cold.span))?;
+            writeln!(out, "cold-rate = {}", Rate(cold.rate))?;
+        }
     }
     for host in &table.hosts {
         for route in &host.routes {
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -16,6 +16,7 @@
 pub use check::check;
 pub use codec::CodecError;
 pub use index::Index;
+pub use model::Cold;
 pub use model::Host;
 pub use model::Kind;
 pub use model::Limits;
--- a/crates/table/src/model.rs
+++ b/crates/table/src/model.rs
@@ -91,6 +91,15 @@
     pub routes: Vec<Route>,
 }
 
+/// What an instance takes while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cold {
+    /// How long it is cold after its start.
+    pub span: Duration,
+    /// Requests that it takes then, in a thousand seconds.
+    pub rate: u32,
+}
+
 /// A service that routes may name.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Service {
@@ -100,6 +109,9 @@
     pub health: Arc<str>,
     /// Connections that one instance takes from everyone together.
     pub connections: u32,
+    /// What its instances take while they are cold; none where nothing bounds it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold: Option<Cold>,
 }
 
 /// Bounds on what callers send.
--- a/crates/table/tests/test_table.rs
+++ b/crates/table/tests/test_table.rs
@@ -4,6 +4,7 @@
 
 use base::prelude::*;
 use conf::Reader;
+use table::Cold;
 use table::Host;
 use table::Index;
 use table::Kind;
@@ -49,6 +50,7 @@
         name: name(service),
         health: "/health".into(),
         connections: 240,
+        cold: None,
     });
     Table {
         version: 7,
@@ -243,12 +245,36 @@
 #[test]
 fn test_file_reads_what_it_writes() {
     let split = Target::Split(vec![part("status", 90), part("status-next", 10)]);
-    let written = table(vec![one("/a/"), route("/b/", split)]);
+    let mut written = table(vec![one("/a/"), route("/b/", split)]);
+    written.services[0].cold = Some(Cold {
+        span: Duration::from_secs(3),
+        rate: 5_800,
+    });
     let text = table::file::write(&written);
     let reader = Reader::parse("table.ini", &text).expect("INI");
     assert_eq!(table::file::read(reader).expect("a table"), written);
 }
 
+/// A table of before what cold instances take could be told.
+#[test]
+fn test_codec_reads_services_without_a_bound() {
+    let json = br#"{"name":"status","health":"/health","connections":240}"#;
+    let service: Service = serde_json::from_slice(json).expect("a service");
+    assert_eq!(service.cold, None);
+}
+
+#[test]
+fn test_file_wants_both_of_what_cold_instances_take() {
+    for (line, missing) in [("cold = 3s", "cold-rate"), ("cold-rate = 5.8/s", "cold")] {
+        let text = format!(
+            "[table]\nversion = 1\n[service status]\nhealth = /h\nconnections = 9\n{line}\n"
+        );
+        let reader = Reader::parse("table.ini", &text).expect("INI");
+        let faults = table::file::read(reader).expect_err("faults").to_string();
+        assert!(faults.contains(missing), "{missing} in {faults}");
+    }
+}
+
 #[test]
 fn test_file_reports_every_fault_at_once() {
     let text = "[table]\nversion = x\n[route example.org/a/]\nkind = odd\ntarget =\n";
--- a/crates/testutils/src/tables.rs
+++ b/crates/testutils/src/tables.rs
@@ -46,6 +46,7 @@
         name: name(service),
         health: HEALTH.into(),
         connections: CONNECTIONS,
+        cold: None,
     }
 }
 
