--- a/crates/entry/src/desk/dispatch.rs
+++ b/crates/entry/src/desk/dispatch.rs
@@ -23,9 +23,8 @@
 
 /// After the end of a request the news of it may take so long.
 const GRANT_SLACK: Duration = Duration::from_millis(300);
-/// Requests a slot from which a service counts as busy. The heavy days of one site were the
-/// same within 0.003 of their worth from 0, 0.35 and 0.5 on; asked from 0 on, a calm day of
-/// another cost 0.014 more in processor time and bytes between failure domains.
+/// Requests a slot from which a service counts as busy. Below, a question costs processor
+/// time and bytes between failure domains and finds no better instance.
 const BUSY: f64 = 0.5;
 
 impl Desk {
--- a/crates/entry/src/flow/choice.rs
+++ b/crates/entry/src/flow/choice.rs
@@ -24,16 +24,15 @@
 /// Added to the rank of a request that can't be answered in time any more.
 const LATE_RANK: u32 = 1_000;
 /// Part of an instance's slots up to which a late request is sent: its worth is mostly
-/// lost, and after an outage those that waited would keep the new ones waiting. Gains
-/// 0.009 and 0.013 of the mean worth at two sites; with 0.34 the same, with 0.17 0.004 less.
+/// lost, and after an outage those that waited would keep the new ones waiting.
 const LATE_ROOM: f64 = 0.5;
 
 impl Flow {
     /// An instance for the next attempt.
     pub(super) async fn choose(&mut self) -> Result<Chosen, Reason> {
         // While the service has little to do, the dispatcher is asked only where this
-        // process finds nothing good at once. Asked for each request, it cost a calm day
-        // 0.008 of its worth in processor time and 0.006 in bytes between failure domains.
+        // process finds nothing good at once: each question costs processor time and bytes
+        // between failure domains.
         let mut ask = self.desk(|desk, _| desk.is_busy()).unwrap_or(false);
         loop {
             let want = self.want();
@@ -94,7 +93,7 @@
 
     /// How long after its start a request still waits for room: as long as it can be
     /// answered in time. One that is late already and is refused at once can try
-    /// elsewhere; waiting for a quarter of its time cost 0.02 of the mean worth.
+    /// elsewhere.
     fn patience(&self) -> Duration {
         self.aim.saturating_sub(self.work().mul_f64(WORK_MARGIN))
     }
--- a/crates/entry/src/habit.rs
+++ b/crates/entry/src/habit.rs
@@ -10,8 +10,7 @@
 
 /// Weight of one answer in what is usual.
 const WEIGHT: f64 = 0.05;
-/// Aims are some 2.7 times the usual work where they were measured; the guess
-/// before the first answer.
+/// Usual times of work that an aim is taken for before the first answer.
 const AIM_WORKS: f64 = 2.7;
 /// Work that is assumed where a route has no aim, in seconds.
 const FIRST_WORK: f64 = 0.1;
--- a/crates/entry/src/left.rs
+++ b/crates/entry/src/left.rs
@@ -21,7 +21,7 @@
 /// Without the timeout such a one made all others count as late, while instances idled.
 const YOUNG: Duration = Duration::from_secs(2);
 /// Part of the usual that one has left at least who has spent nothing, as long as it isn't
-/// known how callers differ: those that were seen differ by a seventh.
+/// known how callers differ; some differ by a seventh.
 const YOUNG_LEAST: f64 = 0.8;
 /// Part of the callers that have less left than is usual.
 const USUAL: f64 = 0.75;
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -30,9 +30,8 @@
 /// and a lost packet is sent again after some 200 ms.
 const TIMEOUT: Duration = Duration::from_millis(450);
 /// A choice waits so long for answers: a new connection to another failure domain
-/// and the probe take 14 ms where a probe costs 6 ms, and a link may be busy. With
-/// 6 ms four in ten choices of a service with few instances near rested on no fresh
-/// report (worth of a calm day at 133 entry hosts 0.719, with 25 ms 0.750).
+/// and the probe take 14 ms where a probe costs 6 ms, and a link may be busy. A choice
+/// that doesn't wait for them rests on an old report.
 const PATIENCE: Duration = Duration::from_millis(25);
 
 /// Between two looks for ejected instances whose time is over, and for what time brings
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -87,8 +87,8 @@
 impl Default for Stop {
     /// Most callers ask the directory again within two seconds; one that comes
     /// later finds the port closed and goes elsewhere at once. Requests taken
-    /// until then have the rest of the grace period to finish: the slowest work
-    /// that was seen takes 3.3 s.
+    /// until then have the rest of the grace period to finish: slow work
+    /// takes some seconds.
     fn default() -> Self {
         Self {
             linger: Duration::from_millis(2_500),
--- a/crates/entry/src/sync/hubs.rs
+++ b/crates/entry/src/sync/hubs.rs
@@ -3,8 +3,7 @@
 //! Each hub is watched, as an acknowledgement of any of them binds. What is long comes
 //! from one hub only: changes of instances and the list of entry hosts from the nearest
 //! that answers, a table from the one that told of it first, all instances from the first
-//! that is reached. With all hubs sending everything, the links of 90 entry hosts were
-//! full for 12 s after a table of 1,440 routes.
+//! that is reached. All hubs sending everything would fill thin links for seconds.
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -29,15 +28,13 @@
 /// up.
 const RECENT: Duration = Duration::from_millis(800);
 /// How long a hub nearby holds a watch while nothing changes, for each hub that is
-/// watched. Renewed twice a second at each of 7 hubs they cost 90 entry hosts 13 % more
-/// processor time on a calm day.
+/// watched: renewing them costs processor time for nothing.
 const WAIT_PART: Duration = Duration::from_millis(167);
 /// Shortest and longest of these waits: a hub counts an entry host as lost soon after
 /// one, and callers keep addresses for 5 s.
 const WAITS: [Duration; 2] = [Duration::from_millis(500), Duration::from_secs(1)];
 /// How long the others hold one. Callers here are told of entry hosts by hubs nearby, and
-/// what instances do ends a watch at once; so these find nothing out by its end. At ten
-/// hubs 4 watches are renewed a second in place of 10.
+/// what instances do ends a watch at once; so these find nothing out by its end.
 const FAR_WAIT: Duration = Duration::from_secs(4);
 /// A hub that was asked for all instances has so long to send them before another one
 /// is asked: over the time of 40 KB over a link of 2 Mbit/s.
--- a/crates/place/src/near.rs
+++ b/crates/place/src/near.rs
@@ -2,9 +2,7 @@
 //! takes one at random, and a few others where that has few.
 //!
 //! The same few hosts for every caller of a name would know more of the instances
-//! each, but their links fill up: with 3 hosts a name the median answer at 90 and
-//! 133 entry hosts was late by seconds (mean worth of a calm day 0.678 and -0.219;
-//! 0.824 and 0.795 with all), and 16 entry hosts gained nothing from it either.
+//! each, but their links fill up, and answers come late by seconds.
 
 use std::cmp::Reverse;
 
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -19,8 +19,7 @@
 use crate::merge::merge;
 
 /// How long the id of an instance that has left is kept, so that a late
-/// announcement doesn't bring it back: well over the longest delay that a cut
-/// link was seen to cause.
+/// announcement doesn't bring it back: well over the time for which a cut link delays one.
 pub const KEEP_GONE: Duration = Duration::from_mins(10);
 
 /// What an announcement changed.
--- a/crates/route/src/cost.rs
+++ b/crates/route/src/cost.rs
@@ -4,11 +4,9 @@
 //! it comes late. Bytes between failure domains cost too, and are set against
 //! that. Time itself costs a little, which decides between equals.
 //!
-//! The pace of a machine when work starts holds for all of that work: on runs
-//! with a report that was fresh, the mean time was 119, 160 and 488 ms at the
-//! usual pace and 580 and 1934 ms at a pace four times slower, for usual work of
-//! 120, 160 and 480 ms. So an instance that is slow now is to be avoided, and one
-//! of which nothing is known is a draw between both.
+//! The pace of a machine when work starts holds for all of that work. So an instance
+//! that is slow now is to be avoided, and one of which nothing is known is a draw between
+//! both.
 
 use std::time::Duration;
 
@@ -18,10 +16,10 @@
 const SLOW_PACE: f64 = 200.0;
 /// Mean time for which a pace lasts, in seconds.
 const PACE_LIFE: f64 = 0.3;
-/// Part of the slots above which instances were seen to work slower,
+/// Part of the slots above which instances work slower,
 const KNEE: f64 = 0.8;
-/// and by how much. It is settled when the work starts, as the pace is: with 4 or 5 of
-/// 6 slots taken work of 120 ms took 187 ms, and that which ran already 117 ms as before.
+/// and by how much. It is settled when the work starts, as the pace is; what runs already
+/// isn't slowed.
 const KNEE_SLOWDOWN: f64 = 1.7;
 /// An instance that has just started works so much slower.
 const COLD_SLOWDOWN: f64 = 2.0;
@@ -48,7 +46,7 @@
 }
 
 impl Default for Paces {
-    /// As measured where machines are shared: a quarter of the time, four times.
+    /// Where machines are shared: a quarter of the time, four times.
     fn default() -> Self {
         Self {
             share: 0.25,
--- a/crates/route/src/fresh/row.rs
+++ b/crates/route/src/fresh/row.rs
@@ -107,8 +107,7 @@
 
     /// Whether it would begin with one more request at once, if that may take no more
     /// than a `part` of the slots. One that is slowed down as the last slots are taken
-    /// may still be in time; keeping these free cost 0.006 and 0.009 of the mean worth at
-    /// two sites of 14 and 16 gateways.
+    /// may still be in time.
     pub(super) fn has_room(&self, now: Moment, usual: Usual, part: f64) -> bool {
         let standing = self.standing(now, usual);
         standing.busy + 1.0 <= (standing.slots * part).max(1.0)
--- a/crates/route/src/fresh/table.rs
+++ b/crates/route/src/fresh/table.rs
@@ -2,10 +2,7 @@
 //!
 //! Where many processes share many instances, each asks a few of them before all others,
 //! always the same ones: connections to these stay open, and little is spent on those
-//! that one process needs once a minute. In a model of 60 instances, 90 processes and two
-//! requests a second each (no network, no faults) a subset of 12 gave answers in time as
-//! often as a free choice (0.974 when calm, 0.960 for 0.962 in a burst) and opened 0.39
-//! connections a request in place of 1.64.
+//! that one process needs once a minute.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
