--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -1,5 +1,8 @@
 //! What all tasks of one entry process share.
 
+mod evacuate;
+mod share;
+
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -12,19 +15,15 @@
 use std::time::Duration;
 
 use base::prelude::*;
-use dispatch::Dispatched;
-use dispatch::Warmup;
 use evacuation::Domains;
 use http::Uri;
 use registry::Digest;
 use slog::Logger;
 use slog::info;
-use slog::warn;
 use table::Split;
 use table::Table;
 use tokio::sync::watch;
 use wire::hub::EntryHost;
-use wire::hub::Evacuations;
 use wire::hub::Hearing;
 use wire::hub::Instance;
 use wire::hub::Phase;
@@ -37,7 +36,6 @@
 use crate::processes::Processes;
 use crate::settings::Settings;
 use crate::view::Instances;
-use crate::view::Listed;
 use crate::view::Routes;
 
 /// Instances told at once of which each has a log line: a change of a few dozen. Of more,
@@ -262,58 +260,13 @@
         let domain = &settings.domain;
         for service in changed {
             let rows = known.instances.of(&service);
-            let rows = rows.map(|listed| shun(&known.evacuations, listed));
+            let rows = rows.map(|listed| evacuate::shun(&known.evacuations, listed));
             let desk = known.desks.entry(service.clone());
             let new = || Desk::new(domain.clone(), &shared, rand::random(), now);
             desk.or_insert_with(new).update(now, rows);
         }
         self.set_warmups(known);
-        name_dispatchers(&settings, known, now);
-    }
-
-    /// Hands each service's desk what its cold instances bear, and who shares that.
-    fn set_warmups(&self, known: &mut Known) {
-        let routes = self.routes();
-        let bound = self.settings().cold;
-        for (service, desk) in &mut known.desks {
-            let services = &routes.table.services;
-            let cold = services.iter().find(|s| s.name == *service);
-            let warmup = cold.and_then(|s| s.cold).map(|cold| Warmup {
-                rate: cold.rate,
-                overshoot: bound.overshoot,
-                slack: bound.slack,
-            });
-            desk.set_warmup(warmup, &known.processes);
-        }
-    }
-
-    /// Takes the evacuations that the hub at `hub` told, unless newer ones are held.
-    pub fn take_evacuations(&self, hub: SocketAddr, told: &Evacuations) {
-        let mut known = self.known();
-        if told.revision <= known.evacuations.revision() {
-            return;
-        }
-        let next = match Domains::from_wire(told) {
-            Ok(next) => next,
-            Err(err) => {
-                warn!(self.log, "bad evacuations"; "hub" => %hub, "revision" => told.revision,
-                    "error" => %err);
-                return;
-            }
-        };
-        let evacuated: Vec<&str> = next.evacuated().map(DomainName::as_str).collect();
-        info!(self.log, "evacuations"; "domains" => evacuated.join(","),
-            "revision" => told.revision, "hub" => %hub);
-        self.counters.evacuated(evacuated.len());
-        known.evacuations = next;
-        let services = known.desks.keys().cloned().collect();
-        self.update_desks(&mut known, services);
-    }
-
-    /// The revision of the evacuations that are held.
-    #[must_use]
-    pub fn evacuations(&self) -> u64 {
-        self.known().evacuations.revision()
+        share::name_dispatchers(&settings, known, now);
     }
 
     /// Who decides for the service, where that is another process.
@@ -375,18 +328,7 @@
             known.hosts = hosts;
             known.processes = Arc::new(self.processes(&known));
             self.set_warmups(&mut known);
-            name_dispatchers(&self.settings(), &mut known, self.clock.now());
-        }
-    }
-
-    /// The processes among the entry hosts that are known now.
-    fn processes(&self, known: &Known) -> Processes {
-        let own = self.settings().place;
-        let places = known.hosts.iter().map(|host| host.place.clone());
-        Processes {
-            own: own.map_or_else(String::new, |own| own.to_string()),
-            all: places.filter(|place| !place.is_empty()).collect(),
-            mark: known.processes.mark + 1,
+            share::name_dispatchers(&self.settings(), &mut known, self.clock.now());
         }
     }
 
@@ -417,38 +359,3 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// The instance as this process may use it: one in an evacuated failure domain gets no
-/// more than one that leaves.
-fn shun<'a>(evacuations: &Domains, listed: Listed<'a>) -> Listed<'a> {
-    let phase = match listed.phase {
-        Phase::Ready if evacuations.is_evacuated(&listed.upstream.domain) => Phase::Draining,
-        phase => phase,
-    };
-    Listed { phase, ..listed }
-}
-
-/// Takes over who decides for each service, after a change of entry hosts or instances.
-fn name_dispatchers(settings: &Settings, known: &mut Known, now: Moment) {
-    let places: Vec<&str> = known.hosts.iter().map(|host| &*host.place).collect();
-    let own = settings.place.map(|own| own.to_string());
-    known.dispatchers.clear();
-    for (service, desk) in &mut known.desks {
-        let few = desk.len() <= settings.dispatched;
-        let named = places.iter().copied().filter(|place| !place.is_empty());
-        let named = dispatch::dispatcher(service, named).filter(|_| few && own.is_some());
-        let here = named.is_some() && named == own.as_deref();
-        let elsewhere = named.filter(|_| !here).and_then(|named| named.parse().ok());
-        desk.set_dispatched(
-            now,
-            match (here, elsewhere) {
-                (true, _) => Dispatched::Here,
-                (false, Some(_)) => Dispatched::Elsewhere,
-                (false, None) => Dispatched::Nobody,
-            },
-        );
-        known
-            .dispatchers
-            .extend(elsewhere.map(|address| (service.clone(), address)));
-    }
-}
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -1,5 +1,6 @@
 //! The decisions for one service: which instance, and whether a retry is paid for.
 
+mod cold;
 mod dispatch;
 
 use std::collections::HashMap;
@@ -15,7 +16,6 @@
 use attempt::budget::Share;
 use base::prelude::*;
 use measure::Allowance;
-use route::COLD_WINDOW;
 use route::Decision;
 use route::Fresh;
 use route::FreshChoice;
@@ -153,30 +153,6 @@
         self.share_probes(now);
     }
 
-    /// Takes over what cold instances bear, and who shares it.
-    pub fn set_warmup(&mut self, warmup: Option<Warmup>, processes: &Arc<Processes>) {
-        self.warmup = warmup;
-        self.processes = Arc::clone(processes);
-        self.chooser.share_cold(warmup.map(|_| processes.mark));
-    }
-
-    /// Works out this process's share of instances that were found to be cold.
-    fn share_cold(&mut self, now: Moment) {
-        let Some(warmup) = self.warmup else {
-            return;
-        };
-        // The process before this one may have used the share of this second.
-        if now.since(self.born) < COLD_WINDOW {
-            return;
-        }
-        for pick in self.chooser.unshared(now) {
-            let Processes { own, all, .. } = &*self.processes;
-            let id = self.chooser.id(pick);
-            let starts = id.map_or(0, |id| warmup.share(id, own, all));
-            self.chooser.set_share(pick, starts);
-        }
-    }
-
     fn share_probes(&mut self, now: Moment) {
         let entries = self.shared.entries;
         let (part, processes) = match self.tenure.dispatched() {
@@ -286,11 +262,6 @@
         self.chooser.probed(now, pick, report);
     }
 
-    /// Notes how much longer an instance says that it is cold.
-    pub fn told_cold(&mut self, now: Moment, pick: Pick, left: Duration) {
-        self.chooser.told_cold(now, pick, left);
-    }
-
     /// Chooses an instance, none of `exclude` if another is left.
     pub fn choose(&mut self, now: Moment, need: &Need, exclude: &[Pick]) -> Verdict {
         self.share_cold(now);
--- a/crates/hub/tests/test_hub.rs
+++ b/crates/hub/tests/test_hub.rs
@@ -1,17 +1,22 @@
 //! One hub as a process would run it, over its own interface.
 
-use std::time::Duration;
+mod common;
 
 use base::prelude::*;
+use common::PATIENCE;
+use common::PAUSE;
+use common::link;
+use common::put;
+use common::put_surely;
+use common::start;
+use common::start_all;
+use common::watch;
 use hub::DeskError;
 use hub::Hub;
 use hub::Put;
 use registry::Registry;
 use registry::unpack;
-use slog::Logger;
-use table::Table;
 use testutils::Layout;
-use wire::hub::EvacuationOutcome;
 use wire::hub::Fetch;
 use wire::hub::Instance;
 use wire::hub::News;
@@ -20,55 +25,9 @@
 use wire::hub::Watch;
 use wire::hub::WatchReply;
 use wire::link::within;
-use wire::peer;
 use wire::peer::HubLink;
 
-const PATIENCE: Duration = Duration::from_mins(1);
 const NOW: Moment = Moment::from_millis(1);
-const PAUSE: Duration = Duration::from_millis(20);
-
-/// A hub of its own system; the layout keeps its host and folder.
-async fn start() -> (Hub, Layout) {
-    let layout = Layout::new(1, 0).expect("a folder");
-    let log = telemetry::log::silent();
-    let hub = Hub::start(layout.hubs[0].clone(), log).await;
-    (hub.expect("starts"), layout)
-}
-
-/// All hubs of the layout.
-async fn start_all(layout: &Layout, log: &Logger) -> Vec<Hub> {
-    let mut hubs = Vec::new();
-    for settings in &layout.hubs {
-        let hub = Hub::start(settings.clone(), log.clone()).await;
-        hubs.push(hub.expect("starts"));
-    }
-    hubs
-}
-
-fn put(version: u64) -> Put {
-    Put {
-        table: Table {
-            version,
-            ..Table::default()
-        },
-        source: b"as sent".to_vec(),
-    }
-}
-
-async fn put_surely(hub: &Hub, put: Put) -> TableOutcome {
-    let tries = async {
-        loop {
-            match hub.desk().put(put.clone()).await {
-                Ok(reply) => return reply.outcome(),
-                Err(DeskError::NoMajority) => tokio::time::sleep(PAUSE).await,
-                Err(err) => panic!("{err}"),
-            }
-        }
-    };
-    tokio::time::timeout(PATIENCE, tries)
-        .await
-        .expect("a leader in the end")
-}
 
 fn instance(phase: Phase, sequence: u64) -> Instance {
     Instance {
@@ -83,16 +42,6 @@
     }
 }
 
-fn link(layout: &Layout) -> HubLink {
-    let settings = &layout.hubs[0];
-    peer::hub(settings.hub_at(settings.address))
-}
-
-async fn watch(link: &HubLink, ask: Watch) -> WatchReply {
-    let client = link.client().await.expect("connects");
-    client.watch(within(PATIENCE), ask).await.expect("answers")
-}
-
 async fn fetch(link: &HubLink, have: u64) -> wire::hub::Table {
     let client = link.client().await.expect("connects");
     let fetched = client.fetch(within(PATIENCE), Fetch { have }).await;
@@ -301,92 +250,6 @@
     assert_eq!(named.expect("named in the end"), ["127.0.0.1:8080"]);
 }
 
-/// Whoever holds older evacuations is told at once, and who holds these is not.
-#[tokio::test]
-async fn test_hub_watcher_learns_of_evacuations() {
-    let (hub, layout) = start().await;
-    put_surely(&hub, put(7)).await;
-    let domain = DomainName::new("a").expect("a name");
-    let first = watch(&link(&layout), Watch::default()).await;
-    assert_eq!(first.evacuations, None);
-    let ask = |revision| Watch {
-        epoch: first.epoch,
-        cursor: first.cursor,
-        news: News::None.into(),
-        table: 7,
-        evacuations: revision,
-        wait_ms: 60_000,
-        ..Watch::default()
-    };
-    let waiting = tokio::spawn({
-        let (link, ask) = (link(&layout), ask(0));
-        async move { watch(&link, ask).await }
-    });
-    hub.desk()
-        .evacuate(&domain, true)
-        .await
-        .expect("in the log");
-    hub.desk().evacuate(&domain, true).await.expect("held");
-    let told = waiting.await.expect("ends").evacuations.expect("told");
-    assert_eq!((told.revision, told.rows[0].evacuated), (1, true));
-    let client = link(&layout).client().await.expect("connects");
-    let back = client.evacuate(
-        within(PATIENCE),
-        wire::hub::Evacuation {
-            domain: "a".into(),
-            ..Default::default()
-        },
-    );
-    assert_eq!(
-        back.await.expect("answers").outcome(),
-        EvacuationOutcome::Taken
-    );
-    let told = watch(&link(&layout), ask(1)).await.evacuations;
-    assert!(!told.expect("told").rows[0].evacuated);
-    let held = client.evacuations(within(PATIENCE)).await.expect("answers");
-    assert!(held.confirmed);
-    assert_eq!(held.evacuations.expect("some").revision, 2);
-}
-
-/// An order that was acknowledged holds after every hub was lost, and also at one that was
-/// away and takes a snapshot in place of the entries that it missed.
-#[tokio::test]
-async fn test_hub_evacuations_come_with_a_snapshot() {
-    let layout = Layout::new(3, 0).expect("a folder");
-    let log = telemetry::log::silent();
-    let mut hubs = start_all(&layout, &log).await;
-    put_surely(&hubs[0], put(1)).await;
-    hubs.pop().expect("the third").stop().await;
-    let domain = DomainName::new("a").expect("a name");
-    let ordered = async {
-        while hubs[0].desk().evacuate(&domain, true).await.is_err() {
-            tokio::time::sleep(PAUSE).await;
-        }
-    };
-    let ordered = tokio::time::timeout(PATIENCE, ordered).await;
-    ordered.expect("in the log in the end");
-    // Over the bytes after which a snapshot takes the place of the log, several times.
-    for version in 2..12 {
-        let large = Put {
-            source: vec![b'x'; 200 * 1024],
-            ..put(version)
-        };
-        put_surely(&hubs[0], large).await;
-    }
-    let back = Hub::start(layout.hubs[2].clone(), log).await;
-    let back = back.expect("starts");
-    let held = async {
-        loop {
-            match back.desk().evacuations().await {
-                Ok(held) => return held,
-                Err(_) => tokio::time::sleep(PAUSE).await,
-            }
-        }
-    };
-    let held = tokio::time::timeout(PATIENCE, held).await;
-    assert!(held.expect("a majority in the end").is_evacuated(&domain));
-}
-
 /// All hubs were lost, and one is back before the others: no majority can confirm.
 #[tokio::test]
 async fn test_hub_alone_after_a_restart_tells_of_the_table_that_was_accepted() {
