hub: a hub that has stopped holds no port any more

Cause: Hub::stop dropped its tasks, which ends them at the runtime's next turn; a start right after it could find the port for HTTP taken. Now stop waits for their end. Red run: test_hub_that_has_stopped_holds_no_port, three of three before, none after.

--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -51,7 +51,7 @@
     stop: CancellationToken,
     log: Logger,
     http: Option<SocketAddr>,
-    _tasks: Vec<AbortOnDropHandle<()>>,
+    tasks: Vec<AbortOnDropHandle<()>>,
 }
 
 impl Hub {
@@ -101,7 +101,7 @@
             stop,
             log,
             http,
-            _tasks: tasks,
+            tasks,
         })
     }
 
@@ -126,10 +126,15 @@
         Ok(self.control.ended().await?)
     }
 
-    /// Hands leadership over, answers what is open, and stops.
+    /// Hands leadership over, answers what is open, and stops; its ports are free then.
     pub async fn stop(self) {
         self.stop.cancel();
         self.control.stop().await;
+        for task in self.tasks {
+            task.abort();
+            // One that was ended here has no result.
+            let _ = task.await;
+        }
         info!(self.log, "hub stopped");
     }
 }
--- a/crates/hub/tests/test_hub.rs
+++ b/crates/hub/tests/test_hub.rs
@@ -421,3 +421,18 @@
     let back = Hub::start(layout.hubs[2].clone(), log).await;
     reaches(&back.expect("starts"), Phase::Draining).await;
 }
+
+/// Whoever starts a hub again right after it has stopped finds its ports free.
+#[tokio::test]
+async fn test_hub_that_has_stopped_holds_no_port() {
+    let (hub, layout) = start().await;
+    let settings = &layout.hubs[0];
+    let ports = [
+        hub.http().expect("served"),
+        settings.hub_at(settings.address),
+    ];
+    hub.stop().await;
+    for port in ports {
+        std::net::TcpListener::bind(port).expect("free");
+    }
+}
