entry: a body that was passed on leaves its connection for the next request

Nobody polls a body of a known length beyond its last part, so one whose end came after its instance was chosen never counted as whole, and its connection was closed after a good answer. Now the last part ends it. Red run: test_body_that_was_passed_on_leaves_its_connection, 2 connections for 1.

--- a/crates/entry/src/body/spool.rs
+++ b/crates/entry/src/body/spool.rs
@@ -169,6 +169,10 @@
         let part = source.kept[self.next].clone();
         self.next += 1;
         self.left = self.left.saturating_sub(part.len() as u64);
+        // Nobody asks for more of a body whose length was told.
+        if self.left == 0 {
+            source.end = Some(End::Whole);
+        }
         Poll::Ready(Some(Ok(part)))
     }
 }
--- a/crates/entry/tests/test_body.rs
+++ b/crates/entry/tests/test_body.rs
@@ -36,6 +36,22 @@
     assert_eq!(upstream.arrivals()[0].body, b"halfrest");
 }
 
+/// A body that came after its instance was chosen leaves the connection for the next request.
+#[tokio::test]
+async fn test_body_that_was_passed_on_leaves_its_connection() {
+    let upstream = Upstream::start("i-1", Manner::Answer).await;
+    let entry = entry(&[&upstream]).await;
+    let mut caller = Caller::connect(entry.front()).await;
+    caller.raw(head("r-1", 8).as_bytes()).await;
+    caller.raw(b"half").await;
+    upstream.received(4).await;
+    caller.raw(b"rest").await;
+    caller.answer().await.expect("an answer");
+    let before = upstream.connections();
+    caller.call("POST", ONCE, "r-2", "").await;
+    assert_eq!(upstream.connections(), before);
+}
+
 /// An instance that refuses a request before it has read its body gets the rest of it on
 /// that connection and nothing else, and another one gets the body whole.
 #[tokio::test]
