entry: an attempt that breaks off tells its request's fingerprint and its instance's fate

What the incident's logs could not tell: whether the attempts that ended with an instance were of one caller, path and body, and whether the instance ended or only a connection. A fingerprint is of caller, method, host, path and body, as requests come again under new ids; right after an attempt broke off its instance is asked for a connection, which is kept for the next request where it comes about. One line and a counter for each; nothing is decided by it.

Ruled out: to go by the load reports or heartbeats (1.5 s apart), by 'connect failed' of later attempts (none where the instance is no longer chosen).

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -14,6 +14,8 @@
 use http_body::SizeHint;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use quarantine::Fingerprint;
+use quarantine::Head;
 use quick_error::quick_error;
 
 use crate::tail::Tail;
@@ -81,6 +83,16 @@
         }
     }
 
+    /// What tells the request from others.
+    #[must_use]
+    pub fn content(&self) -> Content {
+        match self {
+            Self::Whole(bytes) => Content::Whole(bytes.clone()),
+            Self::Kept(reader) => Content::Kept(reader.spool().clone()),
+            Self::Stream(first, _) => Content::Begun(first.clone()),
+        }
+    }
+
     /// Whether nothing more comes, as far as its length tells.
     #[must_use]
     pub fn is_over(&self) -> bool {
@@ -132,6 +144,36 @@
     }
 }
 
+/// What is kept of a request's body, by which the request is told from others.
+#[derive(Clone, Debug)]
+pub enum Content {
+    /// All of it.
+    Whole(Option<Bytes>),
+    /// All of it once it has come.
+    Kept(Spool),
+    /// The beginning of a long one.
+    Begun(Option<Bytes>),
+}
+
+impl Content {
+    /// The request's fingerprint, once as much of the body has come as counts; none where it
+    /// breaks off before.
+    pub async fn fingerprint(&self, head: Head) -> Option<Fingerprint> {
+        match self {
+            Self::Whole(bytes) | Self::Begun(bytes) => {
+                let bytes = bytes.as_deref().unwrap_or_default();
+                // How much was read of a long one differs from time to time.
+                let most = bytes.len().min(WHOLE);
+                Some(Fingerprint::new(head, [&bytes[..most]]))
+            }
+            Self::Kept(spool) => {
+                spool.fill().await;
+                spool.fingerprint(head)
+            }
+        }
+    }
+}
+
 fn length(bytes: Option<&Bytes>) -> u64 {
     bytes.map_or(0, |bytes| bytes.remaining() as u64)
 }
--- a/crates/entry/src/body/spool.rs
+++ b/crates/entry/src/body/spool.rs
@@ -15,6 +15,8 @@
 use bytes::Bytes;
 use http_body::Body;
 use hyper::body::Incoming;
+use quarantine::Fingerprint;
+use quarantine::Head;
 
 use super::BodyError;
 
@@ -59,6 +61,14 @@
         self.source().end == Some(End::Whole)
     }
 
+    /// The request's fingerprint; none while more of the body may come.
+    #[must_use]
+    pub fn fingerprint(&self, head: Head) -> Option<Fingerprint> {
+        let source = self.source();
+        let parts = source.kept.iter().map(|part| &part[..]);
+        (source.end == Some(End::Whole)).then(|| Fingerprint::new(head, parts))
+    }
+
     /// Takes what comes while nobody passes it on; ends when nothing more comes.
     pub async fn fill(&self) {
         std::future::poll_fn(|cx| {
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -37,6 +37,7 @@
 use crate::settings::Settings;
 use crate::view::Instances;
 use crate::view::Routes;
+use crate::view::Upstream;
 
 /// Instances told at once of which each has a log line: a change of a few dozen. Of more,
 /// one line tells how many, and only those that leave have their own.
@@ -192,6 +193,12 @@
         self.known().instances.digest().clone()
     }
 
+    /// Whether the instance hasn't said that it leaves, nor started again.
+    #[must_use]
+    pub fn is_ready_instance(&self, upstream: &Upstream) -> bool {
+        self.known().instances.is_ready(upstream)
+    }
+
     /// Forgets instances that left long ago.
     pub fn forget_instances(&self) {
         let now = self.clock.now();
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -53,6 +53,15 @@
             .send();
     }
 
+    /// An attempt that broke off, and what became of its instance.
+    pub fn broken(&self, service: &ServiceName, fate: &str) {
+        self.client
+            .count_with_tags("entry.attempts.broken", 1)
+            .with_tag("service", service.as_str())
+            .with_tag("instance", fate)
+            .send();
+    }
+
     /// A request that waited for room.
     pub fn waited(&self, service: &ServiceName, span: Duration) {
         self.client
--- /dev/null
+++ b/crates/entry/src/crash.rs
@@ -0,0 +1,98 @@
+//! Whether an attempt that broke off ended together with its instance.
+//!
+//! A connection ends for many reasons: the path resets it, the instance is full or leaves.
+//! Only an instance that takes no new connection right after it has crashed.
+
+use std::io;
+use std::net::IpAddr;
+use std::sync::Arc;
+
+use http::HeaderValue;
+use quarantine::Head;
+use slog::info;
+use strum::IntoStaticStr;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use crate::body::Content;
+use crate::core::Core;
+use crate::pool::ConnectError;
+use crate::view::Upstream;
+
+/// A request, as it is told from others.
+#[derive(Clone, Debug)]
+pub struct Subject {
+    /// The caller's name for it.
+    pub id: HeaderValue,
+    /// Who sent it.
+    pub caller: IpAddr,
+    /// All but its body.
+    pub head: Head,
+    /// Its body.
+    pub content: Content,
+}
+
+/// An attempt that ended without a whole answer.
+#[derive(Clone, Debug)]
+pub struct Broken {
+    /// The request.
+    pub subject: Subject,
+    /// Where it was sent.
+    pub upstream: Arc<Upstream>,
+    /// When.
+    pub sent: Instant,
+    /// When it broke off.
+    pub at: Instant,
+}
+
+/// What became of the instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Fate {
+    /// It runs on, or another one has its address.
+    Runs,
+    /// It had said that it leaves.
+    Leaves,
+    /// Its host refuses connections: it crashed.
+    Crashed,
+    /// Nothing is known, as its host doesn't answer.
+    Silent,
+}
+
+/// Looks what became of the instance, beside whatever the request does next.
+pub fn look(core: &Arc<Core>, broken: Broken) -> JoinHandle<Fate> {
+    let core = Arc::clone(core);
+    tokio::spawn(async move { judge(&core, &broken).await })
+}
+
+async fn judge(core: &Core, broken: &Broken) -> Fate {
+    let Broken {
+        subject, upstream, ..
+    } = broken;
+    let print = subject.content.fingerprint(subject.head);
+    let (fate, print) = tokio::join!(fate(core, upstream), print);
+    let word: &'static str = fate.into();
+    info!(core.log, "attempt broke off"; "request" => subject.id.to_str().unwrap_or("-"),
+        "fingerprint" => print.map_or_else(|| "-".to_owned(), |print| print.to_string()),
+        "caller" => %subject.caller, "instance" => %upstream.id,
+        "incarnation" => upstream.incarnation, "service" => %upstream.service, "fate" => word,
+        "ms" => u64::try_from((broken.at - broken.sent).as_millis()).unwrap_or(u64::MAX));
+    core.counters.broken(&upstream.service, word);
+    fate
+}
+
+async fn fate(core: &Core, upstream: &Upstream) -> Fate {
+    if !core.is_ready_instance(upstream) {
+        return Fate::Leaves;
+    }
+    match upstream.pool.connect().await {
+        Ok(connection) => {
+            upstream.pool.keep(connection, None);
+            Fate::Runs
+        }
+        Err(ConnectError::Io(err)) if err.kind() == io::ErrorKind::ConnectionRefused => {
+            Fate::Crashed
+        }
+        Err(_) => Fate::Silent,
+    }
+}
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One attempt at one instance.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use http::response::Parts;
 use hyper::body::Body;
 use hyper::body::Incoming;
+use quarantine::Head;
 use route::Kind;
 use route::LoadReport;
 use route::Ticket;
@@ -48,6 +50,10 @@
     pub uri: Uri,
     /// What is passed on.
     pub headers: HeaderMap,
+    /// Who sent it.
+    pub caller: IpAddr,
+    /// What tells it from others, but for its body.
+    pub head: Head,
 }
 
 /// How long an attempt may take.
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod head;
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,10 +22,14 @@
 use tokio::time::Instant;
 
 use crate::body;
+use crate::body::Content;
 use crate::body::Outgoing;
 use crate::body::Returned;
 use crate::body::Spool;
 use crate::core::Core;
+use crate::crash;
+use crate::crash::Broken;
+use crate::crash::Subject;
 use crate::desk::Desk;
 use crate::exchange;
 use crate::exchange::Answered;
@@ -84,6 +89,8 @@
     sent: u64,
     /// Where the request's body is kept, while more of it may come.
     spool: Option<Spool>,
+    /// The body, as far as it tells the request from others.
+    content: Content,
     /// An instance's own failure, for the caller if no other attempt does better.
     failed: Option<(Box<http::response::Parts>, Answered)>,
 }
@@ -101,8 +108,12 @@
     Own(Reason, Option<Duration>),
 }
 
-/// Answers one request.
-pub async fn handle(core: Arc<Core>, request: Request<Incoming>) -> Response<Returned> {
+/// Answers one request of `caller`.
+pub async fn handle(
+    core: Arc<Core>,
+    caller: IpAddr,
+    request: Request<Incoming>,
+) -> Response<Returned> {
     let began = Instant::now();
     let named = headers::number(request.headers(), &core.dialect.deadline);
     let deadline = named.map_or(DEFAULT_DEADLINE, Duration::from_millis);
@@ -133,7 +144,7 @@
         core.habit(route, |habit| habit.spent(core.clock.now(), deadline))
     });
     let aim = route.aim.unwrap_or(deadline / 2).saturating_sub(spent);
-    let (call, incoming) = head::call(&core, id, request);
+    let (call, incoming) = head::call(&core, caller, &host, id, request);
     let mut flow = Flow {
         end: began + deadline.min(route.timeout.unwrap_or(deadline)),
         core,
@@ -152,6 +163,7 @@
         back: None,
         sent: 0,
         spool: None,
+        content: Content::Whole(None),
         failed: None,
     };
     flow.run(incoming).await
@@ -185,6 +197,7 @@
         };
         self.sent = body.known_length().unwrap_or_default();
         self.spool = body.spool();
+        self.content = body.content();
         self.desk(Desk::request);
         loop {
             let again = body.again();
@@ -239,6 +252,9 @@
         let end = exchange::attempt(&core, upstream, held, &self.call, body, patience).await;
         self.exposed = before || matches!(end, End::Answer(..) | End::Unknown);
         self.note(&end, sent.elapsed());
+        if matches!(end, End::Unknown) {
+            self.broke_off(upstream, sent);
+        }
         if matches!(end, End::Elsewhere) {
             self.desk(|desk, _| desk.displaced(pick));
         }
@@ -268,6 +284,27 @@
             "service" => %self.service, "ms" => millis(span));
     }
 
+    /// What the request is told by in an attempt that breaks off.
+    fn subject(&self) -> Subject {
+        Subject {
+            id: self.call.id.clone(),
+            caller: self.call.caller,
+            head: self.call.head,
+            content: self.content.clone(),
+        }
+    }
+
+    /// Looks whether the attempt ended together with its instance.
+    fn broke_off(&self, upstream: &Arc<Upstream>, sent: Instant) {
+        let broken = Broken {
+            subject: self.subject(),
+            upstream: Arc::clone(upstream),
+            sent,
+            at: Instant::now(),
+        };
+        crash::look(&self.core, broken);
+    }
+
     /// The final outcome, or the body for another attempt.
     fn judge(
         &mut self,
@@ -344,7 +381,7 @@
         };
         let asked = Asked {
             core: Arc::clone(&self.core),
-            id: self.call.id.clone(),
+            subject: self.subject(),
             route: Arc::clone(&self.route),
             upstream: Arc::clone(&attempt.upstream),
             choice: attempt.choice,
--- a/crates/entry/src/flow/head.rs
+++ b/crates/entry/src/flow/head.rs
@@ -1,5 +1,6 @@
 //! The beginning of a request: which table, host and route count, and what is passed on.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use http::Uri;
 use http::header;
 use hyper::body::Incoming;
+use quarantine::Head;
 use slog::info;
 use tokio::time::Instant;
 use uuid::Uuid;
@@ -63,8 +65,14 @@
     Some(bare.to_ascii_lowercase())
 }
 
-/// Splits a request into what is passed on and its body.
-pub(super) fn call(core: &Core, id: HeaderValue, request: Request<Incoming>) -> (Call, Incoming) {
+/// Splits a request of `caller` for `host` into what is passed on and its body.
+pub(super) fn call(
+    core: &Core,
+    caller: IpAddr,
+    host: &str,
+    id: HeaderValue,
+    request: Request<Incoming>,
+) -> (Call, Incoming) {
     let (mut parts, incoming) = request.into_parts();
     headers::strip(&mut parts.headers);
     parts.headers.remove(&core.dialect.expected);
@@ -73,8 +81,11 @@
         Some(path) => Uri::from(path.clone()),
         None => parts.uri,
     };
+    let target = uri.path_and_query().map_or("", |target| target.as_str());
     let call = Call {
         id,
+        caller,
+        head: Head::new(caller, parts.method.as_str(), host, target),
         method: parts.method,
         uri,
         headers: parts.headers,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod body;
 pub mod core;
 pub mod counters;
+pub mod crash;
 pub mod desk;
 pub mod dialect;
 pub mod entry;
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -1,6 +1,7 @@
 //! Takes callers' connections, and answers whether the process is ready.
 
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -41,8 +42,8 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
-                open.spawn(connection(Arc::clone(&core), stream));
+            Ok((stream, peer)) => {
+                open.spawn(connection(Arc::clone(&core), stream, peer.ip()));
             }
             Err(err) => {
                 warn!(core.log, "accept failed"; "error" => %err);
@@ -57,13 +58,13 @@
     let _ = stage.wait_for(|stage| *stage == Stage::Closing).await;
 }
 
-async fn connection(core: Arc<Core>, stream: TcpStream) {
+async fn connection(core: Arc<Core>, stream: TcpStream, caller: IpAddr) {
     if let Err(err) = stream.set_nodelay(true) {
         debug!(core.log, "connection failed"; "error" => %err);
         return;
     }
     let limits = core.routes().table.limits;
-    let service = service_fn(|request| answer(Arc::clone(&core), request));
+    let service = service_fn(|request| answer(Arc::clone(&core), caller, request));
     let mut serving = std::pin::pin!(
         http1::Builder::new()
             .timer(TokioTimer::new())
@@ -87,9 +88,10 @@
 /// Answers one request; while the process leaves, the connection closes after it.
 async fn answer(
     core: Arc<Core>,
+    caller: IpAddr,
     request: Request<Incoming>,
 ) -> Result<Response<Returned>, Infallible> {
-    let mut response = flow::handle(Arc::clone(&core), request).await;
+    let mut response = flow::handle(Arc::clone(&core), caller, request).await;
     if *core.stage.borrow() != Stage::Serving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/entry/src/tail.rs
+++ b/crates/entry/src/tail.rs
@@ -10,7 +10,6 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use http::HeaderValue;
 use route::FreshChoice;
 use slog::warn;
 use table::Route;
@@ -19,6 +18,9 @@
 
 use crate::body::BodyError;
 use crate::core::Core;
+use crate::crash;
+use crate::crash::Broken;
+use crate::crash::Subject;
 use crate::habit::Habit;
 use crate::pool::Connection;
 use crate::view::Upstream;
@@ -43,8 +45,8 @@
 pub struct Asked {
     /// The process.
     pub core: Arc<Core>,
-    /// The caller's name for the request.
-    pub id: HeaderValue,
+    /// The request.
+    pub subject: Subject,
     /// The request's route.
     pub route: Arc<Route>,
     /// The instance.
@@ -120,7 +122,7 @@
         let asked = &self.asked;
         let service = &asked.upstream.service;
         warn!(asked.core.log, "answer broke off";
-            "request" => asked.id.to_str().unwrap_or("-"), "instance" => %asked.upstream.id,
+            "request" => asked.subject.id.to_str().unwrap_or("-"), "instance" => %asked.upstream.id,
             "service" => %service, "bytes" => self.came,
             "ms" => u64::try_from(asked.sent.elapsed().as_millis()).unwrap_or(u64::MAX),
             "error" => %err);
@@ -129,5 +131,12 @@
         asked
             .core
             .desk(service, |desk, now| desk.broke_off(now, pick));
+        let broken = Broken {
+            subject: asked.subject.clone(),
+            upstream: Arc::clone(&asked.upstream),
+            sent: asked.sent,
+            at: Instant::now(),
+        };
+        crash::look(&asked.core, broken);
     }
 }
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -193,6 +193,15 @@
         row.is_some_and(|row| row.told.phase() == Phase::Gone)
     }
 
+    /// Whether this start of the instance has announced nothing but that it is ready.
+    #[must_use]
+    pub fn is_ready(&self, upstream: &Upstream) -> bool {
+        let row = self.rows.get(upstream.id.as_str());
+        row.is_some_and(|row| {
+            row.told.phase() == Phase::Ready && row.told.incarnation == upstream.incarnation
+        })
+    }
+
     /// Forgets ids that left long ago, as hubs do.
     pub fn forget(&mut self, now: Moment) {
         let digest = &mut self.digest;
--- /dev/null
+++ b/crates/entry/tests/test_crash.rs
@@ -0,0 +1,86 @@
+//! What becomes of instances whose attempts break off.
+
+mod fakes;
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use base::prelude::*;
+use entry::Entry;
+use entry::body::Content;
+use entry::crash;
+use entry::crash::Broken;
+use entry::crash::Fate;
+use entry::crash::Subject;
+use entry::pool::Pool;
+use fakes::HUB;
+use fakes::entry;
+use fakes::instance;
+use fakes::upstream::Manner;
+use fakes::upstream::Upstream;
+use quarantine::Head;
+use tokio::time::Instant;
+use wire::hub::Instance;
+use wire::hub::Phase;
+
+const CALLER: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+
+fn broken(upstream: &Upstream) -> Broken {
+    let head = Head::new(CALLER, "GET", "example.org", "/read/a");
+    Broken {
+        subject: Subject {
+            id: "r-1".parse().expect("a header"),
+            caller: CALLER,
+            head,
+            content: Content::Whole(None),
+        },
+        upstream: Arc::new(entry::view::Upstream {
+            id: InstanceId::new(&upstream.id).expect("a name"),
+            incarnation: 0,
+            service: ServiceName::new("status").expect("a name"),
+            address: upstream.address,
+            domain: DomainName::new("a").expect("a name"),
+            slots: 6,
+            cold: std::time::Duration::ZERO,
+            pool: Pool::new(upstream.address),
+        }),
+        sent: Instant::now(),
+        at: Instant::now(),
+    }
+}
+
+async fn fate(entry: &Entry, broken: Broken) -> Fate {
+    crash::look(entry.core(), broken).await.expect("looks")
+}
+
+#[tokio::test]
+async fn test_crash_instance_that_takes_connections_runs_on() {
+    let upstream = Upstream::start("i-1", Manner::Close).await;
+    let entry = entry(&[&upstream]).await;
+    assert_eq!(fate(&entry, broken(&upstream)).await, Fate::Runs);
+}
+
+#[tokio::test]
+async fn test_crash_instance_that_refuses_connections_crashed() {
+    let upstream = Upstream::start("i-1", Manner::Close).await;
+    let entry = entry(&[&upstream]).await;
+    let broken = broken(&upstream);
+    drop(upstream);
+    assert_eq!(fate(&entry, broken).await, Fate::Crashed);
+}
+
+#[tokio::test]
+async fn test_crash_instance_that_leaves_did_not_crash() {
+    let upstream = Upstream::start("i-1", Manner::Close).await;
+    let entry = entry(&[&upstream]).await;
+    let leaves = Instance {
+        phase: Phase::Draining.into(),
+        sequence: 2,
+        ..instance(&upstream, "status")
+    };
+    entry.core().take_instances(HUB, &[leaves], &[]);
+    let broken = broken(&upstream);
+    drop(upstream);
+    assert_eq!(fate(&entry, broken).await, Fate::Leaves);
+}
