--- a/crates/standin/src/handler.rs
+++ b/crates/standin/src/handler.rs
@@ -1,6 +1,7 @@
 //! Serves requests, probes and the test controls over HTTP.
 
 use std::future::Future;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -65,6 +66,8 @@
     pub fault: watch::Sender<Fault>,
     pub probes: AtomicU64,
     pub log: Logger,
+    /// Whether a request has crashed it.
+    pub crashed: watch::Sender<bool>,
     clock: Clock,
     pace: Mutex<Pace>,
     drain: Mutex<Option<Moment>>,
@@ -80,6 +83,7 @@
             fault: watch::Sender::new(Fault::default()),
             probes: AtomicU64::new(0),
             log,
+            crashed: watch::Sender::new(false),
             clock: Clock::start(),
             pace: Mutex::new(Pace::new(&settings)),
             drain: Mutex::new(None),
@@ -88,6 +92,11 @@
         }
     }
 
+    fn crashes(&self, path: &str) -> bool {
+        let crash = self.settings.crash.as_ref();
+        crash.is_some_and(|crash| Path::new(path).starts_with(crash))
+    }
+
     /// Marks the begin of a drain, once.
     pub fn begin_drain(&self) {
         lock(&self.drain).get_or_insert(self.clock.now());
@@ -343,8 +352,13 @@
     let Ok(Some(_slot)) = timeout_at(job.end, job.place.slot()).await else {
         return Verdict::Shed;
     };
+    let crashes = shared.crashes(&job.origin.path);
     let run = shared.runs.begin(job.origin);
     let number = run.number();
+    if crashes {
+        shared.crashed.send_replace(true);
+        return std::future::pending().await;
+    }
     let spent = timeout_at(job.end, spend(&shared, job.fault)).await;
     if spent.is_err() {
         run.end(RunState::Expired);
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -12,6 +12,9 @@
 use standin::Settings;
 use standin::StartError;
 
+/// Exit code of a stand-in that a request has crashed.
+const CRASHED: i32 = 101;
+
 struct StandInDaemon;
 
 impl Daemon for StandInDaemon {
@@ -41,8 +44,11 @@
         let service = settings.service.to_string();
         let upstream = standin::start(settings, log.clone()).await?;
         info!(log, "ready"; "address" => %upstream.address(), "service" => service);
-        signals.stop().await;
-        upstream.stop().await;
+        tokio::select! {
+            () = signals.stop() => upstream.stop().await,
+            // As a process ends that is killed: no word, and nothing is finished.
+            () = upstream.crashed() => std::process::exit(CRASHED),
+        }
         Ok(())
     }
 }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -135,6 +135,13 @@
         info!(self.shared.log, "stopped");
     }
 
+    /// Waits until a request crashes it. Its owner ends it then.
+    pub async fn crashed(&self) {
+        let mut crashed = self.shared.crashed.subscribe();
+        // The sender lives as long as the stand-in.
+        let _ = crashed.wait_for(|crashed| *crashed).await;
+    }
+
     /// Ends at once, as a killed process would: no word, connections reset.
     pub fn kill(self) {}
 }
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use base::prelude::*;
@@ -55,6 +56,8 @@
     pub cancel: bool,
     /// Seed of the service times.
     pub seed: u64,
+    /// Requests for this path, or below it, crash the instance.
+    pub crash: Option<PathBuf>,
     /// How long a graceful stop announces `draining` before it stops taking work.
     pub drain: Duration,
     /// Directories that it announces itself to.
@@ -86,6 +89,7 @@
             archive: Bytes(256 * 1024),
             cancel: true,
             seed: 1,
+            crash: None,
             drain: Duration::from_secs(3),
             directories: Vec::new(),
             level: Level::Info,
@@ -142,6 +146,7 @@
         self.archive = r.or(MAIN, "archive", self.archive);
         self.cancel = r.or(MAIN, "cancel", self.cancel);
         self.seed = r.or(MAIN, "seed", self.seed);
+        self.crash = r.optional(MAIN, "crash");
         self.drain = r.or(MAIN, "drain", self.drain);
         self.directories = r.list(DIRECTORY, "addresses");
         self.level = r.or(LOG, "level", self.level);
@@ -184,6 +189,9 @@
         writeln!(f, "archive = {}B", self.archive.0)?;
         writeln!(f, "cancel = {}", if self.cancel { "yes" } else { "no" })?;
         writeln!(f, "seed = {}", self.seed)?;
+        if let Some(crash) = &self.crash {
+            writeln!(f, "crash = {}", crash.display())?;
+        }
         writeln!(f, "drain = {}ms", self.drain.as_millis())?;
         writeln!(f, "\n[{DIRECTORY}]")?;
         let addresses: Vec<String> = self.directories.iter().map(ToString::to_string).collect();
--- a/crates/testutils/src/process.rs
+++ b/crates/testutils/src/process.rs
@@ -312,6 +312,11 @@
         }
     }
 
+    /// Whether it has ended by now.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Reads what is left of the log of a process that has ended.
     fn finish_log(&mut self) {
         for reader in self.readers.drain(..) {
