quarantine, entry, hub: a request that crashes the instances that run it is refused

Callers saw one kind of request served for seconds at a time by one or two instances of ten: 23 instances ended one after the other under one request, which came again by way of every entry process. Cause: what a request did before was known nowhere. An attempt's end counts against its instance; our own retry, and the next entry process, sent the same request to a well instance.

Entry processes tell every hub of an instance that crashed under a request (its host refuses a connection right after); a hub that has heard of three instances, and of no answer, says that the request is refused, and so does a process that saw three itself. A request that may be sent again waits 40 ms at most for the hubs' word. What the next process gets is 503, not run, with when to come back; after 2 minutes it is tried again, later each time. Why it works: each hub counts the crashes of all entry processes, each entry process hears all hubs and remembers, so neither the loss of all hubs nor a new entry process brings the request back.

Innocent requests run beside it and crash with the instance too: an answer from anywhere acquits, an instance counts once a request, one that leaves doesn't count, and where others of the service crash without the request, four crashes are asked for.

Ruled out: fewer retries (callers come again themselves, at any process; those beside the crash need theirs), counting by path alone (others' requests), the replicated log for crashes (a majority for each, and nothing needs their order), a limit on crashes a service (refuses everybody).

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -8,6 +8,7 @@
 mod hosts;
 mod links;
 mod plan;
+mod quarantine;
 mod replica;
 mod routes;
 mod show;
@@ -44,6 +45,7 @@
     Evacuate,
     Return,
     Evacuations,
+    Quarantine,
     Replica,
     Routes,
     Story,
@@ -80,6 +82,7 @@
         Verb::Evacuate => evacuate::order(words, true, &settings, out).await,
         Verb::Return => evacuate::order(words, false, &settings, out).await,
         Verb::Evacuations => evacuate::show(words, &settings, out).await,
+        Verb::Quarantine => quarantine::show(words, &settings, out).await,
         Verb::Replica => replica::perform(words, &settings, out).await,
         Verb::Routes => routes::perform(words, &settings, out).await,
         Verb::Story => story::perform(words, out),
--- a/crates/cli/tests/test_routes.rs
+++ b/crates/cli/tests/test_routes.rs
@@ -22,9 +22,13 @@
 use wire::hub::Evacuations;
 use wire::hub::EvacuationsReply;
 use wire::hub::Fetch;
+use wire::hub::Fingerprint;
 use wire::hub::ReadReply;
+use wire::hub::Report;
 use wire::hub::ResolveQuery;
 use wire::hub::ResolveReply;
+use wire::hub::Suspect;
+use wire::hub::Suspects;
 use wire::hub::Table;
 use wire::hub::TableOutcome;
 use wire::hub::TableReply;
@@ -108,6 +112,17 @@
         }
     }
 
+    async fn report(self, _: Context, _: Report) -> Suspects {
+        let row = |head, refused_ms| Suspect {
+            request: Some(Fingerprint { head, body: 1 }),
+            refused_ms,
+        };
+        Suspects {
+            revision: 2,
+            rows: vec![row(10, 90_000), row(11, 0)],
+        }
+    }
+
     async fn resolve(self, _: Context, _: ResolveQuery) -> ResolveReply {
         ResolveReply::default()
     }
@@ -146,6 +161,20 @@
     assert_eq!(ended.exit, Exit::Done, "{}", ended.err);
 }
 
+#[tokio::test]
+async fn test_routes_quarantined_requests_are_shown() {
+    let hub = listen!(HubApi, Hub::default());
+    let listed = rwrctl(&format!("quarantine --hub {hub}")).await;
+    assert_eq!(listed.exit, Exit::Done, "{}", listed.err);
+    assert!(
+        listed.out.contains("000000000000000a0000000000000001"),
+        "{}",
+        listed.out
+    );
+    assert!(listed.out.contains("90s"), "{}", listed.out);
+    assert!(!listed.out.contains("000000000000000b"), "{}", listed.out);
+}
+
 #[tokio::test]
 async fn test_routes_failure_domain_is_evacuated_and_returned() {
     let hub = listen!(HubApi, Hub::default());
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -156,9 +156,9 @@
 }
 
 impl Content {
-    /// The request's fingerprint, once as much of the body has come as counts; none where it
-    /// breaks off before.
-    pub async fn fingerprint(&self, head: Head) -> Option<Fingerprint> {
+    /// The request's fingerprint, where all that counts of the body has come.
+    #[must_use]
+    pub fn known_fingerprint(&self, head: Head) -> Option<Fingerprint> {
         match self {
             Self::Whole(bytes) | Self::Begun(bytes) => {
                 let bytes = bytes.as_deref().unwrap_or_default();
@@ -166,11 +166,17 @@
                 let most = bytes.len().min(WHOLE);
                 Some(Fingerprint::new(head, [&bytes[..most]]))
             }
-            Self::Kept(spool) => {
-                spool.fill().await;
-                spool.fingerprint(head)
-            }
+            Self::Kept(spool) => spool.fingerprint(head),
+        }
+    }
+
+    /// The request's fingerprint, once as much of the body has come as counts; none where it
+    /// breaks off before.
+    pub async fn fingerprint(&self, head: Head) -> Option<Fingerprint> {
+        if let Self::Kept(spool) = self {
+            spool.fill().await;
         }
+        self.known_fingerprint(head)
     }
 }
 
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -2,6 +2,7 @@
 
 mod evacuate;
 mod share;
+mod suspects;
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -17,6 +18,7 @@
 use base::prelude::*;
 use evacuation::Domains;
 use http::Uri;
+use quarantine::Quarantine;
 use registry::Digest;
 use slog::Logger;
 use slog::info;
@@ -69,6 +71,8 @@
     dispatchers: HashMap<ServiceName, SocketAddr>,
     /// Who shares what cold instances take.
     processes: Arc<Processes>,
+    /// Requests that crash instances.
+    quarantine: Quarantine,
 }
 
 /// The state of one entry process.
@@ -90,6 +94,10 @@
     pub routed: watch::Sender<bool>,
     /// Whether any instance was ever known.
     pub stocked: watch::Sender<bool>,
+    /// The number of the newest crash or acquittal that the hubs are to be told of.
+    pub events: watch::Sender<u64>,
+    /// The number of the newest that a hub has been told of.
+    pub reported: watch::Sender<u64>,
     routes: RwLock<Arc<Routes>>,
     known: Mutex<Known>,
 }
@@ -108,6 +116,8 @@
             places: Places::default(),
             routed: watch::Sender::new(false),
             stocked: watch::Sender::new(false),
+            events: watch::Sender::default(),
+            reported: watch::Sender::default(),
             routes: RwLock::default(),
             known: Mutex::default(),
         })
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -87,6 +87,11 @@
             .send();
     }
 
+    /// A request that is refused from now on, as it crashes instances.
+    pub fn refused(&self) {
+        self.client.count_with_tags("entry.quarantined", 1).send();
+    }
+
     /// A retry that no allowance was left for.
     pub fn unpaid(&self, service: &ServiceName) {
         self.client
--- a/crates/entry/src/crash.rs
+++ b/crates/entry/src/crash.rs
@@ -6,9 +6,13 @@
 use std::io;
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::HeaderValue;
+use quarantine::Crash;
+use quarantine::Fingerprint;
 use quarantine::Head;
+use quarantine::Life;
 use slog::info;
 use strum::IntoStaticStr;
 use tokio::task::JoinHandle;
@@ -19,6 +23,9 @@
 use crate::pool::ConnectError;
 use crate::view::Upstream;
 
+/// Longest wait for a hub's answer.
+const TOLD: Duration = Duration::from_secs(1);
+
 /// A request, as it is told from others.
 #[derive(Clone, Debug)]
 pub struct Subject {
@@ -32,6 +39,17 @@
     pub content: Content,
 }
 
+impl Subject {
+    /// Notes that an instance has answered it.
+    pub fn succeeded(&self, core: &Core) {
+        if core.concerns(self.head)
+            && let Some(request) = self.content.known_fingerprint(self.head)
+        {
+            core.succeeded(request);
+        }
+    }
+}
+
 /// An attempt that ended without a whole answer.
 #[derive(Clone, Debug)]
 pub struct Broken {
@@ -78,9 +96,29 @@
         "incarnation" => upstream.incarnation, "service" => %upstream.service, "fate" => word,
         "ms" => u64::try_from((broken.at - broken.sent).as_millis()).unwrap_or(u64::MAX));
     core.counters.broken(&upstream.service, word);
+    if let (Fate::Crashed, Some(request)) = (fate, print) {
+        tell(core, broken, request).await;
+    }
     fate
 }
 
+/// Tells the hubs, and waits until one of them has said what it knows.
+async fn tell(core: &Core, broken: &Broken, request: Fingerprint) {
+    let upstream = &broken.upstream;
+    let number = core.crashed(Crash {
+        request,
+        service: upstream.service.clone(),
+        life: Life {
+            instance: upstream.id.clone(),
+            incarnation: upstream.incarnation,
+        },
+        at: core.clock.now().before(broken.at.elapsed()),
+    });
+    let mut reported = core.reported.subscribe();
+    // The sender lives as long as the process; no answer is as good as one that knows nothing.
+    let _ = tokio::time::timeout(TOLD, reported.wait_for(|told| *told >= number)).await;
+}
+
 async fn fate(core: &Core, upstream: &Upstream) -> Fate {
     if !core.is_ready_instance(upstream) {
         return Fate::Leaves;
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -64,6 +64,10 @@
 /// taken for ill, as each of these ended by the route's timeout.
 const SILENT_WORKS: f64 = 3.0;
 
+/// Longest wait for the hubs' word on a request under which an instance has crashed: a
+/// connection to the instance's host and one question, some times over.
+const VERDICT: Duration = Duration::from_millis(40);
+
 /// One request on its way.
 struct Flow {
     core: Arc<Core>,
@@ -213,9 +217,30 @@
         self.core.desk(&self.service, ask)
     }
 
+    /// Refuses a request that crashes what runs it.
+    async fn check(&mut self) -> Result<(), Reason> {
+        let head = self.call.head;
+        if !self.core.concerns(head) {
+            return Ok(());
+        }
+        let Some(request) = self.content.fingerprint(head).await else {
+            return Ok(());
+        };
+        let Some(left) = self.core.refused(request) else {
+            return Ok(());
+        };
+        info!(self.core.log, "quarantined"; "request" => self.call.id.to_str().unwrap_or("-"),
+            "fingerprint" => %request, "left_ms" => millis(left));
+        self.back = Some(left);
+        Err(Reason::Quarantined)
+    }
+
     /// One attempt.
     async fn attempt(&mut self, body: Outgoing) -> Result<End, Reason> {
+        self.check().await?;
         let chosen = self.choose_while(&body).await?;
+        // It may have waited for room.
+        self.check().await?;
         let pick = chosen.choice.pick;
         self.attempts += 1;
         self.exclude.push(pick);
@@ -252,8 +277,12 @@
         let end = exchange::attempt(&core, upstream, held, &self.call, body, patience).await;
         self.exposed = before || matches!(end, End::Answer(..) | End::Unknown);
         self.note(&end, sent.elapsed());
-        if matches!(end, End::Unknown) {
-            self.broke_off(upstream, sent);
+        match &end {
+            End::Unknown => self.broke_off(upstream, sent).await,
+            End::Answer(parts, Answered::Whole(_)) if !parts.status.is_server_error() => {
+                self.subject().succeeded(&core);
+            }
+            _ => {}
         }
         if matches!(end, End::Elsewhere) {
             self.desk(|desk, _| desk.displaced(pick));
@@ -294,15 +323,20 @@
         }
     }
 
-    /// Looks whether the attempt ended together with its instance.
-    fn broke_off(&self, upstream: &Arc<Upstream>, sent: Instant) {
+    /// Looks whether the attempt ended together with its instance. What may be sent again
+    /// waits until the hubs say whether it is to be.
+    async fn broke_off(&self, upstream: &Arc<Upstream>, sent: Instant) {
         let broken = Broken {
             subject: self.subject(),
             upstream: Arc::clone(upstream),
             sent,
             at: Instant::now(),
         };
-        crash::look(&self.core, broken);
+        let looking = crash::look(&self.core, broken);
+        if self.route.kind == Kind::Idempotent && self.attempts < self.route.attempts {
+            // Without their word it is sent again, as far as this process knows.
+            let _ = tokio::time::timeout(VERDICT, looking).await;
+        }
     }
 
     /// The final outcome, or the body for another attempt.
@@ -349,6 +383,7 @@
             return Outcome::Own(Reason::Broken, None);
         }
         let back = match reason {
+            Reason::Quarantined => self.back,
             Reason::Full => self.back.or_else(|| self.desk(Desk::back)),
             _ => Some(BACK_UNKNOWN),
         };
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -25,6 +25,8 @@
     NoInstance,
     /// No instance could take it; not run.
     Full,
+    /// Instances that ran it before have crashed; not run.
+    Quarantined,
     /// Time ran out before it was sent; not run.
     Late,
     /// Time ran out while an instance may have been at work.
@@ -38,7 +40,7 @@
     #[must_use]
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NoTable | Self::NoInstance | Self::Full | Self::Late => {
+            Self::NoTable | Self::NoInstance | Self::Full | Self::Quarantined | Self::Late => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::NoRoute => StatusCode::NOT_FOUND,
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -7,6 +7,7 @@
 pub mod hosts;
 pub mod hubs;
 pub mod progress;
+pub mod report;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -17,6 +18,7 @@
 use slog::warn;
 use tarpc::client::RpcError;
 use tokio::net::UdpSocket;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 use wire::hub::Fetch;
@@ -61,6 +63,10 @@
     link: Arc<HubLink>,
     begun: Instant,
     progress: Progress,
+    /// The hub's process.
+    epoch: watch::Sender<u64>,
+    /// The revision of the suspects that it told.
+    suspects: u64,
     /// The version of the newest table that it told of.
     table: u64,
     /// The hubs that it named, and the mark of that list.
@@ -120,6 +126,8 @@
             link: Arc::new(peer::hub(address)),
             begun: Instant::now(),
             progress: Progress::default(),
+            epoch: watch::Sender::default(),
+            suspects: 0,
             table: 0,
             named: Vec::new(),
             group: 0,
@@ -127,6 +135,12 @@
     }
 
     async fn run(mut self) {
+        let reports = report::run(
+            Arc::clone(&self.core),
+            Arc::clone(&self.link),
+            self.epoch.subscribe(),
+        );
+        let _reporting = AbortOnDropHandle::new(tokio::spawn(reports));
         let mut up = false;
         loop {
             let reply = match self.ask().await {
@@ -201,6 +215,7 @@
             table,
             group: self.group,
             evacuations: self.core.evacuations(),
+            suspects: self.suspects,
             wait_ms: u32::try_from(self.hubs.wait(self.address).as_millis()).unwrap_or(u32::MAX),
         }
     }
@@ -239,6 +254,7 @@
         if let Some(evacuations) = &reply.evacuations {
             self.core.take_evacuations(self.address, evacuations);
         }
+        self.take_suspects(reply);
         self.take_news(reply);
         let reached = self.progress.answered(asked.news(), reply);
         self.hubs.reach(reached);
@@ -253,6 +269,20 @@
         }
     }
 
+    fn take_suspects(&mut self, reply: &WatchReply) {
+        let epoch = reply.epoch;
+        if self
+            .epoch
+            .send_if_modified(|held| std::mem::replace(held, epoch) != epoch)
+        {
+            self.suspects = 0;
+        }
+        if let Some(suspects) = &reply.suspects {
+            self.core.take_suspects(self.address, suspects);
+            self.suspects = suspects.revision;
+        }
+    }
+
     /// Takes what the hub tells of instances: all or some of them, and which it hears.
     fn take_news(&self, reply: &WatchReply) {
         let rows = if reply.whole.is_empty() {
--- a/crates/entry/tests/fakes/caller.rs
+++ b/crates/entry/tests/fakes/caller.rs
@@ -4,6 +4,7 @@
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 use super::HOST;
@@ -42,6 +43,16 @@
         }
     }
 
+    /// A caller with an address of its own.
+    pub async fn connect_from(from: [u8; 4], address: SocketAddr) -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind(SocketAddr::from((from, 0))).expect("binds");
+        Self {
+            stream: socket.connect(address).await.expect("connects"),
+            rest: Vec::new(),
+        }
+    }
+
     /// Sends bytes as they are.
     pub async fn raw(&mut self, bytes: &[u8]) {
         self.stream.write_all(bytes).await.expect("writes");
--- a/crates/entry/tests/fakes/upstream.rs
+++ b/crates/entry/tests/fakes/upstream.rs
@@ -40,6 +40,8 @@
     Unframed,
     /// Refuses a request unrun at its head, and reads on.
     ShedEarly,
+    /// Ends: all connections close, and nothing listens any more.
+    Crash,
     /// Answers with half of the body, and the rest once it is told to.
     Halves,
     /// Answers with half of the body, and closes once it is told to send the rest.
@@ -86,6 +88,10 @@
     connections: watch::Sender<usize>,
     /// Whether the rest of halved answers may be sent.
     rest: watch::Sender<bool>,
+    /// Whether a request has crashed it.
+    crashed: watch::Sender<bool>,
+    /// Whether nothing listens any more.
+    gone: watch::Sender<bool>,
 }
 
 pub struct Upstream {
@@ -108,6 +114,8 @@
             received: watch::Sender::default(),
             connections: watch::Sender::default(),
             rest: watch::Sender::default(),
+            crashed: watch::Sender::default(),
+            gone: watch::Sender::default(),
         });
         let task = tokio::spawn(accept(listener, Arc::clone(&shared)));
         Self {
@@ -175,11 +183,25 @@
 }
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    let mut crashed = shared.crashed.subscribe();
     loop {
-        let (stream, _) = listener.accept().await.expect("accepts");
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = crashed.wait_for(|crashed| *crashed) => break,
+        };
+        let (stream, _) = accepted.expect("accepts");
         shared.connections.send_modify(|count| *count += 1);
-        tokio::spawn(serve(stream, Arc::clone(&shared)));
+        let shared = Arc::clone(&shared);
+        tokio::spawn(async move {
+            let mut gone = shared.gone.subscribe();
+            tokio::select! {
+                () = serve(stream, Arc::clone(&shared)) => {}
+                _ = gone.wait_for(|gone| *gone) => {}
+            }
+        });
     }
+    drop(listener);
+    shared.gone.send_replace(true);
 }
 
 async fn serve(mut stream: TcpStream, shared: Arc<Shared>) {
@@ -267,6 +289,10 @@
                 .to_owned()
         }
         Manner::Close => return false,
+        Manner::Crash => {
+            shared.crashed.send_replace(true);
+            return std::future::pending().await;
+        }
         Manner::Truncate => answer[..answer.len() - 4].to_owned(),
         Manner::Stranger => answer.replace(&id, "another"),
         Manner::Twice => format!("{answer}{answer}"),
--- a/crates/hub/src/lib.rs
+++ b/crates/hub/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod server;
 pub mod settings;
 pub mod state;
+pub mod suspects;
 
 pub use desk::Desk;
 pub use desk::DeskError;
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -25,8 +25,10 @@
 use wire::hub::Instance;
 use wire::hub::News;
 use wire::hub::ReadReply;
+use wire::hub::Report;
 use wire::hub::ResolveQuery;
 use wire::hub::ResolveReply;
+use wire::hub::Suspects;
 use wire::hub::Table;
 use wire::hub::TableReply;
 use wire::hub::Watch;
@@ -46,6 +48,9 @@
 /// longer where the hub that tells changes at once is lost, of the two seconds in which
 /// such a notice must be in force everywhere.
 const GATHER: Duration = Duration::from_millis(600);
+/// From a change of the suspects until it is told to those who are told changes at once; to
+/// the others after [`GATHER`]. Where many instances crash, each of them changes it.
+const GATHER_SUSPECTS: Duration = Duration::from_millis(50);
 /// How long a majority may take to confirm the table for a process that has none.
 const CONFIRM: Duration = Duration::from_millis(300);
 
@@ -87,6 +92,7 @@
             () = self.moved(ask, &mut gathered) => {}
             _ = newer => {}
             _ = lists.wait_for(|list| *list != ask.list), if ask.lists => {}
+            () = self.suspected(ask) => {}
             () = tokio::time::sleep_until(end) => {}
         }
         gathered.unwrap_or_else(|| self.news(ask))
@@ -112,6 +118,18 @@
         }
     }
 
+    /// Waits until the suspects have changed.
+    async fn suspected(&self, ask: &Watch) {
+        let mut revisions = self.state.suspects.subscribe();
+        let moved = revisions.wait_for(|revision| *revision != ask.suspects);
+        let ended = moved.await.is_err();
+        if ended {
+            return std::future::pending().await;
+        }
+        let gather = if ask.lists { GATHER_SUSPECTS } else { GATHER };
+        tokio::time::sleep(gather).await;
+    }
+
     /// What a watcher lacks of instances.
     fn news(&self, ask: &Watch) -> Told {
         if ask.news() == News::None {
@@ -170,6 +188,7 @@
         self.note(&ask);
         if ask.epoch != self.state.epoch {
             ask.cursor = 0;
+            ask.suspects = 0;
             if ask.news() != News::None {
                 ask.wait_ms = 0;
             }
@@ -196,6 +215,8 @@
             Update::Changes { hosts, lost } => (hosts, lost, Bytes::new()),
             Update::Whole(packed) => (Vec::new(), Vec::new(), packed),
         };
+        let suspects =
+            (known.tracker.revision() != ask.suspects).then(|| self.state.suspects(&known));
         let hubs = known.hubs.iter().map(ToString::to_string);
         WatchReply {
             epoch: self.state.epoch,
@@ -221,6 +242,7 @@
             list: known.lists.mark(),
             domain: self.state.settings.domain.to_string(),
             evacuations: evacuations.map(|evacuations| evacuations.to_wire()),
+            suspects,
         }
     }
 
@@ -277,6 +299,10 @@
         }
     }
 
+    async fn report(self, _: Context, report: Report) -> Suspects {
+        self.state.take_report(&report)
+    }
+
     async fn resolve(self, _: Context, query: ResolveQuery) -> ResolveReply {
         let (addresses, ttl) = self.desk.resolve(&query.name, &query.domain, &query.region);
         ResolveReply {
--- a/crates/hub/src/state.rs
+++ b/crates/hub/src/state.rs
@@ -10,6 +10,7 @@
 use base::prelude::*;
 use bytes::Bytes;
 use control::TableDesk;
+use quarantine::Tracker;
 use registry::Registry;
 use registry::Taken;
 use slog::Logger;
@@ -38,6 +39,8 @@
     pub hubs: Vec<SocketAddr>,
     /// Names that list, 0 before the first.
     pub group: u64,
+    /// Requests that crash instances.
+    pub tracker: Tracker,
     /// How long callers may keep a list of entry hosts, as last read.
     pub ttl: Option<Duration>,
     /// All instances, packed, and the cursor that they stand for.
@@ -60,6 +63,8 @@
     pub cursor: watch::Sender<u64>,
     /// The mark of the newest list of entry hosts, for whoever waits for a change.
     pub list: watch::Sender<u64>,
+    /// The revision of the suspects, for whoever waits for a change.
+    pub suspects: watch::Sender<u64>,
     known: Mutex<Known>,
 }
 
@@ -75,6 +80,7 @@
             log,
             cursor: watch::Sender::new(0),
             list: watch::Sender::default(),
+            suspects: watch::Sender::default(),
             known: Mutex::default(),
         })
     }
--- /dev/null
+++ b/crates/quarantine/tests/test_quarantine.rs
@@ -0,0 +1,71 @@
+//! What a process knows by itself, hears of hubs and tells them.
+
+mod common;
+
+use std::time::Duration;
+
+use common::at;
+use common::crash;
+use common::request;
+use quarantine::Event;
+use quarantine::Quarantine;
+use quarantine::Suspect;
+
+fn suspect(name: &str, seconds: u64) -> Suspect {
+    Suspect {
+        request: request(name),
+        refused: Duration::from_secs(seconds),
+    }
+}
+
+/// No hub answers, and one process has all the crashes.
+#[test]
+fn test_quarantine_refuses_by_itself() {
+    let mut held = Quarantine::default();
+    for instance in 1..=3 {
+        held.crashed(at(0), crash("bad", instance, 0));
+    }
+    assert!(held.refused(at(1), request("bad")).is_some());
+    assert_eq!(held.refusals(at(1)).len(), 1);
+}
+
+#[test]
+fn test_quarantine_refuses_what_any_hub_says() {
+    let mut held = Quarantine::default();
+    assert_eq!(
+        held.take(at(0), &[suspect("bad", 60), suspect("maybe", 0)]),
+        [suspect("bad", 60)]
+    );
+    // A hub that knows nothing takes nothing back.
+    assert!(held.take(at(1), &[]).is_empty());
+    assert!(held.take(at(1), &[suspect("bad", 59)]).is_empty());
+    assert!(held.refused(at(59), request("bad")).is_some());
+    assert!(held.refused(at(61), request("bad")).is_none());
+    assert!(held.refused(at(1), request("maybe")).is_none());
+}
+
+#[test]
+fn test_quarantine_tells_of_crashes_from_any_number_on() {
+    let mut held = Quarantine::default();
+    let (first, _) = held.crashed(at(0), crash("bad", 1, 0));
+    held.crashed(at(0), crash("bad", 2, 0));
+    assert_eq!(held.since(first), [Event::Crashed(crash("bad", 2, 0))]);
+    assert_eq!(held.since(0).len(), 2);
+    assert!(held.since(held.newest()).is_empty());
+}
+
+/// A hub suspects a request by what other processes told; it is answered here.
+#[test]
+fn test_quarantine_acquits_what_was_answered() {
+    let mut held = Quarantine::default();
+    held.crashed(at(0), crash("own", 1, 0));
+    held.take(at(0), &[suspect("other", 0)]);
+    assert!(held.concerns(request("other").head));
+    assert!(held.succeeded(at(1), request("own")));
+    assert!(held.succeeded(at(1), request("other")));
+    assert!(!held.succeeded(at(1), request("other")));
+    assert!(!held.concerns(request("other").head));
+    // A hub that is told everything again doesn't hear of the crash.
+    let answered = ["own", "other"].map(|name| Event::Succeeded(request(name)));
+    assert_eq!(held.since(0), answered);
+}
--- a/crates/testutils/tests/test_crash.rs
+++ b/crates/testutils/tests/test_crash.rs
@@ -1,8 +1,11 @@
 //! Requests that crash the upstreams that run them.
 
+use futures::future::join_all;
 use testutils::Ask;
 use testutils::Fleet;
 use testutils::Upstream;
+use testutils::process::field;
+use testutils::system::wait;
 use testutils::tables;
 use testutils::tables::HOST;
 use testutils::tables::STATUS;
@@ -54,3 +57,59 @@
         assert!(reply.is_ok(), "{reply:?}");
     }
 }
+
+/// Under each of several requests two instances crash, and one more request is under
+/// all of them again and again.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_crash_request_beside_those_that_crash_instances_is_served() {
+    let (fleet, mut upstreams) = start().await;
+    for number in 0..INSTANCES / 2 - 1 {
+        let bad = Ask::get(STATUS, &format!("{CRASH}/{number}")).at(HOST);
+        let good = Ask::get(STATUS, "/read/same").at(HOST);
+        let beside = (0..ENTRIES).map(|index| fleet.call(index, &good));
+        let (bad, beside) = tokio::join!(fleet.call(number % ENTRIES, &bad), join_all(beside));
+        assert_eq!(bad.status, 502, "{bad:?}");
+        for reply in beside {
+            assert_ne!(reply.body, "quarantined");
+        }
+    }
+    assert!(crashed(&mut upstreams) <= INSTANCES - 2);
+    for index in 0..ENTRIES {
+        let ask = Ask::get(STATUS, "/read/same").at(HOST);
+        assert!(fleet.call(index, &ask).await.is_ok());
+    }
+}
+
+/// Every hub is killed at once, and the entry process that is asked then started after that.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_crash_refusal_outlives_every_hub_and_reaches_new_entry_processes() {
+    let (mut fleet, mut upstreams) = start().await;
+    let ask = Ask::get(STATUS, CRASH).at(HOST);
+    for number in 0..4 {
+        fleet.call(number % ENTRIES, &ask).await;
+    }
+    wait("refused at the first", async || {
+        fleet.call(0, &ask).await.status == 503
+    })
+    .await
+    .unwrap();
+    for hub in &mut fleet.hubs {
+        hub.take().unwrap().kill().await.unwrap();
+    }
+    for index in 0..3 {
+        fleet.hubs[index] = Some(fleet.new_hub(index).await.unwrap());
+    }
+    fleet.entries[2].take().unwrap().kill().await.unwrap();
+    fleet.entries[2] = Some(fleet.new_entry(2).await.unwrap());
+    let told = |line: &str| field(line, "msg") == Some("quarantine");
+    fleet.entries[2]
+        .as_ref()
+        .unwrap()
+        .wait_line(told)
+        .await
+        .unwrap();
+    let before = crashed(&mut upstreams);
+    let reply = fleet.call(2, &ask).await;
+    assert_eq!((reply.status, &*reply.body), (503, "quarantined"));
+    assert_eq!(crashed(&mut upstreams), before);
+}
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -25,8 +25,10 @@
 use crate::hub::EvacuationsReply;
 use crate::hub::Fetch;
 use crate::hub::ReadReply;
+use crate::hub::Report;
 use crate::hub::ResolveQuery;
 use crate::hub::ResolveReply;
+use crate::hub::Suspects;
 use crate::hub::Table;
 use crate::hub::TableReply;
 use crate::hub::Watch;
@@ -114,6 +116,9 @@
     async fn evacuate(order: Evacuation) -> EvacuationReply;
     /// The failure domains to which nothing is sent.
     async fn evacuations() -> EvacuationsReply;
+    /// Takes what an entry process has seen of requests that crash instances; gives the
+    /// suspects of all.
+    async fn report(report: Report) -> Suspects;
     /// The entry hosts that a caller may use.
     async fn resolve(query: ResolveQuery) -> ResolveReply;
 }
