quarantine: a request that comes by way of other senders is known by its path and body

Cause, suspected: the fingerprint held the caller's address and the query, and an address is no caller.

A fingerprint now has a part for what is asked for (host, path, body) and one for the sender (its name where callers have names, else its address; method and query). Crashes count for one sender's request, three and it is refused to that sender, and for what all senders ask for, four and it is refused to everybody. The fourth is what keeps one sender's request from being refused to those that ask for the same: its own third crash may be told after theirs. A sender that is refused alone no longer counts for all, an answer to anybody acquits, and what an entry process has answered within a minute isn't counted by it at all: without that, crashes that follow each other within 50 ms, before a hub has told of the first, had a request refused that was answered all the time ('quarantined', one of four runs of test_crash_request_beside_those_that_crash_instances_is_served).

A refusal is told to watchers at once, suspects after 50 ms as before.

The test of the first fix sent requests faster than anybody could be told, within the time that is allowed for it, and passed by luck of the machine: it now waits until every process knows, and then no request at all may reach an instance, in place of one more or less.

--- a/crates/cli/tests/test_routes.rs
+++ b/crates/cli/tests/test_routes.rs
@@ -113,8 +113,12 @@
     }
 
     async fn report(self, _: Context, _: Report) -> Suspects {
-        let row = |head, refused_ms| Suspect {
-            request: Some(Fingerprint { head, body: 1 }),
+        let row = |path, refused_ms| Suspect {
+            request: Some(Fingerprint {
+                path,
+                body: 1,
+                sender: 2,
+            }),
             refused_ms,
         };
         Suspects {
@@ -167,7 +171,9 @@
     let listed = rwrctl(&format!("quarantine --hub {hub}")).await;
     assert_eq!(listed.exit, Exit::Done, "{}", listed.err);
     assert!(
-        listed.out.contains("000000000000000a0000000000000001"),
+        listed
+            .out
+            .contains("000000000000000a-0000000000000001-0000000000000002"),
         "{}",
         listed.out
     );
--- a/crates/entry/src/crash.rs
+++ b/crates/entry/src/crash.rs
@@ -4,7 +4,6 @@
 //! Only an instance that takes no new connection right after it has crashed.
 
 use std::io;
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +14,7 @@
 use quarantine::Life;
 use slog::info;
 use strum::IntoStaticStr;
+use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
@@ -31,8 +31,8 @@
 pub struct Subject {
     /// The caller's name for it.
     pub id: HeaderValue,
-    /// Who sent it.
-    pub caller: IpAddr,
+    /// Who sent it: a name or an address.
+    pub caller: Arc<str>,
     /// All but its body.
     pub head: Head,
     /// Its body.
@@ -42,9 +42,7 @@
 impl Subject {
     /// Notes that an instance has answered it.
     pub fn succeeded(&self, core: &Core) {
-        if core.concerns(self.head)
-            && let Some(request) = self.content.known_fingerprint(self.head)
-        {
+        if let Some(request) = self.content.known_fingerprint(self.head) {
             core.succeeded(request);
         }
     }
@@ -77,33 +75,47 @@
     Silent,
 }
 
+/// A look under way.
+#[derive(Debug)]
+pub struct Look {
+    /// Ends once there is nothing to wait for before the request is sent again: the hubs have
+    /// answered, or the instance seems to run.
+    pub word: oneshot::Receiver<()>,
+    /// What became of the instance.
+    pub fate: JoinHandle<Fate>,
+}
+
 /// Looks what became of the instance, beside whatever the request does next.
-pub fn look(core: &Arc<Core>, broken: Broken) -> JoinHandle<Fate> {
+pub fn look(core: &Arc<Core>, broken: Broken) -> Look {
     let core = Arc::clone(core);
-    tokio::spawn(async move { judge(&core, &broken).await })
+    let (tell, word) = oneshot::channel();
+    let fate = tokio::spawn(async move { judge(&core, &broken, tell).await });
+    Look { word, fate }
 }
 
-async fn judge(core: &Core, broken: &Broken) -> Fate {
+/// Drops `tell` as soon as there is nothing to wait for.
+async fn judge(core: &Core, broken: &Broken, tell: oneshot::Sender<()>) -> Fate {
+    let mut tell = Some(tell);
     let Broken {
         subject, upstream, ..
     } = broken;
     let print = subject.content.fingerprint(subject.head);
-    let (fate, print) = tokio::join!(fate(core, upstream), print);
+    let (fate, print) = tokio::join!(fate(core, upstream, &mut tell), print);
     let word: &'static str = fate.into();
     info!(core.log, "attempt broke off"; "request" => subject.id.to_str().unwrap_or("-"),
         "fingerprint" => print.map_or_else(|| "-".to_owned(), |print| print.to_string()),
-        "caller" => %subject.caller, "instance" => %upstream.id,
+        "caller" => &*subject.caller, "instance" => %upstream.id,
         "incarnation" => upstream.incarnation, "service" => %upstream.service, "fate" => word,
         "ms" => u64::try_from((broken.at - broken.sent).as_millis()).unwrap_or(u64::MAX));
     core.counters.broken(&upstream.service, word);
     if let (Fate::Crashed, Some(request)) = (fate, print) {
-        tell(core, broken, request).await;
+        report(core, broken, request).await;
     }
     fate
 }
 
 /// Tells the hubs, and waits until one of them has said what it knows.
-async fn tell(core: &Core, broken: &Broken, request: Fingerprint) {
+async fn report(core: &Core, broken: &Broken, request: Fingerprint) {
     let upstream = &broken.upstream;
     let number = core.crashed(Crash {
         request,
@@ -113,24 +125,30 @@
             incarnation: upstream.incarnation,
         },
         at: core.clock.now().before(broken.at.elapsed()),
+        answered: false,
     });
     let mut reported = core.reported.subscribe();
     // The sender lives as long as the process; no answer is as good as one that knows nothing.
     let _ = tokio::time::timeout(TOLD, reported.wait_for(|told| *told >= number)).await;
 }
 
-async fn fate(core: &Core, upstream: &Upstream) -> Fate {
+async fn fate(core: &Core, upstream: &Upstream, tell: &mut Option<oneshot::Sender<()>>) -> Fate {
     if !core.is_ready_instance(upstream) {
         return Fate::Leaves;
     }
     match upstream.pool.connect().await {
         Ok(connection) => {
+            *tell = None;
             upstream.pool.keep(connection, None);
             Fate::Runs
         }
-        Err(ConnectError::Io(err)) if err.kind() == io::ErrorKind::ConnectionRefused => {
-            Fate::Crashed
-        }
-        Err(_) => Fate::Silent,
+        Err(err) => failed(&err),
+    }
+}
+
+fn failed(err: &ConnectError) -> Fate {
+    match err {
+        ConnectError::Io(err) if err.kind() == io::ErrorKind::ConnectionRefused => Fate::Crashed,
+        _ => Fate::Silent,
     }
 }
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -12,6 +12,8 @@
 pub struct Dialect {
     /// Names one request; an upstream's answer repeats it.
     pub request: HeaderName,
+    /// Names the caller, where callers have names.
+    pub caller: Option<HeaderName>,
     /// Milliseconds that are left for the answer.
     pub deadline: HeaderName,
     /// To an upstream: the one instance that may run the request.
@@ -35,6 +37,7 @@
     fn default() -> Self {
         Self {
             request: HeaderName::from_static(header::REQUEST_ID),
+            caller: Some(HeaderName::from_static(header::CALLER)),
             deadline: HeaderName::from_static(header::DEADLINE),
             expected: HeaderName::from_static(header::ONLY),
             instance: HeaderName::from_static(header::INSTANCE),
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -1,6 +1,5 @@
 //! One attempt at one instance.
 
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -50,8 +49,8 @@
     pub uri: Uri,
     /// What is passed on.
     pub headers: HeaderMap,
-    /// Who sent it.
-    pub caller: IpAddr,
+    /// Who sent it: a name or an address.
+    pub caller: Arc<str>,
     /// What tells it from others, but for its body.
     pub head: Head,
 }
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -317,7 +317,7 @@
     fn subject(&self) -> Subject {
         Subject {
             id: self.call.id.clone(),
-            caller: self.call.caller,
+            caller: Arc::clone(&self.call.caller),
             head: self.call.head,
             content: self.content.clone(),
         }
@@ -335,7 +335,7 @@
         let looking = crash::look(&self.core, broken);
         if self.route.kind == Kind::Idempotent && self.attempts < self.route.attempts {
             // Without their word it is sent again, as far as this process knows.
-            let _ = tokio::time::timeout(VERDICT, looking).await;
+            let _ = tokio::time::timeout(VERDICT, looking.word).await;
         }
     }
 
--- a/crates/entry/src/flow/head.rs
+++ b/crates/entry/src/flow/head.rs
@@ -74,6 +74,12 @@
     request: Request<Incoming>,
 ) -> (Call, Incoming) {
     let (mut parts, incoming) = request.into_parts();
+    let named = core.dialect.caller.as_ref();
+    let named = named.and_then(|name| parts.headers.get(name)?.to_str().ok());
+    let caller: Arc<str> = match named {
+        Some(name) => name.into(),
+        None => caller.to_canonical().to_string().into(),
+    };
     headers::strip(&mut parts.headers);
     parts.headers.remove(&core.dialect.expected);
     parts.headers.insert(&core.dialect.request, id.clone());
@@ -84,11 +90,11 @@
     let target = uri.path_and_query().map_or("", |target| target.as_str());
     let call = Call {
         id,
-        caller,
-        head: Head::new(caller, parts.method.as_str(), host, target),
+        head: Head::new(&caller, parts.method.as_str(), host, target),
         method: parts.method,
         uri,
         headers: parts.headers,
+        caller,
     };
     (call, incoming)
 }
--- a/crates/entry/tests/test_crash.rs
+++ b/crates/entry/tests/test_crash.rs
@@ -2,8 +2,6 @@
 
 mod fakes;
 
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::sync::Arc;
 
 use base::prelude::*;
@@ -24,14 +22,14 @@
 use wire::hub::Instance;
 use wire::hub::Phase;
 
-const CALLER: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+const CALLER: &str = "127.0.0.1";
 
 fn broken(upstream: &Upstream) -> Broken {
     let head = Head::new(CALLER, "GET", "example.org", "/read/a");
     Broken {
         subject: Subject {
             id: "r-1".parse().expect("a header"),
-            caller: CALLER,
+            caller: CALLER.into(),
             head,
             content: Content::Whole(None),
         },
@@ -51,7 +49,7 @@
 }
 
 async fn fate(entry: &Entry, broken: Broken) -> Fate {
-    crash::look(entry.core(), broken).await.expect("looks")
+    crash::look(entry.core(), broken).fate.await.expect("looks")
 }
 
 #[tokio::test]
--- a/crates/entry/tests/test_quarantine.rs
+++ b/crates/entry/tests/test_quarantine.rs
@@ -2,9 +2,6 @@
 
 mod fakes;
 
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
-
 use entry::Entry;
 use fakes::HOST;
 use fakes::HUB;
@@ -22,7 +19,7 @@
 use wire::hub::Suspects;
 
 /// Where the fake callers call from.
-const CALLER: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+const CALLER: &str = "127.0.0.1";
 /// How long a hub says that a request is refused.
 const REFUSED_MS: u64 = 90_000;
 
@@ -162,7 +159,7 @@
     let row = fakes::instance(&well, "status");
     entry.core().take_instances(HUB, &[row], &[]);
     assert_eq!(call(entry.front(), "GET", READ, "r-2").await.status, 200);
-    assert!(!entry.core().concerns(fingerprint("GET", READ, "").head));
+    assert!(!entry.core().concerns(Head::new(CALLER, "GET", HOST, READ)));
     upstreams.push(well);
 }
 
@@ -178,5 +175,5 @@
         let answer = call(entry.front(), "GET", READ, &format!("r-{number}")).await;
         assert_eq!(answer.status, 502);
     }
-    assert!(!entry.core().concerns(fingerprint("GET", READ, "").head));
+    assert!(!entry.core().concerns(Head::new(CALLER, "GET", HOST, READ)));
 }
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -48,7 +48,7 @@
 /// longer where the hub that tells changes at once is lost, of the two seconds in which
 /// such a notice must be in force everywhere.
 const GATHER: Duration = Duration::from_millis(600);
-/// From a change of the suspects until it is told to those who are told changes at once; to
+/// From a change of the suspects that refuses nothing until it is told to those who are told changes at once; to
 /// the others after [`GATHER`]. Where many instances crash, each of them changes it.
 const GATHER_SUSPECTS: Duration = Duration::from_millis(50);
 /// How long a majority may take to confirm the table for a process that has none.
@@ -118,16 +118,18 @@
         }
     }
 
-    /// Waits until the suspects have changed.
+    /// Waits until the suspects have changed: at once for a request that is refused.
     async fn suspected(&self, ask: &Watch) {
         let mut revisions = self.state.suspects.subscribe();
-        let moved = revisions.wait_for(|revision| *revision != ask.suspects);
+        let moved = revisions.wait_for(|revision| revision.newest != ask.suspects);
         let ended = moved.await.is_err();
         if ended {
             return std::future::pending().await;
         }
         let gather = if ask.lists { GATHER_SUSPECTS } else { GATHER };
-        tokio::time::sleep(gather).await;
+        let refused = revisions.wait_for(|revision| revision.refusal > ask.suspects);
+        // What has gathered by then is told.
+        let _ = tokio::time::timeout(gather, refused).await;
     }
 
     /// What a watcher lacks of instances.
@@ -216,7 +218,7 @@
             Update::Whole(packed) => (Vec::new(), Vec::new(), packed),
         };
         let suspects =
-            (known.tracker.revision() != ask.suspects).then(|| self.state.suspects(&known));
+            (known.tracker.revision().newest != ask.suspects).then(|| self.state.suspects(&known));
         let hubs = known.hubs.iter().map(ToString::to_string);
         WatchReply {
             epoch: self.state.epoch,
--- a/crates/hub/src/state.rs
+++ b/crates/hub/src/state.rs
@@ -10,6 +10,7 @@
 use base::prelude::*;
 use bytes::Bytes;
 use control::TableDesk;
+use quarantine::Revision;
 use quarantine::Tracker;
 use registry::Registry;
 use registry::Taken;
@@ -64,7 +65,7 @@
     /// The mark of the newest list of entry hosts, for whoever waits for a change.
     pub list: watch::Sender<u64>,
     /// The revision of the suspects, for whoever waits for a change.
-    pub suspects: watch::Sender<u64>,
+    pub suspects: watch::Sender<Revision>,
     known: Mutex<Known>,
 }
 
--- a/crates/hub/src/suspects.rs
+++ b/crates/hub/src/suspects.rs
@@ -37,7 +37,7 @@
     pub fn suspects(&self, known: &Known) -> Suspects {
         let rows = known.tracker.suspects(self.clock.now());
         Suspects {
-            revision: known.tracker.revision(),
+            revision: known.tracker.revision().newest,
             rows: rows.iter().map(Suspect::to_wire).collect(),
         }
     }
--- a/crates/hub/tests/test_suspects.rs
+++ b/crates/hub/tests/test_suspects.rs
@@ -16,7 +16,11 @@
 use wire::link::within;
 use wire::peer::HubLink;
 
-const REQUEST: Fingerprint = Fingerprint { head: 1, body: 2 };
+const REQUEST: Fingerprint = Fingerprint {
+    path: 1,
+    body: 2,
+    sender: 3,
+};
 
 fn crash(instance: &str) -> Crash {
     Crash {
@@ -25,6 +29,7 @@
         instance: instance.into(),
         incarnation: 1,
         ago_ms: 5,
+        ..Crash::default()
     }
 }
 
--- a/crates/quarantine/src/convert.rs
+++ b/crates/quarantine/src/convert.rs
@@ -10,7 +10,6 @@
 use wire::hub;
 
 use crate::fingerprint::Fingerprint;
-use crate::fingerprint::Head;
 use crate::tracker::Crash;
 use crate::tracker::Life;
 use crate::tracker::Suspect;
@@ -35,8 +34,9 @@
 impl From<Fingerprint> for hub::Fingerprint {
     fn from(request: Fingerprint) -> Self {
         Self {
-            head: request.head.0,
+            path: request.path,
             body: request.body,
+            sender: request.sender,
         }
     }
 }
@@ -44,8 +44,9 @@
 impl From<hub::Fingerprint> for Fingerprint {
     fn from(request: hub::Fingerprint) -> Self {
         Self {
-            head: Head(request.head),
+            path: request.path,
             body: request.body,
+            sender: request.sender,
         }
     }
 }
@@ -60,6 +61,7 @@
             instance: self.life.instance.to_string(),
             incarnation: self.life.incarnation,
             ago_ms: millis(now.since(self.at)),
+            answered: self.answered,
         }
     }
 
@@ -78,6 +80,7 @@
                 incarnation: told.incarnation,
             },
             at: now.before(Duration::from_millis(told.ago_ms)),
+            answered: told.answered,
         })
     }
 }
--- a/crates/quarantine/src/fingerprint.rs
+++ b/crates/quarantine/src/fingerprint.rs
@@ -1,33 +1,46 @@
-//! What stays the same when a caller sends a request again.
+//! What stays the same when a request comes again.
 //!
-//! The caller's address is part of it: a request of another caller is another one, so that
-//! nobody can have somebody else's requests refused.
+//! Where callers have no names, an address is all that tells them apart, and a phone changes it
+//! between two tries. So a fingerprint has two parts: what is asked for (host, path
+//! and body), and the rest by which one sender's requests are told from another's.
 
 use std::fmt;
-use std::net::IpAddr;
 
 use xxhash_rust::xxh3::Xxh3;
 
-/// Digest of all but the body.
+/// Stands for all senders.
+const ALL: u64 = 0;
+
+/// What is known of a request before its body has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Head(pub u64);
+pub struct Head {
+    /// Of host and path.
+    pub path: u64,
+    /// Of caller, method and query.
+    pub sender: u64,
+}
 
 impl Head {
     /// Of a request of `caller`; `target` is path and query.
     #[must_use]
-    pub fn new(caller: IpAddr, method: &str, host: &str, target: &str) -> Self {
-        let caller = caller.to_canonical().to_string();
-        Self(digest([&*caller, method, host, target]))
+    pub fn new(caller: &str, method: &str, host: &str, target: &str) -> Self {
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
+        Self {
+            path: digest([host, path]),
+            sender: digest([caller, method, query]).max(ALL + 1),
+        }
     }
 }
 
-/// Names a request by its head and body.
+/// Names a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Fingerprint {
-    /// Of all but the body.
-    pub head: Head,
+    /// Of host and path.
+    pub path: u64,
     /// Of the body.
     pub body: u64,
+    /// Of caller, method and query; 0 for whatever these are.
+    pub sender: u64,
 }
 
 impl Fingerprint {
@@ -39,15 +52,32 @@
             hash.update(part);
         }
         Self {
-            head,
+            path: head.path,
             body: hash.digest(),
+            sender: head.sender,
+        }
+    }
+
+    /// Whether it stands for all senders.
+    #[must_use]
+    pub fn is_of_all(self) -> bool {
+        self.sender == ALL
+    }
+
+    /// The same request of all senders.
+    #[must_use]
+    pub fn of_all(self) -> Self {
+        Self {
+            sender: ALL,
+            ..self
         }
     }
 }
 
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}{:016x}", self.head.0, self.body)
+        let Self { path, body, sender } = self;
+        write!(f, "{path:016x}-{body:016x}-{sender:016x}")
     }
 }
 
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -5,6 +5,7 @@
 //! process that sends requests has one in its [`Quarantine`], beside what it has to tell the
 //! hubs, and each hub has one for the crashes of all.
 
+pub mod answered;
 pub mod convert;
 pub mod fingerprint;
 pub mod quarantine;
@@ -18,5 +19,6 @@
 pub use tracker::Crash;
 pub use tracker::Life;
 pub use tracker::Outcome;
+pub use tracker::Revision;
 pub use tracker::Suspect;
 pub use tracker::Tracker;
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -10,6 +10,7 @@
 
 use base::prelude::*;
 
+use crate::answered::Answered;
 use crate::fingerprint::Fingerprint;
 use crate::fingerprint::Head;
 use crate::tracker::Crash;
@@ -17,6 +18,7 @@
 use crate::tracker::Suspect;
 use crate::tracker::Tracker;
 use crate::tracker::WINDOW;
+use crate::tracker::all_of;
 
 /// How long it is worth telling that a request has succeeded.
 const ACQUITTAL: Duration = Duration::from_secs(10);
@@ -45,6 +47,7 @@
     tracker: Tracker,
     /// Requests that hubs suspect, and since when they say so.
     suspected: BTreeMap<Fingerprint, Moment>,
+    answered: Answered,
     news: VecDeque<News>,
     number: u64,
 }
@@ -56,17 +59,23 @@
         self.tracker.refused(now, request)
     }
 
-    /// Whether anything is known of a request with this head; else nothing that becomes of
-    /// it needs to be noted.
+    /// Whether anything is known of requests for this path; else none is refused.
     #[must_use]
     pub fn concerns(&self, head: Head) -> bool {
-        let [first, last] = [0, u64::MAX].map(|body| Fingerprint { head, body });
-        self.tracker.concerns(head) || self.suspected.range(first..=last).next().is_some()
+        let suspected = self.suspected.range(all_of(head)).next();
+        self.tracker.concerns(head) || suspected.is_some()
     }
 
     /// Takes that an instance crashed while it ran a request of this process. Gives the number
     /// under which that is told.
     pub fn crashed(&mut self, now: Moment, crash: Crash) -> (u64, Outcome) {
+        if self.answered.contains(now, crash.request) {
+            return (self.number, Outcome::Answered);
+        }
+        let crash = Crash {
+            answered: self.answered.contains(now, crash.request.of_all()),
+            ..crash
+        };
         let outcome = self.tracker.crashed(now, &crash);
         (self.tell(now, Event::Crashed(crash)), outcome)
     }
@@ -74,7 +83,9 @@
     /// Takes that an instance has answered a request of this process. Gives whether it was
     /// suspected.
     pub fn succeeded(&mut self, now: Moment, request: Fingerprint) -> bool {
-        let suspected = self.suspected.remove(&request).is_some();
+        self.answered.note(now, request);
+        let one = self.suspected.remove(&request).is_some();
+        let suspected = self.suspected.remove(&request.of_all()).is_some() || one;
         if !self.tracker.succeeded(now, request) && !suspected {
             return false;
         }
--- a/crates/quarantine/src/tracker.rs
+++ b/crates/quarantine/src/tracker.rs
@@ -4,9 +4,13 @@
 //! them. A request is refused once several instances have crashed under it and it has
 //! succeeded nowhere. Where the service's instances crash without it more often than with
 //! it, something else is at work, and more crashes are asked for.
+//!
+//! One sender's request is counted by itself, and together with what others send for the same
+//! path with the same body: a caller may come again from another address.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use base::prelude::*;
@@ -18,6 +22,9 @@
 pub const CRASHES: usize = 3;
 /// The same where the service's instances crash more often without it.
 pub const CRASHES_AMONG_OTHERS: usize = 4;
+/// Crashes after which a request is refused to all its senders, whoever comes next: one more
+/// than where it is one sender's alone, of whose third crash others may tell first.
+pub const CRASHES_OF_ALL: usize = 4;
 /// Crashes from which on a request is told to all, so that a success anywhere acquits it.
 pub const SUSPECT: usize = 2;
 /// How long a crash counts.
@@ -56,6 +63,8 @@
     pub life: Life,
     /// When it crashed.
     pub at: Moment,
+    /// Somebody got an answer for the same path and body lately.
+    pub answered: bool,
 }
 
 /// What a crash led to.
@@ -63,6 +72,8 @@
 pub enum Outcome {
     /// It was known.
     Known,
+    /// An instance has answered the request lately, so something else was the cause.
+    Answered,
     /// So many instances have crashed under the request, and so many others without it.
     Counted {
         /// Under the request.
@@ -88,10 +99,11 @@
     pub refused: Duration,
 }
 
-/// What is known of one request.
+/// What is known of one request, or of the same one of all senders.
 #[derive(Clone, Debug, Default)]
 struct Record {
-    lives: BTreeSet<Life>,
+    /// The instances that crashed under it, each with its senders.
+    lives: BTreeMap<Life, BTreeSet<u64>>,
     /// When it last crashed an instance.
     last: Moment,
     /// How often it was refused.
@@ -113,6 +125,13 @@
         now.since(self.last.max(self.until)) < WINDOW
     }
 
+    /// Takes a crash; gives whether it is news.
+    fn note(&mut self, crash: &Crash) -> bool {
+        self.last = self.last.max(crash.at);
+        let senders = self.lives.entry(crash.life.clone()).or_default();
+        senders.insert(crash.request.sender)
+    }
+
     fn refuse(&mut self, now: Moment) -> Duration {
         let span = REFUSAL.saturating_mul(1_u32.checked_shl(self.refusals).unwrap_or(u32::MAX));
         let span = span.min(MOST_REFUSAL);
@@ -122,72 +141,132 @@
     }
 }
 
+/// Numbers the changes of what is told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Revision {
+    /// Of the newest change.
+    pub newest: u64,
+    /// Of the newest refusal.
+    pub refusal: u64,
+}
+
+impl Revision {
+    fn rise(&mut self, refused: bool) {
+        self.newest += 1;
+        if refused {
+            self.refusal = self.newest;
+        }
+    }
+}
+
 /// Counts crashes and refuses requests.
 #[derive(Clone, Debug, Default)]
 pub struct Tracker {
     records: BTreeMap<Fingerprint, Record>,
     crashes: BTreeMap<Life, (ServiceName, Moment)>,
-    revision: u64,
+    revision: Revision,
 }
 
 impl Tracker {
     /// Rises with each change of what is told.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
     /// Takes that an instance crashed while it ran a request.
     pub fn crashed(&mut self, now: Moment, crash: &Crash) -> Outcome {
         self.forget(now);
-        self.crashes
-            .insert(crash.life.clone(), (crash.service.clone(), crash.at));
-        let record = self.records.entry(crash.request).or_default();
-        if !record.lives.insert(crash.life.clone()) {
+        let told = (crash.service.clone(), crash.at);
+        self.crashes.insert(crash.life.clone(), told);
+        if !self.records.entry(crash.request).or_default().note(crash) {
             return Outcome::Known;
         }
-        record.last = record.last.max(crash.at);
-        let record = record.clone();
-        let crashes = record.lives.len();
-        let others = self.others(&crash.service, &record);
+        let outcome = self.judge(now, crash, crash.request);
+        let all = crash.request.of_all();
+        if crash.answered {
+            self.records.remove(&all);
+            return outcome;
+        }
+        self.records.entry(all).or_default().note(crash);
+        if matches!(outcome, Outcome::Refused { .. }) {
+            return outcome;
+        }
+        match self.judge(now, crash, all) {
+            refused @ Outcome::Refused { .. } => refused,
+            _ => outcome,
+        }
+    }
+
+    /// Refuses `request`, which `crash` counts for, if that is due.
+    fn judge(&mut self, now: Moment, crash: &Crash, request: Fingerprint) -> Outcome {
+        let lives = self.counted(request);
+        let crashes = lives.len();
+        let others = self.others(&crash.service, &lives);
+        let record = self.records.entry(request).or_default();
         // One that was sent before the refusal tells nothing new.
         let again = record.refusals > 0 && crash.at >= record.until;
-        let due = record.refusals == 0 && crashes >= needed(crashes, others);
-        let outcome = if again || due {
-            let record = self.records.entry(crash.request).or_default();
-            let span = record.refuse(now);
-            Outcome::Refused { crashes, span }
+        let needed = if request.is_of_all() {
+            CRASHES_OF_ALL
+        } else if others > crashes {
+            CRASHES_AMONG_OTHERS
         } else {
-            Outcome::Counted { crashes, others }
+            CRASHES
         };
-        if crashes >= SUSPECT || again {
-            self.revision += 1;
+        if again || (record.refusals == 0 && crashes >= needed) {
+            self.revision.rise(true);
+            let span = record.refuse(now);
+            return Outcome::Refused { crashes, span };
         }
-        outcome
+        if crashes >= SUSPECT {
+            self.revision.rise(false);
+        }
+        Outcome::Counted { crashes, others }
+    }
+
+    /// The instances that speak against a request. Where it is that of all senders, one that is
+    /// refused by itself is the cause alone.
+    fn counted(&self, request: Fingerprint) -> BTreeSet<Life> {
+        let Some(record) = self.records.get(&request) else {
+            return BTreeSet::new();
+        };
+        let alone = |sender: u64| {
+            let one = Fingerprint { sender, ..request };
+            request.is_of_all() && self.records.get(&one).is_some_and(|r| r.refusals > 0)
+        };
+        let counts = |by: &BTreeSet<u64>| by.iter().any(|sender| !alone(*sender));
+        let lives = record.lives.iter().filter(|(_, by)| counts(by));
+        lives.map(|(life, _)| life.clone()).collect()
     }
 
-    /// Instances of the service that crashed without the request, from shortly before the
-    /// first that crashed under it.
-    fn others(&self, service: &ServiceName, record: &Record) -> usize {
+    /// Instances of the service that crashed beside `lives`, from shortly before the first of
+    /// these on.
+    fn others(&self, service: &ServiceName, lives: &BTreeSet<Life>) -> usize {
         let at = |life: &Life| self.crashes.get(life).map(|(_, at)| *at);
-        let first = record.lives.iter().filter_map(at).min();
+        let first = lives.iter().filter_map(at).min();
         let Some(from) = first.map(|first| first.before(PRELUDE)) else {
             return 0;
         };
-        let others = self.crashes.iter().filter(|(life, (of, at))| {
-            of == service && *at >= from && !record.lives.contains(*life)
-        });
+        let others = self
+            .crashes
+            .iter()
+            .filter(|(life, (of, at))| of == service && *at >= from && !lives.contains(*life));
         others.count()
     }
 
     /// Takes that an instance has answered a request: whatever crashed before, it wasn't the
-    /// request. Gives whether that is news.
+    /// request, nor what all its senders ask for. Gives whether that is news.
     pub fn succeeded(&mut self, now: Moment, request: Fingerprint) -> bool {
-        let Some(record) = self.records.remove(&request) else {
-            return false;
-        };
-        self.revision += u64::from(record.is_told(now));
-        true
+        let mut news = false;
+        for request in [request, request.of_all()] {
+            if let Some(record) = self.records.remove(&request) {
+                if record.is_told(now) {
+                    self.revision.rise(false);
+                }
+                news = true;
+            }
+        }
+        news
     }
 
     /// Takes that another process refuses a request, for so long. Gives whether that is
@@ -198,22 +277,25 @@
         // Messages take time, and each process counts for itself.
         record.until = record.until.max(now + left.min(MOST_REFUSAL));
         record.refusals = record.refusals.max(1);
-        self.revision += u64::from(news);
+        if news {
+            self.revision.rise(true);
+        }
         news
     }
 
     /// How much longer a request is refused, if it is.
     #[must_use]
     pub fn refused(&self, now: Moment, request: Fingerprint) -> Option<Duration> {
-        let record = self.records.get(&request)?;
-        record.is_refused(now).then(|| record.until.since(now))
+        let records = [request, request.of_all()].map(|request| self.records.get(&request));
+        let until = records.into_iter().flatten().map(|record| record.until);
+        let until = until.max().filter(|until| now < *until)?;
+        Some(until.since(now))
     }
 
-    /// Whether anything is known of a request with this head.
+    /// Whether anything is known of requests for this path.
     #[must_use]
     pub fn concerns(&self, head: Head) -> bool {
-        let [first, last] = [0, u64::MAX].map(|body| Fingerprint { head, body });
-        self.records.range(first..=last).next().is_some()
+        self.records.range(all_of(head)).next().is_some()
     }
 
     /// What others are told: the requests that are refused first.
@@ -235,25 +317,29 @@
     pub fn forget(&mut self, now: Moment) {
         self.records.retain(|_, record| record.is_kept(now));
         self.crashes.retain(|_, (_, at)| now.since(*at) < WINDOW);
-        if self.records.len() >= MOST_REQUESTS {
+        while self.records.len() >= MOST_REQUESTS {
             let oldest = self.records.iter().min_by_key(|(_, r)| r.last.max(r.until));
-            if let Some(request) = oldest.map(|(request, _)| *request) {
-                self.records.remove(&request);
-            }
+            let Some(request) = oldest.map(|(request, _)| *request) else {
+                return;
+            };
+            self.records.remove(&request);
         }
-        if self.crashes.len() >= MOST_CRASHES {
+        while self.crashes.len() >= MOST_CRASHES {
             let oldest = self.crashes.iter().min_by_key(|(_, (_, at))| *at);
-            if let Some(life) = oldest.map(|(life, _)| life.clone()) {
-                self.crashes.remove(&life);
-            }
+            let Some(life) = oldest.map(|(life, _)| life.clone()) else {
+                return;
+            };
+            self.crashes.remove(&life);
         }
     }
 }
 
-fn needed(crashes: usize, others: usize) -> usize {
-    if others > crashes {
-        CRASHES_AMONG_OTHERS
-    } else {
-        CRASHES
-    }
+/// The requests for one path.
+pub(crate) fn all_of(head: Head) -> RangeInclusive<Fingerprint> {
+    let [first, last] = [0, u64::MAX].map(|rest| Fingerprint {
+        path: head.path,
+        body: rest,
+        sender: rest,
+    });
+    first..=last
 }
--- a/crates/quarantine/tests/common/mod.rs
+++ b/crates/quarantine/tests/common/mod.rs
@@ -1,16 +1,25 @@
 //! Requests, moments and crashes by name and number.
 
-use std::net::IpAddr;
-
 use base::prelude::*;
 use quarantine::Crash;
 use quarantine::Fingerprint;
 use quarantine::Head;
 use quarantine::Life;
 
+pub fn head(name: &str) -> Head {
+    Head::new("caller", "GET", "example.org", name)
+}
+
 pub fn request(name: &str) -> Fingerprint {
-    let caller = IpAddr::from([127, 0, 0, 1]);
-    Fingerprint::new(Head::new(caller, "GET", "example.org", name), [])
+    Fingerprint::new(head(name), [])
+}
+
+/// The same request of another sender.
+pub fn request_of(name: &str, caller: u8) -> Fingerprint {
+    Fingerprint::new(
+        Head::new(&caller.to_string(), "GET", "example.org", name),
+        [],
+    )
 }
 
 pub fn at(seconds: u64) -> Moment {
@@ -26,5 +35,6 @@
             incarnation: 0,
         },
         at: at(seconds),
+        answered: false,
     }
 }
--- a/crates/quarantine/tests/test_fingerprint.rs
+++ b/crates/quarantine/tests/test_fingerprint.rs
@@ -1,11 +1,9 @@
 //! Which requests are taken for the same.
 
-use std::net::IpAddr;
-
 use quarantine::Fingerprint;
 use quarantine::Head;
 
-const CALLER: IpAddr = IpAddr::V4(std::net::Ipv4Addr::new(127, 0, 0, 9));
+const CALLER: &str = "caller";
 
 fn print(head: [&str; 3], body: &[&[u8]]) -> Fingerprint {
     let [method, host, target] = head;
@@ -33,10 +31,20 @@
 
 #[test]
 fn test_fingerprint_of_another_caller_is_another() {
-    let head = |last| {
-        let caller = IpAddr::from([127, 0, 0, last]);
-        Head::new(caller, "GET", "example.org", "/a")
-    };
-    assert_eq!(head(1), head(1));
-    assert_ne!(head(1), head(2));
+    let head = |caller| Head::new(caller, "GET", "example.org", "/a");
+    assert_eq!(head("a"), head("a"));
+    assert_ne!(head("a"), head("b"));
+    assert_eq!(head("a").path, head("b").path);
+}
+
+/// A caller comes again from another address, or with another query.
+#[test]
+fn test_fingerprint_of_all_senders_is_of_host_path_and_body() {
+    let of = |head| print(head, &[b"body"]).of_all();
+    let all = of(["GET", "example.org", "/a?b=c"]);
+    assert_eq!(all, of(["PUT", "example.org", "/a"]));
+    assert_ne!(all, of(["GET", "example.org", "/b?b=c"]));
+    assert_ne!(all, of(["GET", "example.com", "/a?b=c"]));
+    let other = print(["GET", "example.org", "/a?b=c"], &[b"other"]);
+    assert_ne!(all, other.of_all());
 }
--- a/crates/quarantine/tests/test_quarantine.rs
+++ b/crates/quarantine/tests/test_quarantine.rs
@@ -6,8 +6,11 @@
 
 use common::at;
 use common::crash;
+use common::head;
 use common::request;
+use common::request_of;
 use quarantine::Event;
+use quarantine::Outcome;
 use quarantine::Quarantine;
 use quarantine::Suspect;
 
@@ -54,17 +57,47 @@
     assert!(held.since(held.newest()).is_empty());
 }
 
+/// Many callers ask for the same here, and get it: a crash beside them isn't theirs.
+#[test]
+fn test_quarantine_tells_whether_the_path_was_answered() {
+    let mut held = Quarantine::default();
+    assert!(!held.succeeded(at(0), request_of("popular", 9)));
+    held.crashed(at(0), crash("popular", 1, 0));
+    held.crashed(at(0), crash("new", 1, 0));
+    let answered = held.since(0).into_iter().map(|event| match event {
+        Event::Crashed(crash) => crash.answered,
+        Event::Succeeded(_) => panic!("nobody is suspected"),
+    });
+    assert_eq!(answered.collect::<Vec<_>>(), [true, false]);
+}
+
+/// Crashes come so fast one after the other that no hub has told of the first ones yet.
+#[test]
+fn test_quarantine_request_that_was_answered_lately_is_not_counted() {
+    let mut held = Quarantine::default();
+    held.succeeded(at(0), request("good"));
+    for instance in 1..=10 {
+        let (number, outcome) = held.crashed(at(1), crash("good", instance, 1));
+        assert_eq!((number, outcome), (0, Outcome::Answered));
+    }
+    // What changed since may have made it crash.
+    for instance in 11..=13 {
+        held.crashed(at(61), crash("good", instance, 61));
+    }
+    assert!(held.refused(at(61), request("good")).is_some());
+}
+
 /// A hub suspects a request by what other processes told; it is answered here.
 #[test]
 fn test_quarantine_acquits_what_was_answered() {
     let mut held = Quarantine::default();
     held.crashed(at(0), crash("own", 1, 0));
     held.take(at(0), &[suspect("other", 0)]);
-    assert!(held.concerns(request("other").head));
+    assert!(held.concerns(head("other")));
     assert!(held.succeeded(at(1), request("own")));
     assert!(held.succeeded(at(1), request("other")));
     assert!(!held.succeeded(at(1), request("other")));
-    assert!(!held.concerns(request("other").head));
+    assert!(!held.concerns(head("other")));
     // A hub that is told everything again doesn't hear of the crash.
     let answered = ["own", "other"].map(|name| Event::Succeeded(request(name)));
     assert_eq!(held.since(0), answered);
--- a/crates/quarantine/tests/test_tracker.rs
+++ b/crates/quarantine/tests/test_tracker.rs
@@ -8,12 +8,17 @@
 use base::prelude::*;
 use common::at;
 use common::crash;
+use common::head;
 use common::request;
+use common::request_of;
+use quarantine::Crash;
+use quarantine::Fingerprint;
 use quarantine::Outcome;
 use quarantine::Suspect;
 use quarantine::Tracker;
 use quarantine::tracker::CRASHES;
 use quarantine::tracker::CRASHES_AMONG_OTHERS;
+use quarantine::tracker::CRASHES_OF_ALL;
 use quarantine::tracker::MOST_REFUSAL;
 use quarantine::tracker::REFUSAL;
 use quarantine::tracker::WINDOW;
@@ -44,8 +49,8 @@
     assert_eq!(outcome, refused);
     assert!(is_refused(&tracker, "bad", 4));
     assert!(!is_refused(&tracker, "good", 4));
-    assert!(tracker.concerns(request("bad").head));
-    assert!(!tracker.concerns(request("good").head));
+    assert!(tracker.concerns(head("bad")));
+    assert!(!tracker.concerns(head("good")));
 }
 
 /// Copies of a request run at one instance, and each process that had one tells of it.
@@ -180,12 +185,86 @@
         tell(&mut tracker, "bad", instance, 0);
     }
     let told = tracker.suspects(at(0));
-    let expected = [("bad", REFUSAL), ("suspect", Duration::ZERO)];
-    let expected = expected.map(|(name, refused)| Suspect {
-        request: request(name),
-        refused,
-    });
-    assert_eq!(told, expected);
+    let bad = Suspect {
+        request: request("bad"),
+        refused: REFUSAL,
+    };
+    assert_eq!(told[0], bad);
+    let others: BTreeSet<Fingerprint> = told[1..].iter().map(|s| s.request).collect();
+    assert!(told[1..].iter().all(|s| s.refused.is_zero()));
+    let (bad, suspect) = (request("bad"), request("suspect"));
+    assert_eq!(others, [bad.of_all(), suspect, suspect.of_all()].into());
+}
+
+/// Tells of a crash under a request of one of several senders.
+fn tell_of(tracker: &mut Tracker, name: &str, caller: u8, instance: u64) -> Outcome {
+    let crash = Crash {
+        request: request_of(name, caller),
+        ..crash(name, instance, 0)
+    };
+    tracker.crashed(at(0), &crash)
+}
+
+fn is_refused_to(tracker: &Tracker, name: &str, caller: u8) -> bool {
+    tracker.refused(at(0), request_of(name, caller)).is_some()
+}
+
+/// A caller comes again from another address each time.
+#[test]
+fn test_tracker_request_of_changing_senders_is_refused_to_all() {
+    let mut tracker = Tracker::default();
+    for (caller, instance) in (11_u8..).zip(0..CRASHES_OF_ALL as u64) {
+        assert!(!is_refused_to(&tracker, "bad", 99));
+        tell_of(&mut tracker, "bad", caller, instance);
+    }
+    assert!(is_refused_to(&tracker, "bad", 99));
+    assert!(!is_refused_to(&tracker, "good", 99));
+}
+
+/// Another sender's request for the same path runs beside it, twice, and isn't the cause.
+#[test]
+fn test_tracker_request_of_one_sender_is_refused_to_it_alone() {
+    let mut tracker = Tracker::default();
+    for instance in 1..=3 {
+        if instance > 1 {
+            tell_of(&mut tracker, "same", 2, instance);
+        }
+        tell_of(&mut tracker, "same", 1, instance);
+    }
+    assert!(is_refused_to(&tracker, "same", 1));
+    assert!(!is_refused_to(&tracker, "same", 2));
+    assert!(!is_refused_to(&tracker, "same", 3));
+    // What it had sent before crashes one more, under another's as well.
+    tell_of(&mut tracker, "same", 1, 4);
+    tell_of(&mut tracker, "same", 3, 4);
+    assert!(!is_refused_to(&tracker, "same", 3));
+}
+
+/// Many callers ask for the same, and a failure domain goes.
+#[test]
+fn test_tracker_path_that_was_answered_lately_is_not_refused_to_all() {
+    let mut tracker = Tracker::default();
+    for number in 1..=8 {
+        let crash = Crash {
+            request: request_of("popular", number),
+            answered: number % 3 == 0,
+            ..crash("popular", number.into(), 0)
+        };
+        tracker.crashed(at(0), &crash);
+        assert!(!is_refused_to(&tracker, "popular", 99));
+    }
+}
+
+/// One sender's answer says nothing of what another one's request does.
+#[test]
+fn test_tracker_answer_acquits_its_own_sender_only() {
+    let mut tracker = Tracker::default();
+    for instance in 1..=3 {
+        tell_of(&mut tracker, "same", 1, instance);
+        tracker.succeeded(at(0), request_of("same", 2));
+    }
+    assert!(is_refused_to(&tracker, "same", 1));
+    assert!(!is_refused_to(&tracker, "same", 2));
 }
 
 quickcheck! {
--- a/crates/testutils/tests/test_crash.rs
+++ b/crates/testutils/tests/test_crash.rs
@@ -41,13 +41,22 @@
     ended.filter(|ended| *ended).count()
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn test_crash_request_that_crashes_instances_is_refused_by_every_entry_process() {
+/// Sends one request after the other, by way of all entry processes. The first two reach
+/// instances; once every process knows, none of the others does.
+async fn refused_everywhere(asks: Vec<Ask>) {
     let (fleet, mut upstreams) = start().await;
-    for number in 0..12 {
-        let ask = Ask::get(STATUS, CRASH).at(HOST);
-        let reply = fleet.call(number % ENTRIES, &ask).await;
-        assert!(matches!(reply.status, 502 | 503), "{reply:?}");
+    for (number, ask) in asks.iter().enumerate() {
+        let reply = fleet.call(number % ENTRIES, ask).await;
+        if number < 2 {
+            assert_eq!(reply.status, 502, "{reply:?}");
+        } else {
+            assert_eq!((reply.status, &*reply.body), (503, "quarantined"));
+        }
+        if number == 1 {
+            for process in fleet.entries.iter().flatten() {
+                process.wait_line(is_refusal).await.unwrap();
+            }
+        }
     }
     let ended = crashed(&mut upstreams);
     assert!(ended <= ALLOWED, "{ended} of {INSTANCES} instances crashed");
@@ -58,6 +67,27 @@
     }
 }
 
+fn is_refusal(line: &str) -> bool {
+    field(line, "msg") == Some("quarantine")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_crash_request_that_crashes_instances_is_refused_by_every_entry_process() {
+    let ask = Ask::get(STATUS, CRASH).at(HOST);
+    refused_everywhere(vec![ask; 12]).await;
+}
+
+/// Each time another caller sends it, with another query.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_crash_request_of_changing_callers_is_refused_by_every_entry_process() {
+    let callers = ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"];
+    let asks = callers.into_iter().map(|caller| Ask {
+        caller,
+        ..Ask::get(STATUS, &format!("{CRASH}?try={caller}")).at(HOST)
+    });
+    refused_everywhere(asks.collect()).await;
+}
+
 /// Under each of several requests two instances crash, and one more request is under
 /// all of them again and again.
 #[tokio::test(flavor = "multi_thread")]
@@ -76,7 +106,9 @@
     assert!(crashed(&mut upstreams) <= INSTANCES - 2);
     for index in 0..ENTRIES {
         let ask = Ask::get(STATUS, "/read/same").at(HOST);
-        assert!(fleet.call(index, &ask).await.is_ok());
+        wait("answer", async || fleet.call(index, &ask).await.is_ok())
+            .await
+            .unwrap();
     }
 }
 
@@ -101,11 +133,10 @@
     }
     fleet.entries[2].take().unwrap().kill().await.unwrap();
     fleet.entries[2] = Some(fleet.new_entry(2).await.unwrap());
-    let told = |line: &str| field(line, "msg") == Some("quarantine");
     fleet.entries[2]
         .as_ref()
         .unwrap()
-        .wait_line(told)
+        .wait_line(is_refusal)
         .await
         .unwrap();
     let before = crashed(&mut upstreams);
