entry: an instance that is ending and still takes a connection has crashed

A process that ends closes what it has in any order: the connection of the attempt first, the listener later.

A connection that comes about is now watched for 100 ms; if it ends by then, the instance is asked once more. A retry doesn't wait for that. Red before: test_crash_instance_that_ends_while_it_takes_connections_crashed (left: Runs, right: Crashed).

--- a/crates/entry/src/crash.rs
+++ b/crates/entry/src/crash.rs
@@ -23,6 +23,8 @@
 use crate::pool::ConnectError;
 use crate::view::Upstream;
 
+/// How long an instance that takes a connection may still be ending.
+const SETTLE: Duration = Duration::from_millis(100);
 /// Longest wait for a hub's answer.
 const TOLD: Duration = Duration::from_secs(1);
 
@@ -136,12 +138,20 @@
     if !core.is_ready_instance(upstream) {
         return Fate::Leaves;
     }
+    let connection = match upstream.pool.connect().await {
+        Ok(connection) => connection,
+        Err(err) => return failed(&err),
+    };
+    *tell = None;
+    // A process that ends closes what it has in any order, and a connection that still came
+    // about ends with it.
+    tokio::time::sleep(SETTLE).await;
+    if !connection.sender.is_closed() {
+        upstream.pool.keep(connection, None);
+        return Fate::Runs;
+    }
     match upstream.pool.connect().await {
-        Ok(connection) => {
-            *tell = None;
-            upstream.pool.keep(connection, None);
-            Fate::Runs
-        }
+        Ok(_) => Fate::Runs,
         Err(err) => failed(&err),
     }
 }
--- a/crates/entry/tests/test_crash.rs
+++ b/crates/entry/tests/test_crash.rs
@@ -18,6 +18,7 @@
 use fakes::upstream::Manner;
 use fakes::upstream::Upstream;
 use quarantine::Head;
+use tokio::net::TcpListener;
 use tokio::time::Instant;
 use wire::hub::Instance;
 use wire::hub::Phase;
@@ -68,6 +69,22 @@
     assert_eq!(fate(&entry, broken).await, Fate::Crashed);
 }
 
+/// Its process is ending: the listener still takes connections, and closes after them.
+#[tokio::test]
+async fn test_crash_instance_that_ends_while_it_takes_connections_crashed() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let mut upstream = Upstream::start("i-1", Manner::Close).await;
+    upstream.address = listener.local_addr().expect("an address");
+    let entry = entry(&[&upstream]).await;
+    let looking = fate(&entry, broken(&upstream));
+    let ending = async {
+        let taken = listener.accept().await;
+        drop((taken, listener));
+    };
+    let (fate, ()) = tokio::join!(looking, ending);
+    assert_eq!(fate, Fate::Crashed);
+}
+
 #[tokio::test]
 async fn test_crash_instance_that_leaves_did_not_crash() {
     let upstream = Upstream::start("i-1", Manner::Close).await;
