testutils: gateways send a request on that crashes instances, red

The incident's cause looked for elsewhere: rwr-gateway, whose requests name a service, knows nothing of what a request did before either. Not mended: its processes meet at directories and not at hubs, so how crashes are told is another design.

--- a/crates/testutils/tests/test_crash.rs
+++ b/crates/testutils/tests/test_crash.rs
@@ -2,9 +2,12 @@
 
 use futures::future::join_all;
 use testutils::Ask;
+use testutils::Caller;
 use testutils::Fleet;
+use testutils::System;
 use testutils::Upstream;
 use testutils::process::field;
+use testutils::services;
 use testutils::system::wait;
 use testutils::tables;
 use testutils::tables::HOST;
@@ -144,3 +147,22 @@
     assert_eq!((reply.status, &*reply.body), (503, "quarantined"));
     assert_eq!(crashed(&mut upstreams), before);
 }
+
+/// The same by way of gateways, whose requests name a service in place of a path.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_crash_request_that_crashes_instances_is_refused_by_every_gateway() {
+    let mut system = System::start(1, 2, &services::all()).await.unwrap();
+    let mut upstreams = vec![];
+    for number in 0..INSTANCES {
+        let mut settings = system.plan.standin(services::STATUS, number);
+        settings.crash = Some(CRASH.into());
+        upstreams.push(system.start_upstream(&settings).await.unwrap());
+    }
+    for number in 0..12 {
+        let ask = Ask::get(services::STATUS, CRASH);
+        let reply = Caller::new().call(system.gateway(number % 2), &ask).await;
+        assert!(matches!(reply.status, 502 | 503), "{reply:?}");
+    }
+    let ended = crashed(&mut upstreams);
+    assert!(ended <= ALLOWED, "{ended} of {INSTANCES} instances crashed");
+}
