soak: a request that crashes the upstreams that run it

Four more upstreams, processes without proxies, end on one path; a caller asks for it all the time, by way of all entry processes, while processes and hubs are killed, frozen and restarted. Callers of other paths must never get 'quarantined', though upstreams are killed under them as well; at the end, on the restored system, six crashes are allowed: three until it is known where all who knew were lost, and three more.

--- a/crates/soak/src/calls.rs
+++ b/crates/soak/src/calls.rs
@@ -11,8 +11,13 @@
 use testutils::Ask;
 use testutils::Caller;
 use testutils::Reply;
+use testutils::tables::CRASH;
+use testutils::tables::FRAGILE;
 use testutils::tables::GRANTS;
 use testutils::tables::HOST;
+use testutils::tables::LOOKUPS;
+use testutils::tables::ONCE;
+use testutils::tables::READ;
 use testutils::tables::STATUS;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -23,6 +28,8 @@
 const DEADLINE: Duration = Duration::from_secs(2);
 /// A caller leaves after this, answer or not.
 const PATIENCE: Duration = Duration::from_secs(4);
+/// Pause between two calls for what crashes instances.
+const CRASH_PAUSE: Duration = Duration::from_millis(150);
 /// Pause between two calls of one caller.
 const PAUSE: Duration = Duration::from_millis(8);
 
@@ -68,6 +75,17 @@
                 }
             });
         }
+        let (fronts, stopped) = (Arc::clone(&fronts), stop.clone());
+        tasks.spawn(async move {
+            for front in fronts.iter().cycle() {
+                if stopped.is_cancelled() {
+                    return;
+                }
+                // Whatever it gets is right: it has no answer.
+                crash(*front).await;
+                tokio::time::sleep(CRASH_PAUSE).await;
+            }
+        });
         Self { stop, tasks, calls }
     }
 
@@ -82,11 +100,19 @@
 
 async fn call(fronts: &[SocketAddr], number: u64) -> Call {
     let once = number.is_multiple_of(2);
-    let path = format!("/{}/{number}", if once { "once" } else { "read" });
-    let ask = if once {
-        Ask::post(GRANTS, &path, "block 7")
-    } else {
-        Ask::get(STATUS, &path)
+    let (path, ask) = match number % 4 {
+        1 => {
+            let path = format!("{FRAGILE}{number}");
+            (path.clone(), Ask::get(LOOKUPS, &path))
+        }
+        3 => {
+            let path = format!("{READ}{number}");
+            (path.clone(), Ask::get(STATUS, &path))
+        }
+        _ => {
+            let path = format!("{ONCE}{number}");
+            (path.clone(), Ask::post(GRANTS, &path, "block 7"))
+        }
     };
     let ask = ask.at(HOST).within(DEADLINE);
     let turn = usize::try_from(number / 2).unwrap_or(0) % fronts.len();
@@ -97,3 +123,10 @@
         reply: reply.ok(),
     }
 }
+
+/// Sends the request that crashes what runs it.
+pub async fn crash(front: SocketAddr) {
+    let ask = Ask::get(LOOKUPS, CRASH).at(HOST).within(DEADLINE);
+    // A caller may leave before an answer comes.
+    let _ = tokio::time::timeout(PATIENCE, Caller::new().call(front, &ask)).await;
+}
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 
 use testutils::Reply;
+use testutils::tables::FRAGILE;
 
 use crate::calls::Call;
 use crate::world::World;
@@ -11,6 +12,9 @@
 /// Statuses by which the system promises that the request has not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
+/// What the system says of a request that it refuses as it crashes instances.
+const QUARANTINED: &str = "quarantined";
+
 /// What a run showed.
 #[derive(Clone, Debug, Default)]
 pub struct Verdict {
@@ -45,9 +49,9 @@
     }
 }
 
-/// Judges what callers got against what truly ran.
+/// Judges what callers got against what truly ran; `crashed` is what the end showed.
 #[must_use]
-pub fn judge(world: &World, calls: &[Call]) -> Verdict {
+pub fn judge(world: &World, calls: &[Call], crashed: Option<String>) -> Verdict {
     let mut ran: HashMap<String, usize> = HashMap::new();
     for run in world.runs() {
         *ran.entry(run.path).or_default() += 1;
@@ -65,6 +69,7 @@
         }
     }
     verdict.broken.extend(world.backward_tables());
+    verdict.broken.extend(crashed);
     verdict
 }
 
@@ -81,9 +86,14 @@
             reply.status
         ));
     }
+    if reply.body == QUARANTINED {
+        return Some(format!("{path} was refused for another's crashes"));
+    }
     if !reply.is_ok() {
         return None;
     }
     let own = reply.receipt().is_some_and(|receipt| receipt.path == *path);
-    (!own || count == 0).then(|| format!("{path} got another's answer: {reply:?}"))
+    // What an upstream has run that has crashed since isn't known.
+    let lost = path.starts_with(FRAGILE);
+    (!own || (count == 0 && !lost)).then(|| format!("{path} got another's answer: {reply:?}"))
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -80,5 +80,6 @@
     }
     world.restore().await?;
     let calls = callers.stop().await;
-    Ok(judge::judge(&world, &calls))
+    let crashed = world.crash().await?;
+    Ok(judge::judge(&world, &calls, crashed))
 }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -16,14 +16,18 @@
 use testutils::Fleet;
 use testutils::Host;
 use testutils::Process;
+use testutils::Upstream;
 use testutils::process::field;
 use testutils::system::wait;
 use testutils::tables;
+use testutils::tables::CRASH;
 use testutils::tables::GRANTS;
 use testutils::tables::HOST;
+use testutils::tables::LOOKUPS;
 use testutils::tables::STATUS;
 
 use crate::SoakError;
+use crate::calls;
 use crate::proxy::Mode;
 use crate::proxy::Proxy;
 
@@ -33,6 +37,13 @@
 const ENTRIES: usize = 2;
 /// Upstreams of each service.
 const UPSTREAMS: usize = 2;
+/// Upstreams that a request crashes.
+const CRASHERS: usize = 4;
+/// Calls for what crashes them, once all is restored.
+const CRASH_CALLS: usize = 10;
+/// Crashes that may still come then: three, as every process that knew of those before may have
+/// been lost, and three more that were sent before it is known again.
+const CRASHES: usize = 6;
 /// Port of the upstreams behind their proxies.
 const BEHIND: u16 = 7090;
 /// What an upstream is told to show, one at a time.
@@ -78,6 +89,12 @@
     _host: Host,
 }
 
+/// One upstream that a request crashes, without a proxy.
+struct Crasher {
+    settings: standin::Settings,
+    process: Upstream,
+}
+
 /// A process that may be down or frozen.
 struct Seat {
     hub: bool,
@@ -90,6 +107,7 @@
     fleet: Fleet,
     seats: Vec<Seat>,
     sites: Vec<Site>,
+    crashers: Vec<Crasher>,
     version: u64,
     /// The logs of entry processes that have ended.
     logs: Vec<Vec<String>>,
@@ -115,6 +133,7 @@
             seats: hubs.chain(entries).collect(),
             fleet,
             sites: vec![],
+            crashers: vec![],
             version: 0,
             logs: vec![],
             steps: vec![],
@@ -125,6 +144,12 @@
                 world.sites.push(site);
             }
         }
+        for number in 0..CRASHERS {
+            let mut settings = world.fleet.layout.upstream(LOOKUPS, number);
+            settings.crash = Some(CRASH.into());
+            let process = Upstream::start(&settings).await?;
+            world.crashers.push(Crasher { settings, process });
+        }
         world.change().await?;
         world.wait_served().await?;
         Ok(world)
@@ -165,6 +190,7 @@
     ///
     /// Fails when a process can't be started or signalled.
     pub async fn step(&mut self, rng: &mut SmallRng) -> Result<(), SoakError> {
+        self.start_crashed().await?;
         match rng.random_range(0..10) {
             0..4 => self.disturb(rng).await?,
             4..6 => {
@@ -185,7 +211,7 @@
             _ => {
                 self.version += 1;
                 // Taken or not: hubs may be down, and it is put again at the end.
-                let table = tables::plain(self.version);
+                let table = tables::with_fragile(self.version);
                 let taken = self.fleet.layout.put_once(&table).await;
                 self.note(format!("table {}: taken {taken}", self.version));
             }
@@ -294,9 +320,40 @@
         self.sites[at].start().await
     }
 
+    /// Starts the upstreams anew that have crashed, and gives how many these were.
+    async fn start_crashed(&mut self) -> Result<usize, SoakError> {
+        let mut crashed = 0;
+        for crasher in &mut self.crashers {
+            if crasher.process.process.has_ended() {
+                crasher.process = Upstream::start(&crasher.settings).await?;
+                crashed += 1;
+            }
+        }
+        if crashed > 0 {
+            self.note(format!("{crashed} upstreams crashed"));
+        }
+        Ok(crashed)
+    }
+
+    /// Calls for what crashes upstreams by way of all entry processes, on the restored system;
+    /// what that shows to be broken, if anything.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an upstream can't be started.
+    pub async fn crash(&mut self) -> Result<Option<String>, SoakError> {
+        let mut crashed = 0;
+        let fronts = self.fronts();
+        for front in fronts.iter().cycle().take(CRASH_CALLS) {
+            calls::crash(*front).await;
+            crashed += self.start_crashed().await?;
+        }
+        Ok((crashed > CRASHES).then(|| format!("{crashed} upstreams crashed in the end")))
+    }
+
     async fn change(&mut self) -> Result<(), SoakError> {
         self.version += 1;
-        let table = tables::plain(self.version);
+        let table = tables::with_fragile(self.version);
         Ok(self.fleet.layout.put(&table).await?)
     }
 
@@ -319,6 +376,7 @@
                 None => site.start().await?,
             }
         }
+        self.start_crashed().await?;
         self.change().await?;
         for index in 0..ENTRIES {
             self.fleet.wait_table(index, self.version).await?;
@@ -330,6 +388,7 @@
         let asks = [
             Ask::get(STATUS, "/read/wait").at(HOST),
             Ask::post(GRANTS, "/once/wait", "block 7").at(HOST),
+            Ask::get(LOOKUPS, "/fragile/wait").at(HOST),
         ];
         for index in 0..ENTRIES {
             for ask in &asks {
--- a/crates/testutils/src/tables.rs
+++ b/crates/testutils/src/tables.rs
@@ -19,6 +19,12 @@
 pub const STATUS: &str = "status";
 /// The service of requests that run once.
 pub const GRANTS: &str = "grants";
+/// Requests below it may run more than once, and one of them crashes what runs it.
+pub const FRAGILE: &str = "/fragile/";
+/// That one.
+pub const CRASH: &str = "/fragile/crash";
+/// The service of requests below [`FRAGILE`].
+pub const LOOKUPS: &str = "lookups";
 /// The path of the stand-ins' own health page.
 const HEALTH: &str = "/rwr/load";
 /// Connections that one stand-in takes from everyone together.
@@ -69,7 +75,18 @@
     }
 }
 
-/// The same with reads split between both services.
+/// The first table with a third service.
+#[must_use]
+pub fn with_fragile(version: u64) -> Table {
+    let mut table = plain(version);
+    table.services.push(service(LOOKUPS));
+    let lookups = Target::Service(name(LOOKUPS));
+    let routes = &mut table.hosts[0].routes;
+    routes.push(route(FRAGILE, Kind::Idempotent, lookups));
+    table
+}
+
+/// The first table with reads split between both services.
 #[must_use]
 pub fn split(version: u64, weights: [u32; 2]) -> Table {
     let mut table = plain(version);
@@ -82,7 +99,7 @@
     table
 }
 
-/// The same without reads.
+/// The first table without reads.
 #[must_use]
 pub fn without_reads(version: u64) -> Table {
     let mut table = plain(version);
