quarantine, hub: what is only suspected is told in few rows, twice a second

Now the 32 newest, half a second after the change, from the one hub that tells a process every change; others add them to what they tell next. Refusals are told at once by all, as before. What an answer acquits later by that is covered where it was answered within a minute.

--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -48,9 +48,9 @@
 /// longer where the hub that tells changes at once is lost, of the two seconds in which
 /// such a notice must be in force everywhere.
 const GATHER: Duration = Duration::from_millis(600);
-/// From a change of the suspects that refuses nothing until it is told to those who are told changes at once; to
-/// the others after [`GATHER`]. Where many instances crash, each of them changes it.
-const GATHER_SUSPECTS: Duration = Duration::from_millis(50);
+/// From a change of the suspects that refuses nothing until it is told to those who are told
+/// changes at once. Where many instances crash, each of them changes it, and links are thin.
+const GATHER_SUSPECTS: Duration = Duration::from_millis(500);
 /// How long a majority may take to confirm the table for a process that has none.
 const CONFIRM: Duration = Duration::from_millis(300);
 
@@ -126,10 +126,14 @@
         if ended {
             return std::future::pending().await;
         }
-        let gather = if ask.lists { GATHER_SUSPECTS } else { GATHER };
         let refused = revisions.wait_for(|revision| revision.refusal > ask.suspects);
+        if !ask.lists {
+            // It is told of what is only suspected with whatever it is told next.
+            let _ = refused.await;
+            return;
+        }
         // What has gathered by then is told.
-        let _ = tokio::time::timeout(gather, refused).await;
+        let _ = tokio::time::timeout(GATHER_SUSPECTS, refused).await;
     }
 
     /// What a watcher lacks of instances.
--- a/crates/quarantine/src/tracker.rs
+++ b/crates/quarantine/src/tracker.rs
@@ -8,6 +8,7 @@
 //! One sender's request is counted by itself, and together with what others send for the same
 //! path with the same body: a caller may come again from another address.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::ops::RangeInclusive;
@@ -40,8 +41,8 @@
 const MOST_REQUESTS: usize = 1_024;
 /// Crashes that are kept.
 const MOST_CRASHES: usize = 4_096;
-/// Requests that are told of.
-const MOST_TOLD: usize = 256;
+/// Requests that are told of as refused, and as suspected: those that crashed something last.
+const MOST_TOLD: [usize; 2] = [256, 32];
 
 /// One start of an instance.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -298,19 +299,26 @@
         self.records.range(all_of(head)).next().is_some()
     }
 
-    /// What others are told: the requests that are refused first.
+    /// What others are told: the requests that are refused first, the longest ones before.
     #[must_use]
     pub fn suspects(&self, now: Moment) -> Vec<Suspect> {
-        let told = self.records.iter().filter(|(_, r)| r.is_told(now));
-        let mut told: Vec<Suspect> = told
-            .map(|(request, record)| Suspect {
-                request: *request,
-                refused: record.until.since(now),
-            })
-            .collect();
-        told.sort_by_key(|suspect| std::cmp::Reverse(suspect.refused));
-        told.truncate(MOST_TOLD);
-        told
+        let told = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.is_told(now));
+        let (mut refused, mut suspected): (Vec<_>, Vec<_>) =
+            told.partition(|(_, record)| record.is_refused(now));
+        refused.sort_by_key(|(_, record)| Reverse(record.until));
+        suspected.sort_by_key(|(_, record)| Reverse(record.last));
+        let [most_refused, most_suspected] = MOST_TOLD;
+        refused.truncate(most_refused);
+        suspected.truncate(most_suspected);
+        let all = refused.into_iter().chain(suspected);
+        all.map(|(request, record)| Suspect {
+            request: *request,
+            refused: record.until.since(now),
+        })
+        .collect()
     }
 
     /// Forgets what is long ago, and what is too much.
