--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -1,6 +1,8 @@
 //! The way of one request, from its head to the final answer.
 
+mod answer;
 mod choice;
+mod guard;
 mod head;
 
 use std::net::IpAddr;
@@ -27,9 +29,6 @@
 use crate::body::Returned;
 use crate::body::Spool;
 use crate::core::Core;
-use crate::crash;
-use crate::crash::Broken;
-use crate::crash::Subject;
 use crate::desk::Desk;
 use crate::exchange;
 use crate::exchange::Answered;
@@ -39,11 +38,7 @@
 use crate::exchange::Patience;
 use crate::habit::Habit;
 use crate::headers;
-use crate::refusal;
 use crate::refusal::Reason;
-use crate::tail::Asked;
-use crate::tail::Origin;
-use crate::tail::Tail;
 use crate::view::Upstream;
 
 /// Time for a request that names none.
@@ -64,10 +59,6 @@
 /// taken for ill, as each of these ended by the route's timeout.
 const SILENT_WORKS: f64 = 3.0;
 
-/// Longest wait for the hubs' word on a request under which an instance has crashed: a
-/// connection to the instance's host and one question, some times over.
-const VERDICT: Duration = Duration::from_millis(40);
-
 /// One request on its way.
 struct Flow {
     core: Arc<Core>,
@@ -217,24 +208,6 @@
         self.core.desk(&self.service, ask)
     }
 
-    /// Refuses a request that crashes what runs it.
-    async fn check(&mut self) -> Result<(), Reason> {
-        let head = self.call.head;
-        if !self.core.concerns(head) {
-            return Ok(());
-        }
-        let Some(request) = self.content.fingerprint(head).await else {
-            return Ok(());
-        };
-        let Some(left) = self.core.refused(request) else {
-            return Ok(());
-        };
-        info!(self.core.log, "quarantined"; "request" => self.call.id.to_str().unwrap_or("-"),
-            "fingerprint" => %request, "left_ms" => millis(left));
-        self.back = Some(left);
-        Err(Reason::Quarantined)
-    }
-
     /// One attempt.
     async fn attempt(&mut self, body: Outgoing) -> Result<End, Reason> {
         self.check().await?;
@@ -277,13 +250,7 @@
         let end = exchange::attempt(&core, upstream, held, &self.call, body, patience).await;
         self.exposed = before || matches!(end, End::Answer(..) | End::Unknown);
         self.note(&end, sent.elapsed());
-        match &end {
-            End::Unknown => self.broke_off(upstream, sent).await,
-            End::Answer(parts, Answered::Whole(_)) if !parts.status.is_server_error() => {
-                self.subject().succeeded(&core);
-            }
-            _ => {}
-        }
+        self.learn(&end, upstream, sent).await;
         if matches!(end, End::Elsewhere) {
             self.desk(|desk, _| desk.displaced(pick));
         }
@@ -313,32 +280,6 @@
             "service" => %self.service, "ms" => millis(span));
     }
 
-    /// What the request is told by in an attempt that breaks off.
-    fn subject(&self) -> Subject {
-        Subject {
-            id: self.call.id.clone(),
-            caller: Arc::clone(&self.call.caller),
-            head: self.call.head,
-            content: self.content.clone(),
-        }
-    }
-
-    /// Looks whether the attempt ended together with its instance. What may be sent again
-    /// waits until the hubs say whether it is to be.
-    async fn broke_off(&self, upstream: &Arc<Upstream>, sent: Instant) {
-        let broken = Broken {
-            subject: self.subject(),
-            upstream: Arc::clone(upstream),
-            sent,
-            at: Instant::now(),
-        };
-        let looking = crash::look(&self.core, broken);
-        if self.route.kind == Kind::Idempotent && self.attempts < self.route.attempts {
-            // Without their word it is sent again, as far as this process knows.
-            let _ = tokio::time::timeout(VERDICT, looking.word).await;
-        }
-    }
-
     /// The final outcome, or the body for another attempt.
     fn judge(
         &mut self,
@@ -408,51 +349,6 @@
         let last = self.last.as_ref();
         last.map_or("-", |attempt| attempt.upstream.id.as_str())
     }
-
-    /// An answer whose body is passed on as it comes.
-    fn stream(&self, first: Bytes, rest: Incoming, origin: Origin) -> Returned {
-        let Some(attempt) = &self.last else {
-            unreachable!("an answer comes of an attempt");
-        };
-        let asked = Asked {
-            core: Arc::clone(&self.core),
-            subject: self.subject(),
-            route: Arc::clone(&self.route),
-            upstream: Arc::clone(&attempt.upstream),
-            choice: attempt.choice,
-            sent: attempt.sent,
-            bytes: self.sent,
-            end: self.end,
-        };
-        Returned::stream(first, rest, Tail::new(asked, origin))
-    }
-
-    fn respond(&self, outcome: Outcome) -> Response<Returned> {
-        let spent = self.began.elapsed();
-        let (response, reason, back) = match outcome {
-            Outcome::Answer(mut parts, answered) => {
-                headers::strip(&mut parts.headers);
-                let body = match answered {
-                    Answered::Whole(bytes) => Returned::whole(bytes),
-                    Answered::Stream(first, rest, origin) => self.stream(first, rest, origin),
-                };
-                let response = Response::from_parts(*parts, body);
-                (response, "answered", None)
-            }
-            Outcome::Own(reason, back) => (refusal::answer(reason, back), reason.into(), back),
-        };
-        info!(self.core.log, "request"; "request" => self.call.id.to_str().unwrap_or("-"),
-            "outcome" => reason, "status" => response.status().as_u16(),
-            "route" => &*self.route.name, "service" => %self.service,
-            "table" => self.version, "attempts" => self.attempts, "unsent" => self.unsent,
-            "instance" => self.instance(),
-            "aim_ms" => millis(self.aim), "back_ms" => back.map_or(0, millis),
-            "ms" => millis(spent));
-        self.core
-            .counters
-            .request(self.service.as_str(), reason, spent);
-        response
-    }
 }
 
 fn millis(span: Duration) -> u64 {
