--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`judge`] looks for broken promises.
 
 pub mod calls;
+pub mod crashers;
 pub mod judge;
 pub mod proxy;
 pub mod world;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -16,18 +16,16 @@
 use testutils::Fleet;
 use testutils::Host;
 use testutils::Process;
-use testutils::Upstream;
 use testutils::process::field;
 use testutils::system::wait;
 use testutils::tables;
-use testutils::tables::CRASH;
 use testutils::tables::GRANTS;
 use testutils::tables::HOST;
 use testutils::tables::LOOKUPS;
 use testutils::tables::STATUS;
 
 use crate::SoakError;
-use crate::calls;
+use crate::crashers::Crashers;
 use crate::proxy::Mode;
 use crate::proxy::Proxy;
 
@@ -37,13 +35,6 @@
 const ENTRIES: usize = 2;
 /// Upstreams of each service.
 const UPSTREAMS: usize = 2;
-/// Upstreams that a request crashes.
-const CRASHERS: usize = 4;
-/// Calls for what crashes them, once all is restored.
-const CRASH_CALLS: usize = 10;
-/// Crashes that may still come then: three, as every process that knew of those before may have
-/// been lost, and three more that were sent before it is known again.
-const CRASHES: usize = 6;
 /// Port of the upstreams behind their proxies.
 const BEHIND: u16 = 7090;
 /// What an upstream is told to show, one at a time.
@@ -89,12 +80,6 @@
     _host: Host,
 }
 
-/// One upstream that a request crashes, without a proxy.
-struct Crasher {
-    settings: standin::Settings,
-    process: Upstream,
-}
-
 /// A process that may be down or frozen.
 struct Seat {
     hub: bool,
@@ -107,7 +92,7 @@
     fleet: Fleet,
     seats: Vec<Seat>,
     sites: Vec<Site>,
-    crashers: Vec<Crasher>,
+    crashers: Crashers,
     version: u64,
     /// The logs of entry processes that have ended.
     logs: Vec<Vec<String>>,
@@ -121,7 +106,8 @@
     ///
     /// Fails when a part can't start.
     pub async fn start(rng: &mut SmallRng) -> Result<Self, SoakError> {
-        let fleet = Fleet::start(HUBS, ENTRIES).await?;
+        let mut fleet = Fleet::start(HUBS, ENTRIES).await?;
+        let crashers = Crashers::start(&mut fleet.layout).await?;
         let seat = |hub, index| Seat {
             hub,
             index,
@@ -133,7 +119,7 @@
             seats: hubs.chain(entries).collect(),
             fleet,
             sites: vec![],
-            crashers: vec![],
+            crashers,
             version: 0,
             logs: vec![],
             steps: vec![],
@@ -144,12 +130,6 @@
                 world.sites.push(site);
             }
         }
-        for number in 0..CRASHERS {
-            let mut settings = world.fleet.layout.upstream(LOOKUPS, number);
-            settings.crash = Some(CRASH.into());
-            let process = Upstream::start(&settings).await?;
-            world.crashers.push(Crasher { settings, process });
-        }
         world.change().await?;
         world.wait_served().await?;
         Ok(world)
@@ -190,7 +170,10 @@
     ///
     /// Fails when a process can't be started or signalled.
     pub async fn step(&mut self, rng: &mut SmallRng) -> Result<(), SoakError> {
-        self.start_crashed().await?;
+        let crashed = self.crashers.start_anew().await?;
+        if crashed > 0 {
+            self.note(format!("{crashed} upstreams crashed"));
+        }
         match rng.random_range(0..10) {
             0..4 => self.disturb(rng).await?,
             4..6 => {
@@ -320,35 +303,15 @@
         self.sites[at].start().await
     }
 
-    /// Starts the upstreams anew that have crashed, and gives how many these were.
-    async fn start_crashed(&mut self) -> Result<usize, SoakError> {
-        let mut crashed = 0;
-        for crasher in &mut self.crashers {
-            if crasher.process.process.has_ended() {
-                crasher.process = Upstream::start(&crasher.settings).await?;
-                crashed += 1;
-            }
-        }
-        if crashed > 0 {
-            self.note(format!("{crashed} upstreams crashed"));
-        }
-        Ok(crashed)
-    }
-
-    /// Calls for what crashes upstreams by way of all entry processes, on the restored system;
-    /// what that shows to be broken, if anything.
+    /// Calls for what crashes upstreams, on the restored system; what that shows to be broken,
+    /// if anything.
     ///
     /// # Errors
     ///
     /// Fails when an upstream can't be started.
     pub async fn crash(&mut self) -> Result<Option<String>, SoakError> {
-        let mut crashed = 0;
         let fronts = self.fronts();
-        for front in fronts.iter().cycle().take(CRASH_CALLS) {
-            calls::crash(*front).await;
-            crashed += self.start_crashed().await?;
-        }
-        Ok((crashed > CRASHES).then(|| format!("{crashed} upstreams crashed in the end")))
+        self.crashers.crash(&fronts).await
     }
 
     async fn change(&mut self) -> Result<(), SoakError> {
@@ -376,7 +339,7 @@
                 None => site.start().await?,
             }
         }
-        self.start_crashed().await?;
+        self.crashers.start_anew().await?;
         self.change().await?;
         for index in 0..ENTRIES {
             self.fleet.wait_table(index, self.version).await?;
