--- a/crates/standin/src/handler.rs
+++ b/crates/standin/src/handler.rs
@@ -35,6 +35,9 @@
 use crate::fault::Fault;
 use crate::fault::FaultKind;
 use crate::pace::Pace;
+use crate::reading::deadline;
+use crate::reading::origin;
+use crate::reading::text;
 use crate::reply::misdirected;
 use crate::reply::refuse;
 use crate::reply::render;
@@ -51,8 +54,6 @@
 
 /// Largest request body in bytes.
 const MAX_BODY: usize = 1024 * 1024;
-/// Time that a request without a deadline may take.
-const NO_DEADLINE: Duration = Duration::from_hours(1);
 /// Path prefix of archive answers.
 const ARCHIVE: &str = "/archive/";
 
@@ -384,30 +385,6 @@
     }
 }
 
-fn origin(req: &Request, path: String, drained_ms: Option<u64>) -> Origin {
-    Origin {
-        key: text(req, header::IDEMPOTENCY_KEY),
-        caller: text(req, header::CALLER),
-        path,
-        request: text(req, header::REQUEST_ID),
-        attempt: text(req, header::ATTEMPT),
-        drained_ms,
-    }
-}
-
-fn deadline(req: &Request) -> Option<Duration> {
-    let Some(value) = req.headers().get(header::DEADLINE) else {
-        return Some(NO_DEADLINE);
-    };
-    let millis: u64 = value.to_str().ok()?.parse().ok()?;
-    Some(Duration::from_millis(millis).min(NO_DEADLINE))
-}
-
-fn text(req: &Request, name: &str) -> String {
-    let value = req.headers().get(name).and_then(|v| v.to_str().ok());
-    value.unwrap_or_default().to_owned()
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod slots;
 
 mod handler;
+mod reading;
 mod reply;
 
 pub use fault::Fault;
