--- a/crates/hub/tests/common/mod.rs
+++ b/crates/hub/tests/common/mod.rs
@@ -62,6 +62,18 @@
         .expect("a leader in the end")
 }
 
+/// Puts tables 2 to 11, over the bytes after which a snapshot takes the place of the log,
+/// several times.
+pub async fn outgrow_log(hub: &Hub) {
+    for version in 2..12 {
+        let large = Put {
+            source: vec![b'x'; 200 * 1024],
+            ..put(version)
+        };
+        put_surely(hub, large).await;
+    }
+}
+
 pub fn link(layout: &Layout) -> HubLink {
     let settings = &layout.hubs[0];
     peer::hub(settings.hub_at(settings.address))
--- a/crates/hub/tests/test_evacuation.rs
+++ b/crates/hub/tests/test_evacuation.rs
@@ -6,13 +6,13 @@
 use common::PATIENCE;
 use common::PAUSE;
 use common::link;
+use common::outgrow_log;
 use common::put;
 use common::put_surely;
 use common::start;
 use common::start_all;
 use common::watch;
 use hub::Hub;
-use hub::Put;
 use testutils::Layout;
 use wire::hub::EvacuationOutcome;
 use wire::hub::News;
@@ -83,14 +83,7 @@
     };
     let ordered = tokio::time::timeout(PATIENCE, ordered).await;
     ordered.expect("in the log in the end");
-    // Over the bytes after which a snapshot takes the place of the log, several times.
-    for version in 2..12 {
-        let large = Put {
-            source: vec![b'x'; 200 * 1024],
-            ..put(version)
-        };
-        put_surely(&hubs[0], large).await;
-    }
+    outgrow_log(&hubs[0]).await;
     let back = Hub::start(layout.hubs[2].clone(), log).await;
     let back = back.expect("starts");
     let held = async {
--- a/crates/hub/tests/test_hub.rs
+++ b/crates/hub/tests/test_hub.rs
@@ -6,6 +6,7 @@
 use common::PATIENCE;
 use common::PAUSE;
 use common::link;
+use common::outgrow_log;
 use common::put;
 use common::put_surely;
 use common::start;
@@ -13,7 +14,6 @@
 use common::watch;
 use hub::DeskError;
 use hub::Hub;
-use hub::Put;
 use registry::Registry;
 use registry::unpack;
 use testutils::Layout;
@@ -410,14 +410,7 @@
     };
     let drained = tokio::time::timeout(PATIENCE, drain).await;
     drained.expect("in the log in the end");
-    // Over the bytes after which a snapshot takes the place of the log, several times.
-    for version in 2..12 {
-        let large = Put {
-            source: vec![b'x'; 200 * 1024],
-            ..put(version)
-        };
-        put_surely(&hubs[0], large).await;
-    }
+    outgrow_log(&hubs[0]).await;
     let back = Hub::start(layout.hubs[2].clone(), log).await;
     reaches(&back.expect("starts"), Phase::Draining).await;
 }
