--- a/crates/soak/src/calls.rs
+++ b/crates/soak/src/calls.rs
@@ -100,25 +100,16 @@
 
 async fn call(fronts: &[SocketAddr], number: u64) -> Call {
     let once = number.is_multiple_of(2);
-    let (path, ask) = match number % 4 {
-        1 => {
-            let path = format!("{FRAGILE}{number}");
-            (path.clone(), Ask::get(LOOKUPS, &path))
-        }
-        3 => {
-            let path = format!("{READ}{number}");
-            (path.clone(), Ask::get(STATUS, &path))
-        }
-        _ => {
-            let path = format!("{ONCE}{number}");
-            (path.clone(), Ask::post(GRANTS, &path, "block 7"))
-        }
+    let ask = match number % 4 {
+        1 => Ask::get(LOOKUPS, &format!("{FRAGILE}{number}")),
+        3 => Ask::get(STATUS, &format!("{READ}{number}")),
+        _ => Ask::post(GRANTS, &format!("{ONCE}{number}"), "block 7"),
     };
     let ask = ask.at(HOST).within(DEADLINE);
     let turn = usize::try_from(number / 2).unwrap_or(0) % fronts.len();
     let reply = tokio::time::timeout(PATIENCE, Caller::new().call(fronts[turn], &ask)).await;
     Call {
-        path,
+        path: ask.path,
         once,
         reply: reply.ok(),
     }
