--- a/crates/quarantine/tests/test_tracker.rs
+++ b/crates/quarantine/tests/test_tracker.rs
@@ -269,7 +269,86 @@
     assert!(!is_refused_to(&tracker, "same", 2));
 }
 
+/// Time after the third crash from which further sends are limited.
+const CONTACT_MS: u64 = 3_000;
+/// Sends tolerated after that time.
+const MAX_LATE_SENDS: usize = 3;
+/// Tries of one sender.
+const TRIES: usize = 4;
+/// Time from a send to the crash of its instance.
+const CRASH_MS: u64 = 100;
+
+/// Sends a request that crashes each instance, by a new sender after each gap. Returns how often
+/// it is sent later than `CONTACT_MS` after the third crash.
+fn count_late_sends(tracker: &mut Tracker, gaps_ms: &[u64]) -> usize {
+    let mut now = at(0);
+    let mut crashes = Vec::new();
+    let mut late = 0;
+    for (sender, gap) in (0..).zip(gaps_ms) {
+        now = now + Duration::from_millis(*gap);
+        for _ in 0..TRIES {
+            let request = request_of("bad", sender);
+            if tracker.refused(now, request).is_some() {
+                break;
+            }
+            let third = crashes.get(2);
+            late += usize::from(
+                third.is_some_and(|third| now > *third + Duration::from_millis(CONTACT_MS)),
+            );
+            now = now + Duration::from_millis(CRASH_MS);
+            let crash = Crash {
+                request,
+                at: now,
+                ..crash("bad", 1_000 + crashes.len() as u64, 0)
+            };
+            tracker.record_crash(now, &crash);
+            crashes.push(now);
+        }
+    }
+    late
+}
+
+/// Guards against a request that each of its senders may send until that sender is refused.
+#[test]
+fn test_tracker_request_of_senders_in_turn_is_refused_for_all() {
+    for gap in [50, 500, 1_500, 4_000] {
+        let late = count_late_sends(&mut Tracker::default(), &[gap; 12]);
+        assert!(
+            late <= MAX_LATE_SENDS,
+            "{late} late sends, one sender per {gap} ms"
+        );
+    }
+}
+
+/// Guards against refusing a path that is answered because one of its senders is refused.
+#[test]
+fn test_tracker_path_answered_since_a_refusal_is_not_refused_for_all() {
+    let mut tracker = Tracker::default();
+    for instance in 1..=3 {
+        record_of(&mut tracker, "popular", 1, instance);
+    }
+    for caller in 2..=9 {
+        let crash = Crash {
+            request: request_of("popular", caller),
+            ..crash("popular", 10 + u64::from(caller), 10)
+        };
+        tracker.record_success(at(9), request_of("popular", 99));
+        tracker.record_crash(at(10), &crash);
+        assert!(tracker.refused(at(10), request_of("popular", 99)).is_none());
+    }
+}
+
 quickcheck! {
+    /// Guards against senders whose times or whose neighbours' crashes hide the common cause.
+    fn test_tracker_request_of_senders_in_turn_is_rarely_sent_late(gaps: Vec<u16>, others: u8) -> bool {
+        let mut tracker = Tracker::default();
+        for instance in 0..u64::from(others % 32) {
+            record(&mut tracker, &format!("other-{instance}"), instance, 0);
+        }
+        let gaps: Vec<u64> = gaps.iter().map(|gap| u64::from(*gap) % 8_000).collect();
+        count_late_sends(&mut tracker, &gaps) <= MAX_LATE_SENDS
+    }
+
     /// The reported requests don't depend on the order and number of reports.
     fn test_tracker_order_of_reports_changes_nothing(reports: Vec<(u8, u8)>, rotation: usize) -> bool {
         let reported = |reports: &[(u8, u8)]| {
--- a/crates/testutils/tests/test_crash.rs
+++ b/crates/testutils/tests/test_crash.rs
@@ -1,6 +1,8 @@
 //! Guards against a request that crashes one instance after another, and against a
 //! quarantine that refuses innocent requests.
 
+use std::time::Duration;
+
 use futures::future::join_all;
 use testutils::Caller;
 use testutils::Fleet;
@@ -20,6 +22,9 @@
 const ENTRIES: usize = 3;
 /// Crashes until a request is quarantined, plus retries that may still reach instances.
 const MAX_CRASHED: usize = 3 + 3;
+/// Time from one caller's last request to the next caller's first; no request of the former is
+/// still running.
+const BETWEEN_CALLERS: Duration = Duration::from_millis(1_500);
 /// Path of the request that crashes a stand-in.
 const CRASH: &str = "/read/crash";
 
@@ -95,6 +100,31 @@
     check_refused_everywhere(requests.collect()).await;
 }
 
+/// Each caller sends the request until it is refused, long after the previous caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_crash_request_of_callers_in_turn_is_refused_by_every_entry_process() {
+    let (fleet, mut upstreams) = start().await;
+    for caller in ["a", "b", "c", "d"] {
+        for number in 0..ENTRIES {
+            let request = Request {
+                caller,
+                ..Request::get(STATUS, CRASH).at(HOST)
+            };
+            let reply = fleet.call(number, &request).await;
+            assert!(matches!(reply.status, 502 | 503), "{reply:?}");
+            if reply.body == "quarantined" {
+                break;
+            }
+        }
+        tokio::time::sleep(BETWEEN_CALLERS).await;
+    }
+    let ended = crashed(&mut upstreams);
+    assert!(
+        ended <= MAX_CRASHED,
+        "{ended} of {INSTANCES} instances crashed"
+    );
+}
+
 /// Several requests crash two instances each, while another request runs beside them
 /// every time; that one must not be quarantined.
 #[tokio::test(flavor = "multi_thread")]
