quarantine: a crash after one sender's refusal counts against the request of all senders

Cause: runs that crashed under a sender that is refused were left out of what counts for all senders, so each new sender had three crashes of its own, four as the earlier ones were counted as another cause.

A refused sender explains its own runs, and others' until it can't be running any more (1 s). A later crash under another sender has no other explanation than what both ask for: refused for all at the first, at the second where more instances crash without it. Crashes under the same request of other senders no longer count as another cause. An answer to anyone clears it, as before, so a path that is answered stays served.

Ruled out: refusing for all with the first sender (innocent requests beside it); counting each run of any sender (a neighbour's report that comes first would refuse a popular path).

--- a/crates/quarantine/src/tracker.rs
+++ b/crates/quarantine/src/tracker.rs
@@ -6,7 +6,10 @@
 //! it, another cause is likely, and more crashes are required.
 //!
 //! Crashes are counted per sender, and for all senders of requests with the same host, path
-//! and body, because a caller may return with another address.
+//! and body, because a caller may return with another address. One sender's refusal explains
+//! the crashes up to it, and for a short time afterwards also those of instances that ran other
+//! senders' requests beside it. A later crash under another sender points at what they all ask
+//! for.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -27,6 +30,13 @@
 /// sender, because crashes may be reported for other senders first, before the third one of the
 /// sender that causes them.
 pub const MIN_CRASHES_ALL_SENDERS: usize = 4;
+/// Number of crashes that a request needs after one of its senders was refused, to be refused for
+/// all senders.
+pub const MIN_CRASHES_AFTER_REFUSAL: usize = 1;
+/// The same if more of the service's instances crash without the request than with it.
+pub const MIN_CRASHES_AFTER_REFUSAL_AMONG_OTHERS: usize = 2;
+/// Time after a refusal in which instances may still crash under requests that were sent before.
+pub const REFUSAL_SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Number of crashes at which a request is reported as suspected, so that an answer
 /// received by any process clears it.
 pub const MIN_SUSPECT_CRASHES: usize = 2;
@@ -93,6 +103,14 @@
     },
 }
 
+// What speaks for a request being the cause of crashes.
+#[derive(Clone, Copy, Debug)]
+struct Evidence {
+    crashes: usize,
+    others: usize,
+    is_cause: bool,
+}
+
 /// A refused or suspected request, as reported to other processes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Suspect {
@@ -110,6 +128,7 @@
     last_crash: Moment,
     // Number of refusals so far.
     refusals: u32,
+    first_refusal: Option<Moment>,
     refused_until: Moment,
 }
 
@@ -133,11 +152,13 @@
         senders.insert(crash.request.sender)
     }
 
-    fn refuse(&mut self, now: Moment) -> Duration {
+    // Refuses the request because of a crash at `crashed_at`.
+    fn refuse(&mut self, now: Moment, crashed_at: Moment) -> Duration {
         let duration =
             INITIAL_REFUSAL.saturating_mul(1_u32.checked_shl(self.refusals).unwrap_or(u32::MAX));
         let duration = duration.min(MAX_REFUSAL);
         self.refusals += 1;
+        self.first_refusal.get_or_insert(crashed_at);
         self.refused_until = now + duration;
         duration
     }
@@ -189,40 +210,84 @@
         {
             return Outcome::Known;
         }
-        let outcome = self.evaluate(now, crash, crash.request);
         let all = crash.request.for_all_senders();
         if crash.answered {
             self.records.remove(&all);
-            return outcome;
+            return self.evaluate_sender(now, crash);
         }
         self.records.entry(all).or_default().add_crash(crash);
-        if matches!(outcome, Outcome::Refused { .. }) {
-            return outcome;
-        }
-        match self.evaluate(now, crash, all) {
+        let outcome = self.evaluate_sender(now, crash);
+        match self.evaluate_all_senders(now, crash) {
             refused @ Outcome::Refused { .. } => refused,
             _ => outcome,
         }
     }
 
-    // Refuses `request` if it has enough crashes. `crash` counts for it.
-    fn evaluate(&mut self, now: Moment, crash: &Crash, request: Fingerprint) -> Outcome {
-        let runs = self.counted_runs(request);
-        let crashes = runs.len();
-        let others = self.count_other_crashes(&crash.service, &runs);
-        let record = self.records.entry(request).or_default();
-        // Ignores crashes under requests that were sent before the refusal.
-        let after_refusal = record.refusals > 0 && crash.at >= record.refused_until;
-        let needed = if request.is_for_all_senders() {
-            MIN_CRASHES_ALL_SENDERS
-        } else if others > crashes {
+    // Refuses the sender's request if enough instances crashed while running it.
+    fn evaluate_sender(&mut self, now: Moment, crash: &Crash) -> Outcome {
+        let request = crash.request;
+        let runs = self.crashed_runs(request);
+        // The same request of other senders isn't another cause.
+        let mut explained = self.crashed_runs(request.for_all_senders());
+        explained.extend(runs.iter().cloned());
+        let (crashes, others) = (
+            runs.len(),
+            self.count_other_crashes(&crash.service, &explained),
+        );
+        let needed = if others > crashes {
             MIN_CRASHES_AMONG_OTHERS
         } else {
             MIN_CRASHES
         };
-        if after_refusal || (record.refusals == 0 && crashes >= needed) {
+        let is_cause = crashes >= needed;
+        let evidence = Evidence {
+            crashes,
+            others,
+            is_cause,
+        };
+        self.apply_evidence(now, crash.at, request, evidence)
+    }
+
+    // Refuses the request for all senders if the crashes aren't those of a refused sender alone.
+    fn evaluate_all_senders(&mut self, now: Moment, crash: &Crash) -> Outcome {
+        let request = crash.request.for_all_senders();
+        let runs = self.crashed_runs(request);
+        let others = self.count_other_crashes(&crash.service, &runs);
+        let needed_late = if others > runs.len() {
+            MIN_CRASHES_AFTER_REFUSAL_AMONG_OTHERS
+        } else {
+            MIN_CRASHES_AFTER_REFUSAL
+        };
+        let crashes = self.count_runs_of_allowed_senders(request);
+        let is_cause = crashes >= MIN_CRASHES_ALL_SENDERS
+            || (runs.len() >= MIN_CRASHES_ALL_SENDERS
+                && self.count_runs_after_refusal(request) >= needed_late);
+        let evidence = Evidence {
+            crashes: runs.len(),
+            others,
+            is_cause,
+        };
+        self.apply_evidence(now, crash.at, request, evidence)
+    }
+
+    fn apply_evidence(
+        &mut self,
+        now: Moment,
+        crashed_at: Moment,
+        request: Fingerprint,
+        evidence: Evidence,
+    ) -> Outcome {
+        let Evidence {
+            crashes,
+            others,
+            is_cause,
+        } = evidence;
+        let record = self.records.entry(request).or_default();
+        // Ignores crashes under requests that were sent before the refusal.
+        let after_refusal = record.refusals > 0 && crashed_at >= record.refused_until;
+        if after_refusal || (record.refusals == 0 && is_cause) {
             self.revision.increment(true);
-            let span = record.refuse(now);
+            let span = record.refuse(now, crashed_at);
             return Outcome::Refused { crashes, span };
         }
         if crashes >= MIN_SUSPECT_CRASHES {
@@ -231,19 +296,54 @@
         Outcome::Counted { crashes, others }
     }
 
-    // The crashed runs that count for a request. If it stands for all senders, runs whose senders
-    // were all refused on their own don't count.
-    fn counted_runs(&self, request: Fingerprint) -> BTreeSet<InstanceRun> {
+    // The runs that crashed while running the request.
+    fn crashed_runs(&self, request: Fingerprint) -> BTreeSet<InstanceRun> {
+        let record = self.records.get(&request);
+        record
+            .map(|record| record.runs.keys().cloned().collect())
+            .unwrap_or_default()
+    }
+
+    // Number of runs that crashed while running the request of a sender that was never refused.
+    fn count_runs_of_allowed_senders(&self, request: Fingerprint) -> usize {
         let Some(record) = self.records.get(&request) else {
-            return BTreeSet::new();
+            return 0;
         };
-        let is_refused = |sender: u64| {
-            let one = Fingerprint { sender, ..request };
-            request.is_for_all_senders() && self.records.get(&one).is_some_and(|r| r.refusals > 0)
+        let is_allowed = |sender: &u64| self.first_refusal(request, *sender).is_none();
+        let runs = record.runs.values();
+        runs.filter(|senders| senders.iter().any(is_allowed))
+            .count()
+    }
+
+    // Number of runs that crashed after a sender's refusal, while running the request of other
+    // senders only.
+    fn count_runs_after_refusal(&self, request: Fingerprint) -> usize {
+        let Some(record) = self.records.get(&request) else {
+            return 0;
+        };
+        let senders = record.runs.values().flatten();
+        let refusals = senders.filter_map(|sender| self.first_refusal(request, *sender));
+        let Some(first) = refusals.min() else {
+            return 0;
+        };
+        let settled = first + REFUSAL_SETTLE_TIME;
+        let is_late = |(run, senders): &(&InstanceRun, &BTreeSet<u64>)| {
+            let Some((_, at)) = self.crashes.get(run) else {
+                return false;
+            };
+            let was_allowed = |sender: &u64| {
+                self.first_refusal(request, *sender)
+                    .is_none_or(|refusal| refusal >= *at)
+            };
+            *at >= settled && senders.iter().all(was_allowed)
         };
-        let counts = |senders: &BTreeSet<u64>| senders.iter().any(|sender| !is_refused(*sender));
-        let runs = record.runs.iter().filter(|(_, senders)| counts(senders));
-        runs.map(|(run, _)| run.clone()).collect()
+        record.runs.iter().filter(is_late).count()
+    }
+
+    // When the request of one sender was first refused.
+    fn first_refusal(&self, request: Fingerprint, sender: u64) -> Option<Moment> {
+        let request = Fingerprint { sender, ..request };
+        self.records.get(&request)?.first_refusal
     }
 
     // Number of crashes of the service's instances other than `runs`, from shortly before the
@@ -289,6 +389,7 @@
         // Keeps the latest end, because messages are delayed and each process decides by itself.
         record.refused_until = record.refused_until.max(now + remaining.min(MAX_REFUSAL));
         record.refusals = record.refusals.max(1);
+        record.first_refusal.get_or_insert(now);
         if is_new {
             self.revision.increment(true);
         }
--- a/crates/quarantine/tests/test_tracker.rs
+++ b/crates/quarantine/tests/test_tracker.rs
@@ -242,6 +242,20 @@
     assert!(!is_refused_to(&tracker, "same", 3));
 }
 
+/// Guards against refusing other senders whose reports of a refused sender's last crash come first.
+#[test]
+fn test_tracker_neighbour_reported_before_a_refused_sender_is_not_refused() {
+    let mut tracker = Tracker::default();
+    for instance in 1..=3 {
+        record_of(&mut tracker, "same", 1, instance);
+    }
+    for caller in [3, 1, 4] {
+        record_of(&mut tracker, "same", caller, 4);
+    }
+    assert!(!is_refused_to(&tracker, "same", 3));
+    assert!(!is_refused_to(&tracker, "same", 99));
+}
+
 /// Guards against refusing a popular path because a failure domain fails.
 #[test]
 fn test_tracker_recently_answered_path_is_not_refused_for_all() {
