entry, limit: logs and counts the limits that instances name

What logs lacked: which process heard of a limit, when, from a response or a probe, and when it ended. Nothing decides by it yet. The crate limit keeps what was heard last of each run of an instance; a response without a limit ends it only where its request was sent after the limit was heard, one to a probe only where a probe named it. Stand-ins name limits (limited, limited-requests). InstanceRun moves to base, as two crates need it.

--- a/crates/base/src/header.rs
+++ b/crates/base/src/header.rs
@@ -33,3 +33,6 @@
 pub const COLD: &str = "rwr-cold-ms";
 /// On an upstream's response: number of requests in flight and of slots, as `in-flight/slots`.
 pub const LOAD: &str = "rwr-load";
+/// On an upstream's response: the requests per second that the instance takes from all processes
+/// together, as a decimal number, for as long as it says so.
+pub const LIMIT: &str = "rwr-limit";
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod class;
 pub mod header;
+pub mod instance;
 pub mod name;
 pub mod outcome;
 pub mod prelude;
--- a/crates/base/src/prelude.rs
+++ b/crates/base/src/prelude.rs
@@ -1,6 +1,7 @@
 //! Commonly used types.
 
 pub use crate::class::Class;
+pub use crate::instance::InstanceRun;
 pub use crate::name::CallerName;
 pub use crate::name::ChangeId;
 pub use crate::name::DomainName;
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -1,6 +1,7 @@
 //! State shared by all tasks of an entry process.
 
 mod evacuate;
+mod limits;
 mod share;
 mod suspects;
 
@@ -18,6 +19,7 @@
 use base::prelude::*;
 use evacuation::EvacuationState;
 use http::Uri;
+use limit::Limits;
 use quarantine::Quarantine;
 use registry::Digest;
 use slog::Logger;
@@ -73,6 +75,8 @@
     processes: Arc<Processes>,
     /// Requests suspected of crashing instances.
     quarantine: Quarantine,
+    /// What instances named as their limits.
+    limits: Limits,
 }
 
 /// An entry process.
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -91,6 +91,15 @@
         self.client.count_with_tags("entry.quarantined", 1).send();
     }
 
+    /// Counts a change of an instance's limit; `source` is where it was heard.
+    pub fn limit_changed(&self, service: &ServiceName, source: &str) {
+        self.client
+            .count_with_tags("entry.limits", 1)
+            .with_tag("service", service.as_str())
+            .with_tag("source", source)
+            .send();
+    }
+
     /// Counts a retry that exceeded the budget.
     pub fn retry_denied(&self, service: &ServiceName) {
         self.client
--- a/crates/entry/src/crash.rs
+++ b/crates/entry/src/crash.rs
@@ -8,11 +8,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::prelude::*;
 use http::HeaderValue;
 use quarantine::Crash;
 use quarantine::Fingerprint;
 use quarantine::Head;
-use quarantine::InstanceRun;
 use slog::info;
 use strum::IntoStaticStr;
 use tokio::sync::oneshot;
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -5,6 +5,7 @@
 
 use base::header;
 use http::HeaderName;
+use limit::RequestRate;
 use route::LoadReport;
 
 /// Header names and parsers of their values.
@@ -24,12 +25,16 @@
     pub load: HeaderName,
     /// From an upstream, on its health page: how much longer it will be cold.
     pub cold: HeaderName,
+    /// From an upstream: the requests per second that it takes from all processes together.
+    pub limit: HeaderName,
     /// From an upstream: the request was not run.
     pub refused: HeaderName,
     /// Parses the load header.
     pub read_load: fn(&str) -> Option<LoadReport>,
     /// Parses the header that tells how much longer the upstream will be cold.
     pub read_cold: fn(&str) -> Option<Duration>,
+    /// Parses the header that names the upstream's limit.
+    pub read_limit: fn(&str) -> Option<RequestRate>,
 }
 
 impl Default for Dialect {
@@ -43,9 +48,11 @@
             instance: HeaderName::from_static(header::INSTANCE),
             cold: HeaderName::from_static(header::COLD),
             load: HeaderName::from_static(header::LOAD),
+            limit: HeaderName::from_static(header::LIMIT),
             refused: HeaderName::from_static(header::SHED),
             read_load,
             read_cold,
+            read_limit: RequestRate::parse,
         }
     }
 }
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -15,6 +15,7 @@
 use http::response::Parts;
 use hyper::body::Body;
 use hyper::body::Incoming;
+use limit::Source;
 use quarantine::Head;
 use route::LoadReport;
 use route::OutcomeKind;
@@ -153,6 +154,7 @@
         unresponsive_after: timeouts.unresponsive_after,
     };
     let spool = body.spool();
+    let sent_at = Instant::now();
     let Some((response, connection)) =
         send(core, upstream, request, body, timeouts.remaining).await
     else {
@@ -186,6 +188,7 @@
         running.end(OutcomeKind::Error, None);
         return AttemptEnd::Unknown;
     }
+    core.record_limit(upstream, response.headers(), sent_at, Source::Response);
     let failed = response.status().is_server_error();
     if let Some((parts, body)) = read_response(upstream, response, connection, reusable).await {
         running.end(
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -12,10 +12,12 @@
 use http::Uri;
 use http::header;
 use hyper::body::Incoming;
+use limit::Source;
 use route::LoadReport;
 use route::Pick;
 use slog::info;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use crate::balancer::Balancer;
 use crate::body;
@@ -111,6 +113,7 @@
 }
 
 async fn probe(core: &Core, upstream: &Upstream) -> ProbeResult {
+    let sent_at = Instant::now();
     let Some((response, connection)) = send_probe(core, upstream).await else {
         return ProbeResult::Failed;
     };
@@ -127,6 +130,7 @@
     if matches!(body, Ok(ReadBody::Whole(_))) {
         exchange::release_connection(upstream, connection, &parts.headers);
     }
+    core.record_limit(upstream, &parts.headers, sent_at, Source::Probe);
     let cold = parts.headers.get(&core.dialect.cold);
     let cold = cold.and_then(|value| (core.dialect.read_cold)(value.to_str().ok()?));
     let report = exchange::load_report(core, &parts.headers);
--- a/crates/quarantine/src/convert.rs
+++ b/crates/quarantine/src/convert.rs
@@ -11,7 +11,6 @@
 
 use crate::fingerprint::Fingerprint;
 use crate::tracker::Crash;
-use crate::tracker::InstanceRun;
 use crate::tracker::Suspect;
 
 quick_error! {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -17,7 +17,6 @@
 pub use quarantine::Event;
 pub use quarantine::Quarantine;
 pub use tracker::Crash;
-pub use tracker::InstanceRun;
 pub use tracker::Outcome;
 pub use tracker::Revision;
 pub use tracker::Suspect;
--- a/crates/quarantine/src/tracker.rs
+++ b/crates/quarantine/src/tracker.rs
@@ -56,15 +56,6 @@
 // Maximum numbers of refused and of suspected requests that are reported.
 const MAX_SUSPECTS: [usize; 2] = [256, 32];
 
-/// One run of an instance.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct InstanceRun {
-    /// The instance.
-    pub instance: InstanceId,
-    /// Increases with each start of an instance with the same id.
-    pub incarnation: u64,
-}
-
 /// An instance that crashed while it ran a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Crash {
--- a/crates/quarantine/tests/common/mod.rs
+++ b/crates/quarantine/tests/common/mod.rs
@@ -4,7 +4,6 @@
 use quarantine::Crash;
 use quarantine::Fingerprint;
 use quarantine::Head;
-use quarantine::InstanceRun;
 
 pub fn head(name: &str) -> Head {
     Head::new("caller", "GET", "example.org", name)
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -37,6 +37,10 @@
     Lie,
     /// Responds to probes with 503 and serves requests as usual.
     Ill,
+    /// Names a limit of `factor` requests per second in all responses, and serves as usual.
+    Limited,
+    /// The same in responses to requests only.
+    LimitedRequests,
 }
 
 /// A fault with its parameters.
@@ -45,7 +49,8 @@
 pub struct Fault {
     /// Kind of the fault.
     pub kind: FaultKind,
-    /// Factor on the service time under [`FaultKind::Slow`].
+    /// Factor on the service time under [`FaultKind::Slow`], requests per second under
+    /// [`FaultKind::Limited`].
     #[serde(default = "default_factor")]
     pub factor: u32,
     /// Delay of a response under [`FaultKind::Late`], in milliseconds.
--- a/crates/standin/src/handler.rs
+++ b/crates/standin/src/handler.rs
@@ -54,6 +54,8 @@
 
 /// Maximum size of a request body in bytes.
 const MAX_BODY: usize = 1024 * 1024;
+/// Path of the load probe.
+const LOAD_PATH: &str = "/rwr/load";
 /// Path prefix of archive responses.
 const ARCHIVE: &str = "/archive/";
 
@@ -171,7 +173,7 @@
     async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
         let path = req.uri().path().to_owned();
         match (req.method(), path.as_str()) {
-            (&Method::GET, "/rwr/load") => self.probe(res).await,
+            (&Method::GET, LOAD_PATH) => self.probe(res).await,
             (&Method::GET, "/standin/runs") => self.list_runs(res),
             (&Method::GET, "/standin/fault") => {
                 let fault = *self.0.fault.borrow();
@@ -179,14 +181,27 @@
             }
             (&Method::POST, "/standin/fault") => self.set_fault(req, res).await,
             _ if !self.is_for_this_incarnation(req) => misdirected(res),
-            _ => self.serve(req, res, path).await,
+            _ => self.serve(req, res, path.clone()).await,
         }
+        self.name_limit(&path, res);
         set(res, header::INSTANCE, &self.0.incarnation_id);
         set(res, header::LOAD, &self.0.load_header());
     }
 }
 
 impl Upstream {
+    fn name_limit(&self, path: &str, res: &mut Response) {
+        let fault = *self.0.fault.borrow();
+        let names_limit = match fault.kind {
+            FaultKind::Limited => true,
+            FaultKind::LimitedRequests => path != LOAD_PATH,
+            _ => false,
+        };
+        if names_limit {
+            set(res, header::LIMIT, &fault.factor.to_string());
+        }
+    }
+
     /// Whether the request names this incarnation of the instance, or none.
     fn is_for_this_incarnation(&self, req: &Request) -> bool {
         let expected = text(req, header::EXPECTED_INSTANCE);
