--- /dev/null
+++ b/crates/testutils/tests/test_limit.rs
@@ -0,0 +1,117 @@
+//! Guards against instances that receive more requests than they say they take.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use futures::future::join_all;
+use standin::Fault;
+use standin::FaultKind;
+use testutils::Fleet;
+use testutils::Request;
+use testutils::Upstream;
+use testutils::process::field;
+use testutils::tables;
+use testutils::tables::HOST;
+use testutils::tables::STATUS;
+
+/// Instances of the service.
+const INSTANCES: usize = 4;
+/// Entry processes.
+const ENTRIES: usize = 3;
+/// Requests per second that the limited instance takes.
+const LIMIT: u32 = 2;
+/// Tolerated multiple of the limit.
+const OVERSHOOT: f64 = 1.5;
+/// Requests tolerated on top of that.
+const SLACK: f64 = 5.0;
+/// Length of the window in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Pause between two requests through one entry process.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// Starts three hubs, entry processes with the route table, and stand-ins.
+async fn start() -> (Fleet, Vec<Upstream>) {
+    let mut fleet = Fleet::start(3, ENTRIES).await.unwrap();
+    fleet.layout.put(&tables::plain(1)).await.unwrap();
+    for index in 0..ENTRIES {
+        fleet.wait_table(index, 1).await.unwrap();
+    }
+    let mut upstreams = vec![];
+    for number in 0..INSTANCES {
+        let settings = fleet.layout.upstream(STATUS, number);
+        upstreams.push(fleet.start_upstream(&settings).await.unwrap());
+    }
+    (fleet, upstreams)
+}
+
+fn limited(kind: FaultKind) -> Fault {
+    Fault {
+        factor: LIMIT,
+        ..Fault::new(kind)
+    }
+}
+
+/// Sends requests through one entry process for the given time. Returns how many were answered
+/// and how many weren't.
+async fn send_for(fleet: &Fleet, entry: usize, duration: Duration) -> [usize; 2] {
+    let start = Instant::now();
+    let mut counts = [0, 0];
+    while start.elapsed() < duration {
+        let request = Request::get(STATUS, "/read/any").at(HOST);
+        let reply = fleet.call(entry, &request).await;
+        counts[usize::from(!reply.is_ok())] += 1;
+        tokio::time::sleep(PAUSE).await;
+    }
+    counts
+}
+
+/// Sends requests through all entry processes for the given time.
+async fn send_through_all(fleet: &Fleet, duration: Duration) -> [usize; 2] {
+    let sent = join_all((0..ENTRIES).map(|entry| send_for(fleet, entry, duration))).await;
+    let sum = |index: usize| sent.iter().map(|counts| counts[index]).sum();
+    [sum(0), sum(1)]
+}
+
+/// Sends requests through all entry processes until each has heard of a limit.
+async fn wait_until_told(fleet: &Fleet) {
+    let named = |line: &str| field(line, "msg") == Some("instance limit");
+    let told = join_all(fleet.entries.iter().flatten().map(|p| p.wait_line(named)));
+    let sending = async {
+        loop {
+            send_through_all(fleet, PAUSE).await;
+        }
+    };
+    tokio::select! {
+        told = told => assert!(told.iter().all(Result::is_ok), "{told:?}"),
+        () = sending => {}
+    }
+}
+
+/// Each instance runs as many requests in a window as its limit allows, and the others all the
+/// rest.
+async fn check_limit_is_kept(kind: FaultKind) {
+    let (fleet, upstreams) = start().await;
+    upstreams[0].set_fault(limited(kind)).await.unwrap();
+    wait_until_told(&fleet).await;
+    let before = upstreams[0].record().await.runs.len();
+    let start = Instant::now();
+    let [answered, unanswered] = send_through_all(&fleet, WINDOW).await;
+    let runs = upstreams[0].record().await.runs.len() - before;
+    let allowed = OVERSHOOT * f64::from(LIMIT) * start.elapsed().as_secs_f64() + SLACK;
+    assert!(
+        u32::try_from(runs).is_ok_and(|runs| f64::from(runs) <= allowed),
+        "{runs} requests of {answered} at the limited instance, {allowed:.0} allowed"
+    );
+    assert_eq!(unanswered, 0, "of {answered}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn test_limit_of_instance_is_kept_by_all_entry_processes_together() {
+    check_limit_is_kept(FaultKind::Limited).await;
+}
+
+/// Instances may name their limits in responses to requests only, not to probes.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_limit_named_in_responses_to_requests_only_is_kept() {
+    check_limit_is_kept(FaultKind::LimitedRequests).await;
+}
