limit, route, entry, hub: a few processes share the limit that an instance names

What callers and instances saw: an instance that had named 1.2 requests a second got 24 in 4 s, 12 allowed. Cause: nobody read it; an instance in need has free slots and looked cheapest. Class: a belief of the instance about itself that each process would have to keep for all.

Every response is read; what was heard last holds, and ends with a response that names none to a request sent since. Entry processes report it to hubs, hubs tell all. An instance's senders are the processes that rank highest by rendezvous hashing in its failure domain, one a request per second, each with a part of the rate and one request saved up; the others send nothing. Windows of 4 s see four times the limit and two requests a sender, of half as much again and 5 allowed. Where all instances are limited and none takes the request in time it is refused at once.

Ruled out: each process alone (14 times too much), parts by the number of processes (one request in 37 s), leases, one granting process.

Before: the two tests at three entry processes red (169 to 216 requests, 17 allowed).

--- a/crates/dispatch/src/warmup.rs
+++ b/crates/dispatch/src/warmup.rs
@@ -45,15 +45,11 @@
     /// to.
     #[must_use]
     pub fn share<T: AsRef<str>>(self, instance: &InstanceId, own: &str, processes: &[T]) -> u32 {
-        let score = |process: &str| (place::score(instance.as_str(), process), process.to_owned());
-        let processes = || processes.iter().map(AsRef::as_ref);
-        if !processes().any(|process| process == own) {
+        let Some(rank) = place::rank(instance.as_str(), own, processes) else {
             return 0;
-        }
-        let count = u32::try_from(processes().count()).unwrap_or(u32::MAX);
+        };
+        let [rank, count] = [rank, processes.len()].map(|n| u32::try_from(n).unwrap_or(u32::MAX));
         let senders = self.shared_per_second().min(count);
-        let higher = processes().filter(|process| score(process) > score(own));
-        let rank = u32::try_from(higher.count()).unwrap_or(u32::MAX);
         if rank < senders {
             self.shared_per_second() / senders
         } else {
--- a/crates/entry/src/balancer.rs
+++ b/crates/entry/src/balancer.rs
@@ -3,6 +3,7 @@
 
 mod cold;
 mod dispatch;
+mod limit;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -96,6 +97,8 @@
     Slow(SelectedInstance),
     /// Wait for capacity.
     Wait,
+    /// No instance takes the request in time.
+    Full,
     /// No instance is available.
     None,
 }
@@ -224,6 +227,12 @@
         self.retry_budget.spend_or_borrow(now)
     }
 
+    /// Computes this process's shares of instances that became cold or limited.
+    fn update_shares(&mut self, now: Moment) {
+        self.update_cold_shares(now);
+        self.update_limit_shares(now);
+    }
+
     /// Returns the instances to probe before a selection, in the given `round`, counted from 0.
     pub fn plan_probes(
         &mut self,
@@ -232,7 +241,7 @@
         exclude: &[Pick],
         round: u32,
     ) -> Vec<(Pick, Arc<Upstream>)> {
-        self.update_cold_shares(now);
+        self.update_shares(now);
         let probes = &mut self.probe_allowance;
         let allow = |count| probes.take(now, count);
         let picks = self.chooser.plan(now, need, exclude, round, allow);
@@ -273,14 +282,14 @@
 
     /// Selects an instance; one of `exclude` only if no other is left.
     pub fn choose(&mut self, now: Moment, need: &Need, exclude: &[Pick]) -> Selection {
-        self.update_cold_shares(now);
+        self.update_shares(now);
         let decision = self.chooser.choose(now, need, exclude);
         self.selection(decision)
     }
 
     /// Selects the given instance, which has just got free capacity.
     pub fn choose_instance(&mut self, now: Moment, need: &Need, pick: Pick) -> Selection {
-        self.update_cold_shares(now);
+        self.update_shares(now);
         let decision = self.chooser.choose_instance(now, need, pick);
         self.selection(decision)
     }
@@ -294,6 +303,7 @@
                 .selected(choice)
                 .map_or(Selection::None, Selection::Slow),
             Decision::Wait => Selection::Wait,
+            Decision::Full => Selection::Full,
             Decision::None => Selection::None,
         }
     }
--- a/crates/entry/src/balancer/cold.rs
+++ b/crates/entry/src/balancer/cold.rs
@@ -29,9 +29,9 @@
             return;
         }
         for pick in self.chooser.cold_without_share(now) {
-            let Processes { own, all, .. } = &*self.processes;
+            let (own, places) = (&self.processes.own.place, self.processes.places());
             let id = self.chooser.id(pick);
-            let starts = id.map_or(0, |id| warmup.share(id, own, all));
+            let starts = id.map_or(0, |id| warmup.share(id, own, &places));
             self.chooser.set_share(pick, starts);
         }
     }
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -32,6 +32,7 @@
 use wire::hub::Instance;
 use wire::hub::Phase;
 
+pub use self::suspects::ReportCursor;
 use crate::balancer::Balancer;
 use crate::counters::Counters;
 use crate::dialect::Dialect;
@@ -100,6 +101,8 @@
     pub instances_known: watch::Sender<bool>,
     /// The number of the newest crash or success to report to the hubs.
     pub newest_event: watch::Sender<u64>,
+    /// The number of the newest limit to report to the hubs.
+    pub newest_limit: watch::Sender<u64>,
     /// The number of the newest event that a hub has acknowledged.
     pub acknowledged_event: watch::Sender<u64>,
     routes: RwLock<Arc<Routes>>,
@@ -121,6 +124,7 @@
             table_known: watch::Sender::new(false),
             instances_known: watch::Sender::new(false),
             newest_event: watch::Sender::default(),
+            newest_limit: watch::Sender::default(),
             acknowledged_event: watch::Sender::default(),
             routes: RwLock::default(),
             state: Mutex::default(),
@@ -293,6 +297,7 @@
             let balancer = state.balancers.entry(service.clone());
             let new = || Balancer::new(domain.clone(), &shared, rand::random(), now);
             balancer.or_insert_with(new).update(now, instances);
+            limits::apply_known_limits(state, &service, now);
         }
         self.set_warmups(state);
         share::assign_dispatchers(&settings, state, now);
--- a/crates/entry/src/core/share.rs
+++ b/crates/entry/src/core/share.rs
@@ -6,6 +6,7 @@
 
 use super::Core;
 use super::State;
+use crate::processes::Process;
 use crate::processes::Processes;
 use crate::settings::Settings;
 
@@ -29,11 +30,22 @@
 
     /// The entry processes on the current entry hosts.
     pub(super) fn processes(&self, state: &State) -> Processes {
-        let own = self.settings().place;
-        let places = state.hosts.iter().map(|host| host.place.clone());
+        let settings = self.settings();
+        let own = Process {
+            address: settings.front.to_string(),
+            place: settings
+                .place
+                .map_or_else(String::new, |place| place.to_string()),
+            domain: settings.domain.to_string(),
+        };
+        let all = state.hosts.iter().map(|host| Process {
+            address: host.address.clone(),
+            place: host.place.clone(),
+            domain: host.domain.clone(),
+        });
         Processes {
-            own: own.map_or_else(String::new, |own| own.to_string()),
-            all: places.filter(|place| !place.is_empty()).collect(),
+            own,
+            all: all.collect(),
             revision: state.processes.revision + 1,
         }
     }
--- a/crates/entry/src/core/suspects.rs
+++ b/crates/entry/src/core/suspects.rs
@@ -16,6 +16,15 @@
 
 use super::Core;
 
+/// The newest events that a hub has received.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReportCursor {
+    /// Number of the newest crash or success.
+    pub event: u64,
+    /// Number of the newest limit.
+    pub limit: u64,
+}
+
 impl Core {
     /// Whether there are suspects with this request head.
     #[must_use]
@@ -81,18 +90,18 @@
         }
     }
 
-    /// The report for a hub that has acknowledged the events up to `number`, and the number of
-    /// the newest event. With `new`, it also includes current refusals, for a hub that has
-    /// restarted.
+    /// The report for a hub that has acknowledged the events up to `acknowledged`, and what it
+    /// will have acknowledged with it. With `new`, it also includes current refusals, for a hub
+    /// that has restarted.
     #[must_use]
-    pub fn crash_report(&self, number: u64, new: bool) -> (Report, u64) {
+    pub fn report(&self, acknowledged: ReportCursor, new: bool) -> (Report, ReportCursor) {
         let now = self.clock.now();
         let state = self.state();
         let mut report = Report {
             host: self.settings().host.to_string(),
             ..Report::default()
         };
-        for event in state.quarantine.since(number) {
+        for event in state.quarantine.since(acknowledged.event) {
             match event {
                 Event::Crashed(crash) => report.crashes.push(crash.to_wire(now)),
                 Event::Succeeded(request) => report.answered.push(request.into()),
@@ -102,6 +111,12 @@
             let refused = state.quarantine.refusals(now);
             report.refused = refused.iter().map(Suspect::to_wire).collect();
         }
-        (report, state.quarantine.newest())
+        let limits = state.limits.since(acknowledged.limit);
+        report.limits = limits.iter().map(|named| named.to_wire(now)).collect();
+        let newest = ReportCursor {
+            event: state.quarantine.newest(),
+            limit: state.limits.newest(),
+        };
+        (report, newest)
     }
 }
--- a/crates/entry/src/crash.rs
+++ b/crates/entry/src/crash.rs
@@ -8,7 +8,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::prelude::*;
 use http::HeaderValue;
 use quarantine::Crash;
 use quarantine::Fingerprint;
@@ -124,10 +123,7 @@
     let number = core.record_crash(Crash {
         request: fingerprint,
         service: upstream.service.clone(),
-        run: InstanceRun {
-            instance: upstream.id.clone(),
-            incarnation: upstream.incarnation,
-        },
+        run: upstream.run(),
         at: core.clock.now().before(broken.broken_at.elapsed()),
         answered: false,
     });
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -44,6 +44,7 @@
     loop {
         tokio::time::sleep(EJECTED_PROBE_INTERVAL).await;
         core.balancers(Balancer::tick);
+        core.expire_limits();
         for (service, due) in core.balancers(Balancer::plan_ejected_probes) {
             if !due.is_empty() {
                 probe_instances(&core, &service, due).await;
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -67,6 +67,7 @@
         Some(Selection::Send(chosen)) => return SearchResult::Selected(chosen),
         Some(Selection::Slow(chosen)) => Some(chosen),
         Some(Selection::Wait) => None,
+        Some(Selection::Full) => return SearchResult::Full(None),
         Some(Selection::None) | None => return SearchResult::None,
     };
     let elapsed = started_at.elapsed();
@@ -106,6 +107,6 @@
     })? {
         Selection::Send(chosen) => Some(chosen),
         // The instance has become slow, and there is time to wait for another one.
-        Selection::Slow(_) | Selection::Wait | Selection::None => None,
+        Selection::Slow(_) | Selection::Wait | Selection::Full | Selection::None => None,
     }
 }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -68,6 +68,8 @@
     epoch: watch::Sender<u64>,
     /// The revision of the suspects last received from the hub.
     suspects: u64,
+    /// The revision of the limits last received from the hub.
+    limits: u64,
     /// The newest table version reported by the hub.
     table: u64,
     /// The members of the hub group as the hub reported them, and the id of that list.
@@ -129,6 +131,7 @@
             progress: Progress::default(),
             epoch: watch::Sender::default(),
             suspects: 0,
+            limits: 0,
             table: 0,
             members: Vec::new(),
             group: 0,
@@ -221,6 +224,7 @@
             group: self.group,
             evacuations: self.core.evacuations(),
             suspects: self.suspects,
+            limits: self.limits,
             wait_ms: u32::try_from(self.hubs.watch_duration(self.address).as_millis())
                 .unwrap_or(u32::MAX),
         }
@@ -266,6 +270,7 @@
         }
         self.apply_suspects(reply);
         self.apply_instance_updates(reply);
+        self.apply_limits(reply);
         let applied_index = self.progress.apply(asked.news(), reply);
         self.hubs.advance_applied_index(applied_index);
         self.record_status(asked, reply);
@@ -286,6 +291,7 @@
             .send_if_modified(|current| std::mem::replace(current, epoch) != epoch)
         {
             self.suspects = 0;
+            self.limits = 0;
         }
         if let Some(suspects) = &reply.suspects {
             self.core.apply_suspects(self.address, suspects);
@@ -293,6 +299,13 @@
         }
     }
 
+    fn apply_limits(&mut self, reply: &WatchReply) {
+        if let Some(limits) = &reply.limits {
+            self.core.apply_limits(self.address, &limits.rows);
+            self.limits = limits.revision;
+        }
+    }
+
     /// Applies the instances and heartbeats of a reply.
     fn apply_instance_updates(&self, reply: &WatchReply) {
         let instances = if reply.whole.is_empty() {
--- a/crates/entry/src/sync/report.rs
+++ b/crates/entry/src/sync/report.rs
@@ -1,4 +1,4 @@
-//! Reports crashed instances to a hub.
+//! Reports crashed instances and the limits of instances to a hub.
 //!
 //! Every hub receives all reports and counts for itself, so that the loss of some hubs doesn't
 //! lift a quarantine. A hub that restarts receives everything again.
@@ -13,6 +13,7 @@
 use wire::peer::HubLink;
 
 use crate::core::Core;
+use crate::core::ReportCursor;
 
 /// Timeout for a report.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -23,19 +24,22 @@
 /// answered. Runs forever.
 pub async fn run(core: Arc<Core>, link: Arc<HubLink>, mut epochs: watch::Receiver<u64>) {
     let mut events = core.newest_event.subscribe();
-    let (mut acknowledged, mut known_epoch) = (0, 0);
+    let mut limits = core.newest_limit.subscribe();
+    let (mut acknowledged, mut known_epoch) = (ReportCursor::default(), 0);
     let mut is_failing = false;
     loop {
         events.mark_unchanged();
+        limits.mark_unchanged();
         let epoch = *epochs.borrow_and_update();
         let is_new_process = epoch != known_epoch;
         if is_new_process {
-            acknowledged = 0;
+            acknowledged = ReportCursor::default();
         }
-        let (report, newest) = core.crash_report(acknowledged, is_new_process);
+        let (report, newest) = core.report(acknowledged, is_new_process);
         if epoch == 0 || is_empty(&report) {
             tokio::select! {
                 _ = events.changed() => {}
+                _ = limits.changed() => {}
                 _ = epochs.changed() => {}
             }
             continue;
@@ -44,8 +48,8 @@
         if sent {
             (acknowledged, known_epoch) = (newest, epoch);
             core.acknowledged_event.send_if_modified(|current| {
-                let is_newer = newest > *current;
-                *current = newest.max(*current);
+                let is_newer = newest.event > *current;
+                *current = newest.event.max(*current);
                 is_newer
             });
         }
@@ -61,7 +65,10 @@
 }
 
 fn is_empty(report: &Report) -> bool {
-    report.crashes.is_empty() && report.answered.is_empty() && report.refused.is_empty()
+    report.crashes.is_empty()
+        && report.answered.is_empty()
+        && report.refused.is_empty()
+        && report.limits.is_empty()
 }
 
 /// Sends a report. Returns whether the hub accepted it.
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -70,6 +70,17 @@
     pub pool: Pool,
 }
 
+impl Upstream {
+    /// The run of the instance.
+    #[must_use]
+    pub fn run(&self) -> InstanceRun {
+        InstanceRun {
+            instance: self.id.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+}
+
 /// The stored state of one instance.
 #[derive(Debug)]
 struct KnownInstance {
--- a/crates/entry/tests/test_cold.rs
+++ b/crates/entry/tests/test_cold.rs
@@ -9,6 +9,7 @@
 use entry::balancer::Balancer;
 use entry::balancer::Selection;
 use entry::pool::Pool;
+use entry::processes::Process;
 use entry::processes::Processes;
 use entry::settings::Retry;
 use entry::settings::SharedBudgets;
@@ -49,10 +50,18 @@
     format!("10.0.0.{number}:7635")
 }
 
+fn process(number: u32) -> Process {
+    Process {
+        address: format!("10.0.0.{number}:80"),
+        place: place(number),
+        domain: "a".into(),
+    }
+}
+
 fn processes(own: u32, all: std::ops::Range<u32>, revision: u64) -> Arc<Processes> {
     Arc::new(Processes {
-        own: place(own),
-        all: all.map(place).collect(),
+        own: process(own),
+        all: all.map(process).collect(),
         revision,
     })
 }
--- a/crates/hub/src/lib.rs
+++ b/crates/hub/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod entries;
 pub mod http;
 pub mod hub;
+pub mod limits;
 pub mod list;
 pub mod server;
 pub mod settings;
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -52,6 +52,8 @@
 ///
 /// Saves bandwidth when many instances crash, as each crash is a change.
 const SUSPECT_BATCH_DELAY: Duration = Duration::from_millis(500);
+/// Time for which changes of limits are batched.
+const LIMIT_BATCH_DELAY: Duration = Duration::from_millis(200);
 /// How long a majority may take to confirm the table for a process that has none.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -94,6 +96,7 @@
             _ = newer => {}
             _ = lists.wait_for(|hash| *hash != request.list), if request.lists => {}
             () = self.suspects_changed(request) => {}
+            () = self.limits_changed(request), if request.lists => {}
             () = tokio::time::sleep_until(deadline) => {}
         }
         batched.unwrap_or_else(|| self.instance_update(request))
@@ -137,6 +140,17 @@
         let _ = tokio::time::timeout(SUSPECT_BATCH_DELAY, refused).await;
     }
 
+    /// Waits until limits have changed, and for those that change right after it.
+    async fn limits_changed(&self, request: &Watch) {
+        let mut revisions = self.state.limits.subscribe();
+        let changed = revisions.wait_for(|revision| *revision != request.limits);
+        let closed = changed.await.is_err();
+        if closed {
+            return std::future::pending().await;
+        }
+        tokio::time::sleep(LIMIT_BATCH_DELAY).await;
+    }
+
     /// The changes of instances that the watcher doesn't know.
     fn instance_update(&self, request: &Watch) -> InstanceUpdate {
         if request.news() == News::None {
@@ -196,6 +210,7 @@
         if request.epoch != self.state.epoch {
             request.cursor = 0;
             request.suspects = 0;
+            request.limits = 0;
             if request.news() != News::None {
                 request.wait_ms = 0;
             }
@@ -225,6 +240,7 @@
         };
         let suspects = (inner.tracker.revision().newest != request.suspects)
             .then(|| self.state.suspects(&inner));
+        let limits = self.state.limits_since(&inner, request.limits);
         let hubs = inner.hubs.iter().map(ToString::to_string);
         WatchReply {
             epoch: self.state.epoch,
@@ -251,6 +267,7 @@
             domain: self.state.settings.domain.to_string(),
             evacuations: evacuations.map(|evacuations| evacuations.to_wire()),
             suspects,
+            limits,
         }
     }
 
--- a/crates/hub/src/state.rs
+++ b/crates/hub/src/state.rs
@@ -10,6 +10,7 @@
 use base::prelude::*;
 use bytes::Bytes;
 use control::LocalClient;
+use limit::Limits;
 use quarantine::Revision;
 use quarantine::Tracker;
 use registry::ApplyOutcome;
@@ -42,6 +43,8 @@
     pub hubs_hash: u64,
     /// Tracks requests that crash instances.
     pub tracker: Tracker,
+    /// The limits that instances name.
+    pub limits: Limits,
     /// How long callers may cache a list of entry hosts; set by a reload.
     pub ttl: Option<Duration>,
     /// The cursor and packed list of the last call of [`State::packed_instances`].
@@ -66,6 +69,8 @@
     pub list_hash: watch::Sender<u64>,
     /// Publishes the revision of the suspects.
     pub suspects: watch::Sender<Revision>,
+    /// Publishes the number of the newest limit.
+    pub limits: watch::Sender<u64>,
     inner: Mutex<Inner>,
 }
 
@@ -82,6 +87,7 @@
             cursor: watch::Sender::new(0),
             list_hash: watch::Sender::default(),
             suspects: watch::Sender::default(),
+            limits: watch::Sender::default(),
             inner: Mutex::default(),
         })
     }
--- a/crates/hub/src/suspects.rs
+++ b/crates/hub/src/suspects.rs
@@ -16,6 +16,7 @@
     /// Applies the report of an entry process, notifies watchers of changes and returns the
     /// current suspects.
     pub fn apply_report(&self, report: &Report) -> Suspects {
+        self.apply_limits(report);
         let (suspects, revision) = {
             let mut inner = self.lock();
             for request in &report.answered {
--- a/crates/limit/src/limits.rs
+++ b/crates/limit/src/limits.rs
@@ -17,12 +17,14 @@
 pub const RETENTION: Duration = Duration::from_mins(1);
 /// Time after which a limit that is heard again is reported again.
 pub const REFRESH_INTERVAL: Duration = Duration::from_secs(10);
+// Change of a limit that is reported at once, in percent.
+const MIN_REPORTED_CHANGE_PERCENT: u64 = 20;
 // Maximum number of stored limits; the one that was heard first is evicted.
 const MAX_LIMITS: usize = 1_024;
 
 /// What an instance says of its limit, or said at another process.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Report {
+pub struct NamedLimit {
     /// The instance.
     pub run: InstanceRun,
     /// Its service.
@@ -41,8 +43,10 @@
     Response,
     /// The response to a probe.
     Probe,
-    /// A hub.
+    /// A hub, which tells all processes.
     Hub,
+    /// An entry process, which tells all hubs.
+    Entry,
 }
 
 /// What a report changes.
@@ -58,14 +62,34 @@
 
 #[derive(Clone, Debug)]
 struct Known {
-    report: Report,
+    named: NamedLimit,
     // Whether a response to a probe has named the limit.
     named_by_probe: bool,
     // The number of the newest event to report; 0 if none is.
     event: u64,
+    // What was reported last, and when.
+    reported: Option<RequestRate>,
     reported_at: Moment,
 }
 
+impl Known {
+    // Whether other processes have to hear of it.
+    fn is_report_due(&self, now: Moment) -> bool {
+        match (self.reported, self.named.rate) {
+            (None, None) => false,
+            (Some(reported), Some(rate)) => {
+                differs(reported, rate) || now.since(self.reported_at) >= REFRESH_INTERVAL
+            }
+            _ => true,
+        }
+    }
+}
+
+fn differs(reported: RequestRate, rate: RequestRate) -> bool {
+    let [reported, rate] = [reported, rate].map(|rate| u64::from(rate.milli()));
+    reported.abs_diff(rate) * 100 > reported * MIN_REPORTED_CHANGE_PERCENT
+}
+
 /// The known limits.
 #[derive(Clone, Debug, Default)]
 pub struct Limits {
@@ -75,19 +99,20 @@
 
 impl Limits {
     /// Records a limit that the instance named, or that another process has reported.
-    pub fn record(&mut self, now: Moment, report: Report, source: Source) -> Change {
-        let before = self.known.get(&report.run);
-        if before.is_some_and(|known| known.report.heard_at > report.heard_at) {
+    pub fn record(&mut self, now: Moment, named: NamedLimit, source: Source) -> Change {
+        let before = self.known.get(&named.run);
+        if before.is_some_and(|known| known.named.heard_at > named.heard_at) {
             return Change::Unchanged;
         }
-        let rate_before = self.rate(now, &report.run);
-        let (rate, run) = (report.rate, report.run.clone());
+        let rate_before = self.rate(now, &named.run);
+        let (rate, run) = (named.rate, named.run.clone());
         let was_named_by_probe = before.is_some_and(|known| known.named_by_probe);
         let known = Known {
             named_by_probe: rate.is_some() && (was_named_by_probe || source == Source::Probe),
             event: before.map_or(0, |known| known.event),
+            reported: before.and_then(|known| known.reported),
             reported_at: before.map_or(Moment::ZERO, |known| known.reported_at),
-            report,
+            named,
         };
         self.evict_oldest();
         self.known.insert(run.clone(), known);
@@ -97,7 +122,7 @@
             None => Change::Ended,
         };
         if source != Source::Hub {
-            self.report_if_due(now, &run, change);
+            self.report_if_due(now, &run);
         }
         change
     }
@@ -114,27 +139,24 @@
             return Change::Unchanged;
         };
         let says_nothing = source == Source::Probe && !known.named_by_probe;
-        if known.report.rate.is_none() || says_nothing || sent_at <= known.report.heard_at {
+        if known.named.rate.is_none() || says_nothing || sent_at <= known.named.heard_at {
             return Change::Unchanged;
         }
-        let report = Report {
+        let ended = NamedLimit {
             rate: None,
             heard_at: now,
-            ..known.report.clone()
+            ..known.named.clone()
         };
-        self.record(now, report, source)
+        self.record(now, ended, source)
     }
 
-    // Numbers the newest event about an instance if it is new or an old one has to be repeated.
-    fn report_if_due(&mut self, now: Moment, run: &InstanceRun, change: Change) {
-        let Some(known) = self.known.get_mut(run) else {
-            return;
-        };
-        let is_due = known.report.rate.is_some()
-            && (known.event == 0 || now.since(known.reported_at) >= REFRESH_INTERVAL);
-        if change != Change::Unchanged || is_due {
+    // Numbers the newest event about an instance if other processes have to hear of it.
+    fn report_if_due(&mut self, now: Moment, run: &InstanceRun) {
+        let known = self.known.get_mut(run);
+        if let Some(known) = known.filter(|known| known.is_report_due(now)) {
             self.newest += 1;
             known.event = self.newest;
+            known.reported = known.named.rate;
             known.reported_at = now;
         }
     }
@@ -143,7 +165,7 @@
         if self.known.len() < MAX_LIMITS {
             return;
         }
-        let oldest = self.known.iter().min_by_key(|(_, k)| k.report.heard_at);
+        let oldest = self.known.iter().min_by_key(|(_, k)| k.named.heard_at);
         if let Some(run) = oldest.map(|(run, _)| run.clone()) {
             self.known.remove(&run);
         }
@@ -152,10 +174,8 @@
     /// The instance's limit; `None` if it has none.
     #[must_use]
     pub fn rate(&self, now: Moment, run: &InstanceRun) -> Option<RequestRate> {
-        let report = &self.known.get(run)?.report;
-        report
-            .rate
-            .filter(|_| now.since(report.heard_at) < RETENTION)
+        let named = &self.known.get(run)?.named;
+        named.rate.filter(|_| now.since(named.heard_at) < RETENTION)
     }
 
     /// The current limits of a service's instances.
@@ -166,16 +186,16 @@
     ) -> impl Iterator<Item = (&InstanceRun, RequestRate)> {
         let known = self.known.iter();
         known
-            .filter(move |(_, known)| known.report.service == *service)
+            .filter(move |(_, known)| known.named.service == *service)
             .filter_map(move |(run, _)| Some((run, self.rate(now, run)?)))
     }
 
     /// Removes what was heard too long ago. Returns the limits that end with it.
-    pub fn remove_expired(&mut self, now: Moment) -> Vec<Report> {
-        let is_expired = |known: &mut Known| now.since(known.report.heard_at) >= RETENTION;
+    pub fn remove_expired(&mut self, now: Moment) -> Vec<NamedLimit> {
+        let is_expired = |known: &mut Known| now.since(known.named.heard_at) >= RETENTION;
         let expired = self.known.extract_if(.., |_, known| is_expired(known));
-        let reports = expired.map(|(_, known)| known.report);
-        reports.filter(|report| report.rate.is_some()).collect()
+        let named = expired.map(|(_, known)| known.named);
+        named.filter(|named| named.rate.is_some()).collect()
     }
 
     /// The number of the newest event.
@@ -186,8 +206,8 @@
 
     /// What was heard of instances after the event `number`.
     #[must_use]
-    pub fn since(&self, number: u64) -> Vec<Report> {
+    pub fn since(&self, number: u64) -> Vec<NamedLimit> {
         let newer = self.known.values().filter(|known| known.event > number);
-        newer.map(|known| known.report.clone()).collect()
+        newer.map(|known| known.named.clone()).collect()
     }
 }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -19,4 +19,5 @@
 pub use placement::Demand;
 pub use placement::Placement;
 pub use placement::Spread;
+pub use rendezvous::rank;
 pub use rendezvous::score;
--- a/crates/route/src/probing.rs
+++ b/crates/route/src/probing.rs
@@ -12,6 +12,7 @@
 
 mod cold;
 mod entry;
+mod limit;
 mod results;
 mod table;
 
@@ -89,6 +90,8 @@
     /// Wait for room: all instances are at capacity, or there are no reports and this process
     /// uses its share of the slots.
     Wait,
+    /// All instances have named limits, and none takes the request in time from this process.
+    Full,
     /// No instance is ready.
     None,
 }
@@ -279,7 +282,7 @@
         let may_send = |i: &usize| self.may_send(now, &self.entries[*i]);
         let picks: Vec<usize> = ready.iter().copied().filter(may_send).collect();
         if picks.is_empty() && !ready.is_empty() {
-            return Decision::Wait;
+            return self.decide_blocked(now, need, &ready);
         }
         let preferred: Vec<usize> = picks
             .iter()
--- a/crates/route/src/probing/entry.rs
+++ b/crates/route/src/probing/entry.rs
@@ -13,6 +13,8 @@
 use crate::instance::Phase;
 use crate::outcome::LoadReport;
 
+use super::limit::Limit;
+
 /// Age below which a report counts as fresh: short beside the duration of a pace, about as
 /// long as the interval between a service's requests.
 pub(super) const MAX_FRESH_AGE: Duration = Duration::from_millis(12);
@@ -35,6 +37,8 @@
     pub(super) cold_until: Moment,
     /// This process's share while the instance is cold.
     pub(super) share: Share,
+    /// The limit that it names for all processes together.
+    pub(super) limit: Option<Limit>,
     /// Start times of this process's latest attempts there.
     pub(super) recent_starts: VecDeque<Moment>,
     pub(super) probes_in_flight: u32,
@@ -97,6 +101,7 @@
             self.recent_starts.pop_front();
         }
         self.recent_starts.push_back(now);
+        self.pace_start(now);
     }
 
     pub(super) fn is_fresh(&self, now: Moment) -> bool {
--- /dev/null
+++ b/crates/route/src/probing/limit.rs
@@ -0,0 +1,115 @@
+//! Limits that instances name, which the processes share.
+
+use std::time::Duration;
+
+use base::prelude::*;
+use limit::Pacer;
+use limit::RequestRate;
+
+use crate::cost::Need;
+use crate::instance::Pick;
+
+use super::Decision;
+use super::ProbingChooser;
+use super::entry::Entry;
+
+/// The limit of one instance, and this process's part of it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Limit {
+    rate: RequestRate,
+    /// Revision of the process list by which the part was computed; `None` before that.
+    list_revision: Option<u64>,
+    pacer: Pacer,
+}
+
+impl Limit {
+    /// When this process may send the next request; `None` if never.
+    fn next_start(&self) -> Option<Moment> {
+        self.list_revision?;
+        self.pacer.next_start()
+    }
+}
+
+impl Entry {
+    /// Whether this process may send a request now, as far as the instance's limit is concerned.
+    pub(super) fn is_within_limit(&self, now: Moment) -> bool {
+        let next_start = |limit: &Limit| limit.next_start();
+        self.limit
+            .as_ref()
+            .is_none_or(|limit| next_start(limit).is_some_and(|at| at <= now))
+    }
+
+    pub(super) fn pace_start(&mut self, now: Moment) {
+        if let Some(limit) = &mut self.limit {
+            limit.pacer.record_start(now);
+        }
+    }
+}
+
+impl ProbingChooser {
+    /// Sets the instance's limit, or removes it. This process sends nothing to the instance until
+    /// its share of a new limit is set.
+    pub fn set_limit(&mut self, now: Moment, pick: Pick, rate: Option<RequestRate>) {
+        let Some(entry) = self.entry(pick) else {
+            return;
+        };
+        entry.limit = match (entry.limit, rate) {
+            (Some(limit), Some(rate)) if limit.rate == rate => Some(limit),
+            (Some(limit), Some(rate)) => Some(Limit {
+                rate,
+                list_revision: None,
+                ..limit
+            }),
+            (None, Some(rate)) => Some(Limit {
+                rate,
+                list_revision: None,
+                pacer: Pacer::new(now, RequestRate::ZERO),
+            }),
+            (_, None) => None,
+        };
+    }
+
+    /// The limited instances for which this process's share by the given process list isn't set,
+    /// with their limits.
+    #[must_use]
+    pub fn limits_without_share(&self, list_revision: u64) -> Vec<(Pick, RequestRate)> {
+        let entries = self.entries.iter().enumerate();
+        let lacking = entries.filter_map(|(index, entry)| {
+            let limit = entry.limit.as_ref()?;
+            let lacks = entry.is_ready() && limit.list_revision != Some(list_revision);
+            lacks.then(|| (self.pick(index), limit.rate))
+        });
+        lacking.collect()
+    }
+
+    /// Sets the rate at which this process may send to a limited instance.
+    pub fn set_limit_share(
+        &mut self,
+        now: Moment,
+        pick: Pick,
+        list_revision: u64,
+        share: RequestRate,
+    ) {
+        let entry = self.entry(pick);
+        if let Some(limit) = entry.and_then(|entry| entry.limit.as_mut()) {
+            limit.list_revision = Some(list_revision);
+            limit.pacer.set_rate(now, share);
+        }
+    }
+
+    /// The decision where no ready instance may receive a request now: wait if a limit allows one
+    /// in time, or if something else than limits is in the way.
+    pub(super) fn decide_blocked(&self, now: Moment, need: &Need, ready: &[usize]) -> Decision {
+        let mut limits = ready.iter().map(|index| self.entries[*index].limit);
+        let Some(limits) = limits.by_ref().collect::<Option<Vec<Limit>>>() else {
+            return Decision::Wait;
+        };
+        let starts = limits.iter().filter_map(Limit::next_start);
+        let wait = starts.min().map_or(Duration::MAX, |at| at.since(now));
+        if wait > need.aim.saturating_sub(need.work) {
+            Decision::Full
+        } else {
+            Decision::Wait
+        }
+    }
+}
--- a/crates/route/src/probing/table.rs
+++ b/crates/route/src/probing/table.rs
@@ -110,6 +110,7 @@
             attempts_since_report: 0,
             cold_until: now + reported.cold,
             share: Share::default(),
+            limit: None,
             recent_starts: VecDeque::new(),
             probes_in_flight: 0,
             last_probe_failed: false,
--- a/crates/testutils/tests/test_limit.rs
+++ b/crates/testutils/tests/test_limit.rs
@@ -115,3 +115,46 @@
 async fn test_limit_named_in_responses_to_requests_only_is_kept() {
     check_limit_is_kept(FaultKind::LimitedRequests).await;
 }
+
+/// Guards against entry processes that hear of a limit, or of its end, from the instance only.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_limit_and_its_end_reach_all_entry_processes_through_hubs() {
+    let (fleet, upstreams) = start().await;
+    upstreams[0]
+        .set_fault(limited(FaultKind::LimitedRequests))
+        .await
+        .unwrap();
+    let told = |per_second: &'static str| {
+        move |line: &str| {
+            field(line, "msg") == Some("instance limit")
+                && field(line, "per_second") == Some(per_second)
+        }
+    };
+    let processes = || fleet.entries.iter().flatten();
+    let named = join_all(processes().map(|p| p.wait_line(told("2"))));
+    // All requests go through one process; the others hear of the limit from hubs.
+    let sending = async {
+        loop {
+            send_for(&fleet, 0, PAUSE).await;
+        }
+    };
+    tokio::select! {
+        named = named => assert!(named.iter().all(Result::is_ok), "{named:?}"),
+        () = sending => {}
+    }
+    upstreams[0]
+        .set_fault(Fault::new(FaultKind::None))
+        .await
+        .unwrap();
+    let ended = join_all(processes().map(|p| p.wait_line(told("none"))));
+    // Only a process that may send to the instance hears of the end.
+    let sending = async {
+        loop {
+            send_through_all(&fleet, PAUSE).await;
+        }
+    };
+    tokio::select! {
+        ended = ended => assert!(ended.iter().all(Result::is_ok), "{ended:?}"),
+        () = sending => {}
+    }
+}
