--- a/crates/quarantine/src/tracker.rs
+++ b/crates/quarantine/src/tracker.rs
@@ -11,9 +11,11 @@
 //! senders' requests beside it. A later crash under another sender points at what they all ask
 //! for.
 
+mod evidence;
+mod record;
+
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
@@ -22,6 +24,8 @@
 use crate::fingerprint::Fingerprint;
 use crate::fingerprint::Head;
 
+use self::record::Record;
+
 /// Number of crashes at which a request is refused.
 pub const MIN_CRASHES: usize = 3;
 /// The same if more of the service's instances crash without the request than with it.
@@ -94,14 +98,6 @@
     },
 }
 
-// What speaks for a request being the cause of crashes.
-#[derive(Clone, Copy, Debug)]
-struct Evidence {
-    crashes: usize,
-    others: usize,
-    is_cause: bool,
-}
-
 /// A refused or suspected request, as reported to other processes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Suspect {
@@ -111,50 +107,6 @@
     pub refused: Duration,
 }
 
-// The crashes and the refusal of one request, or of the same request of all senders.
-#[derive(Clone, Debug, Default)]
-struct Record {
-    // The runs that crashed, each with the senders of the request.
-    runs: BTreeMap<InstanceRun, BTreeSet<u64>>,
-    last_crash: Moment,
-    // Number of refusals so far.
-    refusals: u32,
-    first_refusal: Option<Moment>,
-    refused_until: Moment,
-}
-
-impl Record {
-    fn is_refused(&self, now: Moment) -> bool {
-        now < self.refused_until
-    }
-
-    fn is_reported(&self, now: Moment) -> bool {
-        self.is_refused(now) || self.runs.len() >= MIN_SUSPECT_CRASHES
-    }
-
-    fn is_retained(&self, now: Moment) -> bool {
-        now.since(self.last_crash.max(self.refused_until)) < WINDOW
-    }
-
-    // Adds a crash. Returns false if it was known.
-    fn add_crash(&mut self, crash: &Crash) -> bool {
-        self.last_crash = self.last_crash.max(crash.at);
-        let senders = self.runs.entry(crash.run.clone()).or_default();
-        senders.insert(crash.request.sender)
-    }
-
-    // Refuses the request because of a crash at `crashed_at`.
-    fn refuse(&mut self, now: Moment, crashed_at: Moment) -> Duration {
-        let duration =
-            INITIAL_REFUSAL.saturating_mul(1_u32.checked_shl(self.refusals).unwrap_or(u32::MAX));
-        let duration = duration.min(MAX_REFUSAL);
-        self.refusals += 1;
-        self.first_refusal.get_or_insert(crashed_at);
-        self.refused_until = now + duration;
-        duration
-    }
-}
-
 /// Version of the reported suspects.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Revision {
@@ -214,144 +166,6 @@
         }
     }
 
-    // Refuses the sender's request if enough instances crashed while running it.
-    fn evaluate_sender(&mut self, now: Moment, crash: &Crash) -> Outcome {
-        let request = crash.request;
-        let runs = self.crashed_runs(request);
-        // The same request of other senders isn't another cause.
-        let mut explained = self.crashed_runs(request.for_all_senders());
-        explained.extend(runs.iter().cloned());
-        let (crashes, others) = (
-            runs.len(),
-            self.count_other_crashes(&crash.service, &explained),
-        );
-        let needed = if others > crashes {
-            MIN_CRASHES_AMONG_OTHERS
-        } else {
-            MIN_CRASHES
-        };
-        let is_cause = crashes >= needed;
-        let evidence = Evidence {
-            crashes,
-            others,
-            is_cause,
-        };
-        self.apply_evidence(now, crash.at, request, evidence)
-    }
-
-    // Refuses the request for all senders if the crashes aren't those of a refused sender alone.
-    fn evaluate_all_senders(&mut self, now: Moment, crash: &Crash) -> Outcome {
-        let request = crash.request.for_all_senders();
-        let runs = self.crashed_runs(request);
-        let others = self.count_other_crashes(&crash.service, &runs);
-        let needed_late = if others > runs.len() {
-            MIN_CRASHES_AFTER_REFUSAL_AMONG_OTHERS
-        } else {
-            MIN_CRASHES_AFTER_REFUSAL
-        };
-        let crashes = self.count_runs_of_allowed_senders(request);
-        let is_cause = crashes >= MIN_CRASHES_ALL_SENDERS
-            || (runs.len() >= MIN_CRASHES_ALL_SENDERS
-                && self.count_runs_after_refusal(request) >= needed_late);
-        let evidence = Evidence {
-            crashes: runs.len(),
-            others,
-            is_cause,
-        };
-        self.apply_evidence(now, crash.at, request, evidence)
-    }
-
-    fn apply_evidence(
-        &mut self,
-        now: Moment,
-        crashed_at: Moment,
-        request: Fingerprint,
-        evidence: Evidence,
-    ) -> Outcome {
-        let Evidence {
-            crashes,
-            others,
-            is_cause,
-        } = evidence;
-        let record = self.records.entry(request).or_default();
-        // Ignores crashes under requests that were sent before the refusal.
-        let after_refusal = record.refusals > 0 && crashed_at >= record.refused_until;
-        if after_refusal || (record.refusals == 0 && is_cause) {
-            self.revision.increment(true);
-            let span = record.refuse(now, crashed_at);
-            return Outcome::Refused { crashes, span };
-        }
-        if crashes >= MIN_SUSPECT_CRASHES {
-            self.revision.increment(false);
-        }
-        Outcome::Counted { crashes, others }
-    }
-
-    // The runs that crashed while running the request.
-    fn crashed_runs(&self, request: Fingerprint) -> BTreeSet<InstanceRun> {
-        let record = self.records.get(&request);
-        record
-            .map(|record| record.runs.keys().cloned().collect())
-            .unwrap_or_default()
-    }
-
-    // Number of runs that crashed while running the request of a sender that was never refused.
-    fn count_runs_of_allowed_senders(&self, request: Fingerprint) -> usize {
-        let Some(record) = self.records.get(&request) else {
-            return 0;
-        };
-        let is_allowed = |sender: &u64| self.first_refusal(request, *sender).is_none();
-        let runs = record.runs.values();
-        runs.filter(|senders| senders.iter().any(is_allowed))
-            .count()
-    }
-
-    // Number of runs that crashed after a sender's refusal, while running the request of other
-    // senders only.
-    fn count_runs_after_refusal(&self, request: Fingerprint) -> usize {
-        let Some(record) = self.records.get(&request) else {
-            return 0;
-        };
-        let senders = record.runs.values().flatten();
-        let refusals = senders.filter_map(|sender| self.first_refusal(request, *sender));
-        let Some(first) = refusals.min() else {
-            return 0;
-        };
-        let settled = first + REFUSAL_SETTLE_TIME;
-        let is_late = |(run, senders): &(&InstanceRun, &BTreeSet<u64>)| {
-            let Some((_, at)) = self.crashes.get(run) else {
-                return false;
-            };
-            let was_allowed = |sender: &u64| {
-                self.first_refusal(request, *sender)
-                    .is_none_or(|refusal| refusal >= *at)
-            };
-            *at >= settled && senders.iter().all(was_allowed)
-        };
-        record.runs.iter().filter(is_late).count()
-    }
-
-    // When the request of one sender was first refused.
-    fn first_refusal(&self, request: Fingerprint, sender: u64) -> Option<Moment> {
-        let request = Fingerprint { sender, ..request };
-        self.records.get(&request)?.first_refusal
-    }
-
-    // Number of crashes of the service's instances other than `runs`, from shortly before the
-    // first of them.
-    fn count_other_crashes(&self, service: &ServiceName, runs: &BTreeSet<InstanceRun>) -> usize {
-        let at = |run: &InstanceRun| self.crashes.get(run).map(|(_, at)| *at);
-        let first = runs.iter().filter_map(at).min();
-        let Some(from) = first.map(|first| first.before(OTHER_CRASHES_LEAD)) else {
-            return 0;
-        };
-        let others = self
-            .crashes
-            .iter()
-            .filter(|(run, (of, at))| of == service && *at >= from && !runs.contains(*run));
-        others.count()
-    }
-
     /// Records that an instance answered a request, which clears it for its sender and for all
     /// senders. Returns whether there was a record of it.
     pub fn record_success(&mut self, now: Moment, request: Fingerprint) -> bool {
