quarantine: each refusal after the first lasts eight times as long

Cause: a refusal ends after 2 minutes and each trial may crash one more instance; with two sends where other instances crash as well, trials at 2 and 6 minutes were one too many. Now at 2 and 18 minutes.

Before: the new test 4 late sends. After: green, and the property 3,000 times. Ruled out: a longer first refusal, as a request refused wrongly would be refused for longer too.

--- a/crates/quarantine/src/tracker.rs
+++ b/crates/quarantine/src/tracker.rs
@@ -49,8 +49,10 @@
 // Other crashes count from this long before the first crash under a request.
 const OTHER_CRASHES_LEAD: Duration = Duration::from_secs(5);
 /// Duration of the first refusal. Afterwards the request is allowed again, because the defect
-/// may be fixed; one more crash refuses it for twice as long.
+/// may be fixed; one more crash refuses it for [`REFUSAL_GROWTH`] times as long.
 pub const INITIAL_REFUSAL: Duration = Duration::from_mins(2);
+/// Factor between the durations of two refusals. Each trial may crash one more instance.
+pub const REFUSAL_GROWTH: u32 = 8;
 /// Maximum duration of a refusal.
 pub const MAX_REFUSAL: Duration = Duration::from_hours(1);
 // Maximum number of records; those with the oldest crash or refusal are evicted.
--- a/crates/quarantine/src/tracker/record.rs
+++ b/crates/quarantine/src/tracker/record.rs
@@ -10,6 +10,7 @@
 use super::INITIAL_REFUSAL;
 use super::MAX_REFUSAL;
 use super::MIN_SUSPECT_CRASHES;
+use super::REFUSAL_GROWTH;
 use super::WINDOW;
 
 // The crashes and the refusal of one request, or of the same request of all senders.
@@ -46,8 +47,7 @@
 
     // Refuses the request because of a crash at `crashed_at`.
     pub(super) fn refuse(&mut self, now: Moment, crashed_at: Moment) -> Duration {
-        let duration =
-            INITIAL_REFUSAL.saturating_mul(1_u32.checked_shl(self.refusals).unwrap_or(u32::MAX));
+        let duration = INITIAL_REFUSAL.saturating_mul(REFUSAL_GROWTH.saturating_pow(self.refusals));
         let duration = duration.min(MAX_REFUSAL);
         self.refusals += 1;
         self.first_refusal.get_or_insert(crashed_at);
--- a/crates/quarantine/tests/test_tracker.rs
+++ b/crates/quarantine/tests/test_tracker.rs
@@ -21,6 +21,7 @@
 use quarantine::tracker::MIN_CRASHES;
 use quarantine::tracker::MIN_CRASHES_ALL_SENDERS;
 use quarantine::tracker::MIN_CRASHES_AMONG_OTHERS;
+use quarantine::tracker::REFUSAL_GROWTH;
 use quarantine::tracker::WINDOW;
 use quickcheck::quickcheck;
 
@@ -128,7 +129,7 @@
     while span < MAX_REFUSAL {
         now += span.as_secs();
         assert!(!is_refused(&tracker, "bad", now));
-        span = (span * 2).min(MAX_REFUSAL);
+        span = (span * REFUSAL_GROWTH).min(MAX_REFUSAL);
         instance += 1;
         let outcome = record(&mut tracker, "bad", instance, now);
         assert!(matches!(outcome, Outcome::Refused { span: s, .. } if s == span));
@@ -334,6 +335,18 @@
     }
 }
 
+/// Guards against trials after refusals that add up over a long time.
+#[test]
+fn test_tracker_request_is_tried_rarely_after_refusals() {
+    let mut tracker = Tracker::default();
+    for instance in 0..6 {
+        record(&mut tracker, &format!("other-{instance}"), instance, 0);
+    }
+    let gaps = [[0, 2_901].as_slice(), &[7_900; 98]].concat();
+    let late = count_late_sends(&mut tracker, &gaps);
+    assert!(late <= MAX_LATE_SENDS, "{late} late sends");
+}
+
 /// Guards against refusing a path that is answered because one of its senders is refused.
 #[test]
 fn test_tracker_path_answered_since_a_refusal_is_not_refused_for_all() {
