--- a/crates/limit/src/limits.rs
+++ b/crates/limit/src/limits.rs
@@ -17,9 +17,9 @@
 pub const RETENTION: Duration = Duration::from_mins(1);
 /// Time after which a limit that is heard again is reported again.
 pub const REFRESH_INTERVAL: Duration = Duration::from_secs(10);
-// Change of a limit that is reported at once, in percent.
+// A limit that changes by more than this is reported without waiting for the refresh.
 const MIN_REPORTED_CHANGE_PERCENT: u64 = 20;
-// Maximum number of stored limits; the one that was heard first is evicted.
+// Maximum number of stored limits; the one that was heard longest ago is evicted.
 const MAX_LIMITS: usize = 1_024;
 
 /// What an instance says of its limit, or said at another process.
@@ -49,7 +49,7 @@
     Entry,
 }
 
-/// What a report changes.
+/// Effect of a new report on the known limit of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
     /// Nothing.
@@ -65,7 +65,7 @@
     named: NamedLimit,
     // Whether a response to a probe has named the limit.
     named_by_probe: bool,
-    // The number of the newest event to report; 0 if none is.
+    // Number of the last event reported for the instance; 0 if there is none.
     event: u64,
     // What was reported last, and when.
     reported: Option<RequestRate>,
--- a/crates/limit/src/share.rs
+++ b/crates/limit/src/share.rs
@@ -1,7 +1,7 @@
 //! Divides an instance's limit among the processes that send requests.
 //!
 //! No process sees what the others send. Therefore only a few processes, the senders of an
-//! instance, each have a part of its limit; the others send it nothing while it has one.
+//! instance, each have a share of its limit; the others send nothing to the instance while it has a limit.
 //! Processes with the same process list select the same senders.
 
 use base::prelude::*;
@@ -24,8 +24,8 @@
     }
 }
 
-// One sender for each request per second, so that the requests which all of them send at the
-// same moment don't add up to much more than the limit.
+// One sender for each request per second: all senders may send at the same moment, so more of
+// them would exceed the limit.
 fn sender_count(rate: RequestRate) -> usize {
     let rounded = rate.milli().saturating_add(500) / 1_000;
     usize::try_from(rounded).unwrap_or(usize::MAX).max(1)
--- a/crates/quarantine/tests/test_tracker.rs
+++ b/crates/quarantine/tests/test_tracker.rs
@@ -335,6 +335,26 @@
     }
 }
 
+/// Cases in which senders in turn were sent too often.
+#[test]
+fn test_tracker_known_cases_of_senders_in_turn_are_rarely_sent_late() {
+    let long = [
+        0, 2901, 6633, 38757, 22379, 7989, 6628, 22134, 7393, 38804, 22291, 7452, 7176, 7945, 6476,
+        7610, 7764, 38870, 39699, 3323, 23723, 37815, 23974, 7269, 22106, 23830, 7770, 7932, 7929,
+        6869, 39060, 22436, 7386, 6268, 6016, 22278, 7836, 7713, 7807, 4851, 23715, 23982, 7993,
+        6558, 7532, 39793, 7039, 7838, 7123, 38139, 23875, 6582, 7640,
+    ];
+    for (gaps, others) in [([0, 2901].as_slice(), 4), (&long, 6)] {
+        let mut tracker = Tracker::default();
+        for instance in 0..others {
+            record(&mut tracker, &format!("other-{instance}"), instance, 0);
+        }
+        let gaps: Vec<u64> = gaps.iter().map(|gap| gap % 8_000).collect();
+        let late = count_late_sends(&mut tracker, &gaps);
+        assert!(late <= MAX_LATE_SENDS, "{late} late sends");
+    }
+}
+
 /// Guards against trials after refusals that add up over a long time.
 #[test]
 fn test_tracker_request_is_tried_rarely_after_refusals() {
--- a/crates/route/src/probing/limit.rs
+++ b/crates/route/src/probing/limit.rs
@@ -13,11 +13,11 @@
 use super::ProbingChooser;
 use super::entry::Entry;
 
-/// The limit of one instance, and this process's part of it.
+/// The limit of one instance, and this process's share of it.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Limit {
     rate: RequestRate,
-    /// Revision of the process list by which the part was computed; `None` before that.
+    /// Revision of the process list by which the share was computed; `None` before that.
     list_revision: Option<u64>,
     pacer: Pacer,
 }
@@ -33,12 +33,13 @@
 impl Entry {
     /// Whether this process may send a request now, as far as the instance's limit is concerned.
     pub(super) fn is_within_limit(&self, now: Moment) -> bool {
-        let next_start = |limit: &Limit| limit.next_start();
-        self.limit
-            .as_ref()
-            .is_none_or(|limit| next_start(limit).is_some_and(|at| at <= now))
+        let Some(limit) = &self.limit else {
+            return true;
+        };
+        limit.next_start().is_some_and(|at| at <= now)
     }
 
+    /// Counts a request to the instance against this process's share of its limit.
     pub(super) fn pace_start(&mut self, now: Moment) {
         if let Some(limit) = &mut self.limit {
             limit.pacer.record_start(now);
@@ -98,10 +99,10 @@
     }
 
     /// The decision where no ready instance may receive a request now: wait if a limit allows one
-    /// in time, or if something else than limits is in the way.
+    /// in time, or if an instance without a limit is blocked for another reason.
     pub(super) fn decide_blocked(&self, now: Moment, need: &Need, ready: &[usize]) -> Decision {
-        let mut limits = ready.iter().map(|index| self.entries[*index].limit);
-        let Some(limits) = limits.by_ref().collect::<Option<Vec<Limit>>>() else {
+        let limits = ready.iter().map(|index| self.entries[*index].limit);
+        let Some(limits) = limits.collect::<Option<Vec<Limit>>>() else {
             return Decision::Wait;
         };
         let starts = limits.iter().filter_map(Limit::next_start);
