--- a/crates/testutils/src/fleet.rs
+++ b/crates/testutils/src/fleet.rs
@@ -26,6 +26,7 @@
 use crate::process::field;
 use crate::system::SystemError;
 use crate::system::wait;
+use crate::tables;
 use crate::upstream::Upstream;
 
 /// Port of a hub's own protocol, and the first of the ports that it uses.
@@ -235,6 +236,31 @@
         Ok(upstream)
     }
 
+    /// Starts three hubs, `entries` entry processes with the plain route table, and `instances`
+    /// stand-ins of the status service with settings that `configure` may change.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process is not ready in time, or the table is not accepted.
+    pub async fn start_with_status(
+        entries: usize,
+        instances: usize,
+        configure: impl Fn(&mut standin::Settings),
+    ) -> Result<(Self, Vec<Upstream>), SystemError> {
+        let mut fleet = Self::start(3, entries).await?;
+        fleet.layout.put(&tables::plain(1)).await?;
+        for index in 0..entries {
+            fleet.wait_table(index, 1).await?;
+        }
+        let mut upstreams = Vec::new();
+        for number in 0..instances {
+            let mut settings = fleet.layout.upstream(tables::STATUS, number);
+            configure(&mut settings);
+            upstreams.push(fleet.start_upstream(&settings).await?);
+        }
+        Ok((fleet, upstreams))
+    }
+
     /// Sends `request` to the entry process at `index`.
     pub async fn call(&self, index: usize, request: &Request) -> Reply {
         let address = self.layout.entries[index].front;
--- a/crates/testutils/tests/test_crash.rs
+++ b/crates/testutils/tests/test_crash.rs
@@ -12,7 +12,6 @@
 use testutils::process::field;
 use testutils::services;
 use testutils::system::wait;
-use testutils::tables;
 use testutils::tables::HOST;
 use testutils::tables::STATUS;
 
@@ -31,18 +30,10 @@
 /// Starts three hubs, entry processes with the route table, and stand-ins that crash on
 /// [`CRASH`].
 async fn start() -> (Fleet, Vec<Upstream>) {
-    let mut fleet = Fleet::start(3, ENTRIES).await.unwrap();
-    fleet.layout.put(&tables::plain(1)).await.unwrap();
-    for index in 0..ENTRIES {
-        fleet.wait_table(index, 1).await.unwrap();
-    }
-    let mut upstreams = vec![];
-    for number in 0..INSTANCES {
-        let mut settings = fleet.layout.upstream(STATUS, number);
-        settings.crash = Some(CRASH.into());
-        upstreams.push(fleet.start_upstream(&settings).await.unwrap());
-    }
-    (fleet, upstreams)
+    let crash = |settings: &mut standin::Settings| settings.crash = Some(CRASH.into());
+    Fleet::start_with_status(ENTRIES, INSTANCES, crash)
+        .await
+        .unwrap()
 }
 
 fn crashed(upstreams: &mut [Upstream]) -> usize {
--- a/crates/testutils/tests/test_limit.rs
+++ b/crates/testutils/tests/test_limit.rs
@@ -1,5 +1,6 @@
 //! Guards against instances that receive more requests than they say they take.
 
+use std::ops::Range;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -10,7 +11,6 @@
 use testutils::Request;
 use testutils::Upstream;
 use testutils::process::field;
-use testutils::tables;
 use testutils::tables::HOST;
 use testutils::tables::STATUS;
 
@@ -31,17 +31,9 @@
 
 /// Starts three hubs, entry processes with the route table, and stand-ins.
 async fn start() -> (Fleet, Vec<Upstream>) {
-    let mut fleet = Fleet::start(3, ENTRIES).await.unwrap();
-    fleet.layout.put(&tables::plain(1)).await.unwrap();
-    for index in 0..ENTRIES {
-        fleet.wait_table(index, 1).await.unwrap();
-    }
-    let mut upstreams = vec![];
-    for number in 0..INSTANCES {
-        let settings = fleet.layout.upstream(STATUS, number);
-        upstreams.push(fleet.start_upstream(&settings).await.unwrap());
-    }
-    (fleet, upstreams)
+    Fleet::start_with_status(ENTRIES, INSTANCES, |_| {})
+        .await
+        .unwrap()
 }
 
 fn limited(kind: FaultKind) -> Fault {
@@ -72,17 +64,23 @@
     [sum(0), sum(1)]
 }
 
-/// Sends requests through all entry processes until each has heard of a limit.
-async fn wait_until_told(fleet: &Fleet) {
-    let named = |line: &str| field(line, "msg") == Some("instance limit");
-    let told = join_all(fleet.entries.iter().flatten().map(|p| p.wait_line(named)));
+/// Sends requests through the given entry processes until every entry process has logged that
+/// the limit is `per_second`.
+async fn send_until_logged(fleet: &Fleet, entries: Range<usize>, per_second: &str) {
+    let is_logged = |line: &str| {
+        field(line, "msg") == Some("instance limit")
+            && field(line, "per_second") == Some(per_second)
+    };
+    let processes = fleet.entries.iter().flatten();
+    let logged = join_all(processes.map(|process| process.wait_line(is_logged)));
     let sending = async {
         loop {
-            send_through_all(fleet, PAUSE).await;
+            let senders = entries.clone();
+            join_all(senders.map(|entry| send_for(fleet, entry, PAUSE))).await;
         }
     };
     tokio::select! {
-        told = told => assert!(told.iter().all(Result::is_ok), "{told:?}"),
+        logged = logged => assert!(logged.iter().all(Result::is_ok), "{logged:?}"),
         () = sending => {}
     }
 }
@@ -92,7 +90,7 @@
 async fn check_limit_is_kept(kind: FaultKind) {
     let (fleet, upstreams) = start().await;
     upstreams[0].set_fault(limited(kind)).await.unwrap();
-    wait_until_told(&fleet).await;
+    send_until_logged(&fleet, 0..ENTRIES, &LIMIT.to_string()).await;
     let before = upstreams[0].record().await.runs.len();
     let start = Instant::now();
     let [answered, unanswered] = send_through_all(&fleet, WINDOW).await;
@@ -124,37 +122,12 @@
         .set_fault(limited(FaultKind::LimitedRequests))
         .await
         .unwrap();
-    let told = |per_second: &'static str| {
-        move |line: &str| {
-            field(line, "msg") == Some("instance limit")
-                && field(line, "per_second") == Some(per_second)
-        }
-    };
-    let processes = || fleet.entries.iter().flatten();
-    let named = join_all(processes().map(|p| p.wait_line(told("2"))));
     // All requests go through one process; the others hear of the limit from hubs.
-    let sending = async {
-        loop {
-            send_for(&fleet, 0, PAUSE).await;
-        }
-    };
-    tokio::select! {
-        named = named => assert!(named.iter().all(Result::is_ok), "{named:?}"),
-        () = sending => {}
-    }
+    send_until_logged(&fleet, 0..1, &LIMIT.to_string()).await;
     upstreams[0]
         .set_fault(Fault::new(FaultKind::None))
         .await
         .unwrap();
-    let ended = join_all(processes().map(|p| p.wait_line(told("none"))));
     // Only a process that may send to the instance hears of the end.
-    let sending = async {
-        loop {
-            send_through_all(&fleet, PAUSE).await;
-        }
-    };
-    tokio::select! {
-        ended = ended => assert!(ended.iter().all(Result::is_ok), "{ended:?}"),
-        () = sending => {}
-    }
+    send_until_logged(&fleet, 0..ENTRIES, "none").await;
 }
