crash, quarantine, entry, hub: checks, reports and collection of crashes are a crate of their own

No behaviour changes. What entry processes and hubs do beside the decisions of the crate quarantine (check an instance after a broken attempt, keep and report what was seen, collect the reports) is to serve gateways and directories too; it would stand twice otherwise.

An instance is a trait there, as entry processes and gateways reach theirs by different HTTP clients. Names in logs, metrics and messages stay as they are. The events that a process keeps to report are a type of their own (quarantine::EventLog), as directories keep such, too.

Tests of entry, hub, quarantine: green; test_quarantine reads the number of the newest event from the guard.

--- /dev/null
+++ b/crates/crash/src/lib.rs
@@ -0,0 +1,18 @@
+//! How processes find out that a request crashes instances, and share that knowledge.
+//!
+//! A process that sends requests checks an instance after an attempt that broke off
+//! ([`check`]) and keeps its observations in a [`Guard`]. [`report`] sends them to each process
+//! that collects the observations of many ([`collector`]), and brings back its suspects. The
+//! decisions are in the crate `quarantine`.
+
+pub mod check;
+pub mod collector;
+pub mod guard;
+pub mod report;
+
+pub use check::BrokenAttempt;
+pub use check::CrashCheck;
+pub use check::Fate;
+pub use check::Instance;
+pub use collector::Reporter;
+pub use guard::Guard;
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -17,10 +17,10 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use crash::Guard;
 use evacuation::EvacuationState;
 use http::Uri;
 use limit::Limits;
-use quarantine::Quarantine;
 use registry::Digest;
 use slog::Logger;
 use slog::info;
@@ -48,6 +48,9 @@
 /// logged as one line with counts, plus a line for each instance that is not ready.
 const MAX_INSTANCE_LOG_LINES: usize = 32;
 
+/// Log key of a hub's address.
+const HUB_KEY: &str = "hub";
+
 /// The stages of a graceful shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
@@ -74,8 +77,6 @@
     dispatcher_addresses: HashMap<ServiceName, SocketAddr>,
     /// The entry processes that share the capacity of cold instances.
     processes: Arc<Processes>,
-    /// Requests suspected of crashing instances.
-    quarantine: Quarantine,
     /// What instances named as their limits.
     limits: Limits,
 }
@@ -99,12 +100,10 @@
     pub table_known: watch::Sender<bool>,
     /// Whether any instance has ever been known.
     pub instances_known: watch::Sender<bool>,
-    /// The number of the newest crash or success to report to the hubs.
-    pub newest_event: watch::Sender<u64>,
+    /// Requests suspected of crashing instances.
+    pub guard: Arc<Guard>,
     /// The number of the newest limit to report to the hubs.
     pub newest_limit: watch::Sender<u64>,
-    /// The number of the newest event that a hub has acknowledged.
-    pub acknowledged_event: watch::Sender<u64>,
     routes: RwLock<Arc<Routes>>,
     state: Mutex<State>,
 }
@@ -113,19 +112,19 @@
     /// Creates a process without a route table or instances.
     #[must_use]
     pub fn new(settings: Settings, dialect: Dialect, log: Logger, counters: Counters) -> Arc<Self> {
+        let clock = Clock::start();
         Arc::new(Self {
             settings: RwLock::new(Arc::new(settings)),
             dialect,
+            guard: Arc::new(Guard::new(log.clone(), clock, HUB_KEY)),
             log,
             counters,
-            clock: Clock::start(),
+            clock,
             stage: watch::Sender::new(Stage::Serving),
             dispatcher_clients: DispatcherClients::default(),
             table_known: watch::Sender::new(false),
             instances_known: watch::Sender::new(false),
-            newest_event: watch::Sender::default(),
             newest_limit: watch::Sender::default(),
-            acknowledged_event: watch::Sender::default(),
             routes: RwLock::default(),
             state: Mutex::default(),
         })
--- a/crates/entry/src/flow/guard.rs
+++ b/crates/entry/src/flow/guard.rs
@@ -1,8 +1,8 @@
 //! Refuses requests that crash instances, and detects such requests.
 
 use std::sync::Arc;
-use std::time::Duration;
 
+use ::crash::check::MAX_RETRY_DELAY;
 use slog::info;
 use table::Kind;
 use tokio::time::Instant;
@@ -17,10 +17,6 @@
 use crate::refusal::Reason;
 use crate::view::Upstream;
 
-/// Maximum wait for the hubs' decision on a request that may have crashed an instance.
-/// Covers a connection to the instance's host and one query with a margin.
-const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(40);
-
 impl Flow {
     /// Refuses the request if it is quarantined.
     pub(super) async fn check_quarantine(&mut self) -> Result<(), Reason> {
@@ -80,7 +76,7 @@
         let check = crash::check(&self.core, broken);
         if self.route.kind == Kind::Idempotent && self.attempts < self.route.attempts {
             // On timeout the request is retried, based on this process's own knowledge.
-            let _ = tokio::time::timeout(CRASH_CHECK_TIMEOUT, check.settled).await;
+            let _ = tokio::time::timeout(MAX_RETRY_DELAY, check.settled).await;
         }
     }
 }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -7,13 +7,13 @@
 pub mod hosts;
 pub mod hubs;
 pub mod progress;
-pub mod report;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crash::report;
 use slog::info;
 use slog::warn;
 use tarpc::client::RpcError;
--- a/crates/entry/tests/test_quarantine.rs
+++ b/crates/entry/tests/test_quarantine.rs
@@ -117,7 +117,7 @@
 
 /// Waits until `count` events have been recorded.
 async fn wait_for_events(entry: &Entry, count: u64) {
-    let mut events = entry.core().newest_event.subscribe();
+    let mut events = entry.core().guard.newest_event().subscribe();
     let reached = events.wait_for(|number| *number >= count);
     reached.await.expect("the process lives");
 }
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -5,11 +5,12 @@
 //! because a restarted hub has lost them.
 
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use base::prelude::*;
 
+use crate::event_log::Event;
+use crate::event_log::EventLog;
 use crate::fingerprint::Fingerprint;
 use crate::fingerprint::Head;
 use crate::recent_answers::RecentAnswers;
@@ -20,27 +21,6 @@
 use crate::tracker::WINDOW;
 use crate::tracker::path_range;
 
-// Time for which a success is reported.
-const SUCCESS_RETENTION: Duration = Duration::from_secs(10);
-// Maximum number of stored events.
-const MAX_EVENTS: usize = 512;
-
-/// An event to report to the hubs.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Event {
-    /// An instance crashed while it ran a request.
-    Crashed(Crash),
-    /// A suspected request was answered.
-    Succeeded(Fingerprint),
-}
-
-#[derive(Clone, Debug)]
-struct StoredEvent {
-    number: u64,
-    at: Moment,
-    event: Event,
-}
-
 /// Refuses requests that crash the instances that run them.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
@@ -48,8 +28,7 @@
     // Requests that a hub reported as suspected, and when.
     suspected: BTreeMap<Fingerprint, Moment>,
     answered: RecentAnswers,
-    events: VecDeque<StoredEvent>,
-    newest: u64,
+    events: EventLog,
 }
 
 impl Quarantine {
@@ -70,7 +49,7 @@
     /// number of the event to report and the resulting decision.
     pub fn record_crash(&mut self, now: Moment, crash: Crash) -> (u64, Outcome) {
         if self.answered.contains(now, crash.request) {
-            return (self.newest, Outcome::Answered);
+            return (self.events.newest(), Outcome::Answered);
         }
         let crash = Crash {
             answered: self.answered.contains(now, crash.request.for_all_senders()),
@@ -89,35 +68,18 @@
         if !self.tracker.record_success(now, request) && !suspected {
             return false;
         }
-        let is_crash = |event: &Event| matches!(event, Event::Crashed(c) if c.request == request);
-        self.events.retain(|stored| !is_crash(&stored.event));
         self.push_event(now, Event::Succeeded(request));
         true
     }
 
     fn push_event(&mut self, now: Moment, event: Event) -> u64 {
         self.remove_expired(now);
-        self.newest += 1;
-        self.events.push_back(StoredEvent {
-            number: self.newest,
-            at: now,
-            event,
-        });
-        self.newest
+        self.events.push(now, event)
     }
 
     fn remove_expired(&mut self, now: Moment) {
-        self.events.retain(|stored| {
-            let retention = match stored.event {
-                Event::Crashed(_) => WINDOW,
-                Event::Succeeded(_) => SUCCESS_RETENTION,
-            };
-            now.since(stored.at) < retention
-        });
+        self.events.remove_expired(now);
         self.suspected.retain(|_, at| now.since(*at) < WINDOW);
-        if self.events.len() >= MAX_EVENTS {
-            self.events.pop_front();
-        }
     }
 
     /// Applies the suspects that a hub reported. Returns those that are refused from now on.
@@ -140,14 +102,13 @@
     /// The number of the newest event.
     #[must_use]
     pub fn newest(&self) -> u64 {
-        self.newest
+        self.events.newest()
     }
 
     /// The stored events after the event `number`.
     #[must_use]
     pub fn since(&self, number: u64) -> Vec<Event> {
-        let newer = self.events.iter().filter(|stored| stored.number > number);
-        newer.map(|stored| stored.event.clone()).collect()
+        self.events.since(number)
     }
 
     /// The requests that are refused now, for a hub that has restarted.
