gateway, directory, attempt, wire: a request that crashes instances is refused by every gateway

Others of the service were refused meanwhile for want of instances.

Hypotheses: the gateways count but don't tell each other; they are told too late; nothing counts. Evidence: the logs of all five gateways have 'attempt failed ... no response' for each crash and no line of any decision about the request itself; the code has none either.

Cause: gateways retried a broken attempt at once and took the caller's next try as a new request. They had neither the check of an instance after a broken attempt nor a quarantine.

Fix: the mechanism of entry processes and hubs, one copy (crates crash, quarantine). A gateway fingerprints each request (service in place of the host; the first bytes of a body, as many as are buffered for a retry, also where the rest is streamed), asks the instance for a connection after a broken attempt, with the attempt's own share of connections, and reports a crash to the directory that it polls. Directories count the crashes of all gateways, pass on what gateways report, with the refusal where it led to one, and end the polls of their gateways at a refusal. A refused request is 503 not-run at once, before its key is claimed; one that has run is 502 unknown and not sent again. A directory that restarts learns from its gateways and from its peers, a new gateway with its first poll.

Why it works: within one trip to the directory and one to its peers every gateway has the same suspects, and each directory counts for itself, so the loss of any of them, and of all, leaves the refusals in force.

Directories and gateways of before can't talk to these: the messages have new fields.

--- a/crates/attempt/src/action.rs
+++ b/crates/attempt/src/action.rs
@@ -86,6 +86,8 @@
     Shed,
     /// No response to a request that may have been sent.
     NoAnswer,
+    /// The request crashes instances.
+    Quarantined,
     /// The response belonged to another request.
     Mismatch,
     /// The deadline passed.
@@ -100,6 +102,7 @@
             AttemptError::NoUpstream => Self::NoUpstream,
             AttemptError::ConnectFailed | AttemptError::NotSent => Self::Connect,
             AttemptError::NoAnswer => Self::NoAnswer,
+            AttemptError::Quarantined => Self::Quarantined,
             AttemptError::Mismatch => Self::Mismatch,
             AttemptError::Timeout => Self::Deadline,
             AttemptError::ShortBody(_) => Self::ShortBody,
--- a/crates/attempt/src/call.rs
+++ b/crates/attempt/src/call.rs
@@ -18,6 +18,7 @@
 use crate::action::Failure;
 use crate::action::Reason;
 use crate::action::Start;
+use crate::event::AttemptError;
 use crate::event::AttemptNumber;
 use crate::event::Event;
 use crate::service::Service;
@@ -179,6 +180,16 @@
         }
     }
 
+    /// Whether an attempt in flight that fails with `err` could be followed by another one, if
+    /// time and budget allow it.
+    #[must_use]
+    pub fn may_retry_after(&self, err: AttemptError) -> bool {
+        let is_safe = self.context.class.is_idempotent() || !err.may_have_run();
+        let is_resumed = matches!(self.phase, Phase::Relaying { resumable, .. } if resumable);
+        let is_retried = self.phase == Phase::Trying && self.counted_attempts < MAX_ATTEMPTS;
+        is_safe && (is_retried || is_resumed)
+    }
+
     fn tick(&mut self, service: &mut Service, now: Moment, actions: &mut Actions) {
         if now >= self.context.deadline {
             return;
--- a/crates/attempt/src/call/response.rs
+++ b/crates/attempt/src/call/response.rs
@@ -121,9 +121,9 @@
             return;
         }
         let reason = Reason::from(err);
-        let no_upstream = err == AttemptError::NoUpstream;
+        let is_final = matches!(err, AttemptError::NoUpstream | AttemptError::Quarantined);
         let timeout_below_edge = err == AttemptError::Timeout && self.context.depth > 0;
-        if no_upstream || timeout_below_edge {
+        if is_final || timeout_below_edge {
             self.fail_if_none_in_flight(reason, actions);
             return;
         }
--- a/crates/attempt/src/event.rs
+++ b/crates/attempt/src/event.rs
@@ -48,6 +48,9 @@
     NotSent,
     /// The request may have been sent, and no head of a response was received.
     NoAnswer,
+    /// As [`Self::NoAnswer`] or [`Self::ShortBody`], and the request must not be sent again
+    /// because it crashes instances.
+    Quarantined,
     /// The response echoes the id of another request.
     Mismatch,
     /// The driver's timeout ended the attempt; the request may have been sent.
--- a/crates/cli/tests/fakes/mod.rs
+++ b/crates/cli/tests/fakes/mod.rs
@@ -27,6 +27,7 @@
 use wire::control::Membership;
 use wire::control::MembershipReply;
 use wire::control::Status;
+use wire::directory::CrashReport;
 use wire::directory::Exchange;
 use wire::directory::HostsReply;
 use wire::directory::InstancesReply;
@@ -35,6 +36,7 @@
 use wire::gateway::DrainReply;
 use wire::gateway::Explain;
 use wire::gateway::ExplainReply;
+use wire::hub::Suspects;
 use wire::ledger::Claim;
 use wire::ledger::ClaimReply;
 use wire::ledger::Settle;
@@ -165,6 +167,10 @@
         Exchange::default()
     }
 
+    async fn report(self, _: Context, _: CrashReport) -> Suspects {
+        Suspects::default()
+    }
+
     async fn hosts(self, _: Context) -> HostsReply {
         self.lock().hosts.clone()
     }
--- a/crates/crash/src/report.rs
+++ b/crates/crash/src/report.rs
@@ -11,9 +11,11 @@
 use slog::Logger;
 use slog::info;
 use tokio::sync::watch;
+use wire::directory::CrashReport;
 use wire::hub::Report;
 use wire::hub::Suspects;
 use wire::link::within;
+use wire::peer::DirectoryLink;
 use wire::peer::HubLink;
 
 /// Timeout for a report.
@@ -66,6 +68,32 @@
     }
 }
 
+/// A directory, which passes on what gateways report to the other directories.
+pub struct Directory {
+    /// Link to the directory.
+    pub link: Arc<DirectoryLink>,
+    /// Whether the sender is a directory, too.
+    pub relayed: bool,
+}
+
+impl Target for Directory {
+    const ROLE: &'static str = "directory";
+
+    fn address(&self) -> SocketAddr {
+        self.link.address()
+    }
+
+    async fn send(&self, report: Report) -> Option<Suspects> {
+        let client = self.link.client().await.ok()?;
+        let report = CrashReport {
+            report: Some(report),
+            relayed: self.relayed,
+        };
+        let result = client.report(within(REPORT_TIMEOUT), report).await;
+        self.link.check_result(result).ok()
+    }
+}
+
 /// Reports observations as they occur; `epochs` is the epoch of the collector's process, 0 while
 /// nothing is to be sent to it. Runs forever.
 pub async fn run<S: Source, T: Target>(
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Upstreams announce themselves and callers ask for entry hosts over HTTP ([`http`]).
 //! Gateways poll for the catalogue and the instances ([`sync`]). The directory follows the
-//! control replicas ([`follow`]) and exchanges state with other directories ([`peers`]). The
+//! control replicas ([`follow`]), exchanges state with other directories ([`peers`]) and counts
+//! the requests that crash instances ([`suspects`]). The
 //! decisions are in the crates `members` and `place`; this crate adds sockets, tasks and the
 //! clock.
 
@@ -18,6 +19,7 @@
 pub mod server;
 pub mod settings;
 pub mod shared;
+pub mod suspects;
 pub mod sweep;
 pub mod sync;
 
--- a/crates/directory/src/peers.rs
+++ b/crates/directory/src/peers.rs
@@ -6,6 +6,7 @@
 //! Changes of the own partition are pushed to all peers at once, and polls transfer what a
 //! push missed.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use members::ring::Ring;
 use slog::debug;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 use tokio::time::sleep;
@@ -34,14 +36,25 @@
 pub const REPLY_TIMEOUT: Duration = Duration::from_millis(700);
 /// Changes within this time are pushed together.
 pub const BATCH_DELAY: Duration = Duration::from_millis(20);
+/// Epoch of a peer that has not answered yet. It is none that a process starts with, so that the
+/// peer receives everything again once its epoch is known.
+pub const UNKNOWN_EPOCH: u64 = 1;
 /// Delay before a failed push is retried.
 pub const RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Publishes the epoch of each peer's process; [`UNKNOWN_EPOCH`] until the peer has answered.
+pub type Epochs = HashMap<SocketAddr, watch::Sender<u64>>;
+
 /// Polls one peer after another until the directory stops.
-pub async fn poll(shared: Arc<Shared>, me: SocketAddr, peers: Vec<Arc<DirectoryLink>>) {
+pub async fn poll(
+    shared: Arc<Shared>,
+    me: SocketAddr,
+    peers: Vec<Arc<DirectoryLink>>,
+    epochs: Epochs,
+) {
     let addresses: Vec<SocketAddr> = peers.iter().map(|peer| peer.address()).collect();
     let mut ring = Ring::new(me, &addresses);
-    let (report, mut results) = mpsc::unbounded_channel();
+    let (report, mut results) = mpsc::unbounded_channel::<(SocketAddr, Option<u64>)>();
     let mut ticks = interval(shared.settings.leases.exchange);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -50,7 +63,8 @@
             () = shared.stop.cancelled() => return,
         }
         while let Ok((peer, answered)) = results.try_recv() {
-            ring.record(peer, answered);
+            ring.record(peer, answered.is_some());
+            publish_epoch(&epochs, peer, answered);
         }
         let next = ring.next_peer();
         let peer = peers.iter().find(|peer| Some(peer.address()) == next);
@@ -65,29 +79,35 @@
     }
 }
 
-/// Polls a peer once; returns whether it replied.
-async fn pull(shared: Arc<Shared>, peer: &DirectoryLink) -> bool {
+fn publish_epoch(epochs: &Epochs, peer: SocketAddr, answered: Option<u64>) {
+    if let (Some(sender), Some(epoch)) = (epochs.get(&peer), answered) {
+        sender.send_if_modified(|last| std::mem::replace(last, epoch) != epoch);
+    }
+}
+
+/// Polls a peer once; returns its epoch if it replied.
+async fn pull(shared: Arc<Shared>, peer: &DirectoryLink) -> Option<u64> {
     let result = pull_once(&shared, peer).await;
-    let answered = result.is_ok();
-    record_result(&shared, peer, "pull", result);
-    answered
+    let epoch = result.as_ref().ok().copied();
+    record_result(&shared, peer, "pull", result.map(|_| ()));
+    epoch
 }
 
-/// Sends a summary, and a full request when the digests differ.
-async fn pull_once(shared: &Shared, peer: &DirectoryLink) -> Result<(), LinkError> {
+/// Sends a summary, and a full request when the digests differ. Returns the peer's epoch.
+async fn pull_once(shared: &Shared, peer: &DirectoryLink) -> Result<u64, LinkError> {
     let summary = shared.step(|inner, _| summary(inner));
     let digest = summary.digest;
     let (sent, reply) = call(shared, peer, summary).await?;
     merge_confirmation(shared, sent, &reply);
     if reply.digest == digest {
         shared.step(|inner, _| inner.members.merge_ages(reply.digest, &reply.ages, sent));
-        return Ok(());
+        return Ok(reply.epoch);
     }
     let full_request = shared.step(|inner, now| full_request(inner, now, &reply));
     let (sent, reply) = call(shared, peer, full_request).await?;
     merge_confirmation(shared, sent, &reply);
     shared.step(|inner, _| merge_reply(inner, sent, &reply));
-    Ok(())
+    Ok(reply.epoch)
 }
 
 async fn call(
@@ -106,6 +126,7 @@
         from: inner.members.me().to_string(),
         digest: inner.members.digest(),
         have: inner.version(),
+        epoch: inner.members.instances().epoch(),
         ..Exchange::default()
     }
 }
--- a/crates/directory/src/server.rs
+++ b/crates/directory/src/server.rs
@@ -7,6 +7,7 @@
 use std::time::UNIX_EPOCH;
 
 use cadence::StatsdClient;
+use crash::report;
 use members::homes::Location;
 use quick_error::quick_error;
 use salvo::Server;
@@ -16,6 +17,7 @@
 use slog::info;
 use telemetry::metrics::MetricsError;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 use wire::peer;
@@ -162,10 +164,18 @@
         .iter()
         .map(|a| Arc::new(peer::directory(*a)))
         .collect();
+    let mut epochs = peers::Epochs::new();
     for peer in &links {
         tasks.spawn(peers::push(shared.clone(), peer.clone()));
+        let epoch = watch::Sender::new(peers::UNKNOWN_EPOCH);
+        let target = report::Directory {
+            link: peer.clone(),
+            relayed: true,
+        };
+        tasks.spawn(relay_reports(shared.clone(), target, epoch.subscribe()));
+        epochs.insert(peer.address(), epoch);
     }
-    tasks.spawn(peers::poll(shared.clone(), me, links));
+    tasks.spawn(peers::poll(shared.clone(), me, links, epochs));
     tasks.spawn(sweep::sweep(shared.clone()));
     tasks.spawn(follow::follow(
         shared.clone(),
@@ -173,6 +183,13 @@
     ));
 }
 
+/// Passes on what gateways report until the directory stops.
+async fn relay_reports(shared: Arc<Shared>, peer: report::Directory, epochs: watch::Receiver<u64>) {
+    let stop = shared.stop.clone();
+    stop.run_until_cancelled(report::run(shared, peer, epochs))
+        .await;
+}
+
 /// A running directory; dropping it aborts its tasks without a graceful stop.
 pub struct Directory {
     shared: Arc<Shared>,
--- a/crates/directory/src/shared.rs
+++ b/crates/directory/src/shared.rs
@@ -13,6 +13,8 @@
 use members::Freshness;
 use members::Members;
 use members::homes::Location;
+use quarantine::EventLog;
+use quarantine::Tracker;
 use slog::Logger;
 use slog::info;
 use tokio::sync::watch;
@@ -35,6 +37,8 @@
     pub version: u64,
     /// Whether the version was confirmed within the lease.
     pub current: bool,
+    /// Revision of the suspects at the last new refusal.
+    pub refusal: u64,
 }
 
 /// The state behind the lock.
@@ -47,6 +51,10 @@
     pub catalogue: Option<Arc<Catalogue>>,
     /// Cached placement of the services.
     pub placement: PlacementCache,
+    /// Tracks requests that crash instances, as all gateways report them.
+    pub tracker: Tracker,
+    /// What gateways reported to this directory, to pass on to the others.
+    pub events: EventLog,
 }
 
 impl Inner {
@@ -84,6 +92,7 @@
             hosts: self.members.hosts().cursor(),
             version: self.version(),
             current: self.freshness.is_current(now),
+            refusal: self.tracker.revision().refusal,
         }
     }
 }
@@ -100,6 +109,8 @@
     pub settings: Settings,
     /// Cancelled when the directory stops.
     pub stop: CancellationToken,
+    /// Number of the newest event to pass on to the other directories.
+    pub newest_event: watch::Sender<u64>,
     inner: Mutex<Inner>,
     changed: watch::Sender<StateVersion>,
 }
@@ -122,6 +133,8 @@
             freshness: Freshness::new(now, settings.leases.confirmation),
             catalogue: None,
             placement: PlacementCache::default(),
+            tracker: Tracker::default(),
+            events: EventLog::default(),
         };
         let changed = watch::Sender::new(inner.state_version(now));
         Self {
@@ -130,6 +143,7 @@
             metrics,
             settings,
             stop: CancellationToken::new(),
+            newest_event: watch::Sender::default(),
             inner: Mutex::new(inner),
             changed,
         }
--- a/crates/directory/src/sync.rs
+++ b/crates/directory/src/sync.rs
@@ -12,17 +12,20 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 use wire::api::DirectoryApi;
+use wire::directory::CrashReport;
 use wire::directory::Exchange;
 use wire::directory::HostsReply;
 use wire::directory::InstancesReply;
 use wire::directory::Sync;
 use wire::directory::SyncReply;
+use wire::hub::Suspects;
 
 use crate::convert;
 use crate::metrics;
 use crate::peers;
 use crate::shared::Inner;
 use crate::shared::Shared;
+use crate::suspects;
 
 /// Maximum time that a gateway's poll waits for changes.
 pub const MAX_WAIT: Duration = Duration::from_millis(500);
@@ -44,6 +47,10 @@
         peers::handle(&self.0, &request)
     }
 
+    async fn report(self, _: Context, report: CrashReport) -> Suspects {
+        suspects::apply_report(&self.0, &report)
+    }
+
     async fn hosts(self, _: Context) -> HostsReply {
         self.0.step(|inner, now| HostsReply {
             hosts: hosts(inner, now),
@@ -82,7 +89,8 @@
     }
 }
 
-/// Waits until there is an update for the poll, or its wait time is over.
+/// Waits until there is an update for the poll, or its wait time is over. Suspects that aren't
+/// refused are sent with the next reply, as each of many crashes may change them.
 async fn wait(shared: &Shared, request: &Sync) {
     let duration = convert::duration(request.wait_ms).min(MAX_WAIT);
     let deadline = Instant::now() + duration;
@@ -92,6 +100,7 @@
         let instances = inner.members.instances();
         let changed_instances = (request.epoch, request.cursor) != instances.position();
         changed_instances
+            || inner.tracker.revision().refusal > suspects_revision(inner, request)
             || inner.version() > request.have
             || inner.freshness.is_current(now) != was_current
     };
@@ -135,9 +144,16 @@
         cursor: instances.cursor(),
         whole: delta.is_some_and(|d| d.from == 0),
         changes,
+        suspects: suspects::changed_suspects(inner, now, suspects_revision(inner, request)),
     }
 }
 
+/// Revision of the suspects that the gateway has; 0 if it has those of another process.
+fn suspects_revision(inner: &Inner, request: &Sync) -> u64 {
+    let same = request.epoch == inner.members.instances().epoch();
+    if same { request.suspects } else { 0 }
+}
+
 /// The live hosts with the time since each was last known to be alive.
 fn hosts(inner: &Inner, now: Moment) -> Vec<wire::directory::Host> {
     let host = |record: &Record| match record {
--- a/crates/directory/tests/tests.rs
+++ b/crates/directory/tests/tests.rs
@@ -7,3 +7,4 @@
 mod test_settings;
 mod test_spread;
 mod test_stop;
+mod test_suspects;
--- a/crates/gateway/src/attempt_guard.rs
+++ b/crates/gateway/src/attempt_guard.rs
@@ -11,8 +11,10 @@
 use route::Report;
 use route::Ticket;
 use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::Instant;
 
 use crate::balancer::Balancer;
+use crate::view::UpstreamInstance;
 
 /// An attempt in flight. Dropping the guard ends the attempt and reports its outcome.
 #[derive(Debug)]
@@ -24,16 +26,29 @@
     latency: Option<Duration>,
     report: Option<Report>,
     kind: OutcomeKind,
-    _connection: OwnedSemaphorePermit,
+    // `None` only after the attempt has ended.
+    ended: Option<EndedAttempt>,
+}
+
+/// What is left of an attempt that has ended.
+#[derive(Debug)]
+pub struct EndedAttempt {
+    /// The instance to which the request was sent.
+    pub upstream: Arc<UpstreamInstance>,
+    /// When the request was sent.
+    pub sent_at: Instant,
+    /// The reserved connection.
+    pub connection: OwnedSemaphorePermit,
 }
 
 impl AttemptGuard {
-    /// Creates the guard of the attempt `ticket`, which uses `connection`.
+    /// Creates the guard of the attempt `ticket` at `upstream`, which uses `connection`.
     #[must_use]
     pub fn new(
         balancer: Arc<Balancer>,
         clock: Clock,
         ticket: Ticket,
+        upstream: Arc<UpstreamInstance>,
         connection: OwnedSemaphorePermit,
     ) -> Self {
         Self {
@@ -44,7 +59,11 @@
             latency: None,
             report: None,
             kind: OutcomeKind::Cancelled,
-            _connection: connection,
+            ended: Some(EndedAttempt {
+                upstream,
+                sent_at: Instant::now(),
+                connection,
+            }),
         }
     }
 
@@ -58,6 +77,13 @@
     pub fn set_kind(&mut self, kind: OutcomeKind) {
         self.kind = kind;
     }
+
+    /// Ends the attempt and reports its outcome `kind`.
+    #[must_use]
+    pub fn end(mut self, kind: OutcomeKind) -> Option<EndedAttempt> {
+        self.kind = kind;
+        self.ended.take()
+    }
 }
 
 impl Drop for AttemptGuard {
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -78,7 +78,17 @@
     /// Buffered, so that it can be sent repeatedly.
     Buffered(Bytes, Option<OwnedSemaphorePermit>),
     /// Streamed, so that it can be sent only once.
-    Streamed(Option<reqwest::Body>, LimitFlag),
+    Streamed(StreamedBody),
+}
+
+/// A body that is too large to be buffered.
+pub struct StreamedBody {
+    // `None` once it was sent.
+    body: Option<reqwest::Body>,
+    limit: LimitFlag,
+    // The bytes that were read before the rest was streamed, and their memory.
+    first: Bytes,
+    _memory: OwnedSemaphorePermit,
 }
 
 /// Flag that is set when a streamed body exceeds the size limit.
@@ -113,21 +123,32 @@
     pub fn buffered(&self) -> Option<&Bytes> {
         match self {
             Self::Buffered(bytes, _) => Some(bytes),
-            Self::Streamed(..) => None,
+            Self::Streamed(_) => None,
         }
     }
 
+    /// The beginning of the body, which identifies the request, up to `max_bytes`.
+    #[must_use]
+    pub fn prefix(&self, max_bytes: u64) -> &[u8] {
+        let first = match self {
+            Self::Buffered(bytes, _) => bytes,
+            Self::Streamed(streamed) => &streamed.first,
+        };
+        let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
+        &first[..first.len().min(max_bytes)]
+    }
+
     /// Whether a streamed body exceeded the size limit.
     #[must_use]
     pub fn is_over_limit(&self) -> bool {
-        matches!(self, Self::Streamed(_, flag) if flag.0.load(Ordering::Relaxed))
+        matches!(self, Self::Streamed(body) if body.limit.0.load(Ordering::Relaxed))
     }
 
     /// The body for one attempt, or `None` if a streamed body was already sent.
     pub fn take(&mut self) -> Option<reqwest::Body> {
         match self {
             Self::Buffered(bytes, _) => Some(bytes.clone().into()),
-            Self::Streamed(body, _) => body.take(),
+            Self::Streamed(streamed) => streamed.body.take(),
         }
     }
 }
@@ -153,15 +174,8 @@
         Buffering::Always => max_bytes,
         Buffering::UpTo(bytes) => bytes.min(max_bytes),
     };
-    if buffering != Buffering::Always && head.length.is_some_and(|length| length > buffer_limit) {
-        let limited = Limited::new(body, usize::try_from(max_bytes).unwrap_or(usize::MAX));
-        let limit_flag = LimitFlag::default();
-        return Ok(RequestBody::Streamed(
-            Some(limit_flag.watch(limited)),
-            limit_flag,
-        ));
-    }
-    let permit = memory.reserve(head.length.unwrap_or(buffer_limit))?;
+    let expected = head.length.unwrap_or(buffer_limit).min(buffer_limit);
+    let permit = memory.reserve(expected)?;
     let mut reader = BodyReader {
         body,
         bytes: BytesMut::new(),
@@ -175,11 +189,7 @@
     if buffer_limit == max_bytes {
         return Err(too_large());
     }
-    let limit_flag = LimitFlag::default();
-    Ok(RequestBody::Streamed(
-        Some(reader.into_stream(max_bytes, &limit_flag)),
-        limit_flag,
-    ))
+    Ok(RequestBody::Streamed(reader.into_stream(max_bytes, permit)))
 }
 
 struct BodyReader {
@@ -205,13 +215,20 @@
     }
 
     /// Streams the bytes read so far followed by the rest of the body.
-    fn into_stream(self, max_bytes: u64, limit_flag: &LimitFlag) -> reqwest::Body {
-        let prefix = self.bytes.freeze();
-        let remaining = max_bytes.saturating_sub(prefix.len() as u64);
+    fn into_stream(self, max_bytes: u64, memory: OwnedSemaphorePermit) -> StreamedBody {
+        let first = self.bytes.freeze();
+        let remaining = max_bytes.saturating_sub(first.len() as u64);
         let rest = Limited::new(self.body, usize::try_from(remaining).unwrap_or(usize::MAX));
-        let first = stream::once(async move { Ok(http_body::Frame::data(prefix)) });
-        let frames = first.chain(BodyStream::new(rest));
-        limit_flag.watch(StreamBody::new(frames))
+        let prefix = first.clone();
+        let prefix = stream::once(async move { Ok(http_body::Frame::data(prefix)) });
+        let frames = prefix.chain(BodyStream::new(rest));
+        let limit = LimitFlag::default();
+        StreamedBody {
+            body: Some(limit.watch(StreamBody::new(frames))),
+            limit,
+            first,
+            _memory: memory,
+        }
     }
 }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -16,6 +16,7 @@
 use crate::body::RequestBody;
 use crate::call::driver::Driver;
 use crate::core::Core;
+use crate::crash::RequestIdentity;
 use crate::queue::AdmissionPermit;
 use crate::refusal::Refusal;
 use crate::relay::RelayedResponse;
@@ -33,6 +34,8 @@
 pub struct Request {
     /// Validated head.
     pub head: RequestHead,
+    /// What identifies the request in crash reports.
+    pub identity: RequestIdentity,
     /// Method.
     pub method: Method,
     /// Path and query.
--- a/crates/gateway/src/call/classify.rs
+++ b/crates/gateway/src/call/classify.rs
@@ -41,6 +41,7 @@
         attempt::Reason::Connect => Reason::Connect,
         attempt::Reason::Shed => Reason::Shed,
         attempt::Reason::NoAnswer => Reason::NoAnswer,
+        attempt::Reason::Quarantined => Reason::Quarantined,
         attempt::Reason::Mismatch => Reason::Mismatch,
         attempt::Reason::Deadline => Reason::Deadline,
         attempt::Reason::ShortBody => Reason::ShortBody,
--- a/crates/gateway/src/call/driver.rs
+++ b/crates/gateway/src/call/driver.rs
@@ -29,12 +29,14 @@
 use crate::call::Result;
 use crate::call::call_context;
 use crate::call::state::AnsweredAttempt;
+use crate::call::state::BrokenAttempt;
 use crate::call::state::CallEvent;
 use crate::call::state::CallerChannel;
 use crate::call::state::PendingAttempt;
 use crate::call::state::RelayingAttempt;
 use crate::call::state::caller_disconnected;
 use crate::call::state::next_response;
+use crate::call::state::next_settled;
 use crate::call::state::relay_step;
 use crate::core::Core;
 use crate::counters::add;
@@ -44,6 +46,7 @@
 use crate::instance_clients::UpstreamRequest;
 use crate::refusal::Reason;
 use crate::relay::UpstreamResponse;
+use crate::view::UpstreamInstance;
 
 pub(super) struct Driver {
     pub(super) core: Arc<Core>,
@@ -53,6 +56,7 @@
     pub(super) call: attempt::Call,
     pub(super) caller: CallerChannel,
     pub(super) pending: Vec<PendingAttempt>,
+    pub(super) broken: Vec<BrokenAttempt>,
     pub(super) answered: Vec<AnsweredAttempt>,
     pub(super) relaying: Option<RelayingAttempt>,
     pub(super) tried: Vec<Pick>,
@@ -63,6 +67,8 @@
     pub(super) etag: Option<HeaderValue>,
     // Why an attempt was not started, where the state machine's reason is less specific.
     pub(super) start_failure: Option<Reason>,
+    // The remaining quarantine of the request, if that is why no attempt was started.
+    pub(super) quarantine: Option<Duration>,
 }
 
 impl Driver {
@@ -85,6 +91,7 @@
             call,
             caller: CallerChannel::Head(send),
             pending: Vec::with_capacity(1),
+            broken: Vec::new(),
             answered: Vec::new(),
             relaying: None,
             tried: Vec::new(),
@@ -92,6 +99,7 @@
             received_bytes: 0,
             etag: None,
             start_failure: None,
+            quarantine: None,
         }
     }
 
@@ -137,6 +145,7 @@
         tokio::select! {
             biased;
             head = next_response(&mut self.pending) => CallEvent::ResponseHead(head),
+            event = next_settled(&mut self.broken) => event,
             event = relay_step(&mut self.relaying, &mut self.chunk, body_sender) => event,
             () = sleep_until(next_wakeup) => CallEvent::Tick,
             () = caller_disconnected(head_sender, body_sender) => CallEvent::CallerDisconnected,
@@ -146,6 +155,7 @@
     pub(super) fn handle(&mut self, event: CallEvent) {
         match event {
             CallEvent::ResponseHead((number, result)) => self.on_response_head(number, result),
+            CallEvent::CrashSettled(number, err) => self.on_crash_settled(number, err),
             CallEvent::Chunk(Some(Ok(bytes))) => self.on_chunk(bytes),
             CallEvent::Chunk(Some(Err(_))) => self.on_truncated(),
             CallEvent::Chunk(None) => self.on_complete(),
@@ -212,6 +222,11 @@
         if self.request.claim_expires_at.is_some_and(|at| now >= at) {
             return Err(Reason::Hold);
         }
+        // The request may have been quarantined while it was queued.
+        if let Some(remaining) = self.core.check_quarantine(&self.request.identity) {
+            self.quarantine = Some(remaining);
+            return Err(Reason::Quarantined);
+        }
         let (client, guard) = self.choose_instance(start, now)?;
         let headers = self.attempt_headers(start);
         // A streamed body was already sent by an earlier attempt.
@@ -238,7 +253,7 @@
             let was_tried = self.tried.contains(&choice.pick);
             let ticket = state.chooser.started(now, choice.pick);
             let id = state.chooser.id(choice.pick).cloned();
-            let Some((client, connection)) = self.reserve_connection(id.as_ref()) else {
+            let Some((client, upstream, connection)) = self.reserve_connection(id.as_ref()) else {
                 state.chooser.finished(now, ticket, NOT_SENT);
                 if was_tried {
                     break;
@@ -250,8 +265,13 @@
             drop(state);
             self.tried.push(choice.pick);
             log_choice(&self.log, start, id.as_ref(), &choice);
-            let guard =
-                AttemptGuard::new(self.balancer.clone(), self.core.clock, ticket, connection);
+            let guard = AttemptGuard::new(
+                self.balancer.clone(),
+                self.core.clock,
+                ticket,
+                upstream,
+                connection,
+            );
             return Ok((client, guard));
         }
         Err(reason)
@@ -260,13 +280,16 @@
     pub(super) fn reserve_connection(
         &self,
         id: Option<&InstanceId>,
-    ) -> Option<(Arc<InstanceClient>, OwnedSemaphorePermit)> {
-        let client = self
-            .core
-            .clients
-            .get(&self.request.head.service.name, id?)?;
+    ) -> Option<(
+        Arc<InstanceClient>,
+        Arc<UpstreamInstance>,
+        OwnedSemaphorePermit,
+    )> {
+        let service = &self.request.head.service.name;
+        let client = self.core.clients.get(service, id?)?;
+        let upstream = self.core.view().instance(service, id?)?.clone();
         let connection = client.reserve()?;
-        Some((client, connection))
+        Some((client, upstream, connection))
     }
 
     pub(super) fn attempt_headers(&self, start: Start) -> HeaderMap {
--- a/crates/gateway/src/call/responses.rs
+++ b/crates/gateway/src/call/responses.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use ::crash::check::MAX_RETRY_DELAY;
 use admit::Finish;
 use attempt::AttemptError;
 use attempt::Event;
@@ -18,7 +19,9 @@
 use http::header::RANGE;
 use route::OutcomeKind;
 use slog::info;
+use tokio::time::timeout;
 
+use crate::attempt_guard::EndedAttempt;
 use crate::call::classify::attempt_error_of;
 use crate::call::classify::kind_of;
 use crate::call::classify::kind_of_response;
@@ -26,6 +29,7 @@
 use crate::call::classify::reason_of;
 use crate::call::driver::Driver;
 use crate::call::state::AnsweredAttempt;
+use crate::call::state::BrokenAttempt;
 use crate::call::state::CallerChannel;
 use crate::call::state::RelayingAttempt;
 use crate::instance_clients::SendError;
@@ -47,10 +51,10 @@
         let response = match result {
             Ok(response) => response,
             Err(err) => {
-                guard.set_kind(kind_of(&err));
-                drop(guard);
+                let ended = guard.end(kind_of(&err));
                 info!(self.log, "attempt failed"; "attempt" => number, "error" => %err);
-                self.step(Event::AttemptFailed(number, attempt_error_of(&err)));
+                let is_broken = matches!(err, SendError::NoAnswer(_));
+                self.on_failed(number, attempt_error_of(&err), ended.filter(|_| is_broken));
                 return;
             }
         };
@@ -75,6 +79,45 @@
         self.step(Event::Head(number, head));
     }
 
+    /// Handles a failed attempt. If it broke off at an instance and may be retried, that is
+    /// decided once it is known whether the request crashed the instance.
+    pub(super) fn on_failed(
+        &mut self,
+        number: AttemptNumber,
+        err: AttemptError,
+        broken: Option<EndedAttempt>,
+    ) {
+        let Some(attempt) = broken else {
+            self.step(Event::AttemptFailed(number, err));
+            return;
+        };
+        let check = self.core.check_crash(&self.request.identity, attempt);
+        if !self.call.may_retry_after(err) {
+            self.step(Event::AttemptFailed(number, err));
+            return;
+        }
+        let settled = async move {
+            // On timeout the retry is decided from what this process knows.
+            let _ = timeout(MAX_RETRY_DELAY, check.settled).await;
+        };
+        self.broken.push(BrokenAttempt {
+            number,
+            err,
+            settled: Box::pin(settled),
+        });
+    }
+
+    pub(super) fn on_crash_settled(&mut self, number: AttemptNumber, err: AttemptError) {
+        self.broken.retain(|attempt| attempt.number != number);
+        let quarantine = self.core.check_quarantine(&self.request.identity);
+        self.quarantine = quarantine;
+        let err = match quarantine {
+            Some(_) => AttemptError::Quarantined,
+            None => err,
+        };
+        self.step(Event::AttemptFailed(number, err));
+    }
+
     /// How the attempt ends if the response is unusable: it belongs to another request,
     /// its end is undefined, or it doesn't resume the body where it broke off.
     pub(super) fn reject_response(&self, response: &UpstreamResponse) -> Option<AttemptError> {
@@ -129,6 +172,7 @@
                 pending.guard.set_kind(OutcomeKind::Timeout);
             }
         }
+        self.broken.retain(|a| a.number != number);
         self.answered.retain(|a| a.number != number);
         if self.relaying.as_ref().is_some_and(|a| a.number == number) {
             let relaying = self.relaying.take();
@@ -163,6 +207,7 @@
         self.relaying = Some(RelayingAttempt {
             number,
             guard,
+            succeeded: !response.status.is_server_error(),
             chunks: response.body,
         });
     }
@@ -175,17 +220,13 @@
     }
 
     pub(super) fn on_truncated(&mut self) {
-        let Some(mut relaying) = self.relaying.take() else {
+        let Some(RelayingAttempt { number, guard, .. }) = self.relaying.take() else {
             return;
         };
-        relaying.guard.set_kind(OutcomeKind::Error);
-        let number = relaying.number;
-        drop(relaying);
+        let ended = guard.end(OutcomeKind::Error);
         info!(self.log, "answer short"; "attempt" => number, "bytes" => self.received_bytes);
-        self.step(Event::AttemptFailed(
-            number,
-            AttemptError::ShortBody(self.received_bytes),
-        ));
+        let err = AttemptError::ShortBody(self.received_bytes);
+        self.on_failed(number, err, ended);
     }
 
     pub(super) fn on_complete(&mut self) {
@@ -193,6 +234,10 @@
             return;
         };
         let number = relaying.number;
+        if relaying.succeeded {
+            let fingerprint = self.request.identity.fingerprint;
+            self.core.guard.record_success(fingerprint);
+        }
         drop(relaying);
         if let CallerChannel::Body(send) = &self.caller {
             // The empty chunk marks a complete body; `relay_step` released capacity for it.
@@ -222,7 +267,9 @@
             status,
             outcome: failure.outcome,
             reason,
-            retry_after: (failure.outcome == Outcome::NotRun).then(|| self.retry_after()),
+            retry_after: self
+                .quarantine
+                .or_else(|| (failure.outcome == Outcome::NotRun).then(|| self.retry_after())),
             retried: true,
         };
         self.set_finish(if reason == Reason::Shed {
--- a/crates/gateway/src/call/state.rs
+++ b/crates/gateway/src/call/state.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::task::Poll;
 
+use attempt::AttemptError;
 use attempt::event::AttemptNumber;
 use bytes::Bytes;
 use futures::StreamExt;
@@ -31,6 +32,14 @@
         Pin<Box<dyn Future<Output = std::result::Result<UpstreamResponse, SendError>> + Send>>,
 }
 
+/// An attempt that broke off, until a retry may be decided.
+pub(super) struct BrokenAttempt {
+    pub(super) number: AttemptNumber,
+    pub(super) err: AttemptError,
+    // Resolves once it is known whether the request crashed the instance, or after a timeout.
+    pub(super) settled: Pin<Box<dyn Future<Output = ()> + Send>>,
+}
+
 /// An attempt whose response head was received, until the state machine decides on it.
 pub(super) struct AnsweredAttempt {
     pub(super) number: AttemptNumber,
@@ -42,6 +51,7 @@
 pub(super) struct RelayingAttempt {
     pub(super) number: AttemptNumber,
     pub(super) guard: AttemptGuard,
+    pub(super) succeeded: bool,
     pub(super) chunks: ResponseChunks,
 }
 
@@ -73,6 +83,7 @@
 /// An event that the driver handles.
 pub(super) enum CallEvent {
     ResponseHead(AttemptResult),
+    CrashSettled(AttemptNumber, AttemptError),
     Chunk(Option<std::result::Result<Bytes, reqwest::Error>>),
     ChunkSent,
     Tick,
@@ -91,6 +102,19 @@
     .await
 }
 
+/// Waits until a retry of a broken attempt may be decided.
+pub(super) async fn next_settled(broken: &mut [BrokenAttempt]) -> CallEvent {
+    poll_fn(|cx| {
+        for attempt in broken.iter_mut() {
+            if attempt.settled.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(CallEvent::CrashSettled(attempt.number, attempt.err));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
 /// Relays the body by one step: sends the buffered chunk or receives the next one.
 pub(super) async fn relay_step(
     relaying: &mut Option<RelayingAttempt>,
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -4,6 +4,7 @@
 use std::sync::PoisonError;
 use std::sync::RwLock;
 
+use ::crash::Guard;
 use base::prelude::*;
 use cadence::StatsdClient;
 use slog::Logger;
@@ -13,6 +14,7 @@
 use crate::balancer::Balancers;
 use crate::body::MemoryBudget;
 use crate::counters::Counters;
+use crate::crash::DIRECTORY_KEY;
 use crate::in_flight::InFlightRequests;
 use crate::instance_clients::InstanceClients;
 use crate::ledger_client::LedgerClient;
@@ -56,6 +58,8 @@
     pub memory: MemoryBudget,
     /// Client of the ledger.
     pub ledger: LedgerClient,
+    /// Requests that crash instances.
+    pub guard: Arc<Guard>,
     /// Counter of requests in flight.
     pub in_flight: InFlightRequests,
     /// Stage of a graceful stop.
@@ -78,6 +82,7 @@
             prober: Prober::new(settings.host.clone(), settings.lease.length, clock),
             memory: MemoryBudget::new(settings.bounds.memory.0),
             ledger: LedgerClient::new(&settings.control),
+            guard: Arc::new(Guard::new(log.clone(), clock, DIRECTORY_KEY)),
             settings,
             log,
             metrics,
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use ::crash::Fate;
 use cadence::Counted;
 use cadence::Gauged;
 use strum::EnumCount;
@@ -27,6 +28,10 @@
 pub const PROBES: &str = "gateway.probes";
 /// Number of claims requested.
 pub const CLAIMS: &str = "gateway.claims";
+/// Number of attempts that broke off, with the tag `instance`: what became of the instance.
+pub const BROKEN: &str = "gateway.attempts.broken";
+/// Number of requests that became quarantined.
+pub const QUARANTINED: &str = "gateway.quarantined";
 /// Number of calls in flight.
 pub const IN_FLIGHT: &str = "gateway.in_flight";
 /// Current catalogue version.
@@ -52,7 +57,10 @@
     pub probes: AtomicU64,
     /// Number of claims requested.
     pub claims: AtomicU64,
+    /// Number of requests that became quarantined.
+    pub quarantined: AtomicU64,
     refused: [AtomicU64; Reason::COUNT],
+    broken: [AtomicU64; Fate::COUNT],
 }
 
 impl Default for Counters {
@@ -63,7 +71,9 @@
             attempts: AtomicU64::default(),
             probes: AtomicU64::default(),
             claims: AtomicU64::default(),
+            quarantined: AtomicU64::default(),
             refused: std::array::from_fn(|_| AtomicU64::default()),
+            broken: std::array::from_fn(|_| AtomicU64::default()),
         }
     }
 }
@@ -73,6 +83,11 @@
     pub fn refused(&self, reason: Reason) {
         add(&self.refused[reason as usize], 1);
     }
+
+    /// Counts an attempt that broke off.
+    pub fn broken(&self, fate: Fate) {
+        add(&self.broken[fate as usize], 1);
+    }
 }
 
 /// Adds `count` to `sum`.
@@ -99,6 +114,7 @@
         (ATTEMPTS, &counters.attempts),
         (PROBES, &counters.probes),
         (CLAIMS, &counters.claims),
+        (QUARANTINED, &counters.quarantined),
     ];
     for (name, sum) in sums {
         // Metrics are best effort, so errors are ignored.
@@ -111,6 +127,13 @@
             metric.with_tag("reason", reason.into()).send();
         }
     }
+    for fate in Fate::iter() {
+        let count = take(&counters.broken[fate as usize]);
+        if count > 0 {
+            let metric = core.metrics.count_with_tags(BROKEN, count);
+            metric.with_tag("instance", fate.into()).send();
+        }
+    }
     let view = core.view();
     let age = view.confirmed_age(core.clock.now()).unwrap_or_default();
     let _ = core
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! Decisions are made by the state machines of the crates `route`, `attempt`,
 //! `admit` and `measure`; this crate connects them to sockets and timers. A
-//! request passes through [`serve`], [`request_head`], [`body`], [`keyed`] (class
-//! once with an idempotency key) and [`call`]. [`sync`] receives the catalogue
+//! request passes through [`serve`], [`request_head`], [`body`], [`crash`] (quarantined requests),
+//! [`keyed`] (class once with an idempotency key) and [`call`]. [`sync`] receives the catalogue
 //! and the instances from a directory and publishes them as an immutable [`view`].
 
 use std::io;
@@ -27,6 +27,7 @@
 pub mod call;
 pub mod core;
 pub mod counters;
+pub mod crash;
 pub mod headers;
 pub mod in_flight;
 pub mod instance_clients;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -75,6 +75,8 @@
     ShortBody,
     /// The deadline passed.
     Deadline,
+    /// The request is quarantined: instances that ran it have crashed.
+    Quarantined,
     /// The ledger is unreachable.
     Ledger,
     /// The ledger accepts no more keys of this service at the moment.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -35,6 +35,7 @@
 use crate::call;
 use crate::core::Core;
 use crate::core::Phase;
+use crate::crash::RequestIdentity;
 use crate::headers;
 use crate::keyed;
 use crate::refusal::Reason;
@@ -224,6 +225,16 @@
         let deadline = core.clock.instant(head.deadline);
         let body = request.take_body();
         let body = body::receive_body(body, &head, buffering, &core.memory, deadline).await?;
+        let identity = RequestIdentity::new(
+            &head,
+            request.remote_addr().ip(),
+            request.method().as_str(),
+            target(request),
+            body.prefix(bounds.replay.0),
+        );
+        if let Some(remaining) = core.check_quarantine(&identity) {
+            return Err(Refusal::unavailable(Reason::Quarantined, remaining));
+        }
         let permit = core.queue.admit(&head.service.name, head.deadline).await?;
         let admitted = call::Request {
             method: request.method().clone(),
@@ -232,6 +243,7 @@
             body,
             claim_expires_at: None,
             permit: Some(permit),
+            identity,
             head,
         };
         Ok(if is_keyed {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -7,6 +7,7 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use ::crash::report;
 use base::prelude::*;
 use slog::info;
 use slog::warn;
@@ -43,7 +44,9 @@
 /// State of the task that polls directories.
 struct DirectoryPoller {
     core: Arc<Core>,
-    links: Vec<DirectoryLink>,
+    links: Vec<Arc<DirectoryLink>>,
+    // Epochs of the directories, for crash reports; 0 for all but the current one.
+    epochs: Vec<watch::Sender<u64>>,
     index: usize,
     // Index to return to when the local directory fails again.
     last_good: usize,
@@ -51,6 +54,8 @@
     // Position in the instance table of the current directory.
     epoch: u64,
     cursor: u64,
+    // Revision of the suspects that the current directory sent last.
+    suspects: u64,
     host: Host,
     announced: watch::Sender<HostPhase>,
 }
@@ -62,16 +67,19 @@
     let announced = watch::Sender::new(HostPhase::Unspecified);
     let receiver = announced.subscribe();
     let links = core.settings.directories.iter();
-    let links = links.map(|a| peer::directory(*a)).collect();
+    let links: Vec<_> = links.map(|a| Arc::new(peer::directory(*a))).collect();
+    let epochs = links.iter().map(|link| start_reports(&core, link));
     let poller = DirectoryPoller {
         host: local_host(&core, gateway),
         selected_at: core.clock.now(),
+        epochs: epochs.collect(),
         core,
         links,
         index: 0,
         last_good: 0,
         epoch: 0,
         cursor: 0,
+        suspects: 0,
         announced,
     };
     let core = poller.core.clone();
@@ -79,6 +87,17 @@
     receiver
 }
 
+/// Starts crash reports to a directory; they are sent while its published epoch isn't 0.
+fn start_reports(core: &Arc<Core>, link: &Arc<DirectoryLink>) -> watch::Sender<u64> {
+    let epoch = watch::Sender::default();
+    let target = report::Directory {
+        link: link.clone(),
+        relayed: false,
+    };
+    core.spawn(report::run(core.clone(), target, epoch.subscribe()));
+    epoch
+}
+
 fn local_host(core: &Core, gateway: SocketAddr) -> Host {
     let started_at = SystemTime::now()
         .duration_since(UNIX_EPOCH)
@@ -155,6 +174,7 @@
             epoch: self.epoch,
             cursor: self.cursor,
             wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            suspects: self.suspects,
         }
     }
 
@@ -178,6 +198,13 @@
     fn apply(&mut self, sent_at: Moment, reply: SyncReply) -> Next {
         self.epoch = reply.epoch;
         self.cursor = reply.cursor;
+        // Before the view, so that a gateway that has just started knows them when it serves.
+        if let Some(suspects) = &reply.suspects {
+            let directory = self.links[self.index].address();
+            self.core.apply_suspects(directory, suspects);
+            self.suspects = suspects.revision;
+        }
+        self.publish_epoch(reply.epoch);
         let before = self.core.view();
         let changed = reply.whole || reply.catalogue.is_some() || !reply.changes.is_empty();
         let view = before.updated(sent_at, reply);
@@ -197,6 +224,10 @@
         Next::Same
     }
 
+    fn publish_epoch(&self, epoch: u64) {
+        self.epochs[self.index].send_if_modified(|last| std::mem::replace(last, epoch) != epoch);
+    }
+
     /// Switches from a directory that failed to the last good one, or, if that is the
     /// one that failed, to its successor.
     ///
@@ -219,6 +250,7 @@
     fn select(&mut self, index: usize) {
         self.selected_at = self.core.clock.now();
         if index != self.index {
+            self.publish_epoch(0);
             self.index = index;
             // Cursors of different directories are unrelated: the whole table is requested.
             self.epoch = 0;
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -122,6 +122,17 @@
             .map_or(&[], |instances| instances)
     }
 
+    /// The announced instance `id` of a service.
+    #[must_use]
+    pub fn instance(
+        &self,
+        service: &ServiceName,
+        id: &InstanceId,
+    ) -> Option<&Arc<UpstreamInstance>> {
+        let instances = self.instances(service);
+        instances.iter().find(|instance| instance.id == *id)
+    }
+
     /// Shared list of a service's instances. If the pointers of two lists are equal, the
     /// instances are unchanged.
     #[must_use]
--- a/crates/gateway/tests/fakes/directory.rs
+++ b/crates/gateway/tests/fakes/directory.rs
@@ -18,6 +18,7 @@
 use wire::catalogue::Class;
 use wire::catalogue::Entry;
 use wire::catalogue::Limits;
+use wire::directory::CrashReport;
 use wire::directory::Exchange;
 use wire::directory::Host;
 use wire::directory::HostsReply;
@@ -27,6 +28,7 @@
 use wire::directory::Phase;
 use wire::directory::Sync;
 use wire::directory::SyncReply;
+use wire::hub::Suspects;
 
 /// State to reply with, and the announcements received.
 #[derive(Default)]
@@ -185,6 +187,7 @@
                 } else {
                     Vec::new()
                 },
+                suspects: None,
             }
         };
         if reply.catalogue.is_none() && !reply.whole {
@@ -197,6 +200,10 @@
         push
     }
 
+    async fn report(self, _: Context, _: CrashReport) -> Suspects {
+        Suspects::default()
+    }
+
     async fn hosts(self, _: Context) -> HostsReply {
         HostsReply::default()
     }
--- a/crates/gateway/tests/fakes/upstream.rs
+++ b/crates/gateway/tests/fakes/upstream.rs
@@ -45,7 +45,7 @@
 pub struct FakeUpstream {
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
-    /// Releases the requests at `/hold`.
+    /// Releases the requests at `/hold` and `/drop`.
     pub release: Arc<Notify>,
 }
 
@@ -150,6 +150,10 @@
                 self.release.notified().await;
                 ("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nheld", true)
             }
+            "drop" => {
+                self.release.notified().await;
+                ("", false)
+            }
             "late" => {
                 tokio::time::sleep(Duration::from_millis(300)).await;
                 ("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate", true)
--- a/crates/gateway/tests/test_keyed.rs
+++ b/crates/gateway/tests/test_keyed.rs
@@ -9,6 +9,7 @@
 use base::prelude::*;
 use gateway::body::RequestBody;
 use gateway::call;
+use gateway::crash::RequestIdentity;
 use gateway::refusal::Reason;
 use gateway::request_head::RequestHead;
 use http::HeaderMap;
@@ -318,6 +319,7 @@
     .expect("a valid head");
     let balancer = core.balancers.get(&head.service.name).expect("a balancer");
     let request = call::Request {
+        identity: RequestIdentity::new(&head, None, "POST", "/ok", b""),
         head,
         method: Method::POST,
         target: Arc::from("/ok"),
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -12,6 +12,7 @@
 use crate::control::Membership;
 use crate::control::MembershipReply;
 use crate::control::Status;
+use crate::directory::CrashReport;
 use crate::directory::Exchange;
 use crate::directory::HostsReply;
 use crate::directory::InstancesReply;
@@ -86,6 +87,8 @@
     async fn sync(ask: Sync) -> SyncReply;
     /// Exchanges state with another directory (push and pull).
     async fn exchange(push: Exchange) -> Exchange;
+    /// Takes observations of requests that crash instances; returns the suspects of all gateways.
+    async fn report(report: CrashReport) -> Suspects;
     /// Returns the hosts known to this directory.
     async fn hosts() -> HostsReply;
     /// Returns the instances known to this directory.
