route: gateways don't all send to the same one of several cold instances

What callers saw: a request beside one that crashes instances got 502 no-answer, as each of its three attempts ran on an instance that the other request crashed just then, though nine of twelve were well.

Hypotheses: both requests follow shared load data; the retry follows the same instance list; the ramp ranks by age. Evidence: in the logs of both gateways reason=stale, age_us=- (no load data at all) and expected_us 10015, 39.8 ms, 41.2 ms for the same three instances in the same order, those announced first; instances older than the ramp of 2 s are chosen in differing orders.

Cause: the ramp multiplies an expectation by up to five. Between instances that are announced one after the other it differs by more than the jitter of 5 %, so that all gateways rank cold instances by age and send everything to the oldest.

Fix: the ramp's penalty has a random weight with mean 1 at each choice. A warm instance is preferred as before (test_faults_cold_ramps); cold ones take turns, weighted by age.

--- a/crates/route/src/chooser.rs
+++ b/crates/route/src/chooser.rs
@@ -37,6 +37,9 @@
 const MAX_EXPECTED: f64 = 3600.0;
 /// Random part of an expectation, so that equal instances take turns.
 const JITTER: f64 = 0.05;
+/// Upper bound of the random weight of a ramp's penalty, whose mean is 1. With equal weights, all
+/// gateways would rank cold instances by age and send to the same one.
+const MAX_RAMP_WEIGHT: f64 = 2.0;
 /// Number of instances that one choice compares.
 const MAX_CANDIDATES: usize = 24;
 /// Number of recent choices that [`View::chosen`] covers.
@@ -204,8 +207,11 @@
             if !self.entries[index].health.takes_traffic() || self.is_excluded(index, exclude) {
                 continue;
             }
-            let jitter = 1.0 + JITTER * self.rng.random::<f64>();
-            let expected = self.entries[index].expected(now, self.averages, &self.settings);
+            let draw = self.rng.random::<f64>();
+            let (jitter, weight) = (1.0 + JITTER * draw, MAX_RAMP_WEIGHT * draw);
+            let (averages, settings) = (self.averages, &self.settings);
+            let entry = &mut self.entries[index];
+            let expected = entry.expected_with_ramp(now, averages, settings, weight);
             if expected * jitter < least {
                 least = expected * jitter;
                 best = Some(index);
--- a/crates/route/src/entry.rs
+++ b/crates/route/src/entry.rs
@@ -149,14 +149,26 @@
         now: Moment,
         averages: ServiceAverages,
         settings: &Settings,
+    ) -> f64 {
+        self.expected_with_ramp(now, averages, settings, 1.0)
+    }
+
+    /// The same with the penalty of a ramp multiplied by `weight`.
+    pub(crate) fn expected_with_ramp(
+        &mut self,
+        now: Moment,
+        averages: ServiceAverages,
+        settings: &Settings,
+        weight: f64,
     ) -> f64 {
         let utilization = self.utilization(now, averages, settings);
         let mut work = self.work_time.estimate(now, averages.work);
         let total_wait = self.total_wait(now, averages).as_secs_f64() * WAIT_FACTOR;
         work = work.max(total_wait / utilization.max(1.0));
         let failures = self.health.failure_share(now) * averages.work * FAILURE_PENALTY;
-        let ramp = 1.0 + RAMP_PENALTY * (1.0 - self.health.ramp_progress(now, settings.ramp));
-        (work * queueing_factor(utilization) + failures) * ramp
+        let remaining = 1.0 - self.health.ramp_progress(now, settings.ramp);
+        let penalty = RAMP_PENALTY * remaining * weight;
+        (work * queueing_factor(utilization) + failures) * (1.0 + penalty)
     }
 
     /// Requests per slot, including one more.
--- a/crates/route/tests/test_faults.rs
+++ b/crates/route/tests/test_faults.rs
@@ -4,14 +4,18 @@
 
 use std::time::Duration;
 
+use base::prelude::Moment;
 use common::Behavior;
 use common::Simulation;
 use common::WORK;
+use common::instance;
+use route::Chooser;
 use route::Outcome;
 use route::OutcomeKind;
 use route::Phase;
 use route::Pick;
 use route::Policy;
+use route::Settings;
 use route::view::Health;
 use strum::IntoEnumIterator;
 
@@ -157,6 +161,37 @@
     assert!(warm > 0.1, "{warm:.3} of the choices once warm");
 }
 
+/// Gateways that each choose on their own.
+const GATEWAYS: u64 = 60;
+/// Time between the announcements of two instances, in milliseconds.
+const ANNOUNCEMENT_GAP: u64 = 60;
+
+/// Guards against gateways that all retry at the same one of several cold instances: a request
+/// that crashes instances would meet the same other requests at each of them.
+#[test]
+fn test_faults_gateways_spread_retries_over_cold_instances() {
+    let count = 2 * INSTANCES;
+    let mut chosen = vec![0; count];
+    for seed in 0..GATEWAYS {
+        let mut chooser = Chooser::new(POLICY, Settings::default(), seed);
+        let mut now = Moment::ZERO;
+        for announced in 1..=count {
+            let table: Vec<_> = (0..announced)
+                .map(|index| instance(index, Phase::Ready))
+                .collect();
+            now = now + Duration::from_millis(ANNOUNCEMENT_GAP);
+            chooser.update(now, &table);
+        }
+        let first = chooser.choose(now, &[]).expect("an instance").pick;
+        let retry = chooser.choose(now, &[first]).expect("another one").pick;
+        let id = chooser.id(retry).expect("announced").clone();
+        let index = (0..count).find(|index| instance(*index, Phase::Ready).id == id);
+        chosen[index.expect("announced")] += 1;
+    }
+    let most = chosen.iter().max().copied().unwrap_or_default();
+    assert!(most <= GATEWAYS / 3, "{most} of {GATEWAYS}: {chosen:?}");
+}
+
 #[test]
 fn test_faults_leaving_gets_nothing() {
     for phase in [Phase::Starting, Phase::Draining, Phase::Gone] {
