gateway: an instance that takes no connection doesn't use up an attempt

What callers saw: 503 connect for the first requests at each gateway after instances had ended, with 7 or 11 of 14 well.

Hypotheses: all instances are ejected; the list of instances is old; three refused connections end a call.

Cause: an attempt whose connection was refused counted as one of three and took a token of the retry budget, though nothing was sent to any instance.

Fix: such an attempt goes on at another instance, under its number, up to 16 instances a call and while time is left; the state machine hears of it only when no instance is left. If the chooser returns an instance that took no connection before, all others were tried, and the call ends at once. Streamed bodies can't be sent again, as before. The tests of crate attempt, where each failed connection spends a token, hold unchanged: what they count is attempts.

--- a/crates/gateway/src/attempt_guard.rs
+++ b/crates/gateway/src/attempt_guard.rs
@@ -8,6 +8,7 @@
 use http::HeaderMap;
 use route::Outcome;
 use route::OutcomeKind;
+use route::Pick;
 use route::Report;
 use route::Ticket;
 use tokio::sync::OwnedSemaphorePermit;
@@ -67,6 +68,12 @@
         }
     }
 
+    /// The chosen instance.
+    #[must_use]
+    pub fn pick(&self) -> Option<Pick> {
+        self.ticket.as_ref().map(Ticket::pick)
+    }
+
     /// Records the latency and the load report of the response's head.
     pub fn record_head(&mut self, headers: &HeaderMap) {
         self.latency = Some(self.clock.now().since(self.started_at));
--- a/crates/gateway/src/call/driver.rs
+++ b/crates/gateway/src/call/driver.rs
@@ -9,6 +9,7 @@
 use attempt::AttemptError;
 use attempt::Event;
 use attempt::Start;
+use attempt::timing;
 use base::prelude::*;
 use bytes::Bytes;
 use http::HeaderMap;
@@ -60,6 +61,8 @@
     pub(super) answered: Vec<AnsweredAttempt>,
     pub(super) relaying: Option<RelayingAttempt>,
     pub(super) tried: Vec<Pick>,
+    // Instances that took no connection.
+    pub(super) unreachable: Vec<Pick>,
     // A chunk that waits for capacity in the channel to the caller.
     pub(super) chunk: Option<Bytes>,
     // Bytes of the response body received from upstreams.
@@ -95,6 +98,7 @@
             answered: Vec::new(),
             relaying: None,
             tried: Vec::new(),
+            unreachable: Vec::new(),
             chunk: None,
             received_bytes: 0,
             etag: None,
@@ -194,22 +198,41 @@
     }
 
     pub(super) fn start_attempt(&mut self, start: Start) {
-        match self.prepare(start) {
-            Ok((client, guard, outgoing)) => {
-                let method = outgoing.method.clone();
-                let head = Box::pin(async move {
-                    let response = client.send(outgoing).await?;
-                    Ok(UpstreamResponse::new(response, &method))
-                });
-                self.pending.push(PendingAttempt {
-                    number: start.number,
-                    guard,
-                    head,
-                });
-            }
+        if let Err(reason) = self.send_attempt(start) {
+            self.start_failure.get_or_insert(reason);
+            self.step(Event::AttemptFailed(start.number, AttemptError::NoUpstream));
+        }
+    }
+
+    /// Chooses an instance and starts to send the request to it.
+    fn send_attempt(&mut self, start: Start) -> std::result::Result<(), Reason> {
+        let (client, guard, outgoing) = self.prepare(start)?;
+        let method = outgoing.method.clone();
+        let head = Box::pin(async move {
+            let response = client.send(outgoing).await?;
+            Ok(UpstreamResponse::new(response, &method))
+        });
+        self.pending.push(PendingAttempt { start, guard, head });
+        Ok(())
+    }
+
+    /// Continues an attempt whose instance took no connection at another instance. As nothing
+    /// was sent, that is neither a retry nor limited by the retry budget. Returns false if there
+    /// is no other instance, or the body was streamed.
+    pub(super) fn connect_elsewhere(&mut self, start: Start) -> bool {
+        let (now, deadline) = (self.core.clock.now(), self.request.head.deadline);
+        if self.tried.len() >= MAX_CONNECTS || now >= deadline || !self.request.body.is_buffered() {
+            return false;
+        }
+        let start = Start {
+            upstream_timeout: timing::upstream_timeout(deadline.since(now)),
+            ..start
+        };
+        match self.send_attempt(start) {
+            Ok(()) => true,
             Err(reason) => {
                 self.start_failure.get_or_insert(reason);
-                self.step(Event::AttemptFailed(start.number, AttemptError::NoUpstream));
+                false
             }
         }
     }
@@ -250,6 +273,10 @@
         let mut state = self.balancer.state();
         let mut reason = Reason::NoUpstream;
         while let Some(choice) = state.chooser.choose(now, &self.tried) {
+            // The chooser returns one of these only if no other instance is left.
+            if self.unreachable.contains(&choice.pick) {
+                return Err(Reason::Connect);
+            }
             let was_tried = self.tried.contains(&choice.pick);
             let ticket = state.chooser.started(now, choice.pick);
             let id = state.chooser.id(choice.pick).cloned();
@@ -314,6 +341,9 @@
     }
 }
 
+/// Maximum number of instances that one call tries, so that a call ends soon when all hosts of a
+/// large service refuse connections.
+const MAX_CONNECTS: usize = 16;
 /// Outcome of an attempt that found no free connection.
 const NOT_SENT: route::Outcome = route::Outcome {
     kind: OutcomeKind::Cancelled,
--- a/crates/gateway/src/call/responses.rs
+++ b/crates/gateway/src/call/responses.rs
@@ -31,6 +31,7 @@
 use crate::call::state::AnsweredAttempt;
 use crate::call::state::BrokenAttempt;
 use crate::call::state::CallerChannel;
+use crate::call::state::PendingAttempt;
 use crate::call::state::RelayingAttempt;
 use crate::instance_clients::SendError;
 use crate::refusal::Reason;
@@ -44,15 +45,24 @@
         number: AttemptNumber,
         result: std::result::Result<UpstreamResponse, SendError>,
     ) {
-        let Some(index) = self.pending.iter().position(|a| a.number == number) else {
+        let Some(index) = self.pending.iter().position(|a| a.start.number == number) else {
             return;
         };
-        let mut guard = self.pending.swap_remove(index).guard;
+        let PendingAttempt {
+            start, mut guard, ..
+        } = self.pending.swap_remove(index);
         let response = match result {
             Ok(response) => response,
             Err(err) => {
+                let pick = guard.pick();
                 let ended = guard.end(kind_of(&err));
                 info!(self.log, "attempt failed"; "attempt" => number, "error" => %err);
+                if matches!(err, SendError::Connect(_)) {
+                    self.unreachable.extend(pick);
+                    if self.connect_elsewhere(start) {
+                        return;
+                    }
+                }
                 let is_broken = matches!(err, SendError::NoAnswer(_));
                 self.on_failed(number, attempt_error_of(&err), ended.filter(|_| is_broken));
                 return;
@@ -166,7 +176,7 @@
     pub(super) fn cancel_attempt(&mut self, number: AttemptNumber, cause: Option<Event>) {
         // An attempt that is cancelled by a timer counts as timed out.
         let timed_out = matches!(cause, Some(Event::Tick));
-        if let Some(index) = self.pending.iter().position(|a| a.number == number) {
+        if let Some(index) = self.pending.iter().position(|a| a.start.number == number) {
             let mut pending = self.pending.swap_remove(index);
             if timed_out {
                 pending.guard.set_kind(OutcomeKind::Timeout);
--- a/crates/gateway/src/call/state.rs
+++ b/crates/gateway/src/call/state.rs
@@ -5,6 +5,7 @@
 use std::task::Poll;
 
 use attempt::AttemptError;
+use attempt::Start;
 use attempt::event::AttemptNumber;
 use bytes::Bytes;
 use futures::StreamExt;
@@ -26,7 +27,7 @@
 
 /// An attempt that waits for the head of its response.
 pub(super) struct PendingAttempt {
-    pub(super) number: AttemptNumber,
+    pub(super) start: Start,
     pub(super) guard: AttemptGuard,
     pub(super) head:
         Pin<Box<dyn Future<Output = std::result::Result<UpstreamResponse, SendError>> + Send>>,
@@ -94,7 +95,7 @@
     poll_fn(|cx| {
         for attempt in pending.iter_mut() {
             if let Poll::Ready(result) = attempt.head.as_mut().poll(cx) {
-                return Poll::Ready((attempt.number, result));
+                return Poll::Ready((attempt.start.number, result));
             }
         }
         Poll::Pending
--- a/crates/gateway/tests/test_attempts.rs
+++ b/crates/gateway/tests/test_attempts.rs
@@ -46,6 +46,32 @@
     }
 }
 
+/// Guards against calls that end although an instance is well, because connections to others were
+/// refused: nothing was sent to those, so the retry budget doesn't matter.
+#[tokio::test]
+async fn test_attempts_refused_connections_need_no_retry_budget() {
+    for service in ["urgent", "once", "durable", "deferred"] {
+        let rig = rig(&[], |_| {}).await;
+        rig.directory
+            .change_limits(|limits| limits.retry_percent = 0);
+        let alive = rig.upstream.address;
+        rig.directory.change(|state| {
+            let rows = (2..=9).map(|number| {
+                let address = if number == 9 { alive } else { DEAD };
+                instance(service, &format!("i-{number}"), address, Phase::Ready)
+            });
+            state.instances = rows.collect();
+        });
+        let core = rig.gateway.core();
+        wait_until(|| core.view().all_instances().count() == 8).await;
+        for count in 1..=8 {
+            let response = rig.post(service, "/ok").send().await.expect("a response");
+            assert_eq!(response.status(), 200, "{service}");
+            assert_eq!(rig.upstream.received().len(), count, "{service}");
+        }
+    }
+}
+
 #[tokio::test]
 async fn test_attempts_error_of_once_is_final() {
     let rig = rig(&[], |_| {}).await;
