directory, quarantine, crash: refusals outlive all directories with the only gateway that saw a crash

What callers saw: after a restart of all directories and of the gateway that had seen every crash, the other gateways refused the request, but the new gateway sent it again.

Cause: directories passed on crashes, and a refusal only beside the crash that led to it. What a gateway refuses, and reports to its restarted directory, went no further once that directory had told the others that it has nothing. And a directory that started told its gateways of a confirmed catalogue before any peer had told it of refusals (peers find a new start when they poll it, up to the number of directories times 250 ms later).

Fix: a refusal that a gateway reports is an event that is passed on like a crash; one that a peer passed on isn't, so the messages stay few. A starting directory asks three peers for their suspects before it follows the catalogue, 100 ms at most.

--- a/crates/crash/src/collector.rs
+++ b/crates/crash/src/collector.rs
@@ -103,6 +103,7 @@
                 if self.tracker.record_refusal(self.now, request, refused) {
                     info!(self.log, "refusal learned"; "fingerprint" => %request,
                         "left_ms" => reported.refused_ms, role => host);
+                    self.events.push(Event::Refused(request));
                 }
             }
             Err(err) => {
--- a/crates/crash/src/guard.rs
+++ b/crates/crash/src/guard.rs
@@ -156,12 +156,14 @@
     }
 }
 
-/// Adds events to a report that is sent at `now`.
+/// Adds crashes and answers to a report that is sent at `now`. A refusal is reported with its
+/// remaining time, which its event lacks.
 pub fn add_events(report: &mut Report, now: Moment, events: Vec<Event>) {
     for event in events {
         match event {
             Event::Crashed(crash) => report.crashes.push(crash.to_wire(now)),
             Event::Succeeded(request) => report.answered.push(request.into()),
+            Event::Refused(_) => {}
         }
     }
 }
--- a/crates/directory/src/server.rs
+++ b/crates/directory/src/server.rs
@@ -30,6 +30,7 @@
 use crate::rpc::Listener;
 use crate::settings::Settings;
 use crate::shared::Shared;
+use crate::suspects;
 use crate::sweep;
 
 /// Maximum number of HTTP connections.
@@ -175,12 +176,15 @@
         tasks.spawn(relay_reports(shared.clone(), target, epoch.subscribe()));
         epochs.insert(peer.address(), epoch);
     }
-    tasks.spawn(peers::poll(shared.clone(), me, links, epochs));
     tasks.spawn(sweep::sweep(shared.clone()));
-    tasks.spawn(follow::follow(
-        shared.clone(),
-        shared.settings.control.clone(),
-    ));
+    let shared = shared.clone();
+    tasks.spawn(async move {
+        // Until a catalogue is confirmed by a replica or a peer, no gateway serves.
+        suspects::learn_from_peers(&shared, &links).await;
+        let replicas = shared.settings.control.clone();
+        let followed = follow::follow(shared.clone(), replicas);
+        tokio::join!(followed, peers::poll(shared.clone(), me, links, epochs));
+    });
 }
 
 /// Passes on what gateways report until the directory stops.
--- a/crates/directory/src/suspects.rs
+++ b/crates/directory/src/suspects.rs
@@ -7,24 +7,36 @@
 //! that led to it.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
 use base::prelude::*;
 use crash::Reporter;
 use crash::collector;
 use crash::guard::add_events;
+use crash::report::Directory;
 use crash::report::Source;
+use crash::report::Target;
+use futures::future::join_all;
 use quarantine::Event;
 use quarantine::Suspect;
 use quarantine::Tracker;
+use rand::seq::IndexedRandom;
 use slog::Logger;
 use tokio::sync::watch;
+use tokio::time::timeout;
 use wire::directory::CrashReport;
 use wire::hub::Report;
 use wire::hub::Suspects;
+use wire::peer::DirectoryLink;
 
 use crate::shared::Inner;
 use crate::shared::Shared;
 
+/// Number of peers that a directory asks for their suspects when it starts.
+const STARTUP_PEERS: usize = 3;
+/// Maximum wait for their replies, for which gateways wait, too.
+const STARTUP_TIMEOUT: Duration = Duration::from_millis(100);
 /// Log keys of the processes that report.
 const ROLES: [&str; 2] = ["gateway", "directory"];
 
@@ -56,6 +68,23 @@
     suspects
 }
 
+/// Learns the refusals of a few peers when the directory starts, so that a gateway that starts
+/// with it, for example on the same host, has them with its first reply.
+pub async fn learn_from_peers(shared: &Shared, peers: &[Arc<DirectoryLink>]) {
+    let asked = peers.sample(&mut rand::rng(), STARTUP_PEERS);
+    let replies = asked.map(async |link| {
+        let peer = Directory {
+            link: link.clone(),
+            relayed: true,
+        };
+        if let Some(suspects) = peer.send(Report::default()).await {
+            shared.record_reply(peer.address(), 0, &suspects);
+        }
+    });
+    // A peer that doesn't reply in time reports its refusals later, like all others.
+    let _ = timeout(STARTUP_TIMEOUT, join_all(replies)).await;
+}
+
 /// The suspects, for a gateway that has those of `revision` from this epoch.
 #[must_use]
 pub fn changed_suspects(inner: &Inner, now: Moment, revision: u64) -> Option<Suspects> {
@@ -103,13 +132,19 @@
     }
 }
 
-/// The current refusals; with `events`, only those of requests that crashed instances in these
-/// events.
+/// The current refusals; with `events`, only those of requests that crashed instances or became
+/// refused in these events.
 fn refusals(tracker: &Tracker, now: Moment, events: Option<&[Event]>) -> Vec<Suspect> {
     let is_concerned = |suspect: &Suspect| {
         events.is_none_or(|events| {
-            let crashed = |event: &Event| matches!(event, Event::Crashed(c) if c.request == suspect.request || c.request.for_all_senders() == suspect.request);
-            events.iter().any(crashed)
+            events.iter().any(|event| match event {
+                Event::Crashed(crash) => {
+                    let all_senders = crash.request.for_all_senders();
+                    [crash.request, all_senders].contains(&suspect.request)
+                }
+                Event::Refused(request) => *request == suspect.request,
+                Event::Succeeded(_) => false,
+            })
         })
     };
     let mut suspects = tracker.suspects(now);
--- a/crates/directory/tests/test_suspects.rs
+++ b/crates/directory/tests/test_suspects.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use directory::Directory;
+use directory::Settings;
+use quarantine::Head;
 use wire::directory::CrashReport;
 use wire::directory::Sync;
 use wire::hub::Crash;
@@ -18,16 +20,28 @@
 use crate::common;
 
 const TIMEOUT: Duration = Duration::from_secs(20);
+/// Interval of exchanges between directories.
+const EXCHANGE: Duration = Duration::from_millis(20);
 const REQUEST: Fingerprint = Fingerprint {
     path: 1,
     body: 2,
     sender: 3,
 };
 
+/// The head of [`REQUEST`].
+const HEAD: Head = Head {
+    path: REQUEST.path,
+    sender: REQUEST.sender,
+};
+
 async fn start_three() -> Vec<Directory> {
     let (_control, address) = common::control().await;
     let all = [("a", "milano"), ("b", "torino"), ("c", "genova")];
-    let settings = all.map(|(host, domain)| common::settings(host, domain));
+    let settings = all.map(|(host, domain)| {
+        let mut settings = common::settings(host, domain);
+        settings.leases.exchange = EXCHANGE;
+        settings
+    });
     let directories = common::directories(settings.into(), &[address]).await;
     for directory in &directories {
         common::ready(directory).await;
@@ -80,6 +94,14 @@
     rows.filter_map(|row| row.request).collect()
 }
 
+/// Settings to start a directory at the addresses of one that is stopped.
+fn restart_settings(directory: &Directory) -> Settings {
+    let mut settings = directory.shared().settings.clone();
+    settings.http = directory.http();
+    settings.rpc = directory.rpc();
+    settings
+}
+
 async fn until_refused(directory: &Directory) {
     common::eventually("the refusal", async || {
         let reply = sync(directory, Sync::default()).await;
@@ -169,9 +191,7 @@
     }
     until_refused(&directories[1]).await;
     let stopped = directories.remove(2);
-    let mut settings = stopped.shared().settings.clone();
-    settings.http = stopped.http();
-    settings.rpc = stopped.rpc();
+    let settings = restart_settings(&stopped);
     assert!(stopped.stop().await);
     let restarted = directory::start(
         settings,
@@ -183,10 +203,24 @@
     until_refused(&restarted).await;
 }
 
-/// A directory that has restarted applies what its gateways refuse.
+/// What a gateway refuses reaches all directories, as they may have restarted together.
 #[tokio::test]
-async fn test_suspects_refusals_of_gateway_are_applied() {
+async fn test_suspects_refusals_of_gateway_reach_every_directory() {
     let directories = start_three().await;
+    // All directories have told each other that they have nothing to report.
+    report_crash(&directories[0], "i-1").await;
+    for directory in &directories {
+        common::eventually("the crash", async || {
+            let known = directory
+                .shared()
+                .step(|inner, _| inner.tracker.tracks_path(HEAD));
+            known.then_some(())
+        })
+        .await;
+    }
+    // By now each directory knows the epochs of the others, and has sent all that it had.
+    report_crash(&directories[0], "i-2").await;
+    tokio::time::sleep(20 * EXCHANGE).await;
     let known = Report {
         host: "gateway".into(),
         refused: vec![Suspect {
@@ -197,5 +231,35 @@
     };
     let suspects = report(directories[0].rpc(), known).await;
     assert_eq!(refused(Some(&suspects)), [REQUEST]);
+    for directory in &directories {
+        until_refused(directory).await;
+    }
+}
+
+/// A directory that starts has the refusals of a peer before it tells a gateway that its
+/// catalogue is confirmed.
+#[tokio::test]
+async fn test_suspects_starting_directory_has_refusals_when_it_confirms() {
+    let mut directories = start_three().await;
+    for instance in ["i-1", "i-2", "i-3"] {
+        report_crash(&directories[0], instance).await;
+    }
     until_refused(&directories[0]).await;
+    until_refused(&directories[1]).await;
+    let stopped = directories.remove(2);
+    let settings = restart_settings(&stopped);
+    assert!(stopped.stop().await);
+    let restarted = directory::start(
+        settings,
+        telemetry::log::silent(),
+        telemetry::metrics::silent(),
+    )
+    .await
+    .expect("the ports are free");
+    let reply = common::eventually("a confirmation", async || {
+        let reply = sync(&restarted, Sync::default()).await;
+        (reply.confirmed > 0).then_some(reply)
+    })
+    .await;
+    assert_eq!(refused(reply.suspects.as_ref()), [REQUEST]);
 }
--- a/crates/quarantine/src/event_log.rs
+++ b/crates/quarantine/src/event_log.rs
@@ -21,6 +21,8 @@
     Crashed(Crash),
     /// A suspected request was answered.
     Succeeded(Fingerprint),
+    /// A request became refused.
+    Refused(Fingerprint),
 }
 
 #[derive(Clone, Debug)]
@@ -60,7 +62,7 @@
     pub fn remove_expired(&mut self, now: Moment) {
         self.events.retain(|stored| {
             let retention = match stored.event {
-                Event::Crashed(_) => WINDOW,
+                Event::Crashed(_) | Event::Refused(_) => WINDOW,
                 Event::Succeeded(_) => SUCCESS_RETENTION,
             };
             now.since(stored.at) < retention
--- a/crates/quarantine/tests/test_quarantine.rs
+++ b/crates/quarantine/tests/test_quarantine.rs
@@ -73,7 +73,7 @@
     quarantine.record_crash(at(0), crash("new", 1, 0));
     let answered = quarantine.since(0).into_iter().map(|event| match event {
         Event::Crashed(crash) => crash.answered,
-        Event::Succeeded(_) => panic!("no request was suspected"),
+        other => panic!("no request was suspected: {other:?}"),
     });
     assert_eq!(answered.collect::<Vec<_>>(), [true, false]);
 }
--- a/crates/testutils/tests/test_gateway_crash.rs
+++ b/crates/testutils/tests/test_gateway_crash.rs
@@ -70,6 +70,30 @@
         reply
     }
 
+    /// Kills all directories and the first gateway, starts them again, and waits until the new
+    /// gateway has the quarantine and all gateways serve.
+    async fn restart_directories_and_first_gateway(&mut self) {
+        for directory in &mut self.system.directories {
+            directory.take().unwrap().kill().await.unwrap();
+        }
+        let stopped = self.system.gateways[0].take().unwrap();
+        stopped.kill().await.unwrap();
+        for index in 0..GATEWAYS {
+            let started = self.system.start_directory(index).await.unwrap();
+            self.system.directories[index] = Some(started);
+        }
+        let started = self.system.start_gateway(0).await.unwrap();
+        started
+            .wait_line(|line| field(line, "msg") == Some("quarantine"))
+            .await
+            .unwrap();
+        self.system.gateways[0] = Some(started);
+        let version = self.system.version;
+        for index in 0..GATEWAYS {
+            self.system.wait_in_force(index, version).await.unwrap();
+        }
+    }
+
     fn check_crashed(&mut self) {
         let crashed = self.crashed();
         assert!(
@@ -175,26 +199,20 @@
         rig.send(number, &crashing()).await;
     }
     rig.check_refused(crashing).await;
-    for directory in &mut rig.system.directories {
-        directory.take().unwrap().kill().await.unwrap();
-    }
-    let stopped = rig.system.gateways[0].take().unwrap();
-    stopped.kill().await.unwrap();
-    for index in 0..GATEWAYS {
-        let started = rig.system.start_directory(index).await.unwrap();
-        rig.system.directories[index] = Some(started);
-    }
-    let started = rig.system.start_gateway(0).await.unwrap();
-    started
-        .wait_line(|line| field(line, "msg") == Some("quarantine"))
-        .await
-        .unwrap();
-    rig.system.gateways[0] = Some(started);
-    let version = rig.system.version;
-    for index in 0..GATEWAYS {
-        rig.system.wait_in_force(index, version).await.unwrap();
+    rig.restart_directories_and_first_gateway().await;
+    rig.check_refused(crashing).await;
+}
+
+/// The same where the restarted gateway was the only one that saw a crash.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_gateway_crash_refusal_outlives_the_gateway_that_saw_all_crashes() {
+    let mut rig = Rig::start(services::STATUS).await;
+    for _ in 0..4 {
+        rig.send(0, &crashing()).await;
     }
     rig.check_refused(crashing).await;
+    rig.restart_directories_and_first_gateway().await;
+    rig.check_refused(crashing).await;
 }
 
 /// Another caller's requests run beside each send of the one that crashes instances, at the
