--- a/crates/cli/tests/fakes/mod.rs
+++ b/crates/cli/tests/fakes/mod.rs
@@ -73,6 +73,7 @@
     pub status: Status,
     pub hosts: HostsReply,
     pub instances: InstancesReply,
+    pub suspects: Suspects,
     pub explain: ExplainReply,
 }
 
@@ -168,7 +169,7 @@
     }
 
     async fn report(self, _: Context, _: CrashReport) -> Suspects {
-        Suspects::default()
+        self.lock().suspects.clone()
     }
 
     async fn hosts(self, _: Context) -> HostsReply {
--- a/crates/cli/tests/test_commands.rs
+++ b/crates/cli/tests/test_commands.rs
@@ -26,6 +26,8 @@
 use wire::directory::InstanceChange;
 use wire::directory::Phase;
 use wire::gateway::Candidate;
+use wire::hub::Fingerprint;
+use wire::hub::Suspect;
 
 fn of_version(version: u64) -> String {
     format!("[catalogue]\nversion = {version}\n\n{FILE}")
@@ -66,6 +68,14 @@
         }),
         gone: false,
     }];
+    server.suspects.rows = vec![Suspect {
+        request: Some(Fingerprint {
+            path: 10,
+            body: 1,
+            sender: 2,
+        }),
+        refused_ms: 89_001,
+    }];
     server.explain.version = 1;
     server.explain.in_flight = 2;
     let unreported = Candidate {
@@ -163,6 +173,12 @@
              grants   g-1  127.0.0.1:9000  milano  6      250          draining  5\n".into(),
             "item=upstream service=grants id=g-1 address=127.0.0.1:9000 domain=milano slots=6 connections=250 phase=draining incarnation=5\n".into(),
         ),
+        (
+            "quarantine".into(),
+            "FINGERPRINT                                         LEFT\n\
+             000000000000000a-0000000000000001-0000000000000002  90s\n".into(),
+            "item=request fingerprint=000000000000000a-0000000000000001-0000000000000002 left=90s\n".into(),
+        ),
         ("upstreams none".into(), "SERVICE  ID  ADDRESS  DOMAIN  SLOTS  CONNECTIONS  PHASE  INCARNATION\n".into(), String::new()),
         (
             "explain grants".into(),
