--- a/crates/testutils/tests/test_gateway_connect.rs
+++ b/crates/testutils/tests/test_gateway_connect.rs
@@ -1,10 +1,13 @@
 //! Guards against requests that are refused because instances have ended, while others are well.
 
+use std::collections::HashMap;
+
 use testutils::Caller;
 use testutils::Reply;
 use testutils::Request;
 use testutils::System;
 use testutils::Upstream;
+use testutils::process::field;
 use testutils::services;
 
 /// Gateways, each with its directory.
@@ -42,6 +45,18 @@
         Caller::new().call(address, &request).await
     }
 
+    /// Largest number of refused connections of one request.
+    fn max_failed_connections(&self) -> usize {
+        let mut counts = HashMap::new();
+        for line in self.system.decisions().lines() {
+            if field(line, "msg") == Some("attempt failed") {
+                let request = field(line, "request").map(str::to_owned);
+                *counts.entry(request).or_default() += 1;
+            }
+        }
+        counts.into_values().max().unwrap_or_default()
+    }
+
     async fn check_served(&self) {
         for number in 0..REQUESTS {
             let reply = self.call(number % GATEWAYS, number).await;
@@ -80,4 +95,6 @@
         assert_eq!(reply.outcome, Some(base::prelude::Outcome::NotRun));
         assert!(reply.retry_after.is_some(), "{reply:?}");
     }
+    let connections = rig.max_failed_connections();
+    assert!(connections <= INSTANCES, "{connections} for one request");
 }
