--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -16,11 +16,11 @@
 use crate::body::RequestBody;
 use crate::call::driver::Driver;
 use crate::core::Core;
-use crate::crash::RequestIdentity;
 use crate::queue::AdmissionPermit;
 use crate::refusal::Refusal;
 use crate::relay::RelayedResponse;
 use crate::request_head::RequestHead;
+use crate::suspects::RequestIdentity;
 
 mod classify;
 mod driver;
--- a/crates/gateway/src/call/driver.rs
+++ b/crates/gateway/src/call/driver.rs
@@ -30,9 +30,9 @@
 use crate::call::Result;
 use crate::call::call_context;
 use crate::call::state::AnsweredAttempt;
-use crate::call::state::BrokenAttempt;
 use crate::call::state::CallEvent;
 use crate::call::state::CallerChannel;
+use crate::call::state::CheckedAttempt;
 use crate::call::state::PendingAttempt;
 use crate::call::state::RelayingAttempt;
 use crate::call::state::caller_disconnected;
@@ -57,7 +57,7 @@
     pub(super) call: attempt::Call,
     pub(super) caller: CallerChannel,
     pub(super) pending: Vec<PendingAttempt>,
-    pub(super) broken: Vec<BrokenAttempt>,
+    pub(super) checking: Vec<CheckedAttempt>,
     pub(super) answered: Vec<AnsweredAttempt>,
     pub(super) relaying: Option<RelayingAttempt>,
     pub(super) tried: Vec<Pick>,
@@ -94,7 +94,7 @@
             call,
             caller: CallerChannel::Head(send),
             pending: Vec::with_capacity(1),
-            broken: Vec::new(),
+            checking: Vec::new(),
             answered: Vec::new(),
             relaying: None,
             tried: Vec::new(),
@@ -149,7 +149,7 @@
         tokio::select! {
             biased;
             head = next_response(&mut self.pending) => CallEvent::ResponseHead(head),
-            event = next_settled(&mut self.broken) => event,
+            event = next_settled(&mut self.checking) => event,
             event = relay_step(&mut self.relaying, &mut self.chunk, body_sender) => event,
             () = sleep_until(next_wakeup) => CallEvent::Tick,
             () = caller_disconnected(head_sender, body_sender) => CallEvent::CallerDisconnected,
--- a/crates/gateway/src/call/responses.rs
+++ b/crates/gateway/src/call/responses.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use ::crash::check::MAX_RETRY_DELAY;
 use admit::Finish;
 use attempt::AttemptError;
 use attempt::Event;
@@ -11,6 +10,7 @@
 use base::header;
 use base::prelude::*;
 use bytes::Bytes;
+use crash::check::MAX_RETRY_DELAY;
 use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
@@ -29,8 +29,8 @@
 use crate::call::classify::reason_of;
 use crate::call::driver::Driver;
 use crate::call::state::AnsweredAttempt;
-use crate::call::state::BrokenAttempt;
 use crate::call::state::CallerChannel;
+use crate::call::state::CheckedAttempt;
 use crate::call::state::PendingAttempt;
 use crate::call::state::RelayingAttempt;
 use crate::instance_clients::SendError;
@@ -110,7 +110,7 @@
             // On timeout the retry is decided from what this process knows.
             let _ = timeout(MAX_RETRY_DELAY, check.settled).await;
         };
-        self.broken.push(BrokenAttempt {
+        self.checking.push(CheckedAttempt {
             number,
             err,
             settled: Box::pin(settled),
@@ -118,7 +118,7 @@
     }
 
     pub(super) fn on_crash_settled(&mut self, number: AttemptNumber, err: AttemptError) {
-        self.broken.retain(|attempt| attempt.number != number);
+        self.checking.retain(|attempt| attempt.number != number);
         let quarantine = self.core.check_quarantine(&self.request.identity);
         self.quarantine = quarantine;
         let err = match quarantine {
@@ -182,7 +182,7 @@
                 pending.guard.set_kind(OutcomeKind::Timeout);
             }
         }
-        self.broken.retain(|a| a.number != number);
+        self.checking.retain(|a| a.number != number);
         self.answered.retain(|a| a.number != number);
         if self.relaying.as_ref().is_some_and(|a| a.number == number) {
             let relaying = self.relaying.take();
--- a/crates/gateway/src/call/state.rs
+++ b/crates/gateway/src/call/state.rs
@@ -33,8 +33,8 @@
         Pin<Box<dyn Future<Output = std::result::Result<UpstreamResponse, SendError>> + Send>>,
 }
 
-/// An attempt that broke off, until a retry may be decided.
-pub(super) struct BrokenAttempt {
+/// An attempt that broke off, while its instance is checked before a retry is decided.
+pub(super) struct CheckedAttempt {
     pub(super) number: AttemptNumber,
     pub(super) err: AttemptError,
     // Resolves once it is known whether the request crashed the instance, or after a timeout.
@@ -103,10 +103,10 @@
     .await
 }
 
-/// Waits until a retry of a broken attempt may be decided.
-pub(super) async fn next_settled(broken: &mut [BrokenAttempt]) -> CallEvent {
+/// Waits until the instance of an attempt was checked.
+pub(super) async fn next_settled(checking: &mut [CheckedAttempt]) -> CallEvent {
     poll_fn(|cx| {
-        for attempt in broken.iter_mut() {
+        for attempt in checking.iter_mut() {
             if attempt.settled.as_mut().poll(cx).is_ready() {
                 return Poll::Ready(CallEvent::CrashSettled(attempt.number, attempt.err));
             }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -4,9 +4,9 @@
 use std::sync::PoisonError;
 use std::sync::RwLock;
 
-use ::crash::Guard;
 use base::prelude::*;
 use cadence::StatsdClient;
+use crash::Guard;
 use slog::Logger;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -14,13 +14,13 @@
 use crate::balancer::Balancers;
 use crate::body::MemoryBudget;
 use crate::counters::Counters;
-use crate::crash::DIRECTORY_KEY;
 use crate::in_flight::InFlightRequests;
 use crate::instance_clients::InstanceClients;
 use crate::ledger_client::LedgerClient;
 use crate::probes::Prober;
 use crate::queue::Queue;
 use crate::settings::Settings;
+use crate::suspects::DIRECTORY_KEY;
 use crate::view::View;
 
 /// Stage of a graceful stop.
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -7,9 +7,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use ::crash::Fate;
 use cadence::Counted;
 use cadence::Gauged;
+use crash::Fate;
 use strum::EnumCount;
 use strum::IntoEnumIterator;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Decisions are made by the state machines of the crates `route`, `attempt`,
 //! `admit` and `measure`; this crate connects them to sockets and timers. A
-//! request passes through [`serve`], [`request_head`], [`body`], [`crash`] (quarantined requests),
+//! request passes through [`serve`], [`request_head`], [`body`], [`suspects`] (quarantined requests),
 //! [`keyed`] (class once with an idempotency key) and [`call`]. [`sync`] receives the catalogue
 //! and the instances from a directory and publishes them as an immutable [`view`].
 
@@ -27,7 +27,6 @@
 pub mod call;
 pub mod core;
 pub mod counters;
-pub mod crash;
 pub mod headers;
 pub mod in_flight;
 pub mod instance_clients;
@@ -43,6 +42,7 @@
 pub mod serve;
 pub mod settings;
 pub mod stop;
+pub mod suspects;
 pub mod sync;
 pub mod view;
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -35,7 +35,6 @@
 use crate::call;
 use crate::core::Core;
 use crate::core::Phase;
-use crate::crash::RequestIdentity;
 use crate::headers;
 use crate::keyed;
 use crate::refusal::Reason;
@@ -43,6 +42,7 @@
 use crate::relay::RelayedResponse;
 use crate::request_head;
 use crate::request_head::RequestHead;
+use crate::suspects::RequestIdentity;
 
 /// Default time after which a refused caller may retry.
 pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
--- a/crates/gateway/src/crash.rs
+++ b/crates/gateway/src/suspects.rs
@@ -7,12 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ::crash::BrokenAttempt;
-use ::crash::CrashCheck;
-use ::crash::Fate;
-use ::crash::check;
-use ::crash::report::Source;
 use base::prelude::*;
+use crash::BrokenAttempt;
+use crash::CrashCheck;
+use crash::Fate;
+use crash::check;
+use crash::report::Source;
 use quarantine::Fingerprint;
 use quarantine::Head;
 use quarantine::Outcome as Decision;
@@ -152,7 +152,7 @@
     _connection: OwnedSemaphorePermit,
 }
 
-impl ::crash::Instance for CheckedInstance {
+impl crash::Instance for CheckedInstance {
     type Connection = TcpStream;
 
     fn is_ready(&self) -> bool {
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -7,8 +7,8 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-use ::crash::report;
 use base::prelude::*;
+use crash::report;
 use slog::info;
 use slog::warn;
 use tokio::sync::watch;
