gateway, crash, testutils: a listener that resets a connection as it closes is no silent host

What callers saw: one crash more than needed; the crash of an instance wasn't counted.

Cause: the check after a broken attempt knows connections that are taken, refused, or not answered. A process that ends may also reset a connection that its listener had accepted, which passed for a host that doesn't answer (fate=silent).

--- /dev/null
+++ b/crates/crash/tests/test_check.rs
@@ -0,0 +1,115 @@
+//! What became of an instance after an attempt that broke off.
+
+use std::io;
+use std::io::ErrorKind;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use base::prelude::*;
+use crash::BrokenAttempt;
+use crash::Fate;
+use crash::Guard;
+use crash::Instance;
+use crash::check::check;
+use quarantine::Fingerprint;
+use quarantine::Head;
+use quarantine::Outcome as Decision;
+use tokio::time::Instant;
+
+/// Whether the instance closes the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Connection {
+    Open,
+    Closed,
+}
+
+type Connects = Vec<Result<Connection, ErrorKind>>;
+
+#[derive(Clone, Default)]
+struct FakeInstance {
+    leaves: bool,
+    // Results of attempts to connect, the last one first.
+    connects: Arc<Mutex<Connects>>,
+    records: Arc<Mutex<Vec<(Fate, bool)>>>,
+}
+
+impl Instance for FakeInstance {
+    type Connection = Connection;
+
+    fn is_ready(&self) -> bool {
+        !self.leaves
+    }
+
+    async fn connect(&self) -> io::Result<Connection> {
+        let result = self.connects.lock().expect("no panic").pop();
+        result.expect("a planned result").map_err(io::Error::from)
+    }
+
+    fn is_closed(&self, connection: &Connection) -> bool {
+        *connection == Connection::Closed
+    }
+
+    fn keep(&self, _: Connection) {}
+
+    fn record(&self, fate: Fate, decision: Option<Decision>) {
+        let counted = matches!(decision, Some(Decision::Counted { .. }));
+        self.records.lock().expect("no panic").push((fate, counted));
+    }
+}
+
+async fn fate(leaves: bool, connects: &[Result<Connection, ErrorKind>]) -> Fate {
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    let guard = Arc::new(Guard::new(log, Clock::start(), "hub"));
+    let instance = FakeInstance {
+        leaves,
+        connects: Arc::new(Mutex::new(connects.iter().rev().copied().collect())),
+        ..FakeInstance::default()
+    };
+    let broken = BrokenAttempt {
+        request: "r-1".into(),
+        caller: "c".into(),
+        service: ServiceName::new("status").expect("a name"),
+        run: InstanceRun {
+            instance: InstanceId::new("i-1").expect("a name"),
+            incarnation: 1,
+        },
+        sent_at: Instant::now(),
+        broken_at: Instant::now(),
+    };
+    let request = Fingerprint::new(Head::new("c", "GET", "status", "/a"), [&b""[..]]);
+    let fingerprint = std::future::ready(Some(request));
+    let records = instance.records.clone();
+    let checked = check(guard.clone(), instance, broken, fingerprint);
+    let fate = checked.fate.await.expect("ends");
+    let crashed = fate == Fate::Crashed;
+    assert_eq!(*records.lock().expect("no panic"), [(fate, crashed)]);
+    assert_eq!(*guard.newest_event().borrow(), u64::from(crashed));
+    fate
+}
+
+#[tokio::test(start_paused = true)]
+async fn test_check_fate_follows_from_new_connections() {
+    use Connection::Closed;
+    use Connection::Open;
+    let refused = Err(ErrorKind::ConnectionRefused);
+    for (leaves, connects, expected) in [
+        (true, vec![], Fate::Leaves),
+        (false, vec![refused], Fate::Crashed),
+        (false, vec![Ok(Open)], Fate::Runs),
+        (false, vec![Ok(Closed), refused], Fate::Crashed),
+        (false, vec![Ok(Closed), Ok(Open)], Fate::Runs),
+        (false, vec![Err(ErrorKind::TimedOut)], Fate::Silent),
+    ] {
+        assert_eq!(fate(leaves, &connects).await, expected, "{connects:?}");
+    }
+}
+
+/// Guards against missing a crash whose listener resets the check's connection as it closes.
+#[tokio::test(start_paused = true)]
+async fn test_check_instance_that_resets_a_new_connection_as_it_ends_crashed() {
+    let connects = [
+        Err(ErrorKind::ConnectionReset),
+        Err(ErrorKind::ConnectionRefused),
+    ];
+    assert_eq!(fate(false, &connects).await, Fate::Crashed);
+}
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -153,7 +153,8 @@
 }
 
 impl crash::Instance for CheckedInstance {
-    type Connection = TcpStream;
+    // `None` for a connection that was reset while it was opened.
+    type Connection = Option<TcpStream>;
 
     fn is_ready(&self) -> bool {
         let view = self.core.view();
@@ -163,20 +164,27 @@
         })
     }
 
-    async fn connect(&self) -> io::Result<TcpStream> {
+    async fn connect(&self) -> io::Result<Option<TcpStream>> {
         let connecting = TcpStream::connect(self.upstream.address);
-        timeout(CONNECT_TIMEOUT, connecting).await?
+        match timeout(CONNECT_TIMEOUT, connecting).await? {
+            // A listener that is being closed resets connections that it has accepted.
+            Err(err) if err.kind() == io::ErrorKind::ConnectionReset => Ok(None),
+            connected => connected.map(Some),
+        }
     }
 
-    fn is_closed(&self, connection: &TcpStream) -> bool {
-        match connection.try_read(&mut [0]) {
+    fn is_closed(&self, connection: &Option<TcpStream>) -> bool {
+        let Some(stream) = connection else {
+            return true;
+        };
+        match stream.try_read(&mut [0]) {
             Ok(read) => read == 0,
             Err(err) => err.kind() != io::ErrorKind::WouldBlock,
         }
     }
 
     // The HTTP client opens its connections itself.
-    fn keep(&self, _: TcpStream) {}
+    fn keep(&self, _: Option<TcpStream>) {}
 
     fn record(&self, fate: Fate, decision: Option<Decision>) {
         self.core.counters.broken(fate);
--- a/crates/testutils/src/system.rs
+++ b/crates/testutils/src/system.rs
@@ -199,6 +199,21 @@
         .await
     }
 
+    /// Waits until the gateway at `index` isn't fenced. Unlike [`Self::wait_in_force`], this can't
+    /// be satisfied by what a directory still knows of a process before a restart.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that takes longer than [`WAIT_TIMEOUT`].
+    pub async fn wait_unfenced(&self, index: usize, service: &str) -> Result<(), SystemError> {
+        let address = self.plan.gateways[index].rpc;
+        wait(&format!("unfenced gateway {index}"), async || {
+            let reply = operator::explain(address, service).await;
+            reply.is_some_and(|reply| !reply.fenced)
+        })
+        .await
+    }
+
     /// Starts stand-in `number` of `service`, and waits until every gateway has learned
     /// of it.
     ///
--- a/crates/testutils/tests/test_gateway_crash.rs
+++ b/crates/testutils/tests/test_gateway_crash.rs
@@ -88,9 +88,9 @@
             .await
             .unwrap();
         self.system.gateways[0] = Some(started);
-        let version = self.system.version;
         for index in 0..GATEWAYS {
-            self.system.wait_in_force(index, version).await.unwrap();
+            let unfenced = self.system.wait_unfenced(index, services::STATUS);
+            unfenced.await.unwrap();
         }
     }
 
--- a/crates/testutils/tests/test_gateway_restarts.rs
+++ b/crates/testutils/tests/test_gateway_restarts.rs
@@ -127,8 +127,8 @@
                 stopped.kill().await.unwrap();
                 let started = self.system.start_gateway(index).await.unwrap();
                 self.system.gateways[index] = Some(started);
-                let version = self.system.version;
-                self.system.wait_in_force(index, version).await.unwrap();
+                let unfenced = self.system.wait_unfenced(index, services::STATUS);
+                unfenced.await.unwrap();
             }
         }
     }
