--- a/crates/directory/src/suspects.rs
+++ b/crates/directory/src/suspects.rs
@@ -37,8 +37,6 @@
 const STARTUP_PEERS: usize = 3;
 /// Maximum wait for their replies, for which gateways wait, too.
 const STARTUP_TIMEOUT: Duration = Duration::from_millis(100);
-/// Log keys of the processes that report.
-const ROLES: [&str; 2] = ["gateway", "directory"];
 
 /// Applies a report and returns the current suspects.
 pub fn apply_report(shared: &Shared, report: &CrashReport) -> Suspects {
@@ -46,7 +44,11 @@
         return shared.step(|inner, now| collector::suspects(&inner.tracker, now));
     };
     let reporter = Reporter {
-        role: ROLES[usize::from(report.relayed)],
+        role: if report.relayed {
+            "directory"
+        } else {
+            "gateway"
+        },
         host: &observations.host,
     };
     let (suspects, newest) = shared.step(|inner, now| {
