gateway: only a connection that stays open shows that an instance is running

Evidence: in the logs of failed runs each crash too many is counted with age_ms=102, after the 100 ms for which the check waits once it got a connection, and its retry left within 0.1 ms. The crashes that were refused a connection were counted within 3 ms. So neither slow reports nor the bound on the retry's wait.

Cause: a process that ends may still take connections; one of them passed for a running instance.

Fix: gateways wait for 20 ms whether a connection stays open, and follow one that is closed or reset by another, for 100 ms at most. A retry after a lost answer waits 20 ms for that.

--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -22,6 +22,7 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::timeout;
 use wire::directory::Phase;
 use wire::hub::Report;
@@ -34,6 +35,13 @@
 use crate::request_head::RequestHead;
 use crate::view::UpstreamInstance;
 
+/// How long a new connection must stay open to show that the instance is running. A retry after a
+/// lost response waits for as long.
+const STABLE_TIME: Duration = Duration::from_millis(20);
+/// Maximum time for which connections that the instance closes are followed by others.
+const MAX_CONNECT_RETRIES: Duration = Duration::from_millis(100);
+/// Delay between two of these.
+const CONNECT_RETRY_DELAY: Duration = Duration::from_millis(1);
 /// Log key of a directory's address.
 pub const DIRECTORY_KEY: &str = "directory";
 
@@ -153,7 +161,7 @@
 }
 
 impl crash::Instance for CheckedInstance {
-    // `None` for a connection that was reset while it was opened.
+    // `None` if none stayed open.
     type Connection = Option<TcpStream>;
 
     fn is_ready(&self) -> bool {
@@ -164,23 +172,23 @@
         })
     }
 
+    // An exiting process may accept connections until its listener is closed, which may take
+    // long on a busy host. Only one that stays open shows that the instance is running.
     async fn connect(&self) -> io::Result<Option<TcpStream>> {
-        let connecting = TcpStream::connect(self.upstream.address);
-        match timeout(CONNECT_TIMEOUT, connecting).await? {
-            // A listener that is being closed resets connections that it has accepted.
-            Err(err) if err.kind() == io::ErrorKind::ConnectionReset => Ok(None),
-            connected => connected.map(Some),
+        let end = Instant::now() + MAX_CONNECT_RETRIES;
+        while Instant::now() < end {
+            let connecting = TcpStream::connect(self.upstream.address);
+            match timeout(CONNECT_TIMEOUT, connecting).await? {
+                Ok(stream) if !closes_soon(&stream).await => return Ok(Some(stream)),
+                Err(err) if err.kind() != io::ErrorKind::ConnectionReset => return Err(err),
+                Ok(_) | Err(_) => sleep(CONNECT_RETRY_DELAY).await,
+            }
         }
+        Ok(None)
     }
 
     fn is_closed(&self, connection: &Option<TcpStream>) -> bool {
-        let Some(stream) = connection else {
-            return true;
-        };
-        match stream.try_read(&mut [0]) {
-            Ok(read) => read == 0,
-            Err(err) => err.kind() != io::ErrorKind::WouldBlock,
-        }
+        connection.as_ref().is_none_or(is_closed)
     }
 
     // The HTTP client opens its connections itself.
@@ -193,3 +201,21 @@
         }
     }
 }
+
+/// Whether the instance closes a new connection within [`STABLE_TIME`].
+async fn closes_soon(stream: &TcpStream) -> bool {
+    let closed = async {
+        while stream.readable().await.is_ok() && !is_closed(stream) {
+            // Unexpected bytes don't show that the connection will be closed.
+            sleep(CONNECT_RETRY_DELAY).await;
+        }
+    };
+    timeout(STABLE_TIME, closed).await.is_ok()
+}
+
+fn is_closed(stream: &TcpStream) -> bool {
+    match stream.try_read(&mut [0]) {
+        Ok(read) => read == 0,
+        Err(err) => err.kind() != io::ErrorKind::WouldBlock,
+    }
+}
