--- a/crates/directory/src/suspects.rs
+++ b/crates/directory/src/suspects.rs
@@ -35,7 +35,7 @@
 
 /// Number of peers that a directory asks for their suspects when it starts.
 const STARTUP_PEERS: usize = 3;
-/// Maximum wait for their replies, for which gateways wait, too.
+/// Maximum wait for the replies of these peers. It delays the first confirmation of a catalogue.
 const STARTUP_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Applies a report and returns the current suspects.
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -38,9 +38,9 @@
 /// How long a new connection must stay open to show that the instance is running. A retry after a
 /// lost response waits for as long.
 const STABLE_TIME: Duration = Duration::from_millis(20);
-/// Maximum time for which connections that the instance closes are followed by others.
+/// Maximum time for which the instance is asked again after it closed a new connection.
 const MAX_CONNECT_RETRIES: Duration = Duration::from_millis(100);
-/// Delay between two of these.
+/// Delay before the instance is asked again, and between two looks at an open connection.
 const CONNECT_RETRY_DELAY: Duration = Duration::from_millis(1);
 /// Log key of a directory's address.
 pub const DIRECTORY_KEY: &str = "directory";
@@ -161,7 +161,7 @@
 }
 
 impl crash::Instance for CheckedInstance {
-    // `None` if none stayed open.
+    // `None` if the instance closed each new connection.
     type Connection = Option<TcpStream>;
 
     fn is_ready(&self) -> bool {
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     tracker: Tracker,
-    // Requests that a hub reported as suspected, and when.
+    // Requests that a hub or directory reported as suspected, and when.
     suspected: BTreeMap<Fingerprint, Moment>,
     answered: RecentAnswers,
     events: EventLog,
@@ -82,7 +82,7 @@
         self.suspected.retain(|_, at| now.since(*at) < WINDOW);
     }
 
-    /// Applies the suspects that a hub reported. Returns those that are refused from now on.
+    /// Applies the suspects that a hub or directory reported. Returns those that are refused from now on.
     pub fn apply_suspects(&mut self, now: Moment, suspects: &[Suspect]) -> Vec<Suspect> {
         self.remove_expired(now);
         let mut refused = Vec::new();
