--- a/crates/attempt/src/budget.rs
+++ b/crates/attempt/src/budget.rs
@@ -83,6 +83,14 @@
         self.level = (self.level + earned - repaid).min(self.max_level());
     }
 
+    /// Number of tokens available.
+    #[must_use]
+    pub fn tokens(&self, now: Moment) -> f64 {
+        let mut filled = self.clone();
+        filled.fill(now);
+        Duration::from_micros(filled.level).as_secs_f64()
+    }
+
     /// Takes a token. Returns false if there is none.
     pub fn spend(&mut self, now: Moment) -> bool {
         self.fill(now);
--- a/crates/entry/src/balancer.rs
+++ b/crates/entry/src/balancer.rs
@@ -87,6 +87,17 @@
     created_at: Moment,
 }
 
+/// What a process may spend of the retry budget that all processes share.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RetryShare {
+    /// Number of tokens available; each retry takes one.
+    pub tokens: f64,
+    /// The number of processes that share the budget; 0 while unknown.
+    pub processes: u32,
+    /// Time since the process learned of the service.
+    pub age: Duration,
+}
+
 /// Result of selecting an instance for a request.
 #[derive(Debug)]
 pub enum Selection {
@@ -133,7 +144,7 @@
         chooser.set_processes(shared.entries);
         Self {
             chooser,
-            retry_budget: Budget::new(retry_share(shared), now),
+            retry_budget: Budget::new(budget_settings(shared), now),
             probe_allowance: Allowance::new(now),
             shared: *shared,
             upstreams: HashMap::new(),
@@ -154,7 +165,7 @@
     pub fn set_shared(&mut self, shared: &SharedBudgets, now: Moment) {
         self.shared = *shared;
         self.chooser.set_processes(shared.entries);
-        self.retry_budget.set_settings(retry_share(shared), now);
+        self.retry_budget.set_settings(budget_settings(shared), now);
         self.update_probe_share(now);
     }
 
@@ -222,6 +233,17 @@
         self.retry_budget.earn(now);
     }
 
+    /// The retries that this process has available, and the number of processes that share the
+    /// budget as far as it knows.
+    #[must_use]
+    pub fn retry_share(&self, now: Moment) -> RetryShare {
+        RetryShare {
+            tokens: self.retry_budget.tokens(now),
+            processes: self.shared.entries,
+            age: now.since(self.created_at),
+        }
+    }
+
     /// Takes one retry from the budget; returns false if it is exhausted.
     pub fn try_spend_retry(&mut self, now: Moment) -> bool {
         self.retry_budget.spend_or_borrow(now)
@@ -382,7 +404,7 @@
 }
 
 /// This process's share of the retry allowance.
-fn retry_share(shared: &SharedBudgets) -> BudgetSettings {
+fn budget_settings(shared: &SharedBudgets) -> BudgetSettings {
     let SharedBudgets { retry, entries, .. } = shared;
     let percent = f64::from(retry.percent) * RETRY_PERCENT_UTILIZATION;
     let base = f64::from(retry.base) * RETRY_BASE_UTILIZATION / f64::from((*entries).max(1));
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -358,7 +358,15 @@
         if !allowed {
             return false;
         }
-        let within_budget = self.balancer(Balancer::try_spend_retry).unwrap_or(false);
+        let spent = self.balancer(|balancer, now| {
+            let share = balancer.retry_share(now);
+            (share, balancer.try_spend_retry(now))
+        });
+        let (share, within_budget) = spent.unwrap_or_default();
+        info!(self.core.log, "retry"; "request" => self.request.id.to_str().unwrap_or("-"),
+            "service" => %self.service, "attempt" => self.attempts, "granted" => within_budget,
+            "tokens" => format!("{:.2}", share.tokens), "processes" => share.processes,
+            "age_ms" => millis(share.age));
         if !within_budget {
             self.core.counters.retry_denied(&self.service);
         }
