entry, attempt, hub: retries of all processes stay within the budget however many start anew

- Nothing is borrowed.
What is lent comes with time only, so a restart adds nothing to the sum of all lives.
- What all processes save together is 0.4 of the base.
Where a process's part is less than one retry, it stakes it: the retry is granted with that probability, and the stake is gone either way.
So the expected sum doesn't depend on the number of processes.
- An unknown number of processes lends nothing; the last request's own earning remains.
- A hub that has just started doesn't tell the first entry hosts that they are alone: it counts those that it knew before its restart, and names no number until all could watch it.
A process that no hub has answered for 15 s has no part any more; hubs count it for 20 s.

The flow tests' fixture earned its retries from the loan; now each of its requests earns one.

--- a/crates/attempt/src/budget.rs
+++ b/crates/attempt/src/budget.rs
@@ -6,15 +6,23 @@
 //! Over any period from the start, the extra attempts are therefore at most
 //! `percent * calls`, or the tokens lent if there are too few calls to repay them. In addition,
 //! a new budget can borrow a few tokens once.
+//!
+//! Processes that share a limit each get a part of what is lent and saved. A part of less than one
+//! token is drawn by lot, so that the sum over all processes doesn't depend on their number.
 
 use std::time::Duration;
 
 use base::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
-// Budgets are counted in millionths of a token.
-const TOKEN: u64 = 1_000_000;
+/// One token. Budgets are counted in millionths of a token.
+pub const TOKEN: u64 = 1_000_000;
 const LOAN_INTERVAL: Duration = Duration::from_secs(5);
-const BURST: u64 = 10;
+const BURST: u64 = 10 * TOKEN;
+// Tokens lent beyond this number need not be repaid.
+const MAX_DEBT: u64 = 10 * TOKEN;
 // Tokens that a new budget can borrow once, so that the first calls of a process can retry.
 const INITIAL_LOANS: u64 = 3;
 
@@ -23,9 +31,10 @@
 pub struct BudgetSettings {
     /// Extra attempts as a share of calls, in percent; 0 disables extra attempts.
     pub percent: u32,
-    /// Interval in which one token is lent, regardless of calls.
+    /// Interval in which one token is lent, regardless of calls; none are lent if it is the
+    /// longest duration.
     pub floor: Duration,
-    /// Maximum number of tokens in the budget.
+    /// Maximum of what is saved, in millionths of a token.
     pub burst: u64,
 }
 
@@ -52,18 +61,20 @@
     // Tokens that can still be borrowed; never increases.
     loans: u64,
     filled_at: Moment,
+    rng: SmallRng,
 }
 
 impl Budget {
     /// Creates an empty budget, so that restarts don't earn tokens.
     #[must_use]
-    pub fn new(settings: BudgetSettings, now: Moment) -> Self {
+    pub fn new(settings: BudgetSettings, seed: u64, now: Moment) -> Self {
         Self {
             settings,
             level: 0,
             debt: 0,
             loans: INITIAL_LOANS,
             filled_at: now,
+            rng: SmallRng::seed_from_u64(seed),
         }
     }
 
@@ -71,7 +82,7 @@
     pub fn set_settings(&mut self, settings: BudgetSettings, now: Moment) {
         self.fill(now);
         self.settings = settings;
-        self.level = self.level.min(self.max_level());
+        self.level = self.level.min(settings.burst);
     }
 
     /// Credits the budget for one call.
@@ -80,7 +91,7 @@
         let earned = TOKEN / 100 * u64::from(self.settings.percent);
         let repaid = earned.min(self.debt);
         self.debt -= repaid;
-        self.level = (self.level + earned - repaid).min(self.max_level());
+        self.level = (self.level + earned - repaid).min(self.settings.burst);
     }
 
     /// Number of tokens available.
@@ -92,13 +103,23 @@
     }
 
     /// Takes a token. Returns false if there is none.
+    ///
+    /// A budget that can't save a whole token stakes what it has: the token is granted with that
+    /// probability, and the stake is spent either way.
     pub fn spend(&mut self, now: Moment) -> bool {
         self.fill(now);
-        if self.level < TOKEN || self.settings.percent == 0 {
+        if self.settings.percent == 0 {
             return false;
         }
-        self.level -= TOKEN;
-        true
+        if self.level >= TOKEN {
+            self.level -= TOKEN;
+            return true;
+        }
+        if self.settings.burst >= TOKEN {
+            return false;
+        }
+        let stake = std::mem::take(&mut self.level);
+        self.rng.random_range(0..TOKEN) < stake
     }
 
     /// Takes a token, or borrows one of the initial loans, for a retry after a failure.
@@ -113,7 +134,7 @@
             return false;
         }
         self.loans -= 1;
-        self.debt = (self.debt + TOKEN).min(self.max_level());
+        self.debt = (self.debt + TOKEN).min(MAX_DEBT);
         true
     }
 
@@ -126,10 +147,10 @@
         self.fill(now);
         let paid = self.level.min(TOKEN);
         self.level -= paid;
-        self.debt = (self.debt + TOKEN - paid).min(self.max_level());
+        self.debt = (self.debt + TOKEN - paid).min(MAX_DEBT);
     }
 
-    /// Time until a token is available without further calls.
+    /// Time until a token, or the whole stake for one, is available without further calls.
     #[must_use]
     pub fn wait(&self, now: Moment) -> Duration {
         if self.settings.percent == 0 {
@@ -137,7 +158,7 @@
         }
         let mut filled = self.clone();
         filled.fill(now);
-        let missing = TOKEN.saturating_sub(filled.level);
+        let missing = self.max_lent().saturating_sub(filled.level);
         // Rounded up, so that a token is available after the wait.
         let nanos = u128::from(missing) * self.settings.floor.as_nanos() / u128::from(TOKEN) + 1;
         if missing == 0 {
@@ -146,8 +167,9 @@
         Duration::from_nanos(u64::try_from(nanos).unwrap_or(u64::MAX))
     }
 
-    fn max_level(&self) -> u64 {
-        self.settings.burst * TOKEN
+    /// The level above which nothing is lent.
+    fn max_lent(&self) -> u64 {
+        self.settings.burst.min(TOKEN)
     }
 
     fn fill(&mut self, now: Moment) {
@@ -157,9 +179,9 @@
             return;
         }
         let lent = u64::try_from(lent).unwrap_or(u64::MAX);
-        let lent = lent.min(TOKEN.saturating_sub(self.level));
+        let lent = lent.min(self.max_lent().saturating_sub(self.level));
         self.level += lent;
-        self.debt = (self.debt + lent).min(self.max_level());
+        self.debt = (self.debt + lent).min(MAX_DEBT);
         self.filled_at = now;
     }
 }
--- a/crates/attempt/src/service.rs
+++ b/crates/attempt/src/service.rs
@@ -19,11 +19,11 @@
 }
 
 impl Service {
-    /// Creates the state of a service without calls.
+    /// Creates the state of a service without calls; `seed` is that of the budget's lots.
     #[must_use]
-    pub fn new(settings: BudgetSettings, now: Moment) -> Self {
+    pub fn new(settings: BudgetSettings, seed: u64, now: Moment) -> Self {
         Self {
-            budget: Budget::new(settings, now),
+            budget: Budget::new(settings, seed, now),
             latency: Latency::default(),
             backlogged: false,
         }
--- a/crates/entry/src/balancer.rs
+++ b/crates/entry/src/balancer.rs
@@ -16,6 +16,7 @@
 use admit::WaitQueue;
 use attempt::budget::Budget;
 use attempt::budget::BudgetSettings;
+use attempt::budget::TOKEN;
 use base::prelude::*;
 use measure::Allowance;
 use route::Decision;
@@ -41,18 +42,18 @@
 /// Fraction of the per-request retry allowance that is used. The rest covers requests that
 /// drop in number while retries of earlier ones are in flight.
 const RETRY_PERCENT_UTILIZATION: f64 = 0.85;
-/// Fraction of the retry allowance without requests that is used. The rest covers what all
-/// processes have saved and what new ones may borrow.
+/// Fraction of the retry allowance without requests that all processes together get over time.
 const RETRY_BASE_UTILIZATION: f64 = 0.6;
+/// Fraction of that allowance that all processes together may have saved.
+const RETRY_SAVED_UTILIZATION: f64 = 0.4;
 /// Fraction of the probe budget that is used. The rest covers instances that are removed
 /// while probes for them are saved.
 const PROBE_UTILIZATION: f64 = 0.8;
 /// Fraction of the probe budget that a service's dispatcher uses. All processes share the
 /// rest, for low load, for an unresponsive dispatcher and for ejected instances.
 const DISPATCHER_PROBE_SHARE: f64 = 0.5;
-/// Maximum number of retries that one process saves. With the utilization above, a hundred
-/// processes stay within their shared allowance.
-const RETRY_BURST: u64 = 2;
+/// Maximum number of retries that one process saves, where few processes share the allowance.
+const RETRY_BURST: f64 = 2.0;
 /// Weight of one sample in the moving average of the time between completions.
 const COMPLETION_INTERVAL_WEIGHT: f64 = 0.1;
 /// Lower bound of `Retry-After`.
@@ -67,6 +68,8 @@
     retry_budget: Budget,
     probe_allowance: Allowance,
     shared: SharedBudgets,
+    /// The last known number of processes; 0 before it is known.
+    last_entries: u32,
     upstreams: HashMap<InstanceId, Arc<Upstream>>,
     wait_queue: WaitQueue<oneshot::Sender<Pick>>,
     /// When an attempt last finished.
@@ -144,9 +147,10 @@
         chooser.set_processes(shared.entries);
         Self {
             chooser,
-            retry_budget: Budget::new(budget_settings(shared), now),
+            retry_budget: Budget::new(budget_settings(shared), seed, now),
             probe_allowance: Allowance::new(now),
             shared: *shared,
+            last_entries: shared.entries,
             upstreams: HashMap::new(),
             wait_queue: WaitQueue::default(),
             last_completion: now,
@@ -161,16 +165,20 @@
         }
     }
 
-    /// Sets the shared budgets and the number of processes that share them.
+    /// Sets the shared budgets and the number of processes that share them. Where that has
+    /// become unknown, probes and choices go on with the last known number.
     pub fn set_shared(&mut self, shared: &SharedBudgets, now: Moment) {
         self.shared = *shared;
-        self.chooser.set_processes(shared.entries);
+        if shared.entries > 0 {
+            self.last_entries = shared.entries;
+        }
+        self.chooser.set_processes(self.last_entries);
         self.retry_budget.set_settings(budget_settings(shared), now);
         self.update_probe_share(now);
     }
 
     fn update_probe_share(&mut self, now: Moment) {
-        let entries = self.shared.entries;
+        let entries = self.last_entries;
         let (fraction, processes) = match self.dispatcher_role.location() {
             DispatcherLocation::Unassigned => (1.0, entries),
             DispatcherLocation::Local if self.dispatcher_role.may_spend_shared(now) => {
@@ -246,7 +254,7 @@
 
     /// Takes one retry from the budget; returns false if it is exhausted.
     pub fn try_spend_retry(&mut self, now: Moment) -> bool {
-        self.retry_budget.spend_or_borrow(now)
+        self.retry_budget.spend(now)
     }
 
     /// Computes this process's shares of instances that became cold or limited.
@@ -403,21 +411,32 @@
     }
 }
 
-/// This process's share of the retry allowance.
+/// This process's share of the retry allowance. While the number of processes is unknown, that is
+/// what the last request earned.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss,
+    reason = "small positive numbers"
+)]
 fn budget_settings(shared: &SharedBudgets) -> BudgetSettings {
     let SharedBudgets { retry, entries, .. } = shared;
     let percent = f64::from(retry.percent) * RETRY_PERCENT_UTILIZATION;
-    let base = f64::from(retry.base) * RETRY_BASE_UTILIZATION / f64::from((*entries).max(1));
-    let floor = retry.window.as_secs_f64() / base.max(1e-3);
+    let (lent, saved) = match entries {
+        0 => (0.0, percent / 100.0),
+        entries => {
+            let base = f64::from(retry.base) / f64::from(*entries);
+            (
+                base * RETRY_BASE_UTILIZATION,
+                base * RETRY_SAVED_UTILIZATION,
+            )
+        }
+    };
+    let floor = retry.window.as_secs_f64() / lent;
     BudgetSettings {
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a small positive number"
-        )]
         percent: percent as u32,
-        floor: Duration::from_secs_f64(floor),
-        burst: RETRY_BURST,
+        floor: Duration::try_from_secs_f64(floor).unwrap_or(Duration::MAX),
+        burst: (saved.min(RETRY_BURST) * TOKEN as f64) as u64,
     }
 }
 
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -307,9 +307,10 @@
         self.state().dispatcher_addresses.get(service).copied()
     }
 
-    /// Sets the number of entry processes that share the budgets.
+    /// Sets the number of entry processes that share the budgets; 0 if it is unknown.
     pub fn set_entry_count(&self, entry_count: u32) {
         if self.state().entry_count != entry_count {
+            info!(self.log, "entry count"; "count" => entry_count);
             self.distribute_budgets(entry_count);
         }
     }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -104,6 +104,9 @@
         let targets = hubs.targets(&seeds);
         let live_hubs = hubs.live();
         hubs.select_primary();
+        if hubs.is_count_expired() {
+            core.set_entry_count(0);
+        }
         core.evict_removed_instances();
         // While no hub answers, the last known heartbeats stay valid.
         if !live_hubs.is_empty() {
--- a/crates/entry/src/sync/hubs.rs
+++ b/crates/entry/src/sync/hubs.rs
@@ -35,6 +35,9 @@
 /// Watch duration for other hubs. Local hubs report entry hosts, and instance changes end a
 /// watch at once.
 const REMOTE_WAIT: Duration = Duration::from_secs(4);
+/// How long the number of entry hosts stays known after the last answer of a hub. Hubs count a host
+/// for longer than this after its last watch, so that shares never add up to more than the whole.
+const ENTRY_COUNT_LEASE: Duration = Duration::from_secs(15);
 /// How long a hub may take to send all instances before another hub is asked.
 const LIST_TIMEOUT: Duration = Duration::from_millis(400);
 /// A hub that isn't a known member is forgotten after not answering for this long.
@@ -72,6 +75,8 @@
 pub struct Hubs {
     domain: DomainName,
     statuses: Mutex<HashMap<SocketAddr, HubStatus>>,
+    /// When any hub last answered.
+    answered_at: Mutex<Option<Instant>>,
     /// When the current table fetch started.
     fetching: Mutex<Option<Instant>>,
     /// Whether the process knows any instance.
@@ -102,6 +107,7 @@
             domain,
             instances_known,
             statuses: Mutex::default(),
+            answered_at: Mutex::default(),
             fetching: Mutex::default(),
             full_list: Mutex::default(),
             hosts: Mutex::default(),
@@ -215,6 +221,7 @@
     /// Records a hub's status.
     pub fn record(&self, address: SocketAddr, status: HubStatus) {
         let members = status.members.clone();
+        self.answered_at().replace(status.answered_at);
         let before = self.statuses().insert(address, status);
         if before.is_none_or(|before| before.members != members) {
             self.members_changed.send_replace(());
@@ -263,6 +270,14 @@
             .unwrap_or_default()
     }
 
+    /// Whether no hub has answered for so long that others may use this process's share of
+    /// budgets.
+    #[must_use]
+    pub fn is_count_expired(&self) -> bool {
+        let answered_at = *self.answered_at();
+        answered_at.is_some_and(|answered_at| answered_at.elapsed() >= ENTRY_COUNT_LEASE)
+    }
+
     /// The list of entry hosts.
     pub fn hosts(&self) -> MutexGuard<'_, HostList> {
         self.hosts.lock().unwrap_or_else(PoisonError::into_inner)
@@ -299,6 +314,12 @@
         self.statuses.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn answered_at(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.answered_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn fetching(&self) -> MutexGuard<'_, Option<Instant>> {
         self.fetching.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -13,6 +13,7 @@
 use entry::Dialect;
 use entry::Entry;
 use entry::Settings;
+use entry::settings::Retry;
 use entry::settings::Stop;
 use table::Host;
 use table::Kind;
@@ -101,6 +102,11 @@
     let domain = DomainName::new("a").expect("a name");
     Settings {
         probes: 1_000,
+        // Each request earns a retry.
+        retry: Retry {
+            percent: 200,
+            ..Retry::default()
+        },
         stop: Stop {
             linger: Duration::from_millis(300),
             grace: Duration::from_secs(20),
--- a/crates/entry/tests/test_hubs.rs
+++ b/crates/entry/tests/test_hubs.rs
@@ -244,3 +244,18 @@
     hubs.record(hub(10), status(false, 0));
     assert_eq!(hubs.watch_duration(hub(10)).as_millis(), 4_000);
 }
+
+/// Guards against a process that is cut off from all hubs and keeps a share that others have got
+/// meanwhile.
+#[tokio::test(start_paused = true)]
+async fn test_hubs_entry_count_expires_without_answers() {
+    let hubs = hubs();
+    assert!(!hubs.is_count_expired());
+    hubs.record(hub(1), status(true, 0));
+    advance(Duration::from_secs(10)).await;
+    hubs.record(hub(2), status(false, 0));
+    advance(Duration::from_secs(14)).await;
+    assert!(!hubs.is_count_expired());
+    advance(hub::entries::RETENTION.saturating_sub(Duration::from_secs(14))).await;
+    assert!(hubs.is_count_expired());
+}
--- a/crates/gateway/src/balancer.rs
+++ b/crates/gateway/src/balancer.rs
@@ -41,7 +41,7 @@
         Self {
             state: Mutex::new(State {
                 chooser: Chooser::new(route::Policy::default(), route::Settings::default(), seed),
-                attempts: attempt::Service::new(share, now),
+                attempts: attempt::Service::new(share, seed, now),
                 rng: SmallRng::seed_from_u64(seed),
                 instances: Vec::new(),
             }),
--- a/crates/hub/src/beacon.rs
+++ b/crates/hub/src/beacon.rs
@@ -69,6 +69,10 @@
             BTreeSet::new()
         }
     };
+    if !known.is_empty() {
+        let now = state.clock.now();
+        state.lock().entries.remember(now, known.len());
+    }
     if !known.is_empty()
         && let Err(err) = send_beacons(&state, &known).await
     {
--- a/crates/hub/src/entries.rs
+++ b/crates/hub/src/entries.rs
@@ -19,7 +19,8 @@
 pub const REWATCH_TIMEOUT: Duration = Duration::from_millis(350);
 /// Time after its last watch for which an entry host still counts towards shared budgets.
 ///
-/// Longer than a restart, so that a restart doesn't change the shares of the other hosts.
+/// Longer than a restart, so that a restart doesn't change the shares of the other hosts, and
+/// longer than an entry process uses its share after the last answer of a hub.
 pub const RETENTION: Duration = Duration::from_secs(20);
 /// Time after the first watch until hosts are listed: the longest reconnect delay of an entry
 /// process plus the time to connect.
@@ -42,6 +43,8 @@
 pub struct Entries {
     hosts: BTreeMap<String, Entry>,
     first_watch_at: Option<Moment>,
+    /// Number of entry hosts before a restart of this hub, and when the hub started.
+    remembered: Option<(u32, Moment)>,
 }
 
 impl Entries {
@@ -75,21 +78,37 @@
         previous.is_none_or(|p| p.ready != watch.ready || now >= p.expires_at)
     }
 
-    /// Number of entry hosts among which budgets are divided.
+    /// Sets the number of entry hosts before a restart of this hub. They still use their shares
+    /// of budgets, but may not watch this hub yet.
+    pub fn remember(&mut self, now: Moment, count: usize) {
+        self.remembered = Some((u32::try_from(count).unwrap_or(u32::MAX), now));
+    }
+
+    /// Number of entry hosts among which budgets are divided; 0 while it is unknown.
     #[must_use]
     pub fn count(&self, now: Moment) -> u32 {
         let recent = |e: &&Entry| now.since(e.last_seen) < RETENTION;
         let count = self.hosts.values().filter(recent).count();
-        u32::try_from(count).unwrap_or(u32::MAX)
+        let count = u32::try_from(count).unwrap_or(u32::MAX);
+        let remembered = self.remembered;
+        let remembered = remembered.filter(|(_, started_at)| now.since(*started_at) < RETENTION);
+        match remembered {
+            Some((remembered, _)) => count.max(remembered),
+            None if self.is_settled(now) => count,
+            None => 0,
+        }
+    }
+
+    /// Whether all entry hosts have had time to watch this hub.
+    fn is_settled(&self, now: Moment) -> bool {
+        self.first_watch_at
+            .is_some_and(|first| now.since(first) >= SETTLE_DELAY)
     }
 
     /// The hosts that callers may be sent to; none during the settle delay after the first watch.
     #[must_use]
     pub fn list(&self, now: Moment) -> Vec<EntryHost> {
-        let settled = self
-            .first_watch_at
-            .is_some_and(|first| now.since(first) >= SETTLE_DELAY);
-        if !settled {
+        if !self.is_settled(now) {
             return Vec::new();
         }
         let usable = |e: &&Entry| e.ready && now < e.expires_at;
--- a/crates/hub/tests/test_entries.rs
+++ b/crates/hub/tests/test_entries.rs
@@ -98,3 +98,25 @@
     assert_ne!(HostList::new(Vec::new()).hash, 0);
     assert_eq!(two, HostList::new(entries.list(after(800))).hash);
 }
+
+/// Guards against a hub that has just started and tells the first entry hosts that they are alone.
+#[test]
+fn test_entries_count_is_unknown_until_all_hosts_could_watch() {
+    let mut entries = Entries::default();
+    entries.watch_started(after(0), &watch("one", true));
+    assert_eq!(entries.count(after(100)), 0);
+    entries.watch_started(after(400), &watch("two", true));
+    assert_eq!(entries.count(after(600)), 2);
+}
+
+/// Guards against shares of a budget that grow while hosts known before a restart still use theirs.
+#[test]
+fn test_entries_count_includes_hosts_known_before_restart() {
+    let mut entries = Entries::default();
+    entries.remember(after(0), 3);
+    entries.watch_started(after(100), &watch("one", true));
+    assert_eq!(entries.count(after(200)), 3);
+    assert_eq!(entries.count(after(10_000)), 3);
+    entries.watch_started(after(19_000), &watch("one", true));
+    assert_eq!(entries.count(after(0) + RETENTION), 1);
+}
