--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test binary uses its own part")]
 
 pub mod caller;
+pub mod proxy;
 pub mod upstream;
 
 use std::net::IpAddr;
@@ -22,9 +23,13 @@
 use table::Table;
 use table::Target;
 use table::WeightedService;
+use wire::hub::EntryHost;
 use wire::hub::Instance;
 use wire::hub::Phase;
 
+use self::proxy::Path;
+use self::proxy::Proxy;
+use self::upstream::Behavior;
 use self::upstream::Upstream;
 
 /// The host name of all routes.
@@ -143,3 +148,87 @@
         ..Instance::default()
     }
 }
+
+/// Entry processes on hosts of their own, and the upstreams that all of them know. The first
+/// process reaches the upstreams through proxies only.
+pub struct Fleet {
+    pub upstreams: Vec<Upstream>,
+    pub proxies: Vec<Proxy>,
+    pub entries: Vec<Entry>,
+}
+
+impl Fleet {
+    /// Starts `count` processes at addresses of the given network, so that their ports are free.
+    pub async fn start(network: u8, count: u8, behavior: Behavior) -> Self {
+        let mut upstreams = Vec::new();
+        let mut proxies = Vec::new();
+        for number in 1..=3 {
+            let upstream = Upstream::start(&format!("i-{number}"), behavior).await;
+            proxies.push(Proxy::start(upstream.address).await);
+            upstreams.push(upstream);
+        }
+        let mut entries = Vec::new();
+        for number in 1..=count {
+            let address = SocketAddr::from(([127, 81, network, number], 0));
+            let settings = Settings {
+                host: HostName::new(&format!("entry-{number}")).expect("a name"),
+                front: address,
+                ready: address,
+                ..settings()
+            };
+            let log = telemetry::log::silent();
+            let entry = Entry::start(settings, Dialect::default(), log).await;
+            entries.push(entry.expect("starts"));
+        }
+        let fleet = Self {
+            upstreams,
+            proxies,
+            entries,
+        };
+        fleet.announce();
+        fleet
+    }
+
+    fn announce(&self) {
+        let hosts: Vec<EntryHost> = self.entries.iter().map(host_of).collect();
+        for (index, entry) in self.entries.iter().enumerate() {
+            let instances = self.upstreams.iter().zip(&self.proxies);
+            let instances = instances.map(|(upstream, proxy)| Instance {
+                address: match index {
+                    0 => proxy.address.to_string(),
+                    _ => upstream.address.to_string(),
+                },
+                heard: true,
+                ..instance(upstream, "status")
+            });
+            let instances: Vec<Instance> = instances.collect();
+            entry.core().set_table(table(1));
+            entry.core().apply_instances(HUB, &instances, &[]);
+            entry.core().set_hosts(hosts.clone());
+        }
+    }
+
+    /// Changes the path from the first process to all upstreams.
+    pub async fn set_path(&self, path: Path) {
+        for proxy in &self.proxies {
+            proxy.set(path).await;
+        }
+    }
+
+    /// How often the upstreams received the request.
+    pub fn runs(&self, id: &str) -> usize {
+        let received = self.upstreams.iter().flat_map(Upstream::received_requests);
+        let is_same = |request: &upstream::ReceivedRequest| {
+            request.header("rwr-request-id").as_deref() == Some(id)
+        };
+        received.filter(is_same).count()
+    }
+}
+
+fn host_of(entry: &Entry) -> EntryHost {
+    EntryHost {
+        address: entry.front().to_string(),
+        domain: "a".into(),
+        ..EntryHost::default()
+    }
+}
--- a/crates/gateway/tests/test_retry_sum.rs
+++ b/crates/gateway/tests/test_retry_sum.rs
@@ -50,7 +50,6 @@
             gateways: (0..gateways)
                 .map(|number| format!("host-{number}"))
                 .collect(),
-            ..Catalogue::default()
         }),
         ..SyncReply::default()
     };
