entry, reach, conf: a host that is cut off from all instances lets another entry host serve its callers

Each request made four attempts that sent nothing and ended as `full`, which wasn't true.

Cause: a process knows instances by its own connections only, takes a cut path for instances that are down, and no other process can take its requests.

Now a process suspects its path once two instances in a row accept no connection or leave a probe unanswered, checks five others at the same time, and takes the path for cut if none accepts although hubs hear them (crate reach, no I/O). While it is cut, each request goes on to an entry host that does reach the service, one hop at most, preferably in the own failure domain, by load. That one makes the attempts, within what is left of the deadline, the latency target and the number of attempts; the request earns its retry once; the sender's name goes along for the quarantine. A hop that breaks off once the request was sent is 502, never `not run`. A cut-off host isn't named to callers once another one has served for it, and grants no placements. Every 200 ms it tries two instances.

--- a/crates/conf/src/value.rs
+++ b/crates/conf/src/value.rs
@@ -49,6 +49,14 @@
     }
 }
 
+impl Value for u16 {
+    const FORM: &'static str = "whole number up to 65535";
+
+    fn read(text: &str) -> Option<Self> {
+        parse_digits(text)
+    }
+}
+
 impl Value for u32 {
     const FORM: &'static str = "whole number";
 
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -2,6 +2,7 @@
 
 mod evacuate;
 mod limits;
+mod paths;
 mod share;
 mod suspects;
 
@@ -21,6 +22,7 @@
 use evacuation::EvacuationState;
 use http::Uri;
 use limit::Limits;
+use reach::Path;
 use registry::Digest;
 use slog::Logger;
 use slog::info;
@@ -38,6 +40,7 @@
 use crate::dialect::Dialect;
 use crate::placement::DispatcherClients;
 use crate::processes::Processes;
+use crate::relay::Peer;
 use crate::route_stats::RouteStats;
 use crate::settings::Settings;
 use crate::view::Instances;
@@ -79,6 +82,12 @@
     processes: Arc<Processes>,
     /// What instances named as their limits.
     limits: Limits,
+    /// What the process believes of its path to each service's instances.
+    paths: HashMap<ServiceName, Path>,
+    /// The processes that may relay requests, by the address at which they take them.
+    peers: HashMap<SocketAddr, Arc<Peer>>,
+    /// Whether another process has relayed a request since a path was cut.
+    relayed: bool,
 }
 
 /// An entry process.
@@ -104,6 +113,10 @@
     pub guard: Arc<Guard>,
     /// The number of the newest limit to report to the hubs.
     pub newest_limit: watch::Sender<u64>,
+    /// Whether other processes have to relay all requests, as no instance is reached from here.
+    pub depends_on_peers: watch::Sender<bool>,
+    /// Number of changes to what is believed of paths.
+    pub path_changes: watch::Sender<u64>,
     routes: RwLock<Arc<Routes>>,
     state: Mutex<State>,
 }
@@ -125,6 +138,8 @@
             table_known: watch::Sender::new(false),
             instances_known: watch::Sender::new(false),
             newest_limit: watch::Sender::default(),
+            depends_on_peers: watch::Sender::default(),
+            path_changes: watch::Sender::default(),
             routes: RwLock::default(),
             state: Mutex::default(),
         })
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -86,6 +86,15 @@
             .send();
     }
 
+    /// Counts a request that was relayed to another entry process.
+    pub fn relayed(&self, service: &ServiceName, outcome: &str, elapsed: Duration) {
+        self.client
+            .time_with_tags("entry.relayed", elapsed)
+            .with_tag("service", service.as_str())
+            .with_tag("outcome", outcome)
+            .send();
+    }
+
     /// Counts a request that becomes quarantined.
     pub fn quarantined(&self) {
         self.client.count_with_tags("entry.quarantined", 1).send();
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -31,6 +31,7 @@
 use crate::placement::server::PlacementServer;
 use crate::probe;
 use crate::serve;
+use crate::serve::Side;
 use crate::settings::Settings;
 use crate::sync;
 
@@ -96,14 +97,21 @@
             }
             None => None,
         };
+        let relay = match settings.relay {
+            Some(port) => Some(bind(SocketAddr::new(front_address.ip(), port)).await?.0),
+            None => None,
+        };
         let core = Core::new(settings, dialect, log, Counters::new(client));
         let open = TaskTracker::new();
+        let accept =
+            |listener, side| serve::accept(Arc::clone(&core), listener, side, open.clone());
         let mut tasks = vec![
-            spawn(serve::front(Arc::clone(&core), front, open.clone())),
+            spawn(accept(front, Side::Callers)),
             spawn(serve::readiness(Arc::clone(&core), ready)),
             spawn(sync::run(Arc::clone(&core), beacons)),
             spawn(probe::probe_ejected(Arc::clone(&core))),
         ];
+        tasks.extend(relay.map(|listener| spawn(accept(listener, Side::Peers))));
         tasks.extend(placement.map(|incoming| spawn(serve_placement(Arc::clone(&core), incoming))));
         let place_address = core.settings().place;
         info!(core.log, "entry serves"; "front" => %front_address, "ready" => %ready_address,
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -29,8 +29,10 @@
 use crate::body::ReadBody;
 use crate::core::Core;
 use crate::headers;
+use crate::path;
 use crate::placement::Grant;
 use crate::pool::Connection;
+use crate::pool::Pool;
 use crate::stream_tracker::ResponseSource;
 use crate::view::Upstream;
 
@@ -175,7 +177,7 @@
         } else {
             AttemptEnd::Refused
         };
-        read_response(upstream, response, connection, reusable).await;
+        read_response(&upstream.pool, response, connection, reusable).await;
         running.end(OutcomeKind::Shed, report);
         return end;
     }
@@ -190,7 +192,8 @@
     }
     core.record_limit(upstream, response.headers(), sent_at, Source::Response);
     let failed = response.status().is_server_error();
-    if let Some((parts, body)) = read_response(upstream, response, connection, reusable).await {
+    if let Some((parts, body)) = read_response(&upstream.pool, response, connection, reusable).await
+    {
         running.end(
             if failed {
                 OutcomeKind::Error
@@ -215,7 +218,7 @@
 /// Sends the request. Returns `None` if no byte was sent, and no response if the connection
 /// broke off afterwards.
 async fn send(
-    core: &Core,
+    core: &Arc<Core>,
     upstream: &Upstream,
     forwarded: &ForwardedRequest,
     body: ForwardedBody,
@@ -237,26 +240,31 @@
 }
 
 /// Returns a pooled or a new connection, and whether it is new; logs a failure to connect.
-pub async fn acquire_connection(core: &Core, upstream: &Upstream) -> Option<(Connection, bool)> {
+pub async fn acquire_connection(
+    core: &Arc<Core>,
+    upstream: &Upstream,
+) -> Option<(Connection, bool)> {
     if let Some(connection) = upstream.pool.take() {
         return Some((connection, false));
     }
     match upstream.pool.connect().await {
-        Ok(connection) => Some((connection, true)),
+        Ok(connection) => {
+            core.record_connected(&upstream.service);
+            Some((connection, true))
+        }
         Err(err) => {
             info!(core.log, "connect failed"; "instance" => %upstream.id,
                 "address" => %upstream.address, "error" => %err);
+            path::record_unreachable(core, upstream);
             None
         }
     }
 }
 
 /// Returns a connection to the pool after a complete response with these headers.
-pub fn release_connection(upstream: &Upstream, connection: Connection, headers: &HeaderMap) {
+pub fn release_connection(pool: &Pool, connection: Connection, headers: &HeaderMap) {
     if !headers::closes_connection(headers) {
-        upstream
-            .pool
-            .keep(connection, headers::keep_alive_timeout(headers));
+        pool.keep(connection, headers::keep_alive_timeout(headers));
     }
 }
 
@@ -280,8 +288,8 @@
 }
 
 /// Reads the response, and returns a `reusable` connection to the pool if it is complete.
-async fn read_response(
-    upstream: &Upstream,
+pub async fn read_response(
+    pool: &Pool,
     response: Response<Incoming>,
     connection: Connection,
     reusable: bool,
@@ -302,7 +310,7 @@
     match read.ok()? {
         ReadBody::Whole(bytes) => {
             if reusable {
-                release_connection(upstream, connection, &parts.headers);
+                release_connection(pool, connection, &parts.headers);
             }
             Some((parts, UpstreamBody::Whole(bytes)))
         }
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod guard;
 mod head;
+mod relay;
 mod response;
 
 use std::net::IpAddr;
@@ -18,9 +19,9 @@
 use route::Pick;
 use route::ScoredChoice;
 use slog::info;
+use slog::warn;
 use table::Kind;
 use table::Route;
-use table::Target;
 use tokio::time::Instant;
 
 use crate::balancer::Balancer;
@@ -38,6 +39,8 @@
 use crate::exchange::UpstreamBody;
 use crate::headers;
 use crate::refusal::Reason;
+use crate::relay::Hop;
+use crate::relay::PeerLease;
 use crate::route_stats::RouteStats;
 use crate::view::Upstream;
 
@@ -57,6 +60,15 @@
 /// ejected where the route's timeout ends each attempt first.
 const UNRESPONSIVE_FACTOR: f64 = 3.0;
 
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller(IpAddr),
+    /// Another entry process, which doesn't reach the instances.
+    Peer,
+}
+
 /// State of one request.
 struct Flow {
     core: Arc<Core>,
@@ -70,11 +82,19 @@
     aim: Duration,
     deadline: Instant,
     attempts: u32,
+    /// Maximum number of attempts.
+    max_attempts: u32,
+    /// Whether the request has earned its fraction of a retry.
+    counted: bool,
     unsent: u32,
     exclude: Vec<Pick>,
     /// Whether an instance may have processed the request.
     may_have_run: bool,
     last_attempt: Option<Attempt>,
+    /// How the request was relayed to this process.
+    hop: Option<Hop>,
+    /// The process that relays the response.
+    peer: Option<PeerLease>,
     /// When the caller may retry, as reported by a dispatcher or by the quarantine.
     retry_after: Option<Duration>,
     /// Size of the request body, 0 if unknown.
@@ -100,49 +120,48 @@
     Refusal(Reason, Option<Duration>),
 }
 
-/// Handles one request of `caller`.
+/// Handles one request.
 pub async fn handle(
     core: Arc<Core>,
-    caller: IpAddr,
-    request: Request<Incoming>,
+    origin: Origin,
+    mut request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let started_at = Instant::now();
+    let hop = match origin {
+        Origin::Caller(_) => None,
+        Origin::Peer => Hop::take(request.headers_mut()),
+    };
     let header_timeout = headers::parse_number(request.headers(), &core.dialect.deadline);
     let caller_timeout = header_timeout.map_or(DEFAULT_TIMEOUT, Duration::from_millis);
     let startup_deadline = started_at + caller_timeout.mul_f64(STARTUP_WAIT_FRACTION);
     let routes = head::wait_for_routes(&core, startup_deadline).await;
     let id = request.headers().get(&core.dialect.request).cloned();
     let id = id.unwrap_or_else(head::new_id);
+    let refuse = |reason| head::refuse(&core, &id, &routes, origin, reason);
     if routes.table.version == 0 {
-        return head::refuse(
-            &core,
-            &id,
-            &routes,
-            Reason::NoTable,
-            Some(UNAVAILABLE_RETRY_AFTER),
-        );
+        return refuse(Reason::NoTable);
+    }
+    if hop
+        .as_ref()
+        .is_some_and(|hop| hop.table > routes.table.version)
+    {
+        return refuse(Reason::OldTable);
     }
     let host = head::host(&request).unwrap_or_default();
     let Some(route) = routes.index.select(&host, request.uri().path()) else {
-        return head::refuse(&core, &id, &routes, Reason::NoRoute, None);
+        return refuse(Reason::NoRoute);
     };
     head::wait_for_instances(&core, startup_deadline).await;
-    let service = match &route.target {
-        Target::Service(name) => Some(name.clone()),
-        Target::Split(parts) => core.next_split_service(route, parts),
-    };
-    let Some(service) = service else {
-        return head::refuse(
-            &core,
-            &id,
-            &routes,
-            Reason::NoInstance,
-            Some(UNAVAILABLE_RETRY_AFTER),
-        );
+    let Some(service) = head::select_service(&core, route, hop.as_ref()) else {
+        return refuse(Reason::NoInstance);
     };
     let limit = routes.table.limits.body_bytes;
     if request.body().size_hint().lower() > limit {
-        return head::refuse(&core, &id, &routes, Reason::TooLarge, None);
+        return refuse(Reason::TooLarge);
+    }
+    if origin == Origin::Peer && hop.is_none() {
+        warn!(core.log, "invalid relayed request"; "request" => id.to_str().unwrap_or("-"));
+        return refuse(Reason::Unreachable);
     }
     let spent = header_timeout.map_or(Duration::ZERO, |_| {
         core.route_stats(route, |stats| stats.spent(core.clock.now(), caller_timeout))
@@ -151,9 +170,22 @@
         .aim
         .unwrap_or(caller_timeout / 2)
         .saturating_sub(spent);
+    let aim = hop.as_ref().map_or(aim, |hop| hop.aim);
+    let timeout = caller_timeout.min(route.timeout.unwrap_or(caller_timeout));
+    let timeout = hop
+        .as_ref()
+        .map_or(timeout, |hop| hop.remaining.min(timeout));
+    let max_attempts = hop
+        .as_ref()
+        .map_or(route.attempts, |hop| hop.attempts.min(route.attempts));
+    let caller = head::caller_name(&core, origin, hop.as_ref(), request.headers());
     let (request, incoming) = head::forwarded_request(&core, caller, &host, id, request);
     let mut flow = Flow {
-        deadline: started_at + caller_timeout.min(route.timeout.unwrap_or(caller_timeout)),
+        deadline: started_at + timeout,
+        max_attempts,
+        counted: hop.as_ref().is_some_and(|hop| hop.counted),
+        hop,
+        peer: None,
         core,
         started_at,
         request,
@@ -207,10 +239,21 @@
         self.request_bytes = body.known_length().unwrap_or_default();
         self.spool = body.spool();
         self.content = body.content();
-        self.balancer(Balancer::record_request);
         loop {
+            if self.core.is_cut_off(&self.service) && !self.may_have_run {
+                return self.relay(body).await;
+            }
+            self.count();
             let retry_body = body.replay();
             let end = self.attempt(body).await;
+            let not_sent = matches!(end, Ok(AttemptEnd::Unsent));
+            if self.is_cut_off_after(&end).await
+                && let Some(body) = retry_body
+            {
+                self.attempts -= u32::from(not_sent);
+                self.unsent += u32::from(not_sent);
+                return self.relay(body).await;
+            }
             match self.next_step(end, retry_body) {
                 Ok(outcome) => return outcome,
                 Err(next) => body = next,
@@ -218,6 +261,13 @@
         }
     }
 
+    /// Lets the request earn its fraction of a retry, once.
+    fn count(&mut self) {
+        if !std::mem::replace(&mut self.counted, true) {
+            self.balancer(Balancer::record_request);
+        }
+    }
+
     fn balancer<T>(&self, ask: impl FnOnce(&mut Balancer, Moment) -> T) -> Option<T> {
         self.core.balancer(&self.service, ask)
     }
@@ -354,7 +404,7 @@
 
     /// Whether another attempt is possible, allowed by the route and within the retry budget.
     fn may_retry(&self, has_body: bool) -> bool {
-        let allowed = has_body && self.attempts < self.route.attempts;
+        let allowed = has_body && self.attempts < self.max_attempts;
         if !allowed {
             return false;
         }
--- a/crates/entry/src/flow/guard.rs
+++ b/crates/entry/src/flow/guard.rs
@@ -74,7 +74,7 @@
             broken_at: Instant::now(),
         };
         let check = crash::check(&self.core, broken);
-        if self.route.kind == Kind::Idempotent && self.attempts < self.route.attempts {
+        if self.route.kind == Kind::Idempotent && self.attempts < self.max_attempts {
             // On timeout the request is retried, based on this process's own knowledge.
             let _ = tokio::time::timeout(MAX_RETRY_DELAY, check.settled).await;
         }
--- a/crates/entry/src/flow/head.rs
+++ b/crates/entry/src/flow/head.rs
@@ -1,26 +1,34 @@
 //! The start of a request: route table, host and route, and what is forwarded.
 
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::prelude::*;
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::Uri;
 use http::header;
 use hyper::body::Incoming;
 use quarantine::Head;
 use slog::info;
+use table::Route;
+use table::Target;
 use tokio::time::Instant;
 use uuid::Uuid;
 
+use super::Origin;
+use super::UNAVAILABLE_RETRY_AFTER;
 use crate::body::ResponseBody;
 use crate::core::Core;
 use crate::exchange::ForwardedRequest;
 use crate::headers;
 use crate::refusal;
 use crate::refusal::Reason;
+use crate::relay::Hop;
+use crate::relay::HopOutcome;
 use crate::view::Routes;
 
 /// Returns the current route table; waits until `deadline` for the first one.
@@ -65,21 +73,45 @@
     Some(name.to_ascii_lowercase())
 }
 
+/// The service that the request goes to.
+pub(super) fn select_service(core: &Core, route: &Route, hop: Option<&Hop>) -> Option<ServiceName> {
+    let parts = match &route.target {
+        Target::Service(name) => return Some(name.clone()),
+        Target::Split(parts) => parts,
+    };
+    let selected = hop.map(|hop| &hop.service);
+    let selected = selected.filter(|name| parts.iter().any(|part| part.service == **name));
+    selected
+        .cloned()
+        .or_else(|| core.next_split_service(route, parts))
+}
+
+/// The caller's name or address.
+pub(super) fn caller_name(
+    core: &Core,
+    origin: Origin,
+    hop: Option<&Hop>,
+    headers: &HeaderMap,
+) -> Arc<str> {
+    let header = core.dialect.caller.as_ref();
+    let name = header.and_then(|header| headers.get(header)?.to_str().ok());
+    match (hop, name, origin) {
+        (Some(hop), ..) => Arc::clone(&hop.caller),
+        (None, Some(name), _) => name.into(),
+        (None, None, Origin::Caller(address)) => address.to_canonical().to_string().into(),
+        (None, None, Origin::Peer) => "-".into(),
+    }
+}
+
 /// Splits a request of `caller` for `host` into the forwarded part and the body.
 pub(super) fn forwarded_request(
     core: &Core,
-    caller: IpAddr,
+    caller: Arc<str>,
     host: &str,
     id: HeaderValue,
     request: Request<Incoming>,
 ) -> (ForwardedRequest, Incoming) {
     let (mut parts, incoming) = request.into_parts();
-    let header = core.dialect.caller.as_ref();
-    let name = header.and_then(|header| parts.headers.get(header)?.to_str().ok());
-    let caller: Arc<str> = match name {
-        Some(name) => name.into(),
-        None => caller.to_canonical().to_string().into(),
-    };
     headers::strip_hop_by_hop(&mut parts.headers);
     parts.headers.remove(&core.dialect.expected);
     parts.headers.insert(&core.dialect.request, id.clone());
@@ -99,15 +131,20 @@
     (request, incoming)
 }
 
-/// Responds to a request that has no route.
+/// Responds to a request that has no service yet.
 pub(super) fn refuse(
     core: &Core,
     id: &HeaderValue,
     routes: &Routes,
+    origin: Origin,
     reason: Reason,
-    retry_after: Option<Duration>,
 ) -> Response<ResponseBody> {
-    let response = refusal::response(reason, retry_after);
+    let is_temporary = reason.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let retry_after = is_temporary.then_some(UNAVAILABLE_RETRY_AFTER);
+    let mut response = refusal::response(reason, retry_after);
+    if origin == Origin::Peer {
+        HopOutcome::Refused(reason).write(response.headers_mut());
+    }
     let label: &'static str = reason.into();
     core.counters.request("-", label, Duration::ZERO);
     info!(core.log, "request"; "request" => id.to_str().unwrap_or("-"), "outcome" => label,
--- a/crates/entry/src/flow/response.rs
+++ b/crates/entry/src/flow/response.rs
@@ -14,32 +14,45 @@
 use crate::exchange::UpstreamBody;
 use crate::headers;
 use crate::refusal;
+use crate::relay::HopOutcome;
+use crate::stream_tracker::Responder;
 use crate::stream_tracker::ResponseContext;
 use crate::stream_tracker::ResponseSource;
 use crate::stream_tracker::StreamTracker;
 
 impl Flow {
     /// Returns a body that is passed on as it arrives; `first` has been read already.
-    fn stream(&self, first: Bytes, rest: Incoming, source: ResponseSource) -> ResponseBody {
-        let Some(attempt) = &self.last_attempt else {
-            unreachable!("a response belongs to an attempt");
+    fn stream(&mut self, first: Bytes, rest: Incoming, source: ResponseSource) -> ResponseBody {
+        let (responder, sent_at) = match (self.peer.take(), &self.last_attempt) {
+            (Some(lease), _) => (Responder::Peer(lease), self.started_at),
+            (None, Some(attempt)) => {
+                let upstream = Arc::clone(&attempt.upstream);
+                (
+                    Responder::Instance(upstream, attempt.choice),
+                    attempt.sent_at,
+                )
+            }
+            (None, None) => unreachable!("a response belongs to an attempt"),
         };
         let context = ResponseContext {
             core: Arc::clone(&self.core),
             request: self.identity(),
             route: Arc::clone(&self.route),
-            upstream: Arc::clone(&attempt.upstream),
-            choice: attempt.choice,
-            sent_at: attempt.sent_at,
+            responder,
+            sent_at,
             request_bytes: self.request_bytes,
             deadline: self.deadline,
         };
         ResponseBody::stream(first, rest, StreamTracker::new(context, source))
     }
 
-    pub(super) fn respond(&self, outcome: Outcome) -> Response<ResponseBody> {
+    pub(super) fn respond(&mut self, outcome: Outcome) -> Response<ResponseBody> {
         let elapsed = self.started_at.elapsed();
-        let (response, label, retry_after) = match outcome {
+        let hop_outcome = match &outcome {
+            Outcome::Response(..) => HopOutcome::Answered,
+            Outcome::Refusal(reason, _) => HopOutcome::Refused(*reason),
+        };
+        let (mut response, label, retry_after) = match outcome {
             Outcome::Response(mut parts, body) => {
                 headers::strip_hop_by_hop(&mut parts.headers);
                 let body = match body {
@@ -55,11 +68,14 @@
                 retry_after,
             ),
         };
+        if self.hop.is_some() {
+            hop_outcome.write(response.headers_mut());
+        }
         info!(self.core.log, "request"; "request" => self.request.id.to_str().unwrap_or("-"),
             "outcome" => label, "status" => response.status().as_u16(),
             "route" => &*self.route.name, "service" => %self.service,
             "table" => self.table_version, "attempts" => self.attempts, "unsent" => self.unsent,
-            "instance" => self.last_instance(),
+            "instance" => self.last_instance(), "relayed" => self.hop.is_some(),
             "aim_ms" => millis(self.aim), "back_ms" => retry_after.map_or(0, millis),
             "ms" => millis(elapsed));
         self.core
--- a/crates/entry/src/placement/server.rs
+++ b/crates/entry/src/placement/server.rs
@@ -62,6 +62,10 @@
     }
 
     async fn find(&self, service: &ServiceName, ask: &Ask) -> Option<Placed> {
+        // Others may reach the instances.
+        if self.core.is_cut_off(service) {
+            return None;
+        }
         let request = self.search_request(service, ask)?;
         let started_at = Instant::now();
         let result = search::search(&self.core, service, &request, MAX_HOLD).await;
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -25,6 +25,7 @@
 use crate::body::ReadBody;
 use crate::core::Core;
 use crate::exchange;
+use crate::path;
 use crate::pool::Connection;
 use crate::view::Upstream;
 
@@ -83,7 +84,11 @@
                     core.balancer(&service, |balancer, _| balancer.record_displaced(pick));
                     None
                 }
-                Ok(ProbeResult::Failed) | Err(_) => None,
+                Ok(ProbeResult::Failed) => None,
+                Err(_) => {
+                    path::record_unreachable(&core, &upstream);
+                    None
+                }
             };
             core.counters.probe(&service, report.is_some());
             core.balancer(&service, |balancer, now| {
@@ -113,7 +118,7 @@
     Failed,
 }
 
-async fn probe(core: &Core, upstream: &Upstream) -> ProbeResult {
+async fn probe(core: &Arc<Core>, upstream: &Upstream) -> ProbeResult {
     let sent_at = Instant::now();
     let Some((response, connection)) = send_probe(core, upstream).await else {
         return ProbeResult::Failed;
@@ -129,7 +134,7 @@
         return ProbeResult::Failed;
     }
     if matches!(body, Ok(ReadBody::Whole(_))) {
-        exchange::release_connection(upstream, connection, &parts.headers);
+        exchange::release_connection(&upstream.pool, connection, &parts.headers);
     }
     core.record_limit(upstream, &parts.headers, sent_at, Source::Probe);
     let cold = parts.headers.get(&core.dialect.cold);
@@ -141,7 +146,10 @@
 }
 
 /// Sends a probe on a pooled or a new connection.
-async fn send_probe(core: &Core, upstream: &Upstream) -> Option<(Response<Incoming>, Connection)> {
+async fn send_probe(
+    core: &Arc<Core>,
+    upstream: &Upstream,
+) -> Option<(Response<Incoming>, Connection)> {
     let path = core.health_path(&upstream.service)?;
     loop {
         let (mut connection, is_new) = exchange::acquire_connection(core, upstream).await?;
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -7,12 +7,13 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
+use strum::EnumString;
 use strum::IntoStaticStr;
 
 use crate::body::ResponseBody;
 
 /// Why a request is refused. Unless stated otherwise, no instance has processed it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumString, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Reason {
     /// No route table is known yet.
@@ -23,6 +24,10 @@
     TooLarge,
     /// No instance of the service is available.
     NoInstance,
+    /// No process that was asked reaches an instance.
+    Unreachable,
+    /// The route table is older than that of the process that relays the request.
+    OldTable,
     /// No instance has capacity in time.
     Full,
     /// The request is quarantined: instances that processed it have crashed.
@@ -40,15 +45,28 @@
     #[must_use]
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NoTable | Self::NoInstance | Self::Full | Self::Quarantined | Self::Late => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoTable
+            | Self::NoInstance
+            | Self::Unreachable
+            | Self::OldTable
+            | Self::Full
+            | Self::Quarantined
+            | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
             Self::Broken => StatusCode::BAD_GATEWAY,
         }
     }
+
+    /// Whether another process may serve the request.
+    #[must_use]
+    pub fn is_about_process(self) -> bool {
+        matches!(
+            self,
+            Self::NoTable | Self::NoInstance | Self::Unreachable | Self::OldTable
+        )
+    }
 }
 
 /// Builds the response; `retry_after` is sent as `Retry-After`.
--- /dev/null
+++ b/crates/entry/src/relay.rs
@@ -0,0 +1,136 @@
+//! Relays requests through other entry processes while this one doesn't reach the instances.
+//!
+//! A request is relayed once at most. The process that receives it makes the attempts, within
+//! what is left of the request's deadline and number of attempts, and names the outcome.
+
+mod hop;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use base::prelude::*;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use reach::PeerHealth;
+
+pub use self::hop::Hop;
+pub use self::hop::HopOutcome;
+pub use self::hop::OUTCOME;
+use crate::body::ForwardedBody;
+use crate::pool::Connection;
+use crate::pool::Pool;
+
+/// Another entry process.
+#[derive(Debug)]
+pub struct Peer {
+    /// The address at which it takes relayed requests.
+    pub address: SocketAddr,
+    /// Connections to it.
+    pub pool: Pool,
+    in_flight: AtomicUsize,
+    health: Mutex<PeerHealth>,
+}
+
+impl Peer {
+    /// A process of which nothing is known yet.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            pool: Pool::new(address),
+            in_flight: AtomicUsize::new(0),
+            health: Mutex::default(),
+        }
+    }
+
+    /// Number of requests that it relays for this process.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Whether it may be selected.
+    #[must_use]
+    pub fn is_usable(&self, now: Moment) -> bool {
+        self.health().is_usable(now)
+    }
+
+    /// Records that it took no request, or doesn't reach the instances either.
+    pub fn record_failure(&self, now: Moment) {
+        self.health().record_failure(now);
+    }
+
+    /// Records that it answered.
+    pub fn record_success(&self) {
+        self.health().record_success();
+    }
+
+    fn health(&self) -> MutexGuard<'_, PeerHealth> {
+        self.health.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request that a peer relays. Counts as in flight until dropped.
+#[derive(Debug)]
+pub struct PeerLease(Arc<Peer>);
+
+impl PeerLease {
+    /// Counts a request.
+    #[must_use]
+    pub fn new(peer: Arc<Peer>) -> Self {
+        peer.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self(peer)
+    }
+
+    /// The process that relays the request.
+    #[must_use]
+    pub fn peer(&self) -> &Arc<Peer> {
+        &self.0
+    }
+}
+
+impl Drop for PeerLease {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// How sending a request to a peer ended.
+pub enum SendEnd {
+    /// It responded.
+    Response(Response<Incoming>, Connection),
+    /// No byte of the request was sent; its body.
+    Unsent(ForwardedBody),
+    /// The connection broke off after the request was sent.
+    Broken,
+}
+
+/// Sends the request on a pooled or a new connection.
+pub async fn send(peer: &Peer, mut request: Request<ForwardedBody>) -> SendEnd {
+    loop {
+        let pooled = peer.pool.take();
+        let is_new = pooled.is_none();
+        let connection = match pooled {
+            Some(connection) => Ok(connection),
+            None => peer.pool.connect().await,
+        };
+        let Ok(mut connection) = connection else {
+            return SendEnd::Unsent(request.into_body());
+        };
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => return SendEnd::Response(response, connection),
+            Err(mut err) => match err.take_message() {
+                // The pooled connection was closed before the request was written.
+                Some(unsent) if !is_new => request = unsent,
+                Some(unsent) => return SendEnd::Unsent(unsent.into_body()),
+                None => return SendEnd::Broken,
+            },
+        }
+    }
+}
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -1,10 +1,10 @@
-//! Serves callers' connections and the readiness page.
+//! Serves the connections of callers and of other entry processes, and the readiness page.
 
 use std::convert::Infallible;
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderName;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -26,14 +26,27 @@
 use crate::core::Core;
 use crate::core::Stage;
 use crate::flow;
+use crate::flow::Origin;
 
 /// Minimum size of the read buffer of a connection; hyper requires at least 8 KiB.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// How long other entry processes may keep an idle connection, as a header.
+const PEER_KEEP_ALIVE: &str = "timeout=5";
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Accepts callers' connections until the process is closing; `open` tracks the connections.
-pub async fn front(core: Arc<Core>, listener: TcpListener, open: TaskTracker) {
+/// Who connects to a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// Callers.
+    Callers,
+    /// Other entry processes, which relay requests.
+    Peers,
+}
+
+/// Accepts connections of `side` until the process is closing; `open` tracks the connections.
+pub async fn accept(core: Arc<Core>, listener: TcpListener, side: Side, open: TaskTracker) {
     let mut stage = core.stage.subscribe();
     loop {
         let accepted = tokio::select! {
@@ -43,7 +56,11 @@
         };
         match accepted {
             Ok((stream, peer)) => {
-                open.spawn(serve_connection(Arc::clone(&core), stream, peer.ip()));
+                let origin = match side {
+                    Side::Callers => Origin::Caller(peer.ip()),
+                    Side::Peers => Origin::Peer,
+                };
+                open.spawn(serve_connection(Arc::clone(&core), stream, origin));
             }
             Err(err) => {
                 warn!(core.log, "accept failed"; "error" => %err);
@@ -58,13 +75,13 @@
     let _ = stage.wait_for(|stage| *stage == Stage::Closing).await;
 }
 
-async fn serve_connection(core: Arc<Core>, stream: TcpStream, caller: IpAddr) {
+async fn serve_connection(core: Arc<Core>, stream: TcpStream, origin: Origin) {
     if let Err(err) = stream.set_nodelay(true) {
         debug!(core.log, "failed to set up connection"; "error" => %err);
         return;
     }
     let limits = core.routes().table.limits;
-    let service = service_fn(|request| answer(Arc::clone(&core), caller, request));
+    let service = service_fn(|request| answer(Arc::clone(&core), origin, request));
     let mut serving = std::pin::pin!(
         http1::Builder::new()
             .timer(TokioTimer::new())
@@ -88,13 +105,16 @@
 /// Answers a request. During a shutdown the connection closes after the response.
 async fn answer(
     core: Arc<Core>,
-    caller: IpAddr,
+    origin: Origin,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
-    let mut response = flow::handle(Arc::clone(&core), caller, request).await;
+    let mut response = flow::handle(Arc::clone(&core), origin, request).await;
     if *core.stage.borrow() != Stage::Serving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
+    } else if origin == Origin::Peer {
+        let keep = HeaderValue::from_static(PEER_KEEP_ALIVE);
+        response.headers_mut().insert(KEEP_ALIVE, keep);
     }
     Ok(response)
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -21,6 +21,7 @@
 const STOP: &str = "stop";
 const COST: &str = "cost";
 const COLD: &str = "cold";
+const RELAY: &str = "relay";
 
 /// Default path of the readiness page.
 const DEFAULT_READY_PATH: &str = "/ready";
@@ -149,6 +150,9 @@
     pub place: Option<SocketAddr>,
     /// Maximum number of instances of a service that one entry process dispatches.
     pub max_dispatched: usize,
+    /// The port at which every entry host takes requests of others that don't reach the
+    /// instances; without it, such requests are refused.
+    pub relay: Option<u16>,
     /// The graceful shutdown.
     pub stop: Stop,
     /// The cost of a megabyte sent between failure domains, in thousandths of a request's value;
@@ -191,6 +195,7 @@
             probes: DEFAULT_PROBES,
             place: None,
             max_dispatched: DEFAULT_MAX_DISPATCHED as usize,
+            relay: None,
             stop: Stop::default(),
             crossing: 0,
             cold: ColdBound::default(),
@@ -236,6 +241,7 @@
         let probes = r.or(PROBE, "per-second", DEFAULT_PROBES);
         let place = r.optional(PLACE, "listen");
         let max_dispatched: u32 = r.or(PLACE, "instances", DEFAULT_MAX_DISPATCHED);
+        let relay = r.optional(RELAY, "port");
         let stop = read_stop(r);
         let crossing = r.or(COST, "crossing", 0);
         let cold = read_cold(r);
@@ -265,6 +271,7 @@
             probes,
             place,
             max_dispatched: usize::try_from(max_dispatched).unwrap_or(usize::MAX),
+            relay,
             stop,
             crossing,
             cold,
@@ -361,6 +368,10 @@
             writeln!(f, "listen = {place}")?;
         }
         writeln!(f, "instances = {}", self.max_dispatched)?;
+        if let Some(port) = self.relay {
+            writeln!(f, "\n[{RELAY}]")?;
+            writeln!(f, "port = {port}")?;
+        }
         writeln!(f, "\n[{STOP}]")?;
         writeln!(f, "linger = {}", duration_text(self.stop.linger))?;
         writeln!(f, "grace = {}", duration_text(self.stop.grace))?;
--- a/crates/entry/src/stream_tracker.rs
+++ b/crates/entry/src/stream_tracker.rs
@@ -1,7 +1,8 @@
 //! Tracks a response whose body is streamed to the caller, until it ends.
 //!
 //! A complete response updates the route's statistics and releases its connection; one that
-//! breaks off counts as a failure of the instance.
+//! breaks off counts as a failure of the instance. Neither is known of a response that another
+//! entry process relays.
 
 use std::pin::Pin;
 use std::sync::Arc;
@@ -21,6 +22,7 @@
 use crate::crash::BrokenAttempt;
 use crate::crash::RequestIdentity;
 use crate::pool::Connection;
+use crate::relay::PeerLease;
 use crate::route_stats::RouteStats;
 use crate::view::Upstream;
 
@@ -47,10 +49,8 @@
     pub request: RequestIdentity,
     /// Its route.
     pub route: Arc<Route>,
-    /// The instance that responds.
-    pub upstream: Arc<Upstream>,
-    /// The data on which the choice of the instance is based.
-    pub choice: ScoredChoice,
+    /// Who responds.
+    pub responder: Responder,
     /// When the request was sent.
     pub sent_at: Instant,
     /// Size of the request body, 0 if unknown.
@@ -59,6 +59,14 @@
     pub deadline: Instant,
 }
 
+/// The process that a response comes from.
+pub enum Responder {
+    /// An instance, and the data on which its choice is based.
+    Instance(Arc<Upstream>, ScoredChoice),
+    /// Another entry process, which relays the response.
+    Peer(PeerLease),
+}
+
 /// A response in progress. If dropped before its end, the caller has disconnected.
 pub struct StreamTracker {
     context: ResponseContext,
@@ -103,42 +111,55 @@
     /// Records that the response is complete.
     pub fn complete(self) {
         let context = self.context;
-        context.request.record_success(&context.core);
-        let latency = context.sent_at.elapsed();
-        let bytes = context.request_bytes + self.received;
-        let record =
-            |stats: &mut RouteStats| stats.record_response(latency, &context.choice, bytes);
-        context.core.route_stats(&context.route, record);
+        let pool = match &context.responder {
+            Responder::Peer(lease) => &lease.peer().pool,
+            Responder::Instance(upstream, choice) => {
+                context.request.record_success(&context.core);
+                let latency = context.sent_at.elapsed();
+                let bytes = context.request_bytes + self.received;
+                let record = |stats: &mut RouteStats| stats.record_response(latency, choice, bytes);
+                context.core.route_stats(&context.route, record);
+                &upstream.pool
+            }
+        };
         if self.source.reusable {
-            let ResponseSource {
-                connection,
-                keep_alive,
-                ..
-            } = self.source;
-            context.upstream.pool.keep(connection, keep_alive);
+            pool.keep(self.source.connection, self.source.keep_alive);
         }
     }
 
     /// Records that the response broke off.
     pub fn record_error(self, err: &BodyError) {
         let context = &self.context;
-        let service = &context.upstream.service;
-        warn!(context.core.log, "answer broke off";
-            "request" => context.request.id.to_str().unwrap_or("-"),
-            "instance" => %context.upstream.id, "service" => %service, "bytes" => self.received,
-            "ms" => u64::try_from(context.sent_at.elapsed().as_millis()).unwrap_or(u64::MAX),
-            "error" => %err);
+        let (upstream, choice) = match &context.responder {
+            Responder::Instance(upstream, choice) => (upstream, choice),
+            Responder::Peer(lease) => {
+                let address = lease.peer().address;
+                self.log_error(&address.to_string(), err);
+                return;
+            }
+        };
+        self.log_error(upstream.id.as_str(), err);
+        let service = &upstream.service;
         context.core.counters.response_aborted(service);
-        let pick = context.choice.pick;
+        let pick = choice.pick;
         context.core.balancer(service, |balancer, now| {
             balancer.record_broken_response(now, pick);
         });
         let broken = BrokenAttempt {
             request: context.request.clone(),
-            upstream: Arc::clone(&context.upstream),
+            upstream: Arc::clone(upstream),
             sent_at: context.sent_at,
             broken_at: Instant::now(),
         };
         crash::check(&context.core, broken);
     }
+
+    fn log_error(&self, responder: &str, err: &BodyError) {
+        let context = &self.context;
+        warn!(context.core.log, "answer broke off";
+            "request" => context.request.id.to_str().unwrap_or("-"), "instance" => responder,
+            "route" => &*context.route.name, "bytes" => self.received,
+            "ms" => u64::try_from(context.sent_at.elapsed().as_millis()).unwrap_or(u64::MAX),
+            "error" => %err);
+    }
 }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -213,7 +213,7 @@
             domain: settings.domain.to_string(),
             region: settings.region.to_string(),
             address: settings.front.to_string(),
-            ready: self.core.is_ready(),
+            ready: self.core.is_listed(),
             epoch: query.epoch,
             cursor: query.cursor,
             news: query.news.into(),
@@ -241,6 +241,7 @@
             .ok()?;
         let mut table_known = self.core.table_known.subscribe();
         let mut stage = self.core.stage.subscribe();
+        let mut depends_on_peers = self.core.depends_on_peers.subscribe();
         let mut fetch_incomplete = self.hubs.fetch_incomplete.subscribe();
         let mut primary = self.hubs.primary.subscribe();
         let mut instances_known = self.core.instances_known.subscribe();
@@ -256,6 +257,7 @@
             // Hubs need to know at once whether the process is ready for callers.
             _ = table_known.changed() => return Some(WatchOutcome::Superseded),
             _ = stage.changed() => return Some(WatchOutcome::Superseded),
+            _ = depends_on_peers.changed() => return Some(WatchOutcome::Superseded),
             _ = fetch_incomplete.changed() => return Some(WatchOutcome::Superseded),
             _ = primary.wait_for(|primary| primary.is_none_or(|hub| hub == address) != was_primary) => {
                 return Some(WatchOutcome::Superseded);
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -36,6 +36,8 @@
 pub const HOST: &str = "example.org";
 /// The hub that reports instances.
 pub const HUB: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7012);
+/// The port at which processes on hosts of their own take relayed requests.
+const RELAY_PORT: u16 = 7013;
 /// A route with idempotent requests.
 pub const READ: &str = "/read/";
 /// A route whose requests must not run twice.
@@ -164,7 +166,7 @@
         let mut proxies = Vec::new();
         for number in 1..=3 {
             let upstream = Upstream::start(&format!("i-{number}"), behavior).await;
-            proxies.push(Proxy::start(upstream.address).await);
+            proxies.push(Proxy::start(upstream.address));
             upstreams.push(upstream);
         }
         let mut entries = Vec::new();
@@ -174,6 +176,7 @@
                 host: HostName::new(&format!("entry-{number}")).expect("a name"),
                 front: address,
                 ready: address,
+                relay: Some(RELAY_PORT),
                 ..settings()
             };
             let log = telemetry::log::silent();
@@ -215,6 +218,15 @@
         }
     }
 
+    /// Opens the path from the first process again, and waits for a connection on it.
+    pub async fn open_path(&self) {
+        let before: Vec<usize> = self.proxies.iter().map(Proxy::accepted).collect();
+        self.set_path(Path::Open).await;
+        let waits = self.proxies.iter().zip(before);
+        let waits = waits.map(|(proxy, before)| Box::pin(proxy.wait_for_more(before)));
+        futures::future::select_all(waits).await;
+    }
+
     /// How often the upstreams received the request.
     pub fn runs(&self, id: &str) -> usize {
         let received = self.upstreams.iter().flat_map(Upstream::received_requests);
--- a/crates/entry/tests/fakes/proxy.rs
+++ b/crates/entry/tests/fakes/proxy.rs
@@ -40,7 +40,7 @@
 }
 
 impl Proxy {
-    pub async fn start(upstream: SocketAddr) -> Self {
+    pub fn start(upstream: SocketAddr) -> Self {
         let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0)));
         let address = listener.local_addr().expect("an address");
         let path = watch::Sender::new(Path::Open);
@@ -72,12 +72,16 @@
             .expect("the proxy runs");
     }
 
-    /// Waits for another connection.
-    pub async fn next_connection(&self) {
-        let before = *self.accepted.borrow();
+    /// Number of connections accepted so far.
+    pub fn accepted(&self) -> usize {
+        *self.accepted.borrow()
+    }
+
+    /// Waits until more than `count` connections were accepted.
+    pub async fn wait_for_more(&self, count: usize) {
         let mut accepted = self.accepted.subscribe();
         accepted
-            .wait_for(|count| *count > before)
+            .wait_for(|accepted| *accepted > count)
             .await
             .expect("the proxy runs");
     }
--- a/crates/entry/tests/test_cutoff.rs
+++ b/crates/entry/tests/test_cutoff.rs
@@ -71,11 +71,7 @@
     let fleet = Fleet::start(4, 2, Behavior::Answer).await;
     fleet.set_path(Path::Refused).await;
     wait_until_served(&fleet, "cut").await;
-    let connected = async {
-        fleet.set_path(Path::Open).await;
-        fleet.proxies[0].next_connection().await;
-    };
-    tokio::time::timeout(NOTICE_TIMEOUT, connected)
+    tokio::time::timeout(NOTICE_TIMEOUT, fleet.open_path())
         .await
         .expect("connects to an instance again");
     wait_until_served(&fleet, "joined").await;
--- /dev/null
+++ b/crates/reach/src/lib.rs
@@ -0,0 +1,18 @@
+//! Whether a process reaches the instances of a service, and which other process takes its
+//! requests while it doesn't.
+//!
+//! An instance that accepts no connection may be down, or the path to it may be cut. A process
+//! suspects its own path once several instances of a service accept none, and checks the others:
+//! [`Path`] says when, and holds the result. While the path is cut, requests are relayed by
+//! another process, selected by [`select_peer()`].
+//!
+//! All types are state machines without I/O; the time is an argument.
+
+pub mod path;
+pub mod peer;
+
+pub use path::Belief;
+pub use path::Path;
+pub use peer::Candidate;
+pub use peer::PeerHealth;
+pub use peer::select_peer;
--- /dev/null
+++ b/crates/reach/tests/test_path.rs
@@ -0,0 +1,73 @@
+//! What a process believes of its path to the instances of a service.
+
+use base::prelude::*;
+use reach::Belief;
+use reach::Path;
+
+fn id(number: usize) -> InstanceId {
+    InstanceId::new(&format!("i-{number}")).expect("a name")
+}
+
+/// A path that was found to be cut.
+fn cut_path() -> Path {
+    let mut path = Path::default();
+    assert!(path.begin_check());
+    assert!(path.record_unreached(3));
+    path
+}
+
+#[test]
+fn test_path_of_one_failed_instance_is_not_checked() {
+    let mut path = Path::default();
+    for _ in 0..5 {
+        assert!(!path.record_failed(&id(1), 10));
+    }
+    assert_eq!(path.belief(), Belief::Reached);
+    assert!(path.record_failed(&id(2), 10));
+    assert_eq!(path.belief(), Belief::Checking);
+    // The check is in progress.
+    assert!(!path.record_failed(&id(3), 10));
+}
+
+#[test]
+fn test_path_to_the_only_instance_is_checked_at_once() {
+    assert!(Path::default().record_failed(&id(1), 1));
+}
+
+/// Guards against a host that takes failures spread over a long time for a cut path.
+#[test]
+fn test_path_failures_before_a_connection_do_not_count() {
+    let mut path = Path::default();
+    path.record_failed(&id(1), 10);
+    assert!(!path.record_connected());
+    assert!(!path.record_failed(&id(2), 10));
+    assert_eq!(path.belief(), Belief::Reached);
+}
+
+#[test]
+fn test_path_is_cut_once_a_check_reaches_none() {
+    let mut path = cut_path();
+    assert_eq!(path.belief(), Belief::CutOff);
+    assert!(!path.record_failed(&id(1), 10) && !path.begin_check());
+    assert!(path.record_connected());
+    assert_eq!(path.belief(), Belief::Reached);
+}
+
+/// Guards against a process that takes a service whose instances are all down for a cut path.
+#[test]
+fn test_path_is_not_cut_where_no_instance_sends_heartbeats() {
+    let mut path = Path::default();
+    path.begin_check();
+    assert!(!path.record_unreached(0));
+    assert_eq!(path.belief(), Belief::Reached);
+}
+
+/// Guards against the late result of a check that an attempt has disproved meanwhile.
+#[test]
+fn test_path_that_was_reached_during_a_check_is_not_cut() {
+    let mut path = Path::default();
+    path.begin_check();
+    path.record_connected();
+    assert!(!path.record_unreached(3));
+    assert_eq!(path.belief(), Belief::Reached);
+}
