--- a/crates/entry/src/core/paths.rs
+++ b/crates/entry/src/core/paths.rs
@@ -111,14 +111,16 @@
     }
 
     /// Selects a process to relay a request; none of those in `tried`.
-    pub fn select_peer(&self, tried: &[SocketAddr]) -> Option<Arc<Peer>> {
+    pub fn select_peer(&self, service: &ServiceName, tried: &[SocketAddr]) -> Option<Arc<Peer>> {
         let settings = self.settings();
         let now = self.clock.now();
         let mut state = self.state();
         let peers = state.update_peers(settings.front, settings.relay?);
         let usable = peers
             .into_iter()
-            .filter(|(peer, _)| peer.is_usable(now) && !tried.contains(&peer.address))
+            .filter(|(peer, _)| {
+                !tried.contains(&peer.address) && peer.health().is_usable(service, now)
+            })
             .collect::<Vec<_>>();
         let candidates = usable.iter().map(|(peer, domain)| Candidate {
             near: **domain == *settings.domain.as_str(),
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -27,8 +27,9 @@
 use crate::relay::PeerLease;
 use crate::relay::SendEnd;
 
-/// Maximum number of processes that a request is sent to.
-const MAX_PEERS: usize = 3;
+/// Maximum number of processes that a request is sent to. Most of them may be cut off, too, and
+/// say so at once.
+const MAX_PEERS: usize = 6;
 /// Time by which the other process gives up earlier, so that its response arrives in time.
 const HOP_TIME: Duration = Duration::from_millis(10);
 
@@ -65,7 +66,7 @@
         let mut tried: Vec<SocketAddr> = Vec::new();
         let mut body = Some(body);
         while tried.len() < MAX_PEERS
-            && let Some(peer) = self.core.select_peer(&tried)
+            && let Some(peer) = self.core.select_peer(&self.service, &tried)
             && let Some(current) = body.take()
         {
             tried.push(peer.address);
@@ -80,11 +81,11 @@
                 }
                 SendEnd::Unsent(unsent) => {
                     body = Some(unsent).filter(|_| replay.is_none()).or(replay);
-                    lease.peer().record_failure(self.core.clock.now());
+                    lease.peer().health().record_failure(self.core.clock.now());
                     HopEnd::NotTaken(Reason::Unreachable)
                 }
                 SendEnd::Broken => {
-                    lease.peer().record_failure(self.core.clock.now());
+                    lease.peer().health().record_failure(self.core.clock.now());
                     HopEnd::Final(Outcome::Refusal(Reason::Broken, None))
                 }
             };
@@ -136,7 +137,7 @@
         let retry_after = retry_after(&response);
         let Some(outcome) = outcome else {
             // Not a response of an entry process.
-            peer.record_failure(self.core.clock.now());
+            peer.health().record_failure(self.core.clock.now());
             return HopEnd::Final(Outcome::Refusal(Reason::Broken, None));
         };
         let spool = self.spool.clone();
@@ -144,14 +145,15 @@
         let read = exchange::read_response(&peer.pool, response, connection, reusable).await;
         match (outcome, read) {
             (HopOutcome::Answered, Some((parts, body))) => {
-                peer.record_success();
+                peer.health().record_success(&self.service);
                 self.core.record_relayed();
                 self.peer = Some(lease);
                 HopEnd::Final(Outcome::Response(Box::new(parts), body))
             }
             (HopOutcome::Answered, None) => HopEnd::Final(Outcome::Refusal(Reason::Broken, None)),
             (HopOutcome::Refused(reason), _) if reason.is_about_process() => {
-                peer.record_failure(self.core.clock.now());
+                let now = self.core.clock.now();
+                peer.health().record_unable(&self.service, now);
                 HopEnd::NotTaken(reason)
             }
             (HopOutcome::Refused(reason), _) => {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -55,23 +55,8 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
-    /// Whether it may be selected.
-    #[must_use]
-    pub fn is_usable(&self, now: Moment) -> bool {
-        self.health().is_usable(now)
-    }
-
-    /// Records that it took no request, or doesn't reach the instances either.
-    pub fn record_failure(&self, now: Moment) {
-        self.health().record_failure(now);
-    }
-
-    /// Records that it answered.
-    pub fn record_success(&self) {
-        self.health().record_success();
-    }
-
-    fn health(&self) -> MutexGuard<'_, PeerHealth> {
+    /// What is known of it.
+    pub fn health(&self) -> MutexGuard<'_, PeerHealth> {
         self.health.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/reach/src/peer.rs
+++ b/crates/reach/src/peer.rs
@@ -1,5 +1,6 @@
 //! Selects the process that relays a request.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use base::prelude::*;
@@ -23,27 +24,38 @@
 }
 
 /// What is known of another process.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct PeerHealth {
+    /// When it last took no request.
     failed_at: Option<Moment>,
+    /// When it last said that it can't serve requests of a service either.
+    unable_at: BTreeMap<ServiceName, Moment>,
 }
 
 impl PeerHealth {
-    /// Records that the process took no request, or doesn't reach the instances either.
+    /// Records that the process took no request.
     pub fn record_failure(&mut self, now: Moment) {
         self.failed_at = Some(now);
     }
 
-    /// Records that the process answered.
-    pub fn record_success(&mut self) {
+    /// Records that the process can't serve requests of the service.
+    pub fn record_unable(&mut self, service: &ServiceName, now: Moment) {
         self.failed_at = None;
+        self.unable_at.insert(service.clone(), now);
     }
 
-    /// Whether the process may be selected.
+    /// Records that the process has served a request of the service.
+    pub fn record_success(&mut self, service: &ServiceName) {
+        self.failed_at = None;
+        self.unable_at.remove(service);
+    }
+
+    /// Whether the process may be selected for a request of the service.
     #[must_use]
-    pub fn is_usable(&self, now: Moment) -> bool {
-        self.failed_at
-            .is_none_or(|failed_at| now.since(failed_at) >= AVOID_AFTER_FAILURE)
+    pub fn is_usable(&self, service: &ServiceName, now: Moment) -> bool {
+        let failures = [self.failed_at, self.unable_at.get(service).copied()];
+        let mut failures = failures.into_iter().flatten();
+        failures.all(|failed_at| now.since(failed_at) >= AVOID_AFTER_FAILURE)
     }
 }
 
