--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -227,6 +227,12 @@
         futures::future::select_all(waits).await;
     }
 
+    /// Number of requests that the upstreams received.
+    pub fn received(&self) -> usize {
+        let received = self.upstreams.iter().map(Upstream::received_requests);
+        received.map(|requests| requests.len()).sum()
+    }
+
     /// How often the upstreams received the request.
     pub fn runs(&self, id: &str) -> usize {
         let received = self.upstreams.iter().flat_map(Upstream::received_requests);
--- a/crates/entry/tests/test_cutoff.rs
+++ b/crates/entry/tests/test_cutoff.rs
@@ -17,6 +17,8 @@
 const REQUESTS: usize = 30;
 /// Upper bound of the time until a process has noticed that it is cut off.
 const NOTICE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Interval at which the upstreams are looked at.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Time after which a caller gives a request up that got no response.
 const PATIENCE: Duration = Duration::from_secs(2);
 
@@ -93,3 +95,30 @@
         assert!(answer.header("retry-after").is_some());
     }
 }
+
+/// Guards against innocent requests that are refused everywhere, because hosts that are cut off
+/// report their broken attempts as crashes of instances.
+#[tokio::test]
+async fn test_cutoff_host_reports_no_crashes() {
+    let fleet = Fleet::start(6, 2, Behavior::Hang).await;
+    let mut callers = Vec::new();
+    for number in 0..4 {
+        let mut caller = Caller::connect(fleet.entries[0].front()).await;
+        let id = format!("r-{number}");
+        caller.send("POST", ONCE, &id, "the body").await;
+        callers.push(caller);
+    }
+    while fleet.received() < callers.len() {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    fleet.set_path(Path::Refused).await;
+    for caller in &mut callers {
+        let answer = caller.answer().await.expect("a response");
+        assert_eq!(answer.status, 502, "may have run: {}", answer.body);
+    }
+    for upstream in &fleet.upstreams {
+        upstream.set_behavior(Behavior::Answer);
+    }
+    wait_until_served(&fleet, "after").await;
+    assert_eq!(*fleet.entries[0].core().guard.newest_event().borrow(), 0);
+}
