crash, entry, gateway: a process that reaches no instance reports no crashes

Three of such reports refuse a request everywhere: callers of hosts that aren't cut off would have got 503 for innocent requests.

Cause: a refused connection counted as a crash whatever else is refused. Now up to five other instances of the service are asked for a connection first; where none accepts, the attempt ended at this process's own path, and the fate is `silent`. One copy in crate crash, so gateways have it too.

--- a/crates/crash/src/check.rs
+++ b/crates/crash/src/check.rs
@@ -2,7 +2,8 @@
 //!
 //! A connection can end for other reasons: a reset on the network path, an overloaded
 //! instance, an instance that shuts down. An instance counts as crashed only if its host
-//! refuses a new connection right afterwards.
+//! refuses a new connection right afterwards, and others of its service don't: otherwise it is
+//! this process that is cut off.
 
 use std::io;
 use std::sync::Arc;
@@ -45,6 +46,9 @@
     /// The kind is [`io::ErrorKind::ConnectionRefused`] only if the host refused the connection.
     fn connect(&self) -> impl Future<Output = io::Result<Self::Connection>> + Send;
 
+    /// Whether another instance of the service accepts a connection. True if there is none to try.
+    fn reaches_others(&self) -> impl Future<Output = bool> + Send;
+
     /// Whether the instance has closed the connection.
     fn is_closed(&self, connection: &Self::Connection) -> bool;
 
@@ -82,7 +86,7 @@
     Leaves,
     /// The instance crashed: its host refuses connections.
     Crashed,
-    /// The instance's state is unknown: its host doesn't answer.
+    /// The instance's state is unknown: its host doesn't answer, or no instance is reached.
     Silent,
 }
 
@@ -145,7 +149,18 @@
     fate
 }
 
+/// Finds out what became of the instance.
 async fn find_fate<I: Instance>(instance: &I, settled: &mut Option<oneshot::Sender<()>>) -> Fate {
+    match find_own_fate(instance, settled).await {
+        Fate::Crashed if !instance.reaches_others().await => Fate::Silent,
+        fate => fate,
+    }
+}
+
+async fn find_own_fate<I: Instance>(
+    instance: &I,
+    settled: &mut Option<oneshot::Sender<()>>,
+) -> Fate {
     if !instance.is_ready() {
         return Fate::Leaves;
     }
--- a/crates/crash/tests/test_check.rs
+++ b/crates/crash/tests/test_check.rs
@@ -28,6 +28,8 @@
 #[derive(Clone, Default)]
 struct FakeInstance {
     leaves: bool,
+    // Whether no other instance accepts connections.
+    cut_off: bool,
     // Results of attempts to connect, the last one first.
     connects: Arc<Mutex<Connects>>,
     records: Arc<Mutex<Vec<(Fate, bool)>>>,
@@ -45,6 +47,10 @@
         result.expect("a planned result").map_err(io::Error::from)
     }
 
+    async fn reaches_others(&self) -> bool {
+        !self.cut_off
+    }
+
     fn is_closed(&self, connection: &Connection) -> bool {
         *connection == Connection::Closed
     }
@@ -58,12 +64,19 @@
 }
 
 async fn fate(leaves: bool, connects: &[Result<Connection, ErrorKind>]) -> Fate {
+    let instance = FakeInstance {
+        leaves,
+        ..FakeInstance::default()
+    };
+    fate_of(instance, connects).await
+}
+
+async fn fate_of(instance: FakeInstance, connects: &[Result<Connection, ErrorKind>]) -> Fate {
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let guard = Arc::new(Guard::new(log, Clock::start(), "hub"));
     let instance = FakeInstance {
-        leaves,
         connects: Arc::new(Mutex::new(connects.iter().rev().copied().collect())),
-        ..FakeInstance::default()
+        ..instance
     };
     let broken = BrokenAttempt {
         request: "r-1".into(),
@@ -104,6 +117,23 @@
     }
 }
 
+/// Guards against processes that report crashes of instances while their own path is cut.
+#[tokio::test(start_paused = true)]
+async fn test_check_instance_is_silent_where_others_refuse_connections_too() {
+    let refused = Err(ErrorKind::ConnectionRefused);
+    for (connects, expected) in [
+        (vec![refused], Fate::Silent),
+        (vec![Ok(Connection::Closed), refused], Fate::Silent),
+        (vec![Ok(Connection::Open)], Fate::Runs),
+    ] {
+        let cut_off = FakeInstance {
+            cut_off: true,
+            ..FakeInstance::default()
+        };
+        assert_eq!(fate_of(cut_off, &connects).await, expected, "{connects:?}");
+    }
+}
+
 /// Guards against missing a crash whose listener resets the check's connection as it closes.
 #[tokio::test(start_paused = true)]
 async fn test_check_instance_that_resets_a_new_connection_as_it_ends_crashed() {
--- a/crates/entry/src/crash.rs
+++ b/crates/entry/src/crash.rs
@@ -12,6 +12,7 @@
 
 use crate::body::Content;
 use crate::core::Core;
+use crate::path;
 use crate::pool::ConnectError;
 use crate::pool::Connection;
 use crate::view::Upstream;
@@ -92,6 +93,10 @@
         })
     }
 
+    async fn reaches_others(&self) -> bool {
+        path::reaches_others(&self.core, &self.upstream).await
+    }
+
     fn is_closed(&self, connection: &Connection) -> bool {
         connection.sender.is_closed()
     }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -13,7 +13,6 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
-use base::prelude::*;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -13,9 +13,12 @@
 use crash::Fate;
 use crash::check;
 use crash::report::Source;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use quarantine::Fingerprint;
 use quarantine::Head;
 use quarantine::Outcome as Decision;
+use rand::seq::IndexedRandom;
 use slog::Logger;
 use slog::info;
 use tokio::net::TcpStream;
@@ -42,6 +45,8 @@
 const MAX_CONNECT_RETRIES: Duration = Duration::from_millis(100);
 /// Delay before the instance is asked again, and between two looks at an open connection.
 const CONNECT_RETRY_DELAY: Duration = Duration::from_millis(1);
+/// Number of other instances that are tried where one refuses connections.
+const MAX_OTHERS: usize = 5;
 /// Log key of a directory's address.
 pub const DIRECTORY_KEY: &str = "directory";
 
@@ -187,6 +192,25 @@
         Ok(None)
     }
 
+    async fn reaches_others(&self) -> bool {
+        let view = self.core.view();
+        let others = view.instances(&self.upstream.service).iter();
+        let others = others
+            .filter(|other| other.id != self.upstream.id && other.phase == Phase::Ready)
+            .map(|other| other.address);
+        let others: Vec<SocketAddr> = others.collect();
+        let tried = others.sample(&mut rand::rng(), MAX_OTHERS).copied();
+        let mut connecting: FuturesUnordered<_> = tried
+            .map(|address| timeout(CONNECT_TIMEOUT, TcpStream::connect(address)))
+            .collect();
+        while let Some(connected) = connecting.next().await {
+            if let Ok(Ok(_)) = connected {
+                return true;
+            }
+        }
+        others.is_empty()
+    }
+
     fn is_closed(&self, connection: &Option<TcpStream>) -> bool {
         connection.as_ref().is_none_or(is_closed)
     }
