--- a/crates/admit/examples/overload/simulation.rs
+++ b/crates/admit/examples/overload/simulation.rs
@@ -103,7 +103,7 @@
             admission.set_service(&name(), config);
             Gateway {
                 admission,
-                service: Service::new(BudgetSettings::percent(10), Moment::ZERO),
+                service: Service::new(BudgetSettings::percent(10), 1, Moment::ZERO),
                 calls: HashMap::new(),
                 deadlines: HashMap::new(),
                 in_flight: [0; INSTANCES],
--- a/crates/demo/examples/policy/gateway.rs
+++ b/crates/demo/examples/policy/gateway.rs
@@ -72,7 +72,7 @@
         let share = BudgetSettings::percent(RETRY_PERCENT * u32::from(case.full_stack));
         Self {
             chooser: Chooser::new(case.policy, settings, seed),
-            service: Service::new(share, Moment::ZERO),
+            service: Service::new(share, seed, Moment::ZERO),
             rng: SmallRng::seed_from_u64(seed),
             admission,
             probe_limiter: probe_limiter(case, index),
