--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -37,7 +37,7 @@
 /// The hub that reports instances.
 pub const HUB: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7012);
 /// The port at which processes on hosts of their own take relayed requests.
-const RELAY_PORT: u16 = 7013;
+pub const RELAY_PORT: u16 = 7013;
 /// A route with idempotent requests.
 pub const READ: &str = "/read/";
 /// A route whose requests must not run twice.
@@ -243,7 +243,8 @@
     }
 }
 
-fn host_of(entry: &Entry) -> EntryHost {
+/// The process as hubs list it.
+pub fn host_of(entry: &Entry) -> EntryHost {
     EntryHost {
         address: entry.front().to_string(),
         domain: "a".into(),
