attempt, testutils: gateways save what their recent calls earned

Ten saved retries over the number of gateways was too little: test_upstream_failing_fast had a call fail with two gateways while one of three instances failed fast, once in one run of the workspace. Savings are bounded by what calls earned in the last ten seconds, ten at most, and a token; so the sum over gateways follows from their calls, and a restart adds nothing. test_retries_of_any_number_of_gateways_stay_within_budget as before.

test_crash (two tests) and test_gateway_crash (innocent calls beside) lived on the loan of a young process: they wait for a retry that first requests no longer get.

--- a/crates/attempt/src/budget.rs
+++ b/crates/attempt/src/budget.rs
@@ -21,6 +21,8 @@
 pub const TOKEN: u64 = 1_000_000;
 const LOAN_INTERVAL: Duration = Duration::from_secs(5);
 const BURST: u64 = 10 * TOKEN;
+// Time for which calls earn savings.
+const SAVING_WINDOW: Duration = Duration::from_secs(10);
 // Tokens lent beyond this number need not be repaid.
 const MAX_DEBT: u64 = 10 * TOKEN;
 
@@ -34,6 +36,8 @@
     pub floor: Duration,
     /// Maximum of what is saved, in millionths of a token.
     pub burst: u64,
+    /// If set, no more than a token is saved beyond what calls have earned in about this time.
+    pub window: Option<Duration>,
 }
 
 impl BudgetSettings {
@@ -44,14 +48,16 @@
         Self::shared(percent, 1)
     }
 
-    /// The same for one of `processes` that share the budget, each of which may save one token.
+    /// The same for one of `processes` that share the budget. Together they save no more than their
+    /// recent calls have earned, and one token each.
     #[must_use]
     pub fn shared(percent: u32, processes: u32) -> Self {
         let processes = processes.max(1);
         Self {
             percent,
             floor: LOAN_INTERVAL.saturating_mul(processes),
-            burst: (BURST / u64::from(processes)).max(TOKEN),
+            burst: BURST,
+            window: Some(SAVING_WINDOW),
         }
     }
 }
@@ -62,9 +68,13 @@
     settings: BudgetSettings,
     // Available, in millionths of a token.
     level: u64,
+    // Earned recently; decreases over the window of the settings.
+    recent: u64,
     // Lent and not yet repaid by calls, in millionths of a token.
     debt: u64,
     filled_at: Moment,
+    // When `recent` was last decreased.
+    decayed_at: Moment,
     // Remainder of the parts that were rounded to whole tokens; starts at random.
     remainder: u64,
 }
@@ -76,8 +86,10 @@
         Self {
             settings,
             level: 0,
+            recent: 0,
             debt: 0,
             filled_at: now,
+            decayed_at: now,
             remainder: SmallRng::seed_from_u64(seed).random_range(0..TOKEN),
         }
     }
@@ -86,7 +98,7 @@
     pub fn set_settings(&mut self, settings: BudgetSettings, now: Moment) {
         self.fill(now);
         self.settings = settings;
-        self.level = self.level.min(settings.burst);
+        self.level = self.level.min(self.max_level());
     }
 
     /// Credits the budget for one call.
@@ -95,7 +107,8 @@
         let earned = TOKEN / 100 * u64::from(self.settings.percent);
         let repaid = earned.min(self.debt);
         self.debt -= repaid;
-        self.level = (self.level + earned - repaid).min(self.settings.burst);
+        self.recent += earned;
+        self.level = (self.level + earned - repaid).min(self.max_level());
     }
 
     /// Number of tokens available.
@@ -159,12 +172,38 @@
         Duration::from_nanos(u64::try_from(nanos).unwrap_or(u64::MAX))
     }
 
+    /// The maximum of what is saved now.
+    fn max_level(&self) -> u64 {
+        let burst = self.settings.burst;
+        match self.settings.window {
+            Some(_) => self.recent.max(TOKEN).min(burst),
+            None => burst,
+        }
+    }
+
     /// The level above which nothing is lent.
     fn max_lent(&self) -> u64 {
         self.settings.burst.min(TOKEN)
     }
 
+    /// Reduces the recent earnings by the part of the window that has passed, and the savings to
+    /// what they allow.
+    fn decay(&mut self, now: Moment) {
+        let Some(window) = self.settings.window else {
+            return;
+        };
+        let elapsed = now.since(self.decayed_at).min(window);
+        let lost = u128::from(self.recent) * elapsed.as_nanos() / window.as_nanos().max(1);
+        if lost == 0 {
+            return;
+        }
+        self.recent -= u64::try_from(lost).unwrap_or(self.recent);
+        self.level = self.level.min(self.max_level());
+        self.decayed_at = now;
+    }
+
     fn fill(&mut self, now: Moment) {
+        self.decay(now);
         let interval = self.settings.floor.as_nanos().max(1);
         let lent = now.since(self.filled_at).as_nanos() * u128::from(TOKEN) / interval;
         if lent == 0 {
--- a/crates/entry/src/balancer.rs
+++ b/crates/entry/src/balancer.rs
@@ -437,6 +437,7 @@
         percent: percent as u32,
         floor: Duration::try_from_secs_f64(floor).unwrap_or(Duration::MAX),
         burst: (saved.min(RETRY_BURST) * TOKEN as f64) as u64,
+        window: None,
     }
 }
 
--- a/crates/testutils/tests/test_gateway_crash.rs
+++ b/crates/testutils/tests/test_gateway_crash.rs
@@ -27,6 +27,9 @@
 /// Path of the request that crashes a stand-in.
 const CRASH: &str = "/read/crash";
 
+/// Calls that earn a gateway three retries.
+const EARNING_CALLS: usize = 30;
+
 struct Rig {
     system: System,
     upstreams: Vec<Upstream>,
@@ -50,6 +53,18 @@
         Caller::new().call(address, request).await
     }
 
+    /// Lets each gateway earn a few retries, by calls of another caller.
+    async fn earn_retries(&self) {
+        let earning = Request {
+            caller: "earning",
+            ..Request::get(services::STATUS, "/read/earning")
+        };
+        for number in 0..GATEWAYS * EARNING_CALLS {
+            let reply = self.call(number, &earning).await;
+            assert!(reply.is_ok(), "{reply:?}");
+        }
+    }
+
     fn crashed(&mut self) -> usize {
         let exited = self.upstreams.iter_mut().map(|u| u.process.has_ended());
         exited.filter(|exited| *exited).count()
@@ -220,6 +235,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn test_gateway_crash_requests_beside_it_are_served() {
     let mut rig = Rig::start(services::STATUS).await;
+    rig.earn_retries().await;
     for number in 0..4 * GATEWAYS {
         let innocent = Request {
             caller: "innocent",
