entry: a read whose connection is reset by a cut path goes on at another entry host

Callers of a host whose paths are cut got 502 for reads that were under way, though reads may run again: a request that may have run was never relayed. Now it is, within the route's attempts and the retry budget; others still end as 502, and a peer's `not run` is not passed on where an own attempt may have run.

test_cutoff_read_whose_connection_is_reset_goes_on_at_another_host failed before: (502, 1 run), expected (200, 2 runs). Tried and left: leaving reads on connections that hang; old connections may live on with answers under way, so it would have to be a second attempt beside the first.

--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -240,7 +240,7 @@
         self.spool = body.spool();
         self.content = body.content();
         loop {
-            if self.core.is_cut_off(&self.service) && !self.may_have_run {
+            if self.core.is_cut_off(&self.service) && self.may_run_again() {
                 return self.relay(body).await;
             }
             self.count();
@@ -261,6 +261,11 @@
         }
     }
 
+    /// Whether the request may be sent although earlier attempts may have run.
+    fn may_run_again(&self) -> bool {
+        !self.may_have_run || self.route.kind == Kind::Idempotent
+    }
+
     /// Lets the request earn its fraction of a retry, once.
     fn count(&mut self) {
         if !std::mem::replace(&mut self.counted, true) {
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -14,7 +14,6 @@
 
 use super::Flow;
 use super::Outcome;
-use super::UNAVAILABLE_RETRY_AFTER;
 use super::millis;
 use crate::body::ForwardedBody;
 use crate::exchange;
@@ -49,7 +48,7 @@
             end,
             Ok(AttemptEnd::Unsent) | Err(Reason::Full | Reason::NoInstance)
         );
-        if !not_taken || self.may_have_run {
+        if !not_taken || !self.may_run_again() {
             return false;
         }
         self.core.path_checked(&self.service).await;
@@ -59,9 +58,8 @@
     /// Lets another process make the attempts. A request that was relayed to this process is
     /// refused.
     pub(super) async fn relay(&mut self, body: ForwardedBody) -> Outcome {
-        let refused = Outcome::Refusal(Reason::Unreachable, Some(UNAVAILABLE_RETRY_AFTER));
         if self.hop.is_some() {
-            return refused;
+            return self.fallback(Reason::Unreachable);
         }
         let mut tried: Vec<SocketAddr> = Vec::new();
         let mut body = Some(body);
@@ -86,7 +84,7 @@
                 }
                 SendEnd::Broken => {
                     lease.peer().health().record_failure(self.core.clock.now());
-                    HopEnd::Final(Outcome::Refusal(Reason::Broken, None))
+                    HopEnd::Final(self.fallback(Reason::Broken))
                 }
             };
             self.log_hop(address, &end, started_at.elapsed());
@@ -95,7 +93,7 @@
                 HopEnd::NotTaken(_) => {}
             }
         }
-        refused
+        self.fallback(Reason::Unreachable)
     }
 
     async fn send_to_peer(&mut self, lease: &PeerLease, body: ForwardedBody) -> SendEnd {
@@ -119,9 +117,9 @@
         };
         hop.write(headers);
         // Until the peer has responded, an instance may be processing the request.
-        self.may_have_run = true;
+        let may_have_run_before = std::mem::replace(&mut self.may_have_run, true);
         let end = relay::send(lease.peer(), request).await;
-        self.may_have_run = matches!(end, SendEnd::Broken);
+        self.may_have_run = may_have_run_before || matches!(end, SendEnd::Broken);
         end
     }
 
@@ -156,6 +154,10 @@
                 peer.health().record_unable(&self.service, now);
                 HopEnd::NotTaken(reason)
             }
+            // An attempt of this process may have run, whatever the peer says.
+            (HopOutcome::Refused(_), _) if self.may_have_run => {
+                HopEnd::Final(self.fallback(Reason::Broken))
+            }
             (HopOutcome::Refused(reason), _) => {
                 HopEnd::Final(Outcome::Refusal(reason, retry_after))
             }
--- a/crates/entry/tests/test_cutoff.rs
+++ b/crates/entry/tests/test_cutoff.rs
@@ -96,6 +96,28 @@
     }
 }
 
+/// Guards against reads that fail although they may run again and another host reaches the
+/// instances.
+#[tokio::test]
+async fn test_cutoff_read_whose_connection_is_reset_goes_on_at_another_host() {
+    let fleet = Fleet::start(7, 2, Behavior::Hang).await;
+    let mut read = Caller::connect(fleet.entries[0].front()).await;
+    read.send("POST", READ, "r-1", "the body").await;
+    let mut once = Caller::connect(fleet.entries[0].front()).await;
+    once.send("POST", ONCE, "r-2", "the body").await;
+    while fleet.received() < 2 {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    for upstream in &fleet.upstreams {
+        upstream.set_behavior(Behavior::Answer);
+    }
+    fleet.set_path(Path::Refused).await;
+    let answer = read.answer().await.expect("a response");
+    assert_eq!((answer.status, fleet.runs("r-1")), (200, 2));
+    let answer = once.answer().await.expect("a response");
+    assert_eq!((answer.status, fleet.runs("r-2")), (502, 1));
+}
+
 /// Guards against innocent requests that are refused everywhere, because hosts that are cut off
 /// report their broken attempts as crashes of instances.
 #[tokio::test]
