--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod guard;
 mod head;
+mod limits;
 mod relay;
 mod response;
 
@@ -14,7 +15,6 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
-use hyper::body::Body;
 use hyper::body::Incoming;
 use route::Pick;
 use route::ScoredChoice;
@@ -24,6 +24,7 @@
 use table::Route;
 use tokio::time::Instant;
 
+use self::limits::RequestLimits;
 use crate::balancer::Balancer;
 use crate::body;
 use crate::body::Content;
@@ -44,8 +45,6 @@
 use crate::route_stats::RouteStats;
 use crate::view::Upstream;
 
-/// Timeout of a request without a deadline header.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 /// `Retry-After` of refusals that don't depend on capacity. The hubs deliver a missing table
 /// or missing instances within this time.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -131,58 +130,32 @@
         Origin::Caller(_) => None,
         Origin::Peer => Hop::take(request.headers_mut()),
     };
-    let header_timeout = headers::parse_number(request.headers(), &core.dialect.deadline);
-    let caller_timeout = header_timeout.map_or(DEFAULT_TIMEOUT, Duration::from_millis);
-    let startup_deadline = started_at + caller_timeout.mul_f64(STARTUP_WAIT_FRACTION);
+    let header = headers::parse_number(request.headers(), &core.dialect.deadline);
+    let startup_wait = limits::caller_timeout(header).mul_f64(STARTUP_WAIT_FRACTION);
+    let startup_deadline = started_at + startup_wait;
     let routes = head::wait_for_routes(&core, startup_deadline).await;
     let id = request.headers().get(&core.dialect.request).cloned();
     let id = id.unwrap_or_else(head::new_id);
     let refuse = |reason| head::refuse(&core, &id, &routes, origin, reason);
-    if routes.table.version == 0 {
-        return refuse(Reason::NoTable);
-    }
-    if hop
-        .as_ref()
-        .is_some_and(|hop| hop.table > routes.table.version)
-    {
-        return refuse(Reason::OldTable);
+    if origin == Origin::Peer && hop.is_none() {
+        warn!(core.log, "invalid relayed request"; "request" => id.to_str().unwrap_or("-"));
+        return refuse(Reason::Unreachable);
     }
     let host = head::host(&request).unwrap_or_default();
-    let Some(route) = routes.index.select(&host, request.uri().path()) else {
-        return refuse(Reason::NoRoute);
+    let route = match head::select_route(&routes, &host, &request, hop.as_ref()) {
+        Ok(route) => route,
+        Err(reason) => return refuse(reason),
     };
     head::wait_for_instances(&core, startup_deadline).await;
     let Some(service) = head::select_service(&core, route, hop.as_ref()) else {
         return refuse(Reason::NoInstance);
     };
-    let limit = routes.table.limits.body_bytes;
-    if request.body().size_hint().lower() > limit {
-        return refuse(Reason::TooLarge);
-    }
-    if origin == Origin::Peer && hop.is_none() {
-        warn!(core.log, "invalid relayed request"; "request" => id.to_str().unwrap_or("-"));
-        return refuse(Reason::Unreachable);
-    }
-    let spent = header_timeout.map_or(Duration::ZERO, |_| {
-        core.route_stats(route, |stats| stats.spent(core.clock.now(), caller_timeout))
-    });
-    let aim = route
-        .aim
-        .unwrap_or(caller_timeout / 2)
-        .saturating_sub(spent);
-    let aim = hop.as_ref().map_or(aim, |hop| hop.aim);
-    let timeout = caller_timeout.min(route.timeout.unwrap_or(caller_timeout));
-    let timeout = hop
-        .as_ref()
-        .map_or(timeout, |hop| hop.remaining.min(timeout));
-    let max_attempts = hop
-        .as_ref()
-        .map_or(route.attempts, |hop| hop.attempts.min(route.attempts));
+    let limits = RequestLimits::new(&core, route, header, hop.as_ref());
     let caller = head::caller_name(&core, origin, hop.as_ref(), request.headers());
     let (request, incoming) = head::forwarded_request(&core, caller, &host, id, request);
     let mut flow = Flow {
-        deadline: started_at + timeout,
-        max_attempts,
+        deadline: started_at + limits.timeout,
+        max_attempts: limits.attempts,
         counted: hop.as_ref().is_some_and(|hop| hop.counted),
         hop,
         peer: None,
@@ -192,8 +165,8 @@
         route: Arc::clone(route),
         service,
         table_version: routes.table.version,
-        caller_timeout,
-        aim,
+        caller_timeout: limits.caller_timeout,
+        aim: limits.aim,
         attempts: 0,
         unsent: 0,
         exclude: Vec::new(),
--- a/crates/entry/src/flow/head.rs
+++ b/crates/entry/src/flow/head.rs
@@ -11,6 +11,7 @@
 use http::StatusCode;
 use http::Uri;
 use http::header;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use quarantine::Head;
 use slog::info;
@@ -73,6 +74,28 @@
     Some(name.to_ascii_lowercase())
 }
 
+/// Selects the request's route, unless the request can't be taken by it.
+pub(super) fn select_route<'a>(
+    routes: &'a Routes,
+    host: &str,
+    request: &Request<Incoming>,
+    hop: Option<&Hop>,
+) -> Result<&'a Arc<Route>, Reason> {
+    let version = routes.table.version;
+    if version == 0 {
+        return Err(Reason::NoTable);
+    }
+    if hop.is_some_and(|hop| hop.table > version) {
+        return Err(Reason::OldTable);
+    }
+    let route = routes.index.select(host, request.uri().path());
+    let route = route.ok_or(Reason::NoRoute)?;
+    if request.body().size_hint().lower() > routes.table.limits.body_bytes {
+        return Err(Reason::TooLarge);
+    }
+    Ok(route)
+}
+
 /// The service that the request goes to.
 pub(super) fn select_service(core: &Core, route: &Route, hop: Option<&Hop>) -> Option<ServiceName> {
     let parts = match &route.target {
