--- a/crates/attempt/src/budget.rs
+++ b/crates/attempt/src/budget.rs
@@ -1,4 +1,4 @@
-//! The retry budget of one service at one gateway.
+//! The retry budget of one service at one gateway or entry process.
 //!
 //! A token bucket: each call earns a fraction of a token, and each attempt beyond a call's
 //! first one, hedges included, spends a token. So that services with few calls can retry at all,
