entry: log the status and the Retry-After of instances' refusals

A line of a refused attempt said neither, so that nobody could tell an instance that asks for rest from one that is just full, nor what a process made of it.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -12,6 +12,7 @@
 use http::Response;
 use http::StatusCode;
 use http::Uri;
+use http::header;
 use http::response::Parts;
 use hyper::body::Body;
 use hyper::body::Incoming;
@@ -177,6 +178,7 @@
         } else {
             AttemptEnd::Refused
         };
+        log_refusal(core, upstream, &request.id, &response);
         read_response(&upstream.pool, response, connection, reusable).await;
         running.end(OutcomeKind::Shed, report);
         return end;
@@ -209,6 +211,14 @@
     }
 }
 
+fn log_refusal(core: &Core, upstream: &Upstream, id: &HeaderValue, response: &Response<Incoming>) {
+    let retry_after = response.headers().get(header::RETRY_AFTER);
+    info!(core.log, "refusal"; "request" => id.to_str().unwrap_or("-"),
+        "instance" => %upstream.id, "service" => %upstream.service,
+        "status" => response.status().as_u16(),
+        "retry_after" => retry_after.map_or("-", |value| value.to_str().unwrap_or("invalid")));
+}
+
 /// Reads the load report of a response.
 pub fn load_report(core: &Core, headers: &HeaderMap) -> Option<LoadReport> {
     let text = headers.get(&core.dialect.load)?.to_str().ok()?;
