--- a/crates/entry/tests/fakes/upstream.rs
+++ b/crates/entry/tests/fakes/upstream.rs
@@ -15,6 +15,13 @@
 /// Bytes added to responses that are sent in halves; more than a packet.
 pub const LONG: usize = 8_000;
 
+/// Start of an interim response.
+const INTERIM: &str = "HTTP/1.1 102 Processing\r\n";
+/// The header of an upstream that is shutting down.
+const LEAVING: &str = "rwr-leaving: 1\r\n";
+/// Number of repetitions that are written at once.
+const ENDLESS_BATCH: usize = 256;
+
 /// How the upstream handles a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Behavior {
@@ -24,6 +31,24 @@
     Fail,
     /// Refuses it without running it.
     Shed,
+    /// Refuses it with this status, and names a time in `Retry-After` for which it wants nothing.
+    Rest(u16, &'static str),
+    /// Answers it, and says that it is shutting down.
+    Leave,
+    /// Refuses it, and says that it is shutting down.
+    ShedAndLeave,
+    /// Answers with the id of another request, and says that it is shutting down.
+    WrongIdAndLeave,
+    /// Says in an interim response that it is shutting down, and answers.
+    InterimLeave,
+    /// Sends interim responses until the caller disconnects.
+    EndlessInterim,
+    /// Sends a few interim responses, and answers.
+    FewInterim,
+    /// Sends a header that doesn't end until the caller disconnects.
+    EndlessHead,
+    /// Sends a body that doesn't end until the caller disconnects.
+    EndlessBody,
     /// Answers that another instance has the address.
     AddressTaken,
     /// Closes the connection without a response.
@@ -77,6 +102,12 @@
 struct Shared {
     id: String,
     behavior: Mutex<Behavior>,
+    /// How it handles probes.
+    health: Mutex<Behavior>,
+    /// Number of received probes.
+    probes: watch::Sender<usize>,
+    /// Number of bytes sent in responses without an end.
+    endless_bytes: watch::Sender<usize>,
     received_requests: watch::Sender<Vec<ReceivedRequest>>,
     /// Number of requests whose caller disconnected before the response.
     disconnects: watch::Sender<usize>,
@@ -108,6 +139,9 @@
         let shared = Arc::new(Shared {
             id: id.to_owned(),
             behavior: Mutex::new(behavior),
+            health: Mutex::new(Behavior::Answer),
+            probes: watch::Sender::default(),
+            endless_bytes: watch::Sender::default(),
             received_requests: watch::Sender::default(),
             disconnects: watch::Sender::default(),
             heads: watch::Sender::default(),
@@ -130,6 +164,28 @@
         *lock(&self.shared.behavior) = behavior;
     }
 
+    /// Sets how it handles probes.
+    pub fn set_health(&self, behavior: Behavior) {
+        *lock(&self.shared.health) = behavior;
+    }
+
+    /// Number of received probes.
+    pub fn probes(&self) -> usize {
+        *self.shared.probes.borrow()
+    }
+
+    /// Waits until `count` probes have been received.
+    pub async fn wait_for_probes(&self, count: usize) {
+        let mut probes = self.shared.probes.subscribe();
+        let reached = probes.wait_for(|found| *found >= count);
+        reached.await.expect("the upstream lives");
+    }
+
+    /// Number of bytes sent in responses without an end.
+    pub fn endless_bytes(&self) -> usize {
+        *self.shared.endless_bytes.borrow()
+    }
+
     pub fn received_requests(&self) -> Vec<ReceivedRequest> {
         self.shared.received_requests.borrow().clone()
     }
@@ -209,7 +265,8 @@
     while let Some(request) = read(&mut stream, &mut rest, &shared).await {
         let health = request.line() == "GET /health";
         let behavior = if health {
-            Behavior::Answer
+            shared.probes.send_modify(|count| *count += 1);
+            *lock(&shared.health)
         } else {
             shared
                 .received_requests
@@ -322,6 +379,32 @@
             }
             return stream.write_all(&answer.as_bytes()[half..]).await.is_ok();
         }
+        Behavior::Rest(status, seconds) => format!(
+            "HTTP/1.1 {status} Busy\r\n{own}rwr-shed: 1\r\nretry-after: {seconds}\r\n\
+             content-length: 0\r\n\r\n"
+        ),
+        Behavior::Leave => answer.replacen(&own, &format!("{own}{LEAVING}"), 1),
+        Behavior::ShedAndLeave => format!(
+            "HTTP/1.1 503 Service Unavailable\r\n{own}{LEAVING}rwr-shed: 1\r\n\
+             content-length: 0\r\n\r\n"
+        ),
+        Behavior::WrongIdAndLeave => {
+            let answer = answer.replacen(&own, &format!("{own}{LEAVING}"), 1);
+            answer.replace(&id, "another")
+        }
+        Behavior::InterimLeave => format!("{INTERIM}{LEAVING}\r\n{answer}"),
+        Behavior::FewInterim => format!("{INTERIM}\r\n{INTERIM}\r\n{INTERIM}\r\n{answer}"),
+        Behavior::EndlessInterim => {
+            return send_endlessly(stream, shared, "", &format!("{INTERIM}\r\n")).await;
+        }
+        Behavior::EndlessHead => {
+            let start = format!("HTTP/1.1 200 OK\r\n{own}x-long: ");
+            return send_endlessly(stream, shared, &start, "0123456789").await;
+        }
+        Behavior::EndlessBody => {
+            let start = format!("HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunked\r\n\r\n");
+            return send_endlessly(stream, shared, &start, "a\r\n0123456789\r\n").await;
+        }
         Behavior::Unframed => format!("HTTP/1.1 200 OK\r\n{own}connection: close\r\n\r\n{body}"),
     };
     if stream.write_all(text.as_bytes()).await.is_err() {
@@ -329,3 +412,17 @@
     }
     !matches!(behavior, Behavior::Truncate | Behavior::Unframed)
 }
+
+/// Sends `start`, and then `part` again and again until the caller disconnects.
+async fn send_endlessly(stream: &mut TcpStream, shared: &Shared, start: &str, part: &str) -> bool {
+    let batch = part.repeat(ENDLESS_BATCH);
+    let mut bytes = start.as_bytes();
+    while stream.write_all(bytes).await.is_ok() {
+        shared
+            .endless_bytes
+            .send_modify(|sent| *sent += bytes.len());
+        bytes = batch.as_bytes();
+    }
+    shared.disconnects.send_modify(|count| *count += 1);
+    false
+}
