--- a/crates/entry/tests/fakes/upstream.rs
+++ b/crates/entry/tests/fakes/upstream.rs
@@ -37,6 +37,8 @@
     Leave,
     /// Refuses it, and says that it is shutting down.
     ShedAndLeave,
+    /// Refuses it, asks for a short rest, and says that it is shutting down.
+    RestAndLeave,
     /// Answers with the id of another request, and says that it is shutting down.
     WrongIdAndLeave,
     /// Says in an interim response that it is shutting down, and answers.
@@ -388,6 +390,10 @@
             "HTTP/1.1 503 Service Unavailable\r\n{own}{LEAVING}rwr-shed: 1\r\n\
              content-length: 0\r\n\r\n"
         ),
+        Behavior::RestAndLeave => format!(
+            "HTTP/1.1 503 Service Unavailable\r\n{own}{LEAVING}rwr-shed: 1\r\n\
+             retry-after: 0.01\r\ncontent-length: 0\r\n\r\n"
+        ),
         Behavior::WrongIdAndLeave => {
             let answer = answer.replacen(&own, &format!("{own}{LEAVING}"), 1);
             answer.replace(&id, "another")
