entry, route, hold: an instance that says it leaves gets nothing more

What callers saw: nothing yet. An instance that waits for no acknowledgement, or whose hubs are cut off from the host, ends with requests in flight.

Cause: as with rest, what an instance says of itself in an answer was thrown away. Hubs' lists were the only source of "leaves".

The fix: a second kind of hold, which lasts as long as the incarnation; a hub's list that still says ready doesn't undo it, nor does the end of a rest. It is read from all heads: 2xx, refusals, other errors, probes, late answers of another request, and interim responses; not from 421, which another instance sends. The instance counts as one that announced it: no part of subsets, no probe, no trial, and an attempt that breaks off there is no crash. The dispatcher isn't asked for it. Other hosts aren't told: the instance's own announcement reaches them within a heartbeat, and the rule binds the host that was told.

A chooser's entry says in one field whether its instance is present, leaving or displaced.

--- a/crates/base/src/header.rs
+++ b/crates/base/src/header.rs
@@ -28,6 +28,8 @@
 /// On an upstream's response with status 503 or 429: seconds, as a decimal number, during which the
 /// instance takes nothing from the process that sent the request.
 pub const RETRY_AFTER: &str = "retry-after";
+/// On an upstream's response, other than `0`: the instance is shutting down, and takes nothing more.
+pub const LEAVING: &str = "rwr-leaving";
 /// The only instance and incarnation that may run the request, as `id:incarnation`.
 pub const EXPECTED_INSTANCE: &str = "rwr-only";
 /// On an upstream's response: the instance and incarnation that sent it, as `id:incarnation`.
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -21,6 +21,7 @@
 use base::prelude::*;
 use crash::Guard;
 use evacuation::EvacuationState;
+use hold::Hold;
 use hold::Holds;
 use http::Uri;
 use limit::Limits;
@@ -231,10 +232,14 @@
         self.state().instances.digest().clone()
     }
 
-    /// Whether the instance is ready and has not restarted since `upstream` was announced.
+    /// Whether the instance is ready and has not restarted since `upstream` was announced, nor said
+    /// in a response that it is shutting down.
     #[must_use]
     pub fn is_ready_instance(&self, upstream: &Upstream) -> bool {
-        self.state().instances.is_ready(upstream)
+        let now = self.clock.now();
+        let state = self.state();
+        let hold = state.holds.get(now, &upstream.run());
+        state.instances.is_ready(upstream) && hold != Some(Hold::Leaving)
     }
 
     /// Evicts instances that were removed long ago, and holds that are over.
--- a/crates/entry/src/core/holds.rs
+++ b/crates/entry/src/core/holds.rs
@@ -14,6 +14,9 @@
 use super::State;
 use crate::view::Upstream;
 
+/// Value of the header of an instance that isn't shutting down.
+const NOT_LEAVING: &str = "0";
+
 impl Core {
     /// Whether the instance takes requests and probes from this process now.
     #[must_use]
@@ -31,7 +34,14 @@
         headers: &HeaderMap,
         cause: &str,
     ) {
-        if let Some(notice) = self.requested_rest(upstream, status, headers) {
+        // Another instance has the address now.
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let leaving = headers.get(&self.dialect.leaving);
+        if leaving.is_some_and(|value| value != NOT_LEAVING) {
+            self.record_notice(upstream, Notice::Leaving, status, cause);
+        } else if let Some(notice) = self.requested_rest(upstream, status, headers) {
             self.record_notice(upstream, notice, status, cause);
         }
     }
@@ -69,22 +79,22 @@
         };
         apply_hold(&mut state, &upstream.service, &upstream.run(), hold);
         drop(state);
-        let Hold::Until(end) = hold;
-        info!(self.log, "rest"; "instance" => %upstream.id,
+        let (reason, left) = match hold {
+            Hold::Until(end) => ("rest", end.since(now).as_millis().to_string()),
+            Hold::Leaving => ("leaving", "-".to_owned()),
+        };
+        info!(self.log, "hold"; "reason" => reason, "instance" => %upstream.id,
             "incarnation" => upstream.incarnation, "service" => %upstream.service,
-            "status" => status.as_u16(), "request" => cause,
-            "left_ms" => end.since(now).as_millis());
-        self.counters.held(&upstream.service, "rest");
+            "status" => status.as_u16(), "request" => cause, "left_ms" => left);
+        self.counters.held(&upstream.service, reason);
     }
 }
 
 /// Passes an instance's hold to its service's balancer.
 fn apply_hold(state: &mut State, service: &ServiceName, run: &InstanceRun, hold: Hold) {
-    let Some(balancer) = state.balancers.get_mut(service) else {
-        return;
-    };
-    let Hold::Until(end) = hold;
-    balancer.set_rest(run, end);
+    if let Some(balancer) = state.balancers.get_mut(service) {
+        balancer.set_hold(run, hold);
+    }
 }
 
 /// Passes the known holds to a service's balancer, which forgets them with an instance that its
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -32,6 +32,8 @@
     /// From an upstream that refuses a request: seconds during which it takes nothing from this
     /// process.
     pub rest: HeaderName,
+    /// From an upstream, on any response: it is shutting down.
+    pub leaving: HeaderName,
     /// Parses the load header.
     pub read_load: fn(&str) -> Option<LoadReport>,
     /// Parses the header that tells how much longer the upstream will be cold.
@@ -54,6 +56,7 @@
             limit: HeaderName::from_static(header::LIMIT),
             refused: HeaderName::from_static(header::SHED),
             rest: HeaderName::from_static(header::RETRY_AFTER),
+            leaving: HeaderName::from_static(header::LEAVING),
             read_load,
             read_cold,
             read_limit: RequestRate::parse,
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -145,7 +145,7 @@
 /// Sends `request` to `upstream` and reads the response.
 pub async fn attempt(
     core: &Arc<Core>,
-    upstream: &Upstream,
+    upstream: &Arc<Upstream>,
     reservation: Reservation,
     request: &ForwardedRequest,
     body: ForwardedBody,
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -122,7 +122,7 @@
     Failed,
 }
 
-async fn probe(core: &Arc<Core>, upstream: &Upstream) -> ProbeResult {
+async fn probe(core: &Arc<Core>, upstream: &Arc<Upstream>) -> ProbeResult {
     let sent_at = Instant::now();
     let Some((response, connection)) = send_probe(core, upstream).await else {
         return ProbeResult::Failed;
@@ -152,7 +152,7 @@
 /// Sends a probe.
 async fn send_probe(
     core: &Arc<Core>,
-    upstream: &Upstream,
+    upstream: &Arc<Upstream>,
 ) -> Option<(Response<Incoming>, Connection)> {
     let path = core.health_path(&upstream.service)?;
     let request = build_request(core, upstream, &path)?;
--- a/crates/entry/src/send.rs
+++ b/crates/entry/src/send.rs
@@ -34,10 +34,11 @@
 /// the log.
 pub async fn send(
     core: &Arc<Core>,
-    upstream: &Upstream,
+    upstream: &Arc<Upstream>,
     mut request: Request<ForwardedBody>,
     cause: &str,
 ) -> SendEnd {
+    watch_interim_responses(core, upstream, &mut request, cause);
     loop {
         if !core.takes_requests(upstream) {
             return SendEnd::Withheld;
@@ -65,3 +66,17 @@
         }
     }
 }
+
+/// Reads interim responses for what the instance asks, too.
+fn watch_interim_responses(
+    core: &Arc<Core>,
+    upstream: &Arc<Upstream>,
+    request: &mut Request<ForwardedBody>,
+    cause: &str,
+) {
+    let (core, upstream) = (Arc::clone(core), Arc::clone(upstream));
+    let cause = cause.to_owned();
+    hyper::ext::on_informational(request, move |response| {
+        core.record_notices(&upstream, response.status(), response.headers(), &cause);
+    });
+}
--- a/crates/hold/src/holds.rs
+++ b/crates/hold/src/holds.rs
@@ -16,6 +16,8 @@
 pub enum Notice {
     /// It takes nothing from this process for this long.
     Rest(Duration),
+    /// It is shutting down and takes nothing more.
+    Leaving,
 }
 
 /// Why nothing may be sent to an instance.
@@ -23,24 +25,27 @@
 pub enum Hold {
     /// It takes nothing before this time.
     Until(Moment),
+    /// It is shutting down.
+    Leaving,
 }
 
 impl Hold {
     fn is_over(self, now: Moment) -> bool {
-        let Self::Until(end) = self;
-        end <= now
+        matches!(self, Self::Until(end) if end <= now)
     }
 
     /// The one of two holds that lasts longer.
     fn longer(self, other: Self) -> Self {
-        let (Self::Until(one), Self::Until(two)) = (self, other);
-        Self::Until(one.max(two))
+        match (self, other) {
+            (Self::Until(one), Self::Until(two)) => Self::Until(one.max(two)),
+            _ => Self::Leaving,
+        }
     }
 }
 
 /// The holds of all instances.
 ///
-/// Invariant: the hold of a run never becomes shorter.
+/// Invariant: the hold of a run never becomes shorter, and that of one that leaves never ends.
 #[derive(Clone, Debug, Default)]
 pub struct Holds {
     by_run: BTreeMap<InstanceRun, Hold>,
@@ -61,6 +66,7 @@
                 let spread = rest.mul_f64(SPREAD_FRACTION).min(MAX_SPREAD);
                 Hold::Until(now + rest + spread.mul_f64(jitter))
             }
+            Notice::Leaving => Hold::Leaving,
         };
         let before = self.by_run.get(run).copied();
         let hold = before.map_or(requested, |before| before.longer(requested));
--- a/crates/hold/src/lib.rs
+++ b/crates/hold/src/lib.rs
@@ -1,8 +1,8 @@
 //! Instances that a process sends nothing to, because they asked for it.
 //!
 //! An instance that refuses a request may name a time during which it takes nothing from the
-//! process that sent the request. [`Holds`] stores what each run of an instance asked of this
-//! process. Every path to an instance looks
+//! process that sent the request, and one that shuts down says so in its responses. [`Holds`]
+//! stores what each run of an instance asked of this process. Every path to an instance looks
 //! there right before it sends something: first attempts, retries, granted and relayed requests,
 //! trials of ejected instances, and probes.
 //!
--- a/crates/hold/tests/test_holds.rs
+++ b/crates/hold/tests/test_holds.rs
@@ -54,6 +54,21 @@
     }
 }
 
+/// Guards against a rest that ends the hold of an instance that leaves.
+#[test]
+fn test_holds_of_leaving_instance_never_end() {
+    let mut holds = Holds::default();
+    let record = |holds: &mut Holds, at, notice| holds.record(at, &run(1, 1), notice, 0.0);
+    record(&mut holds, at(0), rest(100));
+    let hold = record(&mut holds, at(1), Notice::Leaving);
+    assert_eq!(hold, Some(Hold::Leaving));
+    assert_eq!(record(&mut holds, at(5), rest(100)), None);
+    holds.retain(at(1_000_000), |_| true);
+    assert_eq!(holds.get(at(1_000_000), &run(1, 1)), Some(Hold::Leaving));
+    holds.retain(at(1_000_000), |_| false);
+    assert!(holds.is_empty());
+}
+
 #[test]
 fn test_holds_concern_one_run_only() {
     let mut holds = Holds::default();
--- a/crates/route/src/probing/entry.rs
+++ b/crates/route/src/probing/entry.rs
@@ -45,8 +45,7 @@
     pub(super) recent_starts: VecDeque<Moment>,
     pub(super) probes_in_flight: u32,
     pub(super) last_probe_failed: bool,
-    /// Another instance has taken over its address.
-    pub(super) displaced: bool,
+    pub(super) presence: Presence,
     /// It hasn't announced itself recently, so it may be gone.
     pub(super) silent: bool,
     pub(super) subset: Subset,
@@ -67,6 +66,17 @@
     pub(super) starts: u32,
 }
 
+/// What responses from an instance's address show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Presence {
+    /// It serves requests.
+    Present,
+    /// It is shutting down.
+    Leaving,
+    /// Another instance has taken over the address.
+    Displaced,
+}
+
 /// Whether this process prefers an instance to others of its failure domain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Subset {
@@ -81,7 +91,7 @@
 
     /// Whether it accepts requests and is reachable at its address.
     pub(super) fn is_ready(&self) -> bool {
-        self.instance.phase == Phase::Ready && !self.displaced
+        self.instance.phase == Phase::Ready && self.presence == Presence::Present
     }
 
     pub(super) fn is_cold(&self, now: Moment) -> bool {
--- a/crates/route/src/probing/rest.rs
+++ b/crates/route/src/probing/rest.rs
@@ -1,12 +1,14 @@
-//! Instances that asked this process for a time without requests.
+//! Instances that asked this process to send them nothing, for a time or as they shut down.
 
 use base::prelude::*;
 
+use crate::instance::Phase;
 use crate::instance::Pick;
 use crate::outcome::OutcomeKind;
 
 use super::ProbingChooser;
 use super::entry::Entry;
+use super::entry::Presence;
 
 impl Entry {
     /// Whether the instance takes nothing from this process now.
@@ -38,6 +40,14 @@
         }
     }
 
+    /// Sends the instance nothing more, as it is shutting down.
+    pub fn set_leaving(&mut self, pick: Pick) {
+        if let Some(entry) = self.entry(pick) {
+            entry.presence = Presence::Leaving;
+            self.choose_subset();
+        }
+    }
+
     /// Whether the instance takes nothing from this process now.
     #[must_use]
     pub fn is_resting(&self, now: Moment, pick: Pick) -> bool {
@@ -45,12 +55,16 @@
         entry.is_some_and(|entry| entry.generation == pick.generation && entry.is_resting(now))
     }
 
-    /// The ready instances that take nothing from this process now.
+    /// The instances that asked this process to send them nothing now, though they have announced
+    /// that they are ready.
     #[must_use]
-    pub fn resting(&self, now: Moment) -> Vec<Pick> {
-        let is_resting = |entry: &Entry| entry.is_ready() && entry.is_resting(now);
+    pub fn held(&self, now: Moment) -> Vec<Pick> {
+        let is_held = |entry: &Entry| {
+            let is_leaving = entry.presence == Presence::Leaving;
+            entry.instance.phase == Phase::Ready && (is_leaving || entry.is_resting(now))
+        };
         let indexes = 0..self.entries.len();
-        let found = indexes.filter(|index| is_resting(&self.entries[*index]));
+        let found = indexes.filter(|index| is_held(&self.entries[*index]));
         found.map(|index| self.pick(index)).collect()
     }
 
--- a/crates/route/src/probing/results.rs
+++ b/crates/route/src/probing/results.rs
@@ -13,6 +13,7 @@
 use crate::outcome::OutcomeKind;
 
 use super::ProbingChooser;
+use super::entry::Presence;
 
 /// Weight of one report in the service's average load. The average stands in for missing
 /// reports, so that an instance without one doesn't attract all requests while the others
@@ -64,7 +65,7 @@
     /// more, not even a trial request, as its id never returns there.
     pub fn displaced(&mut self, pick: Pick) {
         if let Some(entry) = self.entry(pick) {
-            entry.displaced = true;
+            entry.presence = Presence::Displaced;
         }
     }
 
--- a/crates/route/src/probing/table.rs
+++ b/crates/route/src/probing/table.rs
@@ -13,6 +13,7 @@
 
 use super::ProbingChooser;
 use super::entry::Entry;
+use super::entry::Presence;
 use super::entry::Share;
 use super::entry::Subset;
 use crate::cost::DomainIndex;
@@ -115,7 +116,7 @@
             recent_starts: VecDeque::new(),
             probes_in_flight: 0,
             last_probe_failed: false,
-            displaced: false,
+            presence: Presence::Present,
             silent: reported.silent,
             subset: Subset::Inside,
         };
