entry: red tests of responses without an end

An instance that sends interim responses (102) without end, or a refusal whose body never ends, holds a read until its deadline though another instance answers, and a once-only request without a word. Heads and bodies without end, and probes, end in time already.

--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -8,6 +8,7 @@
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use base::prelude::*;
@@ -151,6 +152,29 @@
     }
 }
 
+/// The instance as a balancer selects it.
+pub fn selected(upstream: &Upstream, entry: &Entry) -> Arc<entry::view::Upstream> {
+    let heard = Instance {
+        sequence: 2,
+        heard: true,
+        ..instance(upstream, "status")
+    };
+    entry.core().apply_instances(HUB, &[heard], &[]);
+    let service = ServiceName::new("status").expect("a name");
+    let live = entry.core().live_instances(&service);
+    live.into_iter().next().expect("the instance")
+}
+
+/// Sends a probe to the instance, and waits briefly for its end.
+pub async fn probe(selected: &Arc<entry::view::Upstream>, entry: &Entry) {
+    let (core, service) = (entry.core(), &selected.service);
+    let ids = [selected.id.to_string()];
+    let picks = core.balancer(service, |balancer, _| balancer.picks(&ids));
+    let probed = picks.into_iter().flatten();
+    let probed = probed.map(|pick| (pick, Arc::clone(selected))).collect();
+    entry::probe::probe_instances(core, service, probed).await;
+}
+
 /// Entry processes on hosts of their own, and the upstreams that all of them know. Each process
 /// reaches the upstreams through proxies of its own.
 pub struct Fleet {
--- a/crates/entry/tests/fakes/upstream.rs
+++ b/crates/entry/tests/fakes/upstream.rs
@@ -51,6 +51,8 @@
     EndlessHead,
     /// Sends a body that doesn't end until the caller disconnects.
     EndlessBody,
+    /// Refuses it without running it, and never sends the body of the refusal.
+    ShedWithoutEnd,
     /// Answers that another instance has the address.
     AddressTaken,
     /// Closes the connection without a response.
@@ -403,6 +405,16 @@
         Behavior::EndlessInterim => {
             return send_endlessly(stream, shared, "", &format!("{INTERIM}\r\n")).await;
         }
+        Behavior::ShedWithoutEnd => {
+            let text = "HTTP/1.1 503 Service Unavailable\r\nrwr-shed: 1\r\n\
+                        content-length: 5\r\n\r\n";
+            if stream.write_all(text.as_bytes()).await.is_ok() {
+                // Completes when the peer disconnects.
+                let _ = stream.read(&mut [0]).await;
+            }
+            shared.disconnects.send_modify(|count| *count += 1);
+            return false;
+        }
         Behavior::EndlessHead => {
             let start = format!("HTTP/1.1 200 OK\r\n{own}x-long: ");
             return send_endlessly(stream, shared, &start, "0123456789").await;
--- a/crates/entry/tests/test_rest.rs
+++ b/crates/entry/tests/test_rest.rs
@@ -3,13 +3,10 @@
 mod fakes;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use base::prelude::*;
 use entry::Entry;
 use entry::body::ForwardedBody;
-use entry::probe;
 use entry::send;
 use entry::send::SendEnd;
 use fakes::HUB;
@@ -20,6 +17,8 @@
 use fakes::caller::call;
 use fakes::entry;
 use fakes::instance;
+use fakes::probe;
+use fakes::selected;
 use fakes::upstream::Behavior;
 use fakes::upstream::Upstream;
 use http::HeaderMap;
@@ -66,19 +65,6 @@
     answers
 }
 
-/// The instance as a balancer selects it.
-fn selected(upstream: &Upstream, entry: &Entry) -> Arc<entry::view::Upstream> {
-    let heard = Instance {
-        sequence: 2,
-        heard: true,
-        ..instance(upstream, "status")
-    };
-    entry.core().apply_instances(HUB, &[heard], &[]);
-    let service = ServiceName::new("status").expect("a name");
-    let live = entry.core().live_instances(&service);
-    live.into_iter().next().expect("the instance")
-}
-
 fn received(upstream: &Upstream) -> usize {
     upstream.received_requests().len()
 }
@@ -179,12 +165,8 @@
     upstreams[0].set_health(LONG_REST);
     let core = entry.core();
     let selected = selected(&upstreams[0], &entry);
-    let service = &selected.service;
     for _ in 0..2 {
-        let picks = core.balancer(service, |balancer, _| balancer.picks(&["i-1".to_owned()]));
-        let probed = picks.into_iter().flatten();
-        let probed = probed.map(|pick| (pick, Arc::clone(&selected))).collect();
-        probe::probe_instances(core, service, probed).await;
+        probe(&selected, &entry).await;
         let held = async {
             while core.takes_requests(&selected) {
                 tokio::task::yield_now().await;
