entry: interim responses and refusals without an end end their attempt

What callers saw (own trials): one of three instances that sends interim responses (102) without an end holds one read in ten until its deadline, 3.0 s where the others take 12 ms, and the process takes in 154 MB; a refusal whose body never comes does the same.

Cause: hyper reads interim responses by itself and goes on to wait, so no limit of ours saw them; and the body of a refusal was read before the request went on, only to keep the connection. Class: the end of what a peer sends is taken for granted. Heads are bounded by hyper, bodies by MAX_BUFFERED_BYTES, both measured before (own tests, green before).

The fix, in the one place that sends: more than 32 interim responses count as a broken attempt, for requests and probes. A read goes on elsewhere within the retry budget; a request that must not run twice gets 502. The body of a refusal is read beside the request, for a quarter of a second at most.

One expectation of test_endless_response_ends_its_attempt was wrong and had never been reached: a 2xx with a chunked body is passed on as it comes (200), and ends when the caller leaves.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -42,6 +42,9 @@
 /// completely, so that the request can be retried if it breaks off: streaming gains no time.
 const MAX_PACKET_BODY: u64 = 1_200;
 
+/// Time within which the body of a refusal has to arrive for its connection to be used again.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// A request as it is sent to an instance.
 #[derive(Clone, Debug)]
 pub struct ForwardedRequest {
@@ -176,7 +179,7 @@
             running.end(OutcomeKind::ConnectFailed, None);
             return AttemptEnd::Unsent;
         }
-        SendEnd::Broken(_) => {
+        SendEnd::Broken => {
             running.end(OutcomeKind::Error, None);
             return AttemptEnd::Unknown;
         }
@@ -192,7 +195,7 @@
             AttemptEnd::Refused
         };
         log_refusal(core, upstream, &request.id, &response);
-        read_response(&upstream.pool, response, connection, reusable).await;
+        drain_refusal(upstream, response, connection, reusable);
         running.end(OutcomeKind::Shed, report);
         return end;
     }
@@ -232,6 +235,22 @@
         "retry_after" => retry_after.map_or("-", |value| value.to_str().unwrap_or("invalid")));
 }
 
+/// Reads the rest of a refusal, so that the connection can be used again. The request goes on
+/// meanwhile, as the body may never end.
+fn drain_refusal(
+    upstream: &Arc<Upstream>,
+    response: Response<Incoming>,
+    connection: Connection,
+    reusable: bool,
+) {
+    let upstream = Arc::clone(upstream);
+    tokio::spawn(async move {
+        let reading = read_response(&upstream.pool, response, connection, reusable);
+        // Without the end of the body, the connection is closed.
+        let _ = tokio::time::timeout(REFUSAL_TIMEOUT, reading).await;
+    });
+}
+
 /// Reads the load report of a response.
 pub fn load_report(core: &Core, headers: &HeaderMap) -> Option<LoadReport> {
     let text = headers.get(&core.dialect.load)?.to_str().ok()?;
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -158,7 +158,7 @@
     let request = build_request(core, upstream, &path)?;
     match send::send(core, upstream, request, PROBE_CAUSE).await {
         SendEnd::Response(response, connection) => Some((response, connection)),
-        SendEnd::Withheld | SendEnd::Unsent | SendEnd::Broken(_) => None,
+        SendEnd::Withheld | SendEnd::Unsent | SendEnd::Broken => None,
     }
 }
 
--- a/crates/entry/src/send.rs
+++ b/crates/entry/src/send.rs
@@ -6,10 +6,14 @@
 //! instance asks.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
+use slog::warn;
+use tokio::sync::Notify;
 
 use crate::body::ForwardedBody;
 use crate::core::Core;
@@ -17,6 +21,10 @@
 use crate::pool::Connection;
 use crate::view::Upstream;
 
+/// Maximum number of interim responses to one request. An instance that sends more may never send
+/// a response.
+const MAX_INTERIM_RESPONSES: usize = 32;
+
 /// How sending a request ended.
 #[derive(Debug)]
 pub enum SendEnd {
@@ -26,8 +34,8 @@
     Withheld,
     /// No byte was sent, because there was no connection.
     Unsent,
-    /// The connection broke off after the request was sent.
-    Broken(Connection),
+    /// The connection broke off after the request was sent, or no response would have come on it.
+    Broken,
 }
 
 /// Sends a request to the instance on a pooled or a new connection. `cause` names the request in
@@ -38,7 +46,7 @@
     mut request: Request<ForwardedBody>,
     cause: &str,
 ) -> SendEnd {
-    watch_interim_responses(core, upstream, &mut request, cause);
+    let interim = InterimCounter::attach(core, upstream, &mut request, cause);
     loop {
         if !core.takes_requests(upstream) {
             return SendEnd::Withheld;
@@ -52,7 +60,16 @@
             upstream.pool.keep(connection, None);
             return SendEnd::Withheld;
         }
-        match connection.sender.try_send_request(request).await {
+        let sent = tokio::select! {
+            biased;
+            sent = connection.sender.try_send_request(request) => sent,
+            () = interim.exceeded.notified() => {
+                warn!(core.log, "interim responses without end"; "request" => cause,
+                    "instance" => %upstream.id, "service" => %upstream.service);
+                return SendEnd::Broken;
+            }
+        };
+        match sent {
             Ok(response) => {
                 core.record_notices(upstream, response.status(), response.headers(), cause);
                 return SendEnd::Response(response, connection);
@@ -61,22 +78,40 @@
                 // The pooled connection was closed before the request was written.
                 Some(unsent) if !is_new => request = unsent,
                 Some(_) => return SendEnd::Unsent,
-                None => return SendEnd::Broken(connection),
+                None => return SendEnd::Broken,
             },
         }
     }
 }
 
-/// Reads interim responses for what the instance asks, too.
-fn watch_interim_responses(
-    core: &Arc<Core>,
-    upstream: &Arc<Upstream>,
-    request: &mut Request<ForwardedBody>,
-    cause: &str,
-) {
-    let (core, upstream) = (Arc::clone(core), Arc::clone(upstream));
-    let cause = cause.to_owned();
-    hyper::ext::on_informational(request, move |response| {
-        core.record_notices(&upstream, response.status(), response.headers(), &cause);
-    });
+/// Counts the interim responses to one request.
+#[derive(Debug, Default)]
+struct InterimCounter {
+    count: AtomicUsize,
+    /// Notified once there are more than [`MAX_INTERIM_RESPONSES`].
+    exceeded: Notify,
+}
+
+impl InterimCounter {
+    /// Counts the interim responses to `request`, and reads them for what the instance asks.
+    fn attach(
+        core: &Arc<Core>,
+        upstream: &Arc<Upstream>,
+        request: &mut Request<ForwardedBody>,
+        cause: &str,
+    ) -> Arc<Self> {
+        let counter = Arc::new(Self::default());
+        let (core, upstream) = (Arc::clone(core), Arc::clone(upstream));
+        let cause = cause.to_owned();
+        let attached = Arc::clone(&counter);
+        hyper::ext::on_informational(request, move |response| {
+            let before = attached.count.fetch_add(1, Ordering::Relaxed);
+            if before < MAX_INTERIM_RESPONSES {
+                core.record_notices(&upstream, response.status(), response.headers(), &cause);
+            } else {
+                attached.exceeded.notify_one();
+            }
+        });
+        counter
+    }
 }
--- a/crates/entry/tests/test_endless.rs
+++ b/crates/entry/tests/test_endless.rs
@@ -54,8 +54,12 @@
         let endless = Upstream::start("i-1", behavior).await;
         let entry = entry(&[&endless]).await;
         let answer = call(&entry, ONCE, &format!("{behavior:?}")).await;
-        let is_refusal = behavior == Behavior::ShedWithoutEnd;
-        let status = if is_refusal { 503 } else { 502 };
+        let status = match behavior {
+            Behavior::ShedWithoutEnd => 503,
+            // The body is passed on as it arrives, until the caller disconnects.
+            Behavior::EndlessBody => 200,
+            _ => 502,
+        };
         assert_eq!(answer.status, status, "{behavior:?}");
         let closed = tokio::time::timeout(PATIENCE, endless.wait_for_disconnects(1)).await;
         assert!(closed.is_ok(), "{behavior:?}");
