--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -370,9 +370,8 @@
         if self.may_have_run {
             return Outcome::Refusal(Reason::Broken, None);
         }
-        let are_resting = self.balancer(|balancer, now| balancer.rest_remaining(now).is_some());
         let reason = match reason {
-            Reason::Full if are_resting.unwrap_or(false) => Reason::Resting,
+            Reason::Full if self.all_are_resting() => Reason::Resting,
             reason => reason,
         };
         let retry_after = match reason {
@@ -386,6 +385,12 @@
         Outcome::Refusal(reason, retry_after)
     }
 
+    /// Whether all instances asked this process for a time without requests.
+    fn all_are_resting(&self) -> bool {
+        let remaining = self.balancer(|balancer, now| balancer.rest_remaining(now));
+        remaining.flatten().is_some()
+    }
+
     /// Whether another attempt is possible, allowed by the route and within the retry budget.
     fn may_retry(&self, has_body: bool) -> bool {
         let allowed = has_body && self.attempts < self.max_attempts;
--- a/crates/entry/src/flow/choice.rs
+++ b/crates/entry/src/flow/choice.rs
@@ -67,9 +67,8 @@
 
     /// Searches once, through the dispatcher if there is one and `ask_dispatcher` is set.
     async fn find_instance(&self, request: &SearchRequest, ask_dispatcher: bool) -> SearchResult {
-        let are_resting = self.balancer(|balancer, now| balancer.rest_remaining(now).is_some());
-        // Nothing that the dispatcher grants could be used.
-        let ask_dispatcher = ask_dispatcher && !are_resting.unwrap_or(false);
+        // Nothing that the dispatcher grants could be used while all are resting.
+        let ask_dispatcher = ask_dispatcher && !self.all_are_resting();
         let dispatcher = self.core.dispatcher(&self.service);
         if let Some(address) = dispatcher.filter(|_| ask_dispatcher) {
             let request_id = self.request.id.to_str().unwrap_or("-");
