--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod outcome;
 pub mod policy;
 pub mod probing;
+mod rest;
 pub mod view;
 mod work_time;
 
--- a/crates/route/src/probing/entry.rs
+++ b/crates/route/src/probing/entry.rs
@@ -12,6 +12,7 @@
 use crate::instance::Instance;
 use crate::instance::Phase;
 use crate::outcome::LoadReport;
+use crate::rest::Rest;
 
 use super::limit::Limit;
 
@@ -39,8 +40,7 @@
     pub(super) share: Share,
     /// The limit that it names for all processes together.
     pub(super) limit: Option<Limit>,
-    /// The end of the latest rest that it asked for, until it has taken a request after it.
-    pub(super) rest_end: Option<Moment>,
+    pub(super) rest: Rest,
     /// Start times of this process's latest attempts there.
     pub(super) recent_starts: VecDeque<Moment>,
     pub(super) probes_in_flight: u32,
--- a/crates/route/src/probing/rest.rs
+++ b/crates/route/src/probing/rest.rs
@@ -4,39 +4,16 @@
 
 use crate::instance::Phase;
 use crate::instance::Pick;
-use crate::outcome::OutcomeKind;
 
 use super::ProbingChooser;
 use super::entry::Entry;
 use super::entry::Presence;
 
-impl Entry {
-    /// Whether the instance takes nothing from this process now.
-    pub(super) fn is_resting(&self, now: Moment) -> bool {
-        self.rest_end.is_some_and(|end| now < end)
-    }
-
-    /// Whether its rest, if there was one, allows a request now. After a rest, only one request is
-    /// in flight until the instance has taken it.
-    pub(super) fn is_rested(&self, now: Moment) -> bool {
-        let is_returning = self.rest_end.is_some() && !self.starts.is_empty();
-        !self.is_resting(now) && !is_returning
-    }
-
-    /// Records the end of an attempt: one that the instance took ends its return from a rest.
-    pub(super) fn record_taken(&mut self, now: Moment, kind: OutcomeKind) {
-        let is_taken = !matches!(kind, OutcomeKind::Shed | OutcomeKind::ConnectFailed);
-        if is_taken && !self.is_resting(now) {
-            self.rest_end = None;
-        }
-    }
-}
-
 impl ProbingChooser {
     /// Sends the instance nothing before `end`.
     pub fn set_rest(&mut self, pick: Pick, end: Moment) {
         if let Some(entry) = self.entry(pick) {
-            entry.rest_end = entry.rest_end.max(Some(end));
+            entry.rest.extend(end);
         }
     }
 
@@ -52,7 +29,7 @@
     #[must_use]
     pub fn is_resting(&self, now: Moment, pick: Pick) -> bool {
         let entry = self.entries.get(pick.index as usize);
-        entry.is_some_and(|entry| entry.generation == pick.generation && entry.is_resting(now))
+        entry.is_some_and(|entry| entry.generation == pick.generation && entry.rest.is_on(now))
     }
 
     /// The instances that asked this process to send them nothing now, though they have announced
@@ -61,7 +38,7 @@
     pub fn held(&self, now: Moment) -> Vec<Pick> {
         let is_held = |entry: &Entry| {
             let is_leaving = entry.presence == Presence::Leaving;
-            entry.instance.phase == Phase::Ready && (is_leaving || entry.is_resting(now))
+            entry.instance.phase == Phase::Ready && (is_leaving || entry.rest.is_on(now))
         };
         let indexes = 0..self.entries.len();
         let found = indexes.filter(|index| is_held(&self.entries[*index]));
@@ -72,7 +49,7 @@
     #[must_use]
     pub fn first_rest_end(&self, now: Moment) -> Option<Moment> {
         let ready = self.entries.iter().filter(|entry| entry.is_ready());
-        let ends = ready.map(|entry| entry.rest_end.filter(|_| entry.is_resting(now)));
+        let ends = ready.map(|entry| entry.rest.end(now));
         ends.collect::<Option<Vec<Moment>>>()?.into_iter().min()
     }
 }
--- a/crates/route/src/probing/sending.rs
+++ b/crates/route/src/probing/sending.rs
@@ -14,7 +14,7 @@
     /// Whether a request may be sent there: the instance isn't resting, and this process's share is
     /// not used up, if it is cold or has a limit.
     pub(super) fn may_send(&self, now: Moment, entry: &Entry) -> bool {
-        if !entry.is_within_limit(now) || !entry.is_rested(now) {
+        if !entry.is_within_limit(now) || !entry.rest.allows(now, entry.starts.len()) {
             return false;
         }
         match self.cold_sharing {
@@ -45,6 +45,6 @@
             Some(limit) => limit.next_start()?,
             None => now,
         };
-        Some(limited.max(self.rest_end.unwrap_or(now)))
+        Some(limited.max(self.rest.end(now).unwrap_or(now)))
     }
 }
--- a/crates/route/src/probing/table.rs
+++ b/crates/route/src/probing/table.rs
@@ -22,6 +22,7 @@
 use crate::instance::Phase;
 use crate::instance::Pick;
 use crate::instance::ReportedInstance;
+use crate::rest::Rest;
 
 /// Minimum subset size in each failure domain.
 const MIN_SUBSET: usize = 8;
@@ -112,7 +113,7 @@
             cold_until: now + reported.cold,
             share: Share::default(),
             limit: None,
-            rest_end: None,
+            rest: Rest::default(),
             recent_starts: VecDeque::new(),
             probes_in_flight: 0,
             last_probe_failed: false,
