--- a/crates/gateway/tests/fakes/upstream.rs
+++ b/crates/gateway/tests/fakes/upstream.rs
@@ -11,6 +11,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+/// Head of a response to a probe whose body has no end.
+const ENDLESS_LOAD: &str = "HTTP/1.1 200 OK\r\nrwr-load: 0/6\r\n\r\n";
+
 /// A request as received.
 #[derive(Clone, Debug)]
 pub struct ReceivedRequest {
@@ -38,6 +41,10 @@
     connections: usize,
     // Connections that the gateway closed during a request.
     aborted_connections: usize,
+    // Whether the responses to probes have no end.
+    endless_load: bool,
+    // Bytes sent in responses without an end.
+    endless_bytes: usize,
 }
 
 /// Handle of the running fake.
@@ -86,6 +93,16 @@
             .collect()
     }
 
+    /// Lets the responses to probes have no end.
+    pub fn send_endless_load(&self) {
+        self.state.lock().expect("no panic").endless_load = true;
+    }
+
+    /// Number of bytes sent in responses without an end.
+    pub fn endless_bytes(&self) -> usize {
+        self.state.lock().expect("no panic").endless_bytes
+    }
+
     /// Number of connections accepted so far.
     pub fn connections(&self) -> usize {
         self.state.lock().expect("no panic").connections
@@ -114,7 +131,25 @@
     async fn respond(&self, stream: &mut TcpStream, request: &ReceivedRequest) -> bool {
         let path = request.path().to_owned();
         let behaviour = path.trim_start_matches('/').split(['/', '?']).next();
+        let endless_load = self.state.lock().expect("no panic").endless_load;
+        if path == "/rwr/load" && endless_load {
+            return self
+                .endless(stream, ENDLESS_LOAD, &"x".repeat(16_384))
+                .await;
+        }
         let (text, keep_alive) = match behaviour.unwrap_or_default() {
+            "rest" => (
+                "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nrwr-shed: 1\r\nretry-after: 600\r\n\r\n",
+                true,
+            ),
+            "leave" => (
+                "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nrwr-leaving: 1\r\n\r\nok",
+                true,
+            ),
+            "interim" => {
+                let interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(256);
+                return self.endless(stream, "", &interim).await;
+            }
             "short" => ("HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nhalf", false),
             "short-chunk" => (
                 "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
@@ -177,6 +212,17 @@
         stream.write_all(text.as_bytes()).await.is_ok() && keep_alive
     }
 
+    /// Sends `start`, and then `part` again and again until the gateway disconnects.
+    async fn endless(&self, stream: &mut TcpStream, start: &str, part: &str) -> bool {
+        let mut bytes = start.as_bytes();
+        while stream.write_all(bytes).await.is_ok() {
+            self.state.lock().expect("no panic").endless_bytes += bytes.len();
+            bytes = part.as_bytes();
+        }
+        self.state.lock().expect("no panic").aborted_connections += 1;
+        false
+    }
+
     async fn large(&self, stream: &mut TcpStream) -> bool {
         let body = vec![b'x'; 200_000];
         let head = "HTTP/1.1 200 OK\r\ncontent-length: 200000\r\n\r\n";
