gateway, route: gateways send nothing to an instance that asked for rest

Core::send is the one place from which requests and probes leave. It asks the balancer's holds right before the request is handed to the instance's client, and reads each response. The chooser leaves resting instances out of every policy, of trials, of probes and of the choice when all are ejected, too; where all rest, a call is refused at once as "resting", with the end of the first rest. Holds are per service, as ids of gateways' instances are; they outlive lists that lack an instance for a while.

reqwest opens the connection itself, so up to 250 ms (its timeout) lie between the check and the write; half a second is allowed.

--- a/crates/entry/src/core/holds.rs
+++ b/crates/entry/src/core/holds.rs
@@ -53,19 +53,18 @@
         status: StatusCode,
         headers: &HeaderMap,
     ) -> Option<Notice> {
-        let is_refusal = matches!(
-            status,
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
-        );
+        if !hold::may_ask_for_rest(status.as_u16()) {
+            return None;
+        }
         let values = headers.get_all(&self.dialect.rest);
         match RetryAfter::parse(values.iter().map(HeaderValue::as_bytes)) {
-            RetryAfter::Rest(rest) if is_refusal => Some(Notice::Rest(rest)),
-            RetryAfter::Invalid if is_refusal => {
+            RetryAfter::Rest(rest) => Some(Notice::Rest(rest)),
+            RetryAfter::Absent => None,
+            RetryAfter::Invalid => {
                 warn!(self.log, "invalid rest"; "instance" => %upstream.id,
                     "value" => ?headers.get(&self.dialect.rest));
                 None
             }
-            _ => None,
         }
     }
 
--- a/crates/gateway/src/attempt_guard.rs
+++ b/crates/gateway/src/attempt_guard.rs
@@ -27,6 +27,7 @@
     latency: Option<Duration>,
     report: Option<Report>,
     kind: OutcomeKind,
+    upstream: Arc<UpstreamInstance>,
     // `None` only after the attempt has ended.
     ended: Option<EndedAttempt>,
 }
@@ -60,6 +61,7 @@
             latency: None,
             report: None,
             kind: OutcomeKind::Cancelled,
+            upstream: upstream.clone(),
             ended: Some(EndedAttempt {
                 upstream,
                 sent_at: Instant::now(),
@@ -74,6 +76,12 @@
         self.ticket.as_ref().map(Ticket::pick)
     }
 
+    /// The instance to which the request is sent.
+    #[must_use]
+    pub fn upstream(&self) -> Arc<UpstreamInstance> {
+        self.upstream.clone()
+    }
+
     /// Records the latency and the load report of the response's head.
     pub fn record_head(&mut self, headers: &HeaderMap) {
         self.latency = Some(self.clock.now().since(self.started_at));
--- a/crates/gateway/src/balancer.rs
+++ b/crates/gateway/src/balancer.rs
@@ -6,9 +6,13 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::RwLock;
+use std::time::Duration;
 
 use attempt::BudgetSettings;
 use base::prelude::*;
+use hold::Hold;
+use hold::Holds;
+use hold::Notice;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use route::Chooser;
@@ -17,6 +21,9 @@
 use crate::view::UpstreamInstance;
 use crate::view::View;
 
+/// Number of holds from which those of instances that aren't listed are removed.
+const MAX_HOLDS: usize = 1_024;
+
 /// Balancer of one service. Its lock is held for one decision at a time.
 #[derive(Debug)]
 pub struct Balancer {
@@ -33,6 +40,8 @@
     /// Random number generator for backoff jitter.
     pub rng: SmallRng,
     instances: Vec<route::Instance>,
+    /// The instances that asked this gateway to send them nothing.
+    holds: Holds,
 }
 
 impl Balancer {
@@ -43,6 +52,7 @@
                 attempts: attempt::Service::new(share, seed, now),
                 rng: SmallRng::seed_from_u64(seed),
                 instances: Vec::new(),
+                holds: Holds::default(),
             }),
         }
     }
@@ -59,6 +69,55 @@
         if instances != state.instances {
             state.chooser.update(now, &instances);
             state.instances = instances;
+            state.update_holds(now);
+        }
+    }
+
+    /// Why nothing may be sent to the instance now; `None` if it takes requests.
+    #[must_use]
+    pub fn hold(&self, now: Moment, run: &InstanceRun) -> Option<Hold> {
+        self.state().holds.get(now, run)
+    }
+
+    /// Records what an instance asked for. Returns its hold if that has changed.
+    pub fn record_notice(&self, now: Moment, run: &InstanceRun, notice: Notice) -> Option<Hold> {
+        let mut state = self.state();
+        let hold = state.holds.record(now, run, notice, rand::random())?;
+        state.apply_hold(run, hold);
+        Some(hold)
+    }
+
+    /// The time until an instance takes requests again, if all of them are resting.
+    #[must_use]
+    pub fn rest_remaining(&self, now: Moment) -> Option<Duration> {
+        let end = self.state().chooser.first_rest_end(now)?;
+        Some(end.since(now))
+    }
+}
+
+impl State {
+    fn apply_hold(&mut self, run: &InstanceRun, hold: Hold) {
+        match hold {
+            Hold::Until(end) => self.chooser.set_rest(run, end),
+            Hold::Leaving => self.chooser.set_leaving(run),
+        }
+    }
+
+    /// Removes the holds of replaced instances, and passes the others to the chooser, which forgets
+    /// them with an instance that its list lacked. An instance may be missing from lists for a
+    /// while, so its hold is kept as long as there are few.
+    fn update_holds(&mut self, now: Moment) {
+        let is_full = self.holds.len() >= MAX_HOLDS;
+        let instances = &self.instances;
+        self.holds.retain(now, |run| {
+            let listed = instances.iter().find(|listed| listed.id == run.instance);
+            listed.map_or(!is_full, |listed| listed.incarnation <= run.incarnation)
+        });
+        let holds = self.holds.iter(now);
+        let holds: Vec<(InstanceRun, Hold)> =
+            holds.map(|(run, hold)| (run.clone(), hold)).collect();
+        for (run, hold) in holds {
+            self.apply_hold(&run, hold);
         }
     }
 }
--- a/crates/gateway/src/call/classify.rs
+++ b/crates/gateway/src/call/classify.rs
@@ -13,7 +13,7 @@
     match err {
         SendError::Connect(_) => OutcomeKind::ConnectFailed,
         SendError::NoAnswer(_) => OutcomeKind::Error,
-        SendError::Busy | SendError::Target => OutcomeKind::Cancelled,
+        SendError::Busy | SendError::Withheld | SendError::Target => OutcomeKind::Cancelled,
     }
 }
 
@@ -21,7 +21,7 @@
     match err {
         SendError::Connect(_) => AttemptError::ConnectFailed,
         SendError::NoAnswer(_) => AttemptError::NoAnswer,
-        SendError::Busy | SendError::Target => AttemptError::NotSent,
+        SendError::Busy | SendError::Withheld | SendError::Target => AttemptError::NotSent,
     }
 }
 
--- a/crates/gateway/src/call/driver.rs
+++ b/crates/gateway/src/call/driver.rs
@@ -43,6 +43,7 @@
 use crate::counters::add;
 use crate::headers;
 use crate::headers::AttemptHeaders;
+use crate::holds::Target;
 use crate::instance_clients::InstanceClient;
 use crate::instance_clients::UpstreamRequest;
 use crate::refusal::Reason;
@@ -208,8 +209,15 @@
     fn send_attempt(&mut self, start: Start) -> std::result::Result<(), Reason> {
         let (client, guard, outgoing) = self.prepare(start)?;
         let method = outgoing.method.clone();
+        let (core, balancer) = (self.core.clone(), self.balancer.clone());
+        let (upstream, id) = (guard.upstream(), self.request.head.id.clone());
         let head = Box::pin(async move {
-            let response = client.send(outgoing).await?;
+            let target = Target {
+                balancer: &balancer,
+                upstream: &upstream,
+                client: &client,
+            };
+            let response = core.send(target, outgoing, &id).await?;
             Ok(UpstreamResponse::new(response, &method))
         });
         self.pending.push(PendingAttempt { start, guard, head });
--- a/crates/gateway/src/call/responses.rs
+++ b/crates/gateway/src/call/responses.rs
@@ -59,9 +59,10 @@
                 info!(self.log, "attempt failed"; "attempt" => number, "error" => %err);
                 if matches!(err, SendError::Connect(_)) {
                     self.unreachable.extend(pick);
-                    if self.connect_elsewhere(start) {
-                        return;
-                    }
+                }
+                let is_unsent = matches!(err, SendError::Connect(_) | SendError::Withheld);
+                if is_unsent && self.connect_elsewhere(start) {
+                    return;
                 }
                 let is_broken = matches!(err, SendError::NoAnswer(_));
                 self.on_failed(number, attempt_error_of(&err), ended.filter(|_| is_broken));
@@ -268,6 +269,10 @@
         if let (Reason::NoUpstream, Some(start_failure)) = (reason, self.start_failure) {
             reason = start_failure;
         }
+        let rest = self.balancer.rest_remaining(self.core.clock.now());
+        if reason == Reason::NoUpstream && rest.is_some() {
+            reason = Reason::Resting;
+        }
         let mut status = StatusCode::from_u16(failure.status()).unwrap_or(StatusCode::BAD_GATEWAY);
         if self.request.body.is_over_limit() {
             status = StatusCode::PAYLOAD_TOO_LARGE;
@@ -277,9 +282,10 @@
             status,
             outcome: failure.outcome,
             reason,
-            retry_after: self
-                .quarantine
-                .or_else(|| (failure.outcome == Outcome::NotRun).then(|| self.retry_after())),
+            retry_after: self.quarantine.or_else(|| {
+                let estimate = (failure.outcome == Outcome::NotRun).then(|| self.retry_after());
+                estimate.map(|estimate| estimate.max(rest.unwrap_or_default()))
+            }),
             retried: true,
         };
         self.set_finish(if reason == Reason::Shed {
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -26,6 +26,8 @@
 pub const REFUSED: &str = "gateway.refused";
 /// Number of probes sent.
 pub const PROBES: &str = "gateway.probes";
+/// Number of times that an instance asked the gateway to send it nothing.
+pub const HOLDS: &str = "gateway.holds";
 /// Number of claims requested.
 pub const CLAIMS: &str = "gateway.claims";
 /// Number of attempts that broke off, with the tag `instance`: what became of the instance.
@@ -55,6 +57,8 @@
     pub attempts: AtomicU64,
     /// Number of probes sent.
     pub probes: AtomicU64,
+    /// Number of times that an instance asked the gateway to send it nothing.
+    pub holds: AtomicU64,
     /// Number of claims requested.
     pub claims: AtomicU64,
     /// Number of requests that became quarantined.
@@ -70,6 +74,7 @@
             call_micros: AtomicU64::default(),
             attempts: AtomicU64::default(),
             probes: AtomicU64::default(),
+            holds: AtomicU64::default(),
             claims: AtomicU64::default(),
             quarantined: AtomicU64::default(),
             refused: std::array::from_fn(|_| AtomicU64::default()),
@@ -113,6 +118,7 @@
         (CALL_MICROS, &counters.call_micros),
         (ATTEMPTS, &counters.attempts),
         (PROBES, &counters.probes),
+        (HOLDS, &counters.holds),
         (CLAIMS, &counters.claims),
         (QUARANTINED, &counters.quarantined),
     ];
--- /dev/null
+++ b/crates/gateway/src/holds.rs
@@ -0,0 +1,117 @@
+//! Sends requests and probes to instances, and heeds what instances ask for.
+//!
+//! All of them are sent here: first attempts, retries, hedges, trials of ejected instances, and
+//! probes. An instance may have asked for rest since it was selected, so that is checked right
+//! before the request is handed to the instance's client, and each response is read for what its
+//! instance asks.
+
+use std::time::Duration;
+
+use base::header;
+use hold::Hold;
+use hold::Notice;
+use hold::RetryAfter;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::StatusCode;
+use slog::info;
+use slog::warn;
+
+use crate::balancer::Balancer;
+use crate::core::Core;
+use crate::counters::add;
+use crate::instance_clients::InstanceClient;
+use crate::instance_clients::SendError;
+use crate::instance_clients::UpstreamRequest;
+use crate::view::UpstreamInstance;
+
+/// An instance as the target of a request or a probe.
+#[derive(Clone, Copy)]
+pub struct Target<'a> {
+    /// The balancer of its service.
+    pub balancer: &'a Balancer,
+    /// The instance.
+    pub upstream: &'a UpstreamInstance,
+    /// Its client.
+    pub client: &'a InstanceClient,
+}
+
+impl Core {
+    /// Sends a request to an instance, unless the instance takes nothing from this gateway.
+    /// `cause` names the request in the log.
+    ///
+    /// # Errors
+    ///
+    /// The instance may have run the request only if the error is [`SendError::NoAnswer`].
+    pub async fn send(
+        &self,
+        target: Target<'_>,
+        outgoing: UpstreamRequest,
+        cause: &str,
+    ) -> Result<reqwest::Response, SendError> {
+        let run = target.upstream.run();
+        if target.balancer.hold(self.clock.now(), &run).is_some() {
+            return Err(SendError::Withheld);
+        }
+        let response = target.client.send(outgoing).await?;
+        self.record_notices(target, response.status(), response.headers(), cause);
+        Ok(response)
+    }
+
+    fn record_notices(
+        &self,
+        target: Target<'_>,
+        status: StatusCode,
+        headers: &HeaderMap,
+        cause: &str,
+    ) {
+        // Another instance has the address now.
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let notice = self.requested_rest(target, status, headers);
+        if let Some(notice) = notice {
+            self.record_notice(target, notice, status, cause);
+        }
+    }
+
+    /// The rest for which the instance asks in a response that refuses a request or a probe.
+    fn requested_rest(
+        &self,
+        target: Target<'_>,
+        status: StatusCode,
+        headers: &HeaderMap,
+    ) -> Option<Notice> {
+        if !hold::may_ask_for_rest(status.as_u16()) {
+            return None;
+        }
+        let values = headers.get_all(header::RETRY_AFTER);
+        match RetryAfter::parse(values.iter().map(HeaderValue::as_bytes)) {
+            RetryAfter::Rest(rest) => Some(Notice::Rest(rest)),
+            RetryAfter::Absent => None,
+            RetryAfter::Invalid => {
+                warn!(self.log, "invalid rest"; "instance" => %target.upstream.id,
+                    "value" => ?headers.get(header::RETRY_AFTER));
+                None
+            }
+        }
+    }
+
+    fn record_notice(&self, target: Target<'_>, notice: Notice, status: StatusCode, cause: &str) {
+        let now = self.clock.now();
+        let Target {
+            balancer, upstream, ..
+        } = target;
+        let Some(hold) = balancer.record_notice(now, &upstream.run(), notice) else {
+            return;
+        };
+        let (reason, left) = match hold {
+            Hold::Until(end) => ("rest", end.since(now)),
+            Hold::Leaving => ("leaving", Duration::MAX),
+        };
+        add(&self.counters.holds, 1);
+        info!(self.log, "hold"; "reason" => reason, "instance" => %upstream.id,
+            "incarnation" => upstream.incarnation, "service" => %upstream.service,
+            "status" => status.as_u16(), "request" => cause, "left_ms" => left.as_millis());
+    }
+}
--- a/crates/gateway/src/instance_clients.rs
+++ b/crates/gateway/src/instance_clients.rs
@@ -36,6 +36,10 @@
         Busy {
             display("all connections of this gateway's share are in use")
         }
+        /// The instance asked this gateway to send it nothing; nothing was sent.
+        Withheld {
+            display("the instance asked this gateway to send it nothing")
+        }
         /// The connection failed; nothing was sent.
         Connect(err: reqwest::Error) {
             source(err)
@@ -116,7 +120,10 @@
     ///
     /// The instance may have run the request only if the error is
     /// [`SendError::NoAnswer`].
-    pub async fn send(&self, outgoing: UpstreamRequest) -> Result<reqwest::Response, SendError> {
+    pub(crate) async fn send(
+        &self,
+        outgoing: UpstreamRequest,
+    ) -> Result<reqwest::Response, SendError> {
         let url = self.url(&outgoing.target).ok_or(SendError::Target)?;
         let mut request = reqwest::Request::new(outgoing.method, url);
         *request.headers_mut() = outgoing.headers;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod core;
 pub mod counters;
 pub mod headers;
+pub mod holds;
 pub mod in_flight;
 pub mod instance_clients;
 pub mod keyed;
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -29,6 +29,7 @@
 use crate::core::Core;
 use crate::core::Phase;
 use crate::counters::add;
+use crate::holds::Target;
 use crate::instance_clients::UpstreamRequest;
 use crate::probe_schedule::ProbeSchedule;
 use crate::probe_schedule::ServiceSchedule;
@@ -38,6 +39,8 @@
 pub const LOAD_PATH: &str = "/rwr/load";
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Stands for a request's id in the log.
+const PROBE_CAUSE: &str = "probe";
 /// Minimum pause between two passes over the services that are due.
 const MIN_PAUSE: Duration = Duration::from_millis(2);
 
@@ -167,7 +170,7 @@
     id: Option<InstanceId>,
 ) {
     add(&core.counters.probes, 1);
-    let response = fetch_load(&core, &service, id.as_ref());
+    let response = fetch_load(&core, &service, &balancer, id.as_ref());
     let result = timeout(PROBE_TIMEOUT, response).await.ok().flatten();
     debug!(core.log, "probe";
         "service" => service.as_str(),
@@ -184,9 +187,11 @@
 async fn fetch_load(
     core: &Core,
     service: &ServiceName,
+    balancer: &Balancer,
     id: Option<&InstanceId>,
 ) -> Option<route::Report> {
     let client = core.clients.get(service, id?)?;
+    let upstream = core.view().instance(service, id?)?.clone();
     let _connection = client.reserve()?;
     let outgoing = UpstreamRequest {
         method: Method::GET,
@@ -194,7 +199,12 @@
         headers: HeaderMap::new(),
         body: reqwest::Body::default(),
     };
-    let response = client.send(outgoing).await.ok()?;
+    let target = Target {
+        balancer,
+        upstream: &upstream,
+        client: &client,
+    };
+    let response = core.send(target, outgoing, PROBE_CAUSE).await.ok()?;
     let report = response.headers().get(header::LOAD).and_then(parse_load);
     // The body is read to its end so that the connection can be reused.
     response.bytes().await.ok()?;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -51,6 +51,8 @@
     Memory,
     /// No instance is available.
     NoUpstream,
+    /// All instances asked this gateway for a time without requests.
+    Resting,
     /// All connections of this gateway's share are in use.
     Connections,
     /// The queue of the service or of the gateway is full.
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::prelude::*;
 use crash::BrokenAttempt;
 use crash::CrashCheck;
 use crash::Fate;
@@ -107,10 +106,7 @@
             request: request.id.clone(),
             caller: request.caller.clone(),
             service: attempt.upstream.service.clone(),
-            run: InstanceRun {
-                instance: attempt.upstream.id.clone(),
-                incarnation: attempt.upstream.incarnation,
-            },
+            run: attempt.upstream.run(),
             sent_at: attempt.sent_at,
             broken_at: Instant::now(),
         };
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -51,6 +51,17 @@
     pub phase: Phase,
 }
 
+impl UpstreamInstance {
+    /// The run of the instance.
+    #[must_use]
+    pub fn run(&self) -> InstanceRun {
+        InstanceRun {
+            instance: self.id.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+}
+
 /// The announced instances of one service.
 pub type Instances = Arc<Vec<Arc<UpstreamInstance>>>;
 
--- a/crates/hold/src/lib.rs
+++ b/crates/hold/src/lib.rs
@@ -16,3 +16,4 @@
 pub use holds::Holds;
 pub use holds::Notice;
 pub use retry_after::RetryAfter;
+pub use retry_after::may_ask_for_rest;
--- a/crates/route/src/chooser.rs
+++ b/crates/route/src/chooser.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use base::prelude::InstanceId;
+use base::prelude::InstanceRun;
 use base::prelude::Moment;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -134,12 +135,12 @@
 
     /// Chooses an instance for an attempt, outside of `exclude` where possible.
     ///
-    /// Returns `None` if no instance is ready.
+    /// Returns `None` if no instance takes requests.
     pub fn choose(&mut self, now: Moment, exclude: &[Pick]) -> Option<Choice> {
         let (index, reason) = match self.policy {
-            Policy::Random => (self.choose_random(exclude, None)?, Reason::Baseline),
-            Policy::RoundRobin => (self.round_robin(exclude)?, Reason::Baseline),
-            Policy::TwoChoices => (self.two_choices(exclude)?, Reason::Baseline),
+            Policy::Random => (self.choose_random(now, exclude, None)?, Reason::Baseline),
+            Policy::RoundRobin => (self.round_robin(now, exclude)?, Reason::Baseline),
+            Policy::TwoChoices => (self.two_choices(now, exclude)?, Reason::Baseline),
             Policy::LeastWait => self.least_wait(now, exclude)?,
         };
         self.count_choice(index, reason);
@@ -160,7 +161,7 @@
             return Some((index, Reason::Trial));
         }
         let Some(index) = self.least_expected(now, exclude) else {
-            let index = self.choose_random(exclude, None)?;
+            let index = self.choose_random(now, exclude, None)?;
             return Some((index, Reason::Panic));
         };
         let age = self.entries[index].age(now);
@@ -175,7 +176,8 @@
         }
         let entries = &self.entries;
         let mut ready = self.ready.iter().copied();
-        let trial = ready.find(|i| entries[*i].health.wants_trial(now));
+        let wants = |e: &Entry| e.takes_requests(now) && e.health.wants_trial(now);
+        let trial = ready.find(|i| wants(&entries[*i]));
         self.has_ejected = entries.iter().any(|e| !e.health.takes_traffic());
         trial
     }
@@ -204,7 +206,9 @@
         let mut least = f64::INFINITY;
         for at in start..start + count {
             let index = self.ready[at % self.ready.len()];
-            if !self.entries[index].health.takes_traffic() || self.is_excluded(index, exclude) {
+            let entry = &self.entries[index];
+            let is_usable = entry.health.takes_traffic() && entry.takes_requests(now);
+            if !is_usable || self.is_excluded(index, exclude) {
                 continue;
             }
             let draw = self.rng.random::<f64>();
@@ -234,34 +238,43 @@
         }
     }
 
-    /// A random ready instance; not `other` and outside of `exclude` where possible.
-    fn choose_random(&mut self, exclude: &[Pick], other: Option<usize>) -> Option<usize> {
-        let free = |i: &usize| Some(*i) != other && !self.is_excluded(*i, exclude);
-        let count = self.ready.iter().copied().filter(free).count();
-        if count == 0 {
-            let count = self.ready.len();
-            return (count > 0).then(|| self.ready[self.rng.random_range(0..count)]);
-        }
-        let nth = self.rng.random_range(0..count);
+    /// A random ready instance that takes requests; not `other` and outside of `exclude` where
+    /// possible.
+    fn choose_random(
+        &mut self,
+        now: Moment,
+        exclude: &[Pick],
+        other: Option<usize>,
+    ) -> Option<usize> {
+        let ready = self.ready.iter().copied();
+        let usable = ready.filter(|i| self.entries[*i].takes_requests(now));
+        let usable: Vec<usize> = usable.collect();
         let free = |i: &usize| Some(*i) != other && !self.is_excluded(*i, exclude);
-        self.ready.iter().copied().filter(free).nth(nth)
+        let preferred: Vec<usize> = usable.iter().copied().filter(free).collect();
+        let candidates = if preferred.is_empty() {
+            usable
+        } else {
+            preferred
+        };
+        let count = candidates.len();
+        (count > 0).then(|| candidates[self.rng.random_range(0..count)])
     }
 
-    fn round_robin(&mut self, exclude: &[Pick]) -> Option<usize> {
+    fn round_robin(&mut self, now: Moment, exclude: &[Pick]) -> Option<usize> {
         let count = self.ready.len();
         for _ in 0..count {
             self.last_index = (self.last_index + 1) % count;
             let index = self.ready[self.last_index];
-            if !self.is_excluded(index, exclude) {
+            if self.entries[index].takes_requests(now) && !self.is_excluded(index, exclude) {
                 return Some(index);
             }
         }
-        self.choose_random(exclude, None)
+        self.choose_random(now, exclude, None)
     }
 
-    fn two_choices(&mut self, exclude: &[Pick]) -> Option<usize> {
-        let one = self.choose_random(exclude, None)?;
-        let two = self.choose_random(exclude, Some(one))?;
+    fn two_choices(&mut self, now: Moment, exclude: &[Pick]) -> Option<usize> {
+        let one = self.choose_random(now, exclude, None)?;
+        let two = self.choose_random(now, exclude, Some(one))?;
         let fewer = self.entries[two].in_flight() < self.entries[one].in_flight();
         Some(if fewer { two } else { one })
     }
@@ -347,7 +360,7 @@
         mut allowed: impl FnMut(&InstanceId) -> bool,
     ) -> Option<Pick> {
         let settings = self.settings;
-        let free = |e: &Entry| e.is_ready() && !e.probing;
+        let free = |e: &Entry| e.is_ready() && !e.probing && !e.rest.is_on(now);
         let urgent = |e: &Entry| free(e) && e.needs_probe(now);
         let stale = |e: &Entry| free(e) && e.is_stale(now, settings.probe_age);
         let entries = self.entries.iter().enumerate();
@@ -380,6 +393,37 @@
         }
     }
 
+    /// Sends the instance nothing before `end`.
+    pub fn set_rest(&mut self, run: &InstanceRun, end: Moment) {
+        if let Some(entry) = self.entry_of(run) {
+            entry.rest.extend(end);
+        }
+    }
+
+    /// Sends the instance nothing more, as it is shutting down.
+    pub fn set_leaving(&mut self, run: &InstanceRun) {
+        if let Some(entry) = self.entry_of(run) {
+            entry.leaving = true;
+            let entries = &self.entries;
+            self.ready.retain(|index| entries[*index].is_ready());
+        }
+    }
+
+    /// When the first rest ends, if all ready instances are resting.
+    #[must_use]
+    pub fn first_rest_end(&self, now: Moment) -> Option<Moment> {
+        let ends = self.ready.iter().map(|i| self.entries[*i].rest.end(now));
+        ends.collect::<Option<Vec<Moment>>>()?.into_iter().min()
+    }
+
+    fn entry_of(&mut self, run: &InstanceRun) -> Option<&mut Entry> {
+        let is_run = |entry: &&mut Entry| {
+            let instance = &entry.instance;
+            instance.id == run.instance && instance.incarnation == run.incarnation
+        };
+        self.entries.iter_mut().find(is_run)
+    }
+
     /// The instance's id, `None` once the instance is removed.
     #[must_use]
     pub fn id(&self, pick: Pick) -> Option<&InstanceId> {
--- a/crates/route/src/entry.rs
+++ b/crates/route/src/entry.rs
@@ -17,6 +17,7 @@
 use crate::outcome::Report;
 use crate::policy::Reason;
 use crate::policy::Settings;
+use crate::rest::Rest;
 use crate::view;
 use crate::view::View;
 use crate::work_time;
@@ -72,6 +73,9 @@
     pub(crate) chosen: u32,
     pub(crate) reason: Option<Reason>,
     pub(crate) probing: bool,
+    pub(crate) rest: Rest,
+    /// It has said that it is shutting down.
+    pub(crate) leaving: bool,
     pub(crate) probed_at: Option<Moment>,
     starts: Vec<Moment>,
     external_load: ExternalLoad,
@@ -91,6 +95,8 @@
             chosen: 0,
             reason: None,
             probing: false,
+            rest: Rest::default(),
+            leaving: false,
             probed_at: None,
             starts: Vec::new(),
             external_load: ExternalLoad::default(),
@@ -116,7 +122,12 @@
     }
 
     pub(crate) fn is_ready(&self) -> bool {
-        self.instance.phase == Phase::Ready
+        self.instance.phase == Phase::Ready && !self.leaving
+    }
+
+    /// Whether its rest, if there was one, allows a request now.
+    pub(crate) fn takes_requests(&self, now: Moment) -> bool {
+        self.rest.allows(now, self.starts.len())
     }
 
     pub(crate) fn is_gone(&self) -> bool {
@@ -241,6 +252,7 @@
         if let Some(report) = outcome.report {
             self.record_report(now, report, settings);
         }
+        self.rest.record_end(now, outcome.kind);
         match outcome.kind {
             OutcomeKind::Ok => self.record_success(now, outcome.latency, averages, settings),
             OutcomeKind::Error | OutcomeKind::ConnectFailed => {
