gateway: an instance that says it leaves gets nothing more from gateways

The header is read from every response but 421, holds for the incarnation, and an attempt that breaks off there is no crash.

--- a/crates/gateway/src/holds.rs
+++ b/crates/gateway/src/holds.rs
@@ -25,6 +25,9 @@
 use crate::instance_clients::UpstreamRequest;
 use crate::view::UpstreamInstance;
 
+/// Value of the header of an instance that isn't shutting down.
+const NOT_LEAVING: &str = "0";
+
 /// An instance as the target of a request or a probe.
 #[derive(Clone, Copy)]
 pub struct Target<'a> {
@@ -69,7 +72,12 @@
         if status == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
-        let notice = self.requested_rest(target, status, headers);
+        let leaving = headers.get(header::LEAVING);
+        let notice = if leaving.is_some_and(|value| value != NOT_LEAVING) {
+            Some(Notice::Leaving)
+        } else {
+            self.requested_rest(target, status, headers)
+        };
         if let Some(notice) = notice {
             self.record_notice(target, notice, status, cause);
         }
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -14,6 +14,7 @@
 use crash::report::Source;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use hold::Hold;
 use quarantine::Fingerprint;
 use quarantine::Head;
 use quarantine::Outcome as Decision;
@@ -168,9 +169,13 @@
     fn is_ready(&self) -> bool {
         let view = self.core.view();
         let current = view.instance(&self.upstream.service, &self.upstream.id);
-        current.is_some_and(|current| {
+        let is_ready = current.is_some_and(|current| {
             current.phase == Phase::Ready && current.incarnation == self.upstream.incarnation
-        })
+        });
+        let balancer = self.core.balancers.get(&self.upstream.service);
+        let now = self.core.clock.now();
+        let hold = balancer.and_then(|balancer| balancer.hold(now, &self.upstream.run()));
+        is_ready && hold != Some(Hold::Leaving)
     }
 
     // An exiting process may accept connections until its listener is closed, which may take
