gateway, interim: responses without an end end their probe or attempt

reqwest hides interim responses, so the gateways' instance clients use hyper's pooled client beneath it; bodies and responses stay reqwest's. The limit of 32 interim responses is crate interim now, which entry processes use, too; interim responses are read for what instances ask. A probe's body ends after 64 KiB. A client can't fail to be built any more, and nothing sets TCP_USER_TIMEOUT: keep-alive probes alone find a dead peer.

--- a/crates/entry/src/send.rs
+++ b/crates/entry/src/send.rs
@@ -6,14 +6,12 @@
 //! instance asks.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
+use interim::InterimCounter;
 use slog::warn;
-use tokio::sync::Notify;
 
 use crate::body::ForwardedBody;
 use crate::core::Core;
@@ -21,10 +19,6 @@
 use crate::pool::Connection;
 use crate::view::Upstream;
 
-/// Maximum number of interim responses to one request. An instance that sends more may never send
-/// a response.
-const MAX_INTERIM_RESPONSES: usize = 32;
-
 /// How sending a request ended.
 #[derive(Debug)]
 pub enum SendEnd {
@@ -46,7 +40,12 @@
     mut request: Request<ForwardedBody>,
     cause: &str,
 ) -> SendEnd {
-    let interim = InterimCounter::attach(core, upstream, &mut request, cause);
+    let interim = {
+        let (core, upstream, cause) = (Arc::clone(core), Arc::clone(upstream), cause.to_owned());
+        InterimCounter::attach(&mut request, move |status, headers| {
+            core.record_notices(&upstream, status, headers, &cause);
+        })
+    };
     loop {
         if !core.takes_requests(upstream) {
             return SendEnd::Withheld;
@@ -63,7 +62,7 @@
         let sent = tokio::select! {
             biased;
             sent = connection.sender.try_send_request(request) => sent,
-            () = interim.exceeded.notified() => {
+            () = interim.exceeded() => {
                 warn!(core.log, "interim responses without end"; "request" => cause,
                     "instance" => %upstream.id, "service" => %upstream.service);
                 return SendEnd::Broken;
@@ -83,35 +82,3 @@
         }
     }
 }
-
-/// Counts the interim responses to one request.
-#[derive(Debug, Default)]
-struct InterimCounter {
-    count: AtomicUsize,
-    /// Notified once there are more than [`MAX_INTERIM_RESPONSES`].
-    exceeded: Notify,
-}
-
-impl InterimCounter {
-    /// Counts the interim responses to `request`, and reads them for what the instance asks.
-    fn attach(
-        core: &Arc<Core>,
-        upstream: &Arc<Upstream>,
-        request: &mut Request<ForwardedBody>,
-        cause: &str,
-    ) -> Arc<Self> {
-        let counter = Arc::new(Self::default());
-        let (core, upstream) = (Arc::clone(core), Arc::clone(upstream));
-        let cause = cause.to_owned();
-        let attached = Arc::clone(&counter);
-        hyper::ext::on_informational(request, move |response| {
-            let before = attached.count.fetch_add(1, Ordering::Relaxed);
-            if before < MAX_INTERIM_RESPONSES {
-                core.record_notices(&upstream, response.status(), response.headers(), &cause);
-            } else {
-                attached.exceeded.notify_one();
-            }
-        });
-        counter
-    }
-}
--- a/crates/gateway/src/call/driver.rs
+++ b/crates/gateway/src/call/driver.rs
@@ -209,15 +209,14 @@
     fn send_attempt(&mut self, start: Start) -> std::result::Result<(), Reason> {
         let (client, guard, outgoing) = self.prepare(start)?;
         let method = outgoing.method.clone();
-        let (core, balancer) = (self.core.clone(), self.balancer.clone());
-        let (upstream, id) = (guard.upstream(), self.request.head.id.clone());
+        let (core, id) = (self.core.clone(), self.request.head.id.clone());
+        let target = Target {
+            balancer: self.balancer.clone(),
+            upstream: guard.upstream(),
+            client,
+        };
         let head = Box::pin(async move {
-            let target = Target {
-                balancer: &balancer,
-                upstream: &upstream,
-                client: &client,
-            };
-            let response = core.send(target, outgoing, &id).await?;
+            let response = core.send(&target, outgoing, &id).await?;
             Ok(UpstreamResponse::new(response, &method))
         });
         self.pending.push(PendingAttempt { start, guard, head });
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -123,21 +123,16 @@
 
     /// Replaces the view. `changed` is false if only the confirmation is new; then
     /// balancers, clients and admission aren't updated.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the HTTP client of an instance can't be created.
-    pub fn set_view(&self, view: View, changed: bool) -> Result<(), reqwest::Error> {
+    pub fn set_view(&self, view: View, changed: bool) {
         let before = self.view();
         if changed {
-            self.clients.update(&view)?;
+            self.clients.update(&view);
             self.balancers.update(self.clock.now(), &view);
             self.queue.update(&before, &view);
         }
         self.prober.update(&before, &view, changed);
         let mut current = self.view.write().unwrap_or_else(PoisonError::into_inner);
         *current = Arc::new(view);
-        Ok(())
     }
 
     /// Whether the gateway must refuse new requests.
--- a/crates/gateway/src/holds.rs
+++ b/crates/gateway/src/holds.rs
@@ -5,6 +5,7 @@
 //! before the request is handed to the instance's client, and each response is read for what its
 //! instance asks.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use base::header;
@@ -29,14 +30,14 @@
 const NOT_LEAVING: &str = "0";
 
 /// An instance as the target of a request or a probe.
-#[derive(Clone, Copy)]
-pub struct Target<'a> {
+#[derive(Clone)]
+pub struct Target {
     /// The balancer of its service.
-    pub balancer: &'a Balancer,
+    pub balancer: Arc<Balancer>,
     /// The instance.
-    pub upstream: &'a UpstreamInstance,
+    pub upstream: Arc<UpstreamInstance>,
     /// Its client.
-    pub client: &'a InstanceClient,
+    pub client: Arc<InstanceClient>,
 }
 
 impl Core {
@@ -45,10 +46,11 @@
     ///
     /// # Errors
     ///
-    /// The instance may have run the request only if the error is [`SendError::NoAnswer`].
+    /// The instance may have run the request only if the error is [`SendError::NoAnswer`] or
+    /// [`SendError::EndlessInterim`].
     pub async fn send(
-        &self,
-        target: Target<'_>,
+        self: &Arc<Self>,
+        target: &Target,
         outgoing: UpstreamRequest,
         cause: &str,
     ) -> Result<reqwest::Response, SendError> {
@@ -56,14 +58,20 @@
         if target.balancer.hold(self.clock.now(), &run).is_some() {
             return Err(SendError::Withheld);
         }
-        let response = target.client.send(outgoing).await?;
+        let read_interim = {
+            let (core, target, cause) = (self.clone(), target.clone(), cause.to_owned());
+            move |status, headers: &HeaderMap| {
+                core.record_notices(&target, status, headers, &cause);
+            }
+        };
+        let response = target.client.send(outgoing, read_interim).await?;
         self.record_notices(target, response.status(), response.headers(), cause);
         Ok(response)
     }
 
     fn record_notices(
         &self,
-        target: Target<'_>,
+        target: &Target,
         status: StatusCode,
         headers: &HeaderMap,
         cause: &str,
@@ -86,7 +94,7 @@
     /// The rest for which the instance asks in a response that refuses a request or a probe.
     fn requested_rest(
         &self,
-        target: Target<'_>,
+        target: &Target,
         status: StatusCode,
         headers: &HeaderMap,
     ) -> Option<Notice> {
@@ -105,7 +113,7 @@
         }
     }
 
-    fn record_notice(&self, target: Target<'_>, notice: Notice, status: StatusCode, cause: &str) {
+    fn record_notice(&self, target: &Target, notice: Notice, status: StatusCode, cause: &str) {
         let now = self.clock.now();
         let Target {
             balancer, upstream, ..
--- a/crates/gateway/src/instance_clients.rs
+++ b/crates/gateway/src/instance_clients.rs
@@ -1,5 +1,8 @@
 //! HTTP clients for instances, each with its own bounded connection pool.
 //!
+//! They use hyper's pooled client: reqwest hides interim responses, which an instance may send
+//! without an end.
+//!
 //! The connection limit of an instance is divided among the registered gateways.
 //! A gateway uses two thirds of its share for requests in flight and up to one
 //! third for idle connections, so that it never exceeds the share.
@@ -14,9 +17,17 @@
 use base::prelude::*;
 use http::HeaderMap;
 use http::Method;
+use http::StatusCode;
+use http::Uri;
+use http::uri::Scheme;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::Error as ClientError;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioTimer;
+use interim::InterimCounter;
+use interim::MAX_INTERIM_RESPONSES;
 use quick_error::quick_error;
-use reqwest::Url;
-use reqwest::redirect;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 
@@ -25,6 +36,10 @@
 
 /// Timeout for opening a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// TCP keep-alive: idle time before the first probe, and interval between probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(15);
+/// TCP keep-alive: number of unanswered probes after which the connection is dropped.
+const KEEPALIVE_RETRIES: u32 = 3;
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -41,7 +56,7 @@
             display("the instance asked this gateway to send it nothing")
         }
         /// The connection failed; nothing was sent.
-        Connect(err: reqwest::Error) {
+        Connect(err: ClientError) {
             source(err)
             display("failed to connect to the instance: {err}")
         }
@@ -50,10 +65,14 @@
             display("request target is not a path")
         }
         /// The request may have been sent in part or whole.
-        NoAnswer(err: reqwest::Error) {
+        NoAnswer(err: ClientError) {
             source(err)
             display("no response from the instance: {err}")
         }
+        /// The instance sent interim responses without an end.
+        EndlessInterim {
+            display("more than {MAX_INTERIM_RESPONSES} interim responses")
+        }
     }
 }
 
@@ -62,8 +81,7 @@
 pub struct InstanceClient {
     address: SocketAddr,
     share: u32,
-    client: reqwest::Client,
-    origin: Url,
+    client: Client<HttpConnector, reqwest::Body>,
     permits: Arc<Semaphore>,
 }
 
@@ -80,29 +98,26 @@
 }
 
 impl InstanceClient {
-    fn new(upstream: &UpstreamInstance, share: u32) -> Result<Self, reqwest::Error> {
+    fn new(upstream: &UpstreamInstance, share: u32) -> Self {
         let idle = (share / 3).max(1);
         let active = (share - share / 3).max(1);
-        let client = reqwest::Client::builder()
-            .http1_only()
-            .no_proxy()
-            .redirect(redirect::Policy::none())
-            .retry(reqwest::retry::never())
-            .referer(false)
-            .tcp_nodelay(true)
-            .connect_timeout(CONNECT_TIMEOUT)
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_keepalive(Some(KEEPALIVE_INTERVAL));
+        connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
+        connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_max_idle_per_host(idle as usize)
-            .build()?;
-        let origin = Url::parse(&format!("http://{}/", upstream.address))
-            .expect("a socket address is the authority of a URL");
-        Ok(Self {
+            .build(connector);
+        Self {
             address: upstream.address,
             share,
             client,
-            origin,
             permits: Arc::new(Semaphore::new(active as usize)),
-        })
+        }
     }
 
     /// Reserves a connection, or returns `None` if all are in use.
@@ -111,46 +126,47 @@
         self.permits.clone().try_acquire_owned().ok()
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request and waits for the head of the final response. Interim responses are passed
+    /// to `read_interim`.
     ///
     /// Dropping the future closes the connection, by which the upstream notices the
     /// cancellation.
     ///
     /// # Errors
     ///
-    /// The instance may have run the request only if the error is
-    /// [`SendError::NoAnswer`].
+    /// The instance may have run the request only if the error is [`SendError::NoAnswer`] or
+    /// [`SendError::EndlessInterim`].
     pub(crate) async fn send(
         &self,
         outgoing: UpstreamRequest,
+        read_interim: impl Fn(StatusCode, &HeaderMap) + Send + Sync + 'static,
     ) -> Result<reqwest::Response, SendError> {
-        let url = self.url(&outgoing.target).ok_or(SendError::Target)?;
-        let mut request = reqwest::Request::new(outgoing.method, url);
+        let mut request = http::Request::new(outgoing.body);
+        *request.method_mut() = outgoing.method;
+        *request.uri_mut() = self.uri(&outgoing.target).ok_or(SendError::Target)?;
         *request.headers_mut() = outgoing.headers;
-        *request.body_mut() = Some(outgoing.body);
-        self.client.execute(request).await.map_err(|err| {
-            if err.is_connect() {
-                SendError::Connect(err)
-            } else {
-                SendError::NoAnswer(err)
-            }
-        })
+        let interim = InterimCounter::attach(&mut request, read_interim);
+        let response = tokio::select! {
+            biased;
+            response = self.client.request(request) => response,
+            () = interim.exceeded() => return Err(SendError::EndlessInterim),
+        };
+        match response {
+            Ok(response) => Ok(response.map(reqwest::Body::wrap).into()),
+            Err(err) if err.is_connect() => Err(SendError::Connect(err)),
+            Err(err) => Err(SendError::NoAnswer(err)),
+        }
     }
 
-    /// The path is set separately, so that a target such as `//host` can't change the
-    /// host of the URL.
-    fn url(&self, target: &str) -> Option<Url> {
-        let (path, query) = match target.split_once('?') {
-            Some((path, query)) => (path, Some(query)),
-            None => (target, None),
-        };
-        if !path.starts_with('/') {
+    /// The address and the path are set separately, so that a target such as `//host` can't change
+    /// the host.
+    fn uri(&self, target: &str) -> Option<Uri> {
+        if !target.starts_with('/') {
             return None;
         }
-        let mut url = self.origin.clone();
-        url.set_path(path);
-        url.set_query(query);
-        Some(url)
+        let uri = Uri::builder().scheme(Scheme::HTTP);
+        let uri = uri.authority(self.address.to_string());
+        uri.path_and_query(target).build().ok()
     }
 }
 
@@ -178,11 +194,7 @@
 
     /// Updates the instances from the view. An instance whose address and share are
     /// unchanged keeps its connections.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if a client can't be created.
-    pub fn update(&self, view: &View) -> Result<(), reqwest::Error> {
+    pub fn update(&self, view: &View) {
         let mut clients = self.0.write().unwrap_or_else(PoisonError::into_inner);
         let mut updated = HashMap::new();
         for upstream in view.all_instances() {
@@ -196,11 +208,10 @@
                 .filter(|client| client.address == upstream.address && client.share == share);
             let client = match existing {
                 Some(client) => client.clone(),
-                None => Arc::new(InstanceClient::new(upstream, share)?),
+                None => Arc::new(InstanceClient::new(upstream, share)),
             };
             updated.insert(key, client);
         }
         *clients = updated;
-        Ok(())
     }
 }
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -39,6 +39,8 @@
 pub const LOAD_PATH: &str = "/rwr/load";
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Maximum size in bytes of the body of a response to a probe. A longer one may have no end.
+const MAX_PROBE_BODY: usize = 64 * 1024;
 /// Stands for a request's id in the log.
 const PROBE_CAUSE: &str = "probe";
 /// Minimum pause between two passes over the services that are due.
@@ -185,9 +187,9 @@
 }
 
 async fn fetch_load(
-    core: &Core,
+    core: &Arc<Core>,
     service: &ServiceName,
-    balancer: &Balancer,
+    balancer: &Arc<Balancer>,
     id: Option<&InstanceId>,
 ) -> Option<route::Report> {
     let client = core.clients.get(service, id?)?;
@@ -200,13 +202,19 @@
         body: reqwest::Body::default(),
     };
     let target = Target {
-        balancer,
-        upstream: &upstream,
-        client: &client,
+        balancer: balancer.clone(),
+        upstream,
+        client,
     };
-    let response = core.send(target, outgoing, PROBE_CAUSE).await.ok()?;
+    let mut response = core.send(&target, outgoing, PROBE_CAUSE).await.ok()?;
     let report = response.headers().get(header::LOAD).and_then(parse_load);
     // The body is read to its end so that the connection can be reused.
-    response.bytes().await.ok()?;
+    let mut received = 0;
+    while let Some(chunk) = response.chunk().await.ok()? {
+        received += chunk.len();
+        if received > MAX_PROBE_BODY {
+            return None;
+        }
+    }
     report
 }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -212,9 +212,7 @@
             info!(self.core.log, "catalogue"; "version" => view.version());
         }
         let age = view.confirmed_age(self.core.clock.now());
-        if let Err(err) = self.core.set_view(view, changed) {
-            warn!(self.core.log, "view refused"; "error" => %err);
-        }
+        self.core.set_view(view, changed);
         // A directory that is itself cut off still replies, but without fresh confirmations.
         let max_age = self.core.settings.lease.length / 2;
         if age.is_none_or(|age| age > max_age) {
