--- a/crates/cli/src/story.rs
+++ b/crates/cli/src/story.rs
@@ -11,7 +11,7 @@
 /// time in which all hosts have to learn that an instance is leaving.
 const LOOKBACK_S: f64 = 5.0;
 /// Values of `msg` that report the state of an instance.
-const INSTANCE_MESSAGES: [&str; 3] = ["instance", "address taken over", "connect failed"];
+const INSTANCE_MESSAGES: [&str; 4] = ["instance", "address taken over", "connect failed", "hold"];
 
 /// One log line.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -37,6 +37,10 @@
     Lie,
     /// Responds to probes with 503 and serves requests as usual.
     Ill,
+    /// Rejects requests as [`Self::Shed`] does, and asks for `factor` seconds without any.
+    Rest,
+    /// Says in all responses that it is shutting down, and serves as usual.
+    Leaving,
     /// Names a limit of `factor` requests per second in all responses, and serves as usual.
     Limited,
     /// The same in responses to requests only.
@@ -50,7 +54,7 @@
     /// Kind of the fault.
     pub kind: FaultKind,
     /// Factor on the service time under [`FaultKind::Slow`], requests per second under
-    /// [`FaultKind::Limited`].
+    /// [`FaultKind::Limited`], seconds under [`FaultKind::Rest`].
     #[serde(default = "default_factor")]
     pub factor: u32,
     /// Delay of a response under [`FaultKind::Late`], in milliseconds.
--- a/crates/standin/src/handler.rs
+++ b/crates/standin/src/handler.rs
@@ -106,6 +106,11 @@
         lock(&self.drain_started_at).get_or_insert(self.clock.now());
     }
 
+    /// Whether responses say that the instance is shutting down.
+    fn is_leaving(&self) -> bool {
+        lock(&self.drain_started_at).is_some() || self.fault.borrow().kind == FaultKind::Leaving
+    }
+
     /// Milliseconds since the drain started.
     fn drained_ms(&self) -> Option<u64> {
         let started_at = (*lock(&self.drain_started_at))?;
@@ -184,6 +189,9 @@
             _ => self.serve(req, res, path.clone()).await,
         }
         self.name_limit(&path, res);
+        if self.0.is_leaving() {
+            set(res, header::LEAVING, "1");
+        }
         set(res, header::INSTANCE, &self.0.incarnation_id);
         set(res, header::LOAD, &self.0.load_header());
     }
@@ -259,8 +267,12 @@
             return;
         };
         let admission = self.0.slots.admit();
-        let Some(admission) = admission.filter(|_| fault.kind != FaultKind::Shed) else {
+        let sheds = matches!(fault.kind, FaultKind::Shed | FaultKind::Rest);
+        let Some(admission) = admission.filter(|_| !sheds) else {
             shed(res);
+            if fault.kind == FaultKind::Rest {
+                set(res, header::RETRY_AFTER, &fault.factor.to_string());
+            }
             return;
         };
         let job = Job {
--- a/crates/standin/tests/test_faults.rs
+++ b/crates/standin/tests/test_faults.rs
@@ -111,6 +111,24 @@
     }
 }
 
+#[tokio::test]
+async fn test_faults_rest_and_leaving() {
+    let upstream = start(settings()).await;
+    let mut fault = Fault::new(FaultKind::Rest);
+    fault.factor = 3;
+    upstream.set_fault(fault);
+    let refused = grant(&upstream, "k1").await.unwrap();
+    assert_eq!(refused.status(), 503);
+    assert_eq!(header_text(&refused, header::SHED), "1");
+    assert_eq!(header_text(&refused, header::RETRY_AFTER), "3");
+    assert_eq!(header_text(&refused, header::LEAVING), "");
+    upstream.set_fault(Fault::new(FaultKind::Leaving));
+    let answered = grant(&upstream, "k1").await.unwrap();
+    assert_eq!(answered.status(), 200);
+    assert_eq!(header_text(&answered, header::LEAVING), "1");
+    assert_eq!(upstream.runs().with_key("k1").len(), 1);
+}
+
 #[tokio::test]
 async fn test_faults_short_body() {
     let upstream = start(settings()).await;
