crash: a new connection that is reset says nothing yet of its instance

Cause: a listener that closes resets what it has accepted, and the check took any error but a refusal for silence. Gateways asked again, entry processes didn't. The check itself asks again now, every millisecond for as long as an exiting process may take connections (100 ms), for both.

--- a/crates/crash/src/check.rs
+++ b/crates/crash/src/check.rs
@@ -28,6 +28,8 @@
 pub const MAX_RETRY_DELAY: Duration = Duration::from_millis(40);
 /// How long an exiting instance may still accept connections.
 const EXIT_GRACE: Duration = Duration::from_millis(100);
+/// Delay before a connection that was reset is opened again.
+const RESET_RETRY_DELAY: Duration = Duration::from_millis(1);
 /// Maximum wait for the acknowledgement of a crash report.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -164,7 +166,7 @@
     if !instance.is_ready() {
         return Fate::Leaves;
     }
-    let connection = match instance.connect().await {
+    let connection = match connect(instance).await {
         Ok(connection) => connection,
         Err(err) => return fate_from_error(&err),
     };
@@ -176,12 +178,26 @@
         instance.keep(connection);
         return Fate::Runs;
     }
-    match instance.connect().await {
+    match connect(instance).await {
         Ok(_) => Fate::Runs,
         Err(err) => fate_from_error(&err),
     }
 }
 
+/// Opens a new connection. A listener that closes resets the connections that it has accepted, so
+/// one that is reset says nothing yet.
+async fn connect<I: Instance>(instance: &I) -> io::Result<I::Connection> {
+    let end = Instant::now() + EXIT_GRACE;
+    loop {
+        match instance.connect().await {
+            Err(err) if err.kind() == io::ErrorKind::ConnectionReset && Instant::now() < end => {
+                tokio::time::sleep(RESET_RETRY_DELAY).await;
+            }
+            result => return result,
+        }
+    }
+}
+
 fn fate_from_error(err: &io::Error) -> Fate {
     match err.kind() {
         io::ErrorKind::ConnectionRefused => Fate::Crashed,
