entry: a relayed response of a leaving instance binds both processes

What callers saw: nothing yet; found while reading the paths to a send. A cut-off host passes on the answer of an instance that says it leaves, as relayed by a peer; only the peer kept the word.

The peer names the instance that responded, beside the outcome of the hop; the host that passes the response on reads it like one of its own.

--- a/crates/entry/src/core/holds.rs
+++ b/crates/entry/src/core/holds.rs
@@ -1,5 +1,7 @@
 //! Instances that asked this process to send them nothing.
 
+use std::sync::Arc;
+
 use base::prelude::*;
 use hold::Hold;
 use hold::Notice;
@@ -25,6 +27,12 @@
         self.state().holds.get(now, &upstream.run()).is_none()
     }
 
+    /// The instance of which this is a run, if it is known.
+    #[must_use]
+    pub fn upstream(&self, run: &InstanceRun) -> Option<Arc<Upstream>> {
+        self.state().instances.upstream(run)
+    }
+
     /// Records what the instance asks of this process in the head of its response to `cause`, a
     /// request's id or a probe.
     pub fn record_notices(
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -90,6 +90,8 @@
     /// Whether an instance may have processed the request.
     may_have_run: bool,
     last_attempt: Option<Attempt>,
+    /// The instance that sent the latest response.
+    responder: Option<InstanceRun>,
     /// How the request was relayed to this process.
     hop: Option<Hop>,
     /// The process that relays the response.
@@ -172,6 +174,7 @@
         exclude: Vec::new(),
         may_have_run: false,
         last_attempt: None,
+        responder: None,
         retry_after: None,
         request_bytes: 0,
         spool: None,
@@ -340,6 +343,7 @@
         let retry = match end {
             Err(_) => false,
             Ok(AttemptEnd::Answer(parts, body)) => {
+                self.responder = self.last_attempt.as_ref().map(|last| last.upstream.run());
                 let failed = parts.status.is_server_error();
                 if !failed || once || !self.may_retry(retry_body.is_some()) {
                     return Ok(Outcome::Response(parts, body));
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -144,6 +144,13 @@
         let peer = Arc::clone(lease.peer());
         let outcome = HopOutcome::take(response.headers_mut());
         let retry_after = retry_after(&response);
+        let run = relay::take_instance(response.headers_mut());
+        if let Some(upstream) = run.and_then(|run| self.core.upstream(&run)) {
+            // The response is passed on here, so what its instance says binds this process, too.
+            let id = self.request.id.to_str().unwrap_or("-");
+            self.core
+                .record_notices(&upstream, response.status(), response.headers(), id);
+        }
         let Some(outcome) = outcome else {
             // Not a response of an entry process.
             peer.health().record_failure(self.core.clock.now());
--- a/crates/entry/src/flow/response.rs
+++ b/crates/entry/src/flow/response.rs
@@ -14,6 +14,7 @@
 use crate::exchange::UpstreamBody;
 use crate::headers;
 use crate::refusal;
+use crate::relay;
 use crate::relay::HopOutcome;
 use crate::stream_tracker::Responder;
 use crate::stream_tracker::ResponseContext;
@@ -70,6 +71,9 @@
         };
         if self.hop.is_some() {
             hop_outcome.write(response.headers_mut());
+            if let (HopOutcome::Answered, Some(run)) = (hop_outcome, &self.responder) {
+                relay::write_instance(run, response.headers_mut());
+            }
         }
         info!(self.core.log, "request"; "request" => self.request.id.to_str().unwrap_or("-"),
             "outcome" => label, "status" => response.status().as_u16(),
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -21,6 +21,8 @@
 pub use self::hop::Hop;
 pub use self::hop::HopOutcome;
 pub use self::hop::OUTCOME;
+pub use self::hop::take_instance;
+pub use self::hop::write_instance;
 use crate::body::ForwardedBody;
 use crate::pool::Connection;
 use crate::pool::Pool;
--- a/crates/entry/src/relay/hop.rs
+++ b/crates/entry/src/relay/hop.rs
@@ -20,6 +20,9 @@
 const COUNTED: HeaderName = HeaderName::from_static("rwr-hop-counted");
 /// In a response: how the request ended.
 pub const OUTCOME: HeaderName = HeaderName::from_static("rwr-hop-outcome");
+/// In a response: the instance that responded, and its incarnation.
+const INSTANCE: HeaderName = HeaderName::from_static("rwr-hop-instance");
+const INCARNATION: HeaderName = HeaderName::from_static("rwr-hop-incarnation");
 /// Value of [`OUTCOME`] for a response of an instance.
 const ANSWERED: &str = "answered";
 
@@ -116,6 +119,26 @@
     }
 }
 
+/// Names the instance that responded.
+pub fn write_instance(run: &InstanceRun, headers: &mut HeaderMap) {
+    if let Ok(id) = HeaderValue::from_str(run.instance.as_str()) {
+        headers.insert(INSTANCE, id);
+        headers.insert(INCARNATION, HeaderValue::from(run.incarnation));
+    }
+}
+
+/// Takes the name of the instance that responded out of a response; `None` if it is missing or
+/// invalid.
+pub fn take_instance(headers: &mut HeaderMap) -> Option<InstanceRun> {
+    let id = headers.remove(INSTANCE)?;
+    let incarnation = headers::parse_number(headers, &INCARNATION);
+    headers.remove(INCARNATION);
+    Some(InstanceRun {
+        instance: InstanceId::new(id.to_str().ok()?).ok()?,
+        incarnation: incarnation?,
+    })
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -209,6 +209,14 @@
         known.is_some_and(|known| known.announced.phase() == Phase::Gone)
     }
 
+    /// The instance of which this is a run, if it is stored.
+    #[must_use]
+    pub fn upstream(&self, run: &InstanceRun) -> Option<Arc<Upstream>> {
+        let known = self.by_id.get(run.instance.as_str())?;
+        let upstream = known.upstream.as_ref()?;
+        (upstream.incarnation == run.incarnation).then(|| Arc::clone(upstream))
+    }
+
     /// Whether this run of an instance is stored.
     #[must_use]
     pub fn is_known(&self, run: &InstanceRun) -> bool {
