--- a/crates/entry/src/core/holds.rs
+++ b/crates/entry/src/core/holds.rs
@@ -5,7 +5,6 @@
 use base::prelude::*;
 use hold::Hold;
 use hold::Notice;
-use hold::RetryAfter;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::StatusCode;
@@ -16,9 +15,6 @@
 use super::State;
 use crate::view::Upstream;
 
-/// Value of the header of an instance that isn't shutting down.
-const NOT_LEAVING: &str = "0";
-
 impl Core {
     /// Whether the instance takes requests and probes from this process now.
     #[must_use]
@@ -42,37 +38,15 @@
         headers: &HeaderMap,
         cause: &str,
     ) {
-        // Another instance has the address now.
-        if status == StatusCode::MISDIRECTED_REQUEST {
-            return;
-        }
         let leaving = headers.get(&self.dialect.leaving);
-        if leaving.is_some_and(|value| value != NOT_LEAVING) {
-            self.record_notice(upstream, Notice::Leaving, status, cause);
-        } else if let Some(notice) = self.requested_rest(upstream, status, headers) {
-            self.record_notice(upstream, notice, status, cause);
-        }
-    }
-
-    /// The rest for which the instance asks in a response that refuses a request or a probe.
-    fn requested_rest(
-        &self,
-        upstream: &Upstream,
-        status: StatusCode,
-        headers: &HeaderMap,
-    ) -> Option<Notice> {
-        if !hold::may_ask_for_rest(status.as_u16()) {
-            return None;
-        }
-        let values = headers.get_all(&self.dialect.rest);
-        match RetryAfter::parse(values.iter().map(HeaderValue::as_bytes)) {
-            RetryAfter::Rest(rest) => Some(Notice::Rest(rest)),
-            RetryAfter::Absent => None,
-            RetryAfter::Invalid => {
-                warn!(self.log, "invalid rest"; "instance" => %upstream.id,
-                    "value" => ?headers.get(&self.dialect.rest));
-                None
-            }
+        let rests = headers.get_all(&self.dialect.rest);
+        let rests = rests.iter().map(HeaderValue::as_bytes);
+        let leaving = leaving.map(HeaderValue::as_bytes);
+        match hold::read_head(status.as_u16(), leaving, rests) {
+            Ok(Some(notice)) => self.record_notice(upstream, notice, status, cause),
+            Ok(None) => {}
+            Err(err) => warn!(self.log, "invalid rest"; "instance" => %upstream.id,
+                "value" => ?headers.get(&self.dialect.rest), "error" => %err),
         }
     }
 
@@ -86,10 +60,8 @@
         };
         apply_hold(&mut state, &upstream.service, &upstream.run(), hold);
         drop(state);
-        let (reason, left) = match hold {
-            Hold::Until(end) => ("rest", end.since(now).as_millis().to_string()),
-            Hold::Leaving => ("leaving", "-".to_owned()),
-        };
+        let reason: &'static str = hold.into();
+        let left = hold.remaining(now).map(|left| left.as_millis());
         info!(self.log, "hold"; "reason" => reason, "instance" => %upstream.id,
             "incarnation" => upstream.incarnation, "service" => %upstream.service,
             "status" => status.as_u16(), "request" => cause, "left_ms" => left);
--- a/crates/gateway/src/holds.rs
+++ b/crates/gateway/src/holds.rs
@@ -6,12 +6,9 @@
 //! instance asks.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use base::header;
-use hold::Hold;
 use hold::Notice;
-use hold::RetryAfter;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::StatusCode;
@@ -26,9 +23,6 @@
 use crate::instance_clients::UpstreamRequest;
 use crate::view::UpstreamInstance;
 
-/// Value of the header of an instance that isn't shutting down.
-const NOT_LEAVING: &str = "0";
-
 /// An instance as the target of a request or a probe.
 #[derive(Clone)]
 pub struct Target {
@@ -76,40 +70,14 @@
         headers: &HeaderMap,
         cause: &str,
     ) {
-        // Another instance has the address now.
-        if status == StatusCode::MISDIRECTED_REQUEST {
-            return;
-        }
         let leaving = headers.get(header::LEAVING);
-        let notice = if leaving.is_some_and(|value| value != NOT_LEAVING) {
-            Some(Notice::Leaving)
-        } else {
-            self.requested_rest(target, status, headers)
-        };
-        if let Some(notice) = notice {
-            self.record_notice(target, notice, status, cause);
-        }
-    }
-
-    /// The rest for which the instance asks in a response that refuses a request or a probe.
-    fn requested_rest(
-        &self,
-        target: &Target,
-        status: StatusCode,
-        headers: &HeaderMap,
-    ) -> Option<Notice> {
-        if !hold::may_ask_for_rest(status.as_u16()) {
-            return None;
-        }
-        let values = headers.get_all(header::RETRY_AFTER);
-        match RetryAfter::parse(values.iter().map(HeaderValue::as_bytes)) {
-            RetryAfter::Rest(rest) => Some(Notice::Rest(rest)),
-            RetryAfter::Absent => None,
-            RetryAfter::Invalid => {
-                warn!(self.log, "invalid rest"; "instance" => %target.upstream.id,
-                    "value" => ?headers.get(header::RETRY_AFTER));
-                None
-            }
+        let rests = headers.get_all(header::RETRY_AFTER);
+        let rests = rests.iter().map(HeaderValue::as_bytes);
+        match hold::read_head(status.as_u16(), leaving.map(HeaderValue::as_bytes), rests) {
+            Ok(Some(notice)) => self.record_notice(target, notice, status, cause),
+            Ok(None) => {}
+            Err(err) => warn!(self.log, "invalid rest"; "instance" => %target.upstream.id,
+                "value" => ?headers.get(header::RETRY_AFTER), "error" => %err),
         }
     }
 
@@ -121,13 +89,10 @@
         let Some(hold) = balancer.record_notice(now, &upstream.run(), notice) else {
             return;
         };
-        let (reason, left) = match hold {
-            Hold::Until(end) => ("rest", end.since(now)),
-            Hold::Leaving => ("leaving", Duration::MAX),
-        };
         add(&self.counters.holds, 1);
-        info!(self.log, "hold"; "reason" => reason, "instance" => %upstream.id,
+        info!(self.log, "hold"; "reason" => <&str>::from(hold), "instance" => %upstream.id,
             "incarnation" => upstream.incarnation, "service" => %upstream.service,
-            "status" => status.as_u16(), "request" => cause, "left_ms" => left.as_millis());
+            "status" => status.as_u16(), "request" => cause,
+            "left_ms" => hold.remaining(now).map(|left| left.as_millis()));
     }
 }
--- a/crates/hold/src/holds.rs
+++ b/crates/hold/src/holds.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use strum::IntoStaticStr;
 
 /// Fraction of the requested time by which a hold may last longer, so that the processes that
 /// an instance has turned away at the same moment don't return at the same moment.
@@ -21,15 +22,26 @@
 }
 
 /// Why nothing may be sent to an instance.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
 pub enum Hold {
     /// It takes nothing before this time.
+    #[strum(serialize = "rest")]
     Until(Moment),
     /// It is shutting down.
     Leaving,
 }
 
 impl Hold {
+    /// The time that it lasts from now on; `None` if it has no end.
+    #[must_use]
+    pub fn remaining(self, now: Moment) -> Option<Duration> {
+        match self {
+            Self::Until(end) => Some(end.since(now)),
+            Self::Leaving => None,
+        }
+    }
+
     fn is_over(self, now: Moment) -> bool {
         matches!(self, Self::Until(end) if end <= now)
     }
--- a/crates/hold/src/lib.rs
+++ b/crates/hold/src/lib.rs
@@ -9,11 +9,13 @@
 //! A hold concerns one process and one run of an instance: other processes aren't concerned, and a
 //! new run starts without one. All types are state machines without I/O; the time is an argument.
 
+pub mod head;
 pub mod holds;
 pub mod retry_after;
 
+pub use head::HeadError;
+pub use head::read_head;
 pub use holds::Hold;
 pub use holds::Holds;
 pub use holds::Notice;
 pub use retry_after::RetryAfter;
-pub use retry_after::may_ask_for_rest;
--- a/crates/hold/src/retry_after.rs
+++ b/crates/hold/src/retry_after.rs
@@ -6,16 +6,6 @@
 /// again after this time, without a restart.
 pub const MAX_REST: Duration = Duration::from_hours(24);
 
-/// Statuses of responses that refuse a request unrun, with which an instance may ask for rest: 503
-/// (unavailable) and 429 (too many requests).
-const REFUSALS: [u16; 2] = [503, 429];
-
-/// Whether the `Retry-After` of a response with this status asks for rest.
-#[must_use]
-pub fn may_ask_for_rest(status: u16) -> bool {
-    REFUSALS.contains(&status)
-}
-
 /// What the `Retry-After` headers of a response say.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryAfter {
