--- a/crates/standin/src/handler.rs
+++ b/crates/standin/src/handler.rs
@@ -68,6 +68,8 @@
     pub runs: Runs,
     pub fault: watch::Sender<Fault>,
     pub probes: AtomicU64,
+    /// Requests rejected before any work.
+    pub refused: AtomicU64,
     pub log: Logger,
     /// Set when a request has crashed the instance.
     pub crashed: watch::Sender<bool>,
@@ -86,6 +88,7 @@
             runs: Runs::default(),
             fault: watch::Sender::new(Fault::default()),
             probes: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
             log,
             crashed: watch::Sender::new(false),
             clock: Clock::start(),
@@ -136,6 +139,7 @@
 #[derive(Serialize)]
 struct RunsResponse {
     probes: u64,
+    refused: u64,
     in_flight: u32,
     runs: Vec<Run>,
 }
@@ -234,6 +238,7 @@
     fn list_runs(&self, res: &mut Response) {
         let response = RunsResponse {
             probes: self.0.probes.load(Ordering::Relaxed),
+            refused: self.0.refused.load(Ordering::Relaxed),
             in_flight: self.0.slots.in_flight(),
             runs: self.0.runs.all(),
         };
@@ -269,6 +274,7 @@
         let admission = self.0.slots.admit();
         let sheds = matches!(fault.kind, FaultKind::Shed | FaultKind::Rest);
         let Some(admission) = admission.filter(|_| !sheds) else {
+            self.0.refused.fetch_add(1, Ordering::Relaxed);
             shed(res);
             if fault.kind == FaultKind::Rest {
                 set(res, header::RETRY_AFTER, &fault.factor.to_string());
--- a/crates/testutils/src/upstream.rs
+++ b/crates/testutils/src/upstream.rs
@@ -19,6 +19,8 @@
 pub struct Record {
     /// Probes answered.
     pub probes: u64,
+    /// Requests rejected before any work.
+    pub refused: u64,
     /// Requests that occupy a slot or wait for one.
     pub in_flight: u32,
     /// Runs in the order of their starts.
