table, entry: workspaces with API keys, and the kind download

Route tables with workspaces were refused as a whole, as were routes of kind download. A request to a route that is not public now needs the key of a workspace; instances get the workspace's name and never the key. Quotas are stored, not enforced yet.

--- a/crates/base/src/header.rs
+++ b/crates/base/src/header.rs
@@ -10,6 +10,8 @@
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// End-to-end ID of a request; upstreams may echo it.
 pub const REQUEST_ID: &str = "rwr-request-id";
+/// To an upstream: name of the caller's workspace, where the route table has workspaces.
+pub const WORKSPACE: &str = "rwr-workspace";
 /// Number of the attempt, starting at 1.
 pub const ATTEMPT: &str = "rwr-attempt";
 /// Nesting depth of the call; 0 at the edge.
--- a/crates/base/src/name.rs
+++ b/crates/base/src/name.rs
@@ -107,4 +107,6 @@
     RequestKey,
     /// A catalogue change, chosen by the operator.
     ChangeId,
+    /// A workspace: a group of callers that share API keys, a priority and a quota.
+    WorkspaceName,
 }
--- a/crates/base/src/prelude.rs
+++ b/crates/base/src/prelude.rs
@@ -10,6 +10,7 @@
 pub use crate::name::RegionName;
 pub use crate::name::RequestKey;
 pub use crate::name::ServiceName;
+pub use crate::name::WorkspaceName;
 pub use crate::outcome::Outcome;
 pub use crate::time::Clock;
 pub use crate::time::Moment;
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -15,6 +15,8 @@
     pub request: HeaderName,
     /// Identifies the caller, in protocols that have a header for it.
     pub caller: Option<HeaderName>,
+    /// To an upstream: the name of the caller's workspace.
+    pub workspace: HeaderName,
     /// The time remaining for the response, in milliseconds.
     pub deadline: HeaderName,
     /// To an upstream: the only instance that may run the request.
@@ -48,6 +50,7 @@
         Self {
             request: HeaderName::from_static(header::REQUEST_ID),
             caller: Some(HeaderName::from_static(header::CALLER)),
+            workspace: HeaderName::from_static(header::WORKSPACE),
             deadline: HeaderName::from_static(header::DEADLINE),
             expected: HeaderName::from_static(header::EXPECTED_INSTANCE),
             instance: HeaderName::from_static(header::INSTANCE),
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod relay;
 mod response;
+mod workspace;
 
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -22,6 +23,7 @@
 use slog::warn;
 use table::Kind;
 use table::Route;
+use table::Workspace;
 use tokio::time::Instant;
 
 use self::limits::RequestLimits;
@@ -75,6 +77,8 @@
     started_at: Instant,
     request: ForwardedRequest,
     route: Arc<Route>,
+    /// The caller's workspace, if the route needs a key.
+    workspace: Option<Arc<Workspace>>,
     service: ServiceName,
     table_version: u64,
     caller_timeout: Duration,
@@ -154,6 +158,16 @@
         Ok(route) => route,
         Err(reason) => return refuse(reason),
     };
+    let workspace = match workspace::select(&routes, route, hop.as_ref(), request.headers()) {
+        Ok(workspace) => workspace,
+        Err(reason) => return refuse(reason),
+    };
+    workspace::replace_key(
+        &core.dialect,
+        &routes,
+        workspace.as_deref(),
+        request.headers_mut(),
+    );
     head::wait_for_instances(&core, startup_deadline).await;
     let Some(service) = head::select_service(&core, route, hop.as_ref()) else {
         return refuse(Reason::NoInstance);
@@ -172,6 +186,7 @@
         started_at,
         request,
         route: Arc::clone(route),
+        workspace,
         service,
         table_version: routes.table.version,
         caller_timeout: limits.caller_timeout,
@@ -252,7 +267,7 @@
 
     /// Whether the request may be sent although earlier attempts may have run.
     fn may_run_again(&self) -> bool {
-        !self.may_have_run || self.route.kind == Kind::Idempotent
+        !self.may_have_run || self.route.kind.is_idempotent()
     }
 
     /// Lets the request earn its fraction of a retry, once.
--- a/crates/entry/src/flow/choice.rs
+++ b/crates/entry/src/flow/choice.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use super::Flow;
+use super::workspace;
 use crate::balancer::SelectedInstance;
 use crate::body::ForwardedBody;
 use crate::placement;
@@ -90,7 +91,7 @@
     fn search_request(&self) -> SearchRequest {
         SearchRequest {
             need: self.need(),
-            priority: self.route.priority
+            priority: workspace::priority(&self.route, self.workspace.as_deref())
                 + if self.is_late() {
                     LATE_PRIORITY_OFFSET
                 } else {
--- a/crates/entry/src/flow/guard.rs
+++ b/crates/entry/src/flow/guard.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use slog::info;
-use table::Kind;
 use tokio::time::Instant;
 
 use super::Flow;
@@ -73,7 +72,7 @@
             broken_at: Instant::now(),
         };
         let check = crash::check(&self.core, broken);
-        if self.route.kind == Kind::Idempotent && self.attempts < self.max_attempts {
+        if self.route.kind.is_idempotent() && self.attempts < self.max_attempts {
             let elapsed = self.started_at.elapsed();
             let remaining = self.caller_timeout.saturating_sub(elapsed);
             self.is_suspected = !check.may_retry(self.attempts, remaining).await;
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -138,6 +138,10 @@
         let hop = Hop {
             caller: Arc::clone(&self.request.caller),
             service: self.service.clone(),
+            workspace: self
+                .workspace
+                .as_ref()
+                .map(|workspace| workspace.name.clone()),
             table: self.table_version,
             remaining: remaining.saturating_sub(HOP_TIME),
             aim: self.aim.saturating_sub(elapsed),
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -20,6 +20,8 @@
     NoTable,
     /// No route matches.
     NoRoute,
+    /// The request presents no key of a workspace.
+    Unauthorized,
     /// The request body exceeds the limit.
     TooLarge,
     /// No instance of the service is available.
@@ -57,6 +59,7 @@
             | Self::Quarantined
             | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
             Self::Broken => StatusCode::BAD_GATEWAY,
@@ -81,6 +84,10 @@
     *response.status_mut() = reason.status();
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    if reason == Reason::Unauthorized {
+        let scheme = HeaderValue::from_static("Bearer");
+        headers.insert(header::WWW_AUTHENTICATE, scheme);
+    }
     let text = retry_after.map(|delay| format!("{:.3}", delay.as_secs_f64()));
     if let Some(value) = text.and_then(|text| HeaderValue::from_str(&text).ok()) {
         headers.insert(header::RETRY_AFTER, value);
--- a/crates/entry/src/relay/hop.rs
+++ b/crates/entry/src/relay/hop.rs
@@ -19,6 +19,7 @@
 const QUESTION: HeaderName = HeaderName::from_static("rwr-hop-question");
 const CALLER: HeaderName = HeaderName::from_static("rwr-hop-caller");
 const SERVICE: HeaderName = HeaderName::from_static("rwr-hop-service");
+const WORKSPACE: HeaderName = HeaderName::from_static("rwr-hop-workspace");
 const TABLE: HeaderName = HeaderName::from_static("rwr-hop-table");
 const REMAINING: HeaderName = HeaderName::from_static("rwr-hop-left-ms");
 const AIM: HeaderName = HeaderName::from_static("rwr-hop-aim-ms");
@@ -43,6 +44,8 @@
     pub caller: Arc<str>,
     /// The service that the request goes to.
     pub service: ServiceName,
+    /// The caller's workspace, if the route needs a key.
+    pub workspace: Option<WorkspaceName>,
     /// The version of the route table that led there.
     pub table: u64,
     /// Time until the request's deadline.
@@ -58,8 +61,12 @@
 impl Hop {
     /// Adds the headers to a request.
     pub fn write(&self, headers: &mut HeaderMap) {
+        let workspace = self
+            .workspace
+            .as_ref()
+            .map(|name| (WORKSPACE, name.as_str()));
         let texts = [(CALLER, &*self.caller), (SERVICE, self.service.as_str())];
-        for (name, text) in texts {
+        for (name, text) in texts.into_iter().chain(workspace) {
             if let Ok(value) = HeaderValue::from_str(text) {
                 headers.insert(name, value);
             }
@@ -79,7 +86,9 @@
     /// Takes the headers out of a request; `None` if one is missing or invalid.
     pub fn take(headers: &mut HeaderMap) -> Option<Self> {
         let hop = Self::read(headers);
-        for name in [CALLER, SERVICE, TABLE, REMAINING, AIM, ATTEMPTS, COUNTED] {
+        for name in [
+            CALLER, SERVICE, WORKSPACE, TABLE, REMAINING, AIM, ATTEMPTS, COUNTED,
+        ] {
             headers.remove(name);
         }
         hop
@@ -91,6 +100,7 @@
         Some(Self {
             caller: text(&CALLER)?.into(),
             service: ServiceName::new(text(&SERVICE)?).ok()?,
+            workspace: text(&WORKSPACE).and_then(|name| WorkspaceName::new(name).ok()),
             table: number(&TABLE)?,
             remaining: Duration::from_millis(number(&REMAINING)?),
             aim: Duration::from_millis(number(&AIM)?),
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -16,6 +16,7 @@
 use registry::TOMBSTONE_RETENTION;
 use registry::merge;
 use table::Index;
+use table::KeyIndex;
 use table::Table;
 use wire::hub::Hearing;
 use wire::hub::Instance;
@@ -30,6 +31,8 @@
     pub table: Table,
     /// The table's routes, indexed by host and path.
     pub index: Index,
+    /// The table's workspaces, indexed by key.
+    pub keys: KeyIndex,
     /// The path of each service's health page.
     pub health: HashMap<ServiceName, Uri>,
 }
@@ -39,10 +42,12 @@
     #[must_use]
     pub fn new(table: Table) -> Self {
         let index = Index::new(&table);
+        let keys = KeyIndex::new(&table);
         let paths = table.services.iter();
         let health = paths.filter_map(|s| Some((s.name.clone(), s.health.parse().ok()?)));
         Self {
             index,
+            keys,
             health: health.collect(),
             table,
         }
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -70,6 +70,7 @@
         priority: 0,
         attempts: 2,
         target: Target::Service(name("status")),
+        public: false,
     }
 }
 
--- a/crates/hub/tests/test_hub.rs
+++ b/crates/hub/tests/test_hub.rs
@@ -87,6 +87,7 @@
             priority: 0,
             attempts: 0,
             target: table::Target::Service(ServiceName::new("none").expect("a name")),
+            public: false,
         }],
     });
     match hub.commands().put(invalid).await {
--- a/crates/table/src/check.rs
+++ b/crates/table/src/check.rs
@@ -1,5 +1,6 @@
 //! Validation of route tables. All faults are reported together.
 
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::fmt;
 use std::sync::Arc;
@@ -7,9 +8,11 @@
 
 use base::prelude::*;
 
+use crate::key::KeyDigest;
 use crate::model::Route;
 use crate::model::Table;
 use crate::model::Target;
+use crate::workspace::Workspace;
 
 /// Maximum timeout of a route.
 pub const MAX_TIMEOUT: Duration = Duration::from_mins(10);
@@ -31,6 +34,10 @@
     NoAttempts,
     /// The prefix doesn't begin and end with a slash.
     InvalidPrefix,
+    /// Another workspace has the same name.
+    DuplicateWorkspace,
+    /// Another workspace holds one of the keys.
+    SharedKey(WorkspaceName),
 }
 
 impl fmt::Display for Problem {
@@ -48,24 +55,47 @@
             Self::ZeroTimeout => f.write_str("the timeout is 0"),
             Self::NoAttempts => f.write_str("0 attempts; at least 1 is needed"),
             Self::InvalidPrefix => f.write_str("the prefix must begin and end with a slash"),
+            Self::DuplicateWorkspace => f.write_str("another workspace has the same name"),
+            Self::SharedKey(other) => write!(f, "workspace {other} holds one of its keys"),
         }
     }
 }
 
-/// A fault and the route that has it.
+/// What has a fault.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Subject {
+    /// A route.
+    Route {
+        /// The route's host.
+        host: Arc<str>,
+        /// The route's prefix.
+        prefix: Arc<str>,
+    },
+    /// A workspace.
+    Workspace(WorkspaceName),
+}
+
+impl fmt::Display for Subject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Route { host, prefix } => write!(f, "route {host}{prefix}"),
+            Self::Workspace(name) => write!(f, "workspace {name}"),
+        }
+    }
+}
+
+/// A fault and what has it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
-    /// The route's host.
-    pub host: Arc<str>,
-    /// The route's prefix.
-    pub prefix: Arc<str>,
-    /// Why the route is invalid.
+    /// The invalid route or workspace.
+    pub subject: Subject,
+    /// Why it is invalid.
     pub problem: Problem,
 }
 
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "route {}{}: {}", self.host, self.prefix, self.problem)
+        write!(f, "{}: {}", self.subject, self.problem)
     }
 }
 
@@ -82,12 +112,38 @@
                 problems.push(Problem::DuplicatePrefix);
             }
             faults.extend(problems.into_iter().map(|problem| Fault {
-                host: Arc::clone(&host.name),
-                prefix: Arc::clone(&route.prefix),
+                subject: Subject::Route {
+                    host: Arc::clone(&host.name),
+                    prefix: Arc::clone(&route.prefix),
+                },
                 problem,
             }));
         }
     }
+    faults.extend(check_workspaces(&table.workspaces));
+    faults
+}
+
+fn check_workspaces(workspaces: &[Workspace]) -> Vec<Fault> {
+    let mut names = HashSet::new();
+    let mut holders: HashMap<KeyDigest, &WorkspaceName> = HashMap::new();
+    let mut faults = Vec::new();
+    for workspace in workspaces {
+        let mut problems = Vec::new();
+        if !names.insert(&workspace.name) {
+            problems.push(Problem::DuplicateWorkspace);
+        }
+        for key in &workspace.keys {
+            let holder = holders.entry(*key).or_insert(&workspace.name);
+            if *holder != &workspace.name {
+                problems.push(Problem::SharedKey((*holder).clone()));
+            }
+        }
+        faults.extend(problems.into_iter().map(|problem| Fault {
+            subject: Subject::Workspace(workspace.name.clone()),
+            problem,
+        }));
+    }
     faults
 }
 
--- a/crates/table/src/file.rs
+++ b/crates/table/src/file.rs
@@ -52,7 +52,7 @@
 struct KindValue(Kind);
 
 impl conf::Value for KindValue {
-    const FORM: &'static str = "idempotent or once";
+    const FORM: &'static str = "idempotent, download or once";
 
     fn read(text: &str) -> Option<Self> {
         text.parse().ok().map(Self)
@@ -110,6 +110,7 @@
         services,
         limits,
         hosts,
+        workspaces: Vec::new(),
     })
 }
 
@@ -203,6 +204,7 @@
         priority,
         attempts,
         target: target(services)?,
+        public: false,
     };
     Some((host, route))
 }
--- a/crates/table/src/model.rs
+++ b/crates/table/src/model.rs
@@ -10,6 +10,8 @@
 use strum::EnumString;
 use strum::IntoStaticStr;
 
+use crate::workspace::Workspace;
+
 /// Whether a request may be executed more than once.
 #[derive(
     Clone,
@@ -28,10 +30,23 @@
 pub enum Kind {
     /// The request may be executed any number of times.
     Idempotent,
+    /// Like [`Kind::Idempotent`], with a large response.
+    Download,
     /// The request is executed at most once per attempt of its caller.
     Once,
 }
 
+impl Kind {
+    /// Whether a request may be executed again although it may have been executed before.
+    #[must_use]
+    pub fn is_idempotent(self) -> bool {
+        match self {
+            Self::Idempotent | Self::Download => true,
+            Self::Once => false,
+        }
+    }
+}
+
 /// A service with its share of the requests of a route.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WeightedService {
@@ -80,6 +95,9 @@
     pub attempts: u32,
     /// Where requests are sent.
     pub target: Target,
+    /// Whether requests need no API key, although the table has workspaces.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
 }
 
 /// The routes of one host name.
@@ -150,4 +168,7 @@
     pub limits: Limits,
     /// The hosts with their routes.
     pub hosts: Vec<Host>,
+    /// The workspaces; if there are any, requests need an API key.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub workspaces: Vec<Workspace>,
 }
--- a/crates/table/tests/test_table.rs
+++ b/crates/table/tests/test_table.rs
@@ -38,6 +38,7 @@
         priority: 2,
         attempts: 2,
         target,
+        public: false,
     }
 }
 
--- a/crates/testutils/src/tables.rs
+++ b/crates/testutils/src/tables.rs
@@ -44,6 +44,7 @@
         priority: 0,
         attempts: 2,
         target,
+        public: false,
     }
 }
 
