entry: permits by the quota of a workspace

Cause: the quotas of workspaces were read but not enforced. Change: a request of a workspace with a quota acquires a permit before its first attempt, from the holder in its failure domain, over PlaceApi. Holders transfer tokens between domains. Permits of requests that were not run are given back; those older than the bound allows are renewed. Refusal reasons over-quota (429) and quota-unreachable (503), header rwr-hop-charged, settings [quota]. Without quotas in the table no permit is asked for.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -46,6 +46,8 @@
 use crate::dialect::Dialect;
 use crate::placement::DispatcherClients;
 use crate::processes::Processes;
+use crate::quota;
+use crate::quota::Quotas;
 use crate::relay::Peer;
 use crate::relay::RelayCount;
 use crate::route_stats::RouteStats;
@@ -128,6 +130,8 @@
     pub path_changes: watch::Sender<u64>,
     /// Number of requests that this process relays for others.
     pub relayed: RelayCount,
+    /// The quotas of workspaces.
+    pub quotas: Quotas,
     routes: RwLock<Arc<Routes>>,
     state: Mutex<State>,
 }
@@ -138,6 +142,7 @@
     pub fn new(settings: Settings, dialect: Dialect, log: Logger, counters: Counters) -> Arc<Self> {
         let clock = Clock::start();
         Arc::new(Self {
+            quotas: Quotas::new(&settings, clock.now()),
             settings: RwLock::new(Arc::new(settings)),
             dialect,
             guard: Arc::new(Guard::new(log.clone(), clock, HUB_KEY)),
@@ -177,6 +182,7 @@
             probes: settings.probes,
             max_dispatched: settings.max_dispatched,
             stop: settings.stop,
+            quota: settings.quota.clone(),
             ..(*current).clone()
         };
         info!(self.log, "settings reloaded"; "seeds" => format!("{:?}", next.seeds),
@@ -187,6 +193,10 @@
             .write()
             .unwrap_or_else(PoisonError::into_inner) = Arc::new(next);
         self.set_entry_count(entry_count);
+        let settings = self.settings();
+        let hosts = self.state().hosts.clone();
+        self.quotas.set_hosts(self.clock.now(), &settings, &hosts);
+        quota::check_bound(self);
     }
 
     /// The current routes; their table has version 0 until one is received.
@@ -212,6 +222,7 @@
         self.table_known
             .send_if_modified(|table_known| !std::mem::replace(table_known, true));
         info!(self.log, "route table"; "version" => version);
+        quota::check_bound(self);
     }
 
     /// Evicts the state of routes that are no longer in the table. Route names change with every
@@ -415,6 +426,8 @@
                 self.path_changes.send_modify(|changes| *changes += 1);
             }
             state.processes = Arc::new(self.processes(&state));
+            self.quotas
+                .set_hosts(self.clock.now(), &settings, &state.hosts);
             self.set_warmups(&mut state);
             share::assign_dispatchers(&settings, &mut state, self.clock.now());
         }
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -7,6 +7,7 @@
 use cadence::Gauged;
 use cadence::StatsdClient;
 use cadence::Timed;
+use quota::Tokens;
 
 /// Sends metrics. A metric that can't be sent is dropped without delaying the caller.
 #[derive(Debug)]
@@ -136,6 +137,32 @@
             .send();
     }
 
+    /// Counts permits; `outcome` is what became of them.
+    pub fn quota(&self, outcome: &str, count: u32) {
+        if count > 0 {
+            self.client
+                .count_with_tags("entry.quota.permits", i64::from(count))
+                .with_tag("outcome", outcome)
+                .send();
+        }
+    }
+
+    /// Counts tokens that another holder sent, in thousandths.
+    pub fn quota_transferred(&self, tokens: Tokens) {
+        let thousandths = i64::try_from(tokens.micros() / 1000).unwrap_or(i64::MAX);
+        self.client
+            .count_with_tags("entry.quota.transferred", thousandths)
+            .send();
+    }
+
+    /// Sets what is left of a workspace's quota at this process, its holder.
+    pub fn quota_left(&self, workspace: &WorkspaceName, tokens: u64) {
+        self.client
+            .gauge_with_tags("entry.quota.tokens", tokens)
+            .with_tag("workspace", workspace.as_str())
+            .send();
+    }
+
     /// Counts a probe.
     pub fn probe(&self, service: &ServiceName, answered: bool) {
         let result = if answered { "answered" } else { "failed" };
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -30,6 +30,7 @@
 use crate::placement::server;
 use crate::placement::server::PlacementServer;
 use crate::probe;
+use crate::quota;
 use crate::serve;
 use crate::serve::Side;
 use crate::settings::Settings;
@@ -110,6 +111,7 @@
             spawn(serve::readiness(Arc::clone(&core), ready)),
             spawn(sync::run(Arc::clone(&core), beacons)),
             spawn(probe::probe_ejected(Arc::clone(&core))),
+            spawn(quota::tick::run(Arc::clone(&core))),
         ];
         tasks.extend(relay.map(|listener| spawn(accept(listener, Side::Peers))));
         tasks.extend(placement.map(|incoming| spawn(serve_placement(Arc::clone(&core), incoming))));
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -4,6 +4,7 @@
 mod guard;
 mod head;
 mod limits;
+mod quota;
 mod relay;
 mod response;
 mod workspace;
@@ -41,6 +42,7 @@
 use crate::exchange::Reservation;
 use crate::exchange::UpstreamBody;
 use crate::headers;
+use crate::quota::Permit;
 use crate::refusal::Reason;
 use crate::relay::Hop;
 use crate::relay::PeerLease;
@@ -93,6 +95,8 @@
     max_attempts: u32,
     /// Whether the request has earned its fraction of a retry.
     counted: bool,
+    /// The permit of the workspace's quota, if it has one.
+    permit: Option<Permit>,
     unsent: u32,
     exclude: Vec<Pick>,
     /// Whether an instance may have processed the request.
@@ -193,6 +197,7 @@
         aim: limits.aim,
         attempts: 0,
         is_suspected: false,
+        permit: None,
         unsent: 0,
         exclude: Vec::new(),
         may_have_run: false,
@@ -238,6 +243,9 @@
         self.request_bytes = body.known_length().unwrap_or_default();
         self.spool = body.spool();
         self.content = body.content();
+        if let Err(reason) = self.charge().await {
+            return self.fallback(reason);
+        }
         loop {
             if self.core.is_cut_off(&self.service) && self.may_run_again() {
                 match self.relay(body).await {
@@ -287,6 +295,7 @@
         let chosen = self.choose_while_buffering(&body).await?;
         // The request may have been quarantined while it waited for capacity.
         self.check_quarantine().await?;
+        self.renew_permit().await?;
         let pick = chosen.choice.pick;
         self.attempts += 1;
         self.exclude.push(pick);
@@ -311,6 +320,7 @@
         let core = Arc::clone(&self.core);
         // Until the attempt has ended, the instance may be processing the request.
         let may_have_run_before = std::mem::replace(&mut self.may_have_run, true);
+        self.set_permit_sent(true);
         let sent_at = Instant::now();
         self.last_attempt = Some(Attempt {
             upstream: Arc::clone(&chosen.upstream),
@@ -326,6 +336,7 @@
             exchange::attempt(&core, upstream, reservation, &self.request, body, timeouts).await;
         self.may_have_run =
             may_have_run_before || matches!(end, AttemptEnd::Answer(..) | AttemptEnd::Unknown);
+        self.set_permit_sent(self.may_have_run);
         self.log_attempt(&end, sent_at.elapsed());
         self.record_end(&end, upstream, sent_at).await;
         if matches!(end, AttemptEnd::Elsewhere) {
@@ -408,7 +419,7 @@
         };
         let retry_after = match reason {
             Reason::BackedOff => self.balancer(Balancer::retry_after),
-            Reason::Quarantined => self.retry_after,
+            Reason::Quarantined | Reason::OverQuota | Reason::QuotaUnreachable => self.retry_after,
             Reason::Full => self
                 .retry_after
                 .or_else(|| self.balancer(Balancer::retry_after)),
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -44,6 +44,19 @@
     BackedOff(Duration),
 }
 
+impl HopEnd {
+    /// Whether an instance may have run the request.
+    fn may_have_run(&self) -> bool {
+        match self {
+            Self::Final(Outcome::Response(..)) => true,
+            Self::Final(Outcome::Refusal(reason, _)) => {
+                matches!(reason, Reason::Broken | Reason::Timeout)
+            }
+            Self::NotTaken(_) | Self::BackedOff(_) => false,
+        }
+    }
+}
+
 impl Flow {
     /// Whether no instance of the service took the request and the reason may be a cut path.
     /// Waits for a check of the path that is in progress.
@@ -69,6 +82,9 @@
         let mut shortest_backoff: Option<Duration> = None;
         let mut body = Some(body);
         while let Some(current) = body.take() {
+            if let Err(reason) = self.renew_permit().await {
+                return Ok(self.fallback(reason));
+            }
             let peer = match search::next_peer(&self.core, &self.service, &tried).await {
                 NextPeer::Found(peer) => peer,
                 NextPeer::PathRegained => return Err(current),
@@ -93,6 +109,7 @@
                     HopEnd::Final(self.fallback(Reason::Broken))
                 }
             };
+            self.set_permit_sent(end.may_have_run() || self.may_have_run);
             self.log_hop(&peer, &end, started_at.elapsed());
             match end {
                 HopEnd::Final(outcome) => return Ok(outcome),
@@ -147,10 +164,12 @@
             aim: self.aim.saturating_sub(elapsed),
             attempts: self.max_attempts.saturating_sub(self.attempts),
             counted: self.counted,
+            charged: self.is_charged(),
         };
         hop.write(headers);
         // Until the peer has responded, an instance may be processing the request.
         let may_have_run_before = std::mem::replace(&mut self.may_have_run, true);
+        self.set_permit_sent(true);
         let end = relay::send(lease.peer(), request).await;
         self.may_have_run = may_have_run_before || matches!(end, SendEnd::Broken);
         end
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod pool;
 pub mod probe;
 pub mod processes;
+pub mod quota;
 pub mod refusal;
 pub mod relay;
 pub mod remaining;
--- a/crates/entry/src/placement/server.rs
+++ b/crates/entry/src/placement/server.rs
@@ -21,6 +21,11 @@
 use wire::place::Ended;
 use wire::place::Outcome;
 use wire::place::Placed;
+use wire::quota::Acquire;
+use wire::quota::GiveBack;
+use wire::quota::Permits;
+use wire::quota::Transfer;
+use wire::quota::TransferReply;
 
 use super::convert::duration_from_micros;
 use super::convert::kind_from_wire;
@@ -29,6 +34,7 @@
 use super::outcome_label;
 use crate::balancer::Balancer;
 use crate::core::Core;
+use crate::quota;
 use crate::search;
 use crate::search::SearchRequest;
 use crate::search::SearchResult;
@@ -130,6 +136,18 @@
             balancer.release_grant(now, end.grant, kind, report);
         });
     }
+
+    async fn acquire(self, _: Context, ask: Acquire) -> Permits {
+        quota::serve_acquire(&self.core, &ask).await
+    }
+
+    async fn transfer(self, _: Context, ask: Transfer) -> TransferReply {
+        quota::serve_transfer(&self.core, &ask)
+    }
+
+    async fn give_back(self, _: Context, permits: GiveBack) {
+        quota::serve_give_back(&self.core, &permits);
+    }
 }
 
 /// Serves one connection until it closes.
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -22,6 +22,10 @@
     NoRoute,
     /// The request presents no key of a workspace.
     Unauthorized,
+    /// The request is beyond the quota of its workspace.
+    OverQuota,
+    /// No process that holds the quota of the workspace answers.
+    QuotaUnreachable,
     /// The request body exceeds the limit.
     TooLarge,
     /// No instance of the service is available.
@@ -57,9 +61,11 @@
             | Self::Full
             | Self::BackedOff
             | Self::Quarantined
+            | Self::QuotaUnreachable
             | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
+            Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
             Self::Broken => StatusCode::BAD_GATEWAY,
--- a/crates/entry/src/relay/hop.rs
+++ b/crates/entry/src/relay/hop.rs
@@ -25,6 +25,7 @@
 const AIM: HeaderName = HeaderName::from_static("rwr-hop-aim-ms");
 const ATTEMPTS: HeaderName = HeaderName::from_static("rwr-hop-attempts");
 const COUNTED: HeaderName = HeaderName::from_static("rwr-hop-counted");
+const CHARGED: HeaderName = HeaderName::from_static("rwr-hop-charged");
 /// In a response: how the request ended.
 pub const OUTCOME: HeaderName = HeaderName::from_static("rwr-hop-outcome");
 /// In a response: the instance that responded, and its incarnation.
@@ -56,6 +57,8 @@
     pub attempts: u32,
     /// Whether the request has earned its fraction of a retry already.
     pub counted: bool,
+    /// Whether the request has a permit of its workspace's quota already.
+    pub charged: bool,
 }
 
 impl Hop {
@@ -77,6 +80,7 @@
             (AIM, millis(self.aim)),
             (ATTEMPTS, self.attempts.into()),
             (COUNTED, self.counted.into()),
+            (CHARGED, self.charged.into()),
         ];
         for (name, number) in numbers {
             headers.insert(name, HeaderValue::from(number));
@@ -87,7 +91,7 @@
     pub fn take(headers: &mut HeaderMap) -> Option<Self> {
         let hop = Self::read(headers);
         for name in [
-            CALLER, SERVICE, WORKSPACE, TABLE, REMAINING, AIM, ATTEMPTS, COUNTED,
+            CALLER, SERVICE, WORKSPACE, TABLE, REMAINING, AIM, ATTEMPTS, COUNTED, CHARGED,
         ] {
             headers.remove(name);
         }
@@ -106,6 +110,7 @@
             aim: Duration::from_millis(number(&AIM)?),
             attempts: u32::try_from(number(&ATTEMPTS)?).ok()?,
             counted: number(&COUNTED)? > 0,
+            charged: number(&CHARGED).is_some_and(|charged| charged > 0),
         })
     }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -13,6 +13,7 @@
 use conf::Reader;
 use conf::value::Decimal;
 use conf::value::duration_text;
+use quota::Bound;
 
 const ENTRY: &str = "entry";
 const RETRY: &str = "retry";
@@ -22,6 +23,7 @@
 const COST: &str = "cost";
 const COLD: &str = "cold";
 const RELAY: &str = "relay";
+const QUOTA: &str = "quota";
 
 /// Default path of the readiness page.
 const DEFAULT_READY_PATH: &str = "/ready";
@@ -116,6 +118,15 @@
     }
 }
 
+/// How the quotas of workspaces are shared and bounded.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct QuotaSettings {
+    /// All failure domains of the deployment; none if all processes are one group.
+    pub domains: Vec<DomainName>,
+    /// The bound on the requests of a workspace.
+    pub bound: Bound,
+}
+
 /// All settings of an entry process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -160,6 +171,8 @@
     pub crossing: u32,
     /// How far cold instances may be loaded beyond their rate.
     pub cold: ColdBound,
+    /// The quotas of workspaces.
+    pub quota: QuotaSettings,
     /// Log and metrics.
     pub telemetry: telemetry::Settings,
 }
@@ -199,6 +212,7 @@
             stop: Stop::default(),
             crossing: 0,
             cold: ColdBound::default(),
+            quota: QuotaSettings::default(),
             telemetry: telemetry::Settings::default(),
         }
     }
@@ -245,6 +259,7 @@
         let stop = read_stop(r);
         let crossing = r.or(COST, "crossing", 0);
         let cold = read_cold(r);
+        let quota = read_quota(r);
         let telemetry = telemetry::Settings::read(r);
         let max_port = u32::from(u16::MAX - HUB_PORT_OFFSET);
         if let Some(port) = port.filter(|p| *p > max_port) {
@@ -275,6 +290,7 @@
             stop,
             crossing,
             cold,
+            quota,
             telemetry,
         })
     }
@@ -328,6 +344,22 @@
     limit
 }
 
+fn read_quota(r: &mut Reader) -> QuotaSettings {
+    let defaults = Bound::default();
+    let mut domains: Vec<DomainName> = r.list(QUOTA, "domains");
+    domains.sort();
+    domains.dedup();
+    let bound = Bound {
+        window: r.or(QUOTA, "window", defaults.window),
+        overshoot: r.or(QUOTA, "overshoot", Decimal(defaults.overshoot)).0,
+        slack: r.or(QUOTA, "slack", defaults.slack),
+    };
+    if bound.window.is_zero() {
+        r.fault(QUOTA, "window", Problem::Form("0ms".into()), "over 0");
+    }
+    QuotaSettings { domains, bound }
+}
+
 fn read_stop(r: &mut Reader) -> Stop {
     let defaults = Stop::default();
     let grace = r.or(STOP, "grace", defaults.grace);
@@ -380,6 +412,14 @@
         writeln!(f, "\n[{COLD}]")?;
         writeln!(f, "overshoot = {}", Decimal(self.cold.overshoot))?;
         writeln!(f, "slack = {}", self.cold.slack)?;
+        writeln!(f, "\n[{QUOTA}]")?;
+        if !self.quota.domains.is_empty() {
+            let domains: Vec<String> = self.quota.domains.iter().map(ToString::to_string).collect();
+            writeln!(f, "domains = {}", domains.join(", "))?;
+        }
+        writeln!(f, "window = {}", duration_text(self.quota.bound.window))?;
+        writeln!(f, "overshoot = {}", Decimal(self.quota.bound.overshoot))?;
+        writeln!(f, "slack = {}", self.quota.bound.slack)?;
         write!(f, "\n{}", self.telemetry)
     }
 }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -104,6 +104,8 @@
         let targets = hubs.targets(&seeds);
         let live_hubs = hubs.live();
         hubs.select_primary();
+        core.quotas
+            .set_hub_missing(core.clock.now(), hubs.is_any_missing());
         if hubs.is_count_expired() {
             core.set_entry_count(0);
         }
@@ -347,6 +349,7 @@
             failed: false,
         };
         self.hubs.record(self.address, status);
+        self.core.quotas.hub_answered(self.core.clock.now());
         let entry_count = self.hubs.entry_count();
         if entry_count > 0 {
             self.core.set_entry_count(entry_count);
--- a/crates/entry/src/sync/hubs.rs
+++ b/crates/entry/src/sync/hubs.rs
@@ -163,6 +163,15 @@
         live.map(|(address, _)| *address).collect()
     }
 
+    /// Whether a known member of the hub group doesn't answer.
+    #[must_use]
+    pub fn is_any_missing(&self) -> bool {
+        let hubs = self.statuses();
+        let answers = |address| hubs.get(address).is_some_and(HubStatus::is_recent);
+        let mut members = hubs.values().flat_map(|status| &status.members);
+        members.any(|address| !answers(address))
+    }
+
     /// How long the hub at `address` should hold a watch while nothing changes.
     #[must_use]
     pub fn watch_duration(&self, address: SocketAddr) -> Duration {
--- a/crates/gen/src/lib.rs
+++ b/crates/gen/src/lib.rs
@@ -10,7 +10,7 @@
 use quick_error::quick_error;
 
 /// Protocol files, each after its imports.
-const PROTOS: [&str; 9] = [
+const PROTOS: [&str; 10] = [
     "catalogue.proto",
     "ledger.proto",
     "control.proto",
@@ -18,6 +18,7 @@
     "directory.proto",
     "gateway.proto",
     "place.proto",
+    "quota.proto",
     "store.proto",
     "replica.proto",
 ];
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -40,6 +40,11 @@
 use crate::ledger::SettleReply;
 use crate::place::Ended;
 use crate::place::Placed;
+use crate::quota::Acquire;
+use crate::quota::GiveBack;
+use crate::quota::Permits;
+use crate::quota::Transfer;
+use crate::quota::TransferReply;
 use crate::replica::Ask;
 use crate::replica::AskReply;
 use crate::replica::Envelope;
@@ -134,4 +139,10 @@
     async fn place(ask: crate::place::Ask) -> Placed;
     /// Reports the end of an attempt at a granted instance.
     async fn ended(end: Ended);
+    /// Grants permits for requests of a workspace whose quota the process holds.
+    async fn acquire(ask: Acquire) -> Permits;
+    /// Sends tokens to the holder of another failure domain; they are deducted before.
+    async fn transfer(ask: Transfer) -> TransferReply;
+    /// Takes back permits whose requests were not run.
+    async fn give_back(permits: GiveBack);
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -50,6 +50,12 @@
     include!("generated/rwr.place.rs");
 }
 
+/// Messages between entry processes about the quotas of workspaces.
+#[allow(missing_docs, clippy::pedantic)]
+pub mod quota {
+    include!("generated/rwr.quota.rs");
+}
+
 /// Records in a replica's data folder.
 #[allow(missing_docs, clippy::pedantic)]
 pub mod store {
