--- a/crates/entry/tests/test_placement.rs
+++ b/crates/entry/tests/test_placement.rs
@@ -37,6 +37,11 @@
 use wire::place::Kind;
 use wire::place::Outcome;
 use wire::place::Placed;
+use wire::quota::Acquire;
+use wire::quota::GiveBack;
+use wire::quota::Permits;
+use wire::quota::Transfer;
+use wire::quota::TransferReply;
 
 const FREE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 const PATIENCE: Duration = Duration::from_mins(1);
@@ -190,6 +195,16 @@
     async fn ended(self, _: Context, end: Ended) {
         self.ended.lock().expect("whole").push(end.kind());
     }
+
+    async fn acquire(self, _: Context, _: Acquire) -> Permits {
+        Permits::default()
+    }
+
+    async fn transfer(self, _: Context, _: Transfer) -> TransferReply {
+        TransferReply::default()
+    }
+
+    async fn give_back(self, _: Context, _: GiveBack) {}
 }
 
 impl FakeDispatcher {
