--- a/crates/base/src/name.rs
+++ b/crates/base/src/name.rs
@@ -30,6 +30,10 @@
         Character(found: char) {
             display("a name has letters, digits, '-', '_', '.' and ':', not {found:?}")
         }
+        /// The string contains a character that can't stand there in the value of a header.
+        Value(found: char) {
+            display("a workspace name has visible ASCII characters and spaces between them, not {found:?}")
+        }
     }
 }
 
@@ -52,20 +56,41 @@
     invalid.map_or(Ok(()), |c| Err(NameError::Character(c)))
 }
 
+/// Checks that `text` is a valid workspace name: instances are told it in a header, so that it is
+/// any value that reaches them unchanged.
+///
+/// # Errors
+///
+/// Returns an error if `text` is empty, longer than [`MAX_NAME_BYTES`], begins or ends with a
+/// space, or contains a character other than visible ASCII characters and spaces.
+pub fn check_workspace(text: &str) -> Result<(), NameError> {
+    if text.is_empty() {
+        return Err(NameError::Empty);
+    }
+    if text.len() > MAX_NAME_BYTES {
+        return Err(NameError::Long(text.len()));
+    }
+    if text.starts_with(' ') || text.ends_with(' ') {
+        return Err(NameError::Value(' '));
+    }
+    let invalid = text.chars().find(|c| !matches!(c, ' '..='~'));
+    invalid.map_or(Ok(()), |c| Err(NameError::Value(c)))
+}
+
 macro_rules! names {
-    ($($(#[$doc:meta])* $name:ident,)*) => {$(
+    ($check:ident: $($(#[$doc:meta])* $name:ident,)*) => {$(
         $(#[$doc])*
         #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
         pub struct $name(Arc<str>);
 
         impl $name {
-            /// Creates a name from `text` if [`check`] accepts it.
+            #[doc = concat!("Creates a name from `text` if [`", stringify!($check), "`] accepts it.")]
             ///
             /// # Errors
             ///
-            /// Returns the error of [`check`].
+            #[doc = concat!("Returns the error of [`", stringify!($check), "`].")]
             pub fn new(text: &str) -> Result<Self, NameError> {
-                check(text)?;
+                $check(text)?;
                 Ok(Self(text.into()))
             }
 
@@ -90,7 +115,7 @@
     )*};
 }
 
-names! {
+names! { check:
     /// A service in the catalogue.
     ServiceName,
     /// An instance of an upstream; unique within its service.
@@ -107,6 +132,9 @@
     RequestKey,
     /// A catalogue change, chosen by the operator.
     ChangeId,
+}
+
+names! { check_workspace:
     /// A workspace: a group of callers that share API keys, a priority and a quota.
     WorkspaceName,
 }
--- a/crates/table/src/check.rs
+++ b/crates/table/src/check.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::name::NameError;
 use base::prelude::*;
 
 use crate::key::KeyDigest;
@@ -38,6 +39,10 @@
     DuplicateWorkspace,
     /// Another workspace holds one of the keys.
     SharedKey(WorkspaceName),
+    /// One of the keys is empty, so that no caller can present it.
+    EmptyKey,
+    /// The name of the workspace is invalid.
+    InvalidWorkspaceName(NameError),
 }
 
 impl fmt::Display for Problem {
@@ -57,6 +62,8 @@
             Self::InvalidPrefix => f.write_str("the prefix must begin and end with a slash"),
             Self::DuplicateWorkspace => f.write_str("another workspace has the same name"),
             Self::SharedKey(other) => write!(f, "workspace {other} holds one of its keys"),
+            Self::EmptyKey => f.write_str("one of its keys is empty"),
+            Self::InvalidWorkspaceName(err) => err.fmt(f),
         }
     }
 }
@@ -128,8 +135,16 @@
     let mut names = HashSet::new();
     let mut holders: HashMap<KeyDigest, &WorkspaceName> = HashMap::new();
     let mut faults = Vec::new();
+    let empty_key = KeyDigest::of("");
     for workspace in workspaces {
         let mut problems = Vec::new();
+        // Tables from the log or another process are decoded without a check of their names.
+        if let Err(err) = WorkspaceName::new(workspace.name.as_str()) {
+            problems.push(Problem::InvalidWorkspaceName(err));
+        }
+        if workspace.keys.contains(&empty_key) {
+            problems.push(Problem::EmptyKey);
+        }
         if !names.insert(&workspace.name) {
             problems.push(Problem::DuplicateWorkspace);
         }
--- a/crates/table/src/key.rs
+++ b/crates/table/src/key.rs
@@ -16,6 +16,8 @@
 
 /// Length of a digest in bytes.
 const DIGEST_BYTES: usize = 32;
+/// Number of hexadecimal digits of [`KeyDigest::short`].
+const SHORT_DIGITS: usize = 8;
 
 quick_error! {
     /// Why a text is no digest of a key.
@@ -36,8 +38,16 @@
 impl KeyDigest {
     /// The digest of `key`.
     #[must_use]
-    pub fn of(key: &str) -> Self {
-        Self(Sha256::digest(key.as_bytes()).into())
+    pub fn of(key: impl AsRef<[u8]>) -> Self {
+        Self(Sha256::digest(key).into())
+    }
+
+    /// The first digits, which tell keys apart in log lines.
+    #[must_use]
+    pub fn short(&self) -> String {
+        let mut text = self.to_string();
+        text.truncate(SHORT_DIGITS);
+        text
     }
 
     /// Whether both digests are equal, in a time that doesn't depend on their bytes.
@@ -63,7 +73,9 @@
     type Err = DigestError;
 
     fn from_str(text: &str) -> Result<Self, DigestError> {
-        if text.len() != DIGEST_BYTES * 2 || !text.is_ascii() {
+        // `from_str_radix` accepts signs.
+        let digits_only = text.bytes().all(|b| b.is_ascii_hexdigit());
+        if text.len() != DIGEST_BYTES * 2 || !digits_only {
             return Err(DigestError::Form);
         }
         let mut bytes = [0; DIGEST_BYTES];
--- a/crates/table/src/workspace.rs
+++ b/crates/table/src/workspace.rs
@@ -64,10 +64,15 @@
 
     /// The workspace that holds `key`.
     #[must_use]
-    pub fn select(&self, key: &str) -> Option<&Arc<Workspace>> {
-        let presented = KeyDigest::of(key);
-        let (held, workspace) = self.workspaces.get_key_value(&presented)?;
-        held.matches(&presented).then_some(workspace)
+    pub fn select(&self, key: impl AsRef<[u8]>) -> Option<&Arc<Workspace>> {
+        self.holder(&KeyDigest::of(key))
+    }
+
+    /// The workspace that holds the key with this digest.
+    #[must_use]
+    pub fn holder(&self, presented: &KeyDigest) -> Option<&Arc<Workspace>> {
+        let (held, workspace) = self.workspaces.get_key_value(presented)?;
+        held.matches(presented).then_some(workspace)
     }
 
     /// The workspace with this name.
