table: workspaces and public routes in INI files

Files could name neither, so that rwrctl could not show or put such tables. Sections [workspace NAME] have keys or key-digests, priority, rate and burst; written files have digests only, and faults never quote a key. Names are percent-encoded, as they may have characters that end a section's name. The state machine Confirmation tells since when a table is known to be the newest.

--- a/crates/cli/tests/test_routes.rs
+++ b/crates/cli/tests/test_routes.rs
@@ -206,3 +206,56 @@
     let listed = rwrctl(&format!("evacuations --hub {hub}")).await;
     assert!(!listed.out.contains("torino"), "{}", listed.out);
 }
+
+/// Guards against keys in tables that are shown, and against a table that takes effect in part.
+#[tokio::test]
+async fn test_routes_with_workspaces_are_checked_put_and_shown() {
+    let hub = listen!(HubApi, Hub::default());
+    let sections = "\n[workspace acme]\nkeys = secret-key\nrate = 2.5/s\nburst = 30\n";
+    let good = FILE.replace("kind = idempotent", "kind = download\npublic = yes") + sections;
+    let path = write("routes-workspaces.ini", &good);
+    let put = rwrctl(&format!("routes put {} --hub {hub}", path.display())).await;
+    assert_eq!(put.exit, Exit::Done, "{}", put.err);
+    let shared = format!(
+        "{}\n[workspace other]\nkeys = secret-key\n",
+        good.replace("= 7", "= 8")
+    );
+    let cases = [
+        (
+            "shared",
+            shared,
+            "workspace other: workspace acme holds one of its keys",
+        ),
+        (
+            "malformed",
+            good.replace("keys", "key-digests"),
+            "64 hexadecimal digits",
+        ),
+        (
+            "rate",
+            good.replace("2.5/s", "2.5"),
+            "[workspace acme] rate",
+        ),
+    ];
+    for (name, text, fault) in cases {
+        let path = write(&format!("routes-{name}.ini"), &text);
+        for command in ["check", "put"] {
+            let line = format!("routes {command} {} --hub {hub}", path.display());
+            let result = rwrctl(&line).await;
+            assert_eq!(result.exit, Exit::Invalid, "{name}: {}", result.out);
+            assert!(result.err.contains(fault), "{name}: {}", result.err);
+            assert!(!result.err.contains("secret-key"), "{name}: {}", result.err);
+        }
+    }
+    let show = rwrctl(&format!("routes show --hub {hub}")).await;
+    for part in [
+        "version = 7",
+        "[workspace acme]",
+        "key-digests = ",
+        "public = yes",
+        "kind = download",
+    ] {
+        assert!(show.out.contains(part), "{part} in {}", show.out);
+    }
+    assert!(!show.out.contains("secret-key"), "{}", show.out);
+}
--- a/crates/table/src/file.rs
+++ b/crates/table/src/file.rs
@@ -18,7 +18,18 @@
 //! priority = 2
 //! attempts = 2
 //! target = status:90, status-next:10
+//! public = yes
+//!
+//! [workspace payments]
+//! key-digests = 5e884898da28047151d0e56f8dc6292773603d0d6aabbdd62a11ef721d1542d8
+//! priority = 1
+//! rate = 30/s
+//! burst = 30
 //! ```
+//!
+//! `keys` in place of `key-digests` has the keys themselves. Written files have digests only.
+
+mod workspace;
 
 use std::fmt;
 use std::fmt::Write as _;
@@ -95,9 +106,12 @@
     let limits = read_limits(r);
     let mut services = Vec::new();
     let mut hosts: Vec<Host> = Vec::new();
+    let mut workspaces = Vec::new();
     for section in r.sections() {
         if let Some(name) = section.strip_prefix(SERVICE) {
             services.extend(read_service(r, &section, name));
+        } else if let Some(name) = section.strip_prefix(workspace::SECTION) {
+            workspaces.extend(workspace::read(r, &section, name));
         } else if let Some(host_and_prefix) = section.strip_prefix(ROUTE)
             && let Some((host, route)) = read_route(r, &section, host_and_prefix)
         {
@@ -110,7 +124,7 @@
         services,
         limits,
         hosts,
-        workspaces: Vec::new(),
+        workspaces,
     })
 }
 
@@ -181,6 +195,7 @@
     let priority = r.or(section, "priority", 0);
     let attempts = r.or(section, "attempts", 1);
     let services: Vec<TargetValue> = r.list(section, "target");
+    let public = r.or(section, "public", false);
     let Some(slash) = host_and_prefix.find('/') else {
         let form = "host and path prefix, such as example.org/status/";
         r.fault(section, "", Problem::Form(host_and_prefix.into()), form);
@@ -204,7 +219,7 @@
         priority,
         attempts,
         target: target(services)?,
-        public: false,
+        public,
     };
     Some((host, route))
 }
@@ -256,7 +271,8 @@
             write_route(out, &host.name, route)?;
         }
     }
-    Ok(())
+    let mut workspaces = table.workspaces.iter();
+    workspaces.try_for_each(|workspace| workspace::write(out, workspace))
 }
 
 fn write_route(out: &mut String, host: &str, route: &Route) -> fmt::Result {
@@ -280,5 +296,9 @@
             shares.collect::<Vec<_>>().join(", ")
         }
     };
-    writeln!(out, "target = {target}")
+    writeln!(out, "target = {target}")?;
+    if route.public {
+        writeln!(out, "public = yes")?;
+    }
+    Ok(())
 }
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod check;
 pub mod codec;
+pub mod confirmation;
 pub mod file;
 pub mod index;
 pub mod key;
@@ -18,6 +19,7 @@
 pub use check::Subject;
 pub use check::check;
 pub use codec::CodecError;
+pub use confirmation::Confirmation;
 pub use index::Index;
 pub use key::KeyDigest;
 pub use model::Cold;
--- a/crates/table/tests/test_table.rs
+++ b/crates/table/tests/test_table.rs
@@ -5,16 +5,21 @@
 use base::prelude::*;
 use conf::Reader;
 use table::Cold;
+use table::Confirmation;
 use table::Host;
 use table::Index;
+use table::KeyDigest;
+use table::KeyIndex;
 use table::Kind;
 use table::Problem;
+use table::Quota;
 use table::Route;
 use table::Service;
 use table::Table;
 use table::Target;
 use table::WeightedRoundRobin;
 use table::WeightedService;
+use table::Workspace;
 use table::check::MAX_TIMEOUT;
 
 fn name(text: &str) -> ServiceName {
@@ -298,3 +303,232 @@
         assert!(faults.contains(part), "{part} in {faults}");
     }
 }
+
+const DIGEST: &str = "5e884898da28047151d0e56f8dc6292773603d0d6aabbdd62a11ef721d1542d8";
+
+fn workspace(name: &str, keys: &[&str]) -> Workspace {
+    Workspace {
+        name: WorkspaceName::new(name).expect("a name"),
+        keys: keys.iter().map(KeyDigest::of).collect(),
+        priority: 3,
+        quota: None,
+    }
+}
+
+fn with_workspaces(workspaces: Vec<Workspace>) -> Table {
+    Table {
+        workspaces,
+        ..table(vec![status_route("/a/")])
+    }
+}
+
+/// Guards against keys that select two workspaces, and against faults that name no workspace.
+#[test]
+fn test_check_refuses_invalid_workspaces() {
+    let shared = Problem::SharedKey(WorkspaceName::new("a").expect("a name"));
+    let cases = [
+        (
+            "valid",
+            vec![workspace("a", &["k"]), workspace("b", &["l", "m"])],
+            None,
+        ),
+        (
+            "same key twice in one",
+            vec![workspace("a", &["k", "k"])],
+            None,
+        ),
+        ("no key", vec![workspace("a", &[])], None),
+        (
+            "shared",
+            vec![workspace("a", &["k"]), workspace("b", &["l", "k"])],
+            Some(shared),
+        ),
+        (
+            "same name",
+            vec![workspace("a", &["k"]), workspace("a", &["l"])],
+            Some(Problem::DuplicateWorkspace),
+        ),
+        (
+            "empty key",
+            vec![workspace("a", &["k", ""])],
+            Some(Problem::EmptyKey),
+        ),
+    ];
+    for (name, workspaces, expected) in cases {
+        let faults = table::check(&with_workspaces(workspaces));
+        let problems: Vec<Problem> = faults.into_iter().map(|fault| fault.problem).collect();
+        assert_eq!(problems, expected.into_iter().collect::<Vec<_>>(), "{name}");
+    }
+}
+
+/// Guards against a table of another process whose workspace can't be named to instances.
+#[test]
+fn test_check_refuses_decoded_names_that_are_no_header_value() {
+    for name in ["", " a", "a ", "a\u{7f}", "a\nb", "\u{e9}"] {
+        let mut json = serde_json::to_value(workspace("a", &["k"])).expect("JSON");
+        json["name"] = name.into();
+        let decoded: Workspace = serde_json::from_value(json).expect("a workspace");
+        let faults = table::check(&with_workspaces(vec![decoded]));
+        assert_eq!(faults.len(), 1, "{name:?}");
+        assert!(WorkspaceName::new(name).is_err(), "{name:?}");
+    }
+    for name in ["acme", "Acme & Sons, Ltd. [eu]; #1=x%41", "~!@"] {
+        assert!(WorkspaceName::new(name).is_ok(), "{name:?}");
+    }
+}
+
+/// Guards against keys in what is stored and sent to other processes, and in log lines.
+#[test]
+fn test_codec_has_digests_and_no_keys() {
+    let written = with_workspaces(vec![workspace("a", &["password"])]);
+    let json = serde_json::to_string(&written).expect("JSON");
+    assert!(json.contains(DIGEST), "{json}");
+    for text in [json, format!("{written:?}"), table::file::write(&written)] {
+        assert!(!text.contains("password"), "{text}");
+    }
+    let bytes = table::codec::encode(&written).expect("encodes");
+    assert_eq!(table::codec::decode(&bytes).expect("decodes"), written);
+}
+
+#[test]
+fn test_key_digest_reads_only_digests() {
+    let digest: KeyDigest = DIGEST.parse().expect("a digest");
+    assert!(digest.matches(&KeyDigest::of("password")));
+    assert_eq!(
+        (digest.to_string(), digest.short()),
+        (DIGEST.into(), "5e884898".into())
+    );
+    let signed = format!("+e{}", &DIGEST[2..]);
+    for text in ["", "password", &DIGEST[1..], &signed, &format!("{DIGEST}0")] {
+        assert!(text.parse::<KeyDigest>().is_err(), "{text:?}");
+    }
+}
+
+#[test]
+fn test_file_round_trips_workspaces() {
+    let mut written = with_workspaces(vec![
+        Workspace {
+            quota: Some(Quota {
+                rate: 2_500,
+                burst: 30,
+            }),
+            ..workspace("Acme & Sons [eu]; #1 = %41", &["k", "l"])
+        },
+        Workspace {
+            quota: Some(Quota {
+                rate: 1_000_000_000_000,
+                burst: 0,
+            }),
+            ..workspace("payments", &[])
+        },
+    ]);
+    written.hosts[0].routes[0].public = true;
+    written.hosts[0].routes[0].kind = Kind::Download;
+    let text = table::file::write(&written);
+    let reader = Reader::parse("table.ini", &text).expect("INI");
+    assert_eq!(
+        table::file::read(reader).expect("a table"),
+        written,
+        "{text}"
+    );
+}
+
+fn read_workspaces(sections: &str) -> Result<Table, String> {
+    let text = format!("[table]\nversion = 1\n{sections}");
+    let reader = Reader::parse("table.ini", &text).expect("INI");
+    table::file::read(reader).map_err(|err| err.to_string())
+}
+
+#[test]
+fn test_file_reads_keys_and_digests() {
+    let text = format!("[workspace a b]\nkeys = key=1, k2\nkey-digests = {DIGEST}\nrate = 1/s\n");
+    let read = read_workspaces(&text).expect("a table");
+    let expected = Workspace {
+        priority: 0,
+        quota: Some(Quota {
+            rate: 1_000,
+            burst: 0,
+        }),
+        ..workspace("a b", &["key=1", "k2", "password"])
+    };
+    assert_eq!(read.workspaces, [expected]);
+}
+
+/// Guards against faults without a clear message, and against messages that have a key.
+#[test]
+fn test_file_faults_of_workspaces_are_clear() {
+    let cases = [
+        ("[workspace é]\n", "visible ASCII"),
+        ("[workspace %00]\n", "visible ASCII"),
+        (
+            "[workspace a]\nkey-digests = secret-key\n",
+            "64 hexadecimal digits",
+        ),
+        ("[workspace a]\nkey = secret-key\n", "key"),
+        ("[workspace a]\npriority = high\n", "priority"),
+        ("[workspace a]\nrate = 5\n", "2.5/s"),
+        ("[workspace a]\nrate = 0/s\n", "over 0/s"),
+        ("[workspace a]\nrate = -1/s\n", "2.5/s"),
+        ("[workspace a]\nburst = 5\n", "rate"),
+        ("[workspace a]\nrate = 1/s\nburst = 5.5\n", "burst"),
+        (
+            "[route h/a/]\nkind = once\ntarget = s\npublic = true\n",
+            "yes or no",
+        ),
+    ];
+    for (sections, part) in cases {
+        let faults = read_workspaces(sections).expect_err(sections);
+        assert!(faults.contains(part), "{part} in {faults}");
+        assert!(!faults.contains("secret-key"), "{faults}");
+    }
+}
+
+/// Guards against a table size that can't be read, or whose keys aren't found.
+#[test]
+fn test_table_of_100_000_workspaces() {
+    let names = (0..100_000).map(|n| format!("workspace-{n}"));
+    let workspaces = names.map(|name| workspace(&name, &[&format!("key of {name}")]));
+    let written = with_workspaces(workspaces.collect());
+    assert!(table::check(&written).is_empty());
+    let bytes = table::codec::encode(&written).expect("encodes");
+    let read = table::codec::decode(&bytes).expect("decodes");
+    assert_eq!(read, written);
+    let index = KeyIndex::new(&read);
+    let found = index.select("key of workspace-99999").expect("a workspace");
+    assert_eq!(found.name.as_str(), "workspace-99999");
+    assert!(index.select("key of workspace-100000").is_none());
+    println!("encoded: {} bytes", bytes.len());
+}
+
+/// Guards against a confirmation that counts for another version, or for a later time.
+#[test]
+fn test_confirmation_counts_for_the_table_in_force() {
+    let at = Moment::from_millis;
+    let limit = Duration::from_secs(5);
+    let mut confirmation = Confirmation::default();
+    confirmation.put_in_force(1);
+    assert!(!confirmation.is_within(at(0), limit), "never confirmed");
+    confirmation.record(1, at(1_000));
+    confirmation.record(1, at(500));
+    assert_eq!(confirmation.age(at(3_000)), Some(Duration::from_secs(2)));
+    assert!(confirmation.is_within(at(6_000), limit));
+    assert!(!confirmation.is_within(at(6_001), limit));
+    confirmation.record(3, at(6_000));
+    assert!(
+        !confirmation.is_within(at(6_001), limit),
+        "3 is not in force"
+    );
+    confirmation.put_in_force(2);
+    assert!(
+        !confirmation.is_within(at(6_001), limit),
+        "3 is not in force"
+    );
+    confirmation.put_in_force(4);
+    assert_eq!(confirmation.age(at(6_001)), Some(Duration::from_millis(1)));
+    confirmation.record(3, at(7_000));
+    assert_eq!(
+        confirmation.age(at(7_000)),
+        Some(Duration::ZERO),
+        "4 is newer"
+    );
+}
