entry, hub: keys that are removed or can't be confirmed stop working

A request whose body was still arriving went on after its key was removed, and so did its retries; a relayed request was taken on the name of its workspace alone, and a caller could add the header that names it. Processes without a majority served removed keys without end.

A removed key now ends a transfer, and is checked before each attempt. The hop names the key's digest, and headers of a hop that callers send are removed. With [keys] fail-closed, hubs tell which table a majority has confirmed, and requests that need a key are refused (unconfirmed, 503) once that is too old. Refused keys are logged and counted by cause.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -4,6 +4,9 @@
 mod spool;
 
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 
@@ -61,7 +64,34 @@
     /// Forwarded as it arrives, and buffered.
     Spooled(Reader),
     /// The bytes that were read already, and the rest.
-    Stream(Option<Bytes>, Incoming),
+    Stream(Option<Bytes>, Incoming, Completion),
+}
+
+/// Whether a body that is not buffered has been passed on completely.
+#[derive(Clone, Debug, Default)]
+pub struct Completion(Arc<AtomicBool>);
+
+/// How far a request's body has arrived.
+#[derive(Clone, Debug)]
+pub enum Transfer {
+    /// Completely.
+    Complete,
+    /// As far as the spool tells.
+    Spooled(Spool),
+    /// As far as it has been passed on.
+    Streamed(Completion),
+}
+
+impl Transfer {
+    /// Whether the complete body has arrived.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        match self {
+            Self::Complete => true,
+            Self::Spooled(spool) => spool.is_complete(),
+            Self::Streamed(Completion(complete)) => complete.load(Ordering::Relaxed),
+        }
+    }
 }
 
 impl ForwardedBody {
@@ -84,13 +114,23 @@
         }
     }
 
+    /// Follows the transfer of the body.
+    #[must_use]
+    pub fn transfer(&self) -> Transfer {
+        match self {
+            Self::Whole(_) => Transfer::Complete,
+            Self::Spooled(reader) => Transfer::Spooled(reader.spool().clone()),
+            Self::Stream(_, _, completion) => Transfer::Streamed(completion.clone()),
+        }
+    }
+
     /// The part of the body that identifies the request.
     #[must_use]
     pub fn content(&self) -> Content {
         match self {
             Self::Whole(bytes) => Content::Whole(bytes.clone()),
             Self::Spooled(reader) => Content::Spooled(reader.spool().clone()),
-            Self::Stream(first, _) => Content::Prefix(first.clone()),
+            Self::Stream(first, ..) => Content::Prefix(first.clone()),
         }
     }
 
@@ -100,7 +140,7 @@
         match self {
             Self::Whole(bytes) => bytes.is_none(),
             Self::Spooled(reader) => reader.remaining() == 0,
-            Self::Stream(first, rest) => first.is_none() && rest.is_end_stream(),
+            Self::Stream(first, rest, _) => first.is_none() && rest.is_end_stream(),
         }
     }
 
@@ -115,13 +155,24 @@
     }
 
     fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = self.poll_next(cx);
+        if let Self::Stream(first, rest, Completion(complete)) = self
+            && first.is_none()
+            && (rest.is_end_stream() || matches!(polled, Poll::Ready(None)))
+        {
+            complete.store(true, Ordering::Relaxed);
+        }
+        polled
+    }
+
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let (first, rest) = match self {
             Self::Whole(bytes) => (bytes.take(), None),
             Self::Spooled(reader) => {
                 let part = reader.poll_part(cx);
                 return part.map(|part| part.map(|part| part.map(Frame::data)));
             }
-            Self::Stream(bytes, rest) => (bytes.take(), Some(rest)),
+            Self::Stream(bytes, rest, _) => (bytes.take(), Some(rest)),
         };
         match (first, rest) {
             (Some(bytes), _) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
@@ -137,7 +188,7 @@
         match self {
             Self::Whole(bytes) => SizeHint::with_exact(length(bytes.as_ref())),
             Self::Spooled(reader) => SizeHint::with_exact(reader.remaining()),
-            Self::Stream(bytes, rest) => match rest.size_hint().exact() {
+            Self::Stream(bytes, rest, _) => match rest.size_hint().exact() {
                 Some(remaining) => SizeHint::with_exact(remaining + length(bytes.as_ref())),
                 None => SizeHint::new(),
             },
@@ -227,7 +278,7 @@
     pub fn stream(first: Bytes, rest: Incoming, stream_tracker: StreamTracker) -> Self {
         let first = Some(first).filter(|first| !first.is_empty());
         Self {
-            body: ForwardedBody::Stream(first, rest),
+            body: ForwardedBody::Stream(first, rest, Completion::default()),
             stream_tracker: Some(stream_tracker),
         }
     }
@@ -323,7 +374,9 @@
     Ok(match read(incoming).await? {
         ReadBody::Whole(bytes) if bytes.is_empty() => ForwardedBody::Whole(None),
         ReadBody::Whole(bytes) => ForwardedBody::Whole(Some(bytes)),
-        ReadBody::Part(first, rest) => ForwardedBody::Stream(Some(first), rest),
+        ReadBody::Part(first, rest) => {
+            ForwardedBody::Stream(Some(first), rest, Completion::default())
+        }
     })
 }
 
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -2,6 +2,7 @@
 
 mod backoffs;
 mod evacuate;
+mod keys;
 mod limits;
 mod paths;
 mod peers;
@@ -31,6 +32,7 @@
 use registry::Digest;
 use slog::Logger;
 use slog::info;
+use table::Confirmation;
 use table::Table;
 use table::WeightedRoundRobin;
 use tokio::sync::watch;
@@ -116,6 +118,8 @@
     pub dispatcher_clients: DispatcherClients,
     /// Whether a route table has been received.
     pub table_known: watch::Sender<bool>,
+    /// The version of the route table in force.
+    pub table_version: watch::Sender<u64>,
     /// Whether any instance has ever been known.
     pub instances_known: watch::Sender<bool>,
     /// Requests suspected of crashing instances.
@@ -129,6 +133,7 @@
     /// Number of requests that this process relays for others.
     pub relayed: RelayCount,
     routes: RwLock<Arc<Routes>>,
+    confirmation: Mutex<Confirmation>,
     state: Mutex<State>,
 }
 
@@ -147,12 +152,14 @@
             stage: watch::Sender::new(Stage::Serving),
             dispatcher_clients: DispatcherClients::default(),
             table_known: watch::Sender::new(false),
+            table_version: watch::Sender::default(),
             instances_known: watch::Sender::new(false),
             newest_limit: watch::Sender::default(),
             depends_on_peers: watch::Sender::default(),
             path_changes: watch::Sender::default(),
             relayed: RelayCount::default(),
             routes: RwLock::default(),
+            confirmation: Mutex::default(),
             state: Mutex::default(),
         })
     }
@@ -176,6 +183,7 @@
             retry: settings.retry,
             probes: settings.probes,
             max_dispatched: settings.max_dispatched,
+            keys: settings.keys,
             stop: settings.stop,
             ..(*current).clone()
         };
@@ -206,6 +214,9 @@
             }
             *current = routes;
         }
+        self.confirmation().put_in_force(version);
+        self.table_version
+            .send_if_modified(|known| std::mem::replace(known, version.max(*known)) < version);
         self.evict_routes();
         self.set_warmups(&mut self.state());
         // Requests wait for the first table only.
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -105,6 +105,14 @@
             .send();
     }
 
+    /// Counts a request that is refused for its key.
+    pub fn key_refused(&self, cause: &str) {
+        self.client
+            .count_with_tags("entry.keys.refused", 1)
+            .with_tag("cause", cause)
+            .send();
+    }
+
     /// Counts a request that becomes quarantined.
     pub fn quarantined(&self) {
         self.client.count_with_tags("entry.quarantined", 1).send();
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod relay;
 mod response;
+mod revocation;
 mod workspace;
 
 use std::net::IpAddr;
@@ -27,6 +28,7 @@
 use tokio::time::Instant;
 
 use self::limits::RequestLimits;
+use self::revocation::KeyGuard;
 use crate::balancer::Balancer;
 use crate::body;
 use crate::body::Content;
@@ -79,6 +81,8 @@
     route: Arc<Route>,
     /// The caller's workspace, if the route needs a key.
     workspace: Option<Arc<Workspace>>,
+    /// Tells whether the caller's key is still valid.
+    key: KeyGuard,
     service: ServiceName,
     table_version: u64,
     caller_timeout: Duration,
@@ -158,10 +162,18 @@
         Ok(route) => route,
         Err(reason) => return refuse(reason),
     };
-    let workspace = match workspace::select(&routes, route, hop.as_ref(), request.headers()) {
-        Ok(workspace) => workspace,
-        Err(reason) => return refuse(reason),
+    let identity = match workspace::select(&routes, route, hop.as_ref(), request.headers()) {
+        Ok(Some(_)) | Err(_) if core.fails_closed() => {
+            workspace::log_unconfirmed(&core, &id, route, &routes);
+            return refuse(Reason::Unconfirmed);
+        }
+        Ok(identity) => identity,
+        Err(cause) => {
+            workspace::log_refusal(&core, &id, route, &routes, &cause);
+            return refuse(Reason::Unauthorized);
+        }
     };
+    let workspace = identity.as_ref().map(|i| Arc::clone(&i.workspace));
     workspace::replace_key(
         &core.dialect,
         &routes,
@@ -182,11 +194,11 @@
         _relayed: hop.is_some().then(|| core.relayed.count()),
         hop,
         peer: None,
-        core,
         started_at,
         request,
         route: Arc::clone(route),
         workspace,
+        key: KeyGuard::new(&core, identity),
         service,
         table_version: routes.table.version,
         caller_timeout: limits.caller_timeout,
@@ -203,6 +215,7 @@
         spool: None,
         content: Content::Whole(None),
         failed_response: None,
+        core,
     };
     flow.run(incoming).await
 }
@@ -232,15 +245,21 @@
 
     async fn process(&mut self, incoming: Incoming) -> Outcome {
         // The caller disconnected while sending the body; the response reaches nobody.
-        let Ok(mut body) = body::request_body(incoming).await else {
-            return Outcome::Refusal(Reason::Late, None);
+        let mut body = match self.key.clone().hold(body::request_body(incoming)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(_)) => return Outcome::Refusal(Reason::Late, None),
+            Err(reason) => return Outcome::Refusal(reason, None),
         };
+        let transfer = body.transfer();
         self.request_bytes = body.known_length().unwrap_or_default();
         self.spool = body.spool();
         self.content = body.content();
         loop {
+            if let Err(reason) = self.key.check() {
+                return self.fallback(reason);
+            }
             if self.core.is_cut_off(&self.service) && self.may_run_again() {
-                match self.relay(body).await {
+                match self.relay_while_allowed(body, &transfer).await {
                     Ok(outcome) => return outcome,
                     Err(unsent) => body = unsent,
                 }
@@ -248,7 +267,10 @@
             }
             self.count();
             let retry_body = body.replay();
-            let end = self.attempt(body).await;
+            let end = match self.attempt_while_allowed(body, &transfer).await {
+                Ok(end) => end,
+                Err(reason) => return self.fallback(reason),
+            };
             let not_sent = matches!(end, Ok(AttemptEnd::Unsent));
             if self.is_cut_off_after(&end).await
                 && let Some(retry) = retry_body
@@ -287,6 +309,8 @@
         let chosen = self.choose_while_buffering(&body).await?;
         // The request may have been quarantined while it waited for capacity.
         self.check_quarantine().await?;
+        // The same goes for its key.
+        self.key.check()?;
         let pick = chosen.choice.pick;
         self.attempts += 1;
         self.exclude.push(pick);
@@ -412,6 +436,7 @@
             Reason::Full => self
                 .retry_after
                 .or_else(|| self.balancer(Balancer::retry_after)),
+            Reason::Unauthorized => None,
             _ => Some(UNAVAILABLE_RETRY_AFTER),
         };
         Outcome::Refusal(reason, retry_after)
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -142,6 +142,7 @@
                 .workspace
                 .as_ref()
                 .map(|workspace| workspace.name.clone()),
+            key: self.key.digest(),
             table: self.table_version,
             remaining: remaining.saturating_sub(HOP_TIME),
             aim: self.aim.saturating_sub(elapsed),
--- a/crates/entry/src/flow/response.rs
+++ b/crates/entry/src/flow/response.rs
@@ -81,6 +81,7 @@
         info!(self.core.log, "request"; "request" => self.request.id.to_str().unwrap_or("-"),
             "outcome" => label, "status" => response.status().as_u16(),
             "route" => &*self.route.name, "service" => %self.service,
+            "workspace" => self.workspace.as_ref().map_or("-", |w| w.name.as_str()),
             "table" => self.table_version, "attempts" => self.attempts, "unsent" => self.unsent,
             "instance" => self.last_instance(), "relayed" => self.hop.is_some(),
             "aim_ms" => millis(self.aim), "back_ms" => retry_after.map_or(0, millis),
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -22,6 +22,8 @@
     NoRoute,
     /// The request presents no key of a workspace.
     Unauthorized,
+    /// The request needs a key, and no majority has confirmed the route table for too long.
+    Unconfirmed,
     /// The request body exceeds the limit.
     TooLarge,
     /// No instance of the service is available.
@@ -51,6 +53,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::NoTable
+            | Self::Unconfirmed
             | Self::NoInstance
             | Self::Unreachable
             | Self::OldTable
@@ -71,7 +74,11 @@
     pub fn is_about_process(self) -> bool {
         matches!(
             self,
-            Self::NoTable | Self::NoInstance | Self::Unreachable | Self::OldTable
+            Self::NoTable
+                | Self::Unconfirmed
+                | Self::NoInstance
+                | Self::Unreachable
+                | Self::OldTable
         )
     }
 }
--- a/crates/entry/src/relay/hop.rs
+++ b/crates/entry/src/relay/hop.rs
@@ -10,6 +10,7 @@
 use http::HeaderValue;
 use http::Request;
 use reach::search::MAX_HINTS;
+use table::KeyDigest;
 
 use crate::body::ForwardedBody;
 use crate::headers;
@@ -20,6 +21,7 @@
 const CALLER: HeaderName = HeaderName::from_static("rwr-hop-caller");
 const SERVICE: HeaderName = HeaderName::from_static("rwr-hop-service");
 const WORKSPACE: HeaderName = HeaderName::from_static("rwr-hop-workspace");
+const KEY: HeaderName = HeaderName::from_static("rwr-hop-key");
 const TABLE: HeaderName = HeaderName::from_static("rwr-hop-table");
 const REMAINING: HeaderName = HeaderName::from_static("rwr-hop-left-ms");
 const AIM: HeaderName = HeaderName::from_static("rwr-hop-aim-ms");
@@ -46,6 +48,8 @@
     pub service: ServiceName,
     /// The caller's workspace, if the route needs a key.
     pub workspace: Option<WorkspaceName>,
+    /// The digest of the key that the caller presented.
+    pub key: Option<KeyDigest>,
     /// The version of the route table that led there.
     pub table: u64,
     /// Time until the request's deadline.
@@ -58,15 +62,27 @@
     pub counted: bool,
 }
 
+fn remove_all(headers: &mut HeaderMap) {
+    let names = [
+        CALLER, SERVICE, WORKSPACE, KEY, TABLE, REMAINING, AIM, ATTEMPTS, COUNTED,
+    ];
+    for name in names {
+        headers.remove(name);
+    }
+}
+
 impl Hop {
-    /// Adds the headers to a request.
+    /// Sets the headers of a request. Those that its caller sent are removed.
     pub fn write(&self, headers: &mut HeaderMap) {
-        let workspace = self
-            .workspace
-            .as_ref()
-            .map(|name| (WORKSPACE, name.as_str()));
+        remove_all(headers);
+        let key = self.key.map(|key| key.to_string());
+        let workspace = self.workspace.as_ref().map(WorkspaceName::as_str);
+        let optional = [(WORKSPACE, workspace), (KEY, key.as_deref())];
+        let optional = optional
+            .into_iter()
+            .filter_map(|(name, text)| Some((name, text?)));
         let texts = [(CALLER, &*self.caller), (SERVICE, self.service.as_str())];
-        for (name, text) in texts.into_iter().chain(workspace) {
+        for (name, text) in texts.into_iter().chain(optional) {
             if let Ok(value) = HeaderValue::from_str(text) {
                 headers.insert(name, value);
             }
@@ -86,11 +102,7 @@
     /// Takes the headers out of a request; `None` if one is missing or invalid.
     pub fn take(headers: &mut HeaderMap) -> Option<Self> {
         let hop = Self::read(headers);
-        for name in [
-            CALLER, SERVICE, WORKSPACE, TABLE, REMAINING, AIM, ATTEMPTS, COUNTED,
-        ] {
-            headers.remove(name);
-        }
+        remove_all(headers);
         hop
     }
 
@@ -101,6 +113,7 @@
             caller: text(&CALLER)?.into(),
             service: ServiceName::new(text(&SERVICE)?).ok()?,
             workspace: text(&WORKSPACE).and_then(|name| WorkspaceName::new(name).ok()),
+            key: text(&KEY).and_then(|digest| digest.parse().ok()),
             table: number(&TABLE)?,
             remaining: Duration::from_millis(number(&REMAINING)?),
             aim: Duration::from_millis(number(&AIM)?),
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -22,6 +22,7 @@
 const COST: &str = "cost";
 const COLD: &str = "cold";
 const RELAY: &str = "relay";
+const KEYS: &str = "keys";
 
 /// Default path of the readiness page.
 const DEFAULT_READY_PATH: &str = "/ready";
@@ -116,6 +117,25 @@
     }
 }
 
+/// When requests that need a key are refused because the process may not know of removed keys.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Keys {
+    /// Whether they are refused at all.
+    pub fail_closed: bool,
+    /// How long a majority's confirmation of the route table lasts.
+    pub confirm: Duration,
+}
+
+impl Default for Keys {
+    /// Five seconds: several watches of each hub, so that the loss of some hubs refuses nothing.
+    fn default() -> Self {
+        Self {
+            fail_closed: false,
+            confirm: Duration::from_secs(5),
+        }
+    }
+}
+
 /// All settings of an entry process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -153,6 +173,8 @@
     /// The port at which every entry host takes requests of others that don't reach the
     /// instances; without it, such requests are refused.
     pub relay: Option<u16>,
+    /// When requests that need a key are refused.
+    pub keys: Keys,
     /// The graceful shutdown.
     pub stop: Stop,
     /// The cost of a megabyte sent between failure domains, in thousandths of a request's value;
@@ -196,6 +218,7 @@
             place: None,
             max_dispatched: DEFAULT_MAX_DISPATCHED as usize,
             relay: None,
+            keys: Keys::default(),
             stop: Stop::default(),
             crossing: 0,
             cold: ColdBound::default(),
@@ -242,6 +265,7 @@
         let place = r.optional(PLACE, "listen");
         let max_dispatched: u32 = r.or(PLACE, "instances", DEFAULT_MAX_DISPATCHED);
         let relay = r.optional(RELAY, "port");
+        let keys = read_keys(r);
         let stop = read_stop(r);
         let crossing = r.or(COST, "crossing", 0);
         let cold = read_cold(r);
@@ -272,6 +296,7 @@
             place,
             max_dispatched: usize::try_from(max_dispatched).unwrap_or(usize::MAX),
             relay,
+            keys,
             stop,
             crossing,
             cold,
@@ -315,6 +340,18 @@
     retry
 }
 
+fn read_keys(r: &mut Reader) -> Keys {
+    let defaults = Keys::default();
+    let keys = Keys {
+        fail_closed: r.or(KEYS, "fail-closed", defaults.fail_closed),
+        confirm: r.or(KEYS, "confirm", defaults.confirm),
+    };
+    if keys.confirm.is_zero() {
+        r.fault(KEYS, "confirm", Problem::Form("0ms".into()), "over 0");
+    }
+    keys
+}
+
 fn read_cold(r: &mut Reader) -> ColdBound {
     let defaults = ColdBound::default();
     let limit = ColdBound {
@@ -372,6 +409,10 @@
             writeln!(f, "\n[{RELAY}]")?;
             writeln!(f, "port = {port}")?;
         }
+        let fail_closed = if self.keys.fail_closed { "yes" } else { "no" };
+        writeln!(f, "\n[{KEYS}]")?;
+        writeln!(f, "fail-closed = {fail_closed}")?;
+        writeln!(f, "confirm = {}", duration_text(self.keys.confirm))?;
         writeln!(f, "\n[{STOP}]")?;
         writeln!(f, "linger = {}", duration_text(self.stop.linger))?;
         writeln!(f, "grace = {}", duration_text(self.stop.grace))?;
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::prelude::*;
 use crash::report;
 use slog::info;
 use slog::warn;
@@ -53,6 +54,8 @@
 /// before there was a leader is accepted at once: either all hubs have restarted, or others
 /// report a newer table within milliseconds.
 const UNCONFIRMED_TABLE_DELAY: Duration = Duration::from_secs(3);
+/// Number of watches of a hub within the time for which a confirmation of the route table lasts.
+const CONFIRMATIONS: u32 = 4;
 /// Interval at which settings and hubs are checked.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -63,6 +66,8 @@
     address: SocketAddr,
     link: Arc<HubLink>,
     started_at: Instant,
+    /// When the last watch was sent.
+    asked_at: Moment,
     progress: Progress,
     /// The epoch of the hub's process.
     epoch: watch::Sender<u64>,
@@ -131,6 +136,7 @@
             address,
             link: Arc::new(peer::hub(address)),
             started_at: Instant::now(),
+            asked_at: Moment::ZERO,
             progress: Progress::default(),
             epoch: watch::Sender::default(),
             suspects: 0,
@@ -150,6 +156,7 @@
         let _reporting = AbortOnDropHandle::new(tokio::spawn(reports));
         let mut up = false;
         loop {
+            self.asked_at = self.core.clock.now();
             let reply = match self.send_watch().await {
                 Some(WatchOutcome::Reply(reply)) => Some(reply),
                 Some(WatchOutcome::Superseded) => continue,
@@ -205,6 +212,11 @@
             current
         };
         let role = self.hubs.role(self.address);
+        let keys = settings.keys;
+        let mut wait = self.hubs.watch_duration(self.address);
+        if keys.fail_closed {
+            wait = wait.min(keys.confirm / CONFIRMATIONS);
+        }
         let query = self
             .progress
             .next_query(role, &self.core.digest(), self.hubs.applied_index());
@@ -228,8 +240,8 @@
             evacuations: self.core.evacuations(),
             suspects: self.suspects,
             limits: self.limits,
-            wait_ms: u32::try_from(self.hubs.watch_duration(self.address).as_millis())
-                .unwrap_or(u32::MAX),
+            wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            confirm: keys.fail_closed,
         }
     }
 
@@ -273,6 +285,7 @@
         if let Some(evacuations) = &reply.evacuations {
             self.core.apply_evacuations(self.address, evacuations);
         }
+        self.record_confirmed_table(reply);
         self.apply_suspects(reply);
         self.apply_instance_updates(reply);
         self.apply_limits(reply);
@@ -289,6 +302,18 @@
         }
     }
 
+    /// Records the table that a majority has confirmed. The time is derived from that of the
+    /// request: a process that was frozen may read a reply long after it arrived.
+    fn record_confirmed_table(&self, reply: &WatchReply) {
+        if reply.confirmed_table == 0 {
+            return;
+        }
+        let held = Duration::from_millis(reply.held_ms.into());
+        let age = Duration::from_millis(reply.confirmed_age_ms.into());
+        let at = (self.asked_at + held).before(age);
+        self.core.record_confirmed_table(reply.confirmed_table, at);
+    }
+
     fn apply_suspects(&mut self, reply: &WatchReply) {
         let epoch = reply.epoch;
         if self
--- a/crates/hub/src/lib.rs
+++ b/crates/hub/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod beacon;
 pub mod commands;
+pub mod confirm;
 pub mod entries;
 pub mod http;
 pub mod hub;
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -38,6 +38,7 @@
 use crate::commands::CommandError;
 use crate::commands::CommandHandler;
 use crate::commands::TableUpdate;
+use crate::confirm::Confirmed;
 use crate::list::Update;
 use crate::state::State;
 
@@ -195,6 +196,19 @@
         !self.state.tables.has_seen_leader() && self.state.tables.applied_table().version > 0
     }
 
+    /// The newest table that a majority has confirmed, if the watcher asked for it.
+    async fn confirmed_table(&self, request: &Watch) -> Option<Confirmed> {
+        if !request.confirm {
+            return None;
+        }
+        let state = &self.state;
+        state
+            .confirmations
+            .newest(&state.tables, &state.clock)
+            .await
+            .filter(|confirmed| confirmed.version > 0)
+    }
+
     fn record_watch(&self, request: &Watch) {
         let now = self.state.clock.now();
         if self.state.lock().entries.watch_started(now, request) {
@@ -206,6 +220,7 @@
 
 impl HubApi for HubServer {
     async fn watch(self, _: Context, mut request: Watch) -> WatchReply {
+        let arrived_at = self.state.clock.now();
         self.record_watch(&request);
         if request.epoch != self.state.epoch {
             request.cursor = 0;
@@ -221,6 +236,7 @@
         let recovered = self.is_recovered();
         let confirmed = request.table == 0 && !recovered && self.confirm().await;
         let update = self.wait_for_changes(&request).await;
+        let confirmed_table = self.confirmed_table(&request).await;
         let now = self.state.clock.now();
         self.state.lock().entries.watch_answered(now, &request);
         let table = self.state.tables.applied_table().version;
@@ -268,6 +284,10 @@
             evacuations: evacuations.map(|evacuations| evacuations.to_wire()),
             suspects,
             limits,
+            confirmed_table: confirmed_table.map_or(0, |confirmed| confirmed.version),
+            confirmed_age_ms: confirmed_table
+                .map_or(0, |confirmed| millis(now.since(confirmed.at))),
+            held_ms: u32::try_from(now.since(arrived_at).as_millis()).unwrap_or_default(),
         }
     }
 
@@ -339,6 +359,11 @@
     }
 }
 
+/// Milliseconds, rounded up so that a confirmation is never younger than reported.
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_nanos().div_ceil(1_000_000)).unwrap_or(u32::MAX)
+}
+
 fn reply(outcome: Outcome) -> EvacuationReply {
     EvacuationReply {
         outcome: outcome.into(),
--- a/crates/hub/src/state.rs
+++ b/crates/hub/src/state.rs
@@ -21,6 +21,7 @@
 use wire::hub::EntryHost;
 use wire::hub::Instance;
 
+use crate::confirm::Confirmations;
 use crate::entries::Entries;
 use crate::list::HostList;
 use crate::list::ListHistory;
@@ -71,6 +72,8 @@
     pub suspects: watch::Sender<Revision>,
     /// Publishes the number of the newest limit.
     pub limits: watch::Sender<u64>,
+    /// The newest table that a majority has confirmed.
+    pub confirmations: Confirmations,
     inner: Mutex<Inner>,
 }
 
@@ -88,6 +91,7 @@
             list_hash: watch::Sender::default(),
             suspects: watch::Sender::default(),
             limits: watch::Sender::default(),
+            confirmations: Confirmations::default(),
             inner: Mutex::default(),
         })
     }
