--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -26,6 +26,8 @@
     OverQuota,
     /// No process that holds the quota of the workspace answers.
     QuotaUnreachable,
+    /// The request needs a key, and no majority has confirmed the route table for too long.
+    Unconfirmed,
     /// The request body exceeds the limit.
     TooLarge,
     /// No instance of the service is available.
@@ -55,6 +57,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::NoTable
+            | Self::Unconfirmed
             | Self::NoInstance
             | Self::Unreachable
             | Self::OldTable
@@ -77,7 +80,11 @@
     pub fn is_about_process(self) -> bool {
         matches!(
             self,
-            Self::NoTable | Self::NoInstance | Self::Unreachable | Self::OldTable
+            Self::NoTable
+                | Self::Unconfirmed
+                | Self::NoInstance
+                | Self::Unreachable
+                | Self::OldTable
         )
     }
 }
