--- a/crates/entry/src/quota/serve.rs
+++ b/crates/entry/src/quota/serve.rs
@@ -1,12 +1,12 @@
 //! The holder's side: grants permits, and transfers tokens from and to other failure domains.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use base::prelude::*;
 use quota::Acquired;
+use quota::Donors;
 use quota::Limit;
 use quota::Tokens;
 use slog::info;
@@ -31,10 +31,6 @@
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(22);
 /// Age after which transferred tokens are discarded: the process was frozen meanwhile.
 const MAX_TRANSFER_AGE: Duration = Duration::from_millis(100);
-/// Range of the time for which a holder without tokens isn't asked again. Below it, the transfers
-/// of a workspace far beyond its quota would take too much processor time.
-const EMPTY_RANGE: [Duration; 2] = [Duration::from_millis(25), Duration::from_millis(250)];
-
 /// What a holder grants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Granted {
@@ -45,15 +41,7 @@
 /// The transfers of one workspace, one at a time.
 #[derive(Debug, Default)]
 pub(super) struct Borrowing {
-    donors: Mutex<HashMap<String, Donor>>,
-}
-
-/// The holder of another failure domain.
-#[derive(Clone, Copy, Debug, Default)]
-struct Donor {
-    asked_at: Option<Moment>,
-    /// When it may have tokens again.
-    empty_until: Option<Moment>,
+    donors: Mutex<Donors>,
 }
 
 /// Grants up to `count` permits to `asker`, with tokens of other failure domains if necessary;
@@ -124,35 +112,24 @@
     }
 }
 
-/// Asks the other holders for what is missing, the one that was asked longest ago first.
+/// Asks the other holders for what is missing.
 async fn borrow(
     core: &Arc<Core>,
     workspace: &WorkspaceName,
     limit: Limit,
     count: u32,
     loan: &mut Loan,
-    donors: &mut HashMap<String, Donor>,
+    donors: &mut Donors,
 ) {
-    let mut addresses = core.quotas.other_holders(core, workspace);
-    donors.retain(|address, _| addresses.contains(address));
-    addresses.sort_by_key(|address| donors.get(address).and_then(|donor| donor.asked_at));
-    for address in addresses {
+    let holders = core.quotas.other_holders(core, workspace);
+    for address in donors.order(core.clock.now(), holders) {
         if loan.missing == Tokens::ZERO {
             break;
         }
         let asked_at = core.clock.now();
-        let donor = donors.entry(address.clone()).or_default();
-        if donor.empty_until.is_some_and(|until| asked_at < until) {
-            continue;
-        }
-        donor.asked_at = Some(asked_at);
         let sent = ask_donor(core, workspace, &address, loan).await;
         let now = core.clock.now();
-        if sent < loan.missing {
-            let [min, max] = EMPTY_RANGE;
-            let accrues = Tokens::ONE.divided(2).time_at(limit.rate);
-            donor.empty_until = Some(now + accrues.clamp(min, max));
-        }
+        donors.record(now, &address, limit, loan.missing, sent);
         if now.since(asked_at) < MAX_TRANSFER_AGE {
             let wanted = count - loan.granted;
             let holder = &mut core.quotas.state().holder;
