wire, entry, hub: tables with 100,000 workspaces reach entry processes

Such a table has 4.3 MB and the operator's document 11 MB: over the limit of a frame and of a document, and over the 1.5 s in which a table has to be fetched over a link of 8.1 Mbit/s. Hubs now tell the size of the newest table, and a fetch is given 2 us for each byte before it is overdue and another hub is asked. The bound of a gateway's answer setting stays at 1 MiB.

--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -47,7 +47,10 @@
 /// connection attempt to it may go on after it is back; [`CONNECT_TIMEOUT`] would be too much of
 /// the requests' time.
 const STARTUP_CONNECT_TIMEOUT: Duration = Duration::from_millis(40);
-/// Timeout for fetching a route table over a slow link.
+/// Time to transfer a byte of a route table at 4 Mbit/s, half of the slowest link, in
+/// microseconds. Without it, a table with 100,000 workspaces would never arrive in time.
+const MICROS_PER_BYTE: u64 = 2;
+/// Timeout for fetching a route table over a slow link, beyond its transfer.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How long the process waits before it accepts a table that no majority has confirmed, as it
 /// may be older than the table before a restart. A table that a hub recovered from its disk
@@ -296,9 +299,11 @@
         let current = self.core.routes().table.version;
         let is_overdue = self.started_at.elapsed() >= UNCONFIRMED_TABLE_DELAY;
         let trusted = reply.confirmed || reply.recovered || current > 0 || is_overdue;
-        if reply.table > current && trusted && self.hubs.begin_fetch() {
+        let transfer = Duration::from_micros(u64::from(reply.table_bytes) * MICROS_PER_BYTE);
+        if reply.table > current && trusted && self.hubs.begin_fetch(transfer) {
             let (core, hubs) = (Arc::clone(&self.core), Arc::clone(&self.hubs));
-            tokio::spawn(fetch(core, hubs, Arc::clone(&self.link), reply.table));
+            let link = Arc::clone(&self.link);
+            tokio::spawn(fetch(core, hubs, link, reply.table, transfer));
         }
     }
 
@@ -395,9 +400,15 @@
 }
 
 /// Fetches the hub's newest table; `announced_version` is the version that the hub reported.
-async fn fetch(core: Arc<Core>, hubs: Arc<Hubs>, link: Arc<HubLink>, announced_version: u64) {
+async fn fetch(
+    core: Arc<Core>,
+    hubs: Arc<Hubs>,
+    link: Arc<HubLink>,
+    announced_version: u64,
+    transfer: Duration,
+) {
     let current = core.routes().table.version;
-    match fetch_table(&link, current).await {
+    match fetch_table(&link, current, transfer).await {
         Some(table) if table.version > current => match table::codec::decode(&table.content) {
             Ok(table) => core.set_table(table),
             Err(err) => {
@@ -412,8 +423,8 @@
     hubs.end_fetch(core.routes().table.version);
 }
 
-async fn fetch_table(link: &HubLink, current: u64) -> Option<wire::hub::Table> {
+async fn fetch_table(link: &HubLink, current: u64, transfer: Duration) -> Option<wire::hub::Table> {
     let client = link.client().await.ok()?;
-    let call = client.fetch(within(FETCH_TIMEOUT), Fetch { have: current });
+    let call = client.fetch(within(FETCH_TIMEOUT + transfer), Fetch { have: current });
     link.check_result(call.await).ok()
 }
--- a/crates/entry/src/sync/hubs.rs
+++ b/crates/entry/src/sync/hubs.rs
@@ -77,7 +77,7 @@
     statuses: Mutex<HashMap<SocketAddr, HubStatus>>,
     /// When any hub last answered.
     answered_at: Mutex<Option<Instant>>,
-    /// When the current table fetch started.
+    /// When another hub may be asked although a table is being fetched.
     fetching: Mutex<Option<Instant>>,
     /// Whether the process knows any instance.
     instances_known: watch::Receiver<bool>,
@@ -287,15 +287,16 @@
     #[must_use]
     pub fn is_fetching(&self) -> bool {
         let fetching = *self.fetching();
-        fetching.is_some_and(|started_at| started_at.elapsed() < FETCH_RETRY_AFTER)
+        fetching.is_some_and(|overdue_at| Instant::now() < overdue_at)
     }
 
-    /// Starts a fetch unless one is in progress. Returns whether it was started.
-    pub fn begin_fetch(&self) -> bool {
+    /// Starts a fetch, whose transfer takes `transfer` on a slow link, unless one is in progress.
+    /// Returns whether it was started.
+    pub fn begin_fetch(&self, transfer: Duration) -> bool {
         let mut fetching = self.fetching();
-        let free = fetching.is_none_or(|started_at| started_at.elapsed() >= FETCH_RETRY_AFTER);
+        let free = fetching.is_none_or(|overdue_at| Instant::now() >= overdue_at);
         if free {
-            *fetching = Some(Instant::now());
+            *fetching = Some(Instant::now() + FETCH_RETRY_AFTER + transfer);
         }
         free
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -13,6 +13,8 @@
 
 /// Minimum size limit of a request's head, required by the HTTP library.
 pub const MIN_HEAD: u64 = 8 * 1024;
+/// Maximum of the setting for answers that are kept, which go into frames of other processes.
+const MAX_ANSWER_BYTES: u64 = 1024 * 1024;
 
 /// Settings of a gateway.
 #[derive(Clone, Debug)]
@@ -197,7 +199,7 @@
             let problem = Problem::Contradicts("replay");
             r.fault("bounds", "memory", problem, "at least replay");
         }
-        if self.answer.0 > wire::link::MAX_FRAME as u64 / 4 {
+        if self.answer.0 > MAX_ANSWER_BYTES {
             let problem = Problem::Form(self.answer.to_text());
             r.fault("bounds", "answer", problem, "at most 1MiB");
         }
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -239,7 +239,13 @@
         let confirmed_table = self.confirmed_table(&request).await;
         let now = self.state.clock.now();
         self.state.lock().entries.watch_answered(now, &request);
-        let table = self.state.tables.applied_table().version;
+        let newest = self.state.tables.applied_table();
+        let table = newest.version;
+        let table_bytes = if table > request.table {
+            newest.content.len()
+        } else {
+            0
+        };
         let evacuations = self.state.tables.evacuated();
         let evacuations =
             Some(evacuations).filter(|domains| domains.revision() > request.evacuations);
@@ -287,6 +293,7 @@
             confirmed_table: confirmed_table.map_or(0, |confirmed| confirmed.version),
             confirmed_age_ms: confirmed_table
                 .map_or(0, |confirmed| millis(now.since(confirmed.at))),
+            table_bytes: u32::try_from(table_bytes).unwrap_or(u32::MAX),
             held_ms: u32::try_from(now.since(arrived_at).as_millis()).unwrap_or_default(),
         }
     }
--- a/crates/hub/tests/test_hub.rs
+++ b/crates/hub/tests/test_hub.rs
@@ -442,3 +442,50 @@
         std::net::TcpListener::bind(port).expect("free");
     }
 }
+
+/// Guards against confirmations without a majority, or for watchers that don't ask.
+#[tokio::test]
+async fn test_hub_confirms_table_to_watchers_that_ask() {
+    let (hub, layout) = start().await;
+    put_until_accepted(&hub, table_update(7)).await;
+    let link = link(&layout);
+    let request = |confirm| Watch {
+        table: 7,
+        wait_ms: 1,
+        confirm,
+        ..Watch::default()
+    };
+    let silent = watch(&link, request(false)).await;
+    assert_eq!((silent.confirmed_table, silent.confirmed_age_ms), (0, 0));
+    let reply = watch(&link, request(true)).await;
+    assert_eq!(reply.confirmed_table, 7);
+    assert_eq!(reply.table_bytes, 0, "the watcher has the table");
+    assert!(
+        watch(
+            &link,
+            Watch {
+                table: 0,
+                ..request(true)
+            }
+        )
+        .await
+        .table_bytes
+            > 0
+    );
+}
+
+/// Guards against a hub without a majority that confirms what it has.
+#[tokio::test]
+async fn test_hub_without_majority_confirms_nothing() {
+    let layout = Layout::new(3, 0).expect("a folder");
+    let settings = layout.hubs[0].clone();
+    let hub = Hub::start(settings, telemetry::log::silent()).await;
+    let _hub = hub.expect("starts");
+    let request = Watch {
+        table: 7,
+        wait_ms: 1,
+        confirm: true,
+        ..Watch::default()
+    };
+    assert_eq!(watch(&link(&layout), request).await.confirmed_table, 0);
+}
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -16,8 +16,9 @@
 use tokio::net::TcpStream;
 use tokio_serde::formats::Bincode;
 
-/// Maximum size of a frame in bytes; a larger one ends its connection.
-pub const MAX_FRAME: usize = 4 * 1024 * 1024;
+/// Maximum size of a frame in bytes; a larger one ends its connection. A route table with 100,000
+/// workspaces has 4.3 MB, and the operator's document that the hubs store with it 11 MB.
+pub const MAX_FRAME: usize = 32 * 1024 * 1024;
 /// Default timeout of a connection attempt. It is shorter than the retransmission
 /// timeout of a lost SYN, 1 s, so that a new attempt replaces the retransmission.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
