soak: callers have keys, of which tables remove some

Calls now present one that stays, one of a workspace whose keys each table replaces, an unknown one or none, and all claim another workspace. Runs have to name the workspace of the key and to have none of the key; a call that is sent 2 s after the acknowledgement of a table without its key must not run. Entry processes fail closed after 2 s.

--- a/crates/soak/src/calls.rs
+++ b/crates/soak/src/calls.rs
@@ -20,8 +20,13 @@
 use testutils::tables::READ;
 use testutils::tables::STATUS;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::keys::CallKey;
+use crate::keys::Keys;
+use crate::keys::STEADY_KEY;
+
 /// Number of concurrent callers.
 const CALLERS: u64 = 4;
 /// Deadline of each call.
@@ -40,6 +45,10 @@
     pub path: String,
     /// Whether the request must not run more than once.
     pub once: bool,
+    /// The key that it presents.
+    pub key: CallKey,
+    /// When it was sent.
+    pub sent_at: Instant,
     /// Reply; `None` if the caller gave up waiting.
     pub reply: Option<Reply>,
 }
@@ -54,7 +63,7 @@
 impl Callers {
     /// Starts the callers; each sends to all `fronts` in turn.
     #[must_use]
-    pub fn start(fronts: Vec<SocketAddr>) -> Self {
+    pub fn start(fronts: Vec<SocketAddr>, keys: &Keys) -> Self {
         let fronts: Arc<[SocketAddr]> = fronts.into();
         let stop = CancellationToken::new();
         let calls: Arc<Mutex<Vec<Call>>> = Arc::default();
@@ -63,10 +72,11 @@
         for _ in 0..CALLERS {
             let (fronts, stop) = (Arc::clone(&fronts), stop.clone());
             let (calls, number) = (Arc::clone(&calls), Arc::clone(&number));
+            let keys = keys.clone();
             tasks.spawn(async move {
                 while !stop.is_cancelled() {
                     let number = number.fetch_add(1, Ordering::Relaxed);
-                    let call = call(&fronts, number).await;
+                    let call = call(&fronts, number, keys.of_call(number)).await;
                     calls
                         .lock()
                         .unwrap_or_else(PoisonError::into_inner)
@@ -97,14 +107,18 @@
     }
 }
 
-async fn call(fronts: &[SocketAddr], number: u64) -> Call {
+async fn call(fronts: &[SocketAddr], number: u64, key: CallKey) -> Call {
     let once = number.is_multiple_of(2);
     let request = match number % 4 {
         1 => Request::get(LOOKUPS, &format!("{FRAGILE}{number}")),
         3 => Request::get(STATUS, &format!("{READ}{number}")),
         _ => Request::post(GRANTS, &format!("{ONCE}{number}"), "block 7"),
     };
-    let request = request.at(HOST).within(DEADLINE);
+    let request = Request {
+        api_key: key.text(),
+        ..request.at(HOST).within(DEADLINE)
+    };
+    let sent_at = Instant::now();
     let front_index = usize::try_from(number / 2).unwrap_or(0) % fronts.len();
     let reply = tokio::time::timeout(
         CALL_TIMEOUT,
@@ -114,6 +128,8 @@
     Call {
         path: request.path,
         once,
+        key,
+        sent_at,
         reply: reply.ok(),
     }
 }
@@ -121,5 +137,6 @@
 /// Sends the request that crashes the instance that runs it. Any reply or none is accepted.
 pub async fn send_crash_request(front: SocketAddr) {
     let request = Request::get(LOOKUPS, CRASH).at(HOST).within(DEADLINE);
+    let request = request.with_api_key(STEADY_KEY);
     let _ = tokio::time::timeout(CALL_TIMEOUT, Caller::new().call(front, &request)).await;
 }
--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -3,15 +3,21 @@
 use std::collections::HashMap;
 use std::fmt;
 
+use standin::Run;
 use testutils::Reply;
 use testutils::tables::FRAGILE;
 
 use crate::calls::Call;
+use crate::keys::CallKey;
+use crate::keys::Keys;
 use crate::world::World;
 
 /// Statuses that guarantee that the request was not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
+/// Status of requests without a valid key.
+const UNAUTHORIZED: u16 = 401;
+
 /// Body of the response to a request that is refused because it crashes instances.
 const QUARANTINED: &str = "quarantined";
 
@@ -53,9 +59,9 @@
 /// [`World::check_crashes`].
 #[must_use]
 pub fn check(world: &World, calls: &[Call], crash_violation: Option<String>) -> Report {
-    let mut run_counts: HashMap<String, usize> = HashMap::new();
+    let mut runs: HashMap<String, Vec<Run>> = HashMap::new();
     for run in world.runs() {
-        *run_counts.entry(run.path).or_default() += 1;
+        runs.entry(run.path.clone()).or_default().push(run);
     }
     let mut report = Report {
         calls: calls.len(),
@@ -63,17 +69,35 @@
         ..Report::default()
     };
     for call in calls {
-        let count = run_counts.get(&call.path).copied().unwrap_or(0);
+        let runs = runs.get(&call.path).map(Vec::as_slice).unwrap_or_default();
         report.answered += usize::from(call.reply.as_ref().is_some_and(Reply::is_ok));
-        if let Some(violation) = violation(call, count) {
-            report.violations.push(violation);
-        }
+        let violation = violation(call, runs.len());
+        let violation = violation.or_else(|| key_violation(world.keys(), call, runs));
+        report.violations.extend(violation);
     }
     report.violations.extend(world.table_regressions());
     report.violations.extend(crash_violation);
     report
 }
 
+/// The guarantee on keys that a call and its runs show to be violated, if any.
+fn key_violation(keys: &Keys, call: &Call, runs: &[Run]) -> Option<String> {
+    let Call { path, key, .. } = call;
+    let status = call.reply.as_ref().map(|reply| reply.status);
+    if *key == CallKey::Steady && status == Some(UNAUTHORIZED) {
+        return Some(format!("{path} was refused despite its key"));
+    }
+    let is_invalid = keys.is_invalid(*key, call.sent_at);
+    if is_invalid && (!runs.is_empty() || call.reply.as_ref().is_some_and(Reply::is_ok)) {
+        return Some(format!("{path} ran with {key}"));
+    }
+    let is_wrong = |run: &&Run| {
+        Some(run.workspace.as_str()) != key.workspace() || !run.authorization.is_empty()
+    };
+    let wrong = runs.iter().find(is_wrong)?;
+    Some(format!("{path} with {key} ran as {wrong:?}"))
+}
+
 /// The guarantee that a call shows to be violated, if any, given that its request ran `count` times.
 fn violation(call: &Call, count: usize) -> Option<String> {
     let path = &call.path;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,12 +3,13 @@
 //!
 //! A seed determines the faults ([`world`]): signals to processes, faults of upstreams,
 //! and a [`proxy`] in front of these that delays, withholds or resets traffic. Callers
-//! send requests all the time ([`calls`]). At the end the system is restored, and
+//! send requests all the time ([`calls`]), with keys of which tables remove some ([`keys`]). At the end the system is restored, and
 //! [`invariants`] looks for violated guarantees.
 
 pub mod calls;
 pub mod crashing_upstreams;
 pub mod invariants;
+pub mod keys;
 pub mod proxy;
 pub mod world;
 
@@ -75,7 +76,7 @@
 pub async fn run(plan: Plan) -> Result<Report, SoakError> {
     let mut rng = SmallRng::seed_from_u64(plan.seed);
     let mut world = World::start(&mut rng).await?;
-    let callers = Callers::start(world.fronts());
+    let callers = Callers::start(world.fronts(), world.keys());
     for _ in 0..plan.steps {
         world.step(&mut rng).await?;
         world.pause(&mut rng, plan.max_pause).await;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -14,11 +14,12 @@
 use telemetry::log::silent;
 use testutils::Fleet;
 use testutils::Host;
+use testutils::Layout;
 use testutils::Process;
 use testutils::Request;
 use testutils::process::field;
+use testutils::system::SystemError;
 use testutils::system::wait;
-use testutils::tables;
 use testutils::tables::GRANTS;
 use testutils::tables::HOST;
 use testutils::tables::LOOKUPS;
@@ -26,6 +27,9 @@
 
 use crate::SoakError;
 use crate::crashing_upstreams::CrashingUpstreams;
+use crate::keys;
+use crate::keys::Keys;
+use crate::keys::STEADY_KEY;
 use crate::proxy::Mode;
 use crate::proxy::Proxy;
 
@@ -99,6 +103,7 @@
     upstreams: Vec<ProxiedUpstream>,
     crashing_upstreams: CrashingUpstreams,
     version: u64,
+    keys: Keys,
     /// Log lines of each entry process that has ended.
     logs: Vec<Vec<String>>,
     steps: Vec<String>,
@@ -111,7 +116,11 @@
     ///
     /// Fails if a part can't be started.
     pub async fn start(rng: &mut SmallRng) -> Result<Self, SoakError> {
-        let mut fleet = Fleet::start(HUBS, ENTRIES).await?;
+        let mut layout = Layout::new(HUBS, ENTRIES).map_err(SystemError::from)?;
+        for entry in &mut layout.entries {
+            entry.keys = keys::settings();
+        }
+        let mut fleet = Fleet::start_layout(layout).await?;
         let crashing_upstreams = CrashingUpstreams::start(&mut fleet.layout).await?;
         let process = |hub, index| ProcessState {
             hub,
@@ -126,6 +135,7 @@
             upstreams: vec![],
             crashing_upstreams,
             version: 0,
+            keys: Keys::default(),
             logs: vec![],
             steps: vec![],
         };
@@ -169,6 +179,12 @@
         self.fleet.layout.entries.iter().map(|e| e.front).collect()
     }
 
+    /// The keys of the tables.
+    #[must_use]
+    pub fn keys(&self) -> &Keys {
+        &self.keys
+    }
+
     /// Applies one random step to the system.
     ///
     /// # Errors
@@ -199,8 +215,11 @@
             _ => {
                 self.version += 1;
                 // May be refused, as hubs may be down; a newer table is published at the end.
-                let table = tables::with_fragile(self.version);
+                let table = self.keys.table(self.version);
                 let accepted = self.fleet.layout.put_once(&table).await;
+                if accepted {
+                    self.keys.record_accepted(self.version);
+                }
                 self.record_step(format!("table {}: accepted {accepted}", self.version));
             }
         }
@@ -322,8 +341,10 @@
     /// Publishes the next version of the table.
     async fn publish_table(&mut self) -> Result<(), SoakError> {
         self.version += 1;
-        let table = tables::with_fragile(self.version);
-        Ok(self.fleet.layout.put(&table).await?)
+        let table = self.keys.table(self.version);
+        self.fleet.layout.put(&table).await?;
+        self.keys.record_accepted(self.version);
+        Ok(())
     }
 
     /// Ends all faults, publishes a table, and waits until every entry process uses it and serves
@@ -360,10 +381,10 @@
             Request::get(LOOKUPS, "/fragile/wait").at(HOST),
         ];
         for index in 0..ENTRIES {
-            for request in &requests {
+            for request in requests.iter().map(|r| r.clone().with_api_key(STEADY_KEY)) {
                 let goal = format!("response of {} at entry {index}", request.service);
                 wait(&goal, async || {
-                    self.fleet.call(index, request).await.is_ok()
+                    self.fleet.call(index, &request).await.is_ok()
                 })
                 .await?;
             }
--- a/crates/standin/src/request.rs
+++ b/crates/standin/src/request.rs
@@ -16,6 +16,8 @@
     Origin {
         key: text(req, header::IDEMPOTENCY_KEY),
         caller: text(req, header::CALLER),
+        workspace: text(req, header::WORKSPACE),
+        authorization: text(req, "authorization"),
         path,
         request: text(req, header::REQUEST_ID),
         attempt: text(req, header::ATTEMPT),
--- a/crates/standin/src/runs.rs
+++ b/crates/standin/src/runs.rs
@@ -34,6 +34,12 @@
     pub key: String,
     /// Name of the caller, empty if it was not sent.
     pub caller: String,
+    /// Name of the caller's workspace, empty if it was not sent.
+    #[serde(default)]
+    pub workspace: String,
+    /// Value of the `authorization` header, empty if it was not sent.
+    #[serde(default)]
+    pub authorization: String,
     /// Path of the request.
     pub path: String,
     /// Id that the system gave the request.
@@ -53,6 +59,10 @@
     pub key: String,
     /// Name of the caller, empty if it was not sent.
     pub caller: String,
+    /// Name of the caller's workspace, empty if it was not sent.
+    pub workspace: String,
+    /// Value of the `authorization` header, empty if it was not sent.
+    pub authorization: String,
     /// Path of the request.
     pub path: String,
     /// Id that the system gave the request.
@@ -90,6 +100,8 @@
             number,
             key: origin.key,
             caller: origin.caller,
+            workspace: origin.workspace,
+            authorization: origin.authorization,
             path: origin.path,
             request: origin.request,
             attempt: origin.attempt,
--- a/crates/testutils/src/caller.rs
+++ b/crates/testutils/src/caller.rs
@@ -10,6 +10,9 @@
 use serde::Deserialize;
 use uuid::Uuid;
 
+/// Workspace that callers with an API key claim.
+const FORGED_WORKSPACE: &str = "forged";
+
 /// One request of a caller.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -21,6 +24,8 @@
     pub path: String,
     /// The idempotency key, if any.
     pub key: Option<String>,
+    /// API key of the caller's workspace, if any.
+    pub api_key: Option<String>,
     /// Name of the caller.
     pub caller: &'static str,
     /// Time that the caller allows for the call.
@@ -42,6 +47,7 @@
             method: Method::GET,
             path: path.into(),
             key: None,
+            api_key: None,
             caller: "tests",
             deadline: Duration::from_secs(10),
             body: String::new(),
@@ -69,6 +75,15 @@
         }
     }
 
+    /// Sets the API key.
+    #[must_use]
+    pub fn with_api_key(self, key: &str) -> Self {
+        Self {
+            api_key: Some(key.into()),
+            ..self
+        }
+    }
+
     /// Sets the host name, by which route tables select routes.
     #[must_use]
     pub fn at(self, host: &'static str) -> Self {
@@ -206,6 +221,12 @@
         if let Some(key) = &request.key {
             builder = builder.header(header::IDEMPOTENCY_KEY, key);
         }
+        if let Some(key) = &request.api_key {
+            builder = builder
+                .bearer_auth(key)
+                // A name that the caller makes up has no effect.
+                .header(header::WORKSPACE, FORGED_WORKSPACE);
+        }
         if let Some(host) = request.host {
             builder = builder.header("host", host);
         }
--- a/crates/testutils/src/fleet.rs
+++ b/crates/testutils/src/fleet.rs
@@ -145,10 +145,20 @@
     ///
     /// Fails if a process is not ready in time.
     pub async fn start(hubs: usize, entries: usize) -> Result<Self, SystemError> {
+        Self::start_layout(Layout::new(hubs, entries)?).await
+    }
+
+    /// Starts all hubs and entry processes of `layout`, without a route table.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process is not ready in time.
+    pub async fn start_layout(layout: Layout) -> Result<Self, SystemError> {
+        let (hubs, entries) = (layout.hubs.len(), layout.entries.len());
         let mut fleet = Self {
             hubs: vec![],
             entries: vec![],
-            layout: Layout::new(hubs, entries)?,
+            layout,
         };
         let started = join_all((0..hubs).map(|i| fleet.start_hub(i))).await;
         for process in started {
