--- a/crates/entry/tests/test_workspaces.rs
+++ b/crates/entry/tests/test_workspaces.rs
@@ -277,7 +277,9 @@
         let received = received.filter(|r| r.header("rwr-request-id").as_ref() == Some(&id));
         let received: Vec<ReceivedRequest> = received.collect();
         assert_eq!(received.len(), usize::from(status == 200), "{id}");
-        received.iter().for_each(|r| check_received(r, workspace));
+        for request in &received {
+            check_received(request, workspace);
+        }
     }
 }
 
@@ -414,6 +416,27 @@
     assert_eq!(answer.expect("in time").expect("an answer").status, 200);
 }
 
+/// Guards against attempts with a key that was removed while the request waited.
+#[tokio::test]
+async fn test_workspaces_removed_key_ends_waiting_request() {
+    let upstream = Upstream::start("i-1", Behavior::Answer).await;
+    let entry = start_unconfigured().await;
+    entry.core().set_table(keyed(2, &[KEY]));
+    let mut caller = Caller::connect(entry.front()).await;
+    let request = head(READ, "r-1", &bearer(KEY), 0);
+    caller.send_raw(request.as_bytes()).await;
+    // The request waits for instances. Were it late, its key would be unknown from the start.
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    entry.core().set_table(keyed(3, &[]));
+    let announced = [instance(&upstream, "status")];
+    entry.core().apply_instances(HUB, &announced, &[]);
+    let answer = tokio::time::timeout(PATIENCE, caller.answer()).await;
+    let answer = answer.expect("in time").expect("an answer");
+    assert_eq!(answer.status, 401);
+    assert_eq!(answer.header("retry-after"), None);
+    assert!(upstream.received_requests().is_empty());
+}
+
 /// Guards against keys that work on in a process that can't learn of their removal, and against
 /// refusals where that isn't wanted.
 #[tokio::test]
