dispatch: parts of a service that is too large for one dispatcher

A service with more than 24 instances has no dispatcher, as one process can't probe and grant all of them.

The module `parts` divides the instances by failure domain and by rendezvous hashing over part numbers, names the dispatcher and the home part of each process, and chooses the part to ask by the aged load that dispatchers report. It is a state machine without I/O.

A process that already dispatches a part of the service comes after all others: two parts are too much for a tenth of a core.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,12 +9,15 @@
 //! the shared budget. A grant only names an instance: the process that receives it
 //! still applies its own limits, and chooses by itself while the dispatcher
 //! doesn't answer. [`Warmup`] selects the few processes that send to a cold instance.
+//! The instances of a service that is too large for one dispatcher are divided into
+//! [`parts`].
 //!
 //! All types are state machines without I/O; the time is an argument.
 
 pub mod breaker;
 pub mod dispatcher;
 pub mod grants;
+pub mod parts;
 pub mod role;
 pub mod warmup;
 
