entry: requests of large services ask the dispatcher of a part

With `[place] parts = yes` (default `no`), the instances of a service with more than `[place] instances` are divided into parts. A request asks the dispatcher of its home part while that has capacity, then another part of the failure domain, then those of others. The process chooses by itself only if no dispatcher answers. A process that dispatches a part grants locally without a message.

Probes: half of the budget of a part's instances belongs to its dispatcher, the rest to all processes, as for small services.

--- a/crates/entry/src/balancer.rs
+++ b/crates/entry/src/balancer.rs
@@ -5,8 +5,10 @@
 mod cold;
 mod dispatch;
 mod limit;
+mod parts;
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,6 +36,9 @@
 use tokio::sync::oneshot;
 use wire::hub::Phase as WirePhase;
 
+pub use self::parts::PartPlan;
+pub use self::parts::PartTarget;
+use self::parts::Parts;
 use crate::placement::Grant;
 use crate::processes::Processes;
 use crate::settings::SharedBudgets;
@@ -72,6 +77,8 @@
     /// The last known number of processes; 0 before it is known.
     last_entries: u32,
     upstreams: HashMap<InstanceId, Arc<Upstream>>,
+    /// The instances that are ready for requests.
+    ready: HashSet<InstanceId>,
     wait_queue: WaitQueue<oneshot::Sender<Pick>>,
     /// When an attempt last finished.
     last_completion: Moment,
@@ -84,6 +91,11 @@
     grants: Grants<Ticket>,
     /// Whether this process dispatches for the service, or another one does.
     dispatcher_role: DispatcherRole,
+    /// The parts of the service, if one dispatcher can't serve it.
+    parts: Option<Parts>,
+    /// Number of changes to the parts or their dispatchers.
+    part_changes: u64,
+    seed: u64,
     /// Rate limit of cold instances; `None` if unlimited.
     warmup: Option<Warmup>,
     /// The processes that share `warmup`.
@@ -153,6 +165,7 @@
             shared: *shared,
             last_entries: shared.entries,
             upstreams: HashMap::new(),
+            ready: HashSet::new(),
             wait_queue: WaitQueue::default(),
             last_completion: now,
             completion_interval: MIN_RETRY_AFTER,
@@ -160,6 +173,9 @@
             last_refusal: now,
             grants: Grants::with_first_id(seed),
             dispatcher_role: DispatcherRole::default(),
+            parts: None,
+            part_changes: 0,
+            seed,
             warmup: None,
             processes: Arc::default(),
             created_at: now,
@@ -180,7 +196,13 @@
 
     fn update_probe_share(&mut self, now: Moment) {
         let entries = self.last_entries;
+        let spending = self
+            .parts
+            .as_ref()
+            .map(|parts| parts.spending_instances(now));
         let (fraction, processes) = match self.dispatcher_role.location() {
+            _ if spending.is_some_and(|instances| instances > 0) => (DISPATCHER_PROBE_SHARE, 1),
+            _ if spending.is_some() => (1.0 - DISPATCHER_PROBE_SHARE, entries),
             DispatcherLocation::Unassigned => (1.0, entries),
             DispatcherLocation::Local if self.dispatcher_role.may_spend_shared(now) => {
                 (DISPATCHER_PROBE_SHARE, 1)
@@ -196,16 +218,21 @@
             reason = "fits in a u32"
         )]
         let budget = budget as u32;
-        let count = self.upstreams.len();
+        let own = spending.filter(|instances| *instances > 0);
+        let count = own.unwrap_or(self.upstreams.len());
         self.probe_allowance.set(now, budget, count, processes);
     }
 
     /// Replaces the set of instances.
     pub fn update<'a>(&mut self, now: Moment, instances: impl Iterator<Item = InstanceStatus<'a>>) {
         self.upstreams.clear();
+        self.ready.clear();
         let mut table = Vec::new();
         for status in instances {
             let upstream = status.upstream;
+            if status.phase == WirePhase::Ready {
+                self.ready.insert(upstream.id.clone());
+            }
             let instance = Instance {
                 id: upstream.id.clone(),
                 incarnation: upstream.incarnation,
@@ -402,6 +429,9 @@
     ) {
         let pick = ticket.pick();
         self.chooser.finished(now, ticket, kind, report);
+        if !self.may_offer(pick) {
+            return;
+        }
         let interval = now.since(self.last_completion).min(MAX_RETRY_AFTER);
         self.completion_interval = self
             .completion_interval
--- a/crates/entry/src/balancer/backoff.rs
+++ b/crates/entry/src/balancer/backoff.rs
@@ -4,6 +4,7 @@
 
 use backoff::Backoff;
 use base::prelude::*;
+use route::Pick;
 
 use super::Balancer;
 
@@ -19,10 +20,10 @@
         }
     }
 
-    /// The ids of the instances that asked this process to send them nothing now.
+    /// The instances that asked this process to send them nothing now.
     #[must_use]
-    pub fn backed_off_ids(&self, now: Moment) -> Vec<String> {
-        self.ids(&self.chooser.backed_off(now))
+    pub fn backed_off(&self, now: Moment) -> Vec<Pick> {
+        self.chooser.backed_off(now)
     }
 
     /// The time until an instance takes requests again, if all of them are backed off.
--- a/crates/entry/src/balancer/dispatch.rs
+++ b/crates/entry/src/balancer/dispatch.rs
@@ -88,7 +88,7 @@
             in_flight: choice.in_flight,
             expected_us: micros(choice.expected),
             cost: choice.cost,
-            back_us: 0,
+            ..Placed::default()
         }
     }
 
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -176,6 +176,7 @@
             retry: settings.retry,
             probes: settings.probes,
             max_dispatched: settings.max_dispatched,
+            parts: settings.parts,
             stop: settings.stop,
             ..(*current).clone()
         };
@@ -187,6 +188,7 @@
             .write()
             .unwrap_or_else(PoisonError::into_inner) = Arc::new(next);
         self.set_entry_count(entry_count);
+        self.assign_dispatchers(&mut self.state());
     }
 
     /// The current routes; their table has version 0 until one is received.
@@ -336,7 +338,7 @@
             backoffs::apply_known_backoffs(state, &service, now);
         }
         self.set_warmups(state);
-        share::assign_dispatchers(&settings, state, now);
+        self.assign_dispatchers(state);
     }
 
     /// The address of the service's dispatcher, if that is another process.
@@ -416,7 +418,7 @@
             }
             state.processes = Arc::new(self.processes(&state));
             self.set_warmups(&mut state);
-            share::assign_dispatchers(&settings, &mut state, self.clock.now());
+            self.assign_dispatchers(&mut state);
         }
     }
 
--- a/crates/entry/src/core/share.rs
+++ b/crates/entry/src/core/share.rs
@@ -3,9 +3,14 @@
 use base::prelude::*;
 use dispatch::DispatcherLocation;
 use dispatch::Warmup;
+use dispatch::parts;
+use dispatch::parts::Division;
+use slog::info;
 
 use super::Core;
 use super::State;
+use crate::balancer::Balancer;
+use crate::balancer::PartPlan;
 use crate::processes::Process;
 use crate::processes::Processes;
 use crate::settings::Settings;
@@ -51,29 +56,87 @@
     }
 }
 
-/// Assigns a dispatcher to each service after a change of entry hosts or instances.
-pub(super) fn assign_dispatchers(settings: &Settings, state: &mut State, now: Moment) {
-    let places: Vec<&str> = state.hosts.iter().map(|host| &*host.place).collect();
-    let own = settings.place.map(|own| own.to_string());
-    state.dispatcher_addresses.clear();
-    for (service, balancer) in &mut state.balancers {
-        let is_small = balancer.len() <= settings.max_dispatched;
-        let names = places.iter().copied().filter(|place| !place.is_empty());
-        let dispatcher = dispatch::dispatcher(service, names).filter(|_| is_small && own.is_some());
-        let here = dispatcher.is_some() && dispatcher == own.as_deref();
-        let elsewhere = dispatcher
-            .filter(|_| !here)
-            .and_then(|place| place.parse().ok());
-        balancer.set_dispatcher_location(
-            now,
-            match (here, elsewhere) {
-                (true, _) => DispatcherLocation::Local,
-                (false, Some(_)) => DispatcherLocation::Remote,
-                (false, None) => DispatcherLocation::Unassigned,
-            },
-        );
-        state
-            .dispatcher_addresses
-            .extend(elsewhere.map(|address| (service.clone(), address)));
+impl Core {
+    /// Assigns a dispatcher to each service, or to each of its parts, after a change of entry hosts
+    /// or instances.
+    pub(super) fn assign_dispatchers(&self, state: &mut State) {
+        let now = self.clock.now();
+        let settings = self.settings();
+        let places: Vec<&str> = state.hosts.iter().map(|host| &*host.place).collect();
+        let own = settings.place.map(|own| own.to_string());
+        state.dispatcher_addresses.clear();
+        for (service, balancer) in &mut state.balancers {
+            let is_small = balancer.len() <= settings.max_dispatched;
+            let names = places.iter().copied().filter(|place| !place.is_empty());
+            let dispatcher =
+                dispatch::dispatcher(service, names).filter(|_| is_small && own.is_some());
+            let here = dispatcher.is_some() && dispatcher == own.as_deref();
+            let elsewhere = dispatcher
+                .filter(|_| !here)
+                .and_then(|place| place.parse().ok());
+            balancer.set_dispatcher_location(
+                now,
+                match (here, elsewhere) {
+                    (true, _) => DispatcherLocation::Local,
+                    (false, Some(_)) => DispatcherLocation::Remote,
+                    (false, None) => DispatcherLocation::Unassigned,
+                },
+            );
+            state
+                .dispatcher_addresses
+                .extend(elsewhere.map(|address| (service.clone(), address)));
+            let plan = own
+                .as_deref()
+                .filter(|_| settings.parts && !is_small)
+                .and_then(|own| part_plan(&settings, service, balancer, &state.processes, own));
+            if balancer.set_parts(now, plan) {
+                self.log_parts(service, balancer);
+            }
+        }
+    }
+
+    /// Logs the parts of a service after a change.
+    fn log_parts(&self, service: &ServiceName, balancer: &Balancer) {
+        let parts = balancer.division().map_or(&[][..], Division::parts);
+        let shown = parts.iter().map(|part| {
+            let dispatcher = part.dispatcher.as_deref().unwrap_or("-");
+            format!("{}:{}@{dispatcher}", part.id, part.instances)
+        });
+        let shown: Vec<String> = shown.collect();
+        let home = balancer.home().map(ToString::to_string);
+        info!(self.log, "parts"; "service" => %service, "count" => parts.len(),
+            "home" => home.as_deref().unwrap_or("-"), "parts" => shown.join(","));
+    }
+}
+
+/// Divides the service into parts; `None` while no process is known that dispatches.
+fn part_plan(
+    settings: &Settings,
+    service: &ServiceName,
+    balancer: &Balancer,
+    processes: &Processes,
+    own: &str,
+) -> Option<PartPlan> {
+    let all = processes.all.iter().filter(|p| !p.place.is_empty());
+    let all: Vec<parts::Process<'_>> = all
+        .map(|process| parts::Process {
+            place: &process.place,
+            domain: &process.domain,
+        })
+        .collect();
+    if all.is_empty() || settings.max_dispatched == 0 {
+        return None;
     }
+    let members: Vec<parts::Member<'_>> = balancer.members().collect();
+    let division = Division::new(service, &members, &all, settings.max_dispatched);
+    let own_process = parts::Process {
+        place: own,
+        domain: settings.domain.as_str(),
+    };
+    Some(PartPlan {
+        home: parts::home(service, own_process, &all, &division),
+        division,
+        own: own.to_owned(),
+        domain: settings.domain.clone(),
+    })
 }
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -78,6 +78,16 @@
             .send();
     }
 
+    /// Counts a part that was asked for an instance; `reason` is why it was chosen.
+    pub fn part(&self, service: &ServiceName, reason: &str, outcome: &str) {
+        self.client
+            .count_with_tags("entry.parts", 1)
+            .with_tag("service", service.as_str())
+            .with_tag("reason", reason)
+            .with_tag("outcome", outcome)
+            .send();
+    }
+
     /// Sets the number of evacuated failure domains.
     pub fn evacuated(&self, domains: usize) {
         let domains = u64::try_from(domains).unwrap_or(u64::MAX);
--- a/crates/entry/src/flow/choice.rs
+++ b/crates/entry/src/flow/choice.rs
@@ -15,6 +15,7 @@
 use crate::search;
 use crate::search::SearchRequest;
 use crate::search::SearchResult;
+use crate::search::SearchScope;
 
 /// Interval at which a waiting request searches again: capacity that other processes'
 /// requests free up isn't noticed otherwise.
@@ -33,8 +34,10 @@
     pub(super) async fn choose(&mut self) -> Result<SelectedInstance, Reason> {
         // Under low load the dispatcher is asked only if this process finds no good instance at
         // once: each question costs CPU time and bytes between failure domains.
+        // The dispatcher of a part is always asked: only then it knows the state of its part, and
+        // it is near.
         let mut ask_dispatcher = self
-            .balancer(|balancer, _| balancer.is_busy())
+            .balancer(|balancer, _| balancer.has_parts() || balancer.is_busy())
             .unwrap_or(false);
         loop {
             let request = self.search_request();
@@ -71,8 +74,14 @@
         // Nothing that the dispatcher grants could be used while all are backed off.
         let ask_dispatcher = ask_dispatcher && !self.all_are_backed_off();
         let dispatcher = self.core.dispatcher(&self.service);
+        let request_id = self.request.id.to_str().unwrap_or("-");
+        if ask_dispatcher
+            && let Some(result) =
+                placement::ask_parts(&self.core, &self.service, request_id, request).await
+        {
+            return result;
+        }
         if let Some(address) = dispatcher.filter(|_| ask_dispatcher) {
-            let request_id = self.request.id.to_str().unwrap_or("-");
             let result =
                 placement::ask(&self.core, address, &self.service, request_id, request).await;
             if let Some(result) = result {
@@ -100,6 +109,7 @@
             exclude: self.exclude.clone(),
             max_wait: self.max_wait().saturating_sub(self.started_at.elapsed()),
             remaining: self.deadline.saturating_duration_since(Instant::now()),
+            scope: SearchScope::default(),
         }
     }
 
--- a/crates/entry/src/placement.rs
+++ b/crates/entry/src/placement.rs
@@ -6,6 +6,7 @@
 
 mod convert;
 mod grant;
+mod parts;
 pub mod server;
 
 use std::collections::HashMap;
@@ -18,6 +19,9 @@
 
 use base::prelude::*;
 use dispatch::CircuitBreaker;
+use dispatch::parts::PartId;
+use dispatch::parts::PartLoad;
+use route::Pick;
 use slog::Logger;
 use slog::info;
 use tarpc::client::RpcError;
@@ -26,15 +30,18 @@
 use wire::peer::PlaceLink;
 use wire::place::Ask;
 use wire::place::Outcome;
+use wire::place::Part as WirePart;
 use wire::place::Placed;
 
 pub use self::grant::Grant;
+pub use self::parts::ask_parts;
 
 pub(crate) use self::convert::duration_from_micros;
 pub(crate) use self::convert::micros;
 pub(crate) use self::convert::report_from_wire;
 pub(crate) use self::convert::report_to_wire;
 
+use crate::balancer::Balancer;
 use crate::core::Core;
 use crate::search::SearchRequest;
 use crate::search::SearchResult;
@@ -101,13 +108,12 @@
         patience_us: micros(search.max_wait),
         left_us: micros(search.remaining),
         exclude: core
-            .balancer(service, |balancer, now| {
-                let mut excluded = balancer.ids(&search.exclude);
-                // Each grant of one of these would be turned down, and the next might be the same.
-                excluded.extend(balancer.backed_off_ids(now));
-                excluded
-            })
+            .balancer(service, |balancer, now| excluded(balancer, now, search))
+            .unwrap_or_default(),
+        connected: core
+            .balancer(service, |balancer, _| balancer.ids(&search.scope.connected))
             .unwrap_or_default(),
+        part: search.scope.part.as_ref().map(part_to_wire),
     };
     let started_at = core.clock.now();
     let placed = dispatcher.ask(ask).await;
@@ -117,6 +123,9 @@
     let elapsed = core.clock.now().since(started_at);
     core.counters.placed(service, outcome, elapsed);
     let placed = placed?;
+    if let Some(part) = &search.scope.part {
+        record_part_answer(core, service, part, &placed);
+    }
     match placed.outcome() {
         Outcome::Granted => {
             let grant = Grant::new(&dispatcher, service, placed.grant);
@@ -132,6 +141,38 @@
     }
 }
 
+/// The ids of the instances that must not be granted.
+fn excluded(balancer: &Balancer, now: Moment, search: &SearchRequest) -> Vec<String> {
+    // Each grant of one that is backed off would be turned down, and the next might be the same.
+    let backed_off = balancer.backed_off(now);
+    let excluded = search.exclude.iter().copied().chain(backed_off);
+    let part = search.scope.part.as_ref();
+    let picks: Vec<Pick> = excluded
+        .filter(|pick| balancer.is_in_part(*pick, part))
+        .collect();
+    balancer.ids(&picks)
+}
+
+fn part_to_wire(part: &PartId) -> WirePart {
+    WirePart {
+        domain: part.domain.to_string(),
+        number: part.number,
+    }
+}
+
+/// Records the load of a part as its dispatcher reports it.
+fn record_part_answer(core: &Core, service: &ServiceName, part: &PartId, placed: &Placed) {
+    let load = PartLoad {
+        slots: placed.part_slots,
+        in_flight: placed.part_in_flight,
+        waiting: placed.part_waiting,
+    };
+    let granted = placed.outcome() == Outcome::Granted;
+    core.balancer(service, |balancer, now| {
+        balancer.record_part_answer(now, part, load, granted);
+    });
+}
+
 fn outcome_label(placed: &Placed) -> &'static str {
     match placed.outcome() {
         Outcome::Granted => "granted",
--- a/crates/entry/src/placement/server.rs
+++ b/crates/entry/src/placement/server.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use dispatch::parts::PartId;
 use futures::StreamExt;
 use slog::info;
 use slog::warn;
@@ -20,6 +21,7 @@
 use wire::place::Ask;
 use wire::place::Ended;
 use wire::place::Outcome;
+use wire::place::Part;
 use wire::place::Placed;
 
 use super::convert::duration_from_micros;
@@ -32,10 +34,11 @@
 use crate::search;
 use crate::search::SearchRequest;
 use crate::search::SearchResult;
+use crate::search::SearchScope;
 
 /// How long a request is held while no instance has capacity. The short hold tells the
 /// client quickly whether the dispatcher is alive, at the cost of repeated requests.
-const MAX_HOLD: Duration = Duration::from_millis(30);
+pub(super) const MAX_HOLD: Duration = Duration::from_millis(30);
 
 /// The placement service; each request is served by a clone.
 #[derive(Clone)]
@@ -52,15 +55,40 @@
 
     fn search_request(&self, service: &ServiceName, ask: &Ask) -> Option<SearchRequest> {
         let domain = DomainName::new(&ask.domain).ok()?;
+        let part = match &ask.part {
+            Some(part) => Some(part_from_wire(part)?),
+            None => None,
+        };
         self.core.balancer(service, |balancer, _| SearchRequest {
             need: balancer.need_from_ask(ask, &domain),
             priority: ask.priority,
             exclude: balancer.picks(&ask.exclude),
             max_wait: duration_from_micros(ask.patience_us),
             remaining: duration_from_micros(ask.left_us),
+            scope: SearchScope {
+                part,
+                connected: balancer.picks(&ask.connected),
+            },
         })
     }
 
+    /// The answer, with the load of the part that was asked for.
+    fn with_load(&self, service: &ServiceName, request: &SearchRequest, placed: Placed) -> Placed {
+        let Some(part) = &request.scope.part else {
+            return placed;
+        };
+        let load = self
+            .core
+            .balancer(service, |balancer, now| balancer.part_load(now, part));
+        let load = load.unwrap_or_default();
+        Placed {
+            part_slots: load.slots,
+            part_in_flight: load.in_flight,
+            part_waiting: load.waiting,
+            ..placed
+        }
+    }
+
     async fn find(&self, service: &ServiceName, ask: &Ask) -> Option<Placed> {
         // Others may reach the instances.
         if self.core.is_cut_off(service) {
@@ -70,7 +98,7 @@
         let started_at = Instant::now();
         let result = search::search(&self.core, service, &request, MAX_HOLD).await;
         let remaining = request.remaining.saturating_sub(started_at.elapsed());
-        match result {
+        let placed = match result {
             SearchResult::Selected(chosen) => self.core.balancer(service, |balancer, now| {
                 balancer.grant(now, &chosen, now + remaining)
             }),
@@ -83,7 +111,8 @@
                 })
             }
             SearchResult::None => None,
-        }
+        };
+        placed.map(|placed| self.with_load(service, &request, placed))
     }
 
     fn log_placement(&self, ask: &Ask, placed: &Placed, elapsed: Duration) {
@@ -92,14 +121,29 @@
             return;
         }
         info!(self.core.log, "placed"; "request" => &ask.request, "from" => &ask.host,
-            "service" => &ask.service, "outcome" => outcome_label(placed),
-            "instance" => &placed.instance,
+            "service" => &ask.service, "part" => part_label(ask),
+            "outcome" => outcome_label(placed), "instance" => &placed.instance,
             "grant" => placed.grant, "in_flight" => placed.in_flight,
             "age_us" => placed.age_us, "expected_us" => placed.expected_us,
             "back_us" => placed.back_us, "us" => micros(elapsed));
     }
 }
 
+fn part_from_wire(part: &Part) -> Option<PartId> {
+    Some(PartId {
+        domain: DomainName::new(&part.domain).ok()?,
+        number: part.number,
+    })
+}
+
+fn part_label(ask: &Ask) -> String {
+    let part = ask.part.as_ref();
+    part.map_or_else(
+        || "-".to_owned(),
+        |part| format!("{}/{}", part.domain, part.number),
+    )
+}
+
 fn placed_with(outcome: Outcome) -> Placed {
     Placed {
         outcome: outcome.into(),
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -101,6 +101,14 @@
         Some(idle.remove(ready).connection)
     }
 
+    /// Whether an idle connection is open.
+    pub fn has_idle(&self) -> bool {
+        let now = Instant::now();
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_open = |entry: &Idle| entry.expires_at > now && entry.connection.sender.is_ready();
+        idle.iter().any(is_open)
+    }
+
     /// Opens a connection.
     ///
     /// # Errors
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use dispatch::parts::PartId;
 use route::Need;
 use route::Pick;
 use tokio::time::Instant;
@@ -26,6 +27,17 @@
     pub max_wait: Duration,
     /// Time until the request's deadline.
     pub remaining: Duration,
+    /// The instances to choose from.
+    pub scope: SearchScope,
+}
+
+/// The instances that a search chooses from.
+#[derive(Clone, Debug, Default)]
+pub struct SearchScope {
+    /// A part of the service; `None` for all instances.
+    pub part: Option<PartId>,
+    /// Instances to which the process that sends the request has idle connections.
+    pub connected: Vec<Pick>,
 }
 
 /// Result of a search.
@@ -52,18 +64,22 @@
     let started_at = Instant::now();
     for round in 0.. {
         let probes = core.balancer(service, |balancer, now| {
-            balancer.plan_probes(now, &request.need, &request.exclude, round)
+            balancer.scoped(&request.scope, |balancer| {
+                balancer.plan_probes(now, &request.need, &request.exclude, round)
+            })
         });
-        let probes = probes.unwrap_or_default();
+        let probes = probes.flatten().unwrap_or_default();
         if probes.is_empty() {
             break;
         }
         probe::probe_instances(core, service, probes).await;
     }
     let selection = core.balancer(service, |balancer, now| {
-        balancer.choose(now, &request.need, &request.exclude)
+        balancer.scoped(&request.scope, |balancer| {
+            balancer.choose(now, &request.need, &request.exclude)
+        })
     });
-    let slow = match selection {
+    let slow = match selection.flatten() {
         Some(Selection::Send(chosen)) => return SearchResult::Selected(chosen),
         Some(Selection::Slow(chosen)) => Some(chosen),
         Some(Selection::Wait) => None,
@@ -103,8 +119,10 @@
     core.counters.waited(service, started_at.elapsed());
     let pick = result.ok()?.ok()?;
     match core.balancer(service, |balancer, now| {
-        balancer.choose_instance(now, &request.need, pick)
-    })? {
+        balancer.scoped(&request.scope, |balancer| {
+            balancer.choose_instance(now, &request.need, pick)
+        })
+    })?? {
         Selection::Send(chosen) => Some(chosen),
         // The instance has become slow, and there is time to wait for another one.
         Selection::Slow(_) | Selection::Wait | Selection::Full | Selection::None => None,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -150,6 +150,8 @@
     pub place: Option<SocketAddr>,
     /// Maximum number of instances of a service that one entry process dispatches.
     pub max_dispatched: usize,
+    /// Whether services with more instances are divided into parts with a dispatcher each.
+    pub parts: bool,
     /// The port at which every entry host takes requests of others that don't reach the
     /// instances; without it, such requests are refused.
     pub relay: Option<u16>,
@@ -195,6 +197,7 @@
             probes: DEFAULT_PROBES,
             place: None,
             max_dispatched: DEFAULT_MAX_DISPATCHED as usize,
+            parts: false,
             relay: None,
             stop: Stop::default(),
             crossing: 0,
@@ -241,6 +244,7 @@
         let probes = r.or(PROBE, "per-second", DEFAULT_PROBES);
         let place = r.optional(PLACE, "listen");
         let max_dispatched: u32 = r.or(PLACE, "instances", DEFAULT_MAX_DISPATCHED);
+        let parts = r.or(PLACE, "parts", false);
         let relay = r.optional(RELAY, "port");
         let stop = read_stop(r);
         let crossing = r.or(COST, "crossing", 0);
@@ -271,6 +275,7 @@
             probes,
             place,
             max_dispatched: usize::try_from(max_dispatched).unwrap_or(usize::MAX),
+            parts,
             relay,
             stop,
             crossing,
@@ -368,6 +373,7 @@
             writeln!(f, "listen = {place}")?;
         }
         writeln!(f, "instances = {}", self.max_dispatched)?;
+        writeln!(f, "parts = {}", if self.parts { "yes" } else { "no" })?;
         if let Some(port) = self.relay {
             writeln!(f, "\n[{RELAY}]")?;
             writeln!(f, "port = {port}")?;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -44,5 +44,6 @@
 pub use probing::COLD_WINDOW;
 pub use probing::Decision;
 pub use probing::ProbingChooser;
+pub use probing::Scope;
 pub use probing::ScoredChoice;
 pub use view::View;
--- a/crates/route/src/probing.rs
+++ b/crates/route/src/probing.rs
@@ -15,6 +15,7 @@
 mod entry;
 mod limit;
 mod results;
+mod scope;
 mod sending;
 mod table;
 
@@ -33,9 +34,9 @@
 
 pub use self::entry::COLD_WINDOW;
 use self::entry::Entry;
-use self::entry::MAX_FRESH_AGE;
 use self::entry::ServiceAverages;
 use self::entry::Subset;
+pub use self::scope::Scope;
 
 /// Maximum number of instances probed in one round.
 const PROBES_PER_ROUND: usize = 3;
@@ -114,6 +115,8 @@
     most_announced: bool,
     /// Revision of the process list by which cold instances are shared; `None` if they aren't.
     cold_sharing: Option<u64>,
+    /// The instances that the following choices are restricted to.
+    scope: Scope,
 }
 
 impl ProbingChooser {
@@ -129,6 +132,7 @@
             processes: 1,
             most_announced: false,
             cold_sharing: None,
+            scope: Scope::default(),
         }
     }
 
@@ -158,7 +162,7 @@
         round: u32,
         allow: impl FnOnce(usize) -> usize,
     ) -> Vec<Pick> {
-        let cheapest = self.cheapest(now, need, exclude, MAX_FRESH_AGE);
+        let cheapest = self.cheapest(now, need, exclude, self.fresh_age());
         let enough =
             cheapest.is_some_and(|(index, cost)| self.is_enough(now, need, index, cost, round));
         if round >= MAX_ROUNDS || enough {
@@ -167,7 +171,7 @@
         let mut candidates: Vec<(usize, f64)> = Vec::new();
         for index in 0..self.entries.len() {
             let entry = &self.entries[index];
-            if !self.is_usable(now, index, exclude) || entry.is_fresh(now) {
+            if !self.is_usable(now, index, exclude) || self.is_fresh(now, entry) {
                 continue;
             }
             let cost = self.cost(now, need, entry);
@@ -187,6 +191,7 @@
                 Subset::Inside => 0.0,
                 Subset::Outside => OUTSIDE_RANK_PENALTY,
             };
+            let other = other + self.connect_rank(index);
             let random: f64 = self.rng.random();
             candidates.push((
                 index,
@@ -220,7 +225,7 @@
         if let Some((index, _)) = known
             && self.entries[index].has_room(now, self.averages, need.max_occupancy)
         {
-            let fresh = self.entries[index].is_fresh(now);
+            let fresh = self.is_fresh(now, &self.entries[index]);
             let reason = if fresh { Reason::Fresh } else { Reason::Stale };
             return self.decide(now, need, index, reason);
         }
@@ -245,11 +250,12 @@
         if self.entries[index].report.is_some() {
             return true;
         }
-        let ready = self.entries.iter().filter(|entry| entry.is_ready());
+        let within = || self.entries.iter().filter(|entry| self.is_in_scope(entry));
+        let ready = within().filter(|entry| entry.is_ready());
         let usable = ready.filter(|entry| !entry.backoff.is_on(now));
         let slots: u32 = usable.map(|entry| entry.instance.slots).sum();
-        let own: usize = self.entries.iter().map(|entry| entry.starts.len()).sum();
-        let share = (slots / self.processes).max(1);
+        let own: usize = within().map(|entry| entry.starts.len()).sum();
+        let share = (slots / self.sharers()).max(1);
         own < usize::try_from(share).unwrap_or(usize::MAX)
     }
 
@@ -282,7 +288,7 @@
     /// ejected.
     fn choose_panic(&mut self, now: Moment, need: &Need, exclude: &[Pick]) -> Decision {
         let ready: Vec<usize> = (0..self.entries.len())
-            .filter(|i| self.entries[*i].is_ready())
+            .filter(|i| self.entries[*i].is_ready() && self.is_in_scope(&self.entries[*i]))
             .collect();
         let may_send = |i: &usize| self.may_send(now, &self.entries[*i]);
         let picks: Vec<usize> = ready.iter().copied().filter(may_send).collect();
@@ -350,7 +356,7 @@
             let blind =
                 self.may_be_gone(entry) && entry.age(now).is_none_or(|age| age >= MAX_KNOWN_AGE);
             let cost = cost + if blind { SILENT_COST_PENALTY } else { 0.0 };
-            let cost = cost + JITTER * self.rng.random::<f64>();
+            let cost = cost + self.connect_cost(index) + JITTER * self.rng.random::<f64>();
             if cheapest.is_none_or(|(_, least)| cost < least) {
                 cheapest = Some((index, cost));
             }
@@ -371,10 +377,12 @@
 
     fn is_usable(&self, now: Moment, index: usize, exclude: &[Pick]) -> bool {
         let entry = &self.entries[index];
-        entry.is_ready()
-            && entry.health.takes_traffic()
-            && self.may_send(now, entry)
-            && !exclude.contains(&self.pick(index))
+        self.is_in_scope(entry) && self.takes(now, entry) && !exclude.contains(&self.pick(index))
+    }
+
+    /// Whether the instance takes requests from this process now.
+    fn takes(&self, now: Moment, entry: &Entry) -> bool {
+        entry.is_ready() && entry.health.takes_traffic() && self.may_send(now, entry)
     }
 
     /// An ejected instance due for a trial request. Retries are not used as trials.
@@ -382,7 +390,10 @@
         if !exclude.is_empty() {
             return None;
         }
-        let wants = |e: &Entry| e.is_ready() && self.may_send(now, e) && e.health.wants_trial(now);
+        let wants = |e: &Entry| {
+            let is_candidate = self.is_in_scope(e) && e.is_ready();
+            is_candidate && self.may_send(now, e) && e.health.wants_trial(now)
+        };
         (0..self.entries.len()).find(|i| wants(&self.entries[*i]))
     }
 
--- a/crates/route/src/probing/entry.rs
+++ b/crates/route/src/probing/entry.rs
@@ -49,6 +49,8 @@
     /// It hasn't announced itself recently, so it may be gone.
     pub(super) silent: bool,
     pub(super) subset: Subset,
+    /// The part of the service that it belongs to, if the service is divided.
+    pub(super) part: Option<usize>,
 }
 
 /// Window in which starts at a cold instance count against the share: a second, plus the
@@ -116,10 +118,6 @@
         self.pace_start(now);
     }
 
-    pub(super) fn is_fresh(&self, now: Moment) -> bool {
-        self.age(now).is_some_and(|age| age < MAX_FRESH_AGE)
-    }
-
     /// Whether one more request would start at once, using at most the fraction `max_occupancy`
     /// of the slots. An instance above the knee counts as having room, as it may still answer in
     /// time.
--- a/crates/route/src/probing/table.rs
+++ b/crates/route/src/probing/table.rs
@@ -120,6 +120,7 @@
             presence: Presence::Present,
             silent: reported.silent,
             subset: Subset::Inside,
+            part: None,
         };
         let removed = |e: &&mut Entry| e.instance.phase == Phase::Gone && e.starts.is_empty();
         match self.entries.iter_mut().find(removed) {
