entry: model of a service with parts

The model of balancers and instances without a network gets failure domains and dispatchers of parts, to compare them with choices of each process.

--- a/crates/entry/tests/simulation/mod.rs
+++ b/crates/entry/tests/simulation/mod.rs
@@ -14,10 +14,15 @@
 
 use base::prelude::*;
 use dispatch::DispatcherLocation;
+use dispatch::parts;
+use dispatch::parts::Division;
+use dispatch::parts::PartId;
 use entry::balancer::Balancer;
+use entry::balancer::PartPlan;
 use entry::balancer::SelectedInstance;
 use entry::balancer::Selection;
 use entry::pool::Pool;
+use entry::search::SearchScope;
 use entry::settings::Retry;
 use entry::settings::SharedBudgets;
 use entry::view::InstanceStatus;
@@ -42,6 +47,24 @@
 /// real process.
 const WORK_MARGIN: f64 = 1.3;
 
+/// Time for which the dispatcher of a part holds a request, as in the real process.
+const MAX_HOLD: u64 = 30_000;
+/// Number of parts that one search asks, as in the real process.
+const MAX_ANSWERS: usize = 3;
+/// Maximum number of instances in a part.
+const MAX_DISPATCHED: usize = 24;
+
+/// Who chooses instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// Each process for its own requests.
+    Alone,
+    /// One process for all requests.
+    Dispatcher,
+    /// The dispatcher of each part.
+    Parts,
+}
+
 /// A service and its callers. All times are in microseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Case {
@@ -57,6 +80,8 @@
     pub processes: usize,
     pub calls: f64,
     pub seconds: u64,
+    /// Failure domains of instances and processes.
+    pub domains: usize,
 }
 
 /// The results of a simulation, as shares of all requests.
@@ -69,6 +94,10 @@
     pub probes: f64,
     /// Opened connections per request.
     pub opened: f64,
+    /// Messages to dispatchers of parts per request, without releases.
+    pub asked: f64,
+    /// Requests that are sent to another failure domain.
+    pub crossed: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -92,6 +121,14 @@
     ticket: Option<Ticket>,
     slot: Option<oneshot::Receiver<Pick>>,
     done: bool,
+    /// The process that chooses the instance.
+    chooser: usize,
+    /// The scope of its choice.
+    scope: SearchScope,
+    /// The ticket of the request's own process, if another one chose the instance.
+    own_ticket: Option<Ticket>,
+    /// The parts that were asked.
+    tried: Vec<PartId>,
 }
 
 struct Simulation {
@@ -107,6 +144,8 @@
     /// When a process last used its connection to an instance.
     last_used: HashMap<(usize, usize), u64>,
     opened: u64,
+    asked: u64,
+    crossed: u64,
     outcomes: [u64; 3],
 }
 
@@ -114,46 +153,79 @@
     Moment::from_millis(1_000) + Duration::from_micros(micros)
 }
 
-fn upstream(index: usize) -> Arc<Upstream> {
+fn domain(case: Case, index: usize) -> DomainName {
+    DomainName::new(&format!("d{}", index % case.domains)).expect("a name")
+}
+
+/// The address of a process for placement requests.
+fn place(process: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10_000 + process as u16))
+}
+
+fn upstream(case: Case, index: usize) -> Arc<Upstream> {
     let address = SocketAddr::from(([127, 0, 0, 1], 1));
     Arc::new(Upstream {
         id: InstanceId::new(&index.to_string()).expect("a name"),
         incarnation: 0,
         service: ServiceName::new("s").expect("a name"),
         address,
-        domain: DomainName::new("a").expect("a name"),
-        slots: 1,
+        domain: domain(case, index),
+        slots: case.slots,
         cold: Duration::ZERO,
         pool: Pool::new(address),
     })
 }
 
-/// Simulates a case. With `dispatched`, one process dispatches all requests.
-pub fn simulate(case: Case, dispatched: bool, seed: u64) -> SimulationResult {
+/// Divides the service of a balancer into parts.
+fn plan(case: Case, balancer: &Balancer, own: usize) -> PartPlan {
+    let service = ServiceName::new("s").expect("a name");
+    let all = (0..case.processes).map(|n| (place(n).to_string(), domain(case, n)));
+    let all: Vec<(String, DomainName)> = all.collect();
+    let processes = all.iter().map(|(place, domain)| parts::Process {
+        place,
+        domain: domain.as_str(),
+    });
+    let processes: Vec<parts::Process<'_>> = processes.collect();
+    let members: Vec<parts::Member<'_>> = balancer.members().collect();
+    let division = Division::new(&service, &members, &processes, MAX_DISPATCHED);
+    PartPlan {
+        home: parts::home(&service, processes[own], &processes, &division),
+        division,
+        own: processes[own].place.to_owned(),
+        domain: domain(case, own),
+    }
+}
+
+/// Simulates a case.
+pub fn simulate(case: Case, way: Way, seed: u64) -> SimulationResult {
     let upstreams: Vec<Arc<Upstream>> = (0..case.instances)
-        .map(|index| {
-            let mut upstream = upstream(index);
-            Arc::get_mut(&mut upstream).expect("new").slots = case.slots;
-            upstream
-        })
+        .map(|index| upstream(case, index))
         .collect();
-    let processes = if dispatched { 1 } else { case.processes };
+    let processes = if way == Way::Dispatcher {
+        1
+    } else {
+        case.processes
+    };
     let shared = SharedBudgets {
         retry: Retry::default(),
         probes: 60,
         entries: u32::try_from(case.processes).expect("few"),
     };
     let balancer = |n: usize| {
-        let domain = DomainName::new("a").expect("a name");
-        let mut balancer = Balancer::new(domain, &shared, seed * 100 + n as u64, at(0));
+        let mut balancer = Balancer::new(domain(case, n), &shared, seed * 100 + n as u64, at(0));
         let statuses = upstreams.iter().map(|upstream| InstanceStatus {
             phase: Phase::Ready,
             silent: false,
             upstream,
         });
         balancer.update(at(0), statuses);
-        if dispatched {
-            balancer.set_dispatcher_location(at(0), DispatcherLocation::Local);
+        match way {
+            Way::Alone => {}
+            Way::Dispatcher => balancer.set_dispatcher_location(at(0), DispatcherLocation::Local),
+            Way::Parts => {
+                let plan = plan(case, &balancer, n);
+                balancer.set_parts(at(0), Some(plan));
+            }
         }
         balancer
     };
@@ -174,6 +246,8 @@
         probes: 0,
         last_used: HashMap::new(),
         opened: 0,
+        asked: 0,
+        crossed: 0,
         outcomes: [0; 3],
         case,
     };
@@ -196,6 +270,10 @@
                 ticket: None,
                 slot: None,
                 done: false,
+                chooser: process,
+                scope: SearchScope::default(),
+                own_ticket: None,
+                tried: Vec::new(),
             });
             let job = self.jobs.len() - 1;
             self.events.push(Reverse((next as u64, Event::Arrive(job))));
@@ -217,6 +295,8 @@
             refused,
             probes: self.probes as f64 / instance_seconds,
             opened: self.opened as f64 / all,
+            asked: self.asked as f64 / all,
+            crossed: self.crossed as f64 / all,
         }
     }
 
@@ -263,45 +343,134 @@
         if self.jobs[job].done || self.jobs[job].ticket.is_some() {
             return;
         }
-        let (process, need, now) = (self.jobs[job].process, self.need(job), at(self.now));
+        let process = self.jobs[job].process;
+        if !self.balancers[process].has_parts() {
+            let hold = self.remaining_wait(job).min(SEARCH_INTERVAL);
+            if !self.search_once(job, hold) {
+                self.refuse(job);
+            }
+            return;
+        }
+        while self.select_part(job) {
+            let hold = self.remaining_wait(job).min(MAX_HOLD);
+            if self.search_once(job, hold) {
+                return;
+            }
+        }
+        // None grants an instance: search again while there is time.
+        self.jobs[job].tried.clear();
+        if self.remaining_wait(job) == 0 {
+            self.refuse(job);
+        } else {
+            self.events
+                .push(Reverse((self.now + 1, Event::Search(job))));
+        }
+    }
+
+    fn refuse(&mut self, job: usize) {
+        self.jobs[job].done = true;
+        self.outcomes[2] += 1;
+    }
+
+    /// Selects the next part to ask; false if enough were asked.
+    fn select_part(&mut self, job: usize) -> bool {
+        let (process, tried) = (self.jobs[job].process, &self.jobs[job].tried);
+        if tried.len() >= MAX_ANSWERS {
+            return false;
+        }
+        let target = self.balancers[process].next_part(at(self.now), tried, 0.0);
+        let Some(target) = target else { return false };
+        let chooser = target.address;
+        let chooser = chooser.map_or(process, |place| usize::from(place.port()) - 10_000);
+        self.asked += u64::from(chooser != process);
+        let connected = self.connected(process, &target.id);
+        let job = &mut self.jobs[job];
+        job.scope.connected = self.balancers[chooser].picks(&connected);
+        job.scope.part = Some(target.id.clone());
+        job.tried.push(target.id);
+        job.chooser = chooser;
+        true
+    }
+
+    /// Ids of a few instances of the part to which the process has idle connections.
+    fn connected(&self, process: usize, part: &PartId) -> Vec<String> {
+        let division = self.balancers[process].division().expect("parts");
+        let position = division.position(part);
+        let upstreams = self.upstreams.iter().enumerate();
+        let connected = upstreams.filter(|(index, upstream)| {
+            let used = self.last_used.get(&(process, *index));
+            division.position_of(&upstream.id) == position
+                && used.is_some_and(|at| self.now - at < KEEP_ALIVE)
+        });
+        let ids = connected.map(|(_, upstream)| upstream.id.to_string());
+        ids.take(8).collect()
+    }
+
+    /// Searches once by the process that chooses; the request is sent, or waits for `hold`.
+    /// Returns false if it is neither.
+    fn search_once(&mut self, job: usize, hold: u64) -> bool {
+        let (chooser, need, now) = (self.jobs[job].chooser, self.need(job), at(self.now));
+        let scope = self.jobs[job].scope.clone();
         for round in 0.. {
-            let asked = self.balancers[process].plan_probes(now, &need, &[], round);
+            let asked = self.balancers[chooser].scoped(&scope, |balancer| {
+                balancer.plan_probes(now, &need, &[], round)
+            });
+            let asked = asked.expect("a part");
             if asked.is_empty() {
                 break;
             }
             for (pick, upstream) in asked {
                 self.probes += 1;
                 let instance = self.index_of(&upstream);
-                self.connect(process, instance);
+                self.connect(chooser, instance);
                 let report = self.report(instance);
-                self.balancers[process].record_probe(now, pick, Some(report));
+                self.balancers[chooser].record_probe(now, pick, Some(report));
             }
         }
-        let remaining_wait = self.remaining_wait(job);
-        match self.balancers[process].choose(now, &need, &[]) {
+        let selection =
+            self.balancers[chooser].scoped(&scope, |balancer| balancer.choose(now, &need, &[]));
+        let has_time = self.remaining_wait(job) > 0;
+        let selection = selection.expect("a part");
+        self.record_answer(job, matches!(selection, Selection::Send(_)));
+        match selection {
             Selection::Send(chosen) => self.send(job, &chosen),
-            Selection::Slow(chosen) if remaining_wait == 0 => self.send(job, &chosen),
-            Selection::Slow(_) | Selection::Wait if remaining_wait > 0 => {
-                self.wait_for_capacity(job, remaining_wait.min(SEARCH_INTERVAL));
-            }
-            _ => {
-                self.jobs[job].done = true;
-                self.outcomes[2] += 1;
-            }
+            Selection::Slow(chosen) if !has_time => self.send(job, &chosen),
+            Selection::Slow(_) | Selection::Wait if has_time => self.wait_for_capacity(job, hold),
+            _ => return false,
+        }
+        true
+    }
+
+    /// Records the load of the part that a request asked.
+    fn record_answer(&mut self, job: usize, granted: bool) {
+        let Job {
+            process, chooser, ..
+        } = self.jobs[job];
+        if let Some(part) = &self.jobs[job].scope.part {
+            let load = self.balancers[chooser].part_load(at(self.now), part);
+            self.balancers[process].record_part_answer(at(self.now), part, load, granted);
         }
     }
 
     fn wait_for_capacity(&mut self, job: usize, duration: u64) {
         let until = self.now + duration;
-        let process = self.jobs[job].process;
-        self.jobs[job].slot = Some(self.balancers[process].wait_for_capacity(0, at(until)));
+        let chooser = self.jobs[job].chooser;
+        self.jobs[job].slot = Some(self.balancers[chooser].wait_for_capacity(0, at(until)));
         self.events.push(Reverse((until, Event::Search(job))));
     }
 
     fn send(&mut self, job: usize, chosen: &SelectedInstance) {
-        let process = self.jobs[job].process;
-        let ticket = self.balancers[process].start_attempt(at(self.now), chosen.choice.pick);
+        let Job {
+            process, chooser, ..
+        } = self.jobs[job];
+        let ticket = self.balancers[chooser].start_attempt(at(self.now), chosen.choice.pick);
+        if chooser != process {
+            let own = &mut self.balancers[process];
+            let pick = own.picks(&[chosen.upstream.id.to_string()])[0];
+            self.jobs[job].own_ticket = Some(own.start_attempt(at(self.now), pick));
+        }
         let instance = self.index_of(&chosen.upstream);
+        self.crossed += u64::from(chosen.upstream.domain != domain(self.case, process));
         self.connect(process, instance);
         self.jobs[job].ticket = Some(ticket);
         self.jobs[job].instance = instance;
@@ -332,14 +501,27 @@
     }
 
     fn end(&mut self, job: usize) {
-        let (instance, process) = (self.jobs[job].instance, self.jobs[job].process);
+        let Job {
+            instance,
+            process,
+            chooser,
+            ..
+        } = self.jobs[job];
         self.instances[instance].busy -= 1;
         let in_time = self.now - self.jobs[job].arrived_at <= self.case.aim;
         self.outcomes[usize::from(!in_time)] += 1;
         self.jobs[job].done = true;
         let ticket = self.jobs[job].ticket.take().expect("it was sent");
         let report = self.report(instance);
-        self.balancers[process].finish_attempt(at(self.now), ticket, OutcomeKind::Ok, Some(report));
+        self.balancers[chooser].finish_attempt(at(self.now), ticket, OutcomeKind::Ok, Some(report));
+        if let Some(own) = self.jobs[job].own_ticket.take() {
+            self.balancers[process].finish_attempt(
+                at(self.now),
+                own,
+                OutcomeKind::Ok,
+                Some(report),
+            );
+        }
         self.start_queued(instance);
         self.offer_slots();
     }
@@ -353,9 +535,12 @@
                 .map(oneshot::Receiver::try_recv);
             let Some(Ok(pick)) = slot else { continue };
             self.jobs[job].slot = None;
-            let (process, need) = (self.jobs[job].process, self.need(job));
-            let selection = self.balancers[process].choose_instance(at(self.now), &need, pick);
-            match selection {
+            let (chooser, need) = (self.jobs[job].chooser, self.need(job));
+            let scope = self.jobs[job].scope.clone();
+            let selection = self.balancers[chooser].scoped(&scope, |balancer| {
+                balancer.choose_instance(at(self.now), &need, pick)
+            });
+            match selection.expect("a part") {
                 Selection::Send(chosen) if !self.jobs[job].done => self.send(job, &chosen),
                 _ => {}
             }
--- a/crates/entry/tests/test_burst.rs
+++ b/crates/entry/tests/test_burst.rs
@@ -11,6 +11,7 @@
 
 use simulation::Case;
 use simulation::SimulationResult;
+use simulation::Way;
 use simulation::simulate;
 
 /// A service with 52 slots. On busy days it receives 300 to 450 requests per second, otherwise
@@ -26,6 +27,7 @@
     processes: 17,
     calls: 350.0,
     seconds: 10,
+    domains: 1,
 };
 
 /// Services of other shapes, each at about 80 % of its capacity.
@@ -86,10 +88,8 @@
 ];
 
 /// Averages over three seeds.
-fn mean(case: Case, dispatched: bool) -> SimulationResult {
-    let got: Vec<SimulationResult> = (1..=3)
-        .map(|seed| simulate(case, dispatched, seed))
-        .collect();
+fn mean(case: Case, way: Way) -> SimulationResult {
+    let got: Vec<SimulationResult> = (1..=3).map(|seed| simulate(case, way, seed)).collect();
     let part =
         |of: fn(&SimulationResult) -> f64| got.iter().map(of).sum::<f64>() / got.len() as f64;
     SimulationResult {
@@ -98,11 +98,14 @@
         refused: part(|got| got.refused),
         probes: part(|got| got.probes),
         opened: part(|got| got.opened),
+        asked: part(|got| got.asked),
+        crossed: part(|got| got.crossed),
     }
 }
 
 fn compare(name: &str, case: Case) -> (SimulationResult, SimulationResult) {
-    let (without_dispatcher, with_dispatcher) = (mean(case, false), mean(case, true));
+    let (without_dispatcher, with_dispatcher) =
+        (mean(case, Way::Alone), mean(case, Way::Dispatcher));
     for (way, got) in [("alone", without_dispatcher), ("placed", with_dispatcher)] {
         println!(
             "{name} {way}: in time {:.3}, late {:.3}, refused {:.3}, probes {:.0}",
--- a/crates/entry/tests/test_subset.rs
+++ b/crates/entry/tests/test_subset.rs
@@ -11,6 +11,7 @@
 mod simulation;
 
 use simulation::Case;
+use simulation::Way;
 use simulation::simulate;
 
 /// One failure domain of a service: about two requests per second and process at normal load.
@@ -25,6 +26,7 @@
     processes: 90,
     calls: 175.0,
     seconds: 16,
+    domains: 1,
 };
 
 /// Guards against opening a connection for most requests, and against a subset that is too small
@@ -32,7 +34,7 @@
 #[test]
 fn test_subset_serves_as_many_in_time_with_few_connections() {
     for (calls, in_time, opened) in [(175.0, 0.98, 0.5), (300.0, 0.98, 0.5)] {
-        let got = simulate(Case { calls, ..CALM }, false, 1);
+        let got = simulate(Case { calls, ..CALM }, Way::Alone, 1);
         println!(
             "{calls} a second: in time {:.3}, late {:.3}, refused {:.3}, probes {:.1}, opened {:.2}",
             got.in_time, got.late, got.refused, got.probes, got.opened
@@ -50,6 +52,6 @@
         calls: 300.0,
         ..CALM
     };
-    let got = simulate(case, false, 1);
+    let got = simulate(case, Way::Alone, 1);
     assert!(got.in_time >= 0.98, "in time {:.3}", got.in_time);
 }
