--- a/crates/demo/tests/test_promise.rs
+++ b/crates/demo/tests/test_promise.rs
@@ -56,6 +56,8 @@
         number: 1,
         key: record.request.key.clone().unwrap_or_default(),
         caller: "planner".into(),
+        workspace: String::new(),
+        authorization: String::new(),
         path: record.request.path.clone(),
         request: String::new(),
         attempt: "1".into(),
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -189,6 +189,7 @@
             probes: settings.probes,
             max_dispatched: settings.max_dispatched,
             keys: settings.keys,
+            parts: settings.parts,
             stop: settings.stop,
             quota: settings.quota.clone(),
             ..(*current).clone()
@@ -205,6 +206,7 @@
         let hosts = self.state().hosts.clone();
         self.quotas.set_hosts(self.clock.now(), &settings, &hosts);
         quota::check_bound(self);
+        self.assign_dispatchers(&mut self.state());
     }
 
     /// The current routes; their table has version 0 until one is received.
@@ -358,7 +360,7 @@
             backoffs::apply_known_backoffs(state, &service, now);
         }
         self.set_warmups(state);
-        share::assign_dispatchers(&settings, state, now);
+        self.assign_dispatchers(state);
     }
 
     /// The address of the service's dispatcher, if that is another process.
@@ -440,7 +442,7 @@
             self.quotas
                 .set_hosts(self.clock.now(), &settings, &state.hosts);
             self.set_warmups(&mut state);
-            share::assign_dispatchers(&settings, &mut state, self.clock.now());
+            self.assign_dispatchers(&mut state);
         }
     }
 
