--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -98,9 +98,33 @@
     /// Since when tokens have accrued at the whole share.
     steady_since: Moment,
     pace: Pace,
+    /// A faster pace that applies after [`WARM_UP`], and when it began to be justified. A process
+    /// that has vanished and comes back accrues by its own list until that changes.
+    rising: Option<(Pace, Moment)>,
     holdings: HashMap<WorkspaceName, Holding>,
 }
 
+impl Pace {
+    /// Whether tokens accrue faster than at `other`.
+    fn is_above(self, other: Self) -> bool {
+        match (self, other) {
+            (Self::Silent { .. }, _) => false,
+            (Self::Listed { .. }, Self::Silent { .. }) => true,
+            (
+                Self::Listed { present, most },
+                Self::Listed {
+                    present: other_present,
+                    most: other_most,
+                },
+            ) => {
+                // Before the first list there are no processes.
+                let is_first = other_most == 0 && most > 0;
+                is_first || present * other_most > other_present * most
+            }
+        }
+    }
+}
+
 impl Holder {
     /// A holder without a list, which grants nothing.
     #[must_use]
@@ -116,6 +140,7 @@
                 present: 0,
                 most: 0,
             },
+            rising: None,
             holdings: HashMap::new(),
         }
     }
@@ -158,8 +183,28 @@
         }
         let pace = self.current_pace(now);
         if pace == self.pace {
-            return;
+            self.rising = None;
+        } else if !self.has_to_wait(now, pace) {
+            self.set_pace(now, pace);
         }
+    }
+
+    /// Whether a faster pace must not apply yet.
+    fn has_to_wait(&mut self, now: Moment, pace: Pace) -> bool {
+        if !pace.is_above(self.pace) {
+            return false;
+        }
+        match self.rising {
+            Some((rising, since)) if rising == pace => now.since(since) < WARM_UP,
+            _ => {
+                self.rising = Some((pace, now));
+                true
+            }
+        }
+    }
+
+    fn set_pace(&mut self, now: Moment, pace: Pace) {
+        self.rising = None;
         for holding in self.holdings.values_mut() {
             let flow = flow(self.pace, self.shares, holding, now);
             holding.bucket.settle(now, &flow);
--- a/crates/quota/tests/simulation/mod.rs
+++ b/crates/quota/tests/simulation/mod.rs
@@ -95,6 +95,7 @@
     Start(usize, Fault),
     End(usize, Fault),
     Limit(Limit),
+    Demand(f64),
 }
 
 /// A call for permits to the holders in turn.
@@ -221,6 +222,11 @@
         self.after(delay, Event::Limit(limit));
     }
 
+    /// Changes the number of requests per second.
+    pub fn change_demand(&mut self, delay: Duration, demand: f64) {
+        self.after(delay, Event::Demand(demand));
+    }
+
     pub fn start_demand(&mut self) {
         self.after(Duration::ZERO, Event::Arrival);
     }
@@ -259,6 +265,7 @@
         }
         match event {
             Event::Arrival => self.arrive(),
+            Event::Demand(demand) => self.demand = demand,
             Event::Run { process, asked_at } => self.run_request(process, asked_at),
             Event::Tick(index) => {
                 self.processes[index].holder.tick(self.now);
@@ -350,6 +357,14 @@
         self.send(index, to, message);
     }
 
+    /// The process that holds the quota in a domain according to the list of a process.
+    pub fn holder_by(&self, index: usize) -> usize {
+        let process = &self.processes[index];
+        let domain = &self.names[index].domain;
+        let holders = process.domains.holders(&self.workspace, domain);
+        holders.first().map_or(index, |holder| self.index(holder))
+    }
+
     fn index(&self, address: &str) -> usize {
         let mut names = self.names.iter();
         names
