--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -11,6 +11,7 @@
 use crate::bucket::Bucket;
 use crate::bucket::Flow;
 use crate::limit::Limit;
+use crate::limit::Shares;
 use crate::lists::Lists;
 use crate::tokens::Tokens;
 
@@ -90,24 +91,50 @@
 pub struct Holder {
     /// The address by which the process is listed.
     own: String,
-    /// The number of shares of each quota; 0 if the process's domain has none.
-    shares: u64,
+    shares: Shares,
     lists: Lists,
     hub_heard_at: Moment,
     active_at: Moment,
     /// Since when tokens have accrued at the whole share.
     steady_since: Moment,
     pace: Pace,
+    /// A faster pace that applies after [`WARM_UP`], and when it began to be justified. A process
+    /// that has vanished and comes back accrues by its own list until that changes.
+    rising: Option<(Pace, Moment)>,
     holdings: HashMap<WorkspaceName, Holding>,
 }
 
+impl Pace {
+    /// Whether tokens accrue faster than at `other`.
+    fn is_above(self, other: Self) -> bool {
+        match (self, other) {
+            (Self::Silent { .. }, _) => false,
+            (Self::Listed { .. }, Self::Silent { .. }) => true,
+            (
+                Self::Listed { present, most },
+                Self::Listed {
+                    present: other_present,
+                    most: other_most,
+                },
+            ) => {
+                // Before the first list there are no processes.
+                let is_first = other_most == 0 && most > 0;
+                is_first || present * other_most > other_present * most
+            }
+        }
+    }
+}
+
 impl Holder {
     /// A holder without a list, which grants nothing.
     #[must_use]
     pub fn new(own: String, now: Moment) -> Self {
         Self {
             own,
-            shares: 1,
+            shares: Shares {
+                count: 1,
+                spare: Tokens::ZERO,
+            },
             lists: Lists::default(),
             hub_heard_at: now,
             active_at: now,
@@ -116,12 +143,14 @@
                 present: 0,
                 most: 0,
             },
+            rising: None,
             holdings: HashMap::new(),
         }
     }
 
-    /// Puts the list of the domain's processes into effect. Quotas are divided into `shares`.
-    pub fn set_list(&mut self, now: Moment, members: &[String], shares: u64) {
+    /// Puts the list of the domain's processes into effect. Quotas are divided into
+    /// `shares`.
+    pub fn set_list(&mut self, now: Moment, members: &[String], shares: Shares) {
         self.tick(now);
         if self.shares != shares {
             self.holdings.clear();
@@ -158,8 +187,28 @@
         }
         let pace = self.current_pace(now);
         if pace == self.pace {
-            return;
+            self.rising = None;
+        } else if !self.has_to_wait(now, pace) {
+            self.set_pace(now, pace);
         }
+    }
+
+    /// Whether a faster pace must not apply yet.
+    fn has_to_wait(&mut self, now: Moment, pace: Pace) -> bool {
+        if !pace.is_above(self.pace) {
+            return false;
+        }
+        match self.rising {
+            Some((rising, since)) if rising == pace => now.since(since) < WARM_UP,
+            _ => {
+                self.rising = Some((pace, now));
+                true
+            }
+        }
+    }
+
+    fn set_pace(&mut self, now: Moment, pace: Pace) {
+        self.rising = None;
         for holding in self.holdings.values_mut() {
             let flow = flow(self.pace, self.shares, holding, now);
             holding.bucket.settle(now, &flow);
@@ -300,9 +349,6 @@
 
     fn new_holding(&self, now: Moment, workspace: &WorkspaceName, limit: Limit) -> Option<Holding> {
         let held_since = self.lists.held_since(workspace, &self.own)?;
-        if self.shares == 0 {
-            return None;
-        }
         let from = (held_since + WARM_UP).max(self.steady_since);
         Some(Holding {
             bucket: Bucket::empty(from),
@@ -377,9 +423,9 @@
 
     /// How long to refuse: until what is missing has accrued in all domains, and until each of the
     /// other asking processes has had the chance to take a token of this one.
-    fn refusal(&self, now: Moment, shares: u64, missing: Tokens) -> Duration {
+    fn refusal(&self, now: Moment, shares: Shares, missing: Tokens) -> Duration {
         let accrued = missing.time_at(self.limit.rate);
-        let others = Tokens::whole((self.asking(now) - 1).saturating_mul(shares));
+        let others = Tokens::whole((self.asking(now) - 1).saturating_mul(shares.count));
         let [min, max] = REFUSAL_RANGE;
         let wait = accrued.max(others.time_at(self.limit.rate)).clamp(min, max);
         wait.max(self.bucket.pause(now))
@@ -387,10 +433,10 @@
 }
 
 /// How fast tokens accrue in a bucket.
-fn flow(pace: Pace, shares: u64, holding: &Holding, now: Moment) -> Flow {
+fn flow(pace: Pace, shares: Shares, holding: &Holding, now: Moment) -> Flow {
     let limit = holding.limit;
     let capacity = limit.capacity(shares);
-    let shares = shares.max(1);
+    let shares = shares.count.max(1);
     match pace {
         Pace::Listed { present, most } => Flow {
             rate: limit.rate,
