admit: queue that is fair between workspaces, slot rate and return times

Cause: WaitQueue knows priorities only, so that a workspace that sends many times its usual rate takes the slots of others; times to come back don't account for the requests that were told earlier ones. Change: FairQueue orders by priority, then by start-time fair queueing between workspaces, then as WaitQueue, and removes requests that can't be served in time. SlotRate estimates how fast slots become free; ReturnSchedule gives each refused request a time of its own. CapacityQueue joins the three.

--- /dev/null
+++ b/crates/admit/src/capacity_queue.rs
@@ -0,0 +1,88 @@
+//! The requests that wait for the slots of one service, and the times told to refused ones.
+
+use std::time::Duration;
+
+use base::prelude::*;
+
+use crate::fair_queue::FairQueue;
+use crate::fair_queue::Waiting;
+use crate::return_schedule::ReturnSchedule;
+use crate::slot_rate::SlotRate;
+
+/// A [`FairQueue`] that knows how fast slots become free.
+#[derive(Debug)]
+pub struct CapacityQueue<T> {
+    queue: FairQueue<T>,
+    rate: SlotRate,
+    schedule: ReturnSchedule,
+}
+
+impl<T> CapacityQueue<T> {
+    /// Creates an empty queue.
+    #[must_use]
+    pub fn new(now: Moment) -> Self {
+        Self {
+            queue: FairQueue::default(),
+            rate: SlotRate::new(now),
+            schedule: ReturnSchedule::default(),
+        }
+    }
+
+    /// Records the start of an attempt.
+    pub fn start(&mut self, now: Moment) {
+        self.rate.start(now);
+    }
+
+    /// Records the end of an attempt; `worked` is whether it occupied a slot until then.
+    pub fn end(&mut self, now: Moment, worked: bool) {
+        self.rate.end(now, worked);
+    }
+
+    /// Queues a request.
+    pub fn push(&mut self, now: Moment, waiting: Waiting, value: T) {
+        self.queue.push(now, waiting, value);
+    }
+
+    /// Removes and returns the next request.
+    pub fn pop(&mut self, now: Moment) -> Option<T> {
+        self.queue.pop(now)
+    }
+
+    /// Records a request that was served without waiting.
+    pub fn charge(&mut self, now: Moment, waiting: &Waiting) {
+        self.queue.charge(now, waiting);
+    }
+
+    /// Whether a free slot is due to a waiting request rather than to this one.
+    #[must_use]
+    pub fn goes_first(&self, now: Moment, waiting: &Waiting) -> bool {
+        self.queue.goes_first(now, waiting)
+    }
+
+    /// Removes the requests that can't be served in time any more; none as long as the rate of
+    /// free slots is unknown.
+    pub fn take_hopeless(&mut self, now: Moment) -> Vec<T> {
+        let rate = self.rate.per_second(now);
+        rate.map_or_else(Vec::new, |rate| self.queue.take_hopeless(now, rate))
+    }
+
+    /// The time after which a refused request with the `remaining` time may come back; `None` if
+    /// the rate of free slots is unknown.
+    pub fn return_time(&mut self, now: Moment, remaining: Duration) -> Option<Duration> {
+        let rate = self.rate.per_second(now)?;
+        let ahead = self.queue.len(now);
+        Some(self.schedule.assign(now, rate, ahead, remaining))
+    }
+
+    /// Number of waiting requests.
+    #[must_use]
+    pub fn len(&self, now: Moment) -> usize {
+        self.queue.len(now)
+    }
+
+    /// Whether nothing waits. Requests past their deadline count until they are dropped.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+}
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -17,10 +17,14 @@
 //! - a class with queued calls gets at least its share of the starts.
 
 pub mod admission;
+pub mod capacity_queue;
 pub mod class_scheduler;
+pub mod fair_queue;
 pub mod limit;
 pub mod refusal;
+pub mod return_schedule;
 pub mod service_queue;
+pub mod slot_rate;
 pub mod wait_estimator;
 pub mod wait_queue;
 
@@ -30,6 +34,9 @@
 pub use admission::Request;
 pub use admission::Settings;
 pub use admission::Ticket;
+pub use capacity_queue::CapacityQueue;
+pub use fair_queue::FairQueue;
+pub use fair_queue::Waiting;
 pub use limit::Mode;
 pub use refusal::Reason;
 pub use refusal::Refusal;
