entry: fair queue between workspaces in the balancer, search and dispatcher

Cause: requests of all workspaces waited in one queue by priority, and a request that came back was treated as a new one. Change: the balancer queues in admit::CapacityQueue. SearchRequest and Ask carry workspace, weight (quota in requests per second, 1 without) and returning. A free slot goes to a waiting request of a workspace that had less of its share. Where one process sees all slots, requests that can't get one in time are refused at once, the least urgent first. With [queue] returning = yes (default no), requests that came back go before new ones of their workspace, wait up to an eighth of their time instead of being refused again, and are told a return time of their own. Tests of admit and entry pass.

--- a/crates/entry/src/balancer.rs
+++ b/crates/entry/src/balancer.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod dispatch;
 mod limit;
+mod waiting;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -14,7 +15,7 @@
 use ::dispatch::DispatcherRole;
 use ::dispatch::Grants;
 use ::dispatch::Warmup;
-use admit::WaitQueue;
+use admit::CapacityQueue;
 use attempt::budget::Budget;
 use attempt::budget::BudgetSettings;
 use attempt::budget::TOKEN;
@@ -31,9 +32,13 @@
 use route::ReportedInstance;
 use route::ScoredChoice;
 use route::Ticket;
-use tokio::sync::oneshot;
 use wire::hub::Phase as WirePhase;
 
+use self::waiting::OfferSender;
+
+pub use self::waiting::FairSelection;
+pub use self::waiting::Offer;
+
 use crate::placement::Grant;
 use crate::processes::Processes;
 use crate::settings::SharedBudgets;
@@ -72,7 +77,9 @@
     /// The last known number of processes; 0 before it is known.
     last_entries: u32,
     upstreams: HashMap<InstanceId, Arc<Upstream>>,
-    wait_queue: WaitQueue<oneshot::Sender<Pick>>,
+    wait_queue: CapacityQueue<OfferSender>,
+    /// Whether requests that come back are told apart from new ones.
+    returning: bool,
     /// When an attempt last finished.
     last_completion: Moment,
     /// Moving average of the time between finished attempts.
@@ -153,7 +160,8 @@
             shared: *shared,
             last_entries: shared.entries,
             upstreams: HashMap::new(),
-            wait_queue: WaitQueue::default(),
+            wait_queue: CapacityQueue::new(now),
+            returning: false,
             last_completion: now,
             completion_interval: MIN_RETRY_AFTER,
             recent_refusals: 0.0,
@@ -349,46 +357,9 @@
         })
     }
 
-    /// Queues a request; the receiver gets an instance with free capacity.
-    pub fn wait_for_capacity(
-        &mut self,
-        priority: u32,
-        deadline: Moment,
-    ) -> oneshot::Receiver<Pick> {
-        let (sender, receiver) = oneshot::channel();
-        self.wait_queue.push(priority, deadline, sender);
-        receiver
-    }
-
-    /// Estimates when a request refused now may find capacity: after the waiting requests and
-    /// the recently refused ones, assuming that each finished attempt frees one slot. While all
-    /// instances are backed off, that isn't before the first of them takes requests again.
-    pub fn retry_after(&mut self, now: Moment) -> Duration {
-        let decay = now.since(self.last_refusal).as_secs_f64() / MAX_RETRY_AFTER.as_secs_f64();
-        self.recent_refusals = self.recent_refusals * (-decay).exp() + 1.0;
-        self.last_refusal = now;
-        let waiting = u32::try_from(self.wait_queue.len(now)).unwrap_or(u32::MAX);
-        let ahead = self.recent_refusals + f64::from(waiting);
-        let estimate = self.completion_interval.as_secs_f64() * ahead;
-        let estimate = Duration::from_secs_f64(estimate).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-        estimate.max(self.backoff_remaining(now).unwrap_or_default())
-    }
-
-    /// Offers free capacity of an instance to a waiting request.
-    fn wake_waiter(&mut self, now: Moment, pick: Pick) {
-        while self.chooser.has_room(now, pick) {
-            let Some(waiter) = self.wait_queue.pop(now) else {
-                return;
-            };
-            // If the waiter's caller has disconnected, the next waiter gets the offer.
-            if waiter.send(pick).is_ok() {
-                return;
-            }
-        }
-    }
-
     /// Records the start of an attempt. Returns the ticket for [`Self::finish_attempt`].
     pub fn start_attempt(&mut self, now: Moment, pick: Pick) -> Ticket {
+        self.wait_queue.start(now);
         self.chooser.started(now, pick)
     }
 
@@ -402,6 +373,8 @@
     ) {
         let pick = ticket.pick();
         self.chooser.finished(now, ticket, kind, report);
+        let worked = matches!(kind, OutcomeKind::Ok | OutcomeKind::Error);
+        self.wait_queue.end(now, worked);
         let interval = now.since(self.last_completion).min(MAX_RETRY_AFTER);
         self.completion_interval = self
             .completion_interval
--- a/crates/entry/src/balancer/dispatch.rs
+++ b/crates/entry/src/balancer/dispatch.rs
@@ -77,7 +77,7 @@
     /// Grants the selected instance to another process, for a request that ends by `deadline`.
     pub fn grant(&mut self, now: Moment, chosen: &SelectedInstance, deadline: Moment) -> Placed {
         let choice = &chosen.choice;
-        let ticket = self.chooser.started(now, choice.pick);
+        let ticket = self.start_attempt(now, choice.pick);
         Placed {
             outcome: Outcome::Granted.into(),
             grant: self.grants.grant(deadline + GRANT_EXPIRY_MARGIN, ticket),
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -173,6 +173,7 @@
             spread: settings.spread,
             crossing: settings.crossing,
             cold: settings.cold,
+            returning: settings.returning,
             retry: settings.retry,
             probes: settings.probes,
             max_dispatched: settings.max_dispatched,
@@ -331,7 +332,9 @@
                 instances.map(|status| evacuate::apply_evacuation(&state.evacuations, status));
             let balancer = state.balancers.entry(service.clone());
             let new = || Balancer::new(domain.clone(), &shared, rand::random(), now);
-            balancer.or_insert_with(new).update(now, instances);
+            let balancer = balancer.or_insert_with(new);
+            balancer.set_returning(settings.returning);
+            balancer.update(now, instances);
             limits::apply_known_limits(state, &service, now);
             backoffs::apply_known_backoffs(state, &service, now);
         }
@@ -354,11 +357,13 @@
 
     fn distribute_budgets(&self, entry_count: u32) {
         let now = self.clock.now();
-        let shared = self.settings().shared_budgets(entry_count);
+        let settings = self.settings();
+        let shared = settings.shared_budgets(entry_count);
         let mut state = self.state();
         state.entry_count = entry_count;
         for balancer in state.balancers.values_mut() {
             balancer.set_shared(&shared, now);
+            balancer.set_returning(settings.returning);
         }
     }
 
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -91,6 +91,9 @@
     is_suspected: bool,
     /// Maximum number of attempts.
     max_attempts: u32,
+    /// How long the request may wait instead of being refused again; `None` unless it was refused
+    /// before and came back, and the settings tell such requests apart.
+    return_wait: Option<Duration>,
     /// Whether the request has earned its fraction of a retry.
     counted: bool,
     unsent: u32,
@@ -178,6 +181,7 @@
     let mut flow = Flow {
         deadline: started_at + limits.timeout,
         max_attempts: limits.attempts,
+        return_wait: limits.return_wait.filter(|_| core.settings().returning),
         counted: hop.as_ref().is_some_and(|hop| hop.counted),
         _relayed: hop.is_some().then(|| core.relayed.count()),
         hop,
@@ -407,16 +411,20 @@
             reason => reason,
         };
         let retry_after = match reason {
-            Reason::BackedOff => self.balancer(Balancer::retry_after),
+            Reason::BackedOff => self.estimated_return(),
             Reason::Quarantined => self.retry_after,
-            Reason::Full => self
-                .retry_after
-                .or_else(|| self.balancer(Balancer::retry_after)),
+            Reason::Full => self.retry_after.or_else(|| self.estimated_return()),
             _ => Some(UNAVAILABLE_RETRY_AFTER),
         };
         Outcome::Refusal(reason, retry_after)
     }
 
+    /// When a request that is refused for lack of capacity may come back.
+    fn estimated_return(&self) -> Option<Duration> {
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        self.balancer(|balancer, now| balancer.retry_after(now, remaining))
+    }
+
     /// Whether all instances asked this process for a time without requests.
     fn all_are_backed_off(&self) -> bool {
         let remaining = self.balancer(|balancer, now| balancer.backoff_remaining(now));
--- a/crates/entry/src/flow/choice.rs
+++ b/crates/entry/src/flow/choice.rs
@@ -13,6 +13,7 @@
 use crate::placement;
 use crate::refusal::Reason;
 use crate::search;
+use crate::search::LATE_PRIORITY_OFFSET;
 use crate::search::SearchRequest;
 use crate::search::SearchResult;
 
@@ -22,8 +23,6 @@
 /// Multiple of the usual work time that must remain before the latency target for a request
 /// to wait. The margin covers the spread of work times and slow instances.
 const WORK_MARGIN: f64 = 1.3;
-/// Added to the priority value of a request that can't meet its latency target any more.
-const LATE_PRIORITY_OFFSET: u32 = 1_000;
 /// Maximum share of an instance's slots that may be taken when a late request is sent.
 /// After an outage, late requests would otherwise delay the new ones.
 const LATE_MAX_OCCUPANCY: f64 = 0.5;
@@ -97,6 +96,12 @@
                 } else {
                     0
                 },
+            workspace: self
+                .workspace
+                .as_ref()
+                .map(|workspace| workspace.name.clone()),
+            weight: workspace::weight(self.workspace.as_deref()),
+            returning: self.return_wait.is_some(),
             exclude: self.exclude.clone(),
             max_wait: self.max_wait().saturating_sub(self.started_at.elapsed()),
             remaining: self.deadline.saturating_duration_since(Instant::now()),
@@ -104,10 +109,13 @@
     }
 
     /// How long after its start the request may wait for capacity and still meet its latency
-    /// target. A late request is refused at once so that its caller can try elsewhere.
+    /// target. A late request is refused at once so that its caller can try elsewhere, unless it
+    /// was refused before.
     fn max_wait(&self) -> Duration {
-        self.aim
-            .saturating_sub(self.work_time().mul_f64(WORK_MARGIN))
+        let in_time = self
+            .aim
+            .saturating_sub(self.work_time().mul_f64(WORK_MARGIN));
+        in_time.max(self.return_wait.unwrap_or_default())
     }
 
     /// Whether the usual work time ends after the latency target.
@@ -134,7 +142,7 @@
             crossing: self
                 .core
                 .route_stats(&self.route, |stats| stats.crossing_cost(price)),
-            max_occupancy: if self.is_late() {
+            max_occupancy: if self.is_late() && self.return_wait.is_none() {
                 LATE_MAX_OCCUPANCY
             } else {
                 1.0
--- a/crates/entry/src/flow/limits.rs
+++ b/crates/entry/src/flow/limits.rs
@@ -9,6 +9,8 @@
 
 /// Timeout of a request without a deadline header.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Share of its time for which a request that came back may wait instead of being refused again.
+const RETURN_WAIT_SHARE: f64 = 0.125;
 
 /// Limits of a request, counted from its arrival.
 #[derive(Clone, Copy, Debug)]
@@ -21,6 +23,9 @@
     pub aim: Duration,
     /// Maximum number of attempts.
     pub attempts: u32,
+    /// How long a request that was refused before may wait instead of being refused again;
+    /// `None` if the caller has spent no time on earlier tries.
+    pub return_wait: Option<Duration>,
 }
 
 /// How long the caller waits, given the value of the deadline header in milliseconds.
@@ -40,6 +45,7 @@
                 timeout: hop.remaining.min(timeout),
                 aim: hop.aim,
                 attempts: hop.attempts.min(route.attempts),
+                return_wait: None,
             };
         }
         let spent = header.map_or(Duration::ZERO, |_| {
@@ -51,6 +57,7 @@
             timeout,
             aim: aim.saturating_sub(spent),
             attempts: route.attempts,
+            return_wait: (!spent.is_zero()).then(|| timeout.mul_f64(RETURN_WAIT_SHARE)),
         }
     }
 }
--- a/crates/entry/src/flow/workspace.rs
+++ b/crates/entry/src/flow/workspace.rs
@@ -80,3 +80,12 @@
     workspace.priority.min(WORKSPACE_PRIORITIES - 1) * ROUTE_PRIORITIES
         + route.priority.min(ROUTE_PRIORITIES - 1)
 }
+
+/// The share of a workspace relative to others: its quota in requests per second, 1 without.
+pub(super) fn weight(workspace: Option<&Workspace>) -> f64 {
+    let quota = workspace.and_then(|workspace| workspace.quota);
+    quota.map_or(1.0, |quota| {
+        let rate = u32::try_from(quota.rate).unwrap_or(u32::MAX);
+        f64::from(rate) / 1000.0
+    })
+}
--- a/crates/entry/src/placement.rs
+++ b/crates/entry/src/placement.rs
@@ -100,6 +100,13 @@
         priority: search.priority,
         patience_us: micros(search.max_wait),
         left_us: micros(search.remaining),
+        workspace: search
+            .workspace
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
+        returning: search.returning,
+        weight: search.weight,
         exclude: core
             .balancer(service, |balancer, now| {
                 let mut excluded = balancer.ids(&search.exclude);
--- a/crates/entry/src/placement/server.rs
+++ b/crates/entry/src/placement/server.rs
@@ -27,7 +27,6 @@
 use super::convert::micros;
 use super::convert::report_from_wire;
 use super::outcome_label;
-use crate::balancer::Balancer;
 use crate::core::Core;
 use crate::search;
 use crate::search::SearchRequest;
@@ -55,6 +54,9 @@
         self.core.balancer(service, |balancer, _| SearchRequest {
             need: balancer.need_from_ask(ask, &domain),
             priority: ask.priority,
+            workspace: WorkspaceName::new(&ask.workspace).ok(),
+            weight: if ask.weight > 0.0 { ask.weight } else { 1.0 },
+            returning: ask.returning,
             exclude: balancer.picks(&ask.exclude),
             max_wait: duration_from_micros(ask.patience_us),
             remaining: duration_from_micros(ask.left_us),
@@ -76,7 +78,9 @@
             }),
             SearchResult::Wait => Some(placed_with(Outcome::Wait)),
             SearchResult::Full(_) => {
-                let retry_after = self.core.balancer(service, Balancer::retry_after)?;
+                let retry_after = self.core.balancer(service, |balancer, now| {
+                    balancer.retry_after(now, remaining)
+                })?;
                 Some(Placed {
                     back_us: micros(retry_after),
                     ..placed_with(Outcome::Full)
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -3,16 +3,25 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use admit::Waiting;
 use base::prelude::*;
 use route::Need;
 use route::Pick;
 use tokio::time::Instant;
 
+use crate::balancer::FairSelection;
+use crate::balancer::Offer;
 use crate::balancer::SelectedInstance;
 use crate::balancer::Selection;
 use crate::core::Core;
 use crate::probe;
 
+/// Added to the priority value of a request that can't meet its latency target any more.
+pub const LATE_PRIORITY_OFFSET: u32 = 1_000;
+/// How many times a search leaves a free slot to a waiting request that goes first, before the
+/// request itself is queued.
+const MAX_YIELDS: u32 = 3;
+
 /// Requirements of an attempt.
 #[derive(Clone, Debug)]
 pub struct SearchRequest {
@@ -20,6 +29,13 @@
     pub need: Need,
     /// Position in the wait queue; 0 is the most urgent.
     pub priority: u32,
+    /// The workspace of the request's caller.
+    pub workspace: Option<WorkspaceName>,
+    /// The share of the workspace relative to others.
+    pub weight: f64,
+    /// Whether the request was refused before and came back. Never set unless the settings tell
+    /// such requests apart.
+    pub returning: bool,
     /// Instances at which the request has failed.
     pub exclude: Vec<Pick>,
     /// How long the request can wait and still meet its latency target.
@@ -28,6 +44,26 @@
     pub remaining: Duration,
 }
 
+impl SearchRequest {
+    /// Whether the latency target can't be met any more.
+    fn is_late(&self) -> bool {
+        self.priority >= LATE_PRIORITY_OFFSET
+    }
+
+    /// The place in the queue of a request that is queued for `hold` and could wait for
+    /// `patience`.
+    fn waiting(&self, now: Moment, hold: Duration, patience: Duration) -> Waiting {
+        Waiting {
+            priority: self.priority,
+            workspace: self.workspace.clone(),
+            weight: self.weight,
+            returning: self.returning,
+            deadline: now + hold,
+            patience_end: now + patience,
+        }
+    }
+}
+
 /// Result of a search.
 #[derive(Debug)]
 pub enum SearchResult {
@@ -60,9 +96,7 @@
         }
         probe::probe_instances(core, service, probes).await;
     }
-    let selection = core.balancer(service, |balancer, now| {
-        balancer.choose(now, &request.need, &request.exclude)
-    });
+    let selection = select(core, service, request).await;
     let slow = match selection {
         Some(Selection::Send(chosen)) => return SearchResult::Selected(chosen),
         Some(Selection::Slow(chosen)) => Some(chosen),
@@ -71,42 +105,100 @@
         Some(Selection::None) | None => return SearchResult::None,
     };
     let elapsed = started_at.elapsed();
+    let remaining = request.remaining.saturating_sub(elapsed);
     let remaining_wait = request.max_wait.saturating_sub(elapsed);
-    if remaining_wait.is_zero() {
-        // A request that would be cut off at its deadline would waste a slot of a slow instance,
-        // and its caller would get no `Retry-After`.
-        let remaining = request.remaining.saturating_sub(elapsed);
-        let in_time = slow.filter(|slow| slow.choice.expected < remaining);
-        return in_time.map_or(SearchResult::Full(None), SearchResult::Selected);
+    // A late request that came back gains nothing by waiting for a faster instance.
+    let has_slow = slow
+        .as_ref()
+        .is_some_and(|slow| slow.choice.expected < remaining);
+    let is_late_return = request.returning && request.is_late();
+    if remaining_wait.is_zero() || is_late_return && has_slow {
+        return last_resort(slow, remaining);
     }
-    let max_wait = remaining_wait.min(max_wait);
-    if max_wait.is_zero() {
+    let hold = remaining_wait.min(max_wait);
+    if hold.is_zero() {
         return SearchResult::Wait;
     }
-    let chosen = wait_for_capacity(core, service, request, max_wait).await;
-    chosen.map_or(SearchResult::Wait, SearchResult::Selected)
+    match wait_for_capacity(core, service, request, hold, remaining_wait).await {
+        WaitEnd::Selected(chosen) => SearchResult::Selected(chosen),
+        WaitEnd::Nothing => SearchResult::Wait,
+        WaitEnd::Hopeless => {
+            let remaining = request.remaining.saturating_sub(started_at.elapsed());
+            let selection = core.balancer(service, |balancer, now| {
+                balancer.choose(now, &request.need, &request.exclude)
+            });
+            let chosen = match selection {
+                Some(Selection::Send(chosen) | Selection::Slow(chosen)) => Some(chosen),
+                _ => None,
+            };
+            last_resort(chosen, remaining)
+        }
+    }
 }
 
-/// Waits at most `max_wait` until an instance has capacity.
+/// The result for a request that waits no longer. One that would be cut off at its deadline would
+/// waste a slot of a slow instance, and its caller would get no `Retry-After`.
+fn last_resort(chosen: Option<SelectedInstance>, remaining: Duration) -> SearchResult {
+    let in_time = chosen.filter(|chosen| chosen.choice.expected < remaining);
+    in_time.map_or(SearchResult::Full(None), SearchResult::Selected)
+}
+
+/// Selects an instance, after the waiting requests that go first.
+async fn select(
+    core: &Arc<Core>,
+    service: &ServiceName,
+    request: &SearchRequest,
+) -> Option<Selection> {
+    for _ in 0..MAX_YIELDS {
+        let selection = core.balancer(service, |balancer, now| {
+            let waiting = request.waiting(now, Duration::ZERO, request.max_wait);
+            balancer.choose_fairly(now, &request.need, &request.exclude, &waiting)
+        })?;
+        match selection {
+            FairSelection::Own(selection) => return Some(selection),
+            // The request that was offered the slot takes it meanwhile.
+            FairSelection::Yielded => tokio::task::yield_now().await,
+        }
+    }
+    Some(Selection::Wait)
+}
+
+/// How waiting for capacity ended.
+enum WaitEnd {
+    Selected(SelectedInstance),
+    Nothing,
+    /// No instance will have capacity in time.
+    Hopeless,
+}
+
+/// Waits for `hold` until an instance has capacity; the request could wait for `patience`.
 async fn wait_for_capacity(
     core: &Arc<Core>,
     service: &ServiceName,
     request: &SearchRequest,
-    max_wait: Duration,
-) -> Option<SelectedInstance> {
-    let deadline = core.clock.now() + max_wait;
-    let receiver = core.balancer(service, |balancer, _| {
-        balancer.wait_for_capacity(request.priority, deadline)
-    })?;
+    hold: Duration,
+    patience: Duration,
+) -> WaitEnd {
+    let receiver = core.balancer(service, |balancer, now| {
+        balancer.wait_for_capacity(now, request.waiting(now, hold, patience))
+    });
+    let Some(receiver) = receiver else {
+        return WaitEnd::Nothing;
+    };
     let started_at = Instant::now();
-    let result = tokio::time::timeout(max_wait, receiver).await;
+    let result = tokio::time::timeout(hold, receiver).await;
     core.counters.waited(service, started_at.elapsed());
-    let pick = result.ok()?.ok()?;
-    match core.balancer(service, |balancer, now| {
+    let pick = match result {
+        Ok(Ok(Offer::Slot(pick))) => pick,
+        Ok(Ok(Offer::Hopeless)) => return WaitEnd::Hopeless,
+        Ok(Err(_)) | Err(_) => return WaitEnd::Nothing,
+    };
+    let selection = core.balancer(service, |balancer, now| {
         balancer.choose_instance(now, &request.need, pick)
-    })? {
-        Selection::Send(chosen) => Some(chosen),
+    });
+    match selection {
+        Some(Selection::Send(chosen)) => WaitEnd::Selected(chosen),
         // The instance has become slow, and there is time to wait for another one.
-        Selection::Slow(_) | Selection::Wait | Selection::Full | Selection::None => None,
+        _ => WaitEnd::Nothing,
     }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -22,6 +22,7 @@
 const COST: &str = "cost";
 const COLD: &str = "cold";
 const RELAY: &str = "relay";
+const QUEUE: &str = "queue";
 
 /// Default path of the readiness page.
 const DEFAULT_READY_PATH: &str = "/ready";
@@ -160,6 +161,9 @@
     pub crossing: u32,
     /// How far cold instances may be loaded beyond their rate.
     pub cold: ColdBound,
+    /// Whether requests that were refused and came back are told apart from new ones: they wait
+    /// longer before they are refused again, and each is told a time of its own to come back.
+    pub returning: bool,
     /// Log and metrics.
     pub telemetry: telemetry::Settings,
 }
@@ -199,6 +203,7 @@
             stop: Stop::default(),
             crossing: 0,
             cold: ColdBound::default(),
+            returning: false,
             telemetry: telemetry::Settings::default(),
         }
     }
@@ -245,6 +250,7 @@
         let stop = read_stop(r);
         let crossing = r.or(COST, "crossing", 0);
         let cold = read_cold(r);
+        let returning = r.or(QUEUE, "returning", false);
         let telemetry = telemetry::Settings::read(r);
         let max_port = u32::from(u16::MAX - HUB_PORT_OFFSET);
         if let Some(port) = port.filter(|p| *p > max_port) {
@@ -275,6 +281,7 @@
             stop,
             crossing,
             cold,
+            returning,
             telemetry,
         })
     }
@@ -380,6 +387,9 @@
         writeln!(f, "\n[{COLD}]")?;
         writeln!(f, "overshoot = {}", Decimal(self.cold.overshoot))?;
         writeln!(f, "slack = {}", self.cold.slack)?;
+        writeln!(f, "\n[{QUEUE}]")?;
+        let returning = if self.returning { "yes" } else { "no" };
+        writeln!(f, "returning = {returning}")?;
         write!(f, "\n{}", self.telemetry)
     }
 }
--- a/crates/entry/tests/simulation/mod.rs
+++ b/crates/entry/tests/simulation/mod.rs
@@ -12,9 +12,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use admit::Waiting;
 use base::prelude::*;
 use dispatch::DispatcherLocation;
 use entry::balancer::Balancer;
+use entry::balancer::Offer;
 use entry::balancer::SelectedInstance;
 use entry::balancer::Selection;
 use entry::pool::Pool;
@@ -29,7 +31,6 @@
 use route::LoadReport;
 use route::Need;
 use route::OutcomeKind;
-use route::Pick;
 use route::Ticket;
 use tokio::sync::oneshot;
 use wire::hub::Phase;
@@ -90,7 +91,7 @@
     work: f64,
     instance: usize,
     ticket: Option<Ticket>,
-    slot: Option<oneshot::Receiver<Pick>>,
+    slot: Option<oneshot::Receiver<Offer>>,
     done: bool,
 }
 
@@ -294,7 +295,9 @@
     fn wait_for_capacity(&mut self, job: usize, duration: u64) {
         let until = self.now + duration;
         let process = self.jobs[job].process;
-        self.jobs[job].slot = Some(self.balancers[process].wait_for_capacity(0, at(until)));
+        let (now, waiting) = (at(self.now), Waiting::new(0, at(until)));
+        let offer = self.balancers[process].wait_for_capacity(now, waiting);
+        self.jobs[job].slot = Some(offer);
         self.events.push(Reverse((until, Event::Search(job))));
     }
 
@@ -351,7 +354,9 @@
                 .slot
                 .as_mut()
                 .map(oneshot::Receiver::try_recv);
-            let Some(Ok(pick)) = slot else { continue };
+            let Some(Ok(Offer::Slot(pick))) = slot else {
+                continue;
+            };
             self.jobs[job].slot = None;
             let (process, need) = (self.jobs[job].process, self.need(job));
             let selection = self.balancers[process].choose_instance(at(self.now), &need, pick);
