admit: credit of four requests for workspaces in the fair queue

Cause: a workspace that sends a request now and then paid for each until the whole service had served all others by weight. Change: an idle workspace starts up to four requests before the virtual time.

--- a/crates/admit/src/fair_queue.rs
+++ b/crates/admit/src/fair_queue.rs
@@ -19,6 +19,10 @@
 /// some milliseconds before they are queued again; debts should outlast that, but not the
 /// overload.
 const TAG_LIFETIME: Duration = Duration::from_millis(250);
+/// Number of requests for which a workspace that got less than its share is served at once. Most
+/// workspaces send a request now and then; without credit, the second of two close ones would
+/// wait for as long as the whole service needs to serve all others by weight.
+const CREDIT: f64 = 4.0;
 /// Lower bound of a weight, so that a tag stays finite.
 const MIN_WEIGHT: f64 = 1e-3;
 
@@ -71,10 +75,17 @@
 struct Class {
     virtual_time: f64,
     /// The finish tag of the last served request of each workspace.
-    finished: HashMap<Option<WorkspaceName>, f64>,
+    finished: HashMap<Option<WorkspaceName>, Finish>,
     used_at: Moment,
 }
 
+/// The finish tag of a flow's last served request, and what the flow pays for a request.
+#[derive(Clone, Copy, Debug)]
+struct Finish {
+    tag: f64,
+    cost: f64,
+}
+
 impl Class {
     fn new(now: Moment) -> Self {
         Self {
@@ -85,16 +96,19 @@
     }
 
     /// The start tag of the flow's next request.
-    fn start(&self, workspace: Option<&WorkspaceName>) -> f64 {
+    fn start(&self, waiting: &Waiting) -> f64 {
+        let least = self.virtual_time - CREDIT * waiting.cost();
         if self.finished.is_empty() {
-            return self.virtual_time;
+            return least;
         }
-        let finished = self.finished.get(&workspace.cloned());
-        finished.map_or(self.virtual_time, |tag| tag.max(self.virtual_time))
+        let finished = self.finished.get(&waiting.workspace);
+        finished.map_or(least, |finish| finish.tag.max(least))
     }
 
     fn charge(&mut self, now: Moment, waiting: &Waiting) {
-        let finish = self.start(waiting.workspace.as_ref()) + waiting.cost();
+        let cost = waiting.cost();
+        let tag = self.start(waiting) + cost;
+        let finish = Finish { tag, cost };
         self.finished.insert(waiting.workspace.clone(), finish);
         self.used_at = now;
     }
@@ -102,7 +116,8 @@
     fn advance(&mut self, virtual_time: f64) {
         if virtual_time > self.virtual_time {
             self.virtual_time = virtual_time;
-            self.finished.retain(|_, tag| *tag > virtual_time);
+            let spent = |finish: &Finish| finish.tag > virtual_time - CREDIT * finish.cost;
+            self.finished.retain(|_, finish| spent(finish));
         }
     }
 }
@@ -164,7 +179,7 @@
         let best = self.first()?;
         let Waiter { waiting, value, .. } = self.waiters.swap_remove(best);
         if let Some(class) = self.classes.get_mut(&waiting.priority) {
-            class.advance(class.start(waiting.workspace.as_ref()));
+            class.advance(class.start(&waiting));
             class.charge(now, &waiting);
         }
         Some(value)
@@ -182,7 +197,7 @@
             .waiters
             .iter()
             .filter(same)
-            .map(|w| class.start(w.waiting.workspace.as_ref()));
+            .map(|w| class.start(&w.waiting));
         if let Some(least) = tags.min_by(f64::total_cmp) {
             class.advance(least);
         }
@@ -239,7 +254,7 @@
 
     fn start(&self, waiting: &Waiting) -> f64 {
         let class = self.classes.get(&waiting.priority);
-        class.map_or(0.0, |class| class.start(waiting.workspace.as_ref()))
+        class.map_or(0.0, |class| class.start(waiting))
     }
 
     /// The rank of a request behind `ahead` others of its flow.
