admit, entry: overtaken requests are refused within an eighth of the latency target

Requests that came back waited for an eighth of their remaining time, which took slots of requests that could be in time. Change: for a second after a request that couldn't be served in time, requests are queued only as far as they get a slot within an eighth of their latency target. Tests of entry pass.

--- a/crates/admit/src/capacity_queue.rs
+++ b/crates/admit/src/capacity_queue.rs
@@ -9,12 +9,16 @@
 use crate::return_schedule::ReturnSchedule;
 use crate::slot_rate::SlotRate;
 
+/// How long a service counts as overloaded after the last request that couldn't be served in time.
+const OVERLOAD_PERIOD: Duration = Duration::from_secs(1);
+
 /// A [`FairQueue`] that knows how fast slots become free.
 #[derive(Debug)]
 pub struct CapacityQueue<T> {
     queue: FairQueue<T>,
     rate: SlotRate,
     schedule: ReturnSchedule,
+    overload_end: Moment,
 }
 
 impl<T> CapacityQueue<T> {
@@ -25,6 +29,7 @@
             queue: FairQueue::default(),
             rate: SlotRate::new(now),
             schedule: ReturnSchedule::default(),
+            overload_end: now,
         }
     }
 
@@ -62,8 +67,17 @@
     /// Removes the requests that can't be served in time any more; none as long as the rate of
     /// free slots is unknown.
     pub fn take_hopeless(&mut self, now: Moment) -> Vec<T> {
-        let rate = self.rate.per_second(now);
-        rate.map_or_else(Vec::new, |rate| self.queue.take_hopeless(now, rate))
+        let Some(rate) = self.rate.per_second(now) else {
+            return Vec::new();
+        };
+        let mut hopeless = self.queue.take_hopeless(now, rate);
+        if !hopeless.is_empty() {
+            self.overload_end = now + OVERLOAD_PERIOD;
+        }
+        if now < self.overload_end {
+            hopeless.append(&mut self.queue.take_overtaken(now, rate));
+        }
+        hopeless
     }
 
     /// The time after which a refused request with the `remaining` time may come back; `None` if
--- a/crates/admit/src/fair_queue.rs
+++ b/crates/admit/src/fair_queue.rs
@@ -41,6 +41,8 @@
     pub deadline: Moment,
     /// When an instance would have to take the request for a response in time.
     pub patience_end: Moment,
+    /// How long the request is held under overload.
+    pub overload_wait: Duration,
 }
 
 impl Waiting {
@@ -54,6 +56,7 @@
             returning: false,
             deadline,
             patience_end: deadline,
+            overload_wait: Duration::MAX,
         }
     }
 
@@ -216,17 +219,33 @@
     /// Removes the requests that can't be served in time while `rate` slots become free per
     /// second, the least urgent first. The first in the queue always stays.
     pub fn take_hopeless(&mut self, now: Moment, rate: f64) -> Vec<T> {
+        self.take_beyond(now, rate, |waiting| waiting.patience_end.since(now))
+    }
+
+    /// Like [`Self::take_hopeless`], for a service under overload: a request that isn't among the
+    /// next is overtaken by newer ones until it is too late.
+    pub fn take_overtaken(&mut self, now: Moment, rate: f64) -> Vec<T> {
+        self.take_beyond(now, rate, |waiting| waiting.overload_wait)
+    }
+
+    /// Removes the requests whose expected wait exceeds their `limit`.
+    fn take_beyond(
+        &mut self,
+        now: Moment,
+        rate: f64,
+        limit: impl Fn(&Waiting) -> Duration,
+    ) -> Vec<T> {
         self.expire(now);
         let wait = |position: usize| Duration::try_from_secs_f64(seconds(position + 1, rate));
         let longest = wait(self.waiters.len()).unwrap_or(Duration::MAX);
-        if self.waiters.iter().all(|w| w.patience(now) >= longest) {
+        if self.waiters.iter().all(|w| limit(&w.waiting) >= longest) {
             return Vec::new();
         }
         let mut kept = 0;
         let mut hopeless = Vec::new();
         for index in self.ordered() {
             let expected = wait(kept).unwrap_or(Duration::MAX);
-            if kept > 0 && expected > self.waiters[index].patience(now) {
+            if kept > 0 && expected > limit(&self.waiters[index].waiting) {
                 hopeless.push(index);
             } else {
                 kept += 1;
@@ -301,12 +320,6 @@
     }
 }
 
-impl<T> Waiter<T> {
-    fn patience(&self, now: Moment) -> Duration {
-        self.waiting.patience_end.since(now)
-    }
-}
-
 /// Seconds until `count` slots have become free.
 fn seconds(count: usize, rate: f64) -> f64 {
     f64::from(u32::try_from(count).unwrap_or(u32::MAX)) / rate
--- a/crates/entry/src/flow/limits.rs
+++ b/crates/entry/src/flow/limits.rs
@@ -9,7 +9,9 @@
 
 /// Timeout of a request without a deadline header.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
-/// Share of its time for which a request that came back may wait instead of being refused again.
+/// Share of its time, and of its latency target, for which a request that came back may wait
+/// instead of being refused again. Held longer, it takes slots of requests that can still be
+/// answered in time, and has lost that time if it is refused nevertheless.
 const RETURN_WAIT_SHARE: f64 = 0.125;
 
 /// Limits of a request, counted from its arrival.
@@ -57,7 +59,7 @@
             timeout,
             aim: aim.saturating_sub(spent),
             attempts: route.attempts,
-            return_wait: (!spent.is_zero()).then(|| timeout.mul_f64(RETURN_WAIT_SHARE)),
+            return_wait: (!spent.is_zero()).then(|| timeout.min(aim).mul_f64(RETURN_WAIT_SHARE)),
         }
     }
 }
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -21,6 +21,9 @@
 /// How many times a search leaves a free slot to a waiting request that goes first, before the
 /// request itself is queued.
 const MAX_YIELDS: u32 = 3;
+/// Share of its latency target for which a request is held under overload. Longer, its caller
+/// loses time in which it could come back.
+const OVERLOAD_WAIT_SHARE: f64 = 0.125;
 
 /// Requirements of an attempt.
 #[derive(Clone, Debug)]
@@ -60,6 +63,11 @@
             returning: self.returning,
             deadline: now + hold,
             patience_end: now + patience,
+            overload_wait: if self.returning {
+                self.max_wait
+            } else {
+                self.need.aim.mul_f64(OVERLOAD_WAIT_SHARE)
+            },
         }
     }
 }
