entry: log, metrics and tests of the queue for capacity

Cause: a refused request's log line didn't say how long the queue was, how fast slots became free, or who refused it. Change: msg="no capacity" for each request refused for lack of capacity; workspace, returning, waiting, slots_per_s and overloaded in msg=placed; counters entry.queue.hopeless and entry.queue.yielded, times entry.queue.told.

--- a/crates/admit/src/capacity_queue.rs
+++ b/crates/admit/src/capacity_queue.rs
@@ -12,6 +12,17 @@
 /// How long a service counts as overloaded after the last request that couldn't be served in time.
 const OVERLOAD_PERIOD: Duration = Duration::from_secs(1);
 
+/// The state of a queue, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct QueueState {
+    /// Number of waiting requests.
+    pub waiting: usize,
+    /// Slots that become free per second, if known.
+    pub slots_per_second: Option<f64>,
+    /// Whether a request couldn't be served in time recently.
+    pub is_overloaded: bool,
+}
+
 /// A [`FairQueue`] that knows how fast slots become free.
 #[derive(Debug)]
 pub struct CapacityQueue<T> {
@@ -88,6 +99,16 @@
         Some(self.schedule.assign(now, rate, ahead, remaining))
     }
 
+    /// The current state.
+    #[must_use]
+    pub fn state(&self, now: Moment) -> QueueState {
+        QueueState {
+            waiting: self.queue.len(now),
+            slots_per_second: self.rate.per_second(now),
+            is_overloaded: now < self.overload_end,
+        }
+    }
+
     /// Number of waiting requests.
     #[must_use]
     pub fn len(&self, now: Moment) -> usize {
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -35,6 +35,7 @@
 pub use admission::Settings;
 pub use admission::Ticket;
 pub use capacity_queue::CapacityQueue;
+pub use capacity_queue::QueueState;
 pub use fair_queue::FairQueue;
 pub use fair_queue::Waiting;
 pub use limit::Mode;
--- a/crates/entry/src/balancer.rs
+++ b/crates/entry/src/balancer.rs
@@ -39,6 +39,8 @@
 pub use self::waiting::FairSelection;
 pub use self::waiting::Offer;
 
+pub(crate) use self::waiting::per_second;
+
 use crate::placement::Grant;
 use crate::processes::Processes;
 use crate::settings::SharedBudgets;
--- a/crates/entry/src/balancer/waiting.rs
+++ b/crates/entry/src/balancer/waiting.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ::dispatch::DispatcherLocation;
+use admit::QueueState;
 use admit::Waiting;
 use base::prelude::*;
 use route::Need;
@@ -35,12 +36,24 @@
     Yielded,
 }
 
+/// The rate of free slots as text, for the log.
+pub(crate) fn per_second(state: &QueueState) -> String {
+    let rate = state.slots_per_second;
+    rate.map_or_else(|| "-".to_owned(), |rate| format!("{rate:.1}"))
+}
+
 impl Balancer {
     /// Sets whether requests that come back are told apart from new ones.
     pub fn set_returning(&mut self, returning: bool) {
         self.returning = returning;
     }
 
+    /// The state of the queue, for the log.
+    #[must_use]
+    pub fn queue_state(&self, now: Moment) -> QueueState {
+        self.wait_queue.state(now)
+    }
+
     /// Queues a request; the receiver gets an instance with free capacity, or learns that it
     /// can't have one in time.
     pub fn wait_for_capacity(&mut self, now: Moment, waiting: Waiting) -> oneshot::Receiver<Offer> {
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -69,6 +69,33 @@
             .send();
     }
 
+    /// Counts a waiting request that more urgent ones leave no slot in time.
+    pub fn hopeless(&self, service: &ServiceName) {
+        self.client
+            .count_with_tags("entry.queue.hopeless", 1)
+            .with_tag("service", service.as_str())
+            .send();
+    }
+
+    /// Counts a free slot that a request left to one that waited.
+    pub fn yielded(&self, service: &ServiceName) {
+        self.client
+            .count_with_tags("entry.queue.yielded", 1)
+            .with_tag("service", service.as_str())
+            .send();
+    }
+
+    /// Records the time that a request refused for lack of capacity was told to come back after;
+    /// `returning` is whether it had come back before.
+    pub fn told(&self, service: &ServiceName, returning: bool, delay: Duration) {
+        let kind = if returning { "returning" } else { "new" };
+        self.client
+            .time_with_tags("entry.queue.told", delay)
+            .with_tag("service", service.as_str())
+            .with_tag("request", kind)
+            .send();
+    }
+
     /// Records a placement request to a dispatcher.
     pub fn placed(&self, service: &ServiceName, outcome: &str, elapsed: Duration) {
         self.client
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -413,18 +413,12 @@
         let retry_after = match reason {
             Reason::BackedOff => self.estimated_return(),
             Reason::Quarantined => self.retry_after,
-            Reason::Full => self.retry_after.or_else(|| self.estimated_return()),
+            Reason::Full => self.full_return(),
             _ => Some(UNAVAILABLE_RETRY_AFTER),
         };
         Outcome::Refusal(reason, retry_after)
     }
 
-    /// When a request that is refused for lack of capacity may come back.
-    fn estimated_return(&self) -> Option<Duration> {
-        let remaining = self.deadline.saturating_duration_since(Instant::now());
-        self.balancer(|balancer, now| balancer.retry_after(now, remaining))
-    }
-
     /// Whether all instances asked this process for a time without requests.
     fn all_are_backed_off(&self) -> bool {
         let remaining = self.balancer(|balancer, now| balancer.backoff_remaining(now));
--- a/crates/entry/src/flow/choice.rs
+++ b/crates/entry/src/flow/choice.rs
@@ -4,11 +4,14 @@
 
 use route::DomainIndex;
 use route::Need;
+use slog::info;
 use tokio::time::Instant;
 
 use super::Flow;
+use super::millis;
 use super::workspace;
 use crate::balancer::SelectedInstance;
+use crate::balancer::per_second;
 use crate::body::ForwardedBody;
 use crate::placement;
 use crate::refusal::Reason;
@@ -86,6 +89,43 @@
         search::search(&self.core, &self.service, request, max_wait).await
     }
 
+    /// When a request that is refused for lack of capacity may come back, as far as this process
+    /// knows.
+    pub(super) fn estimated_return(&self) -> Option<Duration> {
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        self.balancer(|balancer, now| balancer.retry_after(now, remaining))
+    }
+
+    /// When the request, which is refused for lack of capacity, may come back.
+    pub(super) fn full_return(&self) -> Option<Duration> {
+        let told = self.retry_after.or_else(|| self.estimated_return());
+        self.log_full(told);
+        if let Some(delay) = told {
+            let returning = self.return_wait.is_some();
+            self.core.counters.told(&self.service, returning, delay);
+        }
+        told
+    }
+
+    /// Logs the refusal of a request for lack of capacity.
+    fn log_full(&self, told: Option<Duration>) {
+        let by = if self.retry_after.is_some() {
+            "dispatcher"
+        } else {
+            "self"
+        };
+        let state = self.balancer(|balancer, now| balancer.queue_state(now));
+        let state = state.unwrap_or_default();
+        let workspace = self.workspace.as_ref();
+        info!(self.core.log, "no capacity"; "request" => self.request.id.to_str().unwrap_or("-"),
+            "service" => %self.service, "by" => by,
+            "workspace" => workspace.map_or("-", |workspace| workspace.name.as_str()),
+            "returning" => self.return_wait.is_some(), "late" => self.is_late(),
+            "waiting" => state.waiting, "slots_per_s" => per_second(&state),
+            "overloaded" => state.is_overloaded, "held_ms" => millis(self.started_at.elapsed()),
+            "told_ms" => told.map_or(0, millis));
+    }
+
     /// The current requirements of the next attempt. A late request yields to all others.
     fn search_request(&self) -> SearchRequest {
         SearchRequest {
--- a/crates/entry/src/placement/server.rs
+++ b/crates/entry/src/placement/server.rs
@@ -27,6 +27,7 @@
 use super::convert::micros;
 use super::convert::report_from_wire;
 use super::outcome_label;
+use crate::balancer::per_second;
 use crate::core::Core;
 use crate::search;
 use crate::search::SearchRequest;
@@ -90,13 +91,20 @@
         }
     }
 
-    fn log_placement(&self, ask: &Ask, placed: &Placed, elapsed: Duration) {
+    fn log_placement(&self, service: &ServiceName, ask: &Ask, placed: &Placed, elapsed: Duration) {
         if placed.outcome() == Outcome::Wait {
             // The client asks again at once; only the final answer is logged.
             return;
         }
+        let state = self
+            .core
+            .balancer(service, |balancer, now| balancer.queue_state(now));
+        let state = state.unwrap_or_default();
         info!(self.core.log, "placed"; "request" => &ask.request, "from" => &ask.host,
             "service" => &ask.service, "outcome" => outcome_label(placed),
+            "workspace" => &ask.workspace, "returning" => ask.returning,
+            "waiting" => state.waiting, "slots_per_s" => per_second(&state),
+            "overloaded" => state.is_overloaded,
             "instance" => &placed.instance,
             "grant" => placed.grant, "in_flight" => placed.in_flight,
             "age_us" => placed.age_us, "expected_us" => placed.expected_us,
@@ -119,7 +127,7 @@
             return Placed::default();
         };
         let placed = self.find(&service, &ask).await.unwrap_or_default();
-        self.log_placement(&ask, &placed, started_at.elapsed());
+        self.log_placement(&service, &ask, &placed, started_at.elapsed());
         placed
     }
 
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -131,6 +131,7 @@
         WaitEnd::Selected(chosen) => SearchResult::Selected(chosen),
         WaitEnd::Nothing => SearchResult::Wait,
         WaitEnd::Hopeless => {
+            core.counters.hopeless(service);
             let remaining = request.remaining.saturating_sub(started_at.elapsed());
             let selection = core.balancer(service, |balancer, now| {
                 balancer.choose(now, &request.need, &request.exclude)
@@ -165,7 +166,10 @@
         match selection {
             FairSelection::Own(selection) => return Some(selection),
             // The request that was offered the slot takes it meanwhile.
-            FairSelection::Yielded => tokio::task::yield_now().await,
+            FairSelection::Yielded => {
+                core.counters.yielded(service);
+                tokio::task::yield_now().await;
+            }
         }
     }
     Some(Selection::Wait)
--- a/crates/entry/tests/test_placement.rs
+++ b/crates/entry/tests/test_placement.rs
@@ -24,6 +24,10 @@
 use fakes::upstream::Upstream;
 use futures::StreamExt;
 use route::LoadReport;
+use table::KeyDigest;
+use table::Quota;
+use table::Table;
+use table::Workspace;
 use tarpc::context::Context;
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
@@ -290,3 +294,36 @@
         assert!(questions.len() > 1 && questions[1..].iter().all(excludes));
     }
 }
+
+/// Guards against a dispatcher that can't be fair between workspaces, as it isn't told of them.
+#[tokio::test]
+async fn test_placement_dispatcher_is_told_the_workspace() {
+    let upstream = Upstream::start("i-1", Behavior::Answer).await;
+    let asker = start(&[instance(&upstream, "status")]).await;
+    let workspace = Workspace {
+        name: WorkspaceName::new("acme").expect("a name"),
+        keys: vec![KeyDigest::of("secret")],
+        priority: 2,
+        quota: Some(Quota {
+            rate: 2_400,
+            burst: 3,
+        }),
+    };
+    asker.core().set_table(Table {
+        workspaces: vec![workspace],
+        ..table(2)
+    });
+    let (fake, address) = FakeDispatcher::start("i-1").await;
+    set_dispatcher(&asker, address);
+    make_busy(&asker);
+    let mut caller = Caller::connect(asker.front()).await;
+    let head = format!("GET {READ} HTTP/1.1\r\nhost: {}\r\n", fakes::HOST);
+    let head = head + "authorization: Bearer secret\r\ncontent-length: 0\r\n\r\n";
+    caller.send_raw(head.as_bytes()).await;
+    assert_eq!(caller.answer().await.expect("answered").status, 200);
+    let asked = fake.asked.lock().expect("whole");
+    assert_eq!(asked[0].workspace, "acme");
+    assert!((asked[0].weight - 2.4).abs() < 1e-9);
+    assert_eq!(asked[0].priority, 32);
+    assert!(!asked[0].returning);
+}
