entry: requests that find a slot at once are charged in every contended moment

Cause: a request that found a free slot while the queue was empty for a moment wasn't charged to its workspace, although others had waited just before. A test checks that a dispatcher is told that a request came back, if the setting asks for it.

--- a/crates/admit/src/capacity_queue.rs
+++ b/crates/admit/src/capacity_queue.rs
@@ -64,7 +64,7 @@
         self.queue.pop(now)
     }
 
-    /// Records a request that was served without waiting.
+    /// Records a request that was served without waiting; see [`FairQueue::charge`].
     pub fn charge(&mut self, now: Moment, waiting: &Waiting) {
         self.queue.charge(now, waiting);
     }
--- a/crates/admit/src/fair_queue.rs
+++ b/crates/admit/src/fair_queue.rs
@@ -191,7 +191,8 @@
         Some(value)
     }
 
-    /// Records a request that was served without waiting. It counts only while others wait.
+    /// Records a request that was served without waiting. It counts only while others of its
+    /// priority wait, or have waited lately.
     pub fn charge(&mut self, now: Moment, waiting: &Waiting) {
         self.expire(now);
         let Some(class) = self.classes.get_mut(&waiting.priority) else {
--- a/crates/entry/src/balancer/waiting.rs
+++ b/crates/entry/src/balancer/waiting.rs
@@ -80,20 +80,18 @@
         waiting: &Waiting,
     ) -> FairSelection {
         let selection = self.choose(now, need, exclude);
-        // A request that can't wait is sent at once, whoever waits.
-        let may_yield = waiting.workspace.is_some() && waiting.patience_end > now;
-        if !may_yield || self.wait_queue.is_empty() {
+        if waiting.workspace.is_none() {
             return FairSelection::Own(selection);
         }
-        if let Selection::Send(chosen) = &selection
-            && chosen.choice.reason != Reason::Trial
-            && self.wait_queue.goes_first(now, waiting)
-        {
-            let pick = chosen.choice.pick;
-            self.wake_waiter(now, pick);
-            return FairSelection::Yielded;
-        }
-        if matches!(selection, Selection::Send(_)) {
+        // A request that can't wait is sent at once, whoever waits.
+        let may_wait = waiting.patience_end > now;
+        if let Selection::Send(chosen) = &selection {
+            let is_trial = chosen.choice.reason == Reason::Trial;
+            if may_wait && !is_trial && self.wait_queue.goes_first(now, waiting) {
+                let pick = chosen.choice.pick;
+                self.wake_waiter(now, pick);
+                return FairSelection::Yielded;
+            }
             self.wait_queue.charge(now, waiting);
         }
         FairSelection::Own(selection)
--- a/crates/entry/tests/test_placement.rs
+++ b/crates/entry/tests/test_placement.rs
@@ -316,14 +316,44 @@
     let (fake, address) = FakeDispatcher::start("i-1").await;
     set_dispatcher(&asker, address);
     make_busy(&asker);
-    let mut caller = Caller::connect(asker.front()).await;
-    let head = format!("GET {READ} HTTP/1.1\r\nhost: {}\r\n", fakes::HOST);
-    let head = head + "authorization: Bearer secret\r\ncontent-length: 0\r\n\r\n";
-    caller.send_raw(head.as_bytes()).await;
-    assert_eq!(caller.answer().await.expect("answered").status, 200);
+    call_with(&asker, "authorization: Bearer secret").await;
     let questions = fake.asked.lock().expect("whole");
     assert_eq!(questions[0].workspace, "acme");
     assert!((questions[0].weight - 2.4).abs() < 1e-9);
     assert_eq!(questions[0].priority, 32);
     assert!(!questions[0].returning);
 }
+
+/// Sends a request with one more header line.
+async fn call_with(entry: &Entry, line: &str) {
+    let mut caller = Caller::connect(entry.front()).await;
+    let head = format!("GET {READ} HTTP/1.1\r\nhost: {}\r\n", fakes::HOST);
+    let head = format!("{head}{line}\r\ncontent-length: 0\r\n\r\n");
+    caller.send_raw(head.as_bytes()).await;
+    assert_eq!(caller.answer().await.expect("answered").status, 200);
+}
+
+/// Guards against a dispatcher that takes requests that come back for new ones, and against
+/// telling them apart where the settings don't say so.
+#[tokio::test]
+async fn test_placement_dispatcher_is_told_that_a_request_came_back() {
+    for returning in [false, true] {
+        let upstream = Upstream::start("i-1", Behavior::Answer).await;
+        let asker = start(&[instance(&upstream, "status")]).await;
+        let (fake, address) = FakeDispatcher::start("i-1").await;
+        set_dispatcher(&asker, address);
+        let settings = asker.core().settings();
+        asker.core().set_settings(&Settings {
+            returning,
+            ..(*settings).clone()
+        });
+        let deadline = Dialect::default().deadline;
+        for remaining in [20_000, 5_000] {
+            make_busy(&asker);
+            call_with(&asker, &format!("{deadline}: {remaining}")).await;
+        }
+        let questions = fake.asked.lock().expect("whole");
+        let told: Vec<bool> = questions.iter().map(|ask| ask.returning).collect();
+        assert_eq!(told, [false, returning]);
+    }
+}
