quota, entry: permits go to requests that can still be answered in time

A workspace beyond its quota gave half of its tokens to requests that had come back after a refusal and were answered late, while new ones were refused. Late requests now get only what exceeds half of the bucket.

--- a/crates/entry/src/flow/choice.rs
+++ b/crates/entry/src/flow/choice.rs
@@ -175,7 +175,7 @@
     }
 
     /// Whether the usual work time ends after the latency target.
-    fn is_late(&self) -> bool {
+    pub(super) fn is_late(&self) -> bool {
         self.started_at.elapsed() + self.work_time() > self.aim
     }
 
--- a/crates/entry/src/flow/quota.rs
+++ b/crates/entry/src/flow/quota.rs
@@ -8,6 +8,7 @@
 use super::millis;
 use crate::quota;
 use crate::quota::Denial;
+use crate::quota::Urgency;
 use crate::refusal::Reason;
 
 /// Part of the latency target for which a request waits for a token instead of being refused.
@@ -27,7 +28,12 @@
             return Ok(());
         }
         let patience = self.aim.mul_f64(PATIENCE_FRACTION).min(MAX_PATIENCE);
-        let denial = match quota::acquire(&self.core, &workspace.name, patience).await {
+        let urgency = if self.is_late() {
+            Urgency::Late
+        } else {
+            Urgency::InTime
+        };
+        let denial = match quota::acquire(&self.core, &workspace.name, urgency, patience).await {
             Ok(permit) => {
                 self.permit = Some(permit);
                 return Ok(());
--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -47,6 +47,15 @@
     Unreachable(Duration),
 }
 
+/// Whether a request can still be answered within its latency target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Urgency {
+    /// It can.
+    InTime,
+    /// It was refused before, and can't.
+    Late,
+}
+
 /// A request that waits for a permit.
 type Ticket = oneshot::Sender<Result<Permit, Denial>>;
 
@@ -54,7 +63,7 @@
 struct State {
     domains: Domains,
     holder: Holder,
-    batches: HashMap<WorkspaceName, Batch<Ticket>>,
+    batches: HashMap<(WorkspaceName, Urgency), Batch<Ticket>>,
     /// The transfers of the workspaces that this process holds.
     borrowings: HashMap<WorkspaceName, Arc<Borrowing>>,
 }
--- a/crates/entry/src/quota/ask.rs
+++ b/crates/entry/src/quota/ask.rs
@@ -14,6 +14,7 @@
 
 use super::Denial;
 use super::Permit;
+use super::Urgency;
 use super::serve;
 use crate::core::Core;
 
@@ -31,22 +32,27 @@
 pub async fn acquire(
     core: &Arc<Core>,
     workspace: &WorkspaceName,
+    urgency: Urgency,
     patience: Duration,
 ) -> Result<Permit, Denial> {
-    match ask_once(core, workspace).await {
+    match ask_once(core, workspace, urgency).await {
         Err(Denial::OverQuota(retry_after)) if retry_after <= patience => {
             tokio::time::sleep(retry_after).await;
-            ask_once(core, workspace).await
+            ask_once(core, workspace, urgency).await
         }
         result => result,
     }
 }
 
-async fn ask_once(core: &Arc<Core>, workspace: &WorkspaceName) -> Result<Permit, Denial> {
+async fn ask_once(
+    core: &Arc<Core>,
+    workspace: &WorkspaceName,
+    urgency: Urgency,
+) -> Result<Permit, Denial> {
     let asked_at = core.clock.now();
     if core.quotas.is_own(core, workspace) {
         let host = core.settings().host.clone();
-        let granted = serve::grant(core, workspace, 1, host.as_str()).await;
+        let granted = serve::grant(core, workspace, 1, host.as_str(), urgency).await;
         if let Some(granted) = granted {
             let permit = || Permit::new(core, workspace, None, asked_at);
             return (granted.count > 0)
@@ -57,10 +63,11 @@
     let (ticket, verdict) = oneshot::channel();
     {
         let mut state = core.quotas.state();
-        let batch = state.batches.entry(workspace.clone()).or_default();
+        let key = (workspace.clone(), urgency);
+        let batch = state.batches.entry(key.clone()).or_default();
         batch.add(asked_at, ticket).map_err(Denial::OverQuota)?;
         if let Some(count) = batch.start_call() {
-            tokio::spawn(run_calls(Arc::clone(core), workspace.clone(), count));
+            tokio::spawn(run_calls(Arc::clone(core), key, count));
         }
     }
     let unreachable = Denial::Unreachable(UNREACHABLE_RETRY_AFTER);
@@ -68,26 +75,27 @@
 }
 
 /// Makes calls until no request of the workspace waits.
-async fn run_calls(core: Arc<Core>, workspace: WorkspaceName, mut count: u32) {
+async fn run_calls(core: Arc<Core>, key: (WorkspaceName, Urgency), mut count: u32) {
+    let (workspace, urgency) = &key;
     loop {
         let asked_at = core.clock.now();
-        let (answer, holder) = ask_holders(&core, &workspace, count).await;
+        let (answer, holder) = ask_holders(&core, workspace, count, *urgency).await;
         let now = core.clock.now();
         let (verdicts, next) = {
             let mut state = core.quotas.state();
-            let Some(batch) = state.batches.get_mut(&workspace) else {
+            let Some(batch) = state.batches.get_mut(&key) else {
                 return;
             };
             let verdicts = batch.end_call(now, answer);
             let next = batch.start_call();
             if batch.is_idle(now) {
-                state.batches.remove(&workspace);
+                state.batches.remove(&key);
             }
             (verdicts, next)
         };
         for (ticket, verdict) in verdicts {
             let verdict = match verdict {
-                Verdict::Granted => Ok(Permit::new(&core, &workspace, holder, asked_at)),
+                Verdict::Granted => Ok(Permit::new(&core, workspace, holder, asked_at)),
                 Verdict::Refused(retry_after) => Err(Denial::OverQuota(retry_after)),
                 Verdict::Unreachable => Err(Denial::Unreachable(UNREACHABLE_RETRY_AFTER)),
             };
@@ -107,11 +115,14 @@
     core: &Arc<Core>,
     workspace: &WorkspaceName,
     count: u32,
+    urgency: Urgency,
 ) -> (Answer, Option<SocketAddr>) {
     let host = core.settings().host.clone();
     for address in core.quotas.holders(core, workspace) {
         if address == core.quotas.own {
-            if let Some(granted) = serve::grant(core, workspace, count, host.as_str()).await {
+            if let Some(granted) =
+                serve::grant(core, workspace, count, host.as_str(), urgency).await
+            {
                 return (Answer::Granted(granted.count, granted.retry_after), None);
             }
             continue;
@@ -124,6 +135,7 @@
             count,
             host: host.to_string(),
             table: core.routes().table.version,
+            late: urgency == Urgency::Late,
         };
         let send = |client: PlaceApiClient| {
             let ask = ask.clone();
--- a/crates/entry/src/quota/serve.rs
+++ b/crates/entry/src/quota/serve.rs
@@ -20,6 +20,7 @@
 use wire::quota::Transfer;
 use wire::quota::TransferReply;
 
+use super::Urgency;
 use super::limit;
 use super::to_limit;
 use crate::core::Core;
@@ -51,15 +52,16 @@
     workspace: &WorkspaceName,
     count: u32,
     asker: &str,
+    urgency: Urgency,
 ) -> Option<Granted> {
     let limit = limit(core, workspace)?;
-    let mut loan = take(core, workspace, limit, count, asker)?;
+    let mut loan = take(core, workspace, limit, count, asker, urgency)?;
     if loan.missing > Tokens::ZERO {
         let before = loan.granted;
         let borrowing = core.quotas.borrowing(workspace);
         // Without a transfer the request is refused.
         if let Ok(mut donors) = tokio::time::timeout(BORROW_WAIT, borrowing.donors.lock()).await {
-            loan = take(core, workspace, limit, count - before, asker)?;
+            loan = take(core, workspace, limit, count - before, asker, urgency)?;
             loan.granted += before;
             borrow(core, workspace, limit, count, &mut loan, &mut donors).await;
         }
@@ -93,10 +95,16 @@
     limit: Limit,
     count: u32,
     asker: &str,
+    urgency: Urgency,
 ) -> Option<Loan> {
     let now = core.clock.now();
     let mut state = core.quotas.state();
-    match state.holder.acquire(now, workspace, limit, count, asker) {
+    let holder = &mut state.holder;
+    let acquired = match urgency {
+        Urgency::InTime => holder.acquire(now, workspace, limit, count, asker),
+        Urgency::Late => holder.acquire_late(now, workspace, limit, count, asker),
+    };
+    match acquired {
         Acquired::NotHolder => None,
         Acquired::Permits {
             granted,
@@ -193,7 +201,12 @@
         warn!(core.log, "invalid quota request"; "from" => &ask.host);
         return Permits::default();
     };
-    match grant(core, &workspace, ask.count, &ask.host).await {
+    let urgency = if ask.late {
+        Urgency::Late
+    } else {
+        Urgency::InTime
+    };
+    match grant(core, &workspace, ask.count, &ask.host, urgency).await {
         Some(granted) => Permits {
             holder: true,
             granted: granted.count,
--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -259,6 +259,35 @@
         }
     }
 
+    /// Takes permits for requests that can't be answered within their latency target any more.
+    /// They get only what exceeds half of the bucket: while a workspace asks for more than its
+    /// quota, each of its tokens serves a request that can still be answered in time.
+    pub fn acquire_late(
+        &mut self,
+        now: Moment,
+        workspace: &WorkspaceName,
+        limit: Limit,
+        count: u32,
+        asker: &str,
+    ) -> Acquired {
+        let shares = self.shares;
+        let Some(holding) = self.holding(now, workspace, limit) else {
+            return Acquired::NotHolder;
+        };
+        holding.record_asker(now, asker);
+        let capacity = limit.capacity(shares);
+        let kept = capacity.divided(2).min(capacity.minus(Tokens::ONE));
+        let spare = holding.bucket.tokens().minus(kept).count();
+        let granted = holding.bucket.take(spare.min(count.into()));
+        let lacking = u64::from(count) - granted;
+        Acquired::Permits {
+            granted: u32::try_from(granted).unwrap_or(count),
+            missing: Tokens::ZERO,
+            reserve: Tokens::ZERO,
+            retry_after: holding.refusal(now, shares, Tokens::whole(lacking)),
+        }
+    }
+
     /// Takes tokens for the holder of another domain: up to `need`, and up to `reserve` more of
     /// what exceeds half of the bucket. Returns what was taken.
     pub fn transfer(
