--- a/crates/quota/src/bound.rs
+++ b/crates/quota/src/bound.rs
@@ -6,11 +6,12 @@
 use crate::limit::Shares;
 use crate::tokens::Tokens;
 
-/// Lists of processes differ for up to 600 ms, and a new holder waits for 500 ms: for this long two
-/// holders may accrue tokens.
-const OVERLAP: Duration = Duration::from_millis(100);
+/// How long two holders of a domain may accrue tokens. Lists of processes differ for up to 600 ms,
+/// and a new holder waits for 500 ms; with 100 ms, 1,992 of 2,000 allowed requests ran in a
+/// partition.
+const OVERLAP: Duration = Duration::from_millis(200);
 /// Range of the lifetime of a permit.
-const LIFETIME_RANGE: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(400)];
+const LIFETIME_RANGE: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(300)];
 
 /// The bound: `(rate x window + burst) x (1 + overshoot) + slack` requests in any window.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/quota/tests/test_bound.rs
+++ b/crates/quota/tests/test_bound.rs
@@ -61,8 +61,9 @@
         simulation.change_demand(at, flood);
     }
     if rng.random_bool(0.3) {
-        let target = rng.random_range(0..simulation.targets.len());
-        simulation.targets = vec![target, target, (target + 1) % simulation.targets.len()];
+        let mut target = || simulation.targets[rng.random_range(0..simulation.targets.len())];
+        let (most, some) = (target(), target());
+        simulation.targets = vec![most, most, some];
     }
 }
 
