--- a/crates/entry/tests/test_hop.rs
+++ b/crates/entry/tests/test_hop.rs
@@ -1,8 +1,10 @@
 //! The headers between entry processes.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use base::prelude::*;
+use entry::relay::Hop;
 use entry::relay::PeerReport;
 use entry::relay::Question;
 use http::HeaderMap;
@@ -23,6 +25,28 @@
     }
 }
 
+/// Guards against a request that is charged to its workspace's quota twice, or not at all.
+#[test]
+fn test_hop_is_read_as_it_was_written() {
+    for charged in [false, true] {
+        let hop = Hop {
+            caller: "10.0.0.1".into(),
+            service: ServiceName::new("status").expect("a name"),
+            workspace: Some(WorkspaceName::new("ledger").expect("a name")),
+            table: 7,
+            remaining: Duration::from_millis(800),
+            aim: Duration::from_millis(300),
+            attempts: 2,
+            counted: true,
+            charged,
+        };
+        let mut headers = HeaderMap::new();
+        hop.write(&mut headers);
+        assert_eq!(Hop::take(&mut headers), Some(hop));
+        assert!(headers.is_empty(), "{headers:?}");
+    }
+}
+
 /// Guards against a process that a damaged response makes fail, or remember without a bound.
 #[test]
 fn test_hop_report_that_is_invalid_is_left_out() {
--- a/crates/entry/tests/test_quota.rs
+++ b/crates/entry/tests/test_quota.rs
@@ -15,6 +15,7 @@
 use fakes::HOST;
 use fakes::HUB;
 use fakes::READ;
+use fakes::RELAY_PORT;
 use fakes::caller::Answer;
 use fakes::caller::Caller;
 use fakes::host_of;
@@ -67,6 +68,10 @@
 
 impl Group {
     async fn start(domains: &[&str], table: &Table) -> Self {
+        Self::start_with_relay(domains, table, None).await
+    }
+
+    async fn start_with_relay(domains: &[&str], table: &Table, relay: Option<u16>) -> Self {
         let upstream = Upstream::start("i-1", Behavior::Answer).await;
         let mut names: Vec<&str> = domains.to_vec();
         names.dedup();
@@ -77,6 +82,7 @@
                 host: HostName::new(&format!("entry-{number}")).expect("a name"),
                 domain: domain(name),
                 place: Some(FREE),
+                relay,
                 quota: QuotaSettings {
                     domains: names.clone(),
                     ..QuotaSettings::default()
@@ -270,6 +276,32 @@
     }
 }
 
+/// Guards against relayed requests that two processes charge, or that none charges.
+#[tokio::test]
+async fn test_relayed_request_is_charged_once() {
+    let group = Group::start_with_relay(&["a"], &quota_table(1, 20), Some(RELAY_PORT)).await;
+    // No holder answers, so that only a request with a permit is served.
+    group.entries[0].core().set_hosts(vec![EntryHost {
+        address: "127.0.0.1:1".into(),
+        place: "127.0.0.1:1".into(),
+        domain: "a".into(),
+        ..EntryHost::default()
+    }]);
+    for (charged, expected) in [(1, 200), (0, 503)] {
+        let address = SocketAddr::new(group.entries[0].front().ip(), RELAY_PORT);
+        let mut peer = Caller::connect(address).await;
+        let text = format!(
+            "GET {READ} HTTP/1.1\r\nhost: {HOST}\r\nrwr-hop-caller: x\r\n\
+             rwr-hop-service: status\r\nrwr-hop-workspace: ledger\r\nrwr-hop-table: 1\r\n\
+             rwr-hop-left-ms: 20000\r\nrwr-hop-aim-ms: 10000\r\nrwr-hop-attempts: 2\r\n\
+             rwr-hop-counted: 1\r\nrwr-hop-charged: {charged}\r\n\r\n"
+        );
+        peer.send_raw(text.as_bytes()).await;
+        let answer = peer.answer().await.expect("an answer");
+        assert_eq!(answer.status, expected, "{}", answer.body);
+    }
+}
+
 /// Guards against quotas in tables without any.
 #[tokio::test]
 async fn test_workspace_without_quota_needs_no_permit() {
