entry: watches of processes that fail closed last 100 ms at least, and removals name the request

A tiny [keys] confirm made watches end at once, without an end. The line msg="key removed" had no request id.

--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -187,6 +187,7 @@
     let limits = RequestLimits::new(&core, route, header, hop.as_ref());
     let caller = head::caller_name(&core, origin, hop.as_ref(), request.headers());
     let (request, incoming) = head::forwarded_request(&core, caller, &host, id, request);
+    let key = KeyGuard::new(&core, &request.id, identity);
     let mut flow = Flow {
         deadline: started_at + limits.timeout,
         max_attempts: limits.attempts,
@@ -198,7 +199,7 @@
         request,
         route: Arc::clone(route),
         workspace,
-        key: KeyGuard::new(&core, identity),
+        key,
         service,
         table_version: routes.table.version,
         caller_timeout: limits.caller_timeout,
--- a/crates/entry/src/flow/revocation.rs
+++ b/crates/entry/src/flow/revocation.rs
@@ -7,6 +7,7 @@
 use std::pin::pin;
 use std::sync::Arc;
 
+use http::HeaderValue;
 use slog::info;
 use table::KeyDigest;
 
@@ -25,6 +26,7 @@
 
 struct Held {
     core: Arc<Core>,
+    request: HeaderValue,
     identity: Identity,
 }
 
@@ -45,11 +47,12 @@
 }
 
 impl KeyGuard {
-    /// Guards a request with this identity, or one that needs no key.
-    pub(super) fn new(core: &Arc<Core>, identity: Option<Identity>) -> Self {
+    /// Guards the request with this id and identity, or one that needs no key.
+    pub(super) fn new(core: &Arc<Core>, request: &HeaderValue, identity: Option<Identity>) -> Self {
         Self(identity.map(|identity| {
             Arc::new(Held {
                 core: Arc::clone(core),
+                request: request.clone(),
                 identity,
             })
         }))
@@ -132,7 +135,8 @@
 
 fn refuse(held: &Held) -> Reason {
     let core = &held.core;
-    info!(core.log, "key removed"; "workspace" => %held.identity.workspace.name,
+    info!(core.log, "key removed"; "request" => held.request.to_str().unwrap_or("-"),
+        "workspace" => %held.identity.workspace.name,
         "digest" => held.identity.key.map_or_else(|| "-".into(), |key| key.short()),
         "table" => core.routes().table.version);
     core.counters.key_refused("removed");
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -59,6 +59,8 @@
 const UNCONFIRMED_TABLE_DELAY: Duration = Duration::from_secs(3);
 /// Number of watches of a hub within the time for which a confirmation of the route table lasts.
 const CONFIRMATIONS: u32 = 4;
+/// Minimum duration of these watches, for settings under which no process could serve.
+const MIN_CONFIRM_WAIT: Duration = Duration::from_millis(100);
 /// Interval at which settings and hubs are checked.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -218,7 +220,7 @@
         let keys = settings.keys;
         let mut wait = self.hubs.watch_duration(self.address);
         if keys.fail_closed {
-            wait = wait.min(keys.confirm / CONFIRMATIONS);
+            wait = wait.min((keys.confirm / CONFIRMATIONS).max(MIN_CONFIRM_WAIT));
         }
         let query = self
             .progress
