entry: a confirmation that ends also ends waiting requests and transfers

With fail-closed, a request that was let in kept its key for as long as its body arrived, although the process could no longer know whether the key was removed.

--- a/crates/entry/src/core/keys.rs
+++ b/crates/entry/src/core/keys.rs
@@ -24,6 +24,14 @@
         keys.fail_closed && !self.confirmation().is_within(now, keys.confirm)
     }
 
+    /// How long the confirmation of the route table lasts, if keys fail closed after that.
+    #[must_use]
+    pub fn confirmation_left(&self) -> Option<Duration> {
+        let keys = self.settings().keys;
+        let age = self.confirmation_age().unwrap_or(keys.confirm);
+        keys.fail_closed.then(|| keys.confirm.saturating_sub(age))
+    }
+
     /// Time since a majority has confirmed the route table in force; `None` if none has.
     #[must_use]
     pub fn confirmation_age(&self) -> Option<Duration> {
--- a/crates/entry/tests/test_workspaces.rs
+++ b/crates/entry/tests/test_workspaces.rs
@@ -473,6 +473,37 @@
     assert_eq!(upstream.received_requests().len(), 4);
 }
 
+/// Guards against transfers that go on after the process can't know of removed keys any more.
+#[tokio::test]
+async fn test_workspaces_unconfirmed_table_ends_transfer() {
+    let (upstream, entry) = start(Behavior::Answer).await;
+    let core = entry.core();
+    core.record_confirmed_table(2, core.clock.now());
+    core.set_settings(&entry::Settings {
+        keys: Keys {
+            fail_closed: true,
+            confirm: Duration::from_millis(500),
+        },
+        ..settings()
+    });
+    let mut caller = Caller::connect(entry.front()).await;
+    caller
+        .send_raw(head(ONCE, "r-1", &bearer(KEY), 8).as_bytes())
+        .await;
+    caller.send_raw(b"half").await;
+    upstream.wait_for_body_bytes(4).await;
+    while !core.fails_closed() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    // The transfer is broken off by a timer of its own.
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    caller.send_raw(b"rest").await;
+    let answer = tokio::time::timeout(PATIENCE, caller.answer()).await;
+    let answer = answer.expect("in time").expect("an answer");
+    assert_eq!(answer.status, 502, "a part was sent");
+    assert!(upstream.received_requests().is_empty());
+}
+
 /// Guards against requests that stay at a process that may not serve them, although another may.
 #[tokio::test]
 async fn test_workspaces_relayed_request_fails_closed_at_receiver() {
