entry: test of the setting [queue] returning

Cause: nothing checked that the setting is off by default, refuses other values, and prints as it reads. Change: one test in test_queue.

--- a/crates/entry/tests/test_queue.rs
+++ b/crates/entry/tests/test_queue.rs
@@ -6,7 +6,9 @@
 
 use admit::Waiting;
 use base::prelude::*;
+use conf::Reader;
 use dispatch::DispatcherLocation;
+use entry::Settings;
 use entry::balancer::Balancer;
 use entry::balancer::FairSelection;
 use entry::balancer::Offer;
@@ -145,3 +147,19 @@
     let times: Vec<Duration> = (0..3).map(told).collect();
     assert!(times.is_sorted_by(|a, b| a < b), "{times:?}");
 }
+
+/// Guards against printed settings that don't read as the same ones, and against a default that
+/// changes the times of requests that come back.
+#[test]
+fn test_queue_settings_print_as_they_read() {
+    let start = "[entry]\nhost = h\ndomain = a\nregion = r\nfront = 127.0.0.1:1\nready = 127.0.0.1:2\nport = 7010\n";
+    let read = |text: &str| {
+        let reader = Reader::parse("entry.ini", text).expect("INI");
+        Settings::read(reader)
+    };
+    assert!(!read(start).expect("valid").returning);
+    let settings = read(&format!("{start}[queue]\nreturning = yes\n")).expect("valid");
+    assert!(settings.returning);
+    assert_eq!(read(&settings.to_string()).expect("valid"), settings);
+    assert!(read(&format!("{start}[queue]\nreturning = maybe\n")).is_err());
+}
