--- a/crates/entry/tests/test_hop.rs
+++ b/crates/entry/tests/test_hop.rs
@@ -38,6 +38,7 @@
             aim: Duration::from_millis(300),
             attempts: 2,
             counted: true,
+            key: None,
             charged,
         };
         let mut headers = HeaderMap::new();
