--- a/crates/entry/tests/test_parts.rs
+++ b/crates/entry/tests/test_parts.rs
@@ -14,6 +14,7 @@
 use entry::Entry;
 use entry::Settings;
 use entry::balancer::Balancer;
+use evacuation::EvacuationState;
 use fakes::HUB;
 use fakes::ONCE;
 use fakes::READ;
@@ -290,3 +291,34 @@
     asker.core().set_hosts(vec![listed(asker)]);
     check_answered(asker, 4).await;
 }
+
+/// Guards against asking parts of an evacuated failure domain, and against refusing requests
+/// because the process's own domain is evacuated.
+#[tokio::test]
+async fn test_parts_of_an_evacuated_domain_get_nothing() {
+    let upstreams = upstreams(6, Behavior::Answer).await;
+    let asker = start(1, "a", true).await;
+    let domains = ["a", "a", "a", "b", "b", "b"];
+    let all = instances(&upstreams).into_iter().zip(domains);
+    let all: Vec<Instance> = all
+        .map(|(instance, domain)| Instance {
+            domain: domain.into(),
+            ..instance
+        })
+        .collect();
+    asker.core().apply_instances(HUB, &all, &[]);
+    asker.core().set_hosts(vec![listed(&asker)]);
+    check_answered(&asker, 3).await;
+    let received = |upstreams: &[Upstream]| -> usize {
+        let each = upstreams.iter().map(|u| u.received_requests().len());
+        each.sum()
+    };
+    assert_eq!(received(&upstreams[..3]), 3, "its own failure domain");
+    let mut evacuations = EvacuationState::default();
+    let order = evacuations.order(&DomainName::new("a").expect("a name"), true);
+    evacuations.apply(&order);
+    asker.core().apply_evacuations(HUB, &evacuations.to_wire());
+    check_answered(&asker, 3).await;
+    assert_eq!(received(&upstreams[..3]), 3);
+    assert_eq!(received(&upstreams[3..]), 3);
+}
