--- a/crates/entry/src/balancer.rs
+++ b/crates/entry/src/balancer.rs
@@ -39,6 +39,7 @@
 pub use self::parts::PartPlan;
 pub use self::parts::PartTarget;
 use self::parts::Parts;
+pub use self::parts::preferred;
 use crate::placement::Grant;
 use crate::processes::Processes;
 use crate::settings::SharedBudgets;
--- a/crates/entry/src/balancer/parts.rs
+++ b/crates/entry/src/balancer/parts.rs
@@ -2,6 +2,7 @@
 //! dispatches, and which one a request asks.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use ::dispatch::DispatcherLocation;
@@ -18,12 +19,16 @@
 
 use super::Balancer;
 use crate::search::SearchScope;
+use crate::view::Upstream;
 
 /// Time from which a new dispatcher uses the limits that instances name. The list of entry hosts
 /// reaches all processes within about 600 ms; until then the earlier dispatcher may use them.
 const LIMIT_TAKEOVER_DELAY: Duration = Duration::from_secs(1);
 /// Maximum number of connected instances that a request for a grant names.
 const MAX_CONNECTED: usize = 8;
+/// Share of a part's instances with idle connections from which none is named. Preferring some of
+/// them would crowd the requests there, and few new connections are left to avoid.
+const MANY_CONNECTED: f64 = 0.6;
 
 /// The division of a service into parts, from the view of one process.
 #[derive(Clone, Debug)]
@@ -310,11 +315,24 @@
         let position = division.position(part);
         let members = self.upstreams.values();
         let members = members.filter(|upstream| division.position_of(&upstream.id) == position);
-        let connected = members.filter(|upstream| upstream.pool.has_idle());
+        let members: Vec<&Arc<Upstream>> = members.collect();
+        let connected = members.iter().filter(|upstream| upstream.pool.has_idle());
         let picks = connected.filter_map(|upstream| {
             self.chooser
                 .find(upstream.id.as_str(), upstream.incarnation)
         });
-        picks.take(MAX_CONNECTED).collect()
+        preferred(picks.collect(), members.len())
     }
 }
+
+/// The instances that a request prefers, by those of the part's `instances` to which its process
+/// has idle connections.
+#[must_use]
+pub fn preferred<T>(mut connected: Vec<T>, instances: usize) -> Vec<T> {
+    let [count, all] = [connected.len(), instances].map(|n| u32::try_from(n).unwrap_or(u32::MAX));
+    if f64::from(count) >= MANY_CONNECTED * f64::from(all) {
+        return Vec::new();
+    }
+    connected.truncate(MAX_CONNECTED);
+    connected
+}
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -188,7 +188,7 @@
             .write()
             .unwrap_or_else(PoisonError::into_inner) = Arc::new(next);
         self.set_entry_count(entry_count);
-        self.assign_dispatchers(&mut self.state());
+        self.assign_dispatchers(&mut self.state(), None);
     }
 
     /// The current routes; their table has version 0 until one is received.
@@ -300,7 +300,7 @@
                 changed.insert(service);
             }
         }
-        self.update_balancers(&mut state, changed);
+        self.update_balancers(&mut state, &changed);
         let instances_known = !state.instances.is_empty();
         drop(state);
         self.instances_known
@@ -318,27 +318,27 @@
     pub fn retain_reporting_hubs(&self, hubs: &BTreeSet<SocketAddr>) {
         let mut state = self.state();
         let changed = state.instances.retain_reporting_hubs(hubs);
-        self.update_balancers(&mut state, changed.into_iter().collect());
+        self.update_balancers(&mut state, &changed.into_iter().collect());
     }
 
     /// Updates the balancers of the changed services, each once per update.
-    fn update_balancers(&self, state: &mut State, changed: BTreeSet<ServiceName>) {
+    fn update_balancers(&self, state: &mut State, changed: &BTreeSet<ServiceName>) {
         let now = self.clock.now();
         let settings = self.settings();
         let shared = settings.shared_budgets(state.entry_count);
         let domain = &settings.domain;
         for service in changed {
-            let instances = state.instances.of_service(&service);
+            let instances = state.instances.of_service(service);
             let instances =
                 instances.map(|status| evacuate::apply_evacuation(&state.evacuations, status));
             let balancer = state.balancers.entry(service.clone());
             let new = || Balancer::new(domain.clone(), &shared, rand::random(), now);
             balancer.or_insert_with(new).update(now, instances);
-            limits::apply_known_limits(state, &service, now);
-            backoffs::apply_known_backoffs(state, &service, now);
+            limits::apply_known_limits(state, service, now);
+            backoffs::apply_known_backoffs(state, service, now);
         }
         self.set_warmups(state);
-        self.assign_dispatchers(state);
+        self.assign_dispatchers(state, Some(changed));
     }
 
     /// The address of the service's dispatcher, if that is another process.
@@ -418,7 +418,7 @@
             }
             state.processes = Arc::new(self.processes(&state));
             self.set_warmups(&mut state);
-            self.assign_dispatchers(&mut state);
+            self.assign_dispatchers(&mut state, None);
         }
     }
 
--- a/crates/entry/src/core/evacuate.rs
+++ b/crates/entry/src/core/evacuate.rs
@@ -34,7 +34,7 @@
         self.counters.evacuated(evacuated.len());
         state.evacuations = next;
         let services = state.balancers.keys().cloned().collect();
-        self.update_balancers(&mut state, services);
+        self.update_balancers(&mut state, &services);
     }
 
     /// The revision of the current evacuations.
--- a/crates/entry/src/core/share.rs
+++ b/crates/entry/src/core/share.rs
@@ -1,5 +1,7 @@
 //! Assigns dispatchers to services, and shares the capacity of cold instances.
 
+use std::collections::BTreeSet;
+
 use base::prelude::*;
 use dispatch::DispatcherLocation;
 use dispatch::Warmup;
@@ -57,15 +59,23 @@
 }
 
 impl Core {
-    /// Assigns a dispatcher to each service, or to each of its parts, after a change of entry hosts
-    /// or instances.
-    pub(super) fn assign_dispatchers(&self, state: &mut State) {
+    /// Assigns a dispatcher to each service in `changed`, or to each of its parts, after a change of
+    /// its instances; to all services after a change of entry hosts or settings, if `changed` is
+    /// `None`.
+    pub(super) fn assign_dispatchers(
+        &self,
+        state: &mut State,
+        changed: Option<&BTreeSet<ServiceName>>,
+    ) {
         let now = self.clock.now();
         let settings = self.settings();
         let places: Vec<&str> = state.hosts.iter().map(|host| &*host.place).collect();
         let own = settings.place.map(|own| own.to_string());
-        state.dispatcher_addresses.clear();
         for (service, balancer) in &mut state.balancers {
+            if changed.is_some_and(|changed| !changed.contains(service)) {
+                continue;
+            }
+            state.dispatcher_addresses.remove(service);
             let is_small = balancer.len() <= settings.max_dispatched;
             let names = places.iter().copied().filter(|place| !place.is_empty());
             let dispatcher =
--- a/crates/entry/tests/simulation/mod.rs
+++ b/crates/entry/tests/simulation/mod.rs
@@ -22,6 +22,7 @@
 use entry::balancer::PartPlan;
 use entry::balancer::SelectedInstance;
 use entry::balancer::Selection;
+use entry::balancer::preferred;
 use entry::pool::Pool;
 use entry::search::SearchScope;
 use entry::settings::Retry;
@@ -406,7 +407,8 @@
                 && used.is_some_and(|at| self.now - at < KEEP_ALIVE)
         });
         let ids = connected.map(|(_, upstream)| upstream.id.to_string());
-        ids.take(8).collect()
+        let instances = position.map(|position| division.parts()[position].instances);
+        preferred(ids.collect(), instances.unwrap_or_default())
     }
 
     /// Searches once by the process that chooses; the request is sent, or waits for `hold`.
