entry: grants of a process's own part are logged, test of the setting

A grant by the process itself had no line that names the part. The test guards against a setting `[place] parts` that isn't read, printed, checked or reloaded.

--- a/crates/entry/src/placement/parts.rs
+++ b/crates/entry/src/placement/parts.rs
@@ -133,7 +133,8 @@
     result
 }
 
-/// Logs and counts the choice of a part, unless the home part granted an instance.
+/// Counts the choice of a part, and logs it unless another process granted an instance of the home
+/// part.
 fn log_part(
     core: &Core,
     service: &ServiceName,
@@ -149,7 +150,7 @@
     };
     let reason = target.choice.reason;
     core.counters.part(service, reason.into(), outcome);
-    if reason == PartReason::Home && outcome == "granted" {
+    if reason == PartReason::Home && outcome == "granted" && target.address.is_some() {
         // The dispatcher's line names the part.
         return;
     }
--- a/crates/entry/tests/test_parts.rs
+++ b/crates/entry/tests/test_parts.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use conf::Reader;
 use dispatch::parts::PartId;
 use entry::Dialect;
 use entry::Entry;
@@ -322,3 +323,38 @@
     assert_eq!(received(&upstreams[..3]), 3);
     assert_eq!(received(&upstreams[3..]), 3);
 }
+
+/// Guards against a setting that isn't read, printed or checked, and against parts that need a
+/// restart of the process.
+#[tokio::test]
+async fn test_parts_setting_is_read_printed_and_reloaded() {
+    let text = |parts: &str| {
+        format!(
+            "[entry]\nhost = e-1\ndomain = a\nregion = r\nfront = 127.0.0.1:80\n\
+             ready = 127.0.0.1:81\nport = 7010\n[place]\nlisten = 127.0.0.1:82\n{parts}"
+        )
+    };
+    let read = |parts: &str| {
+        Settings::read(Reader::parse("entry.ini", &text(parts)).expect("INI"))
+            .map_err(|err| err.to_string())
+    };
+    assert!(!read("").expect("valid").parts);
+    let enabled = read("parts = yes\n").expect("valid");
+    assert!(enabled.parts && enabled.to_string().contains("\nparts = yes\n"));
+    assert!(read("parts = some\n").is_err_and(|err| err.contains("yes or no")));
+
+    let upstreams = upstreams(4, Behavior::Answer).await;
+    let entry = start(1, "a", false).await;
+    let core = entry.core();
+    core.apply_instances(HUB, &instances(&upstreams), &[]);
+    core.set_hosts(vec![listed(&entry)]);
+    for parts in [true, false] {
+        let reloaded = Settings {
+            parts,
+            ..(*core.settings()).clone()
+        };
+        core.set_settings(&reloaded);
+        assert_eq!(balancer(&entry, |balancer, _| balancer.has_parts()), parts);
+        check_answered(&entry, 2).await;
+    }
+}
