--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -207,7 +207,7 @@
         let hosts = self.state().hosts.clone();
         self.quotas.set_hosts(self.clock.now(), &settings, &hosts);
         quota::check_bound(self);
-        self.assign_dispatchers(&mut self.state());
+        self.assign_dispatchers(&mut self.state(), None);
     }
 
     /// The current routes; their table has version 0 until one is received.
@@ -323,7 +323,7 @@
                 changed.insert(service);
             }
         }
-        self.update_balancers(&mut state, changed);
+        self.update_balancers(&mut state, &changed);
         let instances_known = !state.instances.is_empty();
         drop(state);
         self.instances_known
@@ -341,17 +341,17 @@
     pub fn retain_reporting_hubs(&self, hubs: &BTreeSet<SocketAddr>) {
         let mut state = self.state();
         let changed = state.instances.retain_reporting_hubs(hubs);
-        self.update_balancers(&mut state, changed.into_iter().collect());
+        self.update_balancers(&mut state, &changed.into_iter().collect());
     }
 
     /// Updates the balancers of the changed services, each once per update.
-    fn update_balancers(&self, state: &mut State, changed: BTreeSet<ServiceName>) {
+    fn update_balancers(&self, state: &mut State, changed: &BTreeSet<ServiceName>) {
         let now = self.clock.now();
         let settings = self.settings();
         let shared = settings.shared_budgets(state.entry_count);
         let domain = &settings.domain;
         for service in changed {
-            let instances = state.instances.of_service(&service);
+            let instances = state.instances.of_service(service);
             let instances =
                 instances.map(|status| evacuate::apply_evacuation(&state.evacuations, status));
             let balancer = state.balancers.entry(service.clone());
@@ -359,11 +359,11 @@
             let balancer = balancer.or_insert_with(new);
             balancer.set_returning(settings.returning);
             balancer.update(now, instances);
-            limits::apply_known_limits(state, &service, now);
-            backoffs::apply_known_backoffs(state, &service, now);
+            limits::apply_known_limits(state, service, now);
+            backoffs::apply_known_backoffs(state, service, now);
         }
         self.set_warmups(state);
-        self.assign_dispatchers(state);
+        self.assign_dispatchers(state, Some(changed));
     }
 
     /// The address of the service's dispatcher, if that is another process.
@@ -447,7 +447,7 @@
             self.quotas
                 .set_hosts(self.clock.now(), &settings, &state.hosts);
             self.set_warmups(&mut state);
-            self.assign_dispatchers(&mut state);
+            self.assign_dispatchers(&mut state, None);
         }
     }
 
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -101,7 +101,7 @@
     let started_at = Instant::now();
     for round in 0.. {
         let probes = core.balancer(service, |balancer, now| {
-            balancer.scoped(&request.scope, |balancer| {
+            balancer.scoped(now, &request.scope, |balancer| {
                 balancer.plan_probes(now, &request.need, &request.exclude, round)
             })
         });
@@ -136,7 +136,7 @@
             core.counters.hopeless(service);
             let remaining = request.remaining.saturating_sub(started_at.elapsed());
             let selection = core.balancer(service, |balancer, now| {
-                balancer.scoped(&request.scope, |balancer| {
+                balancer.scoped(now, &request.scope, |balancer| {
                     balancer.choose(now, &request.need, &request.exclude)
                 })
             });
@@ -165,7 +165,7 @@
     for _ in 0..MAX_YIELDS {
         let selection = core.balancer(service, |balancer, now| {
             let waiting = request.waiting(now, Duration::ZERO, request.max_wait);
-            balancer.scoped(&request.scope, |balancer| {
+            balancer.scoped(now, &request.scope, |balancer| {
                 balancer.choose_fairly(now, &request.need, &request.exclude, &waiting)
             })
         })?;
@@ -212,7 +212,7 @@
         Ok(Err(_)) | Err(_) => return WaitEnd::Nothing,
     };
     let selection = core.balancer(service, |balancer, now| {
-        balancer.scoped(&request.scope, |balancer| {
+        balancer.scoped(now, &request.scope, |balancer| {
             balancer.choose_instance(now, &request.need, pick)
         })
     });
--- a/crates/entry/tests/test_parts.rs
+++ b/crates/entry/tests/test_parts.rs
@@ -9,11 +9,13 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use conf::Reader;
 use dispatch::parts::PartId;
 use entry::Dialect;
 use entry::Entry;
 use entry::Settings;
 use entry::balancer::Balancer;
+use evacuation::EvacuationState;
 use fakes::HUB;
 use fakes::ONCE;
 use fakes::READ;
@@ -290,3 +292,69 @@
     asker.core().set_hosts(vec![listed(asker)]);
     check_answered(asker, 4).await;
 }
+
+/// Guards against asking parts of an evacuated failure domain, and against refusing requests
+/// because the process's own domain is evacuated.
+#[tokio::test]
+async fn test_parts_of_an_evacuated_domain_get_nothing() {
+    let upstreams = upstreams(6, Behavior::Answer).await;
+    let asker = start(1, "a", true).await;
+    let domains = ["a", "a", "a", "b", "b", "b"];
+    let all = instances(&upstreams).into_iter().zip(domains);
+    let all: Vec<Instance> = all
+        .map(|(instance, domain)| Instance {
+            domain: domain.into(),
+            ..instance
+        })
+        .collect();
+    asker.core().apply_instances(HUB, &all, &[]);
+    asker.core().set_hosts(vec![listed(&asker)]);
+    check_answered(&asker, 3).await;
+    let received = |upstreams: &[Upstream]| -> usize {
+        let each = upstreams.iter().map(|u| u.received_requests().len());
+        each.sum()
+    };
+    assert_eq!(received(&upstreams[..3]), 3, "its own failure domain");
+    let mut evacuations = EvacuationState::default();
+    let order = evacuations.order(&DomainName::new("a").expect("a name"), true);
+    evacuations.apply(&order);
+    asker.core().apply_evacuations(HUB, &evacuations.to_wire());
+    check_answered(&asker, 3).await;
+    assert_eq!(received(&upstreams[..3]), 3);
+    assert_eq!(received(&upstreams[3..]), 3);
+}
+
+/// Guards against a setting that isn't read, printed or checked, and against parts that need a
+/// restart of the process.
+#[tokio::test]
+async fn test_parts_setting_is_read_printed_and_reloaded() {
+    let text = |parts: &str| {
+        format!(
+            "[entry]\nhost = e-1\ndomain = a\nregion = r\nfront = 127.0.0.1:80\n\
+             ready = 127.0.0.1:81\nport = 7010\n[place]\nlisten = 127.0.0.1:82\n{parts}"
+        )
+    };
+    let read = |parts: &str| {
+        Settings::read(Reader::parse("entry.ini", &text(parts)).expect("INI"))
+            .map_err(|err| err.to_string())
+    };
+    assert!(!read("").expect("valid").parts);
+    let enabled = read("parts = yes\n").expect("valid");
+    assert!(enabled.parts && enabled.to_string().contains("\nparts = yes\n"));
+    assert!(read("parts = some\n").is_err_and(|err| err.contains("yes or no")));
+
+    let upstreams = upstreams(4, Behavior::Answer).await;
+    let entry = start(1, "a", false).await;
+    let core = entry.core();
+    core.apply_instances(HUB, &instances(&upstreams), &[]);
+    core.set_hosts(vec![listed(&entry)]);
+    for parts in [true, false] {
+        let reloaded = Settings {
+            parts,
+            ..(*core.settings()).clone()
+        };
+        core.set_settings(&reloaded);
+        assert_eq!(balancer(&entry, |balancer, _| balancer.has_parts()), parts);
+        check_answered(&entry, 2).await;
+    }
+}
