attempt, route, entry: abandons attempts at unresponsive instances

An instance that can't queue a request never answers it, nor anything later on that connection, so the request waited for its deadline.

An attempt of an idempotent request is checked once it is later than 95 % of its route's responses. It is abandoned if two reports in a row, requested after it was sent, count no request at the instance, or after a time limit from the distribution of the route's responses. That needs an instance that takes the request now, time for the work, and a retry from the budget; otherwise the attempt goes on. The connection is closed, and the instance counts as full for 300 ms, doubled with each further loss; it isn't ejected.

Requests of kind once are sent only by a report younger than 150 ms, by a dispatcher's grant, or without any report within the process's share of all slots. A process with fewer than 10 probes a second treats an old report as none.

--- a/crates/attempt/src/lib.rs
+++ b/crates/attempt/src/lib.rs
@@ -13,9 +13,11 @@
 pub mod action;
 pub mod budget;
 pub mod call;
+pub mod distribution;
 pub mod event;
 pub mod latency;
 pub mod service;
+pub mod silence;
 pub mod timing;
 
 pub use action::Action;
@@ -27,6 +29,7 @@
 pub use budget::BudgetSettings;
 pub use call::Call;
 pub use call::CallContext;
+pub use distribution::Distribution;
 pub use event::AttemptError;
 pub use event::Event;
 pub use event::Head;
--- a/crates/entry/src/balancer.rs
+++ b/crates/entry/src/balancer.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod dispatch;
 mod limit;
+mod silence;
 
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/crates/entry/src/balancer/dispatch.rs
+++ b/crates/entry/src/balancer/dispatch.rs
@@ -5,6 +5,7 @@
 
 use ::dispatch::DispatcherLocation;
 use base::prelude::*;
+use route::Evidence;
 use route::LoadReport;
 use route::Need;
 use route::OutcomeKind;
@@ -58,6 +59,8 @@
             crossing: ask.crossing,
             max_occupancy: ask.room,
             domain_index: self.chooser.domain_index(domain),
+            // The dispatcher knows the requests that it has granted.
+            evidence: Evidence::Any,
         }
     }
 
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -44,6 +44,17 @@
             .send();
     }
 
+    /// Counts an attempt that had no response in time; `outcome` is whether it was abandoned, and
+    /// why not.
+    pub fn silent(&self, service: &ServiceName, outcome: &str, cause: &str) {
+        self.client
+            .count_with_tags("entry.attempts.silent", 1)
+            .with_tag("service", service.as_str())
+            .with_tag("outcome", outcome)
+            .with_tag("cause", cause)
+            .send();
+    }
+
     /// Counts a response that broke off after its head was forwarded.
     pub fn response_aborted(&self, service: &ServiceName) {
         self.client
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -22,8 +22,10 @@
 use route::Ticket;
 use slog::info;
 use strum::IntoStaticStr;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::balancer::SelectedInstance;
 use crate::body;
 use crate::body::ForwardedBody;
 use crate::body::ReadBody;
@@ -105,6 +107,16 @@
     Elsewhere,
     /// The request may have been processed.
     Unknown,
+    /// The instance has probably lost the request. The attempt at this other instance is paid for.
+    Abandoned(Box<SelectedInstance>),
+}
+
+impl AttemptEnd {
+    /// Whether an instance may have processed the request.
+    #[must_use]
+    pub fn may_have_run(&self) -> bool {
+        matches!(self, Self::Answer(..) | Self::Unknown | Self::Abandoned(_))
+    }
 }
 
 /// Accounting of an attempt in the balancer. If dropped, the attempt was abandoned by the
@@ -145,15 +157,20 @@
     }
 }
 
-/// Sends `request` to `upstream` and reads the response.
-pub async fn attempt(
+/// Sends `request` to `upstream` and reads the response. `abandon` is given the time at which the
+/// request is sent, and completes if the attempt is to be abandoned.
+pub async fn attempt<A>(
     core: &Arc<Core>,
     upstream: &Arc<Upstream>,
     reservation: Reservation,
     request: &ForwardedRequest,
     body: ForwardedBody,
     timeouts: AttemptTimeouts,
-) -> AttemptEnd {
+    abandon: impl FnOnce(watch::Receiver<Option<Moment>>) -> A,
+) -> AttemptEnd
+where
+    A: Future<Output = Box<SelectedInstance>>,
+{
     let mut running = RunningAttempt {
         core: Arc::clone(core),
         service: upstream.service.clone(),
@@ -169,7 +186,20 @@
         return AttemptEnd::Unsent;
     };
     let cause = request.id.to_str().unwrap_or("-");
-    let (response, connection) = match send::send(core, upstream, sent, cause).await {
+    let (written_at, receiver) = watch::channel(None);
+    let record_sent = || {
+        written_at.send_replace(Some(core.clock.now()));
+    };
+    let send_end = tokio::select! {
+        biased;
+        end = send::send(core, upstream, sent, cause, record_sent) => end,
+        // The connection is closed, as its instance answers nothing more on it.
+        next = abandon(receiver) => {
+            running.end(OutcomeKind::Abandoned, None);
+            return AttemptEnd::Abandoned(next);
+        }
+    };
+    let (response, connection) = match send_end {
         SendEnd::Response(response, connection) => (response, connection),
         SendEnd::Withheld => {
             running.end(OutcomeKind::Cancelled, None);
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod relay;
 mod response;
+mod silence;
 mod workspace;
 
 use std::net::IpAddr;
@@ -28,6 +29,7 @@
 
 use self::limits::RequestLimits;
 use crate::balancer::Balancer;
+use crate::balancer::SelectedInstance;
 use crate::body;
 use crate::body::Content;
 use crate::body::ForwardedBody;
@@ -95,6 +97,8 @@
     counted: bool,
     unsent: u32,
     exclude: Vec<Pick>,
+    /// The instance of the next attempt, if it is known already.
+    next_instance: Option<SelectedInstance>,
     /// Whether an instance may have processed the request.
     may_have_run: bool,
     last_attempt: Option<Attempt>,
@@ -195,6 +199,7 @@
         is_suspected: false,
         unsent: 0,
         exclude: Vec::new(),
+        next_instance: None,
         may_have_run: false,
         last_attempt: None,
         responder: None,
@@ -284,7 +289,10 @@
     /// Makes one attempt.
     async fn attempt(&mut self, body: ForwardedBody) -> Result<AttemptEnd, Reason> {
         self.check_quarantine().await?;
-        let chosen = self.choose_while_buffering(&body).await?;
+        let chosen = match self.next_instance.take() {
+            Some(chosen) => chosen,
+            None => self.choose_while_buffering(&body).await?,
+        };
         // The request may have been quarantined while it waited for capacity.
         self.check_quarantine().await?;
         let pick = chosen.choice.pick;
@@ -303,6 +311,7 @@
             }),
             "cost" => format!("{:.3}", chosen.choice.cost),
             "left_ms" => millis(remaining));
+        let watch = self.watch(&chosen, &body);
         let ticket = self.balancer(|balancer, now| balancer.start_attempt(now, pick));
         let reservation = Reservation {
             ticket: ticket.ok_or(Reason::NoInstance)?,
@@ -322,15 +331,24 @@
             unresponsive_after: chosen.choice.expected.mul_f64(UNRESPONSIVE_FACTOR),
         };
         let upstream = &chosen.upstream;
-        let end =
-            exchange::attempt(&core, upstream, reservation, &self.request, body, timeouts).await;
-        self.may_have_run =
-            may_have_run_before || matches!(end, AttemptEnd::Answer(..) | AttemptEnd::Unknown);
+        let request = &self.request;
+        let end = exchange::attempt(
+            &core,
+            upstream,
+            reservation,
+            request,
+            body,
+            timeouts,
+            |sent_at| self.wait_until_abandoned(watch, sent_at),
+        )
+        .await;
+        self.may_have_run = may_have_run_before || end.may_have_run();
         self.log_attempt(&end, sent_at.elapsed());
         self.record_end(&end, upstream, sent_at).await;
         if matches!(end, AttemptEnd::Elsewhere) {
             self.balancer(|balancer, _| balancer.record_displaced(pick));
         }
+        self.record_head(&end, &chosen.choice, sent_at.elapsed());
         if let AttemptEnd::Answer(parts, UpstreamBody::Whole(bytes)) = &end
             && parts.status.is_success()
         {
@@ -343,6 +361,14 @@
         Ok(end)
     }
 
+    /// Records the time until the head of a successful response.
+    fn record_head(&self, end: &AttemptEnd, choice: &ScoredChoice, latency: Duration) {
+        if matches!(end, AttemptEnd::Answer(parts, _) if parts.status.is_success()) {
+            self.core
+                .route_stats(&self.route, |stats| stats.record_head(latency, choice));
+        }
+    }
+
     /// Logs an attempt that failed; a successful one appears in the request's own line.
     fn log_attempt(&self, end: &AttemptEnd, elapsed: Duration) {
         let status = match end {
@@ -379,6 +405,10 @@
                 self.failed_response = Some((parts, body));
                 true
             }
+            Ok(AttemptEnd::Abandoned(next)) => {
+                self.next_instance = Some(*next);
+                true
+            }
             Ok(AttemptEnd::Unknown) => !once && self.may_retry(retry_body.is_some()),
             Ok(AttemptEnd::Unsent | AttemptEnd::Withheld) => {
                 self.attempts -= 1;
--- a/crates/entry/src/flow/choice.rs
+++ b/crates/entry/src/flow/choice.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use route::DomainIndex;
+use route::Evidence;
 use route::Need;
+use table::Kind;
 use tokio::time::Instant;
 
 use super::Flow;
@@ -67,7 +69,11 @@
     }
 
     /// Searches once, through the dispatcher if there is one and `ask_dispatcher` is set.
-    async fn find_instance(&self, request: &SearchRequest, ask_dispatcher: bool) -> SearchResult {
+    pub(super) async fn find_instance(
+        &self,
+        request: &SearchRequest,
+        ask_dispatcher: bool,
+    ) -> SearchResult {
         // Nothing that the dispatcher grants could be used while all are backed off.
         let ask_dispatcher = ask_dispatcher && !self.all_are_backed_off();
         let dispatcher = self.core.dispatcher(&self.service);
@@ -88,7 +94,7 @@
     }
 
     /// The current requirements of the next attempt. A late request yields to all others.
-    fn search_request(&self) -> SearchRequest {
+    pub(super) fn search_request(&self) -> SearchRequest {
         SearchRequest {
             need: self.need(),
             priority: workspace::priority(&self.route, self.workspace.as_deref())
@@ -116,7 +122,7 @@
     }
 
     /// Usual work time of the route.
-    fn work_time(&self) -> Duration {
+    pub(super) fn work_time(&self) -> Duration {
         self.core
             .route_stats(&self.route, |stats| stats.work_time())
     }
@@ -140,6 +146,17 @@
                 1.0
             },
             domain_index: DomainIndex::OWN,
+            evidence: self.evidence(),
         }
     }
+
+    /// What must be known of an instance. One that can't queue a request never answers it, and one
+    /// that may run only once is lost then.
+    fn evidence(&self) -> Evidence {
+        if self.route.kind != Kind::Once {
+            return Evidence::Any;
+        }
+        self.balancer(|balancer, _| balancer.evidence_for_once())
+            .unwrap_or_default()
+    }
 }
--- a/crates/entry/src/placement/convert.rs
+++ b/crates/entry/src/placement/convert.rs
@@ -41,6 +41,7 @@
         OutcomeKind::Timeout => WireKind::Timeout,
         OutcomeKind::ConnectFailed => WireKind::ConnectFailed,
         OutcomeKind::Cancelled => WireKind::Cancelled,
+        OutcomeKind::Abandoned => WireKind::Abandoned,
     }
 }
 
@@ -51,6 +52,7 @@
         WireKind::Shed => OutcomeKind::Shed,
         WireKind::Timeout => OutcomeKind::Timeout,
         WireKind::ConnectFailed => OutcomeKind::ConnectFailed,
+        WireKind::Abandoned => OutcomeKind::Abandoned,
         WireKind::Cancelled | WireKind::Unspecified => OutcomeKind::Cancelled,
     }
 }
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -72,32 +72,7 @@
         let service = service.clone();
         let sender = sender.clone();
         tokio::spawn(async move {
-            let probe = tokio::time::timeout(PROBE_TIMEOUT, probe(&core, &upstream));
-            let report = match probe.await {
-                Ok(ProbeResult::Load(report, cold)) => {
-                    if let Some(remaining) = cold {
-                        core.balancer(&service, |balancer, now| {
-                            balancer.record_cold(now, pick, remaining);
-                        });
-                    }
-                    Some(report)
-                }
-                Ok(ProbeResult::OtherInstance) => {
-                    info!(core.log, "address taken over"; "instance" => %upstream.id,
-                        "service" => %service, "address" => %upstream.address);
-                    core.balancer(&service, |balancer, _| balancer.record_displaced(pick));
-                    None
-                }
-                Ok(ProbeResult::Failed) => None,
-                Err(_) => {
-                    path::record_unreachable(&core, &upstream);
-                    None
-                }
-            };
-            core.counters.probe(&service, report.is_some());
-            core.balancer(&service, |balancer, now| {
-                balancer.record_probe(now, pick, report);
-            });
+            run_probe(&core, &service, pick, &upstream).await;
             // The receiver is gone once the selection no longer waits.
             let _ = sender.try_send(());
         });
@@ -112,6 +87,54 @@
     let _ = tokio::time::timeout(MAX_WAIT, all).await;
 }
 
+/// Probes one instance. The probe goes on if the caller no longer waits for the report.
+pub async fn probe_instance(
+    core: &Arc<Core>,
+    pick: Pick,
+    upstream: &Arc<Upstream>,
+) -> Option<LoadReport> {
+    let (core, upstream) = (Arc::clone(core), Arc::clone(upstream));
+    let probe =
+        tokio::spawn(async move { run_probe(&core, &upstream.service, pick, &upstream).await });
+    probe.await.ok().flatten()
+}
+
+/// Sends one probe and records its result.
+async fn run_probe(
+    core: &Arc<Core>,
+    service: &ServiceName,
+    pick: Pick,
+    upstream: &Arc<Upstream>,
+) -> Option<LoadReport> {
+    let probe = tokio::time::timeout(PROBE_TIMEOUT, probe(core, upstream));
+    let report = match probe.await {
+        Ok(ProbeResult::Load(report, cold)) => {
+            if let Some(remaining) = cold {
+                core.balancer(service, |balancer, now| {
+                    balancer.record_cold(now, pick, remaining);
+                });
+            }
+            Some(report)
+        }
+        Ok(ProbeResult::OtherInstance) => {
+            info!(core.log, "address taken over"; "instance" => %upstream.id,
+                "service" => %service, "address" => %upstream.address);
+            core.balancer(service, |balancer, _| balancer.record_displaced(pick));
+            None
+        }
+        Ok(ProbeResult::Failed) => None,
+        Err(_) => {
+            path::record_unreachable(core, upstream);
+            None
+        }
+    };
+    core.counters.probe(service, report.is_some());
+    core.balancer(service, |balancer, now| {
+        balancer.record_probe(now, pick, report);
+    });
+    report
+}
+
 /// Result of a probe.
 enum ProbeResult {
     /// The instance's load, and how much longer it is cold, if reported.
@@ -156,7 +179,7 @@
 ) -> Option<(Response<Incoming>, Connection)> {
     let path = core.health_path(&upstream.service)?;
     let request = build_request(core, upstream, &path)?;
-    match send::send(core, upstream, request, PROBE_CAUSE).await {
+    match send::send(core, upstream, request, PROBE_CAUSE, || {}).await {
         SendEnd::Response(response, connection) => Some((response, connection)),
         SendEnd::Withheld | SendEnd::Unsent | SendEnd::Broken => None,
     }
--- a/crates/entry/src/route_stats.rs
+++ b/crates/entry/src/route_stats.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use attempt::Distribution;
+use attempt::silence::Limits;
 use base::prelude::*;
 use route::ScoredChoice;
 
@@ -30,6 +32,8 @@
     bytes: f64,
     timeout: Option<Duration>,
     caller_times: RemainingTime,
+    /// Times until the heads of successful responses.
+    distribution: Distribution,
 }
 
 impl RouteStats {
@@ -41,6 +45,7 @@
             bytes: INITIAL_BYTES,
             timeout,
             caller_times: RemainingTime::default(),
+            distribution: Distribution::default(),
         }
     }
 
@@ -65,6 +70,17 @@
         spent
     }
 
+    /// Records the time until the head of a successful response.
+    pub fn record_head(&mut self, latency: Duration, choice: &ScoredChoice) {
+        self.distribution.record(latency, choice.expected);
+    }
+
+    /// When an attempt that is expected to take `expected` is checked and abandoned.
+    #[must_use]
+    pub fn silence_limits(&self, expected: Duration) -> Limits {
+        Limits::new(expected, &self.distribution)
+    }
+
     /// Records the latency of a response. The expected slowdown of the instance is taken out.
     pub fn record_response(&mut self, latency: Duration, choice: &ScoredChoice, bytes: u64) {
         let slowdown = choice.expected.as_secs_f64() / self.work.max(1e-4);
--- a/crates/entry/src/send.rs
+++ b/crates/entry/src/send.rs
@@ -33,12 +33,13 @@
 }
 
 /// Sends a request to the instance on a pooled or a new connection. `cause` names the request in
-/// the log.
+/// the log, and `record_sent` is called right before the request is written.
 pub async fn send(
     core: &Arc<Core>,
     upstream: &Arc<Upstream>,
     mut request: Request<ForwardedBody>,
     cause: &str,
+    record_sent: impl Fn(),
 ) -> SendEnd {
     let interim = {
         let (core, upstream, cause) = (Arc::clone(core), Arc::clone(upstream), cause.to_owned());
@@ -59,6 +60,7 @@
             upstream.pool.keep(connection, None);
             return SendEnd::Withheld;
         }
+        record_sent();
         let sent = tokio::select! {
             biased;
             sent = connection.sender.try_send_request(request) => sent,
--- a/crates/entry/tests/fakes/upstream.rs
+++ b/crates/entry/tests/fakes/upstream.rs
@@ -66,6 +66,9 @@
     Twice,
     /// Never answers.
     Hang,
+    /// Holds requests up to its capacity until a signal. Never answers others, nor anything later
+    /// on their connections.
+    Queue,
     /// Answers without a length and closes the connection.
     Unframed,
     /// Refuses the request after its head, and reads its body.
@@ -126,6 +129,14 @@
     connections: watch::Sender<usize>,
     /// Whether the rest of halved responses may be sent.
     rest_allowed: watch::Sender<bool>,
+    /// Number of requests that other processes have sent.
+    others: watch::Sender<usize>,
+    /// Number of requests that it holds at most.
+    capacity: watch::Sender<usize>,
+    /// Number of requests that it holds.
+    held: watch::Sender<usize>,
+    /// Number of held requests whose caller disconnected.
+    aborted: watch::Sender<usize>,
     /// Whether a request has crashed the upstream.
     crashed: watch::Sender<bool>,
     /// Whether the listener is closed.
@@ -158,6 +169,10 @@
             body_bytes: watch::Sender::default(),
             connections: watch::Sender::default(),
             rest_allowed: watch::Sender::default(),
+            others: watch::Sender::default(),
+            capacity: watch::Sender::default(),
+            held: watch::Sender::default(),
+            aborted: watch::Sender::default(),
             crashed: watch::Sender::default(),
             is_closed: watch::Sender::default(),
         });
@@ -232,7 +247,18 @@
         *self.shared.connections.borrow()
     }
 
-    /// Lets the rest of halved responses be sent.
+    /// Sets how many requests it holds at most, and how many of other processes it reports.
+    pub fn set_capacity(&self, capacity: usize, others: usize) {
+        self.shared.capacity.send_replace(capacity);
+        self.shared.others.send_replace(others);
+    }
+
+    /// Number of held requests whose caller disconnected.
+    pub fn aborted(&self) -> usize {
+        *self.shared.aborted.borrow()
+    }
+
+    /// Lets the rest of halved responses, and the responses to held requests, be sent.
     pub fn send_rest(&self) {
         self.shared.rest_allowed.send_replace(true);
     }
@@ -349,8 +375,9 @@
 ) -> bool {
     let id = request.header("rwr-request-id").unwrap_or_default();
     let own = format!(
-        "rwr-request-id: {id}\r\nrwr-instance: {}\r\nrwr-load: 0/6\r\nsignature: s-{id}\r\n",
-        shared.id
+        "rwr-request-id: {id}\r\nrwr-instance: {}\r\nrwr-load: {}/6\r\nsignature: s-{id}\r\n",
+        shared.id,
+        *shared.held.borrow() + *shared.others.borrow(),
     );
     let mut body = format!("answer to {id} by {}", shared.id);
     if matches!(behavior, Behavior::Halves | Behavior::HalfThenClose) {
@@ -362,6 +389,7 @@
     );
     let text = match behavior {
         Behavior::Answer => answer,
+        Behavior::Queue if hold(stream, shared).await => answer,
         Behavior::Fail => answer.replace("200 OK", "500 Internal Server Error"),
         Behavior::Shed => format!(
             "HTTP/1.1 503 Service Unavailable\r\n{own}rwr-shed: 1\r\ncontent-length: 0\r\n\r\n"
@@ -378,7 +406,7 @@
         Behavior::Truncate => answer[..answer.len() - 4].to_owned(),
         Behavior::WrongId => answer.replace(&id, "another"),
         Behavior::Twice => format!("{answer}{answer}"),
-        Behavior::Hang => {
+        Behavior::Hang | Behavior::Queue => {
             let mut byte = [0];
             // Completes when the peer disconnects.
             let _ = stream.read(&mut byte).await;
@@ -446,6 +474,31 @@
     !matches!(behavior, Behavior::Truncate | Behavior::Unframed)
 }
 
+/// Holds a request until it may be answered. Returns false if there was no room for it, or its
+/// caller has disconnected.
+async fn hold(stream: &mut TcpStream, shared: &Shared) -> bool {
+    let capacity = *shared.capacity.borrow();
+    let has_room = shared.held.send_if_modified(|held| {
+        let has_room = *held < capacity;
+        *held += usize::from(has_room);
+        has_room
+    });
+    if !has_room {
+        return false;
+    }
+    let mut rest = shared.rest_allowed.subscribe();
+    let mut byte = [0];
+    let answered = tokio::select! {
+        _ = rest.wait_for(|rest| *rest) => true,
+        _ = stream.read(&mut byte) => false,
+    };
+    shared.held.send_modify(|held| *held -= 1);
+    shared
+        .aborted
+        .send_modify(|count| *count += usize::from(!answered));
+    answered
+}
+
 /// Sends `start`, and then `part` again and again until the caller disconnects.
 async fn send_endlessly(stream: &mut TcpStream, shared: &Shared, start: &str, part: &str) -> bool {
     let batch = part.repeat(ENDLESS_BATCH);
--- a/crates/entry/tests/simulation/mod.rs
+++ b/crates/entry/tests/simulation/mod.rs
@@ -26,6 +26,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use route::DomainIndex;
+use route::Evidence;
 use route::LoadReport;
 use route::Need;
 use route::OutcomeKind;
@@ -244,6 +245,7 @@
             crossing: 0.0,
             max_occupancy: 1.0,
             domain_index: DomainIndex::OWN,
+            evidence: Evidence::Any,
         }
     }
 
--- a/crates/entry/tests/test_backoff.rs
+++ b/crates/entry/tests/test_backoff.rs
@@ -230,12 +230,12 @@
     let core = entry.core();
     let selected = &selected(&upstreams[0], &entry);
     let request = || Request::new(ForwardedBody::Whole(None));
-    let end = send::send(core, selected, request(), "r-1").await;
+    let end = send::send(core, selected, request(), "r-1", || {}).await;
     assert!(matches!(end, SendEnd::Response(..)));
     let mut headers = HeaderMap::new();
     headers.insert("retry-after", HeaderValue::from_static("600"));
     core.record_notices(selected, StatusCode::SERVICE_UNAVAILABLE, &headers, "r-0");
-    let end = send::send(core, selected, request(), "r-2").await;
+    let end = send::send(core, selected, request(), "r-2", || {}).await;
     assert!(matches!(end, SendEnd::Withheld));
     assert_eq!(received(&upstreams[0]), 1);
 }
--- a/crates/measure/src/allowance.rs
+++ b/crates/measure/src/allowance.rs
@@ -40,6 +40,12 @@
         self.saved = self.saved.min(self.max_saved());
     }
 
+    /// Probes per second.
+    #[must_use]
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
     /// Takes up to `count` probes and returns how many may be sent now.
     pub fn take(&mut self, now: Moment, count: usize) -> usize {
         self.fill(now);
--- a/crates/route/src/cost.rs
+++ b/crates/route/src/cost.rs
@@ -97,6 +97,20 @@
     pub max_occupancy: f64,
     /// Failure domain that the response is sent to.
     pub domain_index: DomainIndex,
+    /// What must be known of an instance's free slots.
+    pub evidence: Evidence,
+}
+
+/// What must be known of an instance's free slots before a request is sent there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Evidence {
+    /// A report of any age, or none within the process's share of all slots.
+    #[default]
+    Any,
+    /// A young report; an older one counts as none.
+    Share,
+    /// A young report, or none since this process started, within its share of all slots.
+    Report,
 }
 
 /// Index of a failure domain in a chooser.
--- a/crates/route/src/entry.rs
+++ b/crates/route/src/entry.rs
@@ -267,7 +267,7 @@
                 self.health.trial_cancelled();
                 Verdict::Unchanged
             }
-            OutcomeKind::Cancelled => {
+            OutcomeKind::Cancelled | OutcomeKind::Abandoned => {
                 self.record_unanswered(now, outcome.latency, averages);
                 self.health.trial_cancelled();
                 Verdict::Unchanged
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -26,6 +26,7 @@
 
 pub use chooser::Chooser;
 pub use cost::DomainIndex;
+pub use cost::Evidence;
 pub use cost::Need;
 pub use instance::Instance;
 pub use instance::Phase;
--- a/crates/route/src/outcome.rs
+++ b/crates/route/src/outcome.rs
@@ -22,6 +22,8 @@
     ConnectFailed,
     /// Cancelled by the gateway or the caller; only its duration so far counts.
     Cancelled,
+    /// Abandoned because the instance has probably lost the request.
+    Abandoned,
 }
 
 /// Load reported on a response, without the answered request.
--- a/crates/route/src/probing.rs
+++ b/crates/route/src/probing.rs
@@ -14,6 +14,7 @@
 mod cold;
 mod entry;
 mod limit;
+mod loss;
 mod results;
 mod sending;
 mod table;
@@ -26,6 +27,7 @@
 use rand::rngs::SmallRng;
 
 use crate::cost;
+use crate::cost::Evidence;
 use crate::cost::Need;
 use crate::instance::Pick;
 use crate::outcome::LoadReport;
@@ -158,6 +160,10 @@
         round: u32,
         allow: impl FnOnce(usize) -> usize,
     ) -> Vec<Pick> {
+        let trial = self.unconfirmed_trial(now, need, exclude);
+        if let Some(pick) = trial.filter(|_| round == 0) {
+            return self.begin_probes(vec![pick], allow);
+        }
         let cheapest = self.cheapest(now, need, exclude, MAX_FRESH_AGE);
         let enough =
             cheapest.is_some_and(|(index, cost)| self.is_enough(now, need, index, cost, round));
@@ -194,9 +200,18 @@
             ));
         }
         candidates.sort_by(|a, b| a.1.total_cmp(&b.1));
-        let count = allow(candidates.len().min(PROBES_PER_ROUND));
-        let planned = candidates.into_iter().take(count);
-        let picks: Vec<Pick> = planned.map(|(index, _)| self.pick(index)).collect();
+        let planned = candidates.into_iter().take(PROBES_PER_ROUND);
+        let picks = planned.map(|(index, _)| self.pick(index)).collect();
+        self.begin_probes(picks, allow)
+    }
+
+    /// Counts as many of the probes as may be sent, and returns these.
+    fn begin_probes(
+        &mut self,
+        mut picks: Vec<Pick>,
+        allow: impl FnOnce(usize) -> usize,
+    ) -> Vec<Pick> {
+        picks.truncate(allow(picks.len()));
         for pick in &picks {
             self.entries[pick.index as usize].probes_in_flight += 1;
         }
@@ -212,7 +227,8 @@
 
     /// Chooses an instance, outside of `exclude` where possible.
     pub fn choose(&mut self, now: Moment, need: &Need, exclude: &[Pick]) -> Decision {
-        if let Some(index) = self.trial(now, exclude) {
+        let trial = self.due_trial(now, exclude);
+        if let Some(index) = trial.filter(|index| self.has_evidence(now, need, *index)) {
             self.entries[index].health.begin_trial(now);
             return Decision::Send(self.scored(now, need, index, Reason::Trial));
         }
@@ -227,12 +243,13 @@
         let any = self.cheapest(now, need, exclude, Duration::MAX);
         match any {
             Some((index, _))
-                if self.may_send_blind(now, index)
+                if self.may_send_blind(now, need.evidence, index)
                     && self.entries[index].has_room(now, self.averages, need.max_occupancy) =>
             {
                 return self.decide(now, need, index, Reason::Stale);
             }
             Some(_) => return Decision::Wait,
+            None if self.is_any_full(now, exclude) => return Decision::Wait,
             None => {}
         }
         self.choose_panic(now, need, exclude)
@@ -241,9 +258,13 @@
     /// Whether a request may be sent on an old report, or on none. To instances that never
     /// reported, each process sends no more than its share of all slots; otherwise the requests
     /// that arrive at all processes after a restart would overload them.
-    fn may_send_blind(&self, now: Moment, index: usize) -> bool {
+    fn may_send_blind(&self, now: Moment, evidence: Evidence, index: usize) -> bool {
         if self.entries[index].report.is_some() {
-            return true;
+            match evidence {
+                Evidence::Any => return true,
+                Evidence::Share => {}
+                Evidence::Report => return false,
+            }
         }
         let ready = self.entries.iter().filter(|entry| entry.is_ready());
         let usable = ready.filter(|entry| !entry.backoff.is_on(now));
@@ -260,7 +281,8 @@
             .entries
             .get(index)
             .is_some_and(|entry| entry.generation == pick.generation);
-        if known && self.is_usable(now, index, &[]) {
+        let may_send = || self.is_usable(now, index, &[]) && self.has_evidence(now, need, index);
+        if known && may_send() {
             self.decide(now, need, index, Reason::Fresh)
         } else {
             Decision::Wait
@@ -274,6 +296,7 @@
         entry.is_some_and(|entry| {
             entry.generation == pick.generation
                 && !entry.backoff.is_on(now)
+                && !entry.loss.is_full(now)
                 && entry.has_room(now, self.averages, 1.0)
         })
     }
@@ -294,7 +317,7 @@
             .copied()
             .filter(|i| !exclude.contains(&self.pick(*i)))
             .collect();
-        let candidates = if preferred.is_empty() {
+        let mut candidates = if preferred.is_empty() {
             picks
         } else {
             preferred
@@ -302,6 +325,10 @@
         if candidates.is_empty() {
             return Decision::None;
         }
+        candidates.retain(|index| self.has_evidence(now, need, *index));
+        if candidates.is_empty() {
+            return Decision::Wait;
+        }
         let index = candidates[self.rng.random_range(0..candidates.len())];
         Decision::Send(self.scored(now, need, index, Reason::Panic))
     }
@@ -370,6 +397,11 @@
     }
 
     fn is_usable(&self, now: Moment, index: usize, exclude: &[Pick]) -> bool {
+        !self.entries[index].loss.is_full(now) && self.would_be_usable(now, index, exclude)
+    }
+
+    /// Whether the instance is usable unless it counts as full because of a loss.
+    fn would_be_usable(&self, now: Moment, index: usize, exclude: &[Pick]) -> bool {
         let entry = &self.entries[index];
         entry.is_ready()
             && entry.health.takes_traffic()
@@ -378,7 +410,7 @@
     }
 
     /// An ejected instance due for a trial request. Retries are not used as trials.
-    fn trial(&self, now: Moment, exclude: &[Pick]) -> Option<usize> {
+    fn due_trial(&self, now: Moment, exclude: &[Pick]) -> Option<usize> {
         if !exclude.is_empty() {
             return None;
         }
--- a/crates/route/src/probing/entry.rs
+++ b/crates/route/src/probing/entry.rs
@@ -15,6 +15,7 @@
 use crate::outcome::LoadReport;
 
 use super::limit::Limit;
+use super::loss::Loss;
 
 /// Age below which a report counts as fresh: short beside the duration of a pace, about as
 /// long as the interval between a service's requests.
@@ -41,6 +42,7 @@
     /// The limit that it names for all processes together.
     pub(super) limit: Option<Limit>,
     pub(super) backoff: Backoff,
+    pub(super) loss: Loss,
     /// Start times of this process's latest attempts there.
     pub(super) recent_starts: VecDeque<Moment>,
     pub(super) probes_in_flight: u32,
@@ -165,6 +167,8 @@
     /// Requests per slot.
     pub(super) load: f64,
     pub(super) pace_stats: PaceStats,
+    /// Whether any report has counted a request.
+    pub(super) counts_requests: bool,
 }
 
 impl Default for ServiceAverages {
@@ -172,6 +176,7 @@
         Self {
             load: INITIAL_LOAD,
             pace_stats: PaceStats::default(),
+            counts_requests: false,
         }
     }
 }
--- a/crates/route/src/probing/results.rs
+++ b/crates/route/src/probing/results.rs
@@ -116,6 +116,7 @@
         entry.backoff.record_end(now, kind);
         let eject_cause = match kind {
             OutcomeKind::Ok => {
+                entry.loss.record_response();
                 entry.health.record_success(now);
                 let _ = entry.health.ramp_progress(now, RAMP);
                 None
@@ -128,6 +129,11 @@
                 .health
                 .record_failure(now, Cause::Silence)
                 .then_some(Cause::Silence),
+            OutcomeKind::Abandoned => {
+                entry.loss.record_loss(now);
+                entry.health.trial_cancelled();
+                None
+            }
             OutcomeKind::Shed | OutcomeKind::Cancelled => {
                 entry.health.trial_cancelled();
                 None
@@ -146,6 +152,7 @@
         let load = f64::from(report.running + report.waiting) / slots;
         self.averages.load += (load - self.averages.load) * LOAD_WEIGHT;
         self.averages.pace_stats.observe(report.pace);
+        self.averages.counts_requests |= report.running + report.waiting > 0;
     }
 
     /// Ejects the instance unless too many ready instances are ejected already.
--- a/crates/route/src/probing/table.rs
+++ b/crates/route/src/probing/table.rs
@@ -16,6 +16,7 @@
 use super::entry::Presence;
 use super::entry::Share;
 use super::entry::Subset;
+use super::loss::Loss;
 use crate::backoff::Backoff;
 use crate::cost::DomainIndex;
 use crate::health::Health;
@@ -114,6 +115,7 @@
             share: Share::default(),
             limit: None,
             backoff: Backoff::default(),
+            loss: Loss::default(),
             recent_starts: VecDeque::new(),
             probes_in_flight: 0,
             last_probe_failed: false,
--- a/crates/route/tests/test_backoff.rs
+++ b/crates/route/tests/test_backoff.rs
@@ -6,6 +6,7 @@
 use quickcheck::quickcheck;
 use route::Decision;
 use route::DomainIndex;
+use route::Evidence;
 use route::Instance;
 use route::LoadReport;
 use route::Need;
@@ -21,6 +22,7 @@
     crossing: 0.05,
     max_occupancy: 1.0,
     domain_index: DomainIndex::OWN,
+    evidence: Evidence::Any,
 };
 /// An instance that refuses everything looks like this to a probe.
 const IDLE: LoadReport = LoadReport {
--- a/crates/route/tests/test_probing.rs
+++ b/crates/route/tests/test_probing.rs
@@ -7,6 +7,7 @@
 use quickcheck::quickcheck;
 use route::Decision;
 use route::DomainIndex;
+use route::Evidence;
 use route::Instance;
 use route::LoadReport;
 use route::Need;
@@ -25,6 +26,7 @@
     crossing: 0.05,
     max_occupancy: 1.0,
     domain_index: DomainIndex::OWN,
+    evidence: Evidence::Any,
 };
 
 fn domain(name: &str) -> DomainName {
@@ -450,3 +452,65 @@
     }
     assert!(names.len() >= 8, "{names:?}");
 }
+
+/// Guards against requests that may run only once and are sent to instances that may be full.
+#[test]
+fn test_probing_sends_once_only_by_a_young_report() {
+    let once = Need {
+        evidence: Evidence::Report,
+        ..NEED
+    };
+    let mut chooser = chooser(&["i-1", "i-2"].map(|id| instance(id, "a")));
+    probe_until_decided(&mut chooser, at(0), |_| Some(report(1, 0, 100)));
+    assert!(matches!(
+        chooser.choose(at(100), &once, &[]),
+        Decision::Send(_)
+    ));
+    assert_eq!(chooser.choose(at(300), &once, &[]), Decision::Wait);
+    assert!(matches!(
+        chooser.choose(at(300), &NEED, &[]),
+        Decision::Send(_)
+    ));
+}
+
+/// Guards against all processes together sending more than the slots after a restart.
+#[test]
+fn test_probing_sends_once_blindly_within_its_share() {
+    for evidence in [Evidence::Report, Evidence::Share] {
+        let once = Need { evidence, ..NEED };
+        let mut chooser = chooser(&["i-1", "i-2"].map(|id| instance(id, "a")));
+        chooser.set_processes(4);
+        for _ in 0..3 {
+            let Decision::Send(choice) = chooser.choose(at(0), &once, &[]) else {
+                panic!("within its share");
+            };
+            let _ = chooser.started(at(0), choice.pick);
+        }
+        assert_eq!(chooser.choose(at(0), &once, &[]), Decision::Wait);
+    }
+}
+
+/// Guards against further requests to an instance that has just lost one, and against its
+/// ejection.
+#[test]
+fn test_probing_counts_an_instance_as_full_after_a_loss() {
+    let mut chooser = chooser(&["i-1", "i-2"].map(|id| instance(id, "a")));
+    let load = |id: &str| Some(report(if id == "i-1" { 0 } else { 4 }, 0, 100));
+    probe_until_decided(&mut chooser, at(0), load);
+    let (id, pick) = sent(&mut chooser, at(0)).expect("has room");
+    assert_eq!(id, "i-1");
+    for _ in 0..3 {
+        let ticket = chooser.started(at(0), pick);
+        chooser.finished(at(0), ticket, OutcomeKind::Abandoned, None);
+    }
+    chooser.probed(at(1), pick, load("i-1"));
+    assert_eq!(
+        sent(&mut chooser, at(1)).map(|s| s.0).as_deref(),
+        Some("i-2")
+    );
+    chooser.probed(at(2_000), pick, load("i-1"));
+    assert_eq!(
+        sent(&mut chooser, at(2_000)).map(|s| s.0).as_deref(),
+        Some("i-1")
+    );
+}
