attempt: the race of two attempts as a module of its own

Call kept the attempts in flight, and when the first is late, in fields of its own, so that entry processes could not use the same rules for hedges. Entry processes don't hedge yet.

--- a/crates/attempt/src/call.rs
+++ b/crates/attempt/src/call.rs
@@ -21,6 +21,8 @@
 use crate::event::AttemptError;
 use crate::event::AttemptNumber;
 use crate::event::Event;
+use crate::hedge::InFlight;
+use crate::hedge::Race;
 use crate::service::Service;
 use crate::timing;
 
@@ -40,12 +42,6 @@
     pub depth: u8,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Attempt {
-    number: AttemptNumber,
-    started_at: Moment,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     // Waiting for the head of a response, or for a retry.
@@ -63,8 +59,8 @@
 pub struct Call {
     context: CallContext,
     phase: Phase,
-    // At most two attempts run at a time.
-    in_flight: [Option<Attempt>; 2],
+    // The attempts in flight, and when the first is hedged or considered stalled.
+    race: Race,
     // Number of attempts started.
     started: u8,
     // Number of attempts that count towards [`MAX_ATTEMPTS`].
@@ -74,8 +70,6 @@
     // When the scheduled retry starts, and whether its token was already taken.
     retry_at: Option<Moment>,
     paid: bool,
-    // When the attempt in flight is hedged or considered stalled.
-    late_at: Option<Moment>,
     // Bytes of the body relayed by attempts whose response was truncated.
     offset: u64,
 }
@@ -87,13 +81,12 @@
         Self {
             context,
             phase: Phase::Trying,
-            in_flight: [None; 2],
+            race: Race::default(),
             started: 0,
             counted_attempts: 0,
             may_have_run: false,
             retry_at: None,
             paid: false,
-            late_at: None,
             offset: 0,
         }
     }
@@ -151,7 +144,7 @@
         if self.is_finished() {
             return None;
         }
-        [self.retry_at, self.late_at]
+        [self.retry_at, self.race.late_at()]
             .into_iter()
             .flatten()
             .chain([self.context.deadline])
@@ -173,7 +166,7 @@
     /// The outcome if the call ended now. Attempts in flight may have run.
     #[must_use]
     pub fn outcome(&self) -> Outcome {
-        if self.may_have_run || self.in_flight.iter().any(Option::is_some) {
+        if self.may_have_run || !self.race.is_empty() {
             Outcome::Unknown
         } else {
             Outcome::NotRun
@@ -195,24 +188,26 @@
             return;
         }
         self.start_due_retry(service, now, actions);
-        if self.late_at.is_some_and(|at| at <= now) {
-            self.late_at = None;
-            self.handle_late_attempt(service, now, actions);
+        if let Some(first) = self.race.take_late(now) {
+            self.handle_late_attempt(first, service, now, actions);
         }
     }
 
     // Hedges or replaces the only attempt in flight, which is late.
-    fn handle_late_attempt(&mut self, service: &mut Service, now: Moment, actions: &mut Actions) {
-        let Some(first) = self.in_flight[0].or(self.in_flight[1]) else {
-            return;
-        };
+    fn handle_late_attempt(
+        &mut self,
+        first: InFlight,
+        service: &mut Service,
+        now: Moment,
+        actions: &mut Actions,
+    ) {
         if self.counted_attempts >= MAX_ATTEMPTS || !service.budget.spend(now) {
             return;
         }
         let hedge = self.context.class == Class::Urgent;
         if !hedge {
             self.may_have_run = true;
-            self.remove_attempt(first.number);
+            self.race.remove(first.number);
             actions.push(Action::Cancel(first.number));
         }
         self.start_attempt(hedge, service, now, actions);
@@ -239,8 +234,7 @@
         now: Moment,
         actions: &mut Actions,
     ) {
-        let none_in_flight = self.in_flight.iter().all(Option::is_none);
-        if none_in_flight && self.schedule_retry(service, rng, now) {
+        if self.race.is_empty() && self.schedule_retry(service, rng, now) {
             self.start_due_retry(service, now, actions);
             return;
         }
@@ -300,17 +294,12 @@
     ) {
         self.started += 1;
         self.counted_attempts += 1;
-        let attempt = Attempt {
-            number: self.started,
-            started_at: now,
-        };
-        let free = self.in_flight.iter_mut().find(|slot| slot.is_none());
-        *free.expect("at most two attempts are in flight") = Some(attempt);
-        self.late_at = if hedge {
+        let late_at = if hedge {
             None
         } else {
             timing::late_at(&self.context, service, now)
         };
+        self.race.start(self.started, now, late_at);
         let remaining = self.context.deadline.since(now);
         actions.push(Action::Start(Start {
             number: self.started,
@@ -330,7 +319,7 @@
     }
 
     fn fail_if_none_in_flight(&mut self, reason: Reason, actions: &mut Actions) {
-        if self.in_flight.iter().all(Option::is_none) {
+        if self.race.is_empty() {
             self.fail(reason, actions);
         }
     }
@@ -354,28 +343,10 @@
     }
 
     fn cancel_attempts(&mut self, actions: &mut Actions) {
-        for attempt in self.in_flight.into_iter().flatten() {
+        for attempt in self.race.iter() {
             self.may_have_run = true;
             actions.push(Action::Cancel(attempt.number));
         }
-        self.in_flight = [None; 2];
-    }
-
-    fn find(&self, number: AttemptNumber) -> Option<Attempt> {
-        self.in_flight
-            .into_iter()
-            .flatten()
-            .find(|a| a.number == number)
-    }
-
-    fn remove_attempt(&mut self, number: AttemptNumber) {
-        for slot in &mut self.in_flight {
-            if slot.is_some_and(|attempt| attempt.number == number) {
-                *slot = None;
-            }
-        }
-        if self.in_flight.iter().all(Option::is_none) {
-            self.late_at = None;
-        }
+        self.race.clear();
     }
 }
--- a/crates/attempt/src/call/response.rs
+++ b/crates/attempt/src/call/response.rs
@@ -26,7 +26,7 @@
         now: Moment,
         actions: &mut Actions,
     ) {
-        let Some(attempt) = self.find(number) else {
+        let Some(attempt) = self.race.find(number) else {
             return;
         };
         if self.phase != Phase::Trying {
@@ -36,14 +36,14 @@
             service.budget.charge(now);
         }
         if head.shed {
-            self.remove_attempt(number);
+            self.race.remove(number);
             actions.push(Action::Cancel(number));
             self.retry_or_fail(Reason::Shed, service, rng, now, actions);
             return;
         }
         if self.offset > 0 && head.status != PARTIAL {
             self.may_have_run = true;
-            self.remove_attempt(number);
+            self.race.remove(number);
             actions.push(Action::Cancel(number));
             self.retry_or_fail(Reason::ShortBody, service, rng, now, actions);
             return;
@@ -68,27 +68,22 @@
         actions: &mut Actions,
     ) {
         self.may_have_run = true;
-        let only_attempt = self.in_flight.iter().flatten().count() == 1;
-        if only_attempt && (head.retried || !self.schedule_retry(service, rng, now)) {
+        if self.race.is_single() && (head.retried || !self.schedule_retry(service, rng, now)) {
             self.relay(number, head, actions);
             return;
         }
-        self.remove_attempt(number);
+        self.race.remove(number);
         actions.push(Action::Cancel(number));
         self.start_due_retry(service, now, actions);
     }
 
     fn relay(&mut self, number: AttemptNumber, head: Head, actions: &mut Actions) {
-        for other in self.in_flight.into_iter().flatten() {
-            if other.number != number {
-                self.may_have_run = true;
-                self.remove_attempt(other.number);
-                actions.push(Action::Cancel(other.number));
-            }
+        if let Some(other) = self.race.win(number) {
+            self.may_have_run = true;
+            actions.push(Action::Cancel(other.number));
         }
         let resumable = head.resumable && self.context.class == Class::Deferred;
         self.phase = Phase::Relaying { number, resumable };
-        self.late_at = None;
         actions.push(Action::Relay {
             number,
             retried: head.retried || self.started > 1 || head.status >= SERVER_ERROR,
@@ -97,7 +92,7 @@
 
     pub(super) fn complete(&mut self, number: AttemptNumber) {
         if matches!(self.phase, Phase::Relaying { number: n, .. } if n == number) {
-            self.in_flight = [None; 2];
+            self.race.clear();
             self.phase = Phase::Finished;
         }
     }
@@ -111,10 +106,10 @@
         now: Moment,
         actions: &mut Actions,
     ) {
-        if self.find(number).is_none() {
+        if self.race.find(number).is_none() {
             return;
         }
-        self.remove_attempt(number);
+        self.race.remove(number);
         self.may_have_run |= err.may_have_run();
         if let Phase::Relaying { resumable, .. } = self.phase {
             self.resume_or_break(err, resumable, service, rng, now, actions);
--- a/crates/attempt/src/lib.rs
+++ b/crates/attempt/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod call;
 pub mod distribution;
 pub mod event;
+pub mod hedge;
 pub mod latency;
 pub mod service;
 pub mod silence;
