--- a/crates/entry/src/balancer.rs
+++ b/crates/entry/src/balancer.rs
@@ -6,6 +6,7 @@
 mod dispatch;
 mod limit;
 mod parts;
+mod silence;
 mod waiting;
 
 use std::collections::HashMap;
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -8,6 +8,7 @@
 mod relay;
 mod response;
 mod revocation;
+mod silence;
 mod workspace;
 
 use std::net::IpAddr;
@@ -31,6 +32,7 @@
 use self::limits::RequestLimits;
 use self::revocation::KeyGuard;
 use crate::balancer::Balancer;
+use crate::balancer::SelectedInstance;
 use crate::body;
 use crate::body::Content;
 use crate::body::ForwardedBody;
@@ -106,6 +108,8 @@
     permit: Option<Permit>,
     unsent: u32,
     exclude: Vec<Pick>,
+    /// The instance of the next attempt, if it is known already.
+    next_instance: Option<SelectedInstance>,
     /// Whether an instance may have processed the request.
     may_have_run: bool,
     last_attempt: Option<Attempt>,
@@ -217,6 +221,7 @@
         permit: None,
         unsent: 0,
         exclude: Vec::new(),
+        next_instance: None,
         may_have_run: false,
         last_attempt: None,
         responder: None,
@@ -319,7 +324,10 @@
     /// Makes one attempt.
     async fn attempt(&mut self, body: ForwardedBody) -> Result<AttemptEnd, Reason> {
         self.check_quarantine().await?;
-        let chosen = self.choose_while_buffering(&body).await?;
+        let chosen = match self.next_instance.take() {
+            Some(chosen) => chosen,
+            None => self.choose_while_buffering(&body).await?,
+        };
         // The request may have been quarantined while it waited for capacity.
         self.check_quarantine().await?;
         self.renew_permit().await?;
@@ -341,6 +349,7 @@
             }),
             "cost" => format!("{:.3}", chosen.choice.cost),
             "left_ms" => millis(remaining));
+        let watch = self.watch(&chosen, &body);
         let ticket = self.balancer(|balancer, now| balancer.start_attempt(now, pick));
         let reservation = Reservation {
             ticket: ticket.ok_or(Reason::NoInstance)?,
@@ -361,16 +370,25 @@
             unresponsive_after: chosen.choice.expected.mul_f64(UNRESPONSIVE_FACTOR),
         };
         let upstream = &chosen.upstream;
-        let end =
-            exchange::attempt(&core, upstream, reservation, &self.request, body, timeouts).await;
-        self.may_have_run =
-            may_have_run_before || matches!(end, AttemptEnd::Answer(..) | AttemptEnd::Unknown);
+        let request = &self.request;
+        let end = exchange::attempt(
+            &core,
+            upstream,
+            reservation,
+            request,
+            body,
+            timeouts,
+            |sent_at| self.wait_until_abandoned(watch, sent_at),
+        )
+        .await;
+        self.may_have_run = may_have_run_before || end.may_have_run();
         self.set_permit_sent(self.may_have_run);
         self.log_attempt(&end, sent_at.elapsed());
         self.record_end(&end, upstream, sent_at).await;
         if matches!(end, AttemptEnd::Elsewhere) {
             self.balancer(|balancer, _| balancer.record_displaced(pick));
         }
+        self.record_head(&end, &chosen.choice, sent_at.elapsed());
         if let AttemptEnd::Answer(parts, UpstreamBody::Whole(bytes)) = &end
             && parts.status.is_success()
         {
@@ -383,6 +401,14 @@
         Ok(end)
     }
 
+    /// Records the time until the head of a successful response.
+    fn record_head(&self, end: &AttemptEnd, choice: &ScoredChoice, latency: Duration) {
+        if matches!(end, AttemptEnd::Answer(parts, _) if parts.status.is_success()) {
+            self.core
+                .route_stats(&self.route, |stats| stats.record_head(latency, choice));
+        }
+    }
+
     /// Logs an attempt that failed; a successful one appears in the request's own line.
     fn log_attempt(&self, end: &AttemptEnd, elapsed: Duration) {
         let status = match end {
@@ -419,6 +445,10 @@
                 self.failed_response = Some((parts, body));
                 true
             }
+            Ok(AttemptEnd::Abandoned(next)) => {
+                self.next_instance = Some(*next);
+                true
+            }
             Ok(AttemptEnd::Unknown) => !once && self.may_retry(retry_body.is_some()),
             Ok(AttemptEnd::Unsent | AttemptEnd::Withheld) => {
                 self.attempts -= 1;
--- a/crates/route/tests/test_scope.rs
+++ b/crates/route/tests/test_scope.rs
@@ -6,6 +6,7 @@
 use base::prelude::*;
 use route::Decision;
 use route::DomainIndex;
+use route::Evidence;
 use route::Instance;
 use route::LoadReport;
 use route::Need;
@@ -23,6 +24,7 @@
     crossing: 0.0,
     max_occupancy: 1.0,
     domain_index: DomainIndex::OWN,
+    evidence: Evidence::Any,
 };
 const SLOTS: u32 = 3;
 const INSTANCES: usize = 12;
