entry: requests wait for permits after a start, as for the first table

For 3 s after the start of the process, requests ask again for a quarter of their time, and none counts as late.

--- a/crates/entry/src/flow/quota.rs
+++ b/crates/entry/src/flow/quota.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use base::prelude::*;
 use slog::info;
 
 use super::Flow;
+use super::STARTUP_WAIT_FRACTION;
 use super::millis;
 use crate::quota;
 use crate::quota::Denial;
@@ -15,6 +17,11 @@
 const PATIENCE_FRACTION: f64 = 0.125;
 /// Maximum of this wait.
 const MAX_PATIENCE: Duration = Duration::from_millis(50);
+/// Time after the start of the process during which requests wait for permits as they wait for
+/// the first table: holders grant nothing before they know each other.
+const STARTUP_PERIOD: Duration = Duration::from_secs(3);
+/// Interval at which they ask again.
+const STARTUP_INTERVAL: Duration = Duration::from_millis(40);
 
 impl Flow {
     /// Acquires a permit if the workspace has a quota. A request that was relayed to this process
@@ -28,12 +35,13 @@
             return Ok(());
         }
         let patience = self.aim.mul_f64(PATIENCE_FRACTION).min(MAX_PATIENCE);
-        let urgency = if self.is_late() {
-            Urgency::Late
-        } else {
-            Urgency::InTime
-        };
-        let denial = match quota::acquire(&self.core, &workspace.name, urgency, patience).await {
+        let mut acquired =
+            quota::acquire(&self.core, &workspace.name, self.urgency(), patience).await;
+        while acquired.is_err() && self.waits_for_startup() {
+            tokio::time::sleep(STARTUP_INTERVAL).await;
+            acquired = quota::acquire(&self.core, &workspace.name, self.urgency(), patience).await;
+        }
+        let denial = match acquired {
             Ok(permit) => {
                 self.permit = Some(permit);
                 return Ok(());
@@ -52,6 +60,26 @@
         Err(reason)
     }
 
+    /// Whether the request is served before those that come back late. After a restart of all
+    /// processes, nearly all callers are late.
+    fn urgency(&self) -> Urgency {
+        if self.is_late() && !self.is_starting() {
+            Urgency::Late
+        } else {
+            Urgency::InTime
+        }
+    }
+
+    fn is_starting(&self) -> bool {
+        self.core.clock.now().since(Moment::ZERO) < STARTUP_PERIOD
+    }
+
+    /// Whether a request without a permit asks again, as the process has just started.
+    fn waits_for_startup(&self) -> bool {
+        let wait = self.caller_timeout.mul_f64(STARTUP_WAIT_FRACTION);
+        self.is_starting() && self.started_at.elapsed() + STARTUP_INTERVAL < wait
+    }
+
     /// Acquires another permit if the request has waited for so long that its own has expired.
     pub(super) async fn renew_permit(&mut self) -> Result<(), Reason> {
         let is_expired = self.permit.as_ref().is_some_and(quota::Permit::is_expired);
--- a/crates/entry/tests/test_parts_bounds.rs
+++ b/crates/entry/tests/test_parts_bounds.rs
@@ -27,6 +27,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use route::DomainIndex;
+use route::Evidence;
 use route::LoadReport;
 use route::Need;
 use route::OutcomeKind;
@@ -53,6 +54,7 @@
     crossing: 0.0,
     max_occupancy: 1.0,
     domain_index: DomainIndex::OWN,
+    evidence: Evidence::Any,
 };
 const IDLE: LoadReport = LoadReport {
     running: 0,
--- a/crates/entry/tests/test_queue.rs
+++ b/crates/entry/tests/test_queue.rs
@@ -19,6 +19,7 @@
 use entry::view::InstanceStatus;
 use entry::view::Upstream;
 use route::DomainIndex;
+use route::Evidence;
 use route::LoadReport;
 use route::Need;
 use route::OutcomeKind;
@@ -32,6 +33,7 @@
     crossing: 0.0,
     max_occupancy: 1.0,
     domain_index: DomainIndex::OWN,
+    evidence: Evidence::Any,
 };
 
 fn at(millis: u64) -> Moment {
