entry: the dispatcher of a part answers while probes aren't answered

A round of probes takes 25 ms if an instance doesn't answer. Three rounds, and up to 30 ms for which a request is held, are more than the 60 ms that callers wait: one unresponsive instance made its whole part count as lost. In a part, no further round is sent after 25 ms, and the hold is reduced by the time of the probes.

--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -14,6 +14,11 @@
 use crate::core::Core;
 use crate::probe;
 
+/// Time after which a search in a part sends no further round of probes. A round takes up to 25 ms
+/// if an instance doesn't answer; with three of them, the dispatcher would answer later than the
+/// 60 ms that its callers wait, and count as lost.
+const MAX_PART_PROBING: Duration = Duration::from_millis(25);
+
 /// Requirements of an attempt.
 #[derive(Clone, Debug)]
 pub struct SearchRequest {
@@ -73,6 +78,9 @@
             break;
         }
         probe::probe_instances(core, service, probes).await;
+        if request.scope.part.is_some() && started_at.elapsed() >= MAX_PART_PROBING {
+            break;
+        }
     }
     let selection = core.balancer(service, |balancer, now| {
         balancer.scoped(now, &request.scope, |balancer| {
@@ -95,7 +103,13 @@
         let in_time = slow.filter(|slow| slow.choice.expected < remaining);
         return in_time.map_or(SearchResult::Full(None), SearchResult::Selected);
     }
-    let max_wait = remaining_wait.min(max_wait);
+    // The answer of a part's dispatcher is due whether it probes or holds the request.
+    let spent = request
+        .scope
+        .part
+        .as_ref()
+        .map_or(Duration::ZERO, |_| elapsed);
+    let max_wait = remaining_wait.min(max_wait.saturating_sub(spent));
     if max_wait.is_zero() {
         return SearchResult::Wait;
     }
--- a/crates/entry/tests/test_parts.rs
+++ b/crates/entry/tests/test_parts.rs
@@ -233,6 +233,27 @@
     wait_for_grants(&[dispatcher], 3).await;
 }
 
+/// Guards against a dispatcher that waits for probes of unresponsive instances for longer than its
+/// callers wait for it.
+#[tokio::test]
+async fn test_parts_dispatcher_answers_while_instances_answer_no_probe() {
+    let upstreams = upstreams(3, Behavior::Hang).await;
+    for upstream in &upstreams {
+        upstream.set_health(Behavior::Hang);
+    }
+    let (asker, dispatcher) = (start(1, "a", true).await, start(2, "a", true).await);
+    for entry in [&asker, &dispatcher] {
+        entry
+            .core()
+            .apply_instances(HUB, &instances(&upstreams), &[]);
+        entry.core().set_hosts(vec![listed(&dispatcher)]);
+    }
+    let mut caller = Caller::connect(asker.front()).await;
+    caller.send("GET", READ, "r-1", "").await;
+    wait_for_requests(&upstreams, 1).await;
+    assert_eq!(open_grants(&dispatcher), 1);
+}
+
 /// Guards against failing requests while processes differ in their settings, instances or hosts.
 #[tokio::test]
 async fn test_parts_dispatcher_with_other_lists_costs_no_request() {
