--- a/crates/entry/src/flow/quota.rs
+++ b/crates/entry/src/flow/quota.rs
@@ -17,10 +17,8 @@
 const PATIENCE_FRACTION: f64 = 0.125;
 /// Maximum of this wait.
 const MAX_PATIENCE: Duration = Duration::from_millis(50);
-/// Time after the start of the process during which requests wait for permits as they wait for
-/// the first table: holders grant nothing before they know each other.
-const STARTUP_PERIOD: Duration = Duration::from_secs(3);
-/// Interval at which they ask again.
+/// Interval at which requests ask again while the process has just started. They wait for permits
+/// as they wait for the first table, as holders grant nothing before they know each other.
 const STARTUP_INTERVAL: Duration = Duration::from_millis(40);
 
 impl Flow {
@@ -71,7 +69,7 @@
     }
 
     fn is_starting(&self) -> bool {
-        self.core.clock.now().since(Moment::ZERO) < STARTUP_PERIOD
+        self.core.clock.now().since(Moment::ZERO) < quota::STARTUP_PERIOD
     }
 
     /// Whether a request without a permit asks again, as the process has just started.
--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -38,6 +38,9 @@
 use crate::core::Core;
 use crate::settings::Settings;
 
+/// Time after its start during which a process counts as just started.
+pub const STARTUP_PERIOD: Duration = Duration::from_secs(3);
+
 /// Why a request gets no permit, and when to come back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Denial {
@@ -112,6 +115,14 @@
             .retain(|address| hosts.iter().any(|host| host.place == address));
     }
 
+    /// Records that a hub has known no leader since its start: all hubs have restarted. If this
+    /// process has just started, too, all processes have.
+    pub fn hubs_restarted(&self, now: Moment) {
+        if now.since(Moment::ZERO) < STARTUP_PERIOD {
+            self.state().holder.set_system_restarted(now);
+        }
+    }
+
     /// Records that a hub answered.
     pub fn hub_answered(&self, now: Moment) {
         self.state().holder.hub_answered(now);
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -23,6 +23,10 @@
 /// Share of its latency target for which a request is held under overload. Longer, its caller
 /// loses time in which it could come back.
 const OVERLOAD_WAIT_SHARE: f64 = 0.125;
+/// Time after which a search in a part sends no further round of probes. A round takes up to 25 ms
+/// if an instance doesn't answer; with three of them, the dispatcher would answer later than the
+/// 60 ms that its callers wait, and count as lost.
+const MAX_PART_PROBING: Duration = Duration::from_millis(25);
 
 /// Requirements of an attempt.
 #[derive(Clone, Debug)]
@@ -110,6 +114,9 @@
             break;
         }
         probe::probe_instances(core, service, probes).await;
+        if request.scope.part.is_some() && started_at.elapsed() >= MAX_PART_PROBING {
+            break;
+        }
     }
     let selection = select(core, service, request).await;
     let slow = match selection {
@@ -125,7 +132,13 @@
     if remaining_wait.is_zero() {
         return last_resort(slow, remaining);
     }
-    let hold = remaining_wait.min(max_wait);
+    // The answer of a part's dispatcher is due whether it probes or holds the request.
+    let spent = request
+        .scope
+        .part
+        .as_ref()
+        .map_or(Duration::ZERO, |_| elapsed);
+    let hold = remaining_wait.min(max_wait.saturating_sub(spent));
     if hold.is_zero() {
         return SearchResult::Wait;
     }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -302,6 +302,9 @@
         self.table = reply.table;
         let current = self.core.routes().table.version;
         let is_overdue = self.started_at.elapsed() >= UNCONFIRMED_TABLE_DELAY;
+        if reply.recovered && current == 0 {
+            self.core.quotas.hubs_restarted(self.core.clock.now());
+        }
         let trusted = reply.confirmed || reply.recovered || current > 0 || is_overdue;
         let transfer = Duration::from_micros(u64::from(reply.table_bytes) * MICROS_PER_BYTE);
         if reply.table > current && trusted && self.hubs.begin_fetch(transfer) {
--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -18,6 +18,9 @@
 /// Time until tokens accrue at a new holder. The lists of processes differ for up to 600 ms, and
 /// the previous holder grants until its list changes.
 const WARM_UP: Duration = Duration::from_millis(500);
+/// Time for which lists grow after a restart of all processes. Those are down for half a second at
+/// least, in which nothing is granted; what two holders grant during this time is less.
+const RESTART_PERIOD: Duration = Duration::from_secs(2);
 /// Time without any call after which the process counts as frozen. A process that does not renew
 /// its watch is listed for half a second at least, and the next holder waits for [`WARM_UP`]:
 /// after a shorter freeze no other process has granted these tokens.
@@ -101,6 +104,8 @@
     /// A faster pace that applies after [`WARM_UP`], and when it began to be justified. A process
     /// that has vanished and comes back accrues by its own list until that changes.
     rising: Option<(Pace, Moment)>,
+    /// Until when holders accrue at once, as all processes have restarted.
+    restart_until: Moment,
     holdings: HashMap<WorkspaceName, Holding>,
 }
 
@@ -144,10 +149,27 @@
                 most: 0,
             },
             rising: None,
+            restart_until: Moment::ZERO,
             holdings: HashMap::new(),
         }
     }
 
+    /// Records that all processes of the system have restarted. Nothing was granted while they
+    /// were down, so lists that grow may change holders without a pause.
+    pub fn set_system_restarted(&mut self, now: Moment) {
+        self.restart_until = now + RESTART_PERIOD;
+        self.tick(now);
+    }
+
+    /// Time until tokens accrue at a new holder.
+    fn warm_up(&self, now: Moment) -> Duration {
+        if now < self.restart_until {
+            Duration::ZERO
+        } else {
+            WARM_UP
+        }
+    }
+
     /// Puts the list of the domain's processes into effect. Quotas are divided into
     /// `shares`.
     pub fn set_list(&mut self, now: Moment, members: &[String], shares: Shares) {
@@ -199,6 +221,7 @@
             return false;
         }
         match self.rising {
+            _ if now < self.restart_until => false,
             Some((rising, since)) if rising == pace => now.since(since) < WARM_UP,
             _ => {
                 self.rising = Some((pace, now));
@@ -355,6 +378,7 @@
 
     /// Removes the bucket if the process has ceased to be the holder, at least for some time.
     fn check_held(&mut self, now: Moment, workspace: &WorkspaceName) {
+        let warm_up = self.warm_up(now);
         let newest = self.lists.newest();
         let Some(holding) = self.holdings.get_mut(workspace) else {
             return;
@@ -371,14 +395,14 @@
             self.holdings.remove(workspace);
         } else {
             // Another process was the holder meanwhile and may have granted these tokens.
-            holding.bucket = Bucket::empty(now + WARM_UP);
+            holding.bucket = Bucket::empty(now + warm_up);
             holding.checked = newest;
         }
     }
 
     fn new_holding(&self, now: Moment, workspace: &WorkspaceName, limit: Limit) -> Option<Holding> {
         let held_since = self.lists.held_since(workspace, &self.own)?;
-        let from = (held_since + WARM_UP).max(self.steady_since);
+        let from = (held_since + self.warm_up(now)).max(self.steady_since);
         Some(Holding {
             bucket: Bucket::empty(from),
             limit,
