--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -115,8 +115,8 @@
             .retain(|address| hosts.iter().any(|host| host.place == address));
     }
 
-    /// Records that a hub has known no leader since its start: all hubs have restarted. If this
-    /// process has just started, too, all processes have.
+    /// Records that most hubs have just started. If this process has, too, the whole system has
+    /// restarted.
     pub fn hubs_restarted(&self, now: Moment) {
         if now.since(Moment::ZERO) < STARTUP_PERIOD {
             self.state().holder.set_system_restarted(now);
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -31,6 +31,7 @@
 use wire::peer::HubLink;
 
 use crate::core::Core;
+use crate::quota::STARTUP_PERIOD;
 
 use self::hubs::HubStatus;
 use self::hubs::Hubs;
@@ -302,9 +303,6 @@
         self.table = reply.table;
         let current = self.core.routes().table.version;
         let is_overdue = self.started_at.elapsed() >= UNCONFIRMED_TABLE_DELAY;
-        if reply.recovered && current == 0 {
-            self.core.quotas.hubs_restarted(self.core.clock.now());
-        }
         let trusted = reply.confirmed || reply.recovered || current > 0 || is_overdue;
         let transfer = Duration::from_micros(u64::from(reply.table_bytes) * MICROS_PER_BYTE);
         if reply.table > current && trusted && self.hubs.begin_fetch(transfer) {
@@ -384,6 +382,7 @@
             failed: false,
         };
         self.hubs.record(self.address, status);
+        self.record_uptime(reply);
         self.core.quotas.hub_answered(self.core.clock.now());
         let entry_count = self.hubs.entry_count();
         if entry_count > 0 {
@@ -394,6 +393,20 @@
         }
     }
 
+    /// Tells the quotas if a majority of the hubs has just started. An uptime of 0 says nothing.
+    fn record_uptime(&self, reply: &WatchReply) {
+        let uptime = match reply.uptime_ms {
+            0 => Duration::MAX,
+            millis => Duration::from_millis(millis.into()),
+        };
+        if self
+            .hubs
+            .record_uptime(self.address, uptime, STARTUP_PERIOD)
+        {
+            self.core.quotas.hubs_restarted(self.core.clock.now());
+        }
+    }
+
     fn apply_hosts(&self, base: u64, reply: &WatchReply) {
         let hosts = self.hubs.hosts().apply(base, reply);
         match hosts {
--- a/crates/entry/src/sync/hubs.rs
+++ b/crates/entry/src/sync/hubs.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::hash::BuildHasher;
 use std::hash::RandomState;
 use std::net::SocketAddr;
@@ -75,6 +76,8 @@
 pub struct Hubs {
     domain: DomainName,
     statuses: Mutex<HashMap<SocketAddr, HubStatus>>,
+    /// The hubs that have started lately, as they say.
+    restarted: Mutex<HashSet<SocketAddr>>,
     /// When any hub last answered.
     answered_at: Mutex<Option<Instant>>,
     /// When another hub may be asked although a table is being fetched.
@@ -107,6 +110,7 @@
             domain,
             instances_known,
             statuses: Mutex::default(),
+            restarted: Mutex::default(),
             answered_at: Mutex::default(),
             fetching: Mutex::default(),
             full_list: Mutex::default(),
@@ -238,6 +242,24 @@
         self.select_primary();
     }
 
+    /// Records how long the hub at `address` has run. Returns whether a majority of the group has
+    /// restarted within `period`.
+    pub fn record_uptime(&self, address: SocketAddr, uptime: Duration, period: Duration) -> bool {
+        let members = self.statuses().get(&address).map(|s| s.members.clone());
+        let members = members.unwrap_or_default();
+        let mut restarted = self
+            .restarted
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if uptime < period {
+            restarted.insert(address);
+        } else {
+            restarted.remove(&address);
+        }
+        let count = members.iter().filter(|hub| restarted.contains(hub)).count();
+        count * 2 > members.len()
+    }
+
     /// Records that the hub at `address` failed to answer, so that another takes its place.
     pub fn record_failure(&self, address: SocketAddr) {
         self.full_list().take_if(|(asked, _)| *asked == address);
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -294,6 +294,7 @@
             confirmed_age_ms: confirmed_table
                 .map_or(0, |confirmed| millis(now.since(confirmed.at))),
             table_bytes: u32::try_from(table_bytes).unwrap_or(u32::MAX),
+            uptime_ms: u32::try_from(now.since(Moment::ZERO).as_millis()).unwrap_or(u32::MAX),
             held_ms: u32::try_from(now.since(arrived_at).as_millis()).unwrap_or_default(),
         }
     }
--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -157,8 +157,10 @@
     /// Records that all processes of the system have restarted. Nothing was granted while they
     /// were down, so lists that grow may change holders without a pause.
     pub fn set_system_restarted(&mut self, now: Moment) {
-        self.restart_until = now + RESTART_PERIOD;
-        self.tick(now);
+        if self.restart_until == Moment::ZERO {
+            self.restart_until = now + RESTART_PERIOD;
+            self.tick(now);
+        }
     }
 
     /// Time until tokens accrue at a new holder.
