--- a/crates/quota/src/holder.rs
+++ b/crates/quota/src/holder.rs
@@ -159,6 +159,11 @@
     pub fn set_system_restarted(&mut self, now: Moment) {
         if self.restart_until == Moment::ZERO {
             self.restart_until = now + RESTART_PERIOD;
+            self.steady_since = self.steady_since.min(now);
+            let paused = |holding: &&mut Holding| !holding.bucket.pause(now).is_zero();
+            for holding in self.holdings.values_mut().filter(paused) {
+                holding.bucket = Bucket::empty(now);
+            }
             self.tick(now);
         }
     }
@@ -178,7 +183,7 @@
         self.tick(now);
         if self.shares != shares {
             self.holdings.clear();
-            self.steady_since = now + WARM_UP;
+            self.steady_since = now + self.warm_up(now);
             self.shares = shares;
         }
         self.lists.set(now, members.to_vec());
--- a/crates/quota/tests/test_holder.rs
+++ b/crates/quota/tests/test_holder.rs
@@ -166,3 +166,25 @@
     assert!(Bound::default().is_kept(LIMIT, 3));
     assert!(!tight.is_kept(LIMIT, 3));
 }
+
+/// Guards against half a second without any permit after a restart of the whole system.
+#[test]
+fn test_holder_accrues_at_once_after_a_restart_of_the_system() {
+    let mut holder = Holder::new(OWN.to_owned(), at(1_000));
+    holder.set_list(at(1_000), &list(&[OWN]), SHARES);
+    assert_eq!(take(&mut holder, 1_100, 1).0, 0);
+    holder.set_system_restarted(at(1_100));
+    assert_eq!(take(&mut holder, 1_300, 5).0, 2);
+}
+
+/// Guards against late requests that take the tokens of those that can be answered in time.
+#[test]
+fn test_holder_late_requests_leave_half_of_the_bucket() {
+    let mut holder = listed_until(5_000);
+    let late = holder.acquire_late(at(5_000), &workspace(), LIMIT, 20, OWN);
+    assert!(
+        matches!(late, Acquired::Permits { granted: 5, .. }),
+        "{late:?}"
+    );
+    assert_eq!(take(&mut holder, 5_000, 20).0, 5);
+}
