--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -116,7 +116,8 @@
     };
     let mut response = match question {
         Some(question) => search::answer(&core, &question).await,
-        None => flow::handle(Arc::clone(&core), origin, request).await,
+        // On the heap, as the future has 17 KB.
+        None => Box::pin(flow::handle(Arc::clone(&core), origin, request)).await,
     };
     if *core.stage.borrow() != Stage::Serving {
         let close = HeaderValue::from_static("close");
