entry: the fake dispatcher of the tests grants permits

The test of the workspace told to a dispatcher was written before quotas; its workspace has a quota, whose holder is the fake. It refused all permits.

--- a/crates/entry/tests/test_placement.rs
+++ b/crates/entry/tests/test_placement.rs
@@ -200,8 +200,12 @@
         self.ended.lock().expect("whole").push(end.kind());
     }
 
-    async fn acquire(self, _: Context, _: Acquire) -> Permits {
-        Permits::default()
+    async fn acquire(self, _: Context, ask: Acquire) -> Permits {
+        Permits {
+            holder: true,
+            granted: ask.count,
+            ..Permits::default()
+        }
     }
 
     async fn transfer(self, _: Context, _: Transfer) -> TransferReply {
