--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -331,7 +331,7 @@
         // The request may have been quarantined while it waited for capacity.
         self.check_quarantine().await?;
         self.renew_permit().await?;
-        // The same goes for its key.
+        // Its key may have been removed meanwhile.
         self.key.check()?;
         let pick = chosen.choice.pick;
         self.attempts += 1;
