--- a/review/standin.rs
+++ b/review/standin.rs
@@ -43,7 +43,10 @@
 
 impl Record {
     pub fn new() -> Arc<Self> {
-        Arc::new(Self { start: Instant::now(), lines: Mutex::default() })
+        Arc::new(Self {
+            start: Instant::now(),
+            lines: Mutex::default(),
+        })
     }
     pub fn add(&self, line: String) {
         let at = self.start.elapsed().as_millis();
@@ -51,7 +54,10 @@
     }
     pub fn save(&self, path: &str) {
         let lines = self.lines.lock().unwrap();
-        let text: String = lines.iter().map(|(at, l)| format!("{at:>7} ms  {l}\n")).collect();
+        let text: String = lines
+            .iter()
+            .map(|(at, l)| format!("{at:>7} ms  {l}\n"))
+            .collect();
         let _ = fs::write(path, text);
     }
 }
@@ -67,11 +73,18 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, v)| v.as_str())
     }
     pub fn status(&self) -> u16 {
-        self.first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+        self.first
+            .split(' ')
+            .nth(1)
+            .and_then(|s| s.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -84,7 +97,10 @@
 impl Conn {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buffer: Vec::new() }
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
     }
     pub fn open(to: SocketAddr, timeout: Duration) -> io::Result<Self> {
         let stream = TcpStream::connect_timeout(&to, timeout)?;
@@ -108,10 +124,18 @@
                     let (n, v) = l.split_once(':')?;
                     Some((n.trim().to_owned(), v.trim().to_owned()))
                 });
-                return Ok(Some(Message { first, headers: headers.collect(), body: Vec::new() }));
+                return Ok(Some(Message {
+                    first,
+                    headers: headers.collect(),
+                    body: Vec::new(),
+                }));
             }
             if self.fill()? == 0 {
-                return if self.buffer.is_empty() { Ok(None) } else { Err(io::ErrorKind::UnexpectedEof.into()) };
+                return if self.buffer.is_empty() {
+                    Ok(None)
+                } else {
+                    Err(io::ErrorKind::UnexpectedEof.into())
+                };
             }
         }
     }
@@ -137,7 +161,9 @@
     }
     /// Reads the body that `head` announces.
     pub fn read_body(&mut self, head: &Message, is_response: bool) -> io::Result<Vec<u8>> {
-        let chunked = head.header("transfer-encoding").is_some_and(|v| v.to_ascii_lowercase().contains("chunked"));
+        let chunked = head
+            .header("transfer-encoding")
+            .is_some_and(|v| v.to_ascii_lowercase().contains("chunked"));
         if chunked {
             let mut body = Vec::new();
             loop {
@@ -163,25 +189,38 @@
         Ok(Vec::new())
     }
     pub fn read_response(&mut self) -> io::Result<Option<Message>> {
-        let Some(mut head) = self.read_head()? else { return Ok(None) };
+        let Some(mut head) = self.read_head()? else {
+            return Ok(None);
+        };
         head.body = self.read_body(&head, true)?;
         Ok(Some(head))
     }
 }
 
 /// One call on a connection of its own.
-pub fn call(to: SocketAddr, method: &str, path: &str, body: &[u8], timeout: Duration) -> Result<Message, Fail> {
+pub fn call(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &[u8],
+    timeout: Duration,
+) -> Result<Message, Fail> {
     let run = || -> io::Result<Message> {
         let mut conn = Conn::open(to, timeout)?;
         conn.stream.set_read_timeout(Some(timeout))?;
-        let kind = if body.is_empty() { "" } else { "Content-Type: application/json\r\n" };
+        let kind = if body.is_empty() {
+            ""
+        } else {
+            "Content-Type: application/json\r\n"
+        };
         let head = format!(
             "{method} {path} HTTP/1.1\r\nHost: {to}\r\nConnection: close\r\n{kind}Content-Length: {}\r\n\r\n",
             body.len()
         );
         conn.stream.write_all(head.as_bytes())?;
         conn.stream.write_all(body)?;
-        conn.read_response()?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+        conn.read_response()?
+            .ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
     };
     run().map_err(|err| format!("{method} {path} at {to}: {err}"))
 }
@@ -198,10 +237,17 @@
 
 impl Process {
     pub fn start(&mut self) -> Result<(), Fail> {
-        let out = fs::OpenOptions::new().create(true).append(true).open(&self.out).map_err(|e| e.to_string())?;
+        let out = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.out)
+            .map_err(|e| e.to_string())?;
         let err = out.try_clone().map_err(|e| e.to_string())?;
         let mut command = Command::new(self.binary);
-        command.arg("--config").arg(&self.settings).env("REDWINGRIDGE_BOOT", &self.settings);
+        command
+            .arg("--config")
+            .arg(&self.settings)
+            .env("REDWINGRIDGE_BOOT", &self.settings);
         command.stdin(Stdio::null()).stdout(out).stderr(err);
         // The process ends with this one, also if that is killed.
         // SAFETY: prctl is async-signal-safe and touches no memory of this process.
@@ -211,14 +257,17 @@
                 Ok(())
             });
         }
-        let child = command.spawn().map_err(|e| format!("start {}: {e}", self.binary))?;
+        let child = command
+            .spawn()
+            .map_err(|e| format!("start {}: {e}", self.binary))?;
         self.child = Some(child);
         Ok(())
     }
     /// Rewrites the settings as they are after the first start of the whole system.
     pub fn settings_after_first_start(&self) -> Result<(), Fail> {
         let text = fs::read_to_string(&self.settings).map_err(|e| e.to_string())?;
-        fs::write(&self.settings, text.replace("found = yes", "found = no")).map_err(|e| e.to_string())
+        fs::write(&self.settings, text.replace("found = yes", "found = no"))
+            .map_err(|e| e.to_string())
     }
     pub fn id(&self) -> i32 {
         self.child.as_ref().map_or(0, |c| c.id() as i32)
@@ -226,7 +275,10 @@
     /// Sends a signal to the process that this test started.
     pub fn signal(&self, name: &str) {
         if self.child.is_some() {
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(self.id().to_string()).status();
+            let _ = Command::new("kill")
+                .arg(format!("-{name}"))
+                .arg(self.id().to_string())
+                .status();
         }
     }
     pub fn kill(&mut self) {
@@ -236,7 +288,9 @@
         }
     }
     pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(Some(_))))
+        self.child
+            .as_mut()
+            .is_some_and(|c| matches!(c.try_wait(), Ok(Some(_))))
     }
     pub fn log(&self) -> String {
         fs::read_to_string(&self.out).unwrap_or_default()
@@ -282,7 +336,12 @@
         let net = free_net(entries)?;
         let dir = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
-        let mut site = Self { net, dir, hubs: Vec::new(), entries: Vec::new() };
+        let mut site = Self {
+            net,
+            dir,
+            hubs: Vec::new(),
+            entries: Vec::new(),
+        };
         let seeds: Vec<String> = (0..3).map(|i| site.hub(i).to_string()).collect();
         let seeds = seeds.join(",");
         for i in 0..3 {
@@ -291,9 +350,11 @@
             fs::create_dir_all(&data).map_err(|e| e.to_string())?;
             let text = format!(
                 "[hub]\nhost = core-{zone}-1\ndomain = {zone}\nregion = nord-ovest\ndata = {data}\naddress = {ip}\nport = {INTERNAL}\nseeds = {seeds}\nfound = yes\n\n[platform]\ncontrol = {ip}:{CONTROL}\n\n[metrics]\nlisten = {ip}:{METRICS}\n",
-                zone = ZONES[i], data = data.display()
+                zone = ZONES[i],
+                data = data.display()
             );
-            let process = site.process(&format!("hub-{i}"), "target/release/platform-hub", &text)?;
+            let process =
+                site.process(&format!("hub-{i}"), "target/release/platform-hub", &text)?;
             site.hubs.push(process);
         }
         for i in 0..entries {
@@ -301,9 +362,11 @@
             let zone = ZONES[i % 3];
             let text = format!(
                 "[entry]\nhost = edge-{zone}-{n}\ndomain = {zone}\nregion = nord-ovest\nfront = {ip}:{FRONT}\nready = {ip}:{READY}\nready-path = /-/ready\nport = {INTERNAL}\nspread = 3\nttl = 5s\nseeds = {seeds}\n\n[stop]\ngrace = 6s\n\n[retry]\nbase = 60\nwindow = 10s\n\n[cost]\ncrossing = 13000\n\n[cold]\n\n[platform]\ndirectory = {ip}:{DIRECTORY}\n\n[probe]\nper-second = 60\n\n[metrics]\nlisten = {ip}:{METRICS}\n\n[keys]\n\n[place]\nlisten = {ip}:{PLACE}\nparts = no\n\n[relay]\nport = {INTERNAL}\n\n[quota]\ndomains = {zones}\n",
-                n = i / 3 + 1, zones = ZONES.join(",")
+                n = i / 3 + 1,
+                zones = ZONES.join(",")
             );
-            let process = site.process(&format!("edge-{i}"), "target/release/platform-entry", &text)?;
+            let process =
+                site.process(&format!("edge-{i}"), "target/release/platform-entry", &text)?;
             site.entries.push(process);
         }
         Ok(site)
@@ -313,7 +376,13 @@
         let settings = self.dir.join(format!("{name}.ini"));
         fs::write(&settings, text).map_err(|e| e.to_string())?;
         let out = self.dir.join(format!("{name}.log"));
-        Ok(Process { name: name.to_owned(), binary, settings, out, child: None })
+        Ok(Process {
+            name: name.to_owned(),
+            binary,
+            settings,
+            out,
+            child: None,
+        })
     }
 
     /// Sends a configuration to the hubs in turn until one acknowledges it.
@@ -322,7 +391,13 @@
         let mut last = String::from("no call");
         while Instant::now() < until {
             for i in 0..3 {
-                match call(self.hub(i), "POST", "/-/Config.Put", document.as_bytes(), Duration::from_secs(1)) {
+                match call(
+                    self.hub(i),
+                    "POST",
+                    "/-/Config.Put",
+                    document.as_bytes(),
+                    Duration::from_secs(1),
+                ) {
                     Ok(answer) if answer.status() == 200 => return Ok(answer),
                     Ok(answer) if answer.status() < 500 => return Ok(answer),
                     Ok(answer) => last = answer.first,
@@ -339,7 +414,14 @@
         let until = Instant::now() + patience;
         loop {
             let ready = (0..self.entries.len()).all(|i| {
-                call(self.ready(i), "GET", "/-/ready", b"", Duration::from_secs(1)).is_ok_and(|a| a.status() == 200)
+                call(
+                    self.ready(i),
+                    "GET",
+                    "/-/ready",
+                    b"",
+                    Duration::from_secs(1),
+                )
+                .is_ok_and(|a| a.status() == 200)
             });
             if ready {
                 return Ok(());
@@ -375,7 +457,8 @@
     for step in 0..40 {
         let net = [127, (20 + (first + step * 7) % 200) as u8];
         let hubs = (0..3).flat_map(|i| {
-            [CONTROL, INTERNAL, INTERNAL + 1, INTERNAL + 2, METRICS].map(|p| addr(net, [1, i + 1], p))
+            [CONTROL, INTERNAL, INTERNAL + 1, INTERNAL + 2, METRICS]
+                .map(|p| addr(net, [1, i + 1], p))
         });
         let fronts = (0..entries as u8).flat_map(|i| {
             [FRONT, READY, DIRECTORY, INTERNAL, PLACE, METRICS].map(|p| addr(net, [2, i + 1], p))
@@ -435,10 +518,17 @@
 impl Instance {
     #[allow(clippy::too_many_arguments)]
     pub fn start(
-        site: &Site, n: u8, service: &str, slots: usize, queue: usize, work: Duration,
-        runs: &Arc<Runs>, record: &Arc<Record>,
+        site: &Site,
+        n: u8,
+        service: &str,
+        slots: usize,
+        queue: usize,
+        work: Duration,
+        runs: &Arc<Runs>,
+        record: &Arc<Record>,
     ) -> Result<Arc<Self>, Fail> {
-        let listener = TcpListener::bind(addr(site.net, [3, n + 1], 8080)).map_err(|e| e.to_string())?;
+        let listener =
+            TcpListener::bind(addr(site.net, [3, n + 1], 8080)).map_err(|e| e.to_string())?;
         let address = listener.local_addr().map_err(|e| e.to_string())?;
         let instance = Arc::new(Self {
             id: format!("i-{:08x}", 0x7f3a_0000_u32 + u32::from(n)),
@@ -503,7 +593,10 @@
 
     fn load(&self) -> String {
         let taken = self.slots_taken.lock().unwrap();
-        format!("Instance-Load: {},{},{},100\r\n", taken.running, taken.waiting, self.slots)
+        format!(
+            "Instance-Load: {},{},{},100\r\n",
+            taken.running, taken.waiting, self.slots
+        )
     }
 
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
@@ -514,7 +607,8 @@
             if let Some((bytes, old)) = extra.take() {
                 self.extras.fetch_add(1, SeqCst);
                 self.record.add(format!(
-                    "{} EXTRA response of {old} comes where that of {} is expected", self.id,
+                    "{} EXTRA response of {old} comes where that of {} is expected",
+                    self.id,
                     head.header("attempt-id").unwrap_or("a probe")
                 ));
                 conn.stream.write_all(bytes.as_bytes())?;
@@ -523,17 +617,31 @@
             let mut words = head.first.split(' ');
             let (method, path) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
             let id = head.header("attempt-id").unwrap_or("").to_owned();
-            if head.header("expected-instance").is_some_and(|e| e != self.id) {
-                let text = format!("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.id);
+            if head
+                .header("expected-instance")
+                .is_some_and(|e| e != self.id)
+            {
+                let text = format!(
+                    "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                    self.id
+                );
                 conn.stream.write_all(text.as_bytes())?;
                 continue;
             }
             if path == "/health" {
-                let text = format!("HTTP/1.1 200 OK\r\nInstance-Id: {}\r\n{}Keep-Alive: timeout={}\r\nContent-Length: 0\r\n\r\n", self.id, self.load(), KEEP_ALIVE);
+                let text = format!(
+                    "HTTP/1.1 200 OK\r\nInstance-Id: {}\r\n{}Keep-Alive: timeout={}\r\nContent-Length: 0\r\n\r\n",
+                    self.id,
+                    self.load(),
+                    KEEP_ALIVE
+                );
                 conn.stream.write_all(text.as_bytes())?;
                 continue;
             }
-            let deadline = head.header("request-deadline").and_then(|d| d.parse().ok()).unwrap_or(30_000);
+            let deadline = head
+                .header("request-deadline")
+                .and_then(|d| d.parse().ok())
+                .unwrap_or(30_000);
             let deadline = Instant::now() + Duration::from_millis(deadline);
             let (extra_share, shed, two_lengths) = {
                 let faults = self.faults.lock().unwrap();
@@ -543,7 +651,8 @@
                 self.refused.fetch_add(1, SeqCst);
                 let text = format!(
                     "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\n{}Keep-Alive: timeout={}\r\nContent-Length: 0\r\n\r\n",
-                    self.load(), KEEP_ALIVE
+                    self.load(),
+                    KEEP_ALIVE
                 );
                 self.record.add(format!("{} refuses {id}", self.id));
                 conn.stream.write_all(text.as_bytes())?;
@@ -552,22 +661,39 @@
                 }
                 continue;
             }
-            self.record.add(format!("{} RUNS {id} {method} {path} ({} bytes)", self.id, body.len()));
-            self.runs.0.lock().unwrap().entry(id.clone()).or_default().push(self.id.clone());
+            self.record.add(format!(
+                "{} RUNS {id} {method} {path} ({} bytes)",
+                self.id,
+                body.len()
+            ));
+            self.runs
+                .0
+                .lock()
+                .unwrap()
+                .entry(id.clone())
+                .or_default()
+                .push(self.id.clone());
             thread::sleep(self.work);
             self.leave();
             let text = body_of(&id, &self.id);
             let base = format!(
                 "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: {id}.{}\r\n{}Keep-Alive: timeout={}\r\n",
-                self.id, self.load(), KEEP_ALIVE
+                self.id,
+                self.load(),
+                KEEP_ALIVE
             );
             let answer = if self.roll() < two_lengths {
                 self.extras.fetch_add(1, SeqCst);
-                self.record.add(format!("{} SPOILS its answer to {id}: in chunks, and with the length of the first one", self.id));
+                self.record.add(format!(
+                    "{} SPOILS its answer to {id}: in chunks, and with the length of the first one",
+                    self.id
+                ));
                 let (first, rest) = text.split_at(text.len() / 2);
                 format!(
                     "{base}Content-Length: {}\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{first}\r\n{:x}\r\n{rest}\r\n0\r\n\r\n",
-                    first.len(), first.len(), rest.len()
+                    first.len(),
+                    first.len(),
+                    rest.len()
                 )
             } else {
                 format!("{base}Content-Length: {}\r\n\r\n{text}", text.len())
@@ -636,7 +762,13 @@
     };
     let body = String::from_utf8_lossy(&answer.body);
     let whole = body_of(id, instance);
-    (body != whole).then(|| format!("a success with {} of {} bytes of the instance's body", body.len(), whole.len()))
+    (body != whole).then(|| {
+        format!(
+            "a success with {} of {} bytes of the instance's body",
+            body.len(),
+            whole.len()
+        )
+    })
 }
 
 /// Clients that send one request after another, each with an id of its own, on a kept connection.
@@ -648,10 +780,19 @@
 }
 
 impl Clients {
-    pub fn start(&self, site: &Site, answers: &Answers, record: &Arc<Record>) -> Vec<thread::JoinHandle<()>> {
+    pub fn start(
+        &self,
+        site: &Site,
+        answers: &Answers,
+        record: &Arc<Record>,
+    ) -> Vec<thread::JoinHandle<()>> {
         let fronts = site.entries.len();
         let start = |n: usize| {
-            let (to, answers, record) = (site.front(n % fronts), Arc::clone(answers), Arc::clone(record));
+            let (to, answers, record) = (
+                site.front(n % fronts),
+                Arc::clone(answers),
+                Arc::clone(record),
+            );
             let (pause, body, until) = (self.pause, self.body, self.until);
             thread::spawn(move || client(to, n, pause, until, body, &answers, &record))
         };
@@ -660,7 +801,13 @@
 }
 
 fn client(
-    to: SocketAddr, n: usize, pause: Duration, until: Instant, body: usize, answers: &Answers, record: &Record,
+    to: SocketAddr,
+    n: usize,
+    pause: Duration,
+    until: Instant,
+    body: usize,
+    answers: &Answers,
+    record: &Record,
 ) {
     let mut conn: Option<Conn> = None;
     let mut k = 0;
@@ -689,14 +836,20 @@
                     } else if (200..300).contains(&got.status) {
                         got.fault = check_success(&id, &answer);
                     }
-                    if answer.header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close")) {
+                    if answer
+                        .header("connection")
+                        .is_some_and(|v| v.eq_ignore_ascii_case("close"))
+                    {
                         conn = None;
                     }
                 }
                 Ok(None) | Err(_) => conn = None,
             }
         }
-        let fault = got.fault.as_deref().map_or(String::new(), |f| format!(": {f}"));
+        let fault = got
+            .fault
+            .as_deref()
+            .map_or(String::new(), |f| format!(": {f}"));
         record.add(format!("client {n} got {} for {id}{fault}", got.status));
         answers.lock().unwrap().insert(id, got);
         thread::sleep(pause);
@@ -716,7 +869,12 @@
 
 impl Scene {
     fn start(
-        entries: usize, instances: u8, slots: usize, work: Duration, kind: &str, record: &Arc<Record>,
+        entries: usize,
+        instances: u8,
+        slots: usize,
+        work: Duration,
+        kind: &str,
+        record: &Arc<Record>,
     ) -> Result<Self, Fail> {
         let site = Site::start(entries)?;
         let runs = Arc::new(Runs::default());
@@ -730,13 +888,30 @@
         site.wait_ready(Duration::from_secs(15))?;
         // The instances become known.
         thread::sleep(Duration::from_secs(3));
-        Ok(Self { site, instances, runs, answers: Answers::default(), record: Arc::clone(record) })
+        Ok(Self {
+            site,
+            instances,
+            runs,
+            answers: Answers::default(),
+            record: Arc::clone(record),
+        })
     }
 
     /// Plays clients for `length` while `trouble` acts on the instances.
-    fn play(&self, clients: usize, pause: Duration, length: Duration, trouble: impl FnOnce(Instant)) {
+    fn play(
+        &self,
+        clients: usize,
+        pause: Duration,
+        length: Duration,
+        trouble: impl FnOnce(Instant),
+    ) {
         let until = Instant::now() + length;
-        let clients = Clients { count: clients, pause, body: 300, until };
+        let clients = Clients {
+            count: clients,
+            pause,
+            body: 300,
+            until,
+        };
         let clients = clients.start(&self.site, &self.answers, &self.record);
         trouble(until);
         for client in clients {
@@ -753,7 +928,10 @@
             *instance.faults.lock().unwrap() = if spoils {
                 faults
             } else {
-                Faults { shed: faults.shed, ..Faults::default() }
+                Faults {
+                    shed: faults.shed,
+                    ..Faults::default()
+                }
             };
         }
     }
@@ -779,22 +957,33 @@
 fn late_refusal(trouble: bool, record: &Arc<Record>) -> Result<bool, Fail> {
     let scene = Scene::start(6, 20, 2, Duration::from_millis(120), "unsafe", record)?;
     // Bouts of 8.5 s in which the instances shed requests, with 5 s in each in which copies come.
-    scene.play(80, Duration::from_millis(300), Duration::from_secs(70), |until| {
-        let shed = Faults { shed: SHED, ..Faults::default() };
-        let extra = Faults { extra_refusals: EXTRA, ..shed };
-        while Instant::now() + Duration::from_secs(12) < until {
-            thread::sleep(Duration::from_millis(2_000));
-            if trouble {
-                scene.set(SPOILT, shed);
-                thread::sleep(Duration::from_millis(1_000));
-                scene.set(SPOILT, extra);
-                thread::sleep(Duration::from_millis(5_000));
-                scene.set(SPOILT, shed);
-                thread::sleep(Duration::from_millis(2_500));
+    scene.play(
+        80,
+        Duration::from_millis(300),
+        Duration::from_secs(70),
+        |until| {
+            let shed = Faults {
+                shed: SHED,
+                ..Faults::default()
+            };
+            let extra = Faults {
+                extra_refusals: EXTRA,
+                ..shed
+            };
+            while Instant::now() + Duration::from_secs(12) < until {
+                thread::sleep(Duration::from_millis(2_000));
+                if trouble {
+                    scene.set(SPOILT, shed);
+                    thread::sleep(Duration::from_millis(1_000));
+                    scene.set(SPOILT, extra);
+                    thread::sleep(Duration::from_millis(5_000));
+                    scene.set(SPOILT, shed);
+                    thread::sleep(Duration::from_millis(2_500));
+                }
+                scene.set(0.0, Faults::default());
             }
-            scene.set(0.0, Faults::default());
-        }
-    });
+        },
+    );
     let (mut twice, mut denied) = (0, 0);
     let runs = scene.runs.0.lock().unwrap();
     let answers = scene.answers.lock().unwrap();
@@ -806,7 +995,10 @@
         }
         if [429, 503, 408, 421].contains(&status) {
             denied += 1;
-            record.add(format!("BROKEN (REFUSED): {id} ran at {} and was answered {status}", at.join(" and ")));
+            record.add(format!(
+                "BROKEN (REFUSED): {id} ran at {} and was answered {status}",
+                at.join(" and ")
+            ));
         }
     }
     let served = answers.values().filter(|a| a.status == 200).count();
@@ -824,16 +1016,27 @@
 /// first chunk.
 fn two_lengths(trouble: bool, record: &Arc<Record>) -> Result<bool, Fail> {
     let scene = Scene::start(3, 8, 6, Duration::from_millis(60), "unsafe", record)?;
-    scene.play(40, Duration::from_millis(250), Duration::from_secs(30), |until| {
-        while Instant::now() + Duration::from_secs(8) < until {
-            thread::sleep(Duration::from_secs(2));
-            if trouble {
-                scene.set(0.35, Faults { two_lengths: 0.02, ..Faults::default() });
-                thread::sleep(Duration::from_millis(5_500));
+    scene.play(
+        40,
+        Duration::from_millis(250),
+        Duration::from_secs(30),
+        |until| {
+            while Instant::now() + Duration::from_secs(8) < until {
+                thread::sleep(Duration::from_secs(2));
+                if trouble {
+                    scene.set(
+                        0.35,
+                        Faults {
+                            two_lengths: 0.02,
+                            ..Faults::default()
+                        },
+                    );
+                    thread::sleep(Duration::from_millis(5_500));
+                }
+                scene.set(0.0, Faults::default());
             }
-            scene.set(0.0, Faults::default());
-        }
-    });
+        },
+    );
     let answers = scene.answers.lock().unwrap();
     let mut mixed = 0;
     for (id, answer) in answers.iter() {
@@ -845,7 +1048,8 @@
     let served = answers.values().filter(|a| a.status == 200).count();
     scene.say(format!(
         "requests {}, served {served}, spoilt by instances {}, wrong answers {mixed}",
-        answers.len(), scene.count(|i| i.extras.load(SeqCst))
+        answers.len(),
+        scene.count(|i| i.extras.load(SeqCst))
     ));
     if served == 0 {
         return Err("no request was served".into());
@@ -857,8 +1061,14 @@
 fn first_version(trouble: bool, record: &Arc<Record>) -> Result<bool, Fail> {
     let site = Site::start(2)?;
     let version = u32::from(!trouble);
-    let answer = site.put(&document(version, "wuno96b", "unsafe", 2), Duration::from_secs(15))?;
-    record.add(format!("configuration {version:08x} sent: {}", answer.first));
+    let answer = site.put(
+        &document(version, "wuno96b", "unsafe", 2),
+        Duration::from_secs(15),
+    )?;
+    record.add(format!(
+        "configuration {version:08x} sent: {}",
+        answer.first
+    ));
     println!("configuration {version:08x} sent: {}", answer.first);
     if answer.status() != 200 {
         return Ok(false);
@@ -868,7 +1078,13 @@
     let (mut read, mut refused) = (0, 0);
     while Instant::now() < until {
         for i in 0..3 {
-            match call(site.hub(i), "GET", "/-/Config.Get", b"", Duration::from_secs(1)) {
+            match call(
+                site.hub(i),
+                "GET",
+                "/-/Config.Get",
+                b"",
+                Duration::from_secs(1),
+            ) {
                 Ok(answer) if answer.status() == 200 => read += 1,
                 Ok(answer) => {
                     refused += 1;
@@ -916,7 +1132,18 @@
     }
     let runs = Arc::new(Runs::default());
     let service = "wuno96b";
-    let instances = (0..4).map(|n| Instance::start(&site, n, service, 6, 12, Duration::from_millis(60), &runs, record));
+    let instances = (0..4).map(|n| {
+        Instance::start(
+            &site,
+            n,
+            service,
+            6,
+            12,
+            Duration::from_millis(60),
+            &runs,
+            record,
+        )
+    });
     let instances = instances.collect::<Result<Vec<_>, _>>()?;
     let put = site.put(&document(1, service, "unsafe", 2), FIRST_CONFIG);
     record.add(match &put {
@@ -924,10 +1151,26 @@
         Err(err) => err.clone(),
     });
     thread::sleep(Duration::from_secs(3));
-    let scene = Scene { site, instances, runs, answers: Answers::default(), record: Arc::clone(record) };
-    scene.play(20, Duration::from_millis(250), Duration::from_secs(15), |_| {});
+    let scene = Scene {
+        site,
+        instances,
+        runs,
+        answers: Answers::default(),
+        record: Arc::clone(record),
+    };
+    scene.play(
+        20,
+        Duration::from_millis(250),
+        Duration::from_secs(15),
+        |_| {},
+    );
     let mut scene = scene;
-    let ended = scene.site.hubs.iter_mut().chain(&mut scene.site.entries).any(Process::has_ended);
+    let ended = scene
+        .site
+        .hubs
+        .iter_mut()
+        .chain(&mut scene.site.entries)
+        .any(Process::has_ended);
     if ended {
         return Err("a process ended by itself".into());
     }
@@ -935,7 +1178,8 @@
     let served = answers.values().filter(|a| a.status == 200).count();
     let acknowledged = put.is_ok_and(|answer| answer.status() == 200);
     scene.say(format!(
-        "first configuration acknowledged: {acknowledged}; requests {}, served {served}", answers.len()
+        "first configuration acknowledged: {acknowledged}; requests {}, served {served}",
+        answers.len()
     ));
     if served == 0 {
         record.add(format!("BROKEN (Fault): no request is served; no configuration was acknowledged in {FIRST_CONFIG:?}"));
@@ -945,7 +1189,9 @@
 
 fn main() {
     let name = std::env::args().nth(1).unwrap_or_default();
-    let out = std::env::args().nth(2).unwrap_or_else(|| "record.txt".into());
+    let out = std::env::args()
+        .nth(2)
+        .unwrap_or_else(|| "record.txt".into());
     let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     let record = Record::new();
     let result = match name.as_str() {
