entry: logs and counts responses that name another request

Cause: `msg=refusal` named the request that was sent, not the id that the refusal bore, nor what its connection had carried before, and nothing counted responses that name another request or none. So logs couldn't tell a copy of an earlier refusal from a response without an id, from that to a probe, or from a true refusal.

Change: `msg=refusal` has `named`, `uses` and `last`; `msg="foreign response"` is written for requests, for responses of instances that another entry process passes on, and for responses to probes that name a request. `entry.refusals`, `entry.answers.foreign` and `entry.connections.foreign` count them. Connections count what they carried. An id without characters counts as none on a response to a probe. No decision changes: refusals and 421 that name another request, or none, are handled as before.

Not tested: the line for a response that another entry process passes on.

--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -7,6 +7,7 @@
 use cadence::Gauged;
 use cadence::StatsdClient;
 use cadence::Timed;
+use http::StatusCode;
 use quota::Tokens;
 
 /// Sends metrics. A metric that can't be sent is dropped without delaying the caller.
@@ -64,6 +65,33 @@
             .send();
     }
 
+    /// Counts a response that doesn't name the request that was sent; `owner` is what it names.
+    pub fn foreign_response(&self, service: &ServiceName, owner: &str, status: StatusCode) {
+        self.client
+            .count_with_tags("entry.answers.foreign", 1)
+            .with_tag("service", service.as_str())
+            .with_tag("owner", owner)
+            .with_tag("status", status_class(status))
+            .send();
+    }
+
+    /// Counts a connection that is closed because a response on it doesn't name the request.
+    pub fn foreign_closed(&self, service: &ServiceName) {
+        self.client
+            .count_with_tags("entry.connections.foreign", 1)
+            .with_tag("service", service.as_str())
+            .send();
+    }
+
+    /// Counts a refusal of an instance; `owner` is what it names.
+    pub fn refusal(&self, service: &ServiceName, owner: &str) {
+        self.client
+            .count_with_tags("entry.refusals", 1)
+            .with_tag("service", service.as_str())
+            .with_tag("owner", owner)
+            .send();
+    }
+
     /// Counts an attempt that broke off; `fate` is what happened to the instance.
     pub fn broken(&self, service: &ServiceName, fate: &str) {
         self.client
@@ -229,3 +257,15 @@
             .send();
     }
 }
+
+/// The class of a status, for a metric's tag.
+fn status_class(status: StatusCode) -> &'static str {
+    match status.as_u16() / 100 {
+        1 => "1xx",
+        2 => "2xx",
+        3 => "3xx",
+        4 => "4xx",
+        5 => "5xx",
+        _ => "other",
+    }
+}
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -5,6 +5,7 @@
 
 use base::prelude::*;
 use bytes::Bytes;
+use correlate::Owner;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
@@ -30,10 +31,13 @@
 use crate::body::ForwardedBody;
 use crate::body::ReadBody;
 use crate::core::Core;
+use crate::correlation;
+use crate::correlation::Exchange;
 use crate::headers;
 use crate::path;
 use crate::placement::Grant;
 use crate::pool::Connection;
+use crate::pool::Message;
 use crate::pool::Pool;
 use crate::send;
 use crate::send::SendEnd;
@@ -199,7 +203,7 @@
             return AttemptEnd::Abandoned(next);
         }
     };
-    let (response, connection) = match send_end {
+    let (response, mut connection) = match send_end {
         SendEnd::Response(response, connection) => (response, connection),
         SendEnd::Withheld => {
             running.end(OutcomeKind::Cancelled, None);
@@ -214,7 +218,19 @@
             return AttemptEnd::Unknown;
         }
     };
-    let report = load_report(core, response.headers());
+    let exchange = Exchange {
+        request: cause,
+        instance: upstream.id.as_str(),
+        peer: None,
+        service: &upstream.service,
+        usage: connection.record_use(Message::Request),
+    };
+    let (status, headers) = (response.status(), response.headers());
+    let owner = correlation::owner(core, request.id.as_bytes(), headers);
+    if owner != Owner::Sent {
+        correlation::record_foreign(core, &exchange, owner, status, headers);
+    }
+    let report = load_report(core, headers);
     // An instance may respond before it has read the whole request body. The rest of the body
     // would precede the next request on this connection.
     let reusable = spool.is_none_or(|spool| spool.is_complete());
@@ -224,7 +240,7 @@
         } else {
             AttemptEnd::Refused
         };
-        log_refusal(core, upstream, &request.id, &response);
+        correlation::record_refusal(core, &exchange, owner, status, response.headers());
         drain_refusal(upstream, response, connection, reusable);
         running.end(OutcomeKind::Shed, report);
         return end;
@@ -235,6 +251,7 @@
     }
     // The response belongs to another request, for example a duplicate response.
     if response.headers().get(&core.dialect.request) != Some(&request.id) {
+        core.counters.foreign_closed(&upstream.service);
         running.end(OutcomeKind::Error, None);
         return AttemptEnd::Unknown;
     }
@@ -257,14 +274,6 @@
     }
 }
 
-fn log_refusal(core: &Core, upstream: &Upstream, id: &HeaderValue, response: &Response<Incoming>) {
-    let retry_after = response.headers().get(&core.dialect.retry_after);
-    info!(core.log, "refusal"; "request" => id.to_str().unwrap_or("-"),
-        "instance" => %upstream.id, "service" => %upstream.service,
-        "status" => response.status().as_u16(),
-        "retry_after" => retry_after.map_or("-", |value| value.to_str().unwrap_or("invalid")));
-}
-
 /// Reads the rest of a refusal, so that the connection can be used again. The request goes on
 /// meanwhile, as the body may never end.
 fn drain_refusal(
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::prelude::*;
+use correlate::Owner;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -17,9 +19,13 @@
 use super::millis;
 use crate::body::ForwardedBody;
 use crate::core::SearchProgress;
+use crate::correlation;
+use crate::correlation::Exchange;
 use crate::exchange;
 use crate::exchange::AttemptEnd;
 use crate::pool::Connection;
+use crate::pool::Message;
+use crate::pool::Usage;
 use crate::refusal::Reason;
 use crate::relay;
 use crate::relay::Hop;
@@ -181,13 +187,15 @@
         &mut self,
         lease: PeerLease,
         mut response: Response<Incoming>,
-        connection: Connection,
+        mut connection: Connection,
     ) -> HopEnd {
         let peer = Arc::clone(lease.peer());
         let outcome = HopOutcome::take(response.headers_mut());
         let report = PeerReport::take(response.headers_mut());
         let retry_after = retry_after(&response);
         let run = relay::take_instance(response.headers_mut());
+        let usage = connection.record_use(Message::Request);
+        self.record_owner(&peer, outcome, run.as_ref(), &response, usage);
         if let Some(upstream) = run.and_then(|run| self.core.upstream(&run)) {
             // The response is passed on here, so what its instance says binds this process, too.
             let id = self.request.id.to_str().unwrap_or("-");
@@ -230,6 +238,36 @@
         }
     }
 
+    /// Logs and counts a peer's response that doesn't name the request. Only a response of an
+    /// instance has to: a process refuses requests without naming them.
+    fn record_owner(
+        &self,
+        peer: &Peer,
+        outcome: Option<HopOutcome>,
+        run: Option<&InstanceRun>,
+        response: &Response<Incoming>,
+        usage: Usage,
+    ) {
+        let headers = response.headers();
+        let owner = correlation::owner(&self.core, self.request.id.as_bytes(), headers);
+        let is_foreign = match owner {
+            Owner::Sent => false,
+            Owner::Other => true,
+            Owner::Unnamed => outcome == Some(HopOutcome::Answered),
+        };
+        if !is_foreign {
+            return;
+        }
+        let exchange = Exchange {
+            request: self.request.id.to_str().unwrap_or("-"),
+            instance: run.map_or("-", |run| run.instance.as_str()),
+            peer: Some(peer.address),
+            service: &self.service,
+            usage,
+        };
+        correlation::record_foreign(&self.core, &exchange, owner, response.status(), headers);
+    }
+
     fn log_hop(&self, peer: &Peer, end: &HopEnd, elapsed: Duration) {
         let outcome: &'static str = match end {
             HopEnd::Final(Outcome::Response(..)) => "answered",
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod balancer;
 pub mod body;
 pub mod core;
+pub mod correlation;
 pub mod counters;
 pub mod crash;
 pub mod dialect;
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -15,6 +15,7 @@
 use quick_error::quick_error;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
+use strum::IntoStaticStr;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
@@ -59,14 +60,56 @@
     }
 }
 
+/// What is sent on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Message {
+    /// A request.
+    Request,
+    /// A probe of an instance's load.
+    Probe,
+    /// The question whether a peer reaches the instances of a service.
+    Question,
+}
+
+/// What a connection has carried.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Number of messages that got a response.
+    pub uses: u64,
+    /// The latest of them.
+    pub last: Option<Message>,
+}
+
+impl Usage {
+    /// The latest message in the log, "-" for a new connection.
+    #[must_use]
+    pub fn last_label(&self) -> &'static str {
+        self.last.map_or("-", Into::into)
+    }
+}
+
 /// A connection, which is closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
     /// Sends requests, one at a time.
     pub sender: SendRequest<ForwardedBody>,
+    usage: Usage,
     _driver: AbortOnDropHandle<()>,
 }
 
+impl Connection {
+    /// Records a message that got a response. Returns what the connection had carried before.
+    pub fn record_use(&mut self, message: Message) -> Usage {
+        let before = self.usage;
+        self.usage = Usage {
+            uses: before.uses.saturating_add(1),
+            last: Some(message),
+        };
+        before
+    }
+}
+
 #[derive(Debug)]
 struct Idle {
     connection: Connection,
@@ -136,6 +179,7 @@
         });
         Ok(Connection {
             sender,
+            usage: Usage::default(),
             _driver: AbortOnDropHandle::new(driver),
         })
     }
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use correlate::Owner;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
@@ -24,9 +25,12 @@
 use crate::body::ForwardedBody;
 use crate::body::ReadBody;
 use crate::core::Core;
+use crate::correlation;
+use crate::correlation::Exchange;
 use crate::exchange;
 use crate::path;
 use crate::pool::Connection;
+use crate::pool::Message;
 use crate::send;
 use crate::send::SendEnd;
 use crate::view::Upstream;
@@ -147,9 +151,10 @@
 
 async fn probe(core: &Arc<Core>, upstream: &Arc<Upstream>) -> ProbeResult {
     let sent_at = Instant::now();
-    let Some((response, connection)) = send_probe(core, upstream).await else {
+    let Some((response, mut connection)) = send_probe(core, upstream).await else {
         return ProbeResult::Failed;
     };
+    record_owner(core, upstream, &response, &mut connection);
     let (parts, incoming) = response.into_parts();
     let body = body::read(incoming).await;
     let id = parts.headers.get(&core.dialect.instance);
@@ -172,6 +177,27 @@
     })
 }
 
+/// Logs and counts the response if it names a request, as a response to a probe names none.
+fn record_owner(
+    core: &Core,
+    upstream: &Upstream,
+    response: &Response<Incoming>,
+    connection: &mut Connection,
+) {
+    let exchange = Exchange {
+        request: PROBE_CAUSE,
+        instance: upstream.id.as_str(),
+        peer: None,
+        service: &upstream.service,
+        usage: connection.record_use(Message::Probe),
+    };
+    let (status, headers) = (response.status(), response.headers());
+    let owner = correlation::owner(core, &[], headers);
+    if owner == Owner::Other {
+        correlation::record_foreign(core, &exchange, owner, status, headers);
+    }
+}
+
 /// Sends a probe.
 async fn send_probe(
     core: &Arc<Core>,
--- a/crates/entry/src/relay/search.rs
+++ b/crates/entry/src/relay/search.rs
@@ -24,6 +24,7 @@
 use crate::flow;
 use crate::pool::CONNECT_TIMEOUT;
 use crate::pool::Connection;
+use crate::pool::Message;
 use crate::refusal::Reason;
 use crate::relay;
 
@@ -104,8 +105,9 @@
 async fn read_answer(
     peer: &Peer,
     mut response: Response<Incoming>,
-    connection: Connection,
+    mut connection: Connection,
 ) -> Option<Answer> {
+    connection.record_use(Message::Question);
     let outcome = HopOutcome::take(response.headers_mut())?;
     let report = PeerReport::take(response.headers_mut());
     exchange::read_response(&peer.pool, response, connection, true).await?;
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test binary uses its own part")]
 
 pub mod caller;
+pub mod lines;
 pub mod proxy;
 pub mod upstream;
 
--- a/crates/entry/tests/fakes/upstream.rs
+++ b/crates/entry/tests/fakes/upstream.rs
@@ -62,6 +62,10 @@
     Truncate,
     /// Answers with the id of another request.
     WrongId,
+    /// Refuses it in a response that names this request.
+    RefusalOf(&'static str),
+    /// Answers it without naming a request.
+    Unnamed,
     /// Answers twice.
     Twice,
     /// Never answers.
@@ -391,9 +395,7 @@
         Behavior::Answer => answer,
         Behavior::Queue if hold(stream, shared).await => answer,
         Behavior::Fail => answer.replace("200 OK", "500 Internal Server Error"),
-        Behavior::Shed => format!(
-            "HTTP/1.1 503 Service Unavailable\r\n{own}rwr-shed: 1\r\ncontent-length: 0\r\n\r\n"
-        ),
+        Behavior::Shed => refusal(&own),
         Behavior::AddressTaken => {
             "HTTP/1.1 421 Misdirected Request\r\nrwr-instance: i-x\r\nrwr-shed: 1\r\ncontent-length: 0\r\n\r\n"
                 .to_owned()
@@ -405,6 +407,10 @@
         }
         Behavior::Truncate => answer[..answer.len() - 4].to_owned(),
         Behavior::WrongId => answer.replace(&id, "another"),
+        Behavior::RefusalOf(named) => refusal(&format!(
+            "rwr-request-id: {named}\r\nkeep-alive: timeout=30\r\n"
+        )),
+        Behavior::Unnamed => answer.replacen(&format!("rwr-request-id: {id}\r\n"), "", 1),
         Behavior::Twice => format!("{answer}{answer}"),
         Behavior::Hang | Behavior::Queue => {
             let mut byte = [0];
@@ -431,10 +437,7 @@
              content-length: 0\r\n\r\n"
         ),
         Behavior::Leave => answer.replacen(&own, &format!("{own}{LEAVING}"), 1),
-        Behavior::ShedAndLeave => format!(
-            "HTTP/1.1 503 Service Unavailable\r\n{own}{LEAVING}rwr-shed: 1\r\n\
-             content-length: 0\r\n\r\n"
-        ),
+        Behavior::ShedAndLeave => refusal(&format!("{own}{LEAVING}")),
         Behavior::RestAndLeave => format!(
             "HTTP/1.1 503 Service Unavailable\r\n{own}{LEAVING}rwr-shed: 1\r\n\
              retry-after: 0.01\r\ncontent-length: 0\r\n\r\n"
@@ -474,6 +477,11 @@
     !matches!(behavior, Behavior::Truncate | Behavior::Unframed)
 }
 
+/// A refusal with these headers.
+fn refusal(headers: &str) -> String {
+    format!("HTTP/1.1 503 Service Unavailable\r\n{headers}rwr-shed: 1\r\ncontent-length: 0\r\n\r\n")
+}
+
 /// Holds a request until it may be answered. Returns false if there was no room for it, or its
 /// caller has disconnected.
 async fn hold(stream: &mut TcpStream, shared: &Shared) -> bool {
--- a/crates/entry/tests/test_workspaces.rs
+++ b/crates/entry/tests/test_workspaces.rs
@@ -2,11 +2,6 @@
 
 mod fakes;
 
-use std::io;
-use std::io::Write;
-use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use base::prelude::*;
@@ -21,6 +16,7 @@
 use fakes::caller::Answer;
 use fakes::caller::Caller;
 use fakes::instance;
+use fakes::lines::Lines;
 use fakes::proxy::Path;
 use fakes::settings;
 use fakes::start_unconfigured;
@@ -522,21 +518,6 @@
     assert_eq!((answer.status, fleet.runs("r-1")), (503, 0));
 }
 
-#[derive(Clone, Default)]
-struct Lines(Arc<Mutex<Vec<u8>>>);
-
-impl Write for Lines {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let mut lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        lines.extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
 /// Guards against keys in log lines, and against refusals whose cause they don't tell.
 #[tokio::test]
 async fn test_workspaces_log_has_causes_and_no_keys() {
@@ -564,8 +545,7 @@
     call(&entry, READ, "r-removed", &bearer(KEY)).await;
     drop(entry);
     drop(guard);
-    let lines = lines.0.lock().unwrap_or_else(PoisonError::into_inner);
-    let text = String::from_utf8_lossy(&lines).into_owned();
+    let text = lines.text();
     for key in [KEY, unknown] {
         assert!(!text.contains(key), "{text}");
     }
