gateway: logs and counts refusals and responses that name another request

Cause: gateways wrote no line for a refusal of an instance, and neither named nor counted a response of another request (only `msg="answer refused" ending=mismatch`).

Change: `msg=refusal` with `named`, `msg="foreign response"` for requests and probes, `gateway.refusals` by whether the refusal names the request, and `gateway.answers.foreign`. Instances of gateways may leave the id out, so a response without one isn't foreign there. The counters have no tag of the service, as the others of gateways. No decision changes.

Not tested: the line of a probe.

--- a/crates/gateway/src/call/responses.rs
+++ b/crates/gateway/src/call/responses.rs
@@ -10,6 +10,7 @@
 use base::header;
 use base::prelude::*;
 use bytes::Bytes;
+use correlate::Owner;
 use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
@@ -31,11 +32,13 @@
 use crate::call::state::CheckedAttempt;
 use crate::call::state::PendingAttempt;
 use crate::call::state::RelayingAttempt;
+use crate::correlation;
 use crate::instance_clients::SendError;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::relay::RelayedResponse;
 use crate::relay::UpstreamResponse;
+use crate::view::UpstreamInstance;
 
 impl Driver {
     pub(super) fn on_response_head(
@@ -68,6 +71,7 @@
             }
         };
         guard.record_head(&response.headers);
+        self.record_owner(&guard.upstream(), &response);
         if let Some(err) = self.reject_response(&response) {
             guard.set_kind(OutcomeKind::Error);
             drop(guard);
@@ -88,6 +92,18 @@
         self.step(Event::Head(number, head));
     }
 
+    /// Logs and counts a refusal, or a response that names another request. Instances may leave
+    /// the id out.
+    fn record_owner(&self, upstream: &UpstreamInstance, response: &UpstreamResponse) {
+        let headers = &response.headers;
+        let owner = correlation::owner(&self.request.head.id, headers);
+        if owner == Owner::Other {
+            correlation::record_foreign(&self.core, &self.log, upstream, response.status, headers);
+        } else if response.is_shed() {
+            correlation::record_refusal(&self.core, &self.log, upstream, owner, headers);
+        }
+    }
+
     /// Handles a failed attempt. If it broke off at an instance and may be retried, that is
     /// decided once it is known whether the request crashed the instance.
     pub(super) fn on_failed(
--- /dev/null
+++ b/crates/gateway/src/correlation.rs
@@ -0,0 +1,67 @@
+//! Logs and counts refusals, and responses that name another request than the one that was sent.
+
+use base::header;
+use correlate::Owner;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::StatusCode;
+use slog::Logger;
+use slog::info;
+
+use crate::core::Core;
+use crate::counters::add;
+use crate::view::UpstreamInstance;
+
+/// Maximum length in bytes of the ids of a response in the log. Gateways give requests shorter
+/// ids.
+const MAX_LOGGED_IDS: usize = 128;
+
+/// Compares the ids that a response names to `id`, which is empty for a probe.
+#[must_use]
+pub fn owner(id: &str, headers: &HeaderMap) -> Owner {
+    let named = headers.get_all(header::REQUEST_ID).iter();
+    Owner::of(id.as_bytes(), named.map(HeaderValue::as_bytes))
+}
+
+/// Logs and counts a response that names another request. `log` names the one that was sent.
+pub fn record_foreign(
+    core: &Core,
+    log: &Logger,
+    upstream: &UpstreamInstance,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
+    info!(log, "foreign response"; "instance" => %upstream.id, "named" => named_ids(headers),
+        "owner" => <&str>::from(Owner::Other), "status" => status.as_u16(),
+        "refused" => headers.contains_key(header::SHED));
+    add(&core.counters.foreign_responses, 1);
+}
+
+/// Logs and counts a refusal. `log` names the request.
+pub fn record_refusal(
+    core: &Core,
+    log: &Logger,
+    upstream: &UpstreamInstance,
+    owner: Owner,
+    headers: &HeaderMap,
+) {
+    let retry_after = headers.get(header::RETRY_AFTER);
+    info!(log, "refusal"; "instance" => %upstream.id, "named" => named_ids(headers),
+        "retry_after" => retry_after.map_or("-", |value| value.to_str().unwrap_or("invalid")));
+    core.counters.upstream_refusal(owner);
+}
+
+/// The ids that a response names, cut to [`MAX_LOGGED_IDS`]; "-" if there are none.
+fn named_ids(headers: &HeaderMap) -> String {
+    let values = headers.get_all(header::REQUEST_ID).iter();
+    let ids: Vec<&str> = values
+        .map(|value| value.to_str().unwrap_or("invalid"))
+        .collect();
+    let mut text = ids.join(",");
+    // Text of header values is ASCII, so each byte is a character.
+    text.truncate(MAX_LOGGED_IDS);
+    if text.is_empty() {
+        text.push('-');
+    }
+    text
+}
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -9,6 +9,7 @@
 
 use cadence::Counted;
 use cadence::Gauged;
+use correlate::Owner;
 use crash::Fate;
 use strum::EnumCount;
 use strum::IntoEnumIterator;
@@ -32,6 +33,10 @@
 pub const CLAIMS: &str = "gateway.claims";
 /// Number of attempts that broke off, with the tag `instance`: what became of the instance.
 pub const BROKEN: &str = "gateway.attempts.broken";
+/// Number of responses that name another request than the one that was sent.
+pub const FOREIGN_RESPONSES: &str = "gateway.answers.foreign";
+/// Number of refusals by instances, with the tag `owner`: what the refusal names.
+pub const UPSTREAM_REFUSALS: &str = "gateway.refusals";
 /// Number of requests that became quarantined.
 pub const QUARANTINED: &str = "gateway.quarantined";
 /// Number of calls in flight.
@@ -46,6 +51,9 @@
 /// Interval at which metrics are sent.
 pub const SEND_INTERVAL: Duration = Duration::from_secs(1);
 
+/// What a refusal that counts may name; one that names another request isn't taken for a refusal.
+const REFUSAL_OWNERS: [Owner; 2] = [Owner::Sent, Owner::Unnamed];
+
 /// Sums since metrics were last sent.
 #[derive(Debug)]
 pub struct Counters {
@@ -63,6 +71,9 @@
     pub claims: AtomicU64,
     /// Number of requests that became quarantined.
     pub quarantined: AtomicU64,
+    /// Number of responses that name another request than the one that was sent.
+    pub foreign_responses: AtomicU64,
+    upstream_refusals: [AtomicU64; REFUSAL_OWNERS.len()],
     refused: [AtomicU64; Reason::COUNT],
     broken: [AtomicU64; Fate::COUNT],
 }
@@ -77,6 +88,8 @@
             backoffs: AtomicU64::default(),
             claims: AtomicU64::default(),
             quarantined: AtomicU64::default(),
+            foreign_responses: AtomicU64::default(),
+            upstream_refusals: std::array::from_fn(|_| AtomicU64::default()),
             refused: std::array::from_fn(|_| AtomicU64::default()),
             broken: std::array::from_fn(|_| AtomicU64::default()),
         }
@@ -89,6 +102,14 @@
         add(&self.refused[reason as usize], 1);
     }
 
+    /// Counts a refusal by an instance.
+    pub fn upstream_refusal(&self, owner: Owner) {
+        let mut sums = REFUSAL_OWNERS.iter().zip(&self.upstream_refusals);
+        if let Some((_, sum)) = sums.find(|(counted, _)| **counted == owner) {
+            add(sum, 1);
+        }
+    }
+
     /// Counts an attempt that broke off.
     pub fn broken(&self, fate: Fate) {
         add(&self.broken[fate as usize], 1);
@@ -121,6 +142,7 @@
         (BACKOFFS, &counters.backoffs),
         (CLAIMS, &counters.claims),
         (QUARANTINED, &counters.quarantined),
+        (FOREIGN_RESPONSES, &counters.foreign_responses),
     ];
     for (name, sum) in sums {
         // Metrics are best effort, so errors are ignored.
@@ -133,6 +155,13 @@
             metric.with_tag("reason", reason.into()).send();
         }
     }
+    for (owner, sum) in REFUSAL_OWNERS.into_iter().zip(&counters.upstream_refusals) {
+        let count = take(sum);
+        if count > 0 {
+            let metric = core.metrics.count_with_tags(UPSTREAM_REFUSALS, count);
+            metric.with_tag("owner", owner.into()).send();
+        }
+    }
     for fate in Fate::iter() {
         let count = take(&counters.broken[fate as usize]);
         if count > 0 {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod body;
 pub mod call;
 pub mod core;
+pub mod correlation;
 pub mod counters;
 pub mod headers;
 pub mod hop;
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -14,6 +14,7 @@
 
 use base::header;
 use base::prelude::*;
+use correlate::Owner;
 use http::HeaderMap;
 use http::Method;
 use measure::Denied;
@@ -21,6 +22,7 @@
 use route::Pick;
 use route::ProbeResult;
 use slog::debug;
+use slog::o;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
 
@@ -28,6 +30,7 @@
 use crate::balancer::Balancer;
 use crate::core::Core;
 use crate::core::Phase;
+use crate::correlation;
 use crate::counters::add;
 use crate::instance_clients::UpstreamRequest;
 use crate::probe_schedule::ProbeSchedule;
@@ -215,6 +218,13 @@
         client,
     };
     let mut response = core.send(&target, outgoing, PROBE_CAUSE).await.ok()?;
+    if correlation::owner("", response.headers()) == Owner::Other {
+        let log = core
+            .log
+            .new(o!("request" => PROBE_CAUSE, "service" => service.to_string()));
+        let (status, headers) = (response.status(), response.headers());
+        correlation::record_foreign(core, &log, &target.upstream, status, headers);
+    }
     let report = response.headers().get(header::LOAD).and_then(parse_load);
     // The body is read to its end so that the connection can be reused.
     let mut received = 0;
--- a/crates/gateway/tests/test_metrics.rs
+++ b/crates/gateway/tests/test_metrics.rs
@@ -61,3 +61,36 @@
     assert_eq!(reply.candidates.len(), 1);
     assert_eq!(reply.candidates[0].age_ms, None);
 }
+
+/// Guards against refusals, and responses that name another request, without a trace.
+#[tokio::test]
+async fn test_metrics_and_log_of_refusals_and_foreign_responses() {
+    let sink = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
+    let address = sink.local_addr().expect("bound");
+    let rig = rig(&[], |s| s.telemetry.sink = Some(address)).await;
+    for path in ["/foreign", "/shed"] {
+        rig.post("once", path).send().await.expect("a response");
+    }
+    let mut missing = vec![
+        "rwr.gateway.answers.foreign:1|c",
+        "rwr.gateway.refusals:1|c|#host:host-1,owner:unnamed",
+    ];
+    let mut buffer = vec![0; 2048];
+    let received = async {
+        while !missing.is_empty() {
+            let count = sink.recv(&mut buffer).await.expect("a datagram");
+            let text = String::from_utf8_lossy(&buffer[..count]).into_owned();
+            missing.retain(|name| !text.contains(name));
+        }
+    };
+    let received = tokio::time::timeout(Duration::from_secs(20), received).await;
+    assert!(received.is_ok(), "missing: {missing:?}");
+    let foreign = [
+        "msg=\"foreign response\"",
+        "named=other",
+        "owner=other",
+        "status=200",
+    ];
+    fakes::wait_until(|| rig.lines.has(&foreign)).await;
+    fakes::wait_until(|| rig.lines.has(&["msg=refusal", "named=- "])).await;
+}
