standin, testutils: an instance whose responses are doubled, cut or wrongly framed, and tests of real processes

Cause: nothing in the repository played an instance that answers a request twice, the second time when the next request stands on the connection, before real entry processes.

Change: `standin::FaultyInstance` serves on plain sockets, announces itself, records its runs as a stand-in does, and draws from a seeded generator a fault for each response (late copy, copy at once, no id, cut in the head or body, too great a length, further bytes, two lengths, lost) and refusals (503, 429, 421). `testutils::KeptCaller` calls on a kept connection and notices unsolicited bytes. The tests start three hubs and two entry processes and check that requests that may run once do so, that none that ran is answered 408, 421, 429 or 503, that each 2xx is the whole body of its own request, and that nothing ran unasked.

--- a/crates/standin/src/handler.rs
+++ b/crates/standin/src/handler.rs
@@ -55,7 +55,7 @@
 /// Maximum size of a request body in bytes.
 const MAX_BODY: usize = 1024 * 1024;
 /// Path of the load probe.
-const LOAD_PATH: &str = "/rwr/load";
+pub(crate) const LOAD_PATH: &str = "/rwr/load";
 /// Path prefix of archive responses.
 const ARCHIVE: &str = "/archive/";
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod announce;
 pub mod archive;
 pub mod fault;
+pub mod faulty;
+pub mod message;
 pub mod runs;
 pub mod server;
 pub mod service_time;
@@ -21,6 +23,10 @@
 
 pub use fault::Fault;
 pub use fault::FaultKind;
+pub use faulty::FaultShares;
+pub use faulty::FaultyInstance;
+pub use faulty::response::Refusal;
+pub use faulty::response::ResponseFault;
 pub use runs::Run;
 pub use runs::RunState;
 pub use server::StandIn;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -155,7 +155,7 @@
 }
 
 /// Microseconds since the Unix epoch, so that a restarted process has a greater incarnation.
-fn incarnation() -> u64 {
+pub(crate) fn incarnation() -> u64 {
     let now = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
