--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod proxy;
+pub mod scripted;
 pub mod upstream;
 
 use std::env;
