entry: answers 502 where an instance's status would promise that a request hasn't run

Callers of requests that may run once saw an instance's own 408, 429 or 503 passed on after the request had run. These statuses promise that it hasn't; of instances only the refusal header and 421 prove that, and a response with either is never passed on.

Red before: test_status_without_a_refusal_promises_nothing_to_requests_that_ may_run_once, a 408 passed on after one run. Such a response is now replaced by 502, which promises nothing, for the requests of this process as well as for those that another one relays. Idempotent requests get it unchanged.

--- a/crates/entry/src/flow/response.rs
+++ b/crates/entry/src/flow/response.rs
@@ -14,6 +14,7 @@
 use crate::exchange::UpstreamBody;
 use crate::headers;
 use crate::refusal;
+use crate::refusal::Reason;
 use crate::relay;
 use crate::relay::HopOutcome;
 use crate::stream_tracker::Responder;
@@ -47,7 +48,23 @@
         ResponseBody::stream(first, rest, StreamTracker::new(context, source))
     }
 
+    /// Replaces an instance's response whose status would tell the caller that a request that may
+    /// run once hasn't run.
+    fn replace_unproven(&self, outcome: Outcome) -> Outcome {
+        let Outcome::Response(parts, body) = outcome else {
+            return outcome;
+        };
+        if self.route.kind.is_idempotent() || !correlate::promises_not_run(parts.status) {
+            return Outcome::Response(parts, body);
+        }
+        info!(self.core.log, "status unproven"; "request" => self.request.id.to_str().unwrap_or("-"),
+            "status" => parts.status.as_u16(), "instance" => self.last_instance(),
+            "service" => %self.service);
+        Outcome::Refusal(Reason::Broken, None)
+    }
+
     pub(super) fn respond(&mut self, outcome: Outcome) -> Response<ResponseBody> {
+        let outcome = self.replace_unproven(outcome);
         let elapsed = self.started_at.elapsed();
         let hop_outcome = match &outcome {
             Outcome::Response(..) => HopOutcome::Answered,
