entry: believes a refusal only if it names the request that was sent

Callers of requests that may run once were answered 503 though the request had run, or it ran at a second instance as well.

Cause: an attempt looked for the refusal header and for 421 before it compared the id that the response names. A late second copy of an earlier refusal on a kept connection, or a response that names no request, passed for the refusal of the request that waited there.

Now an attempt that has not run carries the proof, which only the judgement of a response that names the request, or an unsent request, can make. A response that names another request or none ends the attempt as one that may have run, and closes the connection, on which the true response may follow.

The fake instance's refusals name the request, as the protocol says; three of them did not. A load report that comes with a 421 is another instance's and isn't recorded.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -5,13 +5,15 @@
 
 use base::prelude::*;
 use bytes::Bytes;
+use correlate::Cause;
+use correlate::NotRun;
 use correlate::Owner;
+use correlate::Verdict;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
 use http::Response;
-use http::StatusCode;
 use http::Uri;
 use http::response::Parts;
 use hyper::body::Body;
@@ -102,13 +104,13 @@
     /// A response to this request.
     Answer(Box<Parts>, UpstreamBody),
     /// No byte of the request was sent.
-    Unsent,
+    Unsent(NotRun),
     /// No byte of the request was sent, because the instance takes nothing from this process now.
-    Withheld,
+    Withheld(NotRun),
     /// The instance reported that it did not process the request.
-    Refused,
+    Refused(NotRun),
     /// Another instance has the address; the request was not processed.
-    Elsewhere,
+    Elsewhere(NotRun),
     /// The request may have been processed.
     Unknown,
     /// The instance has probably lost the request. The attempt at this other instance is paid for.
@@ -116,10 +118,16 @@
 }
 
 impl AttemptEnd {
-    /// Whether an instance may have processed the request.
+    /// The proof that the request was not processed in this attempt.
     #[must_use]
-    pub fn may_have_run(&self) -> bool {
-        matches!(self, Self::Answer(..) | Self::Unknown | Self::Abandoned(_))
+    pub fn not_run(&self) -> Option<&NotRun> {
+        match self {
+            Self::Unsent(proof)
+            | Self::Withheld(proof)
+            | Self::Refused(proof)
+            | Self::Elsewhere(proof) => Some(proof),
+            Self::Answer(..) | Self::Unknown | Self::Abandoned(_) => None,
+        }
     }
 }
 
@@ -148,6 +156,31 @@
             balancer.finish_attempt(now, ticket, kind, report);
         });
     }
+
+    /// Ends an attempt that has not run; `refused` tells whether the response says so by its header.
+    fn end_refused(
+        &mut self,
+        proof: NotRun,
+        refused: bool,
+        report: Option<LoadReport>,
+    ) -> AttemptEnd {
+        let kind = if refused {
+            OutcomeKind::Shed
+        } else {
+            OutcomeKind::Error
+        };
+        match proof.cause() {
+            // The report is another instance's.
+            Cause::OtherInstance => {
+                self.end(kind, None);
+                AttemptEnd::Elsewhere(proof)
+            }
+            Cause::Unsent | Cause::Refused => {
+                self.end(kind, report);
+                AttemptEnd::Refused(proof)
+            }
+        }
+    }
 }
 
 impl Drop for RunningAttempt {
@@ -187,7 +220,7 @@
     let sent_at = Instant::now();
     let Some(sent) = build_request(core, upstream, request, body, timeouts.remaining) else {
         running.end(OutcomeKind::Cancelled, None);
-        return AttemptEnd::Unsent;
+        return AttemptEnd::Unsent(NotRun::unsent());
     };
     let cause = request.id.to_str().unwrap_or("-");
     let (written_at, receiver) = watch::channel(None);
@@ -207,11 +240,11 @@
         SendEnd::Response(response, connection) => (response, connection),
         SendEnd::Withheld => {
             running.end(OutcomeKind::Cancelled, None);
-            return AttemptEnd::Withheld;
+            return AttemptEnd::Withheld(NotRun::unsent());
         }
         SendEnd::Unsent => {
             running.end(OutcomeKind::ConnectFailed, None);
-            return AttemptEnd::Unsent;
+            return AttemptEnd::Unsent(NotRun::unsent());
         }
         SendEnd::Broken => {
             running.end(OutcomeKind::Error, None);
@@ -230,30 +263,26 @@
     if owner != Owner::Sent {
         correlation::record_foreign(core, &exchange, owner, status, headers);
     }
+    let refused = headers.contains_key(&core.dialect.refused);
+    if refused {
+        correlation::record_refusal(core, &exchange, owner, status, headers);
+    }
     let report = load_report(core, headers);
     // An instance may respond before it has read the whole request body. The rest of the body
     // would precede the next request on this connection.
     let reusable = spool.is_none_or(|spool| spool.is_complete());
-    if response.headers().contains_key(&core.dialect.refused) {
-        let end = if response.status() == StatusCode::MISDIRECTED_REQUEST {
-            AttemptEnd::Elsewhere
-        } else {
-            AttemptEnd::Refused
-        };
-        correlation::record_refusal(core, &exchange, owner, status, response.headers());
-        drain_refusal(upstream, response, connection, reusable);
-        running.end(OutcomeKind::Shed, report);
-        return end;
-    }
-    if response.status() == StatusCode::MISDIRECTED_REQUEST {
-        running.end(OutcomeKind::Error, None);
-        return AttemptEnd::Elsewhere;
-    }
-    // The response belongs to another request, for example a duplicate response.
-    if response.headers().get(&core.dialect.request) != Some(&request.id) {
-        core.counters.foreign_closed(&upstream.service);
-        running.end(OutcomeKind::Error, None);
-        return AttemptEnd::Unknown;
+    match correlate::judge(owner, status, refused) {
+        Verdict::Answered => {}
+        // Its connection is closed, as the response to this request may follow.
+        Verdict::Foreign(_) => {
+            core.counters.foreign_closed(&upstream.service);
+            running.end(OutcomeKind::Error, None);
+            return AttemptEnd::Unknown;
+        }
+        Verdict::NotRun(proof) => {
+            drain_refusal(upstream, response, connection, reusable);
+            return running.end_refused(proof, refused, report);
+        }
     }
     core.record_limit(upstream, response.headers(), sent_at, Source::Response);
     let failed = response.status().is_server_error();
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -289,7 +289,7 @@
                 Ok(end) => end,
                 Err(reason) => return self.fallback(reason),
             };
-            let not_sent = matches!(end, Ok(AttemptEnd::Unsent));
+            let not_sent = matches!(end, Ok(AttemptEnd::Unsent(_)));
             if self.is_cut_off_after(&end).await
                 && let Some(retry) = retry_body
             {
@@ -381,11 +381,11 @@
             |sent_at| self.wait_until_abandoned(watch, sent_at),
         )
         .await;
-        self.may_have_run = may_have_run_before || end.may_have_run();
+        self.may_have_run = may_have_run_before || end.not_run().is_none();
         self.set_permit_sent(self.may_have_run);
         self.log_attempt(&end, sent_at.elapsed());
         self.record_end(&end, upstream, sent_at).await;
-        if matches!(end, AttemptEnd::Elsewhere) {
+        if matches!(end, AttemptEnd::Elsewhere(_)) {
             self.balancer(|balancer, _| balancer.record_displaced(pick));
         }
         self.record_head(&end, &chosen.choice, sent_at.elapsed());
@@ -450,12 +450,14 @@
                 true
             }
             Ok(AttemptEnd::Unknown) => !once && self.may_retry(retry_body.is_some()),
-            Ok(AttemptEnd::Unsent | AttemptEnd::Withheld) => {
+            Ok(AttemptEnd::Unsent(_) | AttemptEnd::Withheld(_)) => {
                 self.attempts -= 1;
                 self.unsent += 1;
                 self.unsent < MAX_UNSENT_ATTEMPTS
             }
-            Ok(AttemptEnd::Refused | AttemptEnd::Elsewhere) => self.may_retry(retry_body.is_some()),
+            Ok(AttemptEnd::Refused(_) | AttemptEnd::Elsewhere(_)) => {
+                self.may_retry(retry_body.is_some())
+            }
         };
         match retry_body {
             Some(body) if retry => Err(body),
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -69,7 +69,7 @@
     pub(super) async fn is_cut_off_after(&self, end: &Result<AttemptEnd, Reason>) -> bool {
         let not_taken = matches!(
             end,
-            Ok(AttemptEnd::Unsent) | Err(Reason::Full | Reason::NoInstance)
+            Ok(AttemptEnd::Unsent(_)) | Err(Reason::Full | Reason::NoInstance)
         );
         if !not_taken || !self.may_run_again() {
             return false;
--- a/crates/entry/tests/fakes/upstream.rs
+++ b/crates/entry/tests/fakes/upstream.rs
@@ -348,8 +348,8 @@
                 shared.heads.send_modify(|heads| *heads += 1);
             }
             if length > 0 && *lock(&shared.behavior) == Behavior::ShedEarly {
-                let text = "HTTP/1.1 503 Service Unavailable\r\nrwr-shed: 1\r\n\
-                            content-length: 0\r\n\r\n";
+                let id = request.header("rwr-request-id").unwrap_or_default();
+                let text = refusal(&format!("rwr-request-id: {id}\r\n"));
                 stream.write_all(text.as_bytes()).await.ok()?;
             }
             let mut received = rest.len() - end - 4;
@@ -396,10 +396,10 @@
         Behavior::Queue if hold(stream, shared).await => answer,
         Behavior::Fail => answer.replace("200 OK", "500 Internal Server Error"),
         Behavior::Shed => refusal(&own),
-        Behavior::AddressTaken => {
-            "HTTP/1.1 421 Misdirected Request\r\nrwr-instance: i-x\r\nrwr-shed: 1\r\ncontent-length: 0\r\n\r\n"
-                .to_owned()
-        }
+        Behavior::AddressTaken => format!(
+            "HTTP/1.1 421 Misdirected Request\r\nrwr-request-id: {id}\r\nrwr-instance: i-x\r\n\
+             rwr-shed: 1\r\ncontent-length: 0\r\n\r\n"
+        ),
         Behavior::Close => return false,
         Behavior::Crash | Behavior::CrashLate => {
             shared.crashed.send_replace(true);
@@ -452,8 +452,10 @@
             return send_endlessly(stream, shared, "", &format!("{INTERIM}\r\n")).await;
         }
         Behavior::ShedWithoutEnd => {
-            let text = "HTTP/1.1 503 Service Unavailable\r\nrwr-shed: 1\r\n\
-                        content-length: 5\r\n\r\n";
+            let text = format!(
+                "HTTP/1.1 503 Service Unavailable\r\nrwr-request-id: {id}\r\nrwr-shed: 1\r\n\
+                 content-length: 5\r\n\r\n"
+            );
             if stream.write_all(text.as_bytes()).await.is_ok() {
                 // Completes when the peer disconnects.
                 let _ = stream.read(&mut [0]).await;
