--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod lines;
 pub mod proxy;
+pub mod scripted;
 pub mod upstream;
 
 use std::env;
