--- a/crates/gateway/tests/fakes/mod.rs
+++ b/crates/gateway/tests/fakes/mod.rs
@@ -3,8 +3,10 @@
 
 pub mod control;
 pub mod directory;
+pub mod scripted;
 pub mod upstream;
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,6 +21,9 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use wire::directory::Host;
+use wire::directory::HostPhase;
+use wire::directory::InstanceChange;
 
 use crate::fakes::directory::FakeDirectory;
 use crate::fakes::upstream::FakeUpstream;
@@ -93,6 +98,42 @@
     }
 }
 
+/// Lets the directory list only these instances, and waits until the gateway knows them.
+pub async fn list_instances(rig: &Rig, listed: Vec<InstanceChange>) {
+    let instances = listed.iter().filter_map(|change| change.instance.as_ref());
+    let ids: BTreeSet<String> = instances.map(|i| i.id.clone()).collect();
+    rig.directory.change(|state| state.instances = listed);
+    let core = rig.gateway.core();
+    wait_until(|| {
+        let view = core.view();
+        let known = view.all_instances().map(|u| u.id.to_string());
+        known.collect::<BTreeSet<String>>() == ids
+    })
+    .await;
+}
+
+/// Lists instances that take no connection, and another gateway; waits until that one gets the
+/// requests at `/warm`.
+pub async fn cut_off(rig: &Rig, peer: SocketAddr, unreached: &[InstanceChange]) {
+    let host = Host {
+        host: "host-2".into(),
+        domain: "milano".into(),
+        gateway: peer.to_string(),
+        phase: HostPhase::Serving.into(),
+        incarnation: 1,
+        ..Host::default()
+    };
+    rig.directory.change(|state| state.hosts = vec![host]);
+    list_instances(rig, unreached.to_vec()).await;
+    let served = async {
+        while rig.post("once", "/warm").send().await.expect("ok").status() != 200 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let served = tokio::time::timeout(Duration::from_secs(20), served).await;
+    served.expect("the other gateway serves within 20 s");
+}
+
 /// Waits until `check` returns true; panics after 20 s.
 pub async fn wait_until(check: impl Fn() -> bool) {
     let condition = async {
--- a/crates/gateway/tests/fakes/upstream.rs
+++ b/crates/gateway/tests/fakes/upstream.rs
@@ -30,9 +30,14 @@
         })
     }
 
-    fn path(&self) -> &str {
+    pub fn path(&self) -> &str {
         self.head.split(' ').nth(1).unwrap_or("/")
     }
+
+    /// The id that the request bears.
+    pub fn id(&self) -> &str {
+        self.header("rwr-request-id").unwrap_or_default()
+    }
 }
 
 #[derive(Default)]
@@ -253,7 +258,7 @@
     }
 }
 
-async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<ReceivedRequest> {
+pub async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<ReceivedRequest> {
     let end = loop {
         if let Some(at) = buffer.windows(4).position(|w| w == b"\r\n\r\n") {
             break at + 4;
