gateway: only a refusal that names the request proves that it hasn't run

Callers of a request that may run once got 503, not-run, or the request ran at a second instance, though the first one ran it; with a key, the ledger let the key be claimed again. The cause: a 503 with the shed header that named no request passed as the request's own, as only another id made a response foreign, and on a kept connection such a response may belong to an earlier send.

Red before: test_correlation_refusal_without_id_is_no_proof (503, not-run), the one with a key (settled as not-run), and that of 421. Now the head is judged by the crate correlate, and only its proof counts. An answer without an id is still passed on, as upstreams promise the id only if they can; refusals have to have it from now on. The stand-in's refusals bear it, and so do those of the tests' fake upstream, whose cases are the same as before.

--- a/crates/attempt/src/event.rs
+++ b/crates/attempt/src/event.rs
@@ -26,7 +26,7 @@
 pub struct Head {
     /// The HTTP status.
     pub status: u16,
-    /// It carries [`base::header::SHED`]: the request was refused before any work.
+    /// It proves that the request was refused before any work.
     pub shed: bool,
     /// It carries [`base::header::RETRIED`]: a level below used extra attempts, or was not able
     /// to, so that this level must not retry.
@@ -54,7 +54,7 @@
     /// As [`Self::NoAnswer`] or [`Self::ShortBody`], and the request must not be sent again
     /// because its instance crashed and no collector has acknowledged the crash.
     Suspected,
-    /// The response echoes the id of another request.
+    /// The response belongs to another request, or refuses the request without naming it.
     Mismatch,
     /// The driver's timeout ended the attempt; the request may have been sent.
     Timeout,
--- a/crates/base/src/header.rs
+++ b/crates/base/src/header.rs
@@ -8,7 +8,7 @@
 pub const CALLER: &str = "rwr-caller";
 /// Idempotency key of a non-idempotent request.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
-/// End-to-end ID of a request; upstreams may echo it.
+/// End-to-end ID of a request; upstreams echo it at least in refusals.
 pub const REQUEST_ID: &str = "rwr-request-id";
 /// To an upstream: name of the caller's workspace, where the route table has workspaces.
 pub const WORKSPACE: &str = "rwr-workspace";
@@ -27,7 +27,7 @@
 pub const OUTCOME: &str = "rwr-outcome";
 /// Fixed identifier of the reason for a refusal or failure.
 pub const REASON: &str = "rwr-reason";
-/// On an upstream's response: the upstream refused the request before doing any work.
+/// On an upstream's response that names the request: the upstream refused it before any work.
 pub const SHED: &str = "rwr-shed";
 /// On an upstream's response with status 503 or 429: seconds, as a decimal number, during which the
 /// instance takes nothing from the process that sent the request.
--- a/crates/gateway/src/call/classify.rs
+++ b/crates/gateway/src/call/classify.rs
@@ -1,6 +1,7 @@
 //! Maps errors and responses to the types of the crates `attempt` and `route`.
 
 use attempt::AttemptError;
+use correlate::Verdict;
 use http::HeaderMap;
 use http::header::CONTENT_RANGE;
 use route::OutcomeKind;
@@ -25,8 +26,8 @@
     }
 }
 
-pub(super) fn kind_of_response(response: &UpstreamResponse) -> OutcomeKind {
-    if response.is_shed() {
+pub(super) fn kind_of_response(response: &UpstreamResponse, verdict: &Verdict) -> OutcomeKind {
+    if matches!(verdict, Verdict::NotRun(_)) {
         OutcomeKind::Shed
     } else if response.status.is_server_error() {
         OutcomeKind::Error
--- a/crates/gateway/src/call/responses.rs
+++ b/crates/gateway/src/call/responses.rs
@@ -10,6 +10,7 @@
 use base::header;
 use base::prelude::*;
 use bytes::Bytes;
+use correlate::Verdict;
 use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
@@ -68,15 +69,16 @@
             }
         };
         guard.record_head(&response.headers);
-        if let Some(err) = self.reject_response(&response) {
+        let verdict = response.judge(&self.request.head.id);
+        if let Some(err) = self.reject_response(&response, &verdict) {
             guard.set_kind(OutcomeKind::Error);
             drop(guard);
             info!(self.log, "answer refused"; "attempt" => number, "ending" => <&str>::from(err));
             self.step(Event::AttemptFailed(number, err));
             return;
         }
-        guard.set_kind(kind_of_response(&response));
-        let head = self.response_head(&response);
+        guard.set_kind(kind_of_response(&response, &verdict));
+        let head = self.response_head(&response, &verdict);
         if head.shed {
             self.core.queue.shed(&self.request.head.service.name);
         }
@@ -132,8 +134,12 @@
 
     /// How the attempt ends if the response is unusable: it belongs to another request,
     /// its end is undefined, or it doesn't resume the body where it broke off.
-    pub(super) fn reject_response(&self, response: &UpstreamResponse) -> Option<AttemptError> {
-        if response.is_mismatched(&self.request.head.id) {
+    pub(super) fn reject_response(
+        &self,
+        response: &UpstreamResponse,
+        verdict: &Verdict,
+    ) -> Option<AttemptError> {
+        if matches!(verdict, Verdict::Foreign(_)) {
             return Some(AttemptError::Mismatch);
         }
         if !response.framed {
@@ -146,10 +152,14 @@
         None
     }
 
-    pub(super) fn response_head(&self, response: &UpstreamResponse) -> attempt::Head {
+    pub(super) fn response_head(
+        &self,
+        response: &UpstreamResponse,
+        verdict: &Verdict,
+    ) -> attempt::Head {
         attempt::Head {
             status: response.status.as_u16(),
-            shed: response.is_shed(),
+            shed: matches!(verdict, Verdict::NotRun(_)),
             retried: response.headers.contains_key(header::RETRIED),
             resumable: self.is_resumable(response),
         }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -74,7 +74,7 @@
     Shed,
     /// The request may have been sent, but no response arrived.
     NoAnswer,
-    /// The response belongs to another request.
+    /// The response belongs to another request, or refuses the request without naming it.
     Mismatch,
     /// The response body was truncated.
     ShortBody,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,9 +5,12 @@
 
 use base::header;
 use bytes::Bytes;
+use correlate::Owner;
+use correlate::Verdict;
 use futures::Stream;
 use futures::StreamExt;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
 use http::Version;
@@ -68,20 +71,32 @@
         }
     }
 
-    /// Whether the upstream shed the request, that is, refused it before any work.
+    /// What the head says of the request `id`, which was sent last.
     #[must_use]
-    pub fn is_shed(&self) -> bool {
-        self.status == StatusCode::SERVICE_UNAVAILABLE && self.headers.contains_key(header::SHED)
+    pub fn judge(&self, id: &str) -> Verdict {
+        judge_head(self.status, &self.headers, id)
     }
+}
 
-    /// Whether the response carries the id of a request other than `id`.
-    #[must_use]
-    pub fn is_mismatched(&self, id: &str) -> bool {
-        let mut echoes = self.headers.get_all(header::REQUEST_ID).iter();
-        echoes.any(|echo| echo.as_bytes() != id.as_bytes())
+/// What the head of an instance's response says of the request `id`, which was sent last.
+#[must_use]
+pub fn judge_head(status: StatusCode, headers: &HeaderMap, id: &str) -> Verdict {
+    let is_shed = status == StatusCode::SERVICE_UNAVAILABLE && headers.contains_key(header::SHED);
+    let is_refusal = is_shed || status == StatusCode::MISDIRECTED_REQUEST;
+    match correlate::judge(owner(headers, id), status, is_shed) {
+        // Upstreams have to name the request in refusals only.
+        Verdict::Foreign(Owner::Unnamed) if !is_refusal => Verdict::Answered,
+        verdict => verdict,
     }
 }
 
+/// Which request the head of a response names, where `id` was sent last.
+#[must_use]
+pub fn owner(headers: &HeaderMap, id: &str) -> Owner {
+    let named = headers.get_all(header::REQUEST_ID).iter();
+    Owner::of(id.as_bytes(), named.map(HeaderValue::as_bytes))
+}
+
 /// Whether the body has a defined end. One that ends with its connection can't be
 /// told from a truncated one.
 fn is_framed(response: &reqwest::Response, method: &Method) -> bool {
--- a/crates/gateway/tests/fakes/upstream.rs
+++ b/crates/gateway/tests/fakes/upstream.rs
@@ -142,7 +142,8 @@
                 .endless(stream, ENDLESS_LOAD, &"x".repeat(16_384))
                 .await;
         }
-        let (text, keep_alive) = match behaviour.unwrap_or_default() {
+        let behaviour = behaviour.unwrap_or_default();
+        let (text, keep_alive) = match behaviour {
             "rest" => (
                 "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nrwr-shed: 1\r\nretry-after: 600\r\n\r\n",
                 true,
@@ -214,6 +215,11 @@
                 true,
             ),
         };
+        let mut text = text.to_owned();
+        if matches!(behaviour, "rest" | "shed") {
+            let named = format!("\r\nrwr-request-id: {}\r\n\r\n", request.id());
+            text = text.replace("\r\n\r\n", &named);
+        }
         stream.write_all(text.as_bytes()).await.is_ok() && keep_alive
     }
 
--- a/crates/standin/src/handler.rs
+++ b/crates/standin/src/handler.rs
@@ -189,7 +189,10 @@
                 render(res, StatusCode::OK, &fault);
             }
             (&Method::POST, "/standin/fault") => self.set_fault(req, res).await,
-            _ if !self.is_for_this_incarnation(req) => misdirected(res),
+            _ if !self.is_for_this_incarnation(req) => {
+                misdirected(res);
+                set_request_id(res, &text(req, header::REQUEST_ID));
+            }
             _ => self.serve(req, res, path.clone()).await,
         }
         self.name_limit(&path, res);
@@ -261,7 +264,7 @@
         let arrival = Instant::now();
         let fault = *self.0.fault.borrow();
         let origin = origin(req, path, self.0.drained_ms());
-        let id = self.echoed_request_id(&origin, fault);
+        set_request_id(res, &self.echoed_request_id(&origin, fault));
         let Some(deadline) = deadline(req) else {
             refuse(res, StatusCode::BAD_REQUEST, "bad-deadline");
             return;
@@ -287,11 +290,7 @@
             deadline: arrival + deadline,
             admission,
         };
-        let outcome = self.run(job).await;
-        if !id.is_empty() {
-            set(res, header::REQUEST_ID, &id);
-        }
-        match outcome {
+        match self.run(job).await {
             JobOutcome::Done(run) => self.respond(res, &origin, &body, &range, run, fault),
             JobOutcome::Failed => refuse(res, StatusCode::INTERNAL_SERVER_ERROR, "failed"),
             JobOutcome::Expired => refuse(res, StatusCode::GATEWAY_TIMEOUT, "deadline"),
@@ -380,6 +379,13 @@
     }
 }
 
+/// Names the request, unless it has no id.
+fn set_request_id(res: &mut Response, id: &str) {
+    if !id.is_empty() {
+        set(res, header::REQUEST_ID, id);
+    }
+}
+
 async fn run_job(shared: Arc<Shared>, job: Job) -> JobOutcome {
     if job.fault.kind == FaultKind::Fail {
         shared.runs.start(job.origin).end(RunState::Failed);
