gateway: no connection outlives a response of another request

Three faults with one cause, connections on which responses of several senders meet. The response that followed one of another request, a second copy of a refusal under the same id, and the response to a probe were read by the next request on the connection; and a response of another request could make the gateway back off from an instance or take it as leaving, as what an instance asks for was read before the response was judged.

Now a foreign response replaces the instance's pool and gives each request a new connection for 5 s, as at entry processes; a second send to the same instance always gets one; a probe has one of its own, and its response must name no request; and what an instance asks for is read only from the request's own response. A new connection per probe is within the probe budget, and was chosen over a shared one, on which a late response would shift all later ones.

--- a/crates/gateway/src/call/driver.rs
+++ b/crates/gateway/src/call/driver.rs
@@ -44,6 +44,7 @@
 use crate::headers;
 use crate::headers::AttemptHeaders;
 use crate::instance_clients::InstanceClient;
+use crate::instance_clients::Reuse;
 use crate::instance_clients::UpstreamRequest;
 use crate::refusal::Reason;
 use crate::relay::UpstreamResponse;
@@ -207,7 +208,12 @@
 
     /// Chooses an instance and starts to send the request to it.
     fn send_attempt(&mut self, start: Start) -> std::result::Result<(), Reason> {
-        let (client, guard, outgoing) = self.prepare(start)?;
+        let (chosen, outgoing) = self.prepare(start)?;
+        let ChosenInstance {
+            client,
+            guard,
+            reuse,
+        } = chosen;
         let method = outgoing.method.clone();
         let (core, id) = (self.core.clone(), self.request.head.id.clone());
         let target = Target {
@@ -216,7 +222,7 @@
             client,
         };
         let head = Box::pin(async move {
-            let response = core.send(&target, outgoing, &id).await?;
+            let response = core.send(&target, outgoing, &id, reuse).await?;
             Ok(UpstreamResponse::new(response, &method))
         });
         self.pending.push(PendingAttempt { start, guard, head });
@@ -247,7 +253,7 @@
     pub(super) fn prepare(
         &mut self,
         start: Start,
-    ) -> std::result::Result<(Arc<InstanceClient>, AttemptGuard, UpstreamRequest), Reason> {
+    ) -> std::result::Result<(ChosenInstance, UpstreamRequest), Reason> {
         let now = self.core.clock.now();
         if self.request.claim_expires_at.is_some_and(|at| now >= at) {
             return Err(Reason::Hold);
@@ -257,7 +263,7 @@
             self.quarantine = Some(remaining);
             return Err(Reason::Quarantined);
         }
-        let (client, guard) = self.choose_instance(start, now)?;
+        let chosen = self.choose_instance(start, now)?;
         let headers = self.attempt_headers(start);
         // A streamed body was already sent by an earlier attempt.
         let body = self.request.body.take().ok_or(Reason::Connect)?;
@@ -267,7 +273,7 @@
             headers,
             body,
         };
-        Ok((client, guard, outgoing))
+        Ok((chosen, outgoing))
     }
 
     /// Chooses an instance with a free connection, reserves the connection and logs the
@@ -276,7 +282,7 @@
         &mut self,
         start: Start,
         now: Moment,
-    ) -> std::result::Result<(Arc<InstanceClient>, AttemptGuard), Reason> {
+    ) -> std::result::Result<ChosenInstance, Reason> {
         let mut state = self.balancer.state();
         let mut reason = Reason::NoUpstream;
         while let Some(choice) = state.chooser.choose(now, &self.tried) {
@@ -306,7 +312,16 @@
                 upstream,
                 connection,
             );
-            return Ok((client, guard));
+            return Ok(ChosenInstance {
+                client,
+                guard,
+                // A copy of the first send's response would bear the same id.
+                reuse: if was_tried {
+                    Reuse::Forbidden
+                } else {
+                    Reuse::Allowed
+                },
+            });
         }
         Err(reason)
     }
@@ -348,6 +363,13 @@
     }
 }
 
+/// An instance with a reserved connection.
+pub(super) struct ChosenInstance {
+    client: Arc<InstanceClient>,
+    guard: AttemptGuard,
+    reuse: Reuse,
+}
+
 /// Maximum number of instances that one call tries, so that a call ends soon when all hosts of a
 /// large service refuse connections.
 const MAX_CONNECTS: usize = 16;
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -26,6 +26,7 @@
 use crate::core::Core;
 use crate::headers;
 use crate::in_flight::InFlightGuard;
+use crate::instance_clients::Reuse;
 use crate::instance_clients::SendError;
 use crate::instance_clients::UpstreamRequest;
 use crate::peers::Peer;
@@ -153,7 +154,8 @@
             body,
         };
         let deadline = core.clock.instant(self.head.deadline);
-        let sending = timeout_at(deadline, peer.client.send(request, |_, _| {}));
+        let sending = peer.client.send(request, Reuse::Allowed, |_, _| {});
+        let sending = timeout_at(deadline, sending);
         match sending.await {
             Ok(Ok(response)) => {
                 let response = UpstreamResponse::new(response, &self.method);
--- a/crates/gateway/src/instance_clients.rs
+++ b/crates/gateway/src/instance_clients.rs
@@ -6,10 +6,16 @@
 //! The connection limit of an instance is divided among the registered gateways.
 //! A gateway uses two thirds of its share for requests in flight and up to one
 //! third for idle connections, so that it never exceeds the share.
+//!
+//! A connection that has carried a request may deliver a response of that request where the next
+//! one's is expected. After a response that isn't its request's own, the instance's idle connections
+//! are dropped, and for some time each request gets a connection of its own.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::RwLock;
 use std::time::Duration;
@@ -30,6 +36,7 @@
 use quick_error::quick_error;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
+use tokio::time::Instant;
 
 use crate::view::View;
 
@@ -41,6 +48,9 @@
 const KEEPALIVE_RETRIES: u32 = 3;
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
+/// Time after a foreign response during which each request gets a connection of its own, as a
+/// faulty instance goes on to send responses that nobody expects.
+const DISTRUST_TIME: Duration = Duration::from_secs(5);
 
 quick_error! {
     /// Why a request got no response.
@@ -80,10 +90,78 @@
 pub struct InstanceClient {
     address: SocketAddr,
     share: u32,
-    client: Client<HttpConnector, reqwest::Body>,
+    connections: Arc<Connections>,
     permits: Arc<Semaphore>,
 }
 
+type HttpClient = Client<HttpConnector, reqwest::Body>;
+
+/// The connections to one address.
+#[derive(Debug)]
+struct Connections {
+    pooled: Mutex<Pooled>,
+    /// Opens a connection for each request and closes it after the response.
+    unpooled: HttpClient,
+}
+
+#[derive(Debug)]
+struct Pooled {
+    client: HttpClient,
+    distrusted_until: Option<Instant>,
+}
+
+/// Which connections a request may be sent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// One that has carried other requests, too.
+    Allowed,
+    /// Only one that carries nothing else.
+    Forbidden,
+}
+
+/// A client that keeps up to `max_idle` idle connections.
+fn http_client(max_idle: usize) -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_keepalive(Some(KEEPALIVE_INTERVAL));
+    connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
+    connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_max_idle_per_host(max_idle)
+        .build(connector)
+}
+
+impl Connections {
+    fn new(max_idle: usize) -> Self {
+        Self {
+            pooled: Mutex::new(Pooled {
+                client: http_client(max_idle),
+                distrusted_until: None,
+            }),
+            unpooled: http_client(0),
+        }
+    }
+
+    fn client(&self, reuse: Reuse) -> HttpClient {
+        let pooled = self.pooled();
+        let is_distrusted = pooled
+            .distrusted_until
+            .is_some_and(|at| Instant::now() < at);
+        if reuse == Reuse::Forbidden || is_distrusted {
+            self.unpooled.clone()
+        } else {
+            pooled.client.clone()
+        }
+    }
+
+    fn pooled(&self) -> MutexGuard<'_, Pooled> {
+        self.pooled.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// A request for an upstream instance.
 pub struct UpstreamRequest {
     /// Method.
@@ -100,27 +178,23 @@
     /// A client of whoever listens on `address`, with `share` connections.
     #[must_use]
     pub fn to_address(address: SocketAddr, share: u32) -> Self {
-        let idle = (share / 3).max(1);
         let active = (share - share / 3).max(1);
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        connector.set_keepalive(Some(KEEPALIVE_INTERVAL));
-        connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
-        connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_max_idle_per_host(idle as usize)
-            .build(connector);
         Self {
             address,
             share,
-            client,
+            connections: Arc::new(Connections::new(max_idle(share))),
             permits: Arc::new(Semaphore::new(active as usize)),
         }
     }
 
+    /// Drops the idle connections, and opens one for each request for [`DISTRUST_TIME`]. The
+    /// connections in use are dropped after their responses.
+    pub fn distrust(&self) {
+        let mut pooled = self.connections.pooled();
+        pooled.client = http_client(max_idle(self.share));
+        pooled.distrusted_until = Some(Instant::now() + DISTRUST_TIME);
+    }
+
     /// Reserves a connection, or returns `None` if all are in use.
     #[must_use]
     pub fn reserve(&self) -> Option<OwnedSemaphorePermit> {
@@ -140,6 +214,7 @@
     pub(crate) async fn send(
         &self,
         outgoing: UpstreamRequest,
+        reuse: Reuse,
         read_interim: impl Fn(StatusCode, &HeaderMap) + Send + Sync + 'static,
     ) -> Result<reqwest::Response, SendError> {
         let mut request = http::Request::new(outgoing.body);
@@ -147,9 +222,10 @@
         *request.uri_mut() = self.uri(&outgoing.target).ok_or(SendError::Target)?;
         *request.headers_mut() = outgoing.headers;
         let interim = InterimCounter::attach(&mut request, read_interim);
+        let client = self.connections.client(reuse);
         let response = tokio::select! {
             biased;
-            response = self.client.request(request) => response,
+            response = client.request(request) => response,
             () = interim.exceeded() => return Err(SendError::EndlessInterim),
         };
         match response {
@@ -171,6 +247,11 @@
     }
 }
 
+/// Number of idle connections of a share.
+fn max_idle(share: u32) -> usize {
+    (share / 3).max(1) as usize
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Key {
     service: ServiceName,
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -41,8 +41,6 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum size in bytes of the body of a response to a probe. A longer one may have no end.
 const MAX_PROBE_BODY: usize = 64 * 1024;
-/// Stands for a request's id in the log.
-const PROBE_CAUSE: &str = "probe";
 /// Minimum pause between two passes over the services that are due.
 const MIN_PAUSE: Duration = Duration::from_millis(2);
 
@@ -214,9 +212,9 @@
         upstream,
         client,
     };
-    let mut response = core.send(&target, outgoing, PROBE_CAUSE).await.ok()?;
+    let mut response = core.send_probe(&target, outgoing).await?;
     let report = response.headers().get(header::LOAD).and_then(parse_load);
-    // The body is read to its end so that the connection can be reused.
+    // A report whose response breaks off isn't believed.
     let mut received = 0;
     while let Some(chunk) = response.chunk().await.ok()? {
         received += chunk.len();
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -2,13 +2,15 @@
 //!
 //! All of them are sent here: first attempts, retries, hedges, trials of ejected instances, and
 //! probes. An instance may have asked to back off since it was selected, so that is checked right
-//! before the request is handed to the instance's client, and each response is read for what its
-//! instance asks.
+//! before the request is handed to the instance's client, and each response that is the request's
+//! own is read for what its instance asks.
 
 use std::sync::Arc;
 
 use backoff::Notice;
 use base::header;
+use correlate::Owner;
+use correlate::Verdict;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::StatusCode;
@@ -19,8 +21,10 @@
 use crate::core::Core;
 use crate::counters::add;
 use crate::instance_clients::InstanceClient;
+use crate::instance_clients::Reuse;
 use crate::instance_clients::SendError;
 use crate::instance_clients::UpstreamRequest;
+use crate::relay;
 use crate::view::UpstreamInstance;
 
 /// An instance as the target of a request or a probe.
@@ -34,9 +38,19 @@
     pub client: Arc<InstanceClient>,
 }
 
+/// Stands for a request's id in the log.
+const PROBE_CAUSE: &str = "probe";
+
+/// Whose interim responses are read for what the instance asks.
+#[derive(Clone, Copy)]
+struct Interim<'a> {
+    owner: Owner,
+    /// The id of the request, or [`PROBE_CAUSE`].
+    id: &'a str,
+}
+
 impl Core {
-    /// Sends a request to an instance, unless the instance takes nothing from this gateway.
-    /// `cause` names the request in the log.
+    /// Sends the request `id` to an instance, unless the instance takes nothing from this gateway.
     ///
     /// # Errors
     ///
@@ -46,25 +60,69 @@
         self: &Arc<Self>,
         target: &Target,
         outgoing: UpstreamRequest,
-        cause: &str,
+        id: &str,
+        reuse: Reuse,
+    ) -> Result<reqwest::Response, SendError> {
+        let interim = Interim {
+            owner: Owner::Sent,
+            id,
+        };
+        let response = self.exchange(target, outgoing, interim, reuse).await?;
+        match relay::judge_head(response.status(), response.headers(), id) {
+            Verdict::Foreign(_) => target.client.distrust(),
+            Verdict::Answered | Verdict::NotRun(_) => {
+                self.record_notices(target, response.status(), response.headers(), id);
+            }
+        }
+        Ok(response)
+    }
+
+    /// Sends a probe on a connection of its own, so that no response of an earlier request or
+    /// probe can arrive in place of its own, nor its own in place of a later one's. Returns `None`
+    /// if there is no response, or if it names a request.
+    pub async fn send_probe(
+        self: &Arc<Self>,
+        target: &Target,
+        outgoing: UpstreamRequest,
+    ) -> Option<reqwest::Response> {
+        let interim = Interim {
+            owner: Owner::Unnamed,
+            id: PROBE_CAUSE,
+        };
+        let sending = self.exchange(target, outgoing, interim, Reuse::Forbidden);
+        let response = sending.await.ok()?;
+        if relay::owner(response.headers(), PROBE_CAUSE) != Owner::Unnamed {
+            return None;
+        }
+        self.record_notices(target, response.status(), response.headers(), PROBE_CAUSE);
+        Some(response)
+    }
+
+    async fn exchange(
+        self: &Arc<Self>,
+        target: &Target,
+        outgoing: UpstreamRequest,
+        interim: Interim<'_>,
+        reuse: Reuse,
     ) -> Result<reqwest::Response, SendError> {
         let run = target.upstream.run();
         if target.balancer.backoff(self.clock.now(), &run).is_some() {
             return Err(SendError::Withheld);
         }
         let read_interim = {
-            let (core, target, cause) = (self.clone(), target.clone(), cause.to_owned());
+            let (core, target) = (self.clone(), target.clone());
+            let (id, expected) = (interim.id.to_owned(), interim.owner);
             move |status, headers: &HeaderMap| {
-                core.record_notices(&target, status, headers, &cause);
+                if relay::owner(headers, &id) == expected {
+                    core.record_notices(&target, status, headers, &id);
+                }
             }
         };
-        let response = target.client.send(outgoing, read_interim).await;
+        let response = target.client.send(outgoing, reuse, read_interim).await;
         if let Err(SendError::Connect(_)) = response {
             self.record_unreachable(&target.upstream);
         }
-        let response = response?;
-        self.record_notices(target, response.status(), response.headers(), cause);
-        Ok(response)
+        response
     }
 
     fn record_notices(
