gateway: loads of other requests' responses and interim responses prove nothing

The load report of a response of another request was recorded before the response was rejected, and a 101 ended the request with that status for the caller though the request ran. Red before: test_correlation_load_of_foreign_response_is_not_believed and test_correlation_interim_response_is_not_taken_for_the_final_one. Now the report is read after the response was judged, and no interim status counts as a response.

--- a/crates/gateway/src/call/responses.rs
+++ b/crates/gateway/src/call/responses.rs
@@ -68,7 +68,6 @@
                 return;
             }
         };
-        guard.record_head(&response.headers);
         let verdict = response.judge(&self.request.head.id);
         if let Some(err) = self.reject_response(&response, &verdict) {
             guard.set_kind(OutcomeKind::Error);
@@ -77,6 +76,7 @@
             self.step(Event::AttemptFailed(number, err));
             return;
         }
+        guard.record_head(&response.headers);
         guard.set_kind(kind_of_response(&response, &verdict));
         let head = self.response_head(&response, &verdict);
         if head.shed {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -98,9 +98,12 @@
 }
 
 /// Whether the body has a defined end. One that ends with its connection can't be
-/// told from a truncated one.
+/// told from a truncated one, and an interim response ends nothing.
 fn is_framed(response: &reqwest::Response, method: &Method) -> bool {
     let status = response.status();
+    if status.is_informational() {
+        return false;
+    }
     response.version() == Version::HTTP_2
         || *method == Method::HEAD
         || status == StatusCode::NO_CONTENT
