--- a/crates/gateway/src/call/responses.rs
+++ b/crates/gateway/src/call/responses.rs
@@ -10,6 +10,7 @@
 use base::header;
 use base::prelude::*;
 use bytes::Bytes;
+use correlate::Owner;
 use correlate::Verdict;
 use http::HeaderValue;
 use http::Method;
@@ -32,11 +33,13 @@
 use crate::call::state::CheckedAttempt;
 use crate::call::state::PendingAttempt;
 use crate::call::state::RelayingAttempt;
+use crate::correlation;
 use crate::instance_clients::SendError;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::relay::RelayedResponse;
 use crate::relay::UpstreamResponse;
+use crate::view::UpstreamInstance;
 
 impl Driver {
     pub(super) fn on_response_head(
@@ -69,6 +72,7 @@
             }
         };
         let verdict = response.judge(&self.request.head.id);
+        self.record_owner(&guard.upstream(), &response, &verdict);
         if let Some(err) = self.reject_response(&response, &verdict) {
             guard.set_kind(OutcomeKind::Error);
             drop(guard);
@@ -90,6 +94,25 @@
         self.step(Event::Head(number, head));
     }
 
+    /// Logs and counts a refusal, or a response that isn't the request's own.
+    fn record_owner(
+        &self,
+        upstream: &UpstreamInstance,
+        response: &UpstreamResponse,
+        verdict: &Verdict,
+    ) {
+        let (core, log, headers) = (&self.core, &self.log, &response.headers);
+        match verdict {
+            Verdict::Foreign(owner) => {
+                correlation::record_foreign(core, log, upstream, *owner, response.status, headers);
+            }
+            Verdict::NotRun(_) => {
+                correlation::record_refusal(core, log, upstream, Owner::Sent, headers);
+            }
+            Verdict::Answered => {}
+        }
+    }
+
     /// Handles a failed attempt. If it broke off at an instance and may be retried, that is
     /// decided once it is known whether the request crashed the instance.
     pub(super) fn on_failed(
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,7 +10,6 @@
 use futures::Stream;
 use futures::StreamExt;
 use http::HeaderMap;
-use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
 use http::Version;
@@ -19,6 +18,7 @@
 use quick_error::quick_error;
 use tokio::sync::mpsc;
 
+use crate::correlation;
 use crate::headers;
 
 /// Number of response chunks buffered for the caller.
@@ -83,20 +83,13 @@
 pub fn judge_head(status: StatusCode, headers: &HeaderMap, id: &str) -> Verdict {
     let is_shed = status == StatusCode::SERVICE_UNAVAILABLE && headers.contains_key(header::SHED);
     let is_refusal = is_shed || status == StatusCode::MISDIRECTED_REQUEST;
-    match correlate::judge(owner(headers, id), status, is_shed) {
+    match correlate::judge(correlation::owner(id, headers), status, is_shed) {
         // Upstreams have to name the request in refusals only.
         Verdict::Foreign(Owner::Unnamed) if !is_refusal => Verdict::Answered,
         verdict => verdict,
     }
 }
 
-/// Which request the head of a response names, where `id` was sent last.
-#[must_use]
-pub fn owner(headers: &HeaderMap, id: &str) -> Owner {
-    let named = headers.get_all(header::REQUEST_ID).iter();
-    Owner::of(id.as_bytes(), named.map(HeaderValue::as_bytes))
-}
-
 /// Whether the body has a defined end. One that ends with its connection can't be
 /// told from a truncated one, and an interim response ends nothing.
 fn is_framed(response: &reqwest::Response, method: &Method) -> bool {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -15,10 +15,12 @@
 use http::HeaderValue;
 use http::StatusCode;
 use slog::info;
+use slog::o;
 use slog::warn;
 
 use crate::balancer::Balancer;
 use crate::core::Core;
+use crate::correlation;
 use crate::counters::add;
 use crate::instance_clients::InstanceClient;
 use crate::instance_clients::Reuse;
@@ -91,10 +93,18 @@
         };
         let sending = self.exchange(target, outgoing, interim, Reuse::Forbidden);
         let response = sending.await.ok()?;
-        if relay::owner(response.headers(), PROBE_CAUSE) != Owner::Unnamed {
+        let (status, headers) = (response.status(), response.headers());
+        let owner = correlation::owner(PROBE_CAUSE, headers);
+        if owner != Owner::Unnamed {
+            let upstream = &target.upstream;
+            let service = upstream.service.to_string();
+            let log = self
+                .log
+                .new(o!("request" => PROBE_CAUSE, "service" => service));
+            correlation::record_foreign(self, &log, upstream, owner, status, headers);
             return None;
         }
-        self.record_notices(target, response.status(), response.headers(), PROBE_CAUSE);
+        self.record_notices(target, status, headers, PROBE_CAUSE);
         Some(response)
     }
 
@@ -113,7 +123,7 @@
             let (core, target) = (self.clone(), target.clone());
             let (id, expected) = (interim.id.to_owned(), interim.owner);
             move |status, headers: &HeaderMap| {
-                if relay::owner(headers, &id) == expected {
+                if correlation::owner(&id, headers) == expected {
                     core.record_notices(&target, status, headers, &id);
                 }
             }
--- a/crates/gateway/tests/fakes/upstream.rs
+++ b/crates/gateway/tests/fakes/upstream.rs
@@ -168,7 +168,7 @@
             ),
             "garbage" => ("this is no HTTP\r\n\r\n", false),
             "close" => ("", false),
-            "shed" => (
+            "shed" | "shed-unnamed" => (
                 "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nrwr-shed: 1\r\n\r\n",
                 true,
             ),
