gateway: passes no status on that promises without proof that a request hasn't run

Callers of a request that may run once got an instance's 408, 429 or 503 unchanged, which they may take as a promise that it hasn't run, though the instance ran it: only a refusal with the shed header, and 421, promise that. Red before: test_correlation_status_without_proof_does_not_say_not_run and test_correlation_at_most_one_run_and_none_behind_not_run. Such a response now ends the attempt as one that may have run, so that the caller gets 502, unknown, unproven. For requests that may run again the status is passed on as before.

--- a/crates/attempt/src/action.rs
+++ b/crates/attempt/src/action.rs
@@ -90,6 +90,8 @@
     Quarantined,
     /// The response belonged to another request.
     Mismatch,
+    /// The status of the response says that the request hasn't run, without proof.
+    Unproven,
     /// The deadline passed.
     Deadline,
     /// The body of the response was truncated.
@@ -104,6 +106,7 @@
             AttemptError::NoAnswer | AttemptError::Suspected => Self::NoAnswer,
             AttemptError::Quarantined => Self::Quarantined,
             AttemptError::Mismatch => Self::Mismatch,
+            AttemptError::Unproven => Self::Unproven,
             AttemptError::Timeout => Self::Deadline,
             AttemptError::ShortBody(_) => Self::ShortBody,
         }
--- a/crates/attempt/src/event.rs
+++ b/crates/attempt/src/event.rs
@@ -56,6 +56,8 @@
     Suspected,
     /// The response belongs to another request, or refuses the request without naming it.
     Mismatch,
+    /// The response has a status that says that the request hasn't run, without proof.
+    Unproven,
     /// The driver's timeout ended the attempt; the request may have been sent.
     Timeout,
     /// The body was truncated at this offset, counted from the start of the whole body.
--- a/crates/gateway/src/call/classify.rs
+++ b/crates/gateway/src/call/classify.rs
@@ -44,6 +44,7 @@
         attempt::Reason::NoAnswer => Reason::NoAnswer,
         attempt::Reason::Quarantined => Reason::Quarantined,
         attempt::Reason::Mismatch => Reason::Mismatch,
+        attempt::Reason::Unproven => Reason::Unproven,
         attempt::Reason::Deadline => Reason::Deadline,
         attempt::Reason::ShortBody => Reason::ShortBody,
     }
--- a/crates/gateway/src/call/responses.rs
+++ b/crates/gateway/src/call/responses.rs
@@ -156,7 +156,8 @@
     }
 
     /// How the attempt ends if the response is unusable: it belongs to another request,
-    /// its end is undefined, or it doesn't resume the body where it broke off.
+    /// its end is undefined, it promises what isn't proven, or it doesn't resume the body where it
+    /// broke off.
     pub(super) fn reject_response(
         &self,
         response: &UpstreamResponse,
@@ -168,6 +169,11 @@
         if !response.framed {
             return Some(AttemptError::NoAnswer);
         }
+        let is_answered = matches!(verdict, Verdict::Answered);
+        let is_unsafe = !self.request.head.service.class.is_idempotent();
+        if is_answered && is_unsafe && correlate::promises_not_run(response.status) {
+            return Some(AttemptError::Unproven);
+        }
         let resumed = self.received_bytes > 0 && response.status == StatusCode::PARTIAL_CONTENT;
         if resumed && range_start(&response.headers) != Some(self.received_bytes) {
             return Some(AttemptError::Mismatch);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -76,6 +76,8 @@
     NoAnswer,
     /// The response belongs to another request, or refuses the request without naming it.
     Mismatch,
+    /// The status of the response says that the request hasn't run, without proof.
+    Unproven,
     /// The response body was truncated.
     ShortBody,
     /// The deadline passed.
