gateway: a response of another gateway has to name the request

Callers behind a gateway that was cut off could get the answer, or the not-run, of another request: the gateway that took a request gave it an id of its own, so that its response named nothing that the sender knew, and the sender compared nothing. A response that ended with its connection was passed on as complete, and 408, 421, 429 and 503 without an outcome as they were.

Now a request keeps its id on the way, and every response of the other gateway, also a refusal, has to name it; anything else is 502, unknown, and drops the idle connections to that gateway. A body without a defined end counts as broken off. A gateway of an earlier version answers with an id of its own, so that requests relayed to it end as 502, unknown, until it is replaced.

--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -1,7 +1,8 @@
 //! Sends requests on to other gateways while this one doesn't reach the instances.
 //!
 //! A request is sent on once at most, whole and before it is queued or its key is claimed: the
-//! gateway that takes it does all of that.
+//! gateway that takes it does all of that. It bears its id, and each response of the other gateway
+//! has to name it: what another request's response says isn't believed.
 
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -11,6 +12,7 @@
 use base::header;
 use base::prelude::*;
 use bytes::Bytes;
+use correlate::Owner;
 use futures::StreamExt;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -24,6 +26,8 @@
 use crate::body::RequestBody;
 use crate::call;
 use crate::core::Core;
+use crate::correlation;
+use crate::counters::add;
 use crate::headers;
 use crate::in_flight::InFlightGuard;
 use crate::instance_clients::Reuse;
@@ -55,6 +59,10 @@
 
 /// Failure of a request that broke off at another gateway.
 const BROKEN: Refusal = Refusal::unknown(StatusCode::BAD_GATEWAY, Reason::NoAnswer);
+/// Failure of a request to which another gateway's response doesn't belong.
+const FOREIGN: Refusal = Refusal::unknown(StatusCode::BAD_GATEWAY, Reason::Mismatch);
+/// Failure of a request of which a status says without proof that it hasn't run.
+const UNPROVEN: Refusal = Refusal::unknown(StatusCode::BAD_GATEWAY, Reason::Unproven);
 /// Failure of a request that another gateway didn't answer in time.
 const TOO_LATE: Refusal = Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, Reason::Deadline);
 
@@ -87,6 +95,10 @@
     Silent,
     /// The connection broke off; the request may have run.
     Broken,
+    /// The response doesn't name the request, which may have run.
+    Foreign,
+    /// The status says that the request hasn't run, without proof.
+    Unproven,
     /// The deadline passed; the request may have run.
     Deadline,
 }
@@ -126,6 +138,8 @@
             match end {
                 HopEnd::Answered(response) => return Ok(response),
                 HopEnd::Broken => return Err(BROKEN),
+                HopEnd::Foreign => return Err(FOREIGN),
+                HopEnd::Unproven => return Err(UNPROVEN),
                 HopEnd::Deadline => return Err(TOO_LATE),
                 HopEnd::Refused | HopEnd::Silent => {}
             }
@@ -189,6 +203,9 @@
         let remaining = self.head.deadline.since(now).saturating_sub(HOP_TIME);
         let remaining = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
         headers.insert(header::DEADLINE, HeaderValue::from(remaining.max(1)));
+        if let Ok(id) = HeaderValue::from_str(&self.head.id) {
+            headers.insert(header::REQUEST_ID, id);
+        }
         headers.insert(header::DEPTH, HeaderValue::from(u16::from(self.head.depth)));
         let caller = self
             .caller
@@ -207,10 +224,21 @@
         response: UpstreamResponse,
         guard: HopGuard,
     ) -> HopEnd {
+        if correlation::owner(&self.head.id, &response.headers) != Owner::Sent {
+            peer.client.distrust();
+            add(&core.counters.foreign_responses, 1);
+            return HopEnd::Foreign;
+        }
+        if !response.framed {
+            return HopEnd::Broken;
+        }
         if is_about_process(&response.headers) {
             core.record_peer_refused(&self.head.service.name, peer);
             return HopEnd::Refused;
         }
+        if self.is_unproven(&response) {
+            return HopEnd::Unproven;
+        }
         let (send, receive) = mpsc::channel(CHUNK_BUFFER);
         let relayed = RelayedResponse {
             status: response.status,
@@ -223,17 +251,26 @@
         });
         HopEnd::Answered(relayed)
     }
+
+    /// Whether the status of a request that may run once says that it hasn't run, though the other
+    /// gateway doesn't.
+    fn is_unproven(&self, response: &UpstreamResponse) -> bool {
+        !self.head.service.class.is_idempotent()
+            && correlate::promises_not_run(response.status)
+            && !has(&response.headers, header::OUTCOME, Outcome::NotRun.into())
+    }
 }
 
 /// Whether another gateway refused a request unrun, for a reason of its own.
 fn is_about_process(headers: &HeaderMap) -> bool {
-    let has = |name, value: &'static str| {
-        let found = headers.get(name);
-        found.is_some_and(|found| found.as_bytes() == value.as_bytes())
-    };
     let mut reasons = PROCESS_REASONS.into_iter();
-    has(header::OUTCOME, Outcome::NotRun.into())
-        && reasons.any(|reason| has(header::REASON, reason.into()))
+    has(headers, header::OUTCOME, Outcome::NotRun.into())
+        && reasons.any(|reason| has(headers, header::REASON, reason.into()))
+}
+
+fn has(headers: &HeaderMap, name: &'static str, value: &'static str) -> bool {
+    let found = headers.get(name);
+    found.is_some_and(|found| found.as_bytes() == value.as_bytes())
 }
 
 /// Passes a body on until it ends or the caller has left.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -150,7 +150,7 @@
             self.write_readiness(response);
             return;
         }
-        let id: Arc<str> = Uuid::new_v4().simple().to_string().into();
+        let id = request_id(request);
         match self.call(&id, request).await {
             Ok(relayed) => write_response(relayed, response),
             Err(refusal) => {
@@ -164,6 +164,19 @@
     }
 }
 
+/// The id that another gateway gave the request, or a new one.
+fn request_id(request: &Request) -> Arc<str> {
+    let headers = request.headers();
+    let given = headers.get(header::REQUEST_ID);
+    let given = given.filter(|_| headers.contains_key(header::HOP));
+    let given = given.and_then(|id| Uuid::try_parse_ascii(id.as_bytes()).ok());
+    given
+        .unwrap_or_else(Uuid::new_v4)
+        .simple()
+        .to_string()
+        .into()
+}
+
 fn is_ready_check(request: &Request) -> bool {
     request.uri().path() == READY_PATH
         && request.method() == Method::GET
