--- a/crates/gateway/src/correlation.rs
+++ b/crates/gateway/src/correlation.rs
@@ -1,4 +1,4 @@
-//! Logs and counts refusals, and responses that name another request than the one that was sent.
+//! Logs and counts refusals, and responses that aren't the request's own.
 
 use base::header;
 use correlate::Owner;
@@ -23,16 +23,17 @@
     Owner::of(id.as_bytes(), named.map(HeaderValue::as_bytes))
 }
 
-/// Logs and counts a response that names another request. `log` names the one that was sent.
+/// Logs and counts a response that isn't the request's own. `log` names the one that was sent.
 pub fn record_foreign(
     core: &Core,
     log: &Logger,
     upstream: &UpstreamInstance,
+    owner: Owner,
     status: StatusCode,
     headers: &HeaderMap,
 ) {
     info!(log, "foreign response"; "instance" => %upstream.id, "named" => named_ids(headers),
-        "owner" => <&str>::from(Owner::Other), "status" => status.as_u16(),
+        "owner" => <&str>::from(owner), "status" => status.as_u16(),
         "refused" => headers.contains_key(header::SHED));
     add(&core.counters.foreign_responses, 1);
 }
--- a/crates/gateway/src/probes.rs
+++ b/crates/gateway/src/probes.rs
@@ -14,7 +14,6 @@
 
 use base::header;
 use base::prelude::*;
-use correlate::Owner;
 use http::HeaderMap;
 use http::Method;
 use measure::Denied;
@@ -22,7 +21,6 @@
 use route::Pick;
 use route::ProbeResult;
 use slog::debug;
-use slog::o;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
 
@@ -30,7 +28,6 @@
 use crate::balancer::Balancer;
 use crate::core::Core;
 use crate::core::Phase;
-use crate::correlation;
 use crate::counters::add;
 use crate::instance_clients::UpstreamRequest;
 use crate::probe_schedule::ProbeSchedule;
@@ -44,8 +41,6 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum size in bytes of the body of a response to a probe. A longer one may have no end.
 const MAX_PROBE_BODY: usize = 64 * 1024;
-/// Stands for a request's id in the log.
-const PROBE_CAUSE: &str = "probe";
 /// Minimum pause between two passes over the services that are due.
 const MIN_PAUSE: Duration = Duration::from_millis(2);
 
@@ -217,16 +212,9 @@
         upstream,
         client,
     };
-    let mut response = core.send(&target, outgoing, PROBE_CAUSE).await.ok()?;
-    if correlation::owner("", response.headers()) == Owner::Other {
-        let log = core
-            .log
-            .new(o!("request" => PROBE_CAUSE, "service" => service.to_string()));
-        let (status, headers) = (response.status(), response.headers());
-        correlation::record_foreign(core, &log, &target.upstream, status, headers);
-    }
+    let mut response = core.send_probe(&target, outgoing).await?;
     let report = response.headers().get(header::LOAD).and_then(parse_load);
-    // The body is read to its end so that the connection can be reused.
+    // A report whose response breaks off isn't believed.
     let mut received = 0;
     while let Some(chunk) = response.chunk().await.ok()? {
         received += chunk.len();
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -74,8 +74,10 @@
     Shed,
     /// The request may have been sent, but no response arrived.
     NoAnswer,
-    /// The response belongs to another request.
+    /// The response belongs to another request, or refuses the request without naming it.
     Mismatch,
+    /// The status of the response says that the request hasn't run, without proof.
+    Unproven,
     /// The response body was truncated.
     ShortBody,
     /// The deadline passed.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,6 +5,8 @@
 
 use base::header;
 use bytes::Bytes;
+use correlate::Owner;
+use correlate::Verdict;
 use futures::Stream;
 use futures::StreamExt;
 use http::HeaderMap;
@@ -16,6 +18,7 @@
 use quick_error::quick_error;
 use tokio::sync::mpsc;
 
+use crate::correlation;
 use crate::headers;
 
 /// Number of response chunks buffered for the caller.
@@ -68,24 +71,32 @@
         }
     }
 
-    /// Whether the upstream shed the request, that is, refused it before any work.
+    /// What the head says of the request `id`, which was sent last.
     #[must_use]
-    pub fn is_shed(&self) -> bool {
-        self.status == StatusCode::SERVICE_UNAVAILABLE && self.headers.contains_key(header::SHED)
+    pub fn judge(&self, id: &str) -> Verdict {
+        judge_head(self.status, &self.headers, id)
     }
+}
 
-    /// Whether the response carries the id of a request other than `id`.
-    #[must_use]
-    pub fn is_mismatched(&self, id: &str) -> bool {
-        let mut echoes = self.headers.get_all(header::REQUEST_ID).iter();
-        echoes.any(|echo| echo.as_bytes() != id.as_bytes())
+/// What the head of an instance's response says of the request `id`, which was sent last.
+#[must_use]
+pub fn judge_head(status: StatusCode, headers: &HeaderMap, id: &str) -> Verdict {
+    let is_shed = status == StatusCode::SERVICE_UNAVAILABLE && headers.contains_key(header::SHED);
+    let is_refusal = is_shed || status == StatusCode::MISDIRECTED_REQUEST;
+    match correlate::judge(correlation::owner(id, headers), status, is_shed) {
+        // Upstreams have to name the request in refusals only.
+        Verdict::Foreign(Owner::Unnamed) if !is_refusal => Verdict::Answered,
+        verdict => verdict,
     }
 }
 
 /// Whether the body has a defined end. One that ends with its connection can't be
-/// told from a truncated one.
+/// told from a truncated one, and an interim response ends nothing.
 fn is_framed(response: &reqwest::Response, method: &Method) -> bool {
     let status = response.status();
+    if status.is_informational() {
+        return false;
+    }
     response.version() == Version::HTTP_2
         || *method == Method::HEAD
         || status == StatusCode::NO_CONTENT
