entry: sends a refused request again only on other connections

Callers of requests that may run once could be answered 503 though the request had run: where an instance refused it and it was sent there once more, on the same connection, a late copy of its first refusal names the right id.

Cause: an id tells requests apart, not the sends of one. A second send to the same instance happens within a process where no other instance has room, and with a hop's second visit.

Now a connection remembers the requests that were refused on it, and isn't taken for one of them; after 32 it is closed, so that nothing is forgotten. It is the same for connections to other entry processes.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -280,6 +280,7 @@
             return AttemptEnd::Unknown;
         }
         Verdict::NotRun(proof) => {
+            connection.record_refused(&request.id);
             drain_refusal(upstream, response, connection, reusable);
             return running.end_refused(proof, refused, report);
         }
@@ -325,12 +326,14 @@
     (core.dialect.read_load)(text)
 }
 
-/// Returns a pooled or a new connection, and whether it is new; logs a failure to connect.
+/// Returns a pooled or a new connection for the request with this id, and whether it is new; logs a
+/// failure to connect.
 pub async fn acquire_connection(
     core: &Arc<Core>,
     upstream: &Upstream,
+    id: Option<&HeaderValue>,
 ) -> Option<(Connection, bool)> {
-    if let Some(connection) = upstream.pool.take() {
+    if let Some(connection) = upstream.pool.take(id) {
         return Some((connection, false));
     }
     match upstream.pool.connect().await {
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -165,7 +165,7 @@
         hop.write(headers);
         self.sends.begin();
         self.set_permit_sent(true);
-        let end = relay::send(lease.peer(), request).await;
+        let end = relay::send(lease.peer(), request, Some(&self.request.id)).await;
         if let SendEnd::Unsent(_) = &end {
             self.sends.exclude(&NotRun::unsent());
         }
@@ -198,6 +198,7 @@
         };
         if let (true, Verdict::NotRun(proof)) = (refused, verdict) {
             self.sends.exclude(&proof);
+            connection.record_refused(&self.request.id);
         }
         if let Some(upstream) = run.and_then(|run| self.core.upstream(&run)) {
             // The response is passed on here, so what its instance says binds this process, too.
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -9,6 +9,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use http::HeaderValue;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -28,6 +29,9 @@
 /// Maximum number of idle connections to an instance from this process, as all entry processes
 /// share the instance's capacity.
 const MAX_IDLE: usize = 8;
+/// Maximum number of requests that may be refused on a connection. It bounds what a connection
+/// remembers.
+const MAX_REFUSED: usize = 32;
 /// Idle timeout if the instance didn't announce a keep-alive timeout.
 const DEFAULT_IDLE: Duration = Duration::from_millis(300);
 /// Subtracted from the announced keep-alive timeout, which starts earlier at the instance.
@@ -89,25 +93,50 @@
     }
 }
 
+/// What a connection remembers of the messages that it has carried.
+#[derive(Debug, Default)]
+struct History {
+    usage: Usage,
+    /// The requests that were refused.
+    refused: Vec<HeaderValue>,
+}
+
 /// A connection, which is closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
     /// Sends requests, one at a time.
     pub sender: SendRequest<ForwardedBody>,
-    usage: Usage,
+    // On the heap, as connections are moved a lot.
+    history: Box<History>,
     _driver: AbortOnDropHandle<()>,
 }
 
 impl Connection {
     /// Records a message that got a response. Returns what the connection had carried before.
     pub fn record_use(&mut self, message: Message) -> Usage {
-        let before = self.usage;
-        self.usage = Usage {
+        let before = self.history.usage;
+        self.history.usage = Usage {
             uses: before.uses.saturating_add(1),
             last: Some(message),
         };
         before
     }
+
+    /// Records that the request with this id was refused. A late copy of the refusal can't be told
+    /// from that of another send of it, so it is never sent again on this connection.
+    pub fn record_refused(&mut self, id: &HeaderValue) {
+        self.history.refused.push(id.clone());
+    }
+
+    /// Whether it may be used again, as it can remember another refused request.
+    fn is_reusable(&self) -> bool {
+        self.history.refused.len() < MAX_REFUSED
+    }
+
+    /// Whether the request with this id can be sent on it.
+    fn takes(&self, id: Option<&HeaderValue>) -> bool {
+        id.is_none_or(|id| !self.history.refused.contains(id))
+    }
 }
 
 #[derive(Debug)]
@@ -133,14 +162,15 @@
         }
     }
 
-    /// Takes the most recently used connection that is still open.
-    pub fn take(&self) -> Option<Connection> {
+    /// Takes the most recently used connection that is still open and on which the request with
+    /// this id wasn't refused; probes have none.
+    pub fn take(&self, id: Option<&HeaderValue>) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.retain(|entry| entry.expires_at > now && !entry.connection.sender.is_closed());
         let ready = idle
             .iter()
-            .rposition(|entry| entry.connection.sender.is_ready())?;
+            .rposition(|entry| entry.connection.sender.is_ready() && entry.connection.takes(id))?;
         Some(idle.remove(ready).connection)
     }
 
@@ -179,19 +209,20 @@
         });
         Ok(Connection {
             sender,
-            usage: Usage::default(),
+            history: Box::default(),
             _driver: AbortOnDropHandle::new(driver),
         })
     }
 
-    /// Returns a connection to the pool after a complete response; `announced` is the instance's
+    /// Returns a connection to the pool on which nothing more is due: each request sent on it has
+    /// been answered completely by a response that names it. `announced` is the instance's
     /// keep-alive timeout.
     pub fn keep(&self, connection: Connection, announced: Option<Duration>) {
         let idle_timeout =
             announced.map_or(DEFAULT_IDLE, |timeout| timeout.saturating_sub(IDLE_MARGIN));
         let expires_at = Instant::now() + idle_timeout;
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        if idle.len() < MAX_IDLE && !idle_timeout.is_zero() {
+        if idle.len() < MAX_IDLE && !idle_timeout.is_zero() && connection.is_reusable() {
             idle.push(Idle {
                 connection,
                 expires_at,
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use hyper::body::Incoming;
@@ -122,10 +123,14 @@
     Broken,
 }
 
-/// Sends the request on a pooled or a new connection.
-pub async fn send(peer: &Peer, mut request: Request<ForwardedBody>) -> SendEnd {
+/// Sends the request on a pooled or a new connection; `id` is its id, which a question doesn't have.
+pub async fn send(
+    peer: &Peer,
+    mut request: Request<ForwardedBody>,
+    id: Option<&HeaderValue>,
+) -> SendEnd {
     loop {
-        let pooled = peer.pool.take();
+        let pooled = peer.pool.take(id);
         let is_new = pooled.is_none();
         let connection = match pooled {
             Some(connection) => Ok(connection),
--- a/crates/entry/src/relay/search.rs
+++ b/crates/entry/src/relay/search.rs
@@ -90,7 +90,7 @@
         table: core.routes().table.version,
     };
     let answer = async {
-        let sending = relay::send(&peer, question.to_request());
+        let sending = relay::send(&peer, question.to_request(), None);
         let SendEnd::Response(response, connection) = sending.await else {
             return None;
         };
--- a/crates/entry/src/send.rs
+++ b/crates/entry/src/send.rs
@@ -41,6 +41,7 @@
     cause: &str,
     record_sent: impl Fn(),
 ) -> SendEnd {
+    let id = request.headers().get(&core.dialect.request).cloned();
     let interim = {
         let (core, upstream, cause) = (Arc::clone(core), Arc::clone(upstream), cause.to_owned());
         InterimCounter::attach(&mut request, move |status, headers| {
@@ -51,7 +52,7 @@
         if !core.takes_requests(upstream) {
             return SendEnd::Withheld;
         }
-        let connection = exchange::acquire_connection(core, upstream).await;
+        let connection = exchange::acquire_connection(core, upstream, id.as_ref()).await;
         let Some((mut connection, is_new)) = connection else {
             return SendEnd::Unsent;
         };
