entry: reads what an instance asks only in responses to the request

An instance could get no requests for minutes, and callers were refused, by a response that belonged to another request: its leaving and its Retry-After were read before the response was compared to the request.

Now the final response is compared first. An interim response that names the request is read at once; one without a name is kept, and read once the final response names the request. The load, the limit and another process's response are read after the same judgement already.

--- a/crates/entry/src/send.rs
+++ b/crates/entry/src/send.rs
@@ -2,8 +2,10 @@
 //!
 //! All of them are sent here: first attempts, retries, granted and relayed requests, trials of
 //! ejected instances, and probes. An instance may have asked to back off since it was selected, so
-//! that is checked right before the request is written, and each response is read for what its
-//! instance asks.
+//! that is checked right before the request is written, and each response that belongs to the request
+//! is read for what its instance asks.
+
+mod notices;
 
 use std::sync::Arc;
 
@@ -13,6 +15,7 @@
 use interim::InterimCounter;
 use slog::warn;
 
+use self::notices::Notices;
 use crate::body::ForwardedBody;
 use crate::core::Core;
 use crate::exchange;
@@ -42,10 +45,11 @@
     record_sent: impl Fn(),
 ) -> SendEnd {
     let id = request.headers().get(&core.dialect.request).cloned();
+    let notices = Arc::new(Notices::new(core, upstream, id.clone(), cause));
     let interim = {
-        let (core, upstream, cause) = (Arc::clone(core), Arc::clone(upstream), cause.to_owned());
+        let notices = Arc::clone(&notices);
         InterimCounter::attach(&mut request, move |status, headers| {
-            core.record_notices(&upstream, status, headers, &cause);
+            notices.read_interim(status, headers);
         })
     };
     loop {
@@ -73,7 +77,7 @@
         };
         match sent {
             Ok(response) => {
-                core.record_notices(upstream, response.status(), response.headers(), cause);
+                notices.read_final(response.status(), response.headers());
                 return SendEnd::Response(response, connection);
             }
             Err(mut err) => match err.take_message() {
