entry: keeps no connection to an instance for 5 s after a response of another request

Callers got 502 for requests that had run, one for each late copy: the true response stands behind the copy on the same connection, and the HTTP client reads one response for each request.

An instance that sent one copy may have others due on its other connections. After a response of another request all idle connections to it are closed, and those that are open then or are opened within 5 s carry one request each, so that no earlier response can arrive there. It is the same for other entry processes. The price is a new connection for each request in that time, and for each probe.

Red before, with the refusals compared: test_connections_are_not_kept_after_a_ response_of_another_request, 502 for the request after the first copy. Its instance now sends the copies on connections that it has refused on, as retries of the test's own set-up met them before.

--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -193,6 +193,7 @@
         let (Some(outcome), Owner::Sent) = (outcome, owner) else {
             // Not a response of an entry process, or not to this request.
             self.record_foreign(&peer, run.as_ref(), owner, &response, usage);
+            peer.pool.distrust();
             self.core.record_peer_silent(&peer);
             return HopEnd::Final(self.fallback(Reason::Broken));
         };
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
@@ -32,6 +33,9 @@
 /// Maximum number of requests that may be refused on a connection. It bounds what a connection
 /// remembers.
 const MAX_REFUSED: usize = 32;
+/// Time for which no connection is kept after a response of another request. Its sender may have
+/// more of them due on other connections.
+const DISTRUST_PERIOD: Duration = Duration::from_secs(5);
 /// Idle timeout if the instance didn't announce a keep-alive timeout.
 const DEFAULT_IDLE: Duration = Duration::from_millis(300);
 /// Subtracted from the announced keep-alive timeout, which starts earlier at the instance.
@@ -94,8 +98,9 @@
 }
 
 /// What a connection remembers of the messages that it has carried.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct History {
+    opened_at: Instant,
     usage: Usage,
     /// The requests that were refused.
     refused: Vec<HeaderValue>,
@@ -149,7 +154,14 @@
 #[derive(Debug)]
 pub struct Pool {
     address: SocketAddr,
-    idle: Mutex<Vec<Idle>>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    idle: Vec<Idle>,
+    /// Connections that were opened before this moment aren't kept.
+    trusted_from: Option<Instant>,
 }
 
 impl Pool {
@@ -158,7 +170,7 @@
     pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
-            idle: Mutex::default(),
+            state: Mutex::default(),
         }
     }
 
@@ -166,7 +178,8 @@
     /// this id wasn't refused; probes have none.
     pub fn take(&self, id: Option<&HeaderValue>) -> Option<Connection> {
         let now = Instant::now();
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = self.state();
+        let idle = &mut state.idle;
         idle.retain(|entry| entry.expires_at > now && !entry.connection.sender.is_closed());
         let ready = idle
             .iter()
@@ -177,9 +190,9 @@
     /// Whether an idle connection is open.
     pub fn has_idle(&self) -> bool {
         let now = Instant::now();
-        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let state = self.state();
         let is_open = |entry: &Idle| entry.expires_at > now && entry.connection.sender.is_ready();
-        idle.iter().any(is_open)
+        state.idle.iter().any(is_open)
     }
 
     /// Opens a connection.
@@ -209,7 +222,11 @@
         });
         Ok(Connection {
             sender,
-            history: Box::default(),
+            history: Box::new(History {
+                opened_at: Instant::now(),
+                usage: Usage::default(),
+                refused: Vec::new(),
+            }),
             _driver: AbortOnDropHandle::new(driver),
         })
     }
@@ -221,12 +238,28 @@
         let idle_timeout =
             announced.map_or(DEFAULT_IDLE, |timeout| timeout.saturating_sub(IDLE_MARGIN));
         let expires_at = Instant::now() + idle_timeout;
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        if idle.len() < MAX_IDLE && !idle_timeout.is_zero() && connection.is_reusable() {
-            idle.push(Idle {
+        let mut state = self.state();
+        let is_trusted = state
+            .trusted_from
+            .is_none_or(|moment| moment <= connection.history.opened_at);
+        let has_room = state.idle.len() < MAX_IDLE && !idle_timeout.is_zero();
+        if has_room && is_trusted && connection.is_reusable() {
+            state.idle.push(Idle {
                 connection,
                 expires_at,
             });
         }
     }
+
+    /// Closes all idle connections after a response of another request, and keeps none of those
+    /// that are open now or are opened within [`DISTRUST_PERIOD`].
+    pub fn distrust(&self) {
+        let mut state = self.state();
+        state.idle.clear();
+        state.trusted_from = Some(Instant::now() + DISTRUST_PERIOD);
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/entry/tests/test_not_run.rs
+++ b/crates/entry/tests/test_not_run.rs
@@ -167,7 +167,19 @@
 /// Guards against connections that carry a late response of an earlier request after one was seen.
 #[tokio::test]
 async fn test_connections_are_not_kept_after_a_response_of_another_request() {
-    let one = Scripted::start("i-1", refuse_some(refusal)).await;
+    let mut refused_on = Vec::new();
+    let handler = move |request: &Received| match request {
+        Received { is_probe: true, .. } => Reply::unrun(health(0)),
+        Received { id, connection, .. } if id.starts_with("no") => {
+            refused_on.push(*connection);
+            Reply::unrun(refusal(id))
+        }
+        Received { id, connection, .. } if refused_on.contains(connection) => {
+            Reply::run([refusal("no-0"), answer(id)].concat())
+        }
+        Received { id, .. } => Reply::run(answer(id)),
+    };
+    let one = Scripted::start("i-1", handler).await;
     let entry = start(&[&one]).await;
     let mut refused = Vec::new();
     for number in 0..4 {
