entry: a probe believes only a response that names no request

A response to a request that a probe got in place of its own gave the load, the limit and how long the instance is cold, said that another instance has the address, and its connection was kept, so that a request on it read the probe's response. Red before: both tests of such responses in test_probe. Now such a probe has failed and its connection is closed, and the page has to name the expected instance each time that it names one.

--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -154,11 +154,14 @@
     let Some((response, mut connection)) = send_probe(core, upstream).await else {
         return ProbeResult::Failed;
     };
-    record_owner(core, upstream, &response, &mut connection);
+    if !is_own_response(core, upstream, &response, &mut connection) {
+        // Its connection is closed, as the probe's own response may follow.
+        return ProbeResult::Failed;
+    }
     let (parts, incoming) = response.into_parts();
     let body = body::read(incoming).await;
-    let id = parts.headers.get(&core.dialect.instance);
-    let is_expected = id.is_none_or(|id| id.as_bytes() == upstream.id.as_str().as_bytes());
+    let mut ids = parts.headers.get_all(&core.dialect.instance).iter();
+    let is_expected = ids.all(|id| id.as_bytes() == upstream.id.as_str().as_bytes());
     if parts.status == StatusCode::MISDIRECTED_REQUEST || !is_expected {
         return ProbeResult::OtherInstance;
     }
@@ -177,13 +180,13 @@
     })
 }
 
-/// Logs and counts the response if it names a request, as a response to a probe names none.
-fn record_owner(
+/// Whether the response names no request, as one to a probe. Any other is logged and counted.
+fn is_own_response(
     core: &Core,
     upstream: &Upstream,
     response: &Response<Incoming>,
     connection: &mut Connection,
-) {
+) -> bool {
     let exchange = Exchange {
         request: PROBE_CAUSE,
         instance: upstream.id.as_str(),
@@ -196,6 +199,7 @@
     if owner == Owner::Other {
         correlation::record_foreign(core, &exchange, owner, status, headers);
     }
+    owner != Owner::Other
 }
 
 /// Sends a probe.
