--- a/crates/standin/src/faulty/response.rs
+++ b/crates/standin/src/faulty/response.rs
@@ -8,8 +8,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
 pub enum ResponseFault {
-    /// A second copy follows once the head of the next request on the connection has been read.
+    /// A second copy follows once the head of the next request or probe on the connection has been
+    /// read.
     LateCopy,
+    /// The same, but probes are answered without it.
+    LateCopyAfterProbes,
     /// A second copy follows at once.
     Copy,
     /// The response names no request.
@@ -70,8 +73,10 @@
 pub struct Written {
     /// Bytes to write at once.
     pub now: Vec<u8>,
-    /// Bytes to write once the head of the next request has been read.
+    /// Bytes to write once the next head has been read.
     pub later: Vec<u8>,
+    /// Whether the head of a probe doesn't count for that.
+    pub after_probes: bool,
     /// Whether the connection ends then.
     pub closes: bool,
 }
@@ -107,6 +112,10 @@
         match fault {
             None => {}
             Some(ResponseFault::LateCopy) => written.later = self.whole(),
+            Some(ResponseFault::LateCopyAfterProbes) => {
+                written.later = self.whole();
+                written.after_probes = true;
+            }
             Some(ResponseFault::Copy) => written.now.extend(self.whole()),
             Some(ResponseFault::Unnamed) => {
                 let unnamed = Self {
