soak: upstreams that answer twice, late, cut short or wrongly framed, hops, and unasked runs

Cause: the soak's upstreams sent at most one response for a request, its entry processes relayed nothing, and a run that no caller asked for wasn't noticed.

Entry processes take requests of others. Runs of paths that no caller sent are violations, as far as the record shows.

--- a/crates/soak/src/invariants.rs
+++ b/crates/soak/src/invariants.rs
@@ -1,6 +1,7 @@
 //! Checks the guarantees of the system against the calls and runs of a soak run.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::fmt;
 
 use standin::Run;
@@ -10,6 +11,7 @@
 use crate::calls::Call;
 use crate::keys::CallKey;
 use crate::keys::Keys;
+use crate::world::WAIT_PATHS;
 use crate::world::World;
 
 /// Statuses that guarantee that the request was not run.
@@ -75,6 +77,12 @@
         let violation = violation.or_else(|| key_violation(world.keys(), call, runs));
         report.violations.extend(violation);
     }
+    let called: HashSet<&str> = calls.iter().map(|call| call.path.as_str()).collect();
+    let is_unasked =
+        |path: &&String| !called.contains(path.as_str()) && !WAIT_PATHS.contains(&path.as_str());
+    let unasked = runs.keys().filter(is_unasked);
+    let unasked = unasked.map(|path| format!("{path} ran, which no caller sent"));
+    report.violations.extend(unasked);
     report.violations.extend(world.table_regressions());
     report.violations.extend(crash_violation);
     report
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -2,12 +2,15 @@
 //! and checks its guarantees from the replies to callers and the runs of upstreams.
 //!
 //! A seed determines the faults ([`world`]): signals to processes, faults of upstreams,
-//! and a [`proxy`] in front of these that delays, withholds or resets traffic. Callers
-//! send requests all the time ([`calls`]), with keys of which tables remove some ([`keys`]). At the end the system is restored, and
-//! [`invariants`] looks for violated guarantees.
+//! and a [`proxy`] in front of these that delays, withholds or resets traffic. If the plan says
+//! so, further upstreams answer twice, late, cut short or wrongly framed ([`faulty_upstreams`]).
+//! Callers send requests all the time ([`calls`]), with keys of which tables remove some
+//! ([`keys`]). At the end the system is restored, and [`invariants`] looks for violated
+//! guarantees.
 
 pub mod calls;
 pub mod crashing_upstreams;
+pub mod faulty_upstreams;
 pub mod invariants;
 pub mod keys;
 pub mod proxy;
@@ -65,6 +68,8 @@
     pub steps: u32,
     /// Maximum pause after a step.
     pub max_pause: Duration,
+    /// Whether some upstreams send faulty responses.
+    pub faulty_responses: bool,
 }
 
 /// Runs `plan` and checks the guarantees.
@@ -75,7 +80,7 @@
 /// ended.
 pub async fn run(plan: Plan) -> Result<Report, SoakError> {
     let mut rng = SmallRng::seed_from_u64(plan.seed);
-    let mut world = World::start(&mut rng).await?;
+    let mut world = World::start(plan, &mut rng).await?;
     let callers = Callers::start(world.fronts(), world.keys());
     for _ in 0..plan.steps {
         world.step(&mut rng).await?;
@@ -84,5 +89,6 @@
     world.restore().await?;
     let calls = callers.stop().await;
     let crash_violation = world.check_crashes().await?;
+    world.wait_idle().await?;
     Ok(invariants::check(&world, &calls, crash_violation))
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -15,13 +15,15 @@
     first: u64,
     count: u64,
     steps: u32,
+    faulty_responses: bool,
 }
 
 const USAGE: &str = "\
-rwr-soak [--first SEED] [--count N] [--steps N]
+rwr-soak [--first SEED] [--count N] [--steps N] [--faulty-responses]
 
 Runs N seeds from SEED on, each with its own hubs, entry processes and upstreams on
 loopback, and prints the result of each. Exits with 1 if one violated a guarantee.
+With --faulty-responses, some upstreams answer twice, late, cut short or wrongly framed.
 ";
 
 fn options() -> Result<Option<Options>, lexopt::Error> {
@@ -29,6 +31,7 @@
         first: 1,
         count: 1,
         steps: 40,
+        faulty_responses: false,
     };
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next()? {
@@ -36,6 +39,7 @@
             Arg::Long("first") => options.first = parser.value()?.parse()?,
             Arg::Long("count") => options.count = parser.value()?.parse()?,
             Arg::Long("steps") => options.steps = parser.value()?.parse()?,
+            Arg::Long("faulty-responses") => options.faulty_responses = true,
             Arg::Short('h') | Arg::Long("help") => return Ok(None),
             other => return Err(other.unexpected()),
         }
@@ -62,6 +66,7 @@
             seed,
             steps: options.steps,
             max_pause: MAX_PAUSE,
+            faulty_responses: options.faulty_responses,
         };
         match soak::run(plan).await {
             Ok(report) => {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -25,20 +25,28 @@
 use testutils::tables::LOOKUPS;
 use testutils::tables::STATUS;
 
+use crate::Plan;
 use crate::SoakError;
 use crate::crashing_upstreams::CrashingUpstreams;
+use crate::faulty_upstreams::FaultyUpstreams;
 use crate::keys;
 use crate::keys::Keys;
 use crate::keys::STEADY_KEY;
 use crate::proxy::Mode;
 use crate::proxy::Proxy;
 
+/// Paths of the requests that are repeated until the system serves them.
+pub const WAIT_PATHS: [&str; 3] = ["/read/wait", "/once/wait", "/fragile/wait"];
 /// Number of hubs.
 const HUBS: usize = 3;
 /// Number of entry processes.
 const ENTRIES: usize = 2;
 /// Number of upstreams per service.
 const UPSTREAMS: usize = 2;
+/// Port at which entry processes take requests of others.
+const RELAY_PORT: u16 = 7010;
+/// Share of steps that change the faults of responses, if the plan has them.
+const FAULTY_STEP_SHARE: f64 = 0.25;
 /// Port that the upstreams behind proxies listen on.
 const UPSTREAM_PORT: u16 = 7090;
 /// Faults that are set on an upstream, one at a time.
@@ -102,6 +110,8 @@
     processes: Vec<ProcessState>,
     upstreams: Vec<ProxiedUpstream>,
     crashing_upstreams: CrashingUpstreams,
+    faulty_upstreams: FaultyUpstreams,
+    faulty_responses: bool,
     version: u64,
     keys: Keys,
     /// Log lines of each entry process that has ended.
@@ -115,13 +125,19 @@
     /// # Errors
     ///
     /// Fails if a part can't be started.
-    pub async fn start(rng: &mut SmallRng) -> Result<Self, SoakError> {
+    pub async fn start(plan: Plan, rng: &mut SmallRng) -> Result<Self, SoakError> {
         let mut layout = Layout::new(HUBS, ENTRIES).map_err(SystemError::from)?;
         for entry in &mut layout.entries {
             entry.keys = keys::settings();
+            entry.relay = Some(RELAY_PORT);
         }
         let mut fleet = Fleet::start_layout(layout).await?;
         let crashing_upstreams = CrashingUpstreams::start(&mut fleet.layout).await?;
+        let faulty_upstreams = if plan.faulty_responses {
+            FaultyUpstreams::start(&mut fleet.layout, rng).await?
+        } else {
+            FaultyUpstreams::default()
+        };
         let process = |hub, index| ProcessState {
             hub,
             index,
@@ -134,6 +150,8 @@
             fleet,
             upstreams: vec![],
             crashing_upstreams,
+            faulty_upstreams,
+            faulty_responses: plan.faulty_responses,
             version: 0,
             keys: Keys::default(),
             logs: vec![],
@@ -195,6 +213,11 @@
         if crashed > 0 {
             self.record_step(format!("{crashed} upstreams crashed"));
         }
+        if self.faulty_responses && rng.random_bool(FAULTY_STEP_SHARE) {
+            let step = self.faulty_upstreams.draw(rng);
+            self.steps.extend(step);
+            return Ok(());
+        }
         match rng.random_range(0..10) {
             0..4 => self.inject_process_fault(rng).await?,
             4..6 => {
@@ -366,6 +389,7 @@
                 None => proxied.start().await?,
             }
         }
+        self.faulty_upstreams.restore();
         self.crashing_upstreams.restart_crashed().await?;
         self.publish_table().await?;
         for index in 0..ENTRIES {
@@ -376,9 +400,9 @@
 
     async fn wait_until_served(&self) -> Result<(), SoakError> {
         let requests = [
-            Request::get(STATUS, "/read/wait").at(HOST),
-            Request::post(GRANTS, "/once/wait", "block 7").at(HOST),
-            Request::get(LOOKUPS, "/fragile/wait").at(HOST),
+            Request::get(STATUS, WAIT_PATHS[0]).at(HOST),
+            Request::post(GRANTS, WAIT_PATHS[1], "block 7").at(HOST),
+            Request::get(LOOKUPS, WAIT_PATHS[2]).at(HOST),
         ];
         for index in 0..ENTRIES {
             for request in requests.iter().map(|r| r.clone().with_api_key(STEADY_KEY)) {
@@ -392,10 +416,20 @@
         Ok(())
     }
 
-    /// Runs of all proxied upstreams, over all incarnations.
+    /// Waits until no upstream with faulty responses works on a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a timeout.
+    pub async fn wait_idle(&self) -> Result<(), SoakError> {
+        self.faulty_upstreams.wait_idle().await
+    }
+
+    /// Runs of all proxied upstreams, over all incarnations, and of those with faulty responses.
     pub fn runs(&self) -> impl Iterator<Item = Run> + '_ {
         let runs = self.upstreams.iter().flat_map(|proxied| &proxied.runs);
-        runs.flat_map(Runs::all)
+        let runs = runs.flat_map(Runs::all);
+        runs.chain(self.faulty_upstreams.runs())
     }
 
     /// Descriptions of tables that an entry process applied after a newer one.
--- a/crates/soak/tests/test_soak.rs
+++ b/crates/soak/tests/test_soak.rs
@@ -4,11 +4,12 @@
 
 use soak::Plan;
 
-async fn run(seed: u64, steps: u32) {
+async fn run(seed: u64, steps: u32, faulty_responses: bool) {
     let plan = Plan {
         seed,
         steps,
         max_pause: Duration::from_millis(150),
+        faulty_responses,
     };
     let report = soak::run(plan).await.expect("serves again");
     assert!(report.answered > 0, "{report}");
@@ -17,10 +18,17 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn test_soak_seed_1() {
-    run(1, 20).await;
+    run(1, 20, false).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn test_soak_seed_2() {
-    run(2, 20).await;
+    run(2, 20, false).await;
+}
+
+/// Guards against responses that are doubled, late, cut short or wrongly framed and make a request
+/// run twice, or let it be answered as not run although it ran, among the other faults.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_soak_faulty_responses_seed_1() {
+    run(1, 60, true).await;
 }
