--- a/crates/testutils/tests/test_refusal_ratio.rs
+++ b/crates/testutils/tests/test_refusal_ratio.rs
@@ -109,6 +109,8 @@
     /// Whether a copy also arrives where the response to a probe is expected.
     probes: bool,
     length: Duration,
+    /// Number of entry processes; that of the deployment if `None`.
+    entries: Option<usize>,
 }
 
 const BASE: Case = Case {
@@ -120,10 +122,11 @@
     slowdown: 1,
     probes: false,
     length: SHORT,
+    entries: None,
 };
 
 #[rustfmt::skip]
-const CASES: [Case; 18] = [
+const CASES: [Case; 21] = [
     Case { copies: 0.5, ..BASE },
     Case { refused: 0.55, faulty: Some(1), copies: 0.5, ..BASE },
     Case { copies: 0.5, budget: Budget::Ample, ..BASE },
@@ -142,6 +145,9 @@
     Case { copies: 0.5, length: LONG, ..BASE },
     Case { refused: 0.55, faulty: Some(1), copies: 0.5, length: LONG, ..BASE },
     Case { refused: 0.02, copies: 0.5, attempts: 3, length: LONG, ..BASE },
+    Case { refused: 0.02, copies: 0.5, length: LONG, entries: Some(3), ..BASE },
+    Case { refused: 0.55, faulty: Some(1), copies: 0.5, length: LONG, entries: Some(3), ..BASE },
+    Case { refused: 0.02, copies: 0.5, budget: Budget::Ample, length: LONG, ..BASE },
 ];
 
 fn play(site: &Site, case: Case) -> Play {
@@ -155,6 +161,7 @@
     } else {
         ResponseFault::LateCopyAfterProbes
     };
+    let entries = case.entries.unwrap_or(site.entries);
     let loads = site.loads.iter().map(|load| Load {
         callers: site.entries * CALLERS_PER_ENTRY,
         time: load.time * case.slowdown,
@@ -168,7 +175,7 @@
     });
     Play {
         seed: SEED,
-        entries: site.entries,
+        entries,
         attempts: case.attempts,
         retry: Retry {
             percent: retry.0,
