--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -113,6 +113,8 @@
     Elsewhere(NotRun),
     /// The request may have been processed.
     Unknown,
+    /// The response belongs to another request; this one may have been processed.
+    Mismatched,
     /// The instance has probably lost the request. The attempt at this other instance is paid for.
     Abandoned(Box<SelectedInstance>),
 }
@@ -126,7 +128,7 @@
             | Self::Withheld(proof)
             | Self::Refused(proof)
             | Self::Elsewhere(proof) => Some(proof),
-            Self::Answer(..) | Self::Unknown | Self::Abandoned(_) => None,
+            Self::Answer(..) | Self::Unknown | Self::Mismatched | Self::Abandoned(_) => None,
         }
     }
 }
@@ -278,11 +280,14 @@
             upstream.pool.distrust();
             core.counters.foreign_closed(&upstream.service);
             running.end(OutcomeKind::Error, None);
-            return AttemptEnd::Unknown;
+            return AttemptEnd::Mismatched;
         }
         Verdict::NotRun(proof) => {
-            connection.record_refused(&request.id);
-            drain_refusal(upstream, response, connection, reusable);
+            // The connection of an instance that has gone is of no use.
+            if proof.cause() != Cause::OtherInstance {
+                connection.record_refused(&request.id);
+                drain_refusal(upstream, response, connection, reusable);
+            }
             return running.end_refused(proof, refused, report);
         }
     }
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -452,7 +452,9 @@
                 self.next_instance = Some(*next);
                 true
             }
-            Ok(AttemptEnd::Unknown) => !once && self.may_retry(retry_body.is_some()),
+            Ok(AttemptEnd::Unknown | AttemptEnd::Mismatched) => {
+                !once && self.may_retry(retry_body.is_some())
+            }
             Ok(AttemptEnd::Unsent(_) | AttemptEnd::Withheld(_)) => {
                 self.attempts -= 1;
                 self.unsent += 1;
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -30,8 +30,7 @@
 /// Maximum number of idle connections to an instance from this process, as all entry processes
 /// share the instance's capacity.
 const MAX_IDLE: usize = 8;
-/// Maximum number of requests that may be refused on a connection. It bounds what a connection
-/// remembers.
+/// Maximum number of requests that may be refused on a connection. Bounds the memory for their ids.
 const MAX_REFUSED: usize = 32;
 /// Time for which no connection is kept after a response of another request. Its sender may have
 /// more of them due on other connections.
@@ -102,8 +101,9 @@
 struct History {
     opened_at: Instant,
     usage: Usage,
-    /// The requests that were refused.
-    refused: Vec<HeaderValue>,
+    /// The ids of the requests that were refused, copied as a header's value may hold a whole read
+    /// buffer.
+    refused: Vec<Box<[u8]>>,
 }
 
 /// A connection, which is closed when dropped.
@@ -111,7 +111,7 @@
 pub struct Connection {
     /// Sends requests, one at a time.
     pub sender: SendRequest<ForwardedBody>,
-    // On the heap, as connections are moved a lot.
+    // Boxed, so that moving a connection is cheap.
     history: Box<History>,
     _driver: AbortOnDropHandle<()>,
 }
@@ -130,7 +130,7 @@
     /// Records that the request with this id was refused. A late copy of the refusal can't be told
     /// from that of another send of it, so it is never sent again on this connection.
     pub fn record_refused(&mut self, id: &HeaderValue) {
-        self.history.refused.push(id.clone());
+        self.history.refused.push(id.as_bytes().into());
     }
 
     /// Whether it may be used again, as it can remember another refused request.
@@ -140,7 +140,10 @@
 
     /// Whether the request with this id can be sent on it.
     fn takes(&self, id: Option<&HeaderValue>) -> bool {
-        id.is_none_or(|id| !self.history.refused.contains(id))
+        id.is_none_or(|id| {
+            let mut refused = self.history.refused.iter();
+            refused.all(|other| **other != *id.as_bytes())
+        })
     }
 }
 
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -159,7 +159,9 @@
         return ProbeResult::Failed;
     }
     let (parts, incoming) = response.into_parts();
-    let body = body::read(incoming).await;
+    let Ok(body) = body::read(incoming).await else {
+        return ProbeResult::Failed;
+    };
     let mut ids = parts.headers.get_all(&core.dialect.instance).iter();
     let is_expected = ids.all(|id| id.as_bytes() == upstream.id.as_str().as_bytes());
     if parts.status == StatusCode::MISDIRECTED_REQUEST || !is_expected {
@@ -168,7 +170,7 @@
     if parts.status != StatusCode::OK {
         return ProbeResult::Failed;
     }
-    if matches!(body, Ok(ReadBody::Whole(_))) {
+    if matches!(body, ReadBody::Whole(_)) {
         exchange::release_connection(&upstream.pool, connection, &parts.headers);
     }
     core.record_limit(upstream, &parts.headers, sent_at, Source::Probe);
--- a/crates/entry/src/relay/search.rs
+++ b/crates/entry/src/relay/search.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use correlate::Owner;
 use http::Response;
 use hyper::body::Incoming;
 use reach::Answer;
@@ -20,6 +21,7 @@
 use crate::body::ResponseBody;
 use crate::core::Core;
 use crate::core::Stage;
+use crate::correlation;
 use crate::exchange;
 use crate::flow;
 use crate::pool::CONNECT_TIMEOUT;
@@ -94,7 +96,7 @@
         let SendEnd::Response(response, connection) = sending.await else {
             return None;
         };
-        read_answer(&peer, response, connection).await
+        read_answer(&core, &peer, response, connection).await
     };
     match tokio::time::timeout(ANSWER_TIMEOUT, answer).await {
         Ok(Some(answer)) => core.record_peer_answer(&service, &peer, &answer),
@@ -103,11 +105,16 @@
 }
 
 async fn read_answer(
+    core: &Core,
     peer: &Peer,
     mut response: Response<Incoming>,
     mut connection: Connection,
 ) -> Option<Answer> {
     connection.record_use(Message::Question);
+    // A response that names a request is that request's, and the question's own may follow.
+    if correlation::owner(core, &[], response.headers()) != Owner::Unnamed {
+        return None;
+    }
     let outcome = HopOutcome::take(response.headers_mut())?;
     let report = PeerReport::take(response.headers_mut());
     exchange::read_response(&peer.pool, response, connection, true).await?;
