entry: keeps no connection while the rest of an unbuffered body is due

An instance may answer before it has read a long body. For a body that isn't buffered, the connection counted as one on which nothing is due.

Now it is kept only if the body had been passed on completely. No test was red before: the HTTP client doesn't report such a connection as ready until the body is written, so it was kept in vain and never used early. That guard is in another place, and the rule of the pool shouldn't rest on it.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -216,7 +216,7 @@
         started_at: Instant::now(),
         unresponsive_after: timeouts.unresponsive_after,
     };
-    let spool = body.spool();
+    let transfer = body.transfer();
     let sent_at = Instant::now();
     let Some(sent) = build_request(core, upstream, request, body, timeouts.remaining) else {
         running.end(OutcomeKind::Cancelled, None);
@@ -270,7 +270,7 @@
     let report = load_report(core, headers);
     // An instance may respond before it has read the whole request body. The rest of the body
     // would precede the next request on this connection.
-    let reusable = spool.is_none_or(|spool| spool.is_complete());
+    let reusable = transfer.is_complete();
     match correlate::judge(owner, status, refused) {
         Verdict::Answered => {}
         // Its connection is closed, as the response to this request may follow.
