--- a/crates/entry/tests/test_not_run.rs
+++ b/crates/entry/tests/test_not_run.rs
@@ -112,6 +112,28 @@
     }
 }
 
+/// Guards against a probe's refusal, pushed back by a copy of an earlier response, that is taken
+/// for the next request's.
+#[tokio::test]
+async fn test_late_refusal_of_a_probe_is_not_taken_for_the_next_request() {
+    let handler = |request: &Received| {
+        if request.is_probe {
+            return Reply::unrun(response(503, &[SHED], ""));
+        }
+        Reply::run(answer(&request.id)).and_late(answer(&request.id))
+    };
+    let one = Scripted::start("i-1", handler).await;
+    let two = Scripted::start("i-2", handler).await;
+    let entry = start(&[&one, &two]).await;
+    for number in 0..8 {
+        let id = format!("r-{number}");
+        let status = call(&entry, ONCE, &id).await.status;
+        let runs = one.runs(&id) + two.runs(&id);
+        assert!(runs <= 1, "{id} ran {runs} times");
+        assert!(runs == 0 || status != 503, "{id} ran and was refused");
+    }
+}
+
 /// Guards against a late copy of a request's own refusal that is taken for that of its next send.
 #[tokio::test]
 async fn test_late_copy_of_own_refusal_is_not_taken_for_the_second_send() {
