--- a/crates/entry/tests/test_probe.rs
+++ b/crates/entry/tests/test_probe.rs
@@ -22,7 +22,7 @@
 /// Headers of a response after which a connection may be kept.
 const KEPT: &str = "rwr-load: 1/6\r\nkeep-alive: timeout=30\r\n";
 
-/// An instance that answers everything with the same bytes.
+/// An instance that answers the requests with these bytes in turn, and further ones as the last.
 struct Page {
     address: SocketAddr,
     connections: Arc<AtomicUsize>,
@@ -31,27 +31,35 @@
 impl Page {
     /// `closes` tells whether it closes the connection after a response.
     async fn start(reply: String, closes: bool) -> Self {
+        Self::start_in_turn(vec![reply], closes).await
+    }
+
+    async fn start_in_turn(replies: Vec<String>, closes: bool) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let page = Self {
             address: listener.local_addr().expect("bound"),
             connections: Arc::default(),
         };
         let connections = page.connections.clone();
+        let replies = Arc::new((AtomicUsize::new(0), replies));
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 connections.fetch_add(1, Ordering::Relaxed);
-                tokio::spawn(respond(stream, reply.clone(), closes));
+                tokio::spawn(respond(stream, replies.clone(), closes));
             }
         });
         page
     }
 }
 
-async fn respond(mut stream: TcpStream, reply: String, closes: bool) {
+async fn respond(mut stream: TcpStream, replies: Arc<(AtomicUsize, Vec<String>)>, closes: bool) {
+    let (count, replies) = &*replies;
     let mut buffer = Vec::new();
     while stream.read_buf(&mut buffer).await.is_ok_and(|n| n > 0) {
         if buffer.ends_with(b"\r\n\r\n") {
             buffer.clear();
+            let turn = count.fetch_add(1, Ordering::Relaxed);
+            let reply = &replies[turn.min(replies.len() - 1)];
             if stream.write_all(reply.as_bytes()).await.is_err() || closes {
                 return;
             }
@@ -115,6 +123,21 @@
     assert_eq!(probe_twice(200, &headers).await, (0, 2));
 }
 
+#[tokio::test]
+async fn test_probe_with_foreign_response_drops_the_other_connections() {
+    let own = response(200, KEPT);
+    let foreign = response(200, &format!("rwr-request-id: r-1\r\n{KEPT}"));
+    let replies = vec![own.clone(), own.clone(), foreign, own];
+    let page = Page::start_in_turn(replies, false).await;
+    let entry = start_entry(&page).await;
+    let both = tokio::join!(probe(&entry), probe(&entry));
+    assert!(both.0.is_some() && both.1.is_some());
+    assert_eq!(page.connections.load(Ordering::Relaxed), 2);
+    assert_eq!(probe(&entry).await, None);
+    assert!(probe(&entry).await.is_some());
+    assert_eq!(page.connections.load(Ordering::Relaxed), 3);
+}
+
 #[tokio::test]
 async fn test_probe_keeps_connection_of_its_own_response() {
     assert_eq!(probe_twice(200, KEPT).await, (2, 1));
