entry: a probe whose response breaks off gives no report

The load of a health page whose body stopped after the head counted as a report. Red before: test_cut_response_to_a_probe_is_never_a_success. Now only a whole response does, as at gateways.

--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -169,9 +169,10 @@
     if parts.status != StatusCode::OK {
         return ProbeResult::Failed;
     }
-    if matches!(body, Ok(ReadBody::Whole(_))) {
-        exchange::release_connection(&upstream.pool, connection, &parts.headers);
+    if !matches!(body, Ok(ReadBody::Whole(_))) {
+        return ProbeResult::Failed;
     }
+    exchange::release_connection(&upstream.pool, connection, &parts.headers);
     core.record_limit(upstream, &parts.headers, sent_at, Source::Probe);
     let cold = parts.headers.get(&core.dialect.cold);
     let cold = cold.and_then(|value| (core.dialect.read_cold)(value.to_str().ok()?));
