--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -156,12 +156,11 @@
     };
     if !is_own_response(core, upstream, &response, &mut connection) {
         // Its connection is closed, as the probe's own response may follow.
+        upstream.pool.distrust();
         return ProbeResult::Failed;
     }
     let (parts, incoming) = response.into_parts();
-    let Ok(body) = body::read(incoming).await else {
-        return ProbeResult::Failed;
-    };
+    let body = body::read(incoming).await;
     let mut ids = parts.headers.get_all(&core.dialect.instance).iter();
     let is_expected = ids.all(|id| id.as_bytes() == upstream.id.as_str().as_bytes());
     if parts.status == StatusCode::MISDIRECTED_REQUEST || !is_expected {
@@ -170,9 +169,10 @@
     if parts.status != StatusCode::OK {
         return ProbeResult::Failed;
     }
-    if matches!(body, ReadBody::Whole(_)) {
-        exchange::release_connection(&upstream.pool, connection, &parts.headers);
+    if !matches!(body, Ok(ReadBody::Whole(_))) {
+        return ProbeResult::Failed;
     }
+    exchange::release_connection(&upstream.pool, connection, &parts.headers);
     core.record_limit(upstream, &parts.headers, sent_at, Source::Probe);
     let cold = parts.headers.get(&core.dialect.cold);
     let cold = cold.and_then(|value| (core.dialect.read_cold)(value.to_str().ok()?));
