entry, gateway: tests of the framing of messages that are passed on

Callers got half a body as a complete success, and the other half as their next response, where an instance sent chunks and a length. The same class: lengths that differ or repeat reach the caller or end its connection, and a GET request whose body has no known length reaches the instance without it.

--- a/crates/entry/tests/fakes/upstream.rs
+++ b/crates/entry/tests/fakes/upstream.rs
@@ -75,6 +75,8 @@
     Queue,
     /// Answers without a length and closes the connection.
     Unframed,
+    /// Sends this text, in which `{own}` stands for the headers of an answer.
+    Text(&'static str),
     /// Refuses the request after its head, and reads its body.
     ShedEarly,
     /// Crashes: all connections close, and the listener too.
@@ -469,6 +471,7 @@
             let start = format!("HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunked\r\n\r\n");
             return send_endlessly(stream, shared, &start, "a\r\n0123456789\r\n").await;
         }
+        Behavior::Text(text) => text.replace("{own}", &own),
         Behavior::Unframed => format!("HTTP/1.1 200 OK\r\n{own}connection: close\r\n\r\n{body}"),
     };
     if stream.write_all(text.as_bytes()).await.is_err() {
--- a/crates/gateway/tests/fakes/upstream.rs
+++ b/crates/gateway/tests/fakes/upstream.rs
@@ -45,6 +45,8 @@
     endless_load: bool,
     // Bytes sent in responses without an end.
     endless_bytes: usize,
+    // Sent in response to requests at `/text`.
+    text: &'static str,
 }
 
 /// Handle of the running fake.
@@ -98,6 +100,11 @@
         self.state.lock().expect("no panic").endless_load = true;
     }
 
+    /// Sets the response to requests at `/text`.
+    pub fn set_text(&self, text: &'static str) {
+        self.state.lock().expect("no panic").text = text;
+    }
+
     /// Number of bytes sent in responses without an end.
     pub fn endless_bytes(&self) -> usize {
         self.state.lock().expect("no panic").endless_bytes
@@ -160,6 +167,7 @@
                 "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nrwr-request-id: other\r\n\r\nno",
                 true,
             ),
+            "text" => (self.state.lock().expect("no panic").text, true),
             "garbage" => ("this is no HTTP\r\n\r\n", false),
             "close" => ("", false),
             "shed" => (
