framing, entry, gateway: writes the framing of each message from its body

Where an instance sent chunks and a length, callers got half a body as a complete success with the instance's signature, and the other half as their next response (in debug builds an assertion of hyper ended the connection). Lengths that repeat or differ reached callers or ended their connections, a 204 with a body and a refusal with contradictory framing were taken as they stood, and a GET request whose body had no known length reached the instance without it.

Cause: received heads were passed on with the lengths that they stated, and joined to bodies that had another length. hyper trusts a length that it is given, and omits a GET body whose length it isn't told.

A new crate, used by entry processes and gateways, removes all framing from heads that are passed on, checks the framing of responses (RFC 9112, section 6) and writes that of requests; lengths of responses come from their bodies. A contradictory response counts as broken off, before its status or refusal is looked at, and its connection isn't used again. Responses to HEAD keep the stated length, those with status 304 at gateways, as before. Stored responses with status 204 or 304 state no length of their own any more.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -332,6 +332,7 @@
     body: ForwardedBody,
     remaining: Duration,
 ) -> Option<Request<ForwardedBody>> {
+    let length = body.size_hint().exact();
     let mut request = Request::new(body);
     *request.method_mut() = forwarded.method.clone();
     *request.uri_mut() = forwarded.uri.clone();
@@ -341,6 +342,7 @@
     headers.insert(&core.dialect.deadline, HeaderValue::from(millis));
     let expected = HeaderValue::from_str(upstream.id.as_str()).ok()?;
     headers.insert(&core.dialect.expected, expected);
+    framing::write_request(&forwarded.method, headers, length);
     Some(request)
 }
 
--- a/crates/entry/src/flow/head.rs
+++ b/crates/entry/src/flow/head.rs
@@ -25,7 +25,6 @@
 use crate::body::ResponseBody;
 use crate::core::Core;
 use crate::exchange::ForwardedRequest;
-use crate::headers;
 use crate::refusal;
 use crate::refusal::Reason;
 use crate::relay::Hop;
@@ -135,7 +134,7 @@
     request: Request<Incoming>,
 ) -> (ForwardedRequest, Incoming) {
     let (mut parts, incoming) = request.into_parts();
-    headers::strip_hop_by_hop(&mut parts.headers);
+    framing::strip(&mut parts.headers);
     parts.headers.remove(&core.dialect.expected);
     parts.headers.insert(&core.dialect.request, id.clone());
     let uri = match parts.uri.path_and_query() {
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -9,9 +9,11 @@
 use http::Request;
 use http::Response;
 use http::header;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use reach::Answer;
 use slog::info;
+use slog::warn;
 use tokio::time::Instant;
 
 use super::Flow;
@@ -149,6 +151,7 @@
     }
 
     async fn send_to_peer(&mut self, lease: &PeerLease, body: ForwardedBody) -> SendEnd {
+        let length = body.size_hint().exact();
         let mut request = Request::new(body);
         *request.method_mut() = self.request.method.clone();
         *request.uri_mut() = self.request.uri.clone();
@@ -174,14 +177,30 @@
             charged: self.is_charged(),
         };
         hop.write(headers);
+        framing::write_request(&self.request.method, headers, length);
         // Until the peer has responded, an instance may be processing the request.
         let may_have_run_before = std::mem::replace(&mut self.may_have_run, true);
         self.set_permit_sent(true);
         let end = relay::send(lease.peer(), request).await;
+        let end = self.refuse_framing(lease.peer(), end);
         self.may_have_run = may_have_run_before || matches!(end, SendEnd::Broken);
         end
     }
 
+    /// A response with contradictory framing counts as broken off.
+    fn refuse_framing(&self, peer: &Peer, end: SendEnd) -> SendEnd {
+        let SendEnd::Response(response, _) = &end else {
+            return end;
+        };
+        let Err(err) = framing::check_response(response.status(), response.headers()) else {
+            return end;
+        };
+        warn!(self.core.log, "response refused";
+            "request" => self.request.id.to_str().unwrap_or("-"), "peer" => %peer.address,
+            "service" => %self.service, "error" => %err);
+        SendEnd::Broken
+    }
+
     /// Judges a peer's response.
     async fn judge_hop(
         &mut self,
--- a/crates/entry/src/flow/response.rs
+++ b/crates/entry/src/flow/response.rs
@@ -55,7 +55,7 @@
         };
         let (mut response, label, retry_after) = match outcome {
             Outcome::Response(mut parts, body) => {
-                headers::strip_hop_by_hop(&mut parts.headers);
+                headers::keep_end_to_end(&self.request.method, parts.status, &mut parts.headers);
                 let body = match body {
                     UpstreamBody::Whole(bytes) => ResponseBody::whole(bytes),
                     UpstreamBody::Stream(first, rest, source) => self.stream(first, rest, source),
--- a/crates/entry/src/headers.rs
+++ b/crates/entry/src/headers.rs
@@ -4,31 +4,18 @@
 
 use http::HeaderMap;
 use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::StatusCode;
 use http::header;
 
-/// Hop-by-hop headers.
-const HOP_BY_HOP: [HeaderName; 8] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    HeaderName::from_static("keep-alive"),
-];
-
-/// Removes hop-by-hop headers, including those named in `Connection`.
-pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in HOP_BY_HOP.iter().chain(&named) {
-        headers.remove(name);
+/// Keeps what is passed on of a response's head: its end-to-end headers, and the length that it
+/// states of a body that isn't sent.
+pub fn keep_end_to_end(method: &Method, status: StatusCode, headers: &mut HeaderMap) {
+    let length = framing::stated_length(method, status, headers);
+    framing::strip(headers);
+    if let Some(length) = length {
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
     }
 }
 
--- a/crates/entry/src/send.rs
+++ b/crates/entry/src/send.rs
@@ -73,6 +73,11 @@
         match sent {
             Ok(response) => {
                 core.record_notices(upstream, response.status(), response.headers(), cause);
+                if let Err(err) = framing::check_response(response.status(), response.headers()) {
+                    warn!(core.log, "response refused"; "request" => cause,
+                        "instance" => %upstream.id, "service" => %upstream.service, "error" => %err);
+                    return SendEnd::Broken;
+                }
                 return SendEnd::Response(response, connection);
             }
             Err(mut err) => match err.take_message() {
--- a/crates/entry/tests/test_framing.rs
+++ b/crates/entry/tests/test_framing.rs
@@ -4,11 +4,14 @@
 mod fakes;
 
 use entry::Entry;
+use fakes::Fleet;
 use fakes::HOST;
 use fakes::ONCE;
+use fakes::READ;
 use fakes::caller::Answer;
 use fakes::caller::Caller;
 use fakes::entry;
+use fakes::proxy::Path;
 use fakes::upstream::Behavior;
 use fakes::upstream::Upstream;
 
@@ -200,6 +203,26 @@
     assert_eq!(answer.header("signature").as_deref(), Some("s-r-1"));
 }
 
+/// Guards against a long response without a length that states one.
+#[tokio::test]
+async fn test_framing_of_long_response_without_length_is_chunks() {
+    let body = "x".repeat(LONG_BODY);
+    let text = format!(
+        "HTTP/1.1 200 OK\r\n{{own}}transfer-encoding: chunked\r\n\r\n{LONG_BODY:x}\r\n{body}\r\n0\r\n\r\n"
+    );
+    let upstream = Upstream::start("i-1", Behavior::Text(text.leak())).await;
+    let entry = entry(&[&upstream]).await;
+    let mut caller = Caller::connect(entry.front()).await;
+    caller.send("POST", ONCE, "r-1", "").await;
+    let answer = caller.head().await.expect("a head");
+    assert_eq!(
+        answer.header("transfer-encoding").as_deref(),
+        Some("chunked")
+    );
+    assert_eq!(answer.header("content-length"), None);
+    assert_eq!(answer.header("signature").as_deref(), Some("s-r-1"));
+}
+
 /// Guards against losing the length that a response to HEAD states of a body that isn't sent.
 #[tokio::test]
 async fn test_framing_of_response_to_head_keeps_its_length() {
@@ -264,3 +287,29 @@
         }
     }
 }
+
+/// Guards against framing that passes from an instance through two entry processes.
+#[tokio::test]
+async fn test_framing_of_relayed_messages_is_written_from_their_bodies() {
+    let fleet = Fleet::start(176, 2, Behavior::Answer).await;
+    fleet.set_path(Path::Refused).await;
+    let mut caller = Caller::connect(fleet.entries[0].front()).await;
+    while caller.call("PUT", READ, "warm", "body").await.status != 200 {}
+    let set_text = |text| {
+        for upstream in &fleet.upstreams {
+            upstream.set_behavior(Behavior::Text(text));
+        }
+    };
+    let (_, chunks, status, length, body) = FORWARDED[3];
+    set_text(chunks);
+    let answer = caller.call("POST", ONCE, "r-1", "body").await;
+    assert_eq!(answer.status, status);
+    assert_eq!(answer.header("content-length").as_deref(), length);
+    assert_eq!(answer.body, body);
+    assert_eq!(answer.header("signature").as_deref(), Some("s-r-1"));
+    let (_, contradictory) = REFUSED[0];
+    set_text(contradictory);
+    let answer = caller.call("POST", ONCE, "r-2", "body").await;
+    assert_eq!(answer.status, 502);
+    assert_eq!((fleet.runs("r-1"), fleet.runs("r-2")), (1, 1));
+}
--- a/crates/gateway/src/call/classify.rs
+++ b/crates/gateway/src/call/classify.rs
@@ -12,7 +12,9 @@
 pub(super) fn kind_of(err: &SendError) -> OutcomeKind {
     match err {
         SendError::Connect(_) => OutcomeKind::ConnectFailed,
-        SendError::NoAnswer(_) | SendError::EndlessInterim => OutcomeKind::Error,
+        SendError::NoAnswer(_) | SendError::Framing(_) | SendError::EndlessInterim => {
+            OutcomeKind::Error
+        }
         SendError::Busy | SendError::Withheld | SendError::Target => OutcomeKind::Cancelled,
     }
 }
@@ -20,7 +22,9 @@
 pub(super) fn attempt_error_of(err: &SendError) -> AttemptError {
     match err {
         SendError::Connect(_) => AttemptError::ConnectFailed,
-        SendError::NoAnswer(_) | SendError::EndlessInterim => AttemptError::NoAnswer,
+        SendError::NoAnswer(_) | SendError::Framing(_) | SendError::EndlessInterim => {
+            AttemptError::NoAnswer
+        }
         SendError::Busy | SendError::Withheld | SendError::Target => AttemptError::NotSent,
     }
 }
--- a/crates/gateway/src/call/responses.rs
+++ b/crates/gateway/src/call/responses.rs
@@ -65,7 +65,10 @@
                 if is_unsent && self.connect_elsewhere(start) {
                     return;
                 }
-                let is_broken = matches!(err, SendError::NoAnswer(_) | SendError::EndlessInterim);
+                let is_broken = matches!(
+                    err,
+                    SendError::NoAnswer(_) | SendError::Framing(_) | SendError::EndlessInterim
+                );
                 self.on_failed(number, attempt_error_of(&err), ended.filter(|_| is_broken));
                 return;
             }
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -4,30 +4,10 @@
 
 use base::header;
 use http::HeaderMap;
-use http::HeaderName;
 use http::HeaderValue;
-use http::header::CONNECTION;
 use http::header::CONTENT_LENGTH;
 use http::header::HOST;
-use http::header::PROXY_AUTHENTICATE;
-use http::header::PROXY_AUTHORIZATION;
-use http::header::TE;
-use http::header::TRAILER;
-use http::header::TRANSFER_ENCODING;
-use http::header::UPGRADE;
 
-/// Hop-by-hop headers, which apply to a single connection.
-const HOP_BY_HOP: [HeaderName; 7] = [
-    CONNECTION,
-    PROXY_AUTHENTICATE,
-    PROXY_AUTHORIZATION,
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
-];
-/// Hop-by-hop headers that current standards no longer list.
-const LEGACY_HOP_BY_HOP: [&str; 2] = ["keep-alive", "proxy-connection"];
 /// Request headers that only the gateway may set.
 const RESERVED_REQUEST: [&str; 5] = [
     header::REQUEST_ID,
@@ -60,10 +40,9 @@
 /// End-to-end headers of a request.
 #[must_use]
 pub fn forwarded_request(headers: &HeaderMap) -> HeaderMap {
-    let mut forwarded = end_to_end(headers);
+    let mut forwarded = headers.clone();
+    framing::strip(&mut forwarded);
     forwarded.remove(HOST);
-    // The HTTP client derives it from the body that it sends.
-    forwarded.remove(CONTENT_LENGTH);
     for name in RESERVED_REQUEST {
         forwarded.remove(name);
     }
@@ -84,43 +63,30 @@
     );
 }
 
-/// End-to-end headers of an upstream's response.
+/// End-to-end headers of an upstream's response, with the length that the caller gets.
 #[must_use]
-pub fn forwarded_response(headers: &HeaderMap) -> HeaderMap {
-    let mut forwarded = end_to_end(headers);
+pub fn forwarded_response(headers: &HeaderMap, length: Option<u64>) -> HeaderMap {
+    let mut forwarded = end_to_end(headers, length);
     for name in RESERVED_RESPONSE {
         forwarded.remove(name);
     }
     forwarded
 }
 
-/// End-to-end headers of another gateway's response, with what only gateways may say.
+/// End-to-end headers of another gateway's response, with what only gateways may say and the
+/// length that the caller gets.
 #[must_use]
-pub fn hop_response(headers: &HeaderMap) -> HeaderMap {
-    let mut forwarded = end_to_end(headers);
+pub fn hop_response(headers: &HeaderMap, length: Option<u64>) -> HeaderMap {
+    let mut forwarded = end_to_end(headers, length);
     forwarded.remove(header::REQUEST_ID);
     forwarded
 }
 
-fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+fn end_to_end(headers: &HeaderMap, length: Option<u64>) -> HeaderMap {
     let mut forwarded = headers.clone();
-    for name in named_by_connection(headers) {
-        forwarded.remove(name);
-    }
-    for name in HOP_BY_HOP {
-        forwarded.remove(name);
-    }
-    for name in LEGACY_HOP_BY_HOP {
-        forwarded.remove(name);
+    framing::strip(&mut forwarded);
+    if let Some(length) = length {
+        forwarded.insert(CONTENT_LENGTH, HeaderValue::from(length));
     }
     forwarded
 }
-
-fn named_by_connection(headers: &HeaderMap) -> impl Iterator<Item = &str> {
-    headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|text| text.split(','))
-        .map(str::trim)
-}
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -163,7 +163,9 @@
                 core.record_peer_silent(peer);
                 info!(core.log, "gateway lost"; "peer" => %peer.address, "error" => %err);
                 match err {
-                    SendError::NoAnswer(_) | SendError::EndlessInterim => HopEnd::Broken,
+                    SendError::NoAnswer(_) | SendError::Framing(_) | SendError::EndlessInterim => {
+                        HopEnd::Broken
+                    }
                     SendError::Connect(_)
                     | SendError::Busy
                     | SendError::Withheld
@@ -205,6 +207,9 @@
         response: UpstreamResponse,
         guard: HopGuard,
     ) -> HopEnd {
+        if !response.framed {
+            return HopEnd::Broken;
+        }
         if is_about_process(&response.headers) {
             core.record_peer_refused(&self.head.service.name, peer);
             return HopEnd::Refused;
@@ -212,7 +217,7 @@
         let (send, receive) = mpsc::channel(CHUNK_BUFFER);
         let relayed = RelayedResponse {
             status: response.status,
-            headers: headers::hop_response(&response.headers),
+            headers: headers::hop_response(&response.headers, response.length),
             body: ResponseBody::new(receive),
         };
         tokio::spawn(async move {
--- a/crates/gateway/src/instance_clients.rs
+++ b/crates/gateway/src/instance_clients.rs
@@ -15,14 +15,17 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use framing::FramingError;
 use http::HeaderMap;
 use http::Method;
 use http::StatusCode;
 use http::Uri;
 use http::uri::Scheme;
+use http_body::Body;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::Error as ClientError;
 use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::capture_connection;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
 use interim::InterimCounter;
@@ -68,6 +71,12 @@
             source(err)
             display("no response from the instance: {err}")
         }
+        /// The response has contradictory framing; the request may have run.
+        Framing(err: FramingError) {
+            from()
+            source(err)
+            display("response refused: {err}")
+        }
         /// The instance sent interim responses without an end.
         EndlessInterim {
             display("more than {MAX_INTERIM_RESPONSES} interim responses")
@@ -135,8 +144,8 @@
     ///
     /// # Errors
     ///
-    /// The instance may have run the request only if the error is [`SendError::NoAnswer`] or
-    /// [`SendError::EndlessInterim`].
+    /// The instance may have run the request only if the error is [`SendError::NoAnswer`],
+    /// [`SendError::Framing`] or [`SendError::EndlessInterim`].
     pub(crate) async fn send(
         &self,
         outgoing: UpstreamRequest,
@@ -146,6 +155,10 @@
         *request.method_mut() = outgoing.method;
         *request.uri_mut() = self.uri(&outgoing.target).ok_or(SendError::Target)?;
         *request.headers_mut() = outgoing.headers;
+        let length = request.body().size_hint().exact();
+        let method = request.method().clone();
+        framing::write_request(&method, request.headers_mut(), length);
+        let connection = capture_connection(&mut request);
         let interim = InterimCounter::attach(&mut request, read_interim);
         let response = tokio::select! {
             biased;
@@ -153,7 +166,16 @@
             () = interim.exceeded() => return Err(SendError::EndlessInterim),
         };
         match response {
-            Ok(response) => Ok(response.map(reqwest::Body::wrap).into()),
+            Ok(response) => {
+                if let Err(err) = framing::check_response(response.status(), response.headers()) {
+                    // What follows the head may not be the response's body.
+                    if let Some(connected) = &*connection.connection_metadata() {
+                        connected.poison();
+                    }
+                    return Err(err.into());
+                }
+                Ok(response.map(reqwest::Body::wrap).into())
+            }
             Err(err) if err.is_connect() => Err(SendError::Connect(err)),
             Err(err) => Err(SendError::NoAnswer(err)),
         }
--- a/crates/gateway/src/keyed.rs
+++ b/crates/gateway/src/keyed.rs
@@ -217,7 +217,9 @@
 
 /// Creates a response with a complete body.
 fn complete_response(status: StatusCode, mut headers: HeaderMap, body: Bytes) -> RelayedResponse {
-    headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
+    if !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED) {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
+    }
     RelayedResponse {
         status,
         headers,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -51,6 +51,8 @@
     pub headers: HeaderMap,
     /// Whether the end of the body can be told from a broken connection.
     pub framed: bool,
+    /// The length that is stated to the caller, in bytes.
+    pub length: Option<u64>,
     /// Body.
     pub body: ResponseChunks,
 }
@@ -60,8 +62,10 @@
     #[must_use]
     pub fn new(mut response: reqwest::Response, method: &Method) -> Self {
         let framed = is_framed(&response, method);
+        let length = length(&response, method);
         Self {
             status: response.status(),
+            length,
             headers: std::mem::take(response.headers_mut()),
             framed,
             body: response.bytes_stream().boxed(),
@@ -94,6 +98,18 @@
         || response.headers().contains_key(TRANSFER_ENCODING)
 }
 
+/// The length of the body, if it is known, or the one that is stated of a body that isn't sent.
+fn length(response: &reqwest::Response, method: &Method) -> Option<u64> {
+    let status = response.status();
+    if *method == Method::HEAD || status == StatusCode::NOT_MODIFIED {
+        framing::stated_length(method, status, response.headers())
+    } else if status == StatusCode::NO_CONTENT {
+        None
+    } else {
+        response.content_length()
+    }
+}
+
 /// A response to be sent to the caller.
 pub struct RelayedResponse {
     /// Status code.
@@ -111,7 +127,7 @@
         let (send, receive) = mpsc::channel(CHUNK_BUFFER);
         let relayed = Self {
             status: response.status,
-            headers: headers::forwarded_response(&response.headers),
+            headers: headers::forwarded_response(&response.headers, response.length),
             body: ResponseBody::new(receive),
         };
         (send, relayed)
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -40,8 +40,8 @@
     ///
     /// # Errors
     ///
-    /// The instance may have run the request only if the error is [`SendError::NoAnswer`] or
-    /// [`SendError::EndlessInterim`].
+    /// The instance may have run the request only if the error is [`SendError::NoAnswer`],
+    /// [`SendError::Framing`] or [`SendError::EndlessInterim`].
     pub async fn send(
         self: &Arc<Self>,
         target: &Target,
--- a/crates/gateway/tests/test_cutoff.rs
+++ b/crates/gateway/tests/test_cutoff.rs
@@ -241,6 +241,8 @@
         response.bytes().await.is_err(),
         "a short body looks complete"
     );
+    let response = pair.call("urgent", "/chunked").await;
+    assert_eq!(response.text().await.expect("a body"), "onetwo");
     let response = pair.call("urgent", "/error").await;
     assert_eq!(response.status(), 500);
     let received = pair.other.upstream.received();
--- a/crates/gateway/tests/test_framing.rs
+++ b/crates/gateway/tests/test_framing.rs
@@ -8,13 +8,14 @@
 use tokio::net::TcpStream;
 
 use crate::fakes::Rig;
+use crate::fakes::control::FakeControl;
 use crate::fakes::rig;
 
 /// More than is buffered of a body.
 const LONG_BODY: usize = 512 * 1024;
 
 /// Responses that are refused, by the form that is wrong with them.
-const REFUSED: [(&str, &str); 12] = [
+const REFUSED: [(&str, &str); 14] = [
     (
         "length before chunks",
         "HTTP/1.1 200 OK\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n\
@@ -46,6 +47,10 @@
         "length with sign",
         "HTTP/1.1 200 OK\r\ncontent-length: +4\r\n\r\nhalf",
     ),
+    (
+        "empty length",
+        "HTTP/1.1 200 OK\r\ncontent-length:\r\n\r\nhalf",
+    ),
     (
         "other coding",
         "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n4\r\nhalf\r\n0\r\n\r\n",
@@ -58,6 +63,10 @@
         "204 with a body",
         "HTTP/1.1 204 No Content\r\ncontent-length: 4\r\n\r\nhalf",
     ),
+    (
+        "204 with chunks",
+        "HTTP/1.1 204 No Content\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n\r\n",
+    ),
     (
         "304 with two lengths",
         "HTTP/1.1 304 Not Modified\r\ncontent-length: 4\r\ncontent-length: 8\r\n\r\n",
@@ -70,7 +79,7 @@
 
 /// Responses that are passed on: their form, their text, and the status, framing and body that the
 /// caller gets.
-const FORWARDED: [(&str, &str, &str, Option<&str>, &str); 6] = [
+const FORWARDED: [(&str, &str, &str, Option<&str>, &str); 9] = [
     (
         "length",
         "HTTP/1.1 200 OK\r\nx-kept: 1\r\ncontent-length: 8\r\n\r\nhalfrest",
@@ -78,6 +87,28 @@
         Some("content-length: 8"),
         "halfrest",
     ),
+    (
+        "same length twice",
+        "HTTP/1.1 200 OK\r\nx-kept: 1\r\ncontent-length: 8\r\ncontent-length: 8\r\n\r\nhalfrest",
+        "200",
+        Some("content-length: 8"),
+        "halfrest",
+    ),
+    (
+        "chunks",
+        "HTTP/1.1 200 OK\r\nx-kept: 1\r\ntransfer-encoding: chunked\r\n\r\n\
+         8\r\nhalfrest\r\n0\r\n\r\n",
+        "200",
+        Some("transfer-encoding: chunked"),
+        "8\r\nhalfrest\r\n0\r\n\r\n",
+    ),
+    (
+        "304 with chunks",
+        "HTTP/1.1 304 Not Modified\r\nx-kept: 1\r\ntransfer-encoding: chunked\r\n\r\n",
+        "304",
+        None,
+        "",
+    ),
     (
         "same length twice in one line",
         "HTTP/1.1 200 OK\r\nx-kept: 1\r\ncontent-length: 8, 8\r\n\r\nhalfrest",
@@ -206,3 +237,50 @@
     assert_eq!(received[0].header("transfer-encoding"), Some("chunked"));
     assert_eq!(received[0].body.len(), LONG_BODY);
 }
+
+/// Guards against a length in a stored response whose status allows none.
+#[tokio::test]
+async fn test_framing_of_stored_response_without_body_has_no_length() {
+    let control = FakeControl::start().await;
+    let rig = rig(&[control.address], |_| {}).await;
+    let text = "HTTP/1.1 204 No Content\r\ncontent-length: 0\r\n\r\n";
+    rig.upstream.set_text(text);
+    for _ in 0..2 {
+        let request = rig.post("once", "/text").header("rwr-caller", "planner");
+        let request = request.header("idempotency-key", "k-1");
+        let response = request.send().await.expect("a response");
+        assert_eq!(response.status(), 204);
+        assert!(!response.headers().contains_key("content-length"));
+    }
+    assert_eq!(rig.upstream.received().len(), 1);
+}
+
+/// Guards against framing that is copied from the caller's request.
+#[tokio::test]
+async fn test_framing_of_request_is_written_from_its_body() {
+    let rig = rig(&[], |_| {}).await;
+    let framings = [
+        "content-length: 8\r\n\r\nhalfrest",
+        "content-length: 8\r\ncontent-length: 8\r\n\r\nhalfrest",
+        "te: trailers\r\ntrailer: x-end\r\ntransfer-encoding: chunked\r\n\r\n\
+         4\r\nhalf\r\n4\r\nrest\r\n0\r\nx-end: 1\r\n\r\n",
+        "content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n8\r\nhalfrest\r\n0\r\n\r\n",
+    ];
+    for framing in framings {
+        let text = format!(
+            "POST /ok HTTP/1.1\r\nhost: h\r\nrwr-service: once\r\nconnection: close\r\n{framing}"
+        );
+        let received = fakes::send_raw(rig.gateway.http(), text.as_bytes()).await;
+        assert!(
+            received.starts_with("HTTP/1.1 200"),
+            "{framing}: {received}"
+        );
+        let received = rig.upstream.received();
+        let request = received.last().expect("a request");
+        assert_eq!(request.body, b"halfrest", "{framing}");
+        assert_eq!(request.head.matches("content-length").count(), 1);
+        for name in ["transfer-encoding", "te", "trailer", "connection"] {
+            assert_eq!(request.header(name), None, "{framing}: {name}");
+        }
+    }
+}
