--- a/crates/entry/tests/test_framing.rs
+++ b/crates/entry/tests/test_framing.rs
@@ -83,7 +83,7 @@
 
 /// Responses that are passed on: their form, their text, and the status, length and body that the
 /// caller gets.
-const FORWARDED: [(&str, &str, u16, Option<&str>, &str); 8] = [
+const FORWARDED: [(&str, &str, u16, Option<&str>, &str); 9] = [
     (
         "length",
         "HTTP/1.1 200 OK\r\n{own}content-length: 8\r\n\r\nhalfrest",
@@ -135,6 +135,13 @@
         None,
         "",
     ),
+    (
+        "304 with a length",
+        "HTTP/1.1 304 Not Modified\r\n{own}content-length: 8\r\n\r\n",
+        304,
+        None,
+        "",
+    ),
     (
         "304 with chunks",
         "HTTP/1.1 304 Not Modified\r\n{own}transfer-encoding: chunked\r\n\r\n",
