--- a/crates/entry/src/send.rs
+++ b/crates/entry/src/send.rs
@@ -77,6 +77,11 @@
         };
         match sent {
             Ok(response) => {
+                if let Err(err) = framing::check_response(response.status(), response.headers()) {
+                    warn!(core.log, "response refused"; "request" => cause,
+                        "instance" => %upstream.id, "service" => %upstream.service, "error" => %err);
+                    return SendEnd::Broken;
+                }
                 notices.read_final(response.status(), response.headers());
                 return SendEnd::Response(response, connection);
             }
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -179,7 +179,9 @@
                 core.record_peer_silent(peer);
                 info!(core.log, "gateway lost"; "peer" => %peer.address, "error" => %err);
                 match err {
-                    SendError::NoAnswer(_) | SendError::EndlessInterim => HopEnd::Broken,
+                    SendError::NoAnswer(_) | SendError::Framing(_) | SendError::EndlessInterim => {
+                        HopEnd::Broken
+                    }
                     SendError::Connect(_)
                     | SendError::Busy
                     | SendError::Withheld
@@ -242,7 +244,7 @@
         let (send, receive) = mpsc::channel(CHUNK_BUFFER);
         let relayed = RelayedResponse {
             status: response.status,
-            headers: headers::hop_response(&response.headers),
+            headers: headers::hop_response(&response.headers, response.length),
             body: ResponseBody::new(receive),
         };
         tokio::spawn(async move {
