--- a/crates/gateway/src/call/responses.rs
+++ b/crates/gateway/src/call/responses.rs
@@ -10,6 +10,8 @@
 use base::header;
 use base::prelude::*;
 use bytes::Bytes;
+use correlate::Owner;
+use correlate::Verdict;
 use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
@@ -31,11 +33,13 @@
 use crate::call::state::CheckedAttempt;
 use crate::call::state::PendingAttempt;
 use crate::call::state::RelayingAttempt;
+use crate::correlation;
 use crate::instance_clients::SendError;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::relay::RelayedResponse;
 use crate::relay::UpstreamResponse;
+use crate::view::UpstreamInstance;
 
 impl Driver {
     pub(super) fn on_response_head(
@@ -67,16 +71,18 @@
                 return;
             }
         };
-        guard.record_head(&response.headers);
-        if let Some(err) = self.reject_response(&response) {
+        let verdict = response.judge(&self.request.head.id);
+        self.record_owner(&guard.upstream(), &response, &verdict);
+        if let Some(err) = self.reject_response(&response, &verdict) {
             guard.set_kind(OutcomeKind::Error);
             drop(guard);
             info!(self.log, "answer refused"; "attempt" => number, "ending" => <&str>::from(err));
             self.step(Event::AttemptFailed(number, err));
             return;
         }
-        guard.set_kind(kind_of_response(&response));
-        let head = self.response_head(&response);
+        guard.record_head(&response.headers);
+        guard.set_kind(kind_of_response(&response, &verdict));
+        let head = self.response_head(&response, &verdict);
         if head.shed {
             self.core.queue.shed(&self.request.head.service.name);
         }
@@ -88,6 +94,25 @@
         self.step(Event::Head(number, head));
     }
 
+    /// Logs and counts a refusal, or a response that isn't the request's own.
+    fn record_owner(
+        &self,
+        upstream: &UpstreamInstance,
+        response: &UpstreamResponse,
+        verdict: &Verdict,
+    ) {
+        let (core, log, headers) = (&self.core, &self.log, &response.headers);
+        match verdict {
+            Verdict::Foreign(owner) => {
+                correlation::record_foreign(core, log, upstream, *owner, response.status, headers);
+            }
+            Verdict::NotRun(_) => {
+                correlation::record_refusal(core, log, upstream, Owner::Sent, headers);
+            }
+            Verdict::Answered => {}
+        }
+    }
+
     /// Handles a failed attempt. If it broke off at an instance and may be retried, that is
     /// decided once it is known whether the request crashed the instance.
     pub(super) fn on_failed(
@@ -131,14 +156,24 @@
     }
 
     /// How the attempt ends if the response is unusable: it belongs to another request,
-    /// its end is undefined, or it doesn't resume the body where it broke off.
-    pub(super) fn reject_response(&self, response: &UpstreamResponse) -> Option<AttemptError> {
-        if response.is_mismatched(&self.request.head.id) {
+    /// its end is undefined, it promises what isn't proven, or it doesn't resume the body where it
+    /// broke off.
+    pub(super) fn reject_response(
+        &self,
+        response: &UpstreamResponse,
+        verdict: &Verdict,
+    ) -> Option<AttemptError> {
+        if matches!(verdict, Verdict::Foreign(_)) {
             return Some(AttemptError::Mismatch);
         }
         if !response.framed {
             return Some(AttemptError::NoAnswer);
         }
+        let is_answered = matches!(verdict, Verdict::Answered);
+        let is_unsafe = !self.request.head.service.class.is_idempotent();
+        if is_answered && is_unsafe && correlate::promises_not_run(response.status) {
+            return Some(AttemptError::Unproven);
+        }
         let resumed = self.received_bytes > 0 && response.status == StatusCode::PARTIAL_CONTENT;
         if resumed && range_start(&response.headers) != Some(self.received_bytes) {
             return Some(AttemptError::Mismatch);
@@ -146,10 +181,14 @@
         None
     }
 
-    pub(super) fn response_head(&self, response: &UpstreamResponse) -> attempt::Head {
+    pub(super) fn response_head(
+        &self,
+        response: &UpstreamResponse,
+        verdict: &Verdict,
+    ) -> attempt::Head {
         attempt::Head {
             status: response.status.as_u16(),
-            shed: response.is_shed(),
+            shed: matches!(verdict, Verdict::NotRun(_)),
             retried: response.headers.contains_key(header::RETRIED),
             resumable: self.is_resumable(response),
         }
--- a/crates/gateway/tests/fakes/upstream.rs
+++ b/crates/gateway/tests/fakes/upstream.rs
@@ -30,9 +30,14 @@
         })
     }
 
-    fn path(&self) -> &str {
+    pub fn path(&self) -> &str {
         self.head.split(' ').nth(1).unwrap_or("/")
     }
+
+    /// The id that the request bears.
+    pub fn id(&self) -> &str {
+        self.header("rwr-request-id").unwrap_or_default()
+    }
 }
 
 #[derive(Default)]
@@ -137,7 +142,8 @@
                 .endless(stream, ENDLESS_LOAD, &"x".repeat(16_384))
                 .await;
         }
-        let (text, keep_alive) = match behaviour.unwrap_or_default() {
+        let behaviour = behaviour.unwrap_or_default();
+        let (text, keep_alive) = match behaviour {
             "rest" => (
                 "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nrwr-shed: 1\r\nretry-after: 600\r\n\r\n",
                 true,
@@ -162,7 +168,7 @@
             ),
             "garbage" => ("this is no HTTP\r\n\r\n", false),
             "close" => ("", false),
-            "shed" => (
+            "shed" | "shed-unnamed" => (
                 "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nrwr-shed: 1\r\n\r\n",
                 true,
             ),
@@ -209,6 +215,11 @@
                 true,
             ),
         };
+        let mut text = text.to_owned();
+        if matches!(behaviour, "rest" | "shed") {
+            let named = format!("\r\nrwr-request-id: {}\r\n\r\n", request.id());
+            text = text.replace("\r\n\r\n", &named);
+        }
         stream.write_all(text.as_bytes()).await.is_ok() && keep_alive
     }
 
@@ -253,7 +264,7 @@
     }
 }
 
-async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<ReceivedRequest> {
+pub async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<ReceivedRequest> {
     let end = loop {
         if let Some(at) = buffer.windows(4).position(|w| w == b"\r\n\r\n") {
             break at + 4;
