entry, gateway: connections are kept again at once after a response of another request

After a response of another request no connection to the instance was kept for 5 s.

Two tests asserted one request a connection for that time. They go on to assert that no connection that was open before is used again; entry's asserts that a new one is kept.

--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -277,7 +277,7 @@
         Verdict::Answered => {}
         // Its connection is closed, as the response to this request may follow.
         Verdict::Foreign(_) => {
-            upstream.pool.distrust();
+            upstream.pool.discard_open();
             core.counters.foreign_closed(&upstream.service);
             running.end(OutcomeKind::Error, None);
             return AttemptEnd::Mismatched;
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -212,7 +212,7 @@
         let (Some(outcome), Owner::Sent) = (outcome, owner) else {
             // Not a response of an entry process, or not to this request.
             self.record_foreign(&peer, run.as_ref(), owner, &response, usage);
-            peer.pool.distrust();
+            peer.pool.discard_open();
             self.core.record_peer_silent(&peer);
             return HopEnd::Final(self.fallback(Reason::Broken));
         };
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -32,9 +32,6 @@
 const MAX_IDLE: usize = 8;
 /// Maximum number of requests that may be refused on a connection. Bounds the memory for their ids.
 const MAX_REFUSED: usize = 32;
-/// Time for which no connection is kept after a response of another request. Its sender may have
-/// more of them due on other connections.
-const DISTRUST_PERIOD: Duration = Duration::from_secs(5);
 /// Idle timeout if the instance didn't announce a keep-alive timeout.
 const DEFAULT_IDLE: Duration = Duration::from_millis(300);
 /// Subtracted from the announced keep-alive timeout, which starts earlier at the instance.
@@ -164,7 +161,7 @@
 struct State {
     idle: Vec<Idle>,
     /// Connections that were opened before this moment aren't kept.
-    trusted_from: Option<Instant>,
+    kept_from: Option<Instant>,
 }
 
 impl Pool {
@@ -235,18 +232,19 @@
     }
 
     /// Returns a connection to the pool on which nothing more is due: each request sent on it has
-    /// been answered completely by a response that names it. `announced` is the instance's
+    /// been answered completely by a response that names it, each probe and question by one that
+    /// names none. `announced` is the instance's
     /// keep-alive timeout.
     pub fn keep(&self, connection: Connection, announced: Option<Duration>) {
         let idle_timeout =
             announced.map_or(DEFAULT_IDLE, |timeout| timeout.saturating_sub(IDLE_MARGIN));
         let expires_at = Instant::now() + idle_timeout;
         let mut state = self.state();
-        let is_trusted = state
-            .trusted_from
+        let is_kept = state
+            .kept_from
             .is_none_or(|moment| moment <= connection.history.opened_at);
         let has_room = state.idle.len() < MAX_IDLE && !idle_timeout.is_zero();
-        if has_room && is_trusted && connection.is_reusable() {
+        if has_room && is_kept && connection.is_reusable() {
             state.idle.push(Idle {
                 connection,
                 expires_at,
@@ -254,12 +252,12 @@
         }
     }
 
-    /// Closes all idle connections after a response of another request, and keeps none of those
-    /// that are open now or are opened within [`DISTRUST_PERIOD`].
-    pub fn distrust(&self) {
+    /// Discards all connections that are open after a response of another request, as more of
+    /// them may be due there: closes those that are idle, and keeps none of those in use.
+    pub fn discard_open(&self) {
         let mut state = self.state();
         state.idle.clear();
-        state.trusted_from = Some(Instant::now() + DISTRUST_PERIOD);
+        state.kept_from = Some(Instant::now());
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -156,7 +156,7 @@
     };
     if !is_own_response(core, upstream, &response, &mut connection) {
         // Its connection is closed, as the probe's own response may follow.
-        upstream.pool.distrust();
+        upstream.pool.discard_open();
         return ProbeResult::Failed;
     }
     let (parts, incoming) = response.into_parts();
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -227,7 +227,7 @@
         guard: HopGuard,
     ) -> HopEnd {
         if correlation::owner(&self.head.id, &response.headers) != Owner::Sent {
-            peer.client.distrust();
+            peer.client.discard_open();
             add(&core.counters.foreign_responses, 1);
             return HopEnd::Foreign;
         }
--- a/crates/gateway/src/instance_clients.rs
+++ b/crates/gateway/src/instance_clients.rs
@@ -8,8 +8,8 @@
 //! third for idle connections, so that it never exceeds the share.
 //!
 //! A connection that has carried a request may deliver a response of that request where the next
-//! one's is expected. After a response that isn't its request's own, the instance's idle connections
-//! are dropped, and for some time each request gets a connection of its own.
+//! one's is expected. After a response that isn't its request's own, no connection to the instance
+//! that was open before is used again.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -39,7 +39,6 @@
 use quick_error::quick_error;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
-use tokio::time::Instant;
 
 use crate::view::View;
 
@@ -51,9 +50,6 @@
 const KEEPALIVE_RETRIES: u32 = 3;
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
-/// Time after a foreign response during which each request gets a connection of its own, as a
-/// faulty instance goes on to send responses that nobody expects.
-const DISTRUST_TIME: Duration = Duration::from_secs(5);
 
 quick_error! {
     /// Why a request got no response.
@@ -108,17 +104,11 @@
 /// The connections to one address.
 #[derive(Debug)]
 struct Connections {
-    pooled: Mutex<Pooled>,
+    pooled: Mutex<HttpClient>,
     /// Opens a connection for each request and closes it after the response.
     unpooled: HttpClient,
 }
 
-#[derive(Debug)]
-struct Pooled {
-    client: HttpClient,
-    distrusted_until: Option<Instant>,
-}
-
 /// Which connections a request may be sent on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reuse {
@@ -146,27 +136,19 @@
 impl Connections {
     fn new(max_idle: usize) -> Self {
         Self {
-            pooled: Mutex::new(Pooled {
-                client: http_client(max_idle),
-                distrusted_until: None,
-            }),
+            pooled: Mutex::new(http_client(max_idle)),
             unpooled: http_client(0),
         }
     }
 
     fn client(&self, reuse: Reuse) -> HttpClient {
-        let pooled = self.pooled();
-        let is_distrusted = pooled
-            .distrusted_until
-            .is_some_and(|at| Instant::now() < at);
-        if reuse == Reuse::Forbidden || is_distrusted {
-            self.unpooled.clone()
-        } else {
-            pooled.client.clone()
+        match reuse {
+            Reuse::Allowed => self.pooled().clone(),
+            Reuse::Forbidden => self.unpooled.clone(),
         }
     }
 
-    fn pooled(&self) -> MutexGuard<'_, Pooled> {
+    fn pooled(&self) -> MutexGuard<'_, HttpClient> {
         self.pooled.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -196,12 +178,9 @@
         }
     }
 
-    /// Drops the idle connections, and opens one for each request for [`DISTRUST_TIME`]. The
-    /// connections in use are dropped after their responses.
-    pub fn distrust(&self) {
-        let mut pooled = self.connections.pooled();
-        pooled.client = http_client(max_idle(self.share));
-        pooled.distrusted_until = Some(Instant::now() + DISTRUST_TIME);
+    /// Closes the idle connections. Those in use are closed after their responses.
+    pub fn discard_open(&self) {
+        *self.connections.pooled() = http_client(max_idle(self.share));
     }
 
     /// Reserves a connection, or returns `None` if all are in use.
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -71,7 +71,7 @@
         };
         let response = self.exchange(target, outgoing, interim, reuse).await?;
         match relay::judge_head(response.status(), response.headers(), id) {
-            Verdict::Foreign(_) => target.client.distrust(),
+            Verdict::Foreign(_) => target.client.discard_open(),
             Verdict::Answered | Verdict::NotRun(_) => {
                 self.record_notices(target, response.status(), response.headers(), id);
             }
