--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -383,7 +383,7 @@
         )
         .await;
         if let Some(proof) = end.not_run() {
-            self.sends.exclude(proof);
+            self.sends.record_not_run(proof);
         }
         self.set_permit_sent(self.sends.may_have_run());
         self.log_attempt(&end, sent_at.elapsed());
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -172,7 +172,7 @@
         let end = relay::send(lease.peer(), request, Some(&self.request.id)).await;
         let end = self.refuse_framing(lease.peer(), end);
         if let SendEnd::Unsent(_) = &end {
-            self.sends.exclude(&NotRun::unsent());
+            self.sends.record_not_run(&NotRun::unsent());
         }
         end
     }
@@ -217,7 +217,7 @@
             return HopEnd::Final(self.fallback(Reason::Broken));
         };
         if let (true, Verdict::NotRun(proof)) = (refused, verdict) {
-            self.sends.exclude(&proof);
+            self.sends.record_not_run(&proof);
             connection.record_refused(&self.request.id);
         }
         if let Some(upstream) = run.and_then(|run| self.core.upstream(&run)) {
--- a/crates/entry/src/flow/sends.rs
+++ b/crates/entry/src/flow/sends.rs
@@ -14,8 +14,8 @@
         self.unproven += 1;
     }
 
-    /// Excludes the latest send, which has not run.
-    pub(super) fn exclude(&mut self, _proof: &NotRun) {
+    /// Records that the latest send has not run.
+    pub(super) fn record_not_run(&mut self, _proof: &NotRun) {
         self.unproven = self.unproven.saturating_sub(1);
     }
 
--- a/crates/entry/src/send/notices.rs
+++ b/crates/entry/src/send/notices.rs
@@ -1,4 +1,4 @@
-//! What the responses to one request ask of this process.
+//! Backoff and shutdown notices in the responses to one request.
 //!
 //! Interim responses needn't name their request. What those ask is recorded once the final response
 //! has shown that they belong to the request.
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -43,7 +43,7 @@
 /// Stands for a request's id in the log.
 const PROBE_CAUSE: &str = "probe";
 
-/// Whose interim responses are read for what the instance asks.
+/// The request or probe whose interim responses are read for notices.
 #[derive(Clone, Copy)]
 struct Interim<'a> {
     owner: Owner,
--- a/crates/standin/src/faulty.rs
+++ b/crates/standin/src/faulty.rs
@@ -170,7 +170,7 @@
         if written.closes {
             return Ok(());
         }
-        // A copy that waits for a request isn't replaced by a probe, whose response has none.
+        // Probes don't discard a pending copy.
         if previous.later.is_empty() {
             previous = written;
         }
--- a/crates/testutils/src/kept_caller.rs
+++ b/crates/testutils/src/kept_caller.rs
@@ -81,7 +81,7 @@
     }
 
     /// Sends `request` and reads the response. A kept connection that the process has closed
-    /// without a response is replaced once, before any byte of the request is sent.
+    /// is replaced once, before any byte of the request is sent.
     pub async fn call(&mut self, request: &IdentifiedRequest) -> Received {
         let timeout = request.deadline + GRACE;
         let exchange = tokio::time::timeout(timeout, self.exchange(request));
