correlate, entry, gateway: one copy of the ids of a response; comments

Entry processes and gateways each compared the ids of a response and wrote them to the log with code of their own; both use crate correlate now. Comments that needed a second reading are reworded. The gateway's metrics tests share their wait; assertions are the same.

--- a/crates/correlate/src/lib.rs
+++ b/crates/correlate/src/lib.rs
@@ -6,9 +6,16 @@
 //! that its caller may be told that it hasn't run; it can't be made from a response that names
 //! another request, or none.
 
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
 use http::StatusCode;
 use strum::IntoStaticStr;
 
+/// Maximum length in bytes of the ids of a response in the log. Longer than the ids that our own
+/// processes give to requests.
+const MAX_LOGGED_IDS: usize = 128;
+
 /// The request that a response names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -33,6 +40,30 @@
         }
         owner
     }
+
+    /// Compares the ids in the header `name` of a response to that of the request that was sent.
+    #[must_use]
+    pub fn in_headers(sent: &[u8], headers: &HeaderMap, name: &HeaderName) -> Self {
+        let named = headers.get_all(name).iter();
+        Self::of(sent, named.map(HeaderValue::as_bytes))
+    }
+}
+
+/// The ids in the header `name` of a response as text for the log, cut to 128 bytes; "-" if there
+/// are none.
+#[must_use]
+pub fn named_ids(headers: &HeaderMap, name: &HeaderName) -> String {
+    let values = headers.get_all(name).iter();
+    let ids: Vec<&str> = values
+        .map(|value| value.to_str().unwrap_or("invalid"))
+        .collect();
+    let mut text = ids.join(",");
+    // Text of header values is ASCII, so each byte is a character.
+    text.truncate(MAX_LOGGED_IDS);
+    if text.is_empty() {
+        text.push('-');
+    }
+    text
 }
 
 /// Why a request hasn't run.
--- a/crates/entry/src/correlation.rs
+++ b/crates/entry/src/correlation.rs
@@ -5,17 +5,12 @@
 use base::prelude::*;
 use correlate::Owner;
 use http::HeaderMap;
-use http::HeaderValue;
 use http::StatusCode;
 use slog::info;
 
 use crate::core::Core;
 use crate::pool::Usage;
 
-/// Maximum length in bytes of the ids of a response in the log. Entry processes give requests
-/// shorter ids.
-const MAX_LOGGED_IDS: usize = 128;
-
 /// What was sent, and who responded.
 #[derive(Debug)]
 pub struct Exchange<'a> {
@@ -34,8 +29,7 @@
 /// Compares the ids that a response names to `id`, which is empty for a probe.
 #[must_use]
 pub fn owner(core: &Core, id: &[u8], headers: &HeaderMap) -> Owner {
-    let named = headers.get_all(&core.dialect.request).iter();
-    Owner::of(id, named.map(HeaderValue::as_bytes))
+    Owner::in_headers(id, headers, &core.dialect.request)
 }
 
 /// Logs and counts a response that doesn't name the request that was sent.
@@ -74,17 +68,6 @@
     core.counters.refusal(exchange.service, owner.into());
 }
 
-/// The ids that a response names, cut to [`MAX_LOGGED_IDS`]; "-" if there are none.
 fn named_ids(core: &Core, headers: &HeaderMap) -> String {
-    let values = headers.get_all(&core.dialect.request).iter();
-    let ids: Vec<&str> = values
-        .map(|value| value.to_str().unwrap_or("invalid"))
-        .collect();
-    let mut text = ids.join(",");
-    // Text of header values is ASCII, so each byte is a character.
-    text.truncate(MAX_LOGGED_IDS);
-    if text.is_empty() {
-        text.push('-');
-    }
-    text
+    correlate::named_ids(headers, &core.dialect.request)
 }
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -283,7 +283,7 @@
             return AttemptEnd::Mismatched;
         }
         Verdict::NotRun(proof) => {
-            // The connection of an instance that has gone is of no use.
+            // Another instance has the address, so the connection isn't kept.
             if proof.cause() != Cause::OtherInstance {
                 connection.record_refused(&request.id);
                 drain_refusal(upstream, response, connection, reusable);
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -98,8 +98,8 @@
 struct History {
     opened_at: Instant,
     usage: Usage,
-    /// The ids of the requests that were refused, copied as a header's value may hold a whole read
-    /// buffer.
+    /// Copies of the ids of refused requests. A `HeaderValue` may keep a whole read buffer
+    /// allocated.
     refused: Vec<Box<[u8]>>,
 }
 
@@ -233,8 +233,7 @@
 
     /// Returns a connection to the pool on which nothing more is due: each request sent on it has
     /// been answered completely by a response that names it, each probe and question by one that
-    /// names none. `announced` is the instance's
-    /// keep-alive timeout.
+    /// names none. `announced` is the instance's keep-alive timeout.
     pub fn keep(&self, connection: Connection, announced: Option<Duration>) {
         let idle_timeout =
             announced.map_or(DEFAULT_IDLE, |timeout| timeout.saturating_sub(IDLE_MARGIN));
@@ -252,8 +251,8 @@
         }
     }
 
-    /// Discards all connections that are open after a response of another request, as more of
-    /// them may be due there: closes those that are idle, and keeps none of those in use.
+    /// Closes the idle connections, and keeps none of those in use, after a response of another
+    /// request: further such responses may be due on any connection that is open now.
     pub fn discard_open(&self) {
         let mut state = self.state();
         state.idle.clear();
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -182,7 +182,8 @@
     })
 }
 
-/// Whether the response names no request, as one to a probe. Any other is logged and counted.
+/// Whether the response names no request, as the response to a probe does. Any other response
+/// is logged and counted.
 fn is_own_response(
     core: &Core,
     upstream: &Upstream,
--- a/crates/gateway/src/correlation.rs
+++ b/crates/gateway/src/correlation.rs
@@ -3,7 +3,7 @@
 use base::header;
 use correlate::Owner;
 use http::HeaderMap;
-use http::HeaderValue;
+use http::HeaderName;
 use http::StatusCode;
 use slog::Logger;
 use slog::info;
@@ -12,15 +12,13 @@
 use crate::counters::add;
 use crate::view::UpstreamInstance;
 
-/// Maximum length in bytes of the ids of a response in the log. Gateways give requests shorter
-/// ids.
-const MAX_LOGGED_IDS: usize = 128;
+/// The header that names a request.
+const REQUEST_ID: HeaderName = HeaderName::from_static(header::REQUEST_ID);
 
 /// Compares the ids that a response names to `id`, which is empty for a probe.
 #[must_use]
 pub fn owner(id: &str, headers: &HeaderMap) -> Owner {
-    let named = headers.get_all(header::REQUEST_ID).iter();
-    Owner::of(id.as_bytes(), named.map(HeaderValue::as_bytes))
+    Owner::in_headers(id.as_bytes(), headers, &REQUEST_ID)
 }
 
 /// Logs and counts a response that isn't the request's own. `log` names the one that was sent.
@@ -52,17 +50,6 @@
     core.counters.upstream_refusal(owner);
 }
 
-/// The ids that a response names, cut to [`MAX_LOGGED_IDS`]; "-" if there are none.
 fn named_ids(headers: &HeaderMap) -> String {
-    let values = headers.get_all(header::REQUEST_ID).iter();
-    let ids: Vec<&str> = values
-        .map(|value| value.to_str().unwrap_or("invalid"))
-        .collect();
-    let mut text = ids.join(",");
-    // Text of header values is ASCII, so each byte is a character.
-    text.truncate(MAX_LOGGED_IDS);
-    if text.is_empty() {
-        text.push('-');
-    }
-    text
+    correlate::named_ids(headers, &REQUEST_ID)
 }
--- a/crates/gateway/tests/fakes/mod.rs
+++ b/crates/gateway/tests/fakes/mod.rs
@@ -112,8 +112,8 @@
     .await;
 }
 
-/// Lists instances that take no connection, and another gateway; waits until that one gets the
-/// requests at `/warm`.
+/// Lists instances that refuse connections, and another gateway. Waits until the other gateway
+/// gets the requests at `/warm`.
 pub async fn cut_off(rig: &Rig, peer: SocketAddr, unreached: &[InstanceChange]) {
     let host = Host {
         host: "host-2".into(),
--- a/crates/gateway/tests/test_metrics.rs
+++ b/crates/gateway/tests/test_metrics.rs
@@ -9,6 +9,20 @@
 
 use crate::fakes::rig;
 
+/// Waits until all of the expected metrics have been sent.
+async fn wait_for_metrics(sink: &UdpSocket, mut missing: Vec<&str>) {
+    let mut buffer = vec![0; 2048];
+    let received = async {
+        while !missing.is_empty() {
+            let count = sink.recv(&mut buffer).await.expect("a datagram");
+            let text = String::from_utf8_lossy(&buffer[..count]).into_owned();
+            missing.retain(|name| !text.contains(name));
+        }
+    };
+    let received = tokio::time::timeout(Duration::from_secs(20), received).await;
+    assert!(received.is_ok(), "missing: {missing:?}");
+}
+
 #[tokio::test]
 async fn test_metrics_names() {
     let sink = UdpSocket::bind("127.0.0.1:0").await.expect("a free port");
@@ -16,7 +30,7 @@
     let rig = rig(&[], |s| s.telemetry.sink = Some(address)).await;
     rig.post("urgent", "/ok").send().await.expect("a response");
     rig.post("other", "/ok").send().await.expect("a response");
-    let mut missing = vec![
+    let expected = vec![
         "rwr.gateway.calls:1|c",
         "rwr.gateway.attempts:1|c",
         "rwr.gateway.refused:1|c|#host:host-1,reason:unknown-service",
@@ -28,16 +42,7 @@
         "rwr.gateway.probes:0|c",
         "rwr.gateway.claims:0|c",
     ];
-    let mut buffer = vec![0; 2048];
-    let received = async {
-        while !missing.is_empty() {
-            let count = sink.recv(&mut buffer).await.expect("a datagram");
-            let text = String::from_utf8_lossy(&buffer[..count]).into_owned();
-            missing.retain(|name| !text.contains(name));
-        }
-    };
-    let received = tokio::time::timeout(Duration::from_secs(20), received).await;
-    assert!(received.is_ok(), "missing: {missing:?}");
+    wait_for_metrics(&sink, expected).await;
 }
 
 #[tokio::test]
@@ -71,20 +76,11 @@
     for path in ["/foreign", "/shed"] {
         rig.post("once", path).send().await.expect("a response");
     }
-    let mut missing = vec![
+    let expected = vec![
         "rwr.gateway.answers.foreign:1|c",
         "rwr.gateway.refusals:1|c|#host:host-1,owner:sent",
     ];
-    let mut buffer = vec![0; 2048];
-    let received = async {
-        while !missing.is_empty() {
-            let count = sink.recv(&mut buffer).await.expect("a datagram");
-            let text = String::from_utf8_lossy(&buffer[..count]).into_owned();
-            missing.retain(|name| !text.contains(name));
-        }
-    };
-    let received = tokio::time::timeout(Duration::from_secs(20), received).await;
-    assert!(received.is_ok(), "missing: {missing:?}");
+    wait_for_metrics(&sink, expected).await;
     let foreign = [
         "msg=\"foreign response\"",
         "named=other",
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -43,7 +43,7 @@
 const ENTRIES: usize = 2;
 /// Number of upstreams per service.
 const UPSTREAMS: usize = 2;
-/// Port at which entry processes take requests of others.
+/// Port for requests relayed between entry processes.
 const RELAY_PORT: u16 = 7010;
 /// Share of steps that change the faults of responses, if the plan has them.
 const FAULTY_STEP_SHARE: f64 = 0.25;
--- a/crates/testutils/tests/test_response_faults.rs
+++ b/crates/testutils/tests/test_response_faults.rs
@@ -176,7 +176,7 @@
         refusals: vec![],
     };
     let record = check(&play(3, &shares)).await;
-    // A debug build notices the contradiction and drops the connection.
+    // A debug build drops the caller's connection if both lengths are passed on.
     let is_broken = |call: &&Call| call.received == Received::Broken;
     let broken = record.calls.iter().filter(is_broken).count();
     assert_eq!(broken, 0, "calls without a complete response");
