control, hub, entry, table: "no route table yet" is a state of its own, and no version

What operators saw: a first configuration of version was acknowledged with 200 and lost.

The first table of version 0 compared as equal to the empty one and wasn't kept; had it been kept, no watcher would have fetched it.

Change: the table is an Option in the state, in views and in the entry process, and versions that may be absent are Option<u64>, for which absence is less than 0. Messages use optional fields; Fetch gets a reply of its own. A read without a majority is an error (ReadError), so that it can't be taken for a read that found no table.

Counters that the product assigns by itself start above their "none" or have an empty state under 0: catalogue versions, evacuation revisions, epochs, list hashes, cursors; unchanged.

Existing assertions compare Some(version) or None where they compared a version or 0.

--- a/crates/cli/tests/test_routes.rs
+++ b/crates/cli/tests/test_routes.rs
@@ -22,6 +22,7 @@
 use wire::hub::Evacuations;
 use wire::hub::EvacuationsReply;
 use wire::hub::Fetch;
+use wire::hub::FetchReply;
 use wire::hub::Fingerprint;
 use wire::hub::ReadReply;
 use wire::hub::Report;
@@ -57,8 +58,8 @@
         WatchReply::default()
     }
 
-    async fn fetch(self, _: Context, _: Fetch) -> Table {
-        Table::default()
+    async fn fetch(self, _: Context, _: Fetch) -> FetchReply {
+        FetchReply::default()
     }
 
     /// Accepts orders on one failure domain; each other one gets a different outcome.
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -379,9 +379,10 @@
                 view.catalogue = Arc::new(catalogue.to_wire());
             }
             let table = self.parts.state_machine.table();
-            let new_table = table.version > view.table.version;
+            let version = |table: Option<&Arc<wire::hub::Table>>| table.map(|table| table.version);
+            let new_table = version(table) > version(view.table.as_ref());
             if new_table {
-                view.table = Arc::clone(table);
+                view.table = table.cloned();
             }
             let registry = self.parts.state_machine.registry();
             let new_numbering = self.snapshots != view.snapshots;
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -32,8 +32,8 @@
 pub struct View {
     /// The catalogue in its wire form, shared by all replies.
     pub catalogue: Arc<Catalogue>,
-    /// The route table; its version is 0 until the first one is applied.
-    pub table: Arc<Table>,
+    /// The route table, once one is applied.
+    pub table: Option<Arc<Table>>,
     /// The announced upstream instances.
     pub registry: Arc<Registry>,
     /// The evacuated failure domains.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,6 +29,7 @@
 pub use error::ControlError;
 pub use handle::Control;
 pub use local_client::LocalClient;
+pub use local_client::ReadError;
 pub use server::Bound;
 pub use server::bind;
 pub use server::start;
--- a/crates/control/src/local_client.rs
+++ b/crates/control/src/local_client.rs
@@ -7,6 +7,7 @@
 use base::prelude::*;
 use evacuation::EvacuationState;
 use evacuation::Outcome;
+use quick_error::quick_error;
 use registry::Registry;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -24,6 +25,17 @@
 use crate::input::View;
 use crate::leader_client::LeaderClient;
 
+quick_error! {
+    /// Why the state could not be confirmed.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum ReadError {
+        /// No majority answered within the timeout.
+        NoMajority {
+            display("no majority of the replicas answered in time")
+        }
+    }
+}
+
 /// Proposes and reads the route table, instance announcements and evacuations.
 #[derive(Clone)]
 pub struct LocalClient {
@@ -98,17 +110,25 @@
         Arc::clone(&self.views.borrow().registry)
     }
 
-    /// The current route table, confirmed by a majority after the call began. Returns `None`
-    /// when the confirmation takes longer than `limit`.
-    pub async fn read(&self, limit: Duration) -> Option<Arc<Table>> {
-        let confirmed = self.driver.confirm(Instant::now() + limit).await;
-        confirmed.then(|| self.applied_table())
+    /// The current route table, confirmed by a majority after the call began; `None` if none was
+    /// accepted yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the confirmation takes longer than `limit`.
+    pub async fn read(&self, limit: Duration) -> Result<Option<Arc<Table>>, ReadError> {
+        if self.driver.confirm(Instant::now() + limit).await {
+            Ok(self.applied_table())
+        } else {
+            Err(ReadError::NoMajority)
+        }
     }
 
-    /// The route table as applied by this replica, which may be behind others.
+    /// The route table as applied by this replica, which may be behind others; `None` if it has
+    /// applied none.
     #[must_use]
-    pub fn applied_table(&self) -> Arc<Table> {
-        Arc::clone(&self.views.borrow().table)
+    pub fn applied_table(&self) -> Option<Arc<Table>> {
+        self.views.borrow().table.clone()
     }
 
     /// The evacuations as applied by this replica, which may be behind others.
--- a/crates/control/src/state_machine.rs
+++ b/crates/control/src/state_machine.rs
@@ -101,7 +101,7 @@
 pub struct StateMachine {
     catalogue_state: CatalogueState,
     ledger: Ledger,
-    table: Arc<Table>,
+    table: Option<Arc<Table>>,
     registry: Arc<Registry>,
     evacuations: Arc<EvacuationState>,
 }
@@ -111,7 +111,7 @@
         Self {
             catalogue_state: CatalogueState::default(),
             ledger: Ledger::new(Limits::default()),
-            table: Arc::default(),
+            table: None,
             registry: Arc::default(),
             evacuations: Arc::default(),
         }
@@ -139,7 +139,7 @@
                 &catalogue_state,
             )?,
             ledger: Ledger::restore(Limits::default(), &ledger)?,
-            table: Arc::new(state.table.unwrap_or_default()),
+            table: state.table.map(Arc::new),
             registry: Arc::new(restore_registry(state.instances)),
             evacuations: Arc::new(EvacuationState::from_wire(&evacuations)?),
         })
@@ -151,7 +151,7 @@
         let state = State {
             catalogue: Some(self.catalogue_state.snapshot()),
             ledger: Some(self.ledger.snapshot()),
-            table: Some((*self.table).clone()).filter(|table| table.version > 0),
+            table: self.table.as_deref().cloned(),
             instances: self.registry.all().cloned().collect(),
             evacuations: Some(self.evacuations.to_wire()).filter(|e| e.revision > 0),
         };
@@ -194,16 +194,17 @@
         }
     }
 
-    /// Replaces the route table if `table` has a higher version; the first content under a
+    /// Keeps `table` if it is the first one or has a higher version; the first content under a
     /// version is kept.
     fn apply_table(&mut self, table: Table) -> TableReply {
-        let outcome = table_outcome(&self.table, &table);
-        if outcome == TableOutcome::Taken {
-            self.table = Arc::new(table);
-        }
+        let outcome = table_outcome(self.table.as_deref(), &table);
+        let version = match &self.table {
+            Some(current) if outcome != TableOutcome::Taken => current.version,
+            _ => self.table.insert(Arc::new(table)).version,
+        };
         TableReply {
             outcome: outcome.into(),
-            version: self.table.version,
+            version,
         }
     }
 
@@ -213,10 +214,10 @@
         &self.registry
     }
 
-    /// The current route table; its version is 0 until the first one is applied.
+    /// The current route table; `None` until the first one is applied, whatever its version.
     #[must_use]
-    pub fn table(&self) -> &Arc<Table> {
-        &self.table
+    pub fn table(&self) -> Option<&Arc<Table>> {
+        self.table.as_ref()
     }
 
     /// The evacuated failure domains.
@@ -254,7 +255,10 @@
 }
 
 /// The outcome of applying `next` over `current`.
-fn table_outcome(current: &Table, next: &Table) -> TableOutcome {
+fn table_outcome(current: Option<&Table>, next: &Table) -> TableOutcome {
+    let Some(current) = current else {
+        return TableOutcome::Taken;
+    };
     match next.version.cmp(&current.version) {
         Ordering::Greater => TableOutcome::Taken,
         Ordering::Less => TableOutcome::Older,
--- a/crates/control/tests/test_join.rs
+++ b/crates/control/tests/test_join.rs
@@ -50,7 +50,8 @@
 
 /// The version of the route table, confirmed by a majority.
 async fn read(client: &LocalClient) -> u64 {
-    client.read(TIMEOUT).await.expect("a majority").version
+    let table = client.read(TIMEOUT).await.expect("a majority");
+    table.expect("a table").version
 }
 
 /// Waits until a replica knows a group with exactly these addresses as voters.
@@ -99,17 +100,16 @@
     assert_eq!(put_table(other, table(4, "b")).await, TableOutcome::Differs);
     assert_eq!(put_table(other, table(3, "c")).await, TableOutcome::Older);
     assert_eq!(read(other).await, 4);
-    assert_eq!(&other.applied_table().content[..], b"a");
+    let applied = other.applied_table().expect("a table");
+    assert_eq!(&applied.content[..], b"a");
     kill(&mut replicas).await;
     let mut restarted = Vec::new();
     for one in &settings {
         restarted.push(restart(one).await);
     }
     assert_eq!(read(restarted[2].local_client()).await, 4);
-    assert_eq!(
-        &restarted[2].local_client().applied_table().source[..],
-        b"as sent"
-    );
+    let applied = restarted[2].local_client().applied_table();
+    assert_eq!(&applied.expect("a table").source[..], b"as sent");
 }
 
 #[tokio::test]
--- a/crates/demo/src/routes.rs
+++ b/crates/demo/src/routes.rs
@@ -131,7 +131,7 @@
 
     async fn wait_table(&self, version: u64) -> Result<(), SystemError> {
         wait("table in force", async || {
-            let has_version = |entry: &Entry| entry.core().routes().table.version >= version;
+            let has_version = |entry: &Entry| entry.core().routes().version() >= Some(version);
             self.entries.iter().all(has_version)
         })
         .await
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -121,8 +121,8 @@
     pub dispatchers: PlaceClients,
     /// Whether a route table has been received.
     pub table_known: watch::Sender<bool>,
-    /// The version of the route table in force.
-    pub table_version: watch::Sender<u64>,
+    /// The version of the route table in force, if there is one.
+    pub table_version: watch::Sender<Option<u64>>,
     /// Whether any instance has ever been known.
     pub instances_known: watch::Sender<bool>,
     /// Requests suspected of crashing instances.
@@ -211,7 +211,7 @@
         self.assign_dispatchers(&mut self.state(), None);
     }
 
-    /// The current routes; their table has version 0 until one is received.
+    /// The current routes; there are none until the first table is received.
     #[must_use]
     pub fn routes(&self) -> Arc<Routes> {
         Arc::clone(&self.routes.read().unwrap_or_else(PoisonError::into_inner))
@@ -223,14 +223,16 @@
         let routes = Arc::new(Routes::new(table));
         {
             let mut current = self.routes.write().unwrap_or_else(PoisonError::into_inner);
-            if current.table.version >= version {
+            if current.version() >= Some(version) {
                 return;
             }
             *current = routes;
         }
         self.confirmation().put_in_force(version);
-        self.table_version
-            .send_if_modified(|known| std::mem::replace(known, version.max(*known)) < version);
+        self.table_version.send_if_modified(|known| {
+            let before = std::mem::replace(known, Some(version).max(*known));
+            before < Some(version)
+        });
         self.evict_routes();
         self.set_warmups(&mut self.state());
         // Requests wait for the first table only.
@@ -244,7 +246,7 @@
     /// version.
     fn evict_routes(&self) {
         let routes = self.routes();
-        let hosts = routes.table.hosts.iter();
+        let hosts = routes.table.iter().flat_map(|table| &table.hosts);
         let names: HashSet<&Arc<str>> = hosts.flat_map(|h| &h.routes).map(|r| &r.name).collect();
         let mut state = self.state();
         state
--- a/crates/entry/src/core/share.rs
+++ b/crates/entry/src/core/share.rs
@@ -24,8 +24,8 @@
         let routes = self.routes();
         let limit = self.settings().cold;
         for (service, balancer) in &mut state.balancers {
-            let services = &routes.table.services;
-            let service = services.iter().find(|s| s.name == *service);
+            let mut services = routes.table.iter().flat_map(|table| &table.services);
+            let service = services.find(|s| s.name == *service);
             let warmup = service.and_then(|s| s.cold).map(|cold| Warmup {
                 rate: cold.rate,
                 overshoot: limit.overshoot,
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -170,8 +170,12 @@
         warn!(core.log, "invalid relayed request"; "request" => id.to_str().unwrap_or("-"));
         return refuse(Reason::Unreachable);
     }
+    let table = match head::current_table(&routes, hop.as_ref()) {
+        Ok(table) => table,
+        Err(reason) => return refuse(reason),
+    };
     let host = head::host(&request).unwrap_or_default();
-    let route = match head::select_route(&routes, &host, &request, hop.as_ref()) {
+    let route = match head::select_route(&routes, table, &host, &request) {
         Ok(route) => route,
         Err(reason) => return refuse(reason),
     };
@@ -215,7 +219,7 @@
         workspace,
         key,
         service,
-        table_version: routes.table.version,
+        table_version: table.version,
         caller_timeout: limits.caller_timeout,
         aim: limits.aim,
         attempts: 0,
--- a/crates/entry/src/flow/head.rs
+++ b/crates/entry/src/flow/head.rs
@@ -16,6 +16,7 @@
 use quarantine::Head;
 use slog::info;
 use table::Route;
+use table::Table;
 use table::Target;
 use tokio::time::Instant;
 use uuid::Uuid;
@@ -73,23 +74,28 @@
     Some(name.to_ascii_lowercase())
 }
 
+/// The route table, if there is one that is at least as new as the one that led here.
+pub(super) fn current_table<'a>(
+    routes: &'a Routes,
+    hop: Option<&Hop>,
+) -> Result<&'a Table, Reason> {
+    let table = routes.table.as_ref().ok_or(Reason::NoTable)?;
+    if hop.is_some_and(|hop| hop.table > table.version) {
+        return Err(Reason::OldTable);
+    }
+    Ok(table)
+}
+
 /// Selects the request's route, unless the request can't be taken by it.
 pub(super) fn select_route<'a>(
     routes: &'a Routes,
+    table: &Table,
     host: &str,
     request: &Request<Incoming>,
-    hop: Option<&Hop>,
 ) -> Result<&'a Arc<Route>, Reason> {
-    let version = routes.table.version;
-    if version == 0 {
-        return Err(Reason::NoTable);
-    }
-    if hop.is_some_and(|hop| hop.table > version) {
-        return Err(Reason::OldTable);
-    }
     let route = routes.index.select(host, request.uri().path());
     let route = route.ok_or(Reason::NoRoute)?;
-    if request.body().size_hint().lower() > routes.table.limits.body_bytes {
+    if request.body().size_hint().lower() > table.limits.body_bytes {
         return Err(Reason::TooLarge);
     }
     Ok(route)
@@ -172,6 +178,6 @@
     let label: &'static str = reason.into();
     core.counters.request("-", label, Duration::ZERO);
     info!(core.log, "request"; "request" => id.to_str().unwrap_or("-"), "outcome" => label,
-        "status" => response.status().as_u16(), "table" => routes.table.version);
+        "status" => response.status().as_u16(), "table" => routes.version());
     response
 }
--- a/crates/entry/src/flow/revocation.rs
+++ b/crates/entry/src/flow/revocation.rs
@@ -69,7 +69,7 @@
         info!(core.log, "key ended"; "request" => self.request.to_str().unwrap_or("-"),
             "cause" => cause, "workspace" => %self.identity.workspace.name,
             "digest" => self.identity.key.map_or_else(|| "-".into(), |key| key.short()),
-            "table" => core.routes().table.version,
+            "table" => core.routes().version(),
             "age_ms" => age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX)));
         core.counters.key_refused(cause);
         reason
--- a/crates/entry/src/flow/workspace.rs
+++ b/crates/entry/src/flow/workspace.rs
@@ -139,7 +139,7 @@
     };
     info!(core.log, "key refused"; "request" => id.to_str().unwrap_or("-"), "cause" => label,
         "digest" => digest, "workspace" => workspace, "route" => &*route.name,
-        "table" => routes.table.version);
+        "table" => routes.version());
     core.counters.key_refused(label);
 }
 
@@ -147,7 +147,7 @@
 pub(super) fn log_unconfirmed(core: &Core, id: &HeaderValue, route: &Route, routes: &Routes) {
     let age = core.confirmation_age();
     info!(core.log, "key refused"; "request" => id.to_str().unwrap_or("-"),
-        "cause" => "unconfirmed", "route" => &*route.name, "table" => routes.table.version,
+        "cause" => "unconfirmed", "route" => &*route.name, "table" => routes.version(),
         "age_ms" => age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX)));
     core.counters.key_refused("unconfirmed");
 }
--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -159,7 +159,7 @@
     let settings = core.settings();
     let domains = u64::try_from(settings.quota.domains.len()).unwrap_or(u64::MAX);
     let routes = core.routes();
-    for workspace in &routes.table.workspaces {
+    for workspace in routes.table.iter().flat_map(|table| &table.workspaces) {
         let Some(limit) = workspace.quota.map(to_limit) else {
             continue;
         };
--- a/crates/entry/src/quota/ask.rs
+++ b/crates/entry/src/quota/ask.rs
@@ -134,7 +134,7 @@
             workspace: workspace.to_string(),
             count,
             host: host.to_string(),
-            table: core.routes().table.version,
+            table: core.routes().version(),
             late: urgency == Urgency::Late,
         };
         let send = |client: PlaceApiClient| {
--- a/crates/entry/src/quota/serve.rs
+++ b/crates/entry/src/quota/serve.rs
@@ -160,7 +160,7 @@
     let ask = Transfer {
         workspace: workspace.to_string(),
         host: core.settings().host.to_string(),
-        table: core.routes().table.version,
+        table: core.routes().version(),
         // Rounded up, as a millionth less would not make a whole token.
         need_micros: loan.missing.micros() + 1,
         reserve_micros: loan.reserve.micros(),
--- a/crates/entry/src/relay/hop.rs
+++ b/crates/entry/src/relay/hop.rs
@@ -199,8 +199,9 @@
 pub struct Question {
     /// The service.
     pub service: ServiceName,
-    /// The version of the route table that the process must have at least.
-    pub table: u64,
+    /// The version of the route table that the process must have at least; `None` if the one that
+    /// asks has no table.
+    pub table: Option<u64>,
 }
 
 impl Question {
@@ -211,16 +212,23 @@
         if let Ok(service) = HeaderValue::from_str(self.service.as_str()) {
             headers.insert(QUESTION, service);
         }
-        headers.insert(TABLE, HeaderValue::from(self.table));
+        if let Some(table) = self.table {
+            headers.insert(TABLE, HeaderValue::from(table));
+        }
         request
     }
 
     /// The question that a request asks, if it does.
     pub fn read(headers: &HeaderMap) -> Option<Self> {
         let service = headers.get(QUESTION)?.to_str().ok()?;
+        let table = if headers.contains_key(TABLE) {
+            Some(headers::parse_number(headers, &TABLE)?)
+        } else {
+            None
+        };
         Some(Self {
             service: ServiceName::new(service).ok()?,
-            table: headers::parse_number(headers, &TABLE)?,
+            table,
         })
     }
 }
--- a/crates/entry/src/relay/search.rs
+++ b/crates/entry/src/relay/search.rs
@@ -89,7 +89,7 @@
 async fn ask(core: Arc<Core>, service: ServiceName, peer: Arc<Peer>) {
     let question = Question {
         service: service.clone(),
-        table: core.routes().table.version,
+        table: core.routes().version(),
     };
     let answer = async {
         let sending = relay::send(&peer, question.to_request(), None);
@@ -129,7 +129,7 @@
 pub async fn answer(core: &Arc<Core>, question: &Question) -> Response<ResponseBody> {
     let serves = core.is_ready()
         && *core.stage.borrow() == Stage::Serving
-        && core.routes().table.version >= question.table;
+        && core.routes().version() >= question.table;
     let reached = serves && is_reached(core, &question.service).await;
     let outcome = if reached {
         HopOutcome::Answered
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -82,7 +82,7 @@
         debug!(core.log, "failed to set up connection"; "error" => %err);
         return;
     }
-    let limits = core.routes().table.limits;
+    let limits = core.routes().limits();
     let service = service_fn(|request| answer(Arc::clone(&core), origin, request));
     let mut serving = std::pin::pin!(
         http1::Builder::new()
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -23,6 +23,7 @@
 use tokio::time::Instant;
 use tokio_util::task::AbortOnDropHandle;
 use wire::hub::Fetch;
+use wire::hub::FetchReply;
 use wire::hub::Watch;
 use wire::hub::WatchReply;
 use wire::link::CONNECT_TIMEOUT;
@@ -81,8 +82,8 @@
     suspects: u64,
     /// The revision of the limits last received from the hub.
     limits: u64,
-    /// The newest table version reported by the hub.
-    table: u64,
+    /// The version of the newest table that the hub reported, if it has one.
+    table: Option<u64>,
     /// The members of the hub group as the hub reported them, and the id of that list.
     members: Vec<SocketAddr>,
     group: u64,
@@ -149,7 +150,7 @@
             epoch: watch::Sender::default(),
             suspects: 0,
             limits: 0,
-            table: 0,
+            table: None,
             members: Vec::new(),
             group: 0,
         }
@@ -211,7 +212,7 @@
     /// The next watch request.
     fn next_request(&self) -> Watch {
         let settings = self.core.settings();
-        let current = self.core.routes().table.version;
+        let current = self.core.routes().version();
         // While a table is being fetched, the hub need not report it again.
         let fetching = self.hubs.is_fetching();
         let table = if fetching {
@@ -301,27 +302,31 @@
         self.hubs.advance_applied_index(applied_index);
         self.record_status(asked, reply);
         self.table = reply.table;
-        let current = self.core.routes().table.version;
+        let current = self.core.routes().version();
         let is_overdue = self.started_at.elapsed() >= UNCONFIRMED_TABLE_DELAY;
-        let trusted = reply.confirmed || reply.recovered || current > 0 || is_overdue;
+        let trusted = reply.confirmed || reply.recovered || current.is_some() || is_overdue;
         let transfer = Duration::from_micros(u64::from(reply.table_bytes) * MICROS_PER_BYTE);
-        if reply.table > current && trusted && self.hubs.begin_fetch(transfer) {
+        if let Some(announced) = reply.table
+            && reply.table > current
+            && trusted
+            && self.hubs.begin_fetch(transfer)
+        {
             let (core, hubs) = (Arc::clone(&self.core), Arc::clone(&self.hubs));
             let link = Arc::clone(&self.link);
-            tokio::spawn(fetch(core, hubs, link, reply.table, transfer));
+            tokio::spawn(fetch(core, hubs, link, announced, transfer));
         }
     }
 
     /// Records the table that a majority has confirmed. The time is derived from that of the
     /// request: a process that was frozen may read a reply long after it arrived.
     fn record_confirmed_table(&self, reply: &WatchReply) {
-        if reply.confirmed_table == 0 {
+        let Some(confirmed) = reply.confirmed_table else {
             return;
-        }
+        };
         let held = Duration::from_millis(reply.held_ms.into());
         let age = Duration::from_millis(reply.confirmed_age_ms.into());
         let at = (self.asked_at + held).before(age);
-        self.core.record_confirmed_table(reply.confirmed_table, at);
+        self.core.record_confirmed_table(confirmed, at);
     }
 
     fn apply_suspects(&mut self, reply: &WatchReply) {
@@ -428,24 +433,24 @@
     announced_version: u64,
     transfer: Duration,
 ) {
-    let current = core.routes().table.version;
+    let current = core.routes().version();
     match fetch_table(&link, current, transfer).await {
-        Some(table) if table.version > current => match table::codec::decode(&table.content) {
+        Some(FetchReply { table: Some(table) }) => match table::codec::decode(&table.content) {
             Ok(table) => core.set_table(table),
             Err(err) => {
                 warn!(core.log, "invalid route table"; "version" => table.version, "error" => %err);
             }
         },
-        Some(_) => {}
+        Some(FetchReply { table: None }) => {}
         None => {
             info!(core.log, "failed to fetch route table"; "hub" => %link.address(), "told" => announced_version);
         }
     }
-    hubs.end_fetch(core.routes().table.version);
+    hubs.end_fetch(core.routes().version());
 }
 
-async fn fetch_table(link: &HubLink, current: u64, transfer: Duration) -> Option<wire::hub::Table> {
+async fn fetch_table(link: &HubLink, have: Option<u64>, transfer: Duration) -> Option<FetchReply> {
     let client = link.client().await.ok()?;
-    let call = client.fetch(within(FETCH_TIMEOUT + transfer), Fetch { have: current });
+    let call = client.fetch(within(FETCH_TIMEOUT + transfer), Fetch { have });
     link.check_result(call.await).ok()
 }
--- a/crates/entry/src/sync/hubs.rs
+++ b/crates/entry/src/sync/hubs.rs
@@ -54,8 +54,8 @@
     pub answered_at: Instant,
     /// Whether the hub is in this process's failure domain.
     pub near: bool,
-    /// The newest table version that the hub reported.
-    pub table: u64,
+    /// The version of the newest table that the hub reported, if it has one.
+    pub table: Option<u64>,
     /// The members of the hub group, as reported by the hub.
     pub members: Vec<SocketAddr>,
     /// The number of entry hosts known to the hub.
@@ -332,12 +332,12 @@
         free
     }
 
-    /// Ends a fetch after which the process has table version `current`. If a newer one was
-    /// reported meanwhile, the watches are renewed.
-    pub fn end_fetch(&self, current: u64) {
+    /// Ends a fetch after which the process has table version `current`, if any. If a newer one
+    /// was reported meanwhile, the watches are renewed.
+    pub fn end_fetch(&self, current: Option<u64>) {
         *self.fetching() = None;
-        let newest = self.statuses().values().map(|status| status.table).max();
-        if newest > Some(current) {
+        let newest = self.statuses().values().filter_map(|s| s.table).max();
+        if newest > current {
             self.fetch_incomplete.send_replace(());
         }
     }
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -17,6 +17,7 @@
 use registry::merge;
 use table::Index;
 use table::KeyIndex;
+use table::Limits;
 use table::Table;
 use wire::hub::Hearing;
 use wire::hub::Instance;
@@ -24,11 +25,11 @@
 
 use crate::pool::Pool;
 
-/// The current route table with its lookup structures.
+/// The current route table with its lookup structures, which are empty without one.
 #[derive(Debug, Default)]
 pub struct Routes {
-    /// The route table.
-    pub table: Table,
+    /// The route table; `None` until the first one is received.
+    pub table: Option<Table>,
     /// The table's routes, indexed by host and path.
     pub index: Index,
     /// The table's workspaces, indexed by key.
@@ -49,9 +50,23 @@
             index,
             keys,
             health: health.collect(),
-            table,
+            table: Some(table),
         }
     }
+
+    /// The version of the route table; `None` until the first one is received.
+    #[must_use]
+    pub fn version(&self) -> Option<u64> {
+        self.table.as_ref().map(|table| table.version)
+    }
+
+    /// The limits on callers; the defaults until the first table is received.
+    #[must_use]
+    pub fn limits(&self) -> Limits {
+        self.table
+            .as_ref()
+            .map_or_else(Limits::default, |table| table.limits)
+    }
 }
 
 /// An announced instance with its connection pool.
--- a/crates/entry/tests/test_flow.rs
+++ b/crates/entry/tests/test_flow.rs
@@ -237,7 +237,7 @@
     newer.hosts[0].routes.retain(|route| &*route.prefix != READ);
     entry.core().set_table(newer);
     entry.core().set_table(fakes::table(2));
-    assert_eq!(entry.core().routes().table.version, 3);
+    assert_eq!(entry.core().routes().version(), Some(3));
     let answer = call(entry.front(), "GET", READ, "r-1").await;
     assert_eq!(answer.status, 404);
 }
--- a/crates/entry/tests/test_hop.rs
+++ b/crates/entry/tests/test_hop.rs
@@ -74,11 +74,17 @@
 
 #[test]
 fn test_hop_question_is_read_as_it_was_written() {
-    let question = Question {
-        service: ServiceName::new("status").expect("a name"),
-        table: 7,
-    };
-    let request = question.to_request();
-    assert_eq!(Question::read(request.headers()), Some(question));
+    for table in [None, Some(0), Some(7)] {
+        let question = Question {
+            service: ServiceName::new("status").expect("a name"),
+            table,
+        };
+        let request = question.to_request();
+        assert_eq!(Question::read(request.headers()), Some(question));
+    }
     assert_eq!(Question::read(&HeaderMap::new()), None);
+    let mut headers = HeaderMap::new();
+    headers.insert("rwr-hop-question", HeaderValue::from_static("status"));
+    headers.insert("rwr-hop-table", HeaderValue::from_static("x"));
+    assert_eq!(Question::read(&headers), None);
 }
--- a/crates/entry/tests/test_hubs.rs
+++ b/crates/entry/tests/test_hubs.rs
@@ -28,11 +28,11 @@
     hubs_with_sender().0
 }
 
-fn status(near: bool, table: u64) -> HubStatus {
+fn status(near: bool, table: impl Into<Option<u64>>) -> HubStatus {
     HubStatus {
         answered_at: Instant::now(),
         near,
-        table,
+        table: table.into(),
         members: vec![hub(1), hub(2)],
         entry_count: 3,
         watch_duration: Duration::from_secs(1),
@@ -74,8 +74,8 @@
     let hubs = hubs();
     // While no hub has answered, each one is the primary.
     assert!(hubs.is_primary(hub(1)) && hubs.is_primary(hub(2)));
-    hubs.record(hub(1), status(false, 0));
-    hubs.record(hub(2), status(true, 0));
+    hubs.record(hub(1), status(false, None));
+    hubs.record(hub(2), status(true, None));
     assert!(!hubs.is_primary(hub(1)) && hubs.is_primary(hub(2)));
     assert_eq!(
         apply_hosts(&hubs, 0, &list(7, &["a:1"])),
@@ -83,7 +83,7 @@
     );
     // The local hub stops answering, and its status expires.
     advance(Duration::from_secs(2)).await;
-    hubs.record(hub(1), status(false, 0));
+    hubs.record(hub(1), status(false, None));
     assert!(hubs.is_primary(hub(1)) && !hubs.is_primary(hub(2)));
     assert_eq!(
         apply_hosts(&hubs, 7, &list(8, &["b:1"])),
@@ -94,13 +94,13 @@
 #[tokio::test(start_paused = true)]
 async fn test_hubs_failed_primary_is_replaced_at_once() {
     let hubs = hubs();
-    hubs.record(hub(1), status(false, 0));
-    hubs.record(hub(2), status(true, 0));
+    hubs.record(hub(1), status(false, None));
+    hubs.record(hub(2), status(true, None));
     let mut primary = hubs.primary.subscribe();
     hubs.record_failure(hub(2));
     assert!(primary.has_changed().expect("the hubs live"));
     assert_eq!(*primary.borrow_and_update(), Some(hub(1)));
-    hubs.record(hub(2), status(true, 0));
+    hubs.record(hub(2), status(true, None));
     assert_eq!(*primary.borrow_and_update(), Some(hub(2)));
 }
 
@@ -110,7 +110,7 @@
     let primary = || {
         let hubs = hubs();
         for last in 1..=7 {
-            hubs.record(hub(last), status(false, 0));
+            hubs.record(hub(last), status(false, None));
         }
         let primary = *hubs.primary.borrow();
         primary.expect("one is first")
@@ -131,7 +131,7 @@
     assert_eq!(hubs.role(hub(1)), Role::Idle);
     hubs.record_failure(hub(2));
     assert_eq!(hubs.role(hub(3)), Role::FullList);
-    hubs.record(hub(3), status(true, 0));
+    hubs.record(hub(3), status(true, None));
     instances_known.send_replace(true);
     assert_eq!(hubs.role(hub(3)), Role::Primary);
     assert_eq!(hubs.role(hub(1)), Role::Secondary);
@@ -170,10 +170,10 @@
 #[tokio::test(start_paused = true)]
 async fn test_hubs_largest_entry_count_is_used() {
     let hubs = hubs();
-    hubs.record(hub(1), status(true, 0));
+    hubs.record(hub(1), status(true, None));
     let new_hub = HubStatus {
         entry_count: 1,
-        ..status(true, 0)
+        ..status(true, None)
     };
     hubs.record(hub(2), new_hub);
     assert_eq!(hubs.entry_count(), 3);
@@ -183,18 +183,28 @@
 async fn test_hubs_one_table_is_fetched_at_a_time() {
     let hubs = hubs();
     let mut fetch_incomplete = hubs.fetch_incomplete.subscribe();
+    // The hubs have no table, then one of version 0, which the process lacks.
+    hubs.record(hub(1), status(true, None));
+    hubs.end_fetch(None);
+    assert!(!fetch_incomplete.has_changed().expect("the hubs live"));
+    hubs.record(hub(1), status(true, 0));
+    hubs.end_fetch(None);
+    assert!(fetch_incomplete.has_changed().expect("the hubs live"));
+    fetch_incomplete.mark_unchanged();
+    hubs.end_fetch(Some(0));
+    assert!(!fetch_incomplete.has_changed().expect("the hubs live"));
     hubs.record(hub(1), status(true, 7));
     assert!(hubs.begin_fetch(Duration::ZERO));
     assert!(!hubs.begin_fetch(Duration::ZERO) && hubs.is_fetching());
     // A slow fetch doesn't block others.
     advance(Duration::from_millis(400)).await;
     assert!(!hubs.is_fetching() && hubs.begin_fetch(Duration::ZERO));
-    hubs.end_fetch(7);
+    hubs.end_fetch(Some(7));
     assert!(!fetch_incomplete.has_changed().expect("the hubs live"));
     // A newer version is reported during the fetch.
     assert!(hubs.begin_fetch(Duration::ZERO));
     hubs.record(hub(2), status(false, 8));
-    hubs.end_fetch(7);
+    hubs.end_fetch(Some(7));
     assert!(fetch_incomplete.has_changed().expect("the hubs live"));
     fetch_incomplete.mark_unchanged();
 }
@@ -204,7 +214,7 @@
     let hubs = hubs();
     let seeds = [hub(8), hub(9)];
     assert_eq!(hubs.targets(&seeds), seeds);
-    hubs.record(hub(1), status(true, 0));
+    hubs.record(hub(1), status(true, None));
     assert_eq!(hubs.targets(&seeds), [hub(1), hub(2)]);
     advance(Duration::from_secs(10)).await;
     assert_eq!(hubs.targets(&seeds), seeds);
@@ -222,7 +232,7 @@
     assert!(!members_changed.has_changed().expect("the hubs live"));
     let seeds = [hub(8), hub(9)];
     assert_eq!(hubs.targets(&seeds), [hub(3), hub(8), hub(9)]);
-    hubs.record(hub(1), status(true, 0));
+    hubs.record(hub(1), status(true, None));
     assert_eq!(hubs.targets(&seeds), [hub(1), hub(2)]);
     let many: Vec<SocketAddr> = (10..100).map(hub).collect();
     hubs.add_hints(&many);
@@ -236,12 +246,12 @@
     instances_known.send_replace(true);
     let mut waits = Vec::new();
     for last in 1..=9 {
-        hubs.record(hub(last), status(true, 0));
+        hubs.record(hub(last), status(true, None));
         waits.push(hubs.watch_duration(hub(last)).as_millis());
     }
     assert_eq!(waits, [500, 500, 501, 668, 835, 1000, 1000, 1000, 1000]);
     // A remote hub that isn't the primary holds watches for longer.
-    hubs.record(hub(10), status(false, 0));
+    hubs.record(hub(10), status(false, None));
     assert_eq!(hubs.watch_duration(hub(10)).as_millis(), 4_000);
 }
 
@@ -251,9 +261,9 @@
 async fn test_hubs_entry_count_expires_without_answers() {
     let hubs = hubs();
     assert!(!hubs.is_count_expired());
-    hubs.record(hub(1), status(true, 0));
+    hubs.record(hub(1), status(true, None));
     advance(Duration::from_secs(10)).await;
-    hubs.record(hub(2), status(false, 0));
+    hubs.record(hub(2), status(false, None));
     advance(Duration::from_secs(14)).await;
     assert!(!hubs.is_count_expired());
     advance(hub::entries::RETENTION.saturating_sub(Duration::from_secs(14))).await;
--- a/crates/hub/src/commands.rs
+++ b/crates/hub/src/commands.rs
@@ -5,6 +5,7 @@
 
 use base::prelude::*;
 use conf::ConfError;
+use control::ReadError;
 use evacuation::EvacuationState;
 use evacuation::Outcome;
 use quick_error::quick_error;
@@ -169,11 +170,9 @@
     ///
     /// Fails if there is none yet or no majority answers in time.
     pub async fn read(&self) -> Result<Arc<wire::hub::Table>, CommandError> {
-        let newest = self.state.tables.read(READ_TIMEOUT).await;
-        match newest {
-            Some(table) if table.version > 0 => Ok(table),
-            Some(_) => Err(CommandError::NoTable),
-            None => Err(CommandError::NoMajority),
+        match self.state.tables.read(READ_TIMEOUT).await {
+            Ok(newest) => newest.ok_or(CommandError::NoTable),
+            Err(ReadError::NoMajority) => Err(CommandError::NoMajority),
         }
     }
 
--- a/crates/hub/src/confirm.rs
+++ b/crates/hub/src/confirm.rs
@@ -32,13 +32,14 @@
 pub struct Confirmations(Mutex<Attempts>);
 
 impl Confirmations {
-    /// The last confirmed table; asks the majority if the last attempt is too long ago.
+    /// The last confirmed table, if there is one; asks the majority if the last attempt is too
+    /// long ago.
     pub async fn newest(&self, tables: &LocalClient, clock: &Clock) -> Option<Confirmed> {
         let mut attempts = self.0.lock().await;
         let now = clock.now();
         if attempts.last_at.is_none_or(|at| now.since(at) >= INTERVAL) {
             attempts.last_at = Some(now);
-            if let Some(table) = tables.read(TIMEOUT).await {
+            if let Ok(Some(table)) = tables.read(TIMEOUT).await {
                 attempts.confirmed = Some(Confirmed {
                     version: table.version,
                     at: now,
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -21,6 +21,7 @@
 use wire::hub::EvacuationReply;
 use wire::hub::EvacuationsReply;
 use wire::hub::Fetch;
+use wire::hub::FetchReply;
 use wire::hub::Hearing;
 use wire::hub::Instance;
 use wire::hub::News;
@@ -89,7 +90,8 @@
         let mut views = self.state.tables.views();
         let mut lists = self.state.list_hash.subscribe();
         let newer = views.wait_for(|view| {
-            view.table.version > request.table || view.evacuations.revision() > request.evacuations
+            let table = view.table.as_ref().map(|table| table.version);
+            table > request.table || view.evacuations.revision() > request.evacuations
         });
         let mut batched = None;
         tokio::select! {
@@ -185,7 +187,7 @@
     }
 
     async fn confirm(&self) -> bool {
-        self.state.tables.read(CONFIRM_TIMEOUT).await.is_some()
+        self.state.tables.read(CONFIRM_TIMEOUT).await.is_ok()
     }
 
     /// Whether a table was read from disk and no leader is known yet.
@@ -193,7 +195,7 @@
     /// After a full outage, entry processes without a table receive this one at once instead of
     /// after the election.
     fn is_recovered(&self) -> bool {
-        !self.state.tables.has_seen_leader() && self.state.tables.applied_table().version > 0
+        !self.state.tables.has_seen_leader() && self.state.tables.applied_table().is_some()
     }
 
     /// The newest table that a majority has confirmed, if the watcher asked for it.
@@ -206,7 +208,6 @@
             .confirmations
             .newest(&state.tables, &state.clock)
             .await
-            .filter(|confirmed| confirmed.version > 0)
     }
 
     fn record_watch(&self, request: &Watch) {
@@ -234,18 +235,15 @@
             request.wait_ms = 0;
         }
         let recovered = self.is_recovered();
-        let confirmed = request.table == 0 && !recovered && self.confirm().await;
+        let confirmed = request.table.is_none() && !recovered && self.confirm().await;
         let update = self.wait_for_changes(&request).await;
         let confirmed_table = self.confirmed_table(&request).await;
         let now = self.state.clock.now();
         self.state.lock().entries.watch_answered(now, &request);
         let newest = self.state.tables.applied_table();
-        let table = newest.version;
-        let table_bytes = if table > request.table {
-            newest.content.len()
-        } else {
-            0
-        };
+        let table = newest.as_ref().map(|newest| newest.version);
+        let newer = newest.filter(|_| table > request.table);
+        let table_bytes = newer.map_or(0, |newer| newer.content.len());
         let evacuations = self.state.tables.evacuated();
         let evacuations =
             Some(evacuations).filter(|domains| domains.revision() > request.evacuations);
@@ -290,7 +288,7 @@
             evacuations: evacuations.map(|evacuations| evacuations.to_wire()),
             suspects,
             limits,
-            confirmed_table: confirmed_table.map_or(0, |confirmed| confirmed.version),
+            confirmed_table: confirmed_table.map(|confirmed| confirmed.version),
             confirmed_age_ms: confirmed_table
                 .map_or(0, |confirmed| millis(now.since(confirmed.at))),
             table_bytes: u32::try_from(table_bytes).unwrap_or(u32::MAX),
@@ -299,17 +297,15 @@
         }
     }
 
-    async fn fetch(self, _: Context, request: Fetch) -> Table {
-        let table = self.state.tables.applied_table();
-        let newer = table.version > request.have;
-        Table {
-            version: table.version,
-            content: if newer {
-                table.content.clone()
-            } else {
-                Vec::new().into()
-            },
-            source: Vec::new().into(),
+    async fn fetch(self, _: Context, request: Fetch) -> FetchReply {
+        let newest = self.state.tables.applied_table();
+        let newer = newest.filter(|newest| Some(newest.version) > request.have);
+        FetchReply {
+            table: newer.map(|newer| Table {
+                version: newer.version,
+                content: newer.content.clone(),
+                source: Bytes::new(),
+            }),
         }
     }
 
@@ -345,10 +341,15 @@
     }
 
     async fn read_table(self, _: Context) -> ReadReply {
-        let table = self.commands.read().await.ok();
-        ReadReply {
-            confirmed: table.is_some(),
-            table: table.map(|table| (*table).clone()),
+        match self.commands.read().await {
+            Ok(table) => ReadReply {
+                confirmed: true,
+                table: Some((*table).clone()),
+            },
+            Err(err) => ReadReply {
+                confirmed: matches!(err, CommandError::NoTable),
+                table: None,
+            },
         }
     }
 
--- a/crates/hub/tests/test_evacuation.rs
+++ b/crates/hub/tests/test_evacuation.rs
@@ -31,7 +31,7 @@
         epoch: first.epoch,
         cursor: first.cursor,
         news: News::None.into(),
-        table: 7,
+        table: Some(7),
         evacuations: revision,
         wait_ms: 60_000,
         ..Watch::default()
--- a/crates/hub/tests/test_hub.rs
+++ b/crates/hub/tests/test_hub.rs
@@ -42,10 +42,12 @@
     }
 }
 
-async fn fetch(link: &HubLink, have: u64) -> wire::hub::Table {
+/// The hub's table, if it is newer than version `have`.
+async fn fetch(link: &HubLink, have: impl Into<Option<u64>>) -> Option<wire::hub::Table> {
     let client = link.client().await.expect("connects");
-    let fetched = client.fetch(within(TIMEOUT), Fetch { have }).await;
-    fetched.expect("answers")
+    let request = Fetch { have: have.into() };
+    let fetched = client.fetch(within(TIMEOUT), request).await;
+    fetched.expect("answers").table
 }
 
 #[tokio::test]
@@ -71,6 +73,49 @@
     assert_eq!((table.version, &table.source[..]), (7, &b"as sent"[..]));
 }
 
+/// Guards against version 0 taken for "no table": in the log, in a watch, in a fetch, in a
+/// confirmation and after a restart.
+#[tokio::test]
+async fn test_hub_first_table_of_version_zero_reaches_watchers() {
+    let (hub, layout) = start().await;
+    let request = |table| Watch {
+        table,
+        wait_ms: 1,
+        confirm: true,
+        ..Watch::default()
+    };
+    let before = watch(&link(&layout), request(None)).await;
+    assert_eq!((before.table, before.confirmed_table), (None, None));
+    assert_eq!(fetch(&link(&layout), None).await, None);
+    let first = put_until_accepted(&hub, table_update(0)).await;
+    assert_eq!(first, TableOutcome::Taken);
+    let again = put_until_accepted(&hub, table_update(0)).await;
+    assert_eq!(again, TableOutcome::Held);
+    assert_eq!(hub.commands().read().await.expect("a table").version, 0);
+    let unaware = watch(&link(&layout), request(None)).await;
+    assert_eq!(unaware.table, Some(0));
+    assert!(unaware.table_bytes > 0);
+    let fetched = fetch(&link(&layout), None).await.expect("a table");
+    assert_eq!(fetched.version, 0);
+    assert_eq!(fetch(&link(&layout), 0).await, None);
+    let wait_confirmed = async {
+        while watch(&link(&layout), request(Some(0)))
+            .await
+            .confirmed_table
+            != Some(0)
+        {
+            tokio::time::sleep(RETRY_INTERVAL).await;
+        }
+    };
+    let confirmed = tokio::time::timeout(TIMEOUT, wait_confirmed).await;
+    confirmed.expect("a confirmation");
+    hub.stop().await;
+    let hub = Hub::start(layout.hubs[0].clone(), telemetry::log::silent()).await;
+    let _hub = hub.expect("starts");
+    let recovered = watch(&link(&layout), request(None)).await;
+    assert_eq!(recovered.table, Some(0));
+}
+
 #[tokio::test]
 async fn test_hub_refuses_invalid_table() {
     let (hub, _layout) = start().await;
@@ -107,14 +152,15 @@
         .expect("accepted");
     let all = watch(&link(&layout), Watch::default()).await;
     assert_eq!(unpack(&all.whole).expect("a list").len(), 1);
-    assert_eq!(all.table, 7);
-    assert!(fetch(&link(&layout), 6).await.content.len() > 10);
-    assert_eq!(fetch(&link(&layout), 7).await.content.len(), 0);
+    assert_eq!(all.table, Some(7));
+    let fetched = fetch(&link(&layout), 6).await.expect("a newer table");
+    assert!(fetched.content.len() > 10);
+    assert_eq!(fetch(&link(&layout), 7).await, None);
     // A change ends the watch before the requested wait is over.
     let request = Watch {
         epoch: all.epoch,
         cursor: all.cursor,
-        table: 7,
+        table: Some(7),
         wait_ms: 5_000,
         ..Watch::default()
     };
@@ -128,7 +174,7 @@
         .expect("in the log");
     let reply = waiting.await.expect("ends");
     assert_eq!(reply.instances[0].phase(), Phase::Draining);
-    assert_eq!(reply.table, 7);
+    assert_eq!(reply.table, Some(7));
 }
 
 /// A watcher of digests must get the instances that differ from its own by comparing buckets.
@@ -143,7 +189,7 @@
     announce(Phase::Ready, 1).await;
     let digest = Watch {
         news: News::Digest.into(),
-        table: 7,
+        table: Some(7),
         wait_ms: 60_000,
         ..Watch::default()
     };
@@ -192,7 +238,7 @@
     });
     put_until_accepted(&hub, table_update(7)).await;
     let reply = waiting.await.expect("ends");
-    assert_eq!((reply.table, reply.cursor), (7, 0));
+    assert_eq!((reply.table, reply.cursor), (Some(7), 0));
     assert!(reply.whole.is_empty() && reply.instances.is_empty() && reply.heard.is_empty());
 }
 
@@ -273,7 +319,7 @@
     }
     // By now the disk of each hub marks at least the table before the last as accepted.
     let watching = async {
-        while watch(&link(&layout), Watch::default()).await.table < 9 {
+        while watch(&link(&layout), Watch::default()).await.table < Some(9) {
             tokio::time::sleep(RETRY_INTERVAL).await;
         }
     };
@@ -292,8 +338,9 @@
     };
     let reply = watch(&link(&layout), request).await;
     assert!(reply.recovered && !reply.confirmed, "{reply:?}");
-    assert!(reply.table >= 8, "{}", reply.table);
-    assert!(fetch(&link(&layout), 0).await.content.len() > 10);
+    assert!(reply.table >= Some(8), "{:?}", reply.table);
+    let fetched = fetch(&link(&layout), 0).await.expect("a newer table");
+    assert!(fetched.content.len() > 10);
     // A confirmed read still fails.
     assert!(matches!(
         hub.commands().read().await,
@@ -450,21 +497,21 @@
     put_until_accepted(&hub, table_update(7)).await;
     let link = link(&layout);
     let request = |confirm| Watch {
-        table: 7,
+        table: Some(7),
         wait_ms: 1,
         confirm,
         ..Watch::default()
     };
     let silent = watch(&link, request(false)).await;
-    assert_eq!((silent.confirmed_table, silent.confirmed_age_ms), (0, 0));
+    assert_eq!((silent.confirmed_table, silent.confirmed_age_ms), (None, 0));
     let reply = watch(&link, request(true)).await;
-    assert_eq!(reply.confirmed_table, 7);
+    assert_eq!(reply.confirmed_table, Some(7));
     assert_eq!(reply.table_bytes, 0, "the watcher has the table");
     assert!(
         watch(
             &link,
             Watch {
-                table: 0,
+                table: None,
                 ..request(true)
             }
         )
@@ -482,10 +529,10 @@
     let hub = Hub::start(settings, telemetry::log::silent()).await;
     let _hub = hub.expect("starts");
     let request = Watch {
-        table: 7,
+        table: Some(7),
         wait_ms: 1,
         confirm: true,
         ..Watch::default()
     };
-    assert_eq!(watch(&link(&layout), request).await.confirmed_table, 0);
+    assert_eq!(watch(&link(&layout), request).await.confirmed_table, None);
 }
--- a/crates/table/src/confirmation.rs
+++ b/crates/table/src/confirmation.rs
@@ -9,11 +9,12 @@
 
 /// When the table in force was last known to be the newest.
 ///
-/// Invariant: `ahead` has a version newer than `version`.
+/// Invariant: `ahead` has a version newer than `version`, and `confirmed_at` is `None` while no
+/// table is in force.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Confirmation {
-    /// The version in force.
-    version: u64,
+    /// The version in force, if there is one.
+    version: Option<u64>,
     confirmed_at: Option<Moment>,
     /// The last confirmation of a version that is not in force yet.
     ahead: Option<(u64, Moment)>,
@@ -22,7 +23,7 @@
 impl Confirmation {
     /// Records that `version` is in force.
     pub fn put_in_force(&mut self, version: u64) {
-        self.version = self.version.max(version);
+        self.version = self.version.max(Some(version));
         if let Some((_, at)) = self.ahead.take_if(|(ahead, _)| *ahead <= version) {
             self.confirmed_at = self.confirmed_at.max(Some(at));
         }
@@ -30,7 +31,7 @@
 
     /// Records that `version` was the newest at `at`.
     pub fn record(&mut self, version: u64, at: Moment) {
-        if version <= self.version {
+        if Some(version) <= self.version {
             self.confirmed_at = self.confirmed_at.max(Some(at));
         } else if self.ahead.is_none_or(|(_, known)| known < at) {
             self.ahead = Some((version, at));
--- a/crates/testutils/tests/test_fleet.rs
+++ b/crates/testutils/tests/test_fleet.rs
@@ -50,6 +50,35 @@
     upstream.record().await.runs.len()
 }
 
+/// Guards against a first table that is acknowledged and never in force because its version is 0.
+#[tokio::test(flavor = "multi_thread")]
+async fn test_fleet_first_table_of_version_zero_outlives_restarts() {
+    let mut fleet = Fleet::start(3, 2).await.unwrap();
+    fleet.layout.put(&tables::plain(0)).await.unwrap();
+    let _upstream = fleet.upstream(STATUS, 0).await.unwrap();
+    for index in 0..2 {
+        let reply = call_when_served(&fleet, index, &read(index)).await;
+        assert!(reply.is_ok(), "{reply:?}");
+    }
+    fleet.hubs.clear();
+    fleet.entries.clear();
+    for index in 0..3 {
+        let hub = fleet.start_hub(index).await.unwrap();
+        fleet.hubs.push(Some(hub));
+    }
+    for index in 0..2 {
+        let entry = fleet.start_entry(index).await.unwrap();
+        fleet.entries.push(Some(entry));
+        let reply = call_when_served(&fleet, index, &read(index)).await;
+        assert!(reply.is_ok(), "{reply:?}");
+    }
+    fleet.layout.put(&tables::without_reads(1)).await.unwrap();
+    for index in 0..2 {
+        fleet.wait_table(index, 1).await.unwrap();
+        assert_eq!(fleet.call(index, &read(index)).await.status, 404);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn test_fleet_split_goes_by_weight() {
     let mut fleet = start().await;
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -25,6 +25,7 @@
 use crate::hub::EvacuationReply;
 use crate::hub::EvacuationsReply;
 use crate::hub::Fetch;
+use crate::hub::FetchReply;
 use crate::hub::ReadReply;
 use crate::hub::Report;
 use crate::hub::ResolveQuery;
@@ -114,9 +115,8 @@
 pub trait HubApi {
     /// Long-polls for changes of the route table and of the instances.
     async fn watch(ask: Watch) -> WatchReply;
-    /// Returns this hub's newest route table, without content unless it is newer than the
-    /// caller's.
-    async fn fetch(ask: Fetch) -> Table;
+    /// Returns this hub's newest route table if it is newer than the caller's.
+    async fn fetch(ask: Fetch) -> FetchReply;
     /// Proposes a new route table.
     async fn put_table(table: Table) -> TableReply;
     /// Reads the newest route table.
--- a/crates/wire/tests/test_link.rs
+++ b/crates/wire/tests/test_link.rs
@@ -35,7 +35,7 @@
                 let Ok(client) = link.client().await else {
                     continue;
                 };
-                let call = client.fetch(within(CALL_TIMEOUT), Fetch { have: 0 });
+                let call = client.fetch(within(CALL_TIMEOUT), Fetch { have: None });
                 let ended = timeout(TEST_TIMEOUT, call).await;
                 let result = ended.expect("the call ends, whatever became of its peer");
                 assert!(link.check_result(result).is_err());
