cli: a route table that is missing, unconfirmed or of unknown outcome isn't told as a version

rwrctl routes show said "could not confirm version 0 by a majority" where no table had been accepted, and routes put said "nothing was changed", with exit code 6, where no majority had answered in time; the table may then still be accepted. Both told "none" and "unknown" as the number 0. RoutesError, beside the command, tells the four cases apart: no table (1), not confirmed (6), uncertain (5), a newer one in force (3).

Test: test_routes_without_a_table_are_no_version. The fake hub keeps a first table of version 0, as hubs do.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -10,7 +10,7 @@
 mod plan;
 mod quarantine;
 mod replica;
-mod routes;
+pub mod routes;
 mod show;
 mod story;
 mod upstreams;
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -10,6 +10,7 @@
 use wire::catalogue::Invalid;
 use wire::link::LinkError;
 
+use crate::command::routes::RoutesError;
 use crate::exit::Exit;
 use crate::flags::UsageError;
 
@@ -100,9 +101,11 @@
         InvalidRouteTable(faults: Vec<table::Fault>) {
             display("{}", faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))
         }
-        /// A newer route table, or a different one with the same version, is in force.
-        NewerTableInForce(version: u64) {
-            display("version {version} of the route table is already in force")
+        /// The route table couldn't be read or replaced.
+        Routes(err: RoutesError) {
+            from()
+            source(err)
+            display("{err}")
         }
         /// Evacuation orders have already named the maximum number of failure domains.
         TooManyDomains(domain: DomainName) {
@@ -129,16 +132,14 @@
     pub fn exit(&self) -> Exit {
         match self {
             Self::Usage(_) | Self::Settings(_) => Exit::Usage,
-            Self::Conflict(_)
-            | Self::Expired(_)
-            | Self::NewerTableInForce(_)
-            | Self::OrderSuperseded(_) => Exit::Conflict,
+            Self::Conflict(_) | Self::Expired(_) | Self::OrderSuperseded(_) => Exit::Conflict,
             Self::Catalogue(_)
             | Self::Invalid(_)
             | Self::IdReused(..)
             | Self::MembershipRefused(_)
             | Self::TooManyDomains(_)
             | Self::InvalidRouteTable(_) => Exit::Invalid,
+            Self::Routes(err) => err.exit(),
             Self::Uncertain(..) | Self::OrderUncertain(_) => Exit::Uncertain,
             Self::Unreachable(_) | Self::Unconfirmed(_) => Exit::Unreachable,
             Self::Lagging(..) | Self::CatchingUp(_) => Exit::Unfinished,
@@ -179,9 +180,7 @@
             Self::InvalidRouteTable(_) => {
                 "nothing was changed; correct the file, then check it again".into()
             }
-            Self::NewerTableInForce(_) => {
-                "rwrctl routes show writes the table in force; give a higher version".into()
-            }
+            Self::Routes(err) => err.hint().into(),
             Self::Expired(_) => "rwrctl history and rwrctl show list what is in force".into(),
             Self::Lagging(..) => {
                 "rwrctl hosts shows each host; a host that cannot catch up is fenced within seconds"
--- a/crates/cli/tests/test_routes.rs
+++ b/crates/cli/tests/test_routes.rs
@@ -50,8 +50,15 @@
 target = status
 ";
 
+/// Version of a table of which the hub doesn't learn in time whether it was accepted.
+const UNCERTAIN: u64 = 9;
+
 #[derive(Clone, Default)]
-struct Hub(Arc<Mutex<Option<Table>>>);
+struct Hub {
+    stored: Arc<Mutex<Option<Table>>>,
+    /// Whether a majority confirms that there is no table.
+    confirms_none: bool,
+}
 
 impl HubApi for Hub {
     async fn watch(self, _: Context, _: Watch) -> WatchReply {
@@ -91,9 +98,15 @@
     }
 
     async fn put_table(self, _: Context, table: Table) -> TableReply {
-        let mut stored = self.0.lock().expect("no test panics while it holds it");
-        let version = stored.as_ref().map_or(0, |stored| stored.version);
-        let outcome = if table.version > version {
+        let mut stored = self
+            .stored
+            .lock()
+            .expect("no test panics while it holds it");
+        if table.version == UNCERTAIN {
+            return TableReply::default();
+        }
+        let version = stored.as_ref().map(|stored| stored.version);
+        let outcome = if Some(table.version) > version {
             *stored = Some(table);
             TableOutcome::Taken
         } else {
@@ -101,14 +114,17 @@
         };
         TableReply {
             outcome: outcome.into(),
-            version: stored.as_ref().map_or(0, |stored| stored.version),
+            version: stored.as_ref().expect("a table").version,
         }
     }
 
     async fn read_table(self, _: Context) -> ReadReply {
-        let stored = self.0.lock().expect("no test panics while it holds it");
+        let stored = self
+            .stored
+            .lock()
+            .expect("no test panics while it holds it");
         ReadReply {
-            confirmed: stored.is_some(),
+            confirmed: stored.is_some() || self.confirms_none,
             table: stored.clone(),
         }
     }
@@ -156,6 +172,43 @@
     assert_eq!(again.exit, Exit::Conflict);
 }
 
+/// Guards against "no table yet" and "not confirmed" that are told as a version, and against a put
+/// of unknown outcome that is reported as having changed nothing.
+#[tokio::test]
+async fn test_routes_without_a_table_are_no_version() {
+    let hub = listen!(
+        HubApi,
+        Hub {
+            confirms_none: true,
+            ..Hub::default()
+        }
+    );
+    let none = rwrctl(&format!("routes show --hub {hub}")).await;
+    assert_eq!(none.exit, Exit::Failure);
+    assert!(
+        none.err.contains("no route table was accepted"),
+        "{}",
+        none.err
+    );
+    let unconfirmed = listen!(HubApi, Hub::default());
+    let unconfirmed = rwrctl(&format!("routes show --hub {unconfirmed}")).await;
+    assert!(
+        unconfirmed.err.contains("no majority"),
+        "{}",
+        unconfirmed.err
+    );
+    let uncertain = write("routes-uncertain.ini", &FILE.replace("= 7", "= 9"));
+    let put = rwrctl(&format!("routes put {} --hub {hub}", uncertain.display())).await;
+    assert_eq!(put.exit, Exit::Uncertain, "{}", put.err);
+    assert!(put.err.contains("version 9"), "{}", put.err);
+    let first = write("routes-first.ini", &FILE.replace("= 7", "= 0"));
+    let put = rwrctl(&format!("routes put {} --hub {hub}", first.display())).await;
+    assert_eq!(put.exit, Exit::Done, "{}", put.err);
+    assert!(put.out.contains("version 0 is in force"), "{}", put.out);
+    let show = rwrctl(&format!("routes show --hub {hub}")).await;
+    assert!(show.out.contains("version = 0"), "{}", show.out);
+}
+
 #[tokio::test]
 async fn test_routes_check_reports_every_fault() {
     let bad = FILE.replace("attempts = 2", "attempts = 0\ntimeout = 11min");
