gateway: no request follows an answer that names no request on its connection

What callers could see: the answer of another request. Upstreams have to name a request in refusals only, and a gateway passes on an answer without an id and kept its connection. A late copy of such an answer, where the next response was expected, was passed on as the answer of the next caller's request (class urgent, once, durable and deferred alike).

Cause: a response without an id can't be told from a copy of an earlier one, and its connection was used again.

Change: a response that names no request is the last one on its connection, which the client's pool doesn't keep. Answers without an id are passed on as before. Cost: upstreams that leave the id out of answers get a new connection for each request; those that name requests in answers keep theirs (test_correlation_connections_of_answers_with_id_are_used_again).

Ruled out: refusing answers without an id (upstreams that can't repeat ids would get no requests); replacing the whole pool after each (a copy can only come on the connection of its answer).

Test, red before: test_correlation_late_copy_of_answer_without_id_reaches_no_other_caller: the caller of /second/urgent got the answer of /first/urgent. Green after, with all of the gateway's test_correlation, test_correlation_model, test_cutoff, test_cutoff_correlation and test_serve. Two tests of test_serve count connections; their instance names the request now (path /named of the fake), their assertions are the same.

--- a/crates/gateway/src/instance_clients.rs
+++ b/crates/gateway/src/instance_clients.rs
@@ -9,7 +9,8 @@
 //!
 //! A connection that has carried a request may deliver a response of that request where the next
 //! one's is expected. After a response that isn't its request's own, no connection to the instance
-//! that was open before is used again.
+//! that was open before is used again. A response that names no request is the last one on its
+//! connection, as a late copy of it couldn't be told from the next request's answer.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -20,6 +21,7 @@
 use std::sync::RwLock;
 use std::time::Duration;
 
+use base::header;
 use base::prelude::*;
 use framing::FramingError;
 use http::HeaderMap;
@@ -222,13 +224,15 @@
         };
         match response {
             Ok(response) => {
-                if let Err(err) = framing::check_response(response.status(), response.headers()) {
-                    // What follows the head may not be the response's body.
-                    if let Some(connected) = &*connection.connection_metadata() {
-                        connected.poison();
-                    }
-                    return Err(err.into());
+                let checked = framing::check_response(response.status(), response.headers());
+                let is_named = response.headers().contains_key(header::REQUEST_ID);
+                // After contradictory framing, what follows the head may not be the body.
+                if (checked.is_err() || !is_named)
+                    && let Some(connected) = &*connection.connection_metadata()
+                {
+                    connected.poison();
                 }
+                checked?;
                 Ok(response.map(reqwest::Body::wrap).into())
             }
             Err(err) if err.is_connect() => Err(SendError::Connect(err)),
--- a/crates/gateway/tests/fakes/upstream.rs
+++ b/crates/gateway/tests/fakes/upstream.rs
@@ -224,7 +224,8 @@
             ),
         };
         let mut text = text.to_owned();
-        if matches!(behaviour, "rest" | "shed") {
+        // A connection is used again only after a response that names its request.
+        if matches!(behaviour, "rest" | "shed" | "hold" | "named") {
             let named = format!("\r\nrwr-request-id: {}\r\n\r\n", request.id());
             text = text.replace("\r\n\r\n", &named);
         }
--- a/crates/gateway/tests/test_correlation.rs
+++ b/crates/gateway/tests/test_correlation.rs
@@ -105,6 +105,43 @@
     assert_eq!(upstream.connections_of("/x").len(), 1);
 }
 
+/// Guards against a late copy of an answer without an id that is passed on to the next caller.
+#[tokio::test]
+async fn test_correlation_late_copy_of_answer_without_id_reaches_no_other_caller() {
+    let answer = |request: &ReceivedRequest| response(200, None, "", request.path());
+    let (rig, upstream) = scripted(move |requests| {
+        let before = requests.iter().rev().skip(1);
+        let copies: String = before.map(answer).collect();
+        Reply(copies + &answer(latest(requests)), false)
+    })
+    .await;
+    for path in ["/first", "/second", "/third"] {
+        for service in SERVICES {
+            let path = format!("{path}/{service}");
+            let response = call(&rig, service, &path).await;
+            assert_eq!(response.status().as_u16(), 200, "{path}");
+            assert_eq!(response.text().await.expect("a whole body"), path);
+        }
+    }
+    let received = upstream.received();
+    let connections: BTreeSet<usize> = received.iter().map(|r| r.connection).collect();
+    assert_eq!(connections.len(), received.len());
+}
+
+/// Guards against a new connection for each request to instances that name requests.
+#[tokio::test]
+async fn test_correlation_connections_of_answers_with_id_are_used_again() {
+    let (rig, upstream) = scripted(|requests| Reply(own_answer(latest(requests)), false)).await;
+    for number in 0..4 {
+        let path = format!("/{number}");
+        assert_eq!(end_of_call(&rig, "once", &path).await.0, 200);
+    }
+    let received = upstream.received();
+    let calls = received.iter().filter(|r| r.request.path().len() == 2);
+    let connections: BTreeSet<usize> = calls.map(|r| r.connection).collect();
+    assert_eq!(connections.len(), 1, "{connections:?}");
+}
+
 #[tokio::test]
 async fn test_correlation_refusal_without_id_frees_no_key() {
     let control = FakeControl::start().await;
--- a/crates/gateway/tests/test_serve.rs
+++ b/crates/gateway/tests/test_serve.rs
@@ -212,7 +212,10 @@
         .expect("a response");
     assert_eq!(first.status(), 504);
     for _ in 0..4 {
-        let next = client.get(url("/ok")).header("rwr-service", "once").send();
+        let next = client
+            .get(url("/named"))
+            .header("rwr-service", "once")
+            .send();
         let next = next.await.expect("a response");
         assert_eq!(next.text().await.expect("a body"), "ok");
     }
@@ -248,7 +251,7 @@
         rig.upstream.release.notify_one();
         wait_until(|| rig.gateway.core().in_flight.count() == 0).await;
         // The response was read to its end, so the connection is reused.
-        let url = format!("http://{}/ok", rig.gateway.http());
+        let url = format!("http://{}/named", rig.gateway.http());
         let next = client().get(url).header("rwr-service", service).send();
         assert_eq!(next.await.expect("a response").status(), 200);
         assert_eq!(rig.upstream.connections(), 1, "{service}");
