catalogue, cli: a file of the empty catalogue names version 0 as its base

A file made before another operator's first change takes that change back without a conflict, and `plan` gives no warning.

Change: CatalogueFile has an optional base apart from its content. A file is written with the version that it was made from, 0 included; one without the section is based on the version in force, as before.

The round trip of test_file_round_trip for version 7 moved to that test.

--- a/crates/catalogue/src/file.rs
+++ b/crates/catalogue/src/file.rs
@@ -1,8 +1,9 @@
 //! Reads and writes catalogue files, which are INI.
 //!
 //! A section `[service NAME]` has all keys of an entry, `[gateway NAME]` has none, and the
-//! optional `[catalogue]` has the version that the file was written from. Reading a written
-//! file yields the same catalogue.
+//! optional `[catalogue]` has the version that the file was made from. Version 0, the empty
+//! catalogue, is named like any other: a file made from it conflicts with the first change, and
+//! one that names no version doesn't. Reading a written file yields the same content.
 
 use std::fmt::Write;
 use std::path::Path;
@@ -31,12 +32,31 @@
 const SERVICE_PREFIX: &str = "service ";
 const GATEWAY_PREFIX: &str = "gateway ";
 
-/// Reads the file at `path`; the version is zero if the file has none.
+/// The content of a catalogue file.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CatalogueFile {
+    /// The version that the file was made from, if it names one.
+    pub base: Option<u64>,
+    /// Its services and gateways. The version is `base`, or 0 without one.
+    pub catalogue: Catalogue,
+}
+
+impl From<Catalogue> for CatalogueFile {
+    /// The file that is made from this catalogue.
+    fn from(catalogue: Catalogue) -> Self {
+        Self {
+            base: Some(catalogue.version),
+            catalogue,
+        }
+    }
+}
+
+/// Reads the file at `path`.
 ///
 /// # Errors
 ///
 /// Fails if the file can't be read, or with all faults of its content.
-pub fn open(path: &Path) -> Result<Catalogue, ConfError> {
+pub fn open(path: &Path) -> Result<CatalogueFile, ConfError> {
     read(Reader::open(path)?)
 }
 
@@ -45,18 +65,19 @@
 /// # Errors
 ///
 /// Fails with all faults of the text.
-pub fn parse(file: &str, text: &str) -> Result<Catalogue, ConfError> {
+pub fn parse(file: &str, text: &str) -> Result<CatalogueFile, ConfError> {
     read(Reader::parse(file, text)?)
 }
 
-/// Formats `catalogue` as the content of a file.
+/// Formats the content of a file.
 #[must_use]
-pub fn write(catalogue: &Catalogue) -> String {
+pub fn write(file: &CatalogueFile) -> String {
+    let catalogue = &file.catalogue;
     let mut text = String::new();
-    if catalogue.version > 0 {
+    if let Some(base) = file.base {
         write_section(&mut text, CATALOGUE_SECTION);
         // Writing to a string can't fail.
-        let _ = writeln!(text, "{VERSION_KEY} = {}", catalogue.version);
+        let _ = writeln!(text, "{VERSION_KEY} = {base}");
     }
     for entry in catalogue.entries.values() {
         write_section(&mut text, &format!("{SERVICE_PREFIX}{}", entry.service));
@@ -95,9 +116,10 @@
     let _ = writeln!(text, "[{name}]");
 }
 
-fn read(mut reader: Reader) -> Result<Catalogue, ConfError> {
+fn read(mut reader: Reader) -> Result<CatalogueFile, ConfError> {
+    let base = reader.optional(CATALOGUE_SECTION, VERSION_KEY);
     let mut catalogue = Catalogue {
-        version: reader.or(CATALOGUE_SECTION, VERSION_KEY, 0),
+        version: base.unwrap_or_default(),
         ..Catalogue::default()
     };
     for section in reader.sections() {
@@ -111,7 +133,7 @@
         report(&mut reader, &fault);
     }
     reader.finish()?;
-    Ok(catalogue)
+    Ok(CatalogueFile { base, catalogue })
 }
 
 fn read_service(reader: &mut Reader, section: &str, name: &str, catalogue: &mut Catalogue) {
--- a/crates/catalogue/tests/test_file.rs
+++ b/crates/catalogue/tests/test_file.rs
@@ -1,7 +1,9 @@
 //! Reading and writing catalogue files, their faults, and differences between catalogues.
 
+use catalogue::Catalogue;
 use catalogue::diff;
 use catalogue::file;
+use catalogue::file::CatalogueFile;
 use conf::ConfError;
 
 const CATALOGUE: &str = "\
@@ -33,19 +35,29 @@
 #[test]
 fn test_file_round_trip() {
     let read = file::parse("c.ini", CATALOGUE).expect("a valid file");
-    assert_eq!(read.entries.len(), 2);
-    assert_eq!(read.gateways.len(), 2);
+    assert_eq!(read.catalogue.entries.len(), 2);
+    assert_eq!(read.catalogue.gateways.len(), 2);
+    assert_eq!(read.base, None);
     assert_eq!(file::write(&read), CATALOGUE);
-    let text = format!("[catalogue]\nversion = 7\n\n{CATALOGUE}");
-    let read = file::parse("c.ini", &text).expect("a valid file");
-    assert_eq!(read.version, 7);
-    assert_eq!(file::write(&read), text);
     assert_eq!(
         file::parse("c.ini", "").expect("an empty file"),
-        catalogue::Catalogue::default()
+        CatalogueFile::default()
     );
 }
 
+/// Guards against a file of the empty catalogue, version 0, that counts as one without a version.
+#[test]
+fn test_file_names_every_version_that_it_was_made_from() {
+    for version in [0, 1, 7, u64::MAX] {
+        let text = format!("[catalogue]\nversion = {version}\n\n{CATALOGUE}");
+        let read = file::parse("c.ini", &text).expect("a valid file");
+        assert_eq!(read.base, Some(version));
+        assert_eq!(read.catalogue.version, version);
+        assert_eq!(file::write(&read), text);
+        assert_eq!(CatalogueFile::from(read.catalogue.clone()), read);
+    }
+}
+
 /// Text of [`CATALOGUE`], its replacement, and the expected faults.
 const FAULTS: [(&str, &str, &[&str]); 15] = [
     (
@@ -156,14 +168,19 @@
     assert!(matches!(err, ConfError::Syntax(..)), "{err}");
 }
 
+fn parse(text: &str) -> Catalogue {
+    let file = file::parse("c.ini", text).expect("a valid file");
+    file.catalogue
+}
+
 #[test]
 fn test_diff_edits_and_rows() {
-    let from = file::parse("from", CATALOGUE).expect("a valid file");
+    let from = parse(CATALOGUE);
     let text = CATALOGUE
         .replace("queue = 84", "queue = 90")
         .replace("[service register]", "[service archive]")
         .replace("torino-1", "genova-1");
-    let to = file::parse("to", &text).expect("a valid file");
+    let to = parse(&text);
     let edits = diff::edits(&from, &to);
     let change = wire::catalogue::Change {
         id: "a".into(),
--- a/crates/cli/src/command/apply.rs
+++ b/crates/cli/src/command/apply.rs
@@ -103,15 +103,14 @@
     let desired = file::open(&args.path).map_err(CliError::Catalogue)?;
     let current = control.catalogue().await?;
     plan::print(&current, &desired, out)?;
-    let edits = diff::edits(&current, &desired);
+    let edits = diff::edits(&current, &desired.catalogue);
     if edits.is_empty() {
         return Ok(None);
     }
     let id = args.id.as_ref().map(ToString::to_string);
-    let file_version = (desired.version > 0).then_some(desired.version);
     let change = Change {
         id: id.unwrap_or_else(|| Uuid::new_v4().to_string()),
-        base: args.base.or(file_version).unwrap_or(current.version),
+        base: args.base.or(desired.base).unwrap_or(current.version),
         author: settings.author.clone(),
         edits,
     };
--- a/crates/cli/src/command/plan.rs
+++ b/crates/cli/src/command/plan.rs
@@ -6,6 +6,7 @@
 use catalogue::diff;
 use catalogue::diff::Difference;
 use catalogue::file;
+use catalogue::file::CatalogueFile;
 
 use crate::error::CliError;
 use crate::flags::Arguments;
@@ -29,10 +30,10 @@
 /// Prints the version that the plan is based on, and each difference.
 pub(super) fn print(
     current: &Catalogue,
-    desired: &Catalogue,
+    desired: &CatalogueFile,
     out: &mut Output<'_>,
 ) -> std::io::Result<()> {
-    let differences = diff::differences(current, desired);
+    let differences = diff::differences(current, &desired.catalogue);
     let mut plan = Table::new("plan", &["base", "differences"]);
     plan.push_row([&current.version, &differences.len()]);
     let sentence = match differences.len() {
@@ -40,8 +41,8 @@
         count => format!("against version {}, {count} differences:", current.version),
     };
     out.item(&sentence, &plan)?;
-    if desired.version > 0 && desired.version != current.version {
-        print_outdated(current, desired, out)?;
+    if let Some(base) = desired.base.filter(|base| *base != current.version) {
+        print_outdated(current, base, out)?;
     }
     if differences.is_empty() {
         return Ok(());
@@ -49,17 +50,11 @@
     out.table(&table(&differences))
 }
 
-fn print_outdated(
-    current: &Catalogue,
-    desired: &Catalogue,
-    out: &mut Output<'_>,
-) -> std::io::Result<()> {
+fn print_outdated(current: &Catalogue, base: u64, out: &mut Output<'_>) -> std::io::Result<()> {
     let mut table = Table::new("overtaken", &["file", "current"]);
-    table.push_row([&desired.version, &current.version]);
-    let sentence = format!(
-        "the file was made from version {}, so applying it will end in a conflict",
-        desired.version
-    );
+    table.push_row([&base, &current.version]);
+    let sentence =
+        format!("the file was made from version {base}, so applying it will end in a conflict");
     out.item(&sentence, &table)
 }
 
--- a/crates/cli/src/command/show.rs
+++ b/crates/cli/src/command/show.rs
@@ -41,7 +41,7 @@
         }
     }
     if ini {
-        return Ok(out.raw(&file::write(&catalogue))?);
+        return Ok(out.raw(&file::write(&catalogue.into()))?);
     }
     print_version(&catalogue, out)?;
     out.table(&entries(&catalogue))?;
--- a/crates/cli/tests/test_apply.rs
+++ b/crates/cli/tests/test_apply.rs
@@ -117,6 +117,31 @@
     );
 }
 
+/// Guards against a file that was made from the empty catalogue, version 0, and takes back the
+/// first change, which another operator made since.
+#[tokio::test]
+async fn test_apply_file_of_empty_catalogue_conflicts_with_first_change() {
+    let fake = Fake::default();
+    let control = listen!(ControlApi, fake);
+    let flags = format!("--control {control} --timeout 300ms");
+    let shown = rwrctl(&format!("show --ini {flags}")).await;
+    assert_eq!(shown.exit, Exit::Done, "{}", shown.err);
+    let other = FILE.replace("service grants", "service archive");
+    let mine = write("empty-mine.ini", &format!("{}\n{other}", shown.out));
+    let first = write("empty-first.ini", &two_gateways());
+    let result = rwrctl(&format!("apply {} --id first {flags}", first.display())).await;
+    assert_eq!(result.exit, Exit::Done, "{}", result.err);
+
+    let result = rwrctl(&format!("plan {} {flags}", mine.display())).await;
+    let warning = "the file was made from version 0, so applying it will end in a conflict";
+    assert!(result.out.contains(warning), "{}", result.out);
+    let result = rwrctl(&format!("apply {} --id mine {flags}", mine.display())).await;
+    assert_eq!(result.exit, Exit::Conflict, "{}", result.err);
+    let catalogue = fake.lock().state.catalogue().clone();
+    assert_eq!(catalogue.version, 1);
+    assert_eq!(catalogue.gateways.len(), 2);
+}
+
 #[tokio::test]
 async fn test_apply_resends_the_same_change() {
     let fake = Fake::default();
--- a/crates/cli/tests/test_history.rs
+++ b/crates/cli/tests/test_history.rs
@@ -17,7 +17,7 @@
     let fake = Fake::default();
     let wanted = catalogue::file::parse("c", FILE).expect("a good file");
     let mut server = fake.lock();
-    let edits = catalogue::diff::edits(&server.state.catalogue(), &wanted);
+    let edits = catalogue::diff::edits(&server.state.catalogue(), &wanted.catalogue);
     server.state.apply(&Change {
         id: "a-1".into(),
         base: 0,
--- a/crates/testutils/tests/test_examples.rs
+++ b/crates/testutils/tests/test_examples.rs
@@ -38,7 +38,8 @@
 #[test]
 fn test_examples_catalogue() {
     let folder = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../docs/examples");
-    let catalogue = catalogue::file::open(&folder.join("catalogue.ini")).unwrap();
+    let file = catalogue::file::open(&folder.join("catalogue.ini")).unwrap();
+    let catalogue = file.catalogue;
     assert_eq!(catalogue.entries.len(), 2);
     assert_eq!(catalogue.gateways.len(), 2);
 }
