entry: a test of one kept connection sends no probes beside its requests

Traced by log lines in a trial: the kept connection was open, ready and not expired; a probe had it for more than the 25 ms that a selection waits, so that the request beside it opened another one (2 connections, 2 probes; the second request took 59 ms). Ruled out: the idle timeout, a connection that isn't ready yet. That is as designed, and the test assumed that there is no probe.

--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -138,14 +138,30 @@
 
 /// Starts an entry process without a table or instances.
 pub async fn start_unconfigured() -> Entry {
+    start_with(settings()).await
+}
+
+async fn start_with(settings: Settings) -> Entry {
     let log = telemetry::log::silent();
-    let entry = Entry::start(settings(), Dialect::default(), log).await;
+    let entry = Entry::start(settings, Dialect::default(), log).await;
     entry.expect("starts")
 }
 
 /// Starts an entry process with the test table, and the upstreams as instances of one service.
 pub async fn entry(upstreams: &[&Upstream]) -> Entry {
-    let entry = start_unconfigured().await;
+    configure(start_unconfigured().await, upstreams)
+}
+
+/// Like [`entry`], but the process probes no instance.
+pub async fn entry_without_probes(upstreams: &[&Upstream]) -> Entry {
+    let settings = Settings {
+        probes: 0,
+        ..settings()
+    };
+    configure(start_with(settings).await, upstreams)
+}
+
+fn configure(entry: Entry, upstreams: &[&Upstream]) -> Entry {
     entry.core().set_table(table(1));
     let instances: Vec<Instance> = upstreams.iter().map(|u| instance(u, "status")).collect();
     entry.core().apply_instances(HUB, &instances, &[]);
--- a/crates/entry/tests/test_workspaces.rs
+++ b/crates/entry/tests/test_workspaces.rs
@@ -189,7 +189,11 @@
         (PUBLIC, bearer("k-none"), None),
         (PUBLIC, String::new(), None),
     ];
-    let (upstream, entry) = start(Behavior::Answer).await;
+    let upstream = Upstream::start("i-1", Behavior::Answer).await;
+    // A probe that takes longer than a selection waits for it occupies the connection, and the
+    // request beside it opens another one.
+    let entry = fakes::entry_without_probes(&[&upstream]).await;
+    entry.core().set_table(keyed(2, &[KEY]));
     let mut caller = Caller::connect(entry.front()).await;
     for (number, (path, lines, workspace)) in cases.iter().enumerate() {
         let lines = format!("{forged}{lines}");
@@ -197,6 +201,7 @@
         assert_eq!(answer.status, 200, "{path}");
         check_received(&upstream.received_requests()[number], *workspace);
     }
+    assert_eq!(upstream.probes(), 0);
     assert_eq!(upstream.connections(), 1, "all on one connection");
 }
 
