control, store: a first start that is disturbed founds its group

No configuration is ever acknowledged, every request is refused, until an operator intervenes.

Cause: only the settings of the first start say that a founding is open, and with whom. A replica that is started again before the group is founded names no initial replicas, doesn't found, and is refused by the others ("settings differ"). Related paths: a replica killed before its identity is synced, or without its disk; all replicas killed; a founder that loses its disk when one of the others has the group, as only the founder sent it.

Change: the initial addresses are synced with the identity and count while the log is empty; a replica that has none learns them from one that waits, if all initial replicas answer and none has a log; every member that has the founding group sends it to the others.

Ruled out: another id at the return (the identity is on the disk), a path that is cut.

--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -19,6 +19,7 @@
 use consensus::ReplicaId;
 use consensus::Role;
 use consensus::Stored;
+use consensus::Term;
 use consensus::WriteNumber;
 use quick_error::quick_error;
 use slog::Logger;
@@ -36,6 +37,7 @@
 use wire::control::membership_reply;
 use wire::replica::Ask;
 use wire::replica::AskReply;
+use wire::replica::Group;
 
 use crate::convert;
 use crate::input::Input;
@@ -56,7 +58,8 @@
 
 /// Maximum number of inputs handled per iteration.
 const MAX_BATCH: usize = 4096;
-/// Number of the write that stores a founding group; writes of the log start at 1.
+/// Number of the write that stores the initial replicas or the founding group; writes of the log
+/// start at 1.
 const FOUNDING_WRITE: WriteNumber = WriteNumber(0);
 /// Interval between checks for expired ledger records and surplus voters.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
@@ -118,6 +121,14 @@
     pub metrics: Arc<StatsdClient>,
 }
 
+/// A write before the replica has a group, and where its end is reported.
+enum FoundingWrite {
+    /// The initial replicas.
+    Initial(oneshot::Sender<bool>),
+    /// The founding group.
+    Group(Config, oneshot::Sender<bool>),
+}
+
 /// The driver task.
 pub struct Driver {
     clock: Clock,
@@ -128,7 +139,7 @@
     queued: VecDeque<(Ask, oneshot::Sender<AskReply>)>,
     /// Commands proposed since the last write began.
     admitted: usize,
-    founding: Option<(Config, oneshot::Sender<bool>)>,
+    founding: Option<FoundingWrite>,
     /// The replica has no log and waits for its founding group; messages are dropped.
     awaits_founding: bool,
     /// Snapshot being encoded, with the index of its last entry.
@@ -250,7 +261,11 @@
                 let catalogue_state = self.parts.state_machine.catalogue_state();
                 let _ = reply.send(catalogue_state.history(query.from, query.most));
             }
+            Input::AwaitFounding(initial, reply) => self.await_founding(initial, reply),
             Input::Found(config, reply) => self.start_founding(config, reply),
+            Input::FoundingGroup(reply) => {
+                let _ = reply.send(self.founding_group());
+            }
             Input::Join => self.awaits_founding = false,
             Input::Transfer => {
                 if self.is_leader() {
@@ -281,7 +296,7 @@
     fn on_write_report(&mut self, report: Option<Result<Written, StoreError>>) {
         // The channel closes without a failure report only when the thread has panicked.
         match report.unwrap_or(Err(StoreError::Stopped)) {
-            Ok(written) if written.number == FOUNDING_WRITE => self.finish_founding(),
+            Ok(written) if written.number == FOUNDING_WRITE => self.finish_founding_write(),
             Ok(written) => {
                 self.record_write_time(written.elapsed);
                 self.step(Event::Persisted {
@@ -295,6 +310,27 @@
         }
     }
 
+    /// Stores the initial replicas and waits for the founding group, unless this replica has a log,
+    /// a group or a term, or already waits.
+    fn await_founding(&mut self, initial: Vec<String>, reply: oneshot::Sender<bool>) {
+        let status = self.node.status();
+        let is_blank = status.term == Term::default() && status.config == Config::default();
+        if !is_blank || self.awaits_founding || self.founding.is_some() {
+            let _ = reply.send(false);
+            return;
+        }
+        self.awaits_founding = true;
+        self.parts.writer.write_initial(FOUNDING_WRITE, initial);
+        self.founding = Some(FoundingWrite::Initial(reply));
+    }
+
+    /// The founding group, unless this replica has none or only a later snapshot.
+    fn founding_group(&self) -> Option<Group> {
+        let snapshot = &self.parts.stored.snapshot;
+        let is_founding = snapshot.position.index.0 == 0 && snapshot.config != Config::default();
+        is_founding.then(|| convert::group_to_wire(&snapshot.config))
+    }
+
     /// Accepts the founding group unless this replica already has a log or a group.
     fn start_founding(&mut self, config: Config, reply: oneshot::Sender<bool>) {
         let is_voter = config.is_voter(self.id());
@@ -308,14 +344,21 @@
             snapshot: Some(stored.snapshot),
             ..consensus::Write::default()
         });
-        self.founding = Some((config, reply));
+        self.founding = Some(FoundingWrite::Group(config, reply));
+    }
+
+    fn finish_founding_write(&mut self) {
+        match self.founding.take() {
+            Some(FoundingWrite::Initial(reply)) => {
+                let _ = reply.send(true);
+            }
+            Some(FoundingWrite::Group(config, reply)) => self.finish_founding(config, reply),
+            None => {}
+        }
     }
 
     /// Restarts the log as a member of the founding group once that group is synced.
-    fn finish_founding(&mut self) {
-        let Some((config, reply)) = self.founding.take() else {
-            return;
-        };
+    fn finish_founding(&mut self, config: Config, reply: oneshot::Sender<bool>) {
         self.parts.stored = Stored::founding(self.id(), config);
         self.node = Node::new(
             self.parts.settings.clone(),
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -20,6 +20,7 @@
 use wire::hub::Table;
 use wire::replica::Ask;
 use wire::replica::AskReply;
+use wire::replica::Group;
 
 /// Maximum number of inputs queued for the driver.
 pub const QUEUE_CAPACITY: usize = 16_384;
@@ -74,8 +75,12 @@
     Status(oneshot::Sender<Status>),
     /// List accepted changes.
     History(HistoryQuery, oneshot::Sender<History>),
+    /// Store these initial replicas and wait for the founding group, unless the replica has a log.
+    AwaitFounding(Vec<String>, oneshot::Sender<bool>),
     /// Accept the founding group.
     Found(Config, oneshot::Sender<bool>),
+    /// Report the founding group, if the replica has it and no later snapshot.
+    FoundingGroup(oneshot::Sender<Option<Group>>),
     /// Stop waiting for a founding group, as one exists without this replica, and accept
     /// messages from the leader that adds it.
     Join,
--- a/crates/control/src/joining.rs
+++ b/crates/control/src/joining.rs
@@ -46,8 +46,11 @@
 }
 
 impl Joiner {
-    /// Runs until dropped.
-    pub async fn run(self) {
+    /// Runs until dropped. Does nothing without seeds.
+    pub async fn run(&self) {
+        if self.seeds.is_empty() {
+            return std::future::pending().await;
+        }
         let mut leader_seen_at = Instant::now();
         loop {
             tokio::time::sleep(POLL_INTERVAL).await;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,15 +3,18 @@
 //! The [`driver`] task owns the replicated log and the [`state_machine`]; the [`writer`]
 //! thread owns the data folder. Messages to other replicas go through bounded queues
 //! ([`peers`]). [`control`] serves directories, gateways and operators. [`founding`]
-//! bootstraps a new group, and [`joining`] adds replicas to an existing one.
+//! bootstraps a new group of the [`initial`] replicas, [`distributing`] sends it to all of them,
+//! and [`joining`] adds replicas to an existing one.
 
 pub mod control;
 pub mod convert;
+pub mod distributing;
 pub mod driver;
 pub mod error;
 pub mod founding;
 pub mod group;
 pub mod handle;
+pub mod initial;
 pub mod input;
 pub mod joining;
 pub mod leader_client;
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -21,6 +21,7 @@
 
 use crate::convert;
 use crate::convert::message;
+use crate::initial::InitialReplicas;
 use crate::input::DriverHandle;
 use crate::input::Input;
 use crate::partition::Partition;
@@ -37,8 +38,6 @@
     pub domain: DomainName,
     /// Its region.
     pub region: RegionName,
-    /// Sorted addresses of the founding group; empty for a replica that joins later.
-    pub initial: Vec<String>,
 }
 
 impl Identity {
@@ -60,6 +59,8 @@
 pub struct ReplicaServer {
     /// The identity of this replica.
     pub identity: Arc<Identity>,
+    /// The initial replicas.
+    pub initial: Arc<InitialReplicas>,
     /// Handle of the driver task.
     pub driver: DriverHandle,
     /// Simulated network partition, for tests.
@@ -73,9 +74,9 @@
         let group = request.group.unwrap_or_default();
         let mut addresses: Vec<&str> = group.replicas.iter().map(|r| &*r.address).collect();
         addresses.sort_unstable();
-        let matches_settings = request.to == self.identity.id && addresses == self.identity.initial;
+        let is_own = request.to == self.identity.id && addresses == self.initial.known();
         let config = match convert::group(&group) {
-            Ok(config) if matches_settings => config,
+            Ok(config) if is_own => config,
             _ => {
                 warn!(self.log, "founding"; "outcome" => "refused", "to" => request.to,
                     "group" => addresses.join(","));
@@ -108,14 +109,15 @@
         }
     }
 
-    async fn hello(self, _: Context, _: Hello) -> HelloReply {
+    async fn hello(self, _: Context, request: Hello) -> HelloReply {
         self.partition.block_if_active().await;
+        self.initial.record_named(request.initial);
         let status = self.driver.call(Input::Status).await.unwrap_or_default();
         let is_member = !status.replicas.is_empty();
         HelloReply {
             replica: Some(self.identity.to_wire(false)),
             started: is_member || status.term > 0,
-            initial: self.identity.initial.clone(),
+            initial: self.initial.known(),
             group: status.replicas,
         }
     }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -37,19 +37,21 @@
 use wire::link::Channel as Transport;
 use wire::link::Incoming;
 use wire::link::MAX_PENDING;
-use wire::replica::Group;
 
 use crate::control::ControlServer;
 use crate::convert;
 use crate::convert::ConvertError;
+use crate::distributing::Distributor;
 use crate::driver::Driver;
 use crate::driver::Parts;
 use crate::error::ControlError;
-use crate::founding::Distributor;
 use crate::founding::Founder;
+use crate::founding::FoundingEnd;
 use crate::handle::Control;
 use crate::handle::ShutdownTokens;
+use crate::initial::InitialReplicas;
 use crate::input::DriverHandle;
+use crate::input::Input;
 use crate::input::View;
 use crate::joining::Joiner;
 use crate::leader_client::LeaderClient;
@@ -126,11 +128,12 @@
         log: Logger,
     ) -> Result<Control, ControlError> {
         let segment_bytes = settings.sizes.segment.0;
-        let open_store = move || Store::open(disk, Options { segment_bytes }, rand::random());
+        let new = new_identity(&settings);
+        let open_store = move || Store::open(disk, Options { segment_bytes }, new);
         let (store, recovered) = tokio::task::spawn_blocking(open_store).await??;
         let metrics = telemetry::metrics::start(settings.telemetry.sink, settings.host.as_str())?;
         let startup = Startup {
-            identity: Arc::new(self.identity(&settings, recovered.id)),
+            identity: Arc::new(self.identity(&settings, recovered.identity.id)),
             settings,
             partition: Partition::default(),
             metrics: Arc::new(metrics),
@@ -144,19 +147,26 @@
         if address.port() == 0 {
             address.set_port(self.replica().port());
         }
-        let initial = settings.replica.initial.iter();
-        let mut initial: Vec<String> = initial.map(ToString::to_string).collect();
-        initial.sort_unstable();
         Identity {
             id,
             address,
             domain: settings.domain.clone(),
             region: settings.region.clone(),
-            initial,
         }
     }
 }
 
+/// The identity of a replica whose data folder is empty.
+fn new_identity(settings: &Settings) -> wire::store::Identity {
+    let initial = settings.replica.initial.iter();
+    let mut initial: Vec<String> = initial.map(ToString::to_string).collect();
+    initial.sort_unstable();
+    wire::store::Identity {
+        id: rand::random(),
+        initial,
+    }
+}
+
 /// Settings and dependencies shared by the tasks of a replica.
 struct Startup {
     settings: Settings,
@@ -175,14 +185,19 @@
     ) -> Result<Control, ControlError> {
         let (rpc, replica) = (bound.rpc(), bound.replica());
         let stored = stored(recovered)?;
-        let group = convert::group_to_wire(&stored.snapshot.config);
+        let id = recovered.identity.id;
         let is_empty = stored == Stored::empty(stored.id);
-        let awaits_founding = is_empty && !self.identity.initial.is_empty();
-        info!(self.log, "recovered"; "id" => recovered.id, "term" => recovered.state.term,
+        let initial = if is_empty {
+            recovered.identity.initial.clone()
+        } else {
+            Vec::new()
+        };
+        let awaits_founding = !initial.is_empty();
+        info!(self.log, "recovered"; "id" => id, "initial" => initial.join(","), "term" => recovered.state.term,
             "snapshot" => stored.snapshot.position.index.0, "entries" => stored.entries.len(),
             "commit" => stored.commit.0,
             "torn" => recovered.torn_bytes);
-        let snapshot_index = stored.snapshot.position.index.0;
+        let initial = Arc::new(InitialReplicas::new(initial));
         let (driver, inbox) = DriverHandle::new();
         let (views, view) = watch::channel(View::default());
         let parts = self.parts(store, stored, views, awaits_founding)?;
@@ -199,8 +214,7 @@
                 result
             }
         });
-        let group = (!is_empty && snapshot_index == 0).then_some(group);
-        let founding = tokio::spawn(self.run_founding(&driver, awaits_founding, group));
+        let founding = tokio::spawn(self.run_founding(&driver, is_empty, &initial));
         let open_requests = TaskTracker::new();
         let server = self.new_control_server(&driver, view, &shutdown);
         let local_client = LocalClient::new(&server);
@@ -220,14 +234,14 @@
                 ))
             }
         }));
-        let server = self.new_replica_server(&driver);
+        let server = self.new_replica_server(&driver, initial);
         acceptors.spawn(acceptor.run(bound.replica, {
             let shutdown = shutdown.clone();
             move |channel| shutdown.run_until_closed(serve_replica(channel, server.clone()))
         }));
-        info!(self.log, "ready"; "id" => recovered.id, "address" => %rpc, "replica" => %replica);
+        info!(self.log, "ready"; "id" => id, "address" => %rpc, "replica" => %replica);
         Ok(Control {
-            id: recovered.id,
+            id,
             rpc,
             replica,
             local_client,
@@ -285,52 +299,34 @@
         })
     }
 
-    /// Founds the group when there is none, distributes a founding group to its members,
-    /// and runs the joiner.
+    /// Founds the group or joins one if the store `is_empty`, distributes a founding group to its
+    /// members, and runs the joiner.
     fn run_founding(
         &self,
         driver: &DriverHandle,
-        awaits_founding: bool,
-        group: Option<Group>,
+        is_empty: bool,
+        initial: &Arc<InitialReplicas>,
     ) -> impl Future<Output = ()> + Send + use<> {
-        let founder = awaits_founding.then(|| Founder {
+        let founder = Founder {
             identity: Arc::clone(&self.identity),
+            initial: Arc::clone(initial),
             acceptance: self.settings.replica.acceptance,
             driver: driver.clone(),
             partition: self.partition.clone(),
             log: self.log.clone(),
-        });
-        let identity = Arc::clone(&self.identity);
-        let partition = self.partition.clone();
-        let seeds = self.settings.replica.seeds.clone();
-        let joiner = (!seeds.is_empty()).then(|| Joiner {
+        };
+        let joiner = Joiner {
             identity: Arc::clone(&self.identity),
-            seeds,
+            seeds: self.settings.replica.seeds.clone(),
             driver: driver.clone(),
             partition: self.partition.clone(),
             log: self.log.clone(),
-        });
+        };
         async move {
-            let group = match founder {
-                Some(founder) => founder.run().await,
-                None => group,
-            };
-            let distributing = async {
-                if let Some(group) = group {
-                    let distributor = Distributor {
-                        identity,
-                        group,
-                        partition,
-                    };
-                    distributor.run().await;
-                }
-            };
-            let joining = async {
-                if let Some(joiner) = joiner {
-                    joiner.run().await;
-                }
-            };
-            tokio::join!(distributing, joining);
+            if is_empty {
+                found_or_join(&founder, &joiner).await;
+            }
+            tokio::join!(distribute(&founder), joiner.run());
         }
     }
 
@@ -352,9 +348,14 @@
         }
     }
 
-    fn new_replica_server(&self, driver: &DriverHandle) -> ReplicaServer {
+    fn new_replica_server(
+        &self,
+        driver: &DriverHandle,
+        initial: Arc<InitialReplicas>,
+    ) -> ReplicaServer {
         ReplicaServer {
             identity: Arc::clone(&self.identity),
+            initial,
             driver: driver.clone(),
             partition: self.partition.clone(),
             log: self.log.clone(),
@@ -362,9 +363,38 @@
     }
 }
 
+/// Returns once the replica, which has no log, has the founding group; runs the joiner until then if
+/// it knows no initial replicas.
+async fn found_or_join(founder: &Founder, joiner: &Joiner) {
+    loop {
+        if founder.initial.known().is_empty() {
+            tokio::select! {
+                () = joiner.run() => {}
+                () = founder.wait_for_initial() => {}
+            }
+        }
+        if founder.run().await == FoundingEnd::Member {
+            return;
+        }
+    }
+}
+
+/// Distributes the founding group, if the replica has it.
+async fn distribute(founder: &Founder) {
+    let group = founder.driver.call(Input::FoundingGroup).await;
+    if let Ok(Some(group)) = group {
+        let distributor = Distributor {
+            identity: Arc::clone(&founder.identity),
+            group,
+            partition: founder.partition.clone(),
+        };
+        distributor.run().await;
+    }
+}
+
 /// Converts recovered data to the types of the replicated log.
 fn stored(recovered: &Recovered) -> Result<Stored, ConvertError> {
-    let mut stored = Stored::empty(ReplicaId(recovered.id));
+    let mut stored = Stored::empty(ReplicaId(recovered.identity.id));
     stored.hard_state = HardState {
         term: Term(recovered.state.term),
         vote: Some(ReplicaId(recovered.state.vote)).filter(|id| id.0 != 0),
--- a/crates/control/src/writer.rs
+++ b/crates/control/src/writer.rs
@@ -43,7 +43,16 @@
 /// At most one write is in flight, so neither channel grows.
 #[derive(Debug)]
 pub struct Writer {
-    writes: mpsc::Sender<Write>,
+    jobs: mpsc::Sender<Job>,
+}
+
+/// What the thread writes.
+#[derive(Debug)]
+enum Job {
+    /// A write of the log.
+    Log(Write),
+    /// The initial replicas.
+    Initial(WriteNumber, Vec<String>),
 }
 
 /// Results of writes, as reported by the thread.
@@ -56,31 +65,44 @@
     ///
     /// Fails when the thread cannot be started.
     pub fn start(store: Store) -> Result<(Self, Reports), WriterError> {
-        let (writes, inbox) = mpsc::channel();
+        let (jobs, inbox) = mpsc::channel();
         let (outbox, reports) = async_mpsc::unbounded_channel();
         thread::Builder::new()
             .name("store".into())
             .spawn(move || run(store, &inbox, &outbox))
             .map_err(WriterError::Thread)?;
-        Ok((Self { writes }, reports))
+        Ok((Self { jobs }, reports))
     }
 
     /// Queues a write.
     pub fn write(&self, write: Write) {
+        self.send(Job::Log(write));
+    }
+
+    /// Queues the write of the initial replicas, which is reported under this number.
+    pub fn write_initial(&self, number: WriteNumber, initial: Vec<String>) {
+        self.send(Job::Initial(number, initial));
+    }
+
+    fn send(&self, job: Job) {
         // The channel is closed only after the thread has reported a failure.
-        let _ = self.writes.send(write);
+        let _ = self.jobs.send(job);
     }
 }
 
 fn run(
     mut store: Store,
-    inbox: &mpsc::Receiver<Write>,
+    inbox: &mpsc::Receiver<Job>,
     outbox: &async_mpsc::UnboundedSender<Result<Written, StoreError>>,
 ) {
-    for write in inbox {
+    for job in inbox {
         let started_at = Instant::now();
-        let result = write_to_store(&mut store, &write).map(|()| Written {
-            number: write.number,
+        let (number, written) = match job {
+            Job::Log(write) => (write.number, write_to_store(&mut store, &write)),
+            Job::Initial(number, initial) => (number, store.save_initial(initial)),
+        };
+        let result = written.map(|()| Written {
+            number,
             elapsed: started_at.elapsed(),
         });
         let failed = result.is_err();
--- a/crates/store/src/snapshot.rs
+++ b/crates/store/src/snapshot.rs
@@ -31,7 +31,8 @@
     with_context(Operation::Sync, name, disk.sync_dir())
 }
 
-/// Loads the identity, or stores `new_id` as the identity of an empty folder.
+/// Loads the identity, or stores `new` as the identity of an empty folder. Initial replicas that
+/// `new` names replace the stored ones.
 ///
 /// # Errors
 ///
@@ -39,16 +40,34 @@
 pub fn load_or_create_identity(
     disk: &mut dyn Disk,
     names: &[String],
-    new_id: u64,
-) -> Result<u64, StoreError> {
+    new: Identity,
+) -> Result<Identity, StoreError> {
     if names.iter().any(|n| n == IDENTITY) {
-        return Ok(load::<Identity>(disk, IDENTITY, Damage::Identity)?.id);
+        let stored = load::<Identity>(disk, IDENTITY, Damage::Identity)?;
+        if new.initial.is_empty() || new.initial == stored.initial {
+            return Ok(stored);
+        }
+        let identity = Identity {
+            id: stored.id,
+            ..new
+        };
+        save_identity(disk, &identity)?;
+        return Ok(identity);
     }
     if !names.is_empty() {
         return Err(StoreError::Damaged(IDENTITY.into(), 0, Damage::Identity));
     }
-    write_atomic(disk, IDENTITY, &encode_frame(&Identity { id: new_id }))?;
-    Ok(new_id)
+    save_identity(disk, &new)?;
+    Ok(new)
+}
+
+/// Stores the identity.
+///
+/// # Errors
+///
+/// Fails if any step fails; the old identity or the new one is stored.
+pub fn save_identity(disk: &mut dyn Disk, identity: &Identity) -> Result<(), StoreError> {
+    write_atomic(disk, IDENTITY, &encode_frame(identity))
 }
 
 /// Loads the newest snapshot and removes older ones.
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -4,6 +4,7 @@
 use wire::store::Batch;
 use wire::store::Entry;
 use wire::store::HardState;
+use wire::store::Identity;
 use wire::store::Snapshot;
 
 use crate::disk::Disk;
@@ -37,7 +38,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Recovered {
     /// The replica's identity, generated when the folder was created.
-    pub id: u64,
+    pub identity: Identity,
     /// The last hard state.
     pub state: HardState,
     /// The newest snapshot.
@@ -72,6 +73,7 @@
 pub struct Store {
     disk: Box<dyn Disk>,
     options: Options,
+    identity: Identity,
     segments: Vec<Segment>,
     state: HardState,
     last_index: u64,
@@ -81,7 +83,8 @@
 }
 
 impl Store {
-    /// Opens a folder and reads its contents; an empty one gets the identity `new_id`.
+    /// Opens a folder and reads its contents; an empty one gets the identity `new`, and one with
+    /// another id the initial replicas that `new` names.
     ///
     /// # Errors
     ///
@@ -89,10 +92,10 @@
     pub fn open(
         mut disk: Box<dyn Disk>,
         options: Options,
-        new_id: u64,
+        new: Identity,
     ) -> Result<(Self, Recovered), StoreError> {
         let names = remove_temp_files(&mut *disk)?;
-        let id = snapshot::load_or_create_identity(&mut *disk, &names, new_id)?;
+        let identity = snapshot::load_or_create_identity(&mut *disk, &names, new)?;
         let loaded = snapshot::load_newest(&mut *disk, &names)?;
         let compacted_index = loaded.as_ref().map_or(0, |s| s.index);
         let mut log = LogReader::new(&mut *disk, compacted_index);
@@ -103,6 +106,7 @@
         let store = Self {
             disk,
             options,
+            identity: identity.clone(),
             segments,
             state,
             last_index: entries.last().map_or(compacted_index, |e| e.index),
@@ -110,7 +114,7 @@
             stopped: false,
         };
         let recovered = Recovered {
-            id,
+            identity,
             state,
             snapshot: loaded,
             entries,
@@ -138,6 +142,16 @@
         self.stop_on_error(|store| store.save_snapshot(snapshot))
     }
 
+    /// Stores the sorted addresses of the replicas that found the group together.
+    ///
+    /// # Errors
+    ///
+    /// Fails if they may not survive a crash; the store then stops.
+    pub fn save_initial(&mut self, initial: Vec<String>) -> Result<(), StoreError> {
+        self.identity.initial = initial;
+        self.stop_on_error(|store| snapshot::save_identity(&mut *store.disk, &store.identity))
+    }
+
     /// Returns the index of the last entry.
     #[must_use]
     pub fn last_index(&self) -> u64 {
--- a/crates/store/tests/test_store.rs
+++ b/crates/store/tests/test_store.rs
@@ -15,6 +15,7 @@
 use wire::store::Batch;
 use wire::store::Entry;
 use wire::store::HardState;
+use wire::store::Identity;
 use wire::store::Snapshot;
 
 const FIRST: &str = "log-00000000000000000001";
@@ -47,8 +48,15 @@
     }
 }
 
+fn identity(id: u64) -> Identity {
+    Identity {
+        id,
+        initial: Vec::new(),
+    }
+}
+
 fn open(disk: &MemoryDisk, options: Options) -> Result<(Store, Recovered), StoreError> {
-    Store::open(Box::new(disk.clone()), options, 42)
+    Store::open(Box::new(disk.clone()), options, identity(42))
 }
 
 /// A folder with entries 1 to `count`, each in a batch of its own.
@@ -71,7 +79,7 @@
     drop(store);
     disk.crash();
     let (_, found) = open(&disk, SMALL).expect("opens");
-    assert_eq!(found.id, 42);
+    assert_eq!(found.identity.id, 42);
     assert_eq!(found.state, HardState { term: 1, vote: 7 });
     assert_eq!(indices(&found), [1, 2, 3, 4, 5]);
 }
@@ -102,8 +110,34 @@
     let disk = MemoryDisk::default();
     open(&disk, SMALL).expect("opens");
     disk.crash();
-    let (_, found) = Store::open(Box::new(disk), SMALL, 43).expect("opens");
-    assert_eq!(found.id, 42);
+    let (_, found) = Store::open(Box::new(disk), SMALL, identity(43)).expect("opens");
+    assert_eq!(found.identity.id, 42);
+}
+
+/// Guards against a replica that forgets, in a crash, with whom it founds its group.
+#[test]
+fn test_store_initial_replicas_outlive_crashes() {
+    let disk = MemoryDisk::default();
+    let open = |id, initial: &[&str]| {
+        let new = Identity {
+            initial: initial.iter().map(ToString::to_string).collect(),
+            ..identity(id)
+        };
+        let (store, found) = Store::open(Box::new(disk.clone()), SMALL, new).expect("opens");
+        assert_eq!(found.identity.id, 42);
+        (store, found.identity.initial)
+    };
+    assert_eq!(open(42, &["a", "b"]).1, ["a", "b"]);
+    disk.crash();
+    assert_eq!(open(43, &[]).1, ["a", "b"], "settings name none later");
+    disk.crash();
+    assert_eq!(open(43, &["a", "c"]).1, ["a", "c"], "corrected settings");
+    disk.crash();
+    let (mut store, _) = open(43, &[]);
+    store.save_initial(vec!["d".into()]).expect("saves");
+    drop(store);
+    disk.crash();
+    assert_eq!(open(43, &[]).1, ["d"]);
 }
 
 /// A failing write: the fault, whether the error is a full disk, and the unsynced bytes kept.
@@ -362,15 +396,15 @@
     let disk = Folder::open(&path).expect("opens");
     let second = Folder::open(&path).expect_err("held");
     assert!(matches!(second, StoreError::Locked(_)));
-    let (mut store, _) = Store::open(Box::new(disk), SMALL, 9).expect("opens");
+    let (mut store, _) = Store::open(Box::new(disk), SMALL, identity(9)).expect("opens");
     for index in 1..=20 {
         store.append(&batch(1, [index])).expect("appends");
     }
     store.save(&snapshot(15, 1)).expect("saves");
     drop(store);
     let disk = Folder::open(&path).expect("opens again");
-    let (_, found) = Store::open(Box::new(disk), SMALL, 10).expect("opens");
-    assert_eq!(found.id, 9);
+    let (_, found) = Store::open(Box::new(disk), SMALL, identity(10)).expect("opens");
+    assert_eq!(found.identity.id, 9);
     assert_eq!(indices(&found), [16, 17, 18, 19, 20]);
 }
 
