gateway, reach, entry: a relayed request makes no attempts on a path that isn't proven

Cause: the gateway that gets the request takes its path for good until its own attempts have failed. Entry processes check an unproven path when a peer asks them; gateways were never asked and didn't check.

Change: reach::check::confirm tests by itself whether the path is proven, so that entry processes and gateways share it; a gateway calls it before it admits a relayed request. It connects to two instances, records those that accept, and starts the path check if none does; a check and its retries belong to the process and are the same for any number of requests. For entry processes nothing changes.

Ruled out: a smaller limit of connections for relayed requests (one at each of seven gateways is 20 for 14 allowed) and a number of connections that goes along with the request (16 for 14: a peer can't tell how many it used).

--- a/crates/entry/src/core/paths.rs
+++ b/crates/entry/src/core/paths.rs
@@ -41,6 +41,14 @@
         path.is_some_and(|path| path.is_proven(now))
     }
 
+    /// Whether the path counts as good though no instance has accepted a connection lately.
+    pub fn is_path_unproven(&self, service: &ServiceName) -> bool {
+        let now = self.clock.now();
+        let state = self.state();
+        let path = state.paths.get(service);
+        path.is_none_or(|path| path.is_unproven(now))
+    }
+
     /// When the path to the service's instances was found to be cut, while it is.
     pub fn cut_at(&self, service: &ServiceName) -> Option<Moment> {
         self.state().paths.get(service)?.cut_at()
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -36,6 +36,10 @@
         self.services()
     }
 
+    fn is_unproven(&self, service: &ServiceName) -> bool {
+        self.is_path_unproven(service)
+    }
+
     fn begin_path_check(&self, service: &ServiceName) -> bool {
         self.begin_path_check(service)
     }
--- a/crates/entry/src/relay/search.rs
+++ b/crates/entry/src/relay/search.rs
@@ -9,7 +9,6 @@
 use http::Response;
 use hyper::body::Incoming;
 use reach::Answer;
-use reach::Belief;
 use reach::check;
 use tokio::time::Instant;
 
@@ -146,9 +145,7 @@
 /// Whether instances of the service accept connections of this process. Connects to some unless
 /// one has accepted a connection lately.
 async fn is_reached(core: &Arc<Core>, service: &ServiceName) -> bool {
-    if core.path_belief(service) == Belief::Reached && !core.is_path_proven(service) {
-        check::confirm(core, service).await;
-    }
+    check::confirm(core, service).await;
     core.path_checked(service).await;
     core.is_path_proven(service)
 }
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -107,7 +107,11 @@
 
     async fn connect(&self, upstream: &Arc<UpstreamInstance>) -> bool {
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(upstream.address));
-        matches!(connecting.await, Ok(Ok(_)))
+        let accepted = matches!(connecting.await, Ok(Ok(_)));
+        if accepted {
+            check::Process::record_connected(self, &upstream.service);
+        }
+        accepted
     }
 
     fn services(&self) -> Vec<ServiceName> {
@@ -117,6 +121,11 @@
             .collect()
     }
 
+    fn is_unproven(&self, service: &ServiceName) -> bool {
+        let now = self.clock.now();
+        self.paths.change(service, |path| path.is_unproven(now))
+    }
+
     fn begin_path_check(&self, service: &ServiceName) -> bool {
         self.paths.change(service, Path::begin_check)
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -9,6 +9,7 @@
 use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
+use reach::check;
 use salvo::Depot;
 use salvo::FlowCtrl;
 use salvo::Handler;
@@ -204,6 +205,10 @@
         let received = self.receive(id, request).await?;
         let outgoing = received.outgoing.clone();
         let service = &outgoing.head.service.name;
+        if outgoing.relayed {
+            // Its own attempts would find out a cut, once more for each gateway that is asked.
+            check::confirm(core, service).await;
+        }
         if core.paths.is_cut_off(service).await {
             return outgoing.relay(core, received.body).await;
         }
--- a/crates/reach/src/check.rs
+++ b/crates/reach/src/check.rs
@@ -39,6 +39,9 @@
     /// The services that have instances.
     fn services(&self) -> Vec<ServiceName>;
 
+    /// Whether the path counts as good though no instance has accepted a connection lately.
+    fn is_unproven(&self, service: &ServiceName) -> bool;
+
     /// Starts a check of the path to the service's instances, unless one is in progress or the
     /// path is known to be cut.
     fn begin_path_check(&self, service: &ServiceName) -> bool;
@@ -67,8 +70,12 @@
     tokio::spawn(async move { check(&process, &service).await });
 }
 
-/// Tries to connect to a few instances, and starts a check if none accepts.
+/// Tries to connect to a few instances unless one has accepted a connection lately, and starts a
+/// check if none accepts.
 pub async fn confirm<P: Process>(process: &Arc<P>, service: &ServiceName) {
+    if !process.is_unproven(service) {
+        return;
+    }
     let mut tried = ordered_instances(&**process, service);
     tried.truncate(TRIED_INSTANCES);
     if !reaches_any(&**process, &tried).await && process.begin_path_check(service) {
--- a/crates/reach/src/path.rs
+++ b/crates/reach/src/path.rs
@@ -58,6 +58,12 @@
         self.belief != Belief::CutOff && self.connected_at.is_some_and(is_recent)
     }
 
+    /// Whether the path counts as good though no instance has accepted a connection lately.
+    #[must_use]
+    pub fn is_unproven(&self, now: Moment) -> bool {
+        self.belief == Belief::Reached && !self.is_proven(now)
+    }
+
     /// When the path was found to be cut, while it is.
     #[must_use]
     pub fn cut_at(&self) -> Option<Moment> {
