--- a/crates/cli/tests/fakes/mod.rs
+++ b/crates/cli/tests/fakes/mod.rs
@@ -82,6 +82,22 @@
 pub struct Fake(Arc<Mutex<ServerState>>);
 
 impl Fake {
+    /// A fake whose catalogue has one accepted change, [`FILE`].
+    pub fn filled() -> Self {
+        let fake = Self::default();
+        let file = catalogue::file::parse("c", FILE).expect("a good file");
+        let mut server = fake.lock();
+        let edits = catalogue::diff::edits(&server.state.catalogue(), &file.catalogue);
+        server.state.apply(&Change {
+            id: "a-1".into(),
+            base: 0,
+            author: "anna".into(),
+            edits,
+        });
+        drop(server);
+        fake
+    }
+
     pub fn lock(&self) -> MutexGuard<'_, ServerState> {
         self.0
             .lock()
--- a/crates/cli/tests/test_commands.rs
+++ b/crates/cli/tests/test_commands.rs
@@ -12,7 +12,6 @@
 use futures::StreamExt;
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
-use wire::catalogue::Change;
 use wire::control::MembershipDone;
 use wire::control::MembershipPending;
 use wire::control::MembershipRefused;
@@ -35,16 +34,8 @@
 
 /// A fake with one host, one service, one instance and one replica.
 fn filled() -> Fake {
-    let fake = Fake::default();
-    let wanted = catalogue::file::parse("c", FILE).expect("a good file");
+    let fake = Fake::filled();
     let mut server = fake.lock();
-    let edits = catalogue::diff::edits(&server.state.catalogue(), &wanted.catalogue);
-    server.state.apply(&Change {
-        id: "a-1".into(),
-        base: 0,
-        author: "anna".into(),
-        edits,
-    });
     server.hosts.hosts = vec![Host {
         host: "milano-1".into(),
         domain: "milano".into(),
--- a/crates/cli/tests/test_history.rs
+++ b/crates/cli/tests/test_history.rs
@@ -3,7 +3,6 @@
 mod fakes;
 
 use cli::Exit;
-use fakes::FILE;
 use fakes::Fake;
 use fakes::listen;
 use fakes::rwrctl;
@@ -11,29 +10,13 @@
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
 use tokio::net::TcpListener;
-use wire::catalogue::Change;
-
-fn filled() -> Fake {
-    let fake = Fake::default();
-    let wanted = catalogue::file::parse("c", FILE).expect("a good file");
-    let mut server = fake.lock();
-    let edits = catalogue::diff::edits(&server.state.catalogue(), &wanted.catalogue);
-    server.state.apply(&Change {
-        id: "a-1".into(),
-        base: 0,
-        author: "anna".into(),
-        edits,
-    });
-    drop(server);
-    fake
-}
 
 #[tokio::test]
 async fn test_history_skips_replica_without_data() {
     let empty = Fake::default();
     empty.lock().no_majority = true;
     let first = listen!(ControlApi, empty);
-    let second = listen!(ControlApi, filled());
+    let second = listen!(ControlApi, Fake::filled());
     for line in ["history", "history --from 1"] {
         let result = rwrctl(&format!("{line} --control {first},{second}")).await;
         assert_eq!(result.exit, Exit::Done, "{line}: {}", result.err);
@@ -47,7 +30,7 @@
         .await
         .expect("a free port");
     let first = silent.local_addr().expect("its address");
-    let second = listen!(ControlApi, filled());
+    let second = listen!(ControlApi, Fake::filled());
     let line = format!("history --timeout 2s --control {first},{second}");
     let result = rwrctl(&line).await;
     assert_eq!(result.exit, Exit::Done, "{}", result.err);
--- a/crates/gateway/tests/test_keyed.rs
+++ b/crates/gateway/tests/test_keyed.rs
@@ -32,6 +32,11 @@
         .header("idempotency-key", key)
 }
 
+/// Sends a request and returns the parts of its response.
+async fn send(request: RequestBuilder) -> (u16, String, String, String) {
+    response_parts(request.send().await.expect("a response")).await
+}
+
 /// Status, outcome, reason and body of a response.
 async fn response_parts(response: Response) -> (u16, String, String, String) {
     let status = response.status().as_u16();
@@ -107,22 +112,10 @@
     for case in CASES {
         let control = FakeControl::start().await;
         let rig = rig(&[control.address], |_| {}).await;
-        let first = response_parts(
-            keyed_request(&rig, "k", case.path)
-                .send()
-                .await
-                .expect("a response"),
-        )
-        .await;
+        let first = send(keyed_request(&rig, "k", case.path)).await;
         assert_eq!((first.0, &*first.1, &*first.2), case.first, "{}", case.path);
         wait_until(|| control.settled("k") == Some(case.settled)).await;
-        let second = response_parts(
-            keyed_request(&rig, "k", case.path)
-                .send()
-                .await
-                .expect("a response"),
-        )
-        .await;
+        let second = send(keyed_request(&rig, "k", case.path)).await;
         let head = (second.0, &*second.1, &*second.2);
         assert_eq!(head, case.second, "{}", case.path);
         if second.0 == first.0 {
@@ -137,13 +130,7 @@
     let control = FakeControl::start().await;
     let rig = rig(&[control.address], |_| {}).await;
     for _ in 0..2 {
-        let shed = response_parts(
-            keyed_request(&rig, "k", "/shed")
-                .send()
-                .await
-                .expect("a response"),
-        )
-        .await;
+        let shed = send(keyed_request(&rig, "k", "/shed")).await;
         assert_eq!((shed.0, &*shed.1, &*shed.2), (503, "not-run", "shed"));
         wait_until(|| control.settled("k") == Some(Settled::NotRun)).await;
     }
@@ -154,21 +141,14 @@
     let control = FakeControl::start().await;
     let rig = rig(&[control.address], |_| {}).await;
     let other = ready(settings(&[rig.directory.address], &[control.address])).await;
-    let first = response_parts(
-        keyed_request(&rig, "k", "/echo")
-            .body("block 7")
-            .send()
-            .await
-            .expect("one"),
-    )
-    .await;
+    let first = send(keyed_request(&rig, "k", "/echo").body("block 7")).await;
     let second = fakes::client()
         .post(format!("http://{}/echo", other.http()))
         .header("rwr-service", "once")
         .header("rwr-caller", "planner")
         .header("idempotency-key", "k")
         .body("block 7");
-    let second = response_parts(second.send().await.expect("two")).await;
+    let second = send(second).await;
     assert_eq!(first, second);
     assert_eq!(first.3, "block 7");
     assert_eq!(rig.upstream.received().len(), 1);
@@ -208,7 +188,7 @@
     let body = keyed_request(&rig, "k", "/ok").body("other");
     let target = keyed_request(&rig, "k", "/ok?x=1");
     for changed in [body, target] {
-        let response = response_parts(changed.send().await.expect("a response")).await;
+        let response = send(changed).await;
         assert_eq!(
             (response.0, &*response.1, &*response.2),
             (422, "not-run", "key-reused")
@@ -241,13 +221,7 @@
     let second = FakeControl::with(first.state.clone()).await;
     first.state.lock().expect("no panic").lose_answer = true;
     let rig = rig(&[first.address, second.address], |_| {}).await;
-    let response = response_parts(
-        keyed_request(&rig, "k", "/ok")
-            .send()
-            .await
-            .expect("a response"),
-    )
-    .await;
+    let response = send(keyed_request(&rig, "k", "/ok")).await;
     assert_eq!(response.0, 200);
     assert_eq!(rig.upstream.received().len(), 1);
     assert_eq!(first.state.lock().expect("no panic").claims, 2);
@@ -269,13 +243,7 @@
             .expect("a stored response");
         response.body = "no".into();
     }
-    let response = response_parts(
-        keyed_request(&rig, "k", "/ok")
-            .send()
-            .await
-            .expect("a response"),
-    )
-    .await;
+    let response = send(keyed_request(&rig, "k", "/ok")).await;
     assert_eq!((response.0, &*response.1), (502, "unknown"));
 }
 
@@ -289,13 +257,7 @@
     let _ = first.await;
     rig.upstream.release.notify_one();
     wait_until(|| control.settled("k") == Some(Settled::Done)).await;
-    let again = response_parts(
-        keyed_request(&rig, "k", "/hold")
-            .send()
-            .await
-            .expect("a response"),
-    )
-    .await;
+    let again = send(keyed_request(&rig, "k", "/hold")).await;
     assert_eq!((again.0, &*again.3), (200, "held"));
     assert_eq!(rig.upstream.received().len(), 1);
 }
