--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -25,6 +25,7 @@
 mod classify;
 mod driver;
 mod responses;
+mod start;
 mod state;
 
 /// Result of a call.
