--- a/crates/control/tests/test_first_start.rs
+++ b/crates/control/tests/test_first_start.rs
@@ -237,8 +237,8 @@
     system.check_founded("founder without a disk").await;
 }
 
-/// Guards against a second group, or an operator's settings that are ignored: a replica that lost its
-/// disk takes no part in a founding while another one has a log or doesn't answer.
+/// Guards against a group that a replica without a disk founds while another initial replica doesn't
+/// answer.
 #[tokio::test]
 async fn test_first_start_replica_without_disk_founds_nothing_alone() {
     let mut system = System::new("first-start-alone");
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -206,7 +206,8 @@
         let outgoing = received.outgoing.clone();
         let service = &outgoing.head.service.name;
         if outgoing.relayed {
-            // Its own attempts would find out a cut, once more for each gateway that is asked.
+            // On a cut path, each gateway that is asked would otherwise send attempts to all
+            // instances.
             check::confirm(core, service).await;
         }
         if core.paths.is_cut_off(service).await {
