consensus, control: timeouts of elections and writes follow the disk

Cause: a campaign lasts 0.2 to 0.4 s in a hub, and needs two syncs in a row, the candidate's and a voter's. A voter whose vote wasn't synced began a pre-vote of its own, and the next term took the vote back. Ruled out: a leader that gives way.

The write timeout is at least twice the last write; a campaign counts from the sync of the own vote, lasts two such writes longer, and twice as long after each one that failed; no pre-vote starts while the own vote is being synced. Log lines: "no leader" (failed pre-votes and campaigns with their votes), "leadership given up" with the reason; counters beside them.

--- a/crates/consensus/src/action.rs
+++ b/crates/consensus/src/action.rs
@@ -77,10 +77,52 @@
         /// The leader, which may be this replica.
         leader: Option<ReplicaId>,
     },
+    /// This replica asked for votes in vain.
+    ElectionFailed {
+        /// What it asked for.
+        stage: ElectionStage,
+        /// The term in which it would have led.
+        term: Term,
+        /// How many voters granted theirs, this replica included.
+        votes: usize,
+        /// How many attempts of this stage have failed since a leader was known.
+        attempts: u32,
+    },
+    /// This replica leads no longer.
+    SteppedDown {
+        /// The term in which it led.
+        term: Term,
+        /// Why.
+        reason: StepDown,
+    },
     /// The node has stopped permanently: it processes no more events and sends no more messages.
     Stop(Fault),
 }
 
+/// What a replica that wants to lead asks the voters for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum ElectionStage {
+    /// Whether they would vote for it; changes no term.
+    PreVote,
+    /// Their votes, which they sync.
+    Campaign,
+}
+
+/// Why a leader gave up its leadership.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum StepDown {
+    /// No quorum responded within the election timeout.
+    NoQuorum,
+    /// Its own write has been in flight for the write timeout.
+    WriteStalled,
+    /// A replica with a newer term was heard.
+    NewerTerm,
+    /// The node has stopped.
+    Stopped,
+}
+
 quick_error! {
     /// Why a request was rejected.
     #[derive(Debug, Clone, PartialEq, Eq, IntoStaticStr)]
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -32,8 +32,10 @@
 pub mod stored;
 
 pub use action::Action;
+pub use action::ElectionStage;
 pub use action::Fault;
 pub use action::Rejection;
+pub use action::StepDown;
 pub use action::Write;
 pub use action::WriteNumber;
 pub use config::Acceptance;
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -23,6 +23,7 @@
 use crate::action::Action;
 use crate::action::Fault;
 use crate::action::Rejection;
+use crate::action::StepDown;
 use crate::action::WriteNumber;
 use crate::config::Config;
 use crate::entry::Index;
@@ -51,10 +52,17 @@
 /// rarely collide.
 const MIN_RESTART_FACTOR: f64 = 0.02;
 
-/// Minimum duration of a campaign, as a fraction of the election timeout; the maximum is
-/// twice this.
+/// Minimum duration of a campaign beyond the voters' syncs, as a fraction of the election
+/// timeout; the maximum is twice this.
 const MIN_CAMPAIGN_FACTOR: f64 = 0.5;
 
+/// Syncs of the voters that a campaign waits for: the write in flight, and the one of the vote.
+const VOTER_SYNCS: u32 = 2;
+
+/// How often the duration of a campaign doubles at most. From 0.2 s in a hub it then lasts longer than
+/// two writes of the longest write timeout.
+const MAX_DOUBLINGS: u32 = 7;
+
 /// The role of a replica in its group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -106,6 +114,13 @@
     Leader(Box<Leader>),
 }
 
+/// Attempts to lead that have failed since a leader was known.
+#[derive(Debug, Default)]
+struct FailedElections {
+    pre_votes: u32,
+    campaigns: u32,
+}
+
 /// One replica, which turns events into actions.
 #[derive(Debug)]
 pub struct Node {
@@ -122,6 +137,7 @@
     election_deadline: Moment,
     /// When the last message from a leader arrived.
     last_leader_contact: Option<Moment>,
+    failed_elections: FailedElections,
     /// The term and leader last reported to the adapter.
     reported_leader: (Term, Option<ReplicaId>),
     /// Whether the commit index must be recomputed.
@@ -159,6 +175,7 @@
             applied: base,
             election_deadline: now,
             last_leader_contact: None,
+            failed_elections: FailedElections::default(),
             reported_leader: (Term::default(), None),
             commit_outdated: false,
             local_reads: LocalReads::default(),
@@ -320,11 +337,15 @@
         self.election_deadline = self.now + self.settings.election_timeout.mul_f64(factor);
     }
 
-    /// Sets the end of a campaign. It is longer than a pre-vote, because votes are synced
-    /// before they are sent.
+    /// Sets the end of a campaign. It is longer than a pre-vote, because votes are synced before they
+    /// are sent. The voters' disks are taken for as slow as the own one, and each campaign
+    /// that fails makes the next one last twice as long, as they may be slower.
     fn reset_campaign_deadline(&mut self) {
         let factor = MIN_CAMPAIGN_FACTOR * (1.0 + self.rng.random::<f64>());
-        self.election_deadline = self.now + self.settings.election_timeout.mul_f64(factor);
+        let beyond_syncs = self.settings.election_timeout.mul_f64(factor);
+        let duration = beyond_syncs + self.persistence.last_duration() * VOTER_SYNCS;
+        let doublings = self.failed_elections.campaigns.min(MAX_DOUBLINGS);
+        self.election_deadline = self.now + duration * (1 << doublings);
     }
 
     fn message(&self, to: ReplicaId, body: Body) -> Message {
@@ -355,7 +376,11 @@
     }
 
     fn handle_persisted(&mut self, number: WriteNumber) {
-        let completed = self.persistence.complete_write(number);
+        let was_synced = self.persistence.is_hard_state_synced();
+        let completed = self.persistence.complete_write(number, self.now);
+        if !was_synced && self.persistence.is_hard_state_synced() {
+            self.restart_election_timer();
+        }
         self.commit_outdated = true;
         if let Some(snapshot) = completed.received_snapshot {
             self.applied = snapshot.position.index;
@@ -405,7 +430,7 @@
     }
 
     fn stop(&mut self, fault: Fault) {
-        self.become_follower(self.hard_state.term, None);
+        self.step_down(StepDown::Stopped);
         self.persistence.discard_pending();
         self.local_reads
             .reject_all(&Rejection::Stopped, &mut self.actions);
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -4,6 +4,8 @@
 use std::mem;
 
 use crate::action::Action;
+use crate::action::ElectionStage;
+use crate::action::StepDown;
 use crate::entry::Index;
 use crate::entry::Position;
 use crate::entry::ReplicaId;
@@ -14,6 +16,7 @@
 use crate::quorum;
 use crate::stored::HardState;
 
+use super::FailedElections;
 use super::Node;
 use super::State;
 
@@ -27,12 +30,67 @@
         {
             return;
         }
-        if self.log.config().is_voter(self.id) && !self.is_write_stalled() {
+        if !self.log.config().is_voter(self.id) || self.is_write_stalled() {
+            self.report_failed_election();
+            self.reset_election_deadline();
+            self.become_follower(self.hard_state.term, None);
+        } else if self.persistence.is_hard_state_synced() {
+            self.report_failed_election();
             self.reset_pre_vote_deadline();
             self.start_pre_vote();
         } else {
-            self.reset_election_deadline();
-            self.become_follower(self.hard_state.term, None);
+            // Its vote or term is still being synced. A new term would take back the vote, and its
+            // sync could not end earlier.
+            self.reset_pre_vote_deadline();
+        }
+    }
+
+    /// Restarts the timer once the term or the vote is synced: the time that the disk took isn't
+    /// counted against the candidate.
+    pub(super) fn restart_election_timer(&mut self) {
+        match self.state {
+            State::Candidate { .. } => self.reset_campaign_deadline(),
+            State::Follower { leader: None } if self.hard_state.vote.is_some() => {
+                self.reset_election_deadline();
+            }
+            _ => {}
+        }
+    }
+
+    /// Reports the election that this replica gives up, if it has one.
+    fn report_failed_election(&mut self) {
+        let (stage, term, votes) = match &self.state {
+            State::PreCandidate { votes } => {
+                (ElectionStage::PreVote, self.hard_state.term.next(), votes)
+            }
+            State::Candidate { votes } => (ElectionStage::Campaign, self.hard_state.term, votes),
+            State::Follower { .. } | State::Leader(_) => return,
+        };
+        let failed = &mut self.failed_elections;
+        let attempts = match stage {
+            ElectionStage::PreVote => &mut failed.pre_votes,
+            ElectionStage::Campaign => &mut failed.campaigns,
+        };
+        *attempts = attempts.saturating_add(1);
+        let action = Action::ElectionFailed {
+            stage,
+            term,
+            votes: votes.len(),
+            attempts: *attempts,
+        };
+        self.actions.push(action);
+    }
+
+    /// Gives up the leadership, if this replica leads, and says why.
+    pub(super) fn step_down(&mut self, reason: StepDown) {
+        self.report_step_down(reason);
+        self.become_follower(self.hard_state.term, None);
+    }
+
+    fn report_step_down(&mut self, reason: StepDown) {
+        if matches!(self.state, State::Leader(_)) {
+            let term = self.hard_state.term;
+            self.actions.push(Action::SteppedDown { term, reason });
         }
     }
 
@@ -105,6 +163,7 @@
         let last = self.log.last().index;
         let mut leader = Leader::new(self.id, self.log.config(), last, self.now);
         leader.uncommitted_bytes = self.bytes_between(self.commit, last);
+        self.failed_elections = FailedElections::default();
         self.state = State::Leader(Box::new(leader));
         self.append_noop();
     }
@@ -112,11 +171,18 @@
     /// Becomes a follower of `leader` in `term`, which must not be less than the current term.
     pub(super) fn become_follower(&mut self, term: Term, leader: Option<ReplicaId>) {
         if term > self.hard_state.term {
+            self.report_step_down(StepDown::NewerTerm);
+            if matches!(self.state, State::Candidate { .. }) {
+                self.report_failed_election();
+            }
             self.hard_state = HardState { term, vote: None };
             self.persistence.mark_hard_state_changed();
             self.persistence.discard_pending();
             self.incoming_snapshot = None;
         }
+        if leader.is_some() {
+            self.failed_elections = FailedElections::default();
+        }
         let before = self.leader_id();
         let state = mem::replace(&mut self.state, State::Follower { leader });
         if let State::Leader(old) = state {
--- a/crates/consensus/src/node/lead.rs
+++ b/crates/consensus/src/node/lead.rs
@@ -8,6 +8,7 @@
 
 use crate::action::Action;
 use crate::action::Rejection;
+use crate::action::StepDown;
 use crate::config::Config;
 use crate::entry::Entry;
 use crate::entry::Index;
@@ -40,14 +41,17 @@
             leader.transfer = None;
         }
         let confirmed = quorum::has_election_quorum(self.log.config(), |id| self.is_active(id));
-        if confirmed && !self.is_write_stalled() {
-            self.broadcast_heartbeat();
+        if !confirmed {
+            self.step_down(StepDown::NoQuorum);
+        } else if self.is_write_stalled() {
+            self.step_down(StepDown::WriteStalled);
         } else {
-            self.become_follower(self.hard_state.term, None);
+            self.broadcast_heartbeat();
         }
     }
 
-    /// Whether a write has been in flight for at least the write timeout.
+    /// Whether a write has been in flight for at least the write timeout, and for longer than the
+    /// disk's last write makes likely.
     pub(super) fn is_write_stalled(&self) -> bool {
         self.persistence
             .is_write_stalled(self.now, self.settings.write_timeout)
--- a/crates/consensus/src/persistence.rs
+++ b/crates/consensus/src/persistence.rs
@@ -44,11 +44,16 @@
     pub(crate) messages: Vec<Message>,
 }
 
+/// Maximum factor by which a slow last write raises the write timeout.
+const MAX_TIMEOUT_FACTOR: u32 = 5;
+
 /// The difference between the state in memory and the stored state.
 #[derive(Debug)]
 pub(crate) struct Persistence {
     next_number: WriteNumber,
     in_flight: Option<InFlightWrite>,
+    /// How long the last completed write took.
+    last_duration: Duration,
     /// Every entry up to this index is synced.
     durable: Index,
     /// The first entry that has not been included in a write.
@@ -66,6 +71,7 @@
         Self {
             next_number: WriteNumber(1),
             in_flight: None,
+            last_duration: Duration::ZERO,
             durable: last,
             first_unwritten: last.next(),
             hard_state_changed: false,
@@ -91,8 +97,16 @@
         !self.hard_state_changed && !self.in_flight.as_ref().is_some_and(|f| f.has_hard_state)
     }
 
-    /// Whether a write has been in flight for at least `timeout`.
+    /// How long the last completed write took.
+    pub(crate) fn last_duration(&self) -> Duration {
+        self.last_duration
+    }
+
+    /// Whether a write has been in flight for at least `timeout` and for twice as long as the last
+    /// one took: a disk that is slow and steady isn't stalled.
     pub(crate) fn is_write_stalled(&self, now: Moment, timeout: Duration) -> bool {
+        let usual = (self.last_duration * 2).min(timeout * MAX_TIMEOUT_FACTOR);
+        let timeout = timeout.max(usual);
         let is_overdue = |in_flight: &InFlightWrite| now.since(in_flight.started_at) >= timeout;
         self.in_flight.as_ref().is_some_and(is_overdue)
     }
@@ -232,11 +246,12 @@
     }
 
     /// Completes the write `number`; any other number is ignored.
-    pub(crate) fn complete_write(&mut self, number: WriteNumber) -> CompletedWrite {
+    pub(crate) fn complete_write(&mut self, number: WriteNumber, now: Moment) -> CompletedWrite {
         let Some(in_flight) = self.in_flight.take_if(|f| f.number == number) else {
             return CompletedWrite::default();
         };
         self.durable = self.durable.max(in_flight.last_index);
+        self.last_duration = now.since(in_flight.started_at);
         let ready = self
             .pending_messages
             .iter()
--- a/crates/consensus/src/settings.rs
+++ b/crates/consensus/src/settings.rs
@@ -12,8 +12,8 @@
     /// A leader that has received no response from a quorum for this time steps down
     /// (check-quorum).
     pub election_timeout: Duration,
-    /// When a write has been in flight for this time, the replica doesn't campaign, and steps
-    /// down if it is the leader.
+    /// When a write has been in flight for this time, and for twice as long as the last one took, the
+    /// replica doesn't campaign, and steps down if it is the leader.
     pub write_timeout: Duration,
     /// Maximum size of the entries in one append, in bytes; a larger entry is sent alone.
     pub max_batch_bytes: usize,
--- a/crates/consensus/tests/test_replicas/cluster.rs
+++ b/crates/consensus/tests/test_replicas/cluster.rs
@@ -51,6 +51,9 @@
     pub link: Link,
     /// The disk is stalled: writes neither complete nor fail.
     pub stalled: bool,
+    /// How long the disk takes for each write.
+    pub write_time: Duration,
+    pub write_started_at: Moment,
     pub applied: Index,
 }
 
@@ -66,6 +69,8 @@
     pub in_transit: Vec<Message>,
     pub oracle: Oracle,
     pub outcomes: BTreeMap<Ticket, Outcome>,
+    /// Reports of failed elections and of leaders that stepped down.
+    pub reports: Vec<Action>,
     pub rng: SmallRng,
     pub now: Moment,
     pub sent: usize,
@@ -96,16 +101,26 @@
 
 impl Cluster {
     pub fn new(voters: u64, acceptance: Acceptance, seed: u64) -> Self {
+        Self::with_settings(voters, acceptance, seed, settings())
+    }
+
+    pub fn with_settings(
+        voters: u64,
+        acceptance: Acceptance,
+        seed: u64,
+        settings: Settings,
+    ) -> Self {
         let config = Config::of_voters((1..=voters).map(member), acceptance);
         let mut cluster = Self {
             hosts: BTreeMap::new(),
             in_transit: Vec::new(),
             oracle: Oracle::default(),
             outcomes: BTreeMap::new(),
+            reports: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
             now: Moment::from_millis(1),
             sent: 0,
-            settings: settings(),
+            settings,
             tickets: 0,
         };
         for id in config.voters.keys() {
@@ -127,6 +142,8 @@
             paused: false,
             link: Link::Open,
             stalled: false,
+            write_time: Duration::ZERO,
+            write_started_at: self.now,
             applied: Index::default(),
         };
         self.hosts.insert(id, host);
@@ -190,6 +207,7 @@
                 self.oracle
                     .check_write(&write, |index| host.disk.term(index));
                 assert!(host.disk.pending.replace(write).is_none());
+                host.write_started_at = self.now;
             }
             Action::Send(message) => {
                 self.oracle.check_sent(&message, &host.disk);
@@ -224,6 +242,9 @@
                 self.oracle.check_answered_once(ticket);
                 self.outcomes.insert(ticket, Outcome::Rejected(reason));
             }
+            Action::ElectionFailed { .. } | Action::SteppedDown { .. } => {
+                self.reports.push(action);
+            }
             Action::LeaderChanged { .. } => {}
             Action::Stop(fault) => panic!("replica {id} stopped: {fault}"),
         }
@@ -262,8 +283,10 @@
     }
 
     pub fn sync(&mut self, id: ReplicaId) {
+        let now = self.now;
         let host = self.host(id);
-        if host.paused || host.stalled {
+        let is_written = now.since(host.write_started_at) >= host.write_time;
+        if host.paused || host.stalled || !is_written {
             return;
         }
         if let Some(write) = host.disk.sync() {
--- a/crates/consensus/tests/test_replicas/main.rs
+++ b/crates/consensus/tests/test_replicas/main.rs
@@ -5,3 +5,4 @@
 mod test_faults;
 mod test_groups;
 mod test_schedules;
+mod test_slow_disks;
--- a/crates/control/src/driver/actions.rs
+++ b/crates/control/src/driver/actions.rs
@@ -9,6 +9,7 @@
 use cadence::Timed;
 use consensus::Action;
 use consensus::Config;
+use consensus::ElectionStage;
 use consensus::Entry;
 use consensus::Event;
 use consensus::Index;
@@ -16,6 +17,7 @@
 use consensus::Rejection;
 use consensus::Snapshot;
 use consensus::Status;
+use consensus::Term;
 use consensus::Ticket;
 use slog::info;
 use slog::warn;
@@ -83,12 +85,44 @@
                     "term" => term.0, "leader" => leader, "leads" => leader == self.id().0);
                 let _ = self.parts.metrics.count("control.leader.changes", 1);
             }
+            Action::ElectionFailed {
+                stage,
+                term,
+                votes,
+                attempts,
+            } => self.log_failed_election(stage, term, votes, attempts),
+            Action::SteppedDown { term, reason } => {
+                let reason: &str = reason.into();
+                warn!(self.parts.log, "leadership given up"; "term" => term.0, "reason" => reason);
+                let _ = self
+                    .parts
+                    .metrics
+                    .count_with_tags("control.leader.given-up", 1)
+                    .with_tag("reason", reason)
+                    .try_send();
+            }
             Action::Stop(fault) => {
                 self.failure.get_or_insert(DriverError::Log(fault));
             }
         }
     }
 
+    /// Logs each failed campaign. Pre-votes fail several times a second while no majority can be
+    /// reached, so that only the first, second, fourth and so on is logged.
+    fn log_failed_election(&self, stage: ElectionStage, term: Term, votes: usize, attempts: u32) {
+        let stage_text: &str = stage.into();
+        let _ = self
+            .parts
+            .metrics
+            .count_with_tags("control.elections.failed", 1)
+            .with_tag("stage", stage_text)
+            .try_send();
+        if stage == ElectionStage::Campaign || attempts.is_power_of_two() {
+            warn!(self.parts.log, "no leader"; "failed" => stage_text, "term" => term.0,
+                "votes" => votes, "voters" => self.group.voters.len(), "attempts" => attempts);
+        }
+    }
+
     fn install(&mut self, snapshot: &Snapshot) {
         match StateMachine::restore(&snapshot.data) {
             Ok(state_machine) => {
