control, hub: a table that is applied is acknowledged without a new proposal

A change that took longer than its time limit (0.9 s) was proposed anew each time that it was sent again, so that on disks of a second a sync it was accepted and never acknowledged. A hub that has applied a table answers for it and for older ones from there: it is committed, and an older one never replaces it. Commands that found no majority say which leader this hub knows.

test_hub_acknowledges_applied_table_without_a_new_proposal is red without the shortcut (NoMajority).

--- a/crates/control/src/driver/actions.rs
+++ b/crates/control/src/driver/actions.rs
@@ -32,7 +32,6 @@
 use crate::driver::Driver;
 use crate::driver::DriverError;
 use crate::driver::propose::refused;
-use crate::input::View;
 use crate::state_machine::Output;
 use crate::state_machine::StateMachine;
 use crate::state_machine::StateMachineError;
@@ -75,11 +74,10 @@
             }
             Action::Rejected { ticket, reason } => self.reject(ticket, &reason),
             Action::LeaderChanged { term, leader } => {
-                if leader.is_some() {
-                    let mark_leader_seen =
-                        |view: &mut View| !mem::replace(&mut view.leader_seen, true);
-                    self.parts.views.send_if_modified(mark_leader_seen);
-                }
+                self.parts.views.send_if_modified(|view| {
+                    view.leader = leader.map(|id| id.0);
+                    leader.is_some() && !mem::replace(&mut view.leader_seen, true)
+                });
                 let leader = leader.map_or(0, |id| id.0);
                 info!(self.parts.log, "leadership";
                     "term" => term.0, "leader" => leader, "leads" => leader == self.id().0);
--- a/crates/control/src/driver/propose.rs
+++ b/crates/control/src/driver/propose.rs
@@ -10,7 +10,6 @@
 use consensus::ReplicaId;
 use prost::Message;
 use tokio::sync::oneshot;
-use wire::catalogue::ChangeReply;
 use wire::control::Membership;
 use wire::control::MembershipRefused;
 use wire::control::membership;
@@ -60,12 +59,15 @@
     fn admit(&mut self, request: Ask, reply: oneshot::Sender<AskReply>) {
         match request.kind {
             Some(ask::Kind::Change(change)) => match self.parts.state_machine.known(&change) {
-                Some(known) => send_change_reply(reply, known),
+                Some(known) => send_reply(reply, ask_reply::Kind::Change(known)),
                 None => self.propose(Kind::Change(change), reply),
             },
             Some(ask::Kind::Ledger(command)) => self.propose(Kind::Ledger(command), reply),
             Some(ask::Kind::Membership(change)) => self.change_group(&change, reply),
-            Some(ask::Kind::Table(table)) => self.propose(Kind::Table(table), reply),
+            Some(ask::Kind::Table(table)) => match self.parts.state_machine.known_table(&table) {
+                Some(known) => send_reply(reply, ask_reply::Kind::Table(known)),
+                None => self.propose(Kind::Table(table), reply),
+            },
             Some(ask::Kind::Instance(instance)) => self.propose(Kind::Instance(instance), reply),
             Some(ask::Kind::Evacuation(order)) => self.propose(Kind::Evacuation(order), reply),
             Some(ask::Kind::Join(replica)) => self.handle_join(&replica, reply),
@@ -162,7 +164,6 @@
     }))
 }
 
-fn send_change_reply(reply: oneshot::Sender<AskReply>, known: ChangeReply) {
-    let kind = Some(ask_reply::Kind::Change(known));
-    let _ = reply.send(AskReply { kind });
+fn send_reply(reply: oneshot::Sender<AskReply>, kind: ask_reply::Kind) {
+    let _ = reply.send(AskReply { kind: Some(kind) });
 }
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -45,6 +45,8 @@
     pub snapshots: u64,
     /// Whether a leader was known at any time since the replica started.
     pub leader_seen: bool,
+    /// Id of the known leader; watchers of the view aren't told of it.
+    pub leader: Option<u64>,
 }
 
 quick_error! {
--- a/crates/control/src/local_client.rs
+++ b/crates/control/src/local_client.rs
@@ -144,6 +144,12 @@
         self.views.borrow().leader_seen
     }
 
+    /// Id of the leader that this replica knows.
+    #[must_use]
+    pub fn leader(&self) -> Option<u64> {
+        self.views.borrow().leader
+    }
+
     /// Receives the applied state whenever it changes.
     #[must_use]
     pub fn views(&self) -> watch::Receiver<View> {
--- a/crates/control/src/state_machine.rs
+++ b/crates/control/src/state_machine.rs
@@ -208,6 +208,18 @@
         }
     }
 
+    /// The reply to a proposed route table that is already decided, as the applied one isn't older.
+    /// The applied table is committed and never replaced by an older one.
+    #[must_use]
+    pub fn known_table(&self, proposed: &Table) -> Option<TableReply> {
+        let current = self.table.as_ref()?;
+        let outcome = table_outcome(Some(current), proposed);
+        (outcome != TableOutcome::Taken).then(|| TableReply {
+            outcome: outcome.into(),
+            version: current.version,
+        })
+    }
+
     /// The announced upstream instances.
     #[must_use]
     pub fn registry(&self) -> &Arc<Registry> {
--- a/crates/hub/src/commands.rs
+++ b/crates/hub/src/commands.rs
@@ -127,10 +127,18 @@
         if commands.register(instance).await {
             Ok(())
         } else {
-            Err(CommandError::NoMajority)
+            Err(self.no_majority("announcement"))
         }
     }
 
+    /// Logs that a command got no answer of a majority, with the leader that this hub knows (0:
+    /// none). The replica's own lines say why there is none.
+    fn no_majority(&self, command: &'static str) -> CommandError {
+        let leader = self.state.tables.leader().unwrap_or_default();
+        warn!(self.state.log, "no majority"; "command" => command, "leader" => leader);
+        CommandError::NoMajority
+    }
+
     async fn register(&self, instance: Instance) -> bool {
         let (id, phase) = (instance.id.clone(), instance.phase());
         let accepted = self.state.tables.register(instance).await;
@@ -161,7 +169,7 @@
         let reply = self.state.tables.put(table).await;
         let outcome = reply.map_or("no-majority", |reply| reply.outcome().as_str_name());
         info!(self.state.log, "route table proposed"; "version" => version, "outcome" => outcome);
-        reply.ok_or(CommandError::NoMajority)
+        reply.ok_or_else(|| self.no_majority("route table"))
     }
 
     /// Reads the newest route table, confirmed by a majority.
@@ -172,7 +180,7 @@
     pub async fn read(&self) -> Result<Arc<wire::hub::Table>, CommandError> {
         match self.state.tables.read(READ_TIMEOUT).await {
             Ok(newest) => newest.ok_or(CommandError::NoTable),
-            Err(ReadError::NoMajority) => Err(CommandError::NoMajority),
+            Err(ReadError::NoMajority) => Err(self.no_majority("read")),
         }
     }
 
@@ -194,7 +202,7 @@
             Some(Outcome::Taken | Outcome::Held) => Ok(()),
             Some(Outcome::Overtaken) => Err(CommandError::Overtaken(domain.clone())),
             Some(Outcome::Refused) => Err(CommandError::TooManyDomains(domain.clone())),
-            Some(Outcome::Unspecified) | None => Err(CommandError::NoMajority),
+            Some(Outcome::Unspecified) | None => Err(self.no_majority("evacuation")),
         }
     }
 
@@ -205,7 +213,7 @@
     /// Fails if no majority answers in time.
     pub async fn evacuations(&self) -> Result<Arc<EvacuationState>, CommandError> {
         let state = self.state.tables.evacuations(READ_TIMEOUT).await;
-        state.ok_or(CommandError::NoMajority)
+        state.ok_or_else(|| self.no_majority("read of evacuations"))
     }
 
     /// Addresses of entry hosts for a caller and how long the caller may cache them; no
--- a/crates/hub/tests/test_hub.rs
+++ b/crates/hub/tests/test_hub.rs
@@ -544,3 +544,26 @@
     };
     assert_eq!(watch(&link(&layout), request).await.confirmed_table, None);
 }
+
+/// Guards against a table that is accepted after the time limit of its change and never
+/// acknowledged, as each time that it is sent again it is proposed anew: a hub that has applied it
+/// acknowledges it, even without a majority.
+#[tokio::test]
+async fn test_hub_acknowledges_applied_table_without_a_new_proposal() {
+    let layout = Layout::new(3, 0).expect("a folder");
+    let log = telemetry::log::silent();
+    let mut hubs = start_all(&layout, &log).await;
+    put_until_accepted(&hubs[0], table_update(7)).await;
+    put_until_accepted(&hubs[0], table_update(8)).await;
+    let first = hubs.remove(0);
+    for hub in hubs {
+        hub.stop().await;
+    }
+    for (version, outcome) in [(8, TableOutcome::Held), (7, TableOutcome::Older)] {
+        let reply = first.commands().put(table_update(version)).await;
+        let reply = reply.expect("acknowledged");
+        assert_eq!((reply.outcome(), reply.version), (outcome, 8));
+    }
+    let reply = first.commands().put(table_update(9)).await;
+    assert!(matches!(reply, Err(CommandError::NoMajority)), "{reply:?}");
+}
