--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate performs no I/O. Each kind of name has its own type, so that, for
 //! example, a host name cannot be passed as a service name.
 
+pub mod build;
 pub mod class;
 pub mod header;
 pub mod instance;
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -65,7 +65,8 @@
         return Ok(out.raw(USAGE)?);
     }
     if arguments.take_switch(Flag::Version) {
-        return Ok(out.raw(concat!("rwrctl ", env!("CARGO_PKG_VERSION"), "\n"))?);
+        let line = base::build::version_line("rwrctl", env!("CARGO_PKG_VERSION"));
+        return Ok(out.raw(&format!("{line}\n"))?);
     }
     let name = arguments.positional().ok_or(UsageError::MissingCommand)?;
     let command = Command::from_str(&name).map_err(|_| UsageError::UnknownCommand(name))?;
--- a/crates/cli/tests/test_usage.rs
+++ b/crates/cli/tests/test_usage.rs
@@ -26,7 +26,11 @@
     let cases = [
         ("--help".into(), Exit::Done, "Usage: rwrctl"),
         ("show -h".into(), Exit::Done, "Usage: rwrctl"),
-        ("-V".into(), Exit::Done, "rwrctl 0.1.0\n"),
+        (
+            "-V".into(),
+            Exit::Done,
+            concat!("rwrctl ", env!("CARGO_PKG_VERSION"), " sources="),
+        ),
         (String::new(), Exit::Usage, "no command given"),
         ("shew".into(), Exit::Usage, "\"shew\" is no command"),
         ("show --colour".into(), Exit::Usage, "--colour is no option"),
--- a/crates/correlate/src/lib.rs
+++ b/crates/correlate/src/lib.rs
@@ -6,6 +6,9 @@
 //! that its caller may be told that it hasn't run; it can't be made from a response that names
 //! another request, or none.
 
+// Rebuilt whenever the digest of the sources changes, which `base` holds.
+use base as _;
+
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 use std::path::Path;
 use std::process::ExitCode;
 
+use base::build;
 use conf::ConfError;
 use slog::Level;
 use slog::Logger;
@@ -30,7 +31,7 @@
   --config FILE  settings, INI
   --check        print the effective settings and exit
   --help         print this and exit
-  --version      print the version and exit
+  --version      print the version and a digest of the sources, and exit
 
 Exit codes: 0 ok, 1 failure while running, 2 wrong command line or settings.";
 
@@ -85,7 +86,7 @@
             ExitCode::SUCCESS
         }
         Ok(Command::Version) => {
-            println!("{} {}", D::NAME, D::VERSION);
+            println!("{}", build::version_line(D::NAME, D::VERSION));
             ExitCode::SUCCESS
         }
         Ok(Command::Run { config, check }) => run_command::<D>(&config, check),
@@ -120,8 +121,14 @@
         Ok(signals) => signals,
         Err(err) => return log_failure(&log, &err),
     };
-    info!(log, "starting"; "version" => D::VERSION, "settings" => %config.display());
-    if let Some(address) = D::telemetry(&settings).listen {
+    info!(log, "starting"; "version" => D::VERSION, "sources" => build::sources(),
+        "settings" => %config.display());
+    let telemetry = D::telemetry(&settings);
+    match telemetry::metrics::start(telemetry.sink, &D::host(&settings)) {
+        Ok(metrics) => metrics::record_build(&metrics, D::VERSION),
+        Err(err) => return log_failure(&log, &err),
+    }
+    if let Some(address) = telemetry.listen {
         match metrics::bind(address).await {
             Ok(listener) => {
                 tokio::spawn(metrics::serve(listener, log.clone()));
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -5,7 +5,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use base::build;
 use bytes::Bytes;
+use cadence::Gauged;
+use cadence::StatsdClient;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -33,6 +36,15 @@
     TcpListener::bind(address).await
 }
 
+/// Records which version of the program runs, and a digest of the sources that it was built from.
+pub fn record_build(metrics: &StatsdClient, version: &str) {
+    let _ = metrics
+        .gauge_with_tags("build", 1_u64)
+        .with_tag("version", version)
+        .with_tag("sources", build::sources())
+        .try_send();
+}
+
 /// Responds to every request with the metrics. Never returns.
 pub async fn serve(listener: TcpListener, log: Logger) {
     loop {
--- a/crates/directory/tests/test_daemon.rs
+++ b/crates/directory/tests/test_daemon.rs
@@ -33,7 +33,7 @@
     let [good, bad, taken_file] = [good, bad, taken_file].map(|p| p.display().to_string());
     let cases = [
         (vec!["--help"], 0, "Usage: rwr-directory"),
-        (vec!["--version"], 0, "rwr-directory "),
+        (vec!["--version"], 0, " sources="),
         (vec!["--check", "--config", &good], 0, "http = 127.0.0.1:0"),
         (vec!["--check", "--config", &bad], 2, "[directory] http"),
         (vec!["--config", "nowhere.ini"], 2, "nowhere.ini"),
@@ -59,6 +59,9 @@
         .spawn()
         .expect("it starts");
     let mut lines = BufReader::new(child.stdout.take().expect("its log")).lines();
+    let starting = lines.next().expect("a line").expect("text");
+    assert!(starting.contains("msg=starting"), "{starting}");
+    assert!(starting.contains("sources="), "{starting}");
     let ready = lines.find_map(|line| line.ok().filter(|l| l.contains("msg=ready")));
     let ready = ready.expect("a ready line");
     assert!(ready.contains("http=\"127.0.0.1:"), "{ready}");
@@ -77,3 +80,30 @@
         "{rest:?}"
     );
 }
+
+/// Guards against a process that doesn't tell what it was built from: an old program and a fault of the
+/// current one would look alike.
+#[test]
+fn test_daemon_names_its_build_on_the_metrics_page() {
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    let text = tokio::runtime::Runtime::new()
+        .expect("a runtime")
+        .block_on(async {
+            let listener = daemon::metrics::bind(listen).await.expect("binds");
+            let address = listener.local_addr().expect("an address");
+            tokio::spawn(daemon::metrics::serve(listener, telemetry::log::silent()));
+            let client = telemetry::metrics::start(None, "a").expect("a client");
+            daemon::metrics::record_build(&client, "1.2.3");
+            let page = reqwest::get(format!("http://{address}/metrics")).await;
+            page.expect("an answer").text().await.expect("a body")
+        });
+    let line = text.lines().find(|line| line.starts_with("rwr_build{"));
+    let line = line.expect("a metric of the build");
+    for tag in [
+        "version=\"1.2.3\"",
+        &format!("sources=\"{}\"", base::build::sources()),
+    ] {
+        assert!(line.contains(tag), "{line}");
+    }
+    assert!(line.ends_with(" 1"), "{line}");
+}
--- a/crates/framing/src/lib.rs
+++ b/crates/framing/src/lib.rs
@@ -4,6 +4,9 @@
 //! ([`check_response`]), forwarded heads are stripped of it ([`strip`]), and the framing of a sent
 //! message is written from its body ([`write_request`], [`stated_length`]).
 
+// Rebuilt whenever the digest of the sources changes, which `base` holds.
+use base as _;
+
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
--- a/crates/interim/src/lib.rs
+++ b/crates/interim/src/lib.rs
@@ -3,6 +3,9 @@
 //! The HTTP client reads interim responses by itself and goes on to wait for the final one, which an
 //! instance that sends them without an end never sends.
 
+// Rebuilt whenever the digest of the sources changes, which `base` holds.
+use base as _;
+
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -34,7 +34,7 @@
   --seed N             seed of times and keys, default 1
   --plain              key=value lines
   --help               print this, exit
-  --version            print the version, exit
+  --version            print the version and a digest of the sources, exit
 
 latency is measured from the intended time of each call; lag_p99 says how late
 the tool itself was
@@ -57,7 +57,10 @@
             ExitCode::SUCCESS
         }
         Ok(Command::Version) => {
-            println!("rwr-load {}", env!("CARGO_PKG_VERSION"));
+            println!(
+                "{}",
+                base::build::version_line("rwr-load", env!("CARGO_PKG_VERSION"))
+            );
             ExitCode::SUCCESS
         }
         Ok(Command::Run(options, plain)) => run(*options, plain),
