registry: the changes since a cursor are found by their numbers

Each answer to a watcher looked at all instances. An index by the number of the change is kept with the records; a copy of the registry copies it, too.

--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -5,6 +5,7 @@
 //! one that it has seen, its cursor.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -71,10 +72,6 @@
             heard: self.lease_renewed_at.is_some(),
         }
     }
-
-    fn last_change(&self) -> u64 {
-        self.changed.max(self.liveness_changed)
-    }
 }
 
 /// All announced instances.
@@ -83,11 +80,18 @@
 /// log while readers use the previous copy.
 ///
 /// Invariants: `cursor` is the number of the last change, including those of records deleted
-/// since, and `digest` covers exactly the records.
+/// since, `digest` covers exactly the records, and `changes` and `liveness_changes` have exactly the
+/// numbers that the records name.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     cursor: u64,
     records: BTreeMap<Arc<str>, Arc<Record>>,
+    /// The ids of the records by the number of their last change other than of liveness. A hub
+    /// answers hundreds of watchers a second, each with the changes since its cursor, so these are
+    /// found without a look at all records.
+    changes: BTreeMap<u64, Arc<str>>,
+    /// The same by the number of the last change of liveness.
+    liveness_changes: BTreeMap<u64, Arc<str>>,
     digest: Digest,
 }
 
@@ -97,7 +101,7 @@
         if check(&instance).is_err() {
             return ApplyOutcome::Unusable;
         }
-        let Some(record) = self.records.get_mut(&*instance.id) else {
+        let Some((id, record)) = entry_mut(&mut self.records, &instance.id) else {
             self.insert(now, instance);
             return ApplyOutcome::Changed;
         };
@@ -115,6 +119,8 @@
             self.digest.remove(&record.instance);
             self.digest.add(&next);
             self.cursor += 1;
+            self.changes.remove(&record.changed);
+            self.changes.insert(self.cursor, id);
             record.changed = self.cursor;
         }
         record.instance = next;
@@ -131,8 +137,9 @@
             lease_renewed_at: None,
             instance,
         };
-        self.records
-            .insert(record.instance.id.as_str().into(), record.into());
+        let id: Arc<str> = record.instance.id.as_str().into();
+        self.changes.insert(self.cursor, Arc::clone(&id));
+        self.records.insert(id, record.into());
     }
 
     /// Digest of all instances, to compare copies of the registry.
@@ -150,30 +157,39 @@
     /// The instances that have changed since `cursor`, in their data or liveness.
     #[must_use]
     pub fn changed_since(&self, cursor: u64) -> Vec<Instance> {
-        let changed = self.records.values().filter(|r| r.last_change() > cursor);
-        changed.map(|r| r.with_liveness()).collect()
+        let changed = self.changed_records(&self.changes, cursor);
+        let liveness_changed = self.changed_records(&self.liveness_changes, cursor);
+        let others = liveness_changed.filter(|r| r.changed <= cursor);
+        changed.chain(others).map(Record::with_liveness).collect()
     }
 
     /// The changes since `cursor`, with the full instance only if more than liveness has changed.
     #[must_use]
     pub fn delta_since(&self, cursor: u64) -> Delta {
-        let changed = self.records.values().filter(|r| r.changed > cursor);
-        let unchanged = self.records.values().filter(|r| r.changed <= cursor);
-        let liveness_changed = unchanged.filter(|r| r.liveness_changed > cursor);
+        let changed = self.changed_records(&self.changes, cursor);
+        let liveness_changed = self.changed_records(&self.liveness_changes, cursor);
+        let others = liveness_changed.filter(|r| r.changed <= cursor);
         Delta {
-            instances: changed.map(|r| r.with_liveness()).collect(),
-            liveness: liveness_changed.map(|r| r.liveness()).collect(),
+            instances: changed.map(Record::with_liveness).collect(),
+            liveness: others.map(Record::liveness).collect(),
         }
     }
 
+    /// The records that one of the indexes names after `cursor`.
+    fn changed_records(
+        &self,
+        index: &BTreeMap<u64, Arc<str>>,
+        cursor: u64,
+    ) -> impl Iterator<Item = &Record> {
+        let changes = index.range(cursor.saturating_add(1)..);
+        changes.filter_map(|(_, id)| self.records.get(id).map(Arc::as_ref))
+    }
+
     /// The liveness of the instances for which it has changed since `cursor`.
     #[must_use]
     pub fn liveness_changed_since(&self, cursor: u64) -> Vec<Hearing> {
-        let changed = self
-            .records
-            .values()
-            .filter(|r| r.liveness_changed > cursor);
-        changed.map(|r| r.liveness()).collect()
+        let changed = self.changed_records(&self.liveness_changes, cursor);
+        changed.map(Record::liveness).collect()
     }
 
     /// The instances that may differ from those of a copy whose digest has `buckets`.
@@ -193,7 +209,7 @@
     /// Records that the instance has announced itself to this hub. An announcement of another
     /// incarnation than the current one is ignored.
     pub fn renew_lease(&mut self, now: Moment, instance: &Instance) {
-        let Some(record) = self.records.get_mut(&*instance.id) else {
+        let Some((id, record)) = entry_mut(&mut self.records, &instance.id) else {
             return;
         };
         if record.instance.incarnation != instance.incarnation {
@@ -202,13 +218,15 @@
         let record = Arc::make_mut(record);
         if record.lease_renewed_at.replace(now).is_none() {
             self.cursor += 1;
+            self.liveness_changes.remove(&record.liveness_changed);
+            self.liveness_changes.insert(self.cursor, id);
             record.liveness_changed = self.cursor;
         }
     }
 
     /// Expires the leases of instances that haven't announced themselves to this hub for `lease`.
     pub fn expire_leases(&mut self, now: Moment, lease: Duration) {
-        for record in self.records.values_mut() {
+        for (id, record) in &mut self.records {
             if record
                 .lease_renewed_at
                 .is_some_and(|at| now.since(at) >= lease)
@@ -216,6 +234,8 @@
                 let record = Arc::make_mut(record);
                 record.lease_renewed_at = None;
                 self.cursor += 1;
+                self.liveness_changes.remove(&record.liveness_changed);
+                self.liveness_changes.insert(self.cursor, Arc::clone(id));
                 record.liveness_changed = self.cursor;
             }
         }
@@ -242,13 +262,27 @@
     /// Deletes instances that were removed [`TOMBSTONE_RETENTION`] ago.
     pub fn remove_expired(&mut self, now: Moment) {
         let digest = &mut self.digest;
+        let (changes, liveness_changes) = (&mut self.changes, &mut self.liveness_changes);
         self.records.retain(|_, r| {
             let retained =
                 r.instance.phase() != Phase::Gone || now.since(r.updated_at) < TOMBSTONE_RETENTION;
             if !retained {
                 digest.remove(&r.instance);
+                changes.remove(&r.changed);
+                liveness_changes.remove(&r.liveness_changed);
             }
             retained
         });
     }
 }
+
+/// The key and the record of an instance.
+fn entry_mut<'a>(
+    records: &'a mut BTreeMap<Arc<str>, Arc<Record>>,
+    id: &str,
+) -> Option<(Arc<str>, &'a mut Arc<Record>)> {
+    let (key, record) = records
+        .range_mut::<str, _>((Bound::Included(id), Bound::Unbounded))
+        .next()?;
+    (**key == *id).then(|| (Arc::clone(key), record))
+}
