hub, control: announcements that come together share an entry of the log

At 300 hosts (own site of 299 entry hosts, 6 hubs, 3,001 instances, logs of hubs) each hub receives 500 announcements within 1.5 s of the start. Each was a request to the leader and an entry of its own; 6,798 proposals were made for 3,000 instances, as many weren't accepted in time and were repeated. Two leaders gave way with reason=no-quorum before traffic began: heartbeats waited behind that work. Logs with entries of one announcement are read as before.

--- a/crates/control/src/driver/propose.rs
+++ b/crates/control/src/driver/propose.rs
@@ -69,6 +69,9 @@
                 None => self.propose(Kind::Table(table), reply),
             },
             Some(ask::Kind::Instance(instance)) => self.propose(Kind::Instance(instance), reply),
+            Some(ask::Kind::Instances(instances)) => {
+                self.propose(Kind::Instances(instances), reply);
+            }
             Some(ask::Kind::Evacuation(order)) => self.propose(Kind::Evacuation(order), reply),
             Some(ask::Kind::Join(replica)) => self.handle_join(&replica, reply),
             None => {
--- a/crates/control/src/local_client.rs
+++ b/crates/control/src/local_client.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 use wire::control::Replica;
 use wire::hub::Instance;
+use wire::hub::Instances;
 use wire::hub::Table;
 use wire::hub::TableReply;
 use wire::replica::Ask;
@@ -65,10 +66,11 @@
         }
     }
 
-    /// Proposes an instance announcement. Returns false when no majority accepted it in time.
-    pub async fn register(&self, instance: Instance) -> bool {
+    /// Proposes announcements of instances, which are applied together and in their order. Returns
+    /// false when no majority accepted them in time.
+    pub async fn register(&self, instances: Vec<Instance>) -> bool {
         let request = Ask {
-            kind: Some(ask::Kind::Instance(instance)),
+            kind: Some(ask::Kind::Instances(Instances { rows: instances })),
         };
         matches!(
             self.leader_client.request(&request).await,
--- a/crates/control/src/state_machine.rs
+++ b/crates/control/src/state_machine.rs
@@ -176,10 +176,9 @@
                 Reply::Expire => Output::Expire,
             }),
             Kind::Table(table) => Ok(Output::Table(self.apply_table(table))),
-            Kind::Instance(instance) => {
-                let now = Moment::from_millis(command.now_ms);
-                Arc::make_mut(&mut self.registry).apply(now, instance);
-                Ok(Output::Instance)
+            Kind::Instance(instance) => Ok(self.apply_announcements(command.now_ms, [instance])),
+            Kind::Instances(instances) => {
+                Ok(self.apply_announcements(command.now_ms, instances.rows))
             }
             Kind::Evacuation(order) => {
                 let outcome = Arc::make_mut(&mut self.evacuations).apply(&order);
@@ -194,6 +193,20 @@
         }
     }
 
+    fn apply_announcements(
+        &mut self,
+        now_ms: u64,
+        instances: impl IntoIterator<Item = Instance>,
+    ) -> Output {
+        let now = Moment::from_millis(now_ms);
+        // Copied once for all of them if a reader has the previous state.
+        let registry = Arc::make_mut(&mut self.registry);
+        for instance in instances {
+            registry.apply(now, instance);
+        }
+        Output::Instance
+    }
+
     /// Keeps `table` if it is the first one or has a higher version; the first content under a
     /// version is kept.
     fn apply_table(&mut self, table: Table) -> TableReply {
--- a/crates/control/tests/test_join.rs
+++ b/crates/control/tests/test_join.rs
@@ -133,7 +133,7 @@
         // Out of order, and so ignored.
         instance("i-2", Phase::Ready, 1),
     ] {
-        while !client.register(row.clone()).await {
+        while !client.register(vec![row.clone()]).await {
             tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
--- a/crates/hub/src/commands.rs
+++ b/crates/hub/src/commands.rs
@@ -21,6 +21,7 @@
 use wire::hub::Phase;
 use wire::hub::TableReply;
 
+use crate::registrar::Registrar;
 use crate::settings::Settings;
 use crate::state::State;
 
@@ -80,11 +81,13 @@
 #[derive(Clone)]
 pub struct CommandHandler {
     state: Arc<State>,
+    registrar: Registrar,
 }
 
 impl CommandHandler {
     pub(crate) fn new(state: Arc<State>) -> Self {
-        Self { state }
+        let registrar = Registrar::start(&state);
+        Self { state, registrar }
     }
 
     /// Applies an announcement of an instance.
@@ -118,13 +121,11 @@
         if outcome == ApplyOutcome::Stale || self.state.tables.registry().is_known(&instance) {
             return Ok(());
         }
-        let commands = self.clone();
         if phase == Phase::Ready {
-            // If this fails, the next announcement of the instance tries again.
-            tokio::spawn(async move { commands.register(instance).await });
+            self.registrar.queue(&self.state, instance);
             return Ok(());
         }
-        if commands.register(instance).await {
+        if self.registrar.register(&self.state, instance).await {
             Ok(())
         } else {
             Err(self.no_majority("announcement"))
@@ -139,14 +140,6 @@
         CommandError::NoMajority
     }
 
-    async fn register(&self, instance: Instance) -> bool {
-        let (id, phase) = (instance.id.clone(), instance.phase());
-        let accepted = self.state.tables.register(instance).await;
-        info!(self.state.log, "announcement in the log"; "instance" => id,
-            "phase" => phase.as_str_name(), "outcome" => accepted);
-        accepted
-    }
-
     /// Proposes a route table.
     ///
     /// # Errors
--- a/crates/hub/src/lib.rs
+++ b/crates/hub/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod hub;
 pub mod limits;
 pub mod list;
+mod registrar;
 pub mod server;
 pub mod settings;
 pub mod state;
--- a/crates/hub/tests/test_hub.rs
+++ b/crates/hub/tests/test_hub.rs
@@ -567,3 +567,42 @@
     let reply = first.commands().put(table_update(9)).await;
     assert!(matches!(reply, Err(CommandError::NoMajority)), "{reply:?}");
 }
+
+/// Guards against an entry of the log and a request to the leader for each instance: after a start, each
+/// hub receives hundreds of announcements within a second, and its leader's heartbeats are late.
+#[tokio::test]
+async fn test_hub_announcements_that_come_together_share_entries_of_the_log() {
+    const INSTANCES: u64 = 300;
+    let (hub, layout) = start().await;
+    put_until_accepted(&hub, table_update(7)).await;
+    let request = Watch {
+        news: News::Changes.into(),
+        wait_ms: 1,
+        ..Watch::default()
+    };
+    let before = watch(&link(&layout), request.clone()).await.announced;
+    // Announcements of instances that leave are acknowledged once they are in the log.
+    let announce = async |number: u64| {
+        let instance = Instance {
+            id: format!("i-{number}"),
+            ..instance(Phase::Draining, 1)
+        };
+        hub.commands().announce(instance).await.expect("logged");
+    };
+    futures::future::join_all((0..INSTANCES).map(announce)).await;
+    put_until_accepted(&hub, table_update(8)).await;
+    let watching = async {
+        loop {
+            let reply = watch(&link(&layout), request.clone()).await;
+            if reply.table == Some(8) && reply.announced > before {
+                return watch(&link(&layout), request.clone()).await.announced;
+            }
+            tokio::time::sleep(RETRY_INTERVAL).await;
+        }
+    };
+    let after = tokio::time::timeout(TIMEOUT, watching)
+        .await
+        .expect("logged");
+    let entries = after - before;
+    assert!(entries <= INSTANCES / 10, "{entries} entries");
+}
