hub: watchers wait for versions and not for each change of the applied state

Each committed batch woke all watchers of a hub, some 300, to look whether the table had changed; each ready instance that announced itself to the hub woke them, too. They wait for the versions of table and evacuations now, and are told of instances that are ready by the check of expired leases, of all of a tenth of a second together. Instances that leave are told of at once, as before.

--- a/crates/hub/src/commands.rs
+++ b/crates/hub/src/commands.rs
@@ -92,8 +92,8 @@
 
     /// Applies an announcement of an instance.
     ///
-    /// Watchers of this hub are notified at once, the other hubs through the log. Announcements
-    /// that an instance drains or is gone are acknowledged only once they are in the log, as
+    /// Watchers of this hub are notified at once if the instance leaves and within a tenth of a second
+    /// otherwise, the other hubs through the log. Announcements that an instance drains or is gone are acknowledged only once they are in the log, as
     /// the acknowledgement binds all hubs.
     ///
     /// # Errors
@@ -108,8 +108,13 @@
         }
         let phase = instance.phase();
         let outcome = self.state.apply([&instance]);
+        if outcome == ApplyOutcome::Changed && phase != Phase::Ready {
+            self.state.publish_cursor();
+        }
         if phase != Phase::Gone {
-            // Watchers are notified of the renewed lease by the next expiry check.
+            // Watchers are notified of the renewed lease and of an instance that is ready by the next
+            // expiry check, of all of a tenth of a second together: after a restart each would wake
+            // hundreds of watchers.
             let now = self.state.clock.now();
             self.state.lock().registry.renew_lease(now, &instance);
         }
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -81,7 +81,7 @@
             AbortOnDropHandle::new(tokio::spawn(accepting)),
             AbortOnDropHandle::new(tokio::spawn(tasks::follow_group(Arc::clone(&state)))),
             AbortOnDropHandle::new(tokio::spawn(tasks::expire_silent(Arc::clone(&state)))),
-            AbortOnDropHandle::new(tokio::spawn(tasks::follow_registry(Arc::clone(&state)))),
+            AbortOnDropHandle::new(tokio::spawn(tasks::follow_views(Arc::clone(&state)))),
             AbortOnDropHandle::new(tokio::spawn(beacon::run(state))),
         ];
         let mut http = None;
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -87,11 +87,10 @@
     async fn wait_for_changes(&self, request: &Watch) -> InstanceUpdate {
         let wait = Duration::from_millis(request.wait_ms.into()).min(MAX_WAIT);
         let deadline = Instant::now() + wait;
-        let mut views = self.state.tables.views();
+        let mut versions = self.state.versions.subscribe();
         let mut lists = self.state.list_hash.subscribe();
-        let newer = views.wait_for(|view| {
-            let table = view.table.as_ref().map(|table| table.version);
-            table > request.table || view.evacuations.revision() > request.evacuations
+        let newer = versions.wait_for(|versions| {
+            versions.table > request.table || versions.evacuations > request.evacuations
         });
         let mut batched = None;
         tokio::select! {
--- a/crates/hub/src/state.rs
+++ b/crates/hub/src/state.rs
@@ -52,6 +52,15 @@
     packed: (u64, Bytes),
 }
 
+/// What watchers are told of at once from the applied state, besides instances.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Versions {
+    /// The version of the route table, if there is one.
+    pub table: Option<u64>,
+    /// The revision of the evacuations.
+    pub evacuations: u64,
+}
+
 /// The shared state.
 pub struct State {
     /// The settings of the start.
@@ -64,6 +73,9 @@
     pub tables: LocalClient,
     /// The logger.
     pub log: Logger,
+    /// Publishes the applied versions. Watchers wait for these and not for the applied state itself,
+    /// which changes with each announcement in the log.
+    pub versions: watch::Sender<Versions>,
     /// Publishes the cursor of the registry.
     pub cursor: watch::Sender<u64>,
     /// Publishes the hash of the newest list of entry hosts.
@@ -87,6 +99,7 @@
             clock: Clock::start(),
             tables,
             log,
+            versions: watch::Sender::default(),
             cursor: watch::Sender::new(0),
             list_hash: watch::Sender::default(),
             suspects: watch::Sender::default(),
@@ -101,7 +114,7 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Applies announcements and notifies watchers if anything has changed.
+    /// Applies announcements; watchers are notified by [`State::publish_cursor`].
     ///
     /// Returns [`ApplyOutcome::Changed`] if any did, otherwise the first outcome that isn't
     /// [`ApplyOutcome::Known`].
@@ -122,9 +135,6 @@
                 }
             }
         }
-        if outcome == ApplyOutcome::Changed {
-            self.publish_cursor();
-        }
         outcome
     }
 
--- a/crates/hub/src/tasks.rs
+++ b/crates/hub/src/tasks.rs
@@ -8,6 +8,7 @@
 
 use crate::list::content_hash;
 use crate::state::State;
+use crate::state::Versions;
 
 /// How often the list of hubs is read. Entry processes learn of a new hub this much later.
 const GROUP_INTERVAL: Duration = Duration::from_millis(500);
@@ -58,20 +59,30 @@
     }
 }
 
-/// Applies the announcements of the log, from its beginning. Returns when the replica stops.
-pub async fn follow_registry(state: Arc<State>) {
+/// Applies the announcements of the log, from its beginning, and publishes the applied versions.
+/// Returns when the replica stops.
+pub async fn follow_views(state: Arc<State>) {
     let mut views = state.tables.views();
     let (mut cursor, mut last_snapshots) = (0, 0);
     loop {
-        let (registry, announced, snapshots) = {
+        let (registry, announced, snapshots, versions) = {
             let view = views.borrow_and_update();
-            (Arc::clone(&view.registry), view.announced, view.snapshots)
+            let versions = Versions {
+                table: view.table.as_ref().map(|table| table.version),
+                evacuations: view.evacuations.revision(),
+            };
+            let registry = Arc::clone(&view.registry);
+            (registry, view.announced, view.snapshots, versions)
         };
+        state
+            .versions
+            .send_if_modified(|last| std::mem::replace(last, versions) != versions);
         // A snapshot restarts the numbering of changes, so the old cursor would skip some.
         if snapshots != last_snapshots {
             (cursor, last_snapshots) = (0, snapshots);
         }
         state.apply(&registry.changed_since(cursor));
+        state.publish_cursor();
         state.lock().announced_index = announced;
         cursor = registry.cursor();
         if views.changed().await.is_err() {
