--- a/crates/consensus/src/action.rs
+++ b/crates/consensus/src/action.rs
@@ -115,7 +115,7 @@
 pub enum StepDown {
     /// No quorum responded within the election timeout.
     NoQuorum,
-    /// Its own write has been in flight for the write timeout.
+    /// Its own write has been in flight for the write timeout and for twice as long as the last one.
     WriteStalled,
     /// A replica with a newer term was heard.
     NewerTerm,
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -39,8 +39,8 @@
             self.reset_pre_vote_deadline();
             self.start_pre_vote();
         } else {
-            // Its vote or term is still being synced. A new term would take back the vote, and its
-            // sync could not end earlier.
+            // The vote or term is still being synced. A new term would invalidate the vote and could
+            // not be synced any earlier.
             self.reset_pre_vote_deadline();
         }
     }
--- a/crates/consensus/src/persistence.rs
+++ b/crates/consensus/src/persistence.rs
@@ -160,7 +160,7 @@
         }
     }
 
-    /// Backoffs `message` until the hard state and the entries up to `index` are synced;
+    /// Holds `message` back until the hard state and the entries up to `index` are synced;
     /// returns it if they already are.
     pub(crate) fn hold_until_synced(&mut self, message: Message, index: Index) -> Option<Message> {
         let Some(required_write) = self
--- a/crates/consensus/tests/test_replicas/test_slow_disks.rs
+++ b/crates/consensus/tests/test_replicas/test_slow_disks.rs
@@ -33,7 +33,7 @@
     }
 }
 
-/// A group of three whose disks take these times for each write, in milliseconds.
+/// A group of three replicas; `millis` is how long the disk of each takes for a write.
 fn cluster(millis: [u64; 3], seed: u64) -> Cluster {
     let mut cluster = Cluster::with_settings(3, Acceptance::Majority, seed, hub_settings());
     for (id, millis) in (1..).zip(millis) {
--- a/crates/hub/src/commands.rs
+++ b/crates/hub/src/commands.rs
@@ -92,9 +92,9 @@
 
     /// Applies an announcement of an instance.
     ///
-    /// Watchers of this hub are notified at once if the instance leaves and within a tenth of a second
-    /// otherwise, the other hubs through the log. Announcements that an instance drains or is gone are acknowledged only once they are in the log, as
-    /// the acknowledgement binds all hubs.
+    /// Watchers of this hub are notified at once if the instance leaves, and by the next expiry check
+    /// otherwise; the other hubs through the log. Announcements that an instance drains or is gone
+    /// are acknowledged only once they are in the log, as the acknowledgement binds all hubs.
     ///
     /// # Errors
     ///
@@ -112,9 +112,8 @@
             self.state.publish_cursor();
         }
         if phase != Phase::Gone {
-            // Watchers are notified of the renewed lease and of an instance that is ready by the next
-            // expiry check, of all of a tenth of a second together: after a restart each would wake
-            // hundreds of watchers.
+            // Watchers learn of renewed leases and ready instances from the next expiry check, all at
+            // once: after a restart, a notification for each would wake hundreds of watchers each time.
             let now = self.state.clock.now();
             self.state.lock().registry.renew_lease(now, &instance);
         }
--- a/crates/hub/src/registrar.rs
+++ b/crates/hub/src/registrar.rs
@@ -17,7 +17,7 @@
 
 use crate::state::State;
 
-/// Maximum number of announcements in one entry of the log; 512 take some 60 KB.
+/// Maximum number of announcements in one entry of the log, some 60 KB.
 const MAX_BATCH: usize = 512;
 /// Maximum number of announcements that wait; an instance whose announcement is refused repeats it.
 const QUEUE_CAPACITY: usize = 16_384;
--- a/crates/hub/src/state.rs
+++ b/crates/hub/src/state.rs
@@ -27,7 +27,7 @@
 use crate::list::ListHistory;
 use crate::settings::Settings;
 
-/// How long a packed list of all instances serves watchers, which then ask for the changes since.
+/// How long a packed list of all instances is reused. Its receivers then request the changes since.
 const PACK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// The part of the state that is guarded by a lock.
@@ -66,6 +66,7 @@
     pub announced: u64,
     /// The instances; empty if they could not be packed.
     pub bytes: Bytes,
+    /// When the list was packed.
     packed_at: Moment,
 }
 
--- a/crates/hub/tests/test_hub.rs
+++ b/crates/hub/tests/test_hub.rs
@@ -555,6 +555,15 @@
     let mut hubs = start_all(&layout, &log).await;
     put_until_accepted(&hubs[0], table_update(7)).await;
     put_until_accepted(&hubs[0], table_update(8)).await;
+    // A follower applies the table after the leader has acknowledged it.
+    let applying = async {
+        while watch(&link(&layout), Watch::default()).await.table < Some(8) {
+            tokio::time::sleep(RETRY_INTERVAL).await;
+        }
+    };
+    tokio::time::timeout(TIMEOUT, applying)
+        .await
+        .expect("applied");
     let first = hubs.remove(0);
     for hub in hubs {
         hub.stop().await;
