--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -185,6 +185,9 @@
     ended: AtomicBool,
     sequence: AtomicU64,
     running: AtomicU64,
+    /// The idle timeout that answers to requests state, in whole seconds; answers to health checks
+    /// state none.
+    idle_secs: AtomicU64,
     streams: Mutex<Vec<TcpStream>>,
 }
 
@@ -209,6 +212,7 @@
             ended: AtomicBool::default(),
             sequence: AtomicU64::new(0),
             running: AtomicU64::new(0),
+            idle_secs: AtomicU64::new(10),
             streams: Mutex::default(),
         });
         record.note(format!("start {start} of {id} at {address}, born {born}"));
@@ -256,7 +260,7 @@
             } else if request.first.starts_with("GET /health ") {
                 format!(
                     "HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nInstance-Load: {load}\r\n\
-                     Keep-Alive: timeout=10\r\nContent-Length: 0\r\n\r\n",
+                     Content-Length: 0\r\n\r\n",
                     self.id
                 )
             } else {
@@ -271,7 +275,8 @@
                 let body = format!("done {id}");
                 format!(
                     "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: s.{id}\r\n\
-                     Instance-Load: {load}\r\nKeep-Alive: timeout=10\r\nContent-Length: {}\r\n\r\n{body}",
+                     Instance-Load: {load}\r\nKeep-Alive: timeout={}\r\nContent-Length: {}\r\n\r\n{body}",
+                    self.idle_secs.load(Ordering::SeqCst),
                     body.len()
                 )
             };
@@ -599,6 +604,106 @@
     Ok(late > 0)
 }
 
+/// A client's kept connection.
+struct Kept {
+    stream: TcpStream,
+    rest: Vec<u8>,
+}
+
+impl Kept {
+    fn open(front: SocketAddr) -> Fallible<Self> {
+        let stream = TcpStream::connect_timeout(&front, Duration::from_secs(1)).map_err(text)?;
+        stream.set_nodelay(true).map_err(text)?;
+        let wait = Some(Duration::from_secs(3));
+        stream.set_read_timeout(wait).map_err(text)?;
+        let rest = Vec::new();
+        Ok(Self { stream, rest })
+    }
+
+    /// Sends a grant; returns the status, or `None` if the connection ends without an answer.
+    fn grant(&mut self, id: &str) -> Fallible<Option<u16>> {
+        let request = format!(
+            "POST /grant/7 HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\n\
+             Request-Deadline: 2000\r\nContent-Length: 7\r\n\r\nblock=7"
+        );
+        self.stream.write_all(request.as_bytes()).map_err(text)?;
+        match read_message(&mut self.stream, &mut self.rest) {
+            Ok(reply) => Ok(reply.map(|reply| reply.status())),
+            Err(err) if err.kind() == io::ErrorKind::ConnectionReset => Ok(None),
+            Err(err) if err.kind() == io::ErrorKind::UnexpectedEof => Ok(None),
+            Err(err) => Err(text(err)),
+        }
+    }
+}
+
+/// Servers state an idle timeout that never ends.
+fn endless_idle(record: &Record, trouble: bool) -> Fallible<bool> {
+    const CLIENTS: usize = 12;
+    // What the rule allows.
+    const MAX_LOST: usize = 3;
+    let (base, port) = free_ports()?;
+    let runs = Arc::new(Runs::default());
+    let system = System::start(base)?;
+    let never = Arc::new(AtomicBool::new(false));
+    let mut servers = Vec::new();
+    for number in 0..3_u8 {
+        let id = format!("i-{number}");
+        let server = Server::start(
+            &id,
+            1,
+            unix_ms()?,
+            address(31 + number, port),
+            &runs,
+            record,
+        )?;
+        server.announce(&system.control, &never);
+        servers.push(server);
+    }
+    system.configure(record)?;
+    thread::sleep(Duration::from_secs(4));
+    let mut kept = Vec::new();
+    for number in 0..CLIENTS {
+        let mut client = Kept::open(system.fronts[number % ENTRIES])?;
+        let status = client.grant(&format!("before-{number}"))?;
+        record.note(format!("before-{number}: {status:?}"));
+        if status != Some(200) {
+            return Err("a request before the disruption wasn't served".into());
+        }
+        kept.push(client);
+    }
+    if trouble {
+        for server in &servers {
+            server
+                .idle_secs
+                .store(i64::MAX.unsigned_abs(), Ordering::SeqCst);
+        }
+        record.note(format!(
+            "all servers state an idle timeout of {} s",
+            i64::MAX
+        ));
+    }
+    let mut lost = 0;
+    for (number, client) in kept.iter_mut().enumerate() {
+        let id = format!("grant-{number}");
+        record.note(format!("{id} is sent on a kept connection"));
+        let status = client.grant(&id)?;
+        let begun = runs
+            .0
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|(request, ..)| *request == id)
+            .count();
+        record.note(format!("{id}: {status:?}, begun {begun} times"));
+        lost += usize::from(status.is_none() && begun > 0);
+        thread::sleep(Duration::from_millis(100));
+    }
+    record.note(format!(
+        "run, and the kept connection closed without an answer: {lost} of {CLIENTS}"
+    ));
+    Ok(lost > MAX_LOST)
+}
+
 fn main() -> ExitCode {
     let mut args = std::env::args().skip(1);
     let (Some(case), Some(path)) = (args.next(), args.next()) else {
@@ -613,6 +718,7 @@
     ));
     let broken = match case.as_str() {
         "older-start" => older_start(&record, trouble),
+        "endless-idle" => endless_idle(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
     let code = match &broken {
