testutils, platform: tests of clients that leave requests unfinished or exceed limits

These tests show it with small crowds: bodies that are large, in pieces of a byte, in large or tiny chunks, most stopping just short of their end, or over the limit, announced or sent, and heads that are never finished, at each process that takes bytes from outside. A test checks that the process lives, that its peak memory and its descriptors stay under a bound, and that one ordinary request is answered while the crowd is still connected. Crowds and bounds are fixed here, before the product is changed.

Heads are sent in one write also where the body is sent in pieces: a head in pieces leaves the HTTP library a larger buffer, which hides the cost of pieces.

--- a/crates/testutils/src/lib.rs
+++ b/crates/testutils/src/lib.rs
@@ -4,6 +4,7 @@
 //! Each process is signalled by its own id and killed when its handle is dropped.
 
 pub mod caller;
+pub mod crowd;
 pub mod fleet;
 pub mod folder;
 pub mod host;
@@ -20,6 +21,8 @@
 pub use caller::Reply;
 pub use caller::Request;
 pub use caller::new_key;
+pub use crowd::Crowd;
+pub use crowd::Message;
 pub use fleet::Fleet;
 pub use fleet::Layout;
 pub use folder::Folder;
--- a/crates/testutils/src/process.rs
+++ b/crates/testutils/src/process.rs
@@ -7,6 +7,7 @@
 use std::io::BufReader;
 use std::io::Read;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -177,7 +178,16 @@
     /// Fails if the binary has not been built, exits before it is ready, or is not
     /// ready within [`WAIT_TIMEOUT`].
     pub async fn start(binary: Binary, ini: &str) -> Result<Self, ProcessError> {
-        let path = binary.path()?;
+        Self::start_at(&binary.path()?, binary, ini).await
+    }
+
+    /// Starts the program at `path`, which logs and reads settings as `binary` does.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the program can't be started, exits before it is ready, or is not
+    /// ready within [`WAIT_TIMEOUT`].
+    pub async fn start_at(path: &Path, binary: Binary, ini: &str) -> Result<Self, ProcessError> {
         let folder = Folder::new()?;
         let config = folder.write(SETTINGS_FILE, ini)?;
         let mut child = Command::new(path)
@@ -316,6 +326,28 @@
         }
     }
 
+    /// The most memory that the process has had resident, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has exited.
+    pub fn peak_memory(&self) -> Result<u64, ProcessError> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kibibytes = line.and_then(|line| line.trim().strip_suffix("kB")?.trim().parse().ok());
+        let kibibytes: u64 = kibibytes.ok_or_else(|| io::Error::other("no VmHWM"))?;
+        Ok(kibibytes * 1024)
+    }
+
+    /// The number of the process's open descriptors.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has exited.
+    pub fn descriptors(&self) -> Result<usize, ProcessError> {
+        Ok(fs::read_dir(format!("/proc/{}/fd", self.child.id()))?.count())
+    }
+
     /// Whether the process has exited.
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
--- a/crates/testutils/src/system.rs
+++ b/crates/testutils/src/system.rs
@@ -83,7 +83,16 @@
         entries: usize,
         catalogue: &[Entry],
     ) -> Result<Self, SystemError> {
-        let plan = Plan::new(replicas, entries)?;
+        Self::start_plan(Plan::new(replicas, entries)?, catalogue).await
+    }
+
+    /// Starts all processes of `plan`, with `catalogue` in force on each gateway.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process is not ready in time, or the catalogue is not in force in time.
+    pub async fn start_plan(plan: Plan, catalogue: &[Entry]) -> Result<Self, SystemError> {
+        let (replicas, entries) = (plan.control.len(), plan.gateways.len());
         let operator = Operator::new(&plan.replicas());
         let mut system = Self {
             control: vec![],
