entry: bodies that callers leave unfinished are charged to one account

What callers saw: a crowd of bodies of legal size, most of them one byte short of their end, grew an entry process beyond the memory of its machine; it was ended, and all its callers lost their connections.

Cause: a body of up to 256 KB was kept for retries, and the first 256 KB of a longer one were read before it was forwarded, for any number of requests at once. A body that came in pieces cost about 4 KB a byte: each piece was kept as the part of the read buffer that the HTTP library had allocated for it.

Change: bodies, the responses that are read as a whole, each request and each connection are charged to the account of crate bounds before they are kept, and bodies are copied into blocks. Over the account, callers that have stopped for a second are closed first; otherwise the request gets 503 with Retry-After and is not sent, as nothing of it has left the process. A response that finds no memory is streamed.

Why it works: all that is kept for callers is in the account, and the account is what the machine has less 48 MiB for the process itself.

--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -1,6 +1,8 @@
 //! Request and response bodies, which are forwarded as they arrive. Short request bodies are
 //! buffered for retries.
 
+mod arriving;
+mod read;
 mod spool;
 
 use std::pin::Pin;
@@ -10,20 +12,23 @@
 use std::task::Context;
 use std::task::Poll;
 
+use bounds::RequestGuard;
 use bytes::Buf;
 use bytes::Bytes;
-use bytes::BytesMut;
 use http_body::Body;
 use http_body::Frame;
 use http_body::SizeHint;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use quarantine::Fingerprint;
 use quarantine::Head;
 use quick_error::quick_error;
 
 use crate::stream_tracker::StreamTracker;
 
+pub use self::arriving::Arriving;
+pub use self::read::ReadBody;
+pub use self::read::read_available;
+pub use self::read::read_response;
+pub use self::read::request_body;
 use self::spool::Reader;
 pub use self::spool::Spool;
 
@@ -37,6 +42,14 @@
             source(err)
             display("{err}")
         }
+        /// It exceeds the limit of the route table.
+        TooLarge {
+            display("request body exceeds the limit")
+        }
+        /// The process has no memory left for it.
+        OverMemory {
+            display("no memory is left for the request body")
+        }
         /// Its sender broke off during an earlier attempt.
         Broken {
             display("request body ended before it was complete")
@@ -64,7 +77,7 @@
     /// Forwarded as it arrives, and buffered.
     Spooled(Reader),
     /// The bytes that were read already, and the rest.
-    Stream(Option<Bytes>, Incoming, Completion),
+    Stream(Option<Bytes>, Box<Arriving>, Completion),
 }
 
 /// Whether a body that is not buffered has been passed on completely.
@@ -114,6 +127,12 @@
         }
     }
 
+    /// Whether there was no memory for the rest of the body.
+    #[must_use]
+    pub fn is_over_memory(&self) -> bool {
+        matches!(self, Self::Spooled(reader) if reader.spool().is_over_memory())
+    }
+
     /// Follows the transfer of the body.
     #[must_use]
     pub fn transfer(&self) -> Transfer {
@@ -140,7 +159,7 @@
         match self {
             Self::Whole(bytes) => bytes.is_none(),
             Self::Spooled(reader) => reader.remaining() == 0,
-            Self::Stream(first, rest, _) => first.is_none() && rest.is_end_stream(),
+            Self::Stream(first, rest, _) => first.is_none() && rest.is_end(),
         }
     }
 
@@ -158,7 +177,7 @@
         let polled = self.poll_next(cx);
         if let Self::Stream(first, rest, Completion(complete)) = self
             && first.is_none()
-            && (rest.is_end_stream() || matches!(polled, Poll::Ready(None)))
+            && (rest.is_end() || matches!(polled, Poll::Ready(None)))
         {
             complete.store(true, Ordering::Relaxed);
         }
@@ -177,8 +196,8 @@
         match (first, rest) {
             (Some(bytes), _) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
             (None, Some(rest)) => {
-                let frame = Pin::new(rest).poll_frame(cx);
-                frame.map(|frame| frame.map(|frame| frame.map_err(BodyError::from)))
+                let data = rest.poll_data(cx);
+                data.map(|data| data.map(|data| data.map(Frame::data)))
             }
             (None, None) => Poll::Ready(None),
         }
@@ -260,6 +279,8 @@
 pub struct ResponseBody {
     body: ForwardedBody,
     stream_tracker: Option<StreamTracker>,
+    /// The request that it answers, until it has been passed on.
+    request: Option<RequestGuard>,
 }
 
 impl ResponseBody {
@@ -270,19 +291,26 @@
         Self {
             body: ForwardedBody::Whole(bytes),
             stream_tracker: None,
+            request: None,
         }
     }
 
     /// A body whose beginning `first` was read already.
     #[must_use]
-    pub fn stream(first: Bytes, rest: Incoming, stream_tracker: StreamTracker) -> Self {
+    pub fn stream(first: Bytes, rest: Arriving, stream_tracker: StreamTracker) -> Self {
         let first = Some(first).filter(|first| !first.is_empty());
         Self {
-            body: ForwardedBody::Stream(first, rest, Completion::default()),
+            body: ForwardedBody::Stream(first, Box::new(rest), Completion::default()),
             stream_tracker: Some(stream_tracker),
+            request: None,
         }
     }
 
+    /// Keeps `request` open until the body has been passed on.
+    pub fn hold(&mut self, request: RequestGuard) {
+        self.request = Some(request);
+    }
+
     /// Records the result of a poll: data, the end, or an error.
     fn record_frame(&mut self, frame: Option<&Result<Frame<Bytes>, BodyError>>) {
         match frame {
@@ -345,88 +373,3 @@
         self.body.remaining_size_hint()
     }
 }
-
-/// The result of reading a body.
-#[derive(Debug)]
-pub enum ReadBody {
-    /// The complete body.
-    Whole(Bytes),
-    /// The beginning, and the body that the rest comes from.
-    Part(Bytes, Incoming),
-}
-
-/// Prepares a request's body for forwarding. A short body with a declared length is forwarded as
-/// it arrives; others are read up to [`MAX_BUFFERED_BYTES`] first, so that a short one gets a
-/// length.
-///
-/// # Errors
-///
-/// Fails if a body that is read first breaks off.
-pub async fn request_body(incoming: Incoming) -> Result<ForwardedBody, hyper::Error> {
-    let declared = incoming.size_hint().exact();
-    if let Some(length) = declared.filter(|length| (1..=MAX_BUFFERED_BYTES as u64).contains(length))
-    {
-        return Ok(ForwardedBody::Spooled(Reader::new(
-            Spool::new(incoming),
-            length,
-        )));
-    }
-    Ok(match read(incoming).await? {
-        ReadBody::Whole(bytes) if bytes.is_empty() => ForwardedBody::Whole(None),
-        ReadBody::Whole(bytes) => ForwardedBody::Whole(Some(bytes)),
-        ReadBody::Part(first, rest) => {
-            ForwardedBody::Stream(Some(first), rest, Completion::default())
-        }
-    })
-}
-
-/// Reads the part of a body that has already arrived, without waiting for more.
-///
-/// # Errors
-///
-/// Fails if the body breaks off.
-pub async fn read_available(mut body: Incoming) -> Result<ReadBody, hyper::Error> {
-    let mut first = BytesMut::new();
-    loop {
-        let frame = std::future::poll_fn(|cx| Poll::Ready(Pin::new(&mut body).poll_frame(cx)));
-        match frame.await {
-            Poll::Pending => return Ok(ReadBody::Part(first.freeze(), body)),
-            Poll::Ready(None) => return Ok(ReadBody::Whole(first.freeze())),
-            Poll::Ready(Some(frame)) => {
-                if let Ok(data) = frame?.into_data() {
-                    first.extend_from_slice(&data);
-                }
-            }
-        }
-        if first.len() > MAX_BUFFERED_BYTES {
-            return Ok(ReadBody::Part(first.freeze(), body));
-        }
-    }
-}
-
-/// Reads a body up to [`MAX_BUFFERED_BYTES`].
-///
-/// # Errors
-///
-/// Fails if the body breaks off.
-pub async fn read(mut body: Incoming) -> Result<ReadBody, hyper::Error> {
-    let mut first: Option<Bytes> = None;
-    let mut buffer = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame?.into_data() else {
-            continue;
-        };
-        if first.is_none() && buffer.is_empty() {
-            first = Some(data);
-        } else {
-            if let Some(first) = first.take() {
-                buffer.extend_from_slice(&first);
-            }
-            buffer.extend_from_slice(&data);
-        }
-        if buffer.len() > MAX_BUFFERED_BYTES {
-            return Ok(ReadBody::Part(buffer.freeze(), body));
-        }
-    }
-    Ok(ReadBody::Whole(first.unwrap_or_else(|| buffer.freeze())))
-}
--- a/crates/entry/src/body/spool.rs
+++ b/crates/entry/src/body/spool.rs
@@ -3,7 +3,6 @@
 //! On a slow link a body takes longer to arrive than an instance takes to be selected. Reading
 //! it completely before forwarding it would transfer it twice in sequence.
 
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -12,21 +11,23 @@
 use std::task::Poll;
 use std::task::ready;
 
+use bounds::Buffer;
 use bytes::Bytes;
-use http_body::Body;
-use hyper::body::Incoming;
 use quarantine::Fingerprint;
 use quarantine::Head;
 
+use super::Arriving;
 use super::BodyError;
 
 /// The received part of a body, and the source of the rest.
 ///
-/// Invariant: only the newest reader that was ever polled reads from `incoming`.
+/// Invariant: only the newest reader that was ever polled reads from `arriving`.
 #[derive(Debug)]
 struct Source {
-    incoming: Incoming,
-    chunks: Vec<Bytes>,
+    arriving: Arriving,
+    buffer: Buffer,
+    /// Data that has arrived and isn't in the buffer yet.
+    arrived: Option<Bytes>,
     /// How the body ended; `None` while it may continue.
     end: Option<End>,
     /// The number of the newest reader that was polled.
@@ -37,6 +38,7 @@
 enum End {
     Whole,
     Broken,
+    OverMemory,
 }
 
 /// A body that is buffered as it arrives.
@@ -44,12 +46,13 @@
 pub struct Spool(Arc<Mutex<Source>>);
 
 impl Spool {
-    /// Buffers `incoming`.
+    /// Buffers `arriving` in `buffer`.
     #[must_use]
-    pub fn new(incoming: Incoming) -> Self {
+    pub fn new(arriving: Arriving, buffer: Buffer) -> Self {
         Self(Arc::new(Mutex::new(Source {
-            incoming,
-            chunks: Vec::new(),
+            arriving,
+            buffer,
+            arrived: None,
             end: None,
             reader: 0,
         })))
@@ -61,12 +64,17 @@
         self.source().end == Some(End::Whole)
     }
 
+    /// Whether there was no memory for the rest of the body.
+    #[must_use]
+    pub fn is_over_memory(&self) -> bool {
+        self.source().end == Some(End::OverMemory)
+    }
+
     /// The request's fingerprint; `None` while the body may continue.
     #[must_use]
     pub fn fingerprint(&self, head: Head) -> Option<Fingerprint> {
         let source = self.source();
-        let chunks = source.chunks.iter().map(|chunk| &chunk[..]);
-        (source.end == Some(End::Whole)).then(|| Fingerprint::new(head, chunks))
+        (source.end == Some(End::Whole)).then(|| Fingerprint::new(head, source.buffer.blocks()))
     }
 
     /// Buffers the rest of the body while nobody reads it. Completes when the body ends or
@@ -86,27 +94,37 @@
 }
 
 impl Source {
-    /// Buffers the next chunk. Yields `None` at the end of a complete body.
+    /// Buffers the next data. Yields `None` at the end of a complete body.
     fn poll_more(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<(), BodyError>>> {
-        loop {
-            match self.end {
-                Some(End::Whole) => return Poll::Ready(None),
-                Some(End::Broken) => return Poll::Ready(Some(Err(BodyError::Broken))),
-                None => {}
-            }
-            match ready!(Pin::new(&mut self.incoming).poll_frame(cx)) {
-                None => self.end = Some(End::Whole),
+        match self.end {
+            Some(End::Whole) => return Poll::Ready(None),
+            Some(End::Broken) => return Poll::Ready(Some(Err(BodyError::Broken))),
+            Some(End::OverMemory) => return Poll::Ready(Some(Err(BodyError::OverMemory))),
+            None => {}
+        }
+        let data = match self.arrived.take() {
+            Some(data) => data,
+            None => match ready!(self.arriving.poll_data(cx)) {
+                None => {
+                    self.end = Some(End::Whole);
+                    return Poll::Ready(None);
+                }
                 Some(Err(err)) => {
                     self.end = Some(End::Broken);
-                    return Poll::Ready(Some(Err(err.into())));
-                }
-                Some(Ok(frame)) => {
-                    // Trailers are not forwarded.
-                    if let Ok(data) = frame.into_data() {
-                        self.chunks.push(data);
-                        return Poll::Ready(Some(Ok(())));
-                    }
+                    return Poll::Ready(Some(Err(err)));
                 }
+                Some(Ok(data)) => data,
+            },
+        };
+        match self.buffer.poll_push(cx, &data) {
+            Poll::Pending => {
+                self.arrived = Some(data);
+                Poll::Pending
+            }
+            Poll::Ready(Ok(())) => Poll::Ready(Some(Ok(()))),
+            Poll::Ready(Err(_)) => {
+                self.end = Some(End::OverMemory);
+                Poll::Ready(Some(Err(BodyError::OverMemory)))
             }
         }
     }
@@ -117,7 +135,8 @@
 pub struct Reader {
     spool: Spool,
     number: u32,
-    next: usize,
+    /// The number of bytes that were read.
+    position: usize,
     /// The length of the whole body in bytes.
     length: u64,
     remaining: u64,
@@ -130,7 +149,7 @@
         Self {
             spool,
             number: 0,
-            next: 0,
+            position: 0,
             length,
             remaining: length,
         }
@@ -163,27 +182,27 @@
         self.remaining
     }
 
-    /// Polls for the next chunk. Yields `None` at the end.
+    /// Polls for the next part. Yields `None` at the end.
     pub fn poll_part(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         let mut source = self.spool.source();
         if self.number < source.reader {
             return Poll::Ready(Some(Err(BodyError::Superseded)));
         }
         source.reader = self.number;
-        if self.next == source.chunks.len() {
+        if self.position == source.buffer.len() {
             match ready!(source.poll_more(cx)) {
                 None => return Poll::Ready(None),
                 Some(Err(err)) => return Poll::Ready(Some(Err(err))),
                 Some(Ok(())) => {}
             }
         }
-        let chunk = source.chunks[self.next].clone();
-        self.next += 1;
-        self.remaining = self.remaining.saturating_sub(chunk.len() as u64);
+        let part = Bytes::copy_from_slice(source.buffer.part(self.position));
+        self.position += part.len();
+        self.remaining = self.remaining.saturating_sub(part.len() as u64);
         // A body with a declared length isn't polled beyond that length.
         if self.remaining == 0 {
             source.end = Some(End::Whole);
         }
-        Poll::Ready(Some(Ok(chunk)))
+        Poll::Ready(Some(Ok(part)))
     }
 }
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -23,6 +23,7 @@
 use backoff::Backoff;
 use backoff::Backoffs;
 use base::prelude::*;
+use bounds::Clients;
 use crash::Guard;
 use evacuation::EvacuationState;
 use http::Uri;
@@ -137,6 +138,8 @@
     pub relayed: RelayCount,
     /// The quotas of workspaces.
     pub quotas: Quotas,
+    /// The connections of callers and peers, and the memory that is kept for them.
+    pub clients: Clients,
     routes: RwLock<Arc<Routes>>,
     confirmation: Mutex<Confirmation>,
     state: Mutex<State>,
@@ -147,7 +150,9 @@
     #[must_use]
     pub fn new(settings: Settings, dialect: Dialect, log: Logger, counters: Counters) -> Arc<Self> {
         let clock = Clock::start();
+        let metrics = Arc::clone(counters.client());
         Arc::new(Self {
+            clients: Clients::new(settings.client_limits(), log.clone(), metrics),
             quotas: Quotas::new(&settings, clock, log.clone()),
             settings: RwLock::new(Arc::new(settings)),
             dialect,
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -1,5 +1,6 @@
 //! The metrics of the entry process.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use base::prelude::*;
@@ -13,14 +14,22 @@
 /// Sends metrics. A metric that can't be sent is dropped without delaying the caller.
 #[derive(Debug)]
 pub struct Counters {
-    client: StatsdClient,
+    client: Arc<StatsdClient>,
 }
 
 impl Counters {
     /// Sends metrics through `client`.
     #[must_use]
     pub fn new(client: StatsdClient) -> Self {
-        Self { client }
+        Self {
+            client: Arc::new(client),
+        }
+    }
+
+    /// The client that the metrics go through.
+    #[must_use]
+    pub fn client(&self) -> &Arc<StatsdClient> {
+        &self.client
     }
 
     /// Counts a request that ended after `elapsed`.
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use bounds::Charge;
+use bounds::Client;
 use bytes::Bytes;
 use correlate::Cause;
 use correlate::NotRun;
@@ -30,6 +32,7 @@
 
 use crate::balancer::SelectedInstance;
 use crate::body;
+use crate::body::Arriving;
 use crate::body::ForwardedBody;
 use crate::body::ReadBody;
 use crate::core::Core;
@@ -68,6 +71,8 @@
     pub caller: Arc<str>,
     /// Digest of everything but the body, for the request's fingerprint.
     pub head: Head,
+    /// The connection on which it arrived, to which its response is charged.
+    pub client: Client,
 }
 
 /// Time limits of an attempt.
@@ -94,7 +99,7 @@
     /// The complete body.
     Whole(Bytes),
     /// The part read so far, the rest, and the connection it arrives on.
-    Stream(Bytes, Incoming, ResponseSource),
+    Stream(Bytes, Arriving, ResponseSource),
 }
 
 /// How an attempt ended.
@@ -286,15 +291,17 @@
             // Another instance has the address, so the connection isn't kept.
             if proof.cause() != Cause::OtherInstance {
                 connection.record_refused(&request.id);
-                drain_refusal(upstream, response, connection, reusable);
+                let charge = request.client.charge();
+                drain_refusal(upstream, response, connection, reusable, charge);
             }
             return running.end_refused(proof, refused, report);
         }
     }
     core.record_limit(upstream, response.headers(), sent_at, Source::Response);
     let failed = response.status().is_server_error();
-    if let Some((parts, body)) = read_response(&upstream.pool, response, connection, reusable).await
-    {
+    let charge = request.client.charge();
+    let read = read_response(&upstream.pool, response, connection, reusable, charge).await;
+    if let Some((parts, body)) = read {
         running.end(
             if failed {
                 OutcomeKind::Error
@@ -317,10 +324,11 @@
     response: Response<Incoming>,
     connection: Connection,
     reusable: bool,
+    charge: Charge,
 ) {
     let upstream = Arc::clone(upstream);
     tokio::spawn(async move {
-        let reading = read_response(&upstream.pool, response, connection, reusable);
+        let reading = read_response(&upstream.pool, response, connection, reusable, charge);
         // Without the end of the body, the connection is closed.
         let _ = tokio::time::timeout(REFUSAL_TIMEOUT, reading).await;
     });
@@ -384,14 +392,17 @@
     Some(request)
 }
 
-/// Reads the response, and returns a `reusable` connection to the pool if it is complete.
+/// Reads the response, and returns a `reusable` connection to the pool if it is complete. What is
+/// kept of it is charged to `charge`; a response that finds no memory is streamed.
 pub async fn read_response(
     pool: &Pool,
     response: Response<Incoming>,
     connection: Connection,
     reusable: bool,
+    charge: Charge,
 ) -> Option<(Parts, UpstreamBody)> {
     let (parts, incoming) = response.into_parts();
+    let incoming = Arriving::response(incoming);
     // A server error may be replaced by another attempt's response, so it is not streamed.
     // Without a length, only the end of the body tells whether it is complete.
     let is_long = incoming
@@ -400,9 +411,9 @@
         .is_some_and(|bytes| bytes > MAX_PACKET_BODY);
     let streams = parts.status.is_success() && is_long;
     let read = if streams {
-        body::read_available(incoming).await
+        body::read_available(incoming, charge).await
     } else {
-        body::read(incoming).await
+        body::read_response(incoming, charge).await
     };
     match read.ok()? {
         ReadBody::Whole(bytes) => {
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -17,9 +17,11 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use bounds::Client;
 use bytes::Bytes;
 use http::Request;
 use http::Response;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use route::Pick;
 use route::ScoredChoice;
@@ -36,6 +38,8 @@
 use crate::balancer::Balancer;
 use crate::balancer::SelectedInstance;
 use crate::body;
+use crate::body::Arriving;
+use crate::body::BodyError;
 use crate::body::Content;
 use crate::body::ForwardedBody;
 use crate::body::ResponseBody;
@@ -59,6 +63,8 @@
 /// `Retry-After` of refusals that don't depend on capacity. The hubs deliver a missing table
 /// or missing instances within this time.
 const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// `Retry-After` of refusals for lack of memory. Clients that have stopped sending give way by then.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Fraction of the caller's timeout for which a request waits for the first table and
 /// instances. After a restart of all processes, these arrive within 700 ms.
 const STARTUP_WAIT_FRACTION: f64 = 0.25;
@@ -151,10 +157,12 @@
 /// Handles one request.
 pub async fn handle(
     core: Arc<Core>,
+    client: Client,
     origin: Origin,
     mut request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let started_at = Instant::now();
+    let guard = client.begin().await;
     let hop = match origin {
         Origin::Caller(_) => None,
         Origin::Peer => Hop::take(request.headers_mut()),
@@ -166,6 +174,10 @@
     let id = request.headers().get(&core.dialect.request).cloned();
     let id = id.unwrap_or_else(head::new_id);
     let refuse = |reason| head::refuse(&core, &id, &routes, origin, reason);
+    let Ok(guard) = guard else {
+        return refuse(Reason::Memory);
+    };
+    let receiving = (!request.body().is_end_stream()).then(|| guard.receiving());
     if origin == Origin::Peer && hop.is_none() {
         warn!(core.log, "invalid relayed request"; "request" => id.to_str().unwrap_or("-"));
         return refuse(Reason::Unreachable);
@@ -203,7 +215,8 @@
     };
     let limits = RequestLimits::new(&core, route, header, hop.as_ref());
     let caller = head::caller_name(&core, origin, hop.as_ref(), request.headers());
-    let (request, incoming) = head::forwarded_request(&core, caller, &host, id, request);
+    let (request, incoming) = head::forwarded_request(&core, caller, client, &host, id, request);
+    let body = Arriving::request(incoming, u64::MAX, receiving);
     let key = KeyGuard::new(&core, &request.id, identity);
     let mut flow = Flow {
         deadline: started_at + limits.timeout,
@@ -238,13 +251,15 @@
         failed_response: None,
         core,
     };
-    flow.run(incoming).await
+    let mut response = flow.run(body).await;
+    response.body_mut().hold(guard);
+    response
 }
 
 impl Flow {
-    async fn run(&mut self, incoming: Incoming) -> Response<ResponseBody> {
+    async fn run(&mut self, body: Arriving) -> Response<ResponseBody> {
         let deadline = self.deadline;
-        let outcome = match tokio::time::timeout_at(deadline, self.process(incoming)).await {
+        let outcome = match tokio::time::timeout_at(deadline, self.process(body)).await {
             Ok(outcome) => outcome,
             Err(_) if self.sends.may_have_run() && self.failed_response.is_none() => {
                 Outcome::Refusal(Reason::Timeout, None)
@@ -264,10 +279,14 @@
         }
     }
 
-    async fn process(&mut self, incoming: Incoming) -> Outcome {
-        // The caller disconnected while sending the body; the response reaches nobody.
-        let mut body = match self.key.clone().hold(body::request_body(incoming)).await {
+    async fn process(&mut self, arriving: Arriving) -> Outcome {
+        let client = self.request.client.clone();
+        let reading = body::request_body(arriving, &client);
+        let mut body = match self.key.clone().hold(reading).await {
             Ok(Ok(body)) => body,
+            Ok(Err(BodyError::OverMemory)) => return self.fallback(Reason::Memory),
+            Ok(Err(BodyError::TooLarge)) => return Outcome::Refusal(Reason::TooLarge, None),
+            // The caller disconnected while sending the body; the response reaches nobody.
             Ok(Err(_)) => return Outcome::Refusal(Reason::Late, None),
             Err(reason) => return Outcome::Refusal(reason, None),
         };
@@ -336,6 +355,9 @@
         };
         // The request may have been quarantined while it waited for capacity.
         self.check_quarantine().await?;
+        if body.is_over_memory() {
+            return Err(Reason::Memory);
+        }
         self.renew_permit().await?;
         // Its key may have been removed meanwhile.
         self.key.check()?;
@@ -491,6 +513,7 @@
             Reason::BackedOff => self.estimated_return(),
             Reason::Quarantined | Reason::OverQuota | Reason::QuotaUnreachable => self.retry_after,
             Reason::Unauthorized => None,
+            Reason::Memory => Some(MEMORY_RETRY_AFTER),
             Reason::Full => self.full_return(),
             _ => Some(UNAVAILABLE_RETRY_AFTER),
         };
--- a/crates/entry/src/flow/head.rs
+++ b/crates/entry/src/flow/head.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use bounds::Client;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
@@ -21,6 +22,7 @@
 use tokio::time::Instant;
 use uuid::Uuid;
 
+use super::MEMORY_RETRY_AFTER;
 use super::Origin;
 use super::UNAVAILABLE_RETRY_AFTER;
 use crate::body::ResponseBody;
@@ -131,10 +133,11 @@
     }
 }
 
-/// Splits a request of `caller` for `host` into the forwarded part and the body.
+/// Splits a request of `caller`, connected as `client`, for `host` into the forwarded part and the body.
 pub(super) fn forwarded_request(
     core: &Core,
     caller: Arc<str>,
+    client: Client,
     host: &str,
     id: HeaderValue,
     request: Request<Incoming>,
@@ -155,6 +158,7 @@
         uri,
         headers: parts.headers,
         caller,
+        client,
     };
     (request, incoming)
 }
@@ -168,7 +172,10 @@
     reason: Reason,
 ) -> Response<ResponseBody> {
     let is_temporary = reason.status() == StatusCode::SERVICE_UNAVAILABLE;
-    let retry_after = is_temporary.then_some(UNAVAILABLE_RETRY_AFTER);
+    let retry_after = match reason {
+        Reason::Memory => Some(MEMORY_RETRY_AFTER),
+        _ => is_temporary.then_some(UNAVAILABLE_RETRY_AFTER),
+    };
     let mut response = refusal::response(reason, retry_after);
     if origin == Origin::Peer {
         let name = &core.dialect.request;
--- a/crates/entry/src/flow/response.rs
+++ b/crates/entry/src/flow/response.rs
@@ -4,12 +4,12 @@
 
 use bytes::Bytes;
 use http::Response;
-use hyper::body::Incoming;
 use slog::info;
 
 use super::Flow;
 use super::Outcome;
 use super::millis;
+use crate::body::Arriving;
 use crate::body::ResponseBody;
 use crate::exchange::UpstreamBody;
 use crate::headers;
@@ -24,7 +24,7 @@
 
 impl Flow {
     /// Returns a body that is passed on as it arrives; `first` has been read already.
-    fn stream(&mut self, first: Bytes, rest: Incoming, source: ResponseSource) -> ResponseBody {
+    fn stream(&mut self, first: Bytes, rest: Arriving, source: ResponseSource) -> ResponseBody {
         let (responder, sent_at) = match (self.peer.take(), &self.last_attempt) {
             (Some(lease), _) => (Responder::Peer(lease), self.started_at),
             (None, Some(attempt)) => {
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -22,6 +22,7 @@
 
 use crate::balancer::Balancer;
 use crate::body;
+use crate::body::Arriving;
 use crate::body::ForwardedBody;
 use crate::body::ReadBody;
 use crate::core::Core;
@@ -160,7 +161,8 @@
         return ProbeResult::Failed;
     }
     let (parts, incoming) = response.into_parts();
-    let body = body::read(incoming).await;
+    let charge = core.clients.unconnected().charge();
+    let body = body::read_response(Arriving::response(incoming), charge).await;
     let mut ids = parts.headers.get_all(&core.dialect.instance).iter();
     let is_expected = ids.all(|id| id.as_bytes() == upstream.id.as_str().as_bytes());
     if parts.status == StatusCode::MISDIRECTED_REQUEST || !is_expected {
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -30,6 +30,8 @@
     Unconfirmed,
     /// The request body exceeds the limit.
     TooLarge,
+    /// The process has no memory left for the request.
+    Memory,
     /// No instance of the service is available.
     NoInstance,
     /// No process that was asked reaches an instance.
@@ -58,6 +60,7 @@
         match self {
             Self::NoTable
             | Self::Unconfirmed
+            | Self::Memory
             | Self::NoInstance
             | Self::Unreachable
             | Self::OldTable
@@ -88,6 +91,7 @@
             self,
             Self::NoTable
                 | Self::Unconfirmed
+                | Self::Memory
                 | Self::NoInstance
                 | Self::Unreachable
                 | Self::OldTable
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -1,9 +1,12 @@
 //! Serves the connections of callers and of other entry processes, and the readiness page.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bounds::Client;
+use bounds::ClientStream;
 use http::HeaderName;
 use http::HeaderValue;
 use http::Request;
@@ -20,6 +23,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::body::ResponseBody;
@@ -62,7 +66,9 @@
                     Side::Callers => Origin::Caller(peer.ip()),
                     Side::Peers => Origin::Peer,
                 };
-                open.spawn(serve_connection(Arc::clone(&core), stream, origin));
+                if let Some(admitted) = Admitted::new(&core, stream, peer) {
+                    open.spawn(serve_connection(Arc::clone(&core), admitted, origin));
+                }
             }
             Err(err) => {
                 warn!(core.log, "accept failed"; "error" => %err);
@@ -72,18 +78,40 @@
     }
 }
 
+/// A connection within the bounds.
+struct Admitted {
+    stream: ClientStream<TcpStream>,
+    /// Cancelled to make room for other connections.
+    evicted: CancellationToken,
+}
+
+impl Admitted {
+    /// Admits the connection, unless there is no room for it.
+    fn new(core: &Core, stream: TcpStream, peer: SocketAddr) -> Option<Self> {
+        let evicted = CancellationToken::new();
+        let token = evicted.clone();
+        let admitted = core.clients.admit(peer, move || token.cancel())?;
+        Some(Self {
+            stream: admitted.with(stream),
+            evicted,
+        })
+    }
+}
+
 async fn wait_until_closing(stage: &mut watch::Receiver<Stage>) {
     // The sender is never dropped while the process runs.
     let _ = stage.wait_for(|stage| *stage == Stage::Closing).await;
 }
 
-async fn serve_connection(core: Arc<Core>, stream: TcpStream, origin: Origin) {
-    if let Err(err) = stream.set_nodelay(true) {
+async fn serve_connection(core: Arc<Core>, admitted: Admitted, origin: Origin) {
+    let Admitted { stream, evicted } = admitted;
+    if let Err(err) = stream.get_ref().set_nodelay(true) {
         debug!(core.log, "failed to set up connection"; "error" => %err);
         return;
     }
     let limits = core.routes().limits();
-    let service = service_fn(|request| answer(Arc::clone(&core), origin, request));
+    let client = stream.client().clone();
+    let service = service_fn(|request| answer(Arc::clone(&core), client.clone(), origin, request));
     let mut serving = std::pin::pin!(
         http1::Builder::new()
             .timer(TokioTimer::new())
@@ -92,14 +120,16 @@
             .serve_connection(TokioIo::new(stream), service)
     );
     let mut stage = core.stage.subscribe();
-    let result = tokio::select! {
-        result = &mut serving => result,
-        () = wait_until_closing(&mut stage) => {
-            serving.as_mut().graceful_shutdown();
-            serving.await
+    let serve = async {
+        tokio::select! {
+            result = &mut serving => result,
+            () = wait_until_closing(&mut stage) => {
+                serving.as_mut().graceful_shutdown();
+                serving.await
+            }
         }
     };
-    if let Err(err) = result {
+    if let Some(Err(err)) = evicted.run_until_cancelled(serve).await {
         debug!(core.log, "connection ended"; "error" => %err);
     }
 }
@@ -107,6 +137,7 @@
 /// Answers a request, or a peer's question. During a shutdown the connection closes after the response.
 async fn answer(
     core: Arc<Core>,
+    client: Client,
     origin: Origin,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
@@ -117,7 +148,7 @@
     let mut response = match question {
         Some(question) => search::answer(&core, &question).await,
         // On the heap, as the future has 17 KB.
-        None => Box::pin(flow::handle(Arc::clone(&core), origin, request)).await,
+        None => Box::pin(flow::handle(Arc::clone(&core), client, origin, request)).await,
     };
     if *core.stage.borrow() != Stage::Serving {
         let close = HeaderValue::from_static("close");
@@ -132,10 +163,13 @@
 /// Serves the readiness page. Runs forever.
 pub async fn readiness(core: Arc<Core>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, peer)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
+        let Some(Admitted { stream, evicted }) = Admitted::new(&core, stream, peer) else {
+            continue;
+        };
         let core = Arc::clone(&core);
         tokio::spawn(async move {
             let service = service_fn(|request: Request<Incoming>| {
@@ -145,7 +179,7 @@
             let serving = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .serve_connection(TokioIo::new(stream), service);
-            if let Err(err) = serving.await {
+            if let Some(Err(err)) = evicted.run_until_cancelled(serving).await {
                 debug!(core.log, "readiness connection ended"; "error" => %err);
             }
         });
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -8,9 +8,11 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use bounds::Requirements;
 use conf::ConfError;
 use conf::Problem;
 use conf::Reader;
+use conf::value::Bytes;
 use conf::value::Decimal;
 use conf::value::duration_text;
 use quota::Bound;
@@ -47,6 +49,13 @@
 /// Offset of the port for entry processes from the first hub port.
 const HUB_PORT_OFFSET: u16 = 2;
 
+/// Memory for what clients send: beside it, a process needs what it knows of instances and other
+/// processes, and the buffers of its connections to them.
+const REQUIREMENTS: Requirements = Requirements {
+    own: Bytes(48 * 1024 * 1024),
+    largest: Bytes(1024 * 1024),
+};
+
 /// The budget for retries of a service, shared by all entry processes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Retry {
@@ -201,6 +210,8 @@
     /// Whether requests that were refused and came back are told apart from new ones: they wait
     /// longer before they are refused again, and each is told a time of its own to come back.
     pub returning: bool,
+    /// What callers and peers may occupy.
+    pub bounds: bounds::Settings,
     /// Log and metrics.
     pub telemetry: telemetry::Settings,
 }
@@ -244,6 +255,7 @@
             cold: ColdBound::default(),
             quota: QuotaSettings::default(),
             returning: false,
+            bounds: bounds::Settings::default(),
             telemetry: telemetry::Settings::default(),
         }
     }
@@ -294,6 +306,7 @@
         let cold = read_cold(r);
         let quota = read_quota(r);
         let returning = r.or(QUEUE, "returning", false);
+        let bounds = bounds::Settings::read(r, REQUIREMENTS);
         let telemetry = telemetry::Settings::read(r);
         let max_port = u32::from(u16::MAX - HUB_PORT_OFFSET);
         if let Some(port) = port.filter(|p| *p > max_port) {
@@ -328,10 +341,20 @@
             cold,
             quota,
             returning,
+            bounds,
             telemetry,
         })
     }
 
+    /// What callers and peers may occupy.
+    #[must_use]
+    pub fn client_limits(&self) -> bounds::Limits {
+        bounds::Limits {
+            connections: usize::MAX / 2,
+            ..self.bounds.limits(REQUIREMENTS)
+        }
+    }
+
     /// The budgets shared by `entries` processes.
     #[must_use]
     pub fn shared_budgets(&self, entries: u32) -> SharedBudgets {
@@ -477,6 +500,7 @@
         writeln!(f, "\n[{QUEUE}]")?;
         let returning = if self.returning { "yes" } else { "no" };
         writeln!(f, "returning = {returning}")?;
+        write!(f, "\n{}", self.bounds)?;
         write!(f, "\n{}", self.telemetry)
     }
 }
--- a/crates/entry/tests/fakes/caller.rs
+++ b/crates/entry/tests/fakes/caller.rs
@@ -62,6 +62,11 @@
         self.stream.write_all(bytes).await.expect("writes");
     }
 
+    /// Sends raw bytes to a process that may have closed the connection.
+    pub async fn try_send_raw(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
     /// Sends a request without waiting for the response.
     pub async fn send(&mut self, method: &str, path: &str, id: &str, body: &str) {
         let length = body.len();
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -141,7 +141,7 @@
     start_with(settings()).await
 }
 
-async fn start_with(settings: Settings) -> Entry {
+pub async fn start_with(settings: Settings) -> Entry {
     let log = telemetry::log::silent();
     let entry = Entry::start(settings, Dialect::default(), log).await;
     entry.expect("starts")
@@ -161,7 +161,8 @@
     configure(start_with(settings).await, upstreams)
 }
 
-fn configure(entry: Entry, upstreams: &[&Upstream]) -> Entry {
+/// Gives the process the test table, and the upstreams as instances of one service.
+pub fn configure(entry: Entry, upstreams: &[&Upstream]) -> Entry {
     entry.core().set_table(table(1));
     let instances: Vec<Instance> = upstreams.iter().map(|u| instance(u, "status")).collect();
     entry.core().apply_instances(HUB, &instances, &[]);
@@ -170,9 +171,16 @@
 
 pub fn instance(upstream: &Upstream, service: &str) -> Instance {
     Instance {
-        id: upstream.id.clone(),
-        service: service.into(),
         address: upstream.address.to_string(),
+        ..instance_of(&upstream.id, service)
+    }
+}
+
+/// An instance without an address.
+pub fn instance_of(id: &str, service: &str) -> Instance {
+    Instance {
+        id: id.into(),
+        service: service.into(),
         domain: "a".into(),
         slots: 6,
         phase: Phase::Ready.into(),
--- a/crates/testutils/tests/test_client_limits.rs
+++ b/crates/testutils/tests/test_client_limits.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use conf::value::Bytes;
 use testutils::Caller;
 use testutils::Crowd;
 use testutils::Fleet;
@@ -101,9 +102,13 @@
     assert_within_bounds(fleet.entries[0].as_mut(), count * 2);
 }
 
-fn limit_entry_memory(_settings: &mut entry::Settings) {}
+fn limit_entry_memory(settings: &mut entry::Settings) {
+    settings.bounds.machine = Some(Bytes(MACHINE_BYTES));
+}
 
-fn limit_entry_connections(_settings: &mut entry::Settings) {}
+fn limit_entry_connections(settings: &mut entry::Settings) {
+    settings.bounds.connections = u32::try_from(MAX_CONNECTIONS).ok();
+}
 
 #[tokio::test(flavor = "multi_thread")]
 async fn test_client_limits_entry_large_bodies_that_stop_short() {
@@ -278,7 +283,7 @@
 }
 
 fn limit_gateway_memory(settings: &mut gateway::settings::Settings) {
-    settings.bounds.memory = conf::value::Bytes(8 * MEBI);
+    settings.bounds.memory = Bytes(8 * MEBI);
 }
 
 fn limit_gateway_connections(settings: &mut gateway::settings::Settings) {
