entry: the number of callers' and peers' connections is bounded

What callers saw: connections with half a head took all descriptors of an entry process. No ordinary caller got an answer while they stayed, up to 15 s each, and the process could dial no instance, hub or peer either.

Cause: nothing bounded the connections of the callers', relay and readiness ports. At the limit of descriptors accept failed and was tried again every 20 ms.

Change: connections of all three ports count against [bounds] connections, by default five eighths of the descriptors, so that the rest stays for instances, hubs and peers. A newcomer is let in at the cost of a connection that has stopped for a second in the middle of a head or a body, or doesn't read its response, or else of the one that is idle longest. Connections that wait for a response are never closed for it; if there are only those, the newcomer is.

Why it works: the bound holds at every moment but for a few connections that are being closed, an eighth of it at most, and unfinished heads are the first to go, so that they can't keep the connections of callers that finish theirs.

--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -349,10 +349,7 @@
     /// What callers and peers may occupy.
     #[must_use]
     pub fn client_limits(&self) -> bounds::Limits {
-        bounds::Limits {
-            connections: usize::MAX / 2,
-            ..self.bounds.limits(REQUIREMENTS)
-        }
+        self.bounds.limits(REQUIREMENTS)
     }
 
     /// The budgets shared by `entries` processes.
