entry: the limit on a body's size holds without an announced length, too

What callers saw: nothing; instances saw bodies of any size.

Cause: the limit was compared with the announced length, and a body in chunks announces none.

Change: the bytes of a request's body are counted as they arrive. Over the limit, a request of which nothing has been forwarded gets 413. Otherwise the instance's connection ends in the middle of the body, so that it can't take it as complete, and the caller gets 502 and its connection is closed.

--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -216,7 +216,7 @@
     let limits = RequestLimits::new(&core, route, header, hop.as_ref());
     let caller = head::caller_name(&core, origin, hop.as_ref(), request.headers());
     let (request, incoming) = head::forwarded_request(&core, caller, client, &host, id, request);
-    let body = Arriving::request(incoming, u64::MAX, receiving);
+    let body = Arriving::request(incoming, table.limits.body_bytes, receiving);
     let key = KeyGuard::new(&core, &request.id, identity);
     let mut flow = Flow {
         deadline: started_at + limits.timeout,
--- a/crates/entry/tests/test_bounds.rs
+++ b/crates/entry/tests/test_bounds.rs
@@ -1,15 +1,25 @@
-//! Requests at the bounds of what callers may send: the largest ones are served, and those that find
-//! no memory are refused before they are sent.
+//! Requests at the bounds of what callers may send: the largest ones are served, larger ones aren't,
+//! and those that find no memory are refused before they are sent.
 
 mod fakes;
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use conf::value::Bytes;
 use entry::Entry;
 use fakes::HOST;
+use fakes::HUB;
 use fakes::ONCE;
+use fakes::READ;
 use fakes::caller::Caller;
+use fakes::table;
 use fakes::upstream::Behavior;
 use fakes::upstream::Upstream;
+use testutils::Host;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 const KIBI: usize = 1024;
 const MEBI: usize = 1024 * KIBI;
@@ -78,3 +88,87 @@
     caller.send_raw(request.as_bytes()).await;
     assert_eq!(caller.answer().await.expect("an answer").status, 200);
 }
+
+/// What an instance that never answers has received.
+#[derive(Clone, Default)]
+struct Sink {
+    bytes: usize,
+    last: Vec<u8>,
+    ended: bool,
+}
+
+/// Starts an instance that reads what it is sent until the connection ends.
+async fn start_sink(host: &Host) -> (std::net::SocketAddr, Arc<watch::Sender<Sink>>) {
+    let listener = TcpListener::bind(host.at(0)).await.expect("binds");
+    let address = listener.local_addr().expect("an address");
+    let sink = Arc::new(watch::Sender::new(Sink::default()));
+    let shared = Arc::clone(&sink);
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("accepts");
+        let mut buffer = vec![0; 64 * KIBI];
+        while let Ok(count @ 1..) = stream.read(&mut buffer).await {
+            shared.send_modify(|sink| {
+                sink.bytes += count;
+                sink.last = buffer[..count].to_vec();
+            });
+        }
+        shared.send_modify(|sink| sink.ended = true);
+    });
+    (address, sink)
+}
+
+/// Guards against a body in chunks that reaches an instance although it exceeds the limit.
+#[tokio::test]
+async fn test_bounds_chunked_body_over_the_limit_never_looks_complete() {
+    let host = Host::new();
+    let (address, sink) = start_sink(&host).await;
+    let settings = entry::Settings {
+        probes: 0,
+        ..fakes::settings()
+    };
+    let entry = fakes::start_with(settings).await;
+    let mut limited = table(1);
+    limited.limits.body_bytes = MEBI as u64;
+    entry.core().set_table(limited);
+    let instance = wire::hub::Instance {
+        address: address.to_string(),
+        ..fakes::instance_of("i-1", "status")
+    };
+    entry.core().apply_instances(HUB, &[instance], &[]);
+    let mut caller = Caller::connect(entry.front()).await;
+    let framing = "transfer-encoding: chunked";
+    caller.send_raw(head(READ, "r-1", framing).as_bytes()).await;
+    let chunk = format!("{:x}\r\n{}\r\n", 100 * KIBI, "x".repeat(100 * KIBI));
+    for _ in 0..10 {
+        caller.send_raw(chunk.as_bytes()).await;
+    }
+    // The process may close the connection from here on.
+    let rest = chunk.repeat(2) + "0\r\n\r\n";
+    let _ = caller.try_send_raw(rest.as_bytes()).await;
+    let mut received = sink.subscribe();
+    let ended = tokio::time::timeout(Duration::from_secs(30), received.wait_for(|s| s.ended));
+    ended.await.expect("the connection ends").expect("a sink");
+    let received = sink.borrow().clone();
+    assert!(received.bytes <= MEBI + 16 * KIBI, "{}", received.bytes);
+    assert!(!received.last.ends_with(b"0\r\n\r\n"));
+    let answer = caller.answer().await;
+    assert!(answer.is_none_or(|answer| answer.status >= 400));
+}
+
+/// Guards against forwarding any of a short body in chunks that exceeds a small limit.
+#[tokio::test]
+async fn test_bounds_short_body_over_a_small_limit_is_refused_unsent() {
+    let upstream = Upstream::start("i-1", Behavior::Answer).await;
+    let entry = fakes::start_with(fakes::settings()).await;
+    let mut limited = table(1);
+    limited.limits.body_bytes = 10_000;
+    let entry = fakes::configure(entry, &[&upstream]);
+    limited.version = 2;
+    entry.core().set_table(limited);
+    let mut caller = Caller::connect(entry.front()).await;
+    let body = format!("{:x}\r\n{}\r\n0\r\n\r\n", 10_001, "x".repeat(10_001));
+    let request = head(ONCE, "r-1", "transfer-encoding: chunked") + &body;
+    caller.send_raw(request.as_bytes()).await;
+    assert_eq!(caller.answer().await.expect("an answer").status, 413);
+    assert!(upstream.received_requests().is_empty());
+}
