hub, platform: documents that operators send are charged to one account

What callers saw: a crowd of configurations that stopped just short of their end grew a hub beyond the memory of its machine; it was ended, and operators and instances lost it.

Cause: a hub read each document of up to 24 MB before anything was known of it, any number at once, and kept a part of a read buffer for each piece. A document that was read back was copied for each reader, however slowly it read.

Change: documents are read into a buffer that is charged to the hub's account before each part, and one that is read back is charged until its reader has it. Over the account, callers that have stopped for a second give way, else the call gets 503 with Retry-After. A document over the limit gets 413 without being read. Requests are recorded as incomplete until their body is read, so that one that stops short isn't taken for one that is being served.

--- a/crates/announce/src/endpoint.rs
+++ b/crates/announce/src/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bounds::acceptor::record_received;
 use members::Instance;
 use salvo::Depot;
 use salvo::FlowCtrl;
@@ -27,8 +28,9 @@
 /// # Errors
 ///
 /// Fails when the body is too large, too slow or not a valid announcement.
-pub async fn receive(req: &mut Request) -> Result<Instance, Refusal> {
+pub async fn receive(req: &mut Request, depot: &mut Depot) -> Result<Instance, Refusal> {
     let body = timeout(BODY_TIMEOUT, req.payload_with_max_size(MAX_BODY_BYTES)).await;
+    record_received(depot);
     let body = body.map_err(|_| {
         let detail = format!("request body was not received within {BODY_TIMEOUT:?}");
         Refusal::new(Reason::Slow, detail)
--- a/crates/bounds/src/acceptor.rs
+++ b/crates/bounds/src/acceptor.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 
+use http_body::Body;
 use salvo::Depot;
 use salvo::FlowCtrl;
 use salvo::Handler;
@@ -22,6 +23,7 @@
 
 use crate::clients::Clients;
 use crate::connection::Client;
+use crate::connection::Receiving;
 use crate::connection::RequestGuard;
 use crate::stream::ClientStream;
 
@@ -87,6 +89,9 @@
     ) {
         let client = client(&self.0, req);
         if let Ok(guard) = client.begin().await {
+            if !req.body().is_end_stream() {
+                depot.insert_typed(guard.receiving());
+            }
             depot.insert_typed(guard);
             ctrl.call_next(req, depot, res).await;
             return;
@@ -105,8 +110,19 @@
     peer.map_or_else(|| clients.unconnected(), |peer| clients.find(peer))
 }
 
+/// Records that the handler has read the body. Until then, the request may give way to others.
+pub fn record_received(depot: &mut Depot) {
+    // There is none if the request has no body.
+    let _ = depot.remove_typed::<Receiving>();
+}
+
 /// The request that [`TrackRequests`] recorded.
+///
+/// # Panics
+///
+/// Panics in handlers of a server that doesn't have it.
 #[must_use]
-pub fn tracked(depot: &Depot) -> Option<&RequestGuard> {
-    depot.get_typed::<RequestGuard>().ok()
+pub fn tracked(depot: &Depot) -> &RequestGuard {
+    let tracked = depot.get_typed::<RequestGuard>();
+    tracked.unwrap_or_else(|_| unreachable!("the server records its requests"))
 }
--- a/crates/bounds/src/buffer.rs
+++ b/crates/bounds/src/buffer.rs
@@ -27,18 +27,6 @@
     charge: Charge,
 }
 
-/// The bytes of a complete body, which are charged until they are dropped.
-struct Kept {
-    bytes: Vec<u8>,
-    _charge: Charge,
-}
-
-impl AsRef<[u8]> for Kept {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 impl Buffer {
     /// An empty buffer for a body of `expected` bytes, charged to `charge`.
     #[must_use]
@@ -115,10 +103,7 @@
             1 => self.blocks.remove(0),
             _ => self.joined(),
         };
-        Bytes::from_owner(Kept {
-            bytes,
-            _charge: self.charge,
-        })
+        self.charge.keep(bytes)
     }
 
     /// All bytes in one block. Each block is freed once it is copied, so that the charge holds.
--- a/crates/bounds/src/charge.rs
+++ b/crates/bounds/src/charge.rs
@@ -5,6 +5,7 @@
 use std::task::Context;
 use std::task::Poll;
 
+use bytes::Bytes;
 use quick_error::quick_error;
 
 use crate::connection::Client;
@@ -71,6 +72,22 @@
         self.bytes += bytes;
     }
 
+    /// Keeps `kept`, which is counted until it is dropped. Its size counts in place of what was
+    /// counted before.
+    #[must_use]
+    pub fn keep(mut self, kept: Vec<u8>) -> Bytes {
+        let size = kept.capacity() as u64;
+        if size > self.bytes {
+            self.grow_always(size - self.bytes);
+        } else {
+            self.shrink(self.bytes - size);
+        }
+        Bytes::from_owner(Kept {
+            bytes: kept,
+            _charge: self,
+        })
+    }
+
     /// Counts `bytes` less.
     pub fn shrink(&mut self, bytes: u64) {
         let bytes = bytes.min(self.bytes);
@@ -79,6 +96,18 @@
     }
 }
 
+/// Bytes that are charged until they are dropped.
+struct Kept {
+    bytes: Vec<u8>,
+    _charge: Charge,
+}
+
+impl AsRef<[u8]> for Kept {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 impl Drop for Charge {
     fn drop(&mut self) {
         self.shrink(self.bytes);
--- a/crates/directory/src/http.rs
+++ b/crates/directory/src/http.rs
@@ -5,6 +5,7 @@
 use announce::Reason;
 use announce::Refusal;
 use announce::endpoint;
+use bounds::acceptor::TrackRequests;
 use cadence::Counted;
 use salvo::Depot;
 use salvo::FlowCtrl;
@@ -30,15 +31,23 @@
     let route = Router::with_path("v1/route").get(Route(shared.clone()));
     let ready = Router::with_path("v1/ready").get(Ready(shared.clone()));
     let router = Router::new().push(announce).push(route).push(ready);
-    Service::new(router).catcher(Catcher::new(endpoint::RefusalCatcher))
+    Service::new(router)
+        .hoop(TrackRequests(shared.clients.clone()))
+        .catcher(Catcher::new(endpoint::RefusalCatcher))
 }
 
 struct Announce(Arc<Shared>);
 
 #[salvo::async_trait]
 impl Handler for Announce {
-    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        let result = endpoint::receive(req).await;
+    async fn handle(
+        &self,
+        req: &mut Request,
+        depot: &mut Depot,
+        res: &mut Response,
+        _: &mut FlowCtrl,
+    ) {
+        let result = endpoint::receive(req, depot).await;
         let result = result.and_then(|instance| lease::announce(&self.0, instance));
         count_request(&self.0, metrics::ANNOUNCE, result.as_ref().err());
         endpoint::render(res, result);
--- a/crates/directory/src/server.rs
+++ b/crates/directory/src/server.rs
@@ -6,12 +6,12 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use bounds::BoundedAcceptor;
 use cadence::StatsdClient;
 use crash::report;
 use members::homes::Location;
 use quick_error::quick_error;
 use salvo::Server;
-use salvo::conn::tcp::TcpAcceptor;
 use salvo::server::ServerHandle;
 use slog::Logger;
 use slog::info;
@@ -33,9 +33,6 @@
 use crate::suspects;
 use crate::sweep;
 
-/// Maximum number of HTTP connections.
-const MAX_CONNECTIONS: usize = 8192;
-
 quick_error! {
     /// Why a directory cannot start.
     #[derive(Debug)]
@@ -140,8 +137,8 @@
         let shared = Shared::new(self.settings, location, epoch(), self.log, self.metrics);
         let shared = Arc::new(shared);
         let wrap = |err| StartError::Listen(address, err);
-        let acceptor = TcpAcceptor::try_from(self.http).map_err(wrap)?;
-        let server = Server::new(acceptor).max_connections(MAX_CONNECTIONS);
+        let acceptor = BoundedAcceptor::new(self.http, shared.clients.clone()).map_err(wrap)?;
+        let server = Server::new(acceptor);
         let handle = server.handle();
         let mut tasks = JoinSet::new();
         tasks.spawn(server.serve(http::service(&shared)));
--- a/crates/directory/src/settings.rs
+++ b/crates/directory/src/settings.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use bounds::Requirements;
 use conf::ConfError;
 use conf::Problem;
 use conf::Reader;
+use conf::value::Bytes;
 use members::Limits;
 use place::Spread;
 
@@ -17,6 +19,12 @@
 const LEASES: &str = "leases";
 const ANSWERS: &str = "answers";
 
+/// Memory for what clients send, beside that for the records of instances and hosts.
+const REQUIREMENTS: Requirements = Requirements {
+    own: Bytes(32 * 1024 * 1024),
+    largest: Bytes(1024 * 1024),
+};
+
 /// Leases and related intervals.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Leases {
@@ -84,6 +92,8 @@
     pub leases: Leases,
     /// Answers to callers.
     pub answers: Answers,
+    /// What callers and upstreams may occupy.
+    pub bounds: bounds::Settings,
     /// Timeout of a graceful stop.
     pub stop: Duration,
     /// Log and metrics.
@@ -104,6 +114,7 @@
             control: Vec::new(),
             leases: Leases::default(),
             answers: Answers::default(),
+            bounds: bounds::Settings::default(),
             stop: Duration::from_secs(5),
             telemetry: telemetry::Settings::default(),
         }
@@ -134,6 +145,7 @@
         let control = read_control(r);
         let leases = read_leases(r);
         let answers = read_answers(r);
+        let bounds = bounds::Settings::read(r, REQUIREMENTS);
         let telemetry = telemetry::Settings::read(r);
         let parts = host.zip(domain).zip(http.zip(rpc));
         reader.finish()?;
@@ -149,11 +161,21 @@
             control,
             leases,
             answers,
+            bounds,
             stop,
             telemetry,
         })
     }
 
+    /// What callers and upstreams may occupy.
+    #[must_use]
+    pub fn client_limits(&self) -> bounds::Limits {
+        bounds::Limits {
+            connections: usize::MAX / 2,
+            ..self.bounds.limits(REQUIREMENTS)
+        }
+    }
+
     /// Limits of the membership.
     #[must_use]
     pub fn limits(&self) -> Limits {
@@ -269,6 +291,7 @@
         writeln!(f, "gateways = {}", self.answers.spread.min_gateways)?;
         writeln!(f, "slots = {}", self.answers.spread.slots_per_gateway)?;
         writeln!(f, "slack = {}%", self.answers.spread.slack_percent)?;
+        write!(f, "\n{}", self.bounds)?;
         write!(f, "\n{}", self.telemetry)
     }
 }
--- a/crates/directory/src/shared.rs
+++ b/crates/directory/src/shared.rs
@@ -8,6 +8,7 @@
 use std::sync::PoisonError;
 
 use base::prelude::*;
+use bounds::Clients;
 use cadence::StatsdClient;
 use members::Confirmed;
 use members::Freshness;
@@ -104,7 +105,9 @@
     /// The log.
     pub log: Logger,
     /// The metrics.
-    pub metrics: StatsdClient,
+    pub metrics: Arc<StatsdClient>,
+    /// The connections of callers and upstreams, and the memory that is kept for them.
+    pub clients: Clients,
     /// The settings.
     pub settings: Settings,
     /// Cancelled when the directory stops.
@@ -128,6 +131,8 @@
         let clock = Clock::start();
         let now = clock.now();
         let host = settings.host.clone();
+        let metrics = Arc::new(metrics);
+        let limits = settings.client_limits();
         let inner = Inner {
             members: Members::new(host, location, epoch, settings.limits(), now),
             freshness: Freshness::new(now, settings.leases.confirmation),
@@ -138,6 +143,7 @@
         };
         let changed = watch::Sender::new(inner.state_version(now));
         Self {
+            clients: Clients::new(limits, log.clone(), Arc::clone(&metrics)),
             clock,
             log,
             metrics,
--- a/crates/hub/src/http.rs
+++ b/crates/hub/src/http.rs
@@ -11,6 +11,9 @@
 use announce::Reason;
 use announce::Refusal;
 use announce::endpoint;
+use bounds::BoundedAcceptor;
+use bounds::Clients;
+use bounds::acceptor::TrackRequests;
 use salvo::Depot;
 use salvo::FlowCtrl;
 use salvo::Handler;
@@ -20,7 +23,6 @@
 use salvo::Server;
 use salvo::Service;
 use salvo::catcher::Catcher;
-use salvo::conn::tcp::TcpAcceptor;
 use serde::Serialize;
 use slog::warn;
 use tokio::net::TcpListener;
@@ -33,8 +35,6 @@
 /// Interval at which instances announce themselves again. After a restart, a hub knows every
 /// live instance once this has passed, even if the log has lost unconfirmed announcements.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
-/// Maximum number of concurrent connections of upstreams and callers.
-const MAX_CONNECTIONS: usize = 1024;
 
 /// The answer to an accepted announcement.
 #[derive(Clone, Copy, Debug, Serialize)]
@@ -53,11 +53,13 @@
 }
 
 /// The HTTP routes of a hub.
-fn service(commands: &CommandHandler) -> Service {
+fn service(commands: &CommandHandler, clients: &Clients) -> Service {
     let announce = Router::with_path("v1/announce").post(Announce(commands.clone()));
     let hosts = Router::with_path("v1/hosts").get(Resolve(commands.clone()));
     let router = Router::new().push(announce).push(hosts);
-    Service::new(router).catcher(Catcher::new(endpoint::RefusalCatcher))
+    Service::new(router)
+        .hoop(TrackRequests(clients.clone()))
+        .catcher(Catcher::new(endpoint::RefusalCatcher))
 }
 
 /// Listens on `address`. Returns the bound address and a future that serves until dropped.
@@ -68,19 +70,26 @@
 pub async fn listen(
     address: SocketAddr,
     commands: &CommandHandler,
+    clients: &Clients,
 ) -> io::Result<(SocketAddr, impl Future<Output = ()> + use<>)> {
     let listener = TcpListener::bind(address).await?;
     let bound = listener.local_addr()?;
-    let server = Server::new(TcpAcceptor::try_from(listener)?).max_connections(MAX_CONNECTIONS);
-    Ok((bound, server.serve(service(commands))))
+    let server = Server::new(BoundedAcceptor::new(listener, clients.clone())?);
+    Ok((bound, server.serve(service(commands, clients))))
 }
 
 struct Announce(CommandHandler);
 
 #[salvo::async_trait]
 impl Handler for Announce {
-    async fn handle(&self, req: &mut Request, _: &mut Depot, res: &mut Response, _: &mut FlowCtrl) {
-        let result = match endpoint::receive(req).await {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        depot: &mut Depot,
+        res: &mut Response,
+        _: &mut FlowCtrl,
+    ) {
+        let result = match endpoint::receive(req, depot).await {
             Ok(announcement) => apply(&self.0, announcement).await,
             Err(refusal) => Err(refusal),
         };
--- a/crates/hub/src/hub.rs
+++ b/crates/hub/src/hub.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use bounds::Clients;
 use control::Control;
 use control::ControlError;
 use quick_error::quick_error;
 use slog::Logger;
 use slog::info;
+use telemetry::metrics::MetricsError;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 use wire::accept::Acceptor;
@@ -35,6 +37,12 @@
             source(err)
             display("{err}")
         }
+        /// The metrics can't be set up.
+        Metrics(err: MetricsError) {
+            from()
+            source(err)
+            display("{err}")
+        }
         /// A port of the hub can't be bound.
         Bind(address: SocketAddr, err: io::Error) {
             source(err)
@@ -47,6 +55,7 @@
 pub struct Hub {
     control: Control,
     commands: CommandHandler,
+    clients: Clients,
     stop: CancellationToken,
     log: Logger,
     http: Option<SocketAddr>,
@@ -65,6 +74,8 @@
         let listener = wire::link::listen(address).await;
         let listener = listener.map_err(|err| HubError::Bind(address, err))?;
         let port = settings.http;
+        let metrics = telemetry::metrics::start(settings.telemetry.sink, settings.host.as_str())?;
+        let clients = Clients::new(settings.client_limits(), log.clone(), Arc::new(metrics));
         let state = State::new(settings, control.local_client().clone(), log.clone());
         let commands = CommandHandler::new(Arc::clone(&state));
         let stop = CancellationToken::new();
@@ -86,7 +97,7 @@
         ];
         let mut http = None;
         if let Some(port) = port {
-            let (bound, serving) = http::listen(port, &commands)
+            let (bound, serving) = http::listen(port, &commands, &clients)
                 .await
                 .map_err(|err| HubError::Bind(port, err))?;
             tasks.push(AbortOnDropHandle::new(tokio::spawn(serving)));
@@ -97,6 +108,7 @@
         Ok(Self {
             control,
             commands,
+            clients,
             stop,
             log,
             http,
@@ -116,6 +128,12 @@
         &self.commands
     }
 
+    /// The connections of instances, callers and operators, and the memory that is kept for them.
+    #[must_use]
+    pub fn clients(&self) -> &Clients {
+        &self.clients
+    }
+
     /// Waits until the hub stops by itself.
     ///
     /// # Errors
--- a/crates/hub/src/settings.rs
+++ b/crates/hub/src/settings.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use bounds::Requirements;
 use conf::ConfError;
 use conf::Problem;
 use conf::Reader;
@@ -44,6 +45,13 @@
 /// Number of ports that a hub uses after its first one.
 const ADDITIONAL_PORTS: u16 = 2;
 
+/// Memory for what clients send. The hub itself needs most of its machine for a large route table,
+/// which is held, encoded and replicated; one table of 24 MiB has to fit beside small requests.
+const REQUIREMENTS: Requirements = Requirements {
+    own: Bytes(208 * 1024 * 1024),
+    largest: Bytes(28 * 1024 * 1024),
+};
+
 /// All settings of a hub.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -71,6 +79,8 @@
     pub spread: usize,
     /// How long an instance counts as alive after an announcement.
     pub lease: Duration,
+    /// What instances, callers and operators may occupy.
+    pub bounds: bounds::Settings,
     /// Logging and metrics.
     pub telemetry: telemetry::Settings,
 }
@@ -93,6 +103,7 @@
             ttl: DEFAULT_TTL,
             spread: DEFAULT_SPREAD as usize,
             lease: DEFAULT_LEASE,
+            bounds: bounds::Settings::default(),
             telemetry: telemetry::Settings::default(),
         }
     }
@@ -124,6 +135,7 @@
         let ttl = r.or(HUB, "ttl", DEFAULT_TTL);
         let spread: u32 = r.or(HUB, "spread", DEFAULT_SPREAD);
         let lease = r.or(HUB, "lease", DEFAULT_LEASE);
+        let bounds = bounds::Settings::read(r, REQUIREMENTS);
         let telemetry = telemetry::Settings::read(r);
         let max_port = u32::from(u16::MAX - ADDITIONAL_PORTS);
         if let Some(port) = port.filter(|p| *p > max_port) {
@@ -143,10 +155,20 @@
             ttl,
             spread: usize::try_from(spread).unwrap_or(usize::MAX),
             lease,
+            bounds,
             telemetry,
         })
     }
 
+    /// What instances, callers and operators may occupy.
+    #[must_use]
+    pub fn client_limits(&self) -> bounds::Limits {
+        bounds::Limits {
+            connections: usize::MAX / 2,
+            ..self.bounds.limits(REQUIREMENTS)
+        }
+    }
+
     /// Whether `other` differs only in settings that take effect without a restart or that
     /// matter only at a start.
     #[must_use]
@@ -227,6 +249,7 @@
         writeln!(f, "ttl = {}", duration_text(self.ttl))?;
         writeln!(f, "spread = {}", self.spread)?;
         writeln!(f, "lease = {}", duration_text(self.lease))?;
+        write!(f, "\n{}", self.bounds)?;
         write!(f, "\n{}", self.telemetry)
     }
 }
--- a/crates/testutils/tests/test_client_limits.rs
+++ b/crates/testutils/tests/test_client_limits.rs
@@ -228,7 +228,9 @@
     assert_within_bounds(fleet.hubs[0].as_mut(), MAX_CONNECTIONS);
 }
 
-fn limit_hub_connections(_settings: &mut hub::Settings) {}
+fn limit_hub_connections(settings: &mut hub::Settings) {
+    settings.bounds.connections = u32::try_from(MAX_CONNECTIONS).ok();
+}
 
 #[tokio::test(flavor = "multi_thread")]
 async fn test_client_limits_hub_unfinished_heads() {
@@ -290,7 +292,9 @@
     settings.bounds.connections = u32::try_from(MAX_CONNECTIONS).unwrap();
 }
 
-fn limit_directory_connections(_settings: &mut directory::Settings) {}
+fn limit_directory_connections(settings: &mut directory::Settings) {
+    settings.bounds.connections = u32::try_from(MAX_CONNECTIONS).ok();
+}
 
 #[tokio::test(flavor = "multi_thread")]
 async fn test_client_limits_gateway_bodies_that_stop_short() {
