hub, directory, platform: the number of clients' connections is bounded

What callers saw: connections that were left open took all descriptors of a hub, or of a directory. An operator's order got no answer, instances could not announce themselves, and callers could not ask where to connect.

Cause: the API of a hub had no bound on connections.

Change: all of these ports accept through crate bounds, as entry processes do.

Why it works: at the bound, a newcomer is let in at the cost of a connection that has stopped for a second in the middle of a head or a body, or else of the one that is idle longest, instead of being left to wait.

--- a/crates/directory/src/settings.rs
+++ b/crates/directory/src/settings.rs
@@ -170,10 +170,7 @@
     /// What callers and upstreams may occupy.
     #[must_use]
     pub fn client_limits(&self) -> bounds::Limits {
-        bounds::Limits {
-            connections: usize::MAX / 2,
-            ..self.bounds.limits(REQUIREMENTS)
-        }
+        self.bounds.limits(REQUIREMENTS)
     }
 
     /// Limits of the membership.
--- a/crates/hub/src/settings.rs
+++ b/crates/hub/src/settings.rs
@@ -163,10 +163,7 @@
     /// What instances, callers and operators may occupy.
     #[must_use]
     pub fn client_limits(&self) -> bounds::Limits {
-        bounds::Limits {
-            connections: usize::MAX / 2,
-            ..self.bounds.limits(REQUIREMENTS)
-        }
+        self.bounds.limits(REQUIREMENTS)
     }
 
     /// Whether `other` differs only in settings that take effect without a restart or that
