gateway: memory for bodies that callers leave unfinished goes to other callers

What callers saw: a crowd of bodies in chunks that never ended made a gateway refuse every request with a body (503, memory) for as long as the crowd stayed, up to the longest deadline, ten minutes.

Cause: each body without a length reserved the most that is buffered from the budget of the process before it came, and what had stopped short of its end kept its reservation until its deadline. A head that announced a body reserved its length without sending any of it.

Change: the gateway uses the account and the bound on connections of crate bounds, as entry processes and hubs do: a body is charged as it comes, with the connection and the request it belongs to, and a caller that has stopped for a second gives way. [bounds] memory covers connections (12 KiB) and requests (40 KiB) now, too, so its default is 128 MiB instead of 64. At the bound on connections, newcomers take the place of unfinished heads instead of waiting.

test_input_memory_is_bounded relied on a head that reserves what it announces. It is replaced by two tests: a body without memory for it is refused and nothing stays charged, and an announcement alone takes no memory.

--- a/crates/gateway/src/acceptor.rs
+++ b/crates/gateway/src/acceptor.rs
@@ -7,16 +7,16 @@
 use std::future::pending;
 use std::io;
 
+use bounds::BoundedAcceptor;
 use salvo::conn::Accepted;
 use salvo::conn::Acceptor;
 use salvo::conn::Holding;
-use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::ArcFusePolicy;
 use tokio_util::sync::CancellationToken;
 
-/// TCP acceptor that can be closed.
+/// Acceptor that can be closed.
 pub struct ClosableAcceptor {
-    inner: Option<TcpAcceptor>,
+    inner: Option<BoundedAcceptor>,
     holdings: Vec<Holding>,
     closing: CancellationToken,
     closed: CancellationToken,
@@ -25,7 +25,7 @@
 impl ClosableAcceptor {
     /// Wraps `inner`, which is dropped once `closing` is cancelled.
     #[must_use]
-    pub fn new(inner: TcpAcceptor, closing: CancellationToken) -> Self {
+    pub fn new(inner: BoundedAcceptor, closing: CancellationToken) -> Self {
         Self {
             holdings: inner.holdings().to_vec(),
             inner: Some(inner),
@@ -42,8 +42,8 @@
 }
 
 impl Acceptor for ClosableAcceptor {
-    type Coupler = <TcpAcceptor as Acceptor>::Coupler;
-    type Stream = <TcpAcceptor as Acceptor>::Stream;
+    type Coupler = <BoundedAcceptor as Acceptor>::Coupler;
+    type Stream = <BoundedAcceptor as Acceptor>::Stream;
 
     fn holdings(&self) -> &[Holding] {
         &self.holdings
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,7 +1,7 @@
 //! Receives request bodies. A body that is small or belongs to a class that needs
 //! it is buffered, so that it can be sent again; other bodies are streamed.
 //!
-//! Invariant: buffered bodies reserve their size from a budget of the whole process,
+//! Invariant: buffered bodies are charged to the account of the process before they are kept,
 //! which bounds the memory that callers can occupy.
 
 use std::sync::Arc;
@@ -9,8 +9,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bounds::Buffer;
+use bounds::Receiving;
+use bounds::RequestGuard;
 use bytes::Bytes;
-use bytes::BytesMut;
 use futures::StreamExt;
 use futures::stream;
 use http::StatusCode;
@@ -20,8 +22,6 @@
 use http_body_util::Limited;
 use http_body_util::StreamBody;
 use salvo::http::ReqBody;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::Semaphore;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -31,39 +31,10 @@
 
 type BoxError = Box<dyn std::error::Error + Send + std::marker::Sync>;
 
-/// Bytes per permit of the memory budget.
-const PERMIT_BYTES: u64 = 1024;
-/// Time after which a caller may retry when the memory budget is exhausted.
+/// Time after which a caller may retry when there is no memory: callers that have stopped sending
+/// give way by then.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Memory budget shared by all buffered bodies.
-#[derive(Clone, Debug)]
-pub struct MemoryBudget(Arc<Semaphore>);
-
-impl MemoryBudget {
-    /// Creates a budget of `bytes`.
-    #[must_use]
-    pub fn new(bytes: u64) -> Self {
-        let permits = usize::try_from(bytes / PERMIT_BYTES).unwrap_or(Semaphore::MAX_PERMITS);
-        Self(Arc::new(Semaphore::new(
-            permits.min(Semaphore::MAX_PERMITS),
-        )))
-    }
-
-    /// Reserves `bytes` until the permit is dropped.
-    ///
-    /// # Errors
-    ///
-    /// Returns a refusal if the budget has fewer bytes available.
-    pub fn reserve(&self, bytes: u64) -> Result<OwnedSemaphorePermit, Refusal> {
-        let permits = u32::try_from(bytes.div_ceil(PERMIT_BYTES)).unwrap_or(u32::MAX);
-        self.0
-            .clone()
-            .try_acquire_many_owned(permits)
-            .map_err(|_| Refusal::unavailable(Reason::Memory, MEMORY_RETRY_AFTER))
-    }
-}
-
 /// Which bodies are buffered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Buffering {
@@ -76,7 +47,7 @@
 /// A request body to send to upstreams.
 pub enum RequestBody {
     /// Buffered, so that it can be sent repeatedly.
-    Buffered(Bytes, Option<OwnedSemaphorePermit>),
+    Buffered(Bytes),
     /// Streamed, so that it can be sent only once.
     Streamed(StreamedBody),
 }
@@ -86,9 +57,8 @@
     // `None` once it was sent.
     body: Option<reqwest::Body>,
     limit: LimitFlag,
-    // The bytes that were read before the rest was streamed, and their memory.
+    // The bytes that were read before the rest was streamed.
     first: Bytes,
-    _memory: OwnedSemaphorePermit,
 }
 
 /// Flag that is set when a streamed body exceeds the size limit.
@@ -122,7 +92,7 @@
     #[must_use]
     pub fn buffered(&self) -> Option<&Bytes> {
         match self {
-            Self::Buffered(bytes, _) => Some(bytes),
+            Self::Buffered(bytes) => Some(bytes),
             Self::Streamed(_) => None,
         }
     }
@@ -131,7 +101,7 @@
     #[must_use]
     pub fn prefix(&self, max_bytes: u64) -> &[u8] {
         let first = match self {
-            Self::Buffered(bytes, _) => bytes,
+            Self::Buffered(bytes) => bytes,
             Self::Streamed(streamed) => &streamed.first,
         };
         let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
@@ -147,7 +117,7 @@
     /// The body for one attempt, or `None` if a streamed body was already sent.
     pub fn take(&mut self) -> Option<reqwest::Body> {
         match self {
-            Self::Buffered(bytes, _) => Some(bytes.clone().into()),
+            Self::Buffered(bytes) => Some(bytes.clone().into()),
             Self::Streamed(streamed) => streamed.body.take(),
         }
     }
@@ -157,44 +127,46 @@
 ///
 /// # Errors
 ///
-/// Returns a refusal if the body is too large, truncated or too slow, or if the
-/// memory budget is exhausted.
+/// Returns a refusal if the body is too large, truncated or too slow, or if there is no memory for
+/// it.
 pub async fn receive_body(
     body: ReqBody,
     head: &RequestHead,
     buffering: Buffering,
-    memory: &MemoryBudget,
+    request: &RequestGuard,
     deadline: Instant,
 ) -> Result<RequestBody, Refusal> {
     if http_body::Body::is_end_stream(&body) {
-        return Ok(RequestBody::Buffered(Bytes::new(), None));
+        return Ok(RequestBody::Buffered(Bytes::new()));
     }
     let max_bytes = head.max_body_bytes();
     let buffer_limit = match buffering {
         Buffering::Always => max_bytes,
         Buffering::UpTo(bytes) => bytes.min(max_bytes),
     };
-    let expected = head.length.unwrap_or(buffer_limit).min(buffer_limit);
-    let permit = memory.reserve(expected)?;
+    let expected = head.length.and_then(|length| usize::try_from(length).ok());
+    let receiving = request.receiving();
     let mut reader = BodyReader {
         body,
-        bytes: BytesMut::new(),
+        buffer: Buffer::new(request.client().charge(), expected),
     };
     let is_complete = timeout_at(deadline, reader.fill(buffer_limit))
         .await
         .map_err(|_| Refusal::not_run(StatusCode::REQUEST_TIMEOUT, Reason::BadBody))??;
     if is_complete {
-        return Ok(RequestBody::Buffered(reader.bytes.freeze(), Some(permit)));
+        return Ok(RequestBody::Buffered(reader.buffer.into_bytes()));
     }
     if buffer_limit == max_bytes {
         return Err(too_large());
     }
-    Ok(RequestBody::Streamed(reader.into_stream(max_bytes, permit)))
+    Ok(RequestBody::Streamed(
+        reader.into_stream(max_bytes, receiving),
+    ))
 }
 
 struct BodyReader {
     body: ReqBody,
-    bytes: BytesMut,
+    buffer: Buffer,
 }
 
 impl BodyReader {
@@ -206,32 +178,41 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            self.bytes.extend_from_slice(&data);
-            if self.bytes.len() as u64 > max_bytes {
+            self.buffer.push(&data).await.map_err(|_| out_of_memory())?;
+            if self.buffer.len() as u64 > max_bytes {
                 return Ok(false);
             }
         }
         Ok(true)
     }
 
-    /// Streams the bytes read so far followed by the rest of the body.
-    fn into_stream(self, max_bytes: u64, memory: OwnedSemaphorePermit) -> StreamedBody {
-        let first = self.bytes.freeze();
+    /// Streams the bytes read so far followed by the rest of the body, which is incomplete until it
+    /// was read.
+    fn into_stream(self, max_bytes: u64, receiving: Receiving) -> StreamedBody {
+        let first = self.buffer.into_bytes();
         let remaining = max_bytes.saturating_sub(first.len() as u64);
         let rest = Limited::new(self.body, usize::try_from(remaining).unwrap_or(usize::MAX));
         let prefix = first.clone();
         let prefix = stream::once(async move { Ok(http_body::Frame::data(prefix)) });
-        let frames = prefix.chain(BodyStream::new(rest));
+        let rest = BodyStream::new(rest).inspect(move |_| {
+            let _incomplete = &receiving;
+        });
+        let frames = prefix.chain(rest);
         let limit = LimitFlag::default();
         StreamedBody {
             body: Some(limit.watch(StreamBody::new(frames))),
             limit,
             first,
-            _memory: memory,
         }
     }
 }
 
+/// Refusal of a request for which there is no memory.
+#[must_use]
+pub fn out_of_memory() -> Refusal {
+    Refusal::unavailable(Reason::Memory, MEMORY_RETRY_AFTER)
+}
+
 fn too_large() -> Refusal {
     Refusal::not_run(StatusCode::PAYLOAD_TOO_LARGE, Reason::BodyTooLarge)
 }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -5,6 +5,7 @@
 use std::sync::RwLock;
 
 use base::prelude::*;
+use bounds::Clients;
 use cadence::StatsdClient;
 use crash::Guard;
 use slog::Logger;
@@ -12,7 +13,6 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::balancer::Balancers;
-use crate::body::MemoryBudget;
 use crate::counters::Counters;
 use crate::in_flight::InFlightRequests;
 use crate::instance_clients::InstanceClients;
@@ -43,7 +43,7 @@
     /// Log for decisions and events.
     pub log: Logger,
     /// Client that sends the metrics.
-    pub metrics: StatsdClient,
+    pub metrics: Arc<StatsdClient>,
     /// Counters that the metrics client sends.
     pub counters: Counters,
     /// Monotonic clock of the process.
@@ -56,8 +56,8 @@
     pub queue: Arc<Queue>,
     /// Probe budget.
     pub prober: Prober,
-    /// Memory budget of buffered request bodies.
-    pub memory: MemoryBudget,
+    /// Callers' connections, and the memory that is kept for them.
+    pub callers: Clients,
     /// Client of the ledger.
     pub ledger: LedgerClient,
     /// Requests that crash instances.
@@ -79,6 +79,11 @@
     #[must_use]
     pub fn new(settings: Settings, log: Logger, metrics: StatsdClient) -> Self {
         let clock = Clock::start();
+        let metrics = Arc::new(metrics);
+        let callers = bounds::Limits {
+            memory: settings.bounds.memory.0,
+            connections: usize::try_from(settings.bounds.connections).unwrap_or(usize::MAX),
+        };
         let limits = admit::Settings {
             concurrency: settings.bounds.running,
             queue: settings.bounds.queue,
@@ -86,7 +91,7 @@
         Self {
             queue: Arc::new(Queue::new(limits, clock)),
             prober: Prober::new(settings.host.clone(), settings.lease.length, clock),
-            memory: MemoryBudget::new(settings.bounds.memory.0),
+            callers: Clients::new(callers, log.clone(), Arc::clone(&metrics)),
             ledger: LedgerClient::new(&settings.control),
             guard: Arc::new(Guard::new(log.clone(), clock, DIRECTORY_KEY)),
             settings,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -47,7 +47,7 @@
     Fenced,
     /// The gateway is stopping.
     Stopping,
-    /// The memory budget for request bodies is exhausted.
+    /// There is no memory left for the request.
     Memory,
     /// No instance is available.
     NoUpstream,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -6,6 +6,10 @@
 
 use base::header;
 use base::prelude::*;
+use bounds::BoundedAcceptor;
+use bounds::RequestGuard;
+use bounds::acceptor::client;
+use futures::StreamExt;
 use http::HeaderValue;
 use http::Method;
 use http::StatusCode;
@@ -19,7 +23,6 @@
 use salvo::Server;
 use salvo::Service;
 use salvo::async_trait;
-use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FuseConfig;
 use salvo::http::ResBody;
 use salvo::rt::tokio::TokioTimer;
@@ -81,11 +84,10 @@
         .with_http1_header_timeout(bounds.head_time)
         .with_write_stall_timeout(bounds.write_time);
     let closing = CancellationToken::new();
-    let acceptor = ClosableAcceptor::new(TcpAcceptor::try_from(listener)?, closing.clone());
+    let acceptor = BoundedAcceptor::new(listener, core.callers.clone())?;
+    let acceptor = ClosableAcceptor::new(acceptor, closing.clone());
     let closed = acceptor.closed();
-    let mut server = Server::new(acceptor)
-        .fuse_config(fuse)
-        .max_connections(bounds.connections as usize);
+    let mut server = Server::new(acceptor).fuse_config(fuse);
     let max_head = usize::try_from(bounds.head.0).unwrap_or(usize::MAX);
     server
         .http1_mut()
@@ -117,7 +119,6 @@
     /// most `finish`.
     pub async fn close(self, finish: Duration) {
         self.closing.cancel();
-        // A server at its connection limit doesn't call the acceptor, hence the timeout.
         let _ = tokio::time::timeout(LISTENER_CLOSE_TIMEOUT, self.closed.cancelled()).await;
         self.handle.stop_graceful(finish);
         let _ = self.task.await;
@@ -152,8 +153,12 @@
             return;
         }
         let id = request_id(request);
-        match self.call(&id, request).await {
-            Ok(relayed) => write_response(relayed, response),
+        let result = match client(&self.0.callers, request).begin().await {
+            Ok(guard) => self.call(&id, request, &guard).await.map(|r| (r, guard)),
+            Err(_) => Err(body::out_of_memory()),
+        };
+        match result {
+            Ok((relayed, guard)) => write_response(relayed, guard, response),
             Err(refusal) => {
                 let service = request_head::service_name(request.headers()).ok();
                 self.write_refusal(&id, service.as_ref(), refusal, response);
@@ -200,9 +205,14 @@
 
     /// Runs the call of a request. Dropping the future signals that the caller has
     /// disconnected.
-    async fn call(&self, id: &Arc<str>, request: &mut Request) -> call::Result {
+    async fn call(
+        &self,
+        id: &Arc<str>,
+        request: &mut Request,
+        guard: &RequestGuard,
+    ) -> call::Result {
         let core = &self.0;
-        let received = self.receive(id, request).await?;
+        let received = self.receive(id, request, guard).await?;
         let outgoing = received.outgoing.clone();
         let service = &outgoing.head.service.name;
         if outgoing.relayed {
@@ -223,9 +233,7 @@
             (Err(refusal), Some(body))
                 if refusal.is_unreached() && core.paths.is_cut_off(service).await =>
             {
-                outgoing
-                    .relay(core, RequestBody::Buffered(body, None))
-                    .await
+                outgoing.relay(core, RequestBody::Buffered(body)).await
             }
             _ => result,
         }
@@ -236,6 +244,7 @@
         &self,
         id: &Arc<str>,
         request: &mut Request,
+        guard: &RequestGuard,
     ) -> Result<ReceivedRequest, Refusal> {
         let core = &self.0;
         let now = core.clock.now();
@@ -262,7 +271,7 @@
         };
         let deadline = core.clock.instant(head.deadline);
         let body = request.take_body();
-        let body = body::receive_body(body, &head, buffering, &core.memory, deadline).await?;
+        let body = body::receive_body(body, &head, buffering, guard, deadline).await?;
         let sent_by = request.headers().get(header::HOP);
         let sent_for = sent_by.and_then(|value| value.to_str().ok()?.parse().ok());
         let outgoing = Outgoing {
@@ -358,10 +367,14 @@
     head.service.class == Class::Once && head.key.is_some()
 }
 
-fn write_response(relayed: RelayedResponse, response: &mut Response) {
+/// Writes the response of an instance, during which the request counts as open.
+fn write_response(relayed: RelayedResponse, guard: RequestGuard, response: &mut Response) {
     response.status_code(relayed.status);
     response.set_headers(relayed.headers);
-    response.replace_body(ResBody::stream(relayed.body));
+    let body = relayed.body.inspect(move |_| {
+        let _open = &guard;
+    });
+    response.replace_body(ResBody::stream(body));
 }
 
 fn target(request: &Request) -> &str {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -71,7 +71,7 @@
     pub deadline: Duration,
     /// Maximum size of a request body that is buffered for retries.
     pub replay: Bytes,
-    /// Memory budget for all buffered request bodies.
+    /// Memory for callers: their connections, requests and buffered bodies.
     pub memory: Bytes,
     /// Maximum size of a response body that the ledger stores.
     pub answer: Bytes,
@@ -237,7 +237,7 @@
             write_time: Duration::from_secs(30),
             deadline: Duration::from_mins(10),
             replay: Bytes(64 * 1024),
-            memory: Bytes(64 * 1024 * 1024),
+            memory: Bytes(128 * 1024 * 1024),
             answer: Bytes(64 * 1024),
         }
     }
--- a/crates/gateway/tests/test_input.rs
+++ b/crates/gateway/tests/test_input.rs
@@ -273,24 +273,42 @@
     assert_eq!(rig.upstream.received().len(), 1, "only the whole request");
 }
 
+/// Guards against bodies that are kept without memory for them, and against memory that stays
+/// charged after a request.
 #[tokio::test]
 async fn test_input_memory_is_bounded() {
-    let rig = rig(&[], |s| s.bounds.memory = Bytes(100 * 1024)).await;
-    let head =
-        "POST / HTTP/1.1\r\nhost: x\r\nrwr-service: durable\r\ncontent-length: 81920\r\n\r\n";
-    let mut occupying = TcpStream::connect(rig.gateway.http())
-        .await
-        .expect("a port");
-    occupying.write_all(head.as_bytes()).await.expect("sent");
-    let memory = &rig.gateway.core().memory;
-    wait_until(|| memory.reserve(100 * 1024).is_err()).await;
+    let rig = rig(&[], |s| s.bounds.memory = Bytes(200 * 1024)).await;
+    let callers = rig.gateway.core().callers.clone();
+    let mut others = callers.unconnected().charge();
+    others.grow(100 * 1024).await.expect("room");
     let body = vec![b'a'; 80 * 1024];
     let refused = rig.post("durable", "/echo").body(body.clone()).send().await;
     let refused = refused.expect("a response");
     assert_eq!(refused.status(), 503);
     assert_eq!(header(&refused, "rwr-reason"), "memory");
-    drop(occupying);
-    wait_until(|| memory.reserve(100 * 1024).is_ok()).await;
+    drop((others, refused));
+    wait_until(|| callers.used() < 80 * 1024).await;
+    let accepted = rig.post("durable", "/echo").body(body.clone()).send().await;
+    let accepted = accepted.expect("a response").bytes().await;
+    assert_eq!(accepted.expect("whole"), body);
+    wait_until(|| callers.used() < 80 * 1024).await;
+}
+
+/// Guards against heads that announce bodies, never send them, and keep the memory for them.
+#[tokio::test]
+async fn test_input_announced_body_takes_no_memory_before_it_comes() {
+    let rig = rig(&[], |s| s.bounds.memory = Bytes(200 * 1024)).await;
+    let callers = rig.gateway.core().callers.clone();
+    let head =
+        "POST / HTTP/1.1\r\nhost: x\r\nrwr-service: durable\r\ncontent-length: 81920\r\n\r\n";
+    let mut waiting = TcpStream::connect(rig.gateway.http())
+        .await
+        .expect("a port");
+    waiting.write_all(head.as_bytes()).await.expect("sent");
+    // The request counts from its head on.
+    wait_until(|| callers.used() > 40 * 1024).await;
+    assert!(callers.used() < 80 * 1024, "{}", callers.used());
+    let body = vec![b'a'; 80 * 1024];
     let accepted = rig.post("durable", "/echo").body(body.clone()).send().await;
     let accepted = accepted.expect("a response").bytes().await;
     assert_eq!(accepted.expect("whole"), body);
--- a/crates/gateway/tests/test_keyed.rs
+++ b/crates/gateway/tests/test_keyed.rs
@@ -286,7 +286,7 @@
         method: Method::POST,
         target: Arc::from("/ok"),
         headers,
-        body: RequestBody::Buffered(bytes::Bytes::new(), None),
+        body: RequestBody::Buffered(bytes::Bytes::new()),
         // As after a pause of the process between the claim and the attempt.
         claim_expires_at: Some(now),
         permit: None,
