--- a/crates/gateway/tests/test_input.rs
+++ b/crates/gateway/tests/test_input.rs
@@ -297,7 +297,7 @@
 /// Guards against heads that announce bodies, never send them, and keep the memory for them.
 #[tokio::test]
 async fn test_input_announced_body_takes_no_memory_before_it_comes() {
-    let rig = rig(&[], |s| s.bounds.memory = Bytes(200 * 1024)).await;
+    let rig = rig(&[], |s| s.bounds.memory = Bytes(280 * 1024)).await;
     let callers = rig.gateway.core().callers.clone();
     let head =
         "POST / HTTP/1.1\r\nhost: x\r\nrwr-service: durable\r\ncontent-length: 81920\r\n\r\n";
