framing: a response whose status is of no class is no answer

What callers saw: an instance in trouble sent a status such as 600 or 999, and the caller got it as an answer, with the instance's signature. Status 000, and any other below 100, ended as 502 before: the HTTP library rejects it.

Cause: the library takes any status from 100 to 999, and nothing else looked.

Evidence: the rows "status 600" and "status 999" of test_framing failed at entry processes and gateways (600 instead of 502). The rows "status 000", "status 099" and "status 000 after an interim response" passed there and stay as guards.

Change: framing::check_response, through which the heads of all responses of instances and of other processes go, refuses a status from 600 on. As for any head that can't be read, the request counts as one that may have run, the connection is closed, and the caller gets 502 unless another attempt is allowed.

--- a/crates/entry/tests/test_framing.rs
+++ b/crates/entry/tests/test_framing.rs
@@ -19,7 +19,7 @@
 const LONG_BODY: usize = 300 * 1024;
 
 /// Responses that are refused, by the form that is wrong with them.
-const REFUSED: [(&str, &str); 14] = [
+const REFUSED: [(&str, &str); 19] = [
     (
         "length before chunks",
         "HTTP/1.1 200 OK\r\n{own}content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n\
@@ -79,6 +79,26 @@
         "switch of protocol",
         "HTTP/1.1 101 Switching Protocols\r\n{own}connection: upgrade\r\nupgrade: other\r\n\r\n",
     ),
+    (
+        "status 000",
+        "HTTP/1.1 000 None\r\n{own}content-length: 4\r\n\r\nhalf",
+    ),
+    (
+        "status 099",
+        "HTTP/1.1 099 Continue\r\n{own}content-length: 4\r\n\r\nhalf",
+    ),
+    (
+        "status 600",
+        "HTTP/1.1 600 Error\r\n{own}content-length: 4\r\n\r\nhalf",
+    ),
+    (
+        "status 999",
+        "HTTP/1.1 999 Denied\r\n{own}content-length: 4\r\n\r\nhalf",
+    ),
+    (
+        "status 000 after an interim response",
+        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 None\r\n{own}content-length: 4\r\n\r\nhalf",
+    ),
 ];
 
 /// Responses that are passed on: their form, their text, and the status, length and body that the
--- a/crates/framing/src/lib.rs
+++ b/crates/framing/src/lib.rs
@@ -36,13 +36,19 @@
     TRANSFER_ENCODING,
     UPGRADE,
 ];
+/// The first number that is no status. The HTTP library takes any of three digits from 100 on.
+const STATUS_END: u16 = 600;
 /// The only transfer coding that is decoded.
 const CHUNKED: &str = "chunked";
 
 quick_error! {
-    /// What is wrong with the framing of a response.
+    /// What is wrong with the head of a response.
     #[derive(Clone, Copy, Debug, PartialEq, Eq)]
     pub enum FramingError {
+        /// The status is of no class (RFC 9110, section 15).
+        InvalidStatus {
+            display("status is not from 100 to 599")
+        }
         /// A length isn't a decimal number.
         InvalidLength {
             display("content-length is not a number")
@@ -81,13 +87,16 @@
     Unstated,
 }
 
-/// Checks the framing of a response (RFC 9112, section 6).
+/// Checks the status and the framing of a response (RFC 9112, section 6).
 ///
 /// # Errors
 ///
 /// Fails if the head can be read in two ways, or in none. What follows it on the connection may
 /// not be the body of this response.
 pub fn check_response(status: StatusCode, headers: &HeaderMap) -> Result<Framing, FramingError> {
+    if status.as_u16() >= STATUS_END {
+        return Err(FramingError::InvalidStatus);
+    }
     if status == StatusCode::SWITCHING_PROTOCOLS {
         return Err(FramingError::SwitchedProtocol);
     }
--- a/crates/gateway/tests/test_framing.rs
+++ b/crates/gateway/tests/test_framing.rs
@@ -15,7 +15,7 @@
 const LONG_BODY: usize = 512 * 1024;
 
 /// Responses that are refused, by the form that is wrong with them.
-const REFUSED: [(&str, &str); 14] = [
+const REFUSED: [(&str, &str); 19] = [
     (
         "length before chunks",
         "HTTP/1.1 200 OK\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n\
@@ -75,6 +75,26 @@
         "switch of protocol",
         "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: other\r\n\r\n",
     ),
+    (
+        "status 000",
+        "HTTP/1.1 000 None\r\ncontent-length: 4\r\n\r\nhalf",
+    ),
+    (
+        "status 099",
+        "HTTP/1.1 099 Continue\r\ncontent-length: 4\r\n\r\nhalf",
+    ),
+    (
+        "status 600",
+        "HTTP/1.1 600 Error\r\ncontent-length: 4\r\n\r\nhalf",
+    ),
+    (
+        "status 999",
+        "HTTP/1.1 999 Denied\r\ncontent-length: 4\r\n\r\nhalf",
+    ),
+    (
+        "status 000 after an interim response",
+        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 None\r\ncontent-length: 4\r\n\r\nhalf",
+    ),
 ];
 
 /// Responses that are passed on: their form, their text, and the status, framing and body that the
