bounds: a long head that finds no memory ends its connection

Cause: what the buffer of a head took beyond the charge of a new connection was counted without asking for room, so that all connections together could exceed the account by their longest heads: 2,562 of 16 KB are 41 MB.

Evidence: test_clients_long_heads_are_charged, 60 heads of 32 KiB with an account of 1 MiB; found by reading the change, not in a run of processes.

Change: the charge grows only if the account has room or stalled clients can be closed for it at once. Otherwise the connection ends: no request has been read from it, so nothing was promised.

--- a/crates/bounds/src/charge.rs
+++ b/crates/bounds/src/charge.rs
@@ -4,6 +4,7 @@
 use std::future::poll_fn;
 use std::task::Context;
 use std::task::Poll;
+use std::task::Waker;
 
 use bytes::Bytes;
 use quick_error::quick_error;
@@ -66,6 +67,19 @@
         poll_fn(|cx| self.poll_grow(cx, bytes)).await
     }
 
+    /// Counts more bytes, unless the account has no room even with connections that can be closed at
+    /// once. Returns whether it has.
+    pub fn grow_now(&mut self, bytes: u64) -> bool {
+        let mut cx = Context::from_waker(Waker::noop());
+        match self.poll_grow(&mut cx, bytes) {
+            Poll::Ready(result) => result.is_ok(),
+            Poll::Pending => {
+                self.grow_always(bytes);
+                true
+            }
+        }
+    }
+
     /// Counts more bytes that are kept already, whatever room the account has.
     pub fn grow_always(&mut self, bytes: u64) {
         self.client.clients.charge_always(&self.client, bytes);
--- a/crates/bounds/src/stream.rs
+++ b/crates/bounds/src/stream.rs
@@ -82,8 +82,8 @@
         }
         let head_bytes = connection.record_read(bytes);
         let more = clients::head_step(&self.charge, head_bytes);
-        if more > 0 {
-            self.charge.grow_always(more);
+        if more > 0 && !self.charge.grow_now(more) {
+            return Err(io::ErrorKind::OutOfMemory.into());
         }
         Ok(())
     }
--- a/crates/bounds/tests/test_clients.rs
+++ b/crates/bounds/tests/test_clients.rs
@@ -188,6 +188,29 @@
     assert!(clients.open() <= 16);
 }
 
+/// Guards against long heads that together take more than the account.
+#[tokio::test(start_paused = true)]
+async fn test_clients_long_heads_are_charged() {
+    let clients = clients(MEBI, 64);
+    let mut heads = Vec::new();
+    for port in 1..=60 {
+        heads.extend(connect(&clients, port));
+    }
+    for head in &mut heads {
+        let mut stream = head.stream.lock().unwrap().take().expect("an open stream");
+        let mut buffer = vec![0; 32 * 1024];
+        head.far.write_all(&buffer).await.unwrap();
+        // The connection ends with an error where there is no memory for its head.
+        let is_read = stream.read_exact(&mut buffer).await.is_ok();
+        assert!(clients.used() <= MEBI, "{}", clients.used());
+        if is_read {
+            *head.stream.lock().unwrap() = Some(stream);
+        }
+    }
+    let open = heads.iter().filter(|head| head.is_open()).count();
+    assert!((1..60).contains(&open), "{open}");
+}
+
 /// Guards against refusing callers while idle connections are kept.
 #[tokio::test(start_paused = true)]
 async fn test_clients_longest_idle_gives_way_when_no_other_does() {
