--- a/crates/testutils/src/process.rs
+++ b/crates/testutils/src/process.rs
@@ -348,6 +348,25 @@
         Ok(fs::read_dir(format!("/proc/{}/fd", self.child.id()))?.count())
     }
 
+    /// Checks what must hold whatever the process's clients do: that it lives, and that its peak
+    /// memory and its open descriptors stayed within these bounds.
+    ///
+    /// # Panics
+    ///
+    /// Panics if one of them doesn't hold.
+    #[track_caller]
+    pub fn assert_within(&mut self, max_memory: u64, max_descriptors: usize) {
+        assert!(!self.has_ended(), "{} has ended", self.binary);
+        let memory = self.peak_memory().expect("a running process");
+        let descriptors = self.descriptors().expect("a running process");
+        println!("peak memory {memory} bytes, {descriptors} descriptors");
+        assert!(memory <= max_memory, "peak memory: {memory} bytes");
+        assert!(
+            descriptors <= max_descriptors,
+            "open descriptors: {descriptors}"
+        );
+    }
+
     /// Whether the process has exited.
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
--- a/crates/testutils/tests/test_client_limits.rs
+++ b/crates/testutils/tests/test_client_limits.rs
@@ -55,15 +55,7 @@
 #[track_caller]
 fn assert_within_bounds(process: Option<&mut Process>, connections: usize) {
     let process = process.expect("a running process");
-    assert!(!process.has_ended(), "the process has ended");
-    let (memory, descriptors) = (
-        process.peak_memory().expect("a peak"),
-        process.descriptors().expect("descriptors"),
-    );
-    println!("peak memory {memory} bytes, {descriptors} descriptors");
-    assert!(memory <= MACHINE_BYTES, "peak memory: {memory} bytes");
-    let bound = connections + OTHER_DESCRIPTORS;
-    assert!(descriptors <= bound, "open descriptors: {descriptors}");
+    process.assert_within(MACHINE_BYTES, connections + OTHER_DESCRIPTORS);
 }
 
 /// A fleet with one entry process, and an instance of the status service.
