bounds: comments that needed a second reading

Comments only, after reading the change once more. rustfmt and clippy of the crate ran clean; its tests were not run again, as no code changed.

--- a/crates/bounds/src/clients.rs
+++ b/crates/bounds/src/clients.rs
@@ -58,7 +58,7 @@
 struct State {
     /// Bytes that are charged.
     used: u64,
-    /// Those of them that connections hold which are being closed.
+    /// The part of `used` that belongs to connections being closed.
     leaving: u64,
     /// Number of connections that are being closed.
     closing: usize,
@@ -104,7 +104,7 @@
     }
 
     /// Admits a new connection from `peer`, if there is room or other connections can be closed for
-    /// it. `close` closes the connection; it is called once at most, and not while it is admitted.
+    /// it. `close` is called once at most, when the connection has to make room for others.
     pub fn admit(
         &self,
         peer: SocketAddr,
@@ -143,7 +143,7 @@
             return (true, Vec::new());
         }
         let batch = (self.0.limits.connections / EVICTION_SHARE).max(1);
-        // Connections close a little later, and hold their descriptors until then.
+        // A connection that is being closed keeps its descriptor until its task ends.
         if state.closing >= 2 * batch {
             return (false, Vec::new());
         }
@@ -351,7 +351,7 @@
     }
 }
 
-/// A charge for a head that has grown beyond what a connection is charged for.
+/// The bytes by which `charge` has to grow for an unfinished head of `head_bytes` bytes.
 pub(crate) fn head_step(charge: &Charge, head_bytes: usize) -> u64 {
     let needed = head_bytes as u64 + CONNECTION_BYTES / 2;
     needed
--- a/crates/bounds/src/connection.rs
+++ b/crates/bounds/src/connection.rs
@@ -18,8 +18,8 @@
 use crate::charge::OverMemory;
 use crate::clients::Clients;
 
-/// Bytes that have to move for a client to count as active. One that moves fewer within
-/// [`STALL_TIME`] could hold its connection for hours at no cost to itself.
+/// Bytes that a client has to send or read within [`STALL_TIME`] to count as active. Without a
+/// minimum, one that sends a byte now and then would never count as stalled.
 const PROGRESS_BYTES: usize = 1024;
 /// Time without progress after which a connection may be closed to make room for others.
 pub(crate) const STALL_TIME: Duration = Duration::from_secs(1);
@@ -155,7 +155,7 @@
         activity.head_bytes
     }
 
-    /// Records bytes that were sent to the client, or that it doesn't take any.
+    /// Records the bytes written to the client; `None` if its connection takes none now.
     pub(crate) fn record_write(&self, written: Option<usize>) {
         let mut activity = self.activity();
         match written {
--- a/crates/bounds/tests/test_clients.rs
+++ b/crates/bounds/tests/test_clients.rs
@@ -188,7 +188,7 @@
     assert!(clients.open() <= 16);
 }
 
-/// Guards against long heads that together take more than the account.
+/// Guards against long heads that together exceed the account.
 #[tokio::test(start_paused = true)]
 async fn test_clients_long_heads_are_charged() {
     let clients = clients(MEBI, 64);
