--- a/crates/control/src/writer.rs
+++ b/crates/control/src/writer.rs
@@ -131,7 +131,13 @@
         ..Batch::default()
     };
     append(store, &first)?;
-    store.save(&convert::snapshot_to_wire(snapshot))?;
+    let snapshot = convert::snapshot_to_wire(snapshot);
+    if (1..=snapshot.index).contains(&log.truncate) {
+        // Entries that a snapshot of this replica's own state covers are never removed.
+        store.install(&snapshot)?;
+    } else {
+        store.save(&snapshot)?;
+    }
     append(store, &Batch { state: None, ..log })
 }
 
--- a/crates/store/src/replay.rs
+++ b/crates/store/src/replay.rs
@@ -24,6 +24,17 @@
     snapshot_index: u64,
 }
 
+/// What the log's batches led to.
+#[derive(Debug)]
+pub struct Log {
+    /// The newest hard state.
+    pub state: HardState,
+    /// The entries after the snapshot.
+    pub entries: Vec<Entry>,
+    /// Whether the snapshot supersedes entries that are still stored.
+    pub is_superseded: bool,
+}
+
 impl Replay {
     /// Starts from a snapshot up to `snapshot_index`, or 0 without one.
     #[must_use]
@@ -51,22 +62,26 @@
         batch.entries.into_iter().try_for_each(|e| self.push(e))
     }
 
-    /// Returns the hard state and the entries after the snapshot, whose last entry has `term`.
+    /// Returns the log after the snapshot, whose last entry has `term`.
     ///
-    /// If the log has an entry with another term at the snapshot's index, the snapshot
-    /// came from a leader and supersedes all entries of the log.
+    /// Entries that have another term at the snapshot's index, or a lower one after it, belong to
+    /// another history than a snapshot that came from a leader, which supersedes all of them.
     #[must_use]
-    pub fn finish(mut self, term: u64) -> (HardState, Vec<Entry>) {
-        let is_superseded = self
-            .entries
-            .iter()
-            .any(|e| e.index == self.snapshot_index && e.term != term);
+    pub fn finish(mut self, term: u64) -> Log {
+        let snapshot_index = self.snapshot_index;
+        let is_superseded = self.entries.iter().any(|e| {
+            (e.index == snapshot_index && e.term != term)
+                || (e.index > snapshot_index && e.term < term)
+        });
         if is_superseded {
             self.entries.clear();
         }
-        let snapshot_index = self.snapshot_index;
         self.entries.retain(|e| e.index > snapshot_index);
-        (self.state, self.entries.into())
+        Log {
+            state: self.state,
+            entries: self.entries.into(),
+            is_superseded,
+        }
     }
 
     fn push(&mut self, entry: Entry) -> Result<(), Damage> {
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -84,8 +84,9 @@
         reader.read_all(&names)?;
         let (segments, torn_bytes) = (reader.segments, reader.torn_bytes);
         let commit = reader.replay.commit;
-        let (state, entries) = reader.replay.finish(loaded.as_ref().map_or(0, |s| s.term));
-        let store = Self {
+        let log = reader.replay.finish(loaded.as_ref().map_or(0, |s| s.term));
+        let (state, entries) = (log.state, log.entries);
+        let mut store = Self {
             disk,
             options,
             identity: identity.clone(),
@@ -95,6 +96,9 @@
             snapshot_index: loaded.as_ref().map(|s| s.index),
             stopped: false,
         };
+        if log.is_superseded {
+            store.remove_entries()?;
+        }
         let recovered = Recovered {
             identity,
             state,
@@ -124,6 +128,22 @@
         self.stop_on_error(|store| store.save_snapshot(snapshot))
     }
 
+    /// Stores a snapshot that replaces the whole log, as one from a leader does.
+    ///
+    /// The log's entries are removed before its segments: a crash between the two would leave
+    /// entries of another history after the snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the snapshot may not survive a crash; the store then stops.
+    pub fn install(&mut self, snapshot: &Snapshot) -> Result<(), StoreError> {
+        self.stop_on_error(|store| {
+            store.write_snapshot(snapshot)?;
+            store.remove_entries()?;
+            store.compact()
+        })
+    }
+
     /// Stores the sorted addresses of the replicas that found the group together.
     ///
     /// # Errors
@@ -262,6 +282,14 @@
         Ok(())
     }
 
+    /// Removes all entries of the log.
+    fn remove_entries(&mut self) -> Result<(), StoreError> {
+        self.append_batch(&Batch {
+            truncate: 1,
+            ..Batch::default()
+        })
+    }
+
     /// Removes the oldest segments without entries after the snapshot.
     ///
     /// If the newest segment has none either, a new segment with the hard state is
--- a/crates/store/tests/test_power_loss.rs
+++ b/crates/store/tests/test_power_loss.rs
@@ -10,6 +10,7 @@
 use store::error::Damage;
 
 use crate::samples::batch;
+use crate::samples::entry;
 use crate::samples::indices;
 use crate::samples::open;
 use crate::samples::snapshot;
@@ -111,6 +112,27 @@
     }
 }
 
+/// Guards against lost entries: the process ended between the write of a leader's snapshot and
+/// the removal of the entries that it superseded.
+#[test]
+fn test_power_loss_after_leader_snapshot_keeps_entries_appended_later() {
+    let disk = MemoryDisk::default();
+    let (mut store, _) = open(&disk, Options::default()).expect("opens");
+    for index in 1..=5 {
+        store.append(&batch(1, [index])).expect("appends");
+    }
+    store.save(&snapshot(4, 3)).expect("saves");
+    drop(store);
+    disk.crash();
+    let (mut store, found) = open(&disk, Options::default()).expect("opens");
+    assert_eq!(found.entries, []);
+    store.append(&batch(3, [5])).expect("appends");
+    drop(store);
+    disk.crash();
+    let (_, found) = open(&disk, Options::default()).expect("opens");
+    assert_eq!(found.entries, [entry(5, 3)]);
+}
+
 /// Guards against a leader that waits for a slow disk: a snapshot needs as many syncs as before,
 /// however many segments it covers.
 #[test]
