store: a folder with files of other parts gets its identity

A hub's first start that lost its power before its identity was synced, or that found a file of another part in its folder (the list of entry hosts, lost+found), was refused for good: "identity: damaged at byte 0".

Cause: any file in a folder without an identity counted as a replica's.

test_power_loss_in_the_first_start_is_recovered cuts a first start at each operation in such a folder; it failed before at the first and passes now.

--- a/crates/store/src/snapshot.rs
+++ b/crates/store/src/snapshot.rs
@@ -10,6 +10,7 @@
 use crate::error::StoreError;
 use crate::frame;
 use crate::frame::ReadResult;
+use crate::segment;
 
 /// The name of the identity file.
 pub const IDENTITY: &str = "identity";
@@ -36,7 +37,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the identity is damaged, or missing in a folder with other files.
+/// Fails if the identity is damaged, or missing in a folder with a log or a snapshot.
 pub fn load_or_create_identity(
     disk: &mut dyn Disk,
     names: &[String],
@@ -54,7 +55,9 @@
         save_identity(disk, &identity)?;
         return Ok(identity);
     }
-    if !names.is_empty() {
+    let is_replica_file =
+        |n: &String| n.starts_with(SNAPSHOT_PREFIX) || segment::parse_number(n).is_some();
+    if names.iter().any(is_replica_file) {
         return Err(StoreError::Damaged(IDENTITY.into(), 0, Damage::Identity));
     }
     save_identity(disk, &new)?;
--- a/crates/store/tests/test_power_loss.rs
+++ b/crates/store/tests/test_power_loss.rs
@@ -21,6 +21,7 @@
 
 use crate::samples::batch;
 use crate::samples::entry;
+use crate::samples::identity;
 use crate::samples::indices;
 use crate::samples::open;
 use crate::samples::snapshot;
@@ -362,6 +363,30 @@
     assert_eq!(found.entries, [entry(5, 3)]);
 }
 
+/// Guards against a replica that never starts: the power was lost in its first start, with files
+/// of others in its folder.
+#[test]
+fn test_power_loss_in_the_first_start_is_recovered() {
+    let counted = MemoryDisk::default();
+    open(&counted, SMALL).expect("opens");
+    for operations in 0..counted.operations() {
+        for seed in 0..20 {
+            let mut disk = MemoryDisk::default();
+            put(&mut disk, "entry-hosts", b"another part's");
+            disk.arm(Fault::Power(operations));
+            drop(open(&disk, SMALL));
+            disk.arm(Fault::Random(seed));
+            disk.crash();
+            let (store, found) = Store::open(Box::new(disk.clone()), SMALL, identity(43))
+                .unwrap_or_else(|err| panic!("{operations}, seed {seed}: {err}"));
+            drop(store);
+            disk.crash();
+            let (_, later) = open(&disk, SMALL).expect("opens again");
+            assert_eq!(found.identity, later.identity);
+        }
+    }
+}
+
 /// Guards against a leader that waits for a slow disk: a snapshot needs as many syncs as before,
 /// however many segments it covers.
 #[test]
