store, hub, cli: files outside the log are replaced durably

A data folder's own name was in no sync when the folder was created, so a loss of power could take a replica's whole first state with it. rwrctl wrote the change that it resends without a sync and in place: after a loss of power it could be cut, and the resend was refused as an invalid saved change.

Change: missing folders are created with their names synced. One function, store::folder::replace_file (temporary file, sync, rename, sync of the folder), replaces the list of entry hosts and the saved change. Found by reading all places that create, rename or remove a file; a real folder can't lose power in a test, so the existing tests of both files stand for it.

--- a/crates/cli/src/pending.rs
+++ b/crates/cli/src/pending.rs
@@ -47,14 +47,15 @@
         }
     }
 
-    /// Saves the change.
+    /// Saves the change. It outlives a loss of power, after which it is resent as it was.
     ///
     /// # Errors
     ///
-    /// Fails when the file can't be written.
+    /// Fails when the file can't be written or synced.
     pub fn save(&self) -> Result<(), CliError> {
         let path = saved_path(&self.file, &self.change.id);
-        fs::write(&path, self.change.encode_to_vec()).map_err(|err| CliError::File(path, err))
+        store::folder::replace_file(&path, &self.change.encode_to_vec())
+            .map_err(|err| CliError::File(path, err))
     }
 
     /// Removes the saved change.
--- a/crates/hub/src/beacon.rs
+++ b/crates/hub/src/beacon.rs
@@ -9,9 +9,7 @@
 
 use std::collections::BTreeSet;
 use std::fs;
-use std::fs::File;
 use std::io;
-use std::io::Write;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -31,7 +29,6 @@
 use crate::state::State;
 
 const FILE_NAME: &str = "entry-hosts";
-const TEMP_FILE_NAME: &str = "entry-hosts.next";
 /// How often the list is compared with the stored one.
 const SAVE_INTERVAL: Duration = Duration::from_secs(5);
 /// Interval between beacons to an entry host that does not watch this hub yet.
@@ -154,11 +151,8 @@
         ..EntryHost::default()
     };
     let bytes = registry::pack_hosts(addresses.iter().map(host).collect())?;
-    let next = folder.join(TEMP_FILE_NAME);
-    let mut file = File::create(&next)?;
-    file.write_all(&bytes)?;
-    file.sync_all()?;
-    fs::rename(&next, folder.join(FILE_NAME))?;
-    File::open(folder)?.sync_all()?;
-    Ok(())
+    Ok(store::folder::replace_file(
+        &folder.join(FILE_NAME),
+        &bytes,
+    )?)
 }
--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -16,6 +16,9 @@
 /// Locked while a process uses the folder.
 const LOCK_FILE: &str = "lock";
 
+/// The suffix of a file that is about to replace another one.
+const NEXT_SUFFIX: &str = ".next";
+
 /// A folder used exclusively by this process.
 ///
 /// The last written file stays open, because consecutive writes go to the same log segment.
@@ -35,7 +38,7 @@
     pub fn open(path: &Path) -> Result<Self, StoreError> {
         let name = path.display().to_string();
         let io_error = |err| StoreError::io(Operation::Create, &name, err);
-        fs::create_dir_all(path).map_err(io_error)?;
+        create_durably(path).map_err(io_error)?;
         let lock = File::create(path.join(LOCK_FILE)).map_err(io_error)?;
         match lock.try_lock() {
             Ok(()) => Ok(Self {
@@ -68,6 +71,35 @@
     }
 }
 
+/// Atomically and durably replaces the file at `path`.
+///
+/// # Errors
+///
+/// Fails if any step fails; the file may or may not have been replaced.
+pub fn replace_file(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    let mut next = path.as_os_str().to_owned();
+    next.push(NEXT_SUFFIX);
+    let mut file = File::create(&next)?;
+    file.write_all(bytes)?;
+    file.sync_all()?;
+    fs::rename(&next, path)?;
+    sync_parent(path)
+}
+
+/// Creates a folder and those above it that are missing, with their names synced.
+fn create_durably(path: &Path) -> io::Result<()> {
+    let is_missing = |p: &&Path| !p.as_os_str().is_empty() && !p.exists();
+    let missing: Vec<&Path> = path.ancestors().take_while(is_missing).collect();
+    fs::create_dir_all(path)?;
+    missing.into_iter().try_for_each(sync_parent)
+}
+
+/// Makes the name of `path` durable.
+fn sync_parent(path: &Path) -> io::Result<()> {
+    let parent = path.parent().filter(|p| !p.as_os_str().is_empty());
+    File::open(parent.unwrap_or(Path::new(".")))?.sync_all()
+}
+
 impl Disk for Folder {
     fn list(&self) -> io::Result<Vec<String>> {
         let mut names = Vec::new();
