--- a/crates/testutils/src/crowd.rs
+++ b/crates/testutils/src/crowd.rs
@@ -1,11 +1,15 @@
-//! Clients that send a part of a request, or too much of one, and stay connected.
+//! Clients that send a part of a request, or too much of one, and stay connected; callers that come
+//! again at once.
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures::future::join_all;
 use tokio::io::AsyncWriteExt;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -16,6 +20,9 @@
 /// Pause after a write of a [`Message`] in pieces, so that the process reads each by itself.
 const PIECE_PAUSE: Duration = Duration::from_millis(4);
 
+/// Pause of a caller before it connects again.
+const REPEAT_PAUSE: Duration = Duration::from_millis(20);
+
 /// What each client of a crowd sends.
 #[derive(Clone, Debug)]
 pub struct Message {
@@ -102,3 +109,53 @@
         }
     }
 }
+
+/// What a caller does with its responses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    /// Reads all that comes.
+    All,
+    /// Reads nothing.
+    Nothing,
+}
+
+/// Callers that send a message, and connect and send again when they are disconnected, until this
+/// is dropped.
+pub struct CallingCrowd {
+    _callers: JoinSet<()>,
+}
+
+impl CallingCrowd {
+    /// Lets `count` callers send `message` to `address`.
+    #[must_use]
+    pub fn start(address: SocketAddr, count: usize, message: &Message, reading: Reading) -> Self {
+        let mut callers = JoinSet::new();
+        for _ in 0..count {
+            let message = message.clone();
+            callers.spawn(async move {
+                loop {
+                    // A process may refuse to take the connection, or close it at any time.
+                    let _ = call(address, &message, reading).await;
+                    sleep(REPEAT_PAUSE).await;
+                }
+            });
+        }
+        Self { _callers: callers }
+    }
+}
+
+/// Sends a message, and returns once the connection is closed.
+async fn call(address: SocketAddr, message: &Message, reading: Reading) -> io::Result<()> {
+    let mut stream = TcpStream::connect(address).await?;
+    message.send(&mut stream).await;
+    match reading {
+        Reading::All => {
+            tokio::io::copy(&mut stream, &mut tokio::io::sink()).await?;
+        }
+        // The other side of a connection whose bytes aren't read is seen to close by an error.
+        Reading::Nothing => {
+            stream.ready(Interest::ERROR).await?;
+        }
+    }
+    Ok(())
+}
