bounds, entry: responses under way are charged, and read in small buffers

Instances that sent bodies without end filled an entry process's memory: 70 to 314 MB of 64 in test_instance_floods_entry_* and _relayed_*, whatever its callers did, and other callers' requests ended with the process. With chunks of one byte no ordinary request was answered meanwhile.

Cause: the HTTP library's read buffer for an instance grows to 400 KB, and a response under way fills several of them (read, on the way, being written); nothing counted them. A refusal's body was kept up to 256 KB only to be thrown away, any number at once.

Change: connections to instances and other entry processes have read buffers of 32 KiB. A response that is longer than one buffer is charged to its caller's connection in the account, four buffers at most, before it is passed on; all of them together may use half of the account. Over it, callers who have stopped to read give way, and the attempt ends (502). The only response under way is always passed on, so that a single request is answered however small the account is. Refusals are read without being kept, 16 KiB at most. InstanceStream pauses after 64 KiB, so that an instance that sends on and on doesn't hold up its thread.

Ruled out: a bound on the number of responses alone (their sizes differ by five orders), a charge for each piece (half of the memory is in buffers that belong to no piece), smaller buffers alone (480 connections fill any).

--- a/crates/bounds/src/charge.rs
+++ b/crates/bounds/src/charge.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use quick_error::quick_error;
 
+use crate::clients::Clients;
 use crate::connection::Client;
 
 quick_error! {
@@ -39,6 +40,10 @@
         Self { client, bytes: 0 }
     }
 
+    pub(crate) fn clients(&self) -> &Clients {
+        &self.client.clients
+    }
+
     /// The bytes that it counts.
     #[must_use]
     pub fn bytes(&self) -> u64 {
--- a/crates/bounds/src/lib.rs
+++ b/crates/bounds/src/lib.rs
@@ -1,5 +1,5 @@
-//! Bounds on what clients occupy of a process: one account of the memory that is kept for them, and
-//! the number of their connections.
+//! Bounds on what clients occupy of a process: one account of the memory that is kept for them and
+//! for the responses to them, and the number of their connections.
 //!
 //! What a client sends is charged before it is kept. Where there is no room, connections are closed
 //! whose clients have stopped in the middle of a head, a body or a response, then idle ones; those
@@ -11,7 +11,9 @@
 mod charge;
 mod clients;
 mod connection;
+mod instance_stream;
 mod report;
+mod response;
 mod settings;
 mod stream;
 
@@ -23,6 +25,9 @@
 pub use connection::Client;
 pub use connection::Receiving;
 pub use connection::RequestGuard;
+pub use instance_stream::InstanceStream;
+pub use response::READ_BUFFER_BYTES;
+pub use response::ResponseCharge;
 pub use settings::Limits;
 pub use settings::Requirements;
 pub use settings::Settings;
--- a/crates/bounds/src/report.rs
+++ b/crates/bounds/src/report.rs
@@ -26,6 +26,8 @@
     Connection,
     /// Memory for what it sends.
     Memory,
+    /// Memory for the response to it.
+    Response,
 }
 
 /// Bytes that are charged, and the number of open connections.
@@ -55,6 +57,7 @@
 struct Lines {
     connection: Line,
     memory: Line,
+    refused_response: Line,
     head: Line,
     body: Line,
     response: Line,
@@ -84,6 +87,7 @@
         let due = self.line(|lines| match what {
             Refused::Connection => &mut lines.connection,
             Refused::Memory => &mut lines.memory,
+            Refused::Response => &mut lines.refused_response,
         });
         if let Some(count) = due {
             warn!(self.log, "client refused"; "what" => label, "count" => count,
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -26,6 +26,7 @@
 
 pub use self::arriving::Arriving;
 pub use self::read::ReadBody;
+pub use self::read::discard;
 pub use self::read::read_available;
 pub use self::read::read_response;
 pub use self::read::request_body;
@@ -44,7 +45,7 @@
         }
         /// It exceeds the limit of the route table.
         TooLarge {
-            display("request body exceeds the limit")
+            display("body exceeds the limit")
         }
         /// The process has no memory left for it.
         OverMemory {
--- a/crates/entry/src/body/read.rs
+++ b/crates/entry/src/body/read.rs
@@ -90,6 +90,19 @@
     }
 }
 
+/// Reads a body of up to `limit` bytes without keeping it.
+///
+/// # Errors
+///
+/// Fails if the body breaks off or is longer.
+pub async fn discard(mut body: Arriving, limit: usize) -> Result<(), BodyError> {
+    let mut left = limit;
+    while let Some(data) = body.data().await {
+        left = left.checked_sub(data?.len()).ok_or(BodyError::TooLarge)?;
+    }
+    Ok(())
+}
+
 enum Read {
     Done(ReadBody),
     /// There is no memory for more than the beginning.
--- a/crates/entry/src/exchange.rs
+++ b/crates/entry/src/exchange.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use base::prelude::*;
-use bounds::Charge;
 use bounds::Client;
 use bytes::Bytes;
 use correlate::Cause;
@@ -53,6 +52,9 @@
 /// completely, so that the request can be retried if it breaks off: streaming gains no time.
 const MAX_PACKET_BODY: u64 = 1_200;
 
+/// Maximum size of the body of a refusal whose connection is used again.
+const MAX_REFUSAL_BODY: usize = 16 * 1024;
+
 /// Time within which the body of a refusal has to arrive for its connection to be used again.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -99,7 +101,7 @@
     /// The complete body.
     Whole(Bytes),
     /// The part read so far, the rest, and the connection it arrives on.
-    Stream(Bytes, Arriving, ResponseSource),
+    Stream(Bytes, Arriving, Box<ResponseSource>),
 }
 
 /// How an attempt ended.
@@ -291,16 +293,15 @@
             // Another instance has the address, so the connection isn't kept.
             if proof.cause() != Cause::OtherInstance {
                 connection.record_refused(&request.id);
-                let charge = request.client.charge();
-                drain_refusal(upstream, response, connection, reusable, charge);
+                drain_refusal(upstream, response, connection, reusable);
             }
             return running.end_refused(proof, refused, report);
         }
     }
     core.record_limit(upstream, response.headers(), sent_at, Source::Response);
     let failed = response.status().is_server_error();
-    let charge = request.client.charge();
-    let read = read_response(&upstream.pool, response, connection, reusable, charge).await;
+    let client = &request.client;
+    let read = read_response(&upstream.pool, response, connection, reusable, client).await;
     if let Some((parts, body)) = read {
         running.end(
             if failed {
@@ -324,13 +325,16 @@
     response: Response<Incoming>,
     connection: Connection,
     reusable: bool,
-    charge: Charge,
 ) {
     let upstream = Arc::clone(upstream);
     tokio::spawn(async move {
-        let reading = read_response(&upstream.pool, response, connection, reusable, charge);
+        let (parts, incoming) = response.into_parts();
+        let reading = body::discard(Arriving::response(incoming), MAX_REFUSAL_BODY);
         // Without the end of the body, the connection is closed.
-        let _ = tokio::time::timeout(REFUSAL_TIMEOUT, reading).await;
+        let read = tokio::time::timeout(REFUSAL_TIMEOUT, reading).await;
+        if reusable && matches!(read, Ok(Ok(()))) {
+            release_connection(&upstream.pool, connection, &parts.headers);
+        }
     });
 }
 
@@ -392,14 +396,15 @@
     Some(request)
 }
 
-/// Reads the response, and returns a `reusable` connection to the pool if it is complete. What is
-/// kept of it is charged to `charge`; a response that finds no memory is streamed.
+/// Reads the response to `client`, and returns a `reusable` connection to the pool if it is complete.
+/// What is kept of it is charged; a response that finds no memory is streamed. Returns `None` if it
+/// breaks off, or if there is no memory to stream it.
 pub async fn read_response(
     pool: &Pool,
     response: Response<Incoming>,
     connection: Connection,
     reusable: bool,
-    charge: Charge,
+    client: &Client,
 ) -> Option<(Parts, UpstreamBody)> {
     let (parts, incoming) = response.into_parts();
     let incoming = Arriving::response(incoming);
@@ -411,9 +416,9 @@
         .is_some_and(|bytes| bytes > MAX_PACKET_BODY);
     let streams = parts.status.is_success() && is_long;
     let read = if streams {
-        body::read_available(incoming, charge).await
+        body::read_available(incoming, client.charge()).await
     } else {
-        body::read_response(incoming, charge).await
+        body::read_response(incoming, client.charge()).await
     };
     match read.ok()? {
         ReadBody::Whole(bytes) => {
@@ -424,11 +429,12 @@
         }
         ReadBody::Part(first, rest) => {
             let source = ResponseSource {
+                charge: client.begin_response(rest.size_hint().exact()).await.ok()?,
                 connection,
                 reusable: reusable && !headers::closes_connection(&parts.headers),
                 keep_alive: headers::keep_alive_timeout(&parts.headers),
             };
-            Some((parts, UpstreamBody::Stream(first, rest, source)))
+            Some((parts, UpstreamBody::Stream(first, rest, Box::new(source))))
         }
     }
 }
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -236,9 +236,9 @@
         self.core.record_peer_answer(&self.service, &peer, &answer);
         let spool = self.spool.clone();
         let reusable = spool.is_none_or(|spool| spool.is_complete());
-        let charge = self.request.client.charge();
+        let client = &self.request.client;
         let read =
-            exchange::read_response(&peer.pool, response, connection, reusable, charge).await;
+            exchange::read_response(&peer.pool, response, connection, reusable, client).await;
         match (outcome, read) {
             (HopOutcome::Answered, Some((parts, body))) => {
                 self.peer = Some(lease);
--- a/crates/entry/src/flow/response.rs
+++ b/crates/entry/src/flow/response.rs
@@ -75,7 +75,7 @@
                 headers::keep_end_to_end(&self.request.method, parts.status, &mut parts.headers);
                 let body = match body {
                     UpstreamBody::Whole(bytes) => ResponseBody::whole(bytes),
-                    UpstreamBody::Stream(first, rest, source) => self.stream(first, rest, source),
+                    UpstreamBody::Stream(first, rest, source) => self.stream(first, rest, *source),
                 };
                 let response = Response::from_parts(*parts, body);
                 (response, "answered", None)
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -10,6 +10,8 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use bounds::InstanceStream;
+use bounds::READ_BUFFER_BYTES;
 use http::HeaderValue;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -213,7 +215,8 @@
             .with_retries(KEEPALIVE_RETRIES);
         SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
         let (sender, driver) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(InstanceStream::new(stream)))
             .await?;
         let driver = tokio::spawn(async move {
             // An error is reported to the request on the connection; without one, the connection
--- a/crates/entry/src/relay/search.rs
+++ b/crates/entry/src/relay/search.rs
@@ -116,8 +116,8 @@
     }
     let outcome = HopOutcome::take(response.headers_mut())?;
     let report = PeerReport::take(response.headers_mut());
-    let charge = core.clients.unconnected().charge();
-    exchange::read_response(&peer.pool, response, connection, true, charge).await?;
+    let client = core.clients.unconnected();
+    exchange::read_response(&peer.pool, response, connection, true, &client).await?;
     Some(Answer {
         reached: outcome == HopOutcome::Answered,
         load: report.load,
--- a/crates/entry/src/stream_tracker.rs
+++ b/crates/entry/src/stream_tracker.rs
@@ -10,6 +10,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use bounds::ResponseCharge;
 use route::ScoredChoice;
 use slog::warn;
 use table::Route;
@@ -33,6 +34,8 @@
 /// The connection on which a response arrives.
 #[derive(Debug)]
 pub struct ResponseSource {
+    /// The memory of its buffers.
+    pub charge: ResponseCharge,
     /// The connection.
     pub connection: Connection,
     /// Whether the connection can be used for another request afterwards.
