interim: interim responses are limited in size, too

An instance that sent interim responses of 15 KB without end got 480 KB read for each request before the 33rd ended the attempt. With 400 callers who come again at once, no ordinary request was answered (debug build), and a gateway took 70 MB of 64.

--- a/crates/gateway/src/instance_clients.rs
+++ b/crates/gateway/src/instance_clients.rs
@@ -37,7 +37,7 @@
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
 use interim::InterimCounter;
-use interim::MAX_INTERIM_RESPONSES;
+use interim::InterimLimits;
 use quick_error::quick_error;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
@@ -87,7 +87,7 @@
         }
         /// The instance sent interim responses without an end.
         EndlessInterim {
-            display("more than {MAX_INTERIM_RESPONSES} interim responses")
+            display("more than {InterimLimits}")
         }
     }
 }
