gateway: responses under way are charged, and read in small buffers

Gateways are twins of entry processes: instances that sent bodies without end filled them to 107 to 169 MB of 64 (test_instance_floods_gateway_*).

Change: read buffers of 32 KiB for instances and other gateways, one chunk on its way to the caller in place of four, and a charge to the caller's connection for each response from its head on, by crate bounds. An attempt that finds no memory ends as one without an answer. A response that is read to be stored in the ledger is charged as it comes; without memory it is passed on and not stored.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -8,6 +8,7 @@
 
 use attempt::CallContext;
 use base::prelude::*;
+use bounds::Client;
 use http::HeaderMap;
 use http::Method;
 use tokio::sync::oneshot;
@@ -37,6 +38,8 @@
     pub head: RequestHead,
     /// What identifies the request in crash reports.
     pub identity: RequestIdentity,
+    /// The connection on which it arrived, to which its response is charged.
+    pub client: Client,
     /// Method.
     pub method: Method,
     /// Path and query.
--- a/crates/gateway/src/call/responses.rs
+++ b/crates/gateway/src/call/responses.rs
@@ -83,6 +83,13 @@
             self.step(Event::AttemptFailed(number, err));
             return;
         }
+        let Ok(charge) = self.request.client.begin_response_now(response.length) else {
+            guard.set_kind(OutcomeKind::Error);
+            drop(guard);
+            info!(self.log, "no memory for answer"; "attempt" => number);
+            self.step(Event::AttemptFailed(number, AttemptError::NoAnswer));
+            return;
+        };
         guard.record_head(&response.headers);
         guard.set_kind(kind_of_response(&response, &verdict));
         let head = self.response_head(&response, &verdict);
@@ -93,6 +100,7 @@
             number,
             guard,
             response,
+            charge,
         });
         self.step(Event::Head(number, head));
     }
@@ -241,7 +249,10 @@
             return;
         };
         let AnsweredAttempt {
-            guard, response, ..
+            guard,
+            response,
+            charge,
+            ..
         } = self.answered.swap_remove(index);
         self.etag = response.headers.get(ETAG).cloned();
         let caller = std::mem::replace(&mut self.caller, CallerChannel::Closed);
@@ -263,6 +274,7 @@
             guard,
             succeeded: !response.status.is_server_error(),
             chunks: response.body,
+            _charge: charge,
         });
     }
 
--- a/crates/gateway/src/call/state.rs
+++ b/crates/gateway/src/call/state.rs
@@ -7,6 +7,7 @@
 use attempt::AttemptError;
 use attempt::Start;
 use attempt::event::AttemptNumber;
+use bounds::ResponseCharge;
 use bytes::Bytes;
 use futures::StreamExt;
 use tokio::sync::mpsc;
@@ -46,6 +47,7 @@
     pub(super) number: AttemptNumber,
     pub(super) guard: AttemptGuard,
     pub(super) response: UpstreamResponse,
+    pub(super) charge: ResponseCharge,
 }
 
 /// The attempt whose response body is sent to the caller.
@@ -54,6 +56,8 @@
     pub(super) guard: AttemptGuard,
     pub(super) succeeded: bool,
     pub(super) chunks: ResponseChunks,
+    /// The memory of the response's buffers.
+    pub(super) _charge: ResponseCharge,
 }
 
 /// Channel to the caller.
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -11,6 +11,7 @@
 
 use base::header;
 use base::prelude::*;
+use bounds::Client;
 use bytes::Bytes;
 use correlate::Owner;
 use futures::StreamExt;
@@ -73,6 +74,8 @@
     pub head: RequestHead,
     /// The caller's address.
     pub caller: Option<IpAddr>,
+    /// The caller's connection, to which the response is charged.
+    pub client: Client,
     /// Whether another gateway sent it on to this one.
     pub relayed: bool,
     /// Method.
@@ -241,6 +244,9 @@
         if self.is_unproven(&response) {
             return HopEnd::Unproven;
         }
+        let Ok(charge) = self.client.begin_response_now(response.length) else {
+            return HopEnd::Broken;
+        };
         let (send, receive) = mpsc::channel(CHUNK_BUFFER);
         let relayed = RelayedResponse {
             status: response.status,
@@ -249,7 +255,7 @@
         };
         tokio::spawn(async move {
             forward_body(response, send).await;
-            drop(guard);
+            drop((guard, charge));
         });
         HopEnd::Answered(relayed)
     }
--- a/crates/gateway/src/instance_clients.rs
+++ b/crates/gateway/src/instance_clients.rs
@@ -23,6 +23,7 @@
 
 use base::header;
 use base::prelude::*;
+use bounds::READ_BUFFER_BYTES;
 use framing::FramingError;
 use http::HeaderMap;
 use http::Method;
@@ -132,6 +133,7 @@
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_max_idle_per_host(max_idle)
+        .http1_max_buf_size(READ_BUFFER_BYTES)
         .build(connector)
 }
 
--- a/crates/gateway/src/keyed.rs
+++ b/crates/gateway/src/keyed.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use bounds::Buffer;
 use bytes::Bytes;
-use bytes::BytesMut;
 use futures::StreamExt;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -256,9 +256,10 @@
         send: oneshot::Sender<call::Result>,
     ) {
         // The receiver is kept, so the call doesn't see its caller disconnect.
+        let buffer = Buffer::new(request.client.charge(), None);
         let result = call::start(self.core.clone(), balancer, request).await;
         match result {
-            Ok(Ok(relayed)) => self.collect(relayed, send).await,
+            Ok(Ok(relayed)) => self.collect(relayed, buffer, send).await,
             Ok(Err(refusal)) => {
                 let settled = match refusal.outcome {
                     Outcome::NotRun => Settled::NotRun,
@@ -276,10 +277,14 @@
         }
     }
 
-    /// Reads the response up to the size that the ledger stores.
-    async fn collect(self, mut relayed: RelayedResponse, send: oneshot::Sender<call::Result>) {
+    /// Reads the response up to the size that the ledger stores, or as far as there is memory.
+    async fn collect(
+        self,
+        mut relayed: RelayedResponse,
+        mut body: Buffer,
+        send: oneshot::Sender<call::Result>,
+    ) {
         let max_bytes = self.core.settings.bounds.answer.0;
-        let mut body = BytesMut::new();
         while let Some(chunk) = relayed.body.next().await {
             let Ok(bytes) = chunk else {
                 let refusal = Refusal::unknown(StatusCode::BAD_GATEWAY, Reason::ShortBody);
@@ -287,13 +292,15 @@
                 self.settle(Settled::Unknown, None).await;
                 return;
             };
-            body.extend_from_slice(&bytes);
-            if body.len() as u64 > max_bytes {
-                self.stream(relayed, body.freeze(), send).await;
+            let is_kept = body.push(&bytes).await.is_ok();
+            if !is_kept || body.len() as u64 > max_bytes {
+                let unkept = Some(bytes).filter(|_| !is_kept);
+                let prefix = [body.into_bytes(), unkept.unwrap_or_default()];
+                self.stream(relayed, prefix, send).await;
                 return;
             }
         }
-        self.store(relayed, body.freeze(), send).await;
+        self.store(relayed, body.into_bytes(), send).await;
     }
 
     /// Settles the claim before the response is sent, so that a caller who has seen the
@@ -321,11 +328,12 @@
         }
     }
 
-    /// Relays a response that is too large to store, and settles the claim at its end.
+    /// Relays a response that is too large to store, and settles the claim at its end. Its beginning
+    /// is in `prefix`.
     async fn stream(
         self,
         mut relayed: RelayedResponse,
-        prefix: Bytes,
+        prefix: [Bytes; 2],
         send: oneshot::Sender<call::Result>,
     ) {
         let (chunks, receive) = mpsc::channel(CHUNK_BUFFER);
@@ -341,7 +349,10 @@
             body: ResponseBody::new(receive),
         };
         let _ = send.send(Ok(streamed));
-        let _ = chunks.send(Ok(prefix)).await;
+        // An empty chunk would mark the end.
+        for part in prefix.into_iter().filter(|part| !part.is_empty()) {
+            let _ = chunks.send(Ok(part)).await;
+        }
         while let Some(chunk) = relayed.body.next().await {
             let is_truncated = chunk.is_err();
             // The run continues if the caller has disconnected.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,8 +21,8 @@
 use crate::correlation;
 use crate::headers;
 
-/// Number of response chunks buffered for the caller.
-pub const CHUNK_BUFFER: usize = 4;
+/// Number of response chunks buffered for the caller, each of the size of a read buffer at most.
+pub const CHUNK_BUFFER: usize = 1;
 
 quick_error! {
     /// Reason for which a response body ended early.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -276,6 +276,7 @@
         let sent_for = sent_by.and_then(|value| value.to_str().ok()?.parse().ok());
         let outgoing = Outgoing {
             caller: sent_for.or(request.remote_addr().ip()),
+            client: guard.client().clone(),
             relayed: sent_by.is_some(),
             method: request.method().clone(),
             target: target(request).into(),
@@ -321,6 +322,7 @@
         let is_keyed = is_keyed(&head);
         let permit = core.queue.admit(&head.service.name, head.deadline).await?;
         let admitted = call::Request {
+            client: outgoing.client,
             method: outgoing.method,
             target: outgoing.target,
             headers: outgoing.headers,
--- a/crates/gateway/tests/test_keyed.rs
+++ b/crates/gateway/tests/test_keyed.rs
@@ -283,6 +283,7 @@
     let request = call::Request {
         identity: RequestIdentity::new(&head, None, "POST", "/ok", b""),
         head,
+        client: core.callers.unconnected(),
         method: Method::POST,
         target: Arc::from("/ok"),
         headers,
