entry: while it stops, a process passes nothing on that it can't answer

Cause: whether a request is passed on was decided by its deadline and the route's timeout alone.

Change: attempt::stop::Grace says when a request may be passed on at the latest: the end of the grace period less the longest of the route's last 64 response times, unless its deadline ends it before. It is asked before a wait for capacity, while one lasts, right before each attempt, retry, move of a silent attempt, and relay. What comes too late gets 503 (reason `stopping`, Retry-After 0) and hasn't run. While the process stops, a body that can be buffered arrives before anything leaves; a long one of a request that may run once is refused; one that was arriving when the stop began is broken off when it is too late (502). What is running at the end is answered 502 (`stopped`) 200 ms before the process exits, in place of a cut connection.

Ruled out: an answer for all at the end alone (the request has run), a later end of the linger time (it only moves the moment), the average response time (half of the requests take longer).

`stopping` is told to other processes as `unreachable`, which earlier versions know.

--- a/crates/attempt/src/lib.rs
+++ b/crates/attempt/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod latency;
 pub mod service;
 pub mod silence;
+pub mod stop;
 pub mod timing;
 
 pub use action::Action;
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -20,6 +20,7 @@
 use std::sync::RwLock;
 use std::time::Duration;
 
+use attempt::stop::Grace;
 use backoff::Backoff;
 use backoff::Backoffs;
 use base::prelude::*;
@@ -118,6 +119,8 @@
     pub clock: Clock,
     /// The current stage of the shutdown.
     pub stage: watch::Sender<Stage>,
+    /// The time that is left for requests once a shutdown has begun.
+    pub grace: watch::Sender<Option<Grace>>,
     /// The dispatchers of other processes.
     pub dispatchers: PlaceClients,
     /// Whether a route table has been received.
@@ -162,6 +165,7 @@
             counters,
             clock,
             stage: watch::Sender::new(Stage::Serving),
+            grace: watch::Sender::default(),
             table_known: watch::Sender::new(false),
             table_version: watch::Sender::default(),
             instances_known: watch::Sender::new(false),
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -3,7 +3,9 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
+use attempt::stop::Grace;
 use conf::ConfError;
 use quick_error::quick_error;
 use slog::Logger;
@@ -37,7 +39,9 @@
 use crate::sync;
 
 /// Part of the grace period that is reserved for the last responses to reach their callers.
-const RESPONSE_FLUSH_TIME: std::time::Duration = std::time::Duration::from_millis(300);
+const RESPONSE_FLUSH_TIME: Duration = Duration::from_millis(300);
+/// Part of the grace period that is reserved for the process to exit.
+const EXIT_TIME: Duration = Duration::from_millis(100);
 
 /// Maximum number of connections from other entry processes: one each for some hundreds of
 /// processes, with room for reconnections.
@@ -154,16 +158,18 @@
     }
 
     /// Keeps serving for the linger time, then finishes open requests and stops at the end of
-    /// the grace period.
+    /// the grace period. Requests that can't be answered by then are refused.
     pub async fn shut_down(&self) {
         let started_at = Instant::now();
         let stop = self.core.settings().stop;
         info!(self.core.log, "leaving"; "linger_ms" => stop.linger.as_millis());
+        let end = self.core.clock.now() + stop.grace.saturating_sub(RESPONSE_FLUSH_TIME);
+        self.core.grace.send_replace(Some(Grace::until(end)));
         self.core.stage.send_replace(Stage::Draining);
         tokio::time::sleep_until(started_at + stop.linger).await;
         self.core.stage.send_replace(Stage::Closing);
         self.open.close();
-        let end = started_at + stop.grace.saturating_sub(RESPONSE_FLUSH_TIME);
+        let end = started_at + stop.grace.saturating_sub(EXIT_TIME);
         let finished = tokio::time::timeout_at(end, self.open.wait()).await.is_ok();
         info!(self.core.log, "stopped"; "whole" => finished, "open" => self.open.len(),
             "after_ms" => started_at.elapsed().as_millis());
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -10,6 +10,7 @@
 mod revocation;
 mod sends;
 mod silence;
+mod stop;
 mod workspace;
 
 use std::net::IpAddr;
@@ -259,12 +260,19 @@
 impl Flow {
     async fn run(&mut self, body: Arriving) -> Response<ResponseBody> {
         let deadline = self.deadline;
-        let outcome = match tokio::time::timeout_at(deadline, self.process(body)).await {
+        let core = Arc::clone(&self.core);
+        let processed = tokio::select! {
+            biased;
+            outcome = self.process(body) => Ok(outcome),
+            () = tokio::time::sleep_until(deadline) => Err((Reason::Timeout, Reason::Late)),
+            () = stop::grace_ended(&core) => Err((Reason::Stopped, Reason::Stopping)),
+        };
+        let outcome = match processed {
             Ok(outcome) => outcome,
-            Err(_) if self.sends.may_have_run() && self.failed_response.is_none() => {
-                Outcome::Refusal(Reason::Timeout, None)
+            Err((unknown, _)) if self.sends.may_have_run() && self.failed_response.is_none() => {
+                Outcome::Refusal(unknown, None)
             }
-            Err(_) => self.fallback(Reason::Late),
+            Err((_, not_run)) => self.fallback(not_run),
         };
         self.drain().await;
         self.respond(outcome)
@@ -302,7 +310,7 @@
                 return self.fallback(reason);
             }
             if self.core.is_cut_off(&self.service) && self.may_run_again() {
-                match self.relay_while_allowed(body, &transfer).await {
+                match self.relay_before_stop(body, &transfer).await {
                     Ok(outcome) => return outcome,
                     Err(unsent) => body = unsent,
                 }
@@ -310,7 +318,7 @@
             }
             self.count();
             let retry_body = body.replay();
-            let end = match self.attempt_while_allowed(body, &transfer).await {
+            let end = match self.attempt_before_stop(body, &transfer).await {
                 Ok(end) => end,
                 Err(reason) => return self.fallback(reason),
             };
@@ -349,12 +357,16 @@
     /// Makes one attempt.
     async fn attempt(&mut self, body: ForwardedBody) -> Result<AttemptEnd, Reason> {
         self.check_quarantine().await?;
+        self.check_stop(&body, Duration::ZERO)?;
+        self.complete_body(&body).await;
         let chosen = match self.next_instance.take() {
             Some(chosen) => chosen,
             None => self.choose_while_buffering(&body).await?,
         };
         // The request may have been quarantined while it waited for capacity.
         self.check_quarantine().await?;
+        self.complete_body(&body).await;
+        self.check_stop(&body, chosen.choice.expected)?;
         if body.is_over_memory() {
             return Err(Reason::Memory);
         }
@@ -514,6 +526,8 @@
             Reason::Quarantined | Reason::OverQuota | Reason::QuotaUnreachable => self.retry_after,
             Reason::Unauthorized => None,
             Reason::Memory => Some(MEMORY_RETRY_AFTER),
+            // Other processes take it at once.
+            Reason::Stopping => Some(Duration::ZERO),
             Reason::Full => self.full_return(),
             _ => Some(UNAVAILABLE_RETRY_AFTER),
         };
--- a/crates/entry/src/flow/choice.rs
+++ b/crates/entry/src/flow/choice.rs
@@ -48,6 +48,9 @@
             .balancer(|balancer, _| balancer.has_parts() || balancer.is_busy())
             .unwrap_or(false);
         loop {
+            if self.wait_until_stop().is_some_and(|left| left.is_zero()) {
+                return Err(Reason::Stopping);
+            }
             let request = self.search_request();
             match self.find_instance(&request, ask_dispatcher).await {
                 SearchResult::Selected(chosen) => return Ok(chosen),
@@ -162,12 +165,17 @@
             weight: workspace::weight(self.workspace.as_deref()),
             returning: self.return_wait.is_some(),
             exclude: self.exclude.clone(),
-            max_wait: self.max_wait().saturating_sub(self.started_at.elapsed()),
+            max_wait: self.before_stop(self.max_wait().saturating_sub(self.started_at.elapsed())),
             remaining: self.deadline.saturating_duration_since(Instant::now()),
             scope: SearchScope::default(),
         }
     }
 
+    /// The part of `wait` in which the request may still be passed on.
+    fn before_stop(&self, wait: Duration) -> Duration {
+        self.wait_until_stop().map_or(wait, |left| wait.min(left))
+    }
+
     /// How long after its start the request may wait for capacity and still meet its latency
     /// target. A late request is refused at once so that its caller can try elsewhere. One that was
     /// refused before and isn't late yet may wait a little longer.
--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -79,6 +79,10 @@
         let mut shortest_backoff: Option<Duration> = None;
         let mut body = Some(body);
         while let Some(current) = body.take() {
+            self.complete_body(&current).await;
+            if let Err(reason) = self.check_stop(&current, Duration::ZERO) {
+                return Ok(self.fallback(reason));
+            }
             if let Err(reason) = self.renew_permit().await {
                 return Ok(self.fallback(reason));
             }
--- a/crates/entry/src/flow/silence.rs
+++ b/crates/entry/src/flow/silence.rs
@@ -136,7 +136,8 @@
     /// Finds an instance that takes the request now, and pays for the attempt there.
     async fn next_instance(&self) -> Result<(SelectedInstance, RetryShare), &'static str> {
         let remaining = self.deadline.saturating_duration_since(Instant::now());
-        if remaining <= self.work_time() {
+        let is_too_late = self.wait_until_stop().is_some_and(|left| left.is_zero());
+        if remaining <= self.work_time() || is_too_late {
             return Err(NO_TIME);
         }
         let share = self.balancer(|balancer, now| balancer.retry_share(now));
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -47,10 +47,14 @@
     Quarantined,
     /// The deadline passed before the request was sent.
     Late,
+    /// The process stops before the request could be answered.
+    Stopping,
     /// The deadline passed while an instance may have been processing the request.
     Timeout,
     /// An attempt broke off; an instance may have processed the request.
     Broken,
+    /// The process stopped while an instance may have been processing the request.
+    Stopped,
 }
 
 impl Reason {
@@ -68,20 +72,21 @@
             | Self::BackedOff
             | Self::Quarantined
             | Self::QuotaUnreachable
-            | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Late
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
-            Self::Broken => StatusCode::BAD_GATEWAY,
+            Self::Broken | Self::Stopped => StatusCode::BAD_GATEWAY,
         }
     }
 
     /// Whether no instance has processed the request, nor will.
     #[must_use]
     pub fn means_not_run(self) -> bool {
-        !matches!(self, Self::Timeout | Self::Broken)
+        !matches!(self, Self::Timeout | Self::Broken | Self::Stopped)
     }
 
     /// Whether another process may serve the request.
@@ -95,6 +100,7 @@
                 | Self::NoInstance
                 | Self::Unreachable
                 | Self::OldTable
+                | Self::Stopping
         )
     }
 }
--- a/crates/entry/src/relay/hop.rs
+++ b/crates/entry/src/relay/hop.rs
@@ -142,6 +142,8 @@
     pub fn write(self, headers: &mut HeaderMap) {
         let text = match self {
             Self::Answered => ANSWERED,
+            // Processes of earlier versions don't know the reason.
+            Self::Refused(Reason::Stopping) => Reason::Unreachable.into(),
             Self::Refused(reason) => reason.into(),
         };
         headers.insert(OUTCOME, HeaderValue::from_static(text));
--- a/crates/entry/src/route_stats.rs
+++ b/crates/entry/src/route_stats.rs
@@ -4,6 +4,7 @@
 
 use attempt::Distribution;
 use attempt::silence::Limits;
+use attempt::stop::RecentTimes;
 use base::prelude::*;
 use route::ScoredChoice;
 
@@ -34,6 +35,8 @@
     caller_times: RemainingTime,
     /// Times until the heads of successful responses.
     distribution: Distribution,
+    /// Times until the ends of successful responses.
+    recent: RecentTimes,
 }
 
 impl RouteStats {
@@ -46,6 +49,7 @@
             timeout,
             caller_times: RemainingTime::default(),
             distribution: Distribution::default(),
+            recent: RecentTimes::default(),
         }
     }
 
@@ -55,6 +59,13 @@
         Duration::from_secs_f64(self.work)
     }
 
+    /// The longest response time of the recent requests, estimated from the average before the first
+    /// response.
+    #[must_use]
+    pub fn longest_time(&self) -> Duration {
+        self.recent.longest().unwrap_or_else(|| self.work_time())
+    }
+
     /// Cost of transferring a request and its response between failure domains, as a fraction of
     /// the request's worth; `price` is the cost of a megabyte.
     #[must_use]
@@ -83,6 +94,7 @@
 
     /// Records the latency of a response. The expected slowdown of the instance is taken out.
     pub fn record_response(&mut self, latency: Duration, choice: &ScoredChoice, bytes: u64) {
+        self.recent.record(latency);
         let slowdown = choice.expected.as_secs_f64() / self.work.max(1e-4);
         let sample = latency.as_secs_f64() / slowdown.max(0.1);
         self.work += (sample.min(self.work * MAX_SAMPLE_RATIO) - self.work) * SAMPLE_WEIGHT;
--- a/crates/entry/tests/fakes/upstream.rs
+++ b/crates/entry/tests/fakes/upstream.rs
@@ -73,6 +73,8 @@
     /// Holds requests up to its capacity until a signal. Never answers others, nor anything later
     /// on their connections.
     Queue,
+    /// Holds requests up to its capacity until a signal, and then refuses them without running them.
+    QueueThenShed,
     /// Answers without a length and closes the connection.
     Unframed,
     /// Sends this text, in which `{own}` stands for the headers of an answer.
@@ -269,6 +271,11 @@
         self.shared.rest_allowed.send_replace(true);
     }
 
+    /// Holds such responses again.
+    pub fn hold_rest(&self) {
+        self.shared.rest_allowed.send_replace(false);
+    }
+
     /// Waits until `count` callers have disconnected before the response.
     pub async fn wait_for_disconnects(&self, count: usize) {
         let mut disconnects = self.shared.disconnects.subscribe();
@@ -372,6 +379,14 @@
     }
 }
 
+/// A successful response with the headers `own`.
+fn answer(own: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 200 OK\r\n{own}keep-alive: timeout=30\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
 /// Responds to a request. Returns whether the connection stays open.
 async fn respond(
     stream: &mut TcpStream,
@@ -385,17 +400,14 @@
         shared.id,
         *shared.held.borrow() + *shared.others.borrow(),
     );
-    let mut body = format!("answer to {id} by {}", shared.id);
-    if matches!(behavior, Behavior::Halves | Behavior::HalfThenClose) {
-        body.push_str(&".".repeat(LONG));
-    }
-    let length = body.len();
-    let answer = format!(
-        "HTTP/1.1 200 OK\r\n{own}keep-alive: timeout=30\r\ncontent-length: {length}\r\n\r\n{body}"
-    );
+    let long = matches!(behavior, Behavior::Halves | Behavior::HalfThenClose);
+    let rest = ".".repeat(if long { LONG } else { 0 });
+    let body = format!("answer to {id} by {}{rest}", shared.id);
+    let (length, answer) = (body.len(), answer(&own, &body));
     let text = match behavior {
         Behavior::Answer => answer,
         Behavior::Queue if hold(stream, shared).await => answer,
+        Behavior::QueueThenShed if hold(stream, shared).await => refusal(&own),
         Behavior::Fail => answer.replace("200 OK", "500 Internal Server Error"),
         Behavior::Shed => refusal(&own),
         Behavior::AddressTaken => format!(
@@ -414,7 +426,7 @@
         )),
         Behavior::Unnamed => answer.replacen(&format!("rwr-request-id: {id}\r\n"), "", 1),
         Behavior::Twice => format!("{answer}{answer}"),
-        Behavior::Hang | Behavior::Queue => {
+        Behavior::Hang | Behavior::Queue | Behavior::QueueThenShed => {
             let mut byte = [0];
             // Completes when the peer disconnects.
             let _ = stream.read(&mut byte).await;
