gateway: while it stops, it passes nothing on that it can't answer

Gateways are twins of entry processes: with a stop shorter than the callers' deadlines, requests were passed on and cut off at its end.

Change: attempt::stop::Grace, asked before the queue and in it, before each attempt, retry and hop, and for each part of a body that is streamed. What comes too late gets 503 (`stopping`, not run); a request that is running at the end gets 502 (`stopping`, unknown) in place of a closed connection.

--- a/crates/gateway/src/attempt_guard.rs
+++ b/crates/gateway/src/attempt_guard.rs
@@ -88,6 +88,12 @@
         self.report = headers.get(header::LOAD).and_then(parse_load);
     }
 
+    /// Records the time until the end of a successful response.
+    pub fn record_end(&self) {
+        let time = self.clock.now().since(self.started_at);
+        self.balancer.state().recent.record(time);
+    }
+
     /// Sets the outcome to report when the guard is dropped; the last call wins.
     pub fn set_kind(&mut self, kind: OutcomeKind) {
         self.kind = kind;
--- a/crates/gateway/src/balancer.rs
+++ b/crates/gateway/src/balancer.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use attempt::BudgetSettings;
+use attempt::stop::RecentTimes;
 use backoff::Backoff;
 use backoff::Backoffs;
 use backoff::Notice;
@@ -37,6 +38,8 @@
     pub chooser: Chooser,
     /// Retry budget and observed latencies.
     pub attempts: attempt::Service,
+    /// Times until the ends of successful responses.
+    pub recent: RecentTimes,
     /// Random number generator for backoff jitter.
     pub rng: SmallRng,
     instances: Vec<route::Instance>,
@@ -50,6 +53,7 @@
             state: Mutex::new(State {
                 chooser: Chooser::new(route::Policy::default(), route::Settings::default(), seed),
                 attempts: attempt::Service::new(share, seed, now),
+                recent: RecentTimes::default(),
                 rng: SmallRng::seed_from_u64(seed),
                 instances: Vec::new(),
                 backoffs: Backoffs::default(),
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -35,6 +35,9 @@
 /// give way by then.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Why a streamed body breaks off while the gateway stops.
+const TOO_LATE: &str = "the gateway stops before the request could be answered";
+
 /// Which bodies are buffered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Buffering {
@@ -123,7 +126,11 @@
     }
 }
 
-/// Receives `body` until `deadline`, and buffers it if `buffering` requires it.
+/// Tells whether it is too late to pass more of a request on, as the gateway stops.
+pub type IsTooLate = Box<dyn Fn() -> bool + Send + Sync>;
+
+/// Receives `body` until `deadline`, and buffers it if `buffering` requires it. A body that is
+/// streamed breaks off once it `is_too_late`.
 ///
 /// # Errors
 ///
@@ -135,6 +142,7 @@
     buffering: Buffering,
     request: &RequestGuard,
     deadline: Instant,
+    is_too_late: IsTooLate,
 ) -> Result<RequestBody, Refusal> {
     if http_body::Body::is_end_stream(&body) {
         return Ok(RequestBody::Buffered(Bytes::new()));
@@ -159,9 +167,11 @@
     if buffer_limit == max_bytes {
         return Err(too_large());
     }
-    Ok(RequestBody::Streamed(
-        reader.into_stream(max_bytes, receiving),
-    ))
+    Ok(RequestBody::Streamed(reader.into_stream(
+        max_bytes,
+        receiving,
+        is_too_late,
+    )))
 }
 
 struct BodyReader {
@@ -188,14 +198,23 @@
 
     /// Streams the bytes read so far followed by the rest of the body, which is incomplete until it
     /// was read.
-    fn into_stream(self, max_bytes: u64, receiving: Receiving) -> StreamedBody {
+    fn into_stream(
+        self,
+        max_bytes: u64,
+        receiving: Receiving,
+        is_too_late: IsTooLate,
+    ) -> StreamedBody {
         let first = self.buffer.into_bytes();
         let remaining = max_bytes.saturating_sub(first.len() as u64);
         let rest = Limited::new(self.body, usize::try_from(remaining).unwrap_or(usize::MAX));
         let prefix = first.clone();
         let prefix = stream::once(async move { Ok(http_body::Frame::data(prefix)) });
-        let rest = BodyStream::new(rest).inspect(move |_| {
+        let rest = BodyStream::new(rest).map(move |frame| {
             let _incomplete = &receiving;
+            if is_too_late() {
+                return Err(TOO_LATE.into());
+            }
+            frame
         });
         let frames = prefix.chain(rest);
         let limit = LimitFlag::default();
--- a/crates/gateway/src/call/responses.rs
+++ b/crates/gateway/src/call/responses.rs
@@ -303,6 +303,7 @@
         if relaying.succeeded {
             let fingerprint = self.request.identity.fingerprint;
             self.core.guard.record_success(fingerprint);
+            relaying.guard.record_end();
         }
         drop(relaying);
         if let CallerChannel::Body(send) = &self.caller {
--- a/crates/gateway/src/call/start.rs
+++ b/crates/gateway/src/call/start.rs
@@ -100,6 +100,10 @@
         if self.request.claim_expires_at.is_some_and(|at| now >= at) {
             return Err(Reason::Hold);
         }
+        let head = &self.request.head;
+        if self.core.is_too_late(&head.service.name, head.deadline) {
+            return Err(Reason::Stopping);
+        }
         // The request may have been quarantined while it was queued.
         if let Some(remaining) = self.core.check_quarantine(&self.request.identity) {
             self.quarantine = Some(remaining);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -4,6 +4,7 @@
 use std::sync::PoisonError;
 use std::sync::RwLock;
 
+use attempt::stop::Grace;
 use base::prelude::*;
 use bounds::Clients;
 use cadence::StatsdClient;
@@ -70,6 +71,8 @@
     pub peers: Peers,
     /// Stage of a graceful stop.
     pub phase: watch::Sender<Phase>,
+    /// The time that is left for requests once a stop has begun.
+    pub grace: watch::Sender<Option<Grace>>,
     shutdown: CancellationToken,
     view: RwLock<Arc<View>>,
 }
@@ -105,6 +108,7 @@
             paths: Paths::default(),
             peers: Peers::default(),
             phase: watch::Sender::new(Phase::Serving),
+            grace: watch::Sender::default(),
             shutdown: CancellationToken::new(),
             view: RwLock::default(),
         }
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -44,6 +44,7 @@
 use crate::relay::ResponseBody;
 use crate::relay::UpstreamResponse;
 use crate::request_head::RequestHead;
+use crate::stop;
 
 /// Time by which the other gateway gives up earlier, so that its response arrives in time.
 const HOP_TIME: Duration = Duration::from_millis(10);
@@ -127,6 +128,7 @@
         let mut tried: Vec<SocketAddr> = Vec::new();
         while !self.relayed
             && core.clock.now() < self.head.deadline
+            && !core.is_too_late(service, self.head.deadline)
             && let Some(peer) = core.select_peer(service, &tried)
             && let Some(content) = body.take()
         {
@@ -147,6 +149,9 @@
                 HopEnd::Refused | HopEnd::Silent => {}
             }
         }
+        if core.is_too_late(service, self.head.deadline) {
+            return Err(stop::STOPPING);
+        }
         info!(core.log, "no peer"; "request" => &*self.head.id, "service" => %service,
             "tried" => tried.len(), "relayed" => self.relayed);
         let reason = if self.relayed {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -48,6 +48,7 @@
 use crate::relay::RelayedResponse;
 use crate::request_head;
 use crate::request_head::RequestHead;
+use crate::stop;
 use crate::suspects::RequestIdentity;
 
 /// Default time after which a refused caller may retry.
@@ -154,7 +155,10 @@
         }
         let id = request_id(request);
         let result = match client(&self.0.callers, request).begin().await {
-            Ok(guard) => self.call(&id, request, &guard).await.map(|r| (r, guard)),
+            Ok(guard) => self
+                .call_until_stop(&id, request, &guard)
+                .await
+                .map(|r| (r, guard)),
             Err(_) => Err(body::out_of_memory()),
         };
         match result {
@@ -203,16 +207,29 @@
         refusal.write_to(response);
     }
 
-    /// Runs the call of a request. Dropping the future signals that the caller has
-    /// disconnected.
-    async fn call(
+    /// Runs the call of a request until the end of a stop. Dropping the future signals that the
+    /// caller has disconnected.
+    async fn call_until_stop(
         &self,
         id: &Arc<str>,
         request: &mut Request,
         guard: &RequestGuard,
     ) -> call::Result {
         let core = &self.0;
-        let received = self.receive(id, request, guard).await?;
+        let received = tokio::select! {
+            biased;
+            received = self.receive(id, request, guard) => received?,
+            () = core.grace_ended() => return Err(stop::STOPPING),
+        };
+        tokio::select! {
+            biased;
+            result = self.call(received) => result,
+            () = core.grace_ended() => Err(stop::STOPPED),
+        }
+    }
+
+    async fn call(&self, received: ReceivedRequest) -> call::Result {
+        let core = &self.0;
         let outgoing = received.outgoing.clone();
         let service = &outgoing.head.service.name;
         if outgoing.relayed {
@@ -271,7 +288,19 @@
         };
         let deadline = core.clock.instant(head.deadline);
         let body = request.take_body();
-        let body = body::receive_body(body, &head, buffering, guard, deadline).await?;
+        let is_too_late = {
+            let (core, head) = (Arc::clone(core), head.clone());
+            Box::new(move || core.is_too_late(&head.service.name, head.deadline))
+        };
+        let receiving = body::receive_body(body, &head, buffering, guard, deadline, is_too_late);
+        let body = core
+            .before_too_late(&head.service.name, head.deadline, receiving)
+            .await??;
+        let is_stopping = core.grace.borrow().is_some();
+        if is_stopping && !body.is_buffered() && !head.service.class.is_idempotent() {
+            // The rest of the body may come too late for a response.
+            return Err(stop::STOPPING);
+        }
         let sent_by = request.headers().get(header::HOP);
         let sent_for = sent_by.and_then(|value| value.to_str().ok()?.parse().ok());
         let outgoing = Outgoing {
@@ -320,7 +349,9 @@
                 Reason::UnknownService,
             ))?;
         let is_keyed = is_keyed(&head);
-        let permit = core.queue.admit(&head.service.name, head.deadline).await?;
+        let (service, deadline) = (&head.service.name, head.deadline);
+        let admitting = core.queue.admit(service, deadline);
+        let permit = core.before_too_late(service, deadline, admitting).await??;
         let admitted = call::Request {
             client: outgoing.client,
             method: outgoing.method,
--- a/crates/gateway/tests/test_stop.rs
+++ b/crates/gateway/tests/test_stop.rs
@@ -5,11 +5,15 @@
 use std::time::Duration;
 
 use gateway::core::Phase;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 use wire::directory::HostPhase;
 use wire::link::within;
 use wire::peer;
 
+use crate::fakes::Rig;
 use crate::fakes::client;
 use crate::fakes::header;
 use crate::fakes::rig;
@@ -84,3 +88,82 @@
     // The ports are released for the next process.
     wait_until(|| std::net::TcpListener::bind(rpc).is_ok()).await;
 }
+
+/// Response time that the gateway learns of the services.
+const SERVICE_TIME: Duration = Duration::from_secs(1);
+/// Time from the start of a stop after which a response no longer arrives before its end.
+const TOO_LATE: Duration = Duration::from_millis(2_900);
+
+/// A gateway whose stop takes 3.7 s, and that has learned how long requests of class once take.
+async fn rig_of_slow_service() -> Rig {
+    let rig = rig(&[], |s| {
+        s.stop.linger = Duration::from_millis(3_500);
+        s.stop.finish = Duration::from_millis(200);
+    })
+    .await;
+    let learned = tokio::spawn(rig.post("once", "/hold").send());
+    wait_until(|| rig.upstream.received().len() == 1).await;
+    sleep(SERVICE_TIME).await;
+    rig.upstream.release.notify_one();
+    let learned = learned.await.expect("no panic").expect("a response");
+    assert_eq!(learned.status(), 200);
+    assert_eq!(learned.text().await.expect("whole"), "held");
+    rig
+}
+
+/// Guards against requests that are passed on late in a stop, run, and are cut off at its end.
+#[tokio::test]
+async fn test_stop_request_that_would_be_cut_off_is_refused_before_it_leaves() {
+    let rig = rig_of_slow_service().await;
+    let (url, upstream) = (rig.url("/ok"), rig.upstream.clone());
+    let call = || client().post(&url).header("rwr-service", "once").send();
+    let stop = tokio::spawn(rig.gateway.stop());
+    assert_eq!(call().await.expect("a response").status(), 200);
+    sleep(TOO_LATE).await;
+    let late = call().await.expect("a response");
+    assert_eq!(late.status(), 503);
+    assert_eq!(header(&late, "rwr-outcome"), "not-run");
+    assert_eq!(header(&late, "rwr-reason"), "stopping");
+    assert_eq!(upstream.received().len(), 2);
+    stop.await.expect("no panic");
+}
+
+/// Guards against requests whose bodies come too late, and are passed on then.
+#[tokio::test]
+async fn test_stop_request_whose_body_comes_too_late_is_refused_before_it_leaves() {
+    let rig = rig_of_slow_service().await;
+    let (address, upstream) = (rig.gateway.http(), rig.upstream.clone());
+    let stop = tokio::spawn(rig.gateway.stop());
+    let mut stream = TcpStream::connect(address).await.expect("a port");
+    let head = "POST /ok HTTP/1.1\r\nhost: x\r\nrwr-service: once\r\nconnection: close\r\n\
+                rwr-deadline-ms: 20000\r\ncontent-length: 4\r\n\r\nb";
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    sleep(TOO_LATE).await;
+    // The gateway may have answered already.
+    let _ = stream.write_all(b"ody").await;
+    let mut response = String::new();
+    stream
+        .read_to_string(&mut response)
+        .await
+        .expect("an answer");
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert!(response.contains("rwr-outcome: not-run"), "{response}");
+    assert_eq!(upstream.received().len(), 1);
+    stop.await.expect("no panic");
+}
+
+/// Guards against requests that end without an answer because an instance is slower than it was.
+#[tokio::test]
+async fn test_stop_running_request_is_answered_at_the_end() {
+    let rig = rig(&[], |s| {
+        s.stop.linger = Duration::from_millis(300);
+        s.stop.finish = Duration::from_millis(500);
+    })
+    .await;
+    let running = tokio::spawn(rig.post("once", "/hold").send());
+    wait_until(|| rig.upstream.received().len() == 1).await;
+    rig.gateway.stop().await;
+    let answer = running.await.expect("no panic").expect("a response");
+    assert_eq!(answer.status(), 502);
+    assert_eq!(header(&answer, "rwr-outcome"), "unknown");
+}
