--- a/crates/entry/src/flow/relay.rs
+++ b/crates/entry/src/flow/relay.rs
@@ -27,6 +27,7 @@
 use crate::correlation::Exchange;
 use crate::exchange;
 use crate::exchange::AttemptEnd;
+use crate::exchange::UpstreamBody;
 use crate::pool::Connection;
 use crate::pool::Message;
 use crate::pool::Usage;
@@ -40,6 +41,7 @@
 use crate::relay::SendEnd;
 use crate::relay::search;
 use crate::relay::search::NextPeer;
+use crate::route_stats::RouteStats;
 
 /// Time by which the other process gives up earlier, so that its response arrives in time.
 const HOP_TIME: Duration = Duration::from_millis(10);
@@ -245,6 +247,11 @@
             exchange::read_response(&peer.pool, response, connection, reusable, client).await;
         match (outcome, read) {
             (HopOutcome::Answered, Some((parts, body))) => {
+                if parts.status.is_success() && matches!(body, UpstreamBody::Whole(_)) {
+                    let latency = self.started_at.elapsed();
+                    let record = |stats: &mut RouteStats| stats.record_relayed(latency);
+                    self.core.route_stats(&self.route, record);
+                }
                 self.peer = Some(lease);
                 HopEnd::Final(Outcome::Response(Box::new(parts), body))
             }
--- a/crates/entry/src/flow/stop.rs
+++ b/crates/entry/src/flow/stop.rs
@@ -12,6 +12,7 @@
 use base::prelude::*;
 use slog::info;
 use table::Kind;
+use tokio::time::Instant;
 
 use super::Flow;
 use super::Outcome;
@@ -75,7 +76,7 @@
             return Ok(());
         };
         let now = self.core.clock.now();
-        let latest = self.latest_start(grace, expected);
+        let latest = self.latest_start(expected)(grace);
         let is_arriving = body.spool().is_none() && !body.transfer().is_complete();
         if now <= latest && !(is_arriving && self.route.kind == Kind::Once) {
             return Ok(());
@@ -100,18 +101,16 @@
     /// For how long the request may wait before it is passed on; `None` unless the process stops.
     pub(super) fn wait_until_stop(&self) -> Option<Duration> {
         let grace = (*self.core.grace.borrow())?;
-        let latest = self.latest_start(grace, Duration::ZERO);
+        let latest = self.latest_start(Duration::ZERO)(grace);
         Some(latest.since(self.core.clock.now()))
     }
 
     /// When an attempt that takes `expected` may begin at the latest.
-    fn latest_start(&self, grace: Grace, expected: Duration) -> Moment {
+    fn latest_start(&self, expected: Duration) -> impl Fn(Grace) -> Moment + use<> {
         let time = self.response_time().max(expected);
-        let now = self.core.clock.now();
-        let left = self
-            .deadline
-            .saturating_duration_since(tokio::time::Instant::now());
-        grace.latest_start(time, now + left)
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let deadline = self.core.clock.now() + left;
+        move |grace| grace.latest_start(time, deadline)
     }
 
     /// The longest response time of the service's recent requests.
@@ -126,7 +125,7 @@
         body: ForwardedBody,
         transfer: &Transfer,
     ) -> Result<Result<AttemptEnd, Reason>, Reason> {
-        let (core, latest_start) = (self.core.clone(), self.latest_start_of_body());
+        let (core, latest_start) = (self.core.clone(), self.latest_start(Duration::ZERO));
         let attempt = pin!(self.attempt_while_allowed(body, transfer));
         hold_during(&core, transfer, latest_start, attempt).await?
     }
@@ -137,21 +136,11 @@
         body: ForwardedBody,
         transfer: &Transfer,
     ) -> Result<Outcome, ForwardedBody> {
-        let (core, latest_start) = (self.core.clone(), self.latest_start_of_body());
+        let (core, latest_start) = (self.core.clone(), self.latest_start(Duration::ZERO));
         let end = {
             let relaying = pin!(self.relay_while_allowed(body, transfer));
             hold_during(&core, transfer, latest_start, relaying).await
         };
         end.unwrap_or_else(|reason| Ok(self.fallback(reason)))
     }
-
-    /// When the rest of a body may be passed on at the latest.
-    fn latest_start_of_body(&self) -> impl Fn(Grace) -> Moment + use<> {
-        let time = self.response_time();
-        let left = self
-            .deadline
-            .saturating_duration_since(tokio::time::Instant::now());
-        let deadline = self.core.clock.now() + left;
-        move |grace| grace.latest_start(time, deadline)
-    }
 }
--- a/crates/entry/src/route_stats.rs
+++ b/crates/entry/src/route_stats.rs
@@ -92,6 +92,12 @@
         Limits::new(expected, &self.distribution)
     }
 
+    /// Records the response time of a request that another process has relayed, whose instance isn't
+    /// known here.
+    pub fn record_relayed(&mut self, latency: Duration) {
+        self.recent.record(latency);
+    }
+
     /// Records the latency of a response. The expected slowdown of the instance is taken out.
     pub fn record_response(&mut self, latency: Duration, choice: &ScoredChoice, bytes: u64) {
         self.recent.record(latency);
--- a/crates/entry/src/stream_tracker.rs
+++ b/crates/entry/src/stream_tracker.rs
@@ -115,7 +115,12 @@
     pub fn complete(self) {
         let context = self.context;
         let pool = match &context.responder {
-            Responder::Peer(lease) => &lease.peer().pool,
+            Responder::Peer(lease) => {
+                let latency = context.sent_at.elapsed();
+                let record = |stats: &mut RouteStats| stats.record_relayed(latency);
+                context.core.route_stats(&context.route, record);
+                &lease.peer().pool
+            }
             Responder::Instance(upstream, choice) => {
                 context.request.record_success(&context.core);
                 let latency = context.sent_at.elapsed();
--- a/crates/entry/tests/test_hop.rs
+++ b/crates/entry/tests/test_hop.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use base::prelude::*;
+use entry::refusal::Reason;
 use entry::relay::Hop;
+use entry::relay::HopOutcome;
 use entry::relay::PeerReport;
 use entry::relay::Question;
 use http::HeaderMap;
@@ -88,3 +90,13 @@
     headers.insert("rwr-hop-table", HeaderValue::from_static("x"));
     assert_eq!(Question::read(&headers), None);
 }
+
+/// Guards against processes of earlier versions that take the refusal of a stopping one, whose reason
+/// they don't know, for no response at all.
+#[test]
+fn test_hop_refusal_of_a_stopping_process_is_known_to_all_versions() {
+    let mut headers = HeaderMap::new();
+    HopOutcome::Refused(Reason::Stopping).write(&mut headers);
+    let told = HopOutcome::take(&mut headers);
+    assert_eq!(told, Some(HopOutcome::Refused(Reason::Unreachable)));
+}
--- a/crates/entry/tests/test_relay.rs
+++ b/crates/entry/tests/test_relay.rs
@@ -5,6 +5,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use entry::Settings;
+use entry::core::Stage;
+use entry::settings::Stop;
 use fakes::Fleet;
 use fakes::HOST;
 use fakes::HUB;
@@ -297,3 +300,39 @@
     }
     assert_eq!(fleet.received() - before, fleet.upstreams.len());
 }
+
+/// Guards against requests that are relayed although the process stops before it could pass their
+/// responses on.
+#[tokio::test]
+async fn test_relay_while_stopping_is_refused_when_it_is_too_late() {
+    let fleet = start_cut_off(43, 2, Behavior::Queue).await;
+    for upstream in &fleet.upstreams {
+        upstream.set_capacity(1, 0);
+    }
+    let entry = &fleet.entries[0];
+    let stop = Stop {
+        linger: Duration::from_secs(4),
+        grace: Duration::from_secs(4),
+    };
+    let settings = Settings {
+        stop,
+        ..(*entry.core().settings()).clone()
+    };
+    entry.core().set_settings(&settings);
+    let learned = async {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        fleet.upstreams.iter().for_each(Upstream::send_rest);
+    };
+    let (answer, ()) = tokio::join!(call(&fleet, ONCE, "learned"), learned);
+    assert_eq!(answer.status, 200);
+    let runs = async {
+        let mut stage = entry.core().stage.subscribe();
+        let leaving = stage.wait_for(|stage| *stage != Stage::Serving);
+        drop(leaving.await.expect("the process lives"));
+        assert_eq!(call(&fleet, ONCE, "early").await.status, 200);
+        tokio::time::sleep(Duration::from_millis(2_900)).await;
+        assert_eq!(call(&fleet, ONCE, "late").await.status, 503);
+        assert_eq!((fleet.runs("early"), fleet.runs("late")), (1, 0));
+    };
+    tokio::join!(entry.shut_down(), runs);
+}
