entry, bounds, standin: modules with one job

Reading a response and returning its connection move from exchange.rs to exchange/response.rs, the share of responses from clients.rs to clients/responses.rs; both instances on plain sockets are announced by one type. InstanceStream loses an unused method.

--- a/crates/bounds/src/clients.rs
+++ b/crates/bounds/src/clients.rs
@@ -1,5 +1,7 @@
 //! All clients of a process: their connections, and the memory that is kept for them.
 
+mod responses;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -39,9 +41,6 @@
 /// Share of the account that is freed at once when there is no room, as a divisor: finding
 /// connections to close takes time in proportion to their number.
 const RECLAIM_SHARE: u64 = 16;
-/// Share of the account that responses under way may use, as a divisor. The rest is for requests, so
-/// that callers who read responses without an end don't shut others out.
-const RESPONSE_SHARE: u64 = 2;
 /// Share of all connections that is closed at once when there are too many, as a divisor.
 const EVICTION_SHARE: usize = 32;
 /// Time for which connections to close aren't looked for again after none was found.
@@ -234,46 +233,6 @@
         Poll::Ready(Err(OverMemory::Full))
     }
 
-    /// Counts `bytes` as a response's, unless responses use their share of the account. Then stalled
-    /// callers who don't read theirs are closed, so that later responses find room. Returns whether it
-    /// is the only one.
-    pub(crate) fn reserve_response(&self, bytes: u64) -> Result<bool, OverMemory> {
-        let mut state = self.state();
-        let is_only = state.responses == 0;
-        if is_only || state.responses + bytes <= self.0.limits.memory / RESPONSE_SHARE {
-            state.responses += bytes;
-            return Ok(is_only);
-        }
-        let victims = self.blocked_readers(&mut state);
-        let totals = (state.used, state.connections.len());
-        drop(state);
-        self.close_all(&victims);
-        self.0.report.refused(Refused::Response, totals);
-        Err(OverMemory::Full)
-    }
-
-    pub(crate) fn release_response(&self, bytes: u64) {
-        self.state().responses -= bytes;
-    }
-
-    /// Chooses connections to close whose clients don't read their responses.
-    fn blocked_readers(&self, state: &mut State) -> Vec<Arc<Connection>> {
-        let enough = self.0.limits.memory / RECLAIM_SHARE;
-        let mut victims = Vec::new();
-        let mut freed = state.leaving;
-        for (phase, connection) in state.candidates(None) {
-            if freed >= enough {
-                break;
-            }
-            if phase == Phase::Response {
-                freed += connection.charged.load(Ordering::Relaxed);
-                victims.push(connection);
-            }
-        }
-        state.evict(&victims);
-        victims
-    }
-
     /// The bytes that may be charged once a charge has `size` bytes.
     fn capacity(&self, size: u64) -> u64 {
         let memory = self.0.limits.memory;
--- a/crates/bounds/src/instance_stream.rs
+++ b/crates/bounds/src/instance_stream.rs
@@ -27,11 +27,6 @@
     pub fn new(inner: S) -> Self {
         Self { inner, burst: 0 }
     }
-
-    /// The underlying stream.
-    pub fn get_ref(&self) -> &S {
-        &self.inner
-    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for InstanceStream<S> {
--- a/crates/standin/src/faulty.rs
+++ b/crates/standin/src/faulty.rs
@@ -22,12 +22,10 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::announce::Announcer;
-use crate::announce::Phase;
+use crate::announced::Announced;
 use crate::faulty::response::Refusal;
 use crate::faulty::response::Response;
 use crate::faulty::response::ResponseFault;
@@ -40,7 +38,6 @@
 use crate::runs::RunState;
 use crate::runs::Runs;
 use crate::server::StartError;
-use crate::server::incarnation;
 use crate::service_time::ServiceTimes;
 use crate::settings::Settings;
 use crate::slots::Slots;
@@ -71,9 +68,7 @@
 pub struct FaultyInstance {
     shared: Arc<Shared>,
     _server: AbortOnDropHandle<()>,
-    _announcer: AbortOnDropHandle<()>,
-    // The announcer ends with the sender.
-    _phase: watch::Sender<Phase>,
+    _announced: Announced,
 }
 
 impl FaultyInstance {
@@ -87,15 +82,9 @@
         faults: FaultShares,
         log: Logger,
     ) -> Result<Self, StartError> {
-        let listen = settings.listen;
-        let listen_error = |err| StartError::Listen(listen, err);
-        let listener = TcpListener::bind(listen).await.map_err(listen_error)?;
-        let address = listener.local_addr().map_err(listen_error)?;
-        let incarnation = incarnation();
-        let public_address = settings.announced.unwrap_or(address);
-        let announcer = Announcer::new(&settings, public_address, incarnation, log);
+        let (listener, announced) = Announced::start(&settings, log).await?;
         let shared = Arc::new(Shared {
-            incarnation_id: format!("{}:{incarnation}", settings.instance),
+            incarnation_id: announced.incarnation_id().to_owned(),
             slots: Slots::new(settings.slots, settings.queue),
             runs: Runs::default(),
             clock: Clock::start(),
@@ -103,14 +92,11 @@
             shares: Mutex::new(faults),
             rng: Mutex::new(SmallRng::seed_from_u64(settings.seed)),
         });
-        let (phase, phases) = watch::channel(Phase::Ready);
         let server = tokio::spawn(accept(listener, Arc::clone(&shared)));
-        let announcer = tokio::spawn(Arc::new(announcer).run(phases));
         Ok(Self {
             shared,
             _server: AbortOnDropHandle::new(server),
-            _announcer: AbortOnDropHandle::new(announcer),
-            _phase: phase,
+            _announced: announced,
         })
     }
 
--- a/crates/standin/src/flooding.rs
+++ b/crates/standin/src/flooding.rs
@@ -9,18 +9,15 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::announce::Announcer;
-use crate::announce::Phase;
+use crate::announced::Announced;
 use crate::handler::LOAD_PATH;
 use crate::message::Direction;
 use crate::message::Head;
 use crate::message::MessageReader;
 use crate::server::StartError;
-use crate::server::incarnation;
 use crate::settings::Settings;
 
 /// Bytes that are passed to the system at once.
@@ -143,11 +140,8 @@
 
 /// A running instance, which ends when dropped.
 pub struct FloodingInstance {
-    instance: String,
+    announced: Announced,
     _server: AbortOnDropHandle<()>,
-    _announcer: AbortOnDropHandle<()>,
-    // The announcer ends with the sender.
-    _phase: watch::Sender<Phase>,
 }
 
 impl FloodingInstance {
@@ -157,34 +151,24 @@
     ///
     /// Fails if the listening socket can't be opened.
     pub async fn start(settings: &Settings, flood: Flood, log: Logger) -> Result<Self, StartError> {
-        let listen = settings.listen;
-        let listen_error = |err| StartError::Listen(listen, err);
-        let listener = TcpListener::bind(listen).await.map_err(listen_error)?;
-        let address = listener.local_addr().map_err(listen_error)?;
-        let incarnation = incarnation();
-        let announcer = Announcer::new(settings, address, incarnation, log);
-        let instance = format!("{}:{incarnation}", settings.instance);
+        let (listener, announced) = Announced::start(settings, log).await?;
         let shared = Arc::new(Shared {
             flood,
             block: flood.block(),
-            instance: instance.clone(),
+            instance: announced.incarnation_id().to_owned(),
             slots: settings.slots,
         });
-        let (phase, phases) = watch::channel(Phase::Ready);
         let server = tokio::spawn(accept(listener, shared));
-        let announcer = tokio::spawn(Arc::new(announcer).run(phases));
         Ok(Self {
-            instance,
+            announced,
             _server: AbortOnDropHandle::new(server),
-            _announcer: AbortOnDropHandle::new(announcer),
-            _phase: phase,
         })
     }
 
     /// The name of the instance and of its incarnation.
     #[must_use]
     pub fn incarnation_id(&self) -> &str {
-        &self.instance
+        self.announced.incarnation_id()
     }
 }
 
