--- a/crates/bounds/src/instance_stream.rs
+++ b/crates/bounds/src/instance_stream.rs
@@ -11,7 +11,7 @@
 use tokio::io::ReadBuf;
 
 /// Bytes that are read without a pause. The HTTP library goes on as long as there are any, so that an
-/// instance that sends without end would hold up all other requests of its thread.
+/// instance that sends without end would delay all other requests of its thread.
 const BURST_BYTES: usize = 64 * 1024;
 
 /// A byte stream from an instance.
--- a/crates/bounds/src/response.rs
+++ b/crates/bounds/src/response.rs
@@ -41,7 +41,7 @@
         Ok(this)
     }
 
-    /// Counts it, if the account need not have room for it.
+    /// Counts the response without asking for room if it is the only one. Returns whether it is.
     fn charge_only(&mut self) -> bool {
         if self.is_only {
             self.charge.grow_always(self.reserved);
--- a/crates/bounds/tests/test_response.rs
+++ b/crates/bounds/tests/test_response.rs
@@ -25,7 +25,7 @@
     Clients::new(limits, telemetry::log::silent(), metrics)
 }
 
-/// Guards against endless responses that take the room of requests: they may use half of the account.
+/// Guards against endless responses that leave no memory for requests: they may use half of the account.
 #[tokio::test]
 async fn test_response_charges_leave_room_for_requests() {
     let clients = clients();
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -526,7 +526,7 @@
             Reason::Quarantined | Reason::OverQuota | Reason::QuotaUnreachable => self.retry_after,
             Reason::Unauthorized => None,
             Reason::Memory => Some(MEMORY_RETRY_AFTER),
-            // Other processes take it at once.
+            // Other processes can serve it without delay.
             Reason::Stopping => Some(Duration::ZERO),
             Reason::Full => self.full_return(),
             _ => Some(UNAVAILABLE_RETRY_AFTER),
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -26,7 +26,7 @@
 /// Maximum wait for a directory to receive the stop before the linger time starts.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Refusal of a request that other gateways take at once.
+/// Refusal of a request that other gateways can serve without delay.
 pub const STOPPING: Refusal = Refusal::unavailable(Reason::Stopping, Duration::ZERO);
 /// Failure of a request that an instance may be running at the end of the stop.
 pub const STOPPED: Refusal = Refusal::unknown(StatusCode::BAD_GATEWAY, Reason::Stopping);
--- a/crates/store/src/reader.rs
+++ b/crates/store/src/reader.rs
@@ -62,7 +62,7 @@
             self.read_segment(segment, number == newest)?;
         }
         match self.segments.first() {
-            // The state of the segments before it is lost.
+            // The hard state was in a segment that is missing.
             Some(first) if !self.discarded.is_empty() && !self.replay.has_state => {
                 Err(damaged(first, 0, Damage::Segment))
             }
