entry, reach: a wait for a path check can't lock the process up

Cause: Core::path_checked waited by watch::Receiver::wait_for, which keeps the channel locked for reading while it asks its condition, and the condition took the lock of the process's state. Core::set_hosts announces a change on that channel with the state locked. A request that no instance took, at the moment when the list of entry hosts changes, stops both threads for ever, and every later request with them.

Change: reach::changes::wait_until asks its condition without a lock of the channel. Gateways wait by it, too; they announce changes without their lock. All other conditions of wait_for look at the value alone.

Ruled out: too little processor time (beside 24 busy processes the test passes, and the process logs all of its lines), a full log pipe (lines are dropped then).

--- a/crates/entry/src/core/paths.rs
+++ b/crates/entry/src/core/paths.rs
@@ -6,6 +6,7 @@
 use reach::Belief;
 use reach::Path;
 use reach::PeerSearch;
+use reach::changes;
 use slog::info;
 use wire::hub::Phase;
 
@@ -112,11 +113,8 @@
 
     /// Waits until the path to the service's instances isn't being checked.
     pub async fn path_checked(&self, service: &ServiceName) {
-        let mut changes = self.path_changes.subscribe();
-        // The sender is never dropped while the process runs.
-        let _ = changes
-            .wait_for(|_| self.path_belief(service) != Belief::Checking)
-            .await;
+        let is_checked = || self.path_belief(service) != Belief::Checking;
+        changes::wait_until(self.path_changes.subscribe(), is_checked).await;
     }
 
     /// The ready instances of the service that send heartbeats to hubs.
--- a/crates/gateway/src/paths.rs
+++ b/crates/gateway/src/paths.rs
@@ -9,6 +9,7 @@
 use base::prelude::*;
 use reach::Belief;
 use reach::Path;
+use reach::changes;
 use reach::check;
 use slog::info;
 use tokio::net::TcpStream;
@@ -45,10 +46,8 @@
 
     /// Whether no instance of the service is reached. Waits for a check that is in progress.
     pub async fn is_cut_off(&self, service: &ServiceName) -> bool {
-        let mut changes = self.changes.subscribe();
-        let is_checked = |_: &u64| self.belief(service) != Belief::Checking;
-        // The sender is never dropped while the process runs.
-        let _ = changes.wait_for(is_checked).await;
+        let is_checked = || self.belief(service) != Belief::Checking;
+        changes::wait_until(self.subscribe(), is_checked).await;
         self.belief(service) == Belief::CutOff
     }
 
--- a/crates/reach/src/lib.rs
+++ b/crates/reach/src/lib.rs
@@ -7,8 +7,9 @@
 //! another process that reaches the instances; [`PeerSearch`] finds and selects it.
 //!
 //! The types are state machines without I/O; the time is an argument. [`check`] runs the checks,
-//! over connections that the process makes.
+//! over connections that the process makes, and [`changes`] waits for their results.
 
+pub mod changes;
 pub mod check;
 pub mod path;
 pub mod peer;
--- /dev/null
+++ b/crates/reach/tests/test_changes.rs
@@ -0,0 +1,21 @@
+//! Waiting for a change.
+
+use std::cell::Cell;
+
+use futures::executor::block_on;
+use reach::changes::wait_until;
+use tokio::sync::watch;
+
+/// Guards against a wait that never ends because a change comes while its condition is looked at.
+#[test]
+fn test_change_during_the_question_is_not_missed() {
+    let sender = watch::Sender::new(0);
+    let asked = Cell::new(0);
+    let waiting = wait_until(sender.subscribe(), || {
+        asked.set(asked.get() + 1);
+        sender.send_modify(|changes| *changes += 1);
+        asked.get() == 2
+    });
+    block_on(waiting);
+    assert_eq!(asked.get(), 2);
+}
