gateway: what is sent on to other gateways counts for the service's time

A gateway that doesn't reach the instances sends requests on to another one. Late in its stop it sent on what could no longer come to its end: a request of a second, 0.8 s before the end.

Cause: whether there is time is decided by the longest of the service's recent response times, and only the gateway's own attempts recorded theirs. A gateway that is cut off makes none, so that its requests seemed to take no time.

Change: the time of a complete, successful response from another gateway is recorded, too. The server lets go of a body of a known length at its last byte, so that the bytes tell whether it was complete.

test_stop_request_is_not_sent_on_too_late was red before (200 for 503) and passes; test_stop, test_cutoff and test_cutoff_correlation are green.

--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -178,10 +178,11 @@
         let deadline = core.clock.instant(self.head.deadline);
         let sending = peer.client.send(request, Reuse::Allowed, |_, _| {});
         let sending = timeout_at(deadline, sending);
+        let sent_at = core.clock.now();
         match sending.await {
             Ok(Ok(response)) => {
                 let response = UpstreamResponse::new(response, &self.method);
-                self.judge(core, peer, response, guard)
+                self.judge(core, peer, response, sent_at, guard)
             }
             Ok(Err(err)) => {
                 core.record_peer_silent(peer);
@@ -226,12 +227,13 @@
         headers
     }
 
-    /// Judges another gateway's response.
+    /// Judges another gateway's response to the request that was sent at `sent_at`.
     fn judge(
         &self,
-        core: &Core,
+        core: &Arc<Core>,
         peer: &Peer,
         response: UpstreamResponse,
+        sent_at: Moment,
         guard: HopGuard,
     ) -> HopEnd {
         if correlation::owner(&self.head.id, &response.headers) != Owner::Sent {
@@ -258,8 +260,13 @@
             headers: headers::hop_response(&response.headers, response.length),
             body: ResponseBody::new(receive),
         };
+        let (core, service) = (core.clone(), self.head.service.name.clone());
         tokio::spawn(async move {
-            forward_body(response, send).await;
+            let succeeded = response.status.is_success();
+            let is_complete = forward_body(response, send).await;
+            if succeeded && is_complete {
+                core.record_response_time(&service, core.clock.now().since(sent_at));
+            }
             drop((guard, charge));
         });
         HopEnd::Answered(relayed)
@@ -286,25 +293,31 @@
     found.is_some_and(|found| found.as_bytes() == value.as_bytes())
 }
 
-/// Passes a body on until it ends or the caller has left.
+/// Passes a body on until it ends or the caller has left. Returns whether all of it has arrived.
 async fn forward_body(
     mut response: UpstreamResponse,
     send: mpsc::Sender<std::result::Result<Bytes, BodyError>>,
-) {
+) -> bool {
+    let mut missing = response.length;
     loop {
         let chunk = tokio::select! {
             chunk = response.body.next() => chunk,
-            () = send.closed() => return,
+            // The server lets go of a body of a known length at its last byte.
+            () = send.closed() => return missing == Some(0),
         };
         let (chunk, ended) = match chunk {
             Some(Ok(bytes)) if bytes.is_empty() => continue,
-            Some(Ok(bytes)) => (Ok(bytes), false),
+            Some(Ok(bytes)) => {
+                missing = missing.map(|missing| missing.saturating_sub(bytes.len() as u64));
+                (Ok(bytes), false)
+            }
             Some(Err(_)) => (Err(BodyError::Truncated), true),
             // An empty chunk marks the end of a complete body.
             None => (Ok(Bytes::new()), true),
         };
+        let is_complete = missing == Some(0) || ended && chunk.is_ok();
         if send.send(chunk).await.is_err() || ended {
-            return;
+            return is_complete;
         }
     }
 }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -75,6 +75,13 @@
         sleep_until(self.clock.instant(end)).await;
     }
 
+    /// Records the time from sending a request on to the end of its response.
+    pub fn record_response_time(&self, service: &ServiceName, time: Duration) {
+        if let Some(balancer) = self.balancers.get(service) {
+            balancer.state().recent.record(time);
+        }
+    }
+
     /// The longest response time of the service's recent requests.
     fn response_time(&self, service: &ServiceName) -> Duration {
         let balancer = self.balancers.get(service);
--- a/crates/gateway/tests/test_stop.rs
+++ b/crates/gateway/tests/test_stop.rs
@@ -5,18 +5,23 @@
 use std::time::Duration;
 
 use gateway::core::Phase;
+use gateway::settings::Settings;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 use wire::directory::HostPhase;
+use wire::directory::InstanceChange;
+use wire::directory::Phase as InstancePhase;
 use wire::link::within;
 use wire::peer;
 
 use crate::fakes::Rig;
 use crate::fakes::client;
+use crate::fakes::directory::instance;
 use crate::fakes::header;
 use crate::fakes::rig;
+use crate::fakes::upstream::FakeUpstream;
 use crate::fakes::wait_until;
 
 #[tokio::test]
@@ -94,21 +99,32 @@
 /// Time from the start of a stop after which a response no longer arrives before its end.
 const TOO_LATE: Duration = Duration::from_millis(2_900);
 
+/// Number of instances that refuse connections of a gateway that is cut off.
+const UNREACHED: u16 = 12;
+
+/// Lets a stop take 3.7 s.
+fn slow_stop(settings: &mut Settings) {
+    settings.stop.linger = Duration::from_millis(3_500);
+    settings.stop.finish = Duration::from_millis(200);
+}
+
 /// A gateway whose stop takes 3.7 s, and that has learned how long requests of class once take.
 async fn rig_of_slow_service() -> Rig {
-    let rig = rig(&[], |s| {
-        s.stop.linger = Duration::from_millis(3_500);
-        s.stop.finish = Duration::from_millis(200);
-    })
-    .await;
+    let rig = rig(&[], slow_stop).await;
+    learn_service_time(&rig, &rig.upstream).await;
+    rig
+}
+
+/// Sends a request of class once that `upstream` answers after [`SERVICE_TIME`].
+async fn learn_service_time(rig: &Rig, upstream: &FakeUpstream) {
+    let before = upstream.received().len();
     let learned = tokio::spawn(rig.post("once", "/hold").send());
-    wait_until(|| rig.upstream.received().len() == 1).await;
+    wait_until(|| upstream.received().len() == before + 1).await;
     sleep(SERVICE_TIME).await;
-    rig.upstream.release.notify_one();
+    upstream.release.notify_one();
     let learned = learned.await.expect("no panic").expect("a response");
     assert_eq!(learned.status(), 200);
     assert_eq!(learned.text().await.expect("whole"), "held");
-    rig
 }
 
 /// Guards against requests that are passed on late in a stop, run, and are cut off at its end.
@@ -128,6 +144,35 @@
     stop.await.expect("no panic");
 }
 
+/// Guards against requests that a gateway without a path to the instances sends on to another one late
+/// in its stop, and cuts off at its end: it learns the service's time from what it sends on.
+#[tokio::test]
+async fn test_stop_request_is_not_sent_on_too_late() {
+    let other = rig(&[], |_| {}).await;
+    let rig = rig(&[], slow_stop).await;
+    let closed = testutils::Host::new();
+    let listed: Vec<InstanceChange> = (1..=UNREACHED)
+        .map(|port| {
+            let id = format!("i-{port}");
+            instance("once", &id, closed.at(port), InstancePhase::Ready)
+        })
+        .collect();
+    fakes::cut_off(&rig, other.gateway.http(), &listed).await;
+    learn_service_time(&rig, &other.upstream).await;
+    let (url, upstream) = (rig.url("/ok"), other.upstream.clone());
+    let before = upstream.received().len();
+    let call = || client().post(&url).header("rwr-service", "once").send();
+    let stop = tokio::spawn(rig.gateway.stop());
+    assert_eq!(call().await.expect("a response").status(), 200);
+    sleep(TOO_LATE).await;
+    let late = call().await.expect("a response");
+    assert_eq!(late.status(), 503);
+    assert_eq!(header(&late, "rwr-outcome"), "not-run");
+    assert_eq!(header(&late, "rwr-reason"), "stopping");
+    assert_eq!(upstream.received().len(), before + 1);
+    stop.await.expect("no panic");
+}
+
 /// Guards against requests whose bodies come too late, and are passed on then.
 #[tokio::test]
 async fn test_stop_request_whose_body_comes_too_late_is_refused_before_it_leaves() {
