--- a/crates/gateway/tests/test_stop.rs
+++ b/crates/gateway/tests/test_stop.rs
@@ -127,6 +127,13 @@
     assert_eq!(learned.text().await.expect("whole"), "held");
 }
 
+#[track_caller]
+fn assert_refused_unrun(late: &reqwest::Response) {
+    assert_eq!(late.status(), 503);
+    assert_eq!(header(late, "rwr-outcome"), "not-run");
+    assert_eq!(header(late, "rwr-reason"), "stopping");
+}
+
 /// Guards against requests that are passed on late in a stop, run, and are cut off at its end.
 #[tokio::test]
 async fn test_stop_request_that_would_be_cut_off_is_refused_before_it_leaves() {
@@ -137,9 +144,7 @@
     assert_eq!(call().await.expect("a response").status(), 200);
     sleep(TOO_LATE).await;
     let late = call().await.expect("a response");
-    assert_eq!(late.status(), 503);
-    assert_eq!(header(&late, "rwr-outcome"), "not-run");
-    assert_eq!(header(&late, "rwr-reason"), "stopping");
+    assert_refused_unrun(&late);
     assert_eq!(upstream.received().len(), 2);
     stop.await.expect("no panic");
 }
@@ -166,9 +171,7 @@
     assert_eq!(call().await.expect("a response").status(), 200);
     sleep(TOO_LATE).await;
     let late = call().await.expect("a response");
-    assert_eq!(late.status(), 503);
-    assert_eq!(header(&late, "rwr-outcome"), "not-run");
-    assert_eq!(header(&late, "rwr-reason"), "stopping");
+    assert_refused_unrun(&late);
     assert_eq!(upstream.received().len(), before + 1);
     stop.await.expect("no panic");
 }
--- a/crates/standin/src/faulty.rs
+++ b/crates/standin/src/faulty.rs
@@ -20,11 +20,10 @@
 use serde_json::json;
 use slog::Logger;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::task::JoinSet;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::accept::serve_connections;
 use crate::announced::Announced;
 use crate::faulty::response::Refusal;
 use crate::faulty::response::Response;
@@ -92,7 +91,7 @@
             shares: Mutex::new(faults),
             rng: Mutex::new(SmallRng::seed_from_u64(settings.seed)),
         });
-        let server = tokio::spawn(accept(listener, Arc::clone(&shared)));
+        let server = tokio::spawn(serve_connections(listener, Arc::clone(&shared), serve));
         Ok(Self {
             shared,
             _server: AbortOnDropHandle::new(server),
@@ -128,18 +127,7 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>) {
-    // Connections end with the instance.
-    let mut connections = JoinSet::new();
-    while let Ok((stream, _)) = listener.accept().await {
-        let shared = Arc::clone(&shared);
-        // The peer sees a failed connection as closed.
-        connections.spawn(async move { serve(stream, &shared).await.is_ok() });
-        while connections.try_join_next().is_some() {}
-    }
-}
-
-async fn serve(mut stream: TcpStream, shared: &Shared) -> io::Result<()> {
+async fn serve(mut stream: TcpStream, shared: Arc<Shared>) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let (reader, mut writer) = stream.split();
     let mut messages = MessageReader::new(reader);
--- a/crates/standin/src/flooding.rs
+++ b/crates/standin/src/flooding.rs
@@ -7,11 +7,10 @@
 use slog::Logger;
 use strum::Display;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::task::JoinSet;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::accept::serve_connections;
 use crate::announced::Announced;
 use crate::handler::LOAD_PATH;
 use crate::message::Direction;
@@ -158,7 +157,7 @@
             instance: announced.incarnation_id().to_owned(),
             slots: settings.slots,
         });
-        let server = tokio::spawn(accept(listener, shared));
+        let server = tokio::spawn(serve_connections(listener, shared, serve));
         Ok(Self {
             announced,
             _server: AbortOnDropHandle::new(server),
@@ -172,18 +171,7 @@
     }
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>) {
-    // Connections end with the instance.
-    let mut connections = JoinSet::new();
-    while let Ok((stream, _)) = listener.accept().await {
-        let shared = Arc::clone(&shared);
-        // The peer sees a failed connection as closed.
-        connections.spawn(async move { serve(stream, &shared).await.is_ok() });
-        while connections.try_join_next().is_some() {}
-    }
-}
-
-async fn serve(mut stream: TcpStream, shared: &Shared) -> io::Result<()> {
+async fn serve(mut stream: TcpStream, shared: Arc<Shared>) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let (reader, mut writer) = stream.split();
     if shared.flood == Flood::BeforeRequest {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod settings;
 pub mod slots;
 
+mod accept;
 mod announced;
 mod handler;
 mod request;
