--- a/crates/entry/tests/test_path_lock.rs
+++ b/crates/entry/tests/test_path_lock.rs
@@ -1,5 +1,5 @@
-//! Guards against a process that hangs for ever because one of its threads waits for a check of a
-//! path while another takes over a changed list of entry hosts.
+//! Guards against a deadlock between a request that waits for a check of a path and a change of the
+//! list of entry hosts.
 
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
--- a/crates/gateway/tests/test_stop.rs
+++ b/crates/gateway/tests/test_stop.rs
@@ -102,7 +102,7 @@
 /// Number of instances that refuse connections of a gateway that is cut off.
 const UNREACHED: u16 = 12;
 
-/// Lets a stop take 3.7 s.
+/// Sets the duration of a stop to 3.7 s.
 fn slow_stop(settings: &mut Settings) {
     settings.stop.linger = Duration::from_millis(3_500);
     settings.stop.finish = Duration::from_millis(200);
--- a/crates/reach/tests/test_changes.rs
+++ b/crates/reach/tests/test_changes.rs
@@ -6,9 +6,9 @@
 use reach::changes::wait_until;
 use tokio::sync::watch;
 
-/// Guards against a wait that never ends because a change comes while its condition is looked at.
+/// Guards against a wait that never ends because a change comes while its condition is checked.
 #[test]
-fn test_change_during_the_question_is_not_missed() {
+fn test_change_during_the_check_is_not_missed() {
     let sender = watch::Sender::new(0);
     let asked = Cell::new(0);
     let waiting = wait_until(sender.subscribe(), || {
