gateway, bounds, reach: comments and tests that needed a second reading

Both tests of late requests in a stop make their checks in one function; what they assert is unchanged.

--- a/crates/bounds/src/response.rs
+++ b/crates/bounds/src/response.rs
@@ -1,7 +1,7 @@
 //! Memory of responses that are passed on as they come.
 //!
 //! An instance may send a body without end, as fast as its callers read or faster. The HTTP library
-//! stops to read once its buffers are full, so that a response takes no more than these, however long
+//! stops reading once its buffers are full, so that a response takes no more than these, however long
 //! it is; the account bounds the number of such responses.
 
 use crate::charge::Charge;
@@ -19,7 +19,7 @@
 #[derive(Debug)]
 pub struct ResponseCharge {
     charge: Charge,
-    /// What counts as responses', too.
+    /// Bytes that count against the share of responses.
     reserved: u64,
     /// Whether it was the only one when it began. Such a response is passed on whatever the account
     /// has room for, so that a single request is answered however small the account is.
--- a/crates/gateway/tests/test_stop.rs
+++ b/crates/gateway/tests/test_stop.rs
@@ -98,7 +98,6 @@
 const SERVICE_TIME: Duration = Duration::from_secs(1);
 /// Time from the start of a stop after which a response no longer arrives before its end.
 const TOO_LATE: Duration = Duration::from_millis(2_900);
-
 /// Number of instances that refuse connections of a gateway that is cut off.
 const UNREACHED: u16 = 12;
 
@@ -127,26 +126,30 @@
     assert_eq!(learned.text().await.expect("whole"), "held");
 }
 
-#[track_caller]
-fn assert_refused_unrun(late: &reqwest::Response) {
+/// Stops the gateway, and checks that a request reaches `upstream` at once, and that a late one is
+/// refused without being run.
+async fn check_late_request(rig: Rig, upstream: &FakeUpstream) {
+    let url = rig.url("/ok");
+    let before = upstream.received().len();
+    let call = || client().post(&url).header("rwr-service", "once").send();
+    let stop = tokio::spawn(rig.gateway.stop());
+    assert_eq!(call().await.expect("a response").status(), 200);
+    sleep(TOO_LATE).await;
+    let late = call().await.expect("a response");
     assert_eq!(late.status(), 503);
-    assert_eq!(header(late, "rwr-outcome"), "not-run");
-    assert_eq!(header(late, "rwr-reason"), "stopping");
+    assert_eq!(header(&late, "rwr-outcome"), "not-run");
+    assert_eq!(header(&late, "rwr-reason"), "stopping");
+    assert_eq!(upstream.received().len(), before + 1);
+    stop.await.expect("no panic");
 }
 
 /// Guards against requests that are passed on late in a stop, run, and are cut off at its end.
 #[tokio::test]
 async fn test_stop_request_that_would_be_cut_off_is_refused_before_it_leaves() {
     let rig = rig_of_slow_service().await;
-    let (url, upstream) = (rig.url("/ok"), rig.upstream.clone());
-    let call = || client().post(&url).header("rwr-service", "once").send();
-    let stop = tokio::spawn(rig.gateway.stop());
-    assert_eq!(call().await.expect("a response").status(), 200);
-    sleep(TOO_LATE).await;
-    let late = call().await.expect("a response");
-    assert_refused_unrun(&late);
-    assert_eq!(upstream.received().len(), 2);
-    stop.await.expect("no panic");
+    let upstream = rig.upstream.clone();
+    assert_eq!(upstream.received().len(), 1);
+    check_late_request(rig, &upstream).await;
 }
 
 /// Guards against requests that a gateway without a path to the instances sends on to another one late
@@ -164,16 +167,7 @@
         .collect();
     fakes::cut_off(&rig, other.gateway.http(), &listed).await;
     learn_service_time(&rig, &other.upstream).await;
-    let (url, upstream) = (rig.url("/ok"), other.upstream.clone());
-    let before = upstream.received().len();
-    let call = || client().post(&url).header("rwr-service", "once").send();
-    let stop = tokio::spawn(rig.gateway.stop());
-    assert_eq!(call().await.expect("a response").status(), 200);
-    sleep(TOO_LATE).await;
-    let late = call().await.expect("a response");
-    assert_refused_unrun(&late);
-    assert_eq!(upstream.received().len(), before + 1);
-    stop.await.expect("no panic");
+    check_late_request(rig, &other.upstream).await;
 }
 
 /// Guards against requests whose bodies come too late, and are passed on then.
--- a/crates/reach/tests/test_changes.rs
+++ b/crates/reach/tests/test_changes.rs
@@ -10,12 +10,12 @@
 #[test]
 fn test_change_during_the_check_is_not_missed() {
     let sender = watch::Sender::new(0);
-    let asked = Cell::new(0);
+    let calls = Cell::new(0);
     let waiting = wait_until(sender.subscribe(), || {
-        asked.set(asked.get() + 1);
+        calls.set(calls.get() + 1);
         sender.send_modify(|changes| *changes += 1);
-        asked.get() == 2
+        calls.get() == 2
     });
     block_on(waiting);
-    assert_eq!(asked.get(), 2);
+    assert_eq!(calls.get(), 2);
 }
