control, entry: log who voted, which tables a log holds and from where one is obeyed

A replica logs each vote, the vote that it recovers, and the tables that its log holds unapplied; an entry process logs the hub that announced a table and why it is accepted (confirmed, recovered, overdue, newer).

Nothing is decided differently. The tests of consensus are green; cargo check of control, hub and entry.

--- a/crates/consensus/src/action.rs
+++ b/crates/consensus/src/action.rs
@@ -77,6 +77,13 @@
         /// The leader, which may be this replica.
         leader: Option<ReplicaId>,
     },
+    /// This replica has decided on its vote, which counts once it is synced.
+    Voted {
+        /// The term.
+        term: Term,
+        /// The candidate, which may be this replica.
+        candidate: ReplicaId,
+    },
     /// This replica asked for votes in vain.
     ElectionFailed {
         /// What it asked for.
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -26,6 +26,7 @@
 use crate::action::StepDown;
 use crate::action::WriteNumber;
 use crate::config::Config;
+use crate::entry::Entry;
 use crate::entry::Index;
 use crate::entry::ReplicaId;
 use crate::entry::Term;
@@ -287,6 +288,13 @@
         Some(self.log.last().index.distance_from(peer.matched))
     }
 
+    /// Returns the entries that are in the log and not applied yet.
+    #[must_use]
+    pub fn unapplied(&self) -> Vec<Entry> {
+        let last = self.log.last().index;
+        self.log.slice(self.applied.next(), last, usize::MAX)
+    }
+
     /// Returns the current term.
     #[must_use]
     pub fn term(&self) -> Term {
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -114,7 +114,7 @@
     /// Starts a campaign in the next term; vote requests are sent once the own vote is synced.
     pub(super) fn campaign(&mut self, transfer: bool) {
         self.become_follower(self.hard_state.term.next(), None);
-        self.hard_state.vote = Some(self.id);
+        self.vote_for(self.id);
         self.state = State::Candidate {
             votes: BTreeSet::new(),
         };
@@ -125,6 +125,12 @@
         }
     }
 
+    fn vote_for(&mut self, candidate: ReplicaId) {
+        self.hard_state.vote = Some(candidate);
+        let term = self.hard_state.term;
+        self.actions.push(Action::Voted { term, candidate });
+    }
+
     fn other_voters(&self) -> Vec<ReplicaId> {
         let voters = self.log.config().voters.keys();
         voters.copied().filter(|id| *id != self.id).collect()
@@ -252,7 +258,7 @@
         let can_vote = self.hard_state.vote.is_none() || self.hard_state.vote == Some(message.from);
         let granted = message.term == self.hard_state.term && can_vote && last >= self.log.last();
         if granted && self.hard_state.vote.is_none() {
-            self.hard_state.vote = Some(message.from);
+            self.vote_for(message.from);
             self.persistence.mark_hard_state_changed();
             self.reset_election_deadline();
         }
--- a/crates/consensus/tests/test_replicas/cluster.rs
+++ b/crates/consensus/tests/test_replicas/cluster.rs
@@ -245,7 +245,7 @@
             Action::ElectionFailed { .. } | Action::SteppedDown { .. } => {
                 self.reports.push(action);
             }
-            Action::LeaderChanged { .. } => {}
+            Action::LeaderChanged { .. } | Action::Voted { .. } => {}
             Action::Stop(fault) => panic!("replica {id} stopped: {fault}"),
         }
     }
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -213,6 +213,7 @@
         // Applies entries that are known to be committed without waiting for a leader.
         self.step(Event::Tick);
         self.perform_actions();
+        self.log_unapplied_tables();
         while self.failure.is_none() {
             let wake = self
                 .clock
--- a/crates/control/src/driver/actions.rs
+++ b/crates/control/src/driver/actions.rs
@@ -83,6 +83,10 @@
                     "term" => term.0, "leader" => leader, "leads" => leader == self.id().0);
                 let _ = self.parts.metrics.count("control.leader.changes", 1);
             }
+            Action::Voted { term, candidate } => {
+                let last = self.node.status().last;
+                info!(self.parts.log, "vote"; "term" => term.0, "candidate" => candidate.0, "last" => last.0);
+            }
             Action::ElectionFailed {
                 stage,
                 term,
@@ -259,6 +263,20 @@
             "version" => reply.version, "index" => index.0);
     }
 
+    /// Logs the route tables that this replica has synced and that may or may not be accepted. One
+    /// that was acknowledged is among those of each majority.
+    pub(super) fn log_unapplied_tables(&self) {
+        for entry in self.node.unapplied() {
+            let Payload::Data(data) = &entry.payload else {
+                continue;
+            };
+            if let Ok(Some(version)) = StateMachine::proposed_table(data) {
+                info!(self.parts.log, "route table"; "outcome" => "logged",
+                    "version" => version, "index" => entry.index.0, "term" => entry.term.0);
+            }
+        }
+    }
+
     fn log_change(&self, index: Index, id: &str, reply: &ChangeReply) {
         let _ = self.parts.metrics.count("control.changes", 1);
         let log = &self.parts.log;
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -195,7 +195,7 @@
         let awaits_founding = !initial.is_empty();
         info!(self.log, "recovered"; "id" => id, "initial" => initial.join(","), "term" => recovered.state.term,
             "snapshot" => stored.snapshot.position.index.0, "entries" => stored.entries.len(),
-            "commit" => stored.commit.0,
+            "commit" => stored.commit.0, "vote" => recovered.state.vote,
             "torn" => recovered.torn_bytes);
         let initial = Arc::new(InitialReplicas::new(initial));
         let (driver, inbox) = DriverHandle::new();
--- a/crates/control/src/state_machine.rs
+++ b/crates/control/src/state_machine.rs
@@ -193,6 +193,19 @@
         }
     }
 
+    /// The version of the route table that a command proposes, if it proposes one.
+    ///
+    /// # Errors
+    ///
+    /// Fails on a command that cannot be decoded.
+    pub fn proposed_table(data: &Bytes) -> Result<Option<u64>, StateMachineError> {
+        let command = Command::decode(data.clone())?;
+        Ok(match command.kind {
+            Some(Kind::Table(table)) => Some(table.version),
+            _ => None,
+        })
+    }
+
     fn apply_announcements(
         &mut self,
         now_ms: u64,
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -313,6 +313,14 @@
         {
             let (core, hubs) = (Arc::clone(&self.core), Arc::clone(&self.hubs));
             let link = Arc::clone(&self.link);
+            let reason = match (current, reply) {
+                (Some(_), _) => "newer",
+                (None, reply) if reply.confirmed => "confirmed",
+                (None, reply) if reply.recovered => "recovered",
+                (None, _) => "overdue",
+            };
+            info!(core.log, "route table announced"; "version" => announced, "hub" => %self.address,
+                "accepted" => reason);
             tokio::spawn(fetch(core, hubs, link, announced, transfer));
         }
     }
