store, hub: votes and small entries after a large one take one sync

A table of 1,440 routes fills a segment of 256 KB, so that each write after one starts a segment: the marker of the old one, the folder and the write itself are synced one after the other. An open syncs the folder, then the newest segment's copy, then the folder again.

A small batch (an eighth of a segment in all) still goes to a full segment. Segments of hubs have 1 MiB, as tables of 300 KB would need one each. An open syncs the copy and then the folder once, before it removes anything.

Red before: test_store_small_batches_after_a_large_one_take_one_sync on (3 syncs of an open in place of 2, the check before the others).

--- a/crates/hub/src/settings.rs
+++ b/crates/hub/src/settings.rs
@@ -30,8 +30,9 @@
 /// Size of log entries after which a snapshot is taken. A restart replays the entries since the
 /// last snapshot.
 const SNAPSHOT_THRESHOLD: Bytes = Bytes(256 * 1024);
-/// Size of a log segment. Segments are deleted as a whole after a snapshot.
-const SEGMENT_SIZE: Bytes = Bytes(256 * 1024);
+/// Size of a log segment. Segments are deleted as a whole after a snapshot. A new one takes two syncs
+/// besides the write's own: tables of 1,400 routes, of 300 KB each, would need one for each write.
+const SEGMENT_SIZE: Bytes = Bytes(1024 * 1024);
 /// Default of [`Settings::ttl`].
 const DEFAULT_TTL: Duration = Duration::from_secs(2);
 /// Default of [`Settings::lease`]: three announcements, one every 1.5 s, and a margin of 0.5 s.
--- a/crates/store/src/reader.rs
+++ b/crates/store/src/reader.rs
@@ -23,8 +23,8 @@
     pub replay: Replay,
     /// The segments of the log.
     pub segments: Vec<Segment>,
-    /// Segments that the snapshot covers and that aren't followed by the next one.
-    discarded: Vec<Segment>,
+    /// Segments that the snapshot covers and that aren't followed by the next one, to be removed.
+    pub discarded: Vec<Segment>,
     /// The number of bytes of an incomplete last write.
     pub torn_bytes: u64,
 }
@@ -42,7 +42,8 @@
         }
     }
 
-    /// Reads all segments among the files `names`.
+    /// Reads all segments among the files `names`. The folder has to be synced after that, before
+    /// anything is removed or written.
     ///
     /// # Errors
     ///
@@ -66,7 +67,7 @@
             Some(first) if !self.discarded.is_empty() && !self.replay.has_state => {
                 Err(damaged(first, 0, Damage::Segment))
             }
-            _ => self.remove_discarded(),
+            _ => Ok(()),
         }
     }
 
@@ -90,14 +91,6 @@
         Ok(())
     }
 
-    fn remove_discarded(&mut self) -> Result<(), StoreError> {
-        for segment in self.discarded.drain(..) {
-            let name = segment.name();
-            with_context(Operation::Remove, &name, self.disk.remove(&name))?;
-        }
-        Ok(())
-    }
-
     fn read_segment(&mut self, mut segment: Segment, newest: bool) -> Result<(), StoreError> {
         let name = segment.name();
         let mut bytes = with_context(Operation::Read, &name, self.disk.read(&name))?;
@@ -156,7 +149,7 @@
     ) -> Result<(), StoreError> {
         self.torn_bytes = (length - valid.len()) as u64;
         if length > 0 {
-            snapshot::write_atomic(self.disk, name, valid)?;
+            snapshot::replace(self.disk, name, valid)?;
         }
         Ok(())
     }
--- a/crates/store/src/snapshot.rs
+++ b/crates/store/src/snapshot.rs
@@ -24,12 +24,21 @@
 ///
 /// Fails if any step fails; the file may or may not have been replaced.
 pub fn write_atomic(disk: &mut dyn Disk, name: &str, bytes: &[u8]) -> Result<(), StoreError> {
+    replace(disk, name, bytes)?;
+    with_context(Operation::Sync, name, disk.sync_dir())
+}
+
+/// The same, except that the old contents may be found again until the folder is synced.
+///
+/// # Errors
+///
+/// Fails if any step fails; the file may or may not have been replaced.
+pub fn replace(disk: &mut dyn Disk, name: &str, bytes: &[u8]) -> Result<(), StoreError> {
     let temp_name = format!("{name}{TEMP_SUFFIX}");
     with_context(Operation::Create, &temp_name, disk.create(&temp_name))?;
     with_context(Operation::Write, &temp_name, disk.append(&temp_name, bytes))?;
     with_context(Operation::Sync, &temp_name, disk.sync(&temp_name))?;
-    with_context(Operation::Rename, name, disk.rename(&temp_name, name))?;
-    with_context(Operation::Sync, name, disk.sync_dir())
+    with_context(Operation::Rename, name, disk.rename(&temp_name, name))
 }
 
 /// Loads the identity, or stores `new` as the identity of an empty folder. Initial replicas that
@@ -73,26 +82,26 @@
     write_atomic(disk, IDENTITY, &encode_frame(identity))
 }
 
-/// Loads the newest snapshot and removes older ones.
+/// Loads the newest snapshot; returns the names of older ones, too.
 ///
 /// # Errors
 ///
 /// Fails if the newest snapshot is damaged. Older ones can't replace it, because the log
 /// that it covers may have been removed.
-pub fn load_newest(disk: &mut dyn Disk, names: &[String]) -> Result<Option<Snapshot>, StoreError> {
+pub fn load_newest(
+    disk: &dyn Disk,
+    names: &[String],
+) -> Result<(Option<Snapshot>, Vec<String>), StoreError> {
     let mut candidates: Vec<&String> = names
         .iter()
         .filter(|n| n.starts_with(SNAPSHOT_PREFIX))
         .collect();
     candidates.sort();
     let Some(name) = candidates.pop() else {
-        return Ok(None);
+        return Ok((None, Vec::new()));
     };
     let snapshot = load(disk, name, Damage::Snapshot)?;
-    for old in candidates {
-        with_context(Operation::Remove, old, disk.remove(old))?;
-    }
-    Ok(Some(snapshot))
+    Ok((Some(snapshot), candidates.into_iter().cloned().collect()))
 }
 
 /// Stores a snapshot and removes the `previous` one.
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -1,5 +1,8 @@
 //! The durable log with the hard state and snapshots.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use prost::Message;
 use wire::store::Batch;
 use wire::store::Entry;
@@ -16,6 +19,9 @@
 use crate::snapshot;
 use crate::snapshot::with_context;
 
+/// The part of a segment's size by which small batches may exceed it.
+const OVERFLOW_DIVISOR: u64 = 8;
+
 /// Options of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Options {
@@ -46,6 +52,8 @@
     pub commit: u64,
     /// The number of bytes of an incomplete last write, which were discarded.
     pub torn_bytes: u64,
+    /// How long a sync of the folder took.
+    pub sync_time: Duration,
 }
 
 /// An open data folder.
@@ -61,6 +69,8 @@
     last_index: u64,
     /// The index of the stored snapshot.
     snapshot_index: Option<u64>,
+    /// The bytes that this process has added to the newest segment since that was full.
+    overflow: u64,
     stopped: bool,
 }
 
@@ -76,16 +86,25 @@
         options: Options,
         new: Identity,
     ) -> Result<(Self, Recovered), StoreError> {
-        let names = remove_temp_files(&mut *disk)?;
+        let names = with_context(Operation::List, "", disk.list())?;
+        let names: Vec<String> = names.into_iter().filter(|n| !is_temporary(n)).collect();
         let identity = snapshot::load_or_create_identity(&mut *disk, &names, new)?;
-        let loaded = snapshot::load_newest(&mut *disk, &names)?;
+        let (loaded, old_snapshots) = snapshot::load_newest(&*disk, &names)?;
         let compacted_index = loaded.as_ref().map_or(0, |s| s.index);
         let mut reader = LogReader::new(&mut *disk, loaded.as_ref().map(|s| s.index));
         reader.read_all(&names)?;
         let (segments, torn_bytes) = (reader.segments, reader.torn_bytes);
+        let discarded = reader.discarded;
         let commit = reader.replay.commit;
         let log = reader.replay.finish(loaded.as_ref().map_or(0, |s| s.term));
         let (state, entries) = (log.state, log.entries);
+        let sync_time = sync_folder(&mut *disk)?;
+        let listed = with_context(Operation::List, "", disk.list())?;
+        let temporary = listed.into_iter().filter(|n| is_temporary(n));
+        let obsolete = temporary.chain(old_snapshots);
+        for name in obsolete.chain(discarded.iter().map(Segment::name)) {
+            with_context(Operation::Remove, &name, disk.remove(&name))?;
+        }
         let mut store = Self {
             disk,
             options,
@@ -94,6 +113,7 @@
             state,
             last_index: entries.last().map_or(compacted_index, |e| e.index),
             snapshot_index: loaded.as_ref().map(|s| s.index),
+            overflow: 0,
             stopped: false,
         };
         if log.is_superseded {
@@ -106,6 +126,7 @@
             entries,
             commit,
             torn_bytes,
+            sync_time,
         };
         Ok((store, recovered))
     }
@@ -185,7 +206,7 @@
     fn append_batch(&mut self, batch: &Batch) -> Result<(), StoreError> {
         let last = self.check_order(batch)?;
         let state = batch.state.unwrap_or(self.state);
-        let segment = self.active_segment()?;
+        let segment = self.active_segment(batch.encoded_len())?;
         let name = segment.name();
         let mut bytes = Vec::new();
         if segment.length == 0 {
@@ -227,7 +248,11 @@
     }
 
     fn record_write(&mut self, bytes: usize, highest_index: u64) {
+        let segment_bytes = self.options.segment_bytes;
         if let Some(segment) = self.segments.last_mut() {
+            if segment.length >= segment_bytes {
+                self.overflow += bytes as u64;
+            }
             segment.length += bytes as u64;
             segment.highest_index = segment.highest_index.max(highest_index);
         }
@@ -247,9 +272,15 @@
         Ok(last)
     }
 
-    fn active_segment(&mut self) -> Result<Segment, StoreError> {
+    /// The segment for a batch of this size.
+    ///
+    /// A small batch still goes to a full segment: a new one takes two more syncs, which votes would
+    /// wait for after a large entry.
+    fn active_segment(&mut self, batch_bytes: usize) -> Result<Segment, StoreError> {
+        let limit = self.options.segment_bytes;
+        let overflow = self.overflow + batch_bytes as u64;
         match self.segments.last() {
-            Some(last) if last.length < self.options.segment_bytes => Ok(*last),
+            Some(last) if last.length < limit || overflow <= limit / OVERFLOW_DIVISOR => Ok(*last),
             last => {
                 let number = last.map_or(1, |s| s.number + 1);
                 self.start_segment(number)
@@ -267,6 +298,7 @@
         with_context(Operation::Create, &name, self.disk.create(&name))?;
         with_context(Operation::Sync, &name, self.disk.sync_dir())?;
         self.segments.push(segment);
+        self.overflow = 0;
         Ok(segment)
     }
 
@@ -317,18 +349,14 @@
     }
 }
 
-/// Removes temporary files and returns the names of the others.
-///
-/// The folder is synced first: an earlier process may have ended before it synced a name that
-/// is found here, and what the name makes obsolete is removed next.
-fn remove_temp_files(disk: &mut dyn Disk) -> Result<Vec<String>, StoreError> {
+/// Syncs the names that were found, and returns how long that took: an earlier process may have ended
+/// before it synced one of them, and what the name makes obsolete is removed next.
+fn sync_folder(disk: &mut dyn Disk) -> Result<Duration, StoreError> {
+    let started_at = Instant::now();
     with_context(Operation::Sync, "", disk.sync_dir())?;
-    let names = with_context(Operation::List, "", disk.list())?;
-    let (temp_names, names): (Vec<_>, Vec<_>) = names
-        .into_iter()
-        .partition(|n| n.ends_with(snapshot::TEMP_SUFFIX));
-    for name in temp_names {
-        with_context(Operation::Remove, &name, disk.remove(&name))?;
-    }
-    Ok(names)
+    Ok(started_at.elapsed())
+}
+
+fn is_temporary(name: &str) -> bool {
+    name.ends_with(snapshot::TEMP_SUFFIX)
 }
--- a/crates/store/tests/test_store.rs
+++ b/crates/store/tests/test_store.rs
@@ -443,3 +443,36 @@
     assert_eq!(found.commit, 3);
     assert_eq!(indices(&found), [2, 3, 4, 5]);
 }
+
+/// Guards against votes, and first entries of a leader, that wait for three syncs of a slow disk
+/// because a large entry has filled the segment, and against an open that takes more than two.
+#[test]
+fn test_store_small_batches_after_a_large_one_take_one_sync() {
+    let options = Options {
+        segment_bytes: 64 * 1024,
+    };
+    let disk = MemoryDisk::default();
+    let (mut store, _) = open(&disk, options).expect("opens");
+    let mut large = batch(1, [1]);
+    large.entries[0].data = vec![7; 80 * 1024].into();
+    store.append(&large).expect("appends");
+    drop(store);
+    let before = disk.syncs();
+    let (mut store, _) = open(&disk, options).expect("opens");
+    assert_eq!(disk.syncs() - before, 2, "syncs of an open");
+    for index in 2..6 {
+        let before = disk.syncs();
+        store.append(&batch(1, [index])).expect("appends");
+        assert_eq!(disk.syncs() - before, 1, "syncs of entry {index}");
+    }
+    // The segment stays bounded.
+    for index in 6..2_000 {
+        store.append(&batch(1, [index])).expect("appends");
+    }
+    let segments = disk.list().expect("lists");
+    let segments = segments.iter().filter(|n| n.starts_with("log-")).count();
+    assert!(segments >= 2, "{segments} segments");
+    drop(store);
+    let (_, found) = open(&disk, options).expect("opens again");
+    assert_eq!(indices(&found).len(), 1_999);
+}
