--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -41,6 +41,12 @@
         /// Whether the vote would be granted.
         granted: bool,
     },
+    /// Tells that the sender campaigns in the message's term; it asks for votes once its own is
+    /// synced.
+    Campaigning {
+        /// The position of the last entry in the candidate's log.
+        last: Position,
+    },
     /// Requests a vote.
     Vote {
         /// The position of the last entry in the candidate's log.
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -109,12 +109,31 @@
 
 #[derive(Debug)]
 enum State {
-    Follower { leader: Option<ReplicaId> },
-    PreCandidate { votes: BTreeSet<ReplicaId> },
-    Candidate { votes: BTreeSet<ReplicaId> },
+    Follower {
+        leader: Option<ReplicaId>,
+    },
+    PreCandidate {
+        votes: BTreeSet<ReplicaId>,
+    },
+    Candidate {
+        votes: BTreeSet<ReplicaId>,
+        /// Whether a voter has refused its vote, so that the campaign may be in vain.
+        is_refused: bool,
+    },
     Leader(Box<Leader>),
 }
 
+/// A candidate for which a replica holds back its own pre-votes, and what it grants others.
+#[derive(Debug)]
+struct Promise {
+    candidate: ReplicaId,
+    /// The term in which it campaigns.
+    term: Term,
+    /// When it was first heard of.
+    since: Moment,
+    until: Moment,
+}
+
 /// Attempts to lead that have failed since a leader was known.
 #[derive(Debug, Default)]
 struct FailedElections {
@@ -139,6 +158,10 @@
     /// When the last message from a leader arrived.
     last_leader_contact: Option<Moment>,
     failed_elections: FailedElections,
+    /// The candidate that this replica holds back for.
+    promise: Option<Promise>,
+    /// When this replica, as a candidate, tells the voters so again.
+    next_notice: Moment,
     /// The term and leader last reported to the adapter.
     reported_leader: (Term, Option<ReplicaId>),
     /// Whether the commit index must be recomputed.
@@ -157,7 +180,7 @@
     #[must_use]
     pub fn new(settings: Settings, stored: Stored, seed: u64, now: Moment) -> Self {
         let (log, superseded_from) = Log::open(stored.snapshot, stored.entries);
-        let mut persistence = Persistence::new(log.last().index);
+        let mut persistence = Persistence::new(log.last().index, settings.first_write);
         if let Some(index) = superseded_from {
             persistence.truncate_stored(index);
         }
@@ -177,6 +200,8 @@
             election_deadline: now,
             last_leader_contact: None,
             failed_elections: FailedElections::default(),
+            promise: None,
+            next_notice: now,
             reported_leader: (Term::default(), None),
             commit_outdated: false,
             local_reads: LocalReads::default(),
@@ -224,6 +249,7 @@
         self.tick_leader();
         self.handle(event);
         self.tick_election();
+        self.tick_candidate();
         self.advance_commit();
         self.maintain();
         self.flush_writes();
@@ -251,6 +277,7 @@
     pub fn deadline(&self) -> Moment {
         let timer = match &self.state {
             State::Leader(leader) => leader.next_heartbeat,
+            State::Candidate { .. } => self.election_deadline.min(self.next_notice),
             _ => self.election_deadline,
         };
         self.local_reads
@@ -295,6 +322,22 @@
         self.log.slice(self.applied.next(), last, usize::MAX)
     }
 
+    /// Returns the index of the newest entry for which `is_match` holds, synced or not, or at least
+    /// the index before the first entry in memory, as earlier ones may match.
+    #[must_use]
+    pub fn newest_match(&self, is_match: impl Fn(&Entry) -> bool) -> Index {
+        let mut index = self.log.last().index;
+        while index >= self.log.first()
+            && let Some(entry) = self.log.get(index)
+        {
+            if is_match(entry) {
+                return index;
+            }
+            index = index.previous();
+        }
+        index
+    }
+
     /// Returns the current term.
     #[must_use]
     pub fn term(&self) -> Term {
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeSet;
 use std::mem;
 
+use base::prelude::*;
+
 use crate::action::Action;
 use crate::action::ElectionStage;
 use crate::action::StepDown;
@@ -18,7 +20,16 @@
 
 use super::FailedElections;
 use super::Node;
+use super::Promise;
 use super::State;
+use super::VOTER_SYNCS;
+
+/// How long a replica holds back for a candidate that it has heard, as a fraction of the election
+/// timeout.
+const PROMISE_FACTOR: f64 = 0.5;
+/// Interval at which a candidate tells the voters that it campaigns, as a fraction of the election
+/// timeout: some of these messages may be lost or late.
+const NOTICE_FACTOR: f64 = PROMISE_FACTOR / 4.0;
 
 impl Node {
     /// Processes the timers of a replica that is not the leader.
@@ -34,13 +45,13 @@
             self.report_failed_election();
             self.reset_election_deadline();
             self.become_follower(self.hard_state.term, None);
-        } else if self.persistence.is_hard_state_synced() {
+        } else if self.hard_state.vote.is_none() || self.persistence.is_hard_state_synced() {
             self.report_failed_election();
             self.reset_pre_vote_deadline();
             self.start_pre_vote();
         } else {
-            // The vote or term is still being synced. A new term would invalidate the vote and could
-            // not be synced any earlier.
+            // The vote is still being synced. A new term would invalidate it and could not be synced
+            // any earlier.
             self.reset_pre_vote_deadline();
         }
     }
@@ -57,13 +68,116 @@
         }
     }
 
+    /// Reminds the voters that this replica campaigns. Until its own vote is synced, they would start
+    /// campaigns of their own; after that, one that was down when it was asked for its vote is asked
+    /// again.
+    pub(super) fn tick_candidate(&mut self) {
+        let State::Candidate {
+            votes,
+            is_refused: false,
+        } = &self.state
+        else {
+            return;
+        };
+        if self.now < self.next_notice {
+            return;
+        }
+        let last = self.log.last();
+        let body = if votes.contains(&self.id) {
+            let transfer = false;
+            Body::Vote { last, transfer }
+        } else {
+            Body::Campaigning { last }
+        };
+        let voters = self.log.config().voters.keys().copied();
+        let silent: Vec<ReplicaId> = voters
+            .filter(|id| *id != self.id && !votes.contains(id))
+            .collect();
+        for voter in silent {
+            self.send(voter, body.clone());
+        }
+        self.next_notice = self.now + self.settings.election_timeout.mul_f64(NOTICE_FACTOR);
+    }
+
+    /// Holds back for a candidate that may get this replica's vote or has it: a second campaign would
+    /// split the votes and cost all voters another write. A candidate whose disk is much slower than
+    /// the own one is no reason: as the leader it would make each change wait for that disk.
+    pub(super) fn receive_campaigning(&mut self, message: &Message, last: Position) {
+        let vote = self.hard_state.vote;
+        let can_vote = message.term > self.hard_state.term
+            || (message.term == self.hard_state.term
+                && vote.is_none_or(|vote| vote == message.from));
+        let is_lead = matches!(self.state, State::Candidate { .. }) || self.has_live_leader();
+        if !can_vote || is_lead || last < self.log.last() || self.is_promised_against(message.from)
+        {
+            return;
+        }
+        let known = self.promise.as_ref();
+        let is_same = |p: &&Promise| p.candidate == message.from && p.term == message.term;
+        let since = known.filter(is_same).map_or(self.now, |p| p.since);
+        let hold = self.settings.election_timeout.mul_f64(PROMISE_FACTOR);
+        let latest = since + self.persistence.last_duration() * VOTER_SYNCS + hold;
+        let until = latest.min(self.now + hold);
+        self.promise = Some(Promise {
+            candidate: message.from,
+            term: message.term,
+            since,
+            until,
+        });
+        if self.is_promised() {
+            self.give_way(until);
+        }
+    }
+
+    /// Whether this replica is a candidate that no voter has refused.
+    fn is_winning(&self) -> bool {
+        matches!(
+            self.state,
+            State::Candidate {
+                is_refused: false,
+                ..
+            }
+        )
+    }
+
+    /// Whether this replica holds back for a candidate now.
+    fn is_promised(&self) -> bool {
+        self.promise
+            .as_ref()
+            .is_some_and(|promise| self.now < promise.until)
+    }
+
+    /// Whether this replica holds back for another candidate.
+    fn is_promised_against(&self, candidate: ReplicaId) -> bool {
+        self.promise
+            .as_ref()
+            .is_some_and(|p| self.now < p.until && p.candidate != candidate)
+    }
+
+    /// Starts no pre-vote before `until`, and gives up the one that is under way.
+    fn give_way(&mut self, until: Moment) {
+        if matches!(self.state, State::PreCandidate { .. }) {
+            self.become_follower(self.hard_state.term, None);
+        }
+        self.election_deadline = self.election_deadline.max(until);
+    }
+
+    /// Starts a pre-vote right after this event, as a replica asks that can't win: its log is shorter.
+    fn start_pre_vote_soon(&mut self) {
+        if matches!(self.state, State::Follower { leader: None }) && !self.is_promised() {
+            self.election_deadline = self.now;
+        }
+    }
+
     /// Reports the election that this replica gives up, if it has one.
     fn report_failed_election(&mut self) {
         let (stage, term, votes) = match &self.state {
             State::PreCandidate { votes } => {
                 (ElectionStage::PreVote, self.hard_state.term.next(), votes)
             }
-            State::Candidate { votes } => (ElectionStage::Campaign, self.hard_state.term, votes),
+            State::Candidate { votes, .. } => {
+                (ElectionStage::Campaign, self.hard_state.term, votes)
+            }
             State::Follower { .. } | State::Leader(_) => return,
         };
         let failed = &mut self.failed_elections;
@@ -117,7 +231,9 @@
         self.vote_for(self.id);
         self.state = State::Candidate {
             votes: BTreeSet::new(),
+            is_refused: false,
         };
+        self.next_notice = self.now;
         self.reset_campaign_deadline();
         let last = self.log.last();
         for voter in self.other_voters() {
@@ -139,7 +255,7 @@
     /// Counts the replica's own vote once it is synced.
     pub(super) fn count_own_vote(&mut self) {
         let synced = self.persistence.is_hard_state_synced();
-        if let State::Candidate { votes } = &mut self.state
+        if let State::Candidate { votes, .. } = &mut self.state
             && synced
         {
             votes.insert(self.id);
@@ -155,7 +271,7 @@
             {
                 self.campaign(false);
             }
-            State::Candidate { votes }
+            State::Candidate { votes, .. }
                 if votes.contains(&self.id)
                     && quorum::has_election_quorum(config, |id| votes.contains(&id)) =>
             {
@@ -229,10 +345,21 @@
             && !self.has_live_leader()
             && self.is_member()
             && last >= self.log.last()
-            && !self.wins_tie_against(message.from, last);
+            && !self.wins_tie_against(message.from, last)
+            && !self.is_winning()
+            && !self.is_promised_against(message.from);
+        if !granted && last < self.log.last() {
+            self.start_pre_vote_soon();
+        }
         let mut reply = self.message(message.from, Body::PreVoteReply { granted });
         if granted {
             reply.term = message.term;
+        } else if matches!(self.state, State::Candidate { .. })
+            && !self.persistence.is_hard_state_synced()
+        {
+            // A refusal makes the receiver adopt the term, so that its next pre-vote is for the term
+            // after it. A campaign there would depose the leader that comes of this one.
+            return;
         }
         self.actions.push(Action::Send(reply));
     }
@@ -266,11 +393,13 @@
     }
 
     pub(super) fn receive_vote_reply(&mut self, from: ReplicaId, granted: bool) {
-        if let State::Candidate { votes } = &mut self.state
-            && granted
-        {
-            votes.insert(from);
-            self.count_votes();
+        if let State::Candidate { votes, is_refused } = &mut self.state {
+            if granted {
+                votes.insert(from);
+                self.count_votes();
+            } else {
+                *is_refused = true;
+            }
         }
     }
 }
--- a/crates/consensus/src/node/follow.rs
+++ b/crates/consensus/src/node/follow.rs
@@ -39,6 +39,7 @@
         }
         match message.body {
             Body::PreVote { last } => self.receive_pre_vote(&message, last),
+            Body::Campaigning { last } => self.receive_campaigning(&message, last),
             Body::PreVoteReply { granted: true } => self.receive_pre_vote_reply(&message, true),
             Body::Vote { last, transfer } => self.receive_vote(&message, last, transfer),
             _ if message.term < self.hard_state.term => self.reply_to_stale(&message),
--- a/crates/consensus/src/persistence.rs
+++ b/crates/consensus/src/persistence.rs
@@ -52,7 +52,7 @@
 pub(crate) struct Persistence {
     next_number: WriteNumber,
     in_flight: Option<InFlightWrite>,
-    /// How long the last completed write took.
+    /// How long the last completed write took, or the first one is expected to take.
     last_duration: Duration,
     /// Every entry up to this index is synced.
     durable: Index,
@@ -66,12 +66,12 @@
 }
 
 impl Persistence {
-    /// Starts with every entry up to `last` stored.
-    pub(crate) fn new(last: Index) -> Self {
+    /// Starts with every entry up to `last` stored; a write is expected to take `write_time`.
+    pub(crate) fn new(last: Index, write_time: Duration) -> Self {
         Self {
             next_number: WriteNumber(1),
             in_flight: None,
-            last_duration: Duration::ZERO,
+            last_duration: write_time,
             durable: last,
             first_unwritten: last.next(),
             hard_state_changed: false,
@@ -97,7 +97,7 @@
         !self.hard_state_changed && !self.in_flight.as_ref().is_some_and(|f| f.has_hard_state)
     }
 
-    /// How long the last completed write took.
+    /// How long the last completed write took, or the first one is expected to take.
     pub(crate) fn last_duration(&self) -> Duration {
         self.last_duration
     }
@@ -216,7 +216,7 @@
         now: Moment,
     ) -> Option<Write> {
         let last = log.last().index;
-        let has_changes = self.hard_state_changed
+        let has_changes = self.needs_hard_state(hard_state)
             || self.snapshot.is_some()
             || self.truncate.is_some()
             || self.first_unwritten <= last;
@@ -245,6 +245,15 @@
         Some(write)
     }
 
+    /// Whether a changed hard state has to be written for its own sake. A term without a vote is
+    /// written with the first thing that depends on it: most often that is the vote, which would
+    /// otherwise wait for another write.
+    fn needs_hard_state(&self, hard_state: HardState) -> bool {
+        let waits = |pending: &PendingMessage| pending.required_write == self.next_number;
+        self.hard_state_changed
+            && (hard_state.vote.is_some() || self.pending_messages.iter().any(waits))
+    }
+
     /// Completes the write `number`; any other number is ignored.
     pub(crate) fn complete_write(&mut self, number: WriteNumber, now: Moment) -> CompletedWrite {
         let Some(in_flight) = self.in_flight.take_if(|f| f.number == number) else {
--- a/crates/consensus/src/settings.rs
+++ b/crates/consensus/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-/// Timeouts and limits, which must be equal on all replicas of a group.
+/// Timeouts and limits, which must be equal on all replicas of a group unless they say otherwise.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
     /// The interval between two heartbeats of a leader.
@@ -15,6 +15,9 @@
     /// When a write has been in flight for this time, and for twice as long as the last one took, the
     /// replica doesn't campaign, and steps down if it is the leader.
     pub write_timeout: Duration,
+    /// How long the first write after the start is expected to take; unlike the other settings, it
+    /// depends on the replica's disk.
+    pub first_write: Duration,
     /// Maximum size of the entries in one append, in bytes; a larger entry is sent alone.
     pub max_batch_bytes: usize,
     /// Maximum number of unacknowledged appends to one follower.
@@ -38,6 +41,7 @@
             heartbeat_interval: Duration::from_millis(50),
             election_timeout: Duration::from_millis(500),
             write_timeout: Duration::from_secs(2),
+            first_write: Duration::ZERO,
             max_batch_bytes: 256 * 1024,
             max_in_flight_appends: 16,
             max_chunk_bytes: 256 * 1024,
--- a/crates/consensus/tests/test_replicas/cluster.rs
+++ b/crates/consensus/tests/test_replicas/cluster.rs
@@ -88,6 +88,15 @@
     }
 }
 
+/// The timing of a hub.
+pub fn hub_settings() -> Settings {
+    Settings {
+        heartbeat_interval: Duration::from_millis(100),
+        election_timeout: Duration::from_millis(400),
+        ..settings()
+    }
+}
+
 /// A member in region "east" if its id is even, else in "west".
 pub fn member(id: u64) -> Member {
     let region = if id.is_multiple_of(2) { "east" } else { "west" };
@@ -162,9 +171,10 @@
     pub fn start(&mut self, id: ReplicaId) {
         let seed = self.rng.random();
         let now = self.now;
-        let settings = self.settings.clone();
+        let mut settings = self.settings.clone();
         let host = self.host(id);
         if host.node.is_none() {
+            settings.first_write = host.write_time;
             let stored = host.disk.stored.clone();
             host.applied = stored.snapshot.position.index;
             host.node = Some(Node::new(settings, stored, seed, now));
--- a/crates/consensus/tests/test_replicas/test_slow_disks.rs
+++ b/crates/consensus/tests/test_replicas/test_slow_disks.rs
@@ -6,13 +6,12 @@
 use consensus::Action;
 use consensus::ElectionStage;
 use consensus::ReplicaId;
-use consensus::Settings;
 use consensus::StepDown;
 
 use crate::cluster::Cluster;
 use crate::cluster::Link;
 use crate::cluster::Outcome;
-use crate::cluster::settings;
+use crate::cluster::hub_settings;
 
 /// Changes proposed one after the other.
 const CHANGES: usize = 10;
@@ -24,15 +23,6 @@
 /// Seeds of random timeouts that each case is tried with.
 const SEEDS: u64 = 20;
 
-/// The timing of a hub.
-fn hub_settings() -> Settings {
-    Settings {
-        heartbeat_interval: Duration::from_millis(100),
-        election_timeout: Duration::from_millis(400),
-        ..settings()
-    }
-}
-
 /// A group of three replicas; `millis` is how long the disk of each takes for a write.
 fn cluster(millis: [u64; 3], seed: u64) -> Cluster {
     let mut cluster = Cluster::with_settings(3, Acceptance::Majority, seed, hub_settings());
--- a/crates/control/src/convert/message.rs
+++ b/crates/control/src/convert/message.rs
@@ -50,6 +50,9 @@
         Body::PreVoteReply { granted } => {
             WireBody::PreVoteReply(w::PreVoteReply { granted: *granted })
         }
+        Body::Campaigning { last } => WireBody::Campaigning(w::Campaigning {
+            last: Some(position_to_wire(*last)),
+        }),
         Body::Vote { last, transfer } => WireBody::Vote(w::Vote {
             last: Some(position_to_wire(*last)),
             transfer: *transfer,
@@ -108,6 +111,9 @@
             last: position(m.last.as_ref())?,
         },
         WireBody::PreVoteReply(m) => Body::PreVoteReply { granted: m.granted },
+        WireBody::Campaigning(m) => Body::Campaigning {
+            last: position(m.last.as_ref())?,
+        },
         WireBody::Vote(m) => Body::Vote {
             last: position(m.last.as_ref())?,
             transfer: m.transfer,
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use cadence::StatsdClient;
 use consensus::HardState;
@@ -200,7 +201,7 @@
         let initial = Arc::new(InitialReplicas::new(initial));
         let (driver, inbox) = DriverHandle::new();
         let (views, view) = watch::channel(View::default());
-        let parts = self.parts(store, stored, views, awaits_founding)?;
+        let parts = self.parts(store, stored, recovered.sync_time, views, awaits_founding)?;
         let driver_stop = CancellationToken::new();
         let shutdown = ShutdownTokens::default();
         let driver_task = tokio::spawn({
@@ -262,6 +263,7 @@
         &self,
         store: Store,
         stored: Stored,
+        sync_time: Duration,
         views: watch::Sender<View>,
         awaits_founding: bool,
     ) -> Result<Parts, ControlError> {
@@ -272,6 +274,7 @@
         let settings = consensus::Settings {
             heartbeat_interval: self.settings.timing.heartbeat,
             election_timeout: self.settings.timing.election,
+            first_write: sync_time,
             max_retained_bytes: defaults.max_retained_bytes.min(snapshot_bytes / 2),
             ..defaults
         };
--- a/crates/control/tests/test_convert.rs
+++ b/crates/control/tests/test_convert.rs
@@ -63,6 +63,7 @@
     let last = position();
     let bodies = [
         Body::PreVote { last },
+        Body::Campaigning { last },
         Body::PreVoteReply { granted: true },
         Body::Vote {
             last,
