consensus: voters hold on to the candidate that they vote for

A replica that syncs a vote for another grants no pre-vote, and holds back for that candidate from then on as for one that it hears campaign. The model's joins now come from each hub that lost its disk, as in the product; before, one that waited could hide another.

--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -3,8 +3,6 @@
 use std::collections::BTreeSet;
 use std::mem;
 
-use base::prelude::*;
-
 use crate::action::Action;
 use crate::action::ElectionStage;
 use crate::action::StepDown;
@@ -61,8 +59,11 @@
     pub(super) fn restart_election_timer(&mut self) {
         match self.state {
             State::Candidate { .. } => self.reset_campaign_deadline(),
-            State::Follower { leader: None } if self.hard_state.vote.is_some() => {
-                self.reset_election_deadline();
+            State::Follower { leader: None } => {
+                if let Some(candidate) = self.hard_state.vote {
+                    self.reset_election_deadline();
+                    self.promise_to(candidate, self.hard_state.term);
+                }
             }
             _ => {}
         }
@@ -112,21 +113,31 @@
         {
             return;
         }
+        self.promise_to(message.from, message.term);
+        if self.is_promised() {
+            self.give_way();
+        }
+    }
+
+    /// Holds back for a candidate from now on, but not for much longer than two writes take here.
+    fn promise_to(&mut self, candidate: ReplicaId, term: Term) {
         let known = self.promise.as_ref();
-        let is_same = |p: &&Promise| p.candidate == message.from && p.term == message.term;
+        let is_same = |p: &&Promise| p.candidate == candidate && p.term == term;
         let since = known.filter(is_same).map_or(self.now, |p| p.since);
         let hold = self.settings.election_timeout.mul_f64(PROMISE_FACTOR);
         let latest = since + self.persistence.last_duration() * VOTER_SYNCS + hold;
-        let until = latest.min(self.now + hold);
         self.promise = Some(Promise {
-            candidate: message.from,
-            term: message.term,
+            candidate,
+            term,
             since,
-            until,
+            until: latest.min(self.now + hold),
         });
-        if self.is_promised() {
-            self.give_way(until);
-        }
+    }
+
+    /// Whether this replica's vote for another is being synced.
+    fn is_voting(&self) -> bool {
+        let vote = self.hard_state.vote.filter(|vote| *vote != self.id);
+        vote.is_some() && !self.persistence.is_hard_state_synced()
     }
 
     /// Whether this replica is a candidate that no voter has refused.
@@ -154,12 +165,14 @@
             .is_some_and(|p| self.now < p.until && p.candidate != candidate)
     }
 
-    /// Starts no pre-vote before `until`, and gives up the one that is under way.
-    fn give_way(&mut self, until: Moment) {
+    /// Starts no pre-vote while this replica holds back, and gives up the one that is under way.
+    fn give_way(&mut self) {
         if matches!(self.state, State::PreCandidate { .. }) {
             self.become_follower(self.hard_state.term, None);
         }
-        self.election_deadline = self.election_deadline.max(until);
+        if let Some(promise) = &self.promise {
+            self.election_deadline = self.election_deadline.max(promise.until);
+        }
     }
 
     /// Starts a pre-vote right after this event, as a replica asks that can't win: its log is shorter.
@@ -347,6 +360,7 @@
             && last >= self.log.last()
             && !self.wins_tie_against(message.from, last)
             && !self.is_winning()
+            && !self.is_voting()
             && !self.is_promised_against(message.from);
         if !granted && last < self.log.last() {
             self.start_pre_vote_soon();
--- a/crates/entry/src/sync/trust.rs
+++ b/crates/entry/src/sync/trust.rs
@@ -24,11 +24,15 @@
     Withheld,
 }
 
+/// The version of a hub's table, if it has one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Held(Option<u64>);
+
 /// What the hubs say of their tables.
 #[derive(Clone, Debug, Default)]
 pub struct Trust {
-    /// The newest version that was confirmed, `None` in it if there was no table.
-    confirmed: Option<Option<u64>>,
+    /// The newest that was confirmed.
+    confirmed: Option<Held>,
     /// What each hub said last.
     reported: HashMap<SocketAddr, Currency>,
 }
@@ -38,7 +42,7 @@
     /// it said something else before.
     pub fn record(&mut self, address: SocketAddr, currency: Currency, table: Option<u64>) -> bool {
         if currency == Currency::Confirmed {
-            self.confirmed = self.confirmed.max(Some(table));
+            self.confirmed = self.confirmed.max(Some(Held(table)));
         }
         self.reported.insert(address, currency) != Some(currency)
     }
@@ -63,7 +67,7 @@
     pub fn verdict(&self, version: u64) -> Verdict {
         let said = |currency| self.reported.values().any(|reported| *reported == currency);
         match self.confirmed {
-            Some(confirmed) if Some(version) >= confirmed => Verdict::Confirmed,
+            Some(confirmed) if Held(Some(version)) >= confirmed => Verdict::Confirmed,
             None if said(Currency::NoMajority) && !said(Currency::Undecided) => {
                 Verdict::Provisional
             }
--- a/crates/entry/tests/outage/hub.rs
+++ b/crates/entry/tests/outage/hub.rs
@@ -10,7 +10,6 @@
 use consensus::Config;
 use consensus::Entry;
 use consensus::Event;
-use consensus::Index;
 use consensus::Member;
 use consensus::Message;
 use consensus::Node;
@@ -35,12 +34,6 @@
     }
 }
 
-/// What a proposal or a read of a hub became.
-pub enum Answer {
-    Accepted(u64),
-    Read(Moment),
-}
-
 pub struct Hub {
     pub address: SocketAddr,
     pub id: ReplicaId,
@@ -203,38 +196,39 @@
         Ticket(self.tickets)
     }
 
-    /// Ends a write that is due, and runs expired timers.
-    pub fn advance(&mut self, now: Moment, sent: &mut Vec<Message>) -> Vec<Answer> {
-        let mut answers = Vec::new();
+    /// Ends a write that is due, and runs expired timers; returns the accepted versions, as each step
+    /// does.
+    pub fn advance(&mut self, now: Moment, sent: &mut Vec<Message>) -> Vec<u64> {
+        let mut accepted = Vec::new();
         if self.pending.is_some() && now >= self.write_ends {
             let write = self.pending.take().expect("a write");
             store(&mut self.disk, &write, usize::MAX);
             let number = write.number;
-            answers.extend(self.step(now, Event::Persisted { number }, sent));
+            accepted.extend(self.step(now, Event::Persisted { number }, sent));
         }
         if self
             .node
             .as_ref()
             .is_some_and(|node| node.deadline() <= now)
         {
-            answers.extend(self.step(now, Event::Tick, sent));
+            accepted.extend(self.step(now, Event::Tick, sent));
         }
-        answers
+        accepted
     }
 
-    pub fn step(&mut self, now: Moment, event: Event, sent: &mut Vec<Message>) -> Vec<Answer> {
+    pub fn step(&mut self, now: Moment, event: Event, sent: &mut Vec<Message>) -> Vec<u64> {
         let mut actions = Vec::new();
         let Some(node) = &mut self.node else {
             return Vec::new();
         };
         node.step(now, event, &mut actions);
-        let answers = actions
+        let accepted = actions
             .into_iter()
             .filter_map(|action| self.perform(now, action, sent));
-        answers.collect()
+        accepted.collect()
     }
 
-    fn perform(&mut self, now: Moment, action: Action, sent: &mut Vec<Message>) -> Option<Answer> {
+    fn perform(&mut self, now: Moment, action: Action, sent: &mut Vec<Message>) -> Option<u64> {
         match action {
             Action::Persist(write) => {
                 self.pending = Some(write);
@@ -250,12 +244,10 @@
                 }
             }
             Action::Committed { ticket, .. } => {
-                return self.proposals.remove(&ticket).map(Answer::Accepted);
+                return self.proposals.remove(&ticket);
             }
             Action::ReadReady { ticket, .. } => {
-                let asked = self.reads.remove(&ticket);
-                self.confirmed = self.confirmed.max(asked);
-                return asked.map(Answer::Read);
+                self.confirmed = self.confirmed.max(self.reads.remove(&ticket));
             }
             Action::Rejected { ticket, .. } => {
                 self.proposals.remove(&ticket);
@@ -297,5 +289,4 @@
     if parts > 3 + write.entries.len() {
         disk.commit = disk.commit.max(write.commit);
     }
-    let _: Index = disk.commit;
 }
--- a/crates/entry/tests/test_outage_model.rs
+++ b/crates/entry/tests/test_outage_model.rs
@@ -19,7 +19,6 @@
 use control::currency::LogReport;
 use entry::sync::trust::Trust;
 use entry::sync::trust::Verdict;
-use hub::Answer;
 use hub::Hub;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -74,7 +73,6 @@
     entries: Vec<EntryHost>,
     messages: Vec<(Moment, Message)>,
     reports: Vec<(Moment, Report)>,
-    next_id: u64,
     next_version: u64,
     /// The acknowledged versions, and when each was.
     acknowledged: BTreeMap<u64, Moment>,
@@ -120,7 +118,6 @@
             entries: (0..ENTRIES).map(entry).collect(),
             messages: Vec::new(),
             reports: Vec::new(),
-            next_id: 1,
             next_version: 1,
             acknowledged: BTreeMap::new(),
             blank: Vec::new(),
@@ -156,11 +153,9 @@
             .extend(sent.into_iter().map(|message| (due, message)));
     }
 
-    fn record(&mut self, answers: Vec<Answer>) {
-        for answer in answers {
-            if let Answer::Accepted(version) = answer {
-                self.acknowledged.entry(version).or_insert(self.now);
-            }
+    fn record(&mut self, accepted: Vec<u64>) {
+        for version in accepted {
+            self.acknowledged.entry(version).or_insert(self.now);
         }
     }
 
@@ -176,9 +171,9 @@
                 continue;
             };
             let mut sent = Vec::new();
-            let answers = hub.step(now, Event::Message(message), &mut sent);
+            let accepted = hub.step(now, Event::Message(message), &mut sent);
             self.send(sent);
-            self.record(answers);
+            self.record(accepted);
         }
         let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.reports)
             .into_iter()
@@ -195,7 +190,7 @@
             return;
         }
         let mut sent = Vec::new();
-        let answers = self.hubs[at].advance(now, &mut sent);
+        let accepted = self.hubs[at].advance(now, &mut sent);
         if now >= self.hubs[at].next_ask {
             self.hubs[at].next_ask = now + ASK;
             self.hubs[at].read(now, &mut sent);
@@ -212,7 +207,7 @@
             }
         }
         self.send(sent);
-        self.record(answers);
+        self.record(accepted);
     }
 
     /// The leader takes in a hub that lost its disk, in the place of its former self.
@@ -230,12 +225,12 @@
         let config = self.hubs[leader].config();
         let hubs = &self.hubs;
         self.blank.retain(|at| !config.is_voter(hubs[*at].id));
-        let Some(at) = self
-            .blank
-            .iter()
-            .copied()
-            .find(|at| self.hubs[*at].is_running(now))
-        else {
+        // Each of them asks by itself.
+        let waiting = self.blank.iter().copied();
+        let waiting: Vec<usize> = waiting
+            .filter(|at| self.hubs[*at].is_running(now))
+            .collect();
+        let Some(at) = waiting.choose(&mut self.rng).copied() else {
             return;
         };
         let member = self.hubs[at].member();
@@ -443,7 +438,6 @@
         let (address, write_time) = (self.hubs[at].address, self.hubs[at].write_time);
         let id = ReplicaId(self.rng.random());
         self.hubs[at] = Hub::new(address, id, write_time);
-        self.next_id += 1;
         if was_running {
             self.start(at);
         }
