control: hosts that were removed to be taken in anew count as running

A hub now asks all hosts that its log names as members, former ones included, and counts against their number.

test_currency_counts_removed_hosts_that_run holds the case.

--- a/crates/control/src/currency.rs
+++ b/crates/control/src/currency.rs
@@ -39,8 +39,8 @@
     Newest,
     /// Something newer may have been acknowledged; a leader is about to decide.
     Undecided,
-    /// Something newer may have been acknowledged, and no leader can be elected: most hosts of the
-    /// group are silent, or the disks of so many are lost that no majority of the voters is left.
+    /// Something newer may have been acknowledged, and no leader can be elected: most hosts are
+    /// silent, or the disks of so many are lost that no majority of the voters is left.
     NoMajority,
 }
 
@@ -66,7 +66,7 @@
 pub struct Attendance {
     /// The number of voters.
     pub voters: usize,
-    /// Hosts of voters that answer, with the replica's own.
+    /// Hosts that answer, with the replica's own.
     pub hosts: usize,
     /// Hosts of voters at which a replica of another id answers, as their disk was lost.
     pub lost: usize,
@@ -78,6 +78,9 @@
 #[derive(Clone, Debug)]
 pub struct Survey {
     answers: BTreeMap<SocketAddr, Answer>,
+    /// The hosts that are or were members of the group. A host whose disk was lost may have been
+    /// removed to be taken in anew, and runs all the same.
+    known_hosts: BTreeSet<SocketAddr>,
     /// When a majority could last be reached, or the survey began.
     majority_at: Moment,
 }
@@ -88,10 +91,22 @@
     pub fn new(now: Moment) -> Self {
         Self {
             answers: BTreeMap::new(),
+            known_hosts: BTreeSet::new(),
             majority_at: now,
         }
     }
 
+    /// Adds hosts that are or were members of the group.
+    pub fn add_hosts(&mut self, hosts: impl IntoIterator<Item = SocketAddr>) {
+        self.known_hosts.extend(hosts);
+    }
+
+    /// The hosts that are or were members of the group.
+    #[must_use]
+    pub fn known_hosts(&self) -> &BTreeSet<SocketAddr> {
+        &self.known_hosts
+    }
+
     /// Records the answer of the replica at `address` to a question asked at `asked_at`.
     pub fn record(&mut self, asked_at: Moment, address: SocketAddr, report: LogReport) {
         let answer = Answer {
@@ -104,6 +119,7 @@
     /// What the answers say of the state that this replica has applied up to `applied`; `own` is its
     /// own log.
     pub fn currency(&mut self, now: Moment, own: &LogReport, applied: Index) -> Currency {
+        self.add_hosts(own.config.members().map(|member| member.address));
         self.answers
             .retain(|_, answer| now.since(answer.at) < ANSWER_LIFETIME);
         if own.config.voters.is_empty() {
@@ -111,8 +127,8 @@
         }
         let attendance = self.attendance(own);
         let majority = quorum::majority(attendance.voters);
-        let is_electable =
-            attendance.hosts >= majority && attendance.voters - attendance.lost >= majority;
+        let is_electable = attendance.hosts >= quorum::majority(self.known_hosts.len())
+            && attendance.voters - attendance.lost >= majority;
         if is_electable {
             self.majority_at = now;
         }
@@ -137,15 +153,12 @@
             binding: own.binding,
             ..Attendance::default()
         };
+        // The own host doesn't ask itself.
+        attendance.hosts = self.answers.len() + 1;
         for member in own.config.voters.values() {
             let answer = self.answers.get(&member.address);
-            let id = if member.id == own.id {
-                Some(own.id)
-            } else {
-                answer.map(|answer| answer.report.id)
-            };
-            attendance.hosts += usize::from(id.is_some());
-            attendance.lost += usize::from(id.is_some_and(|id| id != member.id));
+            let is_other = answer.is_some_and(|answer| answer.report.id != member.id);
+            attendance.lost += usize::from(is_other);
         }
         for report in self.reports(own) {
             attendance.binding = attendance.binding.max(report.binding);
--- a/crates/control/src/survey.rs
+++ b/crates/control/src/survey.rs
@@ -1,5 +1,6 @@
 //! Asks the members of the group what their logs hold while no leader is known.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -81,7 +82,8 @@
             if state.has_leader {
                 return;
             }
-            self.ask_members(&state, &mut questions, &clock, &sender);
+            survey.add_hosts(state.hosts.iter().copied());
+            self.ask_hosts(survey.known_hosts(), &mut questions, &clock, &sender);
             self.publish(&mut survey, clock.now(), state);
             // Without an answer, time alone may change the result.
             if let Ok(Some(answer)) = tokio::time::timeout(INTERVAL, answers.recv()).await {
@@ -90,20 +92,16 @@
         }
     }
 
-    /// Keeps one task for each other member, which asks it again and again.
-    fn ask_members(
+    /// Keeps one task for each other host, which asks it again and again.
+    fn ask_hosts(
         &self,
-        state: &LogState,
+        hosts: &BTreeSet<SocketAddr>,
         questions: &mut HashMap<SocketAddr, AbortOnDropHandle<()>>,
         clock: &Clock,
         answers: &mpsc::Sender<Answer>,
     ) {
-        let voters = state.config.voters.values().map(|member| member.address);
-        let others: Vec<SocketAddr> = voters
-            .filter(|address| *address != self.identity.address)
-            .collect();
-        questions.retain(|address, _| others.contains(address));
-        for address in others {
+        let others = hosts.iter().copied();
+        for address in others.filter(|address| *address != self.identity.address) {
             questions.entry(address).or_insert_with(|| {
                 let asking = ask(address, self.partition.clone(), *clock, answers.clone());
                 AbortOnDropHandle::new(tokio::spawn(asking))
--- a/crates/control/tests/test_currency.rs
+++ b/crates/control/tests/test_currency.rs
@@ -156,6 +156,38 @@
     assert_eq!(currency(&mut survey, SECOND * 4, 7, 7), Currency::Undecided);
 }
 
+/// Guards against hosts that don't count as they lost their disk and were removed from the group, to be
+/// taken in anew: the others look like too few, though most hosts run.
+#[test]
+fn test_currency_counts_removed_hosts_that_run() {
+    let shrunk = |id| LogReport {
+        id: ReplicaId(id),
+        config: config([1, 2, 3, 4]),
+        binding: Index(8),
+    };
+    let blank = |id| LogReport {
+        id: ReplicaId(id),
+        ..LogReport::default()
+    };
+    for (removed, expected) in [
+        (vec![105, 106], Currency::Undecided),
+        (vec![105], Currency::NoMajority),
+    ] {
+        let mut survey = Survey::new(Moment::ZERO);
+        survey.add_hosts((1..=6).map(address));
+        let mut found = Currency::Unknown;
+        for seconds in 0..5 {
+            let at = Moment::ZERO + SECOND * seconds;
+            survey.record(at, address(2), shrunk(2));
+            for id in &removed {
+                survey.record(at, address(id % 100), blank(*id));
+            }
+            found = survey.currency(at, &shrunk(1), Index(7));
+        }
+        assert_eq!(found, expected, "{removed:?}");
+    }
+}
+
 /// Guards against a majority of an older group, in which what was acknowledged by the newer one need
 /// not be logged.
 #[test]
