control: silence of hubs is no reason to obey an older table

A hub that is slow to start can't be told from one that is lost.

No majority is now what hosts say themselves: so many answer that they belong to no group, as their disk was lost, that no majority of voters is left. Members that were replaced have a group and don't count as lost. Entry processes that start refuse while no majority of the hubs is heard; those that run serve on.

--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -145,12 +145,6 @@
             .map_or(&self.snapshot.config, |(_, config)| config)
     }
 
-    /// The configurations in memory, that of the snapshot first.
-    pub(crate) fn configs(&self) -> impl Iterator<Item = &Config> {
-        let later = self.configs.iter().map(|(_, config)| config);
-        std::iter::once(&self.snapshot.config).chain(later)
-    }
-
     /// The index of the current configuration.
     pub(crate) fn config_index(&self) -> Index {
         self.configs
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -11,7 +11,6 @@
 
 use std::collections::BTreeSet;
 use std::mem;
-use std::net::SocketAddr;
 
 use base::prelude::*;
 use rand::RngExt;
@@ -314,14 +313,6 @@
         self.log.slice(self.applied.next(), last, usize::MAX)
     }
 
-    /// Returns the addresses of all members of the configurations in memory, of which the last one is
-    /// current.
-    #[must_use]
-    pub fn known_hosts(&self) -> BTreeSet<SocketAddr> {
-        let members = self.log.configs().flat_map(Config::members);
-        members.map(|member| member.address).collect()
-    }
-
     /// Returns the index of the newest entry for which `is_match` holds, synced or not, or at least
     /// the index before the first entry in memory, as earlier ones may match.
     #[must_use]
--- a/crates/control/src/currency.rs
+++ b/crates/control/src/currency.rs
@@ -7,7 +7,8 @@
 //! whether that is accepted: to obey it may have to be undone, and to obey the applied state may
 //! show callers an older one than was acknowledged.
 //!
-//! While no majority can be reached, nothing can be decided, and nothing is acknowledged.
+//! Silence says nothing: a member may be slow to start. Only if so many disks were lost that no majority
+//! of the voters is left, which their hosts say themselves, nobody will ever decide.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -24,10 +25,6 @@
 /// Time for which an answer counts. A member is asked again every 50 ms, and a slow one answers
 /// within 500 ms.
 const ANSWER_LIFETIME: Duration = Duration::from_secs(1);
-/// Time without answers from a majority of the hosts after which these count as lost. Members that
-/// start together are listening by then.
-const ABSENCE_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// What a replica knows of the state that it has applied.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -37,10 +34,10 @@
     Unknown,
     /// Nothing newer was acknowledged.
     Newest,
-    /// Something newer may have been acknowledged; a leader is about to decide.
+    /// Something newer may have been acknowledged; a leader will decide.
     Undecided,
-    /// Something newer may have been acknowledged, and no leader can be elected: most hosts are
-    /// silent, or the disks of so many are lost that no majority of the voters is left.
+    /// Something newer may have been acknowledged, and no leader can be elected any more: the disks of
+    /// so many voters are lost that no majority of them is left.
     NoMajority,
 }
 
@@ -66,47 +63,21 @@
 pub struct Attendance {
     /// The number of voters.
     pub voters: usize,
-    /// Hosts that answer, with the replica's own.
-    pub hosts: usize,
-    /// Hosts of voters at which a replica of another id answers, as their disk was lost.
+    /// Voters that have answered, with this replica.
+    pub answered: usize,
+    /// Voters at whose address a replica without a group answers, as their disk was lost.
     pub lost: usize,
     /// The newest index after which no answering voter's log changes what is in force.
     pub binding: Index,
 }
 
 /// The answers of the members since no leader has been known.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Survey {
     answers: BTreeMap<SocketAddr, Answer>,
-    /// The hosts that are or were members of the group. A host whose disk was lost may have been
-    /// removed to be taken in anew, and runs all the same.
-    known_hosts: BTreeSet<SocketAddr>,
-    /// When a majority could last be reached, or the survey began.
-    majority_at: Moment,
 }
 
 impl Survey {
-    /// Begins at `now`, without any answer.
-    #[must_use]
-    pub fn new(now: Moment) -> Self {
-        Self {
-            answers: BTreeMap::new(),
-            known_hosts: BTreeSet::new(),
-            majority_at: now,
-        }
-    }
-
-    /// Adds hosts that are or were members of the group.
-    pub fn add_hosts(&mut self, hosts: impl IntoIterator<Item = SocketAddr>) {
-        self.known_hosts.extend(hosts);
-    }
-
-    /// The hosts that are or were members of the group.
-    #[must_use]
-    pub fn known_hosts(&self) -> &BTreeSet<SocketAddr> {
-        &self.known_hosts
-    }
-
     /// Records the answer of the replica at `address` to a question asked at `asked_at`.
     pub fn record(&mut self, asked_at: Moment, address: SocketAddr, report: LogReport) {
         let answer = Answer {
@@ -119,26 +90,16 @@
     /// What the answers say of the state that this replica has applied up to `applied`; `own` is its
     /// own log.
     pub fn currency(&mut self, now: Moment, own: &LogReport, applied: Index) -> Currency {
-        self.add_hosts(own.config.members().map(|member| member.address));
         self.answers
             .retain(|_, answer| now.since(answer.at) < ANSWER_LIFETIME);
         if own.config.voters.is_empty() {
             return Currency::Unknown;
         }
         let attendance = self.attendance(own);
-        let majority = quorum::majority(attendance.voters);
-        let is_electable = attendance.hosts >= quorum::majority(self.known_hosts.len())
-            && attendance.voters - attendance.lost >= majority;
-        if is_electable {
-            self.majority_at = now;
-        }
-        if self.has_majority_in_each_config(own) {
-            if attendance.binding <= applied {
-                return Currency::Newest;
-            }
-            return Currency::Undecided;
-        }
-        if now.since(self.majority_at) >= ABSENCE_TIMEOUT {
+        let left = attendance.voters - attendance.lost;
+        if self.has_majority_in_each_config(own) && attendance.binding <= applied {
+            Currency::Newest
+        } else if left < quorum::majority(attendance.voters) {
             Currency::NoMajority
         } else {
             Currency::Undecided
@@ -153,14 +114,13 @@
             binding: own.binding,
             ..Attendance::default()
         };
-        // The own host doesn't ask itself.
-        attendance.hosts = self.answers.len() + 1;
         for member in own.config.voters.values() {
             let answer = self.answers.get(&member.address);
-            let is_other = answer.is_some_and(|answer| answer.report.id != member.id);
-            attendance.lost += usize::from(is_other);
+            let is_blank = |answer: &Answer| answer.report.config.voters.is_empty();
+            attendance.lost += usize::from(answer.is_some_and(is_blank));
         }
         for report in self.reports(own) {
+            attendance.answered += 1;
             attendance.binding = attendance.binding.max(report.binding);
         }
         attendance
--- a/crates/control/src/driver.rs
+++ b/crates/control/src/driver.rs
@@ -430,7 +430,6 @@
         LogState {
             binding: self.binding_index(&status),
             applied: self.applied,
-            hosts: self.node.known_hosts(),
             has_leader: status.leader.is_some(),
             config: status.config,
         }
--- a/crates/control/src/input.rs
+++ b/crates/control/src/input.rs
@@ -1,6 +1,5 @@
 //! Inputs of the driver task, and the handle that sends them.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -54,8 +53,6 @@
 pub struct LogState {
     /// The newest configuration.
     pub config: Config,
-    /// The addresses of all members of this configuration and of those before it that are known.
-    pub hosts: BTreeSet<SocketAddr>,
     /// No entry after this index changes what is in force.
     pub binding: Index,
     /// The index of the last applied entry.
--- a/crates/control/src/survey.rs
+++ b/crates/control/src/survey.rs
@@ -1,6 +1,5 @@
 //! Asks the members of the group what their logs hold while no leader is known.
 
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -75,33 +74,32 @@
     /// Asks the members until a leader is known or the driver stops.
     async fn survey(&self) {
         let clock = Clock::start();
-        let mut survey = Survey::new(clock.now());
+        let mut survey = Survey::default();
         let (sender, mut answers) = mpsc::channel(MAX_QUEUED);
         let mut questions: HashMap<SocketAddr, AbortOnDropHandle<()>> = HashMap::new();
         while let Ok(state) = self.driver.call(Input::LogReport).await {
             if state.has_leader {
                 return;
             }
-            survey.add_hosts(state.hosts.iter().copied());
-            self.ask_hosts(survey.known_hosts(), &mut questions, &clock, &sender);
+            self.ask_members(&state, &mut questions, &clock, &sender);
             self.publish(&mut survey, clock.now(), state);
-            // Without an answer, time alone may change the result.
+            // Without an answer, the own log or the age of answers may change the result.
             if let Ok(Some(answer)) = tokio::time::timeout(INTERVAL, answers.recv()).await {
                 survey.record(answer.asked_at, answer.from, answer.report);
             }
         }
     }
 
-    /// Keeps one task for each other host, which asks it again and again.
-    fn ask_hosts(
+    /// Keeps one task for each other voter's host, which asks it again and again.
+    fn ask_members(
         &self,
-        hosts: &BTreeSet<SocketAddr>,
+        state: &LogState,
         questions: &mut HashMap<SocketAddr, AbortOnDropHandle<()>>,
         clock: &Clock,
         answers: &mpsc::Sender<Answer>,
     ) {
-        let others = hosts.iter().copied();
-        for address in others.filter(|address| *address != self.identity.address) {
+        let voters = state.config.voters.values().map(|member| member.address);
+        for address in voters.filter(|address| *address != self.identity.address) {
             questions.entry(address).or_insert_with(|| {
                 let asking = ask(address, self.partition.clone(), *clock, answers.clone());
                 AbortOnDropHandle::new(tokio::spawn(asking))
@@ -123,7 +121,7 @@
             let attendance = survey.attendance(&own);
             let currency: &str = currency.into();
             info!(self.log, "survey of logs"; "currency" => currency, "voters" => attendance.voters,
-                "hosts" => attendance.hosts, "lost" => attendance.lost,
+                "answered" => attendance.answered, "lost" => attendance.lost,
                 "binding" => attendance.binding.0, "applied" => state.applied.0);
         }
     }
--- a/crates/entry/src/sync/trust.rs
+++ b/crates/entry/src/sync/trust.rs
@@ -3,8 +3,8 @@
 //! A hub that has restarted knows what its disk says was accepted, and newer tables may have been
 //! acknowledged. So a process obeys no table until a hub says that none is newer, whatever the time
 //! that takes: callers are refused meanwhile, with the time to come back, and not told that a route
-//! is missing. Only while no majority of the hubs can be reached, so that nobody can find out, does
-//! it obey a table that may be older, and it stops if the hubs come back without having found out.
+//! is missing. Only where the disks of so many hubs are lost that nobody can ever find out does it
+//! obey a table that may be older, and it stops if a hub is about to find out all the same.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -18,7 +18,7 @@
 pub enum Verdict {
     /// It is at least as new as one that was the newest.
     Confirmed,
-    /// It may be older, and no majority of the hubs can be reached.
+    /// It may be older, and no hub can find out.
     Provisional,
     /// It may be older, and the hubs will find out.
     Withheld,
