--- a/crates/control/src/currency.rs
+++ b/crates/control/src/currency.rs
@@ -25,6 +25,7 @@
 /// Time for which an answer counts. A member is asked again every 50 ms, and a slow one answers
 /// within 500 ms.
 const ANSWER_LIFETIME: Duration = Duration::from_secs(1);
+
 /// What a replica knows of the state that it has applied.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -32,7 +33,7 @@
     /// Nothing: it belongs to no group, or it knows a leader, who can confirm the state.
     #[default]
     Unknown,
-    /// Nothing newer was acknowledged.
+    /// Nothing newer was acknowledged until the answers were given, within the last second.
     Newest,
     /// Something newer may have been acknowledged; a leader will decide.
     Undecided,
--- a/crates/entry/tests/outage/hub.rs
+++ b/crates/entry/tests/outage/hub.rs
@@ -1,4 +1,5 @@
-//! A hub of the simulated system: a replica with its disk, its applied table and its survey.
+//! A hub of the simulated system: a replica with its disk, its applied table and its survey. Its table
+//! is what the newest applied entry with data names.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/testutils/tests/test_config.rs
+++ b/crates/testutils/tests/test_config.rs
@@ -10,6 +10,7 @@
 use testutils::operator::explain;
 use testutils::services;
 use testutils::system::wait;
+use testutils::system::wait_some;
 use tokio::time::sleep;
 use wire::catalogue::Edit;
 use wire::catalogue::edit::Kind;
@@ -40,14 +41,18 @@
     }
 }
 
+/// The index of the leader; waits for one, as a leader whose process stalls gives way.
 async fn leader(system: &System) -> usize {
-    for index in 0..system.control.len() {
-        let status = system.operator.status(index).await;
-        if status.is_some_and(|s| s.id == s.leader) {
-            return index;
+    let find = async || {
+        for index in 0..system.control.len() {
+            let status = system.operator.status(index).await;
+            if status.is_some_and(|s| s.id == s.leader) {
+                return Some(index);
+            }
         }
-    }
-    panic!("no leader");
+        None
+    };
+    wait_some("leader", find).await.unwrap()
 }
 
 async fn restart(system: &mut System) {
