consensus, control, entry: one name for each thing of the outage code

Read once more as a newcomer. What a replica does for a candidate is a deferral: a promise is something else in Paxos. The hub's and the replica's word for a table that is known to be the newest is Confirmed in both enums. A table that is withheld is asked for by must_withhold. Sums of answers are counts.

test_hub_after_restart_vouches_for_its_table_with_a_majority_only has both checks again of the test that it replaced: a hub that is alone hands its table out. No decision changed. Tests of consensus, and the tests of the outage in control, hub and entry, are green.

--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -42,7 +42,7 @@
 use crate::stored::HardState;
 use crate::stored::Stored;
 
-use self::campaign::Promise;
+use self::campaign::Deferral;
 use self::follow::IncomingSnapshot;
 use self::read::LocalReads;
 
@@ -149,9 +149,9 @@
     /// When the last message from a leader arrived.
     last_leader_contact: Option<Moment>,
     failed_elections: FailedElections,
-    /// The candidate that this replica holds back for.
-    promise: Option<Promise>,
-    /// When this replica, as a candidate, tells the voters so again.
+    /// The candidate that this replica defers to.
+    deferral: Option<Deferral>,
+    /// When this replica, as a candidate, reminds the voters that it campaigns.
     next_notice: Moment,
     /// The term and leader last reported to the adapter.
     reported_leader: (Term, Option<ReplicaId>),
@@ -191,7 +191,7 @@
             election_deadline: now,
             last_leader_contact: None,
             failed_elections: FailedElections::default(),
-            promise: None,
+            deferral: None,
             next_notice: now,
             reported_leader: (Term::default(), None),
             commit_outdated: false,
--- a/crates/consensus/src/node/campaign.rs
+++ b/crates/consensus/src/node/campaign.rs
@@ -1,4 +1,4 @@
-//! What a candidate tells the voters while it campaigns, and how they hold back for it.
+//! What a candidate tells the voters while it campaigns, and how they defer to it.
 //!
 //! A second campaign beside the first splits the votes, and costs all voters another write.
 
@@ -14,16 +14,16 @@
 use super::State;
 use super::VOTER_SYNCS;
 
-/// How long a replica holds back for a candidate that it has heard, as a fraction of the election
+/// How long a replica defers to a candidate that it has heard, as a fraction of the election
 /// timeout.
-const PROMISE_FACTOR: f64 = 0.5;
+const DEFERRAL_FACTOR: f64 = 0.5;
 /// Interval at which a candidate tells the voters that it campaigns, as a fraction of the election
 /// timeout: some of these messages may be lost or late.
-const NOTICE_FACTOR: f64 = PROMISE_FACTOR / 4.0;
+const NOTICE_FACTOR: f64 = DEFERRAL_FACTOR / 4.0;
 
-/// A candidate for which a replica holds back its own pre-votes, and what it grants others.
+/// A candidate for which a replica starts no pre-vote of its own and grants none to others.
 #[derive(Debug)]
-pub(super) struct Promise {
+pub(super) struct Deferral {
     candidate: ReplicaId,
     /// The term in which it campaigns.
     term: Term,
@@ -64,7 +64,7 @@
         self.next_notice = self.now + self.settings.election_timeout.mul_f64(NOTICE_FACTOR);
     }
 
-    /// Holds back for a candidate that may get this replica's vote or has it: a second campaign would
+    /// Defers to a candidate that may get this replica's vote or has it: a second campaign would
     /// split the votes and cost all voters another write. A candidate whose disk is much slower than
     /// the own one is no reason: as the leader it would make each change wait for that disk.
     pub(super) fn receive_campaigning(&mut self, message: &Message, last: Position) {
@@ -72,25 +72,25 @@
         let can_vote = message.term > self.hard_state.term
             || (message.term == self.hard_state.term
                 && vote.is_none_or(|vote| vote == message.from));
-        let is_bound = matches!(self.state, State::Candidate { .. }) || self.has_live_leader();
-        if !can_vote || is_bound || last < self.log.last() || self.is_promised_against(message.from)
+        let is_settled = matches!(self.state, State::Candidate { .. }) || self.has_live_leader();
+        if !can_vote || is_settled || last < self.log.last() || self.defers_to_another(message.from)
         {
             return;
         }
-        self.promise_to(message.from, message.term);
-        if self.is_promised() {
+        self.defer_to(message.from, message.term);
+        if self.is_deferring() {
             self.give_way();
         }
     }
 
-    /// Holds back for a candidate from now on, but not for much longer than two writes take here.
-    pub(super) fn promise_to(&mut self, candidate: ReplicaId, term: Term) {
-        let known = self.promise.as_ref();
-        let is_same = |p: &&Promise| p.candidate == candidate && p.term == term;
+    /// Defers to a candidate from now on, but not for much longer than two writes take here.
+    pub(super) fn defer_to(&mut self, candidate: ReplicaId, term: Term) {
+        let known = self.deferral.as_ref();
+        let is_same = |p: &&Deferral| p.candidate == candidate && p.term == term;
         let since = known.filter(is_same).map_or(self.now, |p| p.since);
-        let hold = self.settings.election_timeout.mul_f64(PROMISE_FACTOR);
+        let hold = self.settings.election_timeout.mul_f64(DEFERRAL_FACTOR);
         let latest = since + self.persistence.last_duration() * VOTER_SYNCS + hold;
-        self.promise = Some(Promise {
+        self.deferral = Some(Deferral {
             candidate,
             term,
             since,
@@ -115,27 +115,27 @@
         )
     }
 
-    /// Whether this replica holds back for a candidate now.
-    pub(super) fn is_promised(&self) -> bool {
-        self.promise
+    /// Whether this replica defers to a candidate now.
+    pub(super) fn is_deferring(&self) -> bool {
+        self.deferral
             .as_ref()
-            .is_some_and(|promise| self.now < promise.until)
+            .is_some_and(|deferral| self.now < deferral.until)
     }
 
-    /// Whether this replica holds back for another candidate.
-    pub(super) fn is_promised_against(&self, candidate: ReplicaId) -> bool {
-        self.promise
+    /// Whether this replica defers to another candidate.
+    pub(super) fn defers_to_another(&self, candidate: ReplicaId) -> bool {
+        self.deferral
             .as_ref()
             .is_some_and(|p| self.now < p.until && p.candidate != candidate)
     }
 
-    /// Starts no pre-vote while this replica holds back, and gives up the one that is under way.
+    /// Starts no pre-vote while this replica defers, and gives up the one that is under way.
     fn give_way(&mut self) {
         if matches!(self.state, State::PreCandidate { .. }) {
             self.become_follower(self.hard_state.term, None);
         }
-        if let Some(promise) = &self.promise {
-            self.election_deadline = self.election_deadline.max(promise.until);
+        if let Some(deferral) = &self.deferral {
+            self.election_deadline = self.election_deadline.max(deferral.until);
         }
     }
 }
--- a/crates/consensus/src/node/election.rs
+++ b/crates/consensus/src/node/election.rs
@@ -53,7 +53,7 @@
             State::Follower { leader: None } => {
                 if let Some(candidate) = self.hard_state.vote {
                     self.reset_election_deadline();
-                    self.promise_to(candidate, self.hard_state.term);
+                    self.defer_to(candidate, self.hard_state.term);
                 }
             }
             _ => {}
@@ -62,7 +62,7 @@
 
     /// Starts a pre-vote right after this event, as a replica asks that can't win: its log is shorter.
     fn start_pre_vote_soon(&mut self) {
-        if matches!(self.state, State::Follower { leader: None }) && !self.is_promised() {
+        if matches!(self.state, State::Follower { leader: None }) && !self.is_deferring() {
             self.election_deadline = self.now;
         }
     }
@@ -246,7 +246,7 @@
             && !self.wins_tie_against(message.from, last)
             && !self.is_winning()
             && !self.is_voting()
-            && !self.is_promised_against(message.from);
+            && !self.defers_to_another(message.from);
         if !granted && last < self.log.last() {
             self.start_pre_vote_soon();
         }
--- a/crates/control/src/currency.rs
+++ b/crates/control/src/currency.rs
@@ -34,7 +34,7 @@
     #[default]
     Unknown,
     /// Nothing newer was acknowledged until the answers were given, within the last second.
-    Newest,
+    Confirmed,
     /// Something newer may have been acknowledged; a leader will decide.
     Undecided,
     /// Something newer may have been acknowledged, and no leader can be elected any more: the disks of
@@ -59,9 +59,9 @@
     report: LogReport,
 }
 
-/// Which part of the group has answered.
+/// What the answers of the voters add up to.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Attendance {
+pub struct Counts {
     /// The number of voters.
     pub voters: usize,
     /// Voters that have answered, with this replica.
@@ -96,35 +96,35 @@
         if own.config.voters.is_empty() {
             return Currency::Unknown;
         }
-        let attendance = self.attendance(own);
-        let left = attendance.voters - attendance.lost;
-        if self.has_majority_in_each_config(own) && attendance.binding <= applied {
-            Currency::Newest
-        } else if left < quorum::majority(attendance.voters) {
+        let counts = self.counts(own);
+        let left = counts.voters - counts.lost;
+        if self.has_majority_in_each_config(own) && counts.binding <= applied {
+            Currency::Confirmed
+        } else if left < quorum::majority(counts.voters) {
             Currency::NoMajority
         } else {
             Currency::Undecided
         }
     }
 
-    /// Which part of the group of `own` has answered.
+    /// What the answers of the group of `own` add up to.
     #[must_use]
-    pub fn attendance(&self, own: &LogReport) -> Attendance {
-        let mut attendance = Attendance {
+    pub fn counts(&self, own: &LogReport) -> Counts {
+        let mut counts = Counts {
             voters: own.config.voters.len(),
             binding: own.binding,
-            ..Attendance::default()
+            ..Counts::default()
         };
         for member in own.config.voters.values() {
             let answer = self.answers.get(&member.address);
             let is_blank = |answer: &Answer| answer.report.config.voters.is_empty();
-            attendance.lost += usize::from(answer.is_some_and(is_blank));
+            counts.lost += usize::from(answer.is_some_and(is_blank));
         }
         for report in self.reports(own) {
-            attendance.answered += 1;
-            attendance.binding = attendance.binding.max(report.binding);
+            counts.answered += 1;
+            counts.binding = counts.binding.max(report.binding);
         }
-        attendance
+        counts
     }
 
     /// Whether a majority of the voters has answered, in each configuration that one of them has.
--- a/crates/control/src/driver/actions.rs
+++ b/crates/control/src/driver/actions.rs
@@ -263,8 +263,8 @@
             "version" => reply.version, "index" => index.0);
     }
 
-    /// Logs the route tables that this replica has synced and that may or may not be accepted. One
-    /// that was acknowledged is among those of each majority.
+    /// Logs the route tables in the log that aren't applied yet. Whether they are committed is unknown
+    /// until there is a leader.
     pub(super) fn log_unapplied_tables(&self) {
         for entry in self.node.unapplied() {
             let Payload::Data(data) = &entry.payload else {
--- a/crates/control/src/survey.rs
+++ b/crates/control/src/survey.rs
@@ -118,11 +118,11 @@
             .currency
             .send_if_modified(|last| std::mem::replace(last, currency) != currency);
         if changed {
-            let attendance = survey.attendance(&own);
+            let counts = survey.counts(&own);
             let currency: &str = currency.into();
-            info!(self.log, "survey of logs"; "currency" => currency, "voters" => attendance.voters,
-                "answered" => attendance.answered, "lost" => attendance.lost,
-                "binding" => attendance.binding.0, "applied" => state.applied.0);
+            info!(self.log, "survey of logs"; "currency" => currency, "voters" => counts.voters,
+                "answered" => counts.answered, "lost" => counts.lost,
+                "binding" => counts.binding.0, "applied" => state.applied.0);
         }
     }
 }
--- a/crates/control/tests/test_currency.rs
+++ b/crates/control/tests/test_currency.rs
@@ -64,7 +64,7 @@
     let answers = [2, 3, 4].map(|id| report(id, 1..=6, 7));
     assert_eq!(
         currency(&mut survey(&answers), Duration::ZERO, 7, 7),
-        Currency::Newest
+        Currency::Confirmed
     );
     assert_eq!(
         currency(&mut survey(&answers), Duration::ZERO, 8, 7),
@@ -131,7 +131,7 @@
 fn test_currency_of_a_silent_group_stays_undecided() {
     let answers = [2, 3, 4].map(|id| report(id, 1..=6, 7));
     let mut survey = survey(&answers);
-    assert_eq!(currency(&mut survey, SECOND / 2, 7, 7), Currency::Newest);
+    assert_eq!(currency(&mut survey, SECOND / 2, 7, 7), Currency::Confirmed);
     for seconds in 1..60 {
         let found = currency(&mut survey, SECOND * seconds, 7, 7);
         assert_eq!(found, Currency::Undecided, "after {seconds} s");
@@ -145,7 +145,7 @@
     let old = [2, 3, 4].map(|id| report(id, 1..=6, 7));
     assert_eq!(
         currency(&mut survey(&old), Duration::ZERO, 7, 7),
-        Currency::Newest
+        Currency::Confirmed
     );
     let mut newer = old.clone();
     newer[0].config = config([1, 2, 7, 8, 9, 10]);
@@ -216,7 +216,7 @@
             }
             let applied = logs[asking].applied;
             let found = survey.currency(Moment::ZERO, &own, Index(applied));
-            if found == Currency::Newest {
+            if found == Currency::Confirmed {
                 vouched += 1;
                 assert!(applied >= acknowledged, "seed {seed}, replica {asking}");
             }
--- a/crates/entry/src/sync.rs
+++ b/crates/entry/src/sync.rs
@@ -326,7 +326,7 @@
         let Some(version) = self.core.routes().version() else {
             return;
         };
-        if trust.is_withdrawn(version) {
+        if trust.must_withhold(version) {
             self.core.withhold_table();
         } else if trust.verdict(version) != Verdict::Withheld {
             self.core.obey_table();
--- a/crates/entry/src/sync/trust.rs
+++ b/crates/entry/src/sync/trust.rs
@@ -78,7 +78,7 @@
     /// Whether a table of this version that is obeyed must not be obeyed any more. Hubs that fall
     /// silent are no reason.
     #[must_use]
-    pub fn is_withdrawn(&self, version: u64) -> bool {
+    pub fn must_withhold(&self, version: u64) -> bool {
         let undecided = self
             .reported
             .values()
--- a/crates/entry/tests/outage/hub.rs
+++ b/crates/entry/tests/outage/hub.rs
@@ -158,7 +158,7 @@
         let survey = self.survey.get_or_insert_with(Survey::default);
         match survey.currency(now, &own, applied.unwrap_or_default()) {
             control::Currency::Unknown => Currency::Unspecified,
-            control::Currency::Newest => Currency::Confirmed,
+            control::Currency::Confirmed => Currency::Confirmed,
             control::Currency::Undecided => Currency::Undecided,
             control::Currency::NoMajority => Currency::NoMajority,
         }
--- a/crates/entry/tests/test_outage_model.rs
+++ b/crates/entry/tests/test_outage_model.rs
@@ -260,7 +260,7 @@
                 entry.trust.record(hub.address, currency, hub.table);
             }
             if let Some(version) = entry.table {
-                if entry.trust.is_withdrawn(version) {
+                if entry.trust.must_withhold(version) {
                     entry.obeyed = false;
                 } else if entry.trust.verdict(version) != Verdict::Withheld {
                     entry.obeyed = true;
--- a/crates/entry/tests/test_trust.rs
+++ b/crates/entry/tests/test_trust.rs
@@ -34,8 +34,8 @@
         Verdict::Withheld,
         "it is older for certain"
     );
-    assert!(!trust.is_withdrawn(8));
-    assert!(trust.is_withdrawn(7));
+    assert!(!trust.must_withhold(8));
+    assert!(trust.must_withhold(7));
 }
 
 /// Guards against a process that never serves a system whose first table is still to come.
@@ -67,13 +67,13 @@
         Verdict::Withheld,
         "others are about to find out"
     );
-    assert!(trust.is_withdrawn(7));
+    assert!(trust.must_withhold(7));
     trust.forget(hub(3));
     assert_eq!(trust.verdict(7), Verdict::Provisional);
     trust.forget(hub(1));
     assert_eq!(trust.verdict(7), Verdict::Withheld);
     assert!(
-        !trust.is_withdrawn(7),
+        !trust.must_withhold(7),
         "hubs that fall silent are no reason"
     );
     trust.record(hub(4), Currency::Confirmed, Some(7));
--- a/crates/hub/src/server.rs
+++ b/crates/hub/src/server.rs
@@ -139,7 +139,7 @@
         }
         match *tables.currency().borrow() {
             control::Currency::Unknown => Currency::Unspecified,
-            control::Currency::Newest => Currency::Confirmed,
+            control::Currency::Confirmed => Currency::Confirmed,
             control::Currency::Undecided => Currency::Undecided,
             control::Currency::NoMajority => Currency::NoMajority,
         }
--- a/crates/hub/tests/test_hub.rs
+++ b/crates/hub/tests/test_hub.rs
@@ -355,7 +355,9 @@
         assert!(reply.table >= Some(8), "{reply:?}");
         request.currency = Some(reply.currency);
     }
-    // A confirmed read fails, too.
+    let fetched = fetch(&link(&layout), None).await.expect("a table");
+    assert!(fetched.content.len() > 10);
+    // A confirmed read fails.
     assert!(matches!(
         hub.commands().read().await,
         Err(CommandError::NoMajority)
